--- a/src/cli/serve/operator_service.ts
+++ b/src/cli/serve/operator_service.ts
@@ -4,20 +4,17 @@
 import type {ProposeReply} from '../../protocol/peer_service.ts';
 import type {ConfigurationLease} from '../../coordination/leases/configuration_lease.ts';
 import type {EndpointTable} from '../../coordination/membership/endpoint_table.ts';
-import type {Replica} from '../../coordination/replication/replica.ts';
-import type {LedgerState} from '../../state/ledger/ledger_state.ts';
 import type {OperatorService} from '../../transport/public/public_server.ts';
+import type {CallReplica} from './call_replica.ts';
+import type {Replicas} from './replicas.ts';
 
 export interface OperatorServiceOptions {
   readonly propose: (command: ControlCommand) => Promise<ProposeReply>;
   readonly clock: Clock;
   readonly lease: ConfigurationLease;
-  /** The daemons behind a revision; `null` when that is not known. */
-  readonly checkInForce: (
-    revision: number,
-  ) => Promise<readonly string[] | null>;
-  readonly controlReplica?: Replica<ControlCommand, ControlResult>;
-  readonly ledgerStates: readonly LedgerState[];
+  readonly listReplicas: () => readonly string[];
+  readonly callReplica: CallReplica;
+  readonly replicas: Replicas;
   readonly endpoints: EndpointTable;
 }
 
@@ -31,7 +28,8 @@
 export function createOperatorService(
   options: OperatorServiceOptions,
 ): OperatorService {
-  const {lease, endpoints, controlReplica, ledgerStates} = options;
+  const {lease, endpoints, replicas} = options;
+  const control = replicas.control?.replica;
   return {
     async execute(command) {
       const reply = await options.propose(command);
@@ -51,15 +49,15 @@
         withdrawals: view?.withdrawals ?? [],
         hosts: lease.listHosts(),
         endpoints: endpoints.list(),
-        control: controlReplica && {
-          leader: controlReplica.leader,
-          term: controlReplica.term,
-          applied: controlReplica.applied,
+        control: control && {
+          leader: control.leader,
+          term: control.term,
+          applied: control.applied,
         },
       };
     },
     async exportBills() {
-      return ledgerStates.flatMap(ledger => [...ledger.bills]);
+      return replicas.ledgers.flatMap(ledger => [...ledger.bills]);
     },
   };
 }
@@ -68,12 +66,27 @@
   options: OperatorServiceOptions,
   revision: number,
 ): Promise<boolean> {
-  const {clock, checkInForce} = options;
+  const {clock} = options;
   const deadline = clock.monotonic() + IN_FORCE_TIMEOUT_MS;
   while (clock.monotonic() < deadline) {
-    const behind = await checkInForce(revision);
+    const behind = await findBehind(options, revision);
     if (behind?.length === 0) return true;
     await clock.sleep(POLL_MS);
   }
   return false;
 }
+
+/** The daemons behind a revision; `null` when that is not known. */
+async function findBehind(
+  options: OperatorServiceOptions,
+  revision: number,
+): Promise<readonly string[] | null> {
+  for (const name of options.listReplicas()) {
+    const reply = await options
+      .callReplica(name)
+      .checkInForce({revision})
+      .catch(() => null);
+    if (reply?.type === 'behind') return reply.hosts;
+  }
+  return null;
+}
