--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -4,7 +4,7 @@
  * `node scripts/test.mjs PATTERN` runs the test files whose path matches.
  */
 import {spawnSync} from 'node:child_process';
-import {readdirSync} from 'node:fs';
+import {existsSync, readdirSync} from 'node:fs';
 import {join} from 'node:path';
 
 /** How long one test file may run. */
@@ -20,6 +20,7 @@
 
 const pattern = new RegExp(process.argv[2] ?? '');
 const files = ['src', 'testing', 'tools']
+  .filter(folder => existsSync(folder))
   .flatMap(listTests)
   .filter(file => pattern.test(file))
   .sort();
