Roll out versions by stages and withdraw bad ones by themselves

Cause: a declared roll-out had no effect. The control group now commits the state of each plan; gateways report cumulative counts of ratings, failures and slow answers; the leader merges them and commits the next step.

Weighed: fixed-sample tests (looking each second inflates their error), per-gateway halting (each sees too little of a 5% stage). Chosen is an e-value whose logarithm adds up over gateways.

--- a/src/cli/commands/operator_commands.ts
+++ b/src/cli/commands/operator_commands.ts
@@ -32,7 +32,12 @@
     const digest = createHash('sha256')
       .update(JSON.stringify(declaration))
       .digest('hex');
-    await sendCommand(options, {type: 'apply', declaration, digest});
+    await sendCommand(options, {
+      type: 'apply',
+      declaration,
+      digest,
+      atMs: Date.now(),
+    });
   });
   connect(
     addOperatorCommand(program, 'withdraw <version>', 'withdraw a version'),
--- a/src/cli/serve/daemon.ts
+++ b/src/cli/serve/daemon.ts
@@ -6,6 +6,8 @@
 import type {Settings} from '../../protocol/settings.ts';
 import {ConfigurationLease} from '../../coordination/leases/configuration_lease.ts';
 import {EndpointTable} from '../../coordination/membership/endpoint_table.ts';
+import {EvidenceCollector} from '../../coordination/rollout/evidence_collector.ts';
+import {EvidenceLedger} from '../../coordination/rollout/evidence_ledger.ts';
 import {createProposer} from '../../coordination/replication/proposer.ts';
 import {createLedgerClient} from '../../coordination/requests/ledger_client.ts';
 import type {RequestContext} from '../../coordination/requests/request_context.ts';
@@ -23,6 +25,7 @@
 import {createPeerService} from './peer_service.ts';
 import {createLeaseRenewal} from './renew_lease.ts';
 import {CONTROL_GROUP, openReplicas} from './replicas.ts';
+import {startRollouts} from './rollouts.ts';
 import {readSecrets} from './secrets.ts';
 
 /** How long callers get to learn that this daemon leaves. */
@@ -63,7 +66,8 @@
   const links = store.add(new PeerLinks(secrets.peer));
   const replicas = await openReplicas(parts, links);
   const endpoints = new EndpointTable(clock);
-  const service = createPeerService({replicas, endpoints});
+  const evidence = new EvidenceLedger(clock);
+  const service = createPeerService({replicas, endpoints, evidence});
   const callReplica = createReplicaCaller(settings, links, service);
   const listReplicas = () => orderReplicas(settings);
   const propose = createProposer({
@@ -72,11 +76,13 @@
     clock,
   });
   let leaving = false;
+  const incarnation = createIdentifier('inc');
+  const collector = new EvidenceCollector(settings.name, incarnation);
   const lease = store.add(
     new ConfigurationLease({
       clock,
       logger: createLogger('lease'),
-      incarnation: createIdentifier('inc'),
+      incarnation,
       describeHost: () => describeHost(settings, leaving),
       renew: createLeaseRenewal({listReplicas, callReplica}),
     }),
@@ -90,6 +96,7 @@
     logger: createLogger('route'),
     dispatcher: store.add(createEngineClient()),
     ledger: createLedgerClient(settings.ledger_groups, propose),
+    evidence: collector,
     getView: () => lease.getView(),
     listEndpoints: () => endpoints.list(),
   };
@@ -127,6 +134,14 @@
   );
   replicas.start();
   lease.start();
+  startRollouts(parts, {
+    replicas,
+    lease,
+    collector,
+    evidence,
+    listReplicas,
+    callReplica,
+  });
   createLogger('daemon').info('Started.', {
     name: settings.name,
     public: settings.listen.public,
--- a/src/cli/serve/operator_service.ts
+++ b/src/cli/serve/operator_service.ts
@@ -32,7 +32,10 @@
   const control = replicas.control?.replica;
   return {
     async execute(command) {
-      const reply = await options.propose(command);
+      // The daemon's clock counts, since roll-outs are timed from it.
+      const timed =
+        'atMs' in command ? {...command, atMs: options.clock.now()} : command;
+      const reply = await options.propose(timed);
       if (reply.type !== 'committed') {
         return {status: 503, body: {type: 'unknown'}};
       }
@@ -47,6 +50,7 @@
         revision: view?.revision ?? null,
         version: view?.declaration?.version ?? null,
         withdrawals: view?.withdrawals ?? [],
+        rollouts: view?.rollouts ?? [],
         hosts: lease.listHosts(),
         endpoints: endpoints.list(),
         control: control && {
--- a/src/cli/serve/peer_service.ts
+++ b/src/cli/serve/peer_service.ts
@@ -2,12 +2,15 @@
 import type {PeerService} from '../../protocol/peer_service.ts';
 import {createLeaseService} from '../../coordination/leases/lease_service.ts';
 import type {EndpointTable} from '../../coordination/membership/endpoint_table.ts';
+import type {EvidenceLedger} from '../../coordination/rollout/evidence_ledger.ts';
 import type {Replica} from '../../coordination/replication/replica.ts';
 import type {Replicas} from './replicas.ts';
 
 export interface PeerServiceOptions {
   readonly replicas: Replicas;
   readonly endpoints: EndpointTable;
+  /** What gateways saw of versions, for the leader's decisions. */
+  readonly evidence: EvidenceLedger;
 }
 
 /** Creates the service that peers reach through the transport. */
@@ -38,6 +41,11 @@
       }
       return {type: 'behind', hosts: control.leases.listBehind(revision)};
     },
+    reportEvidence: async report => {
+      const taken = control?.replica.isLeader() ?? false;
+      if (taken) options.evidence.record(report);
+      return {taken};
+    },
     exchange: async ({records}) => {
       const news = records.filter(record => endpoints.merge(record));
       return {accepted: news.length};
--- a/src/coordination/requests/request_context.ts
+++ b/src/coordination/requests/request_context.ts
@@ -4,6 +4,7 @@
 import type {RequestError} from '../../protocol/completion.ts';
 import type {Logger} from '../../protocol/logger.ts';
 import type {Endpoint} from '../membership/endpoint_table.ts';
+import type {EvidenceCollector} from '../rollout/evidence_collector.ts';
 import type {Dispatcher} from './dispatch.ts';
 import type {LedgerClient} from './ledger_client.ts';
 
@@ -18,6 +19,8 @@
   readonly logger: Logger;
   readonly dispatcher: Dispatcher;
   readonly ledger: LedgerClient;
+  /** Counts how versions serve, for the decisions about roll-outs. */
+  readonly evidence: EvidenceCollector;
   /** The configuration in force, `null` when the lease has run out. */
   readonly getView: () => ControlView | null;
   readonly listEndpoints: () => Endpoint[];
--- /dev/null
+++ b/src/coordination/rollout/evaluate_evidence.ts
@@ -0,0 +1,190 @@
+/**
+ * Tells whether a version is worse than the stable one, at any time.
+ *
+ * The evidence is an e-value: a bet against the claim that the version is
+ * good enough, whose expected gain under that claim is at most nothing. By
+ * Ville's inequality the chance that it ever passes `1 / ALPHA` is at most
+ * `ALPHA`, however often one looks, so looking each second costs nothing.
+ * Several stakes are played side by side and averaged. The logarithm of each
+ * is a sum over answers, so counts merged over gateways give the same value
+ * as one gateway that had seen them all.
+ */
+import {
+  RATING_BINS,
+  type VersionEvidence,
+} from '../../protocol/rollout_state.ts';
+
+/** The chance of halting a version that is good enough. */
+export const ALPHA = 0.01;
+
+/** How many kinds of harm are tested, each with its part of `ALPHA`. */
+const KINDS = 3;
+
+/** The weight of the whole evidence; later spans share the rest. */
+const WHOLE_WEIGHT = 0.5;
+
+/** The most spans besides the whole, which share their weight evenly. */
+export const MAX_LATER_SPANS = 20;
+
+/** The ratings of the stable version from which its mean is trusted. */
+const STABLE_RATINGS = 30;
+
+/** The share of failures that is tolerated where the stable has none. */
+const TOLERATED_ERRORS = 0.02;
+
+/** The share of slow answers that is tolerated beyond the stable's. */
+const TOLERATED_SLOW = 0.1;
+
+/** The stakes, as shares of the largest that cannot lose all at once. */
+const STAKES = [0.1, 0.25, 0.5, 0.75, 0.95];
+
+/** The counts of one version, merged over gateways. */
+export type EvidenceCounts = Omit<VersionEvidence, 'version'>;
+
+export interface EvaluateEvidenceOptions {
+  /**
+   * The version's counts since a few moments, the whole first. The later
+   * spans show a version that turns bad after it was good for long.
+   */
+  readonly candidate: readonly EvidenceCounts[];
+  readonly stable: EvidenceCounts;
+  /** The quality expected of the stable version before it has ratings. */
+  readonly stableQuality: number;
+  /** The drop of mean quality that is tolerated. */
+  readonly toleratedDrop: number;
+}
+
+/** What the evidence says of a version. */
+export interface EvidenceVerdict {
+  readonly halt: boolean;
+  /** The largest of the e-values; a halt needs `KINDS / ALPHA`. */
+  readonly eValue: number;
+  /** A sentence for operators. */
+  readonly reason: string;
+}
+
+/** Evaluates quality, failures and latency together. */
+export function evaluateEvidence(
+  options: EvaluateEvidenceOptions,
+): EvidenceVerdict {
+  const tests = [testQuality, testFailures, testLatency];
+  const results = tests.map(test => test(options));
+  const worst = results.reduce((a, b) => (b.eValue > a.eValue ? b : a));
+  return {...worst, halt: worst.eValue >= KINDS / ALPHA};
+}
+
+/** The number of ratings in the counts. */
+export function countRatings(counts: EvidenceCounts): number {
+  return counts.ratings.reduce((sum, count) => sum + count, 0);
+}
+
+/** The mean rating, each counted at the middle of its interval. */
+export function computeMeanRating(counts: EvidenceCounts): number {
+  const total = countRatings(counts);
+  const sum = counts.ratings.reduce(
+    (each, count, bin) => each + (count * (bin + 0.5)) / RATING_BINS,
+    0,
+  );
+  return total === 0 ? 0 : sum / total;
+}
+
+interface TestResult {
+  eValue: number;
+  reason: string;
+}
+
+function testQuality(options: EvaluateEvidenceOptions): TestResult {
+  const {candidate, stable, stableQuality, toleratedDrop} = options;
+  const trusted = countRatings(stable) >= STABLE_RATINGS;
+  const reference = trusted ? computeMeanRating(stable) : stableQuality;
+  const floor = clampShare(reference - toleratedDrop);
+  const eValue = averageSpans(candidate, counts =>
+    // A rating counts as the top of its interval: against a halt.
+    computeEValue(1 / (1 - floor), stake =>
+      counts.ratings.reduce((sum, count, bin) => {
+        const rating = (bin + 1) / RATING_BINS;
+        return sum + count * Math.log1p(stake * (floor - rating));
+      }, 0),
+    ),
+  );
+  const mean = candidate[0] ? computeMeanRating(candidate[0]) : 0;
+  const reason = `mean rating ${mean.toFixed(3)} against a floor of ${floor.toFixed(3)}`;
+  return {eValue, reason};
+}
+
+function testFailures(options: EvaluateEvidenceOptions): TestResult {
+  const {errors, requests} = options.stable;
+  const limit = Math.max(TOLERATED_ERRORS, 2 * estimateShare(errors, requests));
+  const pick = (counts: EvidenceCounts) => counts.errors;
+  return testShare('failed answers', options.candidate, {pick, limit});
+}
+
+function testLatency(options: EvaluateEvidenceOptions): TestResult {
+  const {slow, requests} = options.stable;
+  const limit = TOLERATED_SLOW + estimateShare(slow, requests);
+  const pick = (counts: EvidenceCounts) => counts.slow;
+  return testShare('slow first tokens', options.candidate, {pick, limit});
+}
+
+interface ShareOptions {
+  readonly pick: (counts: EvidenceCounts) => number;
+  /** The tolerated share of requests. */
+  readonly limit: number;
+}
+
+function testShare(
+  what: string,
+  spans: readonly EvidenceCounts[],
+  options: ShareOptions,
+): TestResult {
+  const limit = clampShare(options.limit);
+  const eValue = averageSpans(spans, counts =>
+    computeEValue(1 / limit, stake => {
+      const count = options.pick(counts);
+      const others = counts.requests - count;
+      return (
+        count * Math.log1p(stake * (1 - limit)) +
+        others * Math.log1p(-stake * limit)
+      );
+    }),
+  );
+  const whole = spans[0];
+  const share = whole ? estimateShare(options.pick(whole), whole.requests) : 0;
+  const reason = `${what}: ${share.toFixed(3)} against a limit of ${limit.toFixed(3)}`;
+  return {eValue, reason};
+}
+
+/** Averages the e-values of the spans, which keeps the bound on errors. */
+function averageSpans(
+  spans: readonly EvidenceCounts[],
+  computeOne: (counts: EvidenceCounts) => number,
+): number {
+  const laterWeight = (1 - WHOLE_WEIGHT) / MAX_LATER_SPANS;
+  return spans
+    .slice(0, MAX_LATER_SPANS + 1)
+    .reduce(
+      (sum, counts, index) =>
+        sum + (index === 0 ? WHOLE_WEIGHT : laterWeight) * computeOne(counts),
+      0,
+    );
+}
+
+/** Averages the bets over the stakes. */
+function computeEValue(
+  largestStake: number,
+  computeLogGain: (stake: number) => number,
+): number {
+  const gains = STAKES.map(share =>
+    Math.exp(computeLogGain(share * largestStake)),
+  );
+  return gains.reduce((sum, gain) => sum + gain, 0) / gains.length;
+}
+
+function estimateShare(count: number, total: number): number {
+  return total === 0 ? 0 : count / total;
+}
+
+/** Keeps a share off 0 and 1, where a bet has no finite stake. */
+function clampShare(share: number): number {
+  return Math.min(0.99, Math.max(0.01, share));
+}
--- /dev/null
+++ b/src/coordination/rollout/evidence_collector.ts
@@ -0,0 +1,73 @@
+/** A gateway's own counts of how each version serves. */
+import {
+  RATING_BINS,
+  type EvidenceReport,
+  type VersionEvidence,
+} from '../../protocol/rollout_state.ts';
+import {createCounts} from './evidence_ledger.ts';
+
+/** How one request ended, as far as its version is to blame. */
+export interface ServedRequest {
+  /** The version as `model/version`. */
+  readonly version: string;
+  readonly failed: boolean;
+  /** Whether the first token came later than the customer expects. */
+  readonly slow: boolean;
+}
+
+type MutableEvidence = {
+  -readonly [K in keyof VersionEvidence]: VersionEvidence[K];
+};
+
+/** Counts since the gateway started. */
+export class EvidenceCollector {
+  private readonly versions = new Map<string, MutableEvidence>();
+  private changes = 0;
+
+  constructor(
+    private readonly gateway: string,
+    private readonly incarnation: string,
+  ) {}
+
+  /** Grows with each count, so that nothing is sent when nothing changed. */
+  get revision(): number {
+    return this.changes;
+  }
+
+  /** Counts one request that the version served or failed. */
+  countRequest(served: ServedRequest): void {
+    const evidence = this.find(served.version);
+    evidence.requests++;
+    if (served.failed) evidence.errors++;
+    if (served.slow) evidence.slow++;
+    this.changes++;
+  }
+
+  /** Counts a rating from 0 to 1; the version is `model/version`. */
+  countRating(version: string, rating: number): void {
+    const bin = Math.min(RATING_BINS - 1, Math.floor(rating * RATING_BINS));
+    const {ratings} = this.find(version);
+    ratings[bin] = (ratings[bin] ?? 0) + 1;
+    this.changes++;
+  }
+
+  /** The report about `versions`. */
+  createReport(versions: ReadonlySet<string>): EvidenceReport {
+    const counted = [...this.versions.values()].filter(each =>
+      versions.has(each.version),
+    );
+    return {
+      gateway: this.gateway,
+      incarnation: this.incarnation,
+      versions: structuredClone(counted),
+    };
+  }
+
+  private find(version: string): MutableEvidence {
+    const known = this.versions.get(version);
+    if (known) return known;
+    const evidence = {version, ...createCounts()};
+    this.versions.set(version, evidence);
+    return evidence;
+  }
+}
--- /dev/null
+++ b/src/coordination/rollout/evidence_reporter.ts
@@ -0,0 +1,71 @@
+/** Sends a gateway's evidence to the leader whenever it has changed. */
+import type {Clock} from '../../protocol/clock.ts';
+import type {ControlView} from '../../protocol/control.ts';
+import {formatVersion} from '../../protocol/declaration.ts';
+import type {EvidenceReport} from '../../protocol/rollout_state.ts';
+import type {EvidenceCollector} from './evidence_collector.ts';
+
+/** How often changed evidence is sent. */
+const REPORT_INTERVAL_MS = 1_000;
+
+/** How often unchanged evidence is sent again, for a new leader. */
+const REPEAT_INTERVAL_MS = 4_000;
+
+export interface EvidenceReporterOptions {
+  readonly clock: Clock;
+  readonly collector: EvidenceCollector;
+  readonly getView: () => ControlView | null;
+  /** Sends a report to the leader; a rejection counts as a loss. */
+  readonly send: (report: EvidenceReport) => Promise<unknown>;
+}
+
+/** Reports until disposed. Only versions of roll-outs are reported. */
+export class EvidenceReporter implements AsyncDisposable {
+  private readonly stopped = new AbortController();
+  private task: Promise<void> = Promise.resolve();
+  private sentRevision = -1;
+  private sentAt = -Infinity;
+
+  constructor(private readonly options: EvidenceReporterOptions) {}
+
+  start(): void {
+    this.task = this.run();
+  }
+
+  /** Sends a report where one is due. */
+  async step(): Promise<void> {
+    const {collector, clock, getView, send} = this.options;
+    const versions = listRolloutVersions(getView());
+    if (versions.size === 0) return;
+    const {revision} = collector;
+    const now = clock.monotonic();
+    const due = now - this.sentAt >= REPEAT_INTERVAL_MS;
+    if (revision === this.sentRevision && !due) return;
+    await send(collector.createReport(versions));
+    this.sentRevision = revision;
+    this.sentAt = now;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.stopped.abort();
+    await this.task;
+  }
+
+  private async run(): Promise<void> {
+    while (!this.stopped.signal.aborted) {
+      await this.options.clock.sleep(REPORT_INTERVAL_MS, this.stopped.signal);
+      // A lost report is made good by the next one.
+      await this.step().catch(() => {});
+    }
+  }
+}
+
+/** The versions, as `model/version`, that a roll-out names. */
+export function listRolloutVersions(view: ControlView | null): Set<string> {
+  return new Set(
+    (view?.rollouts ?? []).flatMap(({model, version, stable}) => [
+      formatVersion({model, name: version}),
+      formatVersion({model, name: stable}),
+    ]),
+  );
+}
--- /dev/null
+++ b/src/coordination/rollout/rollout_controller.ts
@@ -0,0 +1,144 @@
+/**
+ * Moves roll-outs on while this daemon leads the control group.
+ *
+ * The controller holds nothing that a new leader would miss: the state of
+ * each plan is committed, and the evidence is reported again by all gateways.
+ */
+import type {Clock} from '../../protocol/clock.ts';
+import type {ControlView} from '../../protocol/control.ts';
+import {formatVersion, type RolloutPlan} from '../../protocol/declaration.ts';
+import type {Logger} from '../../protocol/logger.ts';
+import type {
+  RolloutCommand,
+  RolloutState,
+} from '../../protocol/rollout_state.ts';
+import {decideRollout, type RolloutDecision} from './decide_rollout.ts';
+import type {EvidenceLedger} from './evidence_ledger.ts';
+
+/** How often plans are looked at. */
+const STEP_INTERVAL_MS = 500;
+
+/** How long a new leader waits for the gateways' reports before it advances. */
+const RELEARN_MS = 5_000;
+
+export interface RolloutControllerOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly evidence: EvidenceLedger;
+  /** Whether this daemon leads the control group now. */
+  readonly isLeader: () => boolean;
+  /** When it began to lead, on the monotonic clock. */
+  readonly getLeaderSince: () => number;
+  readonly getView: () => ControlView;
+  /** Commits an order; a failed one is decided anew at the next step. */
+  readonly propose: (command: RolloutCommand) => Promise<unknown>;
+}
+
+/** Runs until disposed. */
+export class RolloutController implements AsyncDisposable {
+  private readonly stopped = new AbortController();
+  private task: Promise<void> = Promise.resolve();
+
+  constructor(private readonly options: RolloutControllerOptions) {}
+
+  start(): void {
+    this.task = this.run();
+  }
+
+  /** Looks at every plan once. */
+  async step(): Promise<void> {
+    const {isLeader, evidence, getView} = this.options;
+    if (!isLeader()) {
+      evidence.clear();
+      return;
+    }
+    const view = getView();
+    for (const state of view.rollouts) await this.stepOne(view, state);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.stopped.abort();
+    await this.task;
+  }
+
+  private async run(): Promise<void> {
+    const {clock, logger} = this.options;
+    while (!this.stopped.signal.aborted) {
+      await clock.sleep(STEP_INTERVAL_MS, this.stopped.signal);
+      if (this.stopped.signal.aborted) return;
+      try {
+        await this.step();
+      } catch (error) {
+        const reason = (error as Error).message;
+        logger.warn('Could not look at the roll-outs.', {reason});
+      }
+    }
+  }
+
+  private async stepOne(view: ControlView, state: RolloutState): Promise<void> {
+    const plan = view.declaration?.rollouts.find(
+      each => each.model === state.model && each.version === state.version,
+    );
+    if (!plan) return;
+    const decision = this.decide(view, state, plan);
+    const command = this.createCommand(state, decision);
+    if (!command) return;
+    this.options.logger.info('Decides about a roll-out.', {
+      model: state.model,
+      version: state.version,
+      stage: state.stage + 1,
+      decision: decision.type,
+      reason: decision.reason,
+    });
+    await this.options.propose(command);
+  }
+
+  private decide(
+    view: ControlView,
+    state: RolloutState,
+    plan: RolloutPlan,
+  ): RolloutDecision {
+    const {evidence, clock} = this.options;
+    const nameOf = (name: string) => formatVersion({model: state.model, name});
+    const stable = view.declaration?.versions.find(
+      each => formatVersion(each) === nameOf(state.stable),
+    );
+    return decideRollout({
+      plan,
+      state,
+      candidate: evidence.listSpans(nameOf(state.version)),
+      stable: evidence.getTotal(nameOf(state.stable)),
+      stableQuality: stable?.expected_quality ?? 0,
+      nowMs: clock.now(),
+    });
+  }
+
+  private createCommand(
+    state: RolloutState,
+    decision: RolloutDecision,
+  ): RolloutCommand | null {
+    const {model, version} = state;
+    const {clock, getLeaderSince} = this.options;
+    switch (decision.type) {
+      case 'wait':
+        return null;
+      case 'advance': {
+        const age = clock.monotonic() - getLeaderSince();
+        if (age < RELEARN_MS) return null;
+        const fromStage = state.stage;
+        const atMs = clock.now();
+        return {type: 'advance_rollout', model, version, fromStage, atMs};
+      }
+      case 'back-out': {
+        const {reason} = decision;
+        const status = 'backed-out';
+        return {type: 'end_rollout', model, version, status, reason};
+      }
+      case 'withdraw': {
+        const {reason} = decision;
+        const status = 'withdrawn';
+        return {type: 'end_rollout', model, version, status, reason};
+      }
+    }
+  }
+}
--- a/src/protocol/control.ts
+++ b/src/protocol/control.ts
@@ -1,6 +1,7 @@
 /** Commands and views of the control group, and the lease that carries them. */
 import {z} from 'zod';
 import {declarationSchema} from './declaration.ts';
+import {rolloutCommandSchemas, rolloutStateSchema} from './rollout_state.ts';
 
 /** A change of the control group's state. Every command is idempotent. */
 export const controlCommandSchema = z.discriminatedUnion('type', [
@@ -9,6 +10,8 @@
     declaration: declarationSchema,
     /** SHA-256 of the canonical content. */
     digest: z.string(),
+    /** The wall time of the daemon that took the declaration in. */
+    atMs: z.number().default(0),
   }),
   z.object({
     type: z.literal('withdraw'),
@@ -20,6 +23,7 @@
     host: z.string(),
     draining: z.boolean(),
   }),
+  ...rolloutCommandSchemas,
 ]);
 
 export type ControlCommand = z.infer<typeof controlCommandSchema>;
@@ -42,6 +46,8 @@
   declaration: declarationSchema.nullable(),
   /** Versions withdrawn by a command or by the system itself. */
   withdrawals: z.array(z.object({version: z.string(), reason: z.string()})),
+  /** Where each declared roll-out stands. */
+  rollouts: z.array(rolloutStateSchema).default([]),
   /** Hosts that an operator drains. */
   draining: z.array(z.string()),
 });
--- a/src/protocol/peer_service.ts
+++ b/src/protocol/peer_service.ts
@@ -7,6 +7,7 @@
 import {z} from 'zod';
 import {leaseRequestSchema, type LeaseReply} from './control.ts';
 import {endpointRecordSchema} from './endpoint.ts';
+import {evidenceReportSchema, type EvidenceReport} from './rollout_state.ts';
 
 /** One entry of a replicated log. */
 export const logEntrySchema = z.object({
@@ -90,6 +91,7 @@
   | {readonly type: 'not-leader'; readonly leader: string | null};
 
 export const peerSchemas = {
+  reportEvidence: evidenceReportSchema,
   checkInForce: inForceRequestSchema,
   vote: voteRequestSchema,
   append: appendRequestSchema,
@@ -100,6 +102,8 @@
 
 /** The calls that a daemon answers to its peers. */
 export interface PeerService {
+  /** Takes evidence in; false where this daemon does not lead. */
+  reportEvidence(report: EvidenceReport): Promise<{readonly taken: boolean}>;
   vote(request: VoteRequest): Promise<VoteReply>;
   append(request: AppendRequest): Promise<AppendReply>;
   propose(request: ProposeRequest): Promise<ProposeReply>;
--- a/src/state/control/control_state.ts
+++ b/src/state/control/control_state.ts
@@ -4,8 +4,10 @@
   ControlResult,
   ControlView,
 } from '../../protocol/control.ts';
-import {formatVersion, type Declaration} from '../../protocol/declaration.ts';
+import {formatVersion} from '../../protocol/declaration.ts';
+import type {RolloutCommand} from '../../protocol/rollout_state.ts';
 import type {StateMachine} from '../state_machine.ts';
+import {applyRolloutCommand, reconcileRollouts} from './rollout_state.ts';
 
 interface ControlSnapshot extends ControlView {
   digest: string;
@@ -21,6 +23,7 @@
     declaration: null,
     digest: '',
     withdrawals: [],
+    rollouts: [],
     draining: [],
   };
 
@@ -33,15 +36,15 @@
   apply(command: ControlCommand, index: number): ControlResult {
     switch (command.type) {
       case 'apply':
-        return this.applyDeclaration(
-          command.declaration,
-          command.digest,
-          index,
-        );
+        return this.applyDeclaration(command, index);
       case 'withdraw':
         return this.withdraw(command.version, command.reason, index);
       case 'drain':
         return this.drain(command.host, command.draining, index);
+      case 'advance_rollout':
+      case 'end_rollout':
+      case 'pause_rollout':
+        return this.changeRollout(command, index);
     }
   }
 
@@ -54,8 +57,7 @@
   }
 
   private applyDeclaration(
-    declaration: Declaration,
-    digest: string,
+    {declaration, digest, atMs}: Extract<ControlCommand, {type: 'apply'}>,
     index: number,
   ): ControlResult {
     const version = this.state.declaration?.version ?? 0;
@@ -77,6 +79,11 @@
       withdrawals: this.state.withdrawals.filter(({version}) =>
         declared.has(version),
       ),
+      rollouts: reconcileRollouts(
+        this.state.rollouts,
+        declaration.rollouts,
+        atMs,
+      ),
     };
     return this.accept();
   }
@@ -101,6 +108,22 @@
     return this.accept();
   }
 
+  private changeRollout(command: RolloutCommand, index: number): ControlResult {
+    const plans = this.state.declaration?.rollouts ?? [];
+    const {rollouts} = this.state;
+    const next = applyRolloutCommand(rollouts, plans, command);
+    if (next === rollouts) return this.accept();
+    this.state = {...this.state, revision: index, rollouts: [...next]};
+    if (command.type === 'end_rollout' && command.status === 'withdrawn') {
+      const name = formatVersion({
+        model: command.model,
+        name: command.version,
+      });
+      return this.withdraw(name, command.reason, index);
+    }
+    return this.accept();
+  }
+
   private drain(host: string, draining: boolean, index: number): ControlResult {
     const others = this.state.draining.filter(each => each !== host);
     const next = draining ? [...others, host] : others;
--- /dev/null
+++ b/src/state/control/rollout_state.ts
@@ -0,0 +1,121 @@
+/** The changes of roll-outs that the control group commits. */
+import type {RolloutPlan} from '../../protocol/declaration.ts';
+import type {
+  RolloutCommand,
+  RolloutState,
+} from '../../protocol/rollout_state.ts';
+
+/**
+ * Carries roll-outs over to a new declaration.
+ *
+ * A plan for the same version goes on at the highest stage that exposes it no
+ * more than now; a final status stays. A plan for another version begins anew.
+ */
+export function reconcileRollouts(
+  current: readonly RolloutState[],
+  plans: readonly RolloutPlan[],
+  atMs: number,
+): RolloutState[] {
+  return plans.map(plan => {
+    const known = current.find(
+      each => each.model === plan.model && each.version === plan.version,
+    );
+    return known ? continuePlan(known, plan) : beginPlan(plan, atMs);
+  });
+}
+
+/** Applies an order; returns the same array when it changes nothing. */
+export function applyRolloutCommand(
+  current: readonly RolloutState[],
+  plans: readonly RolloutPlan[],
+  command: RolloutCommand,
+): readonly RolloutState[] {
+  const index = current.findIndex(
+    each => each.model === command.model && each.version === command.version,
+  );
+  const known = current[index];
+  const plan = plans.find(
+    each => each.model === command.model && each.version === command.version,
+  );
+  if (!known || !plan) return current;
+  const next = applyToOne(known, plan, command);
+  if (next === known) return current;
+  return current.map((each, position) => (position === index ? next : each));
+}
+
+/** Whether nothing changes the roll-out any more but a new declaration. */
+export function isFinal(state: RolloutState): boolean {
+  return state.status === 'backed-out' || state.status === 'withdrawn';
+}
+
+function beginPlan(plan: RolloutPlan, atMs: number): RolloutState {
+  return {
+    model: plan.model,
+    version: plan.version,
+    stable: plan.stable,
+    status: 'running',
+    stage: 0,
+    share: plan.stages[0] ?? 0,
+    stageSinceMs: atMs,
+    reason: 'declared',
+  };
+}
+
+function continuePlan(known: RolloutState, plan: RolloutPlan): RolloutState {
+  const next = {...known, stable: plan.stable};
+  if (isFinal(known)) return next;
+  const reached = plan.stages.filter(share => share <= known.share).length;
+  const stage = Math.max(0, reached - 1);
+  const share = Math.min(known.share, plan.stages[stage] ?? 0);
+  // A plan that was completed and now has further stages goes on with them.
+  const last = stage === plan.stages.length - 1;
+  const status =
+    known.status === 'completed' && !last ? 'running' : known.status;
+  return {...next, stage, share, status};
+}
+
+function applyToOne(
+  known: RolloutState,
+  plan: RolloutPlan,
+  command: RolloutCommand,
+): RolloutState {
+  if (isFinal(known)) return known;
+  switch (command.type) {
+    case 'advance_rollout':
+      return advance(known, plan, command);
+    case 'end_rollout': {
+      const {status, reason} = command;
+      return {...known, status, reason, share: 0};
+    }
+    case 'pause_rollout':
+      return pause(known, command);
+  }
+}
+
+function advance(
+  known: RolloutState,
+  plan: RolloutPlan,
+  command: Extract<RolloutCommand, {type: 'advance_rollout'}>,
+): RolloutState {
+  if (known.status !== 'running' || known.stage !== command.fromStage) {
+    return known;
+  }
+  const stage = known.stage + 1;
+  const share = plan.stages[stage];
+  if (share === undefined) {
+    return {...known, status: 'completed', reason: 'passed its last stage'};
+  }
+  const reason = `passed stage ${known.stage + 1}`;
+  return {...known, stage, share, stageSinceMs: command.atMs, reason};
+}
+
+function pause(
+  known: RolloutState,
+  command: Extract<RolloutCommand, {type: 'pause_rollout'}>,
+): RolloutState {
+  const from = command.paused ? 'running' : 'paused';
+  if (known.status !== from) return known;
+  const status = command.paused ? 'paused' : 'running';
+  const reason = command.paused ? 'paused by an operator' : 'resumed';
+  return {...known, status, reason, stageSinceMs: command.atMs};
+}
--- a/src/transport/peers/peer_links.ts
+++ b/src/transport/peers/peer_links.ts
@@ -75,6 +75,8 @@
       trpc.renewLease.mutate(request, options(timeoutMs)),
     checkInForce: (request, timeoutMs) =>
       trpc.checkInForce.mutate(request, options(timeoutMs)),
+    reportEvidence: (request, timeoutMs) =>
+      trpc.reportEvidence.mutate(request, options(timeoutMs)),
     exchange: (request, timeoutMs) =>
       trpc.exchange.mutate(request, options(timeoutMs)),
   };
--- a/src/transport/peers/peer_router.ts
+++ b/src/transport/peers/peer_router.ts
@@ -33,6 +33,9 @@
     checkInForce: peerProcedure
       .input(peerSchemas.checkInForce)
       .mutation(({input}) => service.checkInForce(input)),
+    reportEvidence: peerProcedure
+      .input(peerSchemas.reportEvidence)
+      .mutation(({input}) => service.reportEvidence(input)),
     exchange: peerProcedure
       .input(peerSchemas.exchange)
       .mutation(({input}) => service.exchange(input)),
