--- /dev/null
+++ b/src/cli/serve/open_storage.ts
@@ -0,0 +1,34 @@
+/** Opens the log of one group, and sets a damaged one aside. */
+import {rename} from 'node:fs/promises';
+import type {Clock} from '../../protocol/clock.ts';
+import type {Logger} from '../../protocol/logger.ts';
+import {CorruptLogError} from '../../state/errors.ts';
+import {openFileLog, type FileLog} from '../../state/log/file_log.ts';
+
+export interface OpenStorageOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/**
+ * Opens the log in `folder`. A damaged folder is renamed and an empty one
+ * takes its place; the replica is then repaired from its peers like one whose
+ * disk was replaced. Throws when the folder cannot be read at all.
+ */
+export async function openOrSetAside(
+  folder: string,
+  {clock, logger}: OpenStorageOptions,
+): Promise<FileLog> {
+  const outcome = await openFileLog({folder});
+  if (outcome.ok) return outcome.value;
+  if (!(outcome.error instanceof CorruptLogError)) throw outcome.error;
+  const aside = `${folder}.damaged-${clock.now()}`;
+  await rename(folder, aside);
+  logger.error('Sets a damaged log aside.', {
+    folder: aside,
+    reason: outcome.error.message,
+  });
+  const second = await openFileLog({folder});
+  if (!second.ok) throw second.error;
+  return second.value;
+}
--- a/src/cli/serve/replicas.ts
+++ b/src/cli/serve/replicas.ts
@@ -3,7 +3,8 @@
 import type {ControlCommand, ControlResult} from '../../protocol/control.ts';
 import {ControlState} from '../../state/control/control_state.ts';
 import {LedgerState} from '../../state/ledger/ledger_state.ts';
-import {openFileLog} from '../../state/log/file_log.ts';
+import {lockFolder} from '../../state/files/folder_lock.ts';
+import {openOrSetAside} from './open_storage.ts';
 import type {StateMachine} from '../../state/state_machine.ts';
 import {LeaseTable} from '../../coordination/leases/lease_table.ts';
 import {Replica} from '../../coordination/replication/replica.ts';
@@ -41,6 +42,9 @@
   const ledgers: LedgerState[] = [];
   let control: ControlReplica | null = null;
   if (settings.data_folder !== undefined) {
+    const lock = await lockFolder(settings.data_folder);
+    if (!lock.ok) throw lock.error;
+    parts.store.add(lock.value);
     const state = new ControlState();
     const replica = await openReplica(parts, links, CONTROL_GROUP, state);
     const getLeaderSince = () => replica.leaderSince;
@@ -71,7 +75,8 @@
 ): Promise<Replica<C, R>> {
   const {settings, clock, store, createLogger} = parts;
   const folder = join(settings.data_folder ?? '', group);
-  const storage = store.add(await openFileLog(folder));
+  const logger = createLogger('storage');
+  const storage = store.add(await openOrSetAside(folder, {clock, logger}));
   const replica = new Replica<C, R>({
     group,
     name: settings.name,
--- a/src/coordination/replication/replica.ts
+++ b/src/coordination/replication/replica.ts
@@ -301,9 +301,6 @@
         `Could not replace entry ${first.index}: it is committed already`,
       );
     }
-    if (first.index <= storage.lastIndex) {
-      await storage.truncateAfter(first.index - 1);
-    }
     await storage.append(entries.filter(entry => entry.index >= first.index));
     this.syncedIndex = storage.lastIndex;
   }
--- a/src/protocol/peer_service.ts
+++ b/src/protocol/peer_service.ts
@@ -9,12 +9,28 @@
 import {endpointRecordSchema} from './endpoint.ts';
 import {evidenceReportSchema, type EvidenceReport} from './rollout_state.ts';
 
+/** A member of a replicated group: a host with one data folder of its. */
+export const memberSchema = z.object({
+  name: z.string(),
+  /** Made with the data folder; a lost disk comes back under another. */
+  incarnation: z.string(),
+});
+
+export type Member = z.infer<typeof memberSchema>;
+
+/** Who votes in a group. */
+export const membershipSchema = z.object({voters: z.array(memberSchema)});
+
+export type Membership = z.infer<typeof membershipSchema>;
+
 /** One entry of a replicated log. */
 export const logEntrySchema = z.object({
   index: z.int().positive(),
   term: z.int().nonnegative(),
   /** `null` for the entry that opens a term. */
   command: z.unknown(),
+  /** Present when the entry changes who votes; its command is `null`. */
+  membership: membershipSchema.optional(),
 });
 
 export type LogEntry = z.infer<typeof logEntrySchema>;
--- /dev/null
+++ b/src/state/files/memory_file_system.ts
@@ -0,0 +1,138 @@
+/**
+ * A file system in memory that can crash and fail, for tests.
+ *
+ * A crash keeps what was synced, and of the rest an arbitrary part: a prefix
+ * of the appended bytes, possibly with a damaged byte in it, and any of the
+ * names that were not synced.
+ */
+import {basename, dirname} from 'node:path';
+import type {DataFile, FileSystem} from './file_system.ts';
+
+interface MemoryFile {
+  content: Buffer;
+  syncedBytes: number;
+}
+
+/** Chooses what is left of unsynced data; returns a number from 0 up to 1. */
+export type Random = () => number;
+
+export class MemoryFileSystem implements FileSystem {
+  private names = new Map<string, MemoryFile>();
+  private synced = new Map<string, MemoryFile>();
+  private generation = 0;
+
+  /** Runs before each change; it may throw, or crash the file system. */
+  beforeChange: (operation: string, path: string) => void = () => {};
+
+  /** Drops, in part, what was not synced. Open files become unusable. */
+  crash(random: Random): void {
+    this.generation++;
+    for (const path of new Set([...this.names.keys(), ...this.synced.keys()])) {
+      const before = this.synced.get(path);
+      const after = this.names.get(path);
+      const kept = before === after || random() < 0.5 ? after : before;
+      if (kept) this.names.set(path, kept);
+      else this.names.delete(path);
+    }
+    for (const file of new Set(this.names.values())) tearFile(file, random);
+    this.synced = new Map(this.names);
+  }
+
+  /** Loses everything, like a new disk. */
+  erase(): void {
+    this.generation++;
+    this.names.clear();
+    this.synced.clear();
+  }
+
+  /** Flips one bit of a file. */
+  flipBit(path: string, bit: number): void {
+    const file = this.names.get(path);
+    if (!file) throw new Error(`Could not find "${path}"`);
+    const offset = bit >> 3;
+    file.content[offset] = (file.content[offset] ?? 0) ^ (1 << (bit & 7));
+  }
+
+  async makeFolder(): Promise<void> {}
+
+  async list(path: string): Promise<string[]> {
+    const inside = [...this.names.keys()].filter(
+      each => dirname(each) === path,
+    );
+    return inside.map(each => basename(each));
+  }
+
+  async read(path: string): Promise<Buffer | null> {
+    const file = this.names.get(path);
+    return file ? Buffer.from(file.content) : null;
+  }
+
+  async open(path: string): Promise<DataFile> {
+    let file = this.names.get(path);
+    if (!file) {
+      this.beforeChange('create', path);
+      file = {content: Buffer.alloc(0), syncedBytes: 0};
+      this.names.set(path, file);
+    }
+    return this.openFile(path, file);
+  }
+
+  async rename(from: string, to: string): Promise<void> {
+    this.beforeChange('rename', from);
+    const file = this.names.get(from);
+    if (!file) throw new Error(`Could not rename "${from}": no such file`);
+    this.names.delete(from);
+    this.names.set(to, file);
+  }
+
+  async remove(path: string): Promise<void> {
+    this.beforeChange('remove', path);
+    this.names.delete(path);
+  }
+
+  async syncFolder(path: string): Promise<void> {
+    this.beforeChange('syncFolder', path);
+    for (const each of new Set([...this.names.keys(), ...this.synced.keys()])) {
+      if (dirname(each) !== path) continue;
+      const file = this.names.get(each);
+      if (file) this.synced.set(each, file);
+      else this.synced.delete(each);
+    }
+  }
+
+  private openFile(path: string, file: MemoryFile): DataFile {
+    const {generation} = this;
+    const change = (operation: string) => {
+      if (generation !== this.generation) throw new Error('Crashed');
+      this.beforeChange(operation, path);
+    };
+    return {
+      append: async bytes => {
+        change('append');
+        file.content = Buffer.concat([file.content, bytes]);
+      },
+      truncate: async size => {
+        change('truncate');
+        file.content = Buffer.from(file.content.subarray(0, size));
+        file.syncedBytes = Math.min(file.syncedBytes, size);
+      },
+      sync: async () => {
+        change('sync');
+        file.syncedBytes = file.content.length;
+      },
+      close: async () => {},
+    };
+  }
+}
+
+function tearFile(file: MemoryFile, random: Random): void {
+  const loose = file.content.length - file.syncedBytes;
+  const kept = file.syncedBytes + Math.floor(random() * (loose + 1));
+  file.content = Buffer.from(file.content.subarray(0, kept));
+  if (kept > file.syncedBytes && random() < 0.5) {
+    const offset =
+      file.syncedBytes + Math.floor(random() * (kept - file.syncedBytes));
+    file.content[offset] = (file.content[offset] ?? 0) ^ 0x40;
+  }
+  file.syncedBytes = file.content.length;
+}
--- a/src/state/log/file_log.ts
+++ b/src/state/log/file_log.ts
@@ -1,146 +1,397 @@
 /**
- * A log in a file: each record is a length, a checksum and a MessagePack body.
+ * A log in a folder of segment files, with a snapshot beside them.
  *
- * A torn record at the end is cut when the file is opened. A wrong checksum
- * before the end is reported as {@link CorruptLogError}.
+ * Entries and the hard state are frames of the same segments, so that each
+ * write is one append and one sync. Replacing entries appends new ones that
+ * overrule the old, so nothing synced is ever rewritten. A torn frame at the
+ * end of the last segment is cut; any other bad frame is reported as
+ * `CorruptLogError`, after which the folder must be set aside.
  */
-import {open, mkdir, rename, readFile, type FileHandle} from 'node:fs/promises';
 import {join} from 'node:path';
-import {crc32} from 'node:zlib';
-import {decode, encode} from '@msgpack/msgpack';
+import {createIdentifier} from '../../protocol/identifiers.ts';
+import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
 import type {LogEntry} from '../../protocol/peer_service.ts';
-import {CorruptLogError} from '../errors.ts';
-import type {HardState, LogStorage} from './log_storage.ts';
-
-/** Bytes of length and checksum before each body. */
-const HEADER_BYTES = 8;
-
-/** Opens, or creates, the log in `folder`. */
-export async function openFileLog(folder: string): Promise<LogStorage> {
-  await mkdir(folder, {recursive: true});
-  const hardState = await readHardState(folder);
-  const file = await open(join(folder, 'entries.log'), 'a+');
-  const {entries, offsets, end} = readRecords(await file.readFile());
-  await file.truncate(end);
-  await file.datasync();
-  return new FileLog({folder, file, entries, offsets, hardState});
+import {
+  CorruptLogError,
+  DiskFullError,
+  StateError,
+  StorageFailedError,
+} from '../errors.ts';
+import type {DataFile, FileSystem} from '../files/file_system.ts';
+import {nodeFileSystem} from '../files/node_file_system.ts';
+import {replaceFile} from '../files/replace_file.ts';
+import {decodeSnapshot} from '../snapshot/snapshot_codec.ts';
+import {encodeFrame, readFrames} from './frames.ts';
+import type {HardState, LogStorage, SnapshotHead} from './log_storage.ts';
+import {
+  formatSegment,
+  listSegments,
+  replaySegments,
+  type LogRecord,
+  type Segment,
+} from './segments.ts';
+
+/** The size from which on a new segment is begun. */
+const SEGMENT_BYTES = 1024 * 1024;
+
+/** How many entries are kept behind a snapshot, for slow followers. */
+const TRAILING_ENTRIES = 1_000;
+
+export interface OpenFileLogOptions {
+  readonly folder: string;
+  /** The machine's by default. */
+  readonly files?: FileSystem;
+  /** The size from which on a new segment is begun, in bytes; 1 MiB. */
+  readonly segmentBytes?: number;
+  /** How many entries are kept behind a snapshot; 1,000. */
+  readonly trailingEntries?: number;
 }
 
-interface FileLogOptions {
-  folder: string;
-  file: FileHandle;
-  entries: LogEntry[];
-  /** The byte offset behind each entry. */
-  offsets: number[];
+/** Opens, or creates, the log in a folder. */
+export async function openFileLog(
+  options: OpenFileLogOptions,
+): Promise<Outcome<FileLog, Error>> {
+  try {
+    return succeed(await FileLog.open(options));
+  } catch (error) {
+    if (error instanceof StateError) return fail(error);
+    const message = `Could not open the log in "${options.folder}"`;
+    return fail(new StateError(message, {cause: error}));
+  }
+}
+
+/** The state of an open log. */
+interface Contents {
+  incarnation: string;
   hardState: HardState;
+  snapshot: SnapshotHead | null;
+  snapshotBytes: number;
+  /** The index and term before the first entry; the term may be unknown. */
+  baseIndex: number;
+  baseTerm: number | null;
+  entries: LogEntry[];
+  tailBytes: number;
 }
 
-class FileLog implements LogStorage {
-  constructor(private readonly options: FileLogOptions) {}
+/** A log in files. Open it with {@link openFileLog}. */
+export class FileLog implements LogStorage {
+  private failure: Error | null = null;
+  private active: DataFile | null = null;
+
+  private constructor(
+    private readonly options: Required<OpenFileLogOptions>,
+    private readonly contents: Contents,
+    private segments: Segment[],
+  ) {}
+
+  static async open(given: OpenFileLogOptions): Promise<FileLog> {
+    const options = {
+      files: nodeFileSystem,
+      segmentBytes: SEGMENT_BYTES,
+      trailingEntries: TRAILING_ENTRIES,
+      ...given,
+    };
+    const {files, folder} = options;
+    await files.makeFolder(folder);
+    const names = await files.list(folder);
+    const incarnation = await openIdentity(files, folder, names);
+    const {head, bytes} = await readHead(files, folder);
+    const replayed = await replaySegments({
+      files,
+      folder,
+      sequences: listSegments(names),
+      snapshotIndex: head?.index ?? 0,
+    });
+    const contents: Contents = {
+      ...replayed,
+      incarnation,
+      snapshot: head,
+      snapshotBytes: bytes,
+      baseTerm: replayed.baseIndex === 0 ? 0 : null,
+    };
+    const log = new FileLog(options, contents, replayed.segments);
+    await log.resume();
+    return log;
+  }
+
+  get incarnation(): string {
+    return this.contents.incarnation;
+  }
 
   get hardState(): HardState {
-    return this.options.hardState;
+    return this.contents.hardState;
+  }
+
+  get snapshot(): SnapshotHead | null {
+    return this.contents.snapshot;
+  }
+
+  get tailBytes(): number {
+    return this.contents.tailBytes;
+  }
+
+  get snapshotBytes(): number {
+    return this.contents.snapshotBytes;
+  }
+
+  get firstIndex(): number {
+    return this.contents.baseIndex + 1;
   }
 
   get lastIndex(): number {
-    return this.options.entries.length;
+    return this.contents.baseIndex + this.contents.entries.length;
   }
 
   async saveHardState(state: HardState): Promise<void> {
-    const {folder} = this.options;
-    const temporary = join(folder, 'hard_state.tmp');
-    const file = await open(temporary, 'w');
-    try {
-      await file.writeFile(encode(state));
-      await file.sync();
-    } finally {
-      await file.close();
-    }
-    await rename(temporary, join(folder, 'hard_state'));
-    await syncFolder(folder);
-    this.options.hardState = state;
+    await this.write({type: 'hard', ...state});
+    this.contents.hardState = state;
   }
 
   async append(entries: readonly LogEntry[]): Promise<void> {
-    const {file, offsets} = this.options;
-    const records = entries.map(encodeRecord);
-    let end = offsets.at(-1) ?? 0;
-    await file.appendFile(Buffer.concat(records));
-    await file.datasync();
-    for (const record of records) {
-      end += record.length;
-      offsets.push(end);
+    const first = entries[0];
+    if (!first) return;
+    if (first.index < this.firstIndex || first.index > this.lastIndex + 1) {
+      throw new Error(
+        `Could not append entry ${first.index}: the log ends at ${this.lastIndex}`,
+      );
+    }
+    const bytes = await this.write({type: 'entries', entries: [...entries]});
+    const {contents} = this;
+    contents.entries.length = first.index - contents.baseIndex - 1;
+    for (const entry of entries) contents.entries.push(entry);
+    contents.tailBytes += bytes;
+    const segment = this.segments.at(-1);
+    if (segment) {
+      segment.lastIndex = Math.max(segment.lastIndex, this.lastIndex);
     }
-    this.options.entries.push(...entries);
-  }
-
-  async truncateAfter(index: number): Promise<void> {
-    const {file, offsets, entries} = this.options;
-    if (index >= entries.length) return;
-    await file.truncate(index === 0 ? 0 : offsets[index - 1]);
-    await file.datasync();
-    entries.length = index;
-    offsets.length = index;
   }
 
   read(first: number, last: number): LogEntry[] {
-    return this.options.entries.slice(first - 1, last);
+    const {baseIndex, entries} = this.contents;
+    return entries.slice(Math.max(0, first - baseIndex - 1), last - baseIndex);
   }
 
   getTerm(index: number): number | null {
-    if (index === 0) return 0;
-    return this.options.entries[index - 1]?.term ?? null;
+    const {baseIndex, baseTerm, entries, snapshot} = this.contents;
+    if (index === snapshot?.index) return snapshot.term;
+    if (index === baseIndex) return baseTerm;
+    return entries[index - baseIndex - 1]?.term ?? null;
   }
 
-  async [Symbol.asyncDispose](): Promise<void> {
-    await this.options.file.close();
+  async readSnapshot(): Promise<Buffer | null> {
+    const {files, folder} = this.options;
+    return files.read(join(folder, 'snapshot'));
   }
-}
 
-function encodeRecord(entry: LogEntry): Buffer {
-  const body = encode(entry, {ignoreUndefined: true});
-  const header = Buffer.alloc(HEADER_BYTES);
-  header.writeUInt32BE(body.length, 0);
-  header.writeUInt32BE(crc32(body), 4);
-  return Buffer.concat([header, body]);
-}
+  async saveSnapshot(head: SnapshotHead, bytes: Buffer): Promise<void> {
+    if (this.failure) throw this.failure;
+    const {files, folder} = this.options;
+    const {contents} = this;
+    try {
+      await replaceFile(files, join(folder, 'snapshot'), bytes);
+    } catch (error) {
+      throw this.handleFailure(error);
+    }
+    const continues = this.getTerm(head.index) === head.term;
+    contents.snapshot = {
+      index: head.index,
+      term: head.term,
+      membership: head.membership,
+    };
+    contents.snapshotBytes = bytes.length;
+    contents.tailBytes = 0;
+    if (continues) await this.compact();
+    else await this.reset();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.failure ??= new StorageFailedError(
+      'Could not write: the log is closed',
+    );
+    await this.active?.close();
+    this.active = null;
+  }
 
-function readRecords(bytes: Buffer) {
-  const entries: LogEntry[] = [];
-  const offsets: number[] = [];
-  let end = 0;
-  while (end + HEADER_BYTES <= bytes.length) {
-    const length = bytes.readUInt32BE(end);
-    const next = end + HEADER_BYTES + length;
-    if (next > bytes.length) break;
-    const body = bytes.subarray(end + HEADER_BYTES, next);
-    if (crc32(body) !== bytes.readUInt32BE(end + 4)) {
-      if (next === bytes.length) break;
-      throw new CorruptLogError(
-        `Could not read the log record at byte ${end}: its checksum is wrong`,
+  /** Makes the last segment ready for appending. */
+  private async resume(): Promise<void> {
+    const {snapshot} = this.contents;
+    const last = this.segments.at(-1);
+    if (last) {
+      const {files, folder} = this.options;
+      this.active = await files.open(
+        join(folder, formatSegment(last.sequence)),
       );
+      await this.active.truncate(last.bytes);
+      await this.active.sync();
+    }
+    const fits =
+      !snapshot || this.getHeldTerm(snapshot.index) === snapshot.term;
+    if (!fits) await this.reset();
+    else if (!last || last.bytes === 0) await this.beginSegment({});
+  }
+
+  /** The term of an entry by the segments alone. */
+  private getHeldTerm(index: number): number | null {
+    const {baseIndex, baseTerm, entries, snapshot} = this.contents;
+    if (index === baseIndex) return baseTerm ?? snapshot?.term ?? null;
+    return entries[index - baseIndex - 1]?.term ?? null;
+  }
+
+  /** Appends one frame and syncs it; returns its size. */
+  private async write(record: LogRecord): Promise<number> {
+    if (this.failure) throw this.failure;
+    const last = this.segments.at(-1);
+    if (!last || last.bytes >= this.options.segmentBytes) {
+      await this.beginSegment({});
+    }
+    const segment = this.segments.at(-1);
+    if (!segment || !this.active) throw new Error('Could not find a segment');
+    const frame = encodeFrame(record);
+    try {
+      await this.active.append(frame);
+    } catch (error) {
+      throw await this.undoAppend(segment, error);
+    }
+    try {
+      await this.active.sync();
+    } catch (error) {
+      throw this.failForGood(error);
     }
-    entries.push(decode(body) as LogEntry);
-    offsets.push(next);
-    end = next;
+    segment.bytes += frame.length;
+    return frame.length;
+  }
+
+  /** Cuts what a failed append may have left. */
+  private async undoAppend(segment: Segment, cause: unknown): Promise<Error> {
+    if (!isDiskFull(cause)) return this.failForGood(cause);
+    try {
+      await this.active?.truncate(segment.bytes);
+      await this.active?.sync();
+      return this.handleFailure(cause);
+    } catch (error) {
+      return this.failForGood(error);
+    }
+  }
+
+  /** Begins a segment; each starts with the hard state. */
+  private async beginSegment({resetTo}: {resetTo?: number}): Promise<void> {
+    const {files, folder} = this.options;
+    const sequence = (this.segments.at(-1)?.sequence ?? 0) + 1;
+    const path = join(folder, formatSegment(sequence));
+    const frame = encodeFrame({type: 'hard', ...this.hardState, resetTo});
+    try {
+      const file = await files.open(path);
+      try {
+        await file.append(frame);
+        await file.sync();
+        await files.syncFolder(folder);
+      } catch (error) {
+        await file.close();
+        await files.remove(path);
+        throw error;
+      }
+      await this.active?.close();
+      this.active = file;
+    } catch (error) {
+      throw this.handleFailure(error);
+    }
+    this.segments.push({sequence, bytes: frame.length, lastIndex: 0});
+  }
+
+  /** Drops the entries that the snapshot makes superfluous. */
+  private async compact(): Promise<void> {
+    const {contents} = this;
+    const snapshotIndex = contents.snapshot?.index ?? 0;
+    const index = snapshotIndex - this.options.trailingEntries;
+    if (index <= contents.baseIndex) return;
+    const baseTerm = this.getTerm(index);
+    contents.entries.splice(0, index - contents.baseIndex);
+    contents.baseIndex = index;
+    contents.baseTerm = baseTerm;
+    const kept = this.segments.findIndex(
+      (segment, position) =>
+        segment.lastIndex > index || position === this.segments.length - 1,
+    );
+    await this.removeSegments(kept);
+  }
+
+  /** Begins anew behind a snapshot that the entries do not lead up to. */
+  private async reset(): Promise<void> {
+    const {contents} = this;
+    const {index, term} = contents.snapshot ?? {index: 0, term: 0};
+    contents.entries = [];
+    contents.baseIndex = index;
+    contents.baseTerm = term;
+    await this.beginSegment({resetTo: index});
+    await this.removeSegments(this.segments.length - 1);
+  }
+
+  private async removeSegments(count: number): Promise<void> {
+    if (count <= 0) return;
+    const {files, folder} = this.options;
+    try {
+      for (const {sequence} of this.segments.splice(0, count)) {
+        await files.remove(join(folder, formatSegment(sequence)));
+      }
+      await files.syncFolder(folder);
+    } catch (error) {
+      throw this.handleFailure(error);
+    }
+  }
+
+  private handleFailure(cause: unknown): Error {
+    if (!isDiskFull(cause)) return this.failForGood(cause);
+    const message = `Could not write to "${this.options.folder}": the disk is full`;
+    return new DiskFullError(message, {cause});
+  }
+
+  private failForGood(cause: unknown): Error {
+    const message = `Could not write to "${this.options.folder}"`;
+    this.failure ??= new StorageFailedError(message, {cause});
+    return this.failure;
   }
-  return {entries, offsets, end};
 }
 
-async function readHardState(folder: string): Promise<HardState> {
-  try {
-    return decode(await readFile(join(folder, 'hard_state'))) as HardState;
-  } catch (error) {
-    if ((error as NodeJS.ErrnoException).code !== 'ENOENT') throw error;
-    return {term: 0, votedFor: null};
+function isDiskFull(error: unknown): boolean {
+  const {code} = error as NodeJS.ErrnoException;
+  return code === 'ENOSPC' || code === 'EDQUOT';
+}
+
+/** Reads the folder's incarnation, and makes one in an empty folder. */
+async function openIdentity(
+  files: FileSystem,
+  folder: string,
+  names: readonly string[],
+): Promise<string> {
+  const path = join(folder, 'identity');
+  const bytes = await files.read(path);
+  if (bytes) {
+    const {frames, state} = readFrames(bytes);
+    if (state === 'whole' && frames.length === 1) {
+      return (frames[0]?.body as {incarnation: string}).incarnation;
+    }
+    throw new CorruptLogError(
+      `Could not read "${path}": its checksum is wrong`,
+    );
   }
+  if (listSegments(names).length > 0 || names.includes('snapshot')) {
+    throw new CorruptLogError(`Could not find "${path}" beside its log`);
+  }
+  const incarnation = createIdentifier('disk');
+  await replaceFile(files, path, encodeFrame({incarnation}));
+  return incarnation;
 }
 
-async function syncFolder(folder: string): Promise<void> {
-  const handle = await open(folder, 'r');
-  try {
-    await handle.sync();
-  } finally {
-    await handle.close();
+async function readHead(files: FileSystem, folder: string) {
+  const path = join(folder, 'snapshot');
+  const bytes = await files.read(path);
+  if (!bytes) return {head: null, bytes: 0};
+  const snapshot = decodeSnapshot(bytes);
+  if (!snapshot) {
+    throw new CorruptLogError(
+      `Could not read "${path}": its checksum is wrong`,
+    );
   }
+  const {index, term, membership} = snapshot;
+  return {head: {index, term, membership}, bytes: bytes.length};
 }
--- /dev/null
+++ b/src/state/log/frames.ts
@@ -0,0 +1,90 @@
+/**
+ * Frames: what one write to a file of the data folder consists of.
+ *
+ * A frame is a mark, the length of its body, a checksum of length and body,
+ * and the body in MessagePack. One write is one frame, so that only the last
+ * frame of a file can be torn.
+ */
+import {crc32} from 'node:zlib';
+import {decode, encode} from '@msgpack/msgpack';
+
+/** The first bytes of each frame. */
+const MARK = Buffer.from([0xf5, 0x70, 0x6c, 0x31]);
+
+/** Bytes of mark, length and checksum. */
+const HEADER_BYTES = 12;
+
+/** A frame and the byte offset behind it. */
+export interface Frame {
+  readonly body: unknown;
+  readonly end: number;
+}
+
+/** What a file holds. */
+export interface FramesInFile {
+  readonly frames: readonly Frame[];
+  /** The offset behind the last good frame. */
+  readonly end: number;
+  /** `torn` when bad bytes end the file, `damaged` when frames follow them. */
+  readonly state: 'whole' | 'torn' | 'damaged';
+}
+
+/** Encodes one frame. */
+export function encodeFrame(value: unknown): Buffer {
+  const body = encode(value, {ignoreUndefined: true});
+  const frame = Buffer.alloc(HEADER_BYTES + body.length);
+  MARK.copy(frame, 0);
+  frame.writeUInt32BE(body.length, 4);
+  frame.set(body, HEADER_BYTES);
+  frame.writeUInt32BE(computeChecksum(frame, 0, frame.length), 8);
+  return frame;
+}
+
+/** Reads frames until the first bad one. */
+export function readFrames(bytes: Buffer): FramesInFile {
+  const frames: Frame[] = [];
+  let end = 0;
+  while (end < bytes.length) {
+    const frame = readFrame(bytes, end);
+    if (!frame) {
+      return {
+        frames,
+        end,
+        state: hasFrameAfter(bytes, end) ? 'damaged' : 'torn',
+      };
+    }
+    frames.push(frame);
+    end = frame.end;
+  }
+  return {frames, end, state: 'whole'};
+}
+
+function readFrame(bytes: Buffer, start: number): Frame | null {
+  const end = findFrameEnd(bytes, start);
+  if (end === null) return null;
+  return {body: decode(bytes.subarray(start + HEADER_BYTES, end)), end};
+}
+
+/** The offset behind the frame at `start`, `null` when it is bad. */
+function findFrameEnd(bytes: Buffer, start: number): number | null {
+  if (start + HEADER_BYTES > bytes.length) return null;
+  if (MARK.compare(bytes, start, start + MARK.length) !== 0) return null;
+  const end = start + HEADER_BYTES + bytes.readUInt32BE(start + 4);
+  if (end > bytes.length) return null;
+  const expected = bytes.readUInt32BE(start + 8);
+  return computeChecksum(bytes, start, end) === expected ? end : null;
+}
+
+function hasFrameAfter(bytes: Buffer, start: number): boolean {
+  let next = bytes.indexOf(MARK, start + 1);
+  while (next !== -1) {
+    if (findFrameEnd(bytes, next) !== null) return true;
+    next = bytes.indexOf(MARK, next + 1);
+  }
+  return false;
+}
+
+function computeChecksum(bytes: Buffer, start: number, end: number): number {
+  const length = bytes.subarray(start + 4, start + 8);
+  return crc32(bytes.subarray(start + HEADER_BYTES, end), crc32(length));
+}
--- a/src/state/log/log_storage.ts
+++ b/src/state/log/log_storage.ts
@@ -1,5 +1,5 @@
 /** What a replica needs of the storage beneath its log. */
-import type {LogEntry} from '../../protocol/peer_service.ts';
+import type {LogEntry, Membership} from '../../protocol/peer_service.ts';
 
 /** What a replica must remember besides its entries. */
 export interface HardState {
@@ -7,18 +7,50 @@
   readonly votedFor: string | null;
 }
 
-/** A log whose writes are synced before their promise resolves. */
+/** What a snapshot stands for. */
+export interface SnapshotHead {
+  /** The last entry that the snapshot contains; 0 at formation. */
+  readonly index: number;
+  readonly term: number;
+  /** The members as of that entry. */
+  readonly membership: Membership;
+}
+
+/** A snapshot with the state itself. */
+export interface Snapshot extends SnapshotHead {
+  /** What the state machine made; `null` at formation. */
+  readonly state: unknown;
+}
+
+/**
+ * A log whose writes are synced before their promise resolves.
+ *
+ * Every write rejects with `DiskFullError` when nothing was written, and with
+ * `StorageFailedError` when what is on the disk is not known; from then on
+ * each write rejects.
+ */
 export interface LogStorage extends AsyncDisposable {
+  /** Made with the data folder; a lost disk comes back under another. */
+  readonly incarnation: string;
   readonly hardState: HardState;
+  /** The first entry that can be read; `lastIndex + 1` when there is none. */
+  readonly firstIndex: number;
   readonly lastIndex: number;
+  readonly snapshot: SnapshotHead | null;
+  /** Bytes of entries that are not in the snapshot. */
+  readonly tailBytes: number;
+  /** The size of the snapshot's file. */
+  readonly snapshotBytes: number;
   /** Replaces the hard state. */
   saveHardState(state: HardState): Promise<void>;
-  /** Appends entries that follow on the last index. */
+  /** Appends entries; from the first one's index on, they replace old ones. */
   append(entries: readonly LogEntry[]): Promise<void>;
-  /** Removes all entries after `index`. */
-  truncateAfter(index: number): Promise<void>;
   /** Returns the entries from `first` to `last`, both included. */
   read(first: number, last: number): LogEntry[];
-  /** Returns the term of the entry at `index`; 0 for index 0. */
+  /** Returns the term of an entry, `null` when it is not known. */
   getTerm(index: number): number | null;
+  /** Returns the encoded snapshot, `null` when there is none. */
+  readSnapshot(): Promise<Buffer | null>;
+  /** Replaces the snapshot by an encoded one, and drops entries behind it. */
+  saveSnapshot(head: SnapshotHead, bytes: Buffer): Promise<void>;
 }
--- /dev/null
+++ b/src/state/log/segments.ts
@@ -0,0 +1,133 @@
+/** The segment files of a log, and how they are read when it is opened. */
+import {join} from 'node:path';
+import type {LogEntry} from '../../protocol/peer_service.ts';
+import {CorruptLogError} from '../errors.ts';
+import type {FileSystem} from '../files/file_system.ts';
+import {readFrames} from './frames.ts';
+import type {HardState} from './log_storage.ts';
+
+/** The body of a frame in a segment. */
+export type LogRecord =
+  | {
+      readonly type: 'hard';
+      readonly term: number;
+      readonly votedFor: string | null;
+      /** When present, all entries before are void; the next follows on it. */
+      readonly resetTo?: number;
+    }
+  | {readonly type: 'entries'; readonly entries: readonly LogEntry[]};
+
+/** A segment file. */
+export interface Segment {
+  readonly sequence: number;
+  /** The size of its good frames. */
+  bytes: number;
+  /** The highest index of an entry in it; 0 without entries. */
+  lastIndex: number;
+}
+
+/** What the segments hold together. */
+export interface Replayed {
+  hardState: HardState;
+  /** The index before the first entry. */
+  baseIndex: number;
+  entries: LogEntry[];
+  /** Bytes of frames with entries behind the snapshot. */
+  tailBytes: number;
+  segments: Segment[];
+}
+
+export interface ReplayOptions {
+  readonly files: FileSystem;
+  readonly folder: string;
+  readonly sequences: readonly number[];
+  /** The last entry in the snapshot; what is missing up to it is no loss. */
+  readonly snapshotIndex: number;
+}
+
+/** The name of a segment's file. */
+export function formatSegment(sequence: number): string {
+  return `${String(sequence).padStart(10, '0')}.log`;
+}
+
+/** The numbers of the segments among the names of a folder, in order. */
+export function listSegments(names: readonly string[]): number[] {
+  return names
+    .filter(name => /^\d{10}\.log$/.test(name))
+    .map(name => Number(name.slice(0, 10)))
+    .sort((a, b) => a - b);
+}
+
+/** Reads all segments; throws `CorruptLogError` when one is damaged. */
+export async function replaySegments(
+  options: ReplayOptions,
+): Promise<Replayed> {
+  const {files, folder, sequences, snapshotIndex} = options;
+  const replayed: Replayed = {
+    hardState: {term: 0, votedFor: null},
+    baseIndex: 0,
+    entries: [],
+    tailBytes: 0,
+    segments: [],
+  };
+  for (const sequence of sequences) {
+    const path = join(folder, formatSegment(sequence));
+    const bytes = (await files.read(path)) ?? Buffer.alloc(0);
+    const {frames, end, state} = readFrames(bytes);
+    const isLast = sequence === sequences.at(-1);
+    if (state === 'damaged' || (state === 'torn' && !isLast)) {
+      throw new CorruptLogError(
+        `Could not read "${path}" at byte ${end}: its checksum is wrong`,
+      );
+    }
+    const segment = {sequence, bytes: end, lastIndex: 0};
+    replayed.segments.push(segment);
+    let start = 0;
+    for (const frame of frames) {
+      const record = frame.body as LogRecord;
+      applyRecord(replayed, record, {snapshotIndex, path});
+      if (record.type === 'entries') {
+        const last = record.entries.at(-1)?.index ?? 0;
+        segment.lastIndex = Math.max(segment.lastIndex, last);
+        if (last > snapshotIndex) replayed.tailBytes += frame.end - start;
+      }
+      start = frame.end;
+    }
+  }
+  if (replayed.baseIndex > snapshotIndex) {
+    throw new CorruptLogError(
+      `Could not read the log in "${folder}": entry ${replayed.baseIndex} is missing`,
+    );
+  }
+  return replayed;
+}
+
+function applyRecord(
+  replayed: Replayed,
+  record: LogRecord,
+  {snapshotIndex, path}: {snapshotIndex: number; path: string},
+): void {
+  if (record.type === 'hard') {
+    replayed.hardState = {term: record.term, votedFor: record.votedFor};
+    if (record.resetTo === undefined) return;
+    replayed.entries = [];
+    replayed.baseIndex = record.resetTo;
+    return;
+  }
+  const first = record.entries[0];
+  if (!first) return;
+  const lastIndex = replayed.baseIndex + replayed.entries.length;
+  const isFirst = replayed.entries.length === 0 && replayed.baseIndex === 0;
+  if (first.index > lastIndex + 1 || first.index <= replayed.baseIndex) {
+    // A compaction may have removed what lies between.
+    if (!isFirst && first.index > snapshotIndex + 1) {
+      throw new CorruptLogError(
+        `Could not read "${path}": entry ${lastIndex + 1} is missing`,
+      );
+    }
+    replayed.entries = [];
+    replayed.baseIndex = first.index - 1;
+  }
+  replayed.entries.length = first.index - replayed.baseIndex - 1;
+  for (const entry of record.entries) replayed.entries.push(entry);
+}
