Put a fault-injecting proxy, callers and checkers beside the system

The proxy tells sources apart by the process that opened a connection, since advertised addresses are shared by all daemons.

--- /dev/null
+++ b/testing/callers/load.ts
@@ -0,0 +1,82 @@
+/** A steady load of chats, whole answers and bookings from several callers. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import type {CallRecord} from '../records/call_record.ts';
+import {Caller, type CallerRequest} from './caller.ts';
+
+export interface LoadOptions {
+  /** Customers with their keys. */
+  readonly customers: ReadonlyArray<{name: string; apiKey: string}>;
+  /** Addresses to ask first. */
+  readonly seeds: readonly string[];
+  readonly seed: number;
+  readonly record: (call: CallRecord) => void;
+  /** Requests that one customer has open at once. */
+  readonly openPerCustomer?: number;
+  /** The mean pause between a caller's requests. */
+  readonly pauseMs?: number;
+  /** The service's path for bookings; none are made without it. */
+  readonly service?: string;
+  /** Tries of one request in all. */
+  readonly maxTries?: number;
+}
+
+/** Requests of one session before the next begins. */
+const SESSION_REQUESTS = 5;
+
+/** A running load; dispose it to let the open requests end. */
+export class Load implements AsyncDisposable {
+  private stopped = false;
+  private readonly tasks: Promise<void>[] = [];
+
+  constructor(private readonly options: LoadOptions) {
+    const {customers, openPerCustomer = 1} = options;
+    customers.forEach((customer, index) => {
+      for (let lane = 0; lane < openPerCustomer; lane++) {
+        this.tasks.push(this.runLane(customer, index * 1_000 + lane));
+      }
+    });
+  }
+
+  /** Stops new requests and waits for the open ones. */
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.stopped = true;
+    await Promise.all(this.tasks);
+  }
+
+  private async runLane(
+    customer: {name: string; apiKey: string},
+    lane: number,
+  ): Promise<void> {
+    const {seed, seeds, record, pauseMs = 20, maxTries = 6} = this.options;
+    const generator = xoroshiro128plus(seed * 1_000_003 + lane);
+    const draw = () => uniformFloat64(generator);
+    await using caller = new Caller({
+      customer: customer.name,
+      apiKey: customer.apiKey,
+      seeds: [...seeds.slice(lane % seeds.length), ...seeds],
+      record,
+      maxTries,
+    });
+    for (let count = 0; !this.stopped; count++) {
+      await caller.send(this.createRequest(draw(), `${seed}-${lane}`, count));
+      await sleep(draw() * 2 * pauseMs);
+    }
+  }
+
+  private createRequest(
+    draw: number,
+    lane: string,
+    count: number,
+  ): CallerRequest {
+    const key = `${lane}-${count}`;
+    const content = `question ${key}`;
+    const {service} = this.options;
+    if (service !== undefined && draw < 0.3) {
+      return {key, content: JSON.stringify({door: key}), service};
+    }
+    const session = `${lane}-${Math.floor(count / SESSION_REQUESTS)}`;
+    return {key, content, session, stream: draw < 0.8};
+  }
+}
--- a/testing/cases/whole_path_test.ts
+++ b/testing/cases/whole_path_test.ts
@@ -3,8 +3,6 @@
 import {request} from 'undici';
 import {test} from 'uvu';
 import * as assert from 'uvu/assert';
-import type {EngineRun} from '../stand_ins/engine_main.ts';
-import type {ServiceRun} from '../stand_ins/service_main.ts';
 import {hashKey, System, waitFor} from '../system/system.ts';
 
 const CUSTOMER_KEY = 'key-of-desk';
@@ -126,15 +124,10 @@
   const again = await (await book('booking-1')).body.text();
   assert.is(again, first);
 
-  const runs = (
-    await Promise.all([
-      system.readRuns<EngineRun>('e1'),
-      system.readRuns<EngineRun>('e2'),
-    ])
-  ).flat();
+  const runs = system.listRuns().filter(run => run.kind === 'completion');
   assert.is(runs.length, 2);
   assert.ok(runs.every(run => run.version === 'draft/small'));
-  const calls = await system.readRuns<ServiceRun>('s1');
+  const calls = system.listRuns().filter(run => run.kind === 'call');
   assert.is(calls.length, 1);
 
   await waitFor('bills are known', async () => {
--- /dev/null
+++ b/testing/checkers/check_runs.ts
@@ -0,0 +1,95 @@
+/** Checks of what the endpoints ran. */
+import type {CallRecord, RunRecord} from '../records/call_record.ts';
+
+/** An order that ends new work, and when it was reported in force. */
+export interface EndOfWork {
+  /** The version as `model/version`, or the endpoint. */
+  readonly name: string;
+  readonly atMs: number;
+  /** Set where the name takes work again later. */
+  readonly untilMs?: number;
+}
+
+/**
+ * Lists the runs on versions or services that the customer may not use.
+ *
+ * @param allowed The versions and, as an empty string, services by customer.
+ */
+export function checkAllowed(
+  runs: readonly RunRecord[],
+  allowed: ReadonlyMap<string, ReadonlySet<string>>,
+): string[] {
+  return runs
+    .filter(run => !allowed.get(run.customer)?.has(run.version))
+    .map(run => `${run.customer} ran on ${run.version || run.endpoint}`);
+}
+
+/** Lists the runs of a withdrawn version that began after the bound. */
+export function checkWithdrawals(
+  runs: readonly RunRecord[],
+  withdrawals: readonly EndOfWork[],
+  boundMs: number,
+): string[] {
+  return findLate(runs, withdrawals, boundMs, run => run.version);
+}
+
+/** Lists the runs that began at a leaving endpoint after the bound. */
+export function checkLeaving(
+  runs: readonly RunRecord[],
+  leavings: readonly EndOfWork[],
+  boundMs: number,
+): string[] {
+  return findLate(runs, leavings, boundMs, run => run.endpoint);
+}
+
+function findLate(
+  runs: readonly RunRecord[],
+  ends: readonly EndOfWork[],
+  boundMs: number,
+  getName: (run: RunRecord) => string,
+): string[] {
+  return ends.flatMap(end =>
+    runs
+      .filter(run => getName(run) === end.name)
+      .filter(run => run.startedAtMs > end.atMs + boundMs)
+      .filter(run => run.startedAtMs < (end.untilMs ?? Infinity))
+      .map(run => {
+        const late = run.startedAtMs - end.atMs;
+        return `${end.name} began ${run.requestId} ${late} ms after its end`;
+      }),
+  );
+}
+
+/** Lists the refusals that say "not run" of a request that ran. */
+export function checkNotRun(
+  calls: readonly CallRecord[],
+  runs: readonly RunRecord[],
+): string[] {
+  const ran = new Set(runs.map(run => run.requestId));
+  return calls
+    .filter(call => call.outcome === 'not-run' && ran.has(call.requestId))
+    .map(call => `${call.requestId} was said not to have run, but ran`);
+}
+
+/** Lists the keys of calls that may not be repeated but ran twice. */
+export function checkAtMostOnce(
+  calls: readonly CallRecord[],
+  runs: readonly RunRecord[],
+): string[] {
+  const once = new Set(
+    calls.filter(call => !call.repeatable).map(formatCallKey),
+  );
+  const counts = new Map<string, number>();
+  for (const run of runs) {
+    const key = formatCallKey(run);
+    if (once.has(key)) counts.set(key, (counts.get(key) ?? 0) + 1);
+  }
+  return [...counts]
+    .filter(([, count]) => count > 1)
+    .map(([key, count]) => `${key} ran ${count} times`);
+}
+
+/** Names a request by its customer and key. */
+export function formatCallKey(call: {customer: string; key: string}): string {
+  return `${call.customer}/${call.key}`;
+}
--- /dev/null
+++ b/testing/proxy/fault_proxy.ts
@@ -0,0 +1,182 @@
+/**
+ * A TCP proxy that delays, limits, silences, resets and cuts connections.
+ *
+ * Each listener of the system gets an address of its own at the proxy. Faults
+ * are set by the names of the two ends.
+ */
+import {createServer, connect, type Server, type Socket} from 'node:net';
+import {allocateLoopback} from '../system/loopback.ts';
+import {Pipe, type SharedLink} from './pipe.ts';
+
+/** What a connection between two ends suffers. */
+export interface LinkOptions {
+  /** One way, in milliseconds. */
+  readonly delayMs?: number;
+  /** The capacity that connections share, one for each way. */
+  readonly link?: {readonly there: SharedLink; readonly back: SharedLink};
+}
+
+/** Chooses connections by the names of their ends. */
+export type Match = (from: string, to: string) => boolean;
+
+/** The way in which bytes stop: from the client, to it, or both. */
+export type Direction = 'there' | 'back' | 'both';
+
+/** What new connections of a cut link meet. */
+export type CutKind = 'silent' | 'refused';
+
+export interface FaultProxyOptions {
+  /** Names the end that opened a connection from the port it came from. */
+  readonly identify: (port: number) => string;
+  /** The standing properties of a link. */
+  readonly describeLink?: (from: string, to: string) => LinkOptions;
+}
+
+interface Connection {
+  readonly from: string;
+  readonly to: string;
+  readonly client: Socket;
+  readonly server: Socket;
+  readonly there: Pipe;
+  readonly back: Pipe;
+}
+
+/** Stands between all processes of a test. */
+export class FaultProxy implements AsyncDisposable {
+  private readonly servers: Server[] = [];
+  private readonly connections = new Set<Connection>();
+  private readonly sockets = new Set<Socket>();
+  private readonly cuts = new Set<{match: Match; kind: CutKind}>();
+  private readonly replyLimits = new Set<{match: Match; bytes: number}>();
+  private readonly doubled = new Set<Match>();
+  private readonly bytes = new Map<string, number>();
+
+  constructor(private readonly options: FaultProxyOptions) {}
+
+  /** Listens for connections to `address`; returns where. */
+  add(address: string, name: string): string {
+    const server = createServer(socket => this.accept(socket, address, name));
+    const [, port] = address.split(':');
+    const host = allocateLoopback();
+    server.listen(Number(port), host);
+    this.servers.push(server);
+    return `${host}:${port}`;
+  }
+
+  /** Bytes carried so far from one end to another, by direction. */
+  countBytes(match: Match): number {
+    return [...this.bytes]
+      .filter(([key]) => match(...(key.split('>') as [string, string])))
+      .reduce((sum, [, count]) => sum + count, 0);
+  }
+
+  /** Cuts links, open connections included; returns what mends them. */
+  cut(match: Match, kind: CutKind = 'silent'): () => void {
+    const rule = {match, kind};
+    this.cuts.add(rule);
+    for (const each of this.find(match)) {
+      if (kind === 'refused') each.client.resetAndDestroy();
+      else silence(each, 'both');
+    }
+    return () => {
+      this.cuts.delete(rule);
+      // What was silent stays so: its ends have lost track of each other.
+    };
+  }
+
+  /** Silences the connections that are open now; new ones work. */
+  silence(match: Match, direction: Direction = 'both'): number {
+    const found = this.find(match);
+    for (const each of found) silence(each, direction);
+    return found.length;
+  }
+
+  /** Resets the connections that are open now. */
+  reset(match: Match): number {
+    const found = this.find(match);
+    for (const each of found) each.client.resetAndDestroy();
+    return found.length;
+  }
+
+  /** Ends new connections after this many bytes of reply. */
+  truncateReplies(match: Match, bytes: number): () => void {
+    const rule = {match, bytes};
+    this.replyLimits.add(rule);
+    return () => void this.replyLimits.delete(rule);
+  }
+
+  /** Sends each piece of a reply twice on new connections. */
+  duplicateReplies(match: Match): () => void {
+    this.doubled.add(match);
+    return () => void this.doubled.delete(match);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    for (const socket of this.sockets) socket.destroy();
+    const closing = this.servers.map(
+      server => new Promise<void>(resolve => server.close(() => resolve())),
+    );
+    await Promise.all(closing);
+  }
+
+  private find(match: Match): Connection[] {
+    return [...this.connections].filter(each => match(each.from, each.to));
+  }
+
+  private accept(client: Socket, address: string, to: string): void {
+    client.on('error', () => {});
+    const from = this.options.identify(client.remotePort ?? 0);
+    const cut = [...this.cuts].find(rule => rule.match(from, to));
+    if (cut?.kind === 'refused') {
+      client.resetAndDestroy();
+      return;
+    }
+    const [host, port] = address.split(':');
+    const server = connect(Number(port), host);
+    server.on('error', () => client.resetAndDestroy());
+    const connection = this.join(client, server, from, to);
+    if (cut) silence(connection, 'both');
+  }
+
+  private join(
+    client: Socket,
+    server: Socket,
+    from: string,
+    to: string,
+  ): Connection {
+    const {delayMs = 0, link} = this.options.describeLink?.(from, to) ?? {};
+    const limit = [...this.replyLimits].find(rule => rule.match(from, to));
+    const count = (key: string) => (bytes: number) =>
+      void this.bytes.set(key, (this.bytes.get(key) ?? 0) + bytes);
+    const there = new Pipe(client, server, {
+      delayMs,
+      link: link?.there,
+      onBytes: count(`${from}>${to}`),
+    });
+    const back = new Pipe(server, client, {
+      delayMs,
+      link: link?.back,
+      onBytes: count(`${to}>${from}`),
+      maxBytes: limit?.bytes,
+      twice: [...this.doubled].some(match => match(from, to)),
+    });
+    const connection = {from, to, client, server, there, back};
+    this.sockets.add(client).add(server);
+    this.connections.add(connection);
+    client.once('close', () => {
+      this.sockets.delete(client);
+      this.connections.delete(connection);
+      if (!there.silent) server.destroy();
+    });
+    server.once('close', () => {
+      this.sockets.delete(server);
+      if (!back.silent) back.close();
+    });
+    return connection;
+  }
+}
+
+function silence(connection: Connection, direction: Direction): void {
+  if (direction !== 'back') connection.there.silence();
+  if (direction !== 'there') connection.back.silence();
+}
--- /dev/null
+++ b/testing/proxy/pipe.ts
@@ -0,0 +1,106 @@
+/** One direction of a connection through the proxy. */
+import type {Socket} from 'node:net';
+
+/** The capacity of a link that several connections share, one way. */
+export class SharedLink {
+  private freeAt = 0;
+
+  /** @param bytesPerSecond How much passes in a second. */
+  constructor(private readonly bytesPerSecond: number) {}
+
+  /** Takes the link for `bytes`; returns the wait in milliseconds. */
+  reserve(bytes: number): number {
+    const now = performance.now();
+    const start = Math.max(now, this.freeAt);
+    this.freeAt = start + (bytes * 1_000) / this.bytesPerSecond;
+    return this.freeAt - now;
+  }
+}
+
+/** Shorter waits than this are not worth a timer. */
+const TIMER_RESOLUTION_MS = 0.5;
+
+export interface PipeOptions {
+  readonly delayMs: number;
+  readonly link?: SharedLink;
+  readonly onBytes: (bytes: number) => void;
+  /** The connection ends after this many bytes. */
+  readonly maxBytes?: number;
+  /** Sends each piece twice. */
+  readonly twice?: boolean;
+}
+
+/** Carries bytes from one socket to another. */
+export class Pipe {
+  private isSilent = false;
+  private passed = 0;
+  private dueAt = 0;
+  private readonly queue: Array<{dueAt: number; action: () => void}> = [];
+
+  constructor(
+    private readonly source: Socket,
+    private readonly target: Socket,
+    private readonly options: PipeOptions,
+  ) {
+    source.setNoDelay(true);
+    source.on('data', data => this.take(data));
+    source.on('end', () => this.schedule(0, () => target.end()));
+    target.on('drain', () => source.resume());
+  }
+
+  get silent(): boolean {
+    return this.isSilent;
+  }
+
+  /** Drops all bytes and the end from now on. */
+  silence(): void {
+    this.isSilent = true;
+  }
+
+  /** Closes the target once all bytes have passed. */
+  close(): void {
+    this.schedule(0, () => this.target.destroy());
+  }
+
+  private take(data: Buffer): void {
+    this.options.onBytes(data.length);
+    this.schedule(data.length, () => this.pass(data));
+  }
+
+  private pass(data: Buffer): void {
+    if (this.target.destroyed) return;
+    const {maxBytes = Infinity, twice} = this.options;
+    const left = maxBytes - this.passed;
+    this.passed += data.length;
+    if (left < data.length) {
+      this.target.end(data.subarray(0, Math.max(0, left)));
+      this.source.destroy();
+      return;
+    }
+    if (twice) this.target.write(data);
+    if (!this.target.write(data)) this.source.pause();
+  }
+
+  /** Runs `action` when the bytes before it have passed. */
+  private schedule(bytes: number, action: () => void): void {
+    const {delayMs, link} = this.options;
+    const now = performance.now();
+    const wait = delayMs + (link && bytes > 0 ? link.reserve(bytes) : 0);
+    this.dueAt = Math.max(this.dueAt, now + wait);
+    this.queue.push({dueAt: this.dueAt, action});
+    if (this.queue.length === 1) this.drain();
+  }
+
+  /** Runs what is due and waits for the rest, one timer at a time. */
+  private drain(): void {
+    for (let first = this.queue[0]; first; first = this.queue[0]) {
+      const left = first.dueAt - performance.now();
+      if (left > TIMER_RESOLUTION_MS) {
+        setTimeout(() => this.drain(), left);
+        return;
+      }
+      if (!this.isSilent) first.action();
+      this.queue.shift();
+    }
+  }
+}
--- /dev/null
+++ b/testing/records/expected_answer.ts
@@ -0,0 +1,15 @@
+/** The answer that every stand-in engine gives to a prompt. */
+import {createHash} from 'node:crypto';
+
+/** Lists the words of the answer of `version` to `prompt`. */
+export function createExpectedWords(
+  prompt: string,
+  version: string,
+  count: number,
+): string[] {
+  const hash = createHash('sha256').update(prompt).digest('hex').slice(0, 6);
+  return Array.from(
+    {length: count},
+    (_, index) => `${hash}:${version}:${index} `,
+  );
+}
--- a/testing/stand_ins/engine_main.ts
+++ b/testing/stand_ins/engine_main.ts
@@ -2,79 +2,68 @@
  * A stand-in for a model engine: streams deterministic tokens, resumes at an
  * offset and records every run. `GET /runs` lists the runs.
  */
-import {createHash, randomBytes} from 'node:crypto';
+import {randomBytes} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import polka from 'polka';
 import type {Announcement} from '../../src/protocol/endpoint.ts';
+import {createExpectedWords} from '../records/expected_answer.ts';
 import {startAnnouncer} from './announcer.ts';
+import {RunRecorder} from './run_recorder.ts';
 import {readStandInOptions} from './stand_in_options.ts';
-
-/** One run of a completion, as the engine saw it. */
-export interface EngineRun {
-  requestId: string;
-  attemptId: string;
-  customer: string;
-  version: string;
-  startedAtMs: number;
-  resumeOffset: number;
-  finished: boolean;
-}
+import {StepGate} from './step_gate.ts';
 
 interface Body {
   model: string;
-  messages: unknown[];
+  messages: Array<{content: unknown}>;
   max_tokens?: number;
 }
 
 const options = readStandInOptions();
-const runs: EngineRun[] = [];
+const recorder = new RunRecorder(options.recordFile);
+const gate = new StepGate();
 const incarnation = randomBytes(6).toString('hex');
 let leaving = false;
 let running = 0;
 
-/** The words of the answer to a prompt: the same for every engine. */
-function createAnswer(body: Body): string[] {
-  const count = Math.min(body.max_tokens ?? options.tokens, options.tokens);
-  const seed = createHash('sha256')
-    .update(JSON.stringify(body.messages))
-    .digest('hex');
-  return Array.from(
-    {length: count},
-    (_, index) => `${seed.slice(0, 6)}.${index} `,
-  );
-}
-
 async function handleCompletion(
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
   const body = JSON.parse(await readText(request)) as Body;
   const header = (name: string) => String(request.headers[name] ?? '');
-  const run: EngineRun = {
+  const run = recorder.begin({
+    kind: 'completion',
+    endpoint: options.name,
     requestId: header('x-request-id'),
     attemptId: header('x-attempt-id'),
     customer: header('x-customer'),
     version: body.model,
+    key: '',
     startedAtMs: Date.now(),
-    resumeOffset: Number(header('x-resume-offset') || 0),
     finished: false,
-  };
-  runs.push(run);
+    answer: '',
+  });
   running++;
   response.on('close', () => running--);
+  await gate.pass('dispatched');
   response.writeHead(200, {'content-type': 'text/event-stream'});
   await sleep(options.firstTokenMs);
+  const resumeOffset = Number(header('x-resume-offset') || 0);
   const words = createAnswer(body);
-  for (let offset = run.resumeOffset; offset < words.length; offset++) {
+  for (let offset = resumeOffset; offset < words.length; offset++) {
     if (response.destroyed) return;
     writeEvent(response, {
       offset,
       choices: [{index: 0, delta: {content: words[offset]}}],
     });
     await sleep(options.tokenMs);
+    if (offset === 0) await gate.pass('first-byte');
+    if (offset === Math.floor(words.length / 2)) await gate.pass('mid-stream');
   }
-  run.finished = true;
+  await gate.pass('answered');
+  if (response.destroyed) return;
+  recorder.finish(run);
   writeEvent(response, {
     choices: [{index: 0, delta: {}, finish_reason: 'stop'}],
     usage: {
@@ -85,6 +74,13 @@
   response.end('data: [DONE]\n\n');
 }
 
+/** The words of the answer: the same for every engine with the version. */
+function createAnswer(body: Body): string[] {
+  const count = Math.min(body.max_tokens ?? options.tokens, options.tokens);
+  const prompt = String(body.messages.at(-1)?.content);
+  return createExpectedWords(prompt, body.model, count);
+}
+
 function writeEvent(response: ServerResponse, event: object): void {
   response.write(`data: ${JSON.stringify(event)}\n\n`);
 }
@@ -106,7 +102,7 @@
     versions: options.versions,
     slots: options.slots,
     checksFencing: false,
-    resumes: true,
+    resumes: options.resumes,
     leaving,
     load: {running, waiting: 0, ageMs: 0},
   };
@@ -118,8 +114,10 @@
     handleCompletion(request, response).catch(() => response.destroy());
   })
   .get('/runs', (_request, response) => {
-    response.end(JSON.stringify(runs));
+    response.end(JSON.stringify(recorder.runs));
   })
+  .get('/held', gate.handleHeld)
+  .post('/hold', gate.handleHold)
   .listen(Number(port), host, () => {
     const announcer = startAnnouncer({...options, describe});
     process.once('SIGTERM', () => {
--- a/testing/stand_ins/service_main.ts
+++ b/testing/stand_ins/service_main.ts
@@ -6,49 +6,55 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import polka from 'polka';
 import {startAnnouncer} from './announcer.ts';
+import {RunRecorder} from './run_recorder.ts';
 import {readStandInOptions} from './stand_in_options.ts';
-
-/** One call, as the service saw it. */
-export interface ServiceRun {
-  requestId: string;
-  customer: string;
-  key: string;
-  method: string;
-  path: string;
-  body: string;
-  startedAtMs: number;
-}
+import {StepGate} from './step_gate.ts';
 
 const options = readStandInOptions();
-const runs: ServiceRun[] = [];
+const recorder = new RunRecorder(options.recordFile);
+const gate = new StepGate();
 const incarnation = randomBytes(6).toString('hex');
 let leaving = false;
+let running = 0;
 
 async function handleCall(
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
-  let body = '';
-  for await (const part of request) body += String(part);
+  for await (const _part of request);
   const header = (name: string) => String(request.headers[name] ?? '');
-  runs.push({
+  const serial = recorder.runs.length + 1;
+  const answer = JSON.stringify({
+    serial: `${options.name}-${incarnation}-${serial}`,
+  });
+  const run = recorder.begin({
+    kind: 'call',
+    endpoint: options.name,
     requestId: header('x-request-id'),
+    attemptId: header('x-attempt-id'),
     customer: header('x-customer'),
+    version: '',
     key: header('idempotency-key'),
-    method: request.method ?? '',
-    path: request.url ?? '',
-    body,
     startedAtMs: Date.now(),
+    finished: false,
+    answer,
   });
+  running++;
+  response.on('close', () => running--);
+  await gate.pass('dispatched');
+  recorder.finish(run);
+  await gate.pass('answered');
   response.writeHead(200, {'content-type': 'application/json'});
-  response.end(JSON.stringify({serial: `${options.name}-${runs.length}`}));
+  response.end(answer);
 }
 
 const [host, port] = options.address.split(':');
 polka()
   .get('/runs', (_request, response) => {
-    response.end(JSON.stringify(runs));
+    response.end(JSON.stringify(recorder.runs));
   })
+  .get('/held', gate.handleHeld)
+  .post('/hold', gate.handleHold)
   .all('*', (request, response) => {
     handleCall(request, response).catch(() => response.destroy());
   })
@@ -67,12 +73,14 @@
         checksFencing: false,
         resumes: false,
         leaving,
+        load: {running, waiting: 0, ageMs: 0},
       }),
     });
     process.once('SIGTERM', () => {
       leaving = true;
-      void announcer
-        .announceNow()
-        .then(() => setTimeout(() => process.exit(0), 500));
+      void announcer.announceNow();
+      setInterval(() => {
+        if (running === 0) process.exit(0);
+      }, 500);
     });
   });
--- a/testing/stand_ins/stand_in_options.ts
+++ b/testing/stand_ins/stand_in_options.ts
@@ -14,12 +14,16 @@
   slots: z.int().default(16),
   daemons: z.array(z.string()),
   secret: z.string(),
+  /** A file that keeps the runs when the process ends. */
+  recordFile: z.string().optional(),
   /** Tokens of an answer where the request sets no smaller limit. */
   tokens: z.int().default(20),
   /** The time to the first token. */
   firstTokenMs: z.number().default(5),
   /** The time between tokens. */
   tokenMs: z.number().default(2),
+  /** Whether a stream can be resumed at an offset. */
+  resumes: z.boolean().default(true),
 });
 
 export type StandInOptions = z.infer<typeof standInOptionsSchema>;
--- /dev/null
+++ b/testing/system/network.ts
@@ -0,0 +1,56 @@
+/** The links between places, as the proxy imitates them. */
+import type {LinkOptions} from '../proxy/fault_proxy.ts';
+import {SharedLink} from '../proxy/pipe.ts';
+
+export interface NetworkOptions {
+  /** One way between data centres of a region. */
+  readonly dataCentreMs?: number;
+  /** One way between regions. */
+  readonly regionMs?: number;
+  /** One way to callers. */
+  readonly callerMs?: number;
+  /** The capacity between two regions, each way. */
+  readonly regionBytesPerSecond?: number;
+}
+
+/** A process with a place. */
+export interface Placed {
+  readonly name: string;
+  readonly region: string;
+  readonly dataCentre: string;
+}
+
+/** Twenty megabits per second. */
+const REGION_BYTES_PER_SECOND = 2_500_000;
+
+/** Creates the function that describes the link between two processes. */
+export function createNetwork(
+  placed: readonly Placed[],
+  options: NetworkOptions,
+): (from: string, to: string) => LinkOptions {
+  const places = new Map(placed.map(each => [each.name, each]));
+  const links = new Map<string, SharedLink>();
+  const capacity = options.regionBytesPerSecond ?? REGION_BYTES_PER_SECOND;
+  const getLink = (from: string, to: string) => {
+    const key = `${from}>${to}`;
+    const link = links.get(key) ?? new SharedLink(capacity);
+    links.set(key, link);
+    return link;
+  };
+  return (from, to) => {
+    const a = places.get(from);
+    const b = places.get(to);
+    if (!a || !b) return {delayMs: options.callerMs ?? 0};
+    if (a.region !== b.region) {
+      return {
+        delayMs: options.regionMs ?? 0,
+        link: {
+          there: getLink(a.region, b.region),
+          back: getLink(b.region, a.region),
+        },
+      };
+    }
+    const apart = a.dataCentre !== b.dataCentre;
+    return {delayMs: apart ? options.dataCentreMs : 0};
+  };
+}
--- /dev/null
+++ b/testing/system/places.ts
@@ -0,0 +1,66 @@
+/** Hosts and endpoints of the systems that tests run. */
+import type {EndpointOptions, HostOptions} from './system.ts';
+
+const VERSIONS = ['draft/small', 'draft/large'];
+
+/** A system in one data centre: three hosts with disks, one without. */
+export function createSmallPlaces() {
+  const place = {region: 'north', dataCentre: 'north-a'};
+  const hosts: HostOptions[] = ['a1', 'a2', 'a3', 'a4'].map(name => ({
+    name,
+    ...place,
+    disk: name !== 'a4',
+  }));
+  const announceTo = ['a1', 'a2', 'a4'];
+  const endpoints: EndpointOptions[] = [
+    ...['e1', 'e2', 'e3'].map(name => ({
+      name,
+      kind: 'engine' as const,
+      ...place,
+      pool: 'drafting',
+      versions: VERSIONS,
+      announceTo,
+    })),
+    ...['s1', 's2'].map(name => ({
+      name,
+      kind: 'service' as const,
+      ...place,
+      pool: 'booking',
+      announceTo,
+    })),
+  ];
+  return {hosts, endpoints};
+}
+
+/**
+ * Today's size: nine hosts, six drafting workers and three of the service in
+ * three data centres, two of them in the first region.
+ *
+ * @param dataCentres The names, the second region's last.
+ */
+export function createTodaysPlaces(
+  regions: readonly [string, string],
+  dataCentres: readonly [string, string, string],
+) {
+  const place = (index: number) => ({
+    region: index % 3 === 2 ? regions[1] : regions[0],
+    dataCentre: dataCentres[index % 3] ?? '',
+  });
+  const indexes = Array.from({length: 9}, (_, index) => index);
+  const hosts: HostOptions[] = indexes.map(index => ({
+    name: `h${index}`,
+    ...place(index),
+    disk: index < 5,
+  }));
+  const endpoints: EndpointOptions[] = indexes.map(index => ({
+    name: `w${index}`,
+    ...place(index),
+    ...(index < 6
+      ? {kind: 'engine', pool: 'drafting', versions: VERSIONS}
+      : {kind: 'service', pool: 'booking'}),
+    announceTo: indexes
+      .filter(host => host % 3 === index % 3)
+      .map(host => `h${host}`),
+  }));
+  return {hosts, endpoints};
+}
--- /dev/null
+++ b/testing/system/scenario.ts
@@ -0,0 +1,195 @@
+/** A running system under load, with all that the checkers need. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {checkEverything} from '../checkers/check_everything.ts';
+import type {Shutdown} from '../checkers/check_answers.ts';
+import type {InForce} from '../checkers/check_configuration.ts';
+import type {EndOfWork} from '../checkers/check_runs.ts';
+import {Caller} from '../callers/caller.ts';
+import {Load, type LoadOptions} from '../callers/load.ts';
+import type {CallRecord, ConfigurationRecord} from '../records/call_record.ts';
+import {createDeclaration, listCustomers} from './declaration.ts';
+import {System, waitFor, type SystemOptions} from './system.ts';
+
+/** How often the configuration of each daemon is looked at. */
+const WATCH_INTERVAL_MS = 100;
+
+/** How long bills may take to reach the host that is asked for them. */
+const BILLS_TIMEOUT_MS = 8_000;
+
+/** Words of an answer of the stand-in engines. */
+export const ANSWER_WORDS = 20;
+
+export interface ScenarioOptions extends SystemOptions {
+  readonly customers?: number;
+}
+
+/** Runs a system and writes down what happens to it. */
+export class Scenario implements AsyncDisposable {
+  readonly calls: CallRecord[] = [];
+  readonly withdrawals: EndOfWork[] = [];
+  readonly leavings: EndOfWork[] = [];
+  readonly shutdowns: Shutdown[] = [];
+  readonly inForce: InForce[] = [];
+  readonly seen: ConfigurationRecord[] = [];
+  readonly customers: ReadonlyArray<{name: string; apiKey: string}>;
+  private watching = true;
+  private readonly watcher: Promise<void>;
+  private version = 0;
+
+  private constructor(
+    readonly system: System,
+    customers: number,
+  ) {
+    this.customers = listCustomers(customers);
+    const watchers = [...system.daemons.keys()].map(host => this.watch(host));
+    this.watcher = Promise.all(watchers).then(() => {});
+  }
+
+  /** Starts a system with a declaration in force and its endpoints known. */
+  static async start(options: ScenarioOptions): Promise<Scenario> {
+    const system = await System.start(options);
+    const scenario = new Scenario(system, options.customers ?? 3);
+    try {
+      await system.waitUntilReady();
+      await scenario.apply();
+      await scenario.waitForEndpoints(options.endpoints.length);
+    } catch (error) {
+      await scenario[Symbol.asyncDispose]();
+      throw error;
+    }
+    return scenario;
+  }
+
+  /** Applies the next declaration and notes when it was in force. */
+  async apply(
+    changes: Record<string, unknown> = {},
+    host?: string,
+  ): Promise<number> {
+    const version = ++this.version;
+    const through = host ?? [...this.system.daemons.keys()][0] ?? '';
+    const declaration = createDeclaration(version, this.customers);
+    const result = await this.system.apply(through, {
+      ...declaration,
+      ...changes,
+    });
+    if (result.code !== 0) {
+      throw new Error(`Could not apply: ${result.output}${result.errors}`);
+    }
+    if (JSON.parse(result.output).inForce === true) {
+      this.inForce.push({version, atMs: Date.now()});
+    }
+    return version;
+  }
+
+  /** Withdraws a version and notes when that was in force. */
+  async withdraw(version: string, host: string): Promise<void> {
+    const result = await this.system.runCommand(host, ['withdraw', version]);
+    if (result.code !== 0 || JSON.parse(result.output).inForce !== true) {
+      throw new Error(`Could not withdraw: ${result.output}${result.errors}`);
+    }
+    this.withdrawals.push({name: version, atMs: Date.now()});
+  }
+
+  /** Starts a load that records into this scenario. */
+  startLoad(seed: number, options: Partial<LoadOptions> = {}): Load {
+    return new Load({
+      customers: this.customers,
+      seeds: this.system.listCallerAddresses(),
+      seed,
+      record: call => this.calls.push(call),
+      service: 'booking/bookings',
+      ...options,
+    });
+  }
+
+  /** Creates a caller that records into this scenario. */
+  createCaller(maxTries = 1): Caller {
+    const [customer] = this.customers;
+    if (!customer) throw new Error('Could not create a caller: no customer');
+    return new Caller({
+      customer: customer.name,
+      apiKey: customer.apiKey,
+      seeds: this.system.listCallerAddresses(),
+      record: call => this.calls.push(call),
+      maxTries,
+    });
+  }
+
+  /** Stops a daemon gracefully and notes it. */
+  async stopDaemon(host: string): Promise<number | null> {
+    const atMs = Date.now();
+    const code = await this.system.daemons.get(host)?.stop();
+    const gateway = this.system.getCallerAddress(host);
+    this.shutdowns.push({gateway, atMs, endedAtMs: Date.now()});
+    return code ?? null;
+  }
+
+  /** Waits until so many calls more were answered. */
+  async waitForAnswers(count: number, timeoutMs?: number): Promise<void> {
+    const from = this.calls.length;
+    await waitFor(
+      `${count} more requests are answered`,
+      async () =>
+        this.calls.slice(from).filter(call => call.outcome === 'answered')
+          .length >= count,
+      timeoutMs,
+    );
+  }
+
+  /** Waits until all daemons that run know so many endpoints. */
+  async waitForEndpoints(count: number): Promise<void> {
+    const running = [...this.system.daemons].filter(([, each]) => each.running);
+    await waitFor('all endpoints are known', async () => {
+      const known = await Promise.all(
+        running.map(([host]) => this.system.readStatus(host)),
+      );
+      return known.every(each => each.endpoints.length >= count);
+    });
+  }
+
+  /** Runs all checkers and returns what they found. */
+  async check(billsHost: string): Promise<string[]> {
+    const deadline = Date.now() + BILLS_TIMEOUT_MS;
+    for (;;) {
+      const bills = await this.system.readBills(billsHost);
+      const found = checkEverything({
+        ...this,
+        runs: this.system.listRuns(),
+        bills,
+        words: ANSWER_WORDS,
+        allowed: new Map(
+          this.customers.map(each => [
+            each.name,
+            new Set(['draft/small', 'draft/large', '']),
+          ]),
+        ),
+      });
+      if (found.length === 0 || Date.now() > deadline) return found;
+      await sleep(WATCH_INTERVAL_MS);
+    }
+  }
+
+  /** Counts the outcomes of all requests so far. */
+  countOutcomes(): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const call of this.calls) {
+      counts[call.outcome] = (counts[call.outcome] ?? 0) + 1;
+    }
+    return counts;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.watching = false;
+    await this.watcher;
+    await this.system[Symbol.asyncDispose]();
+  }
+
+  private async watch(host: string): Promise<void> {
+    while (this.watching) {
+      const atMs = Date.now();
+      const status = await this.system.readStatus(host).catch(() => null);
+      if (status) this.seen.push({host, atMs, version: status.version});
+      await sleep(WATCH_INTERVAL_MS);
+    }
+  }
+}
--- a/testing/system/system.ts
+++ b/testing/system/system.ts
@@ -13,15 +13,27 @@
 import {request} from 'undici';
 import type {BillRecord} from '../../src/protocol/ledger.ts';
 import type {StandInOptions} from '../stand_ins/stand_in_options.ts';
-import type {EngineRun} from '../stand_ins/engine_main.ts';
-import type {ServiceRun} from '../stand_ins/service_main.ts';
+import type {RunRecord} from '../records/call_record.ts';
+import {FaultProxy} from '../proxy/fault_proxy.ts';
+import {findConnectionOwner} from '../proxy/connection_owner.ts';
+import {readRunRecords} from '../stand_ins/run_recorder.ts';
+import type {RunStep} from '../stand_ins/step_gate.ts';
 import {TestProcess} from './child_process.ts';
 import {allocateLoopback} from './loopback.ts';
+import {createNetwork, type NetworkOptions} from './network.ts';
 
 const PUBLIC_PORT = 8080;
 const PEER_PORT = 8081;
 const ENDPOINT_PORT = 9000;
 
+/** The name that the proxy gives to the test's own connections. */
+export const CALLER = 'caller';
+
+const OPERATOR_SECRET = 'operator-secret';
+
+/** How long a daemon may take to show its status. */
+const STATUS_TIMEOUT_MS = 2_000;
+
 /** How long a condition may take to come true. */
 const DEFAULT_WAIT_MS = 20_000;
 
@@ -50,11 +62,8 @@
   readonly endpoints: readonly EndpointOptions[];
   /** Settings beside those that the system writes itself. */
   readonly settings?: Record<string, unknown>;
-  /**
-   * Returns the address at which others reach a listener, such as that of a
-   * proxy; the listener's own by default.
-   */
-  readonly mapAddress?: (address: string, name: string) => string;
+  /** Puts a proxy between all processes; without it they talk directly. */
+  readonly network?: NetworkOptions;
 }
 
 /** The SHA-256 of a customer's key, as declarations hold it. */
@@ -62,16 +71,42 @@
   return createHash('sha256').update(key).digest('hex');
 }
 
+/** What a daemon shows of itself, as far as tests use it. */
+export interface HostStatus {
+  readonly version: number | null;
+  readonly revision: number | null;
+  readonly hosts: ReadonlyArray<{name: string}>;
+  readonly endpoints: ReadonlyArray<{name: string; leaving: boolean}>;
+  readonly control?: {leader: string | null; applied: number};
+}
+
 /** A running system. Dispose it to end every process. */
 export class System implements AsyncDisposable {
   readonly daemons = new Map<string, TestProcess>();
   readonly endpoints = new Map<string, TestProcess>();
   private readonly ips = new Map<string, string>();
+  private readonly proxied = new Map<string, string>();
+  private readonly faults: FaultProxy | null = null;
 
   private constructor(
     readonly folder: string,
     private readonly options: SystemOptions,
-  ) {}
+  ) {
+    if (!options.network) return;
+    this.faults = new FaultProxy({
+      identify: port => this.identify(port),
+      describeLink: createNetwork(
+        [...options.hosts, ...options.endpoints],
+        options.network,
+      ),
+    });
+  }
+
+  /** The proxy between all processes, where the options ask for one. */
+  get proxy(): FaultProxy {
+    if (!this.faults) throw new Error('Could not find a proxy: none is set');
+    return this.faults;
+  }
 
   /** Writes all settings and starts all processes. */
   static async start(options: SystemOptions): Promise<System> {
@@ -160,18 +195,79 @@
     return JSON.parse(output) as BillRecord[];
   }
 
-  /** The runs that an endpoint recorded. */
-  async readRuns<T extends EngineRun | ServiceRun>(
-    endpoint: string,
-  ): Promise<T[]> {
+  /** The runs that all endpoints recorded in all their lives. */
+  listRuns(): RunRecord[] {
+    return [...this.endpoints.keys()].flatMap(name =>
+      readRunRecords(this.getRecordFile(name)),
+    );
+  }
+
+  /** The addresses at which callers reach the gateways. */
+  listCallerAddresses(): string[] {
+    return [...this.daemons.keys()].map(host =>
+      this.map(this.getPublicAddress(host), host),
+    );
+  }
+
+  /** Where callers reach one gateway. */
+  getCallerAddress(host: string): string {
+    return this.map(this.getPublicAddress(host), host);
+  }
+
+  /** Asks a daemon what is in force, without a proxy between. */
+  async readStatus(host: string): Promise<HostStatus> {
+    const address = this.getPublicAddress(host);
+    const response = await request(`http://${address}/operator/status`, {
+      headers: {authorization: `Bearer ${OPERATOR_SECRET}`},
+      headersTimeout: STATUS_TIMEOUT_MS,
+    });
+    return (await response.body.json()) as HostStatus;
+  }
+
+  /** The host that leads the control group, as the hosts with disks say. */
+  async findLeader(): Promise<string> {
+    let leader: string | null = null;
+    await waitFor('a leader is known', async () => {
+      for (const host of this.listDiskHosts()) {
+        const status = await this.readStatus(host).catch(() => null);
+        leader = status?.control?.leader ?? null;
+        if (leader !== null && this.daemons.get(leader)?.running) return true;
+      }
+      return false;
+    });
+    return leader ?? '';
+  }
+
+  /** The hosts that carry replicas. */
+  listDiskHosts(): string[] {
+    return this.options.hosts.filter(each => each.disk).map(each => each.name);
+  }
+
+  /** Holds the runs of an endpoint at a step; `null` lets them go. */
+  async hold(endpoint: string, step: RunStep | null): Promise<void> {
+    const address = this.getEndpointAddress(endpoint);
+    const response = await request(`http://${address}/hold?${step ?? ''}`, {
+      method: 'POST',
+    });
+    await response.body.dump();
+  }
+
+  /** Counts the runs that an endpoint holds. */
+  async countHeld(endpoint: string): Promise<number> {
     const address = this.getEndpointAddress(endpoint);
-    const response = await request(`http://${address}/runs`);
-    return (await response.body.json()) as T[];
+    const response = await request(`http://${address}/held`);
+    return ((await response.body.json()) as {held: number}).held;
+  }
+
+  /** Removes all that a host has on its disk. */
+  async loseDisk(host: string): Promise<void> {
+    await rm(this.getDataFolder(host), {recursive: true, force: true});
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
     const processes = [...this.daemons.values(), ...this.endpoints.values()];
     await Promise.all(processes.map(each => each.kill()));
+    await this.faults?.[Symbol.asyncDispose]();
     await rm(this.folder, {recursive: true, force: true});
   }
 
@@ -181,6 +277,29 @@
     return ip;
   }
 
+  private getRecordFile(endpoint: string): string {
+    return join(this.folder, `${endpoint}.runs`);
+  }
+
+  /** Names the process that opened a connection. */
+  private identify(port: number): string {
+    const processes = [...this.daemons, ...this.endpoints];
+    const names = new Map([[process.pid, CALLER]]);
+    for (const [name, {pid}] of processes) if (pid) names.set(pid, name);
+    const owner = findConnectionOwner(port, [...names.keys()]);
+    return names.get(owner ?? 0) ?? '';
+  }
+
+  /** The address at which others reach a listener. */
+  private map(address: string, name: string): string {
+    if (!this.faults) return address;
+    const known = this.proxied.get(address);
+    if (known !== undefined) return known;
+    const proxied = this.faults.add(address, name);
+    this.proxied.set(address, proxied);
+    return proxied;
+  }
+
   private async prepare(): Promise<void> {
     const {hosts, endpoints} = this.options;
     for (const {name} of [...hosts, ...endpoints]) {
@@ -194,7 +313,7 @@
   }
 
   private async prepareHost(host: HostOptions): Promise<void> {
-    const map = this.options.mapAddress ?? (address => address);
+    const map = (address: string, name: string) => this.map(address, name);
     const settings = {
       name: host.name,
       region: host.region,
@@ -232,7 +351,7 @@
   }
 
   private prepareEndpoint(endpoint: EndpointOptions): void {
-    const map = this.options.mapAddress ?? (address => address);
+    const map = (address: string, name: string) => this.map(address, name);
     const {announceTo, kind, ...rest} = endpoint;
     const address = this.getEndpointAddress(endpoint.name);
     const options = {
@@ -241,6 +360,7 @@
       advertise: map(address, endpoint.name),
       daemons: announceTo.map(host => map(this.getPublicAddress(host), host)),
       secret: 'endpoint-secret',
+      recordFile: this.getRecordFile(endpoint.name),
     };
     const program = `dist/stand_ins/${kind}.cjs`;
     const command = [process.execPath, program, JSON.stringify(options)];
