Check declarations as a whole before they are committed

The digest came from the client and followed the order of keys; the daemon now computes it from canonical content with defaults filled in. Mistakes of meaning (unknown pools, versions, services; duplicates; plans whose stages do not grow) are refused with their line. The routes of operators and endpoints stand in modules of their own. A command draws fencing numbers.

--- a/src/cli/commands/operator_commands.ts
+++ b/src/cli/commands/operator_commands.ts
@@ -1,13 +1,15 @@
 /** The operators' commands, which talk to a running daemon. */
-import {createHash} from 'node:crypto';
 import {readFile} from 'node:fs/promises';
 import type {Command} from 'commander';
 import {request} from 'undici';
-import type {ControlCommand} from '../../protocol/control.ts';
+import type {OperatorCommand} from '../../protocol/control.ts';
+import {checkDeclaration} from '../../protocol/check_declaration.ts';
 import {
   declarationSchema,
   type Declaration,
 } from '../../protocol/declaration.ts';
+import type {BillPage, BillRecord} from '../../protocol/ledger.ts';
+import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
 import {formatIssue, parseToml} from '../../protocol/toml.ts';
 import {readSecret} from '../serve/secrets.ts';
 
@@ -29,15 +31,7 @@
   ).action(async (file: string, options: Connection) => {
     const declaration = await readDeclaration(file);
     if (!declaration) return;
-    const digest = createHash('sha256')
-      .update(JSON.stringify(declaration))
-      .digest('hex');
-    await sendCommand(options, {
-      type: 'apply',
-      declaration,
-      digest,
-      atMs: Date.now(),
-    });
+    await sendCommand(options, {type: 'apply', declaration});
   });
   connect(
     addOperatorCommand(program, 'withdraw <version>', 'withdraw a version'),
@@ -62,14 +56,53 @@
   connect(
     addOperatorCommand(program, 'status', 'show what is in force'),
   ).action(async (options: Connection) => print(options, '/operator/status'));
-  connect(
-    addOperatorCommand(program, 'bills', 'export all bills as JSON'),
-  ).action(async (options: Connection) => print(options, '/operator/bills'));
+  addBillsCommands(program);
   connect(
     addOperatorCommand(program, 'addresses', 'show the addresses to use'),
   ).action(async (options: Connection) => print(options, '/v1/addresses'));
 }
 
+/** Adds `bills export`, which `bills` alone means as well. */
+function addBillsCommands(program: Command): void {
+  const bills = program.command('bills').description('read what was billed');
+  connect(
+    bills
+      .command('export', {isDefault: true})
+      .description('print the bills as JSON, oldest first'),
+  )
+    .option('--shard <number>', 'one ledger shard only')
+    .option('--after <sequence>', 'only bills that follow this one', '0')
+    .action(async (options: Connection & {shard?: string; after: string}) => {
+      await exportBills(options, Number(options.after), options.shard);
+    });
+}
+
+async function exportBills(
+  connection: Connection,
+  after: number,
+  shard?: string,
+): Promise<void> {
+  const bills: BillRecord[] = [];
+  const only = shard === undefined ? undefined : Number(shard);
+  let shards = 1;
+  for (let number = only ?? 0; number < (only ?? shards - 1) + 1; number++) {
+    let cursor = after;
+    for (let complete = false; !complete;) {
+      const path = `/operator/bills?shard=${number}&after=${cursor}`;
+      const answer = await ask(connection, path);
+      if (!answer.ok) {
+        console.error(JSON.stringify(answer.error));
+        process.exitCode = 1;
+        return;
+      }
+      const page = answer.value as BillPage;
+      bills.push(...page.bills);
+      ({cursor, complete, shards} = page);
+    }
+  }
+  console.log(JSON.stringify(bills, null, 2));
+}
+
 function addOperatorCommand(
   program: Command,
   name: string,
@@ -85,7 +118,11 @@
 }
 
 async function readDeclaration(file: string): Promise<Declaration | null> {
-  const parsed = parseToml(await readFile(file, 'utf8'), declarationSchema);
+  const parsed = parseToml(
+    await readFile(file, 'utf8'),
+    declarationSchema,
+    checkDeclaration,
+  );
   if (parsed.ok) return parsed.value;
   for (const issue of parsed.error) console.error(formatIssue(file, issue));
   process.exitCode = 2;
@@ -94,20 +131,29 @@
 
 async function sendCommand(
   connection: Connection,
-  command: ControlCommand,
+  command: OperatorCommand,
 ): Promise<void> {
-  await ask(connection, '/operator/commands', JSON.stringify(command));
+  printAnswer(
+    await ask(connection, '/operator/commands', JSON.stringify(command)),
+  );
 }
 
 async function print(connection: Connection, path: string): Promise<void> {
-  await ask(connection, path);
+  printAnswer(await ask(connection, path));
+}
+
+function printAnswer(answer: Outcome<unknown, unknown>): void {
+  const body = answer.ok ? answer.value : answer.error;
+  console.log(JSON.stringify(body, null, 2));
+  if (!answer.ok) process.exitCode = 1;
 }
 
+/** Asks a daemon; the body of an answer above 399 is the error. */
 async function ask(
   connection: Connection,
   path: string,
   body?: string,
-): Promise<void> {
+): Promise<Outcome<unknown, unknown>> {
   const secret = await readSecret(connection.secret);
   const response = await request(`http://${connection.address}${path}`, {
     method: body === undefined ? 'GET' : 'POST',
@@ -115,6 +161,5 @@
     body: body ?? null,
   });
   const answer = await response.body.json();
-  console.log(JSON.stringify(answer, null, 2));
-  if (response.statusCode >= 400) process.exitCode = 1;
+  return response.statusCode < 400 ? succeed(answer) : fail(answer);
 }
--- a/src/cli/serve/exchange.ts
+++ b/src/cli/serve/exchange.ts
@@ -1,5 +1,6 @@
 /** Passes announcements of endpoints on to the other daemons. */
 import type {Announcement} from '../../protocol/endpoint.ts';
+import {succeed, type Outcome} from '../../protocol/outcome.ts';
 import type {Settings} from '../../protocol/settings.ts';
 import type {ConfigurationLease} from '../../coordination/leases/configuration_lease.ts';
 import type {EndpointTable} from '../../coordination/membership/endpoint_table.ts';
@@ -18,7 +19,7 @@
 /** Creates the function that takes an announcement in and passes it on. */
 export function createExchange(options: ExchangeOptions) {
   const {settings, lease, links, endpoints} = options;
-  return (announcement: Announcement): void => {
+  return (announcement: Announcement): Outcome<void, string> => {
     const record = endpoints.announce(announcement);
     for (const host of lease.listHosts()) {
       if (host.name === settings.name) continue;
@@ -27,5 +28,6 @@
         .exchange({records: [record]}, EXCHANGE_TIMEOUT_MS)
         .catch(() => {});
     }
+    return succeed(undefined);
   };
 }
--- a/src/cli/serve/operator_service.ts
+++ b/src/cli/serve/operator_service.ts
@@ -1,10 +1,17 @@
 /** What a daemon answers to operators. */
 import type {Clock} from '../../protocol/clock.ts';
-import type {ControlCommand, ControlResult} from '../../protocol/control.ts';
+import type {
+  ControlCommand,
+  ControlResult,
+  OperatorCommand,
+} from '../../protocol/control.ts';
+import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
 import type {ProposeReply} from '../../protocol/peer_service.ts';
 import type {ConfigurationLease} from '../../coordination/leases/configuration_lease.ts';
 import type {EndpointTable} from '../../coordination/membership/endpoint_table.ts';
-import type {OperatorService} from '../../transport/public/public_server.ts';
+import {checkDeclaration} from '../../protocol/check_declaration.ts';
+import {digestDeclaration} from '../../protocol/digest_declaration.ts';
+import type {OperatorService} from '../../transport/public/operator_routes.ts';
 import type {CallReplica} from './call_replica.ts';
 import type {Replicas} from './replicas.ts';
 
@@ -32,12 +39,11 @@
   const control = replicas.control?.replica;
   return {
     async execute(command) {
-      // The daemon's clock counts, since roll-outs are timed from it.
-      const timed =
-        'atMs' in command ? {...command, atMs: options.clock.now()} : command;
-      const reply = await options.propose(timed);
+      const checked = prepareCommand(command, options.clock.now());
+      if (!checked.ok) return {status: 422, body: checked.error};
+      const reply = await options.propose(checked.value);
       if (reply.type !== 'committed') {
-        return {status: 503, body: {type: 'unknown'}};
+        return {status: 503, body: describeUncommitted(reply)};
       }
       const result = reply.result as ControlResult;
       if (result.type !== 'accepted') return {status: 409, body: result};
@@ -60,12 +66,47 @@
         },
       };
     },
-    async exportBills() {
-      return replicas.ledgers.flatMap(ledger => [...ledger.bills]);
+    async exportBills(shard, after) {
+      const bills = (replicas.ledgers[shard]?.bills ?? []).slice(after);
+      const cursor = after + bills.length;
+      const shards = replicas.ledgers.length;
+      return {bills, cursor, complete: true, shards};
     },
   };
 }
 
+/** Checks a command before it is proposed, and adds what the log needs. */
+function prepareCommand(
+  command: OperatorCommand,
+  atMs: number,
+): Outcome<ControlCommand, {type: 'rejected'; message: string}> {
+  // The daemon's clock counts, since roll-outs are timed from it.
+  if (command.type === 'pause_rollout') return succeed({...command, atMs});
+  if (command.type !== 'apply') return succeed(command);
+  const {declaration} = command;
+  const issues = checkDeclaration(declaration).map(
+    issue => `${issue.path.join('.')}: ${issue.message}`,
+  );
+  if (issues.length > 0) {
+    const message = `Could not apply version ${declaration.version}: ${issues.join('; ')}`;
+    return fail({type: 'rejected', message});
+  }
+  return succeed({...command, digest: digestDeclaration(declaration), atMs});
+}
+
+function describeUncommitted(reply: ProposeReply) {
+  return reply.type === 'unknown'
+    ? {
+        type: 'unknown',
+        message:
+          'Could not tell whether the command was accepted: send it again',
+      }
+    : {
+        type: 'not-accepted',
+        message: 'Could not accept the command: no control group answers',
+      };
+}
+
 async function waitUntilInForce(
   options: OperatorServiceOptions,
   revision: number,
--- a/src/protocol/control.ts
+++ b/src/protocol/control.ts
@@ -1,7 +1,11 @@
 /** Commands and views of the control group, and the lease that carries them. */
 import {z} from 'zod';
 import {declarationSchema} from './declaration.ts';
-import {rolloutCommandSchemas, rolloutStateSchema} from './rollout_state.ts';
+import {
+  pauseCommandSchema,
+  rolloutCommandSchemas,
+  rolloutStateSchema,
+} from './rollout_state.ts';
 
 /** A change of the control group's state. Every command is idempotent. */
 export const controlCommandSchema = z.discriminatedUnion('type', [
@@ -24,10 +28,30 @@
     draining: z.boolean(),
   }),
   ...rolloutCommandSchemas,
+  /** Draws a fencing number for orders to endpoints. */
+  z.object({type: z.literal('take_fencing')}),
 ]);
 
 export type ControlCommand = z.infer<typeof controlCommandSchema>;
 
+/** What operators order; the daemon that is asked adds the digest. */
+export const operatorCommandSchema = z.discriminatedUnion('type', [
+  z.object({type: z.literal('apply'), declaration: declarationSchema}),
+  z.object({
+    type: z.literal('withdraw'),
+    version: z.string(),
+    reason: z.string(),
+  }),
+  z.object({
+    type: z.literal('drain'),
+    host: z.string(),
+    draining: z.boolean(),
+  }),
+  pauseCommandSchema,
+]);
+
+export type OperatorCommand = z.infer<typeof operatorCommandSchema>;
+
 /** What became of a control command. */
 export type ControlResult =
   | {readonly type: 'accepted'; readonly revision: number}
@@ -37,7 +61,9 @@
       readonly version: number;
       readonly message: string;
     }
-  | {readonly type: 'rejected'; readonly message: string};
+  | {readonly type: 'rejected'; readonly message: string}
+  /** A number larger than every one that was drawn before. */
+  | {readonly type: 'fencing'; readonly number: number};
 
 /** The configuration as a daemon needs it. */
 export const controlViewSchema = z.object({
--- /dev/null
+++ b/src/protocol/digest_declaration.ts
@@ -0,0 +1,15 @@
+/** Digests of declarations, by which equal content is known as equal. */
+import {createHash} from 'node:crypto';
+import canonicalize from 'canonicalize';
+import type {Declaration} from './declaration.ts';
+
+/**
+ * Returns the SHA-256 of the content, in hexadecimal.
+ *
+ * The declaration must be parsed already, so that its defaults are filled in:
+ * then neither the order of keys nor a written-out default changes the digest.
+ */
+export function digestDeclaration(declaration: Declaration): string {
+  const text = canonicalize(declaration) ?? '';
+  return createHash('sha256').update(text).digest('hex');
+}
--- a/src/protocol/ledger.ts
+++ b/src/protocol/ledger.ts
@@ -92,3 +92,14 @@
   readonly key: string;
   readonly atMs: number;
 }
+
+/** A part of the bills of one ledger shard, oldest first. */
+export interface BillPage {
+  readonly bills: readonly BillRecord[];
+  /** The sequence number to read on after. */
+  readonly cursor: number;
+  /** False when more bills follow. */
+  readonly complete: boolean;
+  /** The count of ledger shards, each of which has bills of its own. */
+  readonly shards: number;
+}
--- a/src/protocol/rollout_state.ts
+++ b/src/protocol/rollout_state.ts
@@ -60,6 +60,15 @@
 
 export type EvidenceReport = z.infer<typeof evidenceReportSchema>;
 
+/** An operator holds a roll-out where it is, or lets it go on. */
+export const pauseCommandSchema = z.object({
+  type: z.literal('pause_rollout'),
+  model: z.string(),
+  version: z.string(),
+  paused: z.boolean(),
+  atMs: z.number().default(0),
+});
+
 /** The orders about roll-outs, part of the control group's commands. */
 export const rolloutCommandSchemas = [
   z.object({
@@ -78,13 +87,7 @@
     status: z.enum(['backed-out', 'withdrawn']),
     reason: z.string(),
   }),
-  z.object({
-    type: z.literal('pause_rollout'),
-    model: z.string(),
-    version: z.string(),
-    paused: z.boolean(),
-    atMs: z.number(),
-  }),
+  pauseCommandSchema,
 ] as const;
 
 export type RolloutCommand = z.infer<(typeof rolloutCommandSchemas)[number]>;
--- a/src/protocol/toml.ts
+++ b/src/protocol/toml.ts
@@ -20,10 +20,21 @@
   readonly message: string;
 }
 
-/** Parses `text` and checks it against `schema`. */
+/** A mistake that a check beyond the schema found. */
+export interface CheckIssue {
+  readonly path: ReadonlyArray<string | number>;
+  readonly message: string;
+}
+
+/**
+ * Parses `text` and checks it against `schema`.
+ *
+ * @param check Looks for further mistakes in what fits the schema.
+ */
 export function parseToml<T>(
   text: string,
   schema: z.ZodType<T>,
+  check: (value: T) => readonly CheckIssue[] = () => [],
 ): Outcome<T, TomlIssue[]> {
   let program: AST.TOMLProgram;
   try {
@@ -33,9 +44,10 @@
     return fail([{line: error.lineNumber, path: '', message: error.message}]);
   }
   const checked = schema.safeParse(getStaticTOMLValue(program));
-  if (checked.success) return succeed(checked.data);
+  const found = checked.success ? check(checked.data) : checked.error.issues;
+  if (checked.success && found.length === 0) return succeed(checked.data);
   const lines = collectLines(program);
-  const issues = checked.error.issues.map(issue => ({
+  const issues = found.map(issue => ({
     line: findLine(lines, issue.path),
     path: issue.path.join('.'),
     message: issue.message,
--- a/src/state/control/control_state.ts
+++ b/src/state/control/control_state.ts
@@ -45,6 +45,9 @@
       case 'end_rollout':
       case 'pause_rollout':
         return this.changeRollout(command, index);
+      case 'take_fencing':
+        // The position in the log only ever grows, over restarts as well.
+        return {type: 'fencing', number: index};
     }
   }
 
@@ -67,7 +70,7 @@
     }
     if (declaration.version === version) {
       if (digest === this.state.digest) return this.accept();
-      const message = `Could not apply version ${version}: other content was accepted under this number`;
+      const message = `Could not apply version ${version}: it is in force with other content, digest ${this.state.digest.slice(0, 12)}`;
       return {type: 'conflict', version, message};
     }
     const declared = new Set(declaration.versions.map(formatVersion));
--- /dev/null
+++ b/src/transport/public/operator_routes.ts
@@ -0,0 +1,86 @@
+/** `/operator/…`: what operators ask of a daemon. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Polka} from 'polka';
+import {
+  operatorCommandSchema,
+  type OperatorCommand,
+} from '../../protocol/control.ts';
+import type {BillPage} from '../../protocol/ledger.ts';
+import {equalSecrets} from '../peers/peer_server.ts';
+import {readBearer, refuseStranger} from './bearer.ts';
+import {sendJson} from './http_errors.ts';
+import type {GuardRoute} from './public_server.ts';
+import {readJson} from './read_json.ts';
+
+/** What operators may ask of a daemon. */
+export interface OperatorService {
+  /** Commits a command and waits until it is in force everywhere. */
+  execute(command: OperatorCommand): Promise<{status: number; body: unknown}>;
+  describeStatus(): Promise<unknown>;
+  /**
+   * Reads bills of one ledger shard that follow `after`; `null` when its
+   * leader does not answer.
+   */
+  exportBills(shard: number, after: number): Promise<BillPage | null>;
+}
+
+export interface OperatorRoutesOptions {
+  readonly operatorSecret: string;
+  readonly operators: OperatorService;
+}
+
+/** Adds the operators' routes to `app`. */
+export function addOperatorRoutes(
+  app: Polka,
+  options: OperatorRoutesOptions,
+  guard: GuardRoute,
+): void {
+  const {operators} = options;
+  const forOperator: GuardRoute = handler =>
+    guard(async (request, response) => {
+      if (equalSecrets(readBearer(request), options.operatorSecret)) {
+        await handler(request, response);
+      } else {
+        refuseStranger(response);
+      }
+    });
+  app
+    .post(
+      '/operator/commands',
+      forOperator(async (request, response) => {
+        const command = await readJson(
+          request,
+          response,
+          operatorCommandSchema,
+        );
+        if (!command) return;
+        const {status, body} = await operators.execute(command);
+        sendJson(response, status, body);
+      }),
+    )
+    .get(
+      '/operator/status',
+      forOperator(async (_request, response) => {
+        sendJson(response, 200, await operators.describeStatus());
+      }),
+    )
+    .get(
+      '/operator/bills',
+      forOperator((request, response) =>
+        sendBills(request, response, operators),
+      ),
+    );
+}
+
+async function sendBills(
+  request: IncomingMessage,
+  response: ServerResponse,
+  operators: OperatorService,
+): Promise<void> {
+  const query = new URL(request.url ?? '', 'http://daemon').searchParams;
+  const shard = Number(query.get('shard') ?? 0);
+  const after = Number(query.get('after') ?? 0);
+  const page = await operators.exportBills(shard, after);
+  if (page) sendJson(response, 200, page);
+  else sendJson(response, 503, {error: {message: 'the ledger did not answer'}});
+}
--- a/src/transport/public/public_server.ts
+++ b/src/transport/public/public_server.ts
@@ -7,25 +7,17 @@
   type ServerResponse,
 } from 'node:http';
 import polka from 'polka';
-import type {z} from 'zod';
-import {
-  controlCommandSchema,
-  type ControlCommand,
-  type ControlView,
-  type Host,
-} from '../../protocol/control.ts';
+import type {ControlView, Host} from '../../protocol/control.ts';
 import type {Customer} from '../../protocol/declaration.ts';
-import {
-  announcementSchema,
-  type Announcement,
-} from '../../protocol/endpoint.ts';
+import type {Announcement} from '../../protocol/endpoint.ts';
 import type {Logger} from '../../protocol/logger.ts';
-import type {BillRecord} from '../../protocol/ledger.ts';
+import type {Outcome} from '../../protocol/outcome.ts';
 import type {RequestContext} from '../../coordination/requests/request_context.ts';
-import {equalSecrets} from '../peers/peer_server.ts';
+import {readBearer, refuseStranger} from './bearer.ts';
 import {handleCompletion, handleModels} from './completion_routes.ts';
 import {sendError, sendJson} from './http_errors.ts';
-import {readBody} from './read_body.ts';
+import {addEndpointRoutes} from './endpoint_routes.ts';
+import {addOperatorRoutes, type OperatorService} from './operator_routes.ts';
 import {handleServiceCall, SERVICES_PATH} from './service_routes.ts';
 
 /** How long a caller may take to send its headers. */
@@ -34,17 +26,6 @@
 /** The most open connections. */
 const MAX_CONNECTIONS = 10_000;
 
-/** How long callers may keep the answer of `/v1/addresses`. */
-const ADDRESSES_TTL_S = 5;
-
-/** What operators may ask of a daemon. */
-export interface OperatorService {
-  /** Commits a command and waits until it is in force everywhere. */
-  execute(command: ControlCommand): Promise<{status: number; body: unknown}>;
-  describeStatus(): Promise<unknown>;
-  exportBills(): Promise<readonly BillRecord[]>;
-}
-
 export interface PublicServerOptions {
   readonly host: string;
   readonly port: number;
@@ -54,7 +35,7 @@
   readonly context: RequestContext;
   readonly operators: OperatorService;
   readonly listHosts: () => readonly Host[];
-  readonly announce: (announcement: Announcement) => void;
+  readonly announce: (announcement: Announcement) => Outcome<void, string>;
   /** Whether new work is taken; false once a shutdown has begun. */
   readonly isOpen: () => boolean;
 }
@@ -97,14 +78,18 @@
   };
 }
 
-type Handler = (
+/** Answers one request. */
+export type RouteHandler = (
   request: IncomingMessage,
   response: ServerResponse,
 ) => Promise<void> | void;
 
+/** Wraps a handler so that an exception is logged and answered. */
+export type GuardRoute = (handler: RouteHandler) => RouteHandler;
+
 function createHandler(options: PublicServerOptions): RequestListener {
   const {context, logger} = options;
-  const guard = (handler: Handler): Handler => {
+  const guard: GuardRoute = handler => {
     return async (request, response) => {
       try {
         await handler(request, response);
@@ -127,7 +112,7 @@
       customer: Customer,
       view: ControlView,
     ) => Promise<void> | void,
-  ): Handler =>
+  ): RouteHandler =>
     guard(async (request, response) => {
       const view = context.getView();
       if (!options.isOpen() || !view) {
@@ -141,16 +126,6 @@
       }
       await handler(request, response, customer, view);
     });
-  const forOperator = (handler: Handler): Handler =>
-    guard(async (request, response) => {
-      const key = readBearer(request);
-      if (equalSecrets(key, options.operatorSecret)) {
-        await handler(request, response);
-      } else {
-        refuseStranger(response);
-      }
-    });
-
   const app = polka()
     .post(
       '/v1/chat/completions',
@@ -170,10 +145,6 @@
         handleServiceCall(request, response, customer, context),
       ),
     )
-    .get(
-      '/v1/addresses',
-      guard((_request, response) => sendAddresses(response, options)),
-    )
     .get(
       '/healthz',
       guard((_request, response) => sendJson(response, 200, {alive: true})),
@@ -184,115 +155,24 @@
         const ready = options.isOpen() && context.getView() !== null;
         sendJson(response, ready ? 200 : 503, {ready});
       }),
-    )
-    .post(
-      '/endpoints/announce',
-      guard((request, response) => handleAnnounce(request, response, options)),
-    )
-    .post(
-      '/operator/commands',
-      forOperator((request, response) =>
-        handleCommand(request, response, options),
-      ),
-    )
-    .get(
-      '/operator/status',
-      forOperator(async (_request, response) => {
-        sendJson(response, 200, await options.operators.describeStatus());
-      }),
-    )
-    .get(
-      '/operator/bills',
-      forOperator(async (_request, response) => {
-        sendJson(response, 200, await options.operators.exportBills());
-      }),
     );
+  addEndpointRoutes(
+    app,
+    {
+      endpointSecret: options.endpointSecret,
+      region: context.region,
+      dataCentre: context.dataCentre,
+      listHosts: options.listHosts,
+      getView: context.getView,
+      announce: options.announce,
+    },
+    guard,
+  );
+  addOperatorRoutes(app, options, guard);
   // polka reads the parts of a request that it needs by itself.
   return app.handler as unknown as RequestListener;
 }
 
-async function handleAnnounce(
-  request: IncomingMessage,
-  response: ServerResponse,
-  options: PublicServerOptions,
-): Promise<void> {
-  if (!equalSecrets(readBearer(request), options.endpointSecret)) {
-    refuseStranger(response);
-    return;
-  }
-  const announcement = await readJson(request, response, announcementSchema);
-  if (!announcement) return;
-  options.announce(announcement);
-  sendJson(response, 200, {
-    addresses: listAddresses(options, announcement.dataCentre),
-  });
-}
-
-async function handleCommand(
-  request: IncomingMessage,
-  response: ServerResponse,
-  options: PublicServerOptions,
-): Promise<void> {
-  const command = await readJson(request, response, controlCommandSchema);
-  if (!command) return;
-  const {status, body} = await options.operators.execute(command);
-  sendJson(response, status, body);
-}
-
-async function readJson<T>(
-  request: IncomingMessage,
-  response: ServerResponse,
-  schema: z.ZodType<T>,
-): Promise<T | null> {
-  const body = await readBody(request);
-  if (!body.ok) {
-    sendJson(response, body.error.status, {error: body.error});
-    return null;
-  }
-  try {
-    const parsed = schema.safeParse(JSON.parse(body.value.toString('utf8')));
-    if (parsed.success) return parsed.data;
-    const issue = parsed.error.issues[0];
-    const message = `${issue?.path.join('.')}: ${issue?.message}`;
-    sendJson(response, 400, {error: {message}});
-  } catch {
-    sendJson(response, 400, {error: {message: 'the body is not JSON'}});
-  }
-  return null;
-}
-
-function sendAddresses(
-  response: ServerResponse,
-  options: PublicServerOptions,
-): void {
-  sendJson(response, 200, {
-    ttl_s: ADDRESSES_TTL_S,
-    addresses: listAddresses(options, options.context.dataCentre),
-  });
-}
-
-/** The gateways to use, nearest first. */
-function listAddresses(options: PublicServerOptions, dataCentre: string) {
-  const {region} = options.context;
-  const draining = new Set(options.context.getView()?.draining ?? []);
-  const rank = (host: Host) =>
-    host.dataCentre === dataCentre ? 0 : host.region === region ? 1 : 2;
-  return options
-    .listHosts()
-    .filter(host => host.gateway && !host.leaving && !draining.has(host.name))
-    .sort((a, b) => rank(a) - rank(b))
-    .map(host => ({
-      address: host.publicAddress,
-      region: host.region,
-      data_centre: host.dataCentre,
-    }));
-}
-
-function readBearer(request: IncomingMessage): string {
-  const header = request.headers.authorization ?? '';
-  return header.startsWith('Bearer ') ? header.slice('Bearer '.length) : '';
-}
-
 function findCustomer(
   request: IncomingMessage,
   view: ControlView,
@@ -303,15 +183,6 @@
   return view.declaration?.customers.find(each => each.key_sha256 === hash);
 }
 
-function refuseStranger(response: ServerResponse): void {
-  sendError(response, '', {
-    outcome: 'not-run',
-    code: 'unauthorized',
-    message: 'Could not accept the key',
-    status: 401,
-  });
-}
-
 function refuseClosed(response: ServerResponse, open: boolean): void {
   sendError(response, '', {
     outcome: 'not-run',
--- /dev/null
+++ b/src/transport/public/read_json.ts
@@ -0,0 +1,28 @@
+/** Reads a request's body as JSON against a schema. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {z} from 'zod';
+import {sendJson} from './http_errors.ts';
+import {readBody} from './read_body.ts';
+
+/** Returns the parsed body, or answers with what is wrong and returns null. */
+export async function readJson<T>(
+  request: IncomingMessage,
+  response: ServerResponse,
+  schema: z.ZodType<T>,
+): Promise<T | null> {
+  const body = await readBody(request);
+  if (!body.ok) {
+    sendJson(response, body.error.status, {error: body.error});
+    return null;
+  }
+  try {
+    const parsed = schema.safeParse(JSON.parse(body.value.toString('utf8')));
+    if (parsed.success) return parsed.data;
+    const issue = parsed.error.issues[0];
+    const message = `${issue?.path.join('.')}: ${issue?.message}`;
+    sendJson(response, 400, {error: {message}});
+  } catch {
+    sendJson(response, 400, {error: {message: 'the body is not JSON'}});
+  }
+  return null;
+}
