--- /dev/null
+++ b/src/coordination/quality/estimate_quality.ts
@@ -0,0 +1,82 @@
+/** Bounds of a version's mean quality from its ratings and its prior. */
+import type {QualityEstimate} from './quality_estimate.ts';
+import {
+  computeVariance,
+  countRatings,
+  SCORE_BINS,
+  type ScoreHistogram,
+} from './score_histogram.ts';
+
+/** How many ratings the declared quality is worth. */
+const PRIOR_RATINGS = 10;
+
+/** The variance assumed with few ratings. */
+const PRIOR_VARIANCE = 0.04;
+
+/** Standard errors between the mean and a bound: 95 in 100, one-sided. */
+const BOUND_ERRORS = 1.645;
+
+/** How far ratings may raise a bound above the declared quality. */
+export const MAXIMUM_RISE = 0.1;
+
+export interface EstimateQualityOptions {
+  /** The declared quality, from 0 to 1. */
+  readonly declared: number;
+  /** What is known without these ratings; the declared quality. */
+  readonly prior?: number;
+  readonly doubt?: string;
+}
+
+/**
+ * Estimates the mean quality.
+ *
+ * Without ratings the prior is believed as it stands; ratings pull the mean
+ * away from it, and the bounds are as wide as the ratings' own error.
+ */
+export function estimateQuality(
+  histogram: ScoreHistogram,
+  {declared, prior = declared, doubt}: EstimateQualityOptions,
+): QualityEstimate {
+  const ratings = countRatings(histogram);
+  const weight = ratings + PRIOR_RATINGS;
+  const rated = (histogram.sum + prior * PRIOR_RATINGS) / weight;
+  const ceiling = Math.min(1, declared + MAXIMUM_RISE);
+  const mean = Math.min(rated, ceiling);
+  const variance =
+    (computeVariance(histogram) * ratings + PRIOR_VARIANCE * PRIOR_RATINGS) /
+    weight;
+  const error = (BOUND_ERRORS * Math.sqrt(variance * ratings)) / weight;
+  const capped = rated > ceiling ? 'ratings far above the declared' : undefined;
+  const reason = doubt ?? capped;
+  return {
+    lower: Math.max(0, mean - error),
+    mean,
+    upper: ratings === 0 ? 1 : Math.min(1, mean + error),
+    ratings,
+    ...(reason === undefined ? {} : {doubt: reason}),
+    passAt: minimumScore => estimatePass(histogram, minimumScore, ceiling),
+  };
+}
+
+/** Estimates what a release from `minimumScore` on lets through. */
+function estimatePass(
+  histogram: ScoreHistogram,
+  minimumScore: number,
+  ceiling: number,
+): {share: number; quality: number} {
+  const total = countRatings(histogram);
+  const first = Math.ceil(minimumScore * SCORE_BINS - 1e-9);
+  let passed = 0;
+  let sum = 0;
+  for (let bin = Math.max(0, first); bin < SCORE_BINS; bin++) {
+    const weight = histogram.bins[bin] ?? 0;
+    passed += weight;
+    sum += (weight * (bin + 0.5)) / SCORE_BINS;
+  }
+  if (passed === 0) return {share: 0, quality: 0};
+  // With few ratings a share is taken for smaller than it looks.
+  const share = passed / (total + PRIOR_RATINGS);
+  const quality = sum / passed;
+  const floor = Math.max(minimumScore, ceiling);
+  return {share, quality: Math.min(quality, floor)};
+}
--- a/src/coordination/routing/completion_plan.ts
+++ b/src/coordination/routing/completion_plan.ts
@@ -2,6 +2,7 @@
 import type {ControlView} from '../../protocol/control.ts';
 import type {Customer, Version} from '../../protocol/declaration.ts';
 import type {RolloutView} from '../../protocol/rollout.ts';
+import type {QualityEstimate} from '../quality/quality_estimate.ts';
 
 /** Why a version was not chosen. */
 export interface RejectedVersion {
@@ -46,29 +47,6 @@
   readonly rejected: readonly RejectedVersion[];
 }
 
-/** What is known of the quality of a version in a class of requests. */
-export interface QualityEstimate {
-  /** A lower confidence bound of the mean, from 0 to 1. */
-  readonly lower: number;
-  readonly mean: number;
-  /** An upper confidence bound of the mean, from 0 to 1. */
-  readonly upper: number;
-  /** The weight of the ratings behind it, the prior left out. */
-  readonly ratings: number;
-  /** Present where the ratings were not taken at their word. */
-  readonly doubt?: string;
-  /** What a release at `minimumScore` or more lets through. */
-  passAt(minimumScore: number): PassEstimate;
-}
-
-/** The answers of a version whose score reaches a threshold. */
-export interface PassEstimate {
-  /** Their share of all answers, from 0 to 1. */
-  readonly share: number;
-  /** Their mean quality, from 0 to 1. */
-  readonly quality: number;
-}
-
 /** The speed of a version as this gateway sees it now. */
 export interface SpeedEstimate {
   /** Includes the wait in the endpoint's queue. */
@@ -92,6 +70,8 @@
   readonly requestClass?: string;
   /** The request id, or the session where there is one. */
   readonly routingKey: string;
+  /** True for a request of a session, which stays on one version. */
+  readonly sticky?: boolean;
   /** The version that the session is pinned to. */
   readonly pinned?: string;
   /** Versions that an endpoint can serve now. */
--- /dev/null
+++ b/src/coordination/routing/eligible_versions.ts
@@ -0,0 +1,76 @@
+/** Which versions may serve a request at all, and why the others may not. */
+import type {ControlView} from '../../protocol/control.ts';
+import {
+  formatVersion,
+  type Customer,
+  type Target,
+  type Version,
+} from '../../protocol/declaration.ts';
+import type {
+  PlanCompletionOptions,
+  RejectedVersion,
+} from './completion_plan.ts';
+
+/** The versions that may run a request. */
+export interface EligibleVersions {
+  /** In the order of the declaration. */
+  readonly versions: readonly Version[];
+  readonly rejected: readonly RejectedVersion[];
+}
+
+/** Lists the versions that the customer, the state and the pin admit. */
+export function listEligible(options: PlanCompletionOptions): EligibleVersions {
+  const versions: Version[] = [];
+  const rejected: RejectedVersion[] = [];
+  for (const version of options.view.declaration?.versions ?? []) {
+    if (!matchesModel(version, options.model)) continue;
+    const reason = findObstacle(version, options);
+    if (reason === null) versions.push(version);
+    else rejected.push({version: formatVersion(version), reason});
+  }
+  return {versions, rejected};
+}
+
+/** Whether a withdrawal, declared or ordered, covers the version. */
+export function isWithdrawn(view: ControlView, version: Version): boolean {
+  const name = formatVersion(version);
+  if (version.withdrawn) return true;
+  return view.withdrawals.some(each => each.version === name);
+}
+
+/** Whether the customer's declaration allows the version. */
+export function isAllowed(customer: Customer, version: Version): boolean {
+  const name = formatVersion(version);
+  return customer.versions.some(
+    allowed => allowed === name || allowed === `${version.model}/*`,
+  );
+}
+
+/** The customer's target for a class, or else its default one. */
+export function findTarget(
+  customer: Customer,
+  requestClass = 'default',
+): Target | undefined {
+  return (
+    customer.targets.find(each => each.class === requestClass) ??
+    customer.targets.find(each => each.class === 'default')
+  );
+}
+
+function findObstacle(
+  version: Version,
+  options: PlanCompletionOptions,
+): string | null {
+  const name = formatVersion(version);
+  if (!isAllowed(options.customer, version)) return 'not allowed';
+  if (isWithdrawn(options.view, version)) return 'withdrawn';
+  if (options.pinned !== undefined && options.pinned !== name) {
+    return 'session pinned elsewhere';
+  }
+  if (!options.served.has(name)) return 'no endpoint';
+  return null;
+}
+
+function matchesModel(version: Version, model: string): boolean {
+  return version.model === model || formatVersion(version) === model;
+}
--- /dev/null
+++ b/src/coordination/routing/plan_cascade.ts
@@ -0,0 +1,99 @@
+/** Cascades: ask a cheap version, rate its answer, escalate a poor one. */
+import {formatVersion, type Version} from '../../protocol/declaration.ts';
+import type {PlanStep} from './completion_plan.ts';
+import type {VersionFacts} from './version_facts.ts';
+
+/** A way to serve a request, with what is expected of it. */
+export interface PlanOption {
+  readonly steps: readonly PlanStep[];
+  /** In micro-units of currency. */
+  readonly cost: number;
+  readonly firstTokenMs: number;
+  readonly quality: number;
+  readonly reason: string;
+}
+
+export interface PlanCascadeOptions {
+  /** The lowest expected quality, from 0 to 1. */
+  readonly target: number;
+  /** The time for the whole answer. */
+  readonly deadlineMs: number;
+  /** The time to the first token, where the answer is streamed. */
+  readonly firstTokenMs?: number;
+  /** The usual time of one rating. */
+  readonly ratingMs: number;
+}
+
+/** Ratings of the cheap version below which no cascade is planned. */
+const LEAST_RATINGS = 20;
+
+/** The thresholds that are weighed. */
+const THRESHOLDS = [0.3, 0.4, 0.5, 0.55, 0.6, 0.65, 0.7, 0.75, 0.8, 0.85, 0.9];
+
+/** The share of the deadline that a cascade may be expected to take. */
+const DEADLINE_SHARE = 0.7;
+
+/** Plans the cheapest cascade of two versions; `null` where none fits. */
+export function planCascade(
+  cheap: VersionFacts,
+  strong: VersionFacts,
+  options: PlanCascadeOptions,
+): PlanOption | null {
+  if (cheap.quality.ratings < LEAST_RATINGS) return null;
+  if (strong.quality.lower < options.target) return null;
+  const heldMs = cheap.totalMs + options.ratingMs;
+  const longestMs = heldMs + strong.totalMs;
+  if (longestMs > options.deadlineMs * DEADLINE_SHARE) return null;
+  let best: PlanOption | null = null;
+  for (const threshold of THRESHOLDS) {
+    const option = weighThreshold({cheap, strong, threshold, heldMs}, options);
+    if (option && (!best || option.cost < best.cost)) best = option;
+  }
+  return best;
+}
+
+interface Weighed {
+  readonly cheap: VersionFacts;
+  readonly strong: VersionFacts;
+  readonly threshold: number;
+  /** Until the cheap answer is released or given up. */
+  readonly heldMs: number;
+}
+
+function weighThreshold(
+  {cheap, strong, threshold, heldMs}: Weighed,
+  options: PlanCascadeOptions,
+): PlanOption | null {
+  const pass = cheap.quality.passAt(threshold);
+  const escalated = 1 - pass.share;
+  const quality = pass.share * pass.quality + escalated * strong.quality.lower;
+  if (quality < options.target) return null;
+  const firstTokenMs = heldMs + escalated * strong.speed.firstTokenMs;
+  const limitMs = options.firstTokenMs ?? Infinity;
+  if (firstTokenMs > limitMs) return null;
+  return {
+    steps: [
+      createRatedStep(cheap.version, threshold),
+      createDirectStep(strong.version),
+    ],
+    cost: cheap.cost + escalated * strong.cost,
+    firstTokenMs,
+    quality,
+    reason:
+      `cascade from ${formatVersion(cheap.version)} at ${threshold}: ` +
+      `${Math.round(escalated * 100)} in 100 escalate`,
+  };
+}
+
+/** A step whose answer is held until it is rated. */
+export function createRatedStep(
+  version: Version,
+  minimumScore: number,
+): PlanStep {
+  return {version, release: 'rated', minimumScore, whenUnrated: 'next'};
+}
+
+/** A step whose answer is released as it comes. */
+export function createDirectStep(version: Version): PlanStep {
+  return {version, release: 'direct', minimumScore: 0, whenUnrated: 'release'};
+}
--- a/src/coordination/routing/select_version.ts
+++ b/src/coordination/routing/select_version.ts
@@ -5,12 +5,10 @@
   type Customer,
   type Version,
 } from '../../protocol/declaration.ts';
+import type {RejectedVersion} from './completion_plan.ts';
+import {findTarget, isAllowed, isWithdrawn} from './eligible_versions.ts';
 
-/** Why a version was not chosen. */
-export interface RejectedVersion {
-  readonly version: string;
-  readonly reason: string;
-}
+export {isAllowed, isWithdrawn};
 
 export interface VersionChoice {
   /** Versions that may serve the request, best first. */
@@ -35,7 +33,8 @@
 export function selectVersion(options: SelectVersionOptions): VersionChoice {
   const rejected: RejectedVersion[] = [];
   const candidates: Version[] = [];
-  const target = findTarget(options);
+  const target =
+    findTarget(options.customer, options.requestClass)?.quality ?? 0;
   for (const version of options.view.declaration?.versions ?? []) {
     if (!matchesModel(version, options.model)) continue;
     const reason = findObstacle(version, options, target);
@@ -46,21 +45,6 @@
   return {candidates, rejected};
 }
 
-/** Whether a withdrawal, declared or ordered, covers the version. */
-export function isWithdrawn(view: ControlView, version: Version): boolean {
-  const name = formatVersion(version);
-  if (version.withdrawn) return true;
-  return view.withdrawals.some(each => each.version === name);
-}
-
-/** Whether the customer's declaration allows the version. */
-export function isAllowed(customer: Customer, version: Version): boolean {
-  return customer.versions.some(
-    allowed =>
-      allowed === formatVersion(version) || allowed === `${version.model}/*`,
-  );
-}
-
 function findObstacle(
   version: Version,
   options: SelectVersionOptions,
@@ -78,15 +62,6 @@
   return null;
 }
 
-function findTarget(options: SelectVersionOptions): number {
-  const wanted = options.requestClass ?? 'default';
-  const {targets} = options.customer;
-  const target =
-    targets.find(each => each.class === wanted) ??
-    targets.find(each => each.class === 'default');
-  return target?.quality ?? 0;
-}
-
 function matchesModel(version: Version, model: string): boolean {
   return version.model === model || formatVersion(version) === model;
 }
