--- /dev/null
+++ b/src/cli/serve/create_request_context.ts
@@ -0,0 +1,51 @@
+/** Puts together what the requests of a gateway share. */
+import {fail} from '../../protocol/outcome.ts';
+import type {EvidenceCollector} from '../../coordination/rollout/evidence_collector.ts';
+import {createBasicDecisions} from '../../coordination/requests/basic_decisions.ts';
+import {createEvidenceObserver} from '../../coordination/requests/observe_evidence.ts';
+import type {RequestContext} from '../../coordination/requests/request_context.ts';
+import {RequestHistory} from '../../coordination/requests/request_history.ts';
+import {combineObservers} from '../../coordination/requests/request_observer.ts';
+import {Settler} from '../../coordination/requests/settler.ts';
+import {createEngineClient} from '../../transport/endpoints/engine_client.ts';
+import type {DaemonParts} from './daemon.ts';
+
+interface Sources extends Pick<
+  RequestContext,
+  'ledger' | 'getView' | 'listEndpoints'
+> {
+  /** Counts how versions serve, for the decisions about roll-outs. */
+  readonly evidence: EvidenceCollector;
+}
+
+/** Creates the context of all requests of one daemon. */
+export function createRequestContext(
+  parts: DaemonParts,
+  sources: Sources,
+): RequestContext {
+  const {settings, createLogger, clock, store} = parts;
+  const logger = createLogger('route');
+  const place = {region: settings.region, dataCentre: settings.data_centre};
+  const {ledger, getView, listEndpoints, evidence} = sources;
+  return {
+    ledger,
+    getView,
+    listEndpoints,
+    ...place,
+    gateway: settings.name,
+    clock,
+    random: Math.random,
+    logger,
+    dispatcher: store.add(createEngineClient({clock})),
+    settler: new Settler({ledger, clock, logger}),
+    history: new RequestHistory(),
+    decisions: createBasicDecisions({
+      ...place,
+      clock,
+      random: Math.random,
+      listEndpoints,
+    }),
+    rate: async () => fail('no rating service is set'),
+    observer: combineObservers([createEvidenceObserver(evidence)]),
+  };
+}
--- a/src/cli/serve/daemon.ts
+++ b/src/cli/serve/daemon.ts
@@ -10,8 +10,6 @@
 import {EvidenceLedger} from '../../coordination/rollout/evidence_ledger.ts';
 import {createProposer} from '../../coordination/replication/proposer.ts';
 import {createLedgerClient} from '../../coordination/requests/ledger_client.ts';
-import type {RequestContext} from '../../coordination/requests/request_context.ts';
-import {createEngineClient} from '../../transport/endpoints/engine_client.ts';
 import {PeerLinks} from '../../transport/peers/peer_links.ts';
 import {startPeerServer} from '../../transport/peers/peer_server.ts';
 import {
@@ -19,6 +17,7 @@
   type PublicServer,
 } from '../../transport/public/public_server.ts';
 import {createReplicaCaller, orderReplicas} from './call_replica.ts';
+import {createRequestContext} from './create_request_context.ts';
 import {DisposableStore} from './disposable_store.ts';
 import {createExchange} from './exchange.ts';
 import {createOperatorService} from './operator_service.ts';
@@ -87,19 +86,12 @@
       renew: createLeaseRenewal({listReplicas, callReplica}),
     }),
   );
-  const context: RequestContext = {
-    gateway: settings.name,
-    region: settings.region,
-    dataCentre: settings.data_centre,
-    clock,
-    random: Math.random,
-    logger: createLogger('route'),
-    dispatcher: store.add(createEngineClient()),
+  const context = createRequestContext(parts, {
     ledger: createLedgerClient(settings.ledger_groups, propose),
     evidence: collector,
     getView: () => lease.getView(),
     listEndpoints: () => endpoints.list(),
-  };
+  });
   const [peerHost, peerPort] = splitAddress(settings.listen.peers);
   store.add(
     await startPeerServer({
@@ -151,6 +143,7 @@
     leaving = true;
     await lease.renewOnce().catch(() => {});
     await finishRequests(publicServer, clock);
+    await context.settler.waitUntilSettled();
     await store[Symbol.asyncDispose]();
   };
   return {name: settings.name, [Symbol.asyncDispose]: shutDown};
--- /dev/null
+++ b/src/coordination/requests/admission.ts
@@ -0,0 +1,220 @@
+/**
+ * Admits completions to the ledger and keeps sessions on their version.
+ *
+ * A session's pin is committed before the first byte of an answer goes out.
+ * A withdrawal goes before a pin: the session is then moved, and told so.
+ */
+import type {
+  CompletionRequest,
+  RequestError,
+} from '../../protocol/completion.ts';
+import type {ControlView} from '../../protocol/control.ts';
+import {
+  formatVersion,
+  type Customer,
+  type Version,
+} from '../../protocol/declaration.ts';
+import type {LedgerResult} from '../../protocol/ledger.ts';
+import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
+import type {CompletionPlan} from '../routing/completion_plan.ts';
+import {isAllowed, isWithdrawn} from '../routing/select_version.ts';
+import {waitAtMost, type Deadline} from './deadline.ts';
+import type {RequestContext} from './request_context.ts';
+import {
+  describeDuplicate,
+  describeNoVersion,
+  leaseExpiredError,
+  ledgerUnavailableError,
+} from './request_errors.ts';
+
+export interface CompletionCall {
+  readonly requestId: string;
+  readonly customer: Customer;
+  readonly request: CompletionRequest;
+  /** The caller's idempotency key, or the request id. */
+  readonly key: string;
+  /** SHA-256 of the request's body. */
+  readonly digest: string;
+  readonly session?: string;
+  readonly requestClass?: string;
+  readonly deadlineMs?: number;
+}
+
+/** A request that the ledger took, and what to run for it. */
+export interface Admission {
+  readonly plan: CompletionPlan;
+  /** True when the session was moved off the version it was pinned to. */
+  readonly moved: boolean;
+  /** True when the ledger has the session on the version of the plan. */
+  readonly pinned: boolean;
+  /**
+   * Resolves to the ledger's refusal, or to `null` once it admitted the
+   * request. Nothing goes to the caller before.
+   */
+  readonly committed: Promise<RequestError | null>;
+}
+
+/** Tokens that an answer is expected to have where no limit is given. */
+const USUAL_ANSWER_TOKENS = 256;
+
+/** Characters of a prompt for one token, roughly. */
+const CHARACTERS_PER_TOKEN = 4;
+
+/** Admits a completion that is planned. */
+export async function admitCompletion(
+  call: CompletionCall,
+  context: RequestContext,
+  deadline: Deadline,
+  plan: CompletionPlan,
+): Promise<Outcome<Admission, RequestError>> {
+  const first = plan.steps[0];
+  // What is pinned is known only after a rated answer's release.
+  const version = first?.release === 'direct' ? first.version : undefined;
+  const submitted = submitAdmission({call, context, deadline}, {version});
+  if (call.session === undefined && call.key === call.requestId) {
+    const committed = submitted.then(describeAdmission);
+    return succeed({plan, moved: false, pinned: false, committed});
+  }
+  const result = await submitted;
+  const refusal = describeAdmission(result);
+  if (refusal) return fail(refusal);
+  const pinned = result?.type === 'admitted' ? result.pinned : undefined;
+  if (pinned === undefined || (version && pinned === formatVersion(version))) {
+    return succeed({
+      plan,
+      moved: false,
+      pinned: pinned !== undefined,
+      committed: Promise.resolve(null),
+    });
+  }
+  return followPin(call, context, deadline, pinned);
+}
+
+/**
+ * Pins a session to the version of a rated answer.
+ *
+ * @returns The version that the session is pinned to, or `null` when the
+ *     ledger did not answer.
+ */
+export async function pinSession(
+  call: CompletionCall,
+  context: RequestContext,
+  deadline: Deadline,
+  version: Version,
+): Promise<string | null> {
+  const result = await submitAdmission({call, context, deadline}, {version});
+  if (result?.type !== 'admitted') return null;
+  return result.pinned ?? formatVersion(version);
+}
+
+/** Uses the pinned version, or moves the session where that is withdrawn. */
+async function followPin(
+  call: CompletionCall,
+  context: RequestContext,
+  deadline: Deadline,
+  pinned: string,
+): Promise<Outcome<Admission, RequestError>> {
+  const view = context.getView();
+  if (!view) return fail(leaseExpiredError);
+  const committed = Promise.resolve(null);
+  if (isUsable(view, call.customer, pinned)) {
+    const planned = planCall(call, context, deadline, pinned);
+    if (!planned.ok) return planned;
+    const plan = planned.value;
+    if (plan.steps.length === 0) return fail(describeNoVersion(plan.rejected));
+    return succeed({plan, moved: false, pinned: true, committed});
+  }
+  const planned = planCall(call, context, deadline);
+  if (!planned.ok) return planned;
+  const plan = planned.value;
+  // The last step is the one that is never rated and passed over.
+  const last = plan.steps.at(-1);
+  if (!last) return fail(describeNoVersion(plan.rejected));
+  const result = await submitAdmission(
+    {call, context, deadline},
+    {version: last.version, repin: true},
+  );
+  if (result?.type !== 'admitted') return fail(ledgerUnavailableError);
+  return succeed({
+    plan: {...plan, steps: [last]},
+    moved: true,
+    pinned: true,
+    committed,
+  });
+}
+
+function isUsable(
+  view: ControlView,
+  customer: Customer,
+  pinned: string,
+): boolean {
+  const version = view.declaration?.versions.find(
+    each => formatVersion(each) === pinned,
+  );
+  if (!version) return false;
+  return isAllowed(customer, version) && !isWithdrawn(view, version);
+}
+
+/** Plans a completion; an empty plan is a failure only to the caller. */
+export function planCall(
+  call: CompletionCall,
+  context: RequestContext,
+  deadline: Deadline,
+  pinned?: string,
+): Outcome<CompletionPlan, RequestError> {
+  const view = context.getView();
+  if (!view) return fail(leaseExpiredError);
+  const characters = measurePrompt(call.request);
+  return succeed(
+    context.decisions.plan({
+      view,
+      customer: call.customer,
+      model: call.request.model,
+      requestClass: call.requestClass,
+      routingKey: call.session ?? call.requestId,
+      pinned,
+      streamed: call.request.stream,
+      deadlineMs: deadline.remainingMs(),
+      promptTokens: Math.ceil(characters / CHARACTERS_PER_TOKEN),
+      completionTokens: call.request.max_tokens ?? USUAL_ANSWER_TOKENS,
+    }),
+  );
+}
+
+/** The length of a prompt in characters, without its images and the like. */
+export function measurePrompt(request: CompletionRequest): number {
+  return request.messages.reduce((sum, {content}) => {
+    return sum + (typeof content === 'string' ? content.length : 0);
+  }, 0);
+}
+
+interface AdmissionParts {
+  readonly call: CompletionCall;
+  readonly context: RequestContext;
+  readonly deadline: Deadline;
+}
+
+function submitAdmission(
+  {call, context, deadline}: AdmissionParts,
+  pin: {readonly version?: Version; readonly repin?: boolean},
+): Promise<LedgerResult | null> {
+  const submitted = context.ledger.submit(call.customer.name, call.key, {
+    type: 'admit',
+    requestId: call.requestId,
+    customer: call.customer.name,
+    key: call.key,
+    digest: call.digest,
+    repeatable: true,
+    gateway: context.gateway,
+    session: call.session,
+    version: pin.version && formatVersion(pin.version),
+    repin: pin.repin ?? false,
+    atMs: context.clock.now(),
+  });
+  return waitAtMost(submitted, deadline.remainingMs(), context.clock);
+}
+
+function describeAdmission(result: LedgerResult | null): RequestError | null {
+  if (!result) return ledgerUnavailableError;
+  return result.type === 'admitted' ? null : describeDuplicate(result);
+}
--- /dev/null
+++ b/src/coordination/requests/answer_run.ts
@@ -0,0 +1,323 @@
+/**
+ * Gets one answer from one version, over as many attempts as that takes.
+ *
+ * Chunks of two attempts are never mixed. A later attempt either resumes the
+ * answer where the earlier one ended, or starts afresh; after a fresh start
+ * its text must repeat what the caller has already, or the answer is given up.
+ */
+import type {
+  AnswerEvent,
+  CompletionRequest,
+} from '../../protocol/completion.ts';
+import {formatVersion, type Version} from '../../protocol/declaration.ts';
+import {createIdentifier} from '../../protocol/identifiers.ts';
+import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
+import type {Permit} from '../limits/permit.ts';
+import type {
+  EndpointChoice,
+  RouteOptions,
+  RoutedAttempt,
+} from '../routing/endpoint_router.ts';
+import {isWithdrawn} from '../routing/select_version.ts';
+import type {Deadline} from './deadline.ts';
+import type {AttemptError} from './dispatch.ts';
+import {MAX_ATTEMPTS, type RequestContext} from './request_context.ts';
+import type {AttemptRecord, RequestRecord} from './request_history.ts';
+
+export interface AnswerRunOptions {
+  readonly context: RequestContext;
+  readonly record: RequestRecord;
+  readonly customer: string;
+  readonly request: CompletionRequest;
+  readonly version: Version;
+  readonly deadline: Deadline;
+  readonly permit: Permit;
+  /** What the endpoint router learns of the request. */
+  readonly route: RouteOptions;
+  /** Whether the caller sees chunks as they come. */
+  readonly relayed: boolean;
+  /** The time to the first token that the customer expects. */
+  readonly expectedFirstTokenMs?: number;
+  /** The time from the start of the request. */
+  readonly getElapsedMs: () => number;
+}
+
+/** Why no whole answer came. */
+export interface AnswerFailure {
+  readonly message: string;
+  /** Whether any attempt may have run. */
+  readonly sent: boolean;
+}
+
+type RunEvent = Outcome<AnswerEvent, AnswerFailure>;
+
+/** The answer of one version to one request. */
+export class AnswerRun {
+  private readonly avoided = new Set<string>();
+  /** Endpoints that were asked to resume on a new connection. */
+  private readonly resumed = new Set<string>();
+  private resumable: EndpointChoice | null = null;
+  private text = '';
+  private nextOffset = 0;
+  private sent = false;
+  private lastEndpoint = '';
+  private lastError: AttemptError | null = null;
+
+  constructor(private readonly options: AnswerRunOptions) {}
+
+  /** The endpoint of the latest attempt. */
+  get endpoint(): string {
+    return this.lastEndpoint;
+  }
+
+  /** The text so far. */
+  get answer(): string {
+    return this.text;
+  }
+
+  /** The chunks so far. */
+  get chunkCount(): number {
+    return this.nextOffset;
+  }
+
+  /** Yields the answer's events; a failure is the last one. */
+  async *stream(signal: AbortSignal): AsyncGenerator<RunEvent, void> {
+    let message = 'no endpoint takes work';
+    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+      const obstacle = this.findObstacle(attempt, signal);
+      if (obstacle !== null) {
+        message = attempt === 0 ? obstacle : `${message}; ${obstacle}`;
+        break;
+      }
+      const choice = this.resumable ?? this.selectEndpoint();
+      this.resumable = null;
+      if (!choice) break;
+      this.lastEndpoint = choice.endpoint.name;
+      const end = yield* this.runAttempt(choice, signal);
+      if (end === null) return;
+      message = end.message;
+      this.lastError = end;
+      if (end.kind === 'lost') this.sent = true;
+      if (end.fatal) break;
+      this.avoidOrResume(choice, end);
+    }
+    yield fail({message, sent: this.sent});
+  }
+
+  /**
+   * Turns to another endpoint next, except where only the connection went
+   * silent: the endpoint has the answer so far and is asked again, once.
+   */
+  private avoidOrResume(choice: EndpointChoice, end: AttemptError): void {
+    const {name, resumes} = choice.endpoint;
+    const started = this.nextOffset > 0;
+    if (end.silent && resumes && started && !this.resumed.has(name)) {
+      this.resumed.add(name);
+      this.resumable = {...choice, reason: 'resumes on a new connection'};
+    } else {
+      this.avoided.add(name);
+    }
+  }
+
+  /** Why no further attempt is made, or `null`. */
+  private findObstacle(attempt: number, signal: AbortSignal): string | null {
+    const {context, deadline, version} = this.options;
+    if (signal.aborted) return 'the caller left';
+    if (deadline.hasPassed()) return 'the deadline passed';
+    // Looked at here, since a withdrawal may have come since the plan.
+    const view = context.getView();
+    if (!view) return 'this gateway lost its lease';
+    if (isWithdrawn(view, version)) return 'the version was withdrawn';
+    if (attempt === 0) {
+      context.decisions.retryBudget.deposit();
+      return null;
+    }
+    // What the caller has of an answer is not thrown away for a budget.
+    if (this.nextOffset > 0) return null;
+    // A call that never left puts no load on anyone.
+    if (this.lastError?.kind === 'not-sent') return null;
+    const mayRetry = context.decisions.retryBudget.tryTake();
+    return mayRetry ? null : 'the retry budget is spent';
+  }
+
+  private selectEndpoint(): EndpointChoice | null {
+    const {context, route} = this.options;
+    return context.decisions.router.select({...route, avoided: this.avoided});
+  }
+
+  /** Runs one attempt; returns `null` after the end of the answer. */
+  private async *runAttempt(
+    choice: EndpointChoice,
+    signal: AbortSignal,
+  ): AsyncGenerator<
+    RunEvent,
+    (AttemptError & {readonly fatal?: boolean}) | null
+  > {
+    const {context, record, deadline, permit, route, relayed} = this.options;
+    const resumes = choice.endpoint.resumes && this.nextOffset > 0;
+    if (!resumes && !relayed) this.reset();
+    const repeated = resumes ? '' : this.text;
+    const attempt = this.beginRecord(choice, resumes ? this.nextOffset : 0);
+    record.attempts.push(attempt);
+    using routed = context.decisions.router.begin(choice.endpoint, route);
+    const stopped = new AbortController();
+    const stop = () => stopped.abort();
+    signal.addEventListener('abort', stop, {once: true});
+    const startedAt = context.clock.monotonic();
+    let fresh = '';
+    try {
+      const events = context.dispatcher.openCompletion(
+        {
+          address: choice.endpoint.address,
+          attemptId: attempt.attemptId,
+          requestId: record.requestId,
+          customer: this.options.customer,
+          version: formatVersion(this.options.version),
+          request: this.options.request,
+          resumeOffset: attempt.resumeOffset,
+          resumeText: resumes ? this.text : '',
+          deadlineMs: deadline.remainingMs(),
+          priority: 0,
+          repeatable: true,
+        },
+        stopped.signal,
+      );
+      for await (const event of events) {
+        if (!event.ok) {
+          this.finish(
+            {attempt, routed, startedAt, signal},
+            event.error.message,
+          );
+          return event.error;
+        }
+        this.sent = true;
+        const {value} = event;
+        if (value.type === 'end') {
+          if (fresh.length < repeated.length) {
+            return this.giveUp({attempt, routed, startedAt, signal});
+          }
+          this.finish({attempt, routed, startedAt, signal}, 'answered');
+          yield event;
+          return null;
+        }
+        if (attempt.chunks++ === 0) {
+          const waitedMs = context.clock.monotonic() - startedAt;
+          attempt.firstTokenMs = this.options.getElapsedMs();
+          routed.recordFirstToken(waitedMs);
+          permit.recordFirstToken(waitedMs);
+        }
+        let text = value.text;
+        if (fresh.length < repeated.length) {
+          fresh += text;
+          const common = Math.min(fresh.length, repeated.length);
+          if (!repeated.startsWith(fresh.slice(0, common))) {
+            return this.giveUp({attempt, routed, startedAt, signal});
+          }
+          text = fresh.slice(repeated.length);
+          if (text === '') continue;
+        }
+        this.text += text;
+        const offset = this.nextOffset++;
+        yield succeed({type: 'delta', offset, text});
+      }
+      this.finish({attempt, routed, startedAt, signal}, 'the stream ended');
+      return {kind: 'lost', message: 'the stream ended'};
+    } finally {
+      signal.removeEventListener('abort', stop);
+      stopped.abort();
+    }
+  }
+
+  private reset(): void {
+    this.text = '';
+    this.nextOffset = 0;
+  }
+
+  private beginRecord(
+    choice: EndpointChoice,
+    resumeOffset: number,
+  ): AttemptRecord {
+    const {context, record, customer, version} = this.options;
+    const name = formatVersion(version);
+    context.logger.info('Routes a request.', {
+      request: record.requestId,
+      customer,
+      version: name,
+      endpoint: choice.endpoint.name,
+      attempt: record.attempts.length + 1,
+      reason: [...record.reasons, choice.reason].join('; '),
+      rejected: record.rejected
+        .map(each => `${each.version}: ${each.reason}`)
+        .concat(choice.rejected.map(each => `${each.endpoint}: ${each.reason}`))
+        .join(', '),
+    });
+    return {
+      attemptId: createIdentifier('att'),
+      version: name,
+      endpoint: choice.endpoint.name,
+      reason: choice.reason,
+      rejected: choice.rejected,
+      startedMs: this.options.getElapsedMs(),
+      resumeOffset,
+      chunks: 0,
+    };
+  }
+
+  private giveUp(end: AttemptEnd): AttemptError & {readonly fatal: boolean} {
+    const message = 'a second run gave another answer';
+    this.finish(end, message);
+    return {kind: 'lost', message, fatal: true};
+  }
+
+  /** Notes how an attempt ended. */
+  private finish(end: AttemptEnd, result: string): void {
+    const {context, record, customer, version} = this.options;
+    const {attempt, routed, startedAt, signal} = end;
+    const answered = result === 'answered';
+    attempt.result = result;
+    attempt.endedMs = this.options.getElapsedMs();
+    const outcome = answered
+      ? 'answered'
+      : signal.aborted
+        ? 'cancelled'
+        : 'failed';
+    const tokenGapMs = measureTokenGap(attempt);
+    routed.recordEnd(outcome, tokenGapMs);
+    context.observer.observeAttempt({
+      kind: 'completion',
+      requestId: record.requestId,
+      customer,
+      target: formatVersion(version),
+      endpoint: attempt.endpoint,
+      result: outcome,
+      firstTokenMs:
+        attempt.firstTokenMs === undefined
+          ? undefined
+          : attempt.firstTokenMs - attempt.startedMs,
+      expectedFirstTokenMs: this.options.expectedFirstTokenMs,
+      tokenGapMs,
+    });
+    if (answered) return;
+    context.logger.warn('An attempt failed.', {
+      request: record.requestId,
+      endpoint: attempt.endpoint,
+      reason: result,
+      ms: Math.round(context.clock.monotonic() - startedAt),
+    });
+  }
+}
+
+interface AttemptEnd {
+  readonly attempt: AttemptRecord;
+  readonly routed: RoutedAttempt;
+  readonly startedAt: number;
+  readonly signal: AbortSignal;
+}
+
+function measureTokenGap(attempt: AttemptRecord): number | undefined {
+  const {firstTokenMs, endedMs, chunks} = attempt;
+  if (firstTokenMs === undefined || endedMs === undefined || chunks < 2) {
+    return undefined;
+  }
+  return (endedMs - firstTokenMs) / (chunks - 1);
+}
--- a/src/coordination/requests/dispatch.ts
+++ b/src/coordination/requests/dispatch.ts
@@ -4,7 +4,6 @@
   CompletionRequest,
 } from '../../protocol/completion.ts';
 import type {Outcome} from '../../protocol/outcome.ts';
-import type {StoredAnswer} from '../../protocol/ledger.ts';
 
 /** Why an attempt gave no answer, or not all of it. */
 export interface AttemptError {
@@ -15,6 +14,8 @@
    */
   readonly kind: 'not-sent' | 'refused' | 'lost';
   readonly message: string;
+  /** True when the connection gave no byte for too long. */
+  readonly silent?: boolean;
 }
 
 /** One try of a completion at one endpoint. */
@@ -27,6 +28,8 @@
   readonly request: CompletionRequest;
   /** The first chunk wanted: 0, or where an earlier attempt ended. */
   readonly resumeOffset: number;
+  /** The text of the answer before `resumeOffset`. */
+  readonly resumeText: string;
   readonly deadlineMs: number;
   readonly priority: number;
   readonly repeatable: boolean;
@@ -45,9 +48,18 @@
   readonly contentType?: string;
   readonly body: Buffer;
   readonly deadlineMs: number;
+  /** How long the service may be silent; the deadline where none is set. */
+  readonly silenceMs: number;
   readonly repeatable: boolean;
 }
 
+/** What a plain service answered. */
+export interface ServiceAnswer {
+  readonly status: number;
+  readonly contentType: string;
+  readonly body: Buffer;
+}
+
 /** Sends work to endpoints. */
 export interface Dispatcher {
   /**
@@ -62,5 +74,5 @@
   callService(
     attempt: ServiceAttempt,
     signal: AbortSignal,
-  ): Promise<Outcome<StoredAnswer, AttemptError>>;
+  ): Promise<Outcome<ServiceAnswer, AttemptError>>;
 }
--- /dev/null
+++ b/src/coordination/requests/observe_evidence.ts
@@ -0,0 +1,25 @@
+/** Counts for roll-outs what attempts and ratings show of versions. */
+import type {EvidenceCollector} from '../rollout/evidence_collector.ts';
+import type {RequestObserver} from './request_observer.ts';
+
+/** Creates the observer that feeds `collector`. */
+export function createEvidenceObserver(
+  collector: Pick<EvidenceCollector, 'countRequest' | 'countRating'>,
+): RequestObserver {
+  return {
+    observeAttempt(attempt) {
+      const {kind, target, result, firstTokenMs} = attempt;
+      if (kind !== 'completion' || result === 'cancelled') return;
+      const expectedMs = attempt.expectedFirstTokenMs ?? Infinity;
+      collector.countRequest({
+        version: target,
+        failed: result === 'failed',
+        slow: (firstTokenMs ?? 0) > expectedMs,
+      });
+    },
+    observeAnswer({version, score}) {
+      if (score !== undefined) collector.countRating(version, score);
+    },
+    observeRequest() {},
+  };
+}
--- a/src/coordination/requests/run_completion.ts
+++ b/src/coordination/requests/run_completion.ts
@@ -6,397 +6,546 @@
  */
 import type {
   AnswerEvent,
-  CompletionRequest,
   RequestError,
   Usage,
 } from '../../protocol/completion.ts';
-import {
-  formatVersion,
-  type Customer,
-  type Version,
-} from '../../protocol/declaration.ts';
-import {createIdentifier} from '../../protocol/identifiers.ts';
-import type {LedgerResult} from '../../protocol/ledger.ts';
+import {formatVersion, type Version} from '../../protocol/declaration.ts';
+import type {Bill} from '../../protocol/ledger.ts';
 import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
-import type {Endpoint} from '../membership/endpoint_table.ts';
-import {selectEndpoint} from '../routing/select_endpoint.ts';
+import type {Permit} from '../limits/permit.ts';
+import type {CompletionPlan, PlanStep} from '../routing/completion_plan.ts';
+import type {RouteOptions} from '../routing/endpoint_router.ts';
 import {
-  isAllowed,
-  isWithdrawn,
-  selectVersion,
-  type VersionChoice,
-} from '../routing/select_version.ts';
-import type {AttemptError} from './dispatch.ts';
+  admitCompletion,
+  pinSession,
+  planCall,
+  type Admission,
+  type CompletionCall,
+} from './admission.ts';
+import {AnswerRun, type AnswerFailure} from './answer_run.ts';
+import {createDeadline, type Deadline} from './deadline.ts';
 import {
   DEFAULT_DEADLINE_MS,
-  leaseExpiredError,
-  ledgerUnavailableError,
-  MAX_ATTEMPTS,
+  SETTLE_ERROR_WAIT_MS,
   type RequestContext,
 } from './request_context.ts';
+import {
+  billUnconfirmedError,
+  describeNoVersion,
+  describeRefusal,
+  describeUnanswered,
+  ledgerUnavailableError,
+} from './request_errors.ts';
+import type {RequestRecord} from './request_history.ts';
+import {runShadow} from './run_shadow.ts';
 
-export interface CompletionCall {
-  readonly requestId: string;
-  readonly customer: Customer;
-  readonly request: CompletionRequest;
-  /** The caller's idempotency key, or the request id. */
-  readonly key: string;
-  /** SHA-256 of the request's body. */
-  readonly digest: string;
-  readonly session?: string;
-  readonly requestClass?: string;
-  readonly deadlineMs?: number;
+export type {CompletionCall} from './admission.ts';
+
+/** The request was let in; nothing of its answer is known yet. */
+export interface CompletionAccepted {
+  readonly type: 'accepted';
+  /** True when the session was moved off the version it was pinned to. */
+  readonly moved: boolean;
 }
 
-/** What the caller learns before the first event. */
+/** What the caller learns before the first chunk. */
 export interface CompletionStart {
   readonly type: 'start';
   readonly version: string;
-  readonly endpoint: string;
-  /** True when the session was moved off the version it was pinned to. */
-  readonly repinned: boolean;
 }
 
-export type CompletionEvent = CompletionStart | AnswerEvent;
+export type CompletionEvent =
+  CompletionAccepted | CompletionStart | AnswerEvent;
+
+type CompletionOutcome = Outcome<CompletionEvent, RequestError>;
+type AnswerEnd = Extract<AnswerEvent, {type: 'end'}>;
+
+/** Characters of a prompt that the choice of an endpoint looks at. */
+const ROUTED_PROMPT_CHARACTERS = 8_192;
 
 /** Runs a completion and yields its events. */
 export async function* runCompletion(
   call: CompletionCall,
   context: RequestContext,
   signal: AbortSignal,
-): AsyncGenerator<Outcome<CompletionEvent, RequestError>, void> {
-  const admitted = await admit(call, context);
-  if (!admitted.ok) {
-    yield admitted;
-    return;
-  }
-  const {version, repinned} = admitted.value;
-  const run = new CompletionRun(call, context, version);
-  yield* run.stream(repinned, signal);
-}
-
-interface Admission {
-  readonly version: Version;
-  readonly repinned: boolean;
-}
-
-async function admit(
-  call: CompletionCall,
-  context: RequestContext,
-): Promise<Outcome<Admission, RequestError>> {
-  const choice = choose(call, context);
-  if (!choice.ok) return choice;
-  const first = choice.value.candidates[0];
-  if (!first) return fail(describeNoVersion(choice.value));
-  const result = await submitAdmission(call, context, first, false);
-  if (!result) return fail(ledgerUnavailableError);
-  if (result.type !== 'admitted') return fail(describeDuplicate(result));
-  if (!result.pinned || result.pinned === formatVersion(first)) {
-    return succeed({version: first, repinned: false});
+): AsyncGenerator<CompletionOutcome, void> {
+  const run = new CompletionRun(call, context);
+  try {
+    yield* run.stream(signal);
+  } finally {
+    run.finish();
   }
-  return followPin(call, context, result.pinned);
 }
 
-/** Uses the pinned version, or moves the session where that is withdrawn. */
-async function followPin(
-  call: CompletionCall,
-  context: RequestContext,
-  pinned: string,
-): Promise<Outcome<Admission, RequestError>> {
-  const view = context.getView();
-  if (!view) return settleNotRun(call, context, leaseExpiredError);
-  const version = view.declaration?.versions.find(
-    each => formatVersion(each) === pinned,
-  );
-  const usable =
-    version && isAllowed(call.customer, version) && !isWithdrawn(view, version);
-  if (usable) {
-    const choice = choose(call, context, pinned);
-    if (!choice.ok) return settleNotRun(call, context, choice.error);
-    if (choice.value.candidates.length === 0) {
-      return settleNotRun(call, context, describeNoVersion(choice.value));
-    }
-    return succeed({version, repinned: false});
-  }
-  const choice = choose(call, context);
-  if (!choice.ok) return settleNotRun(call, context, choice.error);
-  const next = choice.value.candidates[0];
-  if (!next) {
-    return settleNotRun(call, context, describeNoVersion(choice.value));
-  }
-  const result = await submitAdmission(call, context, next, true);
-  if (result?.type !== 'admitted') return fail(ledgerUnavailableError);
-  return succeed({version: next, repinned: true});
+/** An answer that was held until its end. */
+interface HeldAnswer {
+  readonly run: AnswerRun;
+  readonly end: AnswerEnd;
 }
 
-function choose(
-  call: CompletionCall,
-  context: RequestContext,
-  pinned?: string,
-): Outcome<VersionChoice, RequestError> {
-  const view = context.getView();
-  if (!view) return fail(leaseExpiredError);
-  const served = new Set(
-    context
-      .listEndpoints()
-      .filter(endpoint => !endpoint.leaving)
-      .flatMap(endpoint => endpoint.versions),
-  );
-  return succeed(
-    selectVersion({
-      view,
-      customer: call.customer,
-      model: call.request.model,
-      requestClass: call.requestClass,
-      pinned,
-      served,
-    }),
-  );
-}
-
-function submitAdmission(
-  call: CompletionCall,
-  context: RequestContext,
-  version: Version,
-  repin: boolean,
-): Promise<LedgerResult | null> {
-  return context.ledger.submit(call.customer.name, call.key, {
-    type: 'admit',
-    requestId: call.requestId,
-    customer: call.customer.name,
-    key: call.key,
-    digest: call.digest,
-    repeatable: true,
-    gateway: context.gateway,
-    session: call.session,
-    version: formatVersion(version),
-    repin,
-    atMs: context.clock.now(),
-  });
-}
-
-async function settleNotRun(
-  call: CompletionCall,
-  context: RequestContext,
-  error: RequestError,
-): Promise<Outcome<never, RequestError>> {
-  await context.ledger.submit(call.customer.name, call.key, {
-    type: 'settle',
-    requestId: call.requestId,
-    customer: call.customer.name,
-    key: call.key,
-    status: 'not-run',
-    atMs: context.clock.now(),
-  });
-  return fail(error);
-}
-
-/** One admitted completion and its attempts. */
+/** One completion from its admission to its settlement. */
 class CompletionRun {
-  private readonly avoided = new Set<string>();
-  private offset = 0;
+  private readonly record: RequestRecord;
+  private readonly deadline: Deadline;
+  private readonly startedAt: number;
+  private readonly route: Omit<RouteOptions, 'pool'>;
   private sent = false;
-  private promptTokens = 0;
+  private admitted = false;
+  private settled = false;
+  private code = '';
+  private firstTokenMs?: number;
+  private permit: {pool: string; held: Permit} | null = null;
+  private released: {version: Version; run: AnswerRun} | null = null;
 
   constructor(
     private readonly call: CompletionCall,
     private readonly context: RequestContext,
-    private readonly version: Version,
-  ) {}
+  ) {
+    const {clock} = context;
+    this.startedAt = clock.monotonic();
+    this.deadline = createDeadline(
+      clock,
+      call.deadlineMs ?? DEFAULT_DEADLINE_MS,
+    );
+    this.record = context.history.begin({
+      requestId: call.requestId,
+      gateway: context.gateway,
+      customer: call.customer.name,
+      kind: 'completion',
+      wanted: call.request.model,
+      session: call.session,
+      receivedAtMs: clock.now(),
+    });
+    const prompt = readPrompt(call);
+    this.route = {
+      prompt: prompt.slice(0, ROUTED_PROMPT_CHARACTERS),
+      bytes: prompt.length,
+    };
+  }
 
-  async *stream(
-    repinned: boolean,
+  async *stream(signal: AbortSignal): AsyncGenerator<CompletionOutcome, void> {
+    const {call, context, deadline} = this;
+    const planned = planCall(call, context, deadline);
+    if (!planned.ok) {
+      yield this.describeFailure(planned.error);
+      return;
+    }
+    const plan = planned.value;
+    this.notePlan(plan);
+    const [first] = plan.steps;
+    if (!first) {
+      yield this.describeFailure(describeNoVersion(plan.rejected));
+      return;
+    }
+    // Limits come first: a refusal costs the ledger nothing.
+    const permit = await this.acquirePermit(first.version, signal);
+    if (!permit.ok) {
+      yield this.describeFailure(permit.error);
+      return;
+    }
+    const admission = await admitCompletion(call, context, deadline, plan);
+    if (!admission.ok) {
+      yield this.refuse(admission.error);
+      return;
+    }
+    this.admitted = true;
+    if (admission.value.plan !== plan) this.notePlan(admission.value.plan);
+    yield succeed({type: 'accepted', moved: admission.value.moved});
+    runShadow(call, context, admission.value.plan);
+    yield* this.runSteps(admission.value, signal);
+  }
+
+  /** Notes the end of the request; settles what its consumer left open. */
+  finish(): void {
+    const {context, record} = this;
+    this.permit?.held[Symbol.dispose]();
+    if (record.outcome === 'running') {
+      void this.settleFailed('the caller left', true);
+    }
+    record.durationMs = context.clock.monotonic() - this.startedAt;
+    context.observer.observeRequest({
+      requestId: record.requestId,
+      customer: record.customer,
+      kind: 'completion',
+      outcome: record.outcome === 'running' ? 'unknown' : record.outcome,
+      code: this.code,
+      durationMs: record.durationMs,
+      queuedMs: record.queuedMs,
+      firstTokenMs: this.firstTokenMs,
+      attempts: record.attempts.length,
+      bill: record.bill,
+    });
+  }
+
+  private async *runSteps(
+    admission: Admission,
     signal: AbortSignal,
-  ): AsyncGenerator<Outcome<CompletionEvent, RequestError>, void> {
-    const deadline =
-      this.context.clock.monotonic() +
-      (this.call.deadlineMs ?? DEFAULT_DEADLINE_MS);
-    let started = false;
-    let lastError = 'no endpoint takes work';
-    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
-      const endpoint = this.selectEndpoint();
-      if (!endpoint) break;
-      if (!started) {
-        started = true;
-        yield succeed(this.describeStart(endpoint, repinned));
+  ): AsyncGenerator<CompletionOutcome, void> {
+    let failure: AnswerFailure = {message: 'no version may run', sent: false};
+    for (const planned of this.listSteps(admission)) {
+      const step = await this.pinStep(planned, admission);
+      if (!step) {
+        failure = {message: 'the session is not known', sent: this.sent};
+        break;
       }
-      const remainingMs = deadline - this.context.clock.monotonic();
-      if (remainingMs <= 0) break;
-      const events = this.runAttempt(endpoint, remainingMs, signal);
-      for await (const event of events) {
-        if (!event.ok) {
-          lastError = event.error.message;
-          continue;
-        }
-        if (event.value.type === 'end') {
-          yield await this.settleAnswered(endpoint, event.value);
-          return;
-        }
-        yield succeed(event.value);
+      const permit = await this.acquirePermit(step.version, signal);
+      if (!permit.ok) {
+        if (this.sent) break;
+        yield await this.fail(permit.error);
+        return;
       }
-      if (signal.aborted) break;
-      this.avoided.add(endpoint.name);
+      const run = this.createRun(step, permit.value);
+      const end =
+        step.release === 'direct'
+          ? yield* this.runDirect(step, run, admission, signal)
+          : yield* this.runRated(step, run, admission, signal);
+      if (end === null) return;
+      failure = end;
+      this.sent ||= end.sent;
+      if (this.released || signal.aborted || this.deadline.hasPassed()) break;
     }
-    yield fail(await this.settleFailed(lastError));
+    yield await this.settleFailed(failure.message, signal.aborted);
   }
 
-  private selectEndpoint(): Endpoint | null {
-    const {context, version} = this;
-    const view = context.getView();
-    if (!view || isWithdrawn(view, version)) return null;
-    return selectEndpoint(context.listEndpoints(), {
-      pool: version.pool,
-      version: formatVersion(version),
-      region: context.region,
-      dataCentre: context.dataCentre,
-      avoided: this.avoided,
-      random: context.random,
-    });
+  /** The versions to ask; a session is not sent to a fallback. */
+  private listSteps({plan}: Admission): PlanStep[] {
+    const fallbacks = this.call.session === undefined ? plan.fallbacks : [];
+    return [...plan.steps, ...fallbacks.map(createDirectStep)];
   }
 
-  private describeStart(
-    endpoint: Endpoint,
-    repinned: boolean,
-  ): CompletionStart {
-    const version = formatVersion(this.version);
-    this.context.logger.info('Routes a request.', {
-      request: this.call.requestId,
-      customer: this.call.customer.name,
-      version,
-      endpoint: endpoint.name,
-      reason: 'cheapest version at the target, least busy endpoint',
-    });
-    return {type: 'start', version, endpoint: endpoint.name, repinned};
+  /** Pins a session before its answer streams; `null` when that failed. */
+  private async pinStep(
+    step: PlanStep,
+    admission: Admission,
+  ): Promise<PlanStep | null> {
+    const {call, context, deadline} = this;
+    if (call.session === undefined || admission.pinned) return step;
+    if (step.release === 'rated') return step;
+    const pin = await pinSession(call, context, deadline, step.version);
+    if (pin === formatVersion(step.version)) return step;
+    const version = context
+      .getView()
+      ?.declaration?.versions.find(each => formatVersion(each) === pin);
+    return version ? createDirectStep(version) : null;
   }
 
-  private async *runAttempt(
-    endpoint: Endpoint,
-    deadlineMs: number,
+  /** Relays an answer; returns why it is not whole, or `null`. */
+  private async *runDirect(
+    step: PlanStep,
+    run: AnswerRun,
+    admission: Admission,
     signal: AbortSignal,
-  ): AsyncGenerator<Outcome<AnswerEvent, AttemptError>, void> {
-    endpoint.inFlight++;
-    try {
-      const events = this.context.dispatcher.openCompletion(
-        {
-          address: endpoint.address,
-          attemptId: createIdentifier('att'),
-          requestId: this.call.requestId,
-          customer: this.call.customer.name,
-          version: formatVersion(this.version),
-          request: this.call.request,
-          resumeOffset: endpoint.resumes ? this.offset : 0,
-          deadlineMs,
-          priority: 0,
-          repeatable: true,
-        },
-        signal,
-      );
-      for await (const event of events) {
-        if (!event.ok) {
-          if (event.error.kind === 'lost') this.sent = true;
-          yield event;
-          return;
-        }
-        this.sent = true;
-        const {value} = event;
-        if (value.type === 'delta') {
-          // A rerun repeats chunks that the caller has already.
-          if (value.offset < this.offset) continue;
-          this.offset = value.offset + 1;
+  ): AsyncGenerator<CompletionOutcome, AnswerFailure | null> {
+    const {version} = step;
+    for await (const event of run.stream(signal)) {
+      if (!event.ok) return event.error;
+      this.firstTokenMs ??= this.getElapsedMs();
+      if (event.value.type === 'delta' && !this.call.request.stream) continue;
+      if (!this.released) {
+        const refusal = await admission.committed;
+        if (refusal) {
+          yield await this.fail(this.describeLateRefusal(refusal));
+          return null;
         }
-        yield event;
+        this.released = {version, run};
+        yield succeed({type: 'start', version: formatVersion(version)});
       }
-    } finally {
-      endpoint.inFlight--;
+      if (event.value.type === 'delta') {
+        yield event as CompletionOutcome;
+        continue;
+      }
+      const answer = {run, end: event.value};
+      yield* this.release(answer, version, !this.call.request.stream);
+      return null;
     }
+    return {message: 'the stream ended', sent: true};
   }
 
-  private async settleAnswered(
-    endpoint: Endpoint,
-    end: Extract<AnswerEvent, {type: 'end'}>,
-  ): Promise<Outcome<CompletionEvent, RequestError>> {
-    const {call, context, version} = this;
-    const result = await context.ledger.submit(call.customer.name, call.key, {
-      type: 'settle',
+  /** Holds an answer until it is rated; returns why it was not released. */
+  private async *runRated(
+    step: PlanStep,
+    run: AnswerRun,
+    admission: Admission,
+    signal: AbortSignal,
+  ): AsyncGenerator<CompletionOutcome, AnswerFailure | null> {
+    let end: AnswerEnd | null = null;
+    for await (const event of run.stream(signal)) {
+      if (!event.ok) return event.error;
+      if (event.value.type === 'end') end = event.value;
+    }
+    if (!end) return {message: 'the stream ended', sent: true};
+    const accepted = await this.rateAnswer(step, run);
+    if (!accepted) return {message: 'the answer was rated poor', sent: true};
+    const refusal = await admission.committed;
+    if (refusal) {
+      yield await this.fail(this.describeLateRefusal(refusal));
+      return null;
+    }
+    if (this.call.session !== undefined) {
+      const {call, context, deadline} = this;
+      const pin = await pinSession(call, context, deadline, step.version);
+      if (pin !== formatVersion(step.version)) {
+        return {message: 'the session is pinned elsewhere', sent: true};
+      }
+    }
+    this.released = {version: step.version, run};
+    yield succeed({type: 'start', version: formatVersion(step.version)});
+    yield* this.release({run, end}, step.version, true);
+    return null;
+  }
+
+  /** Yields what was held of an answer, and its end once it is billed. */
+  private async *release(
+    answer: HeldAnswer,
+    version: Version,
+    held: boolean,
+  ): AsyncGenerator<CompletionOutcome, void> {
+    const {call, context} = this;
+    const text = answer.run.answer;
+    if (held && text !== '') {
+      yield succeed({type: 'delta', offset: 0, text});
+    }
+    const settled = await this.settleAnswered(answer, version);
+    if (settled.ok) {
+      context.observer.observeAnswer({
+        requestId: call.requestId,
+        customer: call.customer.name,
+        requestClass: call.requestClass ?? 'default',
+        version: formatVersion(version),
+        prompt: call.request.messages,
+        answer: text,
+        released: true,
+        score: this.record.ratings.at(-1)?.score ?? undefined,
+      });
+    }
+    yield settled;
+  }
+
+  private async rateAnswer(step: PlanStep, run: AnswerRun): Promise<boolean> {
+    const {call, context} = this;
+    const version = formatVersion(step.version);
+    const request = {
       requestId: call.requestId,
       customer: call.customer.name,
-      key: call.key,
-      status: 'answered',
-      bill: {
-        target: formatVersion(version),
-        endpoint: endpoint.name,
-        ...end.usage,
-        cost: computeCost(version, end.usage),
-      },
-      atMs: context.clock.now(),
+      requestClass: call.requestClass ?? 'default',
+      version,
+      prompt: call.request.messages,
+      answer: run.answer,
+    };
+    const rated = await context.rate({
+      ...request,
+      deadlineMs: this.deadline.remainingMs(),
     });
-    if (result) return succeed(end);
-    return fail({
-      outcome: 'unknown',
-      code: 'bill-unconfirmed',
-      message: 'Could not confirm the bill: the ledger did not answer',
-      status: 503,
-      retryAfterMs: 1_000,
+    const released = rated.ok
+      ? rated.value >= step.minimumScore
+      : step.whenUnrated === 'release';
+    const score = rated.ok ? rated.value : null;
+    this.record.ratings.push({version, score, released});
+    context.logger.info('Rated an answer before its release.', {
+      request: call.requestId,
+      version,
+      score,
+      released,
+      reason: rated.ok ? `at least ${step.minimumScore}` : rated.error,
     });
+    if (!released) {
+      context.observer.observeAnswer({
+        ...request,
+        released,
+        score: score ?? undefined,
+      });
+    }
+    return released;
   }
 
-  private async settleFailed(reason: string): Promise<RequestError> {
-    const outcome = this.sent ? 'unknown' : 'not-run';
-    await this.context.ledger.submit(this.call.customer.name, this.call.key, {
-      type: 'settle',
-      requestId: this.call.requestId,
-      customer: this.call.customer.name,
-      key: this.call.key,
-      status: outcome,
-      atMs: this.context.clock.now(),
+  /** Takes a place in the version's pool, or keeps the one it has. */
+  private async acquirePermit(
+    version: Version,
+    signal: AbortSignal,
+  ): Promise<Outcome<Permit, RequestError>> {
+    const {pool} = version;
+    if (this.permit?.pool === pool) return succeed(this.permit.held);
+    this.permit?.held[Symbol.dispose]();
+    this.permit = null;
+    const {customer} = this.call;
+    const permit = await this.context.decisions.limiter.acquire({
+      customer: customer.name,
+      weight: customer.weight,
+      concurrency: customer.concurrency,
+      pool,
+      deadlineMs: this.deadline.remainingMs(),
+      signal,
     });
-    return {
-      outcome,
-      code: 'pool-unavailable',
-      message: `Could not answer the request: ${reason}`,
-      status: 503,
-      retryAfterMs: 1_000,
-    };
+    if (!permit.ok) return fail(describeRefusal(permit.error));
+    this.permit = {pool, held: permit.value};
+    this.record.queuedMs += permit.value.queuedMs;
+    return permit;
+  }
+
+  private createRun(step: PlanStep, permit: Permit): AnswerRun {
+    const {call, context, record, deadline} = this;
+    return new AnswerRun({
+      context,
+      record,
+      customer: call.customer.name,
+      request: call.request,
+      version: step.version,
+      deadline,
+      permit,
+      route: {
+        ...this.route,
+        pool: step.version.pool,
+        version: formatVersion(step.version),
+      },
+      relayed: step.release === 'direct' && call.request.stream,
+      expectedFirstTokenMs: findExpectedFirstToken(call),
+      getElapsedMs: () => this.getElapsedMs(),
+    });
+  }
+
+  private notePlan(plan: CompletionPlan): void {
+    const {record} = this;
+    record.candidates = [
+      ...plan.steps.map(step => formatVersion(step.version)),
+      ...plan.fallbacks.map(formatVersion),
+    ];
+    record.reasons = plan.reasons;
+    record.rejected = plan.rejected;
+  }
+
+  private getElapsedMs(): number {
+    return this.context.clock.monotonic() - this.startedAt;
+  }
+
+  private async settleAnswered(
+    {run, end}: HeldAnswer,
+    version: Version,
+  ): Promise<CompletionOutcome> {
+    const bill = createBill(version, run.endpoint, end.usage);
+    this.settled = true;
+    const result = await this.settle('answered', bill, Infinity);
+    if (!result) return this.describeFailure(billUnconfirmedError);
+    this.record.outcome = 'answered';
+    this.record.bill = bill;
+    return succeed(end);
+  }
+
+  /** Settles a request that got no whole answer, and says so. */
+  private async settleFailed(
+    reason: string,
+    cancelled: boolean,
+  ): Promise<CompletionOutcome> {
+    const {released, deadline} = this;
+    const sent =
+      this.sent || this.record.attempts.some(each => each.chunks > 0);
+    // A caller that leaves pays for the chunks that it was sent.
+    const bill =
+      cancelled && released && released.run.chunkCount > 0
+        ? createBill(released.version, released.run.endpoint, {
+            promptTokens: 0,
+            completionTokens: released.run.chunkCount,
+          })
+        : undefined;
+    return this.fail(
+      describeUnanswered({
+        sent,
+        reason,
+        deadlinePassed: deadline.hasPassed(),
+        repeatable: true,
+      }),
+      bill,
+    );
   }
+
+  private async fail(
+    error: RequestError,
+    bill?: Bill,
+  ): Promise<CompletionOutcome> {
+    const failure = this.describeFailure(error);
+    if (this.admitted && !this.settled) {
+      this.settled = true;
+      this.record.bill = bill;
+      await this.settle(error.outcome, bill, SETTLE_ERROR_WAIT_MS);
+    }
+    return failure;
+  }
+
+  /** Refuses before the admission; the ledger may have it nevertheless. */
+  private refuse(error: RequestError): CompletionOutcome {
+    if (error.code !== 'key-open' && error.code !== 'key-reused') {
+      void this.settle('not-run', undefined, 0);
+    }
+    return this.describeFailure(error);
+  }
+
+  /** An admission that failed beside a dispatch: the request may have run. */
+  private describeLateRefusal(refusal: RequestError): RequestError {
+    if (refusal !== ledgerUnavailableError) return refusal;
+    return {...refusal, outcome: 'unknown'};
+  }
+
+  private describeFailure(error: RequestError): CompletionOutcome {
+    this.record.outcome = error.outcome;
+    this.record.error = error.message;
+    this.code = error.code;
+    return fail(error);
+  }
+
+  private settle(
+    status: 'answered' | 'unknown' | 'not-run',
+    bill: Bill | undefined,
+    waitMs: number,
+  ) {
+    const {call, context, deadline} = this;
+    return context.settler.settle(
+      {
+        type: 'settle',
+        requestId: call.requestId,
+        customer: call.customer.name,
+        key: call.key,
+        status,
+        bill,
+        atMs: context.clock.now(),
+      },
+      Math.min(waitMs, Math.max(deadline.remainingMs(), SETTLE_ERROR_WAIT_MS)),
+    );
+  }
+}
+
+function findExpectedFirstToken(call: CompletionCall): number | undefined {
+  const {targets} = call.customer;
+  const wanted = call.requestClass ?? 'default';
+  const target =
+    targets.find(each => each.class === wanted) ??
+    targets.find(each => each.class === 'default');
+  return target?.first_token_ms;
+}
+
+function createDirectStep(version: Version): PlanStep {
+  return {version, release: 'direct', minimumScore: 0, whenUnrated: 'release'};
+}
+
+function createBill(version: Version, endpoint: string, usage: Usage): Bill {
+  return {
+    target: formatVersion(version),
+    endpoint,
+    ...usage,
+    cost: computeCost(version, usage),
+  };
 }
 
 /** The cost of an answer in micro-units of currency. */
-function computeCost(version: Version, usage: Usage): number {
+export function computeCost(version: Version, usage: Usage): number {
   const prompt = (usage.promptTokens * version.prompt_price) / 1_000;
   const completion =
     (usage.completionTokens * version.completion_price) / 1_000;
   return prompt + completion;
 }
 
-function describeNoVersion(choice: VersionChoice): RequestError {
-  const reasons = choice.rejected.map(
-    each => `${each.version}: ${each.reason}`,
-  );
-  const passing = choice.rejected.some(each => each.reason === 'no endpoint');
-  const detail = reasons.length === 0 ? 'no such model' : reasons.join(', ');
-  return {
-    outcome: 'not-run',
-    code: passing ? 'pool-unavailable' : 'no-version',
-    message: `Could not choose a version: ${detail}`,
-    status: passing ? 503 : reasons.length === 0 ? 404 : 403,
-    ...(passing ? {retryAfterMs: 1_000} : {}),
-  };
-}
-
-function describeDuplicate(result: LedgerResult): RequestError {
-  if (result.type === 'mismatch') {
-    return {
-      outcome: 'not-run',
-      code: 'key-reused',
-      message: 'Could not take the request: its key was used for another',
-      status: 422,
-    };
-  }
-  return {
-    outcome: 'unknown',
-    code: 'key-open',
-    message: 'Could not take the request: one with its key is running',
-    status: 409,
-    retryAfterMs: 1_000,
-  };
+function readPrompt(call: CompletionCall): string {
+  return call.request.messages
+    .map(({content}) =>
+      typeof content === 'string' ? content : JSON.stringify(content),
+    )
+    .join('\n');
 }
--- a/src/coordination/requests/run_service_call.ts
+++ b/src/coordination/requests/run_service_call.ts
@@ -4,21 +4,31 @@
  * A call that may not be repeated is claimed in the ledger before a byte of
  * it is sent, and is sent once; a retry gets the stored answer or `unknown`.
  */
+import {isUtf8} from 'node:buffer';
 import type {RequestError} from '../../protocol/completion.ts';
 import type {Call, Customer, Service} from '../../protocol/declaration.ts';
 import {createIdentifier} from '../../protocol/identifiers.ts';
-import type {LedgerResult, StoredAnswer} from '../../protocol/ledger.ts';
+import type {Bill, StoredAnswer} from '../../protocol/ledger.ts';
 import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
-import type {Endpoint} from '../membership/endpoint_table.ts';
-import {selectEndpoint} from '../routing/select_endpoint.ts';
-import type {AttemptError} from './dispatch.ts';
+import type {Permit} from '../limits/permit.ts';
+import type {EndpointChoice, RouteOptions} from '../routing/endpoint_router.ts';
+import {createDeadline, waitAtMost, type Deadline} from './deadline.ts';
+import type {AttemptError, ServiceAnswer} from './dispatch.ts';
 import {
   DEFAULT_DEADLINE_MS,
-  leaseExpiredError,
-  ledgerUnavailableError,
   MAX_ATTEMPTS,
+  SETTLE_ERROR_WAIT_MS,
   type RequestContext,
 } from './request_context.ts';
+import {
+  billUnconfirmedError,
+  describeDuplicate,
+  describeRefusal,
+  describeUnanswered,
+  leaseExpiredError,
+  ledgerUnavailableError,
+} from './request_errors.ts';
+import type {AttemptRecord, RequestRecord} from './request_history.ts';
 
 export interface ServiceCall {
   readonly requestId: string;
@@ -37,91 +47,184 @@
   readonly deadlineMs?: number;
 }
 
+type CallOutcome = Outcome<ServiceAnswer, RequestError>;
+
+/** The first wait for a byte of a call that may be repeated. */
+const FIRST_SILENCE_MS = 5_000;
+
 /** Runs a call of a plain service and returns its answer. */
 export async function runServiceCall(
   call: ServiceCall,
   context: RequestContext,
   signal: AbortSignal,
-): Promise<Outcome<StoredAnswer, RequestError>> {
-  if (!context.getView()) return fail(leaseExpiredError);
-  const result = await submitAdmission(call, context);
-  if (!result) return fail(ledgerUnavailableError);
-  if (result.type === 'answered' && result.answer) {
-    return succeed(result.answer);
+): Promise<CallOutcome> {
+  const run = new ServiceCallRun(call, context);
+  const outcome = await run.run(signal);
+  run.finish(outcome);
+  return outcome;
+}
+
+/** One call from its admission to its settlement. */
+class ServiceCallRun {
+  private readonly record: RequestRecord;
+  private readonly deadline: Deadline;
+  private readonly startedAt: number;
+  private readonly route: RouteOptions;
+  private readonly avoided = new Set<string>();
+
+  constructor(
+    private readonly call: ServiceCall,
+    private readonly context: RequestContext,
+  ) {
+    const {clock} = context;
+    this.startedAt = clock.monotonic();
+    this.deadline = createDeadline(
+      clock,
+      call.deadlineMs ?? DEFAULT_DEADLINE_MS,
+    );
+    this.route = {pool: call.service.pool, bytes: call.body.length};
+    this.record = context.history.begin({
+      requestId: call.requestId,
+      gateway: context.gateway,
+      customer: call.customer.name,
+      kind: 'call',
+      wanted: `${call.method} ${call.service.name}${call.path}`,
+      receivedAtMs: clock.now(),
+    });
   }
-  if (result.type !== 'admitted') return fail(describeDuplicate(result));
-  const avoided = new Set<string>();
-  const attempts = MAX_ATTEMPTS;
-  let failure: AttemptError = {
-    kind: 'not-sent',
-    message: 'no endpoint takes work',
-  };
-  for (let attempt = 0; attempt < attempts; attempt++) {
-    const endpoint = select(call, context, avoided);
-    if (!endpoint) break;
-    const answer = await runAttempt(call, context, endpoint, signal);
-    if (answer.ok) return settleAnswered(call, context, endpoint, answer.value);
-    failure = answer.error;
-    avoided.add(endpoint.name);
-    if (failure.kind === 'lost' && !call.call.repeatable) break;
-    if (signal.aborted) break;
+
+  async run(signal: AbortSignal): Promise<CallOutcome> {
+    const {call, context} = this;
+    if (!context.getView()) return fail(leaseExpiredError);
+    const permit = await this.acquirePermit(signal);
+    if (!permit.ok) return permit;
+    using held = permit.value;
+    this.record.queuedMs = held.queuedMs;
+    const earlier = await this.admit();
+    if (earlier) return earlier;
+    let failure: AttemptError = {
+      kind: 'not-sent',
+      message: 'no endpoint takes work',
+    };
+    let sent = false;
+    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+      const obstacle = this.findObstacle(attempt, signal, failure);
+      if (obstacle !== null) {
+        if (attempt === 0) failure = {kind: 'not-sent', message: obstacle};
+        break;
+      }
+      const choice = context.decisions.router.select({
+        ...this.route,
+        avoided: this.avoided,
+      });
+      if (!choice) break;
+      const answer = await this.runAttempt(choice, attempt, held, signal);
+      if (answer.ok) return this.settleAnswered(choice, answer.value);
+      failure = answer.error;
+      sent ||= failure.kind === 'lost';
+      this.avoided.add(choice.endpoint.name);
+      if (sent && !call.call.repeatable) break;
+    }
+    return fail(await this.settleFailed(failure, sent));
   }
-  return fail(await settleFailed(call, context, failure));
-}
 
-function submitAdmission(
-  call: ServiceCall,
-  context: RequestContext,
-): Promise<LedgerResult | null> {
-  return context.ledger.submit(call.customer.name, call.key, {
-    type: 'admit',
-    requestId: call.requestId,
-    customer: call.customer.name,
-    key: call.key,
-    digest: call.digest,
-    repeatable: call.call.repeatable,
-    gateway: context.gateway,
-    repin: false,
-    atMs: context.clock.now(),
-  });
-}
+  /** Notes the end of the call. */
+  finish(outcome: CallOutcome): void {
+    const {context, record} = this;
+    record.outcome = outcome.ok ? 'answered' : outcome.error.outcome;
+    record.error = outcome.ok ? undefined : outcome.error.message;
+    record.durationMs = context.clock.monotonic() - this.startedAt;
+    context.observer.observeRequest({
+      requestId: record.requestId,
+      customer: record.customer,
+      kind: 'call',
+      outcome: record.outcome,
+      code: outcome.ok ? '' : outcome.error.code,
+      durationMs: record.durationMs,
+      queuedMs: record.queuedMs,
+      attempts: record.attempts.length,
+      bill: record.bill,
+    });
+  }
 
-function select(
-  call: ServiceCall,
-  context: RequestContext,
-  avoided: ReadonlySet<string>,
-): Endpoint | null {
-  if (!context.getView()) return null;
-  const endpoint = selectEndpoint(context.listEndpoints(), {
-    pool: call.service.pool,
-    region: context.region,
-    dataCentre: context.dataCentre,
-    avoided,
-    random: context.random,
-  });
-  if (!endpoint) return null;
-  context.logger.info('Routes a call.', {
-    request: call.requestId,
-    customer: call.customer.name,
-    service: call.service.name,
-    endpoint: endpoint.name,
-    reason: 'least busy endpoint of the pool',
-  });
-  return endpoint;
-}
+  private async acquirePermit(
+    signal: AbortSignal,
+  ): Promise<Outcome<Permit, RequestError>> {
+    const {customer, service} = this.call;
+    const permit = await this.context.decisions.limiter.acquire({
+      customer: customer.name,
+      weight: customer.weight,
+      concurrency: customer.concurrency,
+      pool: service.pool,
+      deadlineMs: this.deadline.remainingMs(),
+      signal,
+    });
+    return permit.ok ? permit : fail(describeRefusal(permit.error));
+  }
 
-async function runAttempt(
-  call: ServiceCall,
-  context: RequestContext,
-  endpoint: Endpoint,
-  signal: AbortSignal,
-): Promise<Outcome<StoredAnswer, AttemptError>> {
-  endpoint.inFlight++;
-  try {
-    return await context.dispatcher.callService(
+  /** Claims the key; returns what the caller gets where that is refused. */
+  private async admit(): Promise<CallOutcome | null> {
+    const {call, context, deadline} = this;
+    const submitted = context.ledger.submit(call.customer.name, call.key, {
+      type: 'admit',
+      requestId: call.requestId,
+      customer: call.customer.name,
+      key: call.key,
+      digest: call.digest,
+      repeatable: call.call.repeatable,
+      gateway: context.gateway,
+      repin: false,
+      atMs: context.clock.now(),
+    });
+    const result = await waitAtMost(
+      submitted,
+      deadline.remainingMs(),
+      context.clock,
+    );
+    if (!result) {
+      // Nothing was sent. The claim may stand, so it is given back.
+      void this.settle('not-run', 0);
+      return fail(ledgerUnavailableError);
+    }
+    if (result.type === 'answered' && result.answer) {
+      return succeed(restoreAnswer(result.answer));
+    }
+    if (result.type === 'admitted') return null;
+    return fail(describeDuplicate(result));
+  }
+
+  /** Why no further attempt is made, or `null`. */
+  private findObstacle(
+    attempt: number,
+    signal: AbortSignal,
+    failure: AttemptError,
+  ): string | null {
+    const {decisions, getView} = this.context;
+    if (signal.aborted) return 'the caller left';
+    if (this.deadline.hasPassed()) return 'the deadline passed';
+    // Looked at here: the lease may have run out since the call came.
+    if (!getView()) return 'this gateway lost its lease';
+    if (attempt === 0) decisions.retryBudget.deposit();
+    if (attempt === 0 || failure.kind === 'not-sent') return null;
+    return decisions.retryBudget.tryTake() ? null : 'the retry budget is spent';
+  }
+
+  private async runAttempt(
+    choice: EndpointChoice,
+    attempt: number,
+    permit: Permit,
+    signal: AbortSignal,
+  ): Promise<Outcome<ServiceAnswer, AttemptError>> {
+    const {call, context, deadline, record} = this;
+    const noted = this.beginRecord(choice);
+    record.attempts.push(noted);
+    using routed = context.decisions.router.begin(choice.endpoint, this.route);
+    const {repeatable} = call.call;
+    const remainingMs = deadline.remainingMs();
+    const answer = await context.dispatcher.callService(
       {
-        address: endpoint.address,
-        attemptId: createIdentifier('att'),
+        address: choice.endpoint.address,
+        attemptId: noted.attemptId,
         requestId: call.requestId,
         customer: call.customer.name,
         key: call.key,
@@ -129,84 +232,127 @@
         path: call.path,
         contentType: call.contentType,
         body: call.body,
-        deadlineMs: call.deadlineMs ?? DEFAULT_DEADLINE_MS,
-        repeatable: call.call.repeatable,
+        deadlineMs: remainingMs,
+        silenceMs: repeatable ? FIRST_SILENCE_MS * 2 ** attempt : remainingMs,
+        repeatable,
       },
       signal,
     );
-  } finally {
-    endpoint.inFlight--;
+    noted.endedMs = this.getElapsedMs();
+    noted.result = answer.ok ? 'answered' : answer.error.message;
+    const durationMs = noted.endedMs - noted.startedMs;
+    const failed = signal.aborted ? 'cancelled' : 'failed';
+    const result = answer.ok ? 'answered' : failed;
+    if (answer.ok) {
+      routed.recordFirstToken(durationMs);
+      permit.recordFirstToken(durationMs);
+    }
+    routed.recordEnd(result);
+    context.observer.observeAttempt({
+      kind: 'call',
+      requestId: record.requestId,
+      customer: record.customer,
+      target: call.service.name,
+      endpoint: choice.endpoint.name,
+      result,
+      firstTokenMs: answer.ok ? durationMs : undefined,
+    });
+    return answer;
   }
-}
 
-async function settleAnswered(
-  call: ServiceCall,
-  context: RequestContext,
-  endpoint: Endpoint,
-  answer: StoredAnswer,
-): Promise<Outcome<StoredAnswer, RequestError>> {
-  const result = await context.ledger.submit(call.customer.name, call.key, {
-    type: 'settle',
-    requestId: call.requestId,
-    customer: call.customer.name,
-    key: call.key,
-    status: 'answered',
-    bill: {
+  private beginRecord(choice: EndpointChoice): AttemptRecord {
+    const {call, context, record} = this;
+    context.logger.info('Routes a call.', {
+      request: call.requestId,
+      customer: call.customer.name,
+      service: call.service.name,
+      endpoint: choice.endpoint.name,
+      attempt: record.attempts.length + 1,
+      reason: choice.reason,
+      rejected: choice.rejected
+        .map(each => `${each.endpoint}: ${each.reason}`)
+        .join(', '),
+    });
+    return {
+      attemptId: createIdentifier('att'),
+      endpoint: choice.endpoint.name,
+      reason: choice.reason,
+      rejected: choice.rejected,
+      startedMs: this.getElapsedMs(),
+      resumeOffset: 0,
+      chunks: 0,
+    };
+  }
+
+  private async settleAnswered(
+    choice: EndpointChoice,
+    answer: ServiceAnswer,
+  ): Promise<CallOutcome> {
+    const {call, deadline, record} = this;
+    const bill: Bill = {
       target: call.service.name,
-      endpoint: endpoint.name,
+      endpoint: choice.endpoint.name,
       promptTokens: 0,
       completionTokens: 0,
       cost: call.call.price,
-    },
-    answer: call.call.repeatable ? undefined : answer,
-    atMs: context.clock.now(),
-  });
-  if (result) return succeed(answer);
-  return fail({
-    outcome: 'unknown',
-    code: 'bill-unconfirmed',
-    message: 'Could not confirm the bill: the ledger did not answer',
-    status: 503,
-    retryAfterMs: 1_000,
-  });
+    };
+    const waitMs = Math.max(deadline.remainingMs(), SETTLE_ERROR_WAIT_MS);
+    const stored = call.call.repeatable ? undefined : storeAnswer(answer);
+    const result = await this.settle('answered', waitMs, bill, stored);
+    if (!result) return fail(billUnconfirmedError);
+    record.bill = bill;
+    return succeed(answer);
+  }
+
+  private async settleFailed(
+    failure: AttemptError,
+    sent: boolean,
+  ): Promise<RequestError> {
+    const error = describeUnanswered({
+      sent,
+      reason: failure.message,
+      deadlinePassed: this.deadline.hasPassed(),
+      repeatable: this.call.call.repeatable,
+    });
+    await this.settle(error.outcome, SETTLE_ERROR_WAIT_MS);
+    return error;
+  }
+
+  private settle(
+    status: 'answered' | 'unknown' | 'not-run',
+    waitMs: number,
+    bill?: Bill,
+    answer?: StoredAnswer,
+  ) {
+    const {call, context} = this;
+    return context.settler.settle(
+      {
+        type: 'settle',
+        requestId: call.requestId,
+        customer: call.customer.name,
+        key: call.key,
+        status,
+        bill,
+        answer,
+        atMs: context.clock.now(),
+      },
+      waitMs,
+    );
+  }
+
+  private getElapsedMs(): number {
+    return this.context.clock.monotonic() - this.startedAt;
+  }
 }
 
-async function settleFailed(
-  call: ServiceCall,
-  context: RequestContext,
-  failure: AttemptError,
-): Promise<RequestError> {
-  const outcome = failure.kind === 'lost' ? 'unknown' : 'not-run';
-  await context.ledger.submit(call.customer.name, call.key, {
-    type: 'settle',
-    requestId: call.requestId,
-    customer: call.customer.name,
-    key: call.key,
-    status: outcome,
-    atMs: context.clock.now(),
-  });
-  return {
-    outcome,
-    code: outcome === 'unknown' ? 'answer-lost' : 'pool-unavailable',
-    message: `Could not answer the call: ${failure.message}`,
-    status: outcome === 'unknown' ? 502 : 503,
-    ...(outcome === 'not-run' ? {retryAfterMs: 1_000} : {}),
-  };
+/** Makes an answer fit the ledger, which holds text. */
+function storeAnswer({status, contentType, body}: ServiceAnswer): StoredAnswer {
+  return isUtf8(body)
+    ? {status, contentType, body: body.toString('utf8')}
+    : {status, contentType, body: body.toString('base64'), encoding: 'base64'};
 }
 
-function describeDuplicate(result: LedgerResult): RequestError {
-  if (result.type === 'mismatch') {
-    return {
-      outcome: 'not-run',
-      code: 'key-reused',
-      message: 'Could not take the call: its key was used for another',
-      status: 422,
-    };
-  }
-  return {
-    outcome: 'unknown',
-    code: result.type === 'open' ? 'key-open' : 'answer-lost',
-    message: 'Could not tell whether the earlier call with this key ran',
-    status: 409,
-  };
+function restoreAnswer(stored: StoredAnswer): ServiceAnswer {
+  const {status, contentType, body, encoding = 'utf8'} = stored;
+  return {status, contentType, body: Buffer.from(body, encoding)};
 }
--- a/src/protocol/completion.ts
+++ b/src/protocol/completion.ts
@@ -7,7 +7,15 @@
   messages: z
     .array(z.looseObject({role: z.string(), content: z.unknown()}))
     .min(1),
-  stream: z.boolean().default(false),
+  stream: z
+    .boolean()
+    .nullish()
+    .transform(value => value ?? false),
+  stream_options: z
+    .looseObject({include_usage: z.boolean().nullish()})
+    .nullish(),
+  /** The number of answers; only one is given. */
+  n: z.literal(1, {message: 'only one answer is given'}).nullish(),
   max_tokens: z.int().positive().optional(),
 });
 
--- a/src/protocol/ledger.ts
+++ b/src/protocol/ledger.ts
@@ -6,6 +6,8 @@
   status: z.int(),
   contentType: z.string(),
   body: z.string(),
+  /** How bytes that are no text are written down. */
+  encoding: z.literal('base64').optional(),
 });
 
 export type StoredAnswer = z.infer<typeof storedAnswerSchema>;
--- /dev/null
+++ b/src/transport/endpoints/read_answer.ts
@@ -0,0 +1,136 @@
+/**
+ * Reads a stream of server-sent chunks as the events of one answer.
+ *
+ * Chunks carry their number. They are put in order, and chunks that came
+ * before are dropped; an answer with a hole in it is a failure.
+ */
+import {createParser} from 'eventsource-parser';
+import {z} from 'zod';
+import type {AnswerEvent} from '../../protocol/completion.ts';
+import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
+import type {AttemptError} from '../../coordination/requests/dispatch.ts';
+
+/** The most chunks that wait for an earlier one. */
+const MAX_WAITING_CHUNKS = 1_024;
+
+const chunkSchema = z.object({
+  /** The number of the chunk within the answer, from 0. */
+  offset: z.int().nonnegative().optional(),
+  /** The attempt that the chunk belongs to. */
+  attempt_id: z.string().optional(),
+  choices: z
+    .array(
+      z.object({
+        delta: z.object({content: z.string().nullish()}).optional(),
+        finish_reason: z.string().nullish(),
+      }),
+    )
+    .default([]),
+  usage: z
+    .object({
+      prompt_tokens: z.int().nonnegative(),
+      completion_tokens: z.int().nonnegative(),
+    })
+    .nullish(),
+});
+
+type Chunk = z.infer<typeof chunkSchema>;
+type AnswerOutcome = Outcome<AnswerEvent, AttemptError>;
+
+/** Turns the text of one stream into events. */
+export class AnswerReader {
+  private readonly events: AnswerOutcome[] = [];
+  private readonly waiting = new Map<number, string>();
+  private readonly decoder = new TextDecoder();
+  private readonly parser = createParser({
+    onEvent: ({data}) => this.readEvent(data),
+  });
+  private finishReason = '';
+  private ended = false;
+
+  /**
+   * @param attemptId Chunks that name another attempt are a failure.
+   * @param next The number of the first chunk wanted.
+   */
+  constructor(
+    private readonly attemptId: string,
+    private next: number,
+  ) {}
+
+  /** True after the end event or a failure. */
+  get done(): boolean {
+    return this.ended;
+  }
+
+  /** Reads bytes and returns the events that they complete. */
+  read(bytes: Uint8Array): AnswerOutcome[] {
+    this.parser.feed(this.decoder.decode(bytes, {stream: true}));
+    return this.events.splice(0);
+  }
+
+  private readEvent(data: string): void {
+    if (this.ended || data === '[DONE]') return;
+    const chunk = parseChunk(data);
+    if (!chunk) {
+      this.end(fail({kind: 'lost', message: 'the stream is malformed'}));
+      return;
+    }
+    if ((chunk.attempt_id ?? this.attemptId) !== this.attemptId) {
+      const message = 'the stream carries another answer';
+      this.end(fail({kind: 'lost', message}));
+      return;
+    }
+    const choice = chunk.choices[0];
+    const text = choice?.delta?.content ?? '';
+    if (text !== '') this.readText(chunk.offset ?? this.next, text);
+    this.finishReason = choice?.finish_reason ?? this.finishReason;
+    if (this.finishReason !== '' && chunk.usage) this.finish(chunk.usage);
+  }
+
+  private readText(offset: number, text: string): void {
+    if (offset < this.next) return;
+    this.waiting.set(offset, text);
+    for (;;) {
+      const ready = this.waiting.get(this.next);
+      if (ready === undefined) break;
+      this.waiting.delete(this.next);
+      this.events.push(
+        succeed({type: 'delta', offset: this.next, text: ready}),
+      );
+      this.next++;
+    }
+    if (this.waiting.size <= MAX_WAITING_CHUNKS) return;
+    this.end(fail({kind: 'lost', message: 'a chunk did not come'}));
+  }
+
+  private finish(usage: NonNullable<Chunk['usage']>): void {
+    if (this.waiting.size > 0) {
+      this.end(fail({kind: 'lost', message: 'a chunk did not come'}));
+      return;
+    }
+    this.end(
+      succeed({
+        type: 'end',
+        finishReason: this.finishReason,
+        usage: {
+          promptTokens: usage.prompt_tokens,
+          completionTokens: usage.completion_tokens,
+        },
+      }),
+    );
+  }
+
+  private end(event: AnswerOutcome): void {
+    if (this.ended) return;
+    this.ended = true;
+    this.events.push(event);
+  }
+}
+
+function parseChunk(data: string): Chunk | null {
+  try {
+    return chunkSchema.parse(JSON.parse(data));
+  } catch {
+    return null;
+  }
+}
--- a/src/transport/public/completion_routes.ts
+++ b/src/transport/public/completion_routes.ts
@@ -2,11 +2,14 @@
 import {createHash} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {RequestError} from '../../protocol/completion.ts';
-import {completionRequestSchema} from '../../protocol/completion.ts';
+import {
+  completionRequestSchema,
+  type CompletionRequest,
+} from '../../protocol/completion.ts';
 import {formatVersion, type Customer} from '../../protocol/declaration.ts';
 import type {ControlView} from '../../protocol/control.ts';
 import {createIdentifier} from '../../protocol/identifiers.ts';
-import type {Outcome} from '../../protocol/outcome.ts';
+import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
 import type {RequestContext} from '../../coordination/requests/request_context.ts';
 import {
   runCompletion,
@@ -17,12 +20,10 @@
   isAllowed,
   isWithdrawn,
 } from '../../coordination/routing/select_version.ts';
-import {describeError, sendError, sendJson} from './http_errors.ts';
+import {sendError, sendJson} from './http_errors.ts';
 import {readBody} from './read_body.ts';
 import {readCallOptions} from './read_call_options.ts';
-
-/** How often a silent stream carries a comment line. */
-const KEEP_ALIVE_MS = 1_000;
+import {describeUsage, StreamWriter} from './stream_writer.ts';
 
 /** Answers `POST /v1/chat/completions`. */
 export async function handleCompletion(
@@ -39,12 +40,12 @@
     sendError(response, requestId, describeBadRequest(status, message));
     return;
   }
-  const parsed = parseRequest(body.value);
-  if (!parsed) {
-    const error = describeBadRequest(400, 'the body is not a completion');
-    sendError(response, requestId, error);
+  const checked = parseRequest(body.value);
+  if (!checked.ok) {
+    sendError(response, requestId, describeBadRequest(400, checked.error));
     return;
   }
+  const parsed = checked.value;
   const call: CompletionCall = {
     requestId,
     customer,
@@ -89,106 +90,14 @@
   call: CompletionCall,
   events: Events,
 ): Promise<void> {
-  const writer = new StreamWriter(response, call);
-  const timer = setInterval(() => writer.writeKeepAlive(), KEEP_ALIVE_MS);
-  try {
-    for await (const event of events) await writer.write(event);
-  } finally {
-    clearInterval(timer);
-    response.end();
-  }
-}
-
-/** Writes one answer as server-sent events. */
-class StreamWriter {
-  private readonly created = Math.floor(Date.now() / 1_000);
-  private version = '';
-  private lastWriteAt = performance.now();
-
-  constructor(
-    private readonly response: ServerResponse,
-    private readonly call: CompletionCall,
-  ) {}
-
-  async write(event: Outcome<CompletionEvent, RequestError>): Promise<void> {
-    if (!event.ok) {
-      this.writeError(event.error);
-      return;
-    }
-    const {value} = event;
-    switch (value.type) {
-      case 'start':
-        this.version = value.version;
-        setStartHeaders(this.response, value);
-        this.response.writeHead(200, {
-          'content-type': 'text/event-stream',
-          'cache-control': 'no-store',
-        });
-        this.response.flushHeaders();
-        return;
-      case 'delta':
-        await this.writeChunk({
-          choices: [
-            {index: 0, delta: {content: value.text}, finish_reason: null},
-          ],
-        });
-        return;
-      case 'end':
-        await this.writeChunk({
-          choices: [{index: 0, delta: {}, finish_reason: value.finishReason}],
-          usage: {
-            prompt_tokens: value.usage.promptTokens,
-            completion_tokens: value.usage.completionTokens,
-            total_tokens:
-              value.usage.promptTokens + value.usage.completionTokens,
-          },
-        });
-        await this.writeText('data: [DONE]\n\n');
-    }
-  }
-
-  writeKeepAlive(): void {
-    if (!this.response.headersSent) return;
-    if (performance.now() - this.lastWriteAt < KEEP_ALIVE_MS) return;
-    this.response.write(': waiting\n\n');
-  }
-
-  private writeError(error: RequestError): void {
-    const {requestId} = this.call;
-    if (!this.response.headersSent) {
-      sendError(this.response, requestId, error);
-      return;
-    }
-    const body = JSON.stringify(describeError(requestId, error));
-    this.response.write(`data: ${body}\n\n`);
-  }
-
-  private writeChunk(fields: object): Promise<void> {
-    const chunk = {
-      id: this.call.requestId,
-      object: 'chat.completion.chunk',
-      created: this.created,
-      model: this.version,
-      ...fields,
-    };
-    return this.writeText(`data: ${JSON.stringify(chunk)}\n\n`);
-  }
-
-  /** Writes, and waits while the caller reads too slowly. */
-  private async writeText(text: string): Promise<void> {
-    this.lastWriteAt = performance.now();
-    const {response} = this;
-    if (response.destroyed || response.write(text)) return;
-    await new Promise<void>(resolve => {
-      const finish = () => {
-        response.off('drain', finish);
-        response.off('close', finish);
-        resolve();
-      };
-      response.on('drain', finish);
-      response.on('close', finish);
-    });
+  const includeUsage = call.request.stream_options?.include_usage ?? false;
+  using writer = new StreamWriter(response, call.requestId, includeUsage);
+  for await (const event of events) {
+    // Awaited only while the caller reads too slowly.
+    const waiting = writer.write(event);
+    if (waiting) await waiting;
   }
+  response.end();
 }
 
 async function sendWhole(
@@ -204,51 +113,49 @@
       return;
     }
     const {value} = event;
-    if (value.type === 'start') {
-      version = value.version;
-      setStartHeaders(response, value);
+    switch (value.type) {
+      case 'accepted':
+        if (value.moved) response.setHeader('x-session-moved', 'withdrawn');
+        break;
+      case 'start':
+        version = value.version;
+        response.setHeader('x-version', version);
+        break;
+      case 'delta':
+        text += value.text;
+        break;
+      case 'end':
+        response.setHeader('x-outcome', 'answered');
+        sendJson(response, 200, {
+          id: call.requestId,
+          object: 'chat.completion',
+          created: Math.floor(Date.now() / 1_000),
+          model: version,
+          choices: [
+            {
+              index: 0,
+              message: {role: 'assistant', content: text, refusal: null},
+              logprobs: null,
+              finish_reason: value.finishReason,
+            },
+          ],
+          usage: describeUsage(value.usage),
+        });
     }
-    if (value.type === 'delta') text += value.text;
-    if (value.type !== 'end') continue;
-    const {promptTokens, completionTokens} = value.usage;
-    sendJson(response, 200, {
-      id: call.requestId,
-      object: 'chat.completion',
-      created: Math.floor(Date.now() / 1_000),
-      model: version,
-      choices: [
-        {
-          index: 0,
-          message: {role: 'assistant', content: text},
-          finish_reason: value.finishReason,
-        },
-      ],
-      usage: {
-        prompt_tokens: promptTokens,
-        completion_tokens: completionTokens,
-        total_tokens: promptTokens + completionTokens,
-      },
-    });
   }
 }
 
-function setStartHeaders(
-  response: ServerResponse,
-  start: Extract<CompletionEvent, {type: 'start'}>,
-): void {
-  response.setHeader('x-version', start.version);
-  if (start.repinned) response.setHeader('x-session-moved', 'withdrawn');
-}
-
-function parseRequest(body: Buffer) {
+function parseRequest(body: Buffer): Outcome<CompletionRequest, string> {
+  let value: unknown;
   try {
-    const parsed = completionRequestSchema.safeParse(
-      JSON.parse(body.toString('utf8')),
-    );
-    return parsed.success ? parsed.data : null;
+    value = JSON.parse(body.toString('utf8'));
   } catch {
-    return null;
+    return fail('the body is not JSON');
   }
+  const parsed = completionRequestSchema.safeParse(value);
+  if (parsed.success) return succeed(parsed.data);
+  const issue = parsed.error.issues[0];
+  return fail(`${issue?.path.join('.')}: ${issue?.message}`);
 }
 
 function describeBadRequest(status: number, reason: string): RequestError {
--- a/src/transport/public/service_routes.ts
+++ b/src/transport/public/service_routes.ts
@@ -67,6 +67,7 @@
   const {status, contentType, body: content} = answer.value;
   response.writeHead(status, {
     'content-type': contentType,
+    'content-length': content.length,
     'x-outcome': 'answered',
   });
   response.end(content);
--- /dev/null
+++ b/src/transport/public/stream_writer.ts
@@ -0,0 +1,140 @@
+/** Writes one answer to its caller as server-sent events. */
+import type {ServerResponse} from 'node:http';
+import type {RequestError, Usage} from '../../protocol/completion.ts';
+import type {Outcome} from '../../protocol/outcome.ts';
+import type {CompletionEvent} from '../../coordination/requests/run_completion.ts';
+import {describeError, sendError} from './http_errors.ts';
+
+/** How often a silent stream carries a comment line. */
+const KEEP_ALIVE_MS = 1_000;
+
+/** Usage in the form of OpenAI's interface. */
+export function describeUsage(usage: Usage) {
+  return {
+    prompt_tokens: usage.promptTokens,
+    completion_tokens: usage.completionTokens,
+    total_tokens: usage.promptTokens + usage.completionTokens,
+  };
+}
+
+/** A stream towards a caller. Dispose it when no event follows. */
+export class StreamWriter implements Disposable {
+  private readonly created = Math.floor(Date.now() / 1_000);
+  private readonly timer: NodeJS.Timeout;
+  private prefix = '';
+  private accepted = false;
+
+  constructor(
+    private readonly response: ServerResponse,
+    private readonly requestId: string,
+    private readonly includeUsage: boolean,
+  ) {
+    this.timer = setInterval(() => this.writeKeepAlive(), KEEP_ALIVE_MS);
+  }
+
+  [Symbol.dispose](): void {
+    clearInterval(this.timer);
+  }
+
+  /** Writes an event; a promise is returned while the caller is too slow. */
+  write(event: Outcome<CompletionEvent, RequestError>): Promise<void> | null {
+    if (!event.ok) {
+      this.writeError(event.error);
+      return null;
+    }
+    const {value} = event;
+    switch (value.type) {
+      case 'accepted':
+        this.accepted = true;
+        if (value.moved) {
+          this.response.setHeader('x-session-moved', 'withdrawn');
+        }
+        return null;
+      case 'start':
+        this.start(value.version);
+        return null;
+      case 'delta':
+        return this.writeText(
+          `${this.prefix}"choices":[{"index":0,"delta":{"content":` +
+            `${JSON.stringify(value.text)}},"finish_reason":null}]}\n\n`,
+        );
+      case 'end':
+        return this.writeText(
+          this.describeEnd(value.finishReason, value.usage),
+        );
+    }
+  }
+
+  private start(version: string): void {
+    if (!this.response.headersSent) {
+      this.response.setHeader('x-version', version);
+    }
+    this.sendHead();
+    const head = JSON.stringify({
+      id: this.requestId,
+      object: 'chat.completion.chunk',
+      created: this.created,
+      model: version,
+    });
+    // The same in every chunk, so it is written out only once.
+    this.prefix = `data: ${head.slice(0, -1)},`;
+    this.writeText(
+      `${this.prefix}"choices":[{"index":0,"delta":{"role":"assistant",` +
+        `"content":""},"finish_reason":null}]}\n\n`,
+    );
+  }
+
+  private describeEnd(finishReason: string, usage: Usage): string {
+    const choice = {index: 0, delta: {}, finish_reason: finishReason};
+    const last = `${this.prefix}"choices":[${JSON.stringify(choice)}]}\n\n`;
+    const described = JSON.stringify(describeUsage(usage));
+    const usageChunk = this.includeUsage
+      ? `${this.prefix}"choices":[],"usage":${described}}\n\n`
+      : '';
+    return `${last}${usageChunk}data: [DONE]\n\n`;
+  }
+
+  private sendHead(): void {
+    if (this.response.headersSent) return;
+    this.response.writeHead(200, {
+      'content-type': 'text/event-stream',
+      'cache-control': 'no-store',
+    });
+  }
+
+  /** Shows the caller that its connection is alive. */
+  private writeKeepAlive(): void {
+    const {response} = this;
+    if (!this.accepted || response.destroyed || response.writableEnded) return;
+    this.sendHead();
+    // A caller that does not read gets nothing on top.
+    if (!response.writableNeedDrain) response.write(': waiting\n\n');
+  }
+
+  private writeError(error: RequestError): void {
+    const {response, requestId} = this;
+    if (!response.headersSent) {
+      sendError(response, requestId, error);
+      return;
+    }
+    if (response.destroyed) return;
+    response.write(
+      `data: ${JSON.stringify(describeError(requestId, error))}\n\n`,
+    );
+  }
+
+  private writeText(text: string): Promise<void> | null {
+    const {response} = this;
+    this.timer.refresh();
+    if (response.destroyed || response.write(text)) return null;
+    return new Promise<void>(resolve => {
+      const finish = () => {
+        response.off('drain', finish);
+        response.off('close', finish);
+        resolve();
+      };
+      response.on('drain', finish);
+      response.on('close', finish);
+    });
+  }
+}
