--- a/src/cli/commands/serve_command.ts
+++ b/src/cli/commands/serve_command.ts
@@ -3,8 +3,6 @@
 import type {Command} from 'commander';
 import {settingsSchema, type Settings} from '../../protocol/settings.ts';
 import {formatIssue, parseToml} from '../../protocol/toml.ts';
-import {createLoggerFactory} from '../../transport/logging/create_logger.ts';
-import {startDaemon} from '../serve/daemon.ts';
 
 /** Adds the command to `program`. */
 export function addServeCommand(program: Command): void {
@@ -21,6 +19,9 @@
     process.exitCode = 2;
     return;
   }
+  const {createLoggerFactory} =
+    await import('../../transport/logging/create_logger.ts');
+  const {startDaemon} = await import('../serve/daemon.ts');
   const createLogger = createLoggerFactory(settings.log);
   const daemon = await startDaemon(settings, createLogger);
   const signal = await waitForSignal();
--- a/testing/system/system.ts
+++ b/testing/system/system.ts
@@ -146,6 +146,7 @@
       this.getPublicAddress(host),
       '--secret',
       join(this.folder, 'operator.secret'),
+      '--json',
     ];
     try {
       const {stdout, stderr} = await promisify(execFile)(
@@ -191,7 +192,7 @@
 
   /** The bills that a daemon with a disk knows of. */
   async readBills(host: string): Promise<BillRecord[]> {
-    const {output} = await this.runCommand(host, ['bills']);
+    const {output} = await this.runCommand(host, ['bills', 'export']);
     return JSON.parse(output) as BillRecord[];
   }
 
