--- a/src/protocol/control.ts
+++ b/src/protocol/control.ts
@@ -2,6 +2,7 @@
 import {z} from 'zod';
 import {declarationSchema} from './declaration.ts';
 import {
+  endCommandSchema,
   pauseCommandSchema,
   rolloutCommandSchemas,
   rolloutStateSchema,
@@ -48,6 +49,7 @@
     draining: z.boolean(),
   }),
   pauseCommandSchema,
+  endCommandSchema,
 ]);
 
 export type OperatorCommand = z.infer<typeof operatorCommandSchema>;
--- a/src/protocol/rollout_state.ts
+++ b/src/protocol/rollout_state.ts
@@ -69,6 +69,16 @@
   atMs: z.number().default(0),
 });
 
+/** Ends a roll-out for good, by evidence or by an operator. */
+export const endCommandSchema = z.object({
+  type: z.literal('end_rollout'),
+  model: z.string(),
+  version: z.string(),
+  /** `withdrawn` also withdraws the version. */
+  status: z.enum(['backed-out', 'withdrawn']),
+  reason: z.string(),
+});
+
 /** The orders about roll-outs, part of the control group's commands. */
 export const rolloutCommandSchemas = [
   z.object({
@@ -79,14 +89,7 @@
     fromStage: z.int().nonnegative(),
     atMs: z.number(),
   }),
-  z.object({
-    type: z.literal('end_rollout'),
-    model: z.string(),
-    version: z.string(),
-    /** `withdrawn` also withdraws the version. */
-    status: z.enum(['backed-out', 'withdrawn']),
-    reason: z.string(),
-  }),
+  endCommandSchema,
   pauseCommandSchema,
 ] as const;
 
