Read roll-outs from the view in force when planning

The committed state of each roll-out came into the view, so the planned second form of it goes. A candidate below its target is kept off before the halt is decided.

--- a/src/coordination/routing/completion_plan.ts
+++ b/src/coordination/routing/completion_plan.ts
@@ -1,7 +1,6 @@
 /** The plan of one completion: which versions to ask, and in which order. */
 import type {ControlView} from '../../protocol/control.ts';
 import type {Customer, Version} from '../../protocol/declaration.ts';
-import type {RolloutView} from '../../protocol/rollout.ts';
 import type {QualityEstimate} from '../quality/quality_estimate.ts';
 
 /** Why a version was not chosen. */
@@ -76,8 +75,6 @@
   readonly pinned?: string;
   /** Versions that an endpoint can serve now. */
   readonly served: ReadonlySet<string>;
-  /** The roll-outs in force; none by default. */
-  readonly rollouts?: readonly RolloutView[];
   readonly streamed: boolean;
   /** Time left for the whole request. */
   readonly deadlineMs: number;
--- a/src/coordination/routing/plan_completion_test.ts
+++ b/src/coordination/routing/plan_completion_test.ts
@@ -3,9 +3,10 @@
 import {
   declarationSchema,
   formatVersion,
+  type Customer,
   type Version,
 } from '../../protocol/declaration.ts';
-import type {RolloutView} from '../../protocol/rollout.ts';
+import type {RolloutState} from '../../protocol/rollout_state.ts';
 import {estimateQuality} from '../quality/estimate_quality.ts';
 import {addScore, createScoreHistogram} from '../quality/score_histogram.ts';
 import type {CompletionPlan, PlanCompletionOptions} from './completion_plan.ts';
@@ -41,6 +42,14 @@
 const [customer] = declaration.customers;
 assert.ok(customer);
 
+const view = {
+  revision: 1,
+  declaration,
+  withdrawals: [],
+  draining: [],
+  rollouts: [],
+};
+
 /** Scores of the small version: good two times of three. */
 const mixed = createScoreHistogram();
 for (let index = 0; index < 300; index++) {
@@ -80,14 +89,29 @@
   return steps.map(step => `${formatVersion(step.version)} ${step.release}`);
 }
 
-const rollout: RolloutView = {
+const rollout: RolloutState = {
   model: 'draft',
-  candidate: 'draft/next',
-  stable: 'draft/large',
-  share: 1,
-  mode: 'direct',
+  version: 'next',
+  stable: 'large',
   status: 'running',
+  stage: 0,
+  share: 1,
+  stageSinceMs: 0,
+  reason: '',
 };
+
+function rollOut(
+  state: Partial<RolloutState>,
+  exposure: Customer['exposure'],
+  changes: Partial<PlanCompletionOptions> = {},
+): CompletionPlan {
+  return plan({
+    view: {...view, rollouts: [{...rollout, ...state}]},
+    customer: {...customer!, exposure},
+    served: all,
+    ...changes,
+  });
+}
 const all = new Set(['draft/small', 'draft/large', 'draft/next']);
 
 test('planCompletion() plans a cascade that is cheaper at the target', () => {
@@ -123,17 +147,11 @@
 });
 
 test('planCompletion() refuses what is withdrawn or not allowed', () => {
-  const view = {
-    revision: 2,
-    declaration,
-    withdrawals: [
-      {version: 'draft/small', reason: ''},
-      {version: 'draft/large', reason: ''},
-    ],
-    draining: [],
-    rollouts: [],
-  };
-  const result = plan({view});
+  const withdrawals = ['draft/small', 'draft/large'].map(version => ({
+    version,
+    reason: '',
+  }));
+  const result = plan({view: {...view, withdrawals}});
   assert.deepEqual(result.steps, []);
   assert.deepEqual(result.rejected.map(each => each.reason).sort(), [
     'no endpoint',
@@ -145,41 +163,42 @@
 });
 
 test('planCompletion() sends the share of a direct roll-out', () => {
-  const inside = plan({served: all, rollouts: [rollout], sticky: true});
-  assert.deepEqual(listSteps(inside), ['draft/next direct']);
-  const outside = plan({
-    served: all,
-    rollouts: [{...rollout, share: 0}],
-    sticky: true,
-  });
-  assert.deepEqual(listSteps(outside), ['draft/large direct']);
-  const halted = plan({
-    served: all,
-    rollouts: [{...rollout, status: 'halted'}],
+  const sticky = {sticky: true};
+  const steps = (state: Partial<RolloutState>) =>
+    listSteps(rollOut(state, 'direct', sticky));
+  assert.deepEqual(steps({}), ['draft/next direct']);
+  assert.deepEqual(steps({share: 0}), ['draft/large direct']);
+  assert.deepEqual(steps({status: 'withdrawn'}), ['draft/large direct']);
+  assert.deepEqual(steps({status: 'completed', share: 1}), [
+    'draft/next direct',
+  ]);
+});
+
+test('planCompletion() keeps off a candidate that is rated badly', () => {
+  const result = rollOut({}, 'direct', {
     sticky: true,
+    estimateQuality: (version: Version) =>
+      estimateQuality(createScoreHistogram(), {
+        declared: version.name === 'large' ? 0.85 : 0.7,
+      }),
   });
-  assert.deepEqual(listSteps(halted), ['draft/large direct']);
+  assert.deepEqual(listSteps(result), ['draft/large direct']);
 });
 
 test('planCompletion() holds a gated candidate until it is rated', () => {
-  const gated = {...rollout, mode: 'gated' as const};
-  const result = plan({served: all, rollouts: [gated], streamed: true});
+  const result = rollOut({}, 'gated', {streamed: true});
   assert.deepEqual(listSteps(result), [
     'draft/next rated',
     'draft/large direct',
   ]);
   assert.equal(result.steps[0]?.whenUnrated, 'next');
-  const closed = plan({
-    served: all,
-    rollouts: [gated],
-    rating: {available: false, delayMs: 0},
-  });
+  const rating = {available: false, delayMs: 0};
+  const closed = rollOut({}, 'gated', {rating});
   assert.deepEqual(listSteps(closed), ['draft/large direct']);
 });
 
 test('planCompletion() shadows gated candidates in sessions', () => {
-  const gated = {...rollout, mode: 'gated' as const};
-  const result = plan({served: all, rollouts: [gated], sticky: true});
+  const result = rollOut({}, 'gated', {sticky: true});
   assert.deepEqual(listSteps(result), ['draft/large direct']);
   assert.equal(result.shadow?.name, 'next');
 });
--- a/src/coordination/routing/rollout_choice.ts
+++ b/src/coordination/routing/rollout_choice.ts
@@ -1,17 +1,23 @@
 /** What the roll-outs in force mean for one request. */
 import {createHash} from 'node:crypto';
-import {formatVersion, type Version} from '../../protocol/declaration.ts';
-import type {Exposure, RolloutView} from '../../protocol/rollout.ts';
+import {
+  formatVersion,
+  type Customer,
+  type Version,
+} from '../../protocol/declaration.ts';
+import type {RolloutState} from '../../protocol/rollout_state.ts';
 import type {
   PlanCompletionOptions,
   RejectedVersion,
 } from './completion_plan.ts';
+import {findTarget} from './eligible_versions.ts';
 
 /** A candidate that this request is to meet. */
 export interface RolloutChoice {
   readonly candidate: Version;
+  /** The version that it replaces, as `model/version`. */
   readonly stable: string;
-  readonly mode: Exposure;
+  readonly mode: Customer['exposure'];
 }
 
 /** The versions of a request after its roll-outs. */
@@ -21,13 +27,7 @@
   readonly choice: RolloutChoice | null;
 }
 
-const STRICTNESS: Readonly<Record<Exposure, number>> = {
-  direct: 0,
-  gated: 1,
-  shadow: 2,
-};
-
-/** Takes out the candidates that this request must not meet directly. */
+/** Takes out the versions that this request must not meet directly. */
 export function applyRollouts(
   versions: readonly Version[],
   options: PlanCompletionOptions,
@@ -35,49 +35,66 @@
   let kept = versions;
   let choice: RolloutChoice | null = null;
   const rejected: RejectedVersion[] = [];
-  const drop = (version: string, reason: string) => {
-    if (!kept.some(each => formatVersion(each) === version)) return;
-    kept = kept.filter(each => formatVersion(each) !== version);
-    rejected.push({version, reason});
-  };
-  for (const rollout of options.rollouts ?? []) {
-    if (rollout.status === 'done') continue;
-    if (options.pinned === rollout.candidate) {
-      if (rollout.status === 'running') continue;
-    }
+  for (const rollout of options.view.rollouts) {
+    const names = nameVersions(rollout);
     const candidate = kept.find(
-      each => formatVersion(each) === rollout.candidate,
+      each => formatVersion(each) === names.candidate,
     );
-    if (!candidate) continue;
-    if (rollout.status !== 'running') {
-      drop(rollout.candidate, `roll-out ${rollout.status}`);
-    } else if (!isInShare(options.routingKey, rollout)) {
-      drop(rollout.candidate, 'outside the roll-out share');
-    } else {
-      const mode = selectMode(rollout, options);
-      choice = {candidate, stable: rollout.stable, mode};
-      if (mode === 'direct') drop(rollout.stable, 'replaced by the roll-out');
-      else drop(rollout.candidate, `${mode} roll-out`);
-    }
+    if (!candidate || options.pinned === names.candidate) continue;
+    const reason = findObstacle(candidate, rollout, options);
+    const mode = selectMode(rollout, options);
+    if (reason === null) choice = {candidate, stable: names.stable, mode};
+    const direct = reason === null && mode === 'direct';
+    const dropped = direct ? names.stable : names.candidate;
+    const why = direct ? 'replaced by the roll-out' : `${mode} roll-out`;
+    if (!kept.some(each => formatVersion(each) === dropped)) continue;
+    kept = kept.filter(each => formatVersion(each) !== dropped);
+    rejected.push({version: dropped, reason: reason ?? why});
   }
   return {versions: kept, rejected, choice};
 }
 
 /** Whether a session or request falls into a roll-out's share. */
-export function isInShare(routingKey: string, rollout: RolloutView): boolean {
+export function isInShare(routingKey: string, rollout: RolloutState): boolean {
   const digest = createHash('sha256')
-    .update(`${rollout.candidate}\u0000${routingKey}`)
+    .update(`${nameVersions(rollout).candidate}\u0000${routingKey}`)
     .digest();
   return digest.readUInt32BE(0) / 2 ** 32 < rollout.share;
 }
 
-/** The stricter of the plan's mode and the customer's own. */
-function selectMode(
-  rollout: RolloutView,
+/** Why the candidate must not serve this request at all. */
+function findObstacle(
+  candidate: Version,
+  rollout: RolloutState,
   options: PlanCompletionOptions,
-): Exposure {
-  const own = options.customer.exposure;
-  const mode = STRICTNESS[own] > STRICTNESS[rollout.mode] ? own : rollout.mode;
+): string | null {
+  const {status} = rollout;
+  if (status === 'backed-out' || status === 'withdrawn') {
+    return `roll-out ${status}`;
+  }
+  if (status !== 'completed' && !isInShare(options.routingKey, rollout)) {
+    return 'outside the roll-out share';
+  }
+  const {requestClass = 'default', customer} = options;
+  const target = findTarget(customer, requestClass)?.quality ?? 0;
+  const {lower} = options.estimateQuality(candidate, requestClass);
+  return lower < target ? 'rolled out, but below the target' : null;
+}
+
+/** How the candidate reaches this request's caller. */
+function selectMode(
+  rollout: RolloutState,
+  {customer, sticky}: PlanCompletionOptions,
+): Customer['exposure'] {
+  if (rollout.status === 'completed') return 'direct';
   // A gate may replace an answer, and a session must not change versions.
-  return mode === 'gated' && options.sticky ? 'shadow' : mode;
+  if (customer.exposure === 'gated' && sticky) return 'shadow';
+  return customer.exposure;
+}
+
+function nameVersions({model, version, stable}: RolloutState): {
+  candidate: string;
+  stable: string;
+} {
+  return {candidate: `${model}/${version}`, stable: `${model}/${stable}`};
 }
