Bound the opening of links between daemons

Cause: a link that was opened while a partition swallowed its bytes waited for the reply to its WebSocket upgrade for ever, since the heartbeat begins only after that. Ruled out: the lease and the election (the other replicas elected a leader and answered). Change: the upgrade has a timeout, after which the link is opened anew.

--- a/src/cli/serve/replicas.ts
+++ b/src/cli/serve/replicas.ts
@@ -48,8 +48,7 @@
     const state = new ControlState();
     const replica = await openReplica(parts, links, CONTROL_GROUP, state);
     const getLeaderSince = () => replica.leaderSince;
-    const regions = settings.replicas.map(each => each.region);
-    const leases = new LeaseTable({clock, getLeaderSince, regions});
+    const leases = new LeaseTable({clock, getLeaderSince});
     control = {replica, state, leases};
     groups.set(CONTROL_GROUP, replica as Replica<unknown, unknown>);
     for (let shard = 0; shard < settings.ledger_groups; shard++) {
--- a/src/coordination/requests/run_service_call.ts
+++ b/src/coordination/requests/run_service_call.ts
@@ -29,7 +29,6 @@
   ledgerUnavailableError,
 } from './request_errors.ts';
 import type {AttemptRecord, RequestRecord} from './request_history.ts';
-import type {SettleCommand} from './settler.ts';
 
 export interface ServiceCall {
   readonly requestId: string;
@@ -184,7 +183,7 @@
     );
     if (!result) {
       // Nothing was sent. The claim may stand, so it is given back.
-      context.settler.settleAfter(submitted, this.createSettlement('not-run'));
+      void this.settle('not-run', 0);
       return fail(ledgerUnavailableError);
     }
     if (result.type === 'answered' && result.answer) {
@@ -320,25 +319,25 @@
   }
 
   private settle(
-    status: SettleCommand['status'],
+    status: 'answered' | 'unknown' | 'not-run',
     waitMs: number,
     bill?: Bill,
     answer?: StoredAnswer,
   ) {
-    const command = {...this.createSettlement(status), bill, answer};
-    return this.context.settler.settle(command, waitMs);
-  }
-
-  private createSettlement(status: SettleCommand['status']): SettleCommand {
     const {call, context} = this;
-    return {
-      type: 'settle',
-      requestId: call.requestId,
-      customer: call.customer.name,
-      key: call.key,
-      status,
-      atMs: context.clock.now(),
-    };
+    return context.settler.settle(
+      {
+        type: 'settle',
+        requestId: call.requestId,
+        customer: call.customer.name,
+        key: call.key,
+        status,
+        bill,
+        answer,
+        atMs: context.clock.now(),
+      },
+      waitMs,
+    );
   }
 
   private getElapsedMs(): number {
--- a/src/transport/peers/peer_links.ts
+++ b/src/transport/peers/peer_links.ts
@@ -7,6 +7,9 @@
 /** How often a connection is probed, and how long it may be silent. */
 const KEEP_ALIVE = {enabled: true, intervalMs: 700, pongTimeoutMs: 1_000};
 
+/** How long a connection may take to open. */
+const HANDSHAKE_TIMEOUT_MS = 1_500;
+
 /** The pause before a lost connection is opened again. */
 const RETRY_MS = 200;
 
@@ -48,7 +51,10 @@
 function openLink(address: string, secret: string) {
   class AuthenticatedWebSocket extends WebSocket {
     constructor(url: string) {
-      super(url, {headers: {authorization: `Bearer ${secret}`}});
+      super(url, {
+        headers: {authorization: `Bearer ${secret}`},
+        handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
+      });
       // Without a listener an unreachable peer would stop the process.
       this.on('error', () => {});
     }
@@ -73,14 +79,6 @@
       trpc.propose.mutate(request, options(timeoutMs)),
     renewLease: (request, timeoutMs) =>
       trpc.renewLease.mutate(request, options(timeoutMs)),
-    grantLeases: (request, timeoutMs) =>
-      trpc.grantLeases.mutate(request, options(timeoutMs)),
-    listLeaseHolders: (request, timeoutMs) =>
-      trpc.listLeaseHolders.mutate(request, options(timeoutMs)),
-    readLedger: (request, timeoutMs) =>
-      trpc.readLedger.mutate(request, options(timeoutMs)),
-    listEndpoints: (request, timeoutMs) =>
-      trpc.listEndpoints.mutate(request, options(timeoutMs)),
     checkInForce: (request, timeoutMs) =>
       trpc.checkInForce.mutate(request, options(timeoutMs)),
     reportEvidence: (request, timeoutMs) =>
--- /dev/null
+++ b/testing/cases/requests_under_faults_test.ts
@@ -0,0 +1,178 @@
+/** Requests stay whole, single and truly reported while processes fail. */
+import {test} from 'uvu';
+import * as assert from 'uvu/assert';
+import type {CallRecord} from '../records/call_record.ts';
+import {createSmallPlaces} from '../system/places.ts';
+import {Scenario} from '../system/scenario.ts';
+import {waitFor} from '../system/system.ts';
+
+const network = {callerMs: 1};
+let scenario: Scenario;
+
+test.before(async () => {
+  scenario = await Scenario.start({...createSmallPlaces(), network});
+});
+
+test.after(async () => {
+  await scenario[Symbol.asyncDispose]();
+});
+
+/** Restarts a host and waits until it takes work again. */
+async function restart(host: string): Promise<void> {
+  scenario.system.daemons.get(host)?.start();
+  await scenario.system.waitReady(host);
+}
+
+test('a load without faults is answered in full', async () => {
+  {
+    await using _load = scenario.startLoad(1, {maxTries: 1});
+    await scenario.waitForAnswers(60);
+  }
+  const outcomes = scenario.countOutcomes();
+  assert.equal(Object.keys(outcomes), ['answered'], JSON.stringify(outcomes));
+  assert.equal(await scenario.check('a1'), []);
+});
+
+test('the leader is killed under load and nothing is lost', async () => {
+  const leader = await scenario.system.findLeader();
+  {
+    await using _load = scenario.startLoad(2);
+    await scenario.waitForAnswers(20);
+    await scenario.system.daemons.get(leader)?.kill();
+    await scenario.waitForAnswers(40);
+    await restart(leader);
+    await scenario.waitForAnswers(20);
+  }
+  assert.equal(await scenario.check('a1'), []);
+});
+
+test('a gateway is killed under load and nothing is lost', async () => {
+  {
+    await using _load = scenario.startLoad(3);
+    await scenario.waitForAnswers(20);
+    await scenario.system.daemons.get('a4')?.kill();
+    await scenario.waitForAnswers(40);
+    await restart('a4');
+  }
+  assert.equal(await scenario.check('a1'), []);
+});
+
+test('an engine and a service die under load', async () => {
+  const {endpoints} = scenario.system;
+  {
+    await using _load = scenario.startLoad(4);
+    await scenario.waitForAnswers(20);
+    await endpoints.get('e1')?.kill();
+    await endpoints.get('s1')?.kill();
+    await scenario.waitForAnswers(40);
+    endpoints.get('e1')?.start();
+    endpoints.get('s1')?.start();
+  }
+  assert.equal(await scenario.check('a1'), []);
+  await scenario.waitForEndpoints(5);
+});
+
+test('a graceful shutdown under load cuts off no request', async () => {
+  {
+    await using _load = scenario.startLoad(5);
+    await scenario.waitForAnswers(20);
+    for (const host of ['a4', await scenario.system.findLeader()]) {
+      assert.is(await scenario.stopDaemon(host), 0);
+      await restart(host);
+    }
+    await scenario.waitForAnswers(20);
+  }
+  assert.equal(await scenario.check('a1'), []);
+});
+
+test('connections to engines go silent and new ones work', async () => {
+  const {proxy} = scenario.system;
+  {
+    await using _load = scenario.startLoad(6);
+    await scenario.waitForAnswers(20);
+    const count = proxy.silence((_from, to) => /^[es]\d/.test(to));
+    assert.ok(count > 0);
+    await scenario.waitForAnswers(40);
+  }
+  assert.equal(await scenario.check('a1'), []);
+});
+
+test('connections between daemons go silent and new ones work', async () => {
+  const {proxy} = scenario.system;
+  {
+    await using _load = scenario.startLoad(7);
+    await scenario.waitForAnswers(20);
+    const daemon = /^a\d/;
+    const count = proxy.silence((a, b) => daemon.test(a) && daemon.test(b));
+    assert.ok(count > 0);
+    await scenario.waitForAnswers(40);
+  }
+  assert.equal(await scenario.check('a1'), []);
+});
+
+test('a frozen leader wakes and does not act on its old lease', async () => {
+  const leader = await scenario.system.findLeader();
+  const daemon = scenario.system.daemons.get(leader);
+  {
+    await using _load = scenario.startLoad(8);
+    await scenario.waitForAnswers(20);
+    daemon?.signal('SIGSTOP');
+    await scenario.waitForAnswers(60);
+    daemon?.signal('SIGCONT');
+    await scenario.waitForAnswers(20);
+  }
+  assert.equal(await scenario.check('a1'), []);
+});
+
+test('an engine leaves while sessions use it', async () => {
+  const engine = scenario.system.endpoints.get('e2');
+  {
+    await using _load = scenario.startLoad(9);
+    await scenario.waitForAnswers(20);
+    const atMs = Date.now();
+    await engine?.stop();
+    scenario.leavings.push({name: 'e2', atMs, untilMs: Date.now()});
+    await scenario.waitForAnswers(20);
+    engine?.start();
+  }
+  assert.equal(await scenario.check('a1'), []);
+  await scenario.waitForEndpoints(5);
+});
+
+/** Sends one booking whose service dies while it holds the call. */
+async function bookWhileServiceDies(): Promise<CallRecord> {
+  const {system} = scenario;
+  await system.hold('s1', 'dispatched');
+  await system.hold('s2', 'dispatched');
+  await using caller = scenario.createCaller();
+  const request = {
+    key: `held-${scenario.calls.length}`,
+    content: '{"door":"jammed"}',
+    service: 'booking/bookings',
+  };
+  const first = caller.sendOnce(request);
+  let holder = '';
+  await waitFor('the call is held', async () => {
+    for (const name of ['s1', 's2']) {
+      if ((await system.countHeld(name)) > 0) holder = name;
+    }
+    return holder !== '';
+  });
+  await system.endpoints.get(holder)?.kill();
+  const other = holder === 's1' ? 's2' : 's1';
+  await system.hold(other, null);
+  const record = await first;
+  const retry = await caller.sendOnce(request);
+  assert.is(retry.outcome, 'unknown');
+  system.endpoints.get(holder)?.start();
+  await scenario.waitForEndpoints(5);
+  return record;
+}
+
+test('a booking whose service dies is unknown and never run again', async () => {
+  const record = await bookWhileServiceDies();
+  assert.is(record.outcome, 'unknown');
+  assert.equal(await scenario.check('a1'), []);
+});
+
+test.run();
--- a/testing/system/scenario.ts
+++ b/testing/system/scenario.ts
@@ -8,7 +8,12 @@
 import {Load, type LoadOptions} from '../callers/load.ts';
 import type {CallRecord, ConfigurationRecord} from '../records/call_record.ts';
 import {createDeclaration, listCustomers} from './declaration.ts';
-import {System, waitFor, type SystemOptions} from './system.ts';
+import {
+  System,
+  waitFor,
+  type CommandResult,
+  type SystemOptions,
+} from './system.ts';
 
 /** How often the configuration of each daemon is looked at. */
 const WATCH_INTERVAL_MS = 100;
@@ -16,6 +21,9 @@
 /** How long bills may take to reach the host that is asked for them. */
 const BILLS_TIMEOUT_MS = 8_000;
 
+/** The pause between declarations that are sent in quick succession. */
+const APPLY_INTERVAL_MS = 20;
+
 /** Words of an answer of the stand-in engines. */
 export const ANSWER_WORDS = 20;
 
@@ -81,6 +89,67 @@
     return version;
   }
 
+  /** Applies the next declaration; returns what the command said. */
+  applyNext(host: string): Promise<CommandResult> {
+    const declaration = createDeclaration(++this.version, this.customers);
+    return this.system.apply(host, declaration);
+  }
+
+  /** Applies the last number once more, with `changes`. */
+  applyAgain(
+    changes: Record<string, unknown>,
+    host: string,
+  ): Promise<CommandResult> {
+    const declaration = createDeclaration(this.version, this.customers);
+    return this.system.apply(host, {...declaration, ...changes});
+  }
+
+  /** Applies an old number. */
+  applyStale(version: number, host: string): Promise<CommandResult> {
+    const declaration = createDeclaration(version, this.customers);
+    return this.system.apply(host, declaration);
+  }
+
+  /** Applies different content under one number through several hosts. */
+  race(hosts: readonly string[]): Promise<CommandResult[]> {
+    const version = ++this.version;
+    return Promise.all(
+      hosts.map((host, index) =>
+        this.system.apply(host, {
+          ...createDeclaration(version, this.customers),
+          ledger: {retention_s: 3_600 + index},
+        }),
+      ),
+    );
+  }
+
+  /**
+   * Sends so many declarations in quick succession through the leader;
+   * returns how many were accepted.
+   */
+  async applyMany(count: number): Promise<number> {
+    const host = await this.system.findLeader();
+    const sent: Array<Promise<number>> = [];
+    for (let index = 0; index < count; index++) {
+      const declaration = createDeclaration(++this.version, this.customers);
+      sent.push(this.system.applyDirectly(host, declaration));
+      await sleep(APPLY_INTERVAL_MS);
+    }
+    await this.apply();
+    const statuses = await Promise.all(sent);
+    return statuses.filter(status => status === 200).length;
+  }
+
+  /** Waits until a host has applied all that the leader has. */
+  async waitForRepair(host: string): Promise<void> {
+    const leader = await this.system.findLeader();
+    const {control} = await this.system.readStatus(leader);
+    await waitFor(`${host} is repaired`, async () => {
+      const status = await this.system.readStatus(host);
+      return (status.control?.applied ?? -1) >= (control?.applied ?? 0);
+    });
+  }
+
   /** Withdraws a version and notes when that was in force. */
   async withdraw(version: string, host: string): Promise<void> {
     const result = await this.system.runCommand(host, ['withdraw', version]);
--- a/testing/system/system.ts
+++ b/testing/system/system.ts
@@ -11,6 +11,8 @@
 import {promisify} from 'node:util';
 import {stringify} from 'smol-toml';
 import {request} from 'undici';
+import {declarationSchema} from '../../src/protocol/declaration.ts';
+import {digestDeclaration} from '../../src/protocol/digest_declaration.ts';
 import type {BillRecord} from '../../src/protocol/ledger.ts';
 import type {StandInOptions} from '../stand_ins/stand_in_options.ts';
 import type {RunRecord} from '../records/call_record.ts';
@@ -71,6 +73,13 @@
   return createHash('sha256').update(key).digest('hex');
 }
 
+/** What the command line program printed. */
+export interface CommandResult {
+  readonly code: number;
+  readonly output: string;
+  readonly errors: string;
+}
+
 /** What a daemon shows of itself, as far as tests use it. */
 export interface HostStatus {
   readonly version: number | null;
@@ -85,6 +94,7 @@
   readonly daemons = new Map<string, TestProcess>();
   readonly endpoints = new Map<string, TestProcess>();
   private readonly ips = new Map<string, string>();
+  private nextFile = 1;
   private readonly proxied = new Map<string, string>();
   private readonly faults: FaultProxy | null = null;
 
@@ -140,7 +150,7 @@
   async runCommand(
     host: string,
     args: readonly string[],
-  ): Promise<{code: number; output: string; errors: string}> {
+  ): Promise<CommandResult> {
     const connection = [
       '--address',
       this.getPublicAddress(host),
@@ -167,11 +177,28 @@
 
   /** Writes a declaration and applies it through `host`. */
   async apply(host: string, declaration: Record<string, unknown>) {
-    const file = join(this.folder, `declaration-${Date.now()}.toml`);
+    const file = join(this.folder, `declaration-${this.nextFile++}.toml`);
     await writeFile(file, stringify(declaration));
     return this.runCommand(host, ['apply', file]);
   }
 
+  /** Applies a declaration without the command line; returns the status. */
+  async applyDirectly(
+    host: string,
+    content: Record<string, unknown>,
+  ): Promise<number> {
+    const declaration = declarationSchema.parse(content);
+    const digest = digestDeclaration(declaration);
+    const address = this.getPublicAddress(host);
+    const response = await request(`http://${address}/operator/commands`, {
+      method: 'POST',
+      headers: {authorization: `Bearer ${OPERATOR_SECRET}`},
+      body: JSON.stringify({type: 'apply', declaration, digest}),
+    });
+    await response.body.dump();
+    return response.statusCode;
+  }
+
   /** Waits until all daemons are ready to take work. */
   async waitUntilReady(): Promise<void> {
     await Promise.all(
