--- a/src/cli/serve/call_replica.ts
+++ b/src/cli/serve/call_replica.ts
@@ -1,10 +1,10 @@
 /** Reaches the daemons that carry replicas, this one included. */
 import type {PeerService} from '../../protocol/peer_service.ts';
 import type {Settings} from '../../protocol/settings.ts';
-import type {PeerLinks} from '../../transport/peers/peer_links.ts';
+import type {PeerClient, PeerLinks} from '../../transport/peers/peer_links.ts';
 
 /** Returns the service of a replica by its name. */
-export type CallReplica = (name: string) => PeerService;
+export type CallReplica = (name: string) => PeerClient;
 
 /** Creates the function that reaches a replica, without a link if local. */
 export function createReplicaCaller(
--- a/src/cli/serve/daemon.ts
+++ b/src/cli/serve/daemon.ts
@@ -5,6 +5,7 @@
 import type {CreateLogger} from '../../protocol/logger.ts';
 import type {Settings} from '../../protocol/settings.ts';
 import {ConfigurationLease} from '../../coordination/leases/configuration_lease.ts';
+import type {LeaseRelay} from '../../coordination/leases/lease_relay.ts';
 import {EndpointTable} from '../../coordination/membership/endpoint_table.ts';
 import {EvidenceCollector} from '../../coordination/rollout/evidence_collector.ts';
 import {EvidenceLedger} from '../../coordination/rollout/evidence_ledger.ts';
@@ -22,6 +23,7 @@
 import {createExchange} from './exchange.ts';
 import {createOperatorService} from './operator_service.ts';
 import {createPeerService} from './peer_service.ts';
+import {openLeaseRelay} from './lease_relay.ts';
 import {createLeaseRenewal} from './renew_lease.ts';
 import {CONTROL_GROUP, openReplicas} from './replicas.ts';
 import {startRollouts} from './rollouts.ts';
@@ -66,8 +68,15 @@
   const replicas = await openReplicas(parts, links);
   const endpoints = new EndpointTable(clock);
   const evidence = new EvidenceLedger(clock);
-  const service = createPeerService({replicas, endpoints, evidence});
+  let relay: LeaseRelay | null = null;
+  const service = createPeerService({
+    replicas,
+    endpoints,
+    evidence,
+    renewLease: async request => relay?.renew(request) ?? {type: 'unavailable'},
+  });
   const callReplica = createReplicaCaller(settings, links, service);
+  relay = openLeaseRelay(parts, replicas, callReplica);
   const listReplicas = () => orderReplicas(settings);
   const propose = createProposer({
     listReplicas,
@@ -83,7 +92,12 @@
       logger: createLogger('lease'),
       incarnation,
       describeHost: () => describeHost(settings, leaving),
-      renew: createLeaseRenewal({listReplicas, callReplica}),
+      renew: createLeaseRenewal({
+        clock,
+        listReplicas,
+        ask: (name, request, timeoutMs) =>
+          callReplica(name).renewLease(request, timeoutMs),
+      }),
     }),
   );
   const context = createRequestContext(parts, {
@@ -118,6 +132,7 @@
         lease,
         replicas,
         endpoints,
+        ledgerGroups: settings.ledger_groups,
       }),
       listHosts: () => lease.listHosts(),
       announce: createExchange({settings, lease, links, endpoints}),
@@ -125,6 +140,7 @@
     }),
   );
   replicas.start();
+  relay?.start();
   lease.start();
   startRollouts(parts, {
     replicas,
--- a/src/cli/serve/operator_service.ts
+++ b/src/cli/serve/operator_service.ts
@@ -4,10 +4,12 @@
   ControlCommand,
   ControlResult,
   OperatorCommand,
+  UnreachableRegion,
 } from '../../protocol/control.ts';
 import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
 import type {ProposeReply} from '../../protocol/peer_service.ts';
 import type {ConfigurationLease} from '../../coordination/leases/configuration_lease.ts';
+import {formatLedgerGroup} from '../../coordination/requests/ledger_client.ts';
 import type {EndpointTable} from '../../coordination/membership/endpoint_table.ts';
 import {checkDeclaration} from '../../protocol/check_declaration.ts';
 import {digestDeclaration} from '../../protocol/digest_declaration.ts';
@@ -23,11 +25,15 @@
   readonly callReplica: CallReplica;
   readonly replicas: Replicas;
   readonly endpoints: EndpointTable;
+  readonly ledgerGroups: number;
 }
 
 /** How long an operator waits for a change to be in force everywhere. */
 const IN_FORCE_TIMEOUT_MS = 9_000;
 
+/** How long one replica may take to answer a read. */
+const READ_TIMEOUT_MS = 1_500;
+
 /** How often the leases are looked at meanwhile. */
 const POLL_MS = 50;
 
@@ -47,12 +53,13 @@
       }
       const result = reply.result as ControlResult;
       if (result.type !== 'accepted') return {status: 409, body: result};
-      const inForce = await waitUntilInForce(options, result.revision);
-      return {status: 200, body: {...result, inForce}};
+      const state = await waitUntilInForce(options, result.revision);
+      return {status: 200, body: {...result, ...state}};
     },
     async describeStatus() {
       const view = lease.getView();
       return {
+        lease: lease.isHeld() ? 'held' : view ? 'isolated' : 'lost',
         revision: view?.revision ?? null,
         version: view?.declaration?.version ?? null,
         withdrawals: view?.withdrawals ?? [],
@@ -67,10 +74,9 @@
       };
     },
     async exportBills(shard, after) {
-      const bills = (replicas.ledgers[shard]?.bills ?? []).slice(after);
-      const cursor = after + bills.length;
-      const shards = replicas.ledgers.length;
-      return {bills, cursor, complete: true, shards};
+      const shards = options.ledgerGroups;
+      const reply = await readLedger(options, formatLedgerGroup(shard), after);
+      return reply && {...reply.page, shards};
     },
   };
 }
@@ -107,31 +113,59 @@
       };
 }
 
+/** How far a change has come. */
+interface InForceState {
+  /** Whether no daemon acts on an older configuration by its lease. */
+  readonly inForce: boolean;
+  /** Regions that may be cut off and go on with older, stable versions. */
+  readonly except?: readonly UnreachableRegion[];
+  /** The daemons that were waited for in vain; `null` when not known. */
+  readonly behind?: readonly string[] | null;
+}
+
 async function waitUntilInForce(
   options: OperatorServiceOptions,
   revision: number,
-): Promise<boolean> {
+): Promise<InForceState> {
   const {clock} = options;
   const deadline = clock.monotonic() + IN_FORCE_TIMEOUT_MS;
+  let behind: readonly string[] | null = null;
   while (clock.monotonic() < deadline) {
-    const behind = await findBehind(options, revision);
-    if (behind?.length === 0) return true;
+    const reply = await findBehind(options, revision);
+    behind = reply?.hosts ?? null;
+    if (reply && behind?.length === 0) {
+      const except = reply.unreachable;
+      return {inForce: true, ...(except.length === 0 ? {} : {except})};
+    }
     await clock.sleep(POLL_MS);
   }
-  return false;
+  return {inForce: false, behind};
+}
+
+/** Who is behind a revision; `null` when no leader answers. */
+async function findBehind(options: OperatorServiceOptions, revision: number) {
+  for (const name of options.listReplicas()) {
+    const reply = await options
+      .callReplica(name)
+      .checkInForce({revision}, READ_TIMEOUT_MS)
+      .catch(() => null);
+    if (reply?.type === 'behind') return reply;
+  }
+  return null;
 }
 
-/** The daemons behind a revision; `null` when that is not known. */
-async function findBehind(
+/** Reads from the leader of a ledger group; `null` when none answers. */
+async function readLedger(
   options: OperatorServiceOptions,
-  revision: number,
-): Promise<readonly string[] | null> {
+  group: string,
+  after: number,
+) {
   for (const name of options.listReplicas()) {
     const reply = await options
       .callReplica(name)
-      .checkInForce({revision})
+      .readLedger({group, after}, READ_TIMEOUT_MS)
       .catch(() => null);
-    if (reply?.type === 'behind') return reply.hosts;
+    if (reply?.type === 'read') return reply;
   }
   return null;
 }
--- a/src/cli/serve/peer_service.ts
+++ b/src/cli/serve/peer_service.ts
@@ -1,9 +1,15 @@
 /** What a daemon answers to its peers. */
-import type {PeerService} from '../../protocol/peer_service.ts';
+import type {ControlView} from '../../protocol/control.ts';
+import type {
+  LedgerRead,
+  LedgerReadReply,
+  PeerService,
+} from '../../protocol/peer_service.ts';
 import {createLeaseService} from '../../coordination/leases/lease_service.ts';
 import type {EndpointTable} from '../../coordination/membership/endpoint_table.ts';
 import type {EvidenceLedger} from '../../coordination/rollout/evidence_ledger.ts';
 import type {Replica} from '../../coordination/replication/replica.ts';
+import {formatLedgerGroup} from '../../coordination/requests/ledger_client.ts';
 import type {Replicas} from './replicas.ts';
 
 export interface PeerServiceOptions {
@@ -11,16 +17,19 @@
   readonly endpoints: EndpointTable;
   /** What gateways saw of versions, for the leader's decisions. */
   readonly evidence: EvidenceLedger;
+  /** Answers a daemon's renewal of its lease. */
+  readonly renewLease: PeerService['renewLease'];
 }
 
 /** Creates the service that peers reach through the transport. */
 export function createPeerService(options: PeerServiceOptions): PeerService {
   const {replicas, endpoints} = options;
   const {control} = replicas;
-  const renewLease = control
+  const grantLeases = control
     ? createLeaseService({
-        replica: control.replica,
-        state: control.state,
+        isLeader: () => control.replica.isLeader(),
+        getLeader: () => control.replica.leader,
+        getRevision: () => control.state.view.revision,
         table: control.leases,
       })
     : null;
@@ -33,13 +42,28 @@
         type: 'not-leader',
         leader: null,
       },
-    renewLease: async request =>
-      renewLease?.(request) ?? {type: 'not-leader', leader: null},
+    renewLease: options.renewLease,
+    grantLeases: async request =>
+      grantLeases?.(request) ?? {type: 'not-leader', leader: null},
+    listLeaseHolders: async () => {
+      if (!control?.replica.isLeader()) {
+        return {type: 'not-leader', leader: control?.replica.leader ?? null};
+      }
+      return {type: 'holders', holders: control.leases.listHolders()};
+    },
+    readLedger: async request => readLedger(replicas, request),
+    listEndpoints: async () => ({records: endpoints.listRecords()}),
     checkInForce: async ({revision}) => {
       if (!control?.replica.isLeader()) {
         return {type: 'not-leader', leader: control?.replica.leader ?? null};
       }
-      return {type: 'behind', hosts: control.leases.listBehind(revision)};
+      return {
+        type: 'behind',
+        hosts: control.leases.listBehind(revision),
+        unreachable: servesIsolated(control.state.view)
+          ? control.leases.listUnreachable()
+          : [],
+      };
     },
     reportEvidence: async report => {
       const taken = control?.replica.isLeader() ?? false;
@@ -53,6 +77,28 @@
   };
 }
 
+/** Whether some pool goes on without a lease. */
+function servesIsolated(view: ControlView): boolean {
+  const pools = view.declaration?.pools ?? [];
+  return pools.some(pool => pool.when_isolated === 'serve_stable');
+}
+
+/** Reads a ledger where this daemon leads its group. */
+function readLedger(replicas: Replicas, request: LedgerRead): LedgerReadReply {
+  const replica = replicas.get(request.group);
+  const ledger = replicas.ledgers.find(
+    (_ledger, shard) => formatLedgerGroup(shard) === request.group,
+  );
+  if (!ledger || !replica?.isLeader()) {
+    return {type: 'not-leader', leader: replica?.leader ?? null};
+  }
+  return {
+    type: 'read',
+    page: ledger.readBills(request.after),
+    status: ledger.describeSummary(),
+  };
+}
+
 function findReplica(
   replicas: Replicas,
   group: string,
--- a/src/cli/serve/renew_lease.ts
+++ b/src/cli/serve/renew_lease.ts
@@ -1,40 +1,48 @@
-/** Finds the replica that grants configuration leases. */
+/** Finds a replica that has configuration leases granted. */
+import type {Clock} from '../../protocol/clock.ts';
 import type {LeaseReply, LeaseRequest} from '../../protocol/control.ts';
-import type {CallReplica} from './call_replica.ts';
+
+/** How long an answer may take beside the time that it may be held back. */
+const ANSWER_TIMEOUT_MS = 700;
+
+/** After this long at a farther replica the nearest is tried again. */
+const RETURN_AFTER_MS = 10_000;
 
 export interface LeaseRenewalOptions {
+  readonly clock: Clock;
+  /** The replicas, near ones first. */
   readonly listReplicas: () => readonly string[];
-  readonly callReplica: CallReplica;
+  /** Asks one replica; a rejection counts as silence. */
+  readonly ask: (
+    replica: string,
+    request: LeaseRequest,
+    timeoutMs: number,
+  ) => Promise<LeaseReply>;
 }
 
-/** Creates the function that renews a lease at the leader, once found. */
+/**
+ * Creates the function that renews a lease at the nearest replica that can
+ * have it granted. Each call asks one replica; the next call asks the next
+ * one after a failure, so that every try counts its lease from its own start.
+ */
 export function createLeaseRenewal(options: LeaseRenewalOptions) {
-  let holder: string | null = null;
+  const {clock} = options;
+  let position = 0;
+  let movedAt = 0;
   return async (request: LeaseRequest): Promise<LeaseReply> => {
-    const order = holder === null ? options.listReplicas() : [holder];
-    for (const name of order) {
-      const reply = await askReplica(options, name, request);
-      holder = reply?.type === 'granted' ? name : null;
-      if (reply?.type === 'granted') return reply;
-      const leader = reply?.leader ?? null;
-      if (leader === null || leader === name) continue;
-      const second = await askReplica(options, leader, request);
-      if (second?.type !== 'granted') continue;
-      holder = leader;
-      return second;
+    const replicas = options.listReplicas();
+    const now = clock.monotonic();
+    if (position !== 0 && now - movedAt > RETURN_AFTER_MS) position = 0;
+    const replica = replicas[position % replicas.length];
+    if (replica === undefined) return {type: 'unavailable'};
+    const timeoutMs = request.waitMs + ANSWER_TIMEOUT_MS;
+    const reply = await options
+      .ask(replica, request, timeoutMs)
+      .catch((): LeaseReply => ({type: 'unavailable'}));
+    if (reply.type !== 'granted') {
+      position = (position + 1) % replicas.length;
+      movedAt = clock.monotonic();
     }
-    return {type: 'not-leader', leader: null};
+    return reply;
   };
 }
-
-async function askReplica(
-  options: LeaseRenewalOptions,
-  name: string,
-  request: LeaseRequest,
-): Promise<LeaseReply | null> {
-  try {
-    return await options.callReplica(name).renewLease(request);
-  } catch {
-    return null;
-  }
-}
--- a/src/cli/serve/replicas.ts
+++ b/src/cli/serve/replicas.ts
@@ -48,7 +48,8 @@
     const state = new ControlState();
     const replica = await openReplica(parts, links, CONTROL_GROUP, state);
     const getLeaderSince = () => replica.leaderSince;
-    const leases = new LeaseTable({clock, getLeaderSince});
+    const regions = settings.replicas.map(each => each.region);
+    const leases = new LeaseTable({clock, getLeaderSince, regions});
     control = {replica, state, leases};
     groups.set(CONTROL_GROUP, replica as Replica<unknown, unknown>);
     for (let shard = 0; shard < settings.ledger_groups; shard++) {
--- a/src/coordination/leases/configuration_lease.ts
+++ b/src/coordination/leases/configuration_lease.ts
@@ -8,11 +8,20 @@
 import type {
   ControlView,
   Host,
+  HostsByName,
   LeaseReply,
   LeaseRequest,
 } from '../../protocol/control.ts';
 import type {Logger} from '../../protocol/logger.ts';
-import {RENEW_INTERVAL_MS} from './lease_table.ts';
+import {applyUpdate} from './document_history.ts';
+import {describeIsolatedView} from './isolated_view.ts';
+import {RENEW_HOLD_MS} from './lease_table.ts';
+
+/** The pause after a renewal that brought news. */
+const NEWS_PAUSE_MS = 20;
+
+/** The pause after a renewal that failed. */
+const RETRY_MS = 150;
 
 export interface ConfigurationLeaseOptions {
   readonly clock: Clock;
@@ -27,7 +36,9 @@
 export class ConfigurationLease implements AsyncDisposable {
   private readonly stopped = new AbortController();
   private view: ControlView | null = null;
-  private hosts: Host[] = [];
+  /** What is left of the view when the lease has run out. */
+  private isolatedView: ControlView | null = null;
+  private hosts: HostsByName = {};
   private hostsRevision = '';
   private expiresAt = -Infinity;
   private task: Promise<void> = Promise.resolve();
@@ -39,40 +50,53 @@
     this.task = this.run();
   }
 
-  /** The configuration to act on, or `null` when the lease has run out. */
+  /**
+   * The configuration to act on. When the lease has run out, what the pools
+   * declare for that case, marked as isolated, or `null`.
+   */
   getView(): ControlView | null {
-    if (this.options.clock.monotonic() >= this.expiresAt) return null;
-    return this.view;
+    return this.isHeld() ? this.view : this.isolatedView;
   }
 
-  /** The daemons that callers may use, as last learnt. */
+  /** Whether the lease holds now. */
+  isHeld(): boolean {
+    return this.options.clock.monotonic() < this.expiresAt;
+  }
+
+  /**
+   * The daemons that callers may use, as last learnt. A daemon without a
+   * lease takes no work and leaves itself out.
+   */
   listHosts(): readonly Host[] {
-    return this.hosts;
+    const hosts = Object.values(this.hosts);
+    if (this.getView()) return hosts;
+    const own = this.options.describeHost().name;
+    return hosts.filter(host => host.name !== own);
   }
 
-  /** Renews once, now. */
-  async renewOnce(): Promise<void> {
-    const {clock, options} = {clock: this.options.clock, options: this.options};
+  /**
+   * Renews once, now.
+   *
+   * @param waitMs How long the answer may be held back without news.
+   * @return Whether the lease was granted.
+   */
+  async renewOnce(waitMs = 0): Promise<boolean> {
+    const {clock, incarnation, renew, describeHost} = this.options;
     const sentAt = clock.monotonic();
-    const reply = await options.renew({
-      host: options.describeHost(),
-      incarnation: options.incarnation,
+    const reply = await renew({
+      host: describeHost(),
+      incarnation,
       revision: this.view?.revision ?? -1,
       hostsRevision: this.hostsRevision,
+      waitMs,
     });
-    if (reply.type !== 'granted') return;
-    if (reply.view && reply.view.revision >= (this.view?.revision ?? 0)) {
-      if (reply.view.revision !== this.view?.revision) {
-        options.logger.info('Takes a configuration into force.', {
-          revision: reply.view.revision,
-          version: reply.view.declaration?.version,
-        });
-      }
-      this.view = reply.view;
-    }
-    if (reply.hosts) this.hosts = reply.hosts;
-    this.hostsRevision = reply.hostsRevision;
+    if (reply.type !== 'granted') return false;
+    this.takeView(reply);
+    this.takeHosts(reply);
+    // A late answer may carry a view that is older than the one in force.
+    if (!this.view || this.view.revision < reply.revision) return false;
     this.expiresAt = Math.max(this.expiresAt, sentAt + reply.leaseMs);
+    return true;
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -80,20 +104,65 @@
     await this.task;
   }
 
+  private takeView(reply: Extract<LeaseReply, {type: 'granted'}>): void {
+    if (!reply.view) return;
+    const known = this.view?.revision ?? -1;
+    const view = applyUpdate(this.view, known, reply.view);
+    if (!view || view.revision <= known) return;
+    this.view = view;
+    this.isolatedView = describeIsolatedView(view);
+    this.options.logger.info('Takes a configuration into force.', {
+      revision: view.revision,
+      version: view.declaration?.version,
+    });
+  }
+
+  private takeHosts(reply: Extract<LeaseReply, {type: 'granted'}>): void {
+    if (!reply.hosts) return;
+    const hosts = applyUpdate(this.hosts, this.hostsRevision, reply.hosts);
+    if (!hosts) return;
+    this.hosts = hosts;
+    this.hostsRevision = reply.hostsRevision;
+  }
+
   private async run(): Promise<void> {
-    const {clock, logger} = this.options;
+    const {clock} = this.options;
+    let held = false;
     while (!this.stopped.signal.aborted) {
-      const before = this.view?.revision ?? 0;
-      try {
-        await this.renewOnce();
-      } catch (error) {
-        logger.warn('Could not renew the configuration lease.', {
-          reason: (error as Error).message,
-        });
-      }
-      const moved = (this.view?.revision ?? 0) !== before;
+      const before = this.describeKnown();
+      const startedAt = clock.monotonic();
+      const granted = await this.renewQuietly();
+      if (this.isHeld() !== held) this.logChange((held = !held));
+      const news = this.describeKnown() !== before;
+      const elapsed = clock.monotonic() - startedAt;
       // A changed revision is acknowledged at once.
-      if (!moved) await clock.sleep(RENEW_INTERVAL_MS, this.stopped.signal);
+      const pauseMs = !granted
+        ? RETRY_MS
+        : news
+          ? NEWS_PAUSE_MS
+          : Math.max(NEWS_PAUSE_MS, RENEW_HOLD_MS - elapsed);
+      await clock.sleep(pauseMs, this.stopped.signal);
+    }
+  }
+
+  private async renewQuietly(): Promise<boolean> {
+    try {
+      return await this.renewOnce(this.isHeld() ? RENEW_HOLD_MS : 0);
+    } catch (error) {
+      this.options.logger.debug('Could not renew the configuration lease.', {
+        reason: (error as Error).message,
+      });
+      return false;
     }
   }
+
+  private describeKnown(): string {
+    return `${this.view?.revision} ${this.hostsRevision}`;
+  }
+
+  private logChange(held: boolean): void {
+    const {logger} = this.options;
+    if (held) logger.info('Holds the configuration lease.');
+    else logger.warn('Lost the configuration lease.');
+  }
 }
--- /dev/null
+++ b/src/coordination/leases/lease_relay.ts
@@ -0,0 +1,194 @@
+/**
+ * Gathers the renewals of nearby daemons at a replica of the control group.
+ *
+ * One message for many renewals goes to the leader, so that the leader and a
+ * slow link carry traffic by replicas and not by daemons. An answer is held
+ * back while there is no news; a change reaches the daemon at once.
+ */
+import type {Clock} from '../../protocol/clock.ts';
+import type {
+  ControlView,
+  GrantReply,
+  GrantRequest,
+  HostsByName,
+  LeaseReply,
+  LeaseRequest,
+} from '../../protocol/control.ts';
+import {applyUpdate, DocumentHistory} from './document_history.ts';
+
+/** How often renewals are passed on. */
+export const RELAY_INTERVAL_MS = 250;
+
+/** Without renewals the leader is still asked for news this often. */
+const IDLE_INTERVAL_MS = 500;
+
+/** How long an answer waits for this replica to catch up with the leader. */
+const CATCH_UP_MS = 600;
+
+export interface LeaseRelayOptions {
+  readonly clock: Clock;
+  /** The configuration as this replica has it applied. */
+  readonly getView: () => ControlView;
+  /** The leader as far as this replica knows. */
+  readonly getLeader: () => string | null;
+  /** Asks the leader; a rejection counts as silence. */
+  readonly grant: (
+    leader: string,
+    request: GrantRequest,
+  ) => Promise<GrantReply>;
+}
+
+interface Waiting {
+  readonly request: LeaseRequest;
+  readonly arrivedAt: number;
+  readonly resolve: (reply: LeaseReply) => void;
+}
+
+interface Held extends Waiting {
+  readonly leaseMs: number;
+  /** The revision that was committed when the lease was granted. */
+  readonly revision: number;
+}
+
+/** Passes renewals on and answers them. Dispose it to stop its task. */
+export class LeaseRelay implements AsyncDisposable {
+  private readonly stopped = new AbortController();
+  private readonly views = new DocumentHistory<ControlView>();
+  private readonly hosts = new DocumentHistory<HostsByName>();
+  private queue: Waiting[] = [];
+  private held: Held[] = [];
+  private hostsRevision = '';
+  /** What the leader was told of each host, by name. */
+  private readonly described = new Map<string, string>();
+  private describedTo: string | null = null;
+  private lastGrantAt = -Infinity;
+  private task: Promise<void> = Promise.resolve();
+
+  constructor(private readonly options: LeaseRelayOptions) {}
+
+  start(): void {
+    this.task = this.run();
+  }
+
+  /** Takes a renewal in; the reply follows once the leader granted it. */
+  renew(request: LeaseRequest): Promise<LeaseReply> {
+    const arrivedAt = this.options.clock.monotonic();
+    return new Promise(resolve => {
+      this.queue.push({request, arrivedAt, resolve});
+    });
+  }
+
+  /** Sends what is queued to the leader and takes its news in. */
+  async passOn(): Promise<void> {
+    const {clock} = this.options;
+    const recent = clock.monotonic() - this.lastGrantAt < IDLE_INTERVAL_MS;
+    if (this.queue.length === 0 && (recent || this.held.length === 0)) return;
+    const batch = this.queue.splice(0);
+    const reply = await this.askLeader(batch);
+    if (reply?.type !== 'granted') {
+      for (const {resolve} of batch) resolve({type: 'unavailable'});
+      return;
+    }
+    this.lastGrantAt = clock.monotonic();
+    this.takeHosts(reply);
+    const unknown = new Set(reply.unknown);
+    for (const waiting of batch) {
+      const {name} = waiting.request.host;
+      if (unknown.has(name)) {
+        this.described.delete(name);
+        this.queue.push(waiting);
+      } else {
+        const {leaseMs, revision} = reply;
+        this.held.push({...waiting, leaseMs, revision});
+      }
+    }
+  }
+
+  /** Answers every granted renewal that has news or has waited its time. */
+  answerHeld(): void {
+    const {clock, getView} = this.options;
+    const view = getView();
+    this.views.record(view.revision, view);
+    const now = clock.monotonic();
+    this.held = this.held.filter(held => {
+      const {request, resolve} = held;
+      const age = now - held.arrivedAt;
+      const behind =
+        view.revision < held.revision || view.revision < request.revision;
+      if (behind) {
+        if (age < request.waitMs + CATCH_UP_MS) return true;
+        resolve({type: 'unavailable'});
+        return false;
+      }
+      const news =
+        view.revision !== request.revision ||
+        this.hostsRevision !== request.hostsRevision;
+      if (!news && age < request.waitMs) return true;
+      resolve(this.describeGrant(held));
+      return false;
+    });
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.stopped.abort();
+    const open = [...this.queue.splice(0), ...this.held.splice(0)];
+    for (const {resolve} of open) resolve({type: 'unavailable'});
+    await this.task;
+  }
+
+  private async run(): Promise<void> {
+    while (!this.stopped.signal.aborted) {
+      await this.passOn();
+      this.answerHeld();
+      await this.options.clock.sleep(RELAY_INTERVAL_MS, this.stopped.signal);
+    }
+  }
+
+  private async askLeader(
+    batch: readonly Waiting[],
+  ): Promise<GrantReply | null> {
+    const leader = this.options.getLeader();
+    if (leader === null) return null;
+    if (leader !== this.describedTo) this.described.clear();
+    this.describedTo = leader;
+    const renewals = batch.map(({request: {host, incarnation, revision}}) => {
+      const text = JSON.stringify([incarnation, host]);
+      const told = this.described.get(host.name) === text;
+      this.described.set(host.name, text);
+      const {name} = host;
+      return {name, incarnation, revision, ...(told ? {} : {host})};
+    });
+    const request = {renewals, hostsRevision: this.hostsRevision};
+    try {
+      return await this.options.grant(leader, request);
+    } catch {
+      this.described.clear();
+      return null;
+    }
+  }
+
+  private takeHosts(reply: Extract<GrantReply, {type: 'granted'}>): void {
+    if (!reply.hosts) return;
+    const known = this.hosts.current;
+    const hosts = applyUpdate(known, this.hostsRevision, reply.hosts);
+    if (!hosts) {
+      // Asks for the whole the next time.
+      this.hostsRevision = '';
+      return;
+    }
+    this.hostsRevision = reply.hostsRevision;
+    this.hosts.record(reply.hostsRevision, hosts);
+  }
+
+  private describeGrant(held: Held): LeaseReply {
+    const {request, leaseMs, revision} = held;
+    return {
+      type: 'granted',
+      leaseMs,
+      revision,
+      view: this.views.describeUpdate(request.revision),
+      hosts: this.hosts.describeUpdate(request.hostsRevision),
+      hostsRevision: this.hostsRevision,
+    };
+  }
+}
--- a/src/coordination/leases/lease_service.ts
+++ b/src/coordination/leases/lease_service.ts
@@ -1,40 +1,59 @@
 /** Grants configuration leases while this daemon leads the control group. */
 import {createHash} from 'node:crypto';
 import type {
-  ControlCommand,
-  ControlResult,
-  LeaseReply,
-  LeaseRequest,
+  GrantReply,
+  GrantRequest,
+  HostsByName,
 } from '../../protocol/control.ts';
-import type {ControlState} from '../../state/control/control_state.ts';
-import type {Replica} from '../replication/replica.ts';
+import {DocumentHistory} from './document_history.ts';
 import {CONFIGURATION_LEASE_MS, type LeaseTable} from './lease_table.ts';
 
 export interface LeaseServiceOptions {
-  readonly replica: Replica<ControlCommand, ControlResult>;
-  readonly state: ControlState;
+  /**
+   * Whether this daemon leads by a lease that holds now. It is asked after
+   * each request arrived, so a grant never rests on an earlier confirmation.
+   */
+  readonly isLeader: () => boolean;
+  readonly getLeader: () => string | null;
+  /** The committed revision of the configuration. */
+  readonly getRevision: () => number;
   readonly table: LeaseTable;
 }
 
-/** Creates the function that answers renewals. */
+/** Creates the function that grants what a replica gathered. */
 export function createLeaseService(options: LeaseServiceOptions) {
-  const {replica, state, table} = options;
-  return (request: LeaseRequest): LeaseReply => {
-    if (!replica.isLeader()) {
-      return {type: 'not-leader', leader: replica.leader};
+  const {table} = options;
+  const history = new DocumentHistory<HostsByName>();
+  return (request: GrantRequest): GrantReply => {
+    if (!options.isLeader()) {
+      return {type: 'not-leader', leader: options.getLeader()};
     }
-    table.renew(request.host, request.incarnation, request.revision);
-    const {view} = state;
+    const unknown = request.renewals
+      .filter(({host, revision, ...holder}) => {
+        return !table.renew(holder, revision, host);
+      })
+      .map(renewal => renewal.name);
     const hosts = table.listHosts();
-    const hostsRevision = createHash('sha256')
-      .update(JSON.stringify(hosts))
-      .digest('base64url');
+    const hostsRevision = digestHosts(hosts);
+    history.record(hostsRevision, hosts);
     return {
       type: 'granted',
       leaseMs: CONFIGURATION_LEASE_MS,
-      ...(view.revision === request.revision ? {} : {view}),
-      ...(hostsRevision === request.hostsRevision ? {} : {hosts}),
+      revision: options.getRevision(),
+      hosts: history.describeUpdate(request.hostsRevision),
       hostsRevision,
+      unknown,
     };
   };
 }
+
+/** A digest that does not depend on the order of renewals. */
+function digestHosts(hosts: HostsByName): string {
+  const sorted = Object.keys(hosts)
+    .sort()
+    .map(name => hosts[name]);
+  return createHash('sha256')
+    .update(JSON.stringify(sorted))
+    .digest('base64url')
+    .slice(0, 12);
+}
--- a/src/coordination/leases/lease_table.ts
+++ b/src/coordination/leases/lease_table.ts
@@ -3,57 +3,95 @@
  *
  * A daemon counts its lease from before it asked, the table from after the
  * request arrived, so the table never believes a lease to be over while the
- * daemon still relies on it.
+ * daemon still relies on it. A replica that passes renewals on only lengthens
+ * the way from the daemon to the table.
  */
 import type {Clock} from '../../protocol/clock.ts';
-import type {Host} from '../../protocol/control.ts';
+import type {
+  Host,
+  HostsByName,
+  LeaseHolder,
+  UnreachableRegion,
+} from '../../protocol/control.ts';
 
 /** How long a daemon may take work on what it last learnt. */
 export const CONFIGURATION_LEASE_MS = 4_000;
 
-/** How often a daemon renews its lease. */
-export const RENEW_INTERVAL_MS = 1_000;
+/** How long a replica holds a renewal back while there is no news. */
+export const RENEW_HOLD_MS = 800;
 
 /** A daemon that has not renewed for this long is left out of addresses. */
-export const HOST_SILENCE_MS = 2_500;
+export const HOST_SILENCE_MS = 2_000;
+
+/** How long daemons that left without a word are remembered. */
+const LOST_MEMORY_MS = 24 * 3_600_000;
 
 interface Lease {
   host: Host;
   incarnation: string;
   revision: number;
   renewedAt: number;
+  /** The wall time of the same moment. */
+  renewedAtMs: number;
 }
 
 export interface LeaseTableOptions {
   readonly clock: Clock;
   /** When this table's owner began to lead, on the monotonic clock. */
   readonly getLeaderSince: () => number;
+  /** The regions that the system is known to have. */
+  readonly regions?: readonly string[];
 }
 
-/** Holds the leases that one leader granted. */
+/** Holds the leases that one leader granted, one for each process. */
 export class LeaseTable {
   private readonly leases = new Map<string, Lease>();
 
   constructor(private readonly options: LeaseTableOptions) {}
 
-  /** Notes a renewal. */
-  renew(host: Host, incarnation: string, revision: number): void {
-    const renewedAt = this.options.clock.monotonic();
-    this.leases.set(host.name, {host, incarnation, revision, renewedAt});
+  /**
+   * Notes a renewal; `host` may be left out for a known process.
+   *
+   * @return False when the process is not known and not described.
+   */
+  renew(
+    holder: LeaseHolder,
+    revision: number,
+    host: Host | undefined = this.leases.get(formatHolder(holder))?.host,
+  ): boolean {
+    if (!host) return false;
+    const {clock} = this.options;
+    const key = formatHolder(holder);
+    // Entries are kept in the order of renewal.
+    this.leases.delete(key);
+    this.leases.set(key, {
+      host,
+      incarnation: holder.incarnation,
+      revision,
+      renewedAt: clock.monotonic(),
+      renewedAtMs: clock.now(),
+    });
+    this.forgetOld();
+    return true;
   }
 
-  /** Forgets all leases, as a new leader does. */
-  clear(): void {
-    this.leases.clear();
+  /** The daemons that renewed lately; the latest process of each name. */
+  listHosts(): HostsByName {
+    const oldest = this.options.clock.monotonic() - HOST_SILENCE_MS;
+    const hosts: Record<string, Host> = {};
+    for (const lease of this.leases.values()) {
+      if (lease.renewedAt >= oldest) hosts[lease.host.name] = lease.host;
+    }
+    return hosts;
   }
 
-  /** The daemons that renewed lately, ordered by name. */
-  listHosts(): Host[] {
-    const oldest = this.options.clock.monotonic() - HOST_SILENCE_MS;
-    return [...this.leases.values()]
-      .filter(lease => lease.renewedAt >= oldest)
-      .map(lease => lease.host)
-      .sort((a, b) => (a.name < b.name ? -1 : 1));
+  /** The processes whose lease may still hold; `null` when not known. */
+  listHolders(): LeaseHolder[] | null {
+    if (!this.isComplete()) return null;
+    return this.listLive().map(lease => ({
+      name: lease.host.name,
+      incarnation: lease.incarnation,
+    }));
   }
 
   /**
@@ -62,10 +100,78 @@
    * `null` says.
    */
   listBehind(revision: number): string[] | null {
-    const oldest = this.options.clock.monotonic() - CONFIGURATION_LEASE_MS;
-    if (this.options.getLeaderSince() > oldest) return null;
-    return [...this.leases.values()]
-      .filter(lease => lease.renewedAt >= oldest && lease.revision < revision)
+    if (!this.isComplete()) return null;
+    return this.listLive()
+      .filter(lease => lease.revision < revision)
       .map(lease => lease.host.name);
   }
+
+  /** The daemons that left without a word, by region. */
+  listUnreachable(): UnreachableRegion[] {
+    if (!this.isComplete()) return [];
+    const live = this.listLive();
+    const present = new Set(live.map(lease => lease.host.name));
+    const lost = [...this.leases.values()].filter(
+      ({host}) => !present.has(host.name) && !host.leaving,
+    );
+    const regions = new Set(lost.map(lease => lease.host.region));
+    const known = new Set([...live, ...lost].map(lease => lease.host.region));
+    const silent = (this.options.regions ?? []).filter(
+      region => !known.has(region),
+    );
+    return [
+      ...[...regions].map(region => describeLost(region, lost)),
+      ...silent.map(region => ({
+        region,
+        hosts: [],
+        sinceMs: this.getLeaderSinceMs(),
+      })),
+    ];
+  }
+
+  /** Whether every lease of earlier leaders has run out. */
+  private isComplete(): boolean {
+    const oldest = this.options.clock.monotonic() - CONFIGURATION_LEASE_MS;
+    return this.options.getLeaderSince() <= oldest;
+  }
+
+  private listLive(): Lease[] {
+    const oldest = this.options.clock.monotonic() - CONFIGURATION_LEASE_MS;
+    return [...this.leases.values()].filter(lease => lease.renewedAt >= oldest);
+  }
+
+  private getLeaderSinceMs(): number {
+    const {clock, getLeaderSince} = this.options;
+    return clock.now() - (clock.monotonic() - getLeaderSince());
+  }
+
+  private forgetOld(): void {
+    const now = this.options.clock.monotonic();
+    const latest = new Map<string, string>();
+    for (const [key, lease] of this.leases) latest.set(lease.host.name, key);
+    for (const [key, lease] of this.leases) {
+      const age = now - lease.renewedAt;
+      if (age <= CONFIGURATION_LEASE_MS) return;
+      const replaced = latest.get(lease.host.name) !== key;
+      if (replaced || lease.host.leaving || age > LOST_MEMORY_MS) {
+        this.leases.delete(key);
+      }
+    }
+  }
+}
+
+function describeLost(
+  region: string,
+  lost: readonly Lease[],
+): UnreachableRegion {
+  const leases = lost.filter(lease => lease.host.region === region);
+  return {
+    region,
+    hosts: leases.map(lease => lease.host.name),
+    sinceMs: Math.min(...leases.map(lease => lease.renewedAtMs)),
+  };
+}
+
+function formatHolder(holder: LeaseHolder): string {
+  return `${holder.name}\u0000${holder.incarnation}`;
 }
--- a/src/coordination/membership/endpoint_table.ts
+++ b/src/coordination/membership/endpoint_table.ts
@@ -58,6 +58,23 @@
     return live;
   }
 
+  /** All live records, with what is left of their leases. */
+  listRecords(): EndpointRecord[] {
+    const now = this.clock.monotonic();
+    return [...this.entries.values()]
+      .filter(entry => entry.expiresAt > now)
+      .map(({endpoint, sequence, expiresAt}) => {
+        const {inFlight: _inFlight, loadTakenAt, ...announcement} = endpoint;
+        const {load} = announcement;
+        return {
+          ...announcement,
+          load: load && {...load, ageMs: now - loadTakenAt},
+          sequence,
+          leaseMs: expiresAt - now,
+        };
+      });
+  }
+
   private store(record: EndpointRecord): void {
     const {sequence, leaseMs, ...announcement} = record;
     const now = this.clock.monotonic();
--- a/src/coordination/requests/admission.ts
+++ b/src/coordination/requests/admission.ts
@@ -194,7 +194,7 @@
   readonly deadline: Deadline;
 }
 
-function submitAdmission(
+async function submitAdmission(
   {call, context, deadline}: AdmissionParts,
   pin: {readonly version?: Version; readonly repin?: boolean},
 ): Promise<LedgerResult | null> {
@@ -211,7 +211,23 @@
     repin: pin.repin ?? false,
     atMs: context.clock.now(),
   });
-  return waitAtMost(submitted, deadline.remainingMs(), context.clock);
+  const result = await waitAtMost(
+    submitted,
+    deadline.remainingMs(),
+    context.clock,
+  );
+  if (!result) {
+    // The admission may stand nevertheless, so it is given back.
+    context.settler.settleAfter(submitted, {
+      type: 'settle',
+      requestId: call.requestId,
+      customer: call.customer.name,
+      key: call.key,
+      status: 'not-run',
+      atMs: context.clock.now(),
+    });
+  }
+  return result;
 }
 
 function describeAdmission(result: LedgerResult | null): RequestError | null {
--- a/src/coordination/requests/run_completion.ts
+++ b/src/coordination/requests/run_completion.ts
@@ -470,7 +470,7 @@
     return failure;
   }
 
-  /** Refuses before the admission; the ledger may have it nevertheless. */
+  /** Refuses what the ledger did not admit, or admitted to no avail. */
   private refuse(error: RequestError): CompletionOutcome {
     if (error.code !== 'key-open' && error.code !== 'key-reused') {
       void this.settle('not-run', undefined, 0);
--- a/src/coordination/requests/run_service_call.ts
+++ b/src/coordination/requests/run_service_call.ts
@@ -29,6 +29,7 @@
   ledgerUnavailableError,
 } from './request_errors.ts';
 import type {AttemptRecord, RequestRecord} from './request_history.ts';
+import type {SettleCommand} from './settler.ts';
 
 export interface ServiceCall {
   readonly requestId: string;
@@ -183,7 +184,7 @@
     );
     if (!result) {
       // Nothing was sent. The claim may stand, so it is given back.
-      void this.settle('not-run', 0);
+      context.settler.settleAfter(submitted, this.createSettlement('not-run'));
       return fail(ledgerUnavailableError);
     }
     if (result.type === 'answered' && result.answer) {
@@ -319,25 +320,25 @@
   }
 
   private settle(
-    status: 'answered' | 'unknown' | 'not-run',
+    status: SettleCommand['status'],
     waitMs: number,
     bill?: Bill,
     answer?: StoredAnswer,
   ) {
+    const command = {...this.createSettlement(status), bill, answer};
+    return this.context.settler.settle(command, waitMs);
+  }
+
+  private createSettlement(status: SettleCommand['status']): SettleCommand {
     const {call, context} = this;
-    return context.settler.settle(
-      {
-        type: 'settle',
-        requestId: call.requestId,
-        customer: call.customer.name,
-        key: call.key,
-        status,
-        bill,
-        answer,
-        atMs: context.clock.now(),
-      },
-      waitMs,
-    );
+    return {
+      type: 'settle',
+      requestId: call.requestId,
+      customer: call.customer.name,
+      key: call.key,
+      status,
+      atMs: context.clock.now(),
+    };
   }
 
   private getElapsedMs(): number {
--- a/src/coordination/requests/settler.ts
+++ b/src/coordination/requests/settler.ts
@@ -51,6 +51,15 @@
     return waitAtMost(task, waitMs, this.options.clock);
   }
 
+  /** Settles in the background, once `proposal` can do no more harm. */
+  settleAfter(proposal: Promise<unknown>, command: SettleCommand): void {
+    const task = proposal
+      .catch(() => {})
+      .then(() => this.submitUntilKnown(command));
+    this.running.add(task);
+    void task.finally(() => this.running.delete(task));
+  }
+
   /** Resolves when every settlement is confirmed or given up. */
   async waitUntilSettled(): Promise<void> {
     while (this.running.size > 0) await Promise.all(this.running);
--- a/src/protocol/control.ts
+++ b/src/protocol/control.ts
@@ -78,6 +78,11 @@
   rollouts: z.array(rolloutStateSchema).default([]),
   /** Hosts that an operator drains. */
   draining: z.array(z.string()),
+  /**
+   * True when the daemon's lease ran out and the view holds only what its
+   * pools may go on with meanwhile. Never part of the replicated state.
+   */
+  isolated: z.boolean().optional(),
 });
 
 export type ControlView = z.infer<typeof controlViewSchema>;
@@ -96,7 +101,10 @@
 
 export type Host = z.infer<typeof hostSchema>;
 
-/** A daemon's renewal of its configuration lease. */
+/** The daemons that hold a lease, by name. */
+export type HostsByName = Readonly<Record<string, Host>>;
+
+/** A daemon's renewal of its configuration lease, sent to any replica. */
 export const leaseRequestSchema = z.object({
   host: hostSchema,
   /** Differs after each restart of the daemon. */
@@ -105,22 +113,80 @@
   revision: z.int().min(-1),
   /** The hosts' revision that the daemon knows. */
   hostsRevision: z.string(),
+  /** How long the answer may be held back while there is no news. */
+  waitMs: z.number().nonnegative().default(0),
 });
 
 export type LeaseRequest = z.infer<typeof leaseRequestSchema>;
 
+/** A document, or the JSON patch (RFC 6902) from the one that is known. */
+export type DocumentUpdate<T> =
+  | {readonly type: 'whole'; readonly document: T}
+  | {
+      readonly type: 'patch';
+      /** The revision that the patch applies to. */
+      readonly from: number | string;
+      readonly operations: readonly unknown[];
+    };
+
 /** The answer to a renewal. */
-export const leaseReplySchema = z.discriminatedUnion('type', [
-  z.object({
-    type: z.literal('granted'),
-    leaseMs: z.number(),
-    /** Present when the daemon's revision is older. */
-    view: controlViewSchema.optional(),
-    /** Present when the daemon's list of hosts is older. */
-    hosts: z.array(hostSchema).optional(),
-    hostsRevision: z.string(),
-  }),
-  z.object({type: z.literal('not-leader'), leader: z.string().nullable()}),
-]);
+export type LeaseReply =
+  | {
+      readonly type: 'granted';
+      /** The length of the lease, counted from when it was asked for. */
+      readonly leaseMs: number;
+      /** The lease is only good for this revision or a later one. */
+      readonly revision: number;
+      /** Present when the daemon's revision is older. */
+      readonly view?: DocumentUpdate<ControlView>;
+      /** Present when the daemon knows other hosts. */
+      readonly hosts?: DocumentUpdate<HostsByName>;
+      readonly hostsRevision: string;
+    }
+  /** This replica cannot have a lease granted now; ask another. */
+  | {readonly type: 'unavailable'};
+
+/** The renewals that a replica gathered, sent to the leader as one. */
+export const grantRequestSchema = z.object({
+  renewals: z.array(
+    z.object({
+      name: z.string(),
+      incarnation: z.string(),
+      revision: z.int().min(-1),
+      /** Left out while it is what the leader was told before. */
+      host: hostSchema.optional(),
+    }),
+  ),
+  /** The hosts' revision that the replica knows. */
+  hostsRevision: z.string(),
+});
+
+export type GrantRequest = z.infer<typeof grantRequestSchema>;
+
+/** The leader's answer: all renewals are granted but the unknown ones. */
+export type GrantReply =
+  | {
+      readonly type: 'granted';
+      readonly leaseMs: number;
+      /** The revision that is committed at the time of the grant. */
+      readonly revision: number;
+      readonly hosts?: DocumentUpdate<HostsByName>;
+      readonly hostsRevision: string;
+      /** Daemons that must be described again; their leases are not granted. */
+      readonly unknown: readonly string[];
+    }
+  | {readonly type: 'not-leader'; readonly leader: string | null};
+
+/** Daemons of a region that left without a word and may be cut off. */
+export interface UnreachableRegion {
+  readonly region: string;
+  readonly hosts: readonly string[];
+  /** The wall time of their last sign of life, in milliseconds. */
+  readonly sinceMs: number;
+}
 
-export type LeaseReply = z.infer<typeof leaseReplySchema>;
+/** One process of a daemon. */
+export interface LeaseHolder {
+  readonly name: string;
+  readonly incarnation: string;
+}
--- a/src/protocol/ledger.ts
+++ b/src/protocol/ledger.ts
@@ -96,12 +96,29 @@
 }
 
 /** A part of the bills of one ledger shard, oldest first. */
-export interface BillPage {
+export interface LedgerPage {
   readonly bills: readonly BillRecord[];
   /** The sequence number to read on after. */
   readonly cursor: number;
   /** False when more bills follow. */
   readonly complete: boolean;
+  /** Bills up to this one were archived and are held no longer. */
+  readonly archivedThrough: number;
+}
+
+/** Figures of one ledger shard. */
+export interface LedgerSummary {
+  readonly openEntries: number;
+  readonly settledEntries: number;
+  readonly pins: number;
+  /** Bytes of the stored answers. */
+  readonly answerBytes: number;
+  /** Totals by customer, in micro-units of currency. */
+  readonly totals: Readonly<Record<string, number>>;
+}
+
+/** A page as an operator gets it. */
+export interface BillPage extends LedgerPage {
   /** The count of ledger shards, each of which has bills of its own. */
   readonly shards: number;
 }
--- a/src/protocol/peer_service.ts
+++ b/src/protocol/peer_service.ts
@@ -5,8 +5,18 @@
  * neither connections nor encodings.
  */
 import {z} from 'zod';
-import {leaseRequestSchema, type LeaseReply} from './control.ts';
-import {endpointRecordSchema} from './endpoint.ts';
+import {
+  grantRequestSchema,
+  leaseRequestSchema,
+  type GrantReply,
+  type GrantRequest,
+  type LeaseHolder,
+  type LeaseReply,
+  type LeaseRequest,
+  type UnreachableRegion,
+} from './control.ts';
+import {endpointRecordSchema, type EndpointRecord} from './endpoint.ts';
+import type {LedgerPage, LedgerSummary} from './ledger.ts';
 import {evidenceReportSchema, type EvidenceReport} from './rollout_state.ts';
 
 /** A member of a replicated group: a host with one data folder of its. */
@@ -103,10 +113,46 @@
       readonly type: 'behind';
       /** Names of daemons; `null` while a new leader cannot know them. */
       readonly hosts: readonly string[] | null;
+      /** Who may be cut off and act on older pools that allow it. */
+      readonly unreachable: readonly UnreachableRegion[];
+    }
+  | {readonly type: 'not-leader'; readonly leader: string | null};
+
+export const emptyRequestSchema = z.object({});
+
+export type EmptyRequest = z.infer<typeof emptyRequestSchema>;
+
+/** Who holds a configuration lease. */
+export type LeaseHoldersReply =
+  | {
+      readonly type: 'holders';
+      /** `null` while a new leader cannot know them. */
+      readonly holders: readonly LeaseHolder[] | null;
+    }
+  | {readonly type: 'not-leader'; readonly leader: string | null};
+
+export const ledgerReadSchema = z.object({
+  group: z.string(),
+  /** Bills that follow this sequence number are read. */
+  after: z.int().nonnegative(),
+});
+
+export type LedgerRead = z.infer<typeof ledgerReadSchema>;
+
+/** What the leader of a ledger group knows. */
+export type LedgerReadReply =
+  | {
+      readonly type: 'read';
+      readonly page: LedgerPage;
+      readonly status: LedgerSummary;
     }
   | {readonly type: 'not-leader'; readonly leader: string | null};
 
 export const peerSchemas = {
+  grantLeases: grantRequestSchema,
+  listLeaseHolders: emptyRequestSchema,
+  readLedger: ledgerReadSchema,
+  listEndpoints: emptyRequestSchema,
   reportEvidence: evidenceReportSchema,
   checkInForce: inForceRequestSchema,
   vote: voteRequestSchema,
@@ -123,7 +169,18 @@
   vote(request: VoteRequest): Promise<VoteReply>;
   append(request: AppendRequest): Promise<AppendReply>;
   propose(request: ProposeRequest): Promise<ProposeReply>;
-  renewLease(request: z.infer<typeof leaseRequestSchema>): Promise<LeaseReply>;
+  /** Answers a daemon's renewal, at any replica of the control group. */
+  renewLease(request: LeaseRequest): Promise<LeaseReply>;
+  /** Grants what a replica gathered, at the leader of the control group. */
+  grantLeases(request: GrantRequest): Promise<GrantReply>;
+  /** Lists the lease holders, at the leader of the control group. */
+  listLeaseHolders(request: EmptyRequest): Promise<LeaseHoldersReply>;
+  /** Reads bills and figures, at the leader of a ledger group. */
+  readLedger(request: LedgerRead): Promise<LedgerReadReply>;
+  /** Lists the endpoints that a daemon knows of, for one that restarted. */
+  listEndpoints(
+    request: EmptyRequest,
+  ): Promise<{readonly records: readonly EndpointRecord[]}>;
   checkInForce(
     request: z.infer<typeof inForceRequestSchema>,
   ): Promise<InForceReply>;
--- a/src/state/ledger/ledger_state.ts
+++ b/src/state/ledger/ledger_state.ts
@@ -5,8 +5,10 @@
 import type {
   BillRecord,
   LedgerCommand,
+  LedgerPage,
   LedgerResult,
   LedgerStatus,
+  LedgerSummary,
   StoredAnswer,
 } from '../../protocol/ledger.ts';
 import type {StateMachine} from '../state_machine.ts';
@@ -50,6 +52,26 @@
     return this.billRecords;
   }
 
+  /** The bills that follow the sequence number `after`. */
+  readBills(after: number): LedgerPage {
+    const bills = this.billRecords.slice(after);
+    const cursor = this.billRecords.length;
+    return {bills, cursor, complete: true, archivedThrough: 0};
+  }
+
+  /** Figures for operators. */
+  describeSummary(): LedgerSummary {
+    const entries = [...this.entries.values()];
+    const open = entries.filter(entry => entry.status === 'open').length;
+    return {
+      openEntries: open,
+      settledEntries: entries.length - open,
+      pins: this.pins.size,
+      answerBytes: 0,
+      totals: Object.fromEntries(this.totals),
+    };
+  }
+
   /** The total billed to a customer, in micro-units of currency. */
   getTotal(customer: string): number {
     return this.totals.get(customer) ?? 0;
--- a/src/transport/peers/peer_links.ts
+++ b/src/transport/peers/peer_links.ts
@@ -79,6 +79,14 @@
       trpc.propose.mutate(request, options(timeoutMs)),
     renewLease: (request, timeoutMs) =>
       trpc.renewLease.mutate(request, options(timeoutMs)),
+    grantLeases: (request, timeoutMs) =>
+      trpc.grantLeases.mutate(request, options(timeoutMs)),
+    listLeaseHolders: (request, timeoutMs) =>
+      trpc.listLeaseHolders.mutate(request, options(timeoutMs)),
+    readLedger: (request, timeoutMs) =>
+      trpc.readLedger.mutate(request, options(timeoutMs)),
+    listEndpoints: (request, timeoutMs) =>
+      trpc.listEndpoints.mutate(request, options(timeoutMs)),
     checkInForce: (request, timeoutMs) =>
       trpc.checkInForce.mutate(request, options(timeoutMs)),
     reportEvidence: (request, timeoutMs) =>
--- a/src/transport/peers/peer_router.ts
+++ b/src/transport/peers/peer_router.ts
@@ -30,6 +30,18 @@
     renewLease: peerProcedure
       .input(peerSchemas.renewLease)
       .mutation(({input}) => service.renewLease(input)),
+    grantLeases: peerProcedure
+      .input(peerSchemas.grantLeases)
+      .mutation(({input}) => service.grantLeases(input)),
+    listLeaseHolders: peerProcedure
+      .input(peerSchemas.listLeaseHolders)
+      .mutation(({input}) => service.listLeaseHolders(input)),
+    readLedger: peerProcedure
+      .input(peerSchemas.readLedger)
+      .mutation(({input}) => service.readLedger(input)),
+    listEndpoints: peerProcedure
+      .input(peerSchemas.listEndpoints)
+      .mutation(({input}) => service.listEndpoints(input)),
     checkInForce: peerProcedure
       .input(peerSchemas.checkInForce)
       .mutation(({input}) => service.checkInForce(input)),
