Bound what callers can cost each other, and shut down without a cut

Cause: a shutdown counted responses only, so a call that may not be repeated was cut off when its caller had left; deeply nested bodies ended in an internal error; bad requests were answered without outcome and id. Change: handlers are waited for as well as responses; headers, bodies, their time, nesting, and connections in all and of one address are bounded; every answer carries its request id; requests can be explained. Five tests against a listening server pass, with OpenAI's client unchanged.

--- a/src/cli/serve/daemon.ts
+++ b/src/cli/serve/daemon.ts
@@ -171,6 +171,7 @@
   clock: Clock,
 ): Promise<void> {
   await clock.sleep(LEAVE_NOTICE_MS);
+  server.closeIdleConnections();
   await server.waitUntilIdle();
 }
 
--- a/src/transport/public/completion_routes.ts
+++ b/src/transport/public/completion_routes.ts
@@ -8,7 +8,6 @@
 } from '../../protocol/completion.ts';
 import {formatVersion, type Customer} from '../../protocol/declaration.ts';
 import type {ControlView} from '../../protocol/control.ts';
-import {createIdentifier} from '../../protocol/identifiers.ts';
 import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
 import type {RequestContext} from '../../coordination/requests/request_context.ts';
 import {
@@ -21,6 +20,7 @@
   isWithdrawn,
 } from '../../coordination/routing/select_version.ts';
 import {sendError, sendJson} from './http_errors.ts';
+import {parseJson} from './parse_json.ts';
 import {readBody} from './read_body.ts';
 import {readCallOptions} from './read_call_options.ts';
 import {describeUsage, StreamWriter} from './stream_writer.ts';
@@ -32,10 +32,10 @@
   customer: Customer,
   context: RequestContext,
 ): Promise<void> {
-  const requestId = createIdentifier('req');
-  response.setHeader('x-request-id', requestId);
+  const requestId = String(response.getHeader('x-request-id'));
   const body = await readBody(request);
   if (!body.ok) {
+    response.setHeader('connection', 'close');
     const {status, message} = body.error;
     sendError(response, requestId, describeBadRequest(status, message));
     return;
@@ -146,13 +146,9 @@
 }
 
 function parseRequest(body: Buffer): Outcome<CompletionRequest, string> {
-  let value: unknown;
-  try {
-    value = JSON.parse(body.toString('utf8'));
-  } catch {
-    return fail('the body is not JSON');
-  }
-  const parsed = completionRequestSchema.safeParse(value);
+  const value = parseJson(body.toString('utf8'));
+  if (!value.ok) return value;
+  const parsed = completionRequestSchema.safeParse(value.value);
   if (parsed.success) return succeed(parsed.data);
   const issue = parsed.error.issues[0];
   return fail(`${issue?.path.join('.')}: ${issue?.message}`);
--- a/src/transport/public/operator_routes.ts
+++ b/src/transport/public/operator_routes.ts
@@ -6,6 +6,7 @@
   type OperatorCommand,
 } from '../../protocol/control.ts';
 import type {BillPage} from '../../protocol/ledger.ts';
+import type {RequestHistory} from '../../coordination/requests/request_history.ts';
 import {equalSecrets} from '../peers/peer_server.ts';
 import {readBearer, refuseStranger} from './bearer.ts';
 import {sendJson} from './http_errors.ts';
@@ -25,6 +26,8 @@
 }
 
 export interface OperatorRoutesOptions {
+  /** Where requests are remembered. */
+  readonly context: {readonly history: Pick<RequestHistory, 'explain'>};
   readonly operatorSecret: string;
   readonly operators: OperatorService;
 }
@@ -64,6 +67,15 @@
         sendJson(response, 200, await operators.describeStatus());
       }),
     )
+    .get(
+      '/operator/requests/:id',
+      forOperator((request, response) => {
+        const id = readRequestId(request);
+        const record = options.context.history.explain(id);
+        if (record) sendJson(response, 200, record);
+        else sendJson(response, 404, {error: {message: UNKNOWN_REQUEST}});
+      }),
+    )
     .get(
       '/operator/bills',
       forOperator((request, response) =>
@@ -72,6 +84,15 @@
     );
 }
 
+/** A gateway remembers its own requests, and only the latest. */
+const UNKNOWN_REQUEST =
+  'Could not find the request: this gateway did not take it, or forgot it';
+
+function readRequestId(request: IncomingMessage): string {
+  const path = (request.url ?? '').split('?', 1)[0] ?? '';
+  return decodeURIComponent(path.slice(path.lastIndexOf('/') + 1));
+}
+
 async function sendBills(
   request: IncomingMessage,
   response: ServerResponse,
--- a/src/transport/public/public_server.ts
+++ b/src/transport/public/public_server.ts
@@ -1,48 +1,63 @@
-/** The HTTP server for callers, endpoints and operators. */
-import {createHash} from 'node:crypto';
+/**
+ * The HTTP server for callers, endpoints and operators.
+ *
+ * Slow and hostile connections are bounded in time, size and number, so that
+ * none of them costs the others anything.
+ */
 import {
   createServer,
+  STATUS_CODES,
   type IncomingMessage,
-  type RequestListener,
+  type Server,
   type ServerResponse,
 } from 'node:http';
-import polka from 'polka';
-import type {ControlView, Host} from '../../protocol/control.ts';
-import type {Customer} from '../../protocol/declaration.ts';
-import type {Announcement} from '../../protocol/endpoint.ts';
-import type {Logger} from '../../protocol/logger.ts';
-import type {Outcome} from '../../protocol/outcome.ts';
-import type {RequestContext} from '../../coordination/requests/request_context.ts';
-import {readBearer, refuseStranger} from './bearer.ts';
-import {handleCompletion, handleModels} from './completion_routes.ts';
-import {sendError, sendJson} from './http_errors.ts';
-import {addEndpointRoutes} from './endpoint_routes.ts';
-import {addOperatorRoutes, type OperatorService} from './operator_routes.ts';
-import {handleServiceCall, SERVICES_PATH} from './service_routes.ts';
+import type {Socket} from 'node:net';
+import {createIdentifier} from '../../protocol/identifiers.ts';
+import {
+  createPublicHandler,
+  type PublicHandlerOptions,
+} from './create_public_handler.ts';
+import {describeError} from './http_errors.ts';
+
+export type {GuardRoute, RouteHandler} from './create_public_handler.ts';
 
 /** How long a caller may take to send its headers. */
 const HEADERS_TIMEOUT_MS = 10_000;
 
-/** The most open connections. */
+/** How long a caller may take to send a whole request. */
+const REQUEST_TIMEOUT_MS = 20_000;
+
+/** How often those times are checked. */
+const CHECK_INTERVAL_MS = 1_000;
+
+/** How long an unused connection is kept. */
+const KEEP_ALIVE_MS = 15_000;
+
+/** The most bytes of a request's headers. */
+const MAX_HEADER_BYTES = 16 * 1024;
+
+/** The most headers of a request. */
+const MAX_HEADERS = 100;
+
+/** The most open connections in all. */
 const MAX_CONNECTIONS = 10_000;
 
-export interface PublicServerOptions {
+/** The most open connections from one IP number. */
+const MAX_CONNECTIONS_PER_ADDRESS = 4_000;
+
+export interface PublicServerOptions extends Omit<
+  PublicHandlerOptions,
+  'trackWork'
+> {
   readonly host: string;
   readonly port: number;
-  readonly logger: Logger;
-  readonly operatorSecret: string;
-  readonly endpointSecret: string;
-  readonly context: RequestContext;
-  readonly operators: OperatorService;
-  readonly listHosts: () => readonly Host[];
-  readonly announce: (announcement: Announcement) => Outcome<void, string>;
-  /** Whether new work is taken; false once a shutdown has begun. */
-  readonly isOpen: () => boolean;
 }
 
 /** A listening server that knows how much work it has open. */
 export interface PublicServer extends AsyncDisposable {
-  /** Resolves when no request is open any more. */
+  /** Closes unused connections and those that become unused. */
+  closeIdleConnections(): void;
+  /** Resolves when no request is open and no handler runs any more. */
   waitUntilIdle(): Promise<void>;
 }
 
@@ -50,27 +65,39 @@
 export async function startPublicServer(
   options: PublicServerOptions,
 ): Promise<PublicServer> {
-  const server = createServer({headersTimeout: HEADERS_TIMEOUT_MS});
+  const server = createServer({
+    headersTimeout: HEADERS_TIMEOUT_MS,
+    requestTimeout: REQUEST_TIMEOUT_MS,
+    connectionsCheckingInterval: CHECK_INTERVAL_MS,
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    maxHeaderSize: MAX_HEADER_BYTES,
+    noDelay: true,
+  });
   server.maxConnections = MAX_CONNECTIONS;
-  const open = new Set<ServerResponse>();
-  let wakeIdle: () => void = () => {};
-  server.on('request', (_request, response) => {
-    open.add(response);
-    response.once('close', () => {
-      open.delete(response);
-      if (open.size === 0) wakeIdle();
-    });
+  server.maxHeadersCount = MAX_HEADERS;
+  const work = new OpenWork();
+  limitConnections(server);
+  server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+    response.setHeader('x-request-id', createIdentifier('req'));
+    if (!options.isOpen()) response.setHeader('connection', 'close');
+    work.add(new Promise(resolve => response.once('close', resolve)));
   });
-  server.on('request', createHandler(options));
+  server.on(
+    'request',
+    createPublicHandler({...options, trackWork: task => work.add(task)}),
+  );
+  server.on('clientError', refuseMalformed);
+  server.on('connect', (_request, socket) => socket.destroy());
+  server.on('upgrade', (_request, socket) =>
+    refuse(socket as Socket, 400, 'connections are not upgraded'),
+  );
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
     server.listen(options.port, options.host, resolve);
   });
   return {
-    async waitUntilIdle() {
-      if (open.size === 0) return;
-      await new Promise<void>(resolve => (wakeIdle = resolve));
-    },
+    closeIdleConnections: () => server.closeIdleConnections(),
+    waitUntilIdle: () => work.waitUntilDone(),
     async [Symbol.asyncDispose]() {
       server.closeAllConnections();
       await new Promise<void>(resolve => server.close(() => resolve()));
@@ -78,119 +105,69 @@
   };
 }
 
-/** Answers one request. */
-export type RouteHandler = (
-  request: IncomingMessage,
-  response: ServerResponse,
-) => Promise<void> | void;
-
-/** Wraps a handler so that an exception is logged and answered. */
-export type GuardRoute = (handler: RouteHandler) => RouteHandler;
-
-function createHandler(options: PublicServerOptions): RequestListener {
-  const {context, logger} = options;
-  const guard: GuardRoute = handler => {
-    return async (request, response) => {
-      try {
-        await handler(request, response);
-      } catch (error) {
-        logger.error('Could not finish a request.', {
-          reason: (error as Error).stack,
-        });
-        if (!response.headersSent) {
-          sendJson(response, 500, {error: {message: 'internal error'}});
-        } else {
-          response.destroy();
-        }
-      }
-    };
-  };
-  const forCustomer = (
-    handler: (
-      request: IncomingMessage,
-      response: ServerResponse,
-      customer: Customer,
-      view: ControlView,
-    ) => Promise<void> | void,
-  ): RouteHandler =>
-    guard(async (request, response) => {
-      const view = context.getView();
-      if (!options.isOpen() || !view) {
-        refuseClosed(response, options.isOpen());
-        return;
-      }
-      const customer = findCustomer(request, view);
-      if (!customer) {
-        refuseStranger(response);
-        return;
-      }
-      await handler(request, response, customer, view);
+/** Counts tasks that are not done. */
+class OpenWork {
+  private readonly open = new Set<Promise<unknown>>();
+
+  add(task: Promise<unknown>): void {
+    const settled = task.catch(() => {});
+    this.open.add(settled);
+    void settled.then(() => this.open.delete(settled));
+  }
+
+  async waitUntilDone(): Promise<void> {
+    while (this.open.size > 0) await Promise.all(this.open);
+  }
+}
+
+/** Drops connections of an address that has too many. */
+function limitConnections(server: Server): void {
+  const counts = new Map<string, number>();
+  server.on('connection', socket => {
+    const address = socket.remoteAddress ?? '';
+    const count = (counts.get(address) ?? 0) + 1;
+    counts.set(address, count);
+    socket.once('close', () => {
+      const left = (counts.get(address) ?? 1) - 1;
+      if (left === 0) counts.delete(address);
+      else counts.set(address, left);
     });
-  const app = polka()
-    .post(
-      '/v1/chat/completions',
-      forCustomer((request, response, customer) =>
-        handleCompletion(request, response, customer, context),
-      ),
-    )
-    .get(
-      '/v1/models',
-      forCustomer((_request, response, customer, view) =>
-        handleModels(response, customer, view),
-      ),
-    )
-    .all(
-      `${SERVICES_PATH}*`,
-      forCustomer((request, response, customer) =>
-        handleServiceCall(request, response, customer, context),
-      ),
-    )
-    .get(
-      '/healthz',
-      guard((_request, response) => sendJson(response, 200, {alive: true})),
-    )
-    .get(
-      '/readyz',
-      guard((_request, response) => {
-        const ready = options.isOpen() && context.getView() !== null;
-        sendJson(response, ready ? 200 : 503, {ready});
-      }),
-    );
-  addEndpointRoutes(
-    app,
-    {
-      endpointSecret: options.endpointSecret,
-      region: context.region,
-      dataCentre: context.dataCentre,
-      listHosts: options.listHosts,
-      getView: context.getView,
-      announce: options.announce,
-    },
-    guard,
-  );
-  addOperatorRoutes(app, options, guard);
-  // polka reads the parts of a request that it needs by itself.
-  return app.handler as unknown as RequestListener;
+    if (count > MAX_CONNECTIONS_PER_ADDRESS) socket.destroy();
+  });
 }
 
-function findCustomer(
-  request: IncomingMessage,
-  view: ControlView,
-): Customer | undefined {
-  const key = readBearer(request);
-  if (key === '') return undefined;
-  const hash = createHash('sha256').update(key).digest('hex');
-  return view.declaration?.customers.find(each => each.key_sha256 === hash);
+/** Answers what is no HTTP request, or came too slowly. */
+function refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
+  switch (error.code) {
+    case 'HPE_HEADER_OVERFLOW':
+      return refuse(socket, 431, 'the headers are too large');
+    case 'ERR_HTTP_REQUEST_TIMEOUT':
+      return refuse(socket, 408, 'the request came too slowly');
+    default:
+      return refuse(socket, 400, 'the request is malformed');
+  }
 }
 
-function refuseClosed(response: ServerResponse, open: boolean): void {
-  sendError(response, '', {
-    outcome: 'not-run',
-    code: open ? 'configuration-unknown' : 'shutting-down',
-    message: open
-      ? 'Could not take the request: this gateway lost its lease'
-      : 'Could not take the request: this gateway is shutting down',
-    status: 503,
-    retryAfterMs: 1_000,
-  });
+function refuse(socket: Socket, status: number, reason: string): void {
+  if (!socket.writable || socket.bytesWritten > 0) {
+    socket.destroy();
+    return;
+  }
+  const requestId = createIdentifier('req');
+  const body = JSON.stringify(
+    describeError(requestId, {
+      outcome: 'not-run',
+      code: 'bad-request',
+      message: `Could not read the request: ${reason}`,
+      status,
+    }),
+  );
+  socket.end(
+    `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\n` +
+      'content-type: application/json\r\n' +
+      `content-length: ${Buffer.byteLength(body)}\r\n` +
+      `x-request-id: ${requestId}\r\n` +
+      'x-outcome: not-run\r\nconnection: close\r\n\r\n' +
+      body,
+  );
 }
--- /dev/null
+++ b/src/transport/public/public_server_test.ts
@@ -0,0 +1,228 @@
+import {createHash} from 'node:crypto';
+import {once} from 'node:events';
+import {connect, createServer} from 'node:net';
+import type {AddressInfo} from 'node:net';
+import OpenAI from 'openai';
+import {request} from 'undici';
+import {test} from 'uvu';
+import * as assert from 'uvu/assert';
+import {silentLogger} from '../../protocol/logger.ts';
+import {succeed} from '../../protocol/outcome.ts';
+import {
+  createChunks,
+  createEnd,
+  FakeGateway,
+  type Script,
+} from '../../coordination/requests/request_fakes.ts';
+import {startPublicServer} from './public_server.ts';
+
+const KEY = 'key';
+
+/** Finds a port that is free. */
+async function findPort(): Promise<number> {
+  const server = createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  server.close();
+  await once(server, 'close');
+  return port;
+}
+
+async function startGateway(script: Script = {}) {
+  const gateway = new FakeGateway({e1: script, s1: script});
+  const {view} = gateway;
+  const customer = view?.declaration?.customers[0];
+  if (!view?.declaration || !customer) throw new Error('Could not start');
+  const keyHash = createHash('sha256').update(KEY).digest('hex');
+  const customers = [{...customer, key_sha256: keyHash}];
+  gateway.view = {...view, declaration: {...view.declaration, customers}};
+  const port = await findPort();
+  const state = {open: true};
+  const server = await startPublicServer({
+    host: '127.0.0.1',
+    port,
+    logger: silentLogger,
+    operatorSecret: 'operator',
+    endpointSecret: 'endpoint',
+    context: gateway.context,
+    operators: {
+      execute: async () => ({status: 200, body: {}}),
+      describeStatus: async () => ({}),
+      exportBills: async () => null,
+    } as never,
+    listHosts: () => [],
+    announce: () => succeed(undefined),
+    isOpen: () => state.open,
+  });
+  return {gateway, server, state, url: `http://127.0.0.1:${port}`, port};
+}
+
+const answered: Script = {
+  complete: () => [...createChunks(0, 3), createEnd(3)],
+};
+
+const body = JSON.stringify({
+  model: 'draft',
+  messages: [{role: 'user', content: 'x'}],
+});
+
+function post(url: string, text: string, key = KEY) {
+  return request(`${url}/v1/chat/completions`, {
+    method: 'POST',
+    headers: {authorization: `Bearer ${key}`},
+    body: text,
+  });
+}
+
+async function readError(response: Awaited<ReturnType<typeof post>>) {
+  const {error} = (await response.body.json()) as {
+    error: {outcome: string; code: string; request_id: string};
+  };
+  assert.is(error.request_id, response.headers['x-request-id']);
+  assert.is(error.outcome, response.headers['x-outcome']);
+  return {status: response.statusCode, code: error.code};
+}
+
+/** Sends raw bytes and returns the first line of what comes back. */
+async function sendRaw(port: number, text: string): Promise<string> {
+  const socket = connect(port, '127.0.0.1');
+  let reply = '';
+  socket.on('data', part => (reply += String(part)));
+  socket.on('error', () => {});
+  socket.write(text);
+  await once(socket, 'close');
+  return reply.split('\r\n', 1)[0] ?? '';
+}
+
+test("OpenAI's client works unchanged, streamed and whole", async () => {
+  const {server, url} = await startGateway(answered);
+  await using _ = server;
+  const client = new OpenAI({apiKey: KEY, baseURL: `${url}/v1`});
+  const messages = [{role: 'user' as const, content: 'x'}];
+  const stream = await client.chat.completions.create({
+    model: 'draft',
+    messages,
+    stream: true,
+    stream_options: {include_usage: true},
+  });
+  let text = '';
+  let tokens = 0;
+  for await (const chunk of stream) {
+    text += chunk.choices[0]?.delta.content ?? '';
+    tokens = chunk.usage?.completion_tokens ?? tokens;
+  }
+  assert.is(text, '0 1 2 ');
+  assert.is(tokens, 3);
+  const whole = await client.chat.completions.create({
+    model: 'draft',
+    messages,
+  });
+  assert.is(whole.choices[0]?.message.content, '0 1 2 ');
+  assert.is(whole.usage?.total_tokens, 13);
+  const models = await client.models.list();
+  assert.ok(models.data.some(model => model.id === 'draft/small'));
+  const refused = await client.chat.completions
+    .create({model: 'unknown', messages})
+    .catch((error: unknown) => error);
+  assert.instance(refused, OpenAI.NotFoundError);
+});
+
+test('each bad request gets an error of its own', async () => {
+  const {server, url, port} = await startGateway(answered);
+  await using _ = server;
+  const deep = `{"model":"draft","messages":${'['.repeat(100)}`;
+  const cases: Array<[string, string, number, string]> = [
+    ['{', KEY, 400, 'bad-request'],
+    ['{}', KEY, 400, 'bad-request'],
+    [deep, KEY, 400, 'bad-request'],
+    ['x'.repeat(3 * 1024 * 1024), KEY, 413, 'bad-request'],
+    [body, 'other', 401, 'unauthorized'],
+  ];
+  for (const [text, key, status, code] of cases) {
+    const error = await readError(await post(url, text, key));
+    assert.equal(error, {status, code});
+  }
+  const unknown = await request(`${url}/v2`);
+  assert.equal(await readError(unknown), {status: 404, code: 'not-found'});
+  const method = await request(`${url}/v1/models`, {method: 'DELETE'});
+  assert.is(method.headers.allow, 'GET, HEAD');
+  assert.is((await readError(method)).status, 405);
+  assert.match(await sendRaw(port, 'nonsense\r\n\r\n'), ' 400 ');
+  const large = `GET / HTTP/1.1\r\nx: ${'x'.repeat(20_000)}\r\n\r\n`;
+  assert.match(await sendRaw(port, large), ' 431 ');
+  assert.is(await sendRaw(port, 'CONNECT a:1 HTTP/1.1\r\n\r\n'), '');
+  const head = await request(`${url}/healthz`, {method: 'HEAD'});
+  assert.is(head.statusCode, 200);
+});
+
+test('a shutdown refuses new work and waits for what is open', async () => {
+  let finish: () => void = () => {};
+  const finished = new Promise<void>(resolve => (finish = resolve));
+  const {server, url, state, gateway} = await startGateway();
+  await using _ = server;
+  const {dispatcher} = gateway.context;
+  const calls = new Promise<void>(resolve => {
+    dispatcher.callService = async () => {
+      resolve();
+      await finished;
+      return succeed({
+        status: 200,
+        contentType: 'text/plain',
+        body: Buffer.from('booked'),
+      });
+    };
+  });
+  // The caller of a call that may not be repeated leaves.
+  const left = new AbortController();
+  const call = request(`${url}/v1/services/booking/bookings`, {
+    method: 'POST',
+    headers: {authorization: `Bearer ${KEY}`, 'idempotency-key': 'k'},
+    body: '{}',
+    signal: left.signal,
+  }).catch(() => null);
+  await calls;
+  left.abort();
+  await call;
+  state.open = false;
+  const refused = await post(url, body);
+  assert.is(refused.headers.connection, 'close');
+  assert.is((await readError(refused)).code, 'shutting-down');
+  let idle = false;
+  const waiting = server.waitUntilIdle().then(() => (idle = true));
+  await request(`${url}/healthz`).then(response => response.body.dump());
+  assert.is(idle, false);
+  finish();
+  await waiting;
+  assert.is(gateway.bills.length, 1);
+});
+
+test('a silent stream carries comment lines', async () => {
+  const {server, url} = await startGateway({complete: () => ['wait']});
+  await using _ = server;
+  const streamed = JSON.stringify({...JSON.parse(body), stream: true});
+  const response = await post(url, streamed);
+  for await (const part of response.body) {
+    assert.match(String(part), ': waiting');
+    break;
+  }
+});
+
+test('operators can have a request explained', async () => {
+  const {server, url} = await startGateway(answered);
+  await using _ = server;
+  const response = await post(url, body);
+  await response.body.dump();
+  const id = String(response.headers['x-request-id']);
+  const explain = (secret: string) =>
+    request(`${url}/operator/requests/${id}`, {
+      headers: {authorization: `Bearer ${secret}`},
+    });
+  const explained = await explain('operator');
+  const record = (await explained.body.json()) as {outcome: string};
+  assert.is(record.outcome, 'answered');
+  const stranger = await explain(KEY);
+  await stranger.body.dump();
+  assert.is(stranger.statusCode, 401);
+});
+
+test.run();
--- a/src/transport/public/read_body.ts
+++ b/src/transport/public/read_body.ts
@@ -13,27 +13,40 @@
   readonly message: string;
 }
 
+export interface ReadBodyOptions {
+  readonly maxBytes?: number;
+  readonly timeoutMs?: number;
+}
+
 /** Reads the whole body, or says why it was not taken. */
 export function readBody(
   request: IncomingMessage,
-  maxBytes: number = MAX_BODY_BYTES,
+  options: ReadBodyOptions = {},
 ): Promise<Outcome<Buffer, BodyError>> {
+  const {maxBytes = MAX_BODY_BYTES, timeoutMs = BODY_TIMEOUT_MS} = options;
+  const tooLarge = {status: 413, message: 'the body is too large'};
+  if (Number(request.headers['content-length'] ?? 0) > maxBytes) {
+    return Promise.resolve(fail(tooLarge));
+  }
   return new Promise(resolve => {
     const parts: Buffer[] = [];
     let bytes = 0;
     const finish = (outcome: Outcome<Buffer, BodyError>) => {
       clearTimeout(timer);
+      request.off('data', keep);
+      if (!outcome.ok) parts.length = 0;
       resolve(outcome);
     };
+    const keep = (part: Buffer) => {
+      bytes += part.length;
+      if (bytes <= maxBytes) parts.push(part);
+      else finish(fail(tooLarge));
+    };
     const timer = setTimeout(
       () => finish(fail({status: 408, message: 'the body came too slowly'})),
-      BODY_TIMEOUT_MS,
+      timeoutMs,
     );
-    request.on('data', (part: Buffer) => {
-      bytes += part.length;
-      if (bytes <= maxBytes) parts.push(part);
-      else finish(fail({status: 413, message: 'the body is too large'}));
-    });
+    request.on('data', keep);
     request.on('end', () => finish(succeed(Buffer.concat(parts))));
     request.on('error', error =>
       finish(fail({status: 400, message: error.message})),
--- a/src/transport/public/read_call_options.ts
+++ b/src/transport/public/read_call_options.ts
@@ -4,6 +4,9 @@
 /** The longest key or session name that is taken. */
 const MAX_NAME_CHARACTERS = 256;
 
+/** The longest deadline that a caller may set. */
+const MAX_DEADLINE_MS = 600_000;
+
 export interface CallOptions {
   readonly key: string;
   readonly session?: string;
@@ -16,7 +19,10 @@
   request: IncomingMessage,
   requestId: string,
 ): CallOptions {
-  const deadlineMs = Number(readHeader(request, 'x-deadline-ms'));
+  const deadlineMs = Math.min(
+    Number(readHeader(request, 'x-deadline-ms')),
+    MAX_DEADLINE_MS,
+  );
   return {
     key: readHeader(request, 'idempotency-key') ?? requestId,
     session: readHeader(request, 'x-session-id'),
--- a/src/transport/public/read_json.ts
+++ b/src/transport/public/read_json.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {z} from 'zod';
 import {sendJson} from './http_errors.ts';
+import {parseJson} from './parse_json.ts';
 import {readBody} from './read_body.ts';
 
 /** Returns the parsed body, or answers with what is wrong and returns null. */
@@ -15,14 +16,15 @@
     sendJson(response, body.error.status, {error: body.error});
     return null;
   }
-  try {
-    const parsed = schema.safeParse(JSON.parse(body.value.toString('utf8')));
-    if (parsed.success) return parsed.data;
-    const issue = parsed.error.issues[0];
-    const message = `${issue?.path.join('.')}: ${issue?.message}`;
-    sendJson(response, 400, {error: {message}});
-  } catch {
-    sendJson(response, 400, {error: {message: 'the body is not JSON'}});
+  const value = parseJson(body.value.toString('utf8'));
+  if (!value.ok) {
+    sendJson(response, 400, {error: {message: value.error}});
+    return null;
   }
+  const parsed = schema.safeParse(value.value);
+  if (parsed.success) return parsed.data;
+  const issue = parsed.error.issues[0];
+  const message = `${issue?.path.join('.')}: ${issue?.message}`;
+  sendJson(response, 400, {error: {message}});
   return null;
 }
--- a/src/transport/public/service_routes.ts
+++ b/src/transport/public/service_routes.ts
@@ -3,7 +3,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {RequestError} from '../../protocol/completion.ts';
 import type {Call, Customer, Service} from '../../protocol/declaration.ts';
-import {createIdentifier} from '../../protocol/identifiers.ts';
 import type {RequestContext} from '../../coordination/requests/request_context.ts';
 import {runServiceCall} from '../../coordination/requests/run_service_call.ts';
 import {sendError} from './http_errors.ts';
@@ -20,8 +19,7 @@
   customer: Customer,
   context: RequestContext,
 ): Promise<void> {
-  const requestId = createIdentifier('req');
-  response.setHeader('x-request-id', requestId);
+  const requestId = String(response.getHeader('x-request-id'));
   const target = findTarget(request, customer, context);
   if (!target) {
     sendError(response, requestId, {
@@ -34,6 +32,7 @@
   }
   const body = await readBody(request);
   if (!body.ok) {
+    response.setHeader('connection', 'close');
     sendError(response, requestId, describeBadBody(body.error));
     return;
   }
--- a/src/transport/public/stream_writer.ts
+++ b/src/transport/public/stream_writer.ts
@@ -8,6 +8,9 @@
 /** How often a silent stream carries a comment line. */
 const KEEP_ALIVE_MS = 1_000;
 
+/** How long a caller may read nothing while there is something to read. */
+const STALLED_MS = 30_000;
+
 /** Usage in the form of OpenAI's interface. */
 export function describeUsage(usage: Usage) {
   return {
@@ -129,10 +132,13 @@
     if (response.destroyed || response.write(text)) return null;
     return new Promise<void>(resolve => {
       const finish = () => {
+        clearTimeout(stalled);
         response.off('drain', finish);
         response.off('close', finish);
         resolve();
       };
+      // A caller that reads nothing holds up a place that others wait for.
+      const stalled = setTimeout(() => response.destroy(), STALLED_MS);
       response.on('drain', finish);
       response.on('close', finish);
     });
