Let requests into pools by fair share, deadline and latency

Each pool is a bulkhead with start-time fair queueing over customers, a limit that follows first-token latency, early refusals with the expected wait, and a ramp when a pool returns.

--- /dev/null
+++ b/src/coordination/limits/create_limiter.ts
@@ -0,0 +1,36 @@
+/** Lets requests into pools, each pool behind a bulkhead of its own. */
+import type {Clock} from '../../protocol/clock.ts';
+import type {Limiter, PoolCapacity} from './permit.ts';
+import {PoolLimiter} from './pool_limiter.ts';
+
+export interface LimiterOptions {
+  readonly clock: Clock;
+  /** Returns a number from 0 up to 1. */
+  readonly random: () => number;
+  readonly getCapacity: (pool: string) => PoolCapacity;
+}
+
+/** A limiter that also says how full it is. */
+export interface ObservableLimiter extends Limiter {
+  /** Requests that run and wait, by pool. */
+  measure(): ReadonlyMap<string, {running: number; waiting: number}>;
+}
+
+/** Creates a limiter without requests. */
+export function createLimiter(options: LimiterOptions): ObservableLimiter {
+  const pools = new Map<string, PoolLimiter>();
+  const running = new Map<string, number>();
+  return {
+    acquire(request) {
+      let limiter = pools.get(request.pool);
+      if (!limiter) {
+        const getCapacity = () => options.getCapacity(request.pool);
+        limiter = new PoolLimiter({...options, running, getCapacity});
+        pools.set(request.pool, limiter);
+      }
+      return limiter.acquire(request);
+    },
+    measure: () =>
+      new Map([...pools].map(([pool, limiter]) => [pool, limiter.counts])),
+  };
+}
--- /dev/null
+++ b/src/coordination/limits/fair_queue.ts
@@ -0,0 +1,141 @@
+/**
+ * Start-time fair queueing over customers.
+ *
+ * Each customer has a virtual finish time that grows by cost over weight with
+ * every request let in; the customer that is furthest behind goes next. So a
+ * large customer fills what the others leave and no more.
+ */
+
+/** A request that waits. */
+export interface QueuedRequest {
+  readonly customer: string;
+  readonly weight: number;
+  readonly cost: number;
+  readonly priority: number;
+  /** When the request gives up, on the monotonic clock. */
+  readonly expiresAt: number;
+}
+
+interface Flow<T> {
+  weight: number;
+  finish: number;
+  /** The greatest priority first, then in the order of arrival. */
+  readonly waiting: T[];
+}
+
+/** Requests that wait, in fair order. */
+export class FairQueue<T extends QueuedRequest> {
+  private readonly flows = new Map<string, Flow<T>>();
+  private virtualTime = 0;
+  private count = 0;
+
+  get length(): number {
+    return this.count;
+  }
+
+  /** Adds a request behind those of its customer with its priority. */
+  push(request: T): void {
+    const flow = this.findFlow(request);
+    let index = flow.waiting.length;
+    while (index > 0) {
+      const before = flow.waiting[index - 1];
+      if (!before || before.priority >= request.priority) break;
+      index--;
+    }
+    flow.waiting.splice(index, 0, request);
+    this.count++;
+  }
+
+  /** Takes the next request that `isOpen` admits, the first of a customer. */
+  shift(isOpen: (request: T) => boolean = () => true): T | null {
+    let next: Flow<T> | null = null;
+    for (const flow of this.flows.values()) {
+      const [first] = flow.waiting;
+      if (!first || !isOpen(first)) continue;
+      if (!next || this.findStart(flow) < this.findStart(next)) next = flow;
+    }
+    const request = next?.waiting.shift();
+    if (!next || !request) return null;
+    this.count--;
+    this.charge(request);
+    return request;
+  }
+
+  /** Counts a request that was let in without waiting. */
+  charge(request: Omit<QueuedRequest, 'expiresAt'>): void {
+    const flow = this.findFlow(request);
+    const start = this.findStart(flow);
+    this.virtualTime = Math.max(this.virtualTime, start);
+    flow.finish = start + request.cost / flow.weight;
+  }
+
+  /** Takes out one request; false when it does not wait. */
+  remove(request: T): boolean {
+    const waiting = this.flows.get(request.customer)?.waiting ?? [];
+    const index = waiting.indexOf(request);
+    if (index < 0) return false;
+    waiting.splice(index, 1);
+    this.count--;
+    return true;
+  }
+
+  /** Takes out all requests that match, and forgets idle customers. */
+  removeWhere(matches: (request: T) => boolean): T[] {
+    const removed: T[] = [];
+    for (const [customer, flow] of this.flows) {
+      const matching = flow.waiting.filter(matches);
+      for (const request of matching) {
+        this.remove(request);
+        removed.push(request);
+      }
+      const idle = flow.waiting.length === 0;
+      if (idle && flow.finish <= this.virtualTime) this.flows.delete(customer);
+    }
+    return removed;
+  }
+
+  /** How many requests go before a new one of this customer. */
+  countAhead({customer, weight}: {customer: string; weight: number}): number {
+    const own = (this.flows.get(customer)?.waiting.length ?? 0) + 1;
+    let ahead = own - 1;
+    for (const [name, flow] of this.flows) {
+      if (name === customer) continue;
+      ahead += Math.min(flow.waiting.length, (own * flow.weight) / weight);
+    }
+    return ahead;
+  }
+
+  /**
+   * Takes out the last request of the customer that waits with the most for
+   * its weight; `null` when that is the customer of `request` itself.
+   */
+  displace(request: T): T | null {
+    const length = (flow: Flow<T>) => flow.waiting.length / flow.weight;
+    const own = this.flows.get(request.customer);
+    let ownLength = ((own?.waiting.length ?? 0) + 1) / request.weight;
+    let longest: Flow<T> | null = null;
+    for (const flow of this.flows.values()) {
+      if (flow === own || length(flow) <= ownLength) continue;
+      longest = flow;
+      ownLength = length(flow);
+    }
+    const last = longest?.waiting.at(-1);
+    if (!last) return null;
+    this.remove(last);
+    return last;
+  }
+
+  private findStart(flow: Flow<T>): number {
+    return Math.max(this.virtualTime, flow.finish);
+  }
+
+  private findFlow({customer, weight}: {customer: string; weight: number}) {
+    let flow = this.flows.get(customer);
+    if (!flow) {
+      flow = {weight, finish: 0, waiting: []};
+      this.flows.set(customer, flow);
+    }
+    flow.weight = weight;
+    return flow;
+  }
+}
--- /dev/null
+++ b/src/coordination/limits/pool_limiter.ts
@@ -0,0 +1,221 @@
+/** The bulkhead of one pool: its slots, its queue and its latency. */
+import type {Clock} from '../../protocol/clock.ts';
+import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
+import {createAdaptiveLimit} from './adaptive_limit.ts';
+import {FairQueue, type QueuedRequest} from './fair_queue.ts';
+import type {AcquireOptions, Permit, PoolCapacity, Refusal} from './permit.ts';
+
+export interface PoolLimiterOptions {
+  readonly clock: Clock;
+  /** Returns a number from 0 up to 1. */
+  readonly random: () => number;
+  readonly getCapacity: () => PoolCapacity;
+  /** Requests of each customer that run, over all pools. */
+  readonly running: Map<string, number>;
+}
+
+interface Waiter extends QueuedRequest {
+  readonly limit: number;
+  readonly since: number;
+  settle(outcome: Outcome<Permit, Refusal>): void;
+}
+
+/** How often a queue looks for room and for requests that give up. */
+const TICK_MS = 20;
+
+/** How long a permit is assumed to be held before any was. */
+const INITIAL_HOLD_MS = 1_000;
+
+/** The weight of one permit in the mean time that permits are held. */
+const HOLD_WEIGHT = 0.05;
+
+/** The advice to callers of a pool without endpoints, plus a random part. */
+const UNAVAILABLE_RETRY_MS = 1_000;
+
+/** How long a pool that returns takes up to its full limit. */
+const RAMP_MS = 5_000;
+
+/** The share of its limit that a pool begins with when it returns. */
+const RAMP_START = 0.2;
+
+/** Lets requests into one pool. */
+export class PoolLimiter {
+  private readonly queue = new FairQueue<Waiter>();
+  private readonly adaptive = createAdaptiveLimit();
+  private runningCount = 0;
+  private holdMs = INITIAL_HOLD_MS;
+  private ticking = false;
+  private wasEmpty = false;
+  private returnedAt = -Infinity;
+
+  constructor(private readonly options: PoolLimiterOptions) {}
+
+  /** Requests that run and that wait. */
+  get counts(): {readonly running: number; readonly waiting: number} {
+    return {running: this.runningCount, waiting: this.queue.length};
+  }
+
+  /** Lets a request in, now or after a wait, or refuses it. */
+  async acquire(options: AcquireOptions): Promise<Outcome<Permit, Refusal>> {
+    const {signal, customer, weight = 1, cost = 1, priority = 0} = options;
+    if (signal?.aborted) return fail(this.refuse('cancelled'));
+    const capacity = this.options.getCapacity();
+    const limit = this.findLimit(capacity);
+    if (limit === 0) return fail(this.refuse('pool-unavailable'));
+    const request = {customer, weight, cost, priority};
+    const ownLimit = options.concurrency ?? Infinity;
+    if (this.queue.length === 0 && this.runningCount < limit) {
+      if (this.countRunning(customer) < ownLimit) {
+        this.queue.charge(request);
+        return succeed(this.grant(customer, 0));
+      }
+    }
+    const waitMs = (this.queue.countAhead(request) * this.holdMs) / limit;
+    if (waitMs > options.deadlineMs) {
+      return fail(this.refuse('deadline', waitMs - options.deadlineMs));
+    }
+    return this.wait(options, ownLimit, capacity);
+  }
+
+  private async wait(
+    options: AcquireOptions,
+    limit: number,
+    capacity: PoolCapacity,
+  ): Promise<Outcome<Permit, Refusal>> {
+    const {customer, weight = 1, cost = 1, priority = 0, signal} = options;
+    const since = this.options.clock.monotonic();
+    const expiresAt = since + options.deadlineMs;
+    return new Promise(resolve => {
+      const abort = () => {
+        if (!this.queue.remove(waiter)) return;
+        resolve(fail(this.refuse('cancelled')));
+      };
+      const waiter: Waiter = {
+        ...{customer, weight, cost, priority, expiresAt, limit, since},
+        settle: outcome => {
+          signal?.removeEventListener('abort', abort);
+          resolve(outcome);
+        },
+      };
+      if (!this.makeRoom(waiter, capacity)) return;
+      this.queue.push(waiter);
+      signal?.addEventListener('abort', abort, {once: true});
+      this.pump();
+      void this.tick();
+    });
+  }
+
+  /** Refuses the request, or one that waits, when the queue is full. */
+  private makeRoom(waiter: Waiter, capacity: PoolCapacity): boolean {
+    if (this.queue.length < capacity.queue) return true;
+    const displaced = this.queue.displace(waiter);
+    const refused = displaced ?? waiter;
+    refused.settle(fail(this.refuse('queue-full', this.holdMs)));
+    return displaced !== null;
+  }
+
+  /** Looks after the queue until it is empty. */
+  private async tick(): Promise<void> {
+    if (this.ticking) return;
+    this.ticking = true;
+    while (this.queue.length > 0) {
+      this.expire();
+      this.pump();
+      if (this.queue.length === 0) break;
+      await this.options.clock.sleep(TICK_MS);
+    }
+    this.ticking = false;
+  }
+
+  private expire(): void {
+    const now = this.options.clock.monotonic();
+    const late = this.queue.removeWhere(each => each.expiresAt <= now);
+    for (const waiter of late) {
+      const blocked = this.countRunning(waiter.customer) >= waiter.limit;
+      const reason = blocked ? 'customer-limit' : 'deadline';
+      waiter.settle(fail(this.refuse(reason, this.holdMs)));
+    }
+  }
+
+  /** Lets requests in while there is room. */
+  private pump(): void {
+    const limit = this.findLimit(this.options.getCapacity());
+    if (limit === 0) {
+      for (const waiter of this.queue.removeWhere(() => true)) {
+        waiter.settle(fail(this.refuse('pool-unavailable')));
+      }
+      return;
+    }
+    const now = this.options.clock.monotonic();
+    const isOpen = (waiter: Waiter) =>
+      this.countRunning(waiter.customer) < waiter.limit;
+    while (this.runningCount < limit) {
+      const waiter = this.queue.shift(isOpen);
+      if (!waiter) break;
+      waiter.settle(succeed(this.grant(waiter.customer, now - waiter.since)));
+    }
+  }
+
+  private grant(customer: string, queuedMs: number): Permit {
+    const {clock, running} = this.options;
+    const since = clock.monotonic();
+    this.runningCount++;
+    running.set(customer, this.countRunning(customer) + 1);
+    let released = false;
+    return {
+      queuedMs,
+      recordFirstToken: ms => this.adaptive.record(ms),
+      [Symbol.dispose]: () => {
+        if (released) return;
+        released = true;
+        this.runningCount--;
+        const left = this.countRunning(customer) - 1;
+        if (left > 0) running.set(customer, left);
+        else running.delete(customer);
+        const heldMs = clock.monotonic() - since;
+        this.holdMs += (heldMs - this.holdMs) * HOLD_WEIGHT;
+        if (this.queue.length > 0) this.pump();
+      },
+    };
+  }
+
+  /** The requests that may run at once now. */
+  private findLimit({slots}: PoolCapacity): number {
+    const now = this.options.clock.monotonic();
+    if (slots <= 0) {
+      this.wasEmpty = true;
+      return 0;
+    }
+    if (this.wasEmpty) {
+      this.wasEmpty = false;
+      this.returnedAt = now;
+    }
+    const ramp = (now - this.returnedAt) / RAMP_MS;
+    const limit = this.adaptive.compute(slots);
+    if (ramp >= 1) return limit;
+    return Math.max(1, Math.floor(limit * Math.max(RAMP_START, ramp)));
+  }
+
+  private countRunning(customer: string): number {
+    return this.options.running.get(customer) ?? 0;
+  }
+
+  private refuse(reason: Refusal['reason'], waitMs = 0): Refusal {
+    const spread = 1 + this.options.random();
+    const baseMs =
+      reason === 'pool-unavailable' ? UNAVAILABLE_RETRY_MS : waitMs + TICK_MS;
+    return {
+      reason,
+      message: MESSAGES[reason],
+      retryAfterMs: Math.ceil(baseMs * spread),
+    };
+  }
+}
+
+const MESSAGES: Readonly<Record<Refusal['reason'], string>> = {
+  'queue-full': 'too many requests wait for the pool',
+  deadline: 'the wait for the pool is longer than the deadline',
+  'customer-limit': 'the customer has as many requests running as it may',
+  'pool-unavailable': 'no endpoint of the pool takes work',
+  cancelled: 'the caller left',
+};
