--- /dev/null
+++ b/src/coordination/routing/create_endpoint_router.ts
@@ -0,0 +1,232 @@
+/**
+ * Chooses endpoints by the expected time to the first token.
+ *
+ * A few members of the group are looked at: the likely holders of the
+ * prompt's prefix and some drawn at random. Each is scored by its own speed,
+ * its load corrected for the report's lag, the cached share of the prompt,
+ * and the distance with the price of bytes on the slow link.
+ */
+import type {Endpoint} from '../membership/endpoint_table.ts';
+import type {SpeedEstimate} from './completion_plan.ts';
+import {
+  EndpointDirectory,
+  type EndpointDirectoryOptions,
+  type PoolMeasure,
+} from './endpoint_directory.ts';
+import {
+  listUsable,
+  type EndpointGroup,
+  type GroupMember,
+} from './endpoint_group.ts';
+import type {
+  EndpointChoice,
+  EndpointRouter,
+  RoutedAttempt,
+  RouteOptions,
+} from './endpoint_router.ts';
+import {hashPrefixes, PrefixAffinity} from './prefix_affinity.ts';
+
+export interface EndpointRouterOptions extends EndpointDirectoryOptions {
+  /** Returns a number from 0 up to 1. */
+  readonly random: () => number;
+  /** The price of a kilobyte on the slow link, in milliseconds of wait. */
+  readonly slowLinkMsPerKilobyte?: number;
+}
+
+/** A router that also answers questions about what it learned. */
+export interface LearningEndpointRouter extends EndpointRouter {
+  /** The speed to expect of a version now. */
+  estimateSpeed(pool: string, version?: string): SpeedEstimate;
+  /** Versions that an endpoint takes work for. */
+  listServed(): ReadonlySet<string>;
+  /** Slots of a pool that other gateways leave, and its endpoints. */
+  measurePool(pool: string): PoolMeasure;
+  /** What engines say of their caches, by the hashes of `hashPrefixes`. */
+  readonly affinity: PrefixAffinity;
+}
+
+/** Members that are drawn at random for one choice. */
+const DRAWN = 5;
+
+/** The token gap that is assumed before any was seen. */
+const INITIAL_TOKEN_GAP_MS = 30;
+
+/** Round trips: own data centre, own region, another region. */
+const DISTANCE_MS = [0, 3, 60] as const;
+
+/** The share of the first-token time that a fully cached prompt saves. */
+const CACHE_SAVING = 0.7;
+
+/** The price of a kilobyte on the slow link unless it is declared. */
+const DEFAULT_SLOW_LINK_MS = 5;
+
+interface Scored {
+  readonly member: GroupMember;
+  readonly scoreMs: number;
+  readonly load: number;
+  readonly cached: number;
+}
+
+/** Creates a router that knows no endpoint yet. */
+export function createEndpointRouter(
+  options: EndpointRouterOptions,
+): LearningEndpointRouter {
+  return new Router(options);
+}
+
+class Router implements LearningEndpointRouter {
+  readonly affinity: PrefixAffinity;
+  private readonly directory: EndpointDirectory;
+
+  constructor(private readonly options: EndpointRouterOptions) {
+    this.affinity = new PrefixAffinity(options);
+    this.directory = new EndpointDirectory(options);
+  }
+
+  select(route: RouteOptions): EndpointChoice | null {
+    const group = this.directory.findGroup(route);
+    if (!group) return null;
+    const isOpen = (member: GroupMember) =>
+      !route.avoided?.has(member.stats.endpoint.name);
+    const near = listUsable(group.near).filter(isOpen);
+    const far = listUsable(group.far).filter(isOpen);
+    const cached =
+      route.prompt === undefined
+        ? new Map<string, number>()
+        : this.affinity.estimate(hashPrefixes(route.prompt));
+    const scored = this.draw(near, far, cached)
+      .map(member => this.score(member, group, {route, cached}))
+      .sort((a, b) => a.scoreMs - b.scoreMs);
+    const [best, ...others] = scored;
+    if (!best) return null;
+    return {
+      endpoint: best.member.stats.endpoint,
+      reason: describeScore(best),
+      rejected: others.map(each => ({
+        endpoint: each.member.stats.endpoint.name,
+        reason: describeScore(each),
+      })),
+    };
+  }
+
+  begin(endpoint: Endpoint, route: RouteOptions): RoutedAttempt {
+    const {clock} = this.options;
+    const {stats, ejection} = this.directory.findMember(endpoint);
+    const load = stats.estimateLoad();
+    const since = clock.monotonic();
+    stats.count(1);
+    if (route.prompt !== undefined) {
+      this.affinity.note(endpoint.name, hashPrefixes(route.prompt).hashes);
+    }
+    let ended = false;
+    return {
+      recordFirstToken: ms => {
+        stats.recordFirstToken(ms, load);
+        this.directory.recordUsual(route, ms);
+      },
+      recordEnd: (result, tokenGapMs) => {
+        ejection.record(result);
+        if (tokenGapMs !== undefined) stats.recordTokenGap(tokenGapMs);
+        if (result === 'answered') {
+          stats.recordHold(clock.monotonic() - since);
+        }
+      },
+      [Symbol.dispose]: () => {
+        if (ended) return;
+        ended = true;
+        stats.count(-1);
+      },
+    };
+  }
+
+  estimateSpeed(pool: string, version?: string): SpeedEstimate {
+    const group = this.directory.findGroup({pool, version});
+    const usable = group ? listUsable(group.near) : [];
+    const members = usable.length > 0 ? usable : listUsable(group?.far ?? []);
+    if (!group || members.length === 0) {
+      return {firstTokenMs: Infinity, tokenGapMs: Infinity};
+    }
+    const route = {pool, version};
+    const best = this.drawRandom(members, DRAWN)
+      .map(member => this.score(member, group, {route, cached: new Map()}))
+      .reduce((a, b) => (b.scoreMs < a.scoreMs ? b : a));
+    const gapMs = best.member.stats.tokenGapMs;
+    return {
+      firstTokenMs: best.scoreMs,
+      tokenGapMs: gapMs === 0 ? INITIAL_TOKEN_GAP_MS : gapMs,
+    };
+  }
+
+  listServed(): ReadonlySet<string> {
+    return this.directory.listServed();
+  }
+
+  measurePool(pool: string): PoolMeasure {
+    return this.directory.measurePool(pool);
+  }
+
+  /** The members that are looked at for one choice. */
+  private draw(
+    near: readonly GroupMember[],
+    far: readonly GroupMember[],
+    cached: ReadonlyMap<string, number>,
+  ): GroupMember[] {
+    const drawn = new Set(this.drawRandom(near, DRAWN));
+    const crowded = [...drawn].every(
+      ({stats}) => stats.estimateLoad() >= stats.endpoint.slots,
+    );
+    if (crowded) {
+      for (const member of this.drawRandom(far, 2)) drawn.add(member);
+    }
+    if (cached.size > 0) {
+      for (const member of near) {
+        if (cached.has(member.stats.endpoint.name)) drawn.add(member);
+      }
+    }
+    return [...drawn];
+  }
+
+  private drawRandom(
+    members: readonly GroupMember[],
+    count: number,
+  ): GroupMember[] {
+    if (members.length <= count) return [...members];
+    const drawn: GroupMember[] = [];
+    while (drawn.length < count) {
+      const index = Math.floor(this.options.random() * members.length);
+      const member = members[index];
+      if (member && !drawn.includes(member)) drawn.push(member);
+    }
+    return drawn;
+  }
+
+  private score(
+    member: GroupMember,
+    group: EndpointGroup,
+    {route, cached}: {route: RouteOptions; cached: ReadonlyMap<string, number>},
+  ): Scored {
+    const {stats, ejection, distance} = member;
+    const {slots, name} = stats.endpoint;
+    const load = stats.estimateLoad();
+    const share = cached.get(name) ?? 0;
+    const crowd = 1 + Math.min(1, load / slots);
+    const unitMs = stats.estimateUnitMs(group.usualMs);
+    const serviceMs = unitMs * crowd * (1 - CACHE_SAVING * share);
+    const waitMs = stats.estimateQueueMs(load);
+    const bytesMs = distance === 2 ? this.priceBytes(route.bytes) : 0;
+    const scoreMs =
+      (serviceMs + waitMs) / ejection.share + DISTANCE_MS[distance] + bytesMs;
+    return {member, scoreMs, load, cached: share};
+  }
+
+  private priceBytes(bytes = 0): number {
+    const price = this.options.slowLinkMsPerKilobyte ?? DEFAULT_SLOW_LINK_MS;
+    return (bytes / 1_000) * price;
+  }
+}
+
+function describeScore({scoreMs, load, cached}: Scored): string {
+  const parts = [`${Math.round(scoreMs)} ms expected`, `load ${load}`];
+  if (cached > 0) parts.push(`${Math.round(cached * 100)} in 100 cached`);
+  return parts.join(', ');
+}
--- /dev/null
+++ b/src/coordination/routing/endpoint_directory.ts
@@ -0,0 +1,162 @@
+/** Groups the live endpoints by what they serve, with what is learned. */
+import {createHash} from 'node:crypto';
+import type {Clock} from '../../protocol/clock.ts';
+import type {Endpoint} from '../membership/endpoint_table.ts';
+import {EndpointEjection} from './endpoint_ejection.ts';
+import {
+  buildGroup,
+  type EndpointGroup,
+  type GroupMember,
+} from './endpoint_group.ts';
+import {EndpointStats} from './endpoint_stats.ts';
+
+export interface EndpointDirectoryOptions {
+  readonly gateway: string;
+  readonly region: string;
+  readonly dataCentre: string;
+  readonly clock: Pick<Clock, 'monotonic'>;
+  readonly listEndpoints: () => readonly Endpoint[];
+}
+
+/** The endpoints of a pool in sum. */
+export interface PoolMeasure {
+  readonly slots: number;
+  /** Slots that other gateways leave. */
+  readonly free: number;
+  readonly endpoints: number;
+}
+
+/** What a group serves: a version of a pool, or the pool's service. */
+export interface GroupKey {
+  readonly pool: string;
+  /** The version as `model/version`. */
+  readonly version?: string;
+}
+
+/** How long the groups are used before they are built again. */
+const REBUILD_MS = 100;
+
+/** How long an empty group is believed to be empty. */
+const REBUILD_EMPTY_MS = 10;
+
+/** The first-token time that is assumed before any was seen. */
+const INITIAL_FIRST_TOKEN_MS = 200;
+
+/** The weight of one first token in what is usual in a group. */
+const USUAL_WEIGHT = 0.02;
+
+/** Holds the groups, built anew from time to time. */
+export class EndpointDirectory {
+  private readonly members = new WeakMap<Endpoint, GroupMember>();
+  private groups = new Map<string, EndpointGroup>();
+  private pools = new Map<string, GroupMember[]>();
+  private served = new Set<string>();
+  private readonly usual = new Map<string, number>();
+  private builtAt = -Infinity;
+
+  constructor(private readonly options: EndpointDirectoryOptions) {}
+
+  /** Versions that an endpoint takes work for. */
+  listServed(): ReadonlySet<string> {
+    this.rebuild(REBUILD_MS);
+    return this.served;
+  }
+
+  /** Adds up the endpoints of a pool. */
+  measurePool(pool: string): PoolMeasure {
+    this.rebuild(REBUILD_MS);
+    let slots = 0;
+    let free = 0;
+    let endpoints = 0;
+    for (const {stats} of this.pools.get(pool) ?? []) {
+      if (stats.endpoint.leaving) continue;
+      endpoints++;
+      slots += stats.endpoint.slots;
+      free += Math.max(0, stats.endpoint.slots - stats.estimateOthers());
+    }
+    return {slots, free, endpoints};
+  }
+
+  /** Notes a first token of a group. */
+  recordUsual(route: GroupKey, ms: number): void {
+    const key = formatKey(route);
+    const known = this.usual.get(key);
+    const usual =
+      known === undefined ? ms : known + (ms - known) * USUAL_WEIGHT;
+    this.usual.set(key, usual);
+    const group = this.groups.get(key);
+    if (group) group.usualMs = usual;
+  }
+
+  /** The endpoints of a group; undefined when there are none. */
+  findGroup(route: GroupKey): EndpointGroup | undefined {
+    const key = formatKey(route);
+    this.rebuild(this.groups.has(key) ? REBUILD_MS : REBUILD_EMPTY_MS);
+    return this.groups.get(key);
+  }
+
+  /** What is learned of one endpoint. */
+  findMember(endpoint: Endpoint): GroupMember {
+    let member = this.members.get(endpoint);
+    if (!member) {
+      member = this.createMember(endpoint);
+      this.members.set(endpoint, member);
+    }
+    return member;
+  }
+
+  private createMember(endpoint: Endpoint): GroupMember {
+    const {clock, gateway, region, dataCentre} = this.options;
+    const near = endpoint.region === region;
+    return {
+      stats: new EndpointStats(endpoint, clock),
+      ejection: new EndpointEjection(clock),
+      rank: hashRank(gateway, endpoint.name),
+      distance: !near ? 2 : endpoint.dataCentre === dataCentre ? 0 : 1,
+    };
+  }
+
+  /** Builds the groups when the last ones are older than `ageMs`. */
+  private rebuild(ageMs: number): void {
+    const now = this.options.clock.monotonic();
+    if (now - this.builtAt < ageMs) return;
+    this.builtAt = now;
+    const byKey = new Map<string, GroupMember[]>();
+    this.pools = new Map();
+    this.served = new Set();
+    for (const endpoint of this.options.listEndpoints()) {
+      if (endpoint.leaving) continue;
+      const member = this.findMember(endpoint);
+      const {pool, versions} = endpoint;
+      append(this.pools, pool, member);
+      append(byKey, formatKey({pool}), member);
+      for (const version of versions) {
+        this.served.add(version);
+        append(byKey, formatKey({pool, version}), member);
+      }
+    }
+    this.groups = new Map(
+      [...byKey].map(([key, list]) => [
+        key,
+        buildGroup(list, this.usual.get(key) ?? INITIAL_FIRST_TOKEN_MS),
+      ]),
+    );
+  }
+}
+
+function append<T>(lists: Map<string, T[]>, key: string, value: T): void {
+  const list = lists.get(key);
+  if (list) list.push(value);
+  else lists.set(key, [value]);
+}
+
+function formatKey({pool, version = ''}: GroupKey): string {
+  return `${pool}\u0000${version}`;
+}
+
+function hashRank(gateway: string, endpoint: string): number {
+  return createHash('sha1')
+    .update(`${gateway}\u0000${endpoint}`)
+    .digest()
+    .readUInt32BE(0);
+}
--- /dev/null
+++ b/src/coordination/routing/endpoint_stats.ts
@@ -0,0 +1,116 @@
+/** What a gateway learns of one endpoint from its own attempts. */
+import type {Clock} from '../../protocol/clock.ts';
+import type {Endpoint} from '../membership/endpoint_table.ts';
+
+/** The weight of one attempt in the running means. */
+const SAMPLE_WEIGHT = 0.15;
+
+/** Past counts in flight that are kept, to match load reports with. */
+const HISTORY_LENGTH = 128;
+
+/** How fast a lone bad impression of an endpoint fades. */
+const IMPRESSION_HALF_LIFE_MS = 10_000;
+
+/** The share of a reading that may be put down to the queue. */
+const LARGEST_QUEUE_SHARE = 0.8;
+
+/** Statistics of one incarnation of an endpoint. */
+export class EndpointStats {
+  /** The time to a first token on an idle endpoint; 0 before the first. */
+  private unitMs = 0;
+  private unitAt = 0;
+  /** The mean time of a whole attempt; 0 before the first. */
+  holdMs = 0;
+  /** The mean time between tokens; 0 before the first. */
+  tokenGapMs = 0;
+  private readonly times: number[] = [];
+  private readonly counts: number[] = [];
+  readonly firstSeenAt: number;
+
+  constructor(
+    readonly endpoint: Endpoint,
+    private readonly clock: Pick<Clock, 'monotonic'>,
+  ) {
+    this.firstSeenAt = clock.monotonic();
+  }
+
+  /** Changes the attempts in flight by one. */
+  count(change: 1 | -1): void {
+    this.endpoint.inFlight += change;
+    this.times.push(this.clock.monotonic());
+    this.counts.push(this.endpoint.inFlight);
+    if (this.times.length <= HISTORY_LENGTH) return;
+    this.times.shift();
+    this.counts.shift();
+  }
+
+  /**
+   * Estimates the requests at the endpoint now: the report, less what this
+   * gateway had there when it was taken, plus what it has there now.
+   */
+  estimateLoad(): number {
+    const {inFlight} = this.endpoint;
+    return this.estimateOthers() + inFlight;
+  }
+
+  /** Estimates the requests that other gateways have there. */
+  estimateOthers(): number {
+    const {load, loadTakenAt} = this.endpoint;
+    if (!load) return 0;
+    const own = this.findOwnAt(loadTakenAt);
+    return Math.max(0, load.running + load.waiting - own);
+  }
+
+  /** Notes a first token after `ms`, with `load` requests before it. */
+  recordFirstToken(ms: number, load: number): void {
+    const {slots} = this.endpoint;
+    const queuedMs = Math.min(
+      this.estimateQueueMs(load),
+      ms * LARGEST_QUEUE_SHARE,
+    );
+    const sample = (ms - queuedMs) / (1 + Math.min(1, load / slots));
+    this.unitMs =
+      this.unitMs === 0
+        ? sample
+        : this.unitMs + (sample - this.unitMs) * SAMPLE_WEIGHT;
+    this.unitAt = this.clock.monotonic();
+  }
+
+  recordHold(ms: number): void {
+    this.holdMs = blend(this.holdMs, ms);
+  }
+
+  recordTokenGap(ms: number): void {
+    this.tokenGapMs = blend(this.tokenGapMs, ms);
+  }
+
+  /**
+   * The first-token time when idle; an old impression fades towards what is
+   * usual in the group, so that an endpoint is tried again.
+   */
+  estimateUnitMs(usualMs: number): number {
+    if (this.unitMs === 0) return usualMs;
+    const ageMs = this.clock.monotonic() - this.unitAt;
+    const trust = 0.5 ** (ageMs / IMPRESSION_HALF_LIFE_MS);
+    return usualMs + (this.unitMs - usualMs) * trust;
+  }
+
+  /** The expected wait for a slot with `load` requests before. */
+  estimateQueueMs(load: number): number {
+    const {slots} = this.endpoint;
+    const before = Math.max(0, load + 1 - slots);
+    return (before * this.holdMs) / slots;
+  }
+
+  private findOwnAt(time: number): number {
+    for (let index = this.times.length - 1; index >= 0; index--) {
+      if ((this.times[index] ?? 0) <= time) return this.counts[index] ?? 0;
+    }
+    // Before the first change that is kept, one less or more than after it.
+    return this.times.length === HISTORY_LENGTH ? (this.counts[0] ?? 0) : 0;
+  }
+}
+
+function blend(mean: number, sample: number): number {
+  return mean === 0 ? sample : mean + (sample - mean) * SAMPLE_WEIGHT;
+}
