--- a/src/cli/serve/create_request_context.ts
+++ b/src/cli/serve/create_request_context.ts
@@ -1,7 +1,14 @@
 /** Puts together what the requests of a gateway share. */
 import {fail} from '../../protocol/outcome.ts';
 import type {EvidenceCollector} from '../../coordination/rollout/evidence_collector.ts';
-import {createBasicDecisions} from '../../coordination/requests/basic_decisions.ts';
+import {QualityTable} from '../../coordination/quality/quality_table.ts';
+import {createQualityObserver} from '../../coordination/quality/quality_observer.ts';
+import {createRatingSampler} from '../../coordination/quality/rating_sampler.ts';
+import {
+  RatingMonitor,
+  watchRatings,
+} from '../../coordination/quality/rating_monitor.ts';
+import {createLearningDecisions} from '../../coordination/requests/learning_decisions.ts';
 import {createEvidenceObserver} from '../../coordination/requests/observe_evidence.ts';
 import type {RequestContext} from '../../coordination/requests/request_context.ts';
 import {RequestHistory} from '../../coordination/requests/request_history.ts';
@@ -27,6 +34,16 @@
   const logger = createLogger('route');
   const place = {region: settings.region, dataCentre: settings.data_centre};
   const {ledger, getView, listEndpoints, evidence} = sources;
+  const quality = new QualityTable({clock});
+  const rating = new RatingMonitor(
+    clock,
+    settings.rating.address !== undefined,
+  );
+  const rate = watchRatings(
+    async () => fail('no rating service is set'),
+    rating,
+    clock,
+  );
   return {
     ledger,
     getView,
@@ -39,13 +56,27 @@
     dispatcher: store.add(createEngineClient({clock})),
     settler: new Settler({ledger, clock, logger}),
     history: new RequestHistory(),
-    decisions: createBasicDecisions({
+    decisions: createLearningDecisions({
       ...place,
+      gateway: settings.name,
       clock,
       random: Math.random,
       listEndpoints,
+      getView,
+      quality,
+      rating,
     }),
-    rate: async () => fail('no rating service is set'),
-    observer: combineObservers([createEvidenceObserver(evidence)]),
+    rate,
+    observer: combineObservers([
+      createEvidenceObserver(evidence),
+      createQualityObserver({
+        table: quality,
+        sampler: createRatingSampler({clock, random: Math.random}),
+        rate,
+        getView,
+        isAvailable: () => rating.state.available,
+        onRating: (version, score) => evidence.countRating(version, score),
+      }),
+    ]),
   };
 }
--- a/src/coordination/requests/admission.ts
+++ b/src/coordination/requests/admission.ts
@@ -172,6 +172,7 @@
       model: call.request.model,
       requestClass: call.requestClass,
       routingKey: call.session ?? call.requestId,
+      sticky: call.session !== undefined,
       pinned,
       streamed: call.request.stream,
       deadlineMs: deadline.remainingMs(),
--- /dev/null
+++ b/src/coordination/requests/learning_decisions.ts
@@ -0,0 +1,67 @@
+/** Decisions that learn from ratings, reports and their own attempts. */
+import type {Clock} from '../../protocol/clock.ts';
+import type {ControlView} from '../../protocol/control.ts';
+import {formatVersion} from '../../protocol/declaration.ts';
+import {createLimiter} from '../limits/create_limiter.ts';
+import {measureCapacity} from '../limits/measure_capacity.ts';
+import {createRetryBudget} from '../limits/retry_budget.ts';
+import type {Endpoint} from '../membership/endpoint_table.ts';
+import type {QualityTable} from '../quality/quality_table.ts';
+import type {RatingMonitor} from '../quality/rating_monitor.ts';
+import {nameRequestPart} from '../quality/request_part.ts';
+import {createEndpointRouter} from '../routing/create_endpoint_router.ts';
+import {planCompletion} from '../routing/plan_completion.ts';
+import type {Decisions} from './request_context.ts';
+
+export interface LearningDecisionsOptions {
+  readonly gateway: string;
+  readonly region: string;
+  readonly dataCentre: string;
+  readonly clock: Clock;
+  /** Returns a number from 0 up to 1. */
+  readonly random: () => number;
+  readonly listEndpoints: () => readonly Endpoint[];
+  readonly getView: () => ControlView | null;
+  readonly quality: QualityTable;
+  readonly rating: RatingMonitor;
+}
+
+/** Hedges for each first attempt. */
+const HEDGE_RATIO = 0.02;
+
+/** Creates the decisions of one gateway. */
+export function createLearningDecisions(
+  options: LearningDecisionsOptions,
+): Decisions {
+  const {quality, rating, random, clock, getView} = options;
+  const router = createEndpointRouter(options);
+  return {
+    router,
+    limiter: createLimiter({
+      clock,
+      random,
+      getCapacity: pool => {
+        const declared = getView()?.declaration?.pools.find(
+          each => each.name === pool,
+        );
+        return measureCapacity(router.measurePool(pool), declared);
+      },
+    }),
+    retryBudget: createRetryBudget(),
+    hedgeBudget: createRetryBudget({ratio: HEDGE_RATIO, capacity: 2}),
+    plan: request =>
+      planCompletion({
+        ...request,
+        served: router.listServed(),
+        estimateQuality: (version, requestClass) =>
+          quality.estimate(
+            version,
+            nameRequestPart(requestClass, request.promptTokens),
+          ),
+        estimateSpeed: version =>
+          router.estimateSpeed(version.pool, formatVersion(version)),
+        rating: rating.state,
+        random,
+      }),
+  };
+}
--- a/src/coordination/requests/request_context.ts
+++ b/src/coordination/requests/request_context.ts
@@ -23,6 +23,8 @@
   readonly requestClass?: string;
   /** The request id, or the session where there is one. */
   readonly routingKey: string;
+  /** True for a request of a session, which stays on one version. */
+  readonly sticky?: boolean;
   /** The version that the session is pinned to. */
   readonly pinned?: string;
   readonly streamed: boolean;
--- a/src/coordination/routing/create_endpoint_router.ts
+++ b/src/coordination/routing/create_endpoint_router.ts
@@ -6,12 +6,12 @@
  * its load corrected for the report's lag, the cached share of the prompt,
  * and the distance with the price of bytes on the slow link.
  */
+import type {PoolMeasure} from '../limits/measure_capacity.ts';
 import type {Endpoint} from '../membership/endpoint_table.ts';
 import type {SpeedEstimate} from './completion_plan.ts';
 import {
   EndpointDirectory,
   type EndpointDirectoryOptions,
-  type PoolMeasure,
 } from './endpoint_directory.ts';
 import {
   listUsable,
--- a/src/coordination/routing/endpoint_directory.ts
+++ b/src/coordination/routing/endpoint_directory.ts
@@ -1,6 +1,7 @@
 /** Groups the live endpoints by what they serve, with what is learned. */
 import {createHash} from 'node:crypto';
 import type {Clock} from '../../protocol/clock.ts';
+import type {PoolMeasure} from '../limits/measure_capacity.ts';
 import type {Endpoint} from '../membership/endpoint_table.ts';
 import {EndpointEjection} from './endpoint_ejection.ts';
 import {
@@ -18,14 +19,6 @@
   readonly listEndpoints: () => readonly Endpoint[];
 }
 
-/** The endpoints of a pool in sum. */
-export interface PoolMeasure {
-  readonly slots: number;
-  /** Slots that other gateways leave. */
-  readonly free: number;
-  readonly endpoints: number;
-}
-
 /** What a group serves: a version of a pool, or the pool's service. */
 export interface GroupKey {
   readonly pool: string;
