Run every fault at every step as a matrix

Rows are 17 faults alone, twice and in pairs, columns 20 steps of a chat, a booking, an apply, a repair, a leave and an announcement. Steps are hit from outside: stand-ins hold a run, the proxy holds bytes on their way. A drawn part runs with the tests; npm run matrix runs the rest.

--- /dev/null
+++ b/testing/cases/matrix_subset_test.ts
@@ -0,0 +1,32 @@
+/** A fixed part of the fault matrix; `npm run matrix` runs the whole. */
+import {test} from 'uvu';
+import * as assert from 'uvu/assert';
+import {drawCells, formatCell, listCells} from '../../tools/matrix/cells.ts';
+import {runCell} from '../../tools/matrix/run_cell.ts';
+import {createSmallPlaces} from '../system/places.ts';
+import {Scenario} from '../system/scenario.ts';
+
+const SEED = 2026;
+const ALONE = 6;
+
+let scenario: Scenario;
+
+test.before(async () => {
+  scenario = await Scenario.start({
+    ...createSmallPlaces(),
+    network: {callerMs: 1},
+  });
+});
+
+test.after(async () => {
+  await scenario[Symbol.asyncDispose]();
+});
+
+const alone = listCells().filter(cell => cell.row.length === 1);
+for (const cell of drawCells(alone, ALONE, SEED)) {
+  test(`${formatCell(cell)} keeps what must always hold`, async () => {
+    assert.equal(await runCell(scenario, cell), []);
+  });
+}
+
+test.run();
--- a/testing/proxy/fault_proxy.ts
+++ b/testing/proxy/fault_proxy.ts
@@ -48,6 +48,7 @@
   private readonly sockets = new Set<Socket>();
   private readonly cuts = new Set<{match: Match; kind: CutKind}>();
   private readonly replyLimits = new Set<{match: Match; bytes: number}>();
+  private readonly holds = new Set<Match>();
   private readonly doubled = new Set<Match>();
   private readonly bytes = new Map<string, number>();
 
@@ -84,6 +85,21 @@
     };
   }
 
+  /** Holds requests on their way, on open and on new connections. */
+  hold(match: Match): () => void {
+    this.holds.add(match);
+    for (const each of this.find(match)) each.there.hold();
+    return () => {
+      this.holds.delete(match);
+      for (const each of this.find(match)) each.there.release();
+    };
+  }
+
+  /** Counts the connections on which bytes are held. */
+  countHeld(): number {
+    return [...this.connections].filter(each => each.there.holdsBytes).length;
+  }
+
   /** Silences the connections that are open now; new ones work. */
   silence(match: Match, direction: Direction = 'both'): number {
     const found = this.find(match);
@@ -161,6 +177,7 @@
       twice: [...this.doubled].some(match => match(from, to)),
     });
     const connection = {from, to, client, server, there, back};
+    if ([...this.holds].some(match => match(from, to))) there.hold();
     this.sockets.add(client).add(server);
     this.connections.add(connection);
     client.once('close', () => {
--- a/testing/proxy/pipe.ts
+++ b/testing/proxy/pipe.ts
@@ -33,6 +33,7 @@
 /** Carries bytes from one socket to another. */
 export class Pipe {
   private isSilent = false;
+  private isHeld = false;
   private passed = 0;
   private dueAt = 0;
   private readonly queue: Array<{dueAt: number; action: () => void}> = [];
@@ -57,6 +58,22 @@
     this.isSilent = true;
   }
 
+  /** Keeps bytes back until they are released. */
+  hold(): void {
+    this.isHeld = true;
+  }
+
+  /** Passes on what was held. */
+  release(): void {
+    this.isHeld = false;
+    this.drain();
+  }
+
+  /** Whether bytes wait for their release. */
+  get holdsBytes(): boolean {
+    return this.isHeld && this.queue.length > 0;
+  }
+
   /** Closes the target once all bytes have passed. */
   close(): void {
     this.schedule(0, () => this.target.destroy());
@@ -93,6 +110,7 @@
 
   /** Runs what is due and waits for the rest, one timer at a time. */
   private drain(): void {
+    if (this.isHeld) return;
     for (let first = this.queue[0]; first; first = this.queue[0]) {
       const left = first.dueAt - performance.now();
       if (left > TIMER_RESOLUTION_MS) {
--- a/testing/system/scenario.ts
+++ b/testing/system/scenario.ts
@@ -84,7 +84,7 @@
       throw new Error(`Could not apply: ${result.output}${result.errors}`);
     }
     if (JSON.parse(result.output).inForce === true) {
-      this.inForce.push({version, atMs: Date.now()});
+      this.noteInForce();
     }
     return version;
   }
@@ -159,6 +159,16 @@
     this.withdrawals.push({name: version, atMs: Date.now()});
   }
 
+  /** The number of the last declaration that was sent. */
+  get lastVersion(): number {
+    return this.version;
+  }
+
+  /** Notes that the last declaration is in force. */
+  noteInForce(): void {
+    this.inForce.push({version: this.version, atMs: Date.now()});
+  }
+
   /** Starts a load that records into this scenario. */
   startLoad(seed: number, options: Partial<LoadOptions> = {}): Load {
     return new Load({
--- /dev/null
+++ b/tools/matrix/faults.ts
@@ -0,0 +1,126 @@
+/** The faults of the matrix. Each returns what mends it. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Scenario} from '../../testing/system/scenario.ts';
+
+/** What a fault is aimed at. */
+export interface FaultTarget {
+  readonly scenario: Scenario;
+  /** The host that the request goes to first. */
+  readonly gateway: string;
+  /** The endpoint that has the request, where one has. */
+  readonly endpoint: string;
+}
+
+/** Makes something fail; the result mends it. */
+export type Fault = (target: FaultTarget) => Promise<() => Promise<void>>;
+
+/** Longer than a configuration lease. */
+const FREEZE_MS = 5_000;
+
+const ENDPOINT = /^[es]\d/;
+const DAEMON = /^a\d/;
+
+/** How much of a reply passes before it is cut off. */
+const TRUNCATED_BYTES = 700;
+
+const nothing = async () => {};
+
+/** All faults by their names. */
+export const faults: Readonly<Record<string, Fault>> = {
+  'gateway killed': ({scenario, gateway}) => kill(scenario, gateway),
+  'gateway frozen': ({scenario, gateway}) => freeze(scenario, gateway),
+  'gateway stopped': async ({scenario, gateway}) => {
+    const stopping = scenario.stopDaemon(gateway);
+    return async () => {
+      await stopping;
+      scenario.system.daemons.get(gateway)?.start();
+    };
+  },
+  'gateway isolated': async ({scenario, gateway}) => isolate(scenario, gateway),
+  'leader killed': async ({scenario}) =>
+    kill(scenario, await scenario.system.findLeader()),
+  'leader frozen': async ({scenario}) =>
+    freeze(scenario, await scenario.system.findLeader()),
+  'leader isolated': async ({scenario}) =>
+    isolate(scenario, await scenario.system.findLeader()),
+  'disk lost': async ({scenario}) => {
+    const leader = await scenario.system.findLeader();
+    await scenario.system.daemons.get(leader)?.kill();
+    await scenario.system.loseDisk(leader);
+    return async () => {
+      scenario.system.daemons.get(leader)?.start();
+      await scenario.system.waitReady(leader);
+      await scenario.waitForRepair(leader);
+    };
+  },
+  'endpoint killed': async ({scenario, endpoint}) => {
+    await scenario.system.endpoints.get(endpoint)?.kill();
+    return async () => scenario.system.endpoints.get(endpoint)?.start();
+  },
+  'endpoint frozen': async ({scenario, endpoint}) => {
+    const process = scenario.system.endpoints.get(endpoint);
+    process?.signal('SIGSTOP');
+    return async () => {
+      await sleep(FREEZE_MS);
+      process?.signal('SIGCONT');
+    };
+  },
+  'endpoint links silent': async ({scenario}) => {
+    scenario.system.proxy.silence((_from, to) => ENDPOINT.test(to));
+    return nothing;
+  },
+  'endpoint replies silent': async ({scenario}) => {
+    scenario.system.proxy.silence((_from, to) => ENDPOINT.test(to), 'back');
+    return nothing;
+  },
+  'endpoint links reset': async ({scenario}) => {
+    scenario.system.proxy.reset((_from, to) => ENDPOINT.test(to));
+    return nothing;
+  },
+  'endpoint replies cut': async ({scenario}) => {
+    const mend = scenario.system.proxy.truncateReplies(
+      (_from, to) => ENDPOINT.test(to),
+      TRUNCATED_BYTES,
+    );
+    scenario.system.proxy.reset((_from, to) => ENDPOINT.test(to));
+    return async () => mend();
+  },
+  'daemon links silent': async ({scenario}) => {
+    scenario.system.proxy.silence(
+      (from, to) => DAEMON.test(from) && DAEMON.test(to),
+    );
+    return nothing;
+  },
+  'caller links silent': async ({scenario}) => {
+    scenario.system.proxy.silence(from => from === 'caller');
+    return nothing;
+  },
+  'caller links reset': async ({scenario}) => {
+    scenario.system.proxy.reset(from => from === 'caller');
+    return nothing;
+  },
+};
+
+async function kill(scenario: Scenario, host: string) {
+  await scenario.system.daemons.get(host)?.kill();
+  return async () => scenario.system.daemons.get(host)?.start();
+}
+
+async function freeze(scenario: Scenario, host: string) {
+  const process = scenario.system.daemons.get(host);
+  process?.signal('SIGSTOP');
+  return async () => {
+    await sleep(FREEZE_MS);
+    process?.signal('SIGCONT');
+  };
+}
+
+function isolate(scenario: Scenario, host: string) {
+  const mend = scenario.system.proxy.cut(
+    (from, to) => from !== 'caller' && (from === host) !== (to === host),
+  );
+  return async () => {
+    await sleep(FREEZE_MS);
+    mend();
+  };
+}
--- /dev/null
+++ b/tools/matrix/main.ts
@@ -0,0 +1,80 @@
+/**
+ * `npm run matrix -- [--rows alone|twice|pairs|all] [--cells N] [--seed S]
+ * [--cell "FAULT @ STEP"] [--workers N] [--minutes M]`: runs the fault matrix
+ * and writes `docs/FAULT_MATRIX.md`.
+ */
+import {mkdir, writeFile} from 'node:fs/promises';
+import {Command} from 'commander';
+import {createSmallPlaces} from '../../testing/system/places.ts';
+import {Scenario} from '../../testing/system/scenario.ts';
+import {drawCells, formatCell, listCells, type Cell} from './cells.ts';
+import {formatReport, type CellResult} from './report.ts';
+import {runCell} from './run_cell.ts';
+
+const MS_PER_MINUTE = 60_000;
+
+interface MatrixOptions {
+  rows: string;
+  cells: string;
+  seed: string;
+  cell?: string;
+  workers: string;
+  minutes: string;
+  out: string;
+}
+
+const command = new Command('matrix')
+  .option('--rows <kind>', 'alone, twice, pairs or all', 'all')
+  .option('--cells <count>', 'the most cells to run', '100000')
+  .option('--seed <seed>', 'the order in which cells are drawn', '1')
+  .option('--cell <cell>', 'one cell only, as the report names it')
+  .option('--workers <count>', 'systems that run at once', '2')
+  .option('--minutes <minutes>', 'no cell begins after these', '600')
+  .option('--out <file>', 'the report', 'docs/FAULT_MATRIX.md');
+
+const options = command.parse().opts<MatrixOptions>();
+const all = listCells();
+const wanted = all.filter(cell =>
+  options.cell === undefined
+    ? options.rows === 'all' || classifyRow(cell) === options.rows
+    : formatCell(cell) === options.cell,
+);
+const queue = drawCells(wanted, Number(options.cells), Number(options.seed));
+const results: CellResult[] = [];
+const endsAt = Date.now() + Number(options.minutes) * MS_PER_MINUTE;
+await Promise.all(
+  Array.from({length: Number(options.workers)}, () => runWorker()),
+);
+await mkdir('docs', {recursive: true});
+await writeFile(options.out, formatReport(results, all.length, process.argv));
+const failed = results.filter(result => result.found.length > 0).length;
+console.log(`${results.length - failed} passed, ${failed} failed`);
+process.exit(failed === 0 ? 0 : 1);
+
+function classifyRow(cell: Cell): string {
+  if (cell.row.length === 1) return 'alone';
+  return cell.row[0] === cell.row[1] ? 'twice' : 'pairs';
+}
+
+/** Runs cells, in a fresh system after each that failed. */
+async function runWorker(): Promise<void> {
+  while (queue.length > 0 && Date.now() < endsAt) {
+    const network = {callerMs: 1};
+    await using scenario = await Scenario.start({
+      ...createSmallPlaces(),
+      network,
+    });
+    let sound = true;
+    while (sound && Date.now() < endsAt) {
+      const cell = queue.shift();
+      if (!cell) return;
+      const startedAt = Date.now();
+      const found = await runCell(scenario, cell);
+      const seconds = (Date.now() - startedAt) / 1_000;
+      results.push({cell, found, seconds});
+      sound = found.length === 0;
+      const verdict = sound ? 'passed' : `FAILED: ${found.join('; ')}`;
+      console.log(`${formatCell(cell)}: ${verdict} (${seconds.toFixed(1)} s)`);
+    }
+  }
+}
--- /dev/null
+++ b/tools/matrix/steps.ts
@@ -0,0 +1,230 @@
+/** The steps of the matrix: brings work to a step, fails it, sees it end. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {CallerRequest} from '../../testing/callers/caller.ts';
+import type {CallRecord} from '../../testing/records/call_record.ts';
+import type {RunStep} from '../../testing/stand_ins/step_gate.ts';
+import type {Scenario} from '../../testing/system/scenario.ts';
+import {waitFor} from '../../testing/system/system.ts';
+
+/** Makes the faults of the cell happen; `endpoint` has the request. */
+export type Inject = (endpoint: string) => Promise<void>;
+
+/** Runs one kind of work; returns what went wrong beside the checks. */
+export type Step = (run: StepRun) => Promise<string[]>;
+
+export interface StepRun {
+  readonly scenario: Scenario;
+  /** Differs for each cell. */
+  readonly id: string;
+  readonly gateway: string;
+  readonly inject: Inject;
+}
+
+/** How long a request may take to come to its end after the faults. */
+const END_TIMEOUT_MS = 30_000;
+
+/** How long an operator resends a file. */
+const APPLY_TIMEOUT_MS = 30_000;
+
+const RETRY_PAUSE_MS = 300;
+
+const ENGINES = ['e1', 'e2', 'e3'];
+const SERVICES = ['s1', 's2'];
+
+type RequestStep = 'before admit' | 'admitted' | RunStep | 'settled';
+
+const REQUEST_STEPS: readonly RequestStep[] = [
+  'before admit',
+  'admitted',
+  'dispatched',
+  'first-byte',
+  'mid-stream',
+  'answered',
+  'settled',
+];
+
+/** All steps by their names. */
+export const steps: Readonly<Record<string, Step>> = {
+  ...Object.fromEntries(
+    REQUEST_STEPS.map(step => [
+      `chat: ${step}`,
+      (run: StepRun) => runRequest(run, step, createChat(run.id)),
+    ]),
+  ),
+  ...Object.fromEntries(
+    REQUEST_STEPS.filter(
+      step => step !== 'first-byte' && step !== 'mid-stream',
+    ).map(step => [
+      `booking: ${step}`,
+      (run: StepRun) => runRequest(run, step, createBooking(run.id)),
+    ]),
+  ),
+  'apply: sent': run => runApply(run, async () => {}),
+  'apply: appended': run => runApply(run, () => sleep(10)),
+  'apply: committed': run => runApply(run, version => waitSeen(run, version)),
+  'apply: acknowledged': async run => {
+    await run.scenario.apply({}, 'a1');
+    return runApply(run, async (_version, applied) => void (await applied));
+  },
+  'repair: begun': run => runRepair(run, false),
+  'repair: done': run => runRepair(run, true),
+  'leave: announced': run => runLeave(run),
+  'announce: first': run => runAnnounce(run),
+};
+
+function createChat(id: string): CallerRequest {
+  return {key: id, content: `question ${id}`, session: id, stream: true};
+}
+
+function createBooking(id: string): CallerRequest {
+  return {key: id, content: `{"door":"${id}"}`, service: 'booking/bookings'};
+}
+
+async function runRequest(
+  run: StepRun,
+  step: RequestStep,
+  request: CallerRequest,
+): Promise<string[]> {
+  const {scenario, gateway, inject} = run;
+  const {system} = scenario;
+  const holders = request.service === undefined ? ENGINES : SERVICES;
+  const address = system.getCallerAddress(gateway);
+  await using caller = scenario.createCaller();
+  const first = async () => caller.sendOnce(request, address);
+  if (step === 'before admit') {
+    await inject(holders[0] ?? '');
+    return finish(run, request, await first());
+  }
+  if (step === 'settled') {
+    const record = await first();
+    await inject(holders[0] ?? '');
+    return finish(run, request, {...record, outcome: 'no-reply'});
+  }
+  if (step === 'admitted') {
+    const release = system.proxy.hold(
+      (from, to) => from === gateway && holders.includes(to),
+    );
+    const sent = first();
+    await waitFor(
+      'a request is held on its way',
+      async () => system.proxy.countHeld() > 0,
+    );
+    await inject(holders[0] ?? '');
+    release();
+    return finish(run, request, await sent);
+  }
+  await Promise.all(holders.map(name => system.hold(name, step)));
+  const sent = first();
+  const holder = await findHolder(scenario, holders);
+  await inject(holder);
+  const released = holders.map(name => system.hold(name, null).catch(() => {}));
+  // A frozen endpoint takes the order when it wakes.
+  void Promise.all(released);
+  return finish(run, request, await sent);
+}
+
+async function findHolder(
+  scenario: Scenario,
+  names: readonly string[],
+): Promise<string> {
+  let holder = '';
+  await waitFor('a run is held', async () => {
+    for (const name of names) {
+      if ((await scenario.system.countHeld(name)) > 0) holder = name;
+    }
+    return holder !== '';
+  });
+  return holder;
+}
+
+/** Retries with the same key until the request has come to its end. */
+async function finish(
+  run: StepRun,
+  request: CallerRequest,
+  first: CallRecord,
+): Promise<string[]> {
+  await using caller = run.scenario.createCaller();
+  const deadline = Date.now() + END_TIMEOUT_MS;
+  let record = first;
+  while (Date.now() < deadline) {
+    if (record.outcome === 'answered') return [];
+    // Truthful: nobody can tell, and the call may not be repeated.
+    const lost = request.service !== undefined && record.code === 'answer-lost';
+    if (lost && record.outcome === 'unknown') return [];
+    await sleep(RETRY_PAUSE_MS);
+    record = await caller.sendOnce(request);
+  }
+  return [`no end: the last outcome is ${record.outcome} (${record.code})`];
+}
+
+async function runApply(
+  run: StepRun,
+  waitForStep: (version: number, applied: Promise<unknown>) => Promise<void>,
+): Promise<string[]> {
+  const {scenario} = run;
+  const through = 'a1';
+  const version = scenario.lastVersion + 1;
+  const applied = scenario.applyNext(through);
+  await waitForStep(version, applied);
+  await run.inject('e1');
+  await applied;
+  const deadline = Date.now() + APPLY_TIMEOUT_MS;
+  let output = '';
+  while (Date.now() < deadline) {
+    for (const host of ['a2', 'a3', 'a1']) {
+      const again = await scenario.applyAgain({}, host);
+      output = again.output + again.errors;
+      if (again.code === 0 && JSON.parse(again.output).inForce === true) {
+        scenario.noteInForce();
+        return [];
+      }
+    }
+  }
+  return [`no end: the resent file was answered with ${output}`];
+}
+
+async function waitSeen(run: StepRun, version: number): Promise<void> {
+  await waitFor('the change is seen somewhere', async () =>
+    run.scenario.seen.slice(-20).some(each => each.version === version),
+  );
+}
+
+async function runRepair(run: StepRun, done: boolean): Promise<string[]> {
+  const {scenario} = run;
+  const {system} = scenario;
+  await system.daemons.get('a1')?.kill();
+  await system.loseDisk('a1');
+  system.daemons.get('a1')?.start();
+  if (done) {
+    await system.waitReady('a1');
+    await scenario.waitForRepair('a1');
+  }
+  await run.inject('e1');
+  const request = createChat(run.id);
+  await using caller = scenario.createCaller();
+  return finish(run, request, await caller.sendOnce(request));
+}
+
+async function runLeave(run: StepRun): Promise<string[]> {
+  const engine = run.scenario.system.endpoints.get('e2');
+  const atMs = Date.now();
+  const stopping = engine?.stop();
+  await run.inject('e1');
+  const request = createChat(run.id);
+  await using caller = run.scenario.createCaller();
+  const found = await finish(run, request, await caller.sendOnce(request));
+  await stopping;
+  run.scenario.leavings.push({name: 'e2', atMs, untilMs: Date.now()});
+  engine?.start();
+  return found;
+}
+
+async function runAnnounce(run: StepRun): Promise<string[]> {
+  const engine = run.scenario.system.endpoints.get('e3');
+  await engine?.kill();
+  engine?.start();
+  await run.inject('e1');
+  const request = createChat(run.id);
+  await using caller = run.scenario.createCaller();
+  return finish(run, request, await caller.sendOnce(request));
+}
