--- a/src/cli/serve/peer_service.ts
+++ b/src/cli/serve/peer_service.ts
@@ -8,8 +8,8 @@
 import {createLeaseService} from '../../coordination/leases/lease_service.ts';
 import type {EndpointTable} from '../../coordination/membership/endpoint_table.ts';
 import type {EvidenceLedger} from '../../coordination/rollout/evidence_ledger.ts';
-import type {Replica} from '../../coordination/replication/replica.ts';
 import {formatLedgerGroup} from '../../coordination/requests/ledger_client.ts';
+import {createReplicationService} from './replication_service.ts';
 import type {Replicas} from './replicas.ts';
 
 export interface PeerServiceOptions {
@@ -34,9 +34,7 @@
       })
     : null;
   return {
-    vote: request => findReplica(replicas, request.group).handleVote(request),
-    append: request =>
-      findReplica(replicas, request.group).handleAppend(request),
+    ...createReplicationService(replicas),
     propose: async ({group, command}) =>
       replicas.get(group)?.propose(command) ?? {
         type: 'not-leader',
@@ -98,12 +96,3 @@
     status: ledger.describeSummary(),
   };
 }
-
-function findReplica(
-  replicas: Replicas,
-  group: string,
-): Replica<unknown, unknown> {
-  const replica = replicas.get(group);
-  if (!replica) throw new Error(`Could not find a replica of group "${group}"`);
-  return replica;
-}
--- a/src/cli/serve/replicas.ts
+++ b/src/cli/serve/replicas.ts
@@ -4,7 +4,6 @@
 import {ControlState} from '../../state/control/control_state.ts';
 import {LedgerState} from '../../state/ledger/ledger_state.ts';
 import {lockFolder} from '../../state/files/folder_lock.ts';
-import {openOrSetAside} from './open_storage.ts';
 import type {StateMachine} from '../../state/state_machine.ts';
 import {LeaseTable} from '../../coordination/leases/lease_table.ts';
 import {Replica} from '../../coordination/replication/replica.ts';
@@ -12,6 +11,7 @@
 import type {PeerLinks} from '../../transport/peers/peer_links.ts';
 import {findReplicaAddress} from './call_replica.ts';
 import type {DaemonParts} from './daemon.ts';
+import {openOrSetAside} from './open_storage.ts';
 
 /** The name of the group that holds the configuration. */
 export const CONTROL_GROUP = 'control';
@@ -78,10 +78,16 @@
   const folder = join(settings.data_folder ?? '', group);
   const logger = createLogger('storage');
   const storage = store.add(await openOrSetAside(folder, {clock, logger}));
-  const replica = new Replica<C, R>({
+  const replica = await Replica.open<C, R>({
     group,
     name: settings.name,
-    voters: settings.replicas.map(each => each.name),
+    hosts: settings.replicas.map(each => ({
+      name: each.name,
+      region: each.region,
+      dataCentre: each.data_centre,
+    })),
+    voterCount: settings.voters,
+    replaceAfterMs: settings.replace_after_s * 1_000,
     storage,
     stateMachine,
     getPeer: name => links.get(findReplicaAddress(settings, name)),
--- /dev/null
+++ b/src/coordination/replication/collect_votes.ts
@@ -0,0 +1,54 @@
+/** Asks all voters for their vote. */
+import type {Member, VoteRequest} from '../../protocol/replication.ts';
+import {countMajority} from './member.ts';
+import type {ReplicaPeer} from './peer_replicator.ts';
+
+/** How long a voter may take to answer. */
+const VOTE_TIMEOUT_MS = 600;
+
+export interface CollectVotesOptions {
+  readonly voters: readonly Member[];
+  /** The candidate, which votes for itself. */
+  readonly self: Member;
+  readonly getPeer: (name: string) => ReplicaPeer;
+  readonly request: Omit<VoteRequest, 'to'>;
+  /** Runs when a voter knows of a later term. */
+  readonly onLaterTerm: (term: number) => void;
+}
+
+/** Resolves to true as soon as a majority agrees, to false once it cannot. */
+export function collectVotes(options: CollectVotesOptions): Promise<boolean> {
+  const {voters, self, request} = options;
+  const majority = countMajority(voters);
+  const others = voters.filter(
+    ({incarnation}) => incarnation !== self.incarnation,
+  );
+  let granted = voters.length - others.length;
+  let open = others.length;
+  if (granted >= majority) return Promise.resolve(true);
+  return new Promise(resolve => {
+    const count = (isGranted: boolean) => {
+      open--;
+      if (isGranted) granted++;
+      if (granted >= majority) resolve(true);
+      else if (open === 0) resolve(false);
+    };
+    if (open === 0) resolve(false);
+    for (const voter of others) {
+      askVoter(options, voter)
+        .then(reply => {
+          if (!reply.granted && reply.term >= request.term) {
+            options.onLaterTerm(reply.term);
+          }
+          count(reply.granted);
+        })
+        .catch(() => count(false));
+    }
+  });
+}
+
+async function askVoter(options: CollectVotesOptions, voter: Member) {
+  return options
+    .getPeer(voter.name)
+    .vote({...options.request, to: voter.incarnation}, VOTE_TIMEOUT_MS);
+}
--- /dev/null
+++ b/src/coordination/replication/formation.ts
@@ -0,0 +1,106 @@
+/**
+ * Forms a new group.
+ *
+ * Only the first listed host forms a group, and only when all listed hosts
+ * answer and none belongs to one. A host that lost its disk therefore never
+ * forms a second group beside the first.
+ */
+import type {Clock} from '../../protocol/clock.ts';
+import type {
+  Member,
+  Membership,
+  ReplicaDescription,
+} from '../../protocol/replication.ts';
+import {chooseVoters, type ReplicaHost} from './member.ts';
+import type {ReplicaPeer} from './peer_replicator.ts';
+
+/** The pause between two tries. */
+const RETRY_MS = 300;
+
+/** How long a host may take to answer. */
+const CALL_TIMEOUT_MS = 1_000;
+
+export interface FormationOptions {
+  readonly group: string;
+  readonly self: Member;
+  readonly hosts: readonly ReplicaHost[];
+  readonly voterCount: number;
+  readonly clock: Clock;
+  readonly signal: AbortSignal;
+  readonly getPeer: (name: string) => ReplicaPeer;
+  /** Whether this replica belongs to a group. */
+  readonly isFormed: () => boolean;
+  /** The first membership, while the log still begins with it. */
+  readonly getFormation: () => Membership | null;
+  /** Makes this replica a member of a new group. */
+  readonly form: (membership: Membership) => Promise<void>;
+}
+
+/** Forms the group if it falls to this host; ends when all voters know. */
+export async function formGroup(options: FormationOptions): Promise<void> {
+  const {hosts, self, clock, signal} = options;
+  if (hosts[0]?.name !== self.name) return;
+  while (!signal.aborted && !options.isFormed()) {
+    const membership = await proposeMembership(options);
+    if (membership) await options.form(membership);
+    else await clock.sleep(RETRY_MS, signal);
+  }
+  const membership = options.getFormation();
+  if (!membership) return;
+  const others = membership.voters.filter(({name}) => name !== self.name);
+  await Promise.all(others.map(voter => tellVoter(options, membership, voter)));
+}
+
+/** The first membership; `null` unless all answer and all are empty. */
+async function proposeMembership(
+  options: FormationOptions,
+): Promise<Membership | null> {
+  const {hosts, self, group, voterCount} = options;
+  const incarnations = new Map([[self.name, self.incarnation]]);
+  const answers = await Promise.all(
+    hosts
+      .filter(host => host.name !== self.name)
+      .map(async host => {
+        const answer = await askHost(options, host.name, peer =>
+          peer.describeReplica({group}, CALL_TIMEOUT_MS),
+        );
+        if (answer) incarnations.set(host.name, answer.incarnation);
+        return answer !== null && !answer.formed;
+      }),
+  );
+  if (!answers.every(Boolean)) return null;
+  const voters = chooseVoters(hosts, voterCount).map(({name}) => ({
+    name,
+    incarnation: incarnations.get(name) ?? '',
+  }));
+  return {voters};
+}
+
+/** Tells a voter until it belongs to a group or has another disk. */
+async function tellVoter(
+  options: FormationOptions,
+  membership: Membership,
+  {name, incarnation}: Member,
+): Promise<void> {
+  const {group, clock, signal} = options;
+  while (!signal.aborted) {
+    const answer = await askHost(options, name, peer =>
+      peer.formGroup({group, to: incarnation, membership}, CALL_TIMEOUT_MS),
+    );
+    if (answer?.formed) return;
+    if (answer && answer.incarnation !== incarnation) return;
+    await clock.sleep(RETRY_MS, signal);
+  }
+}
+
+async function askHost(
+  options: FormationOptions,
+  name: string,
+  ask: (peer: ReplicaPeer) => Promise<ReplicaDescription>,
+): Promise<ReplicaDescription | null> {
+  try {
+    return await ask(options.getPeer(name));
+  } catch {
+    return null;
+  }
+}
--- /dev/null
+++ b/src/coordination/replication/membership_keeper.ts
@@ -0,0 +1,140 @@
+/** The leader's task that repairs the membership without an operator. */
+import type {Clock} from '../../protocol/clock.ts';
+import type {Logger} from '../../protocol/logger.ts';
+import type {
+  Member,
+  Membership,
+  ReplicaDescription,
+} from '../../protocol/replication.ts';
+import type {Leadership} from './leadership.ts';
+import {formatMember, type ReplicaHost} from './member.ts';
+import type {ReplicaPeer} from './peer_replicator.ts';
+import {
+  planMembership,
+  type MembershipStep,
+  type VoterView,
+} from './plan_membership.ts';
+
+/** How often the membership is looked at. */
+const INTERVAL_MS = 1_000;
+
+/** The silence up to which a voter counts as reachable. */
+const REACHABLE_MS = 1_000;
+
+/** How long a host may take to describe itself. */
+const DESCRIBE_TIMEOUT_MS = 500;
+
+export interface MembershipKeeperOptions {
+  readonly group: string;
+  readonly name: string;
+  readonly hosts: readonly ReplicaHost[];
+  readonly voterCount: number;
+  readonly replaceAfterMs: number;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly getPeer: (name: string) => ReplicaPeer;
+  readonly leadership: Leadership;
+  readonly getMembership: () => Membership;
+  readonly getCommitIndex: () => number;
+  /** Serves the voters and the learners of the leadership. */
+  readonly servePeers: () => void;
+  /** Commits a membership; false when that failed. */
+  readonly change: (membership: Membership) => Promise<boolean>;
+}
+
+/** Keeps the membership whole until the leadership ends. */
+export async function keepMembership(
+  options: MembershipKeeperOptions,
+): Promise<void> {
+  const {leadership, clock} = options;
+  const {signal} = leadership.stopped;
+  let changed = false;
+  while (!signal.aborted) {
+    // A removal and the promotion that follows it stay close together.
+    if (!changed) await clock.sleep(INTERVAL_MS, signal);
+    changed = false;
+    if (signal.aborted || !needsCare(options)) continue;
+    const descriptions = await describeHosts(options);
+    if (signal.aborted) return;
+    const step = planMembership({
+      hosts: options.hosts,
+      voterCount: options.voterCount,
+      replaceAfterMs: options.replaceAfterMs,
+      reachableMs: REACHABLE_MS,
+      voters: viewVoters(options),
+      learners: [...leadership.learners.values()].map(member => ({
+        member,
+        caughtUp: hasCaughtUp(options, member),
+      })),
+      descriptions,
+    });
+    changed = await takeStep(options, step);
+  }
+}
+
+function needsCare(options: MembershipKeeperOptions): boolean {
+  const {hosts, voterCount, leadership} = options;
+  const voters = viewVoters(options);
+  return (
+    leadership.learners.size > 0 ||
+    voters.length !== Math.min(voterCount, hosts.length) ||
+    voters.some(voter => voter.silentMs > REACHABLE_MS)
+  );
+}
+
+function viewVoters(options: MembershipKeeperOptions): VoterView[] {
+  const {leadership, clock, name} = options;
+  return options.getMembership().voters.map(member => {
+    const heardAt = leadership.get(member)?.heardAt ?? leadership.since;
+    const since = Math.max(heardAt, leadership.since);
+    const silentMs = member.name === name ? 0 : clock.monotonic() - since;
+    return {member, silentMs};
+  });
+}
+
+function hasCaughtUp(options: MembershipKeeperOptions, member: Member) {
+  const progress = options.leadership.get(member);
+  return (progress?.matchIndex ?? 0) >= options.getCommitIndex();
+}
+
+async function describeHosts(
+  options: MembershipKeeperOptions,
+): Promise<Map<string, ReplicaDescription>> {
+  const {hosts, name, group} = options;
+  const answers = new Map<string, ReplicaDescription>();
+  const others = hosts.filter(host => host.name !== name);
+  await Promise.all(
+    others.map(async host => {
+      const answer = await options
+        .getPeer(host.name)
+        .describeReplica({group}, DESCRIBE_TIMEOUT_MS)
+        .catch(() => null);
+      if (answer) answers.set(host.name, answer);
+    }),
+  );
+  return answers;
+}
+
+/** Takes a step; true when the voters changed. */
+async function takeStep(
+  options: MembershipKeeperOptions,
+  step: MembershipStep,
+): Promise<boolean> {
+  const {leadership, logger, group} = options;
+  if (step.type === 'none') return false;
+  if (step.type === 'change') {
+    const voters = step.voters.map(formatMember);
+    logger.info('Changes the voters.', {group, voters});
+    return options.change({voters: [...step.voters]});
+  }
+  const member = formatMember(step.member);
+  if (step.type === 'learn') {
+    logger.info('Replicates to a learner.', {group, member});
+    leadership.learners.set(member, step.member);
+  } else {
+    logger.info('Forgets a learner.', {group, member});
+    leadership.learners.delete(member);
+  }
+  options.servePeers();
+  return false;
+}
--- a/src/coordination/replication/replica.ts
+++ b/src/coordination/replication/replica.ts
@@ -4,53 +4,78 @@
  * Elections use a pre-vote, so that an isolated member does not disturb the
  * others when it returns, and a leader steps down when it has not heard from
  * a majority for an election timeout. An entry is committed once a majority
- * has synced it. Each peer is served by a task of its own.
+ * has synced it. Each peer is served by a task of its own. Who votes is part
+ * of the log, and a voter is a host with one incarnation of its disk.
  */
 import {createMachine, interpret, state, transition} from 'robot3';
 import type {Clock} from '../../protocol/clock.ts';
 import type {Logger} from '../../protocol/logger.ts';
+import type {ProposeReply} from '../../protocol/peer_service.ts';
 import type {
   AppendReply,
   AppendRequest,
+  FormRequest,
+  InstallReply,
+  InstallRequest,
   LogEntry,
-  ProposeReply,
+  Member,
+  Membership,
+  ReplicaDescription,
+  TransferRequest,
   VoteReply,
   VoteRequest,
-} from '../../protocol/peer_service.ts';
+} from '../../protocol/replication.ts';
+import {DiskFullError, StorageFailedError} from '../../state/errors.ts';
 import type {LogStorage} from '../../state/log/log_storage.ts';
+import {
+  decodeSnapshot,
+  encodeSnapshot,
+} from '../../state/snapshot/snapshot_codec.ts';
 import type {StateMachine} from '../../state/state_machine.ts';
-import {createSignal, type Signal} from '../signal.ts';
-import {createMutex, type Mutex} from '../mutex.ts';
-
-/** How often a leader speaks to each peer when it has nothing to send. */
-export const HEARTBEAT_MS = 150;
-
-/** A follower that hears nothing for this long, or up to twice it, stands. */
+import {createMutex} from '../mutex.ts';
+import {createSignal} from '../signal.ts';
+import {collectVotes} from './collect_votes.ts';
+import {formGroup} from './formation.ts';
+import {Leadership, type PeerProgress} from './leadership.ts';
+import {findMajorityValue, includesMember, type ReplicaHost} from './member.ts';
+import {MembershipHistory} from './membership_history.ts';
+import {keepMembership} from './membership_keeper.ts';
+import {
+  HEARTBEAT_MS,
+  replicateToPeer,
+  type ReplicaPeer,
+} from './peer_replicator.ts';
+import {ProposalQueue, type Proposal} from './proposal_queue.ts';
+import {SnapshotReceiver} from './snapshot_receiver.ts';
+
+/** A follower that hears nothing for this long stands, or half of it later. */
 export const ELECTION_TIMEOUT_MS = 1_000;
 
 /** How long a leader's reading is trusted after a majority answered. */
 export const LEADER_LEASE_MS = 800;
 
-/** How long a peer may take to answer. */
-const PEER_TIMEOUT_MS = 900;
+/** How long a member whose disk is full neither leads nor stands. */
+const DISK_FULL_PAUSE_MS = 5_000;
 
-/** The most entries in one append. */
-const APPEND_ENTRIES = 256;
+/** How long a leader that stops waits for its successor. */
+const TRANSFER_TIMEOUT_MS = 700;
 
-/** How long a proposal waits for its commit. */
-const PROPOSE_TIMEOUT_MS = 3_000;
+/** The silence after which a voter is replaced by another host. */
+const REPLACE_AFTER_MS = 30_000;
 
-/** Calls that a replica makes to another. A rejection counts as silence. */
-export interface ReplicaPeer {
-  vote(request: VoteRequest, timeoutMs: number): Promise<VoteReply>;
-  append(request: AppendRequest, timeoutMs: number): Promise<AppendReply>;
-}
+/** The number of entries after which a snapshot is taken. */
+const SNAPSHOT_ENTRIES = 4_096;
+
+/** The bytes of entries after which a snapshot is taken. */
+const SNAPSHOT_TAIL_BYTES = 2 * 1024 * 1024;
 
 export interface ReplicaOptions<C, R> {
   readonly group: string;
   readonly name: string;
-  /** The names of all voters, this one included. */
-  readonly voters: readonly string[];
+  /** The hosts that may carry replicas; the first one forms the group. */
+  readonly hosts: readonly ReplicaHost[];
+  /** How many of the hosts vote; the others stand by. */
+  readonly voterCount: number;
   readonly storage: LogStorage;
   readonly stateMachine: StateMachine<C, R>;
   readonly getPeer: (name: string) => ReplicaPeer;
@@ -58,51 +83,47 @@
   /** Returns a number from 0 up to 1. */
   readonly random: () => number;
   readonly logger: Logger;
+  /** The silence after which a voter is replaced, in ms; 30,000. */
+  readonly replaceAfterMs?: number;
+  /** The number of entries after which a snapshot is taken; 4,096. */
+  readonly snapshotEntries?: number;
   /** Runs after each change of what is applied or of who leads. */
   readonly onChange?: () => void;
 }
 
 const roleMachine = createMachine('follower', {
-  follower: state(transition('campaign', 'candidate')),
+  follower: state(
+    transition('campaign', 'candidate'),
+    transition('fail', 'failed'),
+  ),
   candidate: state(
     transition('campaign', 'candidate'),
     transition('win', 'leader'),
     transition('follow', 'follower'),
+    transition('fail', 'failed'),
   ),
-  leader: state(transition('follow', 'follower')),
+  leader: state(transition('follow', 'follower'), transition('fail', 'failed')),
+  failed: state(),
 });
 
-interface PeerProgress {
-  nextIndex: number;
-  matchIndex: number;
-  /** When the last answered call was sent; the leader lease counts it. */
-  heardAt: number;
-  wake: Signal;
-}
-
-interface Waiter<R> {
-  term: number;
-  resolve: (reply: ProposeReply) => void;
-  result?: R;
-}
-
 /** A member of a replicated group. Dispose it to stop its tasks. */
 export class Replica<C, R> implements AsyncDisposable {
   private readonly role = interpret(roleMachine, () => {});
   private readonly stopped = new AbortController();
-  private readonly peers = new Map<string, PeerProgress>();
-  private readonly waiters = new Map<number, Waiter<R>>();
-  private readonly storageLock: Mutex = createMutex();
+  private readonly storageLock = createMutex();
+  private readonly snapshotLock = createMutex();
   private readonly tasks: Array<Promise<void>> = [];
-  private readonly appendWake = createSignal();
-  private queue: Array<{command: C; resolve: (reply: ProposeReply) => void}> =
-    [];
+  private readonly appendWake;
+  private readonly proposals: ProposalQueue<C>;
+  private readonly memberships: MembershipHistory;
+  private readonly receiver = new SnapshotReceiver();
+  private readonly self: Member;
+  private leadership: Leadership | null = null;
   private currentLeader: string | null = null;
-  private commitIndex = 0;
-  private appliedIndex = 0;
-  private syncedIndex = 0;
-  /** The index of the entry that opened this leader's term. */
-  private termStartIndex = 0;
+  private commitIndex: number;
+  private appliedIndex: number;
+  private campaigning = false;
+  private snapshotting = false;
   /** When the election timer began; a campaign or a granted vote resets it. */
   private timerStartedAt: number;
   /**
@@ -110,24 +131,50 @@
    * before, so it counts from its start; no vote is given within the timeout.
    */
   private leaderContactAt: number;
-  private leadingSince = 0;
-
-  constructor(private readonly options: ReplicaOptions<C, R>) {
-    this.timerStartedAt = options.clock.monotonic();
+  private pausedUntil = -Infinity;
+
+  private constructor(private readonly options: ReplicaOptions<C, R>) {
+    const {clock, storage, name} = options;
+    this.self = {name, incarnation: storage.incarnation};
+    this.appendWake = createSignal(clock);
+    this.proposals = new ProposalQueue(clock);
+    this.memberships = new MembershipHistory(storage);
+    this.timerStartedAt = clock.monotonic();
     this.leaderContactAt = this.timerStartedAt;
-    this.syncedIndex = options.storage.lastIndex;
-    for (const peer of this.otherVoters()) {
-      const wake = createSignal();
-      this.peers.set(peer, {nextIndex: 1, matchIndex: 0, heardAt: 0, wake});
+    this.commitIndex = storage.snapshot?.index ?? 0;
+    this.appliedIndex = this.commitIndex;
+  }
+
+  /** Restores the state from the storage's snapshot. */
+  static async open<C, R>(
+    options: ReplicaOptions<C, R>,
+  ): Promise<Replica<C, R>> {
+    const bytes = await options.storage.readSnapshot();
+    const snapshot = bytes && decodeSnapshot(bytes);
+    if (snapshot && snapshot.index > 0) {
+      options.stateMachine.restoreSnapshot(snapshot.state);
     }
+    return new Replica(options);
   }
 
-  /** Starts the election timer and the tasks that serve the peers. */
+  /** Starts the election timer and the other tasks. */
   start(): void {
     this.tasks.push(this.runElectionTimer(), this.runAppender());
-    for (const peer of this.peers.keys()) {
-      this.tasks.push(this.runPeer(peer));
-    }
+    const {group, hosts, voterCount, clock, storage} = this.options;
+    const formation = formGroup({
+      group,
+      hosts,
+      voterCount,
+      clock,
+      self: this.self,
+      signal: this.stopped.signal,
+      getPeer: name => this.options.getPeer(name),
+      isFormed: () => this.membership !== null,
+      getFormation: () =>
+        storage.snapshot?.index === 0 ? storage.snapshot.membership : null,
+      form: membership => this.form(membership),
+    });
+    this.tasks.push(formation.catch(error => this.logFailure(error)));
   }
 
   /** The leader this member last heard of, itself included. */
@@ -143,9 +190,19 @@
     return this.appliedIndex;
   }
 
+  /** Who votes; `null` before the group is formed. */
+  get membership(): Membership | null {
+    return this.memberships.current;
+  }
+
+  /** Whether the membership in force is known to be committed. */
+  get hasSettledMembership(): boolean {
+    return this.memberships.changedAt <= this.commitIndex;
+  }
+
   /** When this member became leader, on the monotonic clock. */
   get leaderSince(): number {
-    return this.leadingSince;
+    return this.leadership?.since ?? this.options.clock.monotonic();
   }
 
   /**
@@ -153,52 +210,51 @@
    * everything committed before its term is applied.
    */
   isLeader(): boolean {
-    if (this.role.machine.current !== 'leader') return false;
-    if (this.appliedIndex < this.termStartIndex) return false;
+    const {leadership} = this;
+    if (!leadership || leadership.abdicating) return false;
+    if (this.appliedIndex < leadership.startIndex) return false;
     const age = this.options.clock.monotonic() - this.findMajorityHeardAt();
     return age < LEADER_LEASE_MS;
   }
 
   /** Appends a command and waits until it is applied. */
-  propose(command: C): Promise<ProposeReply> {
-    if (!this.isLeader()) {
-      const leader = this.leader === this.options.name ? null : this.leader;
-      return Promise.resolve({type: 'not-leader', leader});
+  async propose(command: C): Promise<ProposeReply> {
+    if (!this.isLeader()) return this.refuse();
+    return this.enqueue({command});
+  }
+
+  /** Says what this replica is. */
+  describe(): ReplicaDescription {
+    const {incarnation} = this.self;
+    return {incarnation, formed: this.membership !== null};
+  }
+
+  /** Answers the host that forms the group. */
+  async handleForm(request: FormRequest): Promise<ReplicaDescription> {
+    if (request.to === this.self.incarnation) {
+      await this.form(request.membership);
     }
-    return new Promise(resolve => {
-      const timer = setTimeout(
-        () => resolve({type: 'unknown'}),
-        PROPOSE_TIMEOUT_MS,
-      );
-      const settle = (reply: ProposeReply) => {
-        clearTimeout(timer);
-        resolve(reply);
-      };
-      this.queue.push({command, resolve: settle});
-      this.appendWake.notify();
-    });
+    return this.describe();
   }
 
   /** Answers a candidate's request for a vote. */
   async handleVote(request: VoteRequest): Promise<VoteReply> {
-    return this.storageLock.run(async () => {
-      const {storage} = this.options;
+    this.assertAddressed(request.to);
+    return this.withStorage(async () => {
+      const refusal = {term: this.term, granted: false};
+      if (!this.membership) return refusal;
+      if (this.hasLiveLeader() && !request.transfer) return refusal;
       if (request.preVote) {
-        const granted =
-          request.term >= storage.hardState.term &&
-          !this.hasLiveLeader() &&
-          this.isUpToDate(request);
-        return {term: storage.hardState.term, granted};
-      }
-      if (this.hasLiveLeader()) return {term: this.term, granted: false};
-      if (request.term > storage.hardState.term) {
-        await this.adoptTerm(request.term);
+        const granted = request.term > this.term && this.isUpToDate(request);
+        return {term: this.term, granted};
       }
-      const {term, votedFor} = storage.hardState;
+      if (request.term > this.term) await this.adoptTerm(request.term);
+      const {term, votedFor} = this.options.storage.hardState;
       const free = votedFor === null || votedFor === request.candidate;
       const granted = request.term === term && free && this.isUpToDate(request);
       if (granted) {
-        await storage.saveHardState({term, votedFor: request.candidate});
+        const vote = {term, votedFor: request.candidate};
+        await this.options.storage.saveHardState(vote);
         this.timerStartedAt = this.options.clock.monotonic();
       }
       return {term, granted};
@@ -207,41 +263,88 @@
 
   /** Answers a leader's append or heartbeat. */
   async handleAppend(request: AppendRequest): Promise<AppendReply> {
-    return this.storageLock.run(async () => {
-      const {storage, clock} = this.options;
-      if (request.term < storage.hardState.term) {
-        return {term: this.term, accepted: false, matchIndex: 0};
-      }
-      if (request.term > storage.hardState.term) {
-        await this.adoptTerm(request.term);
-      }
-      this.follow(request.leader);
-      this.leaderContactAt = clock.monotonic();
-      this.timerStartedAt = this.leaderContactAt;
-      if (storage.getTerm(request.previousIndex) !== request.previousTerm) {
-        const matchIndex = Math.min(
-          storage.lastIndex,
-          request.previousIndex - 1,
-        );
-        return {term: this.term, accepted: false, matchIndex};
+    this.assertAddressed(request.to);
+    return this.withStorage(async () => {
+      const {storage} = this.options;
+      const formed = this.membership !== null;
+      const reject = (matchIndex: number): AppendReply => ({
+        term: this.term,
+        accepted: false,
+        matchIndex,
+        formed,
+      });
+      if (!(await this.acceptLeader(request))) return reject(0);
+      if (!formed) return reject(0);
+      const {previousIndex} = request;
+      if (previousIndex > storage.lastIndex) return reject(storage.lastIndex);
+      if (storage.getTerm(previousIndex) !== request.previousTerm) {
+        return reject(this.commitIndex);
       }
       await this.storeEntries(request.entries);
-      const matchIndex = request.previousIndex + request.entries.length;
+      const matchIndex = previousIndex + request.entries.length;
       this.commitTo(Math.min(request.commitIndex, matchIndex));
-      return {term: this.term, accepted: true, matchIndex};
+      return {term: this.term, accepted: true, matchIndex, formed};
     });
   }
 
+  /** Answers a leader that sends a piece of its snapshot. */
+  async handleInstall(request: InstallRequest): Promise<InstallReply> {
+    this.assertAddressed(request.to);
+    return this.withStorage(async () => {
+      const reply = (installed: boolean): InstallReply => ({
+        term: this.term,
+        received: this.receiver.received,
+        installed,
+      });
+      if (!(await this.acceptLeader(request))) return reply(false);
+      if (this.membership && request.index <= this.commitIndex) {
+        this.receiver.clear();
+        return reply(true);
+      }
+      const received = this.receiver.take(request);
+      if (!received) return reply(false);
+      const {snapshot, bytes} = received;
+      await this.snapshotLock.run(() =>
+        this.options.storage.saveSnapshot(snapshot, bytes),
+      );
+      if (snapshot.index > 0) {
+        this.options.stateMachine.restoreSnapshot(snapshot.state);
+      }
+      this.memberships.reset(this.options.storage);
+      this.commitIndex = snapshot.index;
+      this.appliedIndex = snapshot.index;
+      const {group} = this.options;
+      this.options.logger.info('Takes a snapshot over.', {
+        group,
+        index: snapshot.index,
+        bytes: bytes.length,
+      });
+      this.options.onChange?.();
+      return reply(true);
+    });
+  }
+
+  /** Answers a leader that wants this member to succeed it. */
+  async handleTransfer(request: TransferRequest): Promise<{stands: boolean}> {
+    this.assertAddressed(request.to);
+    if (request.term !== this.term) return {stands: false};
+    await this.campaign({transfer: true});
+    return {stands: this.leadership !== null};
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
+    await this.handOver();
     this.stopped.abort();
     this.appendWake.notify();
-    for (const peer of this.peers.values()) peer.wake.notify();
-    this.failWaiters();
-    await Promise.all(this.tasks);
+    const {leadership} = this;
+    this.endLeadership();
+    await Promise.all([...this.tasks, leadership?.settle()]);
   }
 
-  private otherVoters(): string[] {
-    return this.options.voters.filter(voter => voter !== this.options.name);
+  private isVoter(): boolean {
+    return (
+      this.membership !== null && includesMember(this.membership, this.self)
+    );
   }
 
   private hasLiveLeader(): boolean {
@@ -257,99 +360,218 @@
     return request.lastIndex >= storage.lastIndex;
   }
 
+  /** Rejects what is meant for an earlier disk, and all when the disk fails. */
+  private assertAddressed(to: string): void {
+    if (to !== this.self.incarnation) {
+      throw new Error(`Could not find the incarnation "${to}"`);
+    }
+    if (this.role.machine.current === 'failed') {
+      throw new StorageFailedError('Could not answer: the disk failed');
+    }
+  }
+
+  /** Runs one task at a time that reads or writes the storage. */
+  private withStorage<T>(task: () => Promise<T>): Promise<T> {
+    return this.storageLock.run(async () => {
+      try {
+        return await task();
+      } catch (error) {
+        this.handleStorageError(error);
+        throw error;
+      }
+    });
+  }
+
+  private handleStorageError(error: unknown): void {
+    const {clock, logger, group} = this.options;
+    const reason = (error as Error).message;
+    if (error instanceof StorageFailedError) {
+      if (this.role.machine.current === 'failed' || this.stopped.signal.aborted)
+        return;
+      logger.error('Stops: the disk failed.', {group, reason});
+      this.currentLeader = null;
+      this.role.send('fail');
+      this.endLeadership();
+    } else if (error instanceof DiskFullError) {
+      logger.error('Pauses: the disk is full.', {group, reason});
+      this.pausedUntil = clock.monotonic() + DISK_FULL_PAUSE_MS;
+      if (this.leadership) this.follow(null);
+    }
+  }
+
+  private logFailure(error: unknown): void {
+    const {logger, group} = this.options;
+    const reason = (error as Error).message;
+    logger.warn('Could not finish a task.', {group, reason});
+  }
+
+  private async form(membership: Membership): Promise<void> {
+    await this.withStorage(async () => {
+      const {storage, group, logger} = this.options;
+      if (this.membership || storage.lastIndex > 0) return;
+      const snapshot = {index: 0, term: 0, membership, state: null};
+      await storage.saveSnapshot(snapshot, encodeSnapshot(snapshot));
+      this.memberships.reset(storage);
+      const voters = membership.voters.map(({name}) => name);
+      logger.info('Belongs to a new group.', {group, voters});
+    });
+  }
+
   private async adoptTerm(term: number): Promise<void> {
     await this.options.storage.saveHardState({term, votedFor: null});
     this.follow(null);
   }
 
+  /** Steps down when a peer knows of a later term. */
+  private async noteTerm(term: number): Promise<void> {
+    await this.withStorage(async () => {
+      if (term > this.term) await this.adoptTerm(term);
+    });
+  }
+
+  /** Follows the sender unless its term is over. */
+  private async acceptLeader({
+    term,
+    leader,
+  }: {
+    term: number;
+    leader: string;
+  }): Promise<boolean> {
+    if (term < this.term) return false;
+    if (term > this.term) await this.adoptTerm(term);
+    this.follow(leader);
+    this.leaderContactAt = this.options.clock.monotonic();
+    this.timerStartedAt = this.leaderContactAt;
+    return true;
+  }
+
   private follow(leader: string | null): void {
     const changed = this.currentLeader !== leader;
     this.currentLeader = leader;
-    if (this.role.machine.current !== 'follower') {
-      this.role.send('follow');
-      this.failWaiters();
-    }
-    if (changed && leader !== null) {
-      this.options.logger.info('Follows a leader.', {
-        group: this.options.group,
-        leader,
-        term: this.term,
-      });
-      this.options.onChange?.();
+    const role = this.role.machine.current;
+    if (role === 'leader' || role === 'candidate') this.role.send('follow');
+    this.endLeadership();
+    if (!changed) return;
+    if (leader !== null) {
+      const {group, logger} = this.options;
+      logger.info('Follows a leader.', {group, leader, term: this.term});
     }
+    this.options.onChange?.();
   }
 
-  private failWaiters(): void {
-    for (const waiter of this.waiters.values()) {
-      waiter.resolve({type: 'unknown'});
-    }
-    this.waiters.clear();
-    for (const {resolve} of this.queue.splice(0)) {
-      resolve({type: 'not-leader', leader: null});
-    }
+  private endLeadership(): void {
+    this.leadership?.end();
+    this.leadership = null;
+    this.proposals.fail();
   }
 
   private async storeEntries(entries: readonly LogEntry[]): Promise<void> {
     const {storage} = this.options;
-    const fresh = entries.filter(
-      entry => storage.getTerm(entry.index) !== entry.term,
+    const first = entries.find(
+      entry =>
+        entry.index > this.commitIndex &&
+        storage.getTerm(entry.index) !== entry.term,
     );
-    const first = fresh[0];
     if (!first) return;
-    if (first.index <= this.commitIndex) {
-      throw new Error(
-        `Could not replace entry ${first.index}: it is committed already`,
-      );
-    }
-    await storage.append(entries.filter(entry => entry.index >= first.index));
-    this.syncedIndex = storage.lastIndex;
+    await this.append(entries.filter(entry => entry.index >= first.index));
+  }
+
+  private async append(entries: readonly LogEntry[]): Promise<void> {
+    await this.options.storage.append(entries);
+    this.memberships.replaceFrom(entries);
   }
 
   private commitTo(index: number): void {
     if (index <= this.commitIndex) return;
     this.commitIndex = index;
-    const {storage, stateMachine} = this.options;
+    const {storage} = this.options;
     for (const entry of storage.read(this.appliedIndex + 1, index)) {
-      const result =
-        entry.command === null
-          ? undefined
-          : stateMachine.apply(entry.command as C, entry.index);
+      const reply = this.applyEntry(entry);
       this.appliedIndex = entry.index;
-      const waiter = this.waiters.get(entry.index);
-      if (!waiter) continue;
-      this.waiters.delete(entry.index);
-      waiter.resolve(
-        waiter.term === entry.term
-          ? {type: 'committed', result}
-          : {type: 'unknown'},
-      );
+      this.proposals.answer(entry, reply);
     }
     this.options.onChange?.();
+    void this.takeSnapshot().catch(error => this.logFailure(error));
+  }
+
+  /**
+   * Applies an entry. A command that no state machine can take is left out,
+   * on all members alike, so that it does not hold up those behind it.
+   */
+  private applyEntry(entry: LogEntry): ProposeReply {
+    const {stateMachine, logger, group} = this.options;
+    if (entry.command === null || entry.command === undefined) {
+      return {type: 'committed'};
+    }
+    try {
+      const result = stateMachine.apply(entry.command as C, entry.index);
+      return {type: 'committed', result};
+    } catch (error) {
+      const reason = (error as Error).message;
+      logger.error('Leaves a command out.', {
+        group,
+        index: entry.index,
+        reason,
+      });
+      return {type: 'unknown'};
+    }
+  }
+
+  /** Takes a snapshot when the entries since the last one outweigh it. */
+  private async takeSnapshot(): Promise<void> {
+    const {storage, stateMachine} = this.options;
+    const limit = this.options.snapshotEntries ?? SNAPSHOT_ENTRIES;
+    const entries = this.appliedIndex - (storage.snapshot?.index ?? 0);
+    const full = entries >= limit || storage.tailBytes >= SNAPSHOT_TAIL_BYTES;
+    const outweighs = storage.tailBytes >= storage.snapshotBytes;
+    if (this.snapshotting || !full || !outweighs) return;
+    const index = this.appliedIndex;
+    const term = storage.getTerm(index);
+    const membership = this.memberships.getAt(index);
+    if (term === null || !membership) return;
+    const state = stateMachine.createSnapshot();
+    const bytes = encodeSnapshot({index, term, membership, state});
+    this.snapshotting = true;
+    try {
+      await this.snapshotLock.run(() =>
+        storage.saveSnapshot({index, term, membership}, bytes),
+      );
+    } catch (error) {
+      this.handleStorageError(error);
+    } finally {
+      this.snapshotting = false;
+    }
   }
 
   private async runElectionTimer(): Promise<void> {
     const {clock, random} = this.options;
-    while (!this.stopped.signal.aborted) {
-      const timeoutMs = ELECTION_TIMEOUT_MS * (1 + random());
-      await clock.sleep(timeoutMs / 4, this.stopped.signal);
-      if (this.stopped.signal.aborted) return;
-      if (this.role.machine.current === 'leader') {
+    const {signal} = this.stopped;
+    const chooseTimeout = () => ELECTION_TIMEOUT_MS * (1 + random() / 2);
+    let timeoutMs = chooseTimeout();
+    while (!signal.aborted) {
+      if (this.leadership) {
         this.checkQuorum();
+        this.proposals.expire();
+        await clock.sleep(HEARTBEAT_MS, signal);
         continue;
       }
-      const silence = clock.monotonic() - this.timerStartedAt;
-      if (silence > timeoutMs) await this.campaign();
+      const leftMs = this.timerStartedAt + timeoutMs - clock.monotonic();
+      if (leftMs > 0) {
+        await clock.sleep(leftMs, signal);
+        continue;
+      }
+      this.timerStartedAt = clock.monotonic();
+      timeoutMs = chooseTimeout();
+      await this.campaign({transfer: false});
     }
   }
 
   private checkQuorum(): void {
-    const now = this.options.clock.monotonic();
-    if (now - this.leadingSince < ELECTION_TIMEOUT_MS) return;
+    const {clock, logger, group} = this.options;
+    const now = clock.monotonic();
+    if (now - this.leaderSince < ELECTION_TIMEOUT_MS) return;
     if (now - this.findMajorityHeardAt() < ELECTION_TIMEOUT_MS) return;
-    this.options.logger.warn('Steps down: no majority answers.', {
-      group: this.options.group,
-      term: this.term,
-    });
+    logger.warn('Steps down: no majority answers.', {group, term: this.term});
     this.timerStartedAt = now;
     this.follow(null);
   }
@@ -357,194 +579,230 @@
   /** The time at which a majority, this member included, was last heard. */
   private findMajorityHeardAt(): number {
     const now = this.options.clock.monotonic();
-    const times = [...this.peers.values()].map(peer => peer.heardAt);
-    const sorted = [now, ...times].sort((a, b) => b - a);
-    return sorted[Math.floor(this.options.voters.length / 2)] ?? 0;
-  }
-
-  private async campaign(): Promise<void> {
-    this.timerStartedAt = this.options.clock.monotonic();
-    this.currentLeader = null;
-    if (!(await this.collectVotes(this.term + 1, true))) return;
-    const term = this.term + 1;
-    const stood = await this.storageLock.run(async () => {
-      if (this.term !== term - 1 || this.hasLiveLeader()) return false;
-      const votedFor = this.options.name;
-      await this.options.storage.saveHardState({term, votedFor});
+    return this.findMajority(progress => progress.heardAt, now);
+  }
+
+  /** The best value that a majority of the voters has. */
+  private findMajority(
+    getValue: (progress: PeerProgress) => number,
+    ownValue: number,
+  ): number {
+    const {leadership, self} = this;
+    const values = (this.membership?.voters ?? []).map(voter => {
+      if (voter.incarnation === self.incarnation) return ownValue;
+      const progress = leadership?.get(voter);
+      return progress ? getValue(progress) : -Infinity;
+    });
+    return findMajorityValue(values);
+  }
+
+  private async campaign({transfer}: {transfer: boolean}): Promise<void> {
+    const role = this.role.machine.current;
+    const paused = this.options.clock.monotonic() < this.pausedUntil;
+    if (this.campaigning || paused || !this.isVoter()) return;
+    if (role === 'leader' || role === 'failed') return;
+    this.campaigning = true;
+    try {
+      this.currentLeader = null;
+      await this.stand(transfer);
+    } catch (error) {
+      this.logFailure(error);
+    } finally {
+      this.campaigning = false;
+    }
+  }
+
+  private async stand(transfer: boolean): Promise<void> {
+    const expected = this.term + 1;
+    if (!transfer && !(await this.askForVotes(expected, {preVote: true}))) {
+      return;
+    }
+    const stood = await this.withStorage(async () => {
+      const live = this.hasLiveLeader() && !transfer;
+      if (this.term !== expected - 1 || live || this.leadership) return false;
+      const vote = {term: expected, votedFor: this.options.name};
+      await this.options.storage.saveHardState(vote);
       this.role.send('campaign');
       return true;
     });
     if (!stood) return;
-    const won = await this.collectVotes(term, false);
-    if (won && this.term === term) await this.lead(term);
+    if (await this.askForVotes(expected, {transfer})) await this.lead(expected);
   }
 
-  private async collectVotes(term: number, preVote: boolean): Promise<boolean> {
-    const {storage, voters, name, group} = this.options;
-    const request: VoteRequest = {
-      group,
-      term,
-      candidate: name,
-      lastIndex: storage.lastIndex,
-      lastTerm: storage.getTerm(storage.lastIndex) ?? 0,
-      preVote,
-    };
-    const majority = Math.floor(voters.length / 2) + 1;
-    let granted = voters.includes(name) ? 1 : 0;
-    let open = this.peers.size;
-    if (granted >= majority) return true;
-    return new Promise(resolve => {
-      const settle = () => {
-        open--;
-        if (granted >= majority) resolve(true);
-        else if (open === 0) resolve(false);
-      };
-      if (open === 0) resolve(false);
-      for (const peer of this.peers.keys()) {
-        this.options
-          .getPeer(peer)
-          .vote(request, PEER_TIMEOUT_MS)
-          .then(async reply => {
-            if (reply.granted) granted++;
-            if (reply.term > this.term) {
-              await this.storageLock.run(async () => {
-                if (reply.term > this.term) await this.adoptTerm(reply.term);
-              });
-            }
-            settle();
-          })
-          .catch(settle);
-      }
+  private async askForVotes(
+    term: number,
+    {preVote = false, transfer = false},
+  ): Promise<boolean> {
+    const {storage, name, group} = this.options;
+    const {lastIndex} = storage;
+    const lastTerm = storage.getTerm(lastIndex) ?? 0;
+    const request = {group, term, candidate: name, lastIndex, lastTerm};
+    return collectVotes({
+      voters: this.membership?.voters ?? [],
+      self: this.self,
+      getPeer: this.options.getPeer,
+      request: {...request, preVote, transfer},
+      onLaterTerm: later => {
+        void this.noteTerm(later).catch(error => this.logFailure(error));
+      },
     });
   }
 
   private async lead(term: number): Promise<void> {
     const {storage, clock, name, logger, group} = this.options;
-    await this.storageLock.run(async () => {
-      if (this.term !== term || this.role.machine.current !== 'candidate') {
-        return;
-      }
+    const leadership = await this.withStorage(async () => {
+      const isCandidate = this.role.machine.current === 'candidate';
+      if (this.term !== term || !isCandidate) return null;
+      const startIndex = storage.lastIndex + 1;
+      await this.append([{index: startIndex, term, command: null}]);
       this.role.send('win');
       this.currentLeader = name;
-      this.leadingSince = clock.monotonic();
-      for (const peer of this.peers.values()) {
-        peer.nextIndex = storage.lastIndex + 1;
-        peer.matchIndex = 0;
-        peer.heardAt = 0;
-      }
-      const index = storage.lastIndex + 1;
-      this.termStartIndex = index;
-      await storage.append([{index, term, command: null}]);
-      this.syncedIndex = index;
-      logger.info('Leads.', {group, term});
+      const serve = (progress: PeerProgress) => this.servePeer(progress, term);
+      const won = new Leadership({term, startIndex, clock, serve});
+      this.leadership = won;
+      return won;
     });
+    if (!leadership) return;
+    logger.info('Leads.', {group, term});
+    this.servePeers();
     this.advanceCommit();
-    for (const peer of this.peers.values()) peer.wake.notify();
     this.options.onChange?.();
+    void this.keepMembership(leadership);
+  }
+
+  private servePeer(progress: PeerProgress, term: number): Promise<void> {
+    const {group, name, storage, clock} = this.options;
+    return replicateToPeer(
+      {
+        group,
+        leader: name,
+        term,
+        storage,
+        clock,
+        peer: this.options.getPeer(progress.member.name),
+        getCommitIndex: () => this.commitIndex,
+        onProgress: () => this.advanceCommit(),
+        onLaterTerm: later => {
+          void this.noteTerm(later).catch(error => this.logFailure(error));
+        },
+      },
+      progress,
+    );
+  }
+
+  /** Serves all voters and learners but this member. */
+  private servePeers(): void {
+    const {leadership, membership, self} = this;
+    if (!leadership || !membership) return;
+    const learners = [...leadership.learners.values()];
+    const others = [...membership.voters, ...learners].filter(
+      member => member.incarnation !== self.incarnation,
+    );
+    leadership.servePeers(others, this.options.storage.lastIndex + 1);
+  }
+
+  private async keepMembership(leadership: Leadership): Promise<void> {
+    const {group, name, hosts, voterCount, clock, logger} = this.options;
+    await keepMembership({
+      group,
+      name,
+      hosts,
+      voterCount,
+      clock,
+      logger,
+      leadership,
+      replaceAfterMs: this.options.replaceAfterMs ?? REPLACE_AFTER_MS,
+      getPeer: this.options.getPeer,
+      getMembership: () => this.membership ?? {voters: []},
+      getCommitIndex: () => this.commitIndex,
+      servePeers: () => this.servePeers(),
+      change: membership => this.changeMembership(membership),
+    }).catch(error => this.logFailure(error));
+  }
+
+  /** Commits a membership that differs from the last by one voter. */
+  private async changeMembership(membership: Membership): Promise<boolean> {
+    const {leadership} = this;
+    if (!leadership || this.memberships.changedAt > this.commitIndex) {
+      return false;
+    }
+    if (this.commitIndex < leadership.startIndex) return false;
+    const reply = await this.enqueue({command: null, membership});
+    return reply.type === 'committed';
+  }
+
+  private refuse(): ProposeReply {
+    const leader = this.leader === this.options.name ? null : this.leader;
+    return {type: 'not-leader', leader};
+  }
+
+  private enqueue(proposal: Proposal<C>): Promise<ProposeReply> {
+    const reply = this.proposals.push(proposal);
+    this.appendWake.notify();
+    return reply;
   }
 
   /** Turns queued proposals into entries, many to one sync. */
   private async runAppender(): Promise<void> {
     while (!this.stopped.signal.aborted) {
-      if (this.queue.length === 0) await this.appendWake.wait();
+      if (this.proposals.waiting === 0) await this.appendWake.wait();
       if (this.stopped.signal.aborted) return;
-      await this.appendQueued();
+      try {
+        await this.appendQueued();
+      } catch (error) {
+        this.proposals.fail();
+        this.logFailure(error);
+      }
     }
   }
 
   private async appendQueued(): Promise<void> {
     const {storage} = this.options;
-    await this.storageLock.run(async () => {
-      const batch = this.queue.splice(0, APPEND_ENTRIES);
-      if (batch.length === 0) return;
-      if (this.role.machine.current !== 'leader') {
-        for (const {resolve} of batch) {
-          resolve({type: 'not-leader', leader: this.currentLeader});
-        }
-        return;
-      }
-      const term = this.term;
-      const first = storage.lastIndex + 1;
-      const entries = batch.map(({command}, offset) => ({
-        index: first + offset,
-        term,
-        command,
-      }));
-      batch.forEach(({resolve}, offset) =>
-        this.waiters.set(first + offset, {term, resolve}),
-      );
-      const synced = storage.append(entries);
-      await synced;
-      this.syncedIndex = storage.lastIndex;
+    await this.withStorage(async () => {
+      const {leadership} = this;
+      if (!leadership) return this.proposals.fail();
+      const {term} = leadership;
+      const entries = this.proposals.take(storage.lastIndex + 1, term);
+      await this.append(entries);
+      if (entries.some(entry => entry.membership)) this.servePeers();
     });
-    for (const peer of this.peers.values()) peer.wake.notify();
+    this.leadership?.wakePeers();
     this.advanceCommit();
   }
 
   private advanceCommit(): void {
-    if (this.role.machine.current !== 'leader') return;
-    const matches = [...this.peers.values()].map(peer => peer.matchIndex);
-    const sorted = [this.syncedIndex, ...matches].sort((a, b) => b - a);
-    const index = sorted[Math.floor(this.options.voters.length / 2)] ?? 0;
-    if (this.options.storage.getTerm(index) !== this.term) return;
+    const {leadership} = this;
+    const {storage} = this.options;
+    if (!leadership) return;
+    const index = this.findMajority(
+      progress => progress.matchIndex,
+      storage.lastIndex,
+    );
+    if (storage.getTerm(index) !== leadership.term) return;
     this.commitTo(index);
   }
 
-  /** Keeps one peer up to date for as long as this member leads. */
-  private async runPeer(name: string): Promise<void> {
-    const progress = this.peers.get(name);
-    if (!progress) return;
-    while (!this.stopped.signal.aborted) {
-      if (this.role.machine.current !== 'leader') {
-        await progress.wake.wait();
-        continue;
-      }
-      const caughtUp = progress.nextIndex > this.options.storage.lastIndex;
-      if (caughtUp) await progress.wake.wait(HEARTBEAT_MS);
-      if (this.role.machine.current !== 'leader') continue;
-      await this.sendAppend(name, progress);
-    }
-  }
-
-  private async sendAppend(
-    name: string,
-    progress: PeerProgress,
-  ): Promise<void> {
-    const {storage, clock, group} = this.options;
-    const term = this.term;
-    const previousIndex = progress.nextIndex - 1;
-    const request: AppendRequest = {
-      group,
-      term,
-      leader: this.options.name,
-      previousIndex,
-      previousTerm: storage.getTerm(previousIndex) ?? 0,
-      entries: storage.read(progress.nextIndex, previousIndex + APPEND_ENTRIES),
-      commitIndex: this.commitIndex,
-    };
-    const sentAt = clock.monotonic();
-    let reply: AppendReply;
+  /** Lets the peer that is furthest on take over before this member stops. */
+  private async handOver(): Promise<void> {
+    const {leadership, membership} = this;
+    const {group} = this.options;
+    if (!leadership || !membership || !this.isLeader()) return;
+    leadership.abdicating = true;
+    const [successor] = membership.voters
+      .map(voter => leadership.get(voter))
+      .filter(progress => progress !== undefined)
+      .sort((a, b) => b.matchIndex - a.matchIndex || b.heardAt - a.heardAt);
+    if (!successor) return;
+    const {name, incarnation} = successor.member;
     try {
-      const peer = this.options.getPeer(name);
-      reply = await peer.append(request, PEER_TIMEOUT_MS);
-    } catch {
-      await clock.sleep(HEARTBEAT_MS, this.stopped.signal);
-      return;
-    }
-    if (reply.term > this.term) {
-      await this.storageLock.run(async () => {
-        if (reply.term > this.term) await this.adoptTerm(reply.term);
-      });
-      return;
-    }
-    if (this.term !== term || this.role.machine.current !== 'leader') return;
-    progress.heardAt = sentAt;
-    if (!reply.accepted) {
-      progress.nextIndex = Math.max(1, reply.matchIndex + 1);
-      return;
+      await this.options
+        .getPeer(name)
+        .transferLeadership(
+          {group, to: incarnation, term: leadership.term},
+          TRANSFER_TIMEOUT_MS,
+        );
+    } catch (error) {
+      this.logFailure(error);
     }
-    progress.matchIndex = Math.max(progress.matchIndex, reply.matchIndex);
-    progress.nextIndex = progress.matchIndex + 1;
-    this.advanceCommit();
   }
 }
--- /dev/null
+++ b/src/coordination/replication/simulated_group.ts
@@ -0,0 +1,340 @@
+/**
+ * A group of replicas on a simulated clock, network and disks, for tests.
+ *
+ * It checks on the way that no term has two leaders, that no two members lead
+ * at one time, and that all members apply the same commands in one order.
+ */
+import {crc32} from 'node:zlib';
+import type {Logger} from '../../protocol/logger.ts';
+import type {ProposeReply} from '../../protocol/peer_service.ts';
+import type {Member, ReplicationService} from '../../protocol/replication.ts';
+import {silentLogger} from '../../protocol/logger.ts';
+import {SimulatedClock} from '../../protocol/simulated_clock.ts';
+import {MemoryFileSystem} from '../../state/files/memory_file_system.ts';
+import {openFileLog, type FileLog} from '../../state/log/file_log.ts';
+import type {StateMachine} from '../../state/state_machine.ts';
+import {formatMember} from './member.ts';
+import type {ReplicaPeer} from './peer_replicator.ts';
+import {Replica} from './replica.ts';
+
+/** How long `run` goes on between two checks. */
+const CHECK_INTERVAL_MS = 25;
+
+const FOLDER = '/data/group';
+
+/** A state that remembers all commands and the order of them. */
+export class Recorder implements StateMachine<string, number> {
+  commands: string[] = [];
+  private hash = 0;
+
+  constructor(
+    private readonly onApply: (index: number, hash: number) => void,
+  ) {}
+
+  apply(command: string, index: number): number {
+    this.commands.push(command);
+    this.hash = crc32(`${this.hash}/${index}/${command}`);
+    this.onApply(index, this.hash);
+    return this.commands.length;
+  }
+
+  createSnapshot(): unknown {
+    return {commands: this.commands, hash: this.hash};
+  }
+
+  restoreSnapshot(snapshot: unknown): void {
+    const {commands, hash} = snapshot as {commands: string[]; hash: number};
+    this.commands = [...commands];
+    this.hash = hash;
+  }
+}
+
+/** A host of the group. */
+export interface SimulatedHost {
+  readonly name: string;
+  readonly files: MemoryFileSystem;
+  /** Null while the host is down. */
+  replica: Replica<string, number> | null;
+  storage: FileLog | null;
+  recorder: Recorder;
+  incarnation: string;
+}
+
+export interface SimulatedGroupOptions {
+  readonly hosts: readonly string[];
+  readonly voterCount: number;
+  /** Returns a number from 0 up to 1. */
+  readonly random: () => number;
+  /** The number of entries after which a snapshot is taken; 10. */
+  readonly snapshotEntries?: number;
+}
+
+/** The network's faults, as shares from 0 to 1 and delays in ms. */
+export interface NetworkFaults {
+  drop: number;
+  duplicate: number;
+  maxDelayMs: number;
+}
+
+/** A running group. */
+export class SimulatedGroup {
+  readonly clock = new SimulatedClock();
+  readonly hosts = new Map<string, SimulatedHost>();
+  readonly network: NetworkFaults = {drop: 0, duplicate: 0, maxDelayMs: 4};
+  /** Hosts that reach nobody. */
+  readonly isolated = new Set<string>();
+  /** What broke; empty in a correct implementation. */
+  readonly violations: string[] = [];
+  private readonly leaders = new Map<number, string>();
+  private readonly hashes = new Map<number, number>();
+
+  constructor(private readonly options: SimulatedGroupOptions) {
+    for (const name of options.hosts) {
+      this.hosts.set(name, {
+        name,
+        files: new MemoryFileSystem(),
+        replica: null,
+        storage: null,
+        recorder: this.createRecorder(name),
+        incarnation: '',
+      });
+    }
+  }
+
+  /** Starts all hosts. */
+  async startAll(): Promise<void> {
+    for (const name of this.hosts.keys()) await this.start(name);
+  }
+
+  /** Starts a host that is down. */
+  async start(name: string): Promise<void> {
+    const host = this.getHost(name);
+    if (host.replica) return;
+    const opened = await openFileLog({
+      folder: FOLDER,
+      files: host.files.connect(),
+      segmentBytes: 600,
+      trailingEntries: 4,
+    });
+    if (!opened.ok) throw opened.error;
+    host.storage = opened.value;
+    host.incarnation = opened.value.incarnation;
+    host.recorder = this.createRecorder(name);
+    host.replica = await Replica.open<string, number>({
+      group: 'group',
+      name,
+      hosts: this.options.hosts.map(each => ({
+        name: each,
+        region: 'plovdiv',
+        dataCentre: each,
+      })),
+      voterCount: this.options.voterCount,
+      storage: opened.value,
+      stateMachine: host.recorder,
+      getPeer: to => this.createPeer(name, to),
+      clock: this.clock,
+      random: this.options.random,
+      logger: this.createLogger(name),
+      snapshotEntries: this.options.snapshotEntries ?? 10,
+      replaceAfterMs: 8_000,
+    });
+    host.replica.start();
+  }
+
+  /** Ends a host at once; its disk keeps what was synced. */
+  crash(name: string): void {
+    const host = this.getHost(name);
+    const {replica} = host;
+    host.replica = null;
+    host.files.crash(this.options.random);
+    // The tasks of the dead process end; nothing that they do counts.
+    void replica?.[Symbol.asyncDispose]().catch(() => {});
+  }
+
+  /** Ends a host at once, and its disk is lost. */
+  loseDisk(name: string): void {
+    this.crash(name);
+    this.getHost(name).files.erase();
+  }
+
+  /** Lets time pass and checks what must always hold. */
+  async run(ms: number): Promise<void> {
+    for (let passed = 0; passed < ms; passed += CHECK_INTERVAL_MS) {
+      await this.clock.advance(Math.min(CHECK_INTERVAL_MS, ms - passed));
+      const leaders = this.listLeaders();
+      if (leaders.length > 1) {
+        this.violations.push(`${leaders.join(' and ')} lead at one time`);
+      }
+    }
+  }
+
+  /** Lets time pass until `check` holds; false after `limitMs`. */
+  async runUntil(check: () => boolean, limitMs: number): Promise<boolean> {
+    for (let passed = 0; passed < limitMs; passed += CHECK_INTERVAL_MS) {
+      if (check()) return true;
+      await this.run(CHECK_INTERVAL_MS);
+    }
+    return check();
+  }
+
+  /** The names of the hosts that believe to lead. */
+  listLeaders(): string[] {
+    return [...this.hosts.values()]
+      .filter(host => host.replica?.isLeader())
+      .map(host => host.name);
+  }
+
+  /** Proposes to the leader; `null` while there is none. */
+  propose(command: string): Promise<ProposeReply> | null {
+    const [leader] = this.listLeaders();
+    if (leader === undefined) return null;
+    return this.getHost(leader).replica?.propose(command) ?? null;
+  }
+
+  /**
+   * Whether the leader's voters are settled and all are hosts that are up
+   * with their disk.
+   */
+  isWhole(): boolean {
+    const [leader] = this.listLeaders();
+    if (leader === undefined) return false;
+    const {replica} = this.getHost(leader);
+    if (!replica?.hasSettledMembership) return false;
+    const voters = replica.membership?.voters ?? [];
+    if (voters.length !== this.options.voterCount) return false;
+    return voters.every(voter => this.isCurrent(voter));
+  }
+
+  /** Whether the leader counts a host, with its disk, among the voters. */
+  isVoter(host: SimulatedHost): boolean {
+    const [leader] = this.listLeaders();
+    if (leader === undefined) return false;
+    const voters = this.getHost(leader).replica?.membership?.voters ?? [];
+    return voters.some(voter => formatMember(voter) === formatMember(host));
+  }
+
+  getHost(name: string): SimulatedHost {
+    const host = this.hosts.get(name);
+    if (!host) throw new Error(`Could not find the host "${name}"`);
+    return host;
+  }
+
+  private isCurrent(voter: Member): boolean {
+    const host = this.getHost(voter.name);
+    const own = {name: host.name, incarnation: host.incarnation};
+    return host.replica !== null && formatMember(voter) === formatMember(own);
+  }
+
+  private createRecorder(name: string): Recorder {
+    return new Recorder((index, hash) => {
+      const known = this.hashes.get(index);
+      if (known !== undefined && known !== hash) {
+        this.violations.push(`${name} applied another entry ${index}`);
+      }
+      this.hashes.set(index, hash);
+    });
+  }
+
+  private createLogger(name: string): Logger {
+    return {
+      ...silentLogger,
+      info: (message, fields) => {
+        if (message !== 'Leads.') return;
+        const term = Number(fields?.['term']);
+        const known = this.leaders.get(term);
+        if (known !== undefined && known !== name) {
+          this.violations.push(`${known} and ${name} lead in term ${term}`);
+        }
+        this.leaders.set(term, name);
+      },
+    };
+  }
+
+  private createPeer(from: string, to: string): ReplicaPeer {
+    const call =
+      (method: keyof ReplicationService) =>
+      (request: never, timeoutMs: number) =>
+        this.send({from, to, method, request, timeoutMs});
+    const names: Array<keyof ReplicationService> = [
+      'vote',
+      'append',
+      'installSnapshot',
+      'describeReplica',
+      'formGroup',
+      'transferLeadership',
+    ];
+    return Object.fromEntries(
+      names.map(name => [name, call(name)]),
+    ) as unknown as ReplicaPeer;
+  }
+
+  private async send(message: {
+    from: string;
+    to: string;
+    method: keyof ReplicationService;
+    request: unknown;
+    timeoutMs: number;
+  }): Promise<unknown> {
+    const {timeoutMs} = message;
+    const deliver = this.deliver(message);
+    const late = this.clock.sleep(timeoutMs).then(() => {
+      throw new Error('Timed out');
+    });
+    if (this.options.random() < this.network.duplicate) {
+      void this.deliver(message).catch(() => {});
+    }
+    deliver.catch(() => {});
+    return Promise.race([deliver, late]);
+  }
+
+  private async deliver(message: {
+    from: string;
+    to: string;
+    method: keyof ReplicationService;
+    request: unknown;
+  }): Promise<unknown> {
+    const {from, to, method} = message;
+    const request = structuredClone(message.request);
+    await this.pass(from, to);
+    const {replica} = this.getHost(to);
+    if (!replica) return this.lose();
+    const reply = await answer(replica, method, request);
+    if (this.getHost(to).replica !== replica) return this.lose();
+    await this.pass(to, from);
+    return structuredClone(reply);
+  }
+
+  /** Delays a message, or loses it for good. */
+  private async pass(from: string, to: string): Promise<void> {
+    const {drop, maxDelayMs} = this.network;
+    const lost = this.options.random() < drop;
+    await this.clock.sleep(1 + this.options.random() * maxDelayMs);
+    const cut = this.isolated.has(from) || this.isolated.has(to);
+    if (lost || cut || !this.getHost(from).replica) await this.lose();
+  }
+
+  private lose(): Promise<never> {
+    return new Promise(() => {});
+  }
+}
+
+async function answer(
+  replica: Replica<string, number>,
+  method: keyof ReplicationService,
+  request: unknown,
+): Promise<unknown> {
+  switch (method) {
+    case 'vote':
+      return replica.handleVote(request as never);
+    case 'append':
+      return replica.handleAppend(request as never);
+    case 'installSnapshot':
+      return replica.handleInstall(request as never);
+    case 'describeReplica':
+      return replica.describe();
+    case 'formGroup':
+      return replica.handleForm(request as never);
+    case 'transferLeadership':
+      return replica.handleTransfer(request as never);
+  }
+}
--- /dev/null
+++ b/src/coordination/replication/snapshot_receiver.ts
@@ -0,0 +1,53 @@
+/** Gathers the pieces of a snapshot that a leader sends. */
+import type {InstallRequest} from '../../protocol/replication.ts';
+import type {Snapshot} from '../../state/log/log_storage.ts';
+import {decodeSnapshot} from '../../state/snapshot/snapshot_codec.ts';
+
+/** The largest snapshot that is taken in. */
+const MAX_SNAPSHOT_BYTES = 256 * 1024 * 1024;
+
+/** A whole snapshot, as it is stored. */
+export interface ReceivedSnapshot {
+  readonly snapshot: Snapshot;
+  readonly bytes: Buffer;
+}
+
+/** Holds the pieces of one snapshot at a time. */
+export class SnapshotReceiver {
+  private key = '';
+  private pieces: Buffer[] = [];
+  private receivedBytes = 0;
+
+  /** How many bytes arrived so far. */
+  get received(): number {
+    return this.receivedBytes;
+  }
+
+  /**
+   * Takes a piece, if it follows on the last one; returns the snapshot when
+   * it is whole.
+   */
+  take(request: InstallRequest): ReceivedSnapshot | null {
+    const {term, leader, index, totalBytes, offset} = request;
+    const key = [term, leader, index, totalBytes].join('/');
+    if (key !== this.key) this.clear();
+    this.key = key;
+    if (totalBytes > MAX_SNAPSHOT_BYTES) return null;
+    if (offset !== this.receivedBytes) return null;
+    const piece = Buffer.from(request.data, 'base64');
+    this.pieces.push(piece);
+    this.receivedBytes += piece.length;
+    if (this.receivedBytes < totalBytes) return null;
+    const bytes = Buffer.concat(this.pieces);
+    this.clear();
+    const snapshot = decodeSnapshot(bytes);
+    return snapshot && {snapshot, bytes};
+  }
+
+  /** Forgets all pieces. */
+  clear(): void {
+    this.key = '';
+    this.pieces = [];
+    this.receivedBytes = 0;
+  }
+}
--- a/src/coordination/signal.ts
+++ b/src/coordination/signal.ts
@@ -1,4 +1,5 @@
 /** A wake-up call for one waiting task. */
+import type {Clock} from '../protocol/clock.ts';
 
 /** Remembers one notification until it is waited for. */
 export interface Signal {
@@ -8,7 +9,7 @@
 }
 
 /** Creates a signal for a single waiter. */
-export function createSignal(): Signal {
+export function createSignal(clock: Clock): Signal {
   let pending = false;
   let wake: (() => void) | null = null;
   return {
@@ -22,14 +23,17 @@
         return Promise.resolve();
       }
       return new Promise(resolve => {
+        const timer = new AbortController();
         const finish = () => {
-          clearTimeout(timer);
+          if (wake !== finish) return;
           wake = null;
+          timer.abort();
           resolve();
         };
-        const timer =
-          timeoutMs === undefined ? undefined : setTimeout(finish, timeoutMs);
         wake = finish;
+        if (timeoutMs !== undefined) {
+          void clock.sleep(timeoutMs, timer.signal).then(finish);
+        }
       });
     },
   };
--- a/src/protocol/peer_service.ts
+++ b/src/protocol/peer_service.ts
@@ -17,70 +17,9 @@
 } from './control.ts';
 import {endpointRecordSchema, type EndpointRecord} from './endpoint.ts';
 import type {LedgerPage, LedgerSummary} from './ledger.ts';
+import {replicationSchemas, type ReplicationService} from './replication.ts';
 import {evidenceReportSchema, type EvidenceReport} from './rollout_state.ts';
 
-/** A member of a replicated group: a host with one data folder of its. */
-export const memberSchema = z.object({
-  name: z.string(),
-  /** Made with the data folder; a lost disk comes back under another. */
-  incarnation: z.string(),
-});
-
-export type Member = z.infer<typeof memberSchema>;
-
-/** Who votes in a group. */
-export const membershipSchema = z.object({voters: z.array(memberSchema)});
-
-export type Membership = z.infer<typeof membershipSchema>;
-
-/** One entry of a replicated log. */
-export const logEntrySchema = z.object({
-  index: z.int().positive(),
-  term: z.int().nonnegative(),
-  /** `null` for the entry that opens a term. */
-  command: z.unknown(),
-  /** Present when the entry changes who votes; its command is `null`. */
-  membership: membershipSchema.optional(),
-});
-
-export type LogEntry = z.infer<typeof logEntrySchema>;
-
-export const voteRequestSchema = z.object({
-  group: z.string(),
-  term: z.int(),
-  candidate: z.string(),
-  lastIndex: z.int(),
-  lastTerm: z.int(),
-  /** True asks whether a vote would be given, and changes nothing. */
-  preVote: z.boolean(),
-});
-
-export type VoteRequest = z.infer<typeof voteRequestSchema>;
-
-export interface VoteReply {
-  readonly term: number;
-  readonly granted: boolean;
-}
-
-export const appendRequestSchema = z.object({
-  group: z.string(),
-  term: z.int(),
-  leader: z.string(),
-  previousIndex: z.int(),
-  previousTerm: z.int(),
-  entries: z.array(logEntrySchema),
-  commitIndex: z.int(),
-});
-
-export type AppendRequest = z.infer<typeof appendRequestSchema>;
-
-export interface AppendReply {
-  readonly term: number;
-  readonly accepted: boolean;
-  /** The last index that matches, or where to try next. */
-  readonly matchIndex: number;
-}
-
 export const proposeRequestSchema = z.object({
   group: z.string(),
   command: z.unknown(),
@@ -155,19 +94,16 @@
   listEndpoints: emptyRequestSchema,
   reportEvidence: evidenceReportSchema,
   checkInForce: inForceRequestSchema,
-  vote: voteRequestSchema,
-  append: appendRequestSchema,
+  ...replicationSchemas,
   propose: proposeRequestSchema,
   renewLease: leaseRequestSchema,
   exchange: exchangeRequestSchema,
 } as const;
 
 /** The calls that a daemon answers to its peers. */
-export interface PeerService {
+export interface PeerService extends ReplicationService {
   /** Takes evidence in; false where this daemon does not lead. */
   reportEvidence(report: EvidenceReport): Promise<{readonly taken: boolean}>;
-  vote(request: VoteRequest): Promise<VoteReply>;
-  append(request: AppendRequest): Promise<AppendReply>;
   propose(request: ProposeRequest): Promise<ProposeReply>;
   /** Answers a daemon's renewal, at any replica of the control group. */
   renewLease(request: LeaseRequest): Promise<LeaseReply>;
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -40,6 +40,10 @@
     .default({}),
   /** The daemons that carry the replicated state at formation. */
   replicas: z.array(peerSchema).min(1),
+  /** How many of them vote; the others stand by with their disks. */
+  voters: z.int().min(1).max(7).default(3),
+  /** The silence after which a voter is replaced by one that stands by. */
+  replace_after_s: z.number().positive().default(30),
   ledger_groups: z.int().min(1).max(64).default(1),
   secrets: z.strictObject({
     /** A file with the secret that daemons share. */
--- /dev/null
+++ b/src/protocol/simulated_clock.ts
@@ -0,0 +1,72 @@
+/** A clock whose time moves only when it is told to, for tests. */
+import type {Clock} from './clock.ts';
+
+interface Timer {
+  atMs: number;
+  order: number;
+  fire: () => void;
+}
+
+/** Time for tests. */
+export class SimulatedClock implements Clock {
+  private timeMs = 0;
+  private order = 0;
+  private readonly timers = new Set<Timer>();
+
+  now(): number {
+    return this.timeMs;
+  }
+
+  monotonic(): number {
+    return this.timeMs;
+  }
+
+  sleep(ms: number, signal?: AbortSignal): Promise<void> {
+    if (signal?.aborted) return Promise.resolve();
+    return new Promise(resolve => {
+      const finish = () => {
+        this.timers.delete(timer);
+        signal?.removeEventListener('abort', finish);
+        resolve();
+      };
+      const timer: Timer = {
+        atMs: this.timeMs + Math.max(0, ms),
+        order: this.order++,
+        fire: finish,
+      };
+      this.timers.add(timer);
+      signal?.addEventListener('abort', finish, {once: true});
+    });
+  }
+
+  /** Fires all timers of the next `ms`, each after the work of the last. */
+  async advance(ms: number): Promise<void> {
+    const end = this.timeMs + ms;
+    await drainTasks();
+    for (;;) {
+      const next = this.findNext();
+      if (!next || next.atMs > end) break;
+      this.timeMs = next.atMs;
+      next.fire();
+      await drainTasks();
+    }
+    this.timeMs = end;
+  }
+
+  private findNext(): Timer | undefined {
+    let first: Timer | undefined;
+    for (const timer of this.timers) {
+      if (!first || isBefore(timer, first)) first = timer;
+    }
+    return first;
+  }
+}
+
+function isBefore(a: Timer, b: Timer): boolean {
+  return a.atMs === b.atMs ? a.order < b.order : a.atMs < b.atMs;
+}
+
+/** Lets all promise callbacks run. */
+function drainTasks(): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve));
+}
--- a/src/state/files/memory_file_system.ts
+++ b/src/state/files/memory_file_system.ts
@@ -38,6 +38,26 @@
     this.synced = new Map(this.names);
   }
 
+  /** The file system as one process sees it, which ends with a crash. */
+  connect(): FileSystem {
+    const {generation} = this;
+    const guard =
+      <A extends unknown[], T>(operation: (...args: A) => Promise<T>) =>
+      async (...args: A): Promise<T> => {
+        if (generation !== this.generation) throw new Error('Crashed');
+        return operation(...args);
+      };
+    return {
+      makeFolder: guard(() => this.makeFolder()),
+      list: guard(path => this.list(path)),
+      read: guard(path => this.read(path)),
+      open: guard(path => this.open(path)),
+      rename: guard((from, to) => this.rename(from, to)),
+      remove: guard(path => this.remove(path)),
+      syncFolder: guard(path => this.syncFolder(path)),
+    };
+  }
+
   /** Loses everything, like a new disk. */
   erase(): void {
     this.generation++;
--- a/src/state/log/file_log.ts
+++ b/src/state/log/file_log.ts
@@ -10,7 +10,7 @@
 import {join} from 'node:path';
 import {createIdentifier} from '../../protocol/identifiers.ts';
 import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
-import type {LogEntry} from '../../protocol/peer_service.ts';
+import type {LogEntry} from '../../protocol/replication.ts';
 import {
   CorruptLogError,
   DiskFullError,
@@ -77,6 +77,8 @@
 export class FileLog implements LogStorage {
   private failure: Error | null = null;
   private active: DataFile | null = null;
+  /** The mean size of an entry in the frame that it was written with. */
+  private readonly sizes = new WeakMap<LogEntry, number>();
 
   private constructor(
     private readonly options: Required<OpenFileLogOptions>,
@@ -158,7 +160,10 @@
     const bytes = await this.write({type: 'entries', entries: [...entries]});
     const {contents} = this;
     contents.entries.length = first.index - contents.baseIndex - 1;
-    for (const entry of entries) contents.entries.push(entry);
+    for (const entry of entries) {
+      contents.entries.push(entry);
+      this.sizes.set(entry, bytes / entries.length);
+    }
     contents.tailBytes += bytes;
     const segment = this.segments.at(-1);
     if (segment) {
@@ -166,9 +171,20 @@
     }
   }
 
-  read(first: number, last: number): LogEntry[] {
+  read(first: number, last: number, maxBytes = Infinity): LogEntry[] {
     const {baseIndex, entries} = this.contents;
-    return entries.slice(Math.max(0, first - baseIndex - 1), last - baseIndex);
+    const start = Math.max(0, first - baseIndex - 1);
+    let end = Math.max(start, Math.min(entries.length, last - baseIndex));
+    if (maxBytes < Infinity) {
+      let bytes = 0;
+      let fitting = start;
+      while (fitting < end && bytes < maxBytes) {
+        bytes += this.sizes.get(entries[fitting] as LogEntry) ?? 0;
+        fitting++;
+      }
+      end = fitting;
+    }
+    return entries.slice(start, end);
   }
 
   getTerm(index: number): number | null {
@@ -187,6 +203,7 @@
     if (this.failure) throw this.failure;
     const {files, folder} = this.options;
     const {contents} = this;
+    if (contents.snapshot && head.index < contents.snapshot.index) return;
     try {
       await replaceFile(files, join(folder, 'snapshot'), bytes);
     } catch (error) {
--- a/src/state/log/file_log_test.ts
+++ b/src/state/log/file_log_test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check';
 import {test} from 'uvu';
 import * as assert from 'uvu/assert';
-import type {LogEntry} from '../../protocol/peer_service.ts';
+import type {LogEntry} from '../../protocol/replication.ts';
 import {CorruptLogError, DiskFullError, StorageFailedError} from '../errors.ts';
 import {MemoryFileSystem} from '../files/memory_file_system.ts';
 import {encodeSnapshot} from '../snapshot/snapshot_codec.ts';
--- a/src/state/log/log_storage.ts
+++ b/src/state/log/log_storage.ts
@@ -1,5 +1,5 @@
 /** What a replica needs of the storage beneath its log. */
-import type {LogEntry, Membership} from '../../protocol/peer_service.ts';
+import type {LogEntry, Membership} from '../../protocol/replication.ts';
 
 /** What a replica must remember besides its entries. */
 export interface HardState {
@@ -45,12 +45,18 @@
   saveHardState(state: HardState): Promise<void>;
   /** Appends entries; from the first one's index on, they replace old ones. */
   append(entries: readonly LogEntry[]): Promise<void>;
-  /** Returns the entries from `first` to `last`, both included. */
-  read(first: number, last: number): LogEntry[];
+  /**
+   * Returns the entries from `first` to `last`, both included, and no more
+   * than one beyond `maxBytes`.
+   */
+  read(first: number, last: number, maxBytes?: number): LogEntry[];
   /** Returns the term of an entry, `null` when it is not known. */
   getTerm(index: number): number | null;
   /** Returns the encoded snapshot, `null` when there is none. */
   readSnapshot(): Promise<Buffer | null>;
-  /** Replaces the snapshot by an encoded one, and drops entries behind it. */
+  /**
+   * Replaces the snapshot by an encoded one, and drops entries behind it. An
+   * older one than that in force is ignored.
+   */
   saveSnapshot(head: SnapshotHead, bytes: Buffer): Promise<void>;
 }
--- a/src/state/log/segments.ts
+++ b/src/state/log/segments.ts
@@ -1,6 +1,6 @@
 /** The segment files of a log, and how they are read when it is opened. */
 import {join} from 'node:path';
-import type {LogEntry} from '../../protocol/peer_service.ts';
+import type {LogEntry} from '../../protocol/replication.ts';
 import {CorruptLogError} from '../errors.ts';
 import type {FileSystem} from '../files/file_system.ts';
 import {readFrames} from './frames.ts';
--- a/src/transport/peers/peer_links.ts
+++ b/src/transport/peers/peer_links.ts
@@ -1,8 +1,8 @@
 /** Connections to other daemons: one WebSocket for each. */
-import {createTRPCClient, createWSClient, wsLink} from '@trpc/client';
+import {createTRPCUntypedClient, createWSClient, wsLink} from '@trpc/client';
 import WebSocket from 'ws';
 import type {PeerService} from '../../protocol/peer_service.ts';
-import type {PeerRouter} from './peer_router.ts';
+import {PEER_CALLS} from './peer_router.ts';
 
 /** How often a connection is probed, and how long it may be silent. */
 const KEEP_ALIVE = {enabled: true, intervalMs: 700, pongTimeoutMs: 1_000};
@@ -65,34 +65,13 @@
     keepAlive: KEEP_ALIVE,
     retryDelayMs: () => RETRY_MS,
   });
-  const trpc = createTRPCClient<PeerRouter>({
-    links: [wsLink({client: socket})],
-  });
-  const options = (timeoutMs = CALL_TIMEOUT_MS) => ({
-    signal: AbortSignal.timeout(timeoutMs),
-  });
-  const client: PeerClient = {
-    vote: (request, timeoutMs) => trpc.vote.mutate(request, options(timeoutMs)),
-    append: (request, timeoutMs) =>
-      trpc.append.mutate(request, options(timeoutMs)),
-    propose: (request, timeoutMs) =>
-      trpc.propose.mutate(request, options(timeoutMs)),
-    renewLease: (request, timeoutMs) =>
-      trpc.renewLease.mutate(request, options(timeoutMs)),
-    grantLeases: (request, timeoutMs) =>
-      trpc.grantLeases.mutate(request, options(timeoutMs)),
-    listLeaseHolders: (request, timeoutMs) =>
-      trpc.listLeaseHolders.mutate(request, options(timeoutMs)),
-    readLedger: (request, timeoutMs) =>
-      trpc.readLedger.mutate(request, options(timeoutMs)),
-    listEndpoints: (request, timeoutMs) =>
-      trpc.listEndpoints.mutate(request, options(timeoutMs)),
-    checkInForce: (request, timeoutMs) =>
-      trpc.checkInForce.mutate(request, options(timeoutMs)),
-    reportEvidence: (request, timeoutMs) =>
-      trpc.reportEvidence.mutate(request, options(timeoutMs)),
-    exchange: (request, timeoutMs) =>
-      trpc.exchange.mutate(request, options(timeoutMs)),
-  };
+  const trpc = createTRPCUntypedClient({links: [wsLink({client: socket})]});
+  const call =
+    (name: string) =>
+    (request: unknown, timeoutMs = CALL_TIMEOUT_MS) =>
+      trpc.mutation(name, request, {signal: AbortSignal.timeout(timeoutMs)});
+  const client = Object.fromEntries(
+    PEER_CALLS.map(name => [name, call(name)]),
+  ) as unknown as PeerClient;
   return {client, close: () => void socket.close()};
 }
--- a/src/transport/peers/peer_router.ts
+++ b/src/transport/peers/peer_router.ts
@@ -15,43 +15,19 @@
   return next();
 });
 
+/** The names of the calls. */
+export const PEER_CALLS = Object.keys(peerSchemas) as Array<keyof PeerService>;
+
 /** Creates the router that passes each call on to `service`. */
 export function createPeerRouter(service: PeerService) {
-  return trpc.router({
-    vote: peerProcedure
-      .input(peerSchemas.vote)
-      .mutation(({input}) => service.vote(input)),
-    append: peerProcedure
-      .input(peerSchemas.append)
-      .mutation(({input}) => service.append(input)),
-    propose: peerProcedure
-      .input(peerSchemas.propose)
-      .mutation(({input}) => service.propose(input)),
-    renewLease: peerProcedure
-      .input(peerSchemas.renewLease)
-      .mutation(({input}) => service.renewLease(input)),
-    grantLeases: peerProcedure
-      .input(peerSchemas.grantLeases)
-      .mutation(({input}) => service.grantLeases(input)),
-    listLeaseHolders: peerProcedure
-      .input(peerSchemas.listLeaseHolders)
-      .mutation(({input}) => service.listLeaseHolders(input)),
-    readLedger: peerProcedure
-      .input(peerSchemas.readLedger)
-      .mutation(({input}) => service.readLedger(input)),
-    listEndpoints: peerProcedure
-      .input(peerSchemas.listEndpoints)
-      .mutation(({input}) => service.listEndpoints(input)),
-    checkInForce: peerProcedure
-      .input(peerSchemas.checkInForce)
-      .mutation(({input}) => service.checkInForce(input)),
-    reportEvidence: peerProcedure
-      .input(peerSchemas.reportEvidence)
-      .mutation(({input}) => service.reportEvidence(input)),
-    exchange: peerProcedure
-      .input(peerSchemas.exchange)
-      .mutation(({input}) => service.exchange(input)),
+  const procedures = PEER_CALLS.map(call => {
+    const serve = service[call].bind(service) as (
+      input: unknown,
+    ) => Promise<unknown>;
+    const procedure = peerProcedure
+      .input(peerSchemas[call])
+      .mutation(({input}) => serve(input));
+    return [call, procedure] as const;
   });
+  return trpc.router(Object.fromEntries(procedures));
 }
-
-export type PeerRouter = ReturnType<typeof createPeerRouter>;
