--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -33,6 +33,8 @@
   entryPoints: {
     engine: 'testing/stand_ins/engine_main.ts',
     service: 'testing/stand_ins/service_main.ts',
+    rating: 'testing/stand_ins/rating_main.ts',
+    weights: 'testing/stand_ins/weights_main.ts',
   },
   outdir: 'dist/stand_ins',
   outExtension: {'.js': '.cjs'},
--- a/src/cli/serve/create_request_context.ts
+++ b/src/cli/serve/create_request_context.ts
@@ -1,5 +1,4 @@
 /** Puts together what the requests of a gateway share. */
-import {fail} from '../../protocol/outcome.ts';
 import type {EvidenceCollector} from '../../coordination/rollout/evidence_collector.ts';
 import {QualityTable} from '../../coordination/quality/quality_table.ts';
 import {createQualityObserver} from '../../coordination/quality/quality_observer.ts';
@@ -10,11 +9,13 @@
 } from '../../coordination/quality/rating_monitor.ts';
 import {createLearningDecisions} from '../../coordination/requests/learning_decisions.ts';
 import {createEvidenceObserver} from '../../coordination/requests/observe_evidence.ts';
+import {createMetricsObserver} from '../../coordination/requests/observe_metrics.ts';
 import type {RequestContext} from '../../coordination/requests/request_context.ts';
 import {RequestHistory} from '../../coordination/requests/request_history.ts';
 import {combineObservers} from '../../coordination/requests/request_observer.ts';
 import {Settler} from '../../coordination/requests/settler.ts';
 import {createEngineClient} from '../../transport/endpoints/engine_client.ts';
+import {createRatingClient} from '../../transport/platform/rating_client.ts';
 import type {DaemonParts} from './daemon.ts';
 
 interface Sources extends Pick<
@@ -30,7 +31,7 @@
   parts: DaemonParts,
   sources: Sources,
 ): RequestContext {
-  const {settings, createLogger, clock, store} = parts;
+  const {settings, createLogger, clock, store, metrics} = parts;
   const logger = createLogger('route');
   const place = {region: settings.region, dataCentre: settings.data_centre};
   const {ledger, getView, listEndpoints, evidence} = sources;
@@ -40,7 +41,7 @@
     settings.rating.address !== undefined,
   );
   const rate = watchRatings(
-    async () => fail('no rating service is set'),
+    createRatingClient(settings.rating.address),
     rating,
     clock,
   );
@@ -69,13 +70,17 @@
     rate,
     observer: combineObservers([
       createEvidenceObserver(evidence),
+      createMetricsObserver(metrics),
       createQualityObserver({
         table: quality,
         sampler: createRatingSampler({clock, random: Math.random}),
         rate,
         getView,
         isAvailable: () => rating.state.available,
-        onRating: (version, score) => evidence.countRating(version, score),
+        onRating: (version, score) => {
+          evidence.countRating(version, score);
+          metrics.record('quality', score, {version});
+        },
       }),
     ]),
   };
--- a/src/cli/serve/daemon.ts
+++ b/src/cli/serve/daemon.ts
@@ -3,6 +3,7 @@
 import type {Host} from '../../protocol/control.ts';
 import {createIdentifier} from '../../protocol/identifiers.ts';
 import type {CreateLogger} from '../../protocol/logger.ts';
+import type {Metrics} from '../../protocol/metrics.ts';
 import type {Settings} from '../../protocol/settings.ts';
 import {ConfigurationLease} from '../../coordination/leases/configuration_lease.ts';
 import type {LeaseRelay} from '../../coordination/leases/lease_relay.ts';
@@ -11,6 +12,7 @@
 import {EvidenceLedger} from '../../coordination/rollout/evidence_ledger.ts';
 import {createProposer} from '../../coordination/replication/proposer.ts';
 import {createLedgerClient} from '../../coordination/requests/ledger_client.ts';
+import {createMetrics} from '../../transport/metrics/create_metrics.ts';
 import {PeerLinks} from '../../transport/peers/peer_links.ts';
 import {startPeerServer} from '../../transport/peers/peer_server.ts';
 import {
@@ -25,6 +27,7 @@
 import {createPeerService} from './peer_service.ts';
 import {openLeaseRelay} from './lease_relay.ts';
 import {createLeaseRenewal} from './renew_lease.ts';
+import {startGauges} from './report_gauges.ts';
 import {CONTROL_GROUP, openReplicas} from './replicas.ts';
 import {startRollouts} from './rollouts.ts';
 import {readSecrets} from './secrets.ts';
@@ -45,7 +48,17 @@
 ): Promise<Daemon> {
   const store = new DisposableStore();
   try {
-    return await assembleDaemon({settings, createLogger, clock, store});
+    const {statsd} = settings.metrics;
+    const metrics = store.add(
+      await createMetrics({statsd, host: settings.name}),
+    );
+    return await assembleDaemon({
+      settings,
+      createLogger,
+      clock,
+      store,
+      metrics,
+    });
   } catch (error) {
     await store[Symbol.asyncDispose]();
     throw error;
@@ -57,6 +70,7 @@
   readonly settings: Settings;
   readonly createLogger: CreateLogger;
   readonly clock: Clock;
+  readonly metrics: Metrics;
   /** Owns what the parts open. */
   readonly store: DisposableStore;
 }
@@ -142,6 +156,7 @@
   replicas.start();
   relay?.start();
   lease.start();
+  store.add(startGauges({context, metrics: parts.metrics, clock}));
   startRollouts(parts, {
     replicas,
     lease,
--- a/src/coordination/requests/answer_run.ts
+++ b/src/coordination/requests/answer_run.ts
@@ -257,6 +257,7 @@
       endpoint: choice.endpoint.name,
       reason: choice.reason,
       rejected: choice.rejected,
+      remote: choice.endpoint.region !== context.region,
       startedMs: this.options.getElapsedMs(),
       resumeOffset,
       chunks: 0,
@@ -269,6 +270,11 @@
     return {kind: 'lost', message, fatal: true};
   }
 
+  private measureRemoteBytes({remote}: AttemptRecord): number {
+    if (!remote) return 0;
+    return (this.options.route.bytes ?? 0) + Buffer.byteLength(this.text);
+  }
+
   /** Notes how an attempt ended. */
   private finish(end: AttemptEnd, result: string): void {
     const {context, record, customer, version} = this.options;
@@ -296,6 +302,7 @@
           : attempt.firstTokenMs - attempt.startedMs,
       expectedFirstTokenMs: this.options.expectedFirstTokenMs,
       tokenGapMs,
+      remoteBytes: this.measureRemoteBytes(attempt),
     });
     if (answered) return;
     context.logger.warn('An attempt failed.', {
--- a/src/coordination/requests/request_history.ts
+++ b/src/coordination/requests/request_history.ts
@@ -19,6 +19,8 @@
   readonly endpoint: string;
   readonly reason: string;
   readonly rejected: readonly RejectedEndpoint[];
+  /** Whether the endpoint is in another region. */
+  readonly remote: boolean;
   /** Milliseconds from the start of the request. */
   readonly startedMs: number;
   /** The first chunk asked for, where the attempt resumed an answer. */
--- a/src/coordination/requests/request_observer.ts
+++ b/src/coordination/requests/request_observer.ts
@@ -16,6 +16,8 @@
   readonly expectedFirstTokenMs?: number;
   /** The mean time between chunks. */
   readonly tokenGapMs?: number;
+  /** Bytes of text that crossed the link between regions. */
+  readonly remoteBytes: number;
 }
 
 /** A whole answer of a version, released to a caller or not. */
--- a/src/coordination/requests/run_completion.ts
+++ b/src/coordination/requests/run_completion.ts
@@ -315,12 +315,18 @@
         prompt: call.request.messages,
         answer: text,
         released: true,
-        score: this.record.ratings.at(-1)?.score ?? undefined,
+        score: this.findReleasedScore(version),
       });
     }
     yield settled;
   }
 
+  private findReleasedScore(version: Version): number | undefined {
+    const rating = this.record.ratings.at(-1);
+    const own = rating?.released && rating.version === formatVersion(version);
+    return own ? (rating.score ?? undefined) : undefined;
+  }
+
   private async rateAnswer(step: PlanStep, run: AnswerRun): Promise<boolean> {
     const {call, context} = this;
     const version = formatVersion(step.version);
--- a/src/coordination/requests/run_service_call.ts
+++ b/src/coordination/requests/run_service_call.ts
@@ -257,6 +257,9 @@
       endpoint: choice.endpoint.name,
       result,
       firstTokenMs: answer.ok ? durationMs : undefined,
+      remoteBytes: noted.remote
+        ? call.body.length + (answer.ok ? answer.value.body.length : 0)
+        : 0,
     });
     return answer;
   }
@@ -279,6 +282,7 @@
       endpoint: choice.endpoint.name,
       reason: choice.reason,
       rejected: choice.rejected,
+      remote: choice.endpoint.region !== context.region,
       startedMs: this.getElapsedMs(),
       resumeOffset: 0,
       chunks: 0,
--- /dev/null
+++ b/src/transport/platform/rating_client.ts
@@ -0,0 +1,30 @@
+/** Asks the rating service. Whatever fails means that there is no rating. */
+import {fail, succeed} from '../../protocol/outcome.ts';
+import {ratingReplySchema} from '../../protocol/platform.ts';
+import type {RateAnswer} from '../../coordination/requests/request_context.ts';
+import {callPlatform} from './call_platform.ts';
+
+/** Creates the client; without an address there are no ratings. */
+export function createRatingClient(address: string | undefined): RateAnswer {
+  if (address === undefined) return async () => fail('no service is set');
+  return async rated => {
+    const reply = await callPlatform({
+      address,
+      method: 'POST',
+      path: '/v1/ratings',
+      body: {
+        request_id: rated.requestId,
+        customer: rated.customer,
+        class: rated.requestClass,
+        version: rated.version,
+        prompt: rated.prompt,
+        answer: rated.answer,
+      },
+      schema: ratingReplySchema,
+      deadlineMs: rated.deadlineMs,
+    });
+    if (!reply.ok) return reply;
+    const {score} = reply.value;
+    return score === null ? fail('the service has no opinion') : succeed(score);
+  };
+}
--- /dev/null
+++ b/src/transport/platform/weight_client.ts
@@ -0,0 +1,27 @@
+/** Asks the store of weights how long a load of a version would take. */
+import type {Outcome} from '../../protocol/outcome.ts';
+import {
+  weightsReplySchema,
+  type WeightsReply,
+} from '../../protocol/platform.ts';
+import {callPlatform} from './call_platform.ts';
+
+/** How long the store may take to answer. */
+const DEADLINE_MS = 2_000;
+
+/** Describes the weights of a version, named as `model/version`. */
+export type DescribeWeights = (
+  version: string,
+) => Promise<Outcome<WeightsReply, string>>;
+
+/** Creates the client. */
+export function createWeightClient(address: string): DescribeWeights {
+  return version =>
+    callPlatform({
+      address,
+      method: 'GET',
+      path: `/v1/weights/${version.split('/').map(encodeURIComponent).join('/')}`,
+      schema: weightsReplySchema,
+      deadlineMs: DEADLINE_MS,
+    });
+}
--- /dev/null
+++ b/testing/stand_ins/rating_main.ts
@@ -0,0 +1,45 @@
+/**
+ * A stand-in for the rating service: gives each version the score that is set
+ * for it, after a delay. `POST /control` changes scores and delay.
+ *
+ * Its argument is one JSON object with `address`, `scores` and `delayMs`.
+ */
+import {setTimeout as sleep} from 'node:timers/promises';
+import polka from 'polka';
+import {z} from 'zod';
+import {ratingRequestSchema} from '../../src/protocol/platform.ts';
+
+const controlSchema = z.object({
+  /** Scores by version; `null` for no opinion. */
+  scores: z.record(z.string(), z.number().nullable()).default({}),
+  delayMs: z.number().default(0),
+});
+
+const optionsSchema = controlSchema.extend({address: z.string()});
+
+const options = optionsSchema.parse(JSON.parse(process.argv[2] ?? '{}'));
+let control: z.infer<typeof controlSchema> = options;
+const asked: string[] = [];
+
+async function readJson(request: AsyncIterable<unknown>): Promise<unknown> {
+  let text = '';
+  for await (const part of request) text += String(part);
+  return JSON.parse(text) as unknown;
+}
+
+const [host, port] = options.address.split(':');
+polka()
+  .post('/v1/ratings', async (request, response) => {
+    const {version} = ratingRequestSchema.parse(await readJson(request));
+    asked.push(version);
+    await sleep(control.delayMs);
+    response.end(JSON.stringify({score: control.scores[version] ?? null}));
+  })
+  .post('/control', async (request, response) => {
+    control = controlSchema.parse(await readJson(request));
+    response.end('{}');
+  })
+  .get('/asked', (_request, response) => {
+    response.end(JSON.stringify(asked));
+  })
+  .listen(Number(port), host);
--- /dev/null
+++ b/testing/stand_ins/weights_main.ts
@@ -0,0 +1,43 @@
+/**
+ * A stand-in for the store of weights, which serves one load after another at
+ * a fixed rate. `POST /v1/loads/MODEL/VERSION` begins a load.
+ *
+ * Its argument is one JSON object with `address`, `bytes` and `rate`.
+ */
+import polka from 'polka';
+import {z} from 'zod';
+
+const optionsSchema = z.object({
+  address: z.string(),
+  bytes: z.number().positive().default(1_000_000),
+  /** Bytes a second. */
+  rate: z.number().positive().default(1_000_000),
+});
+
+const options = optionsSchema.parse(JSON.parse(process.argv[2] ?? '{}'));
+let busyUntil = 0;
+
+function describe(version: string): string {
+  const waitMs = Math.max(0, busyUntil - Date.now());
+  return JSON.stringify({
+    version,
+    bytes: options.bytes,
+    rate: options.rate,
+    wait_ms: waitMs,
+  });
+}
+
+const [host, port] = options.address.split(':');
+polka()
+  .get('/v1/weights/:model/:version', (request, response) => {
+    const {model, version} = request.params;
+    response.end(describe(`${model}/${version}`));
+  })
+  .post('/v1/loads/:model/:version', (request, response) => {
+    const {model, version} = request.params;
+    const loadMs = (options.bytes / options.rate) * 1_000;
+    const reply = describe(`${model}/${version}`);
+    busyUntil = Math.max(busyUntil, Date.now()) + loadMs;
+    response.end(reply);
+  })
+  .listen(Number(port), host);
