Place versions on endpoints by what their absence costs

Cause: nothing loaded a version that no endpoint served. The leader plans each pool from reported demand and sends fenced orders, one outstanding at an endpoint, whose result is read back from announcements.

Proved with real processes: a declared version is loaded, and after the leader's kill the next one's orders carry larger fencing numbers.

--- a/src/cli/serve/daemon.ts
+++ b/src/cli/serve/daemon.ts
@@ -8,6 +8,7 @@
 import {ConfigurationLease} from '../../coordination/leases/configuration_lease.ts';
 import type {LeaseRelay} from '../../coordination/leases/lease_relay.ts';
 import {EndpointTable} from '../../coordination/membership/endpoint_table.ts';
+import {DemandTable} from '../../coordination/placement/demand_table.ts';
 import {EvidenceCollector} from '../../coordination/rollout/evidence_collector.ts';
 import {EvidenceLedger} from '../../coordination/rollout/evidence_ledger.ts';
 import {createProposer} from '../../coordination/replication/proposer.ts';
@@ -26,6 +27,7 @@
 import {createOperatorService} from './operator_service.ts';
 import {createPeerService} from './peer_service.ts';
 import {openLeaseRelay} from './lease_relay.ts';
+import {startPlacement} from './placement.ts';
 import {createLeaseRenewal} from './renew_lease.ts';
 import {startGauges} from './report_gauges.ts';
 import {CONTROL_GROUP, openReplicas} from './replicas.ts';
@@ -82,11 +84,13 @@
   const replicas = await openReplicas(parts, links);
   const endpoints = new EndpointTable(clock);
   const evidence = new EvidenceLedger(clock);
+  const demand = new DemandTable(clock);
   let relay: LeaseRelay | null = null;
   const service = createPeerService({
     replicas,
     endpoints,
     evidence,
+    demand,
     renewLease: async request => relay?.renew(request) ?? {type: 'unavailable'},
   });
   const callReplica = createReplicaCaller(settings, links, service);
@@ -165,6 +169,7 @@
     listReplicas,
     callReplica,
   });
+  startPlacement(parts, {replicas, endpoints, demand, secrets});
   createLogger('daemon').info('Started.', {
     name: settings.name,
     public: settings.listen.public,
--- a/src/cli/serve/peer_service.ts
+++ b/src/cli/serve/peer_service.ts
@@ -7,6 +7,7 @@
 } from '../../protocol/peer_service.ts';
 import {createLeaseService} from '../../coordination/leases/lease_service.ts';
 import type {EndpointTable} from '../../coordination/membership/endpoint_table.ts';
+import type {DemandTable} from '../../coordination/placement/demand_table.ts';
 import type {EvidenceLedger} from '../../coordination/rollout/evidence_ledger.ts';
 import {formatLedgerGroup} from '../../coordination/requests/ledger_client.ts';
 import {createReplicationService} from './replication_service.ts';
@@ -17,6 +18,8 @@
   readonly endpoints: EndpointTable;
   /** What gateways saw of versions, for the leader's decisions. */
   readonly evidence: EvidenceLedger;
+  /** What gateways want of versions, for the placement. */
+  readonly demand: DemandTable;
   /** Answers a daemon's renewal of its lease. */
   readonly renewLease: PeerService['renewLease'];
 }
@@ -65,7 +68,10 @@
     },
     reportEvidence: async report => {
       const taken = control?.replica.isLeader() ?? false;
-      if (taken) options.evidence.record(report);
+      if (!taken) return {taken};
+      options.evidence.record(report);
+      const {gateway, incarnation, demand} = report;
+      if (demand) options.demand.record(gateway, incarnation, demand);
       return {taken};
     },
     exchange: async ({records}) => {
--- /dev/null
+++ b/src/coordination/placement/placement_controller.ts
@@ -0,0 +1,223 @@
+/**
+ * Sends orders to endpoints while this daemon leads the control group.
+ *
+ * Every order carries a fencing number that was drawn from the log. Some
+ * endpoints do not check it, so a new leader sends nothing until an order of
+ * the one before can no longer be under way. At most one order is outstanding
+ * at an endpoint, and its result is read back from what it announces.
+ */
+import type {Clock} from '../../protocol/clock.ts';
+import type {ControlView} from '../../protocol/control.ts';
+import {formatVersion} from '../../protocol/declaration.ts';
+import {createIdentifier} from '../../protocol/identifiers.ts';
+import type {Logger} from '../../protocol/logger.ts';
+import type {Order, OrderReply} from '../../protocol/order.ts';
+import type {Endpoint} from '../membership/endpoint_table.ts';
+import {isWithdrawn} from '../routing/select_version.ts';
+import type {DemandTable} from './demand_table.ts';
+import {
+  planPlacement,
+  type PlacementEndpoint,
+  type PlannedOrder,
+} from './plan_placement.ts';
+
+/** How often the placement is looked at. */
+const STEP_INTERVAL_MS = 2_000;
+
+/** How long an order may be under way to its endpoint. */
+export const ORDER_TIMEOUT_MS = 3_000;
+
+/** After this an order whose result was never announced is given up. */
+const RESULT_TIMEOUT_MS = 180_000;
+
+/** How long a new leader waits before its first order. */
+const TAKE_OVER_MS = ORDER_TIMEOUT_MS + 3_000;
+
+export interface PlacementControllerOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly demand: DemandTable;
+  /** Whether this daemon leads the control group now. */
+  readonly isLeader: () => boolean;
+  /** When it began to lead, on the monotonic clock. */
+  readonly getLeaderSince: () => number;
+  readonly getView: () => ControlView;
+  readonly listEndpoints: () => readonly Endpoint[];
+  /** Draws a fencing number, `null` when none could be committed. */
+  readonly takeFencing: () => Promise<number | null>;
+  /** Sends an order; a rejection says that its outcome is not known. */
+  readonly sendOrder: (
+    address: string,
+    order: Order,
+    timeoutMs: number,
+  ) => Promise<OrderReply>;
+}
+
+interface Outstanding {
+  readonly order: PlannedOrder;
+  readonly sentAt: number;
+}
+
+/** Runs until disposed. */
+export class PlacementController implements AsyncDisposable {
+  private readonly stopped = new AbortController();
+  private readonly outstanding = new Map<string, Outstanding>();
+  private readonly regrets = new Map<string, number>();
+  private task: Promise<void> = Promise.resolve();
+  private fencing: number | null = null;
+  private fencingTerm = -1;
+  private steppedAt = 0;
+
+  constructor(private readonly options: PlacementControllerOptions) {}
+
+  start(): void {
+    this.task = this.run();
+  }
+
+  /** Looks at every pool once. */
+  async step(): Promise<void> {
+    const {clock, isLeader, demand, getLeaderSince, getView} = this.options;
+    if (!isLeader()) {
+      this.forget();
+      demand.clear();
+      return;
+    }
+    const now = clock.monotonic();
+    if (now - getLeaderSince() < TAKE_OVER_MS) return;
+    const fencing = await this.findFencing();
+    if (fencing === null) return;
+    const elapsedS = Math.min(now - this.steppedAt, 2 * STEP_INTERVAL_MS) / 1e3;
+    this.steppedAt = now;
+    this.readResults(now);
+    const view = getView();
+    for (const pool of view.declaration?.pools ?? []) {
+      const orders = this.planPool(view, pool.name, elapsedS);
+      for (const order of orders) await this.sendOne(order, fencing);
+    }
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.stopped.abort();
+    await this.task;
+  }
+
+  private async run(): Promise<void> {
+    const {clock, logger} = this.options;
+    while (!this.stopped.signal.aborted) {
+      await clock.sleep(STEP_INTERVAL_MS, this.stopped.signal);
+      if (this.stopped.signal.aborted) return;
+      try {
+        await this.step();
+      } catch (error) {
+        const reason = (error as Error).message;
+        logger.warn('Could not look at the placement.', {reason});
+      }
+    }
+  }
+
+  private forget(): void {
+    this.outstanding.clear();
+    this.regrets.clear();
+    this.fencing = null;
+  }
+
+  /** The number of this leadership, drawn once. */
+  private async findFencing(): Promise<number | null> {
+    const since = this.options.getLeaderSince();
+    if (this.fencing !== null && this.fencingTerm === since) {
+      return this.fencing;
+    }
+    this.fencing = await this.options.takeFencing();
+    this.fencingTerm = since;
+    return this.fencing;
+  }
+
+  /** Forgets the orders whose result is announced, or never will be. */
+  private readResults(now: number): void {
+    const endpoints = new Map(
+      this.options.listEndpoints().map(each => [each.name, each]),
+    );
+    for (const [name, {order, sentAt}] of this.outstanding) {
+      const loaded = endpoints.get(name)?.versions.includes(order.version);
+      const done = loaded === (order.action === 'load');
+      const late = now - sentAt >= RESULT_TIMEOUT_MS;
+      if (late) {
+        this.options.logger.warn('Gives up an order.', {
+          endpoint: name,
+          version: order.version,
+          action: order.action,
+        });
+      }
+      if (done || late || !endpoints.has(name)) this.outstanding.delete(name);
+    }
+  }
+
+  private planPool(
+    view: ControlView,
+    pool: string,
+    elapsedS: number,
+  ): readonly PlannedOrder[] {
+    const declared = view.declaration?.versions ?? [];
+    const endpoints = this.options
+      .listEndpoints()
+      .filter(each => each.pool === pool && !each.leaving)
+      .map(each => this.describeEndpoint(each));
+    const versions = declared
+      .filter(each => each.pool === pool)
+      .map(version => ({
+        name: formatVersion(version),
+        usable: !isWithdrawn(view, version),
+        demand: this.options.demand.getDemand(formatVersion(version)),
+      }));
+    const {load_s: loadS, concurrent_loads: concurrentLoads} = view.declaration
+      ?.placement ?? {load_s: 30, concurrent_loads: 1};
+    const step = planPlacement({
+      endpoints,
+      versions,
+      regret: this.regrets.get(pool) ?? 0,
+      elapsedS,
+      loadS,
+      concurrentLoads,
+    });
+    this.regrets.set(pool, step.regret);
+    return step.orders;
+  }
+
+  private describeEndpoint(endpoint: Endpoint): PlacementEndpoint {
+    const {name, dataCentre, versions, versionSlots, slots} = endpoint;
+    const busy = this.outstanding.has(name);
+    return {name, dataCentre, versions, versionSlots, slots, busy};
+  }
+
+  private async sendOne(order: PlannedOrder, fencing: number): Promise<void> {
+    const {logger, clock, isLeader, listEndpoints, sendOrder} = this.options;
+    const endpoint = listEndpoints().find(each => each.name === order.endpoint);
+    // Checked at the point of use: the lease may have run out meanwhile.
+    if (!endpoint || !isLeader()) return;
+    logger.info('Places a version.', {...order, fencing});
+    this.outstanding.set(order.endpoint, {order, sentAt: clock.monotonic()});
+    const {action, version, replaces} = order;
+    const id = createIdentifier('ord');
+    try {
+      const reply = await sendOrder(
+        endpoint.address,
+        {id, action, version, replaces, fencing},
+        ORDER_TIMEOUT_MS,
+      );
+      if (reply.type === 'accepted') return;
+      logger.warn('An endpoint refused an order.', {
+        ...order,
+        reply: reply.type,
+        detail: reply.message,
+      });
+      this.outstanding.delete(order.endpoint);
+    } catch (error) {
+      // It may have arrived: the announcements will tell.
+      const reason = (error as Error).message;
+      logger.warn('Could not tell what became of an order.', {
+        ...order,
+        detail: reason,
+      });
+    }
+  }
+}
--- a/src/coordination/requests/request_fakes.ts
+++ b/src/coordination/requests/request_fakes.ts
@@ -247,6 +247,7 @@
     pool: name.startsWith('s') ? 'booking' : 'drafting',
     versions: name.startsWith('s') ? [] : ['draft/small', 'draft/large'],
     slots: 16,
+    versionSlots: 0,
     checksFencing: false,
     resumes: name.endsWith('+'),
     leaving: false,
--- a/src/coordination/rollout/evidence_collector.ts
+++ b/src/coordination/rollout/evidence_collector.ts
@@ -1,6 +1,7 @@
 /** A gateway's own counts of how each version serves. */
 import {
   RATING_BINS,
+  type DemandReport,
   type EvidenceReport,
   type VersionEvidence,
 } from '../../protocol/rollout_state.ts';
@@ -22,6 +23,7 @@
 /** Counts since the gateway started. */
 export class EvidenceCollector {
   private readonly versions = new Map<string, MutableEvidence>();
+  private readonly busyMs = new Map<string, number>();
   private changes = 0;
 
   constructor(
@@ -43,6 +45,19 @@
     this.changes++;
   }
 
+  /** Adds the time that a request ran, or waited in vain, for a version. */
+  countBusy(version: string, busyMs: number): void {
+    this.busyMs.set(version, (this.busyMs.get(version) ?? 0) + busyMs);
+  }
+
+  /** The busy times since the gateway started. */
+  createDemandReport(): DemandReport {
+    return [...this.busyMs].map(([version, busyMs]) => ({
+      version,
+      busyMs: Math.round(busyMs),
+    }));
+  }
+
   /** Counts a rating from 0 to 1; the version is `model/version`. */
   countRating(version: string, rating: number): void {
     const bin = Math.min(RATING_BINS - 1, Math.floor(rating * RATING_BINS));
--- a/src/coordination/rollout/evidence_reporter.ts
+++ b/src/coordination/rollout/evidence_reporter.ts
@@ -8,6 +8,9 @@
 /** How often changed evidence is sent. */
 const REPORT_INTERVAL_MS = 1_000;
 
+/** How often the demand for versions is sent. */
+const DEMAND_INTERVAL_MS = 10_000;
+
 /** How often unchanged evidence is sent again, for a new leader. */
 const REPEAT_INTERVAL_MS = 4_000;
 
@@ -25,6 +28,7 @@
   private task: Promise<void> = Promise.resolve();
   private sentRevision = -1;
   private sentAt = -Infinity;
+  private demandSentAt = -Infinity;
 
   constructor(private readonly options: EvidenceReporterOptions) {}
 
@@ -36,14 +40,19 @@
   async step(): Promise<void> {
     const {collector, clock, getView, send} = this.options;
     const versions = listRolloutVersions(getView());
-    if (versions.size === 0) return;
     const {revision} = collector;
     const now = clock.monotonic();
-    const due = now - this.sentAt >= REPEAT_INTERVAL_MS;
-    if (revision === this.sentRevision && !due) return;
-    await send(collector.createReport(versions));
+    const demandDue = now - this.demandSentAt >= DEMAND_INTERVAL_MS;
+    const changed = revision !== this.sentRevision;
+    const repeatDue = now - this.sentAt >= REPEAT_INTERVAL_MS;
+    const evidenceDue = versions.size > 0 && (changed || repeatDue);
+    if (!evidenceDue && !demandDue) return;
+    const report = collector.createReport(versions);
+    const demand = collector.createDemandReport();
+    await send(demandDue ? {...report, demand} : report);
     this.sentRevision = revision;
     this.sentAt = now;
+    if (demandDue) this.demandSentAt = now;
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
--- a/src/protocol/declaration.ts
+++ b/src/protocol/declaration.ts
@@ -113,6 +113,14 @@
   services: z.array(serviceSchema).default([]),
   customers: z.array(customerSchema).default([]),
   rollouts: z.array(rolloutSchema).default([]),
+  placement: z
+    .strictObject({
+      /** How long an endpoint takes to load a version. */
+      load_s: z.number().positive().default(30),
+      /** How many loads a pool may run at once, for the weight store's sake. */
+      concurrent_loads: z.int().positive().default(1),
+    })
+    .default({load_s: 30, concurrent_loads: 1}),
   ledger: z
     .strictObject({
       /** How long keys of settled requests are remembered. */
--- a/src/protocol/endpoint.ts
+++ b/src/protocol/endpoint.ts
@@ -23,6 +23,8 @@
   versions: z.array(z.string()).default([]),
   /** The most requests that it runs at once. */
   slots: z.int().positive().default(16),
+  /** The most versions that it can load by order; 0 takes no orders. */
+  versionSlots: z.int().nonnegative().default(0),
   /** Whether it refuses orders with an old fencing number. */
   checksFencing: z.boolean().default(false),
   /** Whether a stream can be resumed at an offset. */
--- a/src/protocol/rollout_state.ts
+++ b/src/protocol/rollout_state.ts
@@ -48,6 +48,17 @@
 
 export type VersionEvidence = z.infer<typeof versionEvidenceSchema>;
 
+/** For how long requests ran or waited at a gateway, since its start. */
+export const demandReportSchema = z.array(
+  z.object({
+    /** The version as `model/version`. */
+    version: z.string(),
+    busyMs: z.number().nonnegative(),
+  }),
+);
+
+export type DemandReport = z.infer<typeof demandReportSchema>;
+
 /**
  * A gateway's report. Its counts only ever grow within one incarnation, so
  * a report replaces the one before it and may arrive twice or not at all.
@@ -56,6 +67,8 @@
   gateway: z.string(),
   incarnation: z.string(),
   versions: z.array(versionEvidenceSchema),
+  /** Present now and then; placement needs it less often. */
+  demand: demandReportSchema.optional(),
 });
 
 export type EvidenceReport = z.infer<typeof evidenceReportSchema>;
--- a/testing/stand_ins/engine_main.ts
+++ b/testing/stand_ins/engine_main.ts
@@ -6,9 +6,11 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import polka from 'polka';
+import {orderSchema} from '../../src/protocol/order.ts';
 import type {Announcement} from '../../src/protocol/endpoint.ts';
 import {createExpectedWords} from '../records/expected_answer.ts';
 import {startAnnouncer} from './announcer.ts';
+import {OrderBook} from './order_book.ts';
 import {RunRecorder} from './run_recorder.ts';
 import {readStandInOptions} from './stand_in_options.ts';
 import {StepGate} from './step_gate.ts';
@@ -22,6 +24,7 @@
 const options = readStandInOptions();
 const recorder = new RunRecorder(options.recordFile);
 const gate = new StepGate();
+const orders = new OrderBook(options);
 const incarnation = randomBytes(6).toString('hex');
 let leaving = false;
 let running = 0;
@@ -99,9 +102,10 @@
     region: options.region,
     dataCentre: options.dataCentre,
     pool: options.pool,
-    versions: options.versions,
+    versions: [...orders.versions],
     slots: options.slots,
-    checksFencing: false,
+    versionSlots: options.versionSlots,
+    checksFencing: options.checksFencing,
     resumes: options.resumes,
     leaving,
     load: {running, waiting: 0, ageMs: 0},
@@ -113,6 +117,13 @@
   .post('/v1/chat/completions', (request, response) => {
     handleCompletion(request, response).catch(() => response.destroy());
   })
+  .post('/v1/orders', async (request, response) => {
+    const order = orderSchema.parse(JSON.parse(await readText(request)));
+    response.end(JSON.stringify(orders.take(order)));
+  })
+  .get('/orders', (_request, response) => {
+    response.end(JSON.stringify(orders.taken));
+  })
   .get('/runs', (_request, response) => {
     response.end(JSON.stringify(recorder.runs));
   })
--- a/testing/stand_ins/service_main.ts
+++ b/testing/stand_ins/service_main.ts
@@ -70,6 +70,7 @@
         pool: options.pool,
         versions: [],
         slots: options.slots,
+        versionSlots: 0,
         checksFencing: false,
         resumes: false,
         leaving,
--- a/testing/stand_ins/stand_in_options.ts
+++ b/testing/stand_ins/stand_in_options.ts
@@ -12,6 +12,12 @@
   pool: z.string(),
   versions: z.array(z.string()).default([]),
   slots: z.int().default(16),
+  /** The most versions that orders may load; 0 takes no orders. */
+  versionSlots: z.int().default(0),
+  /** How long a load takes. */
+  loadMs: z.number().default(200),
+  /** Whether orders with an old fencing number are refused. */
+  checksFencing: z.boolean().default(false),
   daemons: z.array(z.string()),
   secret: z.string(),
   /** A file that keeps the runs when the process ends. */
--- a/testing/system/system.ts
+++ b/testing/system/system.ts
@@ -85,7 +85,11 @@
   readonly version: number | null;
   readonly revision: number | null;
   readonly hosts: ReadonlyArray<{name: string}>;
-  readonly endpoints: ReadonlyArray<{name: string; leaving: boolean}>;
+  readonly endpoints: ReadonlyArray<{
+    name: string;
+    leaving: boolean;
+    versions: readonly string[];
+  }>;
   readonly control?: {leader: string | null; applied: number};
 }
 
