--- a/src/coordination/routing/create_endpoint_router_test.ts
+++ b/src/coordination/routing/create_endpoint_router_test.ts
@@ -25,6 +25,7 @@
     pool: 'p',
     versions: ['draft/v1'],
     slots: 4,
+    versionSlots: 0,
     checksFencing: false,
     resumes: true,
     leaving: false,
