--- a/src/cli/serve/daemon.ts
+++ b/src/cli/serve/daemon.ts
@@ -14,6 +14,7 @@
 import {createProposer} from '../../coordination/replication/proposer.ts';
 import {createLedgerClient} from '../../coordination/requests/ledger_client.ts';
 import {createMetrics} from '../../transport/metrics/create_metrics.ts';
+import {formatGateway} from '../../coordination/requests/ledger_sweeper.ts';
 import {PeerLinks} from '../../transport/peers/peer_links.ts';
 import {startPeerServer} from '../../transport/peers/peer_server.ts';
 import {
@@ -32,6 +33,7 @@
 import {startGauges} from './report_gauges.ts';
 import {CONTROL_GROUP, openReplicas} from './replicas.ts';
 import {startRollouts} from './rollouts.ts';
+import {startSweepers} from './sweepers.ts';
 import {readSecrets} from './secrets.ts';
 
 /** How long callers get to learn that this daemon leaves. */
@@ -119,7 +121,11 @@
     }),
   );
   const context = createRequestContext(parts, {
-    ledger: createLedgerClient(settings.ledger_groups, propose),
+    ledger: createLedgerClient({
+      groupCount: settings.ledger_groups,
+      propose,
+      gateway: formatGateway({name: settings.name, incarnation}),
+    }),
     evidence: collector,
     getView: () => lease.getView(),
     listEndpoints: () => endpoints.list(),
@@ -144,6 +150,7 @@
       context,
       operators: createOperatorService({
         propose: command => propose(CONTROL_GROUP, command),
+        proposeToLedger: propose,
         listReplicas,
         callReplica,
         clock,
@@ -159,6 +166,7 @@
   );
   replicas.start();
   relay?.start();
+  startSweepers(parts, replicas, {listReplicas, callReplica});
   lease.start();
   store.add(startGauges({context, metrics: parts.metrics, clock}));
   startRollouts(parts, {
--- a/src/cli/serve/operator_service.ts
+++ b/src/cli/serve/operator_service.ts
@@ -6,6 +6,7 @@
   OperatorCommand,
   UnreachableRegion,
 } from '../../protocol/control.ts';
+import type {LedgerCommand, LedgerResult} from '../../protocol/ledger.ts';
 import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
 import type {ProposeReply} from '../../protocol/peer_service.ts';
 import type {ConfigurationLease} from '../../coordination/leases/configuration_lease.ts';
@@ -19,6 +20,10 @@
 
 export interface OperatorServiceOptions {
   readonly propose: (command: ControlCommand) => Promise<ProposeReply>;
+  readonly proposeToLedger: (
+    group: string,
+    command: LedgerCommand,
+  ) => Promise<ProposeReply>;
   readonly clock: Clock;
   readonly lease: ConfigurationLease;
   readonly listReplicas: () => readonly string[];
@@ -66,6 +71,7 @@
         rollouts: view?.rollouts ?? [],
         hosts: lease.listHosts(),
         endpoints: endpoints.list(),
+        ledgers: replicas.ledgers.map(ledger => ledger.describeSummary()),
         control: control && {
           leader: control.leader,
           term: control.term,
@@ -73,6 +79,16 @@
         },
       };
     },
+    getDeclaration: () => lease.getView()?.declaration ?? null,
+    async archiveBills(shard, through) {
+      const reply = await options.proposeToLedger(formatLedgerGroup(shard), {
+        type: 'archive_bills',
+        through,
+      });
+      if (reply.type !== 'committed') return null;
+      const result = reply.result as LedgerResult;
+      return result.type === 'archived' ? result.through : null;
+    },
     async exportBills(shard, after) {
       const shards = options.ledgerGroups;
       const reply = await readLedger(options, formatLedgerGroup(shard), after);
@@ -121,6 +137,8 @@
   readonly except?: readonly UnreachableRegion[];
   /** The daemons that were waited for in vain; `null` when not known. */
   readonly behind?: readonly string[] | null;
+  /** One sentence for people, where there is more to say. */
+  readonly message?: string;
 }
 
 async function waitUntilInForce(
@@ -135,11 +153,24 @@
     behind = reply?.hosts ?? null;
     if (reply && behind?.length === 0) {
       const except = reply.unreachable;
-      return {inForce: true, ...(except.length === 0 ? {} : {except})};
+      if (except.length === 0) return {inForce: true};
+      return {inForce: true, except, message: describeExcept(except)};
     }
     await clock.sleep(POLL_MS);
   }
-  return {inForce: false, behind};
+  const message = behind
+    ? `Accepted, but not yet in force at ${behind.join(', ')}.`
+    : 'Accepted, but it is not known yet where it is in force.';
+  return {inForce: false, behind, message};
+}
+
+function describeExcept(except: readonly UnreachableRegion[]): string {
+  const places = except.map(({region, hosts, sinceMs}) => {
+    const named = hosts.length === 0 ? '' : ` (${hosts.join(', ')})`;
+    const since = new Date(sinceMs).toISOString();
+    return `${region}${named}, unreachable since ${since}`;
+  });
+  return `In force except in ${places.join('; ')}.`;
 }
 
 /** Who is behind a revision; `null` when no leader answers. */
--- /dev/null
+++ b/src/cli/serve/sweepers.ts
@@ -0,0 +1,60 @@
+/** Starts the sweepers of the ledger groups at a daemon with replicas. */
+import type {LeaseHolder} from '../../protocol/control.ts';
+import {formatLedgerGroup} from '../../coordination/requests/ledger_client.ts';
+import {LedgerSweeper} from '../../coordination/requests/ledger_sweeper.ts';
+import type {CallReplica} from './call_replica.ts';
+import type {DaemonParts} from './daemon.ts';
+import type {Replicas} from './replicas.ts';
+
+/** How long one replica may take to name the lease holders. */
+const HOLDERS_TIMEOUT_MS = 1_000;
+
+/** How long keys are remembered before anything is declared. */
+const DEFAULT_RETENTION_S = 86_400;
+
+interface SweeperLinks {
+  readonly listReplicas: () => readonly string[];
+  readonly callReplica: CallReplica;
+}
+
+/** Starts one sweeper for each group; the store of `parts` ends them. */
+export function startSweepers(
+  parts: DaemonParts,
+  replicas: Replicas,
+  links: SweeperLinks,
+): void {
+  const {clock, store, createLogger} = parts;
+  replicas.ledgers.forEach((state, shard) => {
+    const group = formatLedgerGroup(shard);
+    const replica = replicas.get(group);
+    if (!replica) return;
+    const sweeper = new LedgerSweeper({
+      clock,
+      logger: createLogger('ledger'),
+      group,
+      state,
+      isLeader: () => replica.isLeader(),
+      getRetentionMs: () => {
+        const declared = replicas.control?.state.view.declaration?.ledger;
+        return (declared?.retention_s ?? DEFAULT_RETENTION_S) * 1_000;
+      },
+      listHolders: () => listHolders(links),
+      propose: command => replica.propose(command),
+    });
+    store.add(sweeper).start();
+  });
+}
+
+/** Asks the leader of the control group; `null` when none knows. */
+async function listHolders(
+  links: SweeperLinks,
+): Promise<readonly LeaseHolder[] | null> {
+  for (const name of links.listReplicas()) {
+    const reply = await links
+      .callReplica(name)
+      .listLeaseHolders({}, HOLDERS_TIMEOUT_MS)
+      .catch(() => null);
+    if (reply?.type === 'holders') return reply.holders;
+  }
+  return null;
+}
--- a/src/coordination/requests/ledger_client.ts
+++ b/src/coordination/requests/ledger_client.ts
@@ -26,16 +26,53 @@
   return `${LEDGER_PREFIX}${shard}`;
 }
 
-/** Creates a client of `groupCount` ledger groups. */
-export function createLedgerClient(
-  groupCount: number,
-  propose: Propose,
-): LedgerClient {
+export interface LedgerClientOptions {
+  readonly groupCount: number;
+  readonly propose: Propose;
+  /** The process that admits, as `name/incarnation`. */
+  readonly gateway: string;
+}
+
+/**
+ * Creates a client of the ledger groups.
+ *
+ * A claim lives in the shard of its key, a pin in the shard of its session,
+ * so that each is read and set at one place whatever the other is.
+ */
+export function createLedgerClient(options: LedgerClientOptions): LedgerClient {
+  const {groupCount, gateway} = options;
+  const propose = async (
+    customer: string,
+    key: string,
+    command: LedgerCommand,
+  ): Promise<LedgerResult | null> => {
+    const group = formatLedgerGroup(selectShard(customer, key, groupCount));
+    const reply = await options.propose(group, command);
+    return reply.type === 'committed' ? (reply.result as LedgerResult) : null;
+  };
   return {
     async submit(customer, key, command) {
-      const group = formatLedgerGroup(selectShard(customer, key, groupCount));
-      const reply = await propose(group, command);
-      return reply.type === 'committed' ? (reply.result as LedgerResult) : null;
+      if (command.type !== 'admit') return propose(customer, key, command);
+      const admit = {...command, gateway};
+      const {session, version, repin, atMs} = admit;
+      const together =
+        session === undefined ||
+        selectShard(customer, session, groupCount) ===
+          selectShard(customer, key, groupCount);
+      if (together) return propose(customer, key, admit);
+      const [admitted, pin] = await Promise.all([
+        propose(customer, key, {...admit, session: undefined}),
+        propose(customer, session, {
+          type: 'pin',
+          customer,
+          session,
+          version,
+          repin,
+          atMs,
+        }),
+      ]);
+      if (admitted?.type !== 'admitted') return admitted;
+      return pin?.type === 'pinned' ? {...admitted, pinned: pin.pinned} : null;
     },
   };
 }
--- /dev/null
+++ b/src/coordination/requests/ledger_sweeper.ts
@@ -0,0 +1,121 @@
+/**
+ * Settles what gateways left open, and forgets what is older than declared.
+ *
+ * Run beside each replica of a ledger group; only the leader's acts. A claim
+ * is given up as `unknown`, which never lets a call run again; a gateway that
+ * lives after all can still settle it and have it billed.
+ */
+import type {Clock} from '../../protocol/clock.ts';
+import type {LeaseHolder} from '../../protocol/control.ts';
+import type {LedgerCommand} from '../../protocol/ledger.ts';
+import type {Logger} from '../../protocol/logger.ts';
+import type {LedgerState} from '../../state/ledger/ledger_state.ts';
+
+/** How often the ledger is looked through. */
+const SWEEP_INTERVAL_MS = 2_000;
+
+/** A gateway without a lease for this long is given up for lost. */
+export const LOST_AFTER_MS = 15_000;
+
+/** A claim that is open for this long is given up wherever it runs. */
+export const OPEN_LIMIT_MS = 900_000;
+
+export interface LedgerSweeperOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly group: string;
+  readonly state: LedgerState;
+  readonly isLeader: () => boolean;
+  /** How long settled keys are remembered, in milliseconds. */
+  readonly getRetentionMs: () => number;
+  /** Who holds a configuration lease; `null` when that is not known. */
+  readonly listHolders: () => Promise<readonly LeaseHolder[] | null>;
+  readonly propose: (command: LedgerCommand) => Promise<unknown>;
+}
+
+/** Sweeps one ledger group. Dispose it to stop. */
+export class LedgerSweeper implements AsyncDisposable {
+  private readonly stopped = new AbortController();
+  /** When each gateway was first seen without a lease. */
+  private readonly missingSince = new Map<string, number>();
+  private task: Promise<void> = Promise.resolve();
+
+  constructor(private readonly options: LedgerSweeperOptions) {}
+
+  start(): void {
+    this.task = this.run();
+  }
+
+  /** Looks the ledger through once. */
+  async sweepOnce(): Promise<void> {
+    const {clock, state, propose} = this.options;
+    if (!this.options.isLeader()) {
+      this.missingSince.clear();
+      return;
+    }
+    const lostGateways = await this.findLost();
+    const atMs = clock.now();
+    const sweep = {
+      atMs,
+      openBeforeMs: atMs - OPEN_LIMIT_MS,
+      settledBeforeMs: atMs - this.options.getRetentionMs(),
+    };
+    if (lostGateways.length === 0 && !state.needsSweep(sweep)) return;
+    if (lostGateways.length > 0) {
+      const {logger, group} = this.options;
+      logger.warn('Gives up the open requests of lost gateways.', {
+        group,
+        gateways: lostGateways,
+      });
+    }
+    await propose({type: 'sweep', lostGateways, ...sweep});
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.stopped.abort();
+    await this.task;
+  }
+
+  private async run(): Promise<void> {
+    const {clock, logger} = this.options;
+    while (!this.stopped.signal.aborted) {
+      await clock.sleep(SWEEP_INTERVAL_MS, this.stopped.signal);
+      if (this.stopped.signal.aborted) return;
+      await this.sweepOnce().catch((error: Error) =>
+        logger.warn('Could not sweep.', {reason: error.message}),
+      );
+    }
+  }
+
+  /** The gateways whose open claims nobody will settle. */
+  private async findLost(): Promise<string[]> {
+    const open = this.options.state.listOpenGateways();
+    if (open.size === 0) {
+      this.missingSince.clear();
+      return [];
+    }
+    const holders = await this.options.listHolders();
+    if (!holders) return [];
+    const now = this.options.clock.monotonic();
+    const live = new Set(holders.map(formatGateway));
+    const names = new Set(holders.map(holder => holder.name));
+    for (const gateway of this.missingSince.keys()) {
+      if (!open.has(gateway) || live.has(gateway)) {
+        this.missingSince.delete(gateway);
+      }
+    }
+    return [...open].filter(gateway => {
+      if (live.has(gateway)) return false;
+      const since = this.missingSince.get(gateway) ?? now;
+      this.missingSince.set(gateway, since);
+      // A later process of the same name shows that this one has ended.
+      const name = gateway.slice(0, gateway.lastIndexOf('/'));
+      return names.has(name) || now - since >= LOST_AFTER_MS;
+    });
+  }
+}
+
+/** How claims name the process that runs them. */
+export function formatGateway(holder: LeaseHolder): string {
+  return `${holder.name}/${holder.incarnation}`;
+}
--- /dev/null
+++ b/src/coordination/requests/ledger_sweeper_test.ts
@@ -0,0 +1,130 @@
+import {test} from 'uvu';
+import * as assert from 'uvu/assert';
+import type {LeaseHolder} from '../../protocol/control.ts';
+import type {LedgerCommand} from '../../protocol/ledger.ts';
+import {silentLogger} from '../../protocol/logger.ts';
+import {LedgerState} from '../../state/ledger/ledger_state.ts';
+import {createLedgerClient, selectShard} from './ledger_client.ts';
+import {LedgerSweeper, LOST_AFTER_MS} from './ledger_sweeper.ts';
+
+function createScene() {
+  const state = new LedgerState();
+  const scene = {
+    time: 1_000_000,
+    leads: true,
+    holders: [] as LeaseHolder[] | null,
+    state,
+  };
+  const now = () => scene.time;
+  const sweeper = new LedgerSweeper({
+    clock: {now, monotonic: now, sleep: async () => {}},
+    logger: silentLogger,
+    group: 'ledger-0',
+    state,
+    isLeader: () => scene.leads,
+    getRetentionMs: () => 60_000,
+    listHolders: async () => scene.holders,
+    propose: async command => state.apply(command),
+  });
+  state.apply({
+    type: 'admit',
+    requestId: 'r',
+    customer: 'desk',
+    key: 'k',
+    digest: 'd',
+    repeatable: false,
+    gateway: 'a/1',
+    repin: false,
+    atMs: scene.time,
+  });
+  const countOpen = () => state.describeSummary().openEntries;
+  return {scene, sweeper, countOpen};
+}
+
+test('a gateway is lost once it stayed without a lease', async () => {
+  const {scene, sweeper, countOpen} = createScene();
+  await sweeper.sweepOnce();
+  scene.time += LOST_AFTER_MS - 1;
+  await sweeper.sweepOnce();
+  assert.is(countOpen(), 1);
+  scene.time += 1;
+  await sweeper.sweepOnce();
+  assert.is(countOpen(), 0);
+});
+
+test('a lease between two looks starts the time anew', async () => {
+  const {scene, sweeper, countOpen} = createScene();
+  await sweeper.sweepOnce();
+  scene.time += LOST_AFTER_MS - 1;
+  scene.holders = [{name: 'a', incarnation: '1'}];
+  await sweeper.sweepOnce();
+  scene.holders = [];
+  scene.time += 1;
+  await sweeper.sweepOnce();
+  assert.is(countOpen(), 1);
+});
+
+test('a later process of the name shows the end of the earlier', async () => {
+  const {scene, sweeper, countOpen} = createScene();
+  scene.holders = [{name: 'a', incarnation: '2'}];
+  await sweeper.sweepOnce();
+  assert.is(countOpen(), 0);
+});
+
+test('nothing is lost while the holders are not known, or to a follower', async () => {
+  const {scene, sweeper, countOpen} = createScene();
+  scene.holders = null;
+  await sweeper.sweepOnce();
+  scene.time += 2 * LOST_AFTER_MS;
+  await sweeper.sweepOnce();
+  assert.is(countOpen(), 1);
+  scene.holders = [{name: 'a', incarnation: '2'}];
+  scene.leads = false;
+  await sweeper.sweepOnce();
+  assert.is(countOpen(), 1);
+});
+
+test('sessions of one name agree on a version whatever the keys', async () => {
+  const shards = [0, 1, 2, 3].map(() => new LedgerState());
+  const client = createLedgerClient({
+    groupCount: shards.length,
+    gateway: 'a/1',
+    propose: async (group, command) => {
+      const shard = shards[Number(group.slice('ledger-'.length))];
+      return {
+        type: 'committed',
+        result: shard?.apply(command as LedgerCommand),
+      };
+    },
+  });
+  const pinned = new Set<string | undefined>();
+  const used = new Set<number>();
+  for (let number = 0; number < 20; number++) {
+    const key = `k${number}`;
+    used.add(selectShard('desk', key, shards.length));
+    const result = await client.submit('desk', key, {
+      type: 'admit',
+      requestId: `r${number}`,
+      customer: 'desk',
+      key,
+      digest: 'd',
+      repeatable: true,
+      gateway: '',
+      session: 's',
+      version: `draft/v${number}`,
+      repin: false,
+      atMs: 1,
+    });
+    assert.is(result?.type, 'admitted');
+    if (result?.type === 'admitted') pinned.add(result.pinned);
+  }
+  assert.equal([...pinned], ['draft/v0']);
+  assert.is(used.size, shards.length);
+  const pins = shards.map(shard => shard.describeSummary().pins);
+  assert.is(
+    pins.reduce((sum, count) => sum + count),
+    1,
+  );
+});
+
+test.run();
--- a/src/coordination/requests/request_fakes.ts
+++ b/src/coordination/requests/request_fakes.ts
@@ -154,7 +154,7 @@
   }
 
   get bills(): readonly BillRecord[] {
-    return this.ledger.bills;
+    return this.ledger.readBills(0).bills;
   }
 
   createCompletion(options: Partial<CompletionCall> = {}): CompletionCall {
--- a/src/protocol/ledger.ts
+++ b/src/protocol/ledger.ts
@@ -39,6 +39,7 @@
     /** SHA-256 of the request, so that a key is not used for two. */
     digest: z.string(),
     repeatable: z.boolean(),
+    /** The process that runs it, as `name/incarnation`. */
     gateway: z.string(),
     session: z.string().optional(),
     /** The version to pin when the session has none. */
@@ -57,8 +58,21 @@
     answer: storedAnswerSchema.optional(),
     atMs: z.number(),
   }),
+  /** Reads or sets a session's pin, in the shard of the session. */
+  z.object({
+    type: z.literal('pin'),
+    customer: z.string(),
+    session: z.string(),
+    version: z.string().optional(),
+    repin: z.boolean().default(false),
+    atMs: z.number(),
+  }),
+  /** Gives up bills that an operator has exported. */
+  z.object({type: z.literal('archive_bills'), through: z.int().nonnegative()}),
   z.object({
     type: z.literal('sweep'),
+    /** Entries still open from before this time are settled as `unknown`. */
+    openBeforeMs: z.number(),
     /** Settled entries from before this time are forgotten. */
     settledBeforeMs: z.number(),
     /** Open entries of these gateways are settled as `unknown`. */
@@ -83,6 +97,8 @@
   | {readonly type: 'unknown'}
   | {readonly type: 'mismatch'}
   | {readonly type: 'settled'; readonly billed: boolean}
+  | {readonly type: 'pinned'; readonly pinned?: string}
+  | {readonly type: 'archived'; readonly through: number}
   | {readonly type: 'swept'; readonly count: number};
 
 /** A bill as `bills export` prints it. */
--- /dev/null
+++ b/src/state/ledger/claims.ts
@@ -0,0 +1,201 @@
+/**
+ * Claims: which keys were admitted, and how their requests ended.
+ *
+ * Open and settled claims are kept apart, the settled in the order of their
+ * end, so that a sweep touches only what it removes. A claim whose key is the
+ * request's own id is never asked for by a retry and is kept only briefly.
+ */
+import type {LedgerStatus, StoredAnswer} from '../../protocol/ledger.ts';
+
+/** The most bytes of stored answers; the oldest are given up first. */
+export const ANSWERS_LIMIT_BYTES = 32 * 1024 * 1024;
+
+/** A larger answer is not stored; a retry then gets `unknown`. */
+export const ANSWER_LIMIT_BYTES = 256 * 1024;
+
+/** How long a claim without a key of the caller outlives its end. */
+export const BRIEF_RETENTION_MS = 60_000;
+
+/** One admitted key. */
+export interface Claim {
+  requestId: string;
+  digest: string;
+  repeatable: boolean;
+  /** The process that runs it, as `name/incarnation`. */
+  gateway: string;
+  status: LedgerStatus;
+  atMs: number;
+  billed: boolean;
+  /** True when a sweep gave it up; its gateway may still settle it. */
+  swept?: boolean;
+  answer?: StoredAnswer;
+}
+
+/** What a snapshot holds of the claims. */
+export interface ClaimsSnapshot {
+  open: Array<[string, Claim]>;
+  settled: Array<[string, Claim]>;
+  brief: Array<[string, Claim]>;
+}
+
+/** What a sweep removes. */
+export interface ClaimSweep {
+  readonly lostGateways: ReadonlySet<string>;
+  /** Claims still open from before this time are given up. */
+  readonly openBeforeMs: number;
+  /** Claims settled before this time are forgotten. */
+  readonly settledBeforeMs: number;
+  readonly atMs: number;
+  /** The most claims that one sweep forgets. */
+  readonly limit: number;
+}
+
+/** Holds the claims of one shard. */
+export class Claims {
+  private readonly open = new Map<string, Claim>();
+  private readonly settled = new Map<string, Claim>();
+  private readonly brief = new Map<string, Claim>();
+  /** Claims with a stored answer, the oldest first. */
+  private readonly answered = new Map<string, Claim>();
+  private storedBytes = 0;
+
+  get openCount(): number {
+    return this.open.size;
+  }
+
+  get settledCount(): number {
+    return this.settled.size + this.brief.size;
+  }
+
+  /** Bytes of the stored answers. */
+  get answerBytes(): number {
+    return this.storedBytes;
+  }
+
+  get(id: string): Claim | undefined {
+    return this.open.get(id) ?? this.settled.get(id) ?? this.brief.get(id);
+  }
+
+  /** Opens a claim in place of an earlier one with the same id. */
+  start(id: string, claim: Claim): void {
+    this.forget(id);
+    this.open.set(id, claim);
+  }
+
+  /** Ends a claim. `brief` claims are soon forgotten. */
+  end(id: string, claim: Claim, brief: boolean): void {
+    const {answer} = claim;
+    this.forget(id);
+    claim.answer = undefined;
+    (brief ? this.brief : this.settled).set(id, claim);
+    if (answer && measureAnswer(answer) <= ANSWER_LIMIT_BYTES) {
+      claim.answer = answer;
+      this.answered.set(id, claim);
+      this.storedBytes += measureAnswer(answer);
+      this.limitAnswers();
+    }
+  }
+
+  /** Removes a claim, as if it had never been made. */
+  forget(id: string): void {
+    const answered = this.answered.get(id);
+    if (answered) this.dropAnswer(id, answered);
+    this.open.delete(id);
+    this.settled.delete(id);
+    this.brief.delete(id);
+  }
+
+  /** The processes that have open claims. */
+  listOpenGateways(): Set<string> {
+    return new Set([...this.open.values()].map(claim => claim.gateway));
+  }
+
+  /** Gives up open claims of lost gateways and forgets old ones. */
+  sweep(sweep: ClaimSweep): number {
+    let count = 0;
+    for (const [id, claim] of this.open) {
+      const lost = sweep.lostGateways.has(claim.gateway);
+      if (!lost && claim.atMs >= sweep.openBeforeMs) continue;
+      claim.status = 'unknown';
+      claim.swept = true;
+      claim.atMs = sweep.atMs;
+      this.end(id, claim, false);
+      count++;
+    }
+    const briefBeforeMs = sweep.atMs - BRIEF_RETENTION_MS;
+    count += this.forgetBefore(this.brief, briefBeforeMs, sweep.limit);
+    count += this.forgetBefore(
+      this.settled,
+      sweep.settledBeforeMs,
+      sweep.limit,
+    );
+    return count;
+  }
+
+  /** Whether a sweep would find something beside lost gateways. */
+  needsSweep(sweep: Omit<ClaimSweep, 'lostGateways' | 'limit'>): boolean {
+    const briefBeforeMs = sweep.atMs - BRIEF_RETENTION_MS;
+    return (
+      isFirstBefore(this.open, sweep.openBeforeMs) ||
+      isFirstBefore(this.settled, sweep.settledBeforeMs) ||
+      isFirstBefore(this.brief, briefBeforeMs)
+    );
+  }
+
+  createSnapshot(): ClaimsSnapshot {
+    return {
+      open: [...this.open],
+      settled: [...this.settled],
+      brief: [...this.brief],
+    };
+  }
+
+  restoreSnapshot(snapshot: ClaimsSnapshot): void {
+    for (const map of [this.open, this.settled, this.brief, this.answered]) {
+      map.clear();
+    }
+    this.storedBytes = 0;
+    for (const [id, claim] of snapshot.open) this.open.set(id, claim);
+    for (const [id, claim] of snapshot.settled) this.end(id, claim, false);
+    for (const [id, claim] of snapshot.brief) this.end(id, claim, true);
+  }
+
+  private forgetBefore(
+    claims: Map<string, Claim>,
+    beforeMs: number,
+    limit: number,
+  ): number {
+    let count = 0;
+    for (const [id, claim] of claims) {
+      if (claim.atMs >= beforeMs || count >= limit) break;
+      this.forget(id);
+      count++;
+    }
+    return count;
+  }
+
+  private limitAnswers(): void {
+    for (const [id, claim] of this.answered) {
+      if (this.storedBytes <= ANSWERS_LIMIT_BYTES) return;
+      this.dropAnswer(id, claim);
+    }
+  }
+
+  private dropAnswer(id: string, claim: Claim): void {
+    if (claim.answer) this.storedBytes -= measureAnswer(claim.answer);
+    claim.answer = undefined;
+    this.answered.delete(id);
+  }
+}
+
+function isFirstBefore(
+  claims: ReadonlyMap<string, Claim>,
+  beforeMs: number,
+): boolean {
+  const [first] = claims.values();
+  return first !== undefined && first.atMs < beforeMs;
+}
+
+function measureAnswer(answer: StoredAnswer): number {
+  return Buffer.byteLength(answer.body) + answer.contentType.length;
+}
--- a/src/transport/public/operator_routes.ts
+++ b/src/transport/public/operator_routes.ts
@@ -1,10 +1,12 @@
 /** `/operator/…`: what operators ask of a daemon. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Polka} from 'polka';
+import {z} from 'zod';
 import {
   operatorCommandSchema,
   type OperatorCommand,
 } from '../../protocol/control.ts';
+import type {Declaration} from '../../protocol/declaration.ts';
 import type {BillPage} from '../../protocol/ledger.ts';
 import type {RequestHistory} from '../../coordination/requests/request_history.ts';
 import {equalSecrets} from '../peers/peer_server.ts';
@@ -23,6 +25,13 @@
    * leader does not answer.
    */
   exportBills(shard: number, after: number): Promise<BillPage | null>;
+  /**
+   * Gives up exported bills of one shard; returns the number that the
+   * remaining ones follow, `null` when the ledger does not answer.
+   */
+  archiveBills(shard: number, through: number): Promise<number | null>;
+  /** The declaration in force here, `null` before the first. */
+  getDeclaration(): Declaration | null;
 }
 
 export interface OperatorRoutesOptions {
@@ -81,6 +90,18 @@
       forOperator((request, response) =>
         sendBills(request, response, operators),
       ),
+    )
+    .post(
+      '/operator/bills/archive',
+      forOperator((request, response) =>
+        archiveBills(request, response, operators),
+      ),
+    )
+    .get(
+      '/operator/declaration',
+      forOperator((_request, response) =>
+        sendJson(response, 200, {declaration: operators.getDeclaration()}),
+      ),
     );
 }
 
@@ -93,6 +114,27 @@
   return decodeURIComponent(path.slice(path.lastIndexOf('/') + 1));
 }
 
+const archiveSchema = z.object({
+  shard: z.int().nonnegative().default(0),
+  through: z.int().nonnegative(),
+});
+
+async function archiveBills(
+  request: IncomingMessage,
+  response: ServerResponse,
+  operators: OperatorService,
+): Promise<void> {
+  const order = await readJson(request, response, archiveSchema);
+  if (!order) return;
+  const through = await operators.archiveBills(order.shard, order.through);
+  if (through === null) refuseSilentLedger(response);
+  else sendJson(response, 200, {archivedThrough: through});
+}
+
+function refuseSilentLedger(response: ServerResponse): void {
+  sendJson(response, 503, {error: {message: 'the ledger did not answer'}});
+}
+
 async function sendBills(
   request: IncomingMessage,
   response: ServerResponse,
@@ -103,5 +145,5 @@
   const after = Number(query.get('after') ?? 0);
   const page = await operators.exportBills(shard, after);
   if (page) sendJson(response, 200, page);
-  else sendJson(response, 503, {error: {message: 'the ledger did not answer'}});
+  else refuseSilentLedger(response);
 }
