Pass endpoints' records on in batches, each name bound to its process

Cause: every announcement went to every daemon as a call of its own; a daemon that restarted waited for announcements; a second process could take a name over from a living one; a message about an endpoint that leaves was sent once.

Now news goes out at once and is tried again, renewals go once a second as short entries and only where no other daemon sent one, a daemon that lacks the record asks for it, and one that starts reads its neighbours' tables.

--- a/src/cli/serve/daemon.ts
+++ b/src/cli/serve/daemon.ts
@@ -7,6 +7,7 @@
 import type {Settings} from '../../protocol/settings.ts';
 import {ConfigurationLease} from '../../coordination/leases/configuration_lease.ts';
 import type {LeaseRelay} from '../../coordination/leases/lease_relay.ts';
+import type {RecordExchange} from '../../coordination/membership/record_exchange.ts';
 import {EndpointTable} from '../../coordination/membership/endpoint_table.ts';
 import {DemandTable} from '../../coordination/placement/demand_table.ts';
 import {EvidenceCollector} from '../../coordination/rollout/evidence_collector.ts';
@@ -24,7 +25,7 @@
 import {createReplicaCaller, orderReplicas} from './call_replica.ts';
 import {createRequestContext} from './create_request_context.ts';
 import {DisposableStore} from './disposable_store.ts';
-import {createExchange} from './exchange.ts';
+import {openExchange, startRelearning} from './exchange.ts';
 import {createOperatorService} from './operator_service.ts';
 import {createPeerService} from './peer_service.ts';
 import {openLeaseRelay} from './lease_relay.ts';
@@ -88,12 +89,15 @@
   const evidence = new EvidenceLedger(clock);
   const demand = new DemandTable(clock);
   let relay: LeaseRelay | null = null;
+  let exchange: RecordExchange | null = null;
   const service = createPeerService({
     replicas,
     endpoints,
     evidence,
     demand,
     renewLease: async request => relay?.renew(request) ?? {type: 'unavailable'},
+    exchange: async request =>
+      exchange?.receive(request) ?? {accepted: 0, unknown: []},
   });
   const callReplica = createReplicaCaller(settings, links, service);
   relay = openLeaseRelay(parts, replicas, callReplica);
@@ -120,6 +124,9 @@
       }),
     }),
   );
+  const members = {lease, links, endpoints};
+  const records = openExchange(parts, members);
+  exchange = records;
   const context = createRequestContext(parts, {
     ledger: createLedgerClient({
       groupCount: settings.ledger_groups,
@@ -160,7 +167,7 @@
         ledgerGroups: settings.ledger_groups,
       }),
       listHosts: () => lease.listHosts(),
-      announce: createExchange({settings, lease, links, endpoints}),
+      announce: announcement => records.announce(announcement),
       isOpen: () => settings.gateway && !leaving,
     }),
   );
@@ -169,6 +176,8 @@
   startSweepers(parts, replicas, {listReplicas, callReplica});
   lease.start();
   store.add(startGauges({context, metrics: parts.metrics, clock}));
+  records.start();
+  startRelearning(parts, members);
   startRollouts(parts, {
     replicas,
     lease,
--- a/src/cli/serve/exchange.ts
+++ b/src/cli/serve/exchange.ts
@@ -1,33 +1,66 @@
-/** Passes announcements of endpoints on to the other daemons. */
-import type {Announcement} from '../../protocol/endpoint.ts';
-import {succeed, type Outcome} from '../../protocol/outcome.ts';
-import type {Settings} from '../../protocol/settings.ts';
+/** Starts the exchange of endpoints' records with the other daemons. */
+import {RecordExchange} from '../../coordination/membership/record_exchange.ts';
+import {relearnEndpoints} from '../../coordination/membership/relearn.ts';
 import type {ConfigurationLease} from '../../coordination/leases/configuration_lease.ts';
 import type {EndpointTable} from '../../coordination/membership/endpoint_table.ts';
 import type {PeerLinks} from '../../transport/peers/peer_links.ts';
+import type {DaemonParts} from './daemon.ts';
 
-/** How long another daemon may take to acknowledge. */
-const EXCHANGE_TIMEOUT_MS = 1_000;
+/** How long another daemon may take to answer. */
+const EXCHANGE_TIMEOUT_MS = 700;
 
-export interface ExchangeOptions {
-  readonly settings: Settings;
+export interface ExchangeParts {
   readonly lease: ConfigurationLease;
   readonly links: PeerLinks;
   readonly endpoints: EndpointTable;
 }
 
-/** Creates the function that takes an announcement in and passes it on. */
-export function createExchange(options: ExchangeOptions) {
-  const {settings, lease, links, endpoints} = options;
-  return (announcement: Announcement): Outcome<void, string> => {
-    const record = endpoints.announce(announcement);
-    for (const host of lease.listHosts()) {
-      if (host.name === settings.name) continue;
-      links
-        .get(host.peerAddress)
-        .exchange({records: [record]}, EXCHANGE_TIMEOUT_MS)
-        .catch(() => {});
-    }
-    return succeed(undefined);
+/** Opens the exchange; the store of `parts` ends it. */
+export function openExchange(
+  parts: DaemonParts,
+  {lease, links, endpoints}: ExchangeParts,
+): RecordExchange {
+  const {settings, clock, store} = parts;
+  const exchange = new RecordExchange({
+    clock,
+    own: {name: settings.name, dataCentre: settings.data_centre},
+    table: endpoints,
+    listHosts: () => lease.listHosts(),
+    send: (host, request) =>
+      links.get(host.peerAddress).exchange(request, EXCHANGE_TIMEOUT_MS),
+  });
+  return store.add(exchange);
+}
+
+/** Learns the endpoints from a neighbour, beside all else that starts. */
+export function startRelearning(
+  parts: DaemonParts,
+  {lease, links, endpoints}: ExchangeParts,
+): void {
+  const {settings, clock, store, createLogger} = parts;
+  const logger = createLogger('members');
+  const stopped = new AbortController();
+  const own = {
+    name: settings.name,
+    region: settings.region,
+    dataCentre: settings.data_centre,
   };
+  const task = relearnEndpoints({
+    clock,
+    own,
+    table: endpoints,
+    random: Math.random,
+    listHosts: () => lease.listHosts(),
+    read: async host => {
+      const link = links.get(host.peerAddress);
+      return (await link.listEndpoints({}, EXCHANGE_TIMEOUT_MS)).records;
+    },
+    signal: stopped.signal,
+  }).then(count => logger.info('Learnt endpoints from neighbours.', {count}));
+  store.add({
+    async [Symbol.asyncDispose]() {
+      stopped.abort();
+      await task;
+    },
+  });
 }
--- a/src/cli/serve/peer_service.ts
+++ b/src/cli/serve/peer_service.ts
@@ -22,6 +22,8 @@
   readonly demand: DemandTable;
   /** Answers a daemon's renewal of its lease. */
   readonly renewLease: PeerService['renewLease'];
+  /** Takes in what another daemon passes on. */
+  readonly exchange: PeerService['exchange'];
 }
 
 /** Creates the service that peers reach through the transport. */
@@ -74,10 +76,7 @@
       if (demand) options.demand.record(gateway, incarnation, demand);
       return {taken};
     },
-    exchange: async ({records}) => {
-      const news = records.filter(record => endpoints.merge(record));
-      return {accepted: news.length};
-    },
+    exchange: options.exchange,
   };
 }
 
--- a/src/coordination/membership/endpoint_table.ts
+++ b/src/coordination/membership/endpoint_table.ts
@@ -1,10 +1,19 @@
-/** The endpoints that a daemon knows of, each under a lease. */
+/**
+ * The endpoints that a daemon knows of, each under a lease.
+ *
+ * A name belongs to the process that announced it until that process leaves,
+ * its lease runs out, or another process announces itself at the same address
+ * (then the first cannot listen there any more). A late record of an earlier
+ * process is known by its lease, which ends before that of the later one.
+ */
 import type {Clock} from '../../protocol/clock.ts';
 import {
   ENDPOINT_LEASE_MS,
   type Announcement,
   type EndpointRecord,
+  type EndpointRenewal,
 } from '../../protocol/endpoint.ts';
+import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
 
 /** An endpoint as the routing decisions see it. */
 export interface Endpoint extends Announcement {
@@ -18,7 +27,15 @@
   endpoint: Endpoint;
   sequence: number;
   expiresAt: number;
-  changedAt: number;
+  /** When another daemon last passed the endpoint on. */
+  heardAt: number;
+}
+
+/** An announcement that was taken in. */
+export interface TakenAnnouncement {
+  readonly record: EndpointRecord;
+  /** False when it only renews the lease and reports the load. */
+  readonly news: boolean;
 }
 
 /** Holds announcements until their lease runs out. */
@@ -29,21 +46,58 @@
   constructor(private readonly clock: Clock) {}
 
   /** Notes what an endpoint said to this daemon itself. */
-  announce(announcement: Announcement): EndpointRecord {
-    const known = this.entries.get(announcement.name);
+  announce(announcement: Announcement): Outcome<TakenAnnouncement, string> {
+    const {name} = announcement;
+    const known = this.entries.get(name);
+    if (known && this.isTaken(known, announcement)) {
+      return fail(`the name "${name}" is in use at another address`);
+    }
+    const news = !known || describesChange(known.endpoint, announcement);
     const sequence = Math.max(known?.sequence ?? 0, this.nextSequence) + 1;
     this.nextSequence = sequence;
     const record = {...announcement, sequence, leaseMs: ENDPOINT_LEASE_MS};
-    this.store(record);
-    return record;
+    this.store(record, known?.heardAt ?? -Infinity);
+    return succeed({record, news});
   }
 
   /** Notes what another daemon passed on; false when it is not news. */
   merge(record: EndpointRecord): boolean {
+    const now = this.clock.monotonic();
     const known = this.entries.get(record.name);
-    const same = known?.endpoint.incarnation === record.incarnation;
-    if (known && same && known.sequence >= record.sequence) return false;
-    this.store(record);
+    if (!known || known.expiresAt <= now) {
+      this.store(record, now);
+      return true;
+    }
+    if (known.endpoint.incarnation !== record.incarnation) {
+      const later = now + record.leaseMs > known.expiresAt;
+      if (!later || this.isTaken(known, record)) return false;
+      this.store(record, now);
+      return true;
+    }
+    const leaves = record.leaving && !known.endpoint.leaving;
+    const news = leaves || describesChange(known.endpoint, record);
+    if (known.sequence >= record.sequence) {
+      if (leaves) known.endpoint.leaving = true;
+      this.extend(known, record.leaseMs);
+      return leaves;
+    }
+    this.store(record, now);
+    return news;
+  }
+
+  /** Extends the lease of a known process; false when it is not known. */
+  renew(renewal: EndpointRenewal): boolean {
+    const known = this.entries.get(renewal.name);
+    const now = this.clock.monotonic();
+    if (!known || known.expiresAt <= now) return false;
+    if (known.endpoint.incarnation !== renewal.incarnation) return false;
+    this.extend(known, renewal.leaseMs);
+    if (renewal.sequence <= known.sequence) return true;
+    known.sequence = renewal.sequence;
+    if (renewal.load) {
+      known.endpoint.load = renewal.load;
+      known.endpoint.loadTakenAt = now - renewal.load.ageMs;
+    }
     return true;
   }
 
@@ -58,39 +112,80 @@
     return live;
   }
 
+  /** One live record as it is passed on, or `null`. */
+  getRecord(name: string): EndpointRecord | null {
+    const entry = this.entries.get(name);
+    const now = this.clock.monotonic();
+    return entry && entry.expiresAt > now ? describeRecord(entry, now) : null;
+  }
+
   /** All live records, with what is left of their leases. */
   listRecords(): EndpointRecord[] {
     const now = this.clock.monotonic();
     return [...this.entries.values()]
       .filter(entry => entry.expiresAt > now)
-      .map(({endpoint, sequence, expiresAt}) => {
-        const {inFlight: _inFlight, loadTakenAt, ...announcement} = endpoint;
-        const {load} = announcement;
-        return {
-          ...announcement,
-          load: load && {...load, ageMs: now - loadTakenAt},
-          sequence,
-          leaseMs: expiresAt - now,
-        };
-      });
+      .map(entry => describeRecord(entry, now));
+  }
+
+  /** How long ago another daemon passed an endpoint on, in milliseconds. */
+  getHeardAge(name: string): number {
+    const heardAt = this.entries.get(name)?.heardAt ?? -Infinity;
+    return this.clock.monotonic() - heardAt;
   }
 
-  private store(record: EndpointRecord): void {
+  /** Whether the name belongs to a live process at another address. */
+  private isTaken(known: Entry, claim: Announcement): boolean {
+    const {endpoint, expiresAt} = known;
+    return (
+      expiresAt > this.clock.monotonic() &&
+      !endpoint.leaving &&
+      endpoint.incarnation !== claim.incarnation &&
+      endpoint.address !== claim.address
+    );
+  }
+
+  private extend(known: Entry, leaseMs: number): void {
+    const now = this.clock.monotonic();
+    known.heardAt = now;
+    known.expiresAt = Math.max(known.expiresAt, now + leaseMs);
+  }
+
+  private store(record: EndpointRecord, heardAt: number): void {
     const {sequence, leaseMs, ...announcement} = record;
     const now = this.clock.monotonic();
     const known = this.entries.get(record.name)?.endpoint;
     const same = known?.incarnation === record.incarnation;
+    const leaving = announcement.leaving || (same && known.leaving);
     // In-flight work keeps counting on the object that it began with.
     const endpoint: Endpoint = Object.assign(same ? known : {inFlight: 0}, {
       ...announcement,
+      leaving,
       loadTakenAt: now - (announcement.load?.ageMs ?? 0),
     });
-    if (same && known.leaving) endpoint.leaving = true;
-    this.entries.set(record.name, {
-      endpoint,
-      sequence,
-      expiresAt: now + leaseMs,
-      changedAt: now,
-    });
+    const expiresAt = now + leaseMs;
+    this.entries.set(record.name, {endpoint, sequence, expiresAt, heardAt});
   }
 }
+
+/** Whether an announcement says more than that the endpoint lives. */
+function describesChange(known: Announcement, next: Announcement): boolean {
+  return (
+    known.incarnation !== next.incarnation ||
+    known.address !== next.address ||
+    known.pool !== next.pool ||
+    known.leaving !== next.leaving ||
+    known.slots !== next.slots ||
+    known.versions.join() !== next.versions.join()
+  );
+}
+
+function describeRecord(entry: Entry, now: number): EndpointRecord {
+  const {inFlight: _inFlight, loadTakenAt, ...announcement} = entry.endpoint;
+  const {load} = announcement;
+  return {
+    ...announcement,
+    load: load && {...load, ageMs: now - loadTakenAt},
+    sequence: entry.sequence,
+    leaseMs: entry.expiresAt - now,
+  };
+}
--- /dev/null
+++ b/src/coordination/membership/membership_test.ts
@@ -0,0 +1,230 @@
+import {test} from 'uvu';
+import * as assert from 'uvu/assert';
+import type {Host} from '../../protocol/control.ts';
+import {
+  announcementSchema,
+  ENDPOINT_LEASE_MS,
+  type Announcement,
+} from '../../protocol/endpoint.ts';
+import type {ExchangeRequest} from '../../protocol/peer_service.ts';
+import {EndpointTable} from './endpoint_table.ts';
+import {RecordExchange} from './record_exchange.ts';
+import {relearnEndpoints} from './relearn.ts';
+import {REMOTE_RECEIVERS, selectReceivers} from './select_receivers.ts';
+
+function createAnnouncement(
+  name: string,
+  more: Partial<Announcement> = {},
+): Announcement {
+  return announcementSchema.parse({
+    name,
+    incarnation: '1',
+    address: `${name}:1`,
+    region: 'north',
+    dataCentre: 'a',
+    pool: 'desk',
+    ...more,
+  });
+}
+
+function createHost(name: string, dataCentre = 'a'): Host {
+  return {
+    name,
+    region: 'north',
+    dataCentre,
+    publicAddress: `${name}:80`,
+    peerAddress: `${name}:81`,
+    gateway: true,
+    leaving: false,
+  };
+}
+
+/** Daemons that exchange records in memory, on one clock. */
+function createScene(hosts: readonly Host[]) {
+  const scene = {
+    time: 10_000,
+    cut: new Set<string>(),
+    sent: [] as ExchangeRequest[],
+  };
+  const clock = {
+    now: () => scene.time,
+    monotonic: () => scene.time,
+    // A pause hands over to the other tasks.
+    sleep: () => new Promise<void>(resolve => setImmediate(resolve)),
+  };
+  interface Daemon {
+    table: EndpointTable;
+    exchange: RecordExchange;
+  }
+  const daemons: Map<string, Daemon> = new Map(
+    hosts.map(own => {
+      const table = new EndpointTable(clock);
+      const exchange = new RecordExchange({
+        clock,
+        own,
+        table,
+        listHosts: () => hosts,
+        send: async (host, request) => {
+          if (scene.cut.has(host.name)) throw new Error('no answer');
+          const copy = JSON.parse(JSON.stringify(request)) as ExchangeRequest;
+          scene.sent.push(copy);
+          const peer = daemons.get(host.name);
+          if (!peer) throw new Error('no such daemon');
+          return peer.exchange.receive(copy);
+        },
+      });
+      return [own.name, {table, exchange}] as const;
+    }),
+  );
+  const get = (name: string) => {
+    const daemon = daemons.get(name);
+    if (!daemon) throw new Error(`Could not find "${name}"`);
+    return daemon;
+  };
+  return {scene, clock, get};
+}
+
+/** Lets the tasks of all daemons run until nothing is left to do. */
+async function settleTasks(): Promise<void> {
+  for (let turn = 0; turn < 50; turn++) {
+    await new Promise<void>(resolve => setImmediate(resolve));
+  }
+}
+
+const listNames = (table: EndpointTable) =>
+  table.list().map(endpoint => endpoint.name);
+
+test('news reaches every daemon at once, renewals go as short entries', async () => {
+  const {scene, get} = createScene(['x', 'y', 'z'].map(n => createHost(n)));
+  assert.ok(get('x').exchange.announce(createAnnouncement('e1')).ok);
+  await settleTasks();
+  assert.equal(listNames(get('y').table), ['e1']);
+  assert.equal(listNames(get('z').table), ['e1']);
+  scene.sent.length = 0;
+  for (let second = 0; second < 10; second++) {
+    scene.time += 1_000;
+    const load = {running: second, waiting: 0, ageMs: 0};
+    get('x').exchange.announce(createAnnouncement('e1', {load}));
+    get('x').exchange.passRenewals();
+    await settleTasks();
+  }
+  assert.is(get('z').table.list()[0]?.load?.running, 9);
+  assert.is(scene.sent.length, 20);
+  assert.ok(scene.sent.every(request => request.records.length === 0));
+  scene.time += ENDPOINT_LEASE_MS;
+  assert.equal(listNames(get('z').table), []);
+});
+
+test('of two daemons that take an endpoint in, one passes it on', async () => {
+  const {scene, get} = createScene(['x', 'y', 'z'].map(n => createHost(n)));
+  get('x').exchange.announce(createAnnouncement('e1'));
+  await settleTasks();
+  get('y').exchange.announce(createAnnouncement('e1'));
+  await settleTasks();
+  scene.time += 1_000;
+  scene.sent.length = 0;
+  get('x').exchange.announce(createAnnouncement('e1'));
+  get('y').exchange.announce(createAnnouncement('e1'));
+  get('x').exchange.passRenewals();
+  await settleTasks();
+  get('y').exchange.passRenewals();
+  await settleTasks();
+  assert.is(scene.sent.length, 2);
+});
+
+test('an endpoint that leaves is known to leave in spite of a lost message', async () => {
+  const {scene, get} = createScene(['x', 'y'].map(n => createHost(n)));
+  get('x').exchange.announce(createAnnouncement('e1'));
+  await settleTasks();
+  scene.cut.add('y');
+  get('x').exchange.announce(createAnnouncement('e1', {leaving: true}));
+  await settleTasks();
+  assert.is(get('y').table.list()[0]?.leaving, false);
+  scene.cut.clear();
+  await settleTasks();
+  assert.is(get('y').table.list()[0]?.leaving, true);
+});
+
+test('a late record does not take a leaving endpoint back', () => {
+  const {get} = createScene([createHost('x')]);
+  const {table} = get('x');
+  const first = table.announce(createAnnouncement('e1'));
+  table.announce(createAnnouncement('e1', {leaving: true}));
+  assert.ok(first.ok);
+  table.merge({...first.value.record, sequence: 99});
+  assert.is(table.list()[0]?.leaving, true);
+});
+
+test('a name is bound to its process while that lives', () => {
+  const {scene, get} = createScene([createHost('x')]);
+  const {table} = get('x');
+  const first = table.announce(createAnnouncement('e1'));
+  assert.ok(first.ok);
+  const claim = createAnnouncement('e1', {incarnation: '2', address: 'z:1'});
+  assert.equal(table.announce(claim), {
+    ok: false,
+    error: 'the name "e1" is in use at another address',
+  });
+  // The same address: the first process has ended.
+  scene.time += 100;
+  const restarted = createAnnouncement('e1', {incarnation: '2'});
+  assert.ok(table.announce(restarted).ok);
+  const late = {...first.value.record, leaseMs: ENDPOINT_LEASE_MS - 100};
+  assert.is(table.merge(late), false);
+  assert.is(table.list()[0]?.incarnation, '2');
+  scene.time += ENDPOINT_LEASE_MS;
+  assert.ok(table.announce({...claim, incarnation: '3'}).ok);
+});
+
+test('a daemon that missed the news asks for it with the next renewal', async () => {
+  const {scene, get} = createScene(['x', 'y'].map(n => createHost(n)));
+  get('x').table.announce(createAnnouncement('e1'));
+  scene.time += 1_000;
+  get('x').exchange.announce(createAnnouncement('e1'));
+  get('x').exchange.passRenewals();
+  await settleTasks();
+  assert.equal(listNames(get('y').table), ['e1']);
+});
+
+test('in a large system a record crosses to few and is passed on there', async () => {
+  const hosts = Array.from({length: 24}, (_none, index) =>
+    createHost(`h${index}`, index < 12 ? 'a' : 'b'),
+  );
+  const {scene, get} = createScene(hosts);
+  const own = {name: 'h0', dataCentre: 'a'};
+  const far = selectReceivers(own, hosts, 'e1').filter(
+    host => host.dataCentre === 'b',
+  );
+  assert.is(far.length, REMOTE_RECEIVERS);
+  get('h0').exchange.announce(createAnnouncement('e1'));
+  await settleTasks();
+  for (const host of hosts) {
+    assert.equal(listNames(get(host.name).table), ['e1'], host.name);
+  }
+  const crossing = scene.sent.filter(request => request.dataCentre === 'a');
+  assert.is(crossing.length, 11 + REMOTE_RECEIVERS);
+});
+
+test('a daemon that starts learns from its neighbours', async () => {
+  const hosts = ['x', 'y', 'z'].map(name => createHost(name));
+  const {clock, get} = createScene(hosts);
+  get('y').table.announce(createAnnouncement('e1'));
+  const asked: string[] = [];
+  const learnt = await relearnEndpoints({
+    clock,
+    own: createHost('x'),
+    table: get('x').table,
+    random: () => 0.5,
+    listHosts: () => hosts,
+    read: async host => {
+      asked.push(host.name);
+      return get(host.name).table.listRecords();
+    },
+    signal: new AbortController().signal,
+  });
+  assert.is(learnt, 1);
+  assert.equal(asked, ['y', 'z']);
+  assert.equal(listNames(get('x').table), ['e1']);
+});
+
+test.run();
--- /dev/null
+++ b/src/coordination/membership/record_exchange.ts
@@ -0,0 +1,251 @@
+/**
+ * Passes endpoints' announcements on between daemons.
+ *
+ * News goes out at once; renewals go out together, as short entries, and only
+ * where no other daemon passed the endpoint on meanwhile. Each peer is served
+ * by a task of its own, so a silent one delays nobody.
+ */
+import type {Clock} from '../../protocol/clock.ts';
+import type {Host} from '../../protocol/control.ts';
+import type {
+  Announcement,
+  EndpointRecord,
+  EndpointRenewal,
+} from '../../protocol/endpoint.ts';
+import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
+import type {
+  ExchangeReply,
+  ExchangeRequest,
+} from '../../protocol/peer_service.ts';
+import {createSignal, type Signal} from '../signal.ts';
+import type {EndpointTable} from './endpoint_table.ts';
+import {
+  FULL_MESH_HOSTS,
+  rankByHash,
+  REMOTE_ENDPOINTS,
+  selectReceivers,
+} from './select_receivers.ts';
+
+/** How often renewals are passed on. */
+export const RENEWAL_INTERVAL_MS = 1_000;
+
+/** A renewal is left out when another daemon sent one within this time. */
+const HEARD_LATELY_MS = 900;
+
+/** The pause before news is sent again to a peer that did not answer. */
+const RETRY_MS = 200;
+
+/** How long news is tried, at most; the lease ends by itself after that. */
+const GIVE_UP_MS = 3_000;
+
+export interface RecordExchangeOptions {
+  readonly clock: Clock;
+  readonly own: Pick<Host, 'name' | 'dataCentre'>;
+  readonly table: EndpointTable;
+  readonly listHosts: () => readonly Host[];
+  /** Sends to one daemon; a rejection counts as silence. */
+  readonly send: (
+    host: Host,
+    request: ExchangeRequest,
+  ) => Promise<ExchangeReply>;
+}
+
+/** What waits to be sent to one peer. */
+class Outbox {
+  readonly wake: Signal;
+  readonly news = new Map<string, number>();
+  renewals = new Map<string, EndpointRenewal>();
+
+  constructor(
+    public host: Host,
+    clock: Clock,
+  ) {
+    this.wake = createSignal(clock);
+  }
+}
+
+/** Exchanges records with the other daemons. Dispose it to stop. */
+export class RecordExchange implements AsyncDisposable {
+  private readonly stopped = new AbortController();
+  private readonly outboxes = new Map<string, Outbox>();
+  private readonly tasks = new Set<Promise<void>>();
+  /** The endpoints that this daemon took in or passes on, since the tick. */
+  private readonly renewed = new Set<string>();
+
+  constructor(private readonly options: RecordExchangeOptions) {}
+
+  start(): void {
+    this.track(this.runTicks());
+  }
+
+  /** Takes an endpoint's own announcement in and passes it on. */
+  announce(announcement: Announcement): Outcome<void, string> {
+    const taken = this.options.table.announce(announcement);
+    if (!taken.ok) return fail(taken.error);
+    const {record, news} = taken.value;
+    if (news) this.sendNews(record);
+    else this.renewed.add(record.name);
+    return succeed(undefined);
+  }
+
+  /** Takes in what another daemon sent. */
+  receive(request: ExchangeRequest): ExchangeReply {
+    const {table, own} = this.options;
+    const foreign = request.dataCentre !== own.dataCentre;
+    const forwards = foreign && !this.isSmall();
+    let accepted = 0;
+    for (const record of request.records) {
+      if (!table.merge(record)) continue;
+      accepted++;
+      if (forwards) this.sendNews(record, true);
+    }
+    const unknown: string[] = [];
+    for (const renewal of request.renewals) {
+      if (!table.renew(renewal)) unknown.push(renewal.name);
+      else if (forwards) this.renewed.add(renewal.name);
+    }
+    return {accepted, unknown};
+  }
+
+  /** Queues the renewals since the last tick. */
+  passRenewals(): void {
+    const {table} = this.options;
+    const names = [...this.renewed];
+    this.renewed.clear();
+    for (const name of names) {
+      const record = table.getRecord(name);
+      if (!record) continue;
+      const foreign = record.dataCentre !== this.options.own.dataCentre;
+      if (!foreign && table.getHeardAge(name) < HEARD_LATELY_MS) continue;
+      const {incarnation, sequence, leaseMs, load} = record;
+      const renewal = {name, incarnation, sequence, leaseMs, load};
+      for (const outbox of this.selectOutboxes(record)) {
+        outbox.renewals.set(name, renewal);
+        outbox.wake.notify();
+      }
+    }
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.stopped.abort();
+    for (const outbox of this.outboxes.values()) outbox.wake.notify();
+    await Promise.all(this.tasks);
+  }
+
+  private async runTicks(): Promise<void> {
+    const {clock} = this.options;
+    while (!this.stopped.signal.aborted) {
+      await clock.sleep(RENEWAL_INTERVAL_MS, this.stopped.signal);
+      this.passRenewals();
+      this.closeOutboxes();
+    }
+  }
+
+  private sendNews(record: EndpointRecord, nearOnly = false): void {
+    const deadline = this.options.clock.monotonic() + GIVE_UP_MS;
+    for (const outbox of this.selectOutboxes(record, nearOnly)) {
+      outbox.news.set(record.name, deadline);
+      outbox.wake.notify();
+    }
+  }
+
+  private selectOutboxes(record: EndpointRecord, nearOnly = false): Outbox[] {
+    const {own, listHosts} = this.options;
+    const near = nearOnly || record.dataCentre !== own.dataCentre;
+    const hidden = !record.leaving && this.isHidden(record);
+    return selectReceivers(own, listHosts(), record.name)
+      .filter(
+        host =>
+          host.dataCentre === own.dataCentre ||
+          this.isSmall() ||
+          !(near || hidden),
+      )
+      .map(host => this.openOutbox(host));
+  }
+
+  private isSmall(): boolean {
+    return this.options.listHosts().length <= FULL_MESH_HOSTS;
+  }
+
+  /** Whether other data centres hear of enough others of the pool. */
+  private isHidden(record: EndpointRecord): boolean {
+    if (this.isSmall()) return false;
+    const pool = this.options.table
+      .list()
+      .filter(
+        each =>
+          each.pool === record.pool && each.dataCentre === record.dataCentre,
+      );
+    if (pool.length <= REMOTE_ENDPOINTS) return false;
+    return !rankByHash(record.pool, pool, each => each.name)
+      .slice(0, REMOTE_ENDPOINTS)
+      .some(each => each.name === record.name);
+  }
+
+  private openOutbox(host: Host): Outbox {
+    const known = this.outboxes.get(host.name);
+    if (known) {
+      known.host = host;
+      return known;
+    }
+    const outbox = new Outbox(host, this.options.clock);
+    this.outboxes.set(host.name, outbox);
+    this.track(this.servePeer(outbox));
+    return outbox;
+  }
+
+  /** Ends the tasks of daemons that are not listed any more. */
+  private closeOutboxes(): void {
+    const names = new Set(this.options.listHosts().map(host => host.name));
+    for (const [name, outbox] of this.outboxes) {
+      if (names.has(name)) continue;
+      this.outboxes.delete(name);
+      outbox.wake.notify();
+    }
+  }
+
+  private async servePeer(outbox: Outbox): Promise<void> {
+    const isOpen = () =>
+      !this.stopped.signal.aborted &&
+      this.outboxes.get(outbox.host.name) === outbox;
+    while (isOpen()) {
+      if (outbox.news.size + outbox.renewals.size === 0) {
+        await outbox.wake.wait();
+        continue;
+      }
+      const answered = await this.sendOnce(outbox);
+      if (!answered) {
+        await this.options.clock.sleep(RETRY_MS, this.stopped.signal);
+      }
+    }
+  }
+
+  private async sendOnce(outbox: Outbox): Promise<boolean> {
+    const {table, own, clock, send} = this.options;
+    const news = [...outbox.news];
+    const renewals = [...outbox.renewals.values()];
+    outbox.news.clear();
+    outbox.renewals = new Map();
+    const records = news.flatMap(([name]) => table.getRecord(name) ?? []);
+    if (records.length + renewals.length === 0) return true;
+    try {
+      const {dataCentre} = own;
+      const request = {dataCentre, records, renewals};
+      const reply = await send(outbox.host, request);
+      const deadline = clock.monotonic() + GIVE_UP_MS;
+      for (const name of reply.unknown) outbox.news.set(name, deadline);
+      return true;
+    } catch {
+      for (const [name, deadline] of news) {
+        const late = clock.monotonic() >= deadline;
+        if (!late && !outbox.news.has(name)) outbox.news.set(name, deadline);
+      }
+      return false;
+    }
+  }
+
+  private track(task: Promise<void>): void {
+    this.tasks.add(task);
+    void task.finally(() => this.tasks.delete(task));
+  }
+}
--- a/src/protocol/endpoint.ts
+++ b/src/protocol/endpoint.ts
@@ -46,6 +46,17 @@
 
 export type EndpointRecord = z.infer<typeof endpointRecordSchema>;
 
+/** A renewal as daemons pass it on: all that a known record lacks. */
+export const endpointRenewalSchema = endpointRecordSchema.pick({
+  name: true,
+  incarnation: true,
+  sequence: true,
+  leaseMs: true,
+  load: true,
+});
+
+export type EndpointRenewal = z.infer<typeof endpointRenewalSchema>;
+
 /** How often an endpoint announces itself. */
 export const ANNOUNCE_INTERVAL_MS = 1_000;
 
--- a/src/protocol/peer_service.ts
+++ b/src/protocol/peer_service.ts
@@ -15,7 +15,11 @@
   type LeaseRequest,
   type UnreachableRegion,
 } from './control.ts';
-import {endpointRecordSchema, type EndpointRecord} from './endpoint.ts';
+import {
+  endpointRecordSchema,
+  endpointRenewalSchema,
+  type EndpointRecord,
+} from './endpoint.ts';
 import type {LedgerPage, LedgerSummary} from './ledger.ts';
 import {replicationSchemas, type ReplicationService} from './replication.ts';
 import {evidenceReportSchema, type EvidenceReport} from './rollout_state.ts';
@@ -36,12 +40,23 @@
   | {readonly type: 'unknown'};
 
 export const exchangeRequestSchema = z.object({
-  /** Records that changed since the last exchange. */
+  /** The data centre of the daemon that sends. */
+  dataCentre: z.string(),
+  /** Endpoints that are new or changed. */
   records: z.array(endpointRecordSchema),
+  /** Endpoints that only live on. */
+  renewals: z.array(endpointRenewalSchema),
 });
 
 export type ExchangeRequest = z.infer<typeof exchangeRequestSchema>;
 
+export interface ExchangeReply {
+  /** How many records were news. */
+  readonly accepted: number;
+  /** Renewed endpoints whose records are missing here. */
+  readonly unknown: readonly string[];
+}
+
 export const inForceRequestSchema = z.object({
   revision: z.int().nonnegative(),
 });
@@ -120,5 +135,5 @@
   checkInForce(
     request: z.infer<typeof inForceRequestSchema>,
   ): Promise<InForceReply>;
-  exchange(request: ExchangeRequest): Promise<{readonly accepted: number}>;
+  exchange(request: ExchangeRequest): Promise<ExchangeReply>;
 }
