Run the files of unit tests four at once

Cause: the unit tests took most of a minute one after another. They know no real time, so they may share the machine; tests with real processes still run alone.

--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -3,13 +3,16 @@
  *
  * `node scripts/test.mjs PATTERN` runs the test files whose path matches.
  */
-import {spawnSync} from 'node:child_process';
+import {execFile, spawnSync} from 'node:child_process';
 import {existsSync, readdirSync} from 'node:fs';
 import {join} from 'node:path';
 
 /** How long one test file may run. */
 const FILE_TIMEOUT_MS = 300_000;
 
+/** How many files of unit tests run at once. */
+const UNIT_TESTS_AT_ONCE = 4;
+
 function listTests(folder) {
   return readdirSync(folder, {withFileTypes: true}).flatMap(entry => {
     const path = join(folder, entry.name);
@@ -34,23 +37,53 @@
 }
 let passed = 0;
 let failed = 0;
-for (const file of files) {
+
+/** Runs one file and counts its tests. */
+async function runFile(file) {
   const started = Date.now();
-  const run = spawnSync(process.execPath, ['--import', 'tsx', file], {
-    encoding: 'utf8',
-    timeout: FILE_TIMEOUT_MS,
-    maxBuffer: 64 * 1024 * 1024,
-    env: {...process.env, NO_COLOR: '1'},
-  });
+  const run = await execute(file);
   const total = Number(/Total:\s+(\d+)/.exec(run.stdout)?.[1] ?? 0);
   const ok = Number(/Passed:\s+(\d+)/.exec(run.stdout)?.[1] ?? 0);
   // A file that died, or that ran no test, is a failure of its own.
-  const broken = run.status !== 0 && total === ok ? 1 : total === 0 ? 1 : 0;
+  const broken = (run.code !== 0 && total === ok) || total === 0 ? 1 : 0;
   passed += ok;
   failed += total - ok + broken;
   const seconds = ((Date.now() - started) / 1_000).toFixed(1);
   console.log(`${file}: ${ok} of ${total} passed in ${seconds} s`);
   if (total !== ok || broken) console.log(run.stdout, run.stderr);
 }
+
+function execute(file) {
+  return new Promise(resolve => {
+    execFile(
+      process.execPath,
+      ['--import', 'tsx', file],
+      {
+        timeout: FILE_TIMEOUT_MS,
+        maxBuffer: 64 * 1024 * 1024,
+        env: {...process.env, NO_COLOR: '1'},
+      },
+      (error, stdout, stderr) => resolve({code: error ? 1 : 0, stdout, stderr}),
+    );
+  });
+}
+
+/** Runs files, some at once. */
+async function runFiles(queue, atOnce) {
+  const workers = Array.from({length: atOnce}, async () => {
+    for (let file = queue.shift(); file; file = queue.shift()) {
+      await runFile(file);
+    }
+  });
+  await Promise.all(workers);
+}
+
+// Unit tests know no real time; tests with real processes run alone.
+const isUnitTest = file => file.startsWith('src');
+await runFiles(files.filter(isUnitTest), UNIT_TESTS_AT_ONCE);
+await runFiles(
+  files.filter(file => !isUnitTest(file)),
+  1,
+);
 console.log(`${passed} passed, ${failed} failed`);
 process.exit(failed === 0 ? 0 : 1);
