--- a/src/cli/serve/create_request_context.ts
+++ b/src/cli/serve/create_request_context.ts
@@ -22,6 +22,8 @@
   RequestContext,
   'ledger' | 'getView' | 'listEndpoints'
 > {
+  /** The gateways that take work, this one included. */
+  readonly countGateways: () => number;
   /** Counts how versions serve, for the decisions about roll-outs. */
   readonly evidence: EvidenceCollector;
 }
@@ -63,6 +65,7 @@
       clock,
       random: Math.random,
       listEndpoints,
+      countGateways: sources.countGateways,
       getView,
       quality,
       rating,
--- a/src/cli/serve/daemon.ts
+++ b/src/cli/serve/daemon.ts
@@ -136,6 +136,8 @@
     evidence: collector,
     getView: () => lease.getView(),
     listEndpoints: () => endpoints.list(),
+    countGateways: () =>
+      lease.listHosts().filter(host => host.gateway && !host.leaving).length,
   });
   const [peerHost, peerPort] = splitAddress(settings.listen.peers);
   store.add(
--- a/src/coordination/limits/fair_queue.ts
+++ b/src/coordination/limits/fair_queue.ts
@@ -96,11 +96,15 @@
 
   /** How many requests go before a new one of this customer. */
   countAhead({customer, weight}: {customer: string; weight: number}): number {
-    const own = (this.flows.get(customer)?.waiting.length ?? 0) + 1;
-    let ahead = own - 1;
-    for (const [name, flow] of this.flows) {
-      if (name === customer) continue;
-      ahead += Math.min(flow.waiting.length, (own * flow.weight) / weight);
+    const own = this.flows.get(customer);
+    const ownWaiting = own?.waiting.length ?? 0;
+    const ownStart = own ? this.findStart(own) : this.virtualTime;
+    const start = ownStart + ownWaiting / weight;
+    let ahead = ownWaiting;
+    for (const flow of this.flows.values()) {
+      if (flow === own) continue;
+      const before = (start - this.findStart(flow)) * flow.weight;
+      ahead += Math.min(flow.waiting.length, Math.max(0, Math.ceil(before)));
     }
     return ahead;
   }
--- a/src/coordination/limits/measure_capacity.ts
+++ b/src/coordination/limits/measure_capacity.ts
@@ -10,21 +10,28 @@
   readonly endpoints: number;
 }
 
-/** The share of a pool that a gateway may use whatever the others do. */
-const GUARANTEED_SHARE = 0.125;
-
 /** The queue of a pool that is not declared. */
 const DEFAULT_QUEUE = 64;
 
-/** Measures the capacity: what others leave, within the declared limits. */
+export interface MeasureCapacityOptions {
+  /** The pool as it is declared. */
+  readonly pool?: Pool;
+  /** The gateways that share the pool; one by default. */
+  readonly gateways?: number;
+}
+
+/**
+ * Measures the capacity: what others leave, and at least an even share, so
+ * that gateways which all want more than there is do not swing.
+ */
 export function measureCapacity(
   {slots, free, endpoints}: PoolMeasure,
-  pool?: Pool,
+  {pool, gateways = 1}: MeasureCapacityOptions = {},
 ): PoolCapacity {
   const declared = pool ? pool.concurrency * endpoints : Infinity;
   const usable = Math.min(slots, declared);
   const left = usable - (slots - free);
-  const guaranteed = Math.ceil(usable * GUARANTEED_SHARE);
+  const guaranteed = Math.ceil(usable / Math.max(1, gateways));
   return {
     slots: endpoints === 0 ? 0 : Math.max(left, guaranteed),
     queue: pool?.queue ?? DEFAULT_QUEUE,
--- a/src/coordination/limits/pool_limiter.ts
+++ b/src/coordination/limits/pool_limiter.ts
@@ -32,6 +32,12 @@
 /** The advice to callers of a pool without endpoints, plus a random part. */
 const UNAVAILABLE_RETRY_MS = 1_000;
 
+/** After this long without an empty queue it stands: it only adds wait. */
+const STANDING_MS = 3_000;
+
+/** The longest wait in a queue that stands. */
+const STANDING_WAIT_MS = 1_000;
+
 /** How long a pool that returns takes up to its full limit. */
 const RAMP_MS = 5_000;
 
@@ -45,6 +51,7 @@
   private runningCount = 0;
   private holdMs = INITIAL_HOLD_MS;
   private ticking = false;
+  private queueEmptyAt = 0;
   private wasEmpty = false;
   private returnedAt = -Infinity;
 
@@ -71,8 +78,9 @@
       }
     }
     const waitMs = (this.queue.countAhead(request) * this.holdMs) / limit;
-    if (waitMs > options.deadlineMs) {
-      return fail(this.refuse('deadline', waitMs - options.deadlineMs));
+    const patienceMs = Math.min(options.deadlineMs, this.findPatienceMs());
+    if (waitMs > patienceMs) {
+      return fail(this.refuse('deadline', waitMs - patienceMs));
     }
     return this.wait(options, ownLimit, capacity);
   }
@@ -129,7 +137,10 @@
 
   private expire(): void {
     const now = this.options.clock.monotonic();
-    const late = this.queue.removeWhere(each => each.expiresAt <= now);
+    const since = now - this.findPatienceMs();
+    const late = this.queue.removeWhere(
+      each => each.expiresAt <= now || each.since < since,
+    );
     for (const waiter of late) {
       const blocked = this.countRunning(waiter.customer) >= waiter.limit;
       const reason = blocked ? 'customer-limit' : 'deadline';
@@ -156,6 +167,15 @@
     }
   }
 
+  /** How long a request may wait, whatever its own deadline. */
+  private findPatienceMs(): number {
+    const now = this.options.clock.monotonic();
+    // What waits while a pool returns does not wait for too much load.
+    const returning = now - this.returnedAt < RAMP_MS;
+    if (this.queue.length === 0 || returning) this.queueEmptyAt = now;
+    return now - this.queueEmptyAt > STANDING_MS ? STANDING_WAIT_MS : Infinity;
+  }
+
   private grant(customer: string, queuedMs: number): Permit {
     const {clock, running} = this.options;
     const since = clock.monotonic();
@@ -214,7 +234,7 @@
 
 const MESSAGES: Readonly<Record<Refusal['reason'], string>> = {
   'queue-full': 'too many requests wait for the pool',
-  deadline: 'the wait for the pool is longer than the deadline',
+  deadline: 'the wait for the pool would be too long',
   'customer-limit': 'the customer has as many requests running as it may',
   'pool-unavailable': 'no endpoint of the pool takes work',
   cancelled: 'the caller left',
--- a/src/coordination/requests/learning_decisions.ts
+++ b/src/coordination/requests/learning_decisions.ts
@@ -22,6 +22,8 @@
   readonly random: () => number;
   readonly listEndpoints: () => readonly Endpoint[];
   readonly getView: () => ControlView | null;
+  /** The gateways that take work, this one included. */
+  readonly countGateways: () => number;
   readonly quality: QualityTable;
   readonly rating: RatingMonitor;
 }
@@ -44,7 +46,10 @@
         const declared = getView()?.declaration?.pools.find(
           each => each.name === pool,
         );
-        return measureCapacity(router.measurePool(pool), declared);
+        return measureCapacity(router.measurePool(pool), {
+          pool: declared,
+          gateways: options.countGateways(),
+        });
       },
     }),
     retryBudget: createRetryBudget(),
--- a/src/coordination/routing/create_endpoint_router.ts
+++ b/src/coordination/routing/create_endpoint_router.ts
@@ -48,6 +48,12 @@
 /** Members that are drawn at random for one choice. */
 const DRAWN = 5;
 
+/** The first-token time that is assumed before any was seen. */
+const INITIAL_FIRST_TOKEN_MS = 200;
+
+/** The weight of one reading in what is usual. */
+const USUAL_WEIGHT = 0.05;
+
 /** The token gap that is assumed before any was seen. */
 const INITIAL_TOKEN_GAP_MS = 30;
 
@@ -112,6 +118,7 @@
   begin(endpoint: Endpoint, route: RouteOptions): RoutedAttempt {
     const {clock} = this.options;
     const {stats, ejection} = this.directory.findMember(endpoint);
+    const usual = this.directory.findUsual(route);
     const load = stats.estimateLoad();
     const since = clock.monotonic();
     stats.count(1);
@@ -121,12 +128,15 @@
     let ended = false;
     return {
       recordFirstToken: ms => {
-        stats.recordFirstToken(ms, load);
-        this.directory.recordUsual(route, ms);
+        const {firstTokenMs} = usual;
+        const idleMs = stats.recordFirstToken(ms, load, firstTokenMs);
+        usual.firstTokenMs = blend(firstTokenMs, idleMs);
       },
       recordEnd: (result, tokenGapMs) => {
         ejection.record(result);
-        if (tokenGapMs !== undefined) stats.recordTokenGap(tokenGapMs);
+        if (tokenGapMs !== undefined) {
+          usual.tokenGapMs = blend(usual.tokenGapMs, tokenGapMs);
+        }
         if (result === 'answered') {
           stats.recordHold(clock.monotonic() - since);
         }
@@ -150,10 +160,9 @@
     const best = this.drawRandom(members, DRAWN)
       .map(member => this.score(member, group, {route, cached: new Map()}))
       .reduce((a, b) => (b.scoreMs < a.scoreMs ? b : a));
-    const gapMs = best.member.stats.tokenGapMs;
     return {
       firstTokenMs: best.scoreMs,
-      tokenGapMs: gapMs === 0 ? INITIAL_TOKEN_GAP_MS : gapMs,
+      tokenGapMs: group.usual.tokenGapMs ?? INITIAL_TOKEN_GAP_MS,
     };
   }
 
@@ -206,12 +215,15 @@
     {route, cached}: {route: RouteOptions; cached: ReadonlyMap<string, number>},
   ): Scored {
     const {stats, ejection, distance} = member;
-    const {slots, name} = stats.endpoint;
+    const {name} = stats.endpoint;
     const load = stats.estimateLoad();
     const share = cached.get(name) ?? 0;
-    const crowd = 1 + Math.min(1, load / slots);
-    const unitMs = stats.estimateUnitMs(group.usualMs);
-    const serviceMs = unitMs * crowd * (1 - CACHE_SAVING * share);
+    const usualMs = group.usual.firstTokenMs ?? INITIAL_FIRST_TOKEN_MS;
+    const serviceMs =
+      usualMs *
+      stats.estimateSlowness() *
+      stats.estimateCrowding(load) *
+      (1 - CACHE_SAVING * share);
     const waitMs = stats.estimateQueueMs(load);
     const bytesMs = distance === 2 ? this.priceBytes(route.bytes) : 0;
     const scoreMs =
@@ -230,3 +242,7 @@
   if (cached > 0) parts.push(`${Math.round(cached * 100)} in 100 cached`);
   return parts.join(', ');
 }
+
+function blend(mean: number | null, sample: number): number {
+  return mean === null ? sample : mean + (sample - mean) * USUAL_WEIGHT;
+}
--- a/src/coordination/routing/endpoint_directory.ts
+++ b/src/coordination/routing/endpoint_directory.ts
@@ -8,6 +8,7 @@
   buildGroup,
   type EndpointGroup,
   type GroupMember,
+  type UsualSpeed,
 } from './endpoint_group.ts';
 import {EndpointStats} from './endpoint_stats.ts';
 
@@ -32,19 +33,14 @@
 /** How long an empty group is believed to be empty. */
 const REBUILD_EMPTY_MS = 10;
 
-/** The first-token time that is assumed before any was seen. */
-const INITIAL_FIRST_TOKEN_MS = 200;
-
-/** The weight of one first token in what is usual in a group. */
-const USUAL_WEIGHT = 0.02;
-
 /** Holds the groups, built anew from time to time. */
 export class EndpointDirectory {
   private readonly members = new WeakMap<Endpoint, GroupMember>();
   private groups = new Map<string, EndpointGroup>();
   private pools = new Map<string, GroupMember[]>();
+  private measures = new Map<string, PoolMeasure>();
   private served = new Set<string>();
-  private readonly usual = new Map<string, number>();
+  private readonly usual = new Map<string, UsualSpeed>();
   private builtAt = -Infinity;
 
   constructor(private readonly options: EndpointDirectoryOptions) {}
@@ -55,30 +51,26 @@
     return this.served;
   }
 
-  /** Adds up the endpoints of a pool. */
+  /** Adds up the endpoints of a pool, as of the last build. */
   measurePool(pool: string): PoolMeasure {
     this.rebuild(REBUILD_MS);
-    let slots = 0;
-    let free = 0;
-    let endpoints = 0;
-    for (const {stats} of this.pools.get(pool) ?? []) {
-      if (stats.endpoint.leaving) continue;
-      endpoints++;
-      slots += stats.endpoint.slots;
-      free += Math.max(0, stats.endpoint.slots - stats.estimateOthers());
+    let measure = this.measures.get(pool);
+    if (!measure) {
+      measure = addUp(this.pools.get(pool) ?? []);
+      this.measures.set(pool, measure);
     }
-    return {slots, free, endpoints};
+    return measure;
   }
 
-  /** Notes a first token of a group. */
-  recordUsual(route: GroupKey, ms: number): void {
+  /** What is usual for a group's work, to be kept up to date in place. */
+  findUsual(route: GroupKey): UsualSpeed {
     const key = formatKey(route);
-    const known = this.usual.get(key);
-    const usual =
-      known === undefined ? ms : known + (ms - known) * USUAL_WEIGHT;
-    this.usual.set(key, usual);
-    const group = this.groups.get(key);
-    if (group) group.usualMs = usual;
+    let usual = this.usual.get(key);
+    if (!usual) {
+      usual = {firstTokenMs: null, tokenGapMs: null};
+      this.usual.set(key, usual);
+    }
+    return usual;
   }
 
   /** The endpoints of a group; undefined when there are none. */
@@ -114,29 +106,49 @@
     const now = this.options.clock.monotonic();
     if (now - this.builtAt < ageMs) return;
     this.builtAt = now;
-    const byKey = new Map<string, GroupMember[]>();
+    const byKey = new Map<string, {route: GroupKey; list: GroupMember[]}>();
+    const add = (route: GroupKey, member: GroupMember) => {
+      const key = formatKey(route);
+      const entry = byKey.get(key);
+      if (entry) entry.list.push(member);
+      else byKey.set(key, {route, list: [member]});
+    };
     this.pools = new Map();
+    this.measures = new Map();
     this.served = new Set();
     for (const endpoint of this.options.listEndpoints()) {
       if (endpoint.leaving) continue;
       const member = this.findMember(endpoint);
       const {pool, versions} = endpoint;
       append(this.pools, pool, member);
-      append(byKey, formatKey({pool}), member);
+      add({pool}, member);
       for (const version of versions) {
         this.served.add(version);
-        append(byKey, formatKey({pool, version}), member);
+        add({pool, version}, member);
       }
     }
     this.groups = new Map(
-      [...byKey].map(([key, list]) => [
+      [...byKey].map(([key, {route, list}]) => [
         key,
-        buildGroup(list, this.usual.get(key) ?? INITIAL_FIRST_TOKEN_MS),
+        buildGroup(list, this.findUsual(route)),
       ]),
     );
   }
 }
 
+function addUp(members: readonly GroupMember[]): PoolMeasure {
+  let slots = 0;
+  let free = 0;
+  let endpoints = 0;
+  for (const {stats} of members) {
+    if (stats.endpoint.leaving) continue;
+    endpoints++;
+    slots += stats.endpoint.slots;
+    free += Math.max(0, stats.endpoint.slots - stats.estimateOthers());
+  }
+  return {slots, free, endpoints};
+}
+
 function append<T>(lists: Map<string, T[]>, key: string, value: T): void {
   const list = lists.get(key);
   if (list) list.push(value);
--- a/src/coordination/routing/endpoint_group.ts
+++ b/src/coordination/routing/endpoint_group.ts
@@ -19,12 +19,20 @@
   readonly distance: 0 | 1 | 2;
 }
 
+/** The speed of a version over all endpoints. */
+export interface UsualSpeed {
+  /** The time to a first token on an idle endpoint; `null` before any. */
+  firstTokenMs: number | null;
+  /** The time between tokens; `null` before any. */
+  tokenGapMs: number | null;
+}
+
 /** The endpoints of a group: those in the own region, and the others. */
 export interface EndpointGroup {
   readonly near: readonly GroupMember[];
   readonly far: readonly GroupMember[];
-  /** The time to a first token on a usual idle endpoint. */
-  usualMs: number;
+  /** What is usual for the group's work; it outlives the group. */
+  readonly usual: UsualSpeed;
 }
 
 /** The most endpoints of a group that a gateway uses, near and far each. */
@@ -33,12 +41,12 @@
 /** Builds a group from all its members. */
 export function buildGroup(
   members: readonly GroupMember[],
-  usualMs: number,
+  usual: UsualSpeed,
 ): EndpointGroup {
   return {
     near: takeSubset(members.filter(each => each.distance < 2)),
     far: takeSubset(members.filter(each => each.distance === 2)),
-    usualMs,
+    usual,
   };
 }
 
--- a/src/coordination/routing/endpoint_stats.ts
+++ b/src/coordination/routing/endpoint_stats.ts
@@ -16,13 +16,11 @@
 
 /** Statistics of one incarnation of an endpoint. */
 export class EndpointStats {
-  /** The time to a first token on an idle endpoint; 0 before the first. */
-  private unitMs = 0;
-  private unitAt = 0;
+  /** First-token times relative to what is usual in their groups. */
+  private slowness = 1;
+  private slownessAt = -Infinity;
   /** The mean time of a whole attempt; 0 before the first. */
   holdMs = 0;
-  /** The mean time between tokens; 0 before the first. */
-  tokenGapMs = 0;
   private readonly times: number[] = [];
   private readonly counts: number[] = [];
   readonly firstSeenAt: number;
@@ -61,38 +59,40 @@
     return Math.max(0, load.running + load.waiting - own);
   }
 
-  /** Notes a first token after `ms`, with `load` requests before it. */
-  recordFirstToken(ms: number, load: number): void {
-    const {slots} = this.endpoint;
+  /**
+   * Notes a first token after `ms`, with `load` requests before it, where
+   * `usualMs` is usual for an idle endpoint. Returns what it would have been
+   * on an idle endpoint.
+   */
+  recordFirstToken(ms: number, load: number, usualMs: number | null): number {
     const queuedMs = Math.min(
       this.estimateQueueMs(load),
       ms * LARGEST_QUEUE_SHARE,
     );
-    const sample = (ms - queuedMs) / (1 + Math.min(1, load / slots));
-    this.unitMs =
-      this.unitMs === 0
-        ? sample
-        : this.unitMs + (sample - this.unitMs) * SAMPLE_WEIGHT;
-    this.unitAt = this.clock.monotonic();
+    const idleMs = (ms - queuedMs) / this.estimateCrowding(load);
+    const ratio = usualMs === null ? 1 : idleMs / Math.max(1, usualMs);
+    this.slowness += (ratio - this.slowness) * SAMPLE_WEIGHT;
+    this.slownessAt = this.clock.monotonic();
+    return idleMs;
   }
 
   recordHold(ms: number): void {
     this.holdMs = blend(this.holdMs, ms);
   }
 
-  recordTokenGap(ms: number): void {
-    this.tokenGapMs = blend(this.tokenGapMs, ms);
-  }
-
   /**
-   * The first-token time when idle; an old impression fades towards what is
-   * usual in the group, so that an endpoint is tried again.
+   * How slow the endpoint is against its group; an old impression fades, so
+   * that an endpoint is tried again.
    */
-  estimateUnitMs(usualMs: number): number {
-    if (this.unitMs === 0) return usualMs;
-    const ageMs = this.clock.monotonic() - this.unitAt;
+  estimateSlowness(): number {
+    const ageMs = this.clock.monotonic() - this.slownessAt;
     const trust = 0.5 ** (ageMs / IMPRESSION_HALF_LIFE_MS);
-    return usualMs + (this.unitMs - usualMs) * trust;
+    return 1 + (this.slowness - 1) * trust;
+  }
+
+  /** How much `load` requests slow the next one down, from 1 to 2. */
+  estimateCrowding(load: number): number {
+    return 1 + Math.min(1, load / this.endpoint.slots);
   }
 
   /** The expected wait for a slot with `load` requests before. */
--- a/src/coordination/routing/plan_completion.ts
+++ b/src/coordination/routing/plan_completion.ts
@@ -22,13 +22,16 @@
 import {gatherFacts, type VersionFacts} from './version_facts.ts';
 
 /** The share of requests that explores, where the customer allows it. */
-const EXPLORED_SHARE = 0.02;
+const EXPLORED_SHARE = 0.05;
 
 /** The time to the first token where the customer declares none. */
 const DEFAULT_FIRST_TOKEN_MS = 450;
 
-/** The share of the deadline that a gated answer may be expected to take. */
-const GATE_DEADLINE_SHARE = 0.7;
+/** The share of the deadline that an answer may be expected to take. */
+const DEADLINE_SHARE = 0.7;
+
+/** How much slower than the fastest a cheaper version may be. */
+const NEARLY_FASTEST = 1.5;
 
 interface Weighing {
   readonly options: PlanCompletionOptions;
@@ -136,19 +139,30 @@
 }
 
 /** The cheapest single version within the latency budget. */
-function selectSingle({good, firstTokenMs}: Weighing): PlanOption | null {
-  const fitting = good.find(each => each.speed.firstTokenMs <= firstTokenMs);
+function selectSingle(weighing: Weighing): PlanOption | null {
+  const {good} = weighing;
+  const fitting = good.find(each => isInTime(each, weighing));
   if (fitting) {
     return createSingle(fitting, 'cheapest at the target in time');
   }
-  const [first, ...rest] = good;
-  if (!first) return null;
-  const fastest = rest.reduce(
-    (best, each) =>
-      each.speed.firstTokenMs < best.speed.firstTokenMs ? each : best,
-    first,
+  if (good.length === 0) return null;
+  const fastestMs = Math.min(...good.map(each => each.speed.firstTokenMs));
+  const first = good.find(
+    each => each.speed.firstTokenMs <= fastestMs * NEARLY_FASTEST,
+  );
+  return createSingle(
+    first ?? good[0]!,
+    'cheapest of the fastest at the target, none is in time',
   );
-  return createSingle(fastest, 'fastest at the target, none is in time');
+}
+
+/** Whether a version is fast enough: a stream by its first token. */
+function isInTime(
+  {speed, totalMs}: VersionFacts,
+  {options, firstTokenMs}: Weighing,
+): boolean {
+  if (options.streamed) return speed.firstTokenMs <= firstTokenMs;
+  return totalMs <= options.deadlineMs * DEADLINE_SHARE;
 }
 
 function createSingle(facts: VersionFacts, reason: string): PlanOption {
@@ -164,8 +178,9 @@
 /** A cheaper version that may be better than is known. */
 function selectExplored(
   single: PlanOption,
-  {options, facts, target, firstTokenMs}: Weighing,
+  weighing: Weighing,
 ): PlanOption | null {
+  const {options, facts, target} = weighing;
   if (!options.customer.explore || !options.rating.available) return null;
   if (options.random() >= EXPLORED_SHARE) return null;
   const unproven = facts.find(
@@ -173,7 +188,7 @@
       each.cost < single.cost &&
       each.quality.lower < target &&
       each.quality.upper >= target &&
-      each.speed.firstTokenMs <= firstTokenMs,
+      isInTime(each, weighing),
   );
   return unproven ? createSingle(unproven, 'explores') : null;
 }
@@ -219,7 +234,7 @@
     reasons.push('gate closed, rating service away');
     return option;
   }
-  if (longestMs > options.deadlineMs * GATE_DEADLINE_SHARE) {
+  if (longestMs > options.deadlineMs * DEADLINE_SHARE) {
     reasons.push('gate skipped, the deadline is too close');
     return option;
   }
--- /dev/null
+++ b/tools/bench_decisions/policies.ts
@@ -0,0 +1,64 @@
+/** The ways of deciding that are compared. */
+import type {Endpoint} from '../../src/coordination/membership/endpoint_table.ts';
+import type {
+  EndpointChoice,
+  EndpointRouter,
+  RouteOptions,
+} from '../../src/coordination/routing/endpoint_router.ts';
+import {canServe} from '../../src/coordination/routing/select_endpoint.ts';
+
+/** How the version and the endpoint are chosen. */
+export interface Policy {
+  readonly name: string;
+  /** `planned` is what the product does. */
+  readonly version: 'planned' | 'cheapest' | 'best';
+  readonly endpoint: 'routed' | 'random' | 'round-robin' | 'least-reported';
+}
+
+export const POLICIES: readonly Policy[] = [
+  {name: 'parsleypond', version: 'planned', endpoint: 'routed'},
+  {name: 'random', version: 'planned', endpoint: 'random'},
+  {name: 'round robin', version: 'planned', endpoint: 'round-robin'},
+  {name: 'least reported', version: 'planned', endpoint: 'least-reported'},
+  {name: 'always cheapest', version: 'cheapest', endpoint: 'routed'},
+  {name: 'always best', version: 'best', endpoint: 'routed'},
+];
+
+interface EndpointRule {
+  readonly policy: Policy;
+  readonly router: EndpointRouter;
+  readonly endpoints: readonly Endpoint[];
+  readonly random: () => number;
+}
+
+/** Creates the choice of endpoints of one gateway under a policy. */
+export function createEndpointRule(
+  rule: EndpointRule,
+): (route: RouteOptions) => EndpointChoice | null {
+  const {policy, router, endpoints, random} = rule;
+  if (policy.endpoint === 'routed') return route => router.select(route);
+  let turn = 0;
+  return route => {
+    const able = endpoints.filter(each => canServe(each, route));
+    if (able.length === 0) return null;
+    const endpoint =
+      policy.endpoint === 'random'
+        ? able[Math.floor(random() * able.length)]
+        : policy.endpoint === 'round-robin'
+          ? able[turn++ % able.length]
+          : findLeastReported(able, random);
+    return endpoint ? {endpoint, reason: policy.name, rejected: []} : null;
+  };
+}
+
+function findLeastReported(
+  endpoints: readonly Endpoint[],
+  random: () => number,
+): Endpoint | undefined {
+  const loads = endpoints.map(({load}) =>
+    load ? load.running + load.waiting : 0,
+  );
+  const least = Math.min(...loads);
+  const equal = endpoints.filter((_, index) => loads[index] === least);
+  return equal[Math.floor(random() * equal.length)];
+}
--- /dev/null
+++ b/tools/bench_decisions/run_metrics.ts
@@ -0,0 +1,127 @@
+/** What one run is judged by. */
+import {build} from 'hdr-histogram-js';
+import type {Profile} from './workload.ts';
+
+/** How one request ended. */
+export interface RequestRecord {
+  readonly customer: number;
+  readonly classIndex: number;
+  readonly streamed: boolean;
+  readonly outcome: 'answered' | 'refused' | 'failed';
+  /** Present for an answer. */
+  readonly quality?: number;
+  readonly version?: string;
+  readonly firstTokenMs?: number;
+  readonly cost: number;
+  readonly atMs: number;
+}
+
+/** The figures of one run. */
+export interface RunMetrics {
+  readonly requests: number;
+  readonly answered: number;
+  readonly refused: number;
+  readonly failed: number;
+  /** Mean cost of an answered request in micro-units. */
+  readonly cost: number;
+  /** The lowest mean quality less the target, over the classes. */
+  readonly margin: number;
+  /** The share of answers whose own quality is below the target. */
+  readonly below: number;
+  readonly p50: number;
+  readonly p95: number;
+  readonly p99: number;
+  /** Bad answers of a bad version that reached callers. */
+  readonly exposed: number;
+  /** Jain's index of what customers got of their fair shares. */
+  readonly fairness: number;
+  /** What the smallest customer got of its fair share. */
+  readonly smallestShare: number;
+  readonly slowLinkBytes: number;
+  /** Answers that came within ten seconds, in a second. */
+  readonly goodput: number;
+  /** Requests that engines finished in a second. */
+  readonly finished: number;
+}
+
+export interface MeasureRunOptions {
+  readonly profile: Profile;
+  readonly records: readonly RequestRecord[];
+  readonly exposed: number;
+  readonly slowLinkBytes: number;
+  readonly durationMs: number;
+  readonly finished: number;
+}
+
+/** Computes the figures of one run. */
+export function measureRun(options: MeasureRunOptions): RunMetrics {
+  const {profile, records, durationMs} = options;
+  const answered = records.filter(each => each.outcome === 'answered');
+  const histogram = build({highestTrackableValue: 3_600_000});
+  for (const {firstTokenMs} of answered) {
+    if (firstTokenMs !== undefined) {
+      histogram.recordValue(Math.max(1, Math.round(firstTokenMs)));
+    }
+  }
+  const shares = listShares(records);
+  const seconds = durationMs / 1_000;
+  return {
+    requests: records.length,
+    answered: answered.length,
+    refused: records.filter(each => each.outcome === 'refused').length,
+    failed: records.filter(each => each.outcome === 'failed').length,
+    cost: average(answered.map(each => each.cost)),
+    margin: Math.min(
+      ...profile.classes.map(
+        ({target}, index) =>
+          average(
+            answered
+              .filter(each => each.classIndex === index)
+              .map(each => each.quality ?? 0),
+          ) - target,
+      ),
+    ),
+    below: average(
+      answered.map(each =>
+        (each.quality ?? 0) < profile.classes[each.classIndex]!.target ? 1 : 0,
+      ),
+    ),
+    p50: histogram.getValueAtPercentile(50),
+    p95: histogram.getValueAtPercentile(95),
+    p99: histogram.getValueAtPercentile(99),
+    exposed: options.exposed,
+    fairness:
+      shares.reduce((a, b) => a + b, 0) ** 2 /
+      (shares.length * shares.reduce((a, b) => a + b * b, 0)),
+    smallestShare: shares[0] ?? 1,
+    slowLinkBytes: options.slowLinkBytes,
+    goodput: answered.length / seconds,
+    finished: options.finished / seconds,
+  };
+}
+
+/**
+ * What each customer got of what a max-min fair division of all answers by
+ * equal weights would have given it.
+ */
+function listShares(records: readonly RequestRecord[]): number[] {
+  const sent = new Map<number, number>();
+  const served = new Map<number, number>();
+  for (const {customer, outcome} of records) {
+    sent.set(customer, (sent.get(customer) ?? 0) + 1);
+    if (outcome !== 'answered') continue;
+    served.set(customer, (served.get(customer) ?? 0) + 1);
+  }
+  let left = [...served.values()].reduce((a, b) => a + b, 0);
+  const bySize = [...sent].sort((a, b) => a[1] - b[1]);
+  return bySize.map(([customer, count], index) => {
+    const fair = Math.min(count, left / (bySize.length - index));
+    left -= fair;
+    return (served.get(customer) ?? 0) / fair;
+  });
+}
+
+function average(values: readonly number[]): number {
+  if (values.length === 0) return 0;
+  return values.reduce((a, b) => a + b, 0) / values.length;
+}
--- /dev/null
+++ b/tools/bench_decisions/run_scenario.ts
@@ -0,0 +1,62 @@
+/** Runs one policy through one situation with one seed. */
+import type {Policy} from './policies.ts';
+import {measureRun, type RunMetrics} from './run_metrics.ts';
+import type {Scenario} from './scenarios.ts';
+import {createWorkload, type Profile} from './workload.ts';
+import {World} from './world.ts';
+
+export interface RunScenarioOptions {
+  readonly profile: Profile;
+  readonly policy: Policy;
+  readonly scenario: Scenario;
+  readonly seed: number;
+}
+
+/** Calls in a second of the other service. */
+const FILING_RATE = 4;
+
+/** How long requests may go on after the last arrived. */
+const DRAIN_MS = 30_000;
+
+/** Runs it and returns its figures. */
+export async function runScenario({
+  profile,
+  policy,
+  scenario,
+  seed,
+}: RunScenarioOptions): Promise<RunMetrics> {
+  const {durationMs, lagMs, rate} = scenario;
+  const world = new World({
+    ...{profile, policy, seed, durationMs, lagMs},
+    ...scenario.world,
+  });
+  const gateways = world.gateways.length;
+  const work = {profile, durationMs, gateways};
+  world.start();
+  for (const item of createWorkload({
+    ...work,
+    seed,
+    rate,
+  })) {
+    void world.serve(item);
+  }
+  for (const item of createWorkload({
+    ...work,
+    seed: seed + 500,
+    rate: FILING_RATE,
+  })) {
+    void world.call(item);
+  }
+  void scenario.disturb?.(world);
+  await world.clock.run(durationMs);
+  const finished = world.drafting.reduce((sum, each) => sum + each.served, 0);
+  await world.clock.run(durationMs + DRAIN_MS);
+  return measureRun({
+    profile,
+    durationMs,
+    finished,
+    records: world.records,
+    exposed: world.exposed,
+    slowLinkBytes: world.slowLinkBytes,
+  });
+}
--- /dev/null
+++ b/tools/bench_decisions/virtual_clock.ts
@@ -0,0 +1,83 @@
+/** A clock whose time passes only when nothing else is left to do. */
+import type {Clock} from '../../src/protocol/clock.ts';
+
+interface Sleeper {
+  readonly at: number;
+  readonly sequence: number;
+  wake(): void;
+}
+
+/** Runs sleeping tasks in the order of their time. */
+export class VirtualClock implements Clock {
+  private time = 0;
+  private sequence = 0;
+  private readonly heap: Sleeper[] = [];
+
+  now(): number {
+    return this.time;
+  }
+
+  monotonic(): number {
+    return this.time;
+  }
+
+  sleep(ms: number): Promise<void> {
+    return new Promise(resolve => {
+      const at = this.time + Math.max(0, ms);
+      this.push({at, sequence: this.sequence++, wake: resolve});
+    });
+  }
+
+  /** Lets time pass until no task sleeps that is due before `endMs`. */
+  async run(endMs: number): Promise<void> {
+    await settle();
+    for (;;) {
+      const next = this.heap[0];
+      if (!next || next.at > endMs) break;
+      this.time = next.at;
+      while (this.heap[0] && this.heap[0].at <= this.time) this.pop().wake();
+      await settle();
+    }
+    this.time = endMs;
+  }
+
+  private push(sleeper: Sleeper): void {
+    const {heap} = this;
+    let index = heap.push(sleeper) - 1;
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      if (!isBefore(sleeper, heap[parent]!)) break;
+      heap[index] = heap[parent]!;
+      index = parent;
+    }
+    heap[index] = sleeper;
+  }
+
+  private pop(): Sleeper {
+    const {heap} = this;
+    const first = heap[0]!;
+    const last = heap.pop()!;
+    if (heap.length === 0) return first;
+    let index = 0;
+    for (;;) {
+      let child = index * 2 + 1;
+      if (child >= heap.length) break;
+      const right = heap[child + 1];
+      if (right && isBefore(right, heap[child]!)) child++;
+      if (!isBefore(heap[child]!, last)) break;
+      heap[index] = heap[child]!;
+      index = child;
+    }
+    heap[index] = last;
+    return first;
+  }
+}
+
+function isBefore(a: Sleeper, b: Sleeper): boolean {
+  return a.at < b.at || (a.at === b.at && a.sequence < b.sequence);
+}
+
+/** Lets all tasks go on that wait for each other and not for time. */
+function settle(): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve));
+}
--- /dev/null
+++ b/tools/bench_decisions/workload.ts
@@ -0,0 +1,230 @@
+/** Seeded request lists of the two users, at today's sizes. */
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {
+  declarationSchema,
+  type Declaration,
+} from '../../src/protocol/declaration.ts';
+
+/** A user with its places, its classes of requests and its customers. */
+export interface Profile {
+  readonly name: 'plovdiv' | 'tamar';
+  readonly dataCentres: ReadonlyArray<{name: string; region: string}>;
+  readonly classes: ReadonlyArray<{
+    readonly name: string;
+    /** The share of all requests. */
+    readonly share: number;
+    readonly streamed: boolean;
+    /** The share of requests that belong to a session. */
+    readonly sessions: number;
+    readonly promptTokens: number;
+    readonly answerTokens: number;
+    /** The lowest mean quality, from 0 to 1. */
+    readonly target: number;
+    /** How much a hard request takes from the quality of each version. */
+    readonly hardness: Readonly<Record<string, number>>;
+  }>;
+}
+
+export const PROFILES: readonly Profile[] = [
+  {
+    name: 'plovdiv',
+    dataCentres: [
+      {name: 'plovdiv-a', region: 'plovdiv'},
+      {name: 'plovdiv-b', region: 'plovdiv'},
+      {name: 'sofia-a', region: 'sofia'},
+    ],
+    classes: [
+      {
+        ...{name: 'letter', share: 0.5, streamed: false, sessions: 0.2},
+        ...{promptTokens: 700, answerTokens: 160, target: 0.8},
+        hardness: {small: 0.5, middle: 0.25, large: 0.08},
+      },
+      {
+        ...{name: 'thread', share: 0.3, streamed: false, sessions: 0},
+        ...{promptTokens: 3_000, answerTokens: 120, target: 0.78},
+        hardness: {small: 0.4, middle: 0.22, large: 0.08},
+      },
+      {
+        ...{name: 'notice', share: 0.2, streamed: true, sessions: 0},
+        ...{promptTokens: 250, answerTokens: 80, target: 0.82},
+        hardness: {small: 0.1, middle: 0.08, large: 0.04},
+      },
+    ],
+  },
+  {
+    name: 'tamar',
+    dataCentres: [
+      {name: 'launceston', region: 'north'},
+      {name: 'devonport', region: 'north'},
+      {name: 'hobart', region: 'south'},
+    ],
+    classes: [
+      {
+        ...{name: 'chat', share: 0.6, streamed: true, sessions: 0.8},
+        ...{promptTokens: 600, answerTokens: 80, target: 0.78},
+        hardness: {small: 0.2, middle: 0.12, large: 0.06},
+      },
+      {
+        ...{name: 'quote', share: 0.25, streamed: false, sessions: 0},
+        ...{promptTokens: 2_500, answerTokens: 150, target: 0.8},
+        hardness: {small: 0.45, middle: 0.22, large: 0.08},
+      },
+      {
+        ...{name: 'brief', share: 0.15, streamed: true, sessions: 0},
+        ...{promptTokens: 500, answerTokens: 120, target: 0.78},
+        hardness: {small: 0.35, middle: 0.15, large: 0.07},
+      },
+    ],
+  },
+];
+
+/** The speed, the price and the skill of each version. */
+export const VERSIONS: Readonly<
+  Record<
+    string,
+    {price: number; prefillMs: number; gapMs: number; skill: number}
+  >
+> = {
+  small: {price: 10, prefillMs: 0.05, gapMs: 8, skill: 0.92},
+  middle: {price: 35, prefillMs: 0.09, gapMs: 14, skill: 0.94},
+  next: {price: 35, prefillMs: 0.09, gapMs: 14, skill: 0.94},
+  large: {price: 100, prefillMs: 0.16, gapMs: 24, skill: 0.95},
+};
+
+/** Versions that the declaration calls good enough from the start. */
+const DECLARED: Readonly<Record<string, number>> = {
+  small: 0.74,
+  middle: 0.83,
+  next: 0.83,
+  large: 0.9,
+};
+
+/** Customers; the first two send most of the requests. */
+export const CUSTOMER_SHARES = [
+  0.35, 0.25, 0.08, 0.07, 0.06, 0.05, 0.05, 0.04, 0.03, 0.02,
+];
+
+/** One request of the list. */
+export interface WorkItem {
+  readonly atMs: number;
+  readonly id: string;
+  readonly customer: number;
+  readonly classIndex: number;
+  readonly session?: string;
+  readonly prompt: string;
+  readonly promptTokens: number;
+  readonly answerTokens: number;
+  /** How hard the request is, from 0 to 1; no decision sees it. */
+  readonly difficulty: number;
+  /** The gateway that the caller uses. */
+  readonly gateway: number;
+}
+
+export interface WorkloadOptions {
+  readonly profile: Profile;
+  readonly seed: number;
+  readonly durationMs: number;
+  /** Requests in a second. */
+  readonly rate: number;
+  readonly gateways: number;
+}
+
+/** Requests of one session. */
+const SESSION_TURNS = 5;
+
+/** Characters in a token. */
+const TOKEN_CHARACTERS = 4;
+
+/** The longest prompt text that is made, in characters. */
+const PROMPT_CHARACTERS = 4_096;
+
+/** Creates a source of numbers from 0 up to 1. */
+export function createRandom(seed: number): () => number {
+  const generator = xoroshiro128plus(seed);
+  return () => uniformFloat64(generator);
+}
+
+/** Creates the list of requests of one run. */
+export function createWorkload(options: WorkloadOptions): WorkItem[] {
+  const {profile, durationMs, rate, gateways} = options;
+  const random = createRandom(options.seed);
+  const items: WorkItem[] = [];
+  const open = new Map<string, {name: string; turns: number}>();
+  let atMs = 0;
+  for (;;) {
+    atMs += (-Math.log(1 - random()) / rate) * 1_000;
+    if (atMs >= durationMs) return items;
+    const customer = pick(CUSTOMER_SHARES, random());
+    const classIndex = pick(
+      profile.classes.map(each => each.share),
+      random(),
+    );
+    const kind = profile.classes[classIndex]!;
+    const id = `r${items.length}`;
+    const key = `${customer}.${classIndex}.${Math.floor(random() * 3)}`;
+    let session: {name: string; turns: number} | undefined;
+    if (random() < kind.sessions) {
+      session = open.get(key);
+      if (!session || session.turns >= SESSION_TURNS) {
+        session = {name: `s${id}`, turns: 0};
+        open.set(key, session);
+      }
+      session.turns++;
+    }
+    const spread = 0.5 + random();
+    const growth = session ? 0.6 + session.turns * 0.2 : 1;
+    const promptTokens = Math.ceil(kind.promptTokens * spread * growth);
+    items.push({
+      ...{atMs, id, customer, classIndex, promptTokens},
+      session: session?.name,
+      prompt: createPrompt(session?.name ?? id, customer, promptTokens),
+      answerTokens: Math.ceil(kind.answerTokens * (0.5 + random())),
+      difficulty: random(),
+      gateway: Math.floor(random() * gateways),
+    });
+  }
+}
+
+/** A prompt: the customer's own beginning, then that of the session. */
+function createPrompt(owner: string, customer: number, tokens: number): string {
+  const length = Math.min(PROMPT_CHARACTERS, tokens * TOKEN_CHARACTERS);
+  const beginning = `customer ${customer} `.repeat(40).slice(0, 300);
+  return beginning + `${owner} `.repeat(length / (owner.length + 1));
+}
+
+function pick(shares: readonly number[], point: number): number {
+  let sum = 0;
+  for (const [index, share] of shares.entries()) {
+    sum += share;
+    if (point < sum) return index;
+  }
+  return shares.length - 1;
+}
+
+/** Declares the user's versions, customers and pools. */
+export function declare(profile: Profile): Declaration {
+  return declarationSchema.parse({
+    version: 1,
+    pools: [
+      {name: 'draft', concurrency: 8, queue: 200},
+      {name: 'filing', concurrency: 8, queue: 64},
+    ],
+    versions: Object.entries(VERSIONS).map(([name, {price}]) => ({
+      ...{model: 'draft', name, pool: 'draft'},
+      ...{prompt_price: price / 3, completion_price: price},
+      expected_quality: DECLARED[name],
+    })),
+    customers: CUSTOMER_SHARES.map((_, index) => ({
+      name: `c${index}`,
+      key_sha256: '0'.repeat(64),
+      versions: ['draft/*'],
+      explore: true,
+      exposure: 'direct',
+      targets: profile.classes.map(each => ({
+        class: each.name,
+        quality: each.target,
+      })),
+    })),
+  });
+}
--- /dev/null
+++ b/tools/bench_decisions/world.ts
@@ -0,0 +1,419 @@
+/** One run: gateways that decide, over fakes of engines, raters and a link. */
+import {decideRollout} from '../../src/coordination/rollout/decide_rollout.ts';
+import {EvidenceLedger} from '../../src/coordination/rollout/evidence_ledger.ts';
+import type {Permit, Refusal} from '../../src/coordination/limits/permit.ts';
+import type {Endpoint} from '../../src/coordination/membership/endpoint_table.ts';
+import type {PlanStep} from '../../src/coordination/routing/completion_plan.ts';
+import {nameRequestPart} from '../../src/coordination/quality/request_part.ts';
+import {computeCost} from '../../src/coordination/routing/version_facts.ts';
+import type {ControlView} from '../../src/protocol/control.ts';
+import {formatVersion} from '../../src/protocol/declaration.ts';
+import type {Outcome} from '../../src/protocol/outcome.ts';
+import type {RolloutState} from '../../src/protocol/rollout_state.ts';
+import {FakeEngine} from './fake_engine.ts';
+import {DEADLINE_MS, GatewayUnderTest} from './gateway_under_test.ts';
+import type {Policy} from './policies.ts';
+import type {RequestRecord} from './run_metrics.ts';
+import {VirtualClock} from './virtual_clock.ts';
+import {
+  createRandom,
+  declare,
+  VERSIONS,
+  type Profile,
+  type WorkItem,
+} from './workload.ts';
+
+export interface WorldOptions {
+  readonly profile: Profile;
+  readonly policy: Policy;
+  readonly seed: number;
+  readonly durationMs: number;
+  readonly lagMs: number;
+  /** Whether a roll-out of `next` in place of `middle` is declared. */
+  readonly rollout?: {readonly share: number; readonly completed: boolean};
+  readonly exposure?: 'direct' | 'gated';
+}
+
+const ENGINES = 6;
+const FILING_ENGINES = 3;
+const SLOTS = 8;
+const RATING_MS = 400;
+const RATING_GAP_SHARE = 0.05;
+const RATING_NOISE = 0.08;
+const ONE_WAY_MS = [0, 1.5, 30] as const;
+const BYTES_PER_TOKEN = 4;
+const BYTES_PER_CHUNK = 120;
+const MERGE_MS = 5_000;
+const DECIDE_MS = 1_000;
+const IN_FORCE_MS = 2_000;
+const BAD_QUALITY = 0.3;
+const MAX_ATTEMPTS = 4;
+const CUSTOMER_CONCURRENCY = 64;
+
+/** The quality from which an answer of a bad version does no harm. */
+const HARMLESS_QUALITY = 0.5;
+
+/** The state of one run. */
+export class World {
+  readonly clock = new VirtualClock();
+  readonly engines: FakeEngine[] = [];
+  readonly gateways: GatewayUnderTest[];
+  readonly records: RequestRecord[] = [];
+  readonly bad = new Set<string>();
+  ratingAway = false;
+  slowLinkBytes = 0;
+  exposed = 0;
+  withdrawnAt: number | null = null;
+  private readonly random: () => number;
+  private readonly pins = new Map<string, string>();
+  private view: ControlView;
+
+  constructor(readonly options: WorldOptions) {
+    const {profile, seed, rollout, exposure = 'direct'} = options;
+    this.random = createRandom(seed + 1_000);
+    const declaration = declare(profile);
+    this.view = {
+      revision: 1,
+      declaration: {
+        ...declaration,
+        versions: declaration.versions.filter(
+          each => rollout !== undefined || each.name !== 'next',
+        ),
+        customers: declaration.customers.map(each => ({...each, exposure})),
+      },
+      withdrawals: [],
+      draining: [],
+      rollouts: rollout ? [createRollout(rollout)] : [],
+    };
+    for (let index = 0; index < ENGINES + FILING_ENGINES; index++) {
+      this.engines.push(new FakeEngine(SLOTS, this.clock));
+    }
+    this.gateways = profile.dataCentres.map((place, index) =>
+      this.createGateway(place, index),
+    );
+  }
+
+  /** The draft engines. */
+  get drafting(): FakeEngine[] {
+    return this.engines.slice(0, ENGINES);
+  }
+
+  /** The engines of the other service. */
+  get filing(): FakeEngine[] {
+    return this.engines.slice(ENGINES);
+  }
+
+  /** Starts what goes on besides the requests. */
+  start(): void {
+    const {durationMs, lagMs} = this.options;
+    this.engines.forEach((engine, index) => {
+      const records = this.gateways.map(each => each.options.endpoints[index]!);
+      void engine.report(records, lagMs, durationMs);
+    });
+    void this.mergeQuality();
+    if (this.options.rollout) void this.watchRollout();
+  }
+
+  /** Takes engines out of the announcements, or brings them back. */
+  setGone(engine: FakeEngine, gone: boolean): void {
+    engine.dead = gone;
+    const index = this.engines.indexOf(engine);
+    void this.clock.sleep(gone ? 3_000 : 1_000).then(() => {
+      for (const gateway of this.gateways) {
+        gateway.options.endpoints[index]!.leaving = gone;
+      }
+    });
+  }
+
+  /** Runs one request from its arrival to its record. */
+  async serve(item: WorkItem): Promise<void> {
+    await this.clock.sleep(item.atMs);
+    const gateway = this.gateways[item.gateway]!;
+    const pinned = item.session ? this.findPin(item.session) : undefined;
+    const plan = gateway.plan(item, pinned);
+    const [first] = plan.steps;
+    if (!first) return this.finish(item, 'refused', {cost: 0});
+    if (item.session) this.pins.set(item.session, formatVersion(first.version));
+    const acquired = await this.acquire(item, gateway, 'draft');
+    if (!acquired.ok) return this.finish(item, 'refused', {cost: 0});
+    using permit = acquired.value;
+    let cost = 0;
+    for (const step of plan.steps) {
+      const run = await this.runStep(item, gateway, {step, permit});
+      if (run.outcome !== 'answered') {
+        return this.finish(item, run.outcome, {cost});
+      }
+      const usage = {
+        promptTokens: item.promptTokens,
+        completionTokens: item.answerTokens,
+      };
+      cost += computeCost(step.version, usage);
+      const quality = this.drawQuality(item, step);
+      const released = await this.release(item, gateway, {step, quality});
+      if (!released) continue;
+      const version = formatVersion(step.version);
+      if (this.bad.has(version) && quality < HARMLESS_QUALITY) this.exposed++;
+      const firstTokenMs = this.isStreamed(item) ? run.firstTokenMs : undefined;
+      return this.finish(item, 'answered', {
+        ...{cost, quality, version, firstTokenMs},
+      });
+    }
+  }
+
+  /** Runs one call of the other service beside the drafts. */
+  async call(item: WorkItem): Promise<void> {
+    await this.clock.sleep(item.atMs);
+    const gateway = this.gateways[item.gateway]!;
+    const acquired = await this.acquire(item, gateway, 'filing');
+    if (!acquired.ok) return;
+    using permit = acquired.value;
+    await this.runStep(item, gateway, {step: null, permit});
+  }
+
+  private createGateway(
+    place: {readonly name: string; readonly region: string},
+    index: number,
+  ): GatewayUnderTest {
+    const {profile, policy} = this.options;
+    const versions = this.view.declaration!.versions.map(formatVersion);
+    const endpoints = this.engines.map((_, number): Endpoint => {
+      const home = profile.dataCentres[number % profile.dataCentres.length]!;
+      const filing = number >= ENGINES;
+      return {
+        ...{name: `e${number}`, incarnation: '1', address: ''},
+        ...{region: home.region, dataCentre: home.name},
+        pool: filing ? 'filing' : 'draft',
+        versions: filing ? [] : versions,
+        versionSlots: 0,
+        ...{slots: SLOTS, checksFencing: false, resumes: true},
+        ...{leaving: false, inFlight: 0, loadTakenAt: 0},
+      };
+    });
+    return new GatewayUnderTest({
+      ...{name: `g${index}`, region: place.region, dataCentre: place.name},
+      ...{clock: this.clock, random: this.random, endpoints, policy, profile},
+      getView: () => this.view,
+    });
+  }
+
+  private findPin(session: string): string | undefined {
+    const pin = this.pins.get(session);
+    return this.view.withdrawals.some(each => each.version === pin)
+      ? undefined
+      : pin;
+  }
+
+  private acquire(
+    item: WorkItem,
+    gateway: GatewayUnderTest,
+    pool: string,
+  ): Promise<Outcome<Permit, Refusal>> {
+    return gateway.limiter.acquire({
+      customer: `c${item.customer}`,
+      concurrency: CUSTOMER_CONCURRENCY,
+      pool,
+      deadlineMs: DEADLINE_MS / 2,
+    });
+  }
+
+  /** Runs a step at one endpoint after another; `null` calls the service. */
+  private async runStep(
+    item: WorkItem,
+    gateway: GatewayUnderTest,
+    {step, permit}: {step: PlanStep | null; permit: Permit},
+  ): Promise<{
+    outcome: RequestRecord['outcome'];
+    firstTokenMs?: number;
+  }> {
+    const pool = step ? 'draft' : 'filing';
+    const version = step ? formatVersion(step.version) : undefined;
+    const avoided = new Set<string>();
+    gateway.retries.deposit();
+    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+      if (attempt > 0 && !gateway.retries.tryTake()) break;
+      const bytes = item.promptTokens * BYTES_PER_TOKEN;
+      const route = {pool, version, avoided, prompt: item.prompt, bytes};
+      const choice = gateway.select(route);
+      if (!choice) break;
+      const {endpoint} = choice;
+      using routed = gateway.router.begin(endpoint, route);
+      const since = this.clock.monotonic();
+      const oneWayMs = this.cross(item, gateway, endpoint);
+      await this.clock.sleep(oneWayMs);
+      let firstAt: number | undefined;
+      const speed = VERSIONS[step?.version.name ?? 'small']!;
+      const engine = this.engines[Number(endpoint.name.slice(1))]!;
+      const result = await engine.run(item, speed, () => {
+        firstAt = this.clock.monotonic() + oneWayMs;
+        routed.recordFirstToken(firstAt - since);
+        permit.recordFirstToken(firstAt - since);
+      });
+      await this.clock.sleep(oneWayMs);
+      routed.recordEnd(result ? 'answered' : 'failed', result?.tokenGapMs);
+      if (result && firstAt !== undefined) {
+        return {outcome: 'answered', firstTokenMs: firstAt - item.atMs};
+      }
+      avoided.add(endpoint.name);
+    }
+    return {outcome: 'failed'};
+  }
+
+  /** The one-way time to an endpoint; counts what crosses the slow link. */
+  private cross(
+    item: WorkItem,
+    {options}: GatewayUnderTest,
+    endpoint: Endpoint,
+  ): number {
+    if (endpoint.region !== options.region) {
+      this.slowLinkBytes +=
+        item.promptTokens * BYTES_PER_TOKEN +
+        item.answerTokens * BYTES_PER_CHUNK;
+      return ONE_WAY_MS[2];
+    }
+    return endpoint.dataCentre === options.dataCentre
+      ? ONE_WAY_MS[0]
+      : ONE_WAY_MS[1];
+  }
+
+  /** Whether the answer goes to the caller; rates it before or after. */
+  private async release(
+    item: WorkItem,
+    gateway: GatewayUnderTest,
+    {step, quality}: {step: PlanStep; quality: number},
+  ): Promise<boolean> {
+    const version = formatVersion(step.version);
+    const kind = this.options.profile.classes[item.classIndex]!;
+    gateway.evidence.countRequest({version, failed: false, slow: false});
+    if (step.release === 'rated') {
+      const score = await this.rate(item, gateway, {version, quality});
+      if (score === null) return step.whenUnrated === 'release';
+      return score >= step.minimumScore;
+    }
+    const watched = this.view.rollouts.some(
+      each => `${each.model}/${each.version}` === version,
+    );
+    const estimate = gateway.quality.estimate(step.version, kind.name);
+    const {available} = gateway.rating.state;
+    if (available && gateway.sampler.shouldRate(estimate, watched)) {
+      void this.rate(item, gateway, {version, quality});
+    }
+    return true;
+  }
+
+  private async rate(
+    item: WorkItem,
+    gateway: GatewayUnderTest,
+    {version, quality}: {version: string; quality: number},
+  ): Promise<number | null> {
+    const lost = this.ratingAway || this.random() < RATING_GAP_SHARE;
+    await this.clock.sleep(RATING_MS * (0.5 + this.random()));
+    gateway.rating.record(!lost, RATING_MS);
+    if (lost) return null;
+    const noise = (this.random() - 0.5) * 2 * RATING_NOISE;
+    const score = Math.min(1, Math.max(0, quality + noise));
+    const kind = this.options.profile.classes[item.classIndex]!;
+    gateway.quality.record({
+      version,
+      requestClass: nameRequestPart(kind.name, item.promptTokens),
+      score,
+    });
+    gateway.evidence.countRating(version, score);
+    return score;
+  }
+
+  private drawQuality(item: WorkItem, step: PlanStep): number {
+    const noise = (this.random() - 0.5) * 0.08;
+    if (this.bad.has(formatVersion(step.version))) return BAD_QUALITY + noise;
+    const {name} = step.version;
+    const kind = this.options.profile.classes[item.classIndex]!;
+    const hardness = kind.hardness[name === 'next' ? 'middle' : name] ?? 0;
+    const skill = VERSIONS[name]!.skill;
+    return Math.min(1, skill - hardness * item.difficulty + noise);
+  }
+
+  private isStreamed({classIndex}: WorkItem): boolean {
+    return this.options.profile.classes[classIndex]!.streamed;
+  }
+
+  private finish(
+    item: WorkItem,
+    outcome: RequestRecord['outcome'],
+    rest: Pick<RequestRecord, 'cost' | 'quality' | 'version' | 'firstTokenMs'>,
+  ): void {
+    const kind = this.options.profile.classes[item.classIndex]!;
+    const {customer, classIndex, atMs} = item;
+    const {streamed} = kind;
+    this.records.push({customer, classIndex, atMs, streamed, outcome, ...rest});
+  }
+
+  /** Gateways tell each other their ratings. */
+  private async mergeQuality(): Promise<void> {
+    while (this.clock.monotonic() < this.options.durationMs) {
+      await this.clock.sleep(MERGE_MS);
+      for (const from of this.gateways) {
+        const summary = structuredClone(from.quality.summarise());
+        for (const to of this.gateways) {
+          if (to !== from) to.quality.merge(from.options.name, summary);
+        }
+      }
+    }
+  }
+
+  /** Decides about the roll-out as the control group's leader does. */
+  private async watchRollout(): Promise<void> {
+    const ledger = new EvidenceLedger(this.clock);
+    const names = new Set(['draft/middle', 'draft/next']);
+    while (this.clock.monotonic() < this.options.durationMs) {
+      await this.clock.sleep(DECIDE_MS);
+      for (const {evidence} of this.gateways) {
+        ledger.record(structuredClone(evidence.createReport(names)));
+      }
+      const [state] = this.view.rollouts;
+      if (!state) return;
+      const decision = decideRollout({
+        plan: PLAN,
+        state,
+        candidate: ledger.listSpans('draft/next'),
+        stable: ledger.getTotal('draft/middle'),
+        stableQuality: 0.83,
+        nowMs: this.clock.now(),
+      });
+      if (decision.type !== 'withdraw') continue;
+      await this.clock.sleep(IN_FORCE_MS);
+      this.withdraw(decision.reason);
+      return;
+    }
+  }
+
+  private withdraw(reason: string): void {
+    this.withdrawnAt = this.clock.monotonic();
+    this.view = {
+      ...this.view,
+      withdrawals: [{version: 'draft/next', reason}],
+      rollouts: this.view.rollouts.map(each => ({
+        ...each,
+        status: 'withdrawn',
+      })),
+    };
+  }
+}
+
+const PLAN = {
+  ...{model: 'draft', version: 'next', stable: 'middle', stages: [0.05, 1]},
+  ...{stage_s: 3_600, stage_ratings: 20, deadline_s: 36_000},
+  tolerated_drop: 0.05,
+};
+
+function createRollout({
+  share,
+  completed,
+}: {
+  readonly share: number;
+  readonly completed: boolean;
+}): RolloutState {
+  return {
+    ...{model: 'draft', version: 'next', stable: 'middle', stage: 0, share},
+    status: completed ? 'completed' : 'running',
+    ...{stageSinceMs: 0, reason: ''},
+  };
+}
