--- a/src/coordination/replication/membership_keeper.ts
+++ b/src/coordination/replication/membership_keeper.ts
@@ -57,6 +57,7 @@
     const descriptions = await describeHosts(options);
     if (signal.aborted) return;
     const step = planMembership({
+      leader: options.name,
       hosts: options.hosts,
       voterCount: options.voterCount,
       replaceAfterMs: options.replaceAfterMs,
--- a/src/coordination/replication/plan_membership.ts
+++ b/src/coordination/replication/plan_membership.ts
@@ -1,6 +1,7 @@
 /** Decides how a leader should change who votes. */
 import type {Member, ReplicaDescription} from '../../protocol/replication.ts';
 import {
+  chooseVoters,
   countMajority,
   formatMember,
   rankHosts,
@@ -22,6 +23,8 @@
 }
 
 export interface MembershipView {
+  /** The name of the leader, which is never removed. */
+  readonly leader: string;
   /** The hosts that the settings list. */
   readonly hosts: readonly ReplicaHost[];
   /** How many voters there should be. */
@@ -59,14 +62,15 @@
   if (lost.length > 0 && (missing <= 0 || view.voters.length > target)) {
     return removeVoter(view, lost);
   }
-  if (missing <= 0) return forgetLearner(view);
+  if (missing < 0) return removeVoter(view, listSurplus(view, target));
+  if (missing === 0) return forgetLearner(view);
   const learner = view.learners.find(({member}) => canReplace(view, member));
   if (!learner) return learnHost(view, lost);
   return learner.caughtUp ? promoteLearner(view, learner) : forgetGone(view);
 }
 
 function isLost(view: MembershipView, {member, silentMs}: VoterView): boolean {
-  if (silentMs === 0) return false;
+  if (member.name === view.leader) return false;
   if (!view.hosts.some(host => host.name === member.name)) return true;
   const answer = view.descriptions.get(member.name);
   if (answer) return answer.incarnation !== member.incarnation;
@@ -89,12 +93,22 @@
   return gone ? {type: 'forget', member: gone.member} : NONE;
 }
 
-/** Removes a lost voter if those that stay can go on without it. */
+/** The voters beyond the target: one that was lost may have come back. */
+function listSurplus(view: MembershipView, target: number): VoterView[] {
+  const names = view.voters.map(voter => voter.member.name);
+  const voting = view.hosts.filter(host => names.includes(host.name));
+  const kept = chooseVoters(voting, target).map(host => host.name);
+  const others = view.voters.filter(voter => voter.member.name !== view.leader);
+  const surplus = others.filter(voter => !kept.includes(voter.member.name));
+  return surplus.length > 0 ? surplus : others;
+}
+
+/** Removes the first of some voters if those that stay can go on. */
 function removeVoter(
   view: MembershipView,
-  lost: readonly VoterView[],
+  candidates: readonly VoterView[],
 ): MembershipStep {
-  const [first] = lost;
+  const [first] = candidates;
   const staying = view.voters.filter(voter => voter !== first);
   const reachable = countReachable(view, staying);
   if (!first || reachable < countMajority(staying)) return NONE;
--- /dev/null
+++ b/src/coordination/replication/plan_membership_test.ts
@@ -0,0 +1,84 @@
+import {test} from 'uvu';
+import * as assert from 'uvu/assert';
+import {planMembership, type MembershipView} from './plan_membership.ts';
+
+const HOSTS = ['a', 'b', 'c', 'd'].map(name => ({
+  name,
+  region: 'r',
+  dataCentre: name,
+}));
+
+function createMember(name: string, incarnation = `${name}1`) {
+  return {name, incarnation};
+}
+
+function createView(changes: Partial<MembershipView>): MembershipView {
+  return {
+    leader: 'a',
+    hosts: HOSTS,
+    voterCount: 3,
+    voters: ['a', 'b', 'c'].map(name => ({
+      member: createMember(name),
+      silentMs: 0,
+    })),
+    learners: [],
+    descriptions: new Map(
+      ['b', 'c', 'd'].map(name => [
+        name,
+        {incarnation: `${name}1`, formed: true},
+      ]),
+    ),
+    replaceAfterMs: 30_000,
+    reachableMs: 1_000,
+    ...changes,
+  };
+}
+
+const lostC = {member: createMember('c'), silentMs: 40_000};
+const others = ['a', 'b'].map(name => ({
+  member: createMember(name),
+  silentMs: 0,
+}));
+const withoutC = new Map(
+  ['b', 'd'].map(name => [name, {incarnation: `${name}1`, formed: true}]),
+);
+
+test('a whole group is left alone', () => {
+  assert.equal(planMembership(createView({})), {type: 'none'});
+});
+
+test('a voter that is silent for long is replaced by a host that stands by', () => {
+  const view = {voters: [...others, lostC], descriptions: withoutC};
+  const learn = planMembership(createView(view));
+  assert.equal(learn, {type: 'learn', member: createMember('d')});
+  const learners = [{member: createMember('d'), caughtUp: true}];
+  const promote = planMembership(createView({...view, learners}));
+  const voters = ['a', 'b', 'c', 'd'].map(name => createMember(name));
+  assert.equal(promote, {type: 'change', voters});
+});
+
+test('a learner that has not caught up is not promoted', () => {
+  const learners = [{member: createMember('d'), caughtUp: false}];
+  const view = {voters: [...others, lostC], descriptions: withoutC, learners};
+  assert.equal(planMembership(createView(view)), {type: 'none'});
+});
+
+test('a voter that returns too late leaves no surplus', () => {
+  const voters = ['a', 'b', 'c', 'd'].map(name => ({
+    member: createMember(name),
+    silentMs: 0,
+  }));
+  const kept = ['a', 'b', 'c'].map(name => createMember(name));
+  const step = planMembership(createView({voters}));
+  assert.equal(step, {type: 'change', voters: kept});
+});
+
+test('nothing is changed that a majority could not confirm', () => {
+  const silent = {member: createMember('b'), silentMs: 5_000};
+  const learners = [{member: createMember('d'), caughtUp: true}];
+  const voters = [{member: createMember('a'), silentMs: 0}, silent, lostC];
+  const view = {voters, descriptions: withoutC, learners};
+  assert.equal(planMembership(createView(view)), {type: 'none'});
+});
+
+test.run();
--- /dev/null
+++ b/tools/bench_log/local_group.ts
@@ -0,0 +1,108 @@
+/** Replicas of one or more groups in this process, on real files. */
+import {mkdtemp, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {systemClock} from '../../src/protocol/clock.ts';
+import {silentLogger} from '../../src/protocol/logger.ts';
+import {openFileLog} from '../../src/state/log/file_log.ts';
+import {Replica} from '../../src/coordination/replication/replica.ts';
+import type {ReplicaPeer} from '../../src/coordination/replication/peer_replicator.ts';
+
+export type LocalReplica = Replica<string, number>;
+
+/** The names of the hosts of each group. */
+export const HOSTS = ['a', 'b', 'c'];
+
+/** Reaches a replica of a group on a host. */
+export type Connect = (group: string, host: string) => ReplicaPeer;
+
+/** Groups of three replicas. */
+export class LocalGroups implements AsyncDisposable {
+  readonly replicas = new Map<string, LocalReplica>();
+
+  private constructor(private readonly folder: string) {}
+
+  /** Opens and starts `count` groups. */
+  static async start(
+    count: number,
+    connect?: (groups: LocalGroups) => Connect,
+  ): Promise<LocalGroups> {
+    const folder = await mkdtemp(join(tmpdir(), 'bench-log-'));
+    const groups = new LocalGroups(folder);
+    const getPeer = connect?.(groups) ?? groups.connectDirectly();
+    for (let number = 0; number < count; number++) {
+      for (const host of HOSTS) await groups.open(`g${number}`, host, getPeer);
+    }
+    for (const replica of groups.replicas.values()) replica.start();
+    return groups;
+  }
+
+  get(group: string, host: string): LocalReplica {
+    const replica = this.replicas.get(`${group}/${host}`);
+    if (!replica) throw new Error(`Could not find ${group} on ${host}`);
+    return replica;
+  }
+
+  /** Waits for the leader of a group. */
+  async findLeader(group: string): Promise<LocalReplica> {
+    for (;;) {
+      const replicas = HOSTS.map(host => this.get(group, host));
+      const leader = replicas.find(replica => replica.isLeader());
+      if (leader) return leader;
+      await sleep(20);
+    }
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await Promise.all(
+      [...this.replicas.values()].map(each => each[Symbol.asyncDispose]()),
+    );
+    await rm(this.folder, {recursive: true, force: true});
+  }
+
+  private async open(group: string, host: string, connect: Connect) {
+    const folder = join(this.folder, host, group);
+    const storage = await openFileLog({folder});
+    if (!storage.ok) throw storage.error;
+    const replica = await Replica.open<string, number>({
+      group,
+      name: host,
+      hosts: HOSTS.map(name => ({name, region: 'r', dataCentre: name})),
+      voterCount: HOSTS.length,
+      storage: storage.value,
+      stateMachine: createCounter(),
+      getPeer: name => connect(group, name),
+      clock: systemClock,
+      random: Math.random,
+      logger: silentLogger,
+    });
+    this.replicas.set(`${group}/${host}`, replica);
+  }
+
+  private connectDirectly(): Connect {
+    return (group, host) => {
+      const find = () => this.get(group, host);
+      return {
+        vote: request => find().handleVote(request),
+        append: request => find().handleAppend(request),
+        installSnapshot: request => find().handleInstall(request),
+        describeReplica: async () => find().describe(),
+        formGroup: request => find().handleForm(request),
+        transferLeadership: request => find().handleTransfer(request),
+      };
+    };
+  }
+}
+
+/** A state that costs next to nothing to apply. */
+export function createCounter() {
+  let count = 0;
+  return {
+    apply: () => ++count,
+    createSnapshot: () => count,
+    restoreSnapshot: (snapshot: unknown) => {
+      count = snapshot as number;
+    },
+  };
+}
