--- a/tools/bench_decisions/gateway_under_test.ts
+++ b/tools/bench_decisions/simulated_gateway.ts
@@ -43,7 +43,7 @@
 export const DEADLINE_MS = 20_000;
 
 /** One gateway. */
-export class GatewayUnderTest {
+export class SimulatedGateway {
   readonly router: LearningEndpointRouter;
   readonly limiter: Limiter;
   readonly retries: RetryBudget = createRetryBudget();
--- /dev/null
+++ b/tools/bench_decisions/targets.ts
@@ -0,0 +1,139 @@
+/** The targets that the figures are held against. */
+import type {RunMetrics} from './run_metrics.ts';
+
+/** The figures of one policy in one situation, one entry for each seed. */
+export type Results = ReadonlyMap<string, readonly RunMetrics[]>;
+
+/** What became of one target. */
+export interface Verdict {
+  readonly target: string;
+  readonly met: boolean;
+  readonly measured: string;
+}
+
+const OURS = 'parsleypond';
+
+/** Looks up the figures of a situation and a policy. */
+export function findRuns(
+  results: Results,
+  scenario: string,
+  policy = OURS,
+): readonly RunMetrics[] {
+  return results.get(`${scenario}/${policy}`) ?? [];
+}
+
+/** Checks all targets of one user. */
+export function checkTargets(
+  results: Results,
+  scenarios: readonly string[],
+): Verdict[] {
+  return [
+    checkCost(results),
+    ...scenarios.map(scenario => checkQuality(results, scenario)),
+    ...scenarios.map(scenario => checkLatency(results, scenario, 1)),
+    checkLatency(results, 'lagging reports', 0.6),
+    checkExposure(results, 'bad at 5%', 30),
+    checkExposure(results, 'bad at 5%, gated', 0),
+    checkNeighbour(results),
+    checkGoodput(results),
+    checkSmallest(results),
+  ];
+}
+
+/** The cost in the usual situation against always the best version. */
+function checkCost(results: Results): Verdict {
+  const best = findRuns(results, 'normal', 'always best');
+  const ratios = findRuns(results, 'normal').map(
+    (run, index) => run.cost / (best[index]?.cost ?? NaN),
+  );
+  return atMost('cost against always best, each seed', ratios, 0.6);
+}
+
+function checkQuality(results: Results, scenario: string): Verdict {
+  const margins = findRuns(results, scenario).map(each => each.margin);
+  const lowest = Math.min(...margins);
+  return {
+    target: `${scenario}: mean quality at the target, each class and seed`,
+    met: lowest >= 0,
+    measured: `lowest margin ${lowest.toFixed(3)}`,
+  };
+}
+
+function checkLatency(
+  results: Results,
+  scenario: string,
+  limit: number,
+): Verdict {
+  const least = findRuns(results, scenario, 'least reported');
+  const ratios = findRuns(results, scenario).map(
+    (run, index) => run.p95 / (least[index]?.p95 ?? NaN),
+  );
+  return atMost(`${scenario}: p95 against least reported`, ratios, limit);
+}
+
+function checkExposure(
+  results: Results,
+  scenario: string,
+  limit: number,
+): Verdict {
+  const exposed = findRuns(results, scenario).map(each => each.exposed);
+  return atMost(
+    `${scenario}: bad answers that reached callers`,
+    exposed,
+    limit,
+  );
+}
+
+function checkNeighbour(results: Results): Verdict {
+  const usual = findRuns(results, 'normal');
+  const ratios = findRuns(results, 'dead service beside').map(
+    (run, index) => run.p95 / (usual[index]?.p95 ?? NaN),
+  );
+  return atMost('dead service beside: p95 against normal', ratios, 1.05);
+}
+
+function checkGoodput(results: Results): Verdict {
+  const full = findRuns(results, 'at capacity');
+  const ratios = findRuns(results, 'overload 1.5').map(
+    (run, index) => run.goodput / (full[index]?.goodput ?? NaN),
+  );
+  return atLeast('overload 1.5: goodput against at capacity', ratios, 0.95);
+}
+
+function checkSmallest(results: Results): Verdict {
+  const shares = findRuns(results, 'overload 1.5').map(
+    each => each.smallestShare,
+  );
+  return atLeast("overload 1.5: smallest customer's fair share", shares, 0.95);
+}
+
+function atMost(
+  target: string,
+  values: readonly number[],
+  limit: number,
+): Verdict {
+  const worst = Math.max(...values);
+  return describe(target, worst <= limit, {values, limit, sign: '<='});
+}
+
+function atLeast(
+  target: string,
+  values: readonly number[],
+  limit: number,
+): Verdict {
+  const worst = Math.min(...values);
+  return describe(target, worst >= limit, {values, limit, sign: '>='});
+}
+
+function describe(
+  target: string,
+  met: boolean,
+  {
+    values,
+    limit,
+    sign,
+  }: {values: readonly number[]; limit: number; sign: string},
+): Verdict {
+  const shown = values.map(each => Number(each.toFixed(2))).join(' ');
+  return {target: `${target} ${sign} ${limit}`, met, measured: shown};
+}
--- a/tools/bench_decisions/virtual_clock.ts
+++ b/tools/bench_decisions/virtual_clock.ts
@@ -41,6 +41,11 @@
     this.time = endMs;
   }
 
+  /** Lets time pass at once; for measurements without tasks. */
+  advance(ms: number): void {
+    this.time += ms;
+  }
+
   private push(sleeper: Sleeper): void {
     const {heap} = this;
     let index = heap.push(sleeper) - 1;
--- a/tools/bench_decisions/world.ts
+++ b/tools/bench_decisions/world.ts
@@ -11,7 +11,7 @@
 import type {Outcome} from '../../src/protocol/outcome.ts';
 import type {RolloutState} from '../../src/protocol/rollout_state.ts';
 import {FakeEngine} from './fake_engine.ts';
-import {DEADLINE_MS, GatewayUnderTest} from './gateway_under_test.ts';
+import {DEADLINE_MS, SimulatedGateway} from './simulated_gateway.ts';
 import type {Policy} from './policies.ts';
 import type {RequestRecord} from './run_metrics.ts';
 import {VirtualClock} from './virtual_clock.ts';
@@ -34,20 +34,35 @@
   readonly exposure?: 'direct' | 'gated';
 }
 
+/** Engines of the drafting pool. */
 const ENGINES = 6;
+/** Engines of the other service's pool. */
 const FILING_ENGINES = 3;
+/** Requests that an engine runs at once. */
 const SLOTS = 8;
+/** The usual time of a rating. */
 const RATING_MS = 400;
+/** The share of ratings that never come. */
 const RATING_GAP_SHARE = 0.05;
+/** The most that a rating is off the true quality. */
 const RATING_NOISE = 0.08;
+/** One way: same data centre, same region, another region. */
 const ONE_WAY_MS = [0, 1.5, 30] as const;
+/** Bytes of a prompt token on the wire. */
 const BYTES_PER_TOKEN = 4;
+/** Bytes of an answer's token on the wire. */
 const BYTES_PER_CHUNK = 120;
+/** How often gateways exchange their ratings. */
 const MERGE_MS = 5_000;
+/** How often the leader looks at a roll-out. */
 const DECIDE_MS = 1_000;
+/** How long a withdrawal takes to be in force. */
 const IN_FORCE_MS = 2_000;
+/** The quality of a version that turned bad. */
 const BAD_QUALITY = 0.3;
+/** The most attempts for one request and version. */
 const MAX_ATTEMPTS = 4;
+/** The most requests of a customer at one gateway. */
 const CUSTOMER_CONCURRENCY = 64;
 
 /** The quality from which an answer of a bad version does no harm. */
@@ -57,7 +72,7 @@
 export class World {
   readonly clock = new VirtualClock();
   readonly engines: FakeEngine[] = [];
-  readonly gateways: GatewayUnderTest[];
+  readonly gateways: SimulatedGateway[];
   readonly records: RequestRecord[] = [];
   readonly bad = new Set<string>();
   ratingAway = false;
@@ -173,7 +188,7 @@
   private createGateway(
     place: {readonly name: string; readonly region: string},
     index: number,
-  ): GatewayUnderTest {
+  ): SimulatedGateway {
     const {profile, policy} = this.options;
     const versions = this.view.declaration!.versions.map(formatVersion);
     const endpoints = this.engines.map((_, number): Endpoint => {
@@ -189,7 +204,7 @@
         ...{leaving: false, inFlight: 0, loadTakenAt: 0},
       };
     });
-    return new GatewayUnderTest({
+    return new SimulatedGateway({
       ...{name: `g${index}`, region: place.region, dataCentre: place.name},
       ...{clock: this.clock, random: this.random, endpoints, policy, profile},
       getView: () => this.view,
@@ -205,7 +220,7 @@
 
   private acquire(
     item: WorkItem,
-    gateway: GatewayUnderTest,
+    gateway: SimulatedGateway,
     pool: string,
   ): Promise<Outcome<Permit, Refusal>> {
     return gateway.limiter.acquire({
@@ -219,7 +234,7 @@
   /** Runs a step at one endpoint after another; `null` calls the service. */
   private async runStep(
     item: WorkItem,
-    gateway: GatewayUnderTest,
+    gateway: SimulatedGateway,
     {step, permit}: {step: PlanStep | null; permit: Permit},
   ): Promise<{
     outcome: RequestRecord['outcome'];
@@ -261,7 +276,7 @@
   /** The one-way time to an endpoint; counts what crosses the slow link. */
   private cross(
     item: WorkItem,
-    {options}: GatewayUnderTest,
+    {options}: SimulatedGateway,
     endpoint: Endpoint,
   ): number {
     if (endpoint.region !== options.region) {
@@ -278,7 +293,7 @@
   /** Whether the answer goes to the caller; rates it before or after. */
   private async release(
     item: WorkItem,
-    gateway: GatewayUnderTest,
+    gateway: SimulatedGateway,
     {step, quality}: {step: PlanStep; quality: number},
   ): Promise<boolean> {
     const version = formatVersion(step.version);
@@ -302,7 +317,7 @@
 
   private async rate(
     item: WorkItem,
-    gateway: GatewayUnderTest,
+    gateway: SimulatedGateway,
     {version, quality}: {version: string; quality: number},
   ): Promise<number | null> {
     const lost = this.ratingAway || this.random() < RATING_GAP_SHARE;
@@ -398,6 +413,7 @@
   }
 }
 
+/** The plan of the roll-out: one stage that outlasts the run. */
 const PLAN = {
   ...{model: 'draft', version: 'next', stable: 'middle', stages: [0.05, 1]},
   ...{stage_s: 3_600, stage_ratings: 20, deadline_s: 36_000},
