--- a/src/transport/endpoints/engine_client_test.ts
+++ b/src/transport/endpoints/engine_client_test.ts
@@ -28,6 +28,8 @@
     sockets.push(socket);
     serve(socket, sockets.length);
   });
+  // A failed test must not keep the process.
+  server.unref();
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   const {port} = server.address() as AddressInfo;
--- a/src/transport/metrics/create_metrics_test.ts
+++ b/src/transport/metrics/create_metrics_test.ts
@@ -6,6 +6,8 @@
 
 test('createMetrics() sends names, values and tags', async () => {
   const sink = createSocket('udp4');
+  // A failed test must not keep the process.
+  sink.unref();
   sink.bind(0, '127.0.0.1');
   await once(sink, 'listening');
   const received = once(sink, 'message');
--- a/src/transport/platform/platform_clients_test.ts
+++ b/src/transport/platform/platform_clients_test.ts
@@ -14,7 +14,7 @@
     server.closeAllConnections();
     server.close();
   };
-  return {address: `127.0.0.1:${port}`, stop};
+  return {address: `127.0.0.1:${port}`, stop, [Symbol.dispose]: stop};
 }
 
 const rated = {
@@ -24,7 +24,7 @@
   version: 'draft/small',
   prompt: [],
   answer: 'yes',
-  deadlineMs: 100,
+  deadlineMs: 30_000,
 };
 
 test('the rating client gives scores, and no rating for anything else', async () => {
@@ -36,7 +36,7 @@
     '',
   ];
   const asked: string[] = [];
-  const service = await listen((request, response) => {
+  using service = await listen((request, response) => {
     asked.push(request.url ?? '');
     const reply = replies.shift();
     // The last one is never answered.
@@ -44,9 +44,10 @@
   });
   const rate = createRatingClient(service.address);
   assert.equal(await rate(rated), {ok: true, value: 0.5});
-  for (let count = 0; count < 4; count++) {
+  for (let count = 0; count < 3; count++) {
     assert.is((await rate(rated)).ok, false);
   }
+  assert.is((await rate({...rated, deadlineMs: 50})).ok, false);
   assert.is(asked[0], '/v1/ratings');
   service.stop();
   assert.is((await rate(rated)).ok, false);
@@ -54,7 +55,7 @@
 });
 
 test('the weight client describes a version', async () => {
-  const store = await listen((request, response) => {
+  using store = await listen((request, response) => {
     const version = (request.url ?? '').slice('/v1/weights/'.length);
     response.end(JSON.stringify({version, bytes: 10, rate: 5, wait_ms: 3}));
   });
@@ -63,7 +64,6 @@
     ok: true,
     value: {version: 'draft/small', bytes: 10, rate: 5, wait_ms: 3},
   });
-  store.stop();
 });
 
 test.run();
