--- /dev/null
+++ b/tools/bench_control/measure_renewals.ts
@@ -0,0 +1,123 @@
+/** What lease renewals cost a replica, by the number of daemons. */
+import {readFileSync} from 'node:fs';
+import type {Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {systemClock} from '../../src/protocol/clock.ts';
+import {silentLogger} from '../../src/protocol/logger.ts';
+import {ConfigurationLease} from '../../src/coordination/leases/configuration_lease.ts';
+import {PeerLinks} from '../../src/transport/peers/peer_links.ts';
+import {DisposableStore} from '../../src/cli/serve/disposable_store.ts';
+import {
+  createDeclaration,
+  listCustomers,
+} from '../../testing/system/declaration.ts';
+import {System} from '../../testing/system/system.ts';
+
+/** How long the daemons settle, and how long they are measured. */
+const SETTLE_MS = 3_000;
+const MEASURE_MS = 10_000;
+
+/** Ticks of the processor time in /proc, per second. */
+const TICKS_PER_S = 100;
+
+const COUNTS = [3, 50, 100, 200];
+
+/** Measures one daemon that carries the control group alone. */
+export async function measureRenewals(): Promise<string[]> {
+  const host = {name: 'r1', region: 'north', dataCentre: 'a', disk: true};
+  await using system = await System.start({hosts: [host], endpoints: []});
+  await system.waitUntilReady();
+  await system.applyDirectly('r1', createDeclaration(1, listCustomers(10)));
+  const pid = system.daemons.get('r1')?.pid ?? 0;
+  const base = await measure(pid, 0);
+  const lines = [formatRow(0, base)];
+  for (const count of COUNTS) {
+    await using clients = startClients(count, system.getPeerAddress('r1'));
+    await sleep(SETTLE_MS);
+    lines.push(formatRow(count, await measure(pid, count)));
+    void clients;
+  }
+  return lines;
+}
+
+interface Cost {
+  /** Share of one core. */
+  readonly core: number;
+  readonly residentMb: number;
+  /** Bytes of one daemon each second, both ways, above TCP. */
+  readonly bytesPerDaemon: number;
+}
+
+async function measure(pid: number, clients: number): Promise<Cost> {
+  const before = {cpu: readCpu(pid), bytes: readBytes()};
+  await sleep(MEASURE_MS);
+  const seconds = MEASURE_MS / 1_000;
+  return {
+    core: (readCpu(pid) - before.cpu) / seconds,
+    residentMb: readResidentMb(pid),
+    bytesPerDaemon:
+      clients === 0 ? 0 : (readBytes() - before.bytes) / seconds / clients,
+  };
+}
+
+function formatRow(clients: number, cost: Cost): string {
+  const core = (cost.core * 100).toFixed(1);
+  const bytes = cost.bytesPerDaemon.toFixed(0);
+  return `renewals, ${clients} daemons: ${core}% of a core, ${cost.residentMb.toFixed(0)} MB resident, ${bytes} B/s a daemon`;
+}
+
+/** Starts the client side of many daemons, each with its own link. */
+function startClients(count: number, address: string): DisposableStore {
+  const stack = new DisposableStore();
+  for (let number = 0; number < count; number++) {
+    const links = stack.add(new PeerLinks('peer-secret'));
+    const name = `d${number}`;
+    const lease = stack.add(
+      new ConfigurationLease({
+        clock: systemClock,
+        logger: silentLogger,
+        incarnation: 'inc_0123456789abcdef01234567',
+        describeHost: () => ({
+          name,
+          region: 'north',
+          dataCentre: 'a',
+          publicAddress: '10.0.0.1:8080',
+          peerAddress: '10.0.0.1:8081',
+          gateway: true,
+          leaving: false,
+        }),
+        renew: request =>
+          links.get(address).renewLease(request, request.waitMs + 700),
+      }),
+    );
+    lease.start();
+  }
+  return stack;
+}
+
+/** Seconds of processor time of a process. */
+function readCpu(pid: number): number {
+  const text = readFileSync(`/proc/${pid}/stat`, 'utf8');
+  const fields = text.slice(text.lastIndexOf(')') + 2).split(' ');
+  return (Number(fields[11]) + Number(fields[12])) / TICKS_PER_S;
+}
+
+function readResidentMb(pid: number): number {
+  const text = readFileSync(`/proc/${pid}/status`, 'utf8');
+  return Number(/VmRSS:\s+(\d+)/.exec(text)?.[1] ?? 0) / 1_024;
+}
+
+/** Bytes through the open sockets of this process, both ways. */
+function readBytes(): number {
+  const {_getActiveHandles: listHandles} = process as unknown as {
+    _getActiveHandles: () => object[];
+  };
+  const handles = listHandles.call(process) as Array<Partial<Socket>>;
+  return handles
+    .filter(handle => handle.remotePort === 8081)
+    .reduce(
+      (sum, handle) =>
+        sum + (handle.bytesRead ?? 0) + (handle.bytesWritten ?? 0),
+      0,
+    );
+}
