Recover a lost majority by one command, and test frozen leaders

Cause: a lost majority had no way back, and two safety checks (the term of an entry at commit, the length of the leader lease) could be left out unnoticed. Trial with several hosts by the simulated group only.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -9,6 +9,7 @@
 import {addChangeCommands} from './commands/change_commands.ts';
 import {addCompletionCommand} from './commands/completion_command.ts';
 import {addDeclarationCommands} from './commands/declaration_commands.ts';
+import {addRecoverCommand} from './commands/recover_command.ts';
 import {addServeCommand} from './commands/serve_command.ts';
 import {addStatusCommands} from './commands/status_commands.ts';
 
@@ -29,6 +30,7 @@
 stand for --address and --secret.`,
   );
 addServeCommand(program);
+addRecoverCommand(program);
 addDeclarationCommands(program);
 addStatusCommands(program);
 addChangeCommands(program);
--- a/src/coordination/replication/replica_test.ts
+++ b/src/coordination/replication/replica_test.ts
@@ -3,7 +3,14 @@
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {test} from 'uvu';
 import * as assert from 'uvu/assert';
-import {SimulatedGroup} from './simulated_group.ts';
+import {silentLogger} from '../../protocol/logger.ts';
+import {SimulatedClock} from '../../protocol/simulated_clock.ts';
+import {MemoryFileSystem} from '../../state/files/memory_file_system.ts';
+import {openFileLog} from '../../state/log/file_log.ts';
+import {recoverLog} from '../../state/log/recover_log.ts';
+import {encodeSnapshot} from '../../state/snapshot/snapshot_codec.ts';
+import {Replica} from './replica.ts';
+import {Recorder, SimulatedGroup} from './simulated_group.ts';
 
 /** The time to the first commit after a leader was lost. */
 const WRITE_GAP_MS = 3_000;
@@ -32,15 +39,15 @@
 async function commit(group: SimulatedGroup, command: string): Promise<number> {
   const startedAt = group.clock.monotonic();
   let done = false;
-  let open = false;
+  let asked: string | undefined;
   const committed = await group.runUntil(() => {
-    if (!open && !done) {
-      open = true;
+    const [leader] = group.listLeaders();
+    if (leader !== asked && !done) {
+      asked = leader;
       void group.propose(command)?.then(reply => {
-        open = false;
-        done ||= reply.type === 'committed';
+        if (reply.type === 'committed') done = true;
+        else asked = undefined;
       });
-      if (group.listLeaders().length === 0) open = false;
     }
     return done;
   }, 30_000);
@@ -150,6 +157,98 @@
   assert.equal(group.violations, []);
 });
 
+test('a leader that was frozen does not lead when it wakes', async () => {
+  for (let seed = 1; seed <= 10; seed++) {
+    const group = await startGroup(['a', 'b', 'c'], 3, seed);
+    await commit(group, 'first');
+    const frozen = getLeader(group);
+    const {clock, replica} = group.getHost(frozen);
+    clock.freeze();
+    await group.run(700);
+    await commit(group, 'second');
+    clock.wake();
+    assert.not.ok(replica?.isLeader());
+    const reply = await replica?.propose('stale');
+    assert.is(reply?.type, 'not-leader');
+    await group.run(3_000);
+    assert.equal(group.violations, []);
+    // A proposal may be made twice; callers make their commands idempotent.
+    const {commands} = group.getHost(frozen).recorder;
+    assert.equal([...new Set(commands)], ['first', 'second']);
+  }
+});
+
+test('a lost majority is recovered by an operator on what is left', async () => {
+  const group = await startGroup(['a', 'b', 'c']);
+  for (let n = 0; n < 15; n++) await commit(group, `command ${n}`);
+  const survivor = getLeader(group);
+  for (const name of ['a', 'b', 'c']) {
+    if (name === survivor) group.crash(name);
+    else group.loseDisk(name);
+  }
+  const log = await group.openLog(survivor);
+  await recoverLog(log, survivor);
+  await log[Symbol.asyncDispose]();
+  await group.startAll();
+  await commit(group, 'after');
+  assert.ok(await group.runUntil(() => group.isWhole(), REPAIR_MS), 'whole');
+  const {commands} = group.getHost(getLeader(group)).recorder;
+  assert.is(commands.length, 16);
+  assert.equal(group.violations, []);
+});
+
+test('an entry of an earlier term is not committed by counting copies', async () => {
+  const clock = new SimulatedClock();
+  const opened = await openFileLog({
+    folder: '/data/group',
+    files: new MemoryFileSystem(),
+  });
+  if (!opened.ok) throw opened.error;
+  const storage = opened.value;
+  const voters = [
+    {name: 'a', incarnation: storage.incarnation},
+    {name: 'b', incarnation: 'disk_b'},
+    {name: 'c', incarnation: 'disk_c'},
+  ];
+  const snapshot = {index: 0, term: 0, membership: {voters}, state: null};
+  await storage.saveSnapshot(snapshot, encodeSnapshot(snapshot));
+  await storage.append([{index: 1, term: 2, command: 'old'}]);
+  await storage.saveHardState({term: 3, votedFor: null});
+  let acknowledged = 1;
+  const silence = () => new Promise<never>(() => {});
+  const replica = await Replica.open<string, number>({
+    group: 'group',
+    name: 'a',
+    hosts: voters.map(({name}) => ({name, region: 'r', dataCentre: name})),
+    voterCount: 3,
+    storage,
+    stateMachine: new Recorder(() => {}),
+    clock,
+    random: () => 0,
+    logger: silentLogger,
+    getPeer: name => ({
+      vote: async ({term}) =>
+        name === 'b' ? {term: term - 1, granted: true} : silence(),
+      append: async ({term}) => {
+        if (name !== 'b') return silence();
+        await clock.sleep(5);
+        return {term, accepted: true, matchIndex: acknowledged, formed: true};
+      },
+      installSnapshot: silence,
+      describeReplica: silence,
+      formGroup: silence,
+      transferLeadership: async () => ({stands: false}),
+    }),
+  });
+  replica.start();
+  await clock.advance(1_600);
+  assert.is(replica.term, 4);
+  assert.is(replica.applied, 0);
+  acknowledged = 2;
+  await clock.advance(500);
+  assert.is(replica.applied, 2);
+});
+
 type Action =
   | {type: 'propose'; count: number}
   | {type: 'run'; ms: number}
--- a/src/coordination/replication/simulated_group.ts
+++ b/src/coordination/replication/simulated_group.ts
@@ -5,6 +5,7 @@
  * at one time, and that all members apply the same commands in one order.
  */
 import {crc32} from 'node:zlib';
+import type {Clock} from '../../protocol/clock.ts';
 import type {Logger} from '../../protocol/logger.ts';
 import type {ProposeReply} from '../../protocol/peer_service.ts';
 import type {Member, ReplicationService} from '../../protocol/replication.ts';
@@ -49,10 +50,47 @@
   }
 }
 
+/** The clock of one host, whose tasks rest while the host is frozen. */
+class HostClock implements Clock {
+  private thaw: (() => void) | null = null;
+  private frozen: Promise<void> = Promise.resolve();
+
+  constructor(private readonly clock: Clock) {}
+
+  now(): number {
+    return this.clock.now();
+  }
+
+  monotonic(): number {
+    return this.clock.monotonic();
+  }
+
+  async sleep(ms: number, signal?: AbortSignal): Promise<void> {
+    await this.clock.sleep(ms, signal);
+    await this.frozen;
+  }
+
+  /** Resolves at once, or when the host is woken. */
+  waitUntilAwake(): Promise<void> {
+    return this.frozen;
+  }
+
+  freeze(): void {
+    if (this.thaw) return;
+    this.frozen = new Promise(resolve => (this.thaw = resolve));
+  }
+
+  wake(): void {
+    this.thaw?.();
+    this.thaw = null;
+  }
+}
+
 /** A host of the group. */
 export interface SimulatedHost {
   readonly name: string;
   readonly files: MemoryFileSystem;
+  readonly clock: HostClock;
   /** Null while the host is down. */
   replica: Replica<string, number> | null;
   storage: FileLog | null;
@@ -93,6 +131,7 @@
       this.hosts.set(name, {
         name,
         files: new MemoryFileSystem(),
+        clock: new HostClock(this.clock),
         replica: null,
         storage: null,
         recorder: this.createRecorder(name),
@@ -110,15 +149,9 @@
   async start(name: string): Promise<void> {
     const host = this.getHost(name);
     if (host.replica) return;
-    const opened = await openFileLog({
-      folder: FOLDER,
-      files: host.files.connect(),
-      segmentBytes: 600,
-      trailingEntries: 4,
-    });
-    if (!opened.ok) throw opened.error;
-    host.storage = opened.value;
-    host.incarnation = opened.value.incarnation;
+    const storage = await this.openLog(name);
+    host.storage = storage;
+    host.incarnation = storage.incarnation;
     host.recorder = this.createRecorder(name);
     host.replica = await Replica.open<string, number>({
       group: 'group',
@@ -129,10 +162,10 @@
         dataCentre: each,
       })),
       voterCount: this.options.voterCount,
-      storage: opened.value,
+      storage,
       stateMachine: host.recorder,
       getPeer: to => this.createPeer(name, to),
-      clock: this.clock,
+      clock: host.clock,
       random: this.options.random,
       logger: this.createLogger(name),
       snapshotEntries: this.options.snapshotEntries ?? 10,
@@ -141,6 +174,18 @@
     host.replica.start();
   }
 
+  /** Opens the log of a host that is down. */
+  async openLog(name: string): Promise<FileLog> {
+    const opened = await openFileLog({
+      folder: FOLDER,
+      files: this.getHost(name).files.connect(),
+      segmentBytes: 600,
+      trailingEntries: 4,
+    });
+    if (!opened.ok) throw opened.error;
+    return opened.value;
+  }
+
   /** Ends a host at once; its disk keeps what was synced. */
   crash(name: string): void {
     const host = this.getHost(name);
@@ -296,11 +341,13 @@
     const {from, to, method} = message;
     const request = structuredClone(message.request);
     await this.pass(from, to);
+    await this.getHost(to).clock.waitUntilAwake();
     const {replica} = this.getHost(to);
     if (!replica) return this.lose();
     const reply = await answer(replica, method, request);
     if (this.getHost(to).replica !== replica) return this.lose();
     await this.pass(to, from);
+    await this.getHost(from).clock.waitUntilAwake();
     return structuredClone(reply);
   }
 
