Write log lines without waiting for their reader

Cause: standard error is a pipe in service, and Node's writes to a pipe wait: a reader that is stuck held up every request. Change: lines of one turn are written together by a thread of Node's pool; while the reader is stuck they gather up to a bound, then are dropped and counted. What waits is written at the end of the process.

--- a/src/transport/logging/create_logger.ts
+++ b/src/transport/logging/create_logger.ts
@@ -1,5 +1,6 @@
 /** Makes loggers that write text or JSON lines through consola. */
 import {createConsola, LogLevels, type LogObject} from 'consola';
+import {LineWriter} from './line_writer.ts';
 import type {CreateLogger, LogFields} from '../../protocol/logger.ts';
 
 export interface CreateLoggerOptions {
@@ -14,7 +15,7 @@
   options: CreateLoggerOptions = {},
 ): CreateLogger {
   const {level = 'info', format = 'text'} = options;
-  const write = options.write ?? (line => process.stderr.write(`${line}\n`));
+  const write = options.write ?? createStandardErrorWriter();
   const formatLine = format === 'json' ? formatJson : formatText;
   const root = createConsola({
     level: LogLevels[level],
@@ -32,6 +33,12 @@
   };
 }
 
+function createStandardErrorWriter(): (line: string) => void {
+  const writer = new LineWriter();
+  process.once('exit', () => writer.flush());
+  return line => writer.add(line);
+}
+
 function readFields(object: LogObject): LogFields {
   return (object.args[1] ?? {}) as LogFields;
 }
--- /dev/null
+++ b/src/transport/logging/line_writer.ts
@@ -0,0 +1,84 @@
+/**
+ * Writes log lines without ever waiting for whoever reads them.
+ *
+ * A write to a pipe that nobody empties blocks. One write at a time is given
+ * to a thread of Node's pool; lines gather meanwhile, up to a bound beyond
+ * which they are dropped and counted.
+ */
+import {write, writeSync} from 'node:fs';
+
+/** The most text that waits to be written, in characters. */
+const MAX_WAITING_CHARACTERS = 1024 * 1024;
+
+export interface LineWriterOptions {
+  /** Writes `text` and calls back; standard error by default. */
+  readonly write?: (text: string, done: () => void) => void;
+  readonly maxWaitingCharacters?: number;
+}
+
+/** Takes lines, and writes those that it can. */
+export class LineWriter {
+  private waiting: string[] = [];
+  private characters = 0;
+  private dropped = 0;
+  private writing = false;
+  /** True while a write is with the operating system. */
+  private submitted = false;
+
+  constructor(private readonly options: LineWriterOptions = {}) {}
+
+  /** Adds a line, without its end. */
+  add(line: string): void {
+    const {maxWaitingCharacters = MAX_WAITING_CHARACTERS} = this.options;
+    if (this.characters + line.length > maxWaitingCharacters) {
+      this.dropped++;
+      return;
+    }
+    this.waiting.push(line);
+    this.characters += line.length;
+    if (!this.writing) this.writeNext();
+  }
+
+  /** Writes what waits before the process ends, unless a write is stuck. */
+  flush(): void {
+    if (this.submitted || this.waiting.length === 0) return;
+    writeSync(process.stderr.fd, this.take());
+  }
+
+  private writeNext(): void {
+    const {write: writeText = writeToStandardError} = this.options;
+    this.writing = true;
+    // Lines of the same turn go out together.
+    setImmediate(() => {
+      this.submitted = true;
+      writeText(this.take(), () => {
+        this.submitted = false;
+        this.writing = false;
+        if (this.waiting.length > 0) this.writeNext();
+      });
+    });
+  }
+
+  private take(): string {
+    const lines = this.waiting;
+    if (this.dropped > 0) lines.push(`Dropped ${this.dropped} log lines.`);
+    this.waiting = [];
+    this.characters = 0;
+    this.dropped = 0;
+    return `${lines.join('\n')}\n`;
+  }
+}
+
+/** Writes all of `text`; an error ends it, since there is no one to tell. */
+function writeToStandardError(text: string, done: () => void): void {
+  const bytes = Buffer.from(text);
+  const writeFrom = (start: number) => {
+    write(process.stderr.fd, bytes, start, (error, written) => {
+      const next = start + written;
+      if (error && error.code === 'EAGAIN') setTimeout(writeFrom, 10, start);
+      else if (error || next >= bytes.length) done();
+      else writeFrom(next);
+    });
+  };
+  writeFrom(0);
+}
