Replace silent links within two seconds, and close idle ones

Cause: a link to a host that left or moved was opened anew five times a second for ever; a silent one took up to 1.9 s to be noticed and tried again. Change: probes each 600 ms with 900 ms for the answer, first retry after 50 ms, then up to 800 ms; links that are not used for two minutes close and are opened again by the next call. Ruled out: calls of a dead link being made later (a call that met its deadline leaves the queue; tested). Shown: tests for strangers, malformed calls, deadlines, silence (<= 2 s) and idle links pass.

--- a/src/cli/serve/daemon.ts
+++ b/src/cli/serve/daemon.ts
@@ -83,7 +83,7 @@
 async function assembleDaemon(parts: DaemonParts): Promise<Daemon> {
   const {settings, createLogger, clock, store} = parts;
   const secrets = await readSecrets(settings.secrets);
-  const links = store.add(new PeerLinks(secrets.peer));
+  const links = store.add(new PeerLinks({secret: secrets.peer, clock}));
   const replicas = await openReplicas(parts, links);
   const endpoints = new EndpointTable(clock);
   const evidence = new EvidenceLedger(clock);
--- a/src/transport/peers/peer_links.ts
+++ b/src/transport/peers/peer_links.ts
@@ -1,17 +1,25 @@
 /** Connections to other daemons: one WebSocket for each. */
 import {createTRPCUntypedClient, createWSClient, wsLink} from '@trpc/client';
 import WebSocket from 'ws';
+import type {Clock} from '../../protocol/clock.ts';
 import type {PeerService} from '../../protocol/peer_service.ts';
 import {PEER_CALLS} from './peer_router.ts';
 
 /** How often a connection is probed, and how long it may be silent. */
-const KEEP_ALIVE = {enabled: true, intervalMs: 700, pongTimeoutMs: 1_000};
+const KEEP_ALIVE = {enabled: true, intervalMs: 600, pongTimeoutMs: 900};
 
 /** How long a connection may take to open. */
 const HANDSHAKE_TIMEOUT_MS = 1_500;
 
-/** The pause before a lost connection is opened again. */
-const RETRY_MS = 200;
+/** The pause before a lost connection is opened again, and its limit. */
+const RETRY_MS = 50;
+const MAX_RETRY_MS = 800;
+
+/** A link that is not used for this long is closed. */
+const IDLE_MS = 120_000;
+
+/** How often idle links are looked for. */
+const IDLE_CHECK_MS = 30_000;
 
 /** How long a call may take where the caller does not say. */
 const CALL_TIMEOUT_MS = 2_000;
@@ -24,28 +32,81 @@
   ) => ReturnType<PeerService[K]>;
 };
 
-/** The links of one daemon, opened when first used. */
+export interface PeerLinksOptions {
+  /** The secret that daemons share. */
+  readonly secret: string;
+  readonly clock: Clock;
+}
+
+interface Link {
+  readonly client: PeerClient;
+  readonly close: () => void;
+  usedAt: number;
+}
+
+/** The links of one daemon, opened when first used and closed when idle. */
 export class PeerLinks implements AsyncDisposable {
-  private readonly links = new Map<
-    string,
-    {client: PeerClient; close: () => void}
-  >();
+  private readonly links = new Map<string, Link>();
+  /** Clients outlive their links; a call opens a link anew. */
+  private readonly clients = new Map<string, PeerClient>();
+  private readonly stopped = new AbortController();
 
-  constructor(private readonly secret: string) {}
+  constructor(private readonly options: PeerLinksOptions) {
+    void this.closeIdleLinks();
+  }
+
+  /** How many links are kept. */
+  get size(): number {
+    return this.links.size;
+  }
 
   /** Returns the client of the daemon at `address`. */
   get(address: string): PeerClient {
-    const known = this.links.get(address);
-    if (known) return known.client;
-    const link = openLink(address, this.secret);
-    this.links.set(address, link);
-    return link.client;
+    const known = this.clients.get(address);
+    if (known) return known;
+    const call = (name: keyof PeerService) => {
+      return (request: unknown, timeoutMs?: number) =>
+        this.find(address).client[name](request as never, timeoutMs);
+    };
+    const client = Object.fromEntries(
+      PEER_CALLS.map(name => [name, call(name)]),
+    ) as unknown as PeerClient;
+    this.clients.set(address, client);
+    return client;
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    this.stopped.abort();
     for (const {close} of this.links.values()) close();
     this.links.clear();
   }
+
+  private find(address: string): Link {
+    const usedAt = this.options.clock.monotonic();
+    const known = this.links.get(address);
+    if (known) {
+      known.usedAt = usedAt;
+      return known;
+    }
+    const link = {...openLink(address, this.options.secret), usedAt};
+    this.links.set(address, link);
+    return link;
+  }
+
+  /** Closes the links to hosts that left or changed their address. */
+  private async closeIdleLinks(): Promise<void> {
+    const {clock} = this.options;
+    const {signal} = this.stopped;
+    while (!signal.aborted) {
+      await clock.sleep(IDLE_CHECK_MS, signal);
+      const oldest = clock.monotonic() - IDLE_MS;
+      for (const [address, link] of this.links) {
+        if (link.usedAt > oldest) continue;
+        this.links.delete(address);
+        link.close();
+      }
+    }
+  }
 }
 
 function openLink(address: string, secret: string) {
@@ -63,7 +124,8 @@
     url: `ws://${address}`,
     WebSocket: AuthenticatedWebSocket as unknown as typeof globalThis.WebSocket,
     keepAlive: KEEP_ALIVE,
-    retryDelayMs: () => RETRY_MS,
+    retryDelayMs: attempt =>
+      Math.min(MAX_RETRY_MS, RETRY_MS * 2 ** Math.min(attempt, 8)),
   });
   const trpc = createTRPCUntypedClient({links: [wsLink({client: socket})]});
   const call =
--- /dev/null
+++ b/src/transport/peers/peer_links_test.ts
@@ -0,0 +1,168 @@
+import {connect, createServer, type Socket} from 'node:net';
+import {test} from 'uvu';
+import * as assert from 'uvu/assert';
+import {systemClock, type Clock} from '../../protocol/clock.ts';
+import type {PeerService} from '../../protocol/peer_service.ts';
+import {PeerLinks} from './peer_links.ts';
+import {startPeerServer} from './peer_server.ts';
+
+/** The time within which a lost link must work again. */
+const REPLACE_MS = 2_000;
+
+/** A service that only describes replicas, and notes for whom it did. */
+function createService(calls: string[]): PeerService {
+  const refuse = () => Promise.reject(new Error('Could not answer'));
+  const service: Partial<PeerService> = {
+    describeReplica: async ({group}) => {
+      calls.push(group);
+      return {incarnation: 'disk_1', formed: true};
+    },
+  };
+  return new Proxy(service, {
+    get: (target, name) => Reflect.get(target, name) ?? refuse,
+  }) as PeerService;
+}
+
+/** A port that is free now. */
+async function findPort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>(resolve =>
+    server.listen(0, '127.0.0.1', () => resolve()),
+  );
+  const address = server.address();
+  await new Promise<void>(resolve => server.close(() => resolve()));
+  if (address === null || typeof address === 'string') {
+    throw new Error('Could not find a port');
+  }
+  return address.port;
+}
+
+async function startServer(port: number, calls: string[]) {
+  return startPeerServer({
+    host: '127.0.0.1',
+    port,
+    secret: 'secret',
+    service: createService(calls),
+  });
+}
+
+test('a stranger reaches no call', async () => {
+  const calls: string[] = [];
+  const port = await findPort();
+  await using _server = await startServer(port, calls);
+  await using links = new PeerLinks({secret: 'guess', clock: systemClock});
+  const client = links.get(`127.0.0.1:${port}`);
+  const failed = await client.describeReplica({group: 'g'}, 500).then(
+    () => false,
+    () => true,
+  );
+  assert.ok(failed);
+  assert.equal(calls, []);
+});
+
+test('a malformed call is rejected and harms no other', async () => {
+  const calls: string[] = [];
+  const port = await findPort();
+  await using _server = await startServer(port, calls);
+  await using links = new PeerLinks({secret: 'secret', clock: systemClock});
+  const client = links.get(`127.0.0.1:${port}`);
+  const malformed = client.describeReplica({group: 7} as never, 2_000);
+  const whole = client.describeReplica({group: 'g'}, 2_000);
+  const failed = await malformed.then(
+    () => false,
+    () => true,
+  );
+  assert.ok(failed);
+  assert.is((await whole).incarnation, 'disk_1');
+  assert.equal(calls, ['g']);
+});
+
+test('a call ends by its deadline and is not made later', async () => {
+  const calls: string[] = [];
+  const port = await findPort();
+  await using links = new PeerLinks({secret: 'secret', clock: systemClock});
+  const client = links.get(`127.0.0.1:${port}`);
+  const startedAt = performance.now();
+  const failed = await client.describeReplica({group: 'early'}, 300).then(
+    () => false,
+    () => true,
+  );
+  assert.ok(failed);
+  assert.ok(performance.now() - startedAt < 1_000);
+  await using _server = await startServer(port, calls);
+  await client.describeReplica({group: 'late'}, REPLACE_MS);
+  assert.equal(calls, ['late']);
+});
+
+test('a link that goes silent is replaced', async () => {
+  const calls: string[] = [];
+  const port = await findPort();
+  await using _server = await startServer(port, calls);
+  const relay = await startSilenceableRelay(port);
+  await using links = new PeerLinks({secret: 'secret', clock: systemClock});
+  const client = links.get(`127.0.0.1:${relay.port}`);
+  await client.describeReplica({group: 'before'}, REPLACE_MS);
+  relay.silence();
+  const deadline = performance.now() + REPLACE_MS;
+  let answered = false;
+  while (!answered && performance.now() < deadline) {
+    answered = await client.describeReplica({group: 'after'}, 300).then(
+      () => true,
+      () => false,
+    );
+  }
+  relay.close();
+  assert.ok(answered, 'replaced in time');
+});
+
+test('a link that is not used is closed', async () => {
+  let nowMs = 0;
+  const wakes: Array<() => void> = [];
+  const clock: Clock = {
+    now: () => nowMs,
+    monotonic: () => nowMs,
+    sleep: () => new Promise(resolve => wakes.push(resolve)),
+  };
+  await using links = new PeerLinks({secret: 'secret', clock});
+  void links
+    .get('127.0.0.1:9')
+    .describeReplica({group: 'g'}, 50)
+    .catch(() => {});
+  assert.is(links.size, 1);
+  nowMs = 10 * 60_000;
+  for (const wake of wakes.splice(0)) wake();
+  await new Promise(resolve => setImmediate(resolve));
+  assert.is(links.size, 0);
+});
+
+/** A relay whose open connections can be made to swallow everything. */
+async function startSilenceableRelay(target: number) {
+  const sockets: Array<[Socket, Socket]> = [];
+  const server = createServer(near => {
+    const far = connect(target, '127.0.0.1');
+    for (const socket of [near, far]) socket.on('error', () => {});
+    near.pipe(far).pipe(near);
+    sockets.push([near, far]);
+  });
+  const port = await findPort();
+  await new Promise<void>(resolve =>
+    server.listen(port, '127.0.0.1', () => resolve()),
+  );
+  return {
+    port,
+    silence() {
+      for (const [near, far] of sockets) {
+        near.unpipe(far);
+        far.unpipe(near);
+        near.on('data', () => {});
+        far.on('data', () => {});
+      }
+    },
+    close() {
+      for (const pair of sockets) for (const socket of pair) socket.destroy();
+      server.close();
+    },
+  };
+}
+
+test.run();
--- a/tools/bench_control/measure_renewals.ts
+++ b/tools/bench_control/measure_renewals.ts
@@ -70,7 +70,9 @@
 function startClients(count: number, address: string): DisposableStore {
   const stack = new DisposableStore();
   for (let number = 0; number < count; number++) {
-    const links = stack.add(new PeerLinks('peer-secret'));
+    const links = stack.add(
+      new PeerLinks({secret: 'peer-secret', clock: systemClock}),
+    );
     const name = `d${number}`;
     const lease = stack.add(
       new ConfigurationLease({
--- a/tools/bench_log/main.ts
+++ b/tools/bench_log/main.ts
@@ -5,6 +5,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {build} from 'hdr-histogram-js';
 import WebSocket from 'ws';
+import {systemClock} from '../../src/protocol/clock.ts';
 import type {PeerService} from '../../src/protocol/peer_service.ts';
 import {openFileLog} from '../../src/state/log/file_log.ts';
 import {PeerLinks} from '../../src/transport/peers/peer_links.ts';
@@ -91,7 +92,7 @@
     messages++;
     return (send as (...args: unknown[]) => void).apply(this, args);
   };
-  const links = new PeerLinks('secret');
+  const links = new PeerLinks({secret: 'secret', clock: systemClock});
   const port = 20_000 + (process.pid % 20_000);
   const addresses = new Map(
     HOSTS.map((host, n) => [host, `127.0.0.1:${port + n}`]),
