Keep rating a doubtful candidate, so that its roll-out can end

Ruled out: the leader's merging and the threshold; both saw a single rating. A doubtful candidate now runs as a shadow: nobody meets it, and its ratings decide. Gated candidates are always rated. Placement now hears for how long attempts keep a slot.

--- a/src/coordination/requests/answer_run.ts
+++ b/src/coordination/requests/answer_run.ts
@@ -291,6 +291,7 @@
           : attempt.firstTokenMs - attempt.startedMs,
       expectedFirstTokenMs: this.options.expectedFirstTokenMs,
       tokenGapMs,
+      durationMs: context.clock.monotonic() - startedAt,
       remoteBytes: this.measureRemoteBytes(attempt),
     });
     if (answered) return;
--- a/src/coordination/requests/observe_evidence.ts
+++ b/src/coordination/requests/observe_evidence.ts
@@ -4,12 +4,17 @@
 
 /** Creates the observer that feeds `collector`. */
 export function createEvidenceObserver(
-  collector: Pick<EvidenceCollector, 'countRequest' | 'countRating'>,
+  collector: Pick<
+    EvidenceCollector,
+    'countRequest' | 'countRating' | 'countBusy'
+  >,
 ): RequestObserver {
   return {
     observeAttempt(attempt) {
       const {kind, target, result, firstTokenMs} = attempt;
-      if (kind !== 'completion' || result === 'cancelled') return;
+      if (kind !== 'completion') return;
+      collector.countBusy(target, attempt.durationMs);
+      if (result === 'cancelled') return;
       const expectedMs = attempt.expectedFirstTokenMs ?? Infinity;
       collector.countRequest({
         version: target,
--- a/src/coordination/requests/request_observer.ts
+++ b/src/coordination/requests/request_observer.ts
@@ -16,6 +16,8 @@
   readonly expectedFirstTokenMs?: number;
   /** The mean time between chunks. */
   readonly tokenGapMs?: number;
+  /** For how long the attempt kept a slot of its endpoint. */
+  readonly durationMs: number;
   /** Bytes of text that crossed the link between regions. */
   readonly remoteBytes: number;
 }
--- a/src/coordination/requests/run_service_call.ts
+++ b/src/coordination/requests/run_service_call.ts
@@ -257,6 +257,7 @@
       endpoint: choice.endpoint.name,
       result,
       firstTokenMs: answer.ok ? durationMs : undefined,
+      durationMs,
       remoteBytes: noted.remote
         ? call.body.length + (answer.ok ? answer.value.body.length : 0)
         : 0,
--- a/src/coordination/routing/rollout_choice.ts
+++ b/src/coordination/routing/rollout_choice.ts
@@ -41,12 +41,16 @@
       each => formatVersion(each) === names.candidate,
     );
     if (!candidate || options.pinned === names.candidate) continue;
-    const reason = findObstacle(candidate, rollout, options);
-    const mode = selectMode(rollout, options);
+    const reason = findObstacle(rollout, options);
+    const doubtful = isBelowTarget(candidate, options);
+    const declared = selectMode(rollout, options);
+    // Nobody meets a doubtful candidate, but its ratings go on, since they
+    // decide whether the roll-out ends.
+    const mode = doubtful && declared === 'direct' ? 'shadow' : declared;
     if (reason === null) choice = {candidate, stable: names.stable, mode};
     const direct = reason === null && mode === 'direct';
     const dropped = direct ? names.stable : names.candidate;
-    const why = direct ? 'replaced by the roll-out' : `${mode} roll-out`;
+    const why = describeDrop(mode, declared);
     if (!kept.some(each => formatVersion(each) === dropped)) continue;
     kept = kept.filter(each => formatVersion(each) !== dropped);
     rejected.push({version: dropped, reason: reason ?? why});
@@ -62,9 +66,17 @@
   return digest.readUInt32BE(0) / 2 ** 32 < rollout.share;
 }
 
-/** Why the candidate must not serve this request at all. */
+/** Why a version of the roll-out does not serve the caller. */
+function describeDrop(
+  mode: Customer['exposure'],
+  declared: Customer['exposure'],
+): string {
+  if (mode !== declared) return 'rolled out, but below the target';
+  return mode === 'direct' ? 'replaced by the roll-out' : `${mode} roll-out`;
+}
+
+/** Why the candidate must not run for this request at all. */
 function findObstacle(
-  candidate: Version,
   rollout: RolloutState,
   options: PlanCompletionOptions,
 ): string | null {
@@ -75,10 +87,18 @@
   if (status !== 'completed' && !isInShare(options.routingKey, rollout)) {
     return 'outside the roll-out share';
   }
+  return null;
+}
+
+/** Whether what is known of the candidate does not meet the target. */
+function isBelowTarget(
+  candidate: Version,
+  options: PlanCompletionOptions,
+): boolean {
   const {requestClass = 'default', customer} = options;
   const target = findTarget(customer, requestClass)?.quality ?? 0;
   const {lower} = options.estimateQuality(candidate, requestClass);
-  return lower < target ? 'rolled out, but below the target' : null;
+  return lower < target;
 }
 
 /** How the candidate reaches this request's caller. */
