--- a/testing/callers/caller.ts
+++ b/testing/callers/caller.ts
@@ -40,6 +40,8 @@
   /** The service's path, in place of a model. */
   readonly service?: string;
   readonly repeatable?: boolean;
+  /** How long the system may take in all. */
+  readonly deadlineMs?: number;
 }
 
 /** Sends requests for one customer and records what comes back. */
@@ -114,6 +116,9 @@
         authorization: `Bearer ${this.options.apiKey}`,
         'content-type': 'application/json',
         'idempotency-key': call.key,
+        ...(call.deadlineMs === undefined
+          ? {}
+          : {'x-deadline-ms': String(call.deadlineMs)}),
         ...(call.session ? {'x-session-id': call.session} : {}),
       },
       body,
--- a/testing/stand_ins/engine_main.ts
+++ b/testing/stand_ins/engine_main.ts
@@ -50,6 +50,10 @@
   running++;
   response.on('close', () => running--);
   await gate.pass('dispatched');
+  if (options.failing.includes(body.model)) {
+    response.writeHead(500).end();
+    return;
+  }
   response.writeHead(200, {'content-type': 'text/event-stream'});
   await sleep(options.firstTokenMs);
   const resumeOffset = Number(header('x-resume-offset') || 0);
--- a/testing/stand_ins/stand_in_options.ts
+++ b/testing/stand_ins/stand_in_options.ts
@@ -28,6 +28,8 @@
   firstTokenMs: z.number().default(5),
   /** The time between tokens. */
   tokenMs: z.number().default(2),
+  /** Versions that answer every request with an error. */
+  failing: z.array(z.string()).default([]),
   /** Whether a stream can be resumed at an offset. */
   resumes: z.boolean().default(true),
 });
--- a/testing/system/places.ts
+++ b/testing/system/places.ts
@@ -56,7 +56,12 @@
     name: `w${index}`,
     ...place(index),
     ...(index < 6
-      ? {kind: 'engine', pool: 'drafting', versions: VERSIONS}
+      ? {
+          kind: 'engine',
+          pool: 'drafting',
+          versions: [...VERSIONS, 'draft/next'],
+          failing: ['draft/next'],
+        }
       : {kind: 'service', pool: 'booking'}),
     announceTo: indexes
       .filter(host => host % 3 === index % 3)
--- a/testing/system/scenario.ts
+++ b/testing/system/scenario.ts
@@ -169,6 +169,25 @@
     this.inForce.push({version: this.version, atMs: Date.now()});
   }
 
+  /** Begins the roll-out of a version whose engines answer with errors. */
+  async startBadRollout(): Promise<void> {
+    const {versions} = createDeclaration(this.version, this.customers);
+    const [, stable] = versions;
+    await this.apply({
+      versions: [...versions, {...stable, name: 'next', completion_price: 20}],
+      rollouts: [
+        {
+          model: 'draft',
+          version: 'next',
+          stable: 'large',
+          stages: [0.1, 0.5, 1],
+          stage_s: 5,
+          stage_ratings: 0,
+        },
+      ],
+    });
+  }
+
   /** Starts a load that records into this scenario. */
   startLoad(seed: number, options: Partial<LoadOptions> = {}): Load {
     return new Load({
@@ -239,7 +258,7 @@
         allowed: new Map(
           this.customers.map(each => [
             each.name,
-            new Set(['draft/small', 'draft/large', '']),
+            new Set(['draft/small', 'draft/large', 'draft/next', '']),
           ]),
         ),
       });
--- a/testing/system/system.ts
+++ b/testing/system/system.ts
@@ -90,6 +90,7 @@
     leaving: boolean;
     versions: readonly string[];
   }>;
+  readonly rollouts?: ReadonlyArray<{status: string; reason: string}>;
   readonly control?: {leader: string | null; applied: number};
 }
 
--- a/tools/matrix/steps.ts
+++ b/tools/matrix/steps.ts
@@ -26,6 +26,9 @@
 /** How long an operator resends a file. */
 const APPLY_TIMEOUT_MS = 30_000;
 
+/** What callers of bookings wait for; the system must end by then. */
+const BOOKING_DEADLINE_MS = 10_000;
+
 const RETRY_PAUSE_MS = 300;
 
 const ENGINES = ['e1', 'e2', 'e3'];
@@ -77,7 +80,12 @@
 }
 
 function createBooking(id: string): CallerRequest {
-  return {key: id, content: `{"door":"${id}"}`, service: 'booking/bookings'};
+  return {
+    key: id,
+    content: `{"door":"${id}"}`,
+    service: 'booking/bookings',
+    deadlineMs: BOOKING_DEADLINE_MS,
+  };
 }
 
 async function runRequest(
--- /dev/null
+++ b/tools/story/main.ts
@@ -0,0 +1,80 @@
+/**
+ * `npm run story -- plovdiv|tamar [--seed S] [--steady SECONDS]`: one user's
+ * day at today's size, with everything that fails in it.
+ */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Command} from 'commander';
+import {createTodaysPlaces} from '../../testing/system/places.ts';
+import {Scenario} from '../../testing/system/scenario.ts';
+import {computeFigures, formatFigures, type PhaseFigures} from './figures.ts';
+import {phases} from './phases.ts';
+
+const users = {
+  plovdiv: {
+    places: createTodaysPlaces(
+      ['plovdiv', 'sofia'],
+      ['plovdiv-a', 'plovdiv-b', 'sofia-a'],
+    ),
+    // Letters and notices: long answers, few bookings.
+    load: {openPerCustomer: 2, pauseMs: 60},
+  },
+  tamar: {
+    places: createTodaysPlaces(
+      ['north', 'south'],
+      ['launceston', 'devonport', 'hobart'],
+    ),
+    load: {openPerCustomer: 2, pauseMs: 30},
+  },
+} as const;
+
+const command = new Command('story')
+  .argument('<user>', 'plovdiv or tamar')
+  .option('--seed <seed>', 'the seed of the load', '1')
+  .option('--steady <seconds>', 'the time before the first fault', '10');
+command.parse();
+const {seed, steady} = command.opts<{seed: string; steady: string}>();
+const user = users[command.args[0] as keyof typeof users];
+if (!user) throw new Error(`Could not find the user "${command.args[0]}"`);
+
+const figures: PhaseFigures[] = [];
+const broken: string[] = [];
+const scenario = await Scenario.start({
+  ...user.places,
+  customers: 10,
+  network: {dataCentreMs: 1.5, regionMs: 30, callerMs: 3},
+});
+try {
+  {
+    await using _load = scenario.startLoad(Number(seed), user.load);
+    await runPhase('steady', () => sleep(Number(steady) * 1_000));
+    for (const [name, run] of Object.entries(phases)) {
+      await runPhase(name, () => run(scenario));
+    }
+  }
+  broken.push(...(await scenario.check('h0')));
+} finally {
+  await scenario[Symbol.asyncDispose]();
+}
+const exposed = scenario.system
+  .listRuns()
+  .filter(run => run.version === 'draft/next').length;
+console.log(formatFigures(figures));
+console.log(`Runs on the version that went bad: ${exposed}`);
+console.log(`What did not hold: ${broken.length === 0 ? 'nothing' : ''}`);
+for (const each of broken.slice(0, 20)) console.log(`- ${each}`);
+process.exit(broken.length === 0 ? 0 : 1);
+
+async function runPhase(
+  name: string,
+  run: () => Promise<unknown>,
+): Promise<void> {
+  const fromMs = Date.now();
+  try {
+    await run();
+  } catch (error) {
+    broken.push(`${name}: ${(error as Error).message}`);
+  }
+  const phase = computeFigures(name, scenario.calls, fromMs, Date.now());
+  figures.push(phase);
+  console.error(JSON.stringify(phase));
+}
--- /dev/null
+++ b/tools/story/phases.ts
@@ -0,0 +1,71 @@
+/** What happens in a story, one after the other, while callers go on. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Scenario} from '../../testing/system/scenario.ts';
+
+/** How long the regions are parted. */
+const CUT_MS = 15_000;
+
+/** How long a roll-out has to halt by itself. */
+const HALT_MS = 20_000;
+
+/** Hosts of the second region. */
+const FAR = /^[hw][258]$/;
+
+/** All phases in their order. */
+export const phases: Readonly<
+  Record<string, (scenario: Scenario) => Promise<unknown>>
+> = {
+  'operators race': async scenario => {
+    const results = await scenario.race(['h0', 'h1', 'h3', 'h4']);
+    const won = results.filter(result => result.code === 0).length;
+    if (won !== 1) throw new Error(`${won} operators won a race`);
+  },
+  'every daemon restarts in turn': async scenario => {
+    for (const host of scenario.system.daemons.keys()) {
+      const code = await scenario.stopDaemon(host);
+      if (code !== 0) throw new Error(`${host} stopped with code ${code}`);
+      scenario.system.daemons.get(host)?.start();
+      await scenario.system.waitReady(host);
+    }
+  },
+  'every daemon is killed in turn': async scenario => {
+    for (const [host, daemon] of scenario.system.daemons) {
+      await daemon.kill();
+      daemon.start();
+      await scenario.system.waitReady(host);
+    }
+  },
+  'the regions part': async scenario => {
+    const mend = scenario.system.proxy.cut(
+      (from, to) => from !== 'caller' && FAR.test(from) !== FAR.test(to),
+    );
+    await sleep(CUT_MS);
+    mend();
+  },
+  'the regions meet again': async scenario => {
+    await scenario.system.waitUntilReady();
+    await scenario.waitForEndpoints(9);
+  },
+  'two disks are lost, one after the repair of the other': async scenario => {
+    for (const host of ['h0', 'h1']) {
+      await scenario.system.daemons.get(host)?.kill();
+      await scenario.system.loseDisk(host);
+      scenario.system.daemons.get(host)?.start();
+      await scenario.system.waitReady(host);
+      await scenario.waitForRepair(host);
+    }
+  },
+  'a version is withdrawn': scenario => scenario.withdraw('draft/small', 'h2'),
+  'after the withdrawal': () => sleep(3_000),
+  'a roll-out goes bad': async scenario => {
+    await scenario.startBadRollout();
+    const deadline = Date.now() + HALT_MS;
+    while (Date.now() < deadline) {
+      const status = await scenario.system.readStatus('h0');
+      const state = status.rollouts?.[0]?.status;
+      if (state === 'withdrawn' || state === 'backed-out') return;
+      await sleep(100);
+    }
+    throw new Error(`the roll-out did not halt within ${HALT_MS} ms`);
+  },
+};
