--- a/testing/system/child_process.ts
+++ b/testing/system/child_process.ts
@@ -2,6 +2,16 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
 
+/** The processes that run now; none of them outlives this one. */
+const children = new Set<ChildProcess>();
+
+process.once('exit', () => {
+  for (const child of children) child.kill('SIGKILL');
+});
+for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+  process.once(signal, () => process.exit(1));
+}
+
 /** A child process that a test controls. */
 export class TestProcess implements AsyncDisposable {
   private child: ChildProcess | null = null;
@@ -30,6 +40,8 @@
     if (!program) throw new Error('Could not start: no program is given');
     const child = spawn(program, args, {stdio: ['ignore', 'pipe', 'pipe']});
     this.child = child;
+    children.add(child);
+    child.once('exit', () => children.delete(child));
     child.stdout.on('data', (data: Buffer) => this.keep(data));
     child.stderr.on('data', (data: Buffer) => this.keep(data));
   }
