Show the members of each group, and wait for a repair by them

Cause: the story waited for the applied index of the control group alone and took the second disk while the first host was not yet a member of the ledger again, so a majority was lost by the test itself. Change: the status shows each group's members by their disk, and a repair is done when every voter is there and has applied what the leader had.

--- a/src/cli/serve/operator_service.ts
+++ b/src/cli/serve/operator_service.ts
@@ -15,6 +15,7 @@
 import {checkDeclaration} from '../../protocol/check_declaration.ts';
 import {digestDeclaration} from '../../protocol/digest_declaration.ts';
 import type {OperatorService} from '../../transport/public/operator_routes.ts';
+import {describeGroups} from './describe_groups.ts';
 import type {CallReplica} from './call_replica.ts';
 import type {Replicas} from './replicas.ts';
 
@@ -72,6 +73,7 @@
         hosts: lease.listHosts(),
         endpoints: endpoints.list(),
         ledgers: replicas.ledgers.map(ledger => ledger.describeSummary()),
+        groups: describeGroups(replicas),
         control: control && {
           leader: control.leader,
           term: control.term,
--- a/testing/cases/configuration_under_faults_test.ts
+++ b/testing/cases/configuration_under_faults_test.ts
@@ -139,7 +139,7 @@
       await system.daemons.get(host)?.kill();
       await system.loseDisk(host);
       await restart(host);
-      await scenario.waitForRepair(host);
+      await scenario.waitForRepair();
       await scenario.waitForAnswers(20);
     }
   }
--- a/testing/system/scenario.ts
+++ b/testing/system/scenario.ts
@@ -12,6 +12,7 @@
   System,
   waitFor,
   type CommandResult,
+  type HostStatus,
   type SystemOptions,
 } from './system.ts';
 
@@ -21,6 +22,9 @@
 /** How long bills may take to reach the host that is asked for them. */
 const BILLS_TIMEOUT_MS = 8_000;
 
+/** How long a repair may take. */
+const REPAIR_TIMEOUT_MS = 30_000;
+
 /** The pause between declarations that are sent in quick succession. */
 const APPLY_INTERVAL_MS = 20;
 
@@ -140,14 +144,24 @@
     return statuses.filter(status => status === 200).length;
   }
 
-  /** Waits until a host has applied all that the leader has. */
-  async waitForRepair(host: string): Promise<void> {
-    const leader = await this.system.findLeader();
-    const {control} = await this.system.readStatus(leader);
-    await waitFor(`${host} is repaired`, async () => {
-      const status = await this.system.readStatus(host);
-      return (status.control?.applied ?? -1) >= (control?.applied ?? 0);
-    });
+  /**
+   * Waits until every voter of every group is on a disk that is there and has
+   * applied what the leader had.
+   */
+  async waitForRepair(): Promise<void> {
+    await waitFor(
+      'the groups are repaired',
+      async () => {
+        const hosts = this.system.listDiskHosts();
+        const statuses = await Promise.all(
+          hosts.map(host => this.system.readStatus(host)),
+        );
+        return isRepaired(
+          new Map(hosts.map((host, index) => [host, statuses[index]?.groups])),
+        );
+      },
+      REPAIR_TIMEOUT_MS,
+    );
   }
 
   /** Withdraws a version and notes when that was in force. */
@@ -291,3 +305,27 @@
     }
   }
 }
+
+type Groups = HostStatus['groups'] | undefined;
+
+/** Whether all voters, as the leaders name them, are there and current. */
+function isRepaired(hosts: ReadonlyMap<string, Groups>): boolean {
+  const names = new Set(
+    [...hosts.values()].flatMap(groups => groups?.map(each => each.group)),
+  );
+  return [...names].every(group => {
+    const find = (host: string | null) =>
+      hosts.get(host ?? '')?.find(each => each.group === group);
+    const leader = find(
+      [...hosts.keys()].find(host => find(host)?.leader === host) ?? null,
+    );
+    if (!leader?.membership || !leader.settled) return false;
+    return leader.membership.voters.every(voter => {
+      const member = find(voter.name);
+      return (
+        member?.incarnation === voter.incarnation &&
+        member.applied >= leader.applied
+      );
+    });
+  });
+}
--- a/testing/system/system.ts
+++ b/testing/system/system.ts
@@ -91,6 +91,16 @@
     versions: readonly string[];
   }>;
   readonly rollouts?: ReadonlyArray<{status: string; reason: string}>;
+  readonly groups: ReadonlyArray<{
+    group: string;
+    incarnation: string;
+    leader: string | null;
+    applied: number;
+    membership: {
+      voters: ReadonlyArray<{name: string; incarnation: string}>;
+    } | null;
+    settled: boolean;
+  }>;
   readonly control?: {leader: string | null; applied: number};
 }
 
--- a/tools/matrix/faults.ts
+++ b/tools/matrix/faults.ts
@@ -50,7 +50,7 @@
     return async () => {
       scenario.system.daemons.get(leader)?.start();
       await scenario.system.waitReady(leader);
-      await scenario.waitForRepair(leader);
+      await scenario.waitForRepair();
     };
   },
   'endpoint killed': async ({scenario, endpoint}) => {
--- a/tools/matrix/steps.ts
+++ b/tools/matrix/steps.ts
@@ -205,7 +205,7 @@
   system.daemons.get('a1')?.start();
   if (done) {
     await system.waitReady('a1');
-    await scenario.waitForRepair('a1');
+    await scenario.waitForRepair();
   }
   await run.inject('e1');
   const request = createChat(run.id);
--- a/tools/story/phases.ts
+++ b/tools/story/phases.ts
@@ -52,7 +52,7 @@
       await scenario.system.loseDisk(host);
       scenario.system.daemons.get(host)?.start();
       await scenario.system.waitReady(host);
-      await scenario.waitForRepair(host);
+      await scenario.waitForRepair();
     }
   },
   'a version is withdrawn': scenario => scenario.withdraw('draft/small', 'h2'),
