--- a/tools/story/main.ts
+++ b/tools/story/main.ts
@@ -43,6 +43,7 @@
 
 const figures: PhaseFigures[] = [];
 const broken: string[] = [];
+let exposed = 0;
 const scenario = await Scenario.start({
   ...user.places,
   customers: 10,
@@ -58,12 +59,12 @@
     }
   }
   broken.push(...(await scenario.check('h0')));
+  exposed = scenario.system
+    .listRuns()
+    .filter(run => run.version === 'draft/next').length;
 } finally {
   await scenario[Symbol.asyncDispose]();
 }
-const exposed = scenario.system
-  .listRuns()
-  .filter(run => run.version === 'draft/next').length;
 console.log(formatFigures(figures));
 console.log(`Runs on the version that went bad: ${exposed}`);
 console.log(`What did not hold: ${broken.length === 0 ? 'nothing' : ''}`);
