--- a/src/state/ledger/claims.ts
+++ b/src/state/ledger/claims.ts
@@ -31,11 +31,15 @@
   answer?: StoredAnswer;
 }
 
-/** What a snapshot holds of the claims. */
+/**
+ * What a snapshot holds of the claims: JSON bytes of `[id, claim]` pairs. The
+ * engine writes them several times faster than the codec of the log writes
+ * records, and a snapshot is written in one step.
+ */
 export interface ClaimsSnapshot {
-  open: Array<[string, Claim]>;
-  settled: Array<[string, Claim]>;
-  brief: Array<[string, Claim]>;
+  open: Uint8Array;
+  settled: Uint8Array;
+  brief: Uint8Array;
 }
 
 /** What a sweep removes. */
@@ -144,9 +148,9 @@
 
   createSnapshot(): ClaimsSnapshot {
     return {
-      open: [...this.open],
-      settled: [...this.settled],
-      brief: [...this.brief],
+      open: encodeClaims(this.open),
+      settled: encodeClaims(this.settled),
+      brief: encodeClaims(this.brief),
     };
   }
 
@@ -155,9 +159,15 @@
       map.clear();
     }
     this.storedBytes = 0;
-    for (const [id, claim] of snapshot.open) this.open.set(id, claim);
-    for (const [id, claim] of snapshot.settled) this.end(id, claim, false);
-    for (const [id, claim] of snapshot.brief) this.end(id, claim, true);
+    for (const [id, claim] of decodeClaims(snapshot.open)) {
+      this.open.set(id, claim);
+    }
+    for (const [id, claim] of decodeClaims(snapshot.settled)) {
+      this.end(id, claim, false);
+    }
+    for (const [id, claim] of decodeClaims(snapshot.brief)) {
+      this.end(id, claim, true);
+    }
   }
 
   private forgetBefore(
@@ -188,6 +198,15 @@
   }
 }
 
+function encodeClaims(claims: ReadonlyMap<string, Claim>): Uint8Array {
+  return Buffer.from(JSON.stringify([...claims]));
+}
+
+function decodeClaims(bytes: Uint8Array): Array<[string, Claim]> {
+  const text = Buffer.from(bytes).toString('utf8');
+  return JSON.parse(text) as Array<[string, Claim]>;
+}
+
 function isFirstBefore(
   claims: ReadonlyMap<string, Claim>,
   beforeMs: number,
--- a/src/state/ledger/ledger_state_test.ts
+++ b/src/state/ledger/ledger_state_test.ts
@@ -81,6 +81,19 @@
   return restored;
 }
 
+/** A snapshot with its claims as values, whatever the order of their keys. */
+function readSnapshot(state: LedgerState): unknown {
+  const {claims, ...rest} = state.createSnapshot();
+  const parse = (bytes: Uint8Array): unknown =>
+    JSON.parse(Buffer.from(bytes).toString('utf8'));
+  return {
+    ...rest,
+    open: parse(claims.open),
+    settled: parse(claims.settled),
+    brief: parse(claims.brief),
+  };
+}
+
 test('a lost claim is never run again, yet its gateway may bill it', () => {
   const state = new LedgerState();
   state.apply(admit('r1', 'k'));
@@ -225,7 +238,7 @@
       return copy(restored);
     }, new LedgerState());
     // Both as a snapshot holds them: without keys that have no value.
-    assert.equal(open.createSnapshot(), copy(state).createSnapshot());
+    assert.equal(readSnapshot(open), readSnapshot(copy(state)));
   });
   fc.assert(property, {seed: 11, numRuns: 150});
 });
