Measure the write gap after the loss of a leader

Cause: the gap was bounded on a simulated clock only. Change: a section of bench:log that cuts the leader off. The benchmark closes its files.

--- a/tools/bench_log/local_group.ts
+++ b/tools/bench_log/local_group.ts
@@ -20,6 +20,9 @@
 /** Groups of three replicas. */
 export class LocalGroups implements AsyncDisposable {
   readonly replicas = new Map<string, LocalReplica>();
+  private readonly storages: AsyncDisposable[] = [];
+  /** Hosts that neither ask nor answer any more. */
+  readonly cut = new Set<string>();
 
   private constructor(private readonly folder: string) {}
 
@@ -48,7 +51,9 @@
   async findLeader(group: string): Promise<LocalReplica> {
     for (;;) {
       const replicas = HOSTS.map(host => this.get(group, host));
-      const leader = replicas.find(replica => replica.isLeader());
+      const leader = replicas.find(
+        (replica, n) => !this.cut.has(HOSTS[n] ?? '') && replica.isLeader(),
+      );
       if (leader) return leader;
       await sleep(20);
     }
@@ -58,6 +63,7 @@
     await Promise.all(
       [...this.replicas.values()].map(each => each[Symbol.asyncDispose]()),
     );
+    await Promise.all(this.storages.map(each => each[Symbol.asyncDispose]()));
     await rm(this.folder, {recursive: true, force: true});
   }
 
@@ -65,6 +71,7 @@
     const folder = join(this.folder, host, group);
     const storage = await openFileLog({folder});
     if (!storage.ok) throw storage.error;
+    this.storages.push(storage.value);
     const replica = await Replica.open<string, number>({
       group,
       name: host,
@@ -72,7 +79,17 @@
       voterCount: HOSTS.length,
       storage: storage.value,
       stateMachine: createCounter(),
-      getPeer: name => connect(group, name),
+      getPeer: name => {
+        const peer = connect(group, name);
+        const isCut = () => this.cut.has(host);
+        return {
+          ...peer,
+          append: async (request, timeoutMs) => {
+            if (isCut()) throw new Error('Could not reach the host');
+            return peer.append(request, timeoutMs);
+          },
+        };
+      },
       clock: systemClock,
       random: Math.random,
       logger: silentLogger,
@@ -82,14 +99,17 @@
 
   private connectDirectly(): Connect {
     return (group, host) => {
-      const find = () => this.get(group, host);
+      const find = () => {
+        if (this.cut.has(host)) throw new Error('Could not reach the host');
+        return this.get(group, host);
+      };
       return {
-        vote: request => find().handleVote(request),
-        append: request => find().handleAppend(request),
-        installSnapshot: request => find().handleInstall(request),
+        vote: async request => find().handleVote(request),
+        append: async request => find().handleAppend(request),
+        installSnapshot: async request => find().handleInstall(request),
         describeReplica: async () => find().describe(),
-        formGroup: request => find().handleForm(request),
-        transferLeadership: request => find().handleTransfer(request),
+        formGroup: async request => find().handleForm(request),
+        transferLeadership: async request => find().handleTransfer(request),
       };
     };
   }
--- a/tools/bench_log/main.ts
+++ b/tools/bench_log/main.ts
@@ -55,6 +55,28 @@
   );
 }
 
+/** The time from the loss of a leader to the next commit. */
+async function measureWriteGap(rounds: number) {
+  const gaps: number[] = [];
+  for (let round = 0; round < rounds; round++) {
+    await using groups = await LocalGroups.start(1);
+    const leader = await groups.findLeader('g0');
+    await leader.propose(COMMAND);
+    const lostAt = performance.now();
+    groups.cut.add(leader.leader ?? '');
+    for (;;) {
+      const next = await groups.findLeader('g0');
+      const reply = await next.propose(COMMAND);
+      if (reply.type === 'committed') break;
+    }
+    gaps.push(Math.round(performance.now() - lostAt));
+  }
+  gaps.sort((a, b) => a - b);
+  console.log(
+    `write gap, ${rounds} losses of the leader: ${gaps.join(' ')} ms`,
+  );
+}
+
 /** The time to open a log and its snapshotless tail. */
 async function measureRecovery(count: number, bytes: number) {
   const folder = await mkdtemp(join(tmpdir(), 'bench-recovery-'));
@@ -154,6 +176,9 @@
       }
     }
   },
+  async gap() {
+    await measureWriteGap(12);
+  },
   async recovery() {
     for (const count of [500, 5_000, 50_000]) await measureRecovery(count, 400);
     await measureRecovery(500, 10_000);
