Count a customer's concurrency in each pool

Cause: it was counted over all pools, so calls that hung in a dead service used it up and kept the customer from the good one. Ruled out: the pools' own bulkheads, which are apart. The new test failed before and passes now; 12 of 12 tests of the limits pass.

--- a/src/coordination/limits/create_limiter.ts
+++ b/src/coordination/limits/create_limiter.ts
@@ -19,13 +19,12 @@
 /** Creates a limiter without requests. */
 export function createLimiter(options: LimiterOptions): ObservableLimiter {
   const pools = new Map<string, PoolLimiter>();
-  const running = new Map<string, number>();
   return {
     acquire(request) {
       let limiter = pools.get(request.pool);
       if (!limiter) {
         const getCapacity = () => options.getCapacity(request.pool);
-        limiter = new PoolLimiter({...options, running, getCapacity});
+        limiter = new PoolLimiter({...options, getCapacity});
         pools.set(request.pool, limiter);
       }
       return limiter.acquire(request);
--- a/src/coordination/limits/create_limiter_test.ts
+++ b/src/coordination/limits/create_limiter_test.ts
@@ -138,6 +138,16 @@
   assert.equal((await third).ok, true);
 });
 
+test('acquire() lets a pool take nothing from a customer in another', async () => {
+  const {acquire, take} = create({
+    dead: {slots: 8, queue: 8},
+    good: {slots: 8, queue: 8},
+  });
+  await take({pool: 'dead', concurrency: 1});
+  const other = await acquire({pool: 'good', concurrency: 1});
+  assert.equal(other.ok, true);
+});
+
 test('acquire() lets a returning pool fill step by step', async () => {
   const capacities = {p: {slots: 0, queue: 100}};
   const {clock, limiter, acquire} = create(capacities);
--- a/src/coordination/limits/pool_limiter.ts
+++ b/src/coordination/limits/pool_limiter.ts
@@ -10,8 +10,6 @@
   /** Returns a number from 0 up to 1. */
   readonly random: () => number;
   readonly getCapacity: () => PoolCapacity;
-  /** Requests of each customer that run, over all pools. */
-  readonly running: Map<string, number>;
 }
 
 interface Waiter extends QueuedRequest {
@@ -48,6 +46,8 @@
 export class PoolLimiter {
   private readonly queue = new FairQueue<Waiter>();
   private readonly adaptive = createAdaptiveLimit();
+  /** Requests that run, by customer. */
+  private readonly running = new Map<string, number>();
   private runningCount = 0;
   private holdMs = INITIAL_HOLD_MS;
   private ticking = false;
@@ -177,7 +177,8 @@
   }
 
   private grant(customer: string, queuedMs: number): Permit {
-    const {clock, running} = this.options;
+    const {running} = this;
+    const {clock} = this.options;
     const since = clock.monotonic();
     this.runningCount++;
     running.set(customer, this.countRunning(customer) + 1);
@@ -217,7 +218,7 @@
   }
 
   private countRunning(customer: string): number {
-    return this.options.running.get(customer) ?? 0;
+    return this.running.get(customer) ?? 0;
   }
 
   private refuse(reason: Refusal['reason'], waitMs = 0): Refusal {
--- a/src/protocol/declaration.ts
+++ b/src/protocol/declaration.ts
@@ -77,7 +77,7 @@
   targets: z.array(targetSchema).default([]),
   /** The share of contended capacity relative to other customers. */
   weight: z.number().positive().default(1),
-  /** The most requests of the customer that run at once in all. */
+  /** The most requests of the customer at once, in each pool of a gateway. */
   concurrency: z.int().positive().default(64),
   /** Whether exploration of unproven versions is allowed. */
   explore: z.boolean().default(false),
