Let more connections wait to be accepted

Cause: 2,000 callers that came within 5 s filled the queue of 511 connections while the gateway was busy; 546 gave up after 10 s. Ruled out: the bounds of connections, which reset instead of time out. Change: the queue holds 4,096.

--- a/src/transport/public/public_server.ts
+++ b/src/transport/public/public_server.ts
@@ -42,6 +42,9 @@
 /** The most open connections in all. */
 const MAX_CONNECTIONS = 10_000;
 
+/** The most connections that wait to be accepted. */
+const MAX_PENDING_CONNECTIONS = 4_096;
+
 /** The most open connections from one IP number. */
 const MAX_CONNECTIONS_PER_ADDRESS = 4_000;
 
@@ -93,7 +96,8 @@
   );
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
-    server.listen(options.port, options.host, resolve);
+    const {host, port} = options;
+    server.listen({host, port, backlog: MAX_PENDING_CONNECTIONS}, resolve);
   });
   return {
     closeIdleConnections: () => server.closeIdleConnections(),
