--- a/src/cli/commands/bills_command.ts
+++ b/src/cli/commands/bills_command.ts
@@ -1,4 +1,4 @@
-/** `bills export`: all bills, one JSON object a line. */
+/** `bills export` and `bills archive`: what was billed. */
 import type {Command} from 'commander';
 import type {BillPage, BillRecord} from '../../protocol/ledger.ts';
 import {succeed, type Outcome} from '../../protocol/outcome.ts';
@@ -6,6 +6,7 @@
   addConnection,
   ask,
   printAnswer,
+  send,
   type Answer,
   type Connection,
 } from './connection.ts';
@@ -15,6 +16,11 @@
   readonly after: string;
 }
 
+interface ArchiveOptions extends Connection {
+  readonly shard: string;
+  readonly through: string;
+}
+
 /** Adds the command to `program`. */
 export function addBillsCommand(program: Command): void {
   const bills = program.command('bills').description('read what was billed');
@@ -28,6 +34,21 @@
         body.map(bill => JSON.stringify(bill)).join('\n'),
       );
     });
+  addConnection(bills.command('archive'))
+    .description('drop exported bills from memory; totals stay')
+    .requiredOption('--shard <number>', 'the ledger shard')
+    .requiredOption('--through <sequence>', 'the last bill that was exported')
+    .action(async (options: ArchiveOptions) => {
+      const answer = await send(options, '/operator/bills/archive', {
+        shard: Number(options.shard),
+        through: Number(options.through),
+      });
+      printAnswer(
+        options,
+        answer,
+        () => `Bills through ${options.through} are archived.`,
+      );
+    });
 }
 
 /** Reads every shard to its end; the first failure ends the export. */
