--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -10,6 +10,9 @@
 /** How long one test file may run. */
 const FILE_TIMEOUT_MS = 300_000;
 
+/** How long a file's process may go on after its last test. */
+const EXIT_GRACE_MS = 10_000;
+
 /** How many files of unit tests run at once. */
 const UNIT_TESTS_AT_ONCE = 4;
 
@@ -54,17 +57,24 @@
 }
 
 function execute(file) {
+  const options = {
+    timeout: FILE_TIMEOUT_MS,
+    maxBuffer: 64 * 1024 * 1024,
+    env: {...process.env, NO_COLOR: '1'},
+  };
+  const args = ['--import', 'tsx', file];
   return new Promise(resolve => {
-    execFile(
+    const child = execFile(
       process.execPath,
-      ['--import', 'tsx', file],
-      {
-        timeout: FILE_TIMEOUT_MS,
-        maxBuffer: 64 * 1024 * 1024,
-        env: {...process.env, NO_COLOR: '1'},
-      },
+      args,
+      options,
       (error, stdout, stderr) => resolve({code: error ? 1 : 0, stdout, stderr}),
     );
+    child.stdout.on('data', text => {
+      // A file that ended but holds its process open has failed.
+      if (!String(text).includes('Duration:')) return;
+      setTimeout(() => child.kill('SIGTERM'), EXIT_GRACE_MS).unref();
+    });
   });
 }
 
