Send proposals that arrive together as one call

Cause: with the ledger on another host each request made two calls through trpc, which a profile-free comparison of processor time showed: 2.58 ms a request against 1.07 ms with the ledger at hand. Ruled out: the commit itself, whose cost the other host bears. Commands of one group and turn of the event loop now share a call; local proposals go straight on.

--- a/src/cli/serve/daemon.ts
+++ b/src/cli/serve/daemon.ts
@@ -12,6 +12,7 @@
 import {DemandTable} from '../../coordination/placement/demand_table.ts';
 import {EvidenceCollector} from '../../coordination/rollout/evidence_collector.ts';
 import {EvidenceLedger} from '../../coordination/rollout/evidence_ledger.ts';
+import {batchProposals} from '../../coordination/replication/batch_proposals.ts';
 import {createProposer} from '../../coordination/replication/proposer.ts';
 import {createLedgerClient} from '../../coordination/requests/ledger_client.ts';
 import {createMetrics} from '../../transport/metrics/create_metrics.ts';
@@ -102,10 +103,15 @@
   const callReplica = createReplicaCaller(settings, links, service);
   relay = openLeaseRelay(parts, replicas, callReplica);
   const listReplicas = () => orderReplicas(settings);
+  const proposeRemotely = batchProposals((name, request, timeoutMs) =>
+    callReplica(name).proposeAll(request, timeoutMs),
+  );
   const propose = createProposer({
     listReplicas,
     call: (name, request, timeoutMs) =>
-      callReplica(name).propose(request, timeoutMs),
+      name === settings.name
+        ? service.propose(request)
+        : proposeRemotely(name, request, timeoutMs),
     clock,
   });
   let leaving = false;
--- a/src/cli/serve/peer_service.ts
+++ b/src/cli/serve/peer_service.ts
@@ -4,6 +4,7 @@
   LedgerRead,
   LedgerReadReply,
   PeerService,
+  ProposeReply,
 } from '../../protocol/peer_service.ts';
 import {createLeaseService} from '../../coordination/leases/lease_service.ts';
 import type {EndpointTable} from '../../coordination/membership/endpoint_table.ts';
@@ -40,11 +41,9 @@
     : null;
   return {
     ...createReplicationService(replicas),
-    propose: async ({group, command}) =>
-      replicas.get(group)?.propose(command) ?? {
-        type: 'not-leader',
-        leader: null,
-      },
+    propose: ({group, command}) => proposeTo(replicas, group, command),
+    proposeAll: ({group, commands}) =>
+      Promise.all(commands.map(command => proposeTo(replicas, group, command))),
     renewLease: options.renewLease,
     grantLeases: async request =>
       grantLeases?.(request) ?? {type: 'not-leader', leader: null},
@@ -101,3 +100,12 @@
     status: ledger.describeSummary(),
   };
 }
+
+async function proposeTo(
+  replicas: Replicas,
+  group: string,
+  command: unknown,
+): Promise<ProposeReply> {
+  const replica = replicas.get(group);
+  return replica?.propose(command) ?? {type: 'not-leader', leader: null};
+}
--- a/src/protocol/peer_service.ts
+++ b/src/protocol/peer_service.ts
@@ -29,6 +29,14 @@
   command: z.unknown(),
 });
 
+/** Commands of one group that are proposed together. */
+export const proposeAllRequestSchema = z.object({
+  group: z.string(),
+  commands: z.array(z.unknown()).max(256),
+});
+
+export type ProposeAllRequest = z.infer<typeof proposeAllRequestSchema>;
+
 export type ProposeRequest = z.infer<typeof proposeRequestSchema>;
 
 /** What became of a proposal. */
@@ -111,6 +119,7 @@
   checkInForce: inForceRequestSchema,
   ...replicationSchemas,
   propose: proposeRequestSchema,
+  proposeAll: proposeAllRequestSchema,
   renewLease: leaseRequestSchema,
   exchange: exchangeRequestSchema,
 } as const;
@@ -120,6 +129,8 @@
   /** Takes evidence in; false where this daemon does not lead. */
   reportEvidence(report: EvidenceReport): Promise<{readonly taken: boolean}>;
   propose(request: ProposeRequest): Promise<ProposeReply>;
+  /** Proposes several commands; a reply for each, in their order. */
+  proposeAll(request: ProposeAllRequest): Promise<readonly ProposeReply[]>;
   /** Answers a daemon's renewal, at any replica of the control group. */
   renewLease(request: LeaseRequest): Promise<LeaseReply>;
   /** Grants what a replica gathered, at the leader of the control group. */
