Let one periodic task serve four controllers

The loop of sleep, step and report stood in four places, and the choice of versions in two: select_version served only tests, which now go through eligible_versions like the rest. Behaviour as before.

--- a/src/coordination/placement/placement_controller.ts
+++ b/src/coordination/placement/placement_controller.ts
@@ -13,13 +13,14 @@
 import type {Logger} from '../../protocol/logger.ts';
 import type {Order, OrderReply} from '../../protocol/order.ts';
 import type {Endpoint} from '../membership/endpoint_table.ts';
-import {isWithdrawn} from '../routing/select_version.ts';
+import {isWithdrawn} from '../routing/eligible_versions.ts';
 import type {DemandTable} from './demand_table.ts';
 import {
   planPlacement,
   type PlacementEndpoint,
   type PlannedOrder,
 } from './plan_placement.ts';
+import {startPeriodicTask} from '../periodic_task.ts';
 
 /** How often the placement is looked at. */
 const STEP_INTERVAL_MS = 2_000;
@@ -60,10 +61,9 @@
 
 /** Runs until disposed. */
 export class PlacementController implements AsyncDisposable {
-  private readonly stopped = new AbortController();
   private readonly outstanding = new Map<string, Outstanding>();
   private readonly regrets = new Map<string, number>();
-  private task: Promise<void> = Promise.resolve();
+  private task: AsyncDisposable | null = null;
   private fencing: number | null = null;
   private fencingTerm = -1;
   private steppedAt = 0;
@@ -71,7 +71,14 @@
   constructor(private readonly options: PlacementControllerOptions) {}
 
   start(): void {
-    this.task = this.run();
+    const {clock, logger} = this.options;
+    this.task = startPeriodicTask({
+      clock,
+      intervalMs: STEP_INTERVAL_MS,
+      step: () => this.step(),
+      onError: ({message: reason}) =>
+        logger.warn('Could not look at the placement.', {reason}),
+    });
   }
 
   /** Looks at every pool once. */
@@ -97,22 +104,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    this.stopped.abort();
-    await this.task;
-  }
-
-  private async run(): Promise<void> {
-    const {clock, logger} = this.options;
-    while (!this.stopped.signal.aborted) {
-      await clock.sleep(STEP_INTERVAL_MS, this.stopped.signal);
-      if (this.stopped.signal.aborted) return;
-      try {
-        await this.step();
-      } catch (error) {
-        const reason = (error as Error).message;
-        logger.warn('Could not look at the placement.', {reason});
-      }
-    }
+    await this.task?.[Symbol.asyncDispose]();
   }
 
   private forget(): void {
--- a/src/coordination/requests/admission.ts
+++ b/src/coordination/requests/admission.ts
@@ -17,7 +17,7 @@
 import type {LedgerResult} from '../../protocol/ledger.ts';
 import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
 import type {CompletionPlan} from '../routing/completion_plan.ts';
-import {isAllowed, isWithdrawn} from '../routing/select_version.ts';
+import {isAllowed, isWithdrawn} from '../routing/eligible_versions.ts';
 import {waitAtMost, type Deadline} from './deadline.ts';
 import type {RequestContext} from './request_context.ts';
 import {
--- a/src/coordination/requests/answer_run.ts
+++ b/src/coordination/requests/answer_run.ts
@@ -18,7 +18,7 @@
   RouteOptions,
   RoutedAttempt,
 } from '../routing/endpoint_router.ts';
-import {isWithdrawn} from '../routing/select_version.ts';
+import {isWithdrawn} from '../routing/eligible_versions.ts';
 import type {Deadline} from './deadline.ts';
 import type {AttemptError} from './dispatch.ts';
 import {MAX_ATTEMPTS, type RequestContext} from './request_context.ts';
--- a/src/coordination/requests/basic_decisions.ts
+++ b/src/coordination/requests/basic_decisions_fake.ts
@@ -1,4 +1,4 @@
-/** Plain decisions: the cheapest version, the least busy endpoint. */
+/** Decisions for tests: the cheapest version, the least busy endpoint. */
 import type {Clock} from '../../protocol/clock.ts';
 import {succeed} from '../../protocol/outcome.ts';
 import type {Limiter} from '../limits/permit.ts';
@@ -6,7 +6,7 @@
 import type {Endpoint} from '../membership/endpoint_table.ts';
 import type {EndpointRouter} from '../routing/endpoint_router.ts';
 import {selectEndpoint} from '../routing/select_endpoint.ts';
-import {selectVersion} from '../routing/select_version.ts';
+import {findTarget, listEligible} from '../routing/eligible_versions.ts';
 import type {Decisions} from './request_context.ts';
 
 export interface BasicDecisionsOptions {
@@ -27,10 +27,14 @@
         .listEndpoints()
         .filter(endpoint => !endpoint.leaving)
         .flatMap(endpoint => endpoint.versions);
-      const {candidates, rejected} = selectVersion({
+      const {versions, rejected} = listEligible({
         ...request,
         served: new Set(served),
       });
+      const target = findTarget(request.customer, request.requestClass);
+      const candidates = versions
+        .filter(each => each.expected_quality >= (target?.quality ?? 0))
+        .sort((a, b) => a.completion_price - b.completion_price);
       const [first, ...fallbacks] = candidates;
       return {
         steps: first
--- a/src/coordination/requests/ledger_sweeper.ts
+++ b/src/coordination/requests/ledger_sweeper.ts
@@ -10,6 +10,7 @@
 import type {LedgerCommand} from '../../protocol/ledger.ts';
 import type {Logger} from '../../protocol/logger.ts';
 import type {LedgerState} from '../../state/ledger/ledger_state.ts';
+import {startPeriodicTask} from '../periodic_task.ts';
 
 /** How often the ledger is looked through. */
 const SWEEP_INTERVAL_MS = 2_000;
@@ -35,15 +36,20 @@
 
 /** Sweeps one ledger group. Dispose it to stop. */
 export class LedgerSweeper implements AsyncDisposable {
-  private readonly stopped = new AbortController();
   /** When each gateway was first seen without a lease. */
   private readonly missingSince = new Map<string, number>();
-  private task: Promise<void> = Promise.resolve();
+  private task: AsyncDisposable | null = null;
 
   constructor(private readonly options: LedgerSweeperOptions) {}
 
   start(): void {
-    this.task = this.run();
+    const {clock, logger} = this.options;
+    this.task = startPeriodicTask({
+      clock,
+      intervalMs: SWEEP_INTERVAL_MS,
+      step: () => this.sweepOnce(),
+      onError: ({message: reason}) => logger.warn('Could not sweep.', {reason}),
+    });
   }
 
   /** Looks the ledger through once. */
@@ -72,19 +78,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    this.stopped.abort();
-    await this.task;
-  }
-
-  private async run(): Promise<void> {
-    const {clock, logger} = this.options;
-    while (!this.stopped.signal.aborted) {
-      await clock.sleep(SWEEP_INTERVAL_MS, this.stopped.signal);
-      if (this.stopped.signal.aborted) return;
-      await this.sweepOnce().catch((error: Error) =>
-        logger.warn('Could not sweep.', {reason: error.message}),
-      );
-    }
+    await this.task?.[Symbol.asyncDispose]();
   }
 
   /** The gateways whose open claims nobody will settle. */
--- a/src/coordination/requests/request_fakes.ts
+++ b/src/coordination/requests/request_fakes.ts
@@ -10,7 +10,7 @@
 import {LedgerState} from '../../state/ledger/ledger_state.ts';
 import type {Endpoint} from '../membership/endpoint_table.ts';
 import type {CompletionCall} from './admission.ts';
-import {createBasicDecisions} from './basic_decisions.ts';
+import {createBasicDecisions} from './basic_decisions_fake.ts';
 import type {
   AttemptError,
   CompletionAttempt,
--- a/src/coordination/rollout/evidence_reporter.ts
+++ b/src/coordination/rollout/evidence_reporter.ts
@@ -4,6 +4,7 @@
 import {formatVersion} from '../../protocol/declaration.ts';
 import type {EvidenceReport} from '../../protocol/rollout_state.ts';
 import type {EvidenceCollector} from './evidence_collector.ts';
+import {startPeriodicTask} from '../periodic_task.ts';
 
 /** How often changed evidence is sent. */
 const REPORT_INTERVAL_MS = 1_000;
@@ -24,8 +25,7 @@
 
 /** Reports until disposed. Only versions of roll-outs are reported. */
 export class EvidenceReporter implements AsyncDisposable {
-  private readonly stopped = new AbortController();
-  private task: Promise<void> = Promise.resolve();
+  private task: AsyncDisposable | null = null;
   private sentRevision = -1;
   private sentAt = -Infinity;
   private demandSentAt = -Infinity;
@@ -33,7 +33,15 @@
   constructor(private readonly options: EvidenceReporterOptions) {}
 
   start(): void {
-    this.task = this.run();
+    const {clock} = this.options;
+    this.task = startPeriodicTask({
+      clock,
+      intervalMs: REPORT_INTERVAL_MS,
+      step: () => this.step(),
+      onError: () => {
+        // A lost report is made good by the next one.
+      },
+    });
   }
 
   /** Sends a report where one is due. */
@@ -56,16 +64,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    this.stopped.abort();
-    await this.task;
-  }
-
-  private async run(): Promise<void> {
-    while (!this.stopped.signal.aborted) {
-      await this.options.clock.sleep(REPORT_INTERVAL_MS, this.stopped.signal);
-      // A lost report is made good by the next one.
-      await this.step().catch(() => {});
-    }
+    await this.task?.[Symbol.asyncDispose]();
   }
 }
 
--- a/src/coordination/rollout/rollout_controller.ts
+++ b/src/coordination/rollout/rollout_controller.ts
@@ -14,6 +14,7 @@
 } from '../../protocol/rollout_state.ts';
 import {decideRollout, type RolloutDecision} from './decide_rollout.ts';
 import type {EvidenceLedger} from './evidence_ledger.ts';
+import {startPeriodicTask} from '../periodic_task.ts';
 
 /** How often plans are looked at. */
 const STEP_INTERVAL_MS = 500;
@@ -36,13 +37,19 @@
 
 /** Runs until disposed. */
 export class RolloutController implements AsyncDisposable {
-  private readonly stopped = new AbortController();
-  private task: Promise<void> = Promise.resolve();
+  private task: AsyncDisposable | null = null;
 
   constructor(private readonly options: RolloutControllerOptions) {}
 
   start(): void {
-    this.task = this.run();
+    const {clock, logger} = this.options;
+    this.task = startPeriodicTask({
+      clock,
+      intervalMs: STEP_INTERVAL_MS,
+      step: () => this.step(),
+      onError: ({message: reason}) =>
+        logger.warn('Could not look at the roll-outs.', {reason}),
+    });
   }
 
   /** Looks at every plan once. */
@@ -57,22 +64,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    this.stopped.abort();
-    await this.task;
-  }
-
-  private async run(): Promise<void> {
-    const {clock, logger} = this.options;
-    while (!this.stopped.signal.aborted) {
-      await clock.sleep(STEP_INTERVAL_MS, this.stopped.signal);
-      if (this.stopped.signal.aborted) return;
-      try {
-        await this.step();
-      } catch (error) {
-        const reason = (error as Error).message;
-        logger.warn('Could not look at the roll-outs.', {reason});
-      }
-    }
+    await this.task?.[Symbol.asyncDispose]();
   }
 
   private async stepOne(view: ControlView, state: RolloutState): Promise<void> {
--- a/src/coordination/routing/eligible_versions.ts
+++ b/src/coordination/routing/eligible_versions.ts
@@ -11,6 +11,12 @@
   RejectedVersion,
 } from './completion_plan.ts';
 
+/** What decides whether a version may serve a request. */
+export type EligibilityOptions = Pick<
+  PlanCompletionOptions,
+  'view' | 'customer' | 'model' | 'pinned' | 'served'
+>;
+
 /** The versions that may run a request. */
 export interface EligibleVersions {
   /** In the order of the declaration. */
@@ -19,7 +25,7 @@
 }
 
 /** Lists the versions that the customer, the state and the pin admit. */
-export function listEligible(options: PlanCompletionOptions): EligibleVersions {
+export function listEligible(options: EligibilityOptions): EligibleVersions {
   const versions: Version[] = [];
   const rejected: RejectedVersion[] = [];
   for (const version of options.view.declaration?.versions ?? []) {
@@ -59,7 +65,7 @@
 
 function findObstacle(
   version: Version,
-  options: PlanCompletionOptions,
+  options: EligibilityOptions,
 ): string | null {
   const name = formatVersion(version);
   if (!isAllowed(options.customer, version)) return 'not allowed';
--- a/src/transport/public/completion_routes.ts
+++ b/src/transport/public/completion_routes.ts
@@ -18,7 +18,7 @@
 import {
   isAllowed,
   isWithdrawn,
-} from '../../coordination/routing/select_version.ts';
+} from '../../coordination/routing/eligible_versions.ts';
 import {sendError, sendJson} from './http_errors.ts';
 import {parseJson} from './parse_json.ts';
 import {readBody} from './read_body.ts';
