Spread callers over equally near gateways

Cause: /v1/addresses gave gateways of a data centre in one order to all callers. They use the first one, and no balancer stands in front, so one entry host took all load of its data centre until it failed. Ruled out: a shuffle by callers, which ordinary clients do not make. Equally near ones now come in a random order for each answer.

--- a/src/transport/public/create_public_handler.ts
+++ b/src/transport/public/create_public_handler.ts
@@ -63,6 +63,7 @@
       endpointSecret: options.endpointSecret,
       region: context.region,
       dataCentre: context.dataCentre,
+      random: context.random,
       listHosts: options.listHosts,
       getView: context.getView,
       announce: options.announce,
--- a/src/transport/public/endpoint_routes.ts
+++ b/src/transport/public/endpoint_routes.ts
@@ -7,6 +7,7 @@
   type Announcement,
 } from '../../protocol/endpoint.ts';
 import type {Outcome} from '../../protocol/outcome.ts';
+import {listAddresses} from '../../coordination/membership/list_addresses.ts';
 import {equalSecrets} from '../peers/peer_server.ts';
 import {readBearer, refuseStranger} from './bearer.ts';
 import {sendJson} from './http_errors.ts';
@@ -20,6 +21,8 @@
   readonly endpointSecret: string;
   readonly region: string;
   readonly dataCentre: string;
+  /** Returns a number from 0 up to 1. */
+  readonly random: () => number;
   readonly listHosts: () => readonly Host[];
   readonly getView: () => ControlView | null;
   /** Takes an announcement in; the error says why it is refused. */
@@ -56,7 +59,7 @@
           return;
         }
         sendJson(response, 200, {
-          addresses: listAddresses(options, announcement.dataCentre),
+          addresses: findAddresses(options, announcement.dataCentre),
         });
       }),
     );
@@ -68,22 +71,13 @@
 ): void {
   sendJson(response, 200, {
     ttl_s: ADDRESSES_TTL_S,
-    addresses: listAddresses(options, options.dataCentre),
+    addresses: findAddresses(options, options.dataCentre),
   });
 }
 
-/** The gateways to use, nearest first. */
-function listAddresses(options: EndpointRoutesOptions, dataCentre: string) {
-  const draining = new Set(options.getView()?.draining ?? []);
-  const rank = (host: Host) =>
-    host.dataCentre === dataCentre ? 0 : host.region === options.region ? 1 : 2;
-  return options
-    .listHosts()
-    .filter(host => host.gateway && !host.leaving && !draining.has(host.name))
-    .sort((a, b) => rank(a) - rank(b))
-    .map(host => ({
-      address: host.publicAddress,
-      region: host.region,
-      data_centre: host.dataCentre,
-    }));
+/** The gateways to use, seen from a data centre. */
+function findAddresses(options: EndpointRoutesOptions, dataCentre: string) {
+  const {region, random, listHosts, getView} = options;
+  const draining = new Set(getView()?.draining ?? []);
+  return listAddresses(listHosts(), {region, dataCentre, draining, random});
 }
