--- a/src/cli/serve/daemon.ts
+++ b/src/cli/serve/daemon.ts
@@ -1,4 +1,5 @@
 /** Puts the parts of a daemon together and runs them. */
+import {PEER_CALLS, peerSchemas} from '../../protocol/peer_service.ts';
 import {systemClock, type Clock} from '../../protocol/clock.ts';
 import type {Host} from '../../protocol/control.ts';
 import {createIdentifier} from '../../protocol/identifiers.ts';
@@ -84,7 +85,9 @@
 async function assembleDaemon(parts: DaemonParts): Promise<Daemon> {
   const {settings, createLogger, clock, store} = parts;
   const secrets = await readSecrets(settings.secrets);
-  const links = store.add(new PeerLinks({secret: secrets.peer, clock}));
+  const links = store.add(
+    new PeerLinks({secret: secrets.peer, clock, calls: PEER_CALLS}),
+  );
   const replicas = await openReplicas(parts, links);
   const endpoints = new EndpointTable(clock);
   const evidence = new EvidenceLedger(clock);
@@ -153,6 +156,7 @@
       port: peerPort,
       secret: secrets.peer,
       service,
+      schemas: peerSchemas,
     }),
   );
   const [publicHost, publicPort] = splitAddress(settings.listen.public);
--- a/src/cli/serve/replicas.ts
+++ b/src/cli/serve/replicas.ts
@@ -78,14 +78,16 @@
   const folder = join(settings.data_folder ?? '', group);
   const logger = createLogger('storage');
   const storage = store.add(await openOrSetAside(folder, {clock, logger}));
+  const hosts = settings.replicas.map(each => ({
+    name: each.name,
+    region: each.region,
+    dataCentre: each.data_centre,
+  }));
   const replica = await Replica.open<C, R>({
     group,
     name: settings.name,
-    hosts: settings.replicas.map(each => ({
-      name: each.name,
-      region: each.region,
-      dataCentre: each.data_centre,
-    })),
+    founders: hosts,
+    listHosts: () => hosts,
     voterCount: settings.voters,
     replaceAfterMs: settings.replace_after_s * 1_000,
     storage,
--- a/src/coordination/replication/membership_keeper.ts
+++ b/src/coordination/replication/membership_keeper.ts
@@ -27,7 +27,8 @@
 export interface MembershipKeeperOptions {
   readonly group: string;
   readonly name: string;
-  readonly hosts: readonly ReplicaHost[];
+  /** Lists the hosts that may carry replicas now. */
+  readonly listHosts: () => readonly ReplicaHost[];
   readonly voterCount: number;
   readonly replaceAfterMs: number;
   readonly clock: Clock;
@@ -58,7 +59,7 @@
     if (signal.aborted) return;
     const step = planMembership({
       leader: options.name,
-      hosts: options.hosts,
+      hosts: options.listHosts(),
       voterCount: options.voterCount,
       replaceAfterMs: options.replaceAfterMs,
       reachableMs: REACHABLE_MS,
@@ -74,7 +75,8 @@
 }
 
 function needsCare(options: MembershipKeeperOptions): boolean {
-  const {hosts, voterCount, leadership} = options;
+  const {voterCount, leadership} = options;
+  const hosts = options.listHosts();
   const voters = viewVoters(options);
   return (
     leadership.learners.size > 0 ||
@@ -101,7 +103,8 @@
 async function describeHosts(
   options: MembershipKeeperOptions,
 ): Promise<Map<string, ReplicaDescription>> {
-  const {hosts, name, group} = options;
+  const {name, group} = options;
+  const hosts = options.listHosts();
   const answers = new Map<string, ReplicaDescription>();
   const others = hosts.filter(host => host.name !== name);
   await Promise.all(
--- a/src/coordination/replication/replica.ts
+++ b/src/coordination/replication/replica.ts
@@ -72,8 +72,10 @@
 export interface ReplicaOptions<C, R> {
   readonly group: string;
   readonly name: string;
-  /** The hosts that may carry replicas; the first one forms the group. */
-  readonly hosts: readonly ReplicaHost[];
+  /** The hosts that form a new group, the first one for all; may be empty. */
+  readonly founders: readonly ReplicaHost[];
+  /** Lists the hosts that may carry replicas now. */
+  readonly listHosts: () => readonly ReplicaHost[];
   /** How many of the hosts vote; the others stand by. */
   readonly voterCount: number;
   readonly storage: LogStorage;
@@ -160,10 +162,10 @@
   /** Starts the election timer and the other tasks. */
   start(): void {
     this.tasks.push(this.runElectionTimer(), this.runAppender());
-    const {group, hosts, voterCount, clock, storage} = this.options;
+    const {group, founders, voterCount, clock, storage} = this.options;
     const formation = formGroup({
       group,
-      hosts,
+      hosts: founders,
       voterCount,
       clock,
       self: this.self,
@@ -702,11 +704,11 @@
   }
 
   private async keepMembership(leadership: Leadership): Promise<void> {
-    const {group, name, hosts, voterCount, clock, logger} = this.options;
+    const {group, name, listHosts, voterCount, clock, logger} = this.options;
     await keepMembership({
       group,
       name,
-      hosts,
+      listHosts,
       voterCount,
       clock,
       logger,
--- a/src/coordination/replication/replica_test.ts
+++ b/src/coordination/replication/replica_test.ts
@@ -216,10 +216,16 @@
   await storage.saveHardState({term: 3, votedFor: null});
   let acknowledged = 1;
   const silence = () => new Promise<never>(() => {});
+  const hosts = voters.map(({name}) => ({
+    name,
+    region: 'r',
+    dataCentre: name,
+  }));
   const replica = await Replica.open<string, number>({
     group: 'group',
     name: 'a',
-    hosts: voters.map(({name}) => ({name, region: 'r', dataCentre: name})),
+    founders: hosts,
+    listHosts: () => hosts,
     voterCount: 3,
     storage,
     stateMachine: new Recorder(() => {}),
--- a/src/coordination/replication/simulated_group.ts
+++ b/src/coordination/replication/simulated_group.ts
@@ -153,14 +153,16 @@
     host.storage = storage;
     host.incarnation = storage.incarnation;
     host.recorder = this.createRecorder(name);
+    const hosts = this.options.hosts.map(each => ({
+      name: each,
+      region: 'plovdiv',
+      dataCentre: each,
+    }));
     host.replica = await Replica.open<string, number>({
       group: 'group',
       name,
-      hosts: this.options.hosts.map(each => ({
-        name: each,
-        region: 'plovdiv',
-        dataCentre: each,
-      })),
+      founders: hosts,
+      listHosts: () => hosts,
       voterCount: this.options.voterCount,
       storage,
       stateMachine: host.recorder,
--- a/src/protocol/peer_service.ts
+++ b/src/protocol/peer_service.ts
@@ -124,6 +124,9 @@
   exchange: exchangeRequestSchema,
 } as const;
 
+/** The names of the calls. */
+export const PEER_CALLS = Object.keys(peerSchemas);
+
 /** The calls that a daemon answers to its peers. */
 export interface PeerService extends ReplicationService {
   /** Takes evidence in; false where this daemon does not lead. */
--- /dev/null
+++ b/src/protocol/site_settings.ts
@@ -0,0 +1,60 @@
+/**
+ * The settings of one daemon of a routing deployment, read from a TOML file.
+ *
+ * A daemon with `listen.front` is a gateway, one with a data folder belongs to
+ * the core.
+ */
+import {z} from 'zod';
+
+const addressSchema = z.string().regex(/^[^\s:]+:\d{1,5}$/, {
+  message: 'expected an IP number and a port, such as "10.0.0.1:8080"',
+});
+
+export const siteSettingsSchema = z.object({
+  name: z.string().min(1),
+  region: z.string().min(1),
+  data_centre: z.string().min(1),
+  /** Present on a host with a disk. */
+  data_folder: z.string().min(1).optional(),
+  /** True only at the first start of the whole system. */
+  bootstrap: z.boolean().default(false),
+  /** Control addresses of three daemons of the core. */
+  seeds: z.array(addressSchema).min(1),
+  /** A file with the secret that daemons share. */
+  peer_secret_file: z.string().min(1),
+  listen: z.object({
+    /** Other daemons. */
+    peers: addressSchema,
+    /** Callers. */
+    front: addressSchema.optional(),
+    /** Checks of readiness. */
+    ready: addressSchema.optional(),
+    /** Endpoints and operators. */
+    control: addressSchema.optional(),
+    /** Callers that ask for the addresses of gateways. */
+    directory: addressSchema.optional(),
+  }),
+  bounds: z
+    .object({
+      /** How long a stopping process has, in ms. */
+      grace_ms: z.number().positive().default(8_000),
+      /** Repeats that a service takes, as a share of its requests. */
+      retry_ratio: z.number().nonnegative().default(0.2),
+      /** Repeats that a service takes beyond that share in one window. */
+      retry_extra: z.number().nonnegative().default(20),
+      retry_window_ms: z.number().positive().default(10_000),
+      /** The largest share of requests for a version that may be bad. */
+      canary_share: z.number().positive().default(0.1),
+      /** How long callers may keep the answer of the directory, in s. */
+      directory_ttl_s: z.number().positive().default(2),
+    })
+    .prefault({}),
+  log: z
+    .object({
+      level: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
+      format: z.enum(['text', 'json']).default('json'),
+    })
+    .prefault({}),
+});
+
+export type SiteSettings = z.infer<typeof siteSettingsSchema>;
--- a/src/transport/peers/peer_links.ts
+++ b/src/transport/peers/peer_links.ts
@@ -3,7 +3,7 @@
 import WebSocket from 'ws';
 import type {Clock} from '../../protocol/clock.ts';
 import type {PeerService} from '../../protocol/peer_service.ts';
-import {PEER_CALLS} from './peer_router.ts';
+import type {Callable} from './peer_router.ts';
 
 /** How often a connection is probed, and how long it may be silent. */
 const KEEP_ALIVE = {enabled: true, intervalMs: 600, pongTimeoutMs: 900};
@@ -25,30 +25,36 @@
 const CALL_TIMEOUT_MS = 2_000;
 
 /** A peer's service, with a deadline for each call. */
-export type PeerClient = {
-  [K in keyof PeerService]: (
-    request: Parameters<PeerService[K]>[0],
+export type Client<S extends Callable<S>> = {
+  [K in keyof S]: (
+    request: Parameters<S[K]>[0],
     timeoutMs?: number,
-  ) => ReturnType<PeerService[K]>;
+  ) => ReturnType<S[K]>;
 };
 
+export type PeerClient = Client<PeerService>;
+
 export interface PeerLinksOptions {
   /** The secret that daemons share. */
   readonly secret: string;
   readonly clock: Clock;
+  /** The names of the calls that peers answer. */
+  readonly calls: readonly string[];
 }
 
-interface Link {
-  readonly client: PeerClient;
+interface Link<S extends Callable<S>> {
+  readonly client: Client<S>;
   readonly close: () => void;
   usedAt: number;
 }
 
 /** The links of one daemon, opened when first used and closed when idle. */
-export class PeerLinks implements AsyncDisposable {
-  private readonly links = new Map<string, Link>();
+export class PeerLinks<
+  S extends Callable<S> = PeerService,
+> implements AsyncDisposable {
+  private readonly links = new Map<string, Link<S>>();
   /** Clients outlive their links; a call opens a link anew. */
-  private readonly clients = new Map<string, PeerClient>();
+  private readonly clients = new Map<string, Client<S>>();
   private readonly stopped = new AbortController();
 
   constructor(private readonly options: PeerLinksOptions) {
@@ -61,16 +67,16 @@
   }
 
   /** Returns the client of the daemon at `address`. */
-  get(address: string): PeerClient {
+  get(address: string): Client<S> {
     const known = this.clients.get(address);
     if (known) return known;
-    const call = (name: keyof PeerService) => {
+    const call = (name: keyof S) => {
       return (request: unknown, timeoutMs?: number) =>
         this.find(address).client[name](request as never, timeoutMs);
     };
     const client = Object.fromEntries(
-      PEER_CALLS.map(name => [name, call(name)]),
-    ) as unknown as PeerClient;
+      this.options.calls.map(name => [name, call(name as keyof S)]),
+    ) as unknown as Client<S>;
     this.clients.set(address, client);
     return client;
   }
@@ -81,14 +87,14 @@
     this.links.clear();
   }
 
-  private find(address: string): Link {
+  private find(address: string): Link<S> {
     const usedAt = this.options.clock.monotonic();
     const known = this.links.get(address);
     if (known) {
       known.usedAt = usedAt;
       return known;
     }
-    const link = {...openLink(address, this.options.secret), usedAt};
+    const link = {...openLink<S>(address, this.options), usedAt};
     this.links.set(address, link);
     return link;
   }
@@ -109,7 +115,10 @@
   }
 }
 
-function openLink(address: string, secret: string) {
+function openLink<S extends Callable<S>>(
+  address: string,
+  {secret, calls}: PeerLinksOptions,
+) {
   class AuthenticatedWebSocket extends WebSocket {
     constructor(url: string) {
       super(url, {
@@ -133,7 +142,7 @@
     (request: unknown, timeoutMs = CALL_TIMEOUT_MS) =>
       trpc.mutation(name, request, {signal: AbortSignal.timeout(timeoutMs)});
   const client = Object.fromEntries(
-    PEER_CALLS.map(name => [name, call(name)]),
-  ) as unknown as PeerClient;
+    calls.map(name => [name, call(name)]),
+  ) as unknown as Client<S>;
   return {client, close: () => void socket.close()};
 }
--- a/src/transport/peers/peer_links_test.ts
+++ b/src/transport/peers/peer_links_test.ts
@@ -2,7 +2,11 @@
 import {test} from 'uvu';
 import * as assert from 'uvu/assert';
 import {systemClock, type Clock} from '../../protocol/clock.ts';
-import type {PeerService} from '../../protocol/peer_service.ts';
+import {
+  PEER_CALLS,
+  peerSchemas,
+  type PeerService,
+} from '../../protocol/peer_service.ts';
 import {PeerLinks} from './peer_links.ts';
 import {startPeerServer} from './peer_server.ts';
 
@@ -43,6 +47,7 @@
     port,
     secret: 'secret',
     service: createService(calls),
+    schemas: peerSchemas,
   });
 }
 
@@ -50,7 +55,11 @@
   const calls: string[] = [];
   const port = await findPort();
   await using _server = await startServer(port, calls);
-  await using links = new PeerLinks({secret: 'guess', clock: systemClock});
+  await using links = new PeerLinks({
+    secret: 'guess',
+    clock: systemClock,
+    calls: PEER_CALLS,
+  });
   const client = links.get(`127.0.0.1:${port}`);
   const failed = await client.describeReplica({group: 'g'}, 500).then(
     () => false,
@@ -64,7 +73,11 @@
   const calls: string[] = [];
   const port = await findPort();
   await using _server = await startServer(port, calls);
-  await using links = new PeerLinks({secret: 'secret', clock: systemClock});
+  await using links = new PeerLinks({
+    secret: 'secret',
+    clock: systemClock,
+    calls: PEER_CALLS,
+  });
   const client = links.get(`127.0.0.1:${port}`);
   const malformed = client.describeReplica({group: 7} as never, 2_000);
   const whole = client.describeReplica({group: 'g'}, 2_000);
@@ -80,7 +93,11 @@
 test('a call ends by its deadline and is not made later', async () => {
   const calls: string[] = [];
   const port = await findPort();
-  await using links = new PeerLinks({secret: 'secret', clock: systemClock});
+  await using links = new PeerLinks({
+    secret: 'secret',
+    clock: systemClock,
+    calls: PEER_CALLS,
+  });
   const client = links.get(`127.0.0.1:${port}`);
   const startedAt = performance.now();
   const failed = await client.describeReplica({group: 'early'}, 300).then(
@@ -99,7 +116,11 @@
   const port = await findPort();
   await using _server = await startServer(port, calls);
   const relay = await startSilenceableRelay(port);
-  await using links = new PeerLinks({secret: 'secret', clock: systemClock});
+  await using links = new PeerLinks({
+    secret: 'secret',
+    clock: systemClock,
+    calls: PEER_CALLS,
+  });
   const client = links.get(`127.0.0.1:${relay.port}`);
   await client.describeReplica({group: 'before'}, REPLACE_MS);
   relay.silence();
@@ -123,7 +144,11 @@
     monotonic: () => nowMs,
     sleep: () => new Promise(resolve => wakes.push(resolve)),
   };
-  await using links = new PeerLinks({secret: 'secret', clock});
+  await using links = new PeerLinks({
+    secret: 'secret',
+    clock,
+    calls: PEER_CALLS,
+  });
   void links
     .get('127.0.0.1:9')
     .describeReplica({group: 'g'}, 50)
--- a/src/transport/peers/peer_router.ts
+++ b/src/transport/peers/peer_router.ts
@@ -1,6 +1,6 @@
 /** Serves the calls of other daemons through tRPC over WebSockets. */
 import {initTRPC, TRPCError} from '@trpc/server';
-import {peerSchemas, type PeerService} from '../../protocol/peer_service.ts';
+import type {z} from 'zod';
 
 /** What is known of the daemon at the other end of a connection. */
 export interface PeerConnection {
@@ -15,17 +15,25 @@
   return next();
 });
 
-/** The names of the calls. */
-export const PEER_CALLS = Object.keys(peerSchemas) as Array<keyof PeerService>;
+/** The schema of each call's request, by the name of the call. */
+export type CallSchemas = Readonly<Record<string, z.ZodType>>;
+
+/** A service whose calls take one request each. */
+export type Callable<S> = {
+  [K in keyof S]: (request: never) => Promise<unknown>;
+};
 
 /** Creates the router that passes each call on to `service`. */
-export function createPeerRouter(service: PeerService) {
-  const procedures = PEER_CALLS.map(call => {
-    const serve = service[call].bind(service) as (
+export function createPeerRouter<S extends Callable<S>>(
+  service: S,
+  schemas: CallSchemas,
+) {
+  const procedures = Object.entries(schemas).map(([call, schema]) => {
+    const serve = service[call as keyof S].bind(service) as (
       input: unknown,
     ) => Promise<unknown>;
     const procedure = peerProcedure
-      .input(peerSchemas[call])
+      .input(schema)
       .mutation(({input}) => serve(input));
     return [call, procedure] as const;
   });
--- a/src/transport/peers/peer_server.ts
+++ b/src/transport/peers/peer_server.ts
@@ -2,8 +2,11 @@
 import {timingSafeEqual} from 'node:crypto';
 import {applyWSSHandler} from '@trpc/server/adapters/ws';
 import {WebSocketServer} from 'ws';
-import type {PeerService} from '../../protocol/peer_service.ts';
-import {createPeerRouter} from './peer_router.ts';
+import {
+  createPeerRouter,
+  type Callable,
+  type CallSchemas,
+} from './peer_router.ts';
 
 /** The largest message of a peer. */
 const MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
@@ -11,19 +14,21 @@
 /** How often a connection is probed, and how long it may be silent. */
 const KEEP_ALIVE = {enabled: true, pingMs: 1_000, pongWaitMs: 1_000};
 
-export interface PeerServerOptions {
+export interface PeerServerOptions<S> {
   readonly host: string;
   readonly port: number;
   /** The secret that daemons share. */
   readonly secret: string;
-  readonly service: PeerService;
+  readonly service: S;
+  /** The schema of each call's request, by the name of the call. */
+  readonly schemas: CallSchemas;
 }
 
 /** Starts to listen. Dispose the result to close every connection. */
-export async function startPeerServer(
-  options: PeerServerOptions,
+export async function startPeerServer<S extends Callable<S>>(
+  options: PeerServerOptions<S>,
 ): Promise<AsyncDisposable> {
-  const {host, port, secret, service} = options;
+  const {host, port, secret, service, schemas} = options;
   const server = new WebSocketServer({
     host,
     port,
@@ -34,7 +39,7 @@
   });
   applyWSSHandler({
     wss: server,
-    router: createPeerRouter(service),
+    router: createPeerRouter(service, schemas),
     createContext: () => ({authenticated: true}),
     keepAlive: KEEP_ALIVE,
   });
--- a/tools/bench_control/measure_renewals.ts
+++ b/tools/bench_control/measure_renewals.ts
@@ -1,4 +1,5 @@
 /** What lease renewals cost a replica, by the number of daemons. */
+import {PEER_CALLS} from '../../src/protocol/peer_service.ts';
 import {readFileSync} from 'node:fs';
 import type {Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -71,7 +72,11 @@
   const stack = new DisposableStore();
   for (let number = 0; number < count; number++) {
     const links = stack.add(
-      new PeerLinks({secret: 'peer-secret', clock: systemClock}),
+      new PeerLinks({
+        secret: 'peer-secret',
+        clock: systemClock,
+        calls: PEER_CALLS,
+      }),
     );
     const name = `d${number}`;
     const lease = stack.add(
--- a/tools/bench_log/local_group.ts
+++ b/tools/bench_log/local_group.ts
@@ -72,10 +72,16 @@
     const storage = await openFileLog({folder});
     if (!storage.ok) throw storage.error;
     this.storages.push(storage.value);
+    const hosts = HOSTS.map(each => ({
+      name: each,
+      region: 'r',
+      dataCentre: each,
+    }));
     const replica = await Replica.open<string, number>({
       group,
       name: host,
-      hosts: HOSTS.map(name => ({name, region: 'r', dataCentre: name})),
+      founders: hosts,
+      listHosts: () => hosts,
       voterCount: HOSTS.length,
       storage: storage.value,
       stateMachine: createCounter(),
--- a/tools/bench_log/main.ts
+++ b/tools/bench_log/main.ts
@@ -6,7 +6,11 @@
 import {build} from 'hdr-histogram-js';
 import WebSocket from 'ws';
 import {systemClock} from '../../src/protocol/clock.ts';
-import type {PeerService} from '../../src/protocol/peer_service.ts';
+import {
+  PEER_CALLS,
+  peerSchemas,
+  type PeerService,
+} from '../../src/protocol/peer_service.ts';
 import {openFileLog} from '../../src/state/log/file_log.ts';
 import {PeerLinks} from '../../src/transport/peers/peer_links.ts';
 import {startPeerServer} from '../../src/transport/peers/peer_server.ts';
@@ -114,7 +118,11 @@
     messages++;
     return (send as (...args: unknown[]) => void).apply(this, args);
   };
-  const links = new PeerLinks({secret: 'secret', clock: systemClock});
+  const links = new PeerLinks({
+    secret: 'secret',
+    clock: systemClock,
+    calls: PEER_CALLS,
+  });
   const port = 20_000 + (process.pid % 20_000);
   const addresses = new Map(
     HOSTS.map((host, n) => [host, `127.0.0.1:${port + n}`]),
@@ -130,6 +138,7 @@
           port: port + n,
           secret: 'secret',
           service: createService(groups, host),
+          schemas: peerSchemas,
         }),
       ),
     );
