--- /dev/null
+++ b/src/cli/serve_site/core.ts
@@ -0,0 +1,219 @@
+/** Runs the part of a site daemon that belongs to the core. */
+import {join} from 'node:path';
+import {CoreApi} from '../../coordination/core/core_api.ts';
+import {CoreState} from '../../coordination/core/core_state.ts';
+import {startExchange} from '../../coordination/core/exchange_task.ts';
+import {createFollowService} from '../../coordination/core/follow_service.ts';
+import {startRolloutTask} from '../../coordination/core/rollout_task.ts';
+import {startPeriodicTask} from '../../coordination/periodic_task.ts';
+import {createProposer} from '../../coordination/replication/proposer.ts';
+import {Replica} from '../../coordination/replication/replica.ts';
+import {coreSchemas, type CoreService} from '../../protocol/core_service.ts';
+import {createIdentifier} from '../../protocol/identifiers.ts';
+import type {
+  RoutingCommand,
+  RoutingResult,
+} from '../../protocol/routing_commands.ts';
+import {RoutingState} from '../../state/routing/routing_state.ts';
+import {startSurfaceServer} from '../../transport/forwarding/surface_server.ts';
+import {startPeerServer} from '../../transport/peers/peer_server.ts';
+import {openOrSetAside} from '../serve/open_storage.ts';
+import {
+  DIRECTORY_TTL_S,
+  listSeedPeers,
+  splitAddress,
+  type SiteParts,
+} from './site_parts.ts';
+
+/** The name of the replicated group. */
+const GROUP = 'routing';
+
+/** Five voters bear the loss of any two disks. */
+const VOTERS = 5;
+
+/** The silence after which a voter is replaced by a daemon that stands by. */
+const REPLACE_AFTER_MS = 8_000;
+
+/** How long a change is tried before its caller is sent elsewhere. */
+const PROPOSE_DEADLINE_MS = 2_500;
+
+/** How often silent endpoints are looked for. */
+const SWEEP_MS = 500;
+
+/** How much of the largest allowed share a new version gets at first. */
+const CANARY_FRACTION = 0.6;
+
+/** Starts the core part; the caller starts following afterwards. */
+export async function startCore(parts: SiteParts): Promise<void> {
+  const {clock, store, createLogger, links, getSettings} = parts;
+  const settings = getSettings();
+  const {listen} = settings;
+  const self = {
+    address: listen.peers,
+    region: settings.region,
+    dataCentre: settings.data_centre,
+    controlAddress: listen.control ?? '',
+  };
+  const state = new CoreState({clock, logger: createLogger('core'), self});
+  state.members.setSeeds(listSeedPeers(settings));
+  const routing = new RoutingState();
+  const replica = await openReplica(parts, state, routing);
+  const service = createService(parts, {state, routing, replica});
+  const [peerHost, peerPort] = splitAddress(listen.peers);
+  store.add(
+    await startPeerServer<CoreService>({
+      host: peerHost,
+      port: peerPort,
+      secret: parts.secret,
+      service,
+      schemas: coreSchemas,
+    }),
+  );
+  const callCore = (address: string) =>
+    address === self.address ? service : links.get(address);
+  const proposeCommand = createProposer({
+    listReplicas: () => [self.address, ...state.members.listAddresses()],
+    call: (address, request, timeoutMs) =>
+      callCore(address).propose(request, timeoutMs),
+    clock,
+    deadlineMs: PROPOSE_DEADLINE_MS,
+  });
+  const propose = (command: RoutingCommand) => proposeCommand(GROUP, command);
+  const api = new CoreApi({
+    state,
+    clock,
+    logger: createLogger('control'),
+    propose,
+    read: (address, timeoutMs) =>
+      callCore(address).readConfiguration({}, timeoutMs),
+    getLeader: () => replica.leader,
+  });
+  await startSurfaces(parts, api);
+  replica.start();
+  store.add(
+    startExchange({
+      state,
+      clock,
+      logger: createLogger('exchange'),
+      call: (address, exchange, timeoutMs) =>
+        links.get(address).exchangeCore(exchange, timeoutMs),
+    }),
+  );
+  store.add(
+    startRolloutTask({
+      state,
+      clock,
+      logger: createLogger('rollout'),
+      canaryShare: settings.bounds.canary_share * CANARY_FRACTION,
+      isLeader: () => replica.isLeader(),
+      getConfiguration: () => routing.configuration,
+      propose,
+    }),
+  );
+  store.add(
+    startPeriodicTask({
+      clock,
+      intervalMs: SWEEP_MS,
+      step: async () => {
+        state.endpoints.sweep();
+        state.members.setSeeds(listSeedPeers(getSettings()));
+      },
+      onError: error =>
+        createLogger('core').warn('Could not sweep.', {reason: error.message}),
+    }),
+  );
+}
+
+async function openReplica(
+  {clock, store, createLogger, links, getSettings}: SiteParts,
+  state: CoreState,
+  routing: RoutingState,
+): Promise<Replica<RoutingCommand, RoutingResult>> {
+  const settings = getSettings();
+  const logger = createLogger('replica');
+  const folder = join(settings.data_folder ?? '', GROUP);
+  const storage = store.add(await openOrSetAside(folder, {clock, logger}));
+  const describe = (address: string) => ({
+    name: address,
+    region: '',
+    dataCentre: address,
+  });
+  const founders = settings.bootstrap
+    ? listSeedPeers(settings).sort().map(describe)
+    : [];
+  const replica = await Replica.open<RoutingCommand, RoutingResult>({
+    group: GROUP,
+    name: state.self.address,
+    founders,
+    listHosts: () =>
+      state.members.list().map(({address, region, dataCentre}) => ({
+        name: address,
+        region,
+        dataCentre,
+      })),
+    voterCount: VOTERS,
+    replaceAfterMs: REPLACE_AFTER_MS,
+    storage,
+    stateMachine: routing,
+    getPeer: address => links.get(address),
+    clock,
+    random: Math.random,
+    logger,
+    onChange: () => state.changes.notify(),
+  });
+  return store.add(replica);
+}
+
+interface CoreParts {
+  readonly state: CoreState;
+  readonly routing: RoutingState;
+  readonly replica: Replica<RoutingCommand, RoutingResult>;
+}
+
+function createService(
+  {clock}: SiteParts,
+  {state, routing, replica}: CoreParts,
+): CoreService {
+  return {
+    vote: request => replica.handleVote(request),
+    append: request => replica.handleAppend(request),
+    installSnapshot: request => replica.handleInstall(request),
+    describeReplica: async () => replica.describe(),
+    formGroup: request => replica.handleForm(request),
+    transferLeadership: request => replica.handleTransfer(request),
+    propose: ({command}) => replica.propose(command as RoutingCommand),
+    follow: createFollowService({
+      state,
+      clock,
+      epoch: createIdentifier('core'),
+      getConfiguration: () => routing.configuration,
+      isFresh: () => replica.hasLiveLeader(),
+    }),
+    exchangeCore: async exchange => state.receiveExchange(exchange),
+    readConfiguration: async () =>
+      replica.isLeader()
+        ? {type: 'read', configuration: routing.configuration}
+        : {type: 'not-leader', leader: replica.leader},
+  };
+}
+
+async function startSurfaces(
+  {store, surfaces, createLogger, getSettings}: SiteParts,
+  api: CoreApi,
+): Promise<void> {
+  const {listen, bounds} = getSettings();
+  const logger = createLogger('http');
+  const ttlSeconds = Math.min(DIRECTORY_TTL_S, bounds.directory_ttl_max_s);
+  const servers = [
+    {address: listen.control, routes: surfaces.createControlRoutes(api)},
+    {
+      address: listen.directory,
+      routes: surfaces.createDirectoryRoutes(api, {ttlSeconds}),
+    },
+  ];
+  for (const {address, routes} of servers) {
+    if (address === undefined) continue;
+    const [host, port] = splitAddress(address);
+    store.add(await startSurfaceServer({host, port, logger, routes}));
+  }
+}
--- /dev/null
+++ b/src/cli/serve_site/gateway.ts
@@ -0,0 +1,142 @@
+/** Runs the part of a site daemon that serves callers. */
+import {EndpointHealth} from '../../coordination/forwarding/endpoint_health.ts';
+import {Forwarder} from '../../coordination/forwarding/forwarder.ts';
+import {VersionEvidenceBook} from '../../coordination/forwarding/version_evidence.ts';
+import {CoreFollower} from '../../coordination/gateway/core_follower.ts';
+import {GatewayView} from '../../coordination/gateway/gateway_view.ts';
+import type {Clock} from '../../protocol/clock.ts';
+import {EndpointClient} from '../../transport/forwarding/endpoint_client.ts';
+import {
+  startFrontServer,
+  type FrontServer,
+} from '../../transport/forwarding/front_server.ts';
+import {startSurfaceServer} from '../../transport/forwarding/surface_server.ts';
+import {
+  DIRECTORY_TTL_S,
+  listSeedPeers,
+  splitAddress,
+  type SiteParts,
+} from './site_parts.ts';
+
+/** How long callers may go on with an old list of gateways, beyond its life. */
+const LIST_SLACK_MS = 1_000;
+
+/** The end of the grace time is kept for closing. */
+const CLOSE_MARGIN_MS = 700;
+
+/** How often a stopping gateway looks for open requests. */
+const IDLE_CHECK_MS = 50;
+
+/** A running gateway. */
+export interface SiteGateway {
+  /** Leaves the callers' lists and waits for the open requests. */
+  stop(): Promise<void>;
+}
+
+/** Starts to follow the core and to serve callers. */
+export async function startGateway(
+  parts: SiteParts,
+  front: string,
+): Promise<SiteGateway> {
+  const {clock, store, surfaces, createLogger, links, getSettings} = parts;
+  const settings = getSettings();
+  const {region, data_centre: dataCentre, listen, bounds} = settings;
+  let isStopping = false;
+  let server: FrontServer | null = null;
+  const health = new EndpointHealth(clock);
+  const evidence = new VersionEvidenceBook();
+  const client = store.add(new EndpointClient({codec: surfaces.codec}));
+  const view = new GatewayView({
+    logger: createLogger('view'),
+    decodeTable: surfaces.decodeTable,
+    onConfiguration: ({table}) => server?.setLimits(table.limits),
+  });
+  const isOpen = () => !isStopping && view.routes !== null;
+  const follower = new CoreFollower({
+    view,
+    clock,
+    logger: createLogger('follower'),
+    listSeeds: () => listSeedPeers(getSettings()),
+    region,
+    dataCentre,
+    random: Math.random,
+    createReport: () => ({
+      gateway: {address: front, region, dataCentre, open: isOpen()},
+      loads: health.listLoads(),
+      evidence: evidence.list(
+        service => view.findRollout(service)?.state === 'running',
+      ),
+    }),
+    call: (address, request, timeoutMs) =>
+      links.get(address).follow(request, timeoutMs),
+  });
+  const forwarder = new Forwarder({
+    view,
+    health,
+    evidence,
+    clock,
+    logger: createLogger('forward'),
+    metrics: parts.metrics,
+    random: Math.random,
+    send: (call, options) => client.send(call, options),
+    region,
+    dataCentre,
+    findRegion: name => getSettings().data_centres[name] ?? null,
+    retryRatio: bounds.retry_ratio,
+    retryExtra: bounds.retry_extra,
+  });
+  const [host, port] = splitAddress(front);
+  server = store.add(
+    await startFrontServer({
+      host,
+      port,
+      clock,
+      logger: createLogger('front'),
+      codec: surfaces.codec,
+      forward: (call, sink) => forwarder.forward(call, sink),
+    }),
+  );
+  await startReadyServer(parts, isOpen);
+  follower.start();
+  store.add(follower);
+  const running = server;
+  return {
+    async stop() {
+      isStopping = true;
+      const startedAt = clock.monotonic();
+      running.startClosing();
+      await follower.reportOnce();
+      const listMs = DIRECTORY_TTL_S * 1_000 + LIST_SLACK_MS;
+      await clock.sleep(listMs);
+      running.closeIdleConnections();
+      const deadline = startedAt + bounds.grace_s * 1_000 - CLOSE_MARGIN_MS;
+      await waitUntilIdle(running, clock, deadline);
+    },
+  };
+
+  async function startReadyServer(
+    {store: owner}: SiteParts,
+    isReady: () => boolean,
+  ): Promise<void> {
+    if (listen.ready === undefined) return;
+    const [readyHost, readyPort] = splitAddress(listen.ready);
+    owner.add(
+      await startSurfaceServer({
+        host: readyHost,
+        port: readyPort,
+        logger: createLogger('http'),
+        routes: surfaces.createReadyRoutes(isReady),
+      }),
+    );
+  }
+}
+
+async function waitUntilIdle(
+  server: FrontServer,
+  clock: Clock,
+  deadline: number,
+): Promise<void> {
+  while (server.openRequests > 0 && clock.monotonic() < deadline) {
+    await clock.sleep(IDLE_CHECK_MS);
+  }
+}
--- /dev/null
+++ b/src/coordination/core/core_api.ts
@@ -0,0 +1,132 @@
+/** What endpoints, operators and callers may ask of a daemon of the core. */
+import type {Clock} from '../../protocol/clock.ts';
+import type {
+  Configuration,
+  ReadReply,
+  ServiceRollout,
+} from '../../protocol/core_service.ts';
+import type {EndpointReport} from '../../protocol/endpoint_report.ts';
+import type {Logger} from '../../protocol/logger.ts';
+import type {ProposeReply} from '../../protocol/peer_service.ts';
+import type {
+  RoutingCommand,
+  RoutingResult,
+} from '../../protocol/routing_commands.ts';
+import type {CoreState} from './core_state.ts';
+import {selectGateways, type CallerPlace} from './select_gateways.ts';
+
+/** How long one daemon may take to say what is committed. */
+const READ_TIMEOUT_MS = 400;
+
+/** How often the leader is looked for before a read is given up. */
+const READ_TRIES = 3;
+
+/** What became of a change. */
+export type ChangeOutcome = 'accepted' | 'conflict' | 'unavailable';
+
+export interface CoreApiOptions {
+  readonly state: CoreState;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Commits a command, wherever the leader is. */
+  readonly propose: (command: RoutingCommand) => Promise<ProposeReply>;
+  /** Asks a daemon of the core for what is committed. */
+  readonly read: (address: string, timeoutMs: number) => Promise<ReadReply>;
+  /** The leader as this daemon knows it; `null` when it knows none. */
+  readonly getLeader: () => string | null;
+}
+
+export class CoreApi {
+  constructor(private readonly options: CoreApiOptions) {}
+
+  /** Puts a document in force unless a newer one is. */
+  async replaceDocument(
+    version: number,
+    document: string,
+  ): Promise<ChangeOutcome> {
+    const command: RoutingCommand = {type: 'replace', version, document};
+    const {outcome} = await this.change(command);
+    return outcome;
+  }
+
+  /** Begins a roll-out, or finds the same one begun. */
+  async beginRollout(request: {
+    service: string;
+    target: string;
+    durationMs: number;
+  }): Promise<ChangeOutcome> {
+    const atMs = this.options.clock.now();
+    const command: RoutingCommand = {type: 'begin_rollout', ...request, atMs};
+    const {outcome, result} = await this.change(command);
+    return result?.type === 'conflict' ? 'conflict' : outcome;
+  }
+
+  /** Finds the last roll-out of a service; `undefined` when none can say. */
+  async findRollout(
+    service: string,
+  ): Promise<ServiceRollout | null | undefined> {
+    const configuration = await this.readConfiguration();
+    if (!configuration) return undefined;
+    const {rollouts} = configuration;
+    return rollouts.find(rollout => rollout.service === service) ?? null;
+  }
+
+  /**
+   * Reads what is committed, confirmed by the leader's lease; `null` when no
+   * leader answers.
+   */
+  async readConfiguration(): Promise<Configuration | null> {
+    const {state, getLeader, read, logger} = this.options;
+    let next = getLeader();
+    for (let tries = 0; tries < READ_TRIES; tries++) {
+      const address = next ?? state.self.address;
+      try {
+        const reply = await read(address, READ_TIMEOUT_MS);
+        if (reply.type === 'read') return reply.configuration;
+        if (reply.leader === null || reply.leader === address) return null;
+        next = reply.leader;
+      } catch (error) {
+        const {message: reason} = error as Error;
+        logger.warn('Could not read at the leader.', {address, reason});
+        return null;
+      }
+    }
+    return null;
+  }
+
+  /** Takes a heartbeat in. */
+  reportEndpoint(report: EndpointReport): void {
+    this.options.state.recordReport(report);
+  }
+
+  /** Notes that an endpoint leaves for good; false when it is unknown here. */
+  reportGone(id: string): boolean {
+    const {state} = this.options;
+    const entry = state.endpoints.find(id);
+    if (!entry) return false;
+    const {silent: _silent, ...report} = entry;
+    state.recordReport({...report, state: 'gone'});
+    return true;
+  }
+
+  /** The gateways that a caller at a place should use. */
+  listGateways(place: CallerPlace): string[] {
+    return selectGateways(this.options.state.gateways.listOpen(), place);
+  }
+
+  private async change(
+    command: RoutingCommand,
+  ): Promise<{outcome: ChangeOutcome; result?: RoutingResult}> {
+    const startedAt = this.options.clock.monotonic();
+    const reply = await this.options.propose(command);
+    const outcome = reply.type === 'committed' ? 'accepted' : 'unavailable';
+    const {document: _document, ...fields} = {document: '', ...command};
+    this.options.logger.info('Takes a change.', {
+      ...fields,
+      outcome,
+      ms: Math.round(this.options.clock.monotonic() - startedAt),
+    });
+    if (reply.type !== 'committed') return {outcome};
+    return {outcome, result: reply.result as RoutingResult};
+  }
+}
--- /dev/null
+++ b/src/coordination/core/endpoint_registry.ts
@@ -0,0 +1,149 @@
+/**
+ * The endpoints that one daemon of the core knows, by their heartbeats.
+ *
+ * Reports may come late, twice and over several daemons. They are ordered by
+ * the start of the endpoint and then by sequence number, so an old start never
+ * replaces a new one, not even at an address that changed hands.
+ */
+import type {Clock} from '../../protocol/clock.ts';
+import type {
+  EndpointEntry,
+  EndpointReport,
+} from '../../protocol/endpoint_report.ts';
+
+/** Three heartbeats of 1.2 s, and some seconds that one may be late. */
+const SILENT_AFTER_MS = 5_000;
+
+/** How long an endpoint that is gone or silent stays known. */
+const FORGET_AFTER_MS = 60_000;
+
+export interface EndpointRegistryOptions {
+  readonly clock: Clock;
+  /** The silence after which an endpoint counts as silent, in ms; 5,000. */
+  readonly silentAfterMs?: number;
+  /** How long one that is gone or silent stays known, in ms; 60,000. */
+  readonly forgetAfterMs?: number;
+}
+
+interface Known {
+  entry: EndpointEntry;
+  heardAt: number;
+  /** The revision of the registry at which the entry last changed. */
+  changedAt: number;
+}
+
+/** What a report changed. */
+export type ReportOutcome = 'ignored' | 'renewed' | 'changed';
+
+export class EndpointRegistry {
+  private readonly known = new Map<string, Known>();
+  private lastRevision = 0;
+
+  constructor(private readonly options: EndpointRegistryOptions) {}
+
+  /** Grows with each change that gateways need to know. */
+  get revision(): number {
+    return this.lastRevision;
+  }
+
+  /** Takes a report in, unless a newer one of the endpoint is known. */
+  record(report: EndpointReport): ReportOutcome {
+    const known = this.known.get(report.id);
+    if (known && !isNewer(report, known.entry)) return 'ignored';
+    const isSameStart = known?.entry.startedAtMs === report.startedAtMs;
+    const next = isSameStart ? keepLeaving(report, known.entry) : report;
+    const holder = this.findHolder(report);
+    if (holder && holder.entry.startedAtMs > report.startedAtMs) {
+      return 'ignored';
+    }
+    if (holder && holder.entry.state !== 'gone') {
+      this.change(holder, {...holder.entry, state: 'gone'});
+    }
+    const heardAt = this.options.clock.monotonic();
+    const entry = {...next, silent: false};
+    if (known && isSame(entry, known.entry)) {
+      known.entry = entry;
+      known.heardAt = heardAt;
+      return 'renewed';
+    }
+    const changedAt = ++this.lastRevision;
+    this.known.set(report.id, {entry, heardAt, changedAt});
+    return 'changed';
+  }
+
+  find(id: string): EndpointEntry | null {
+    return this.known.get(id)?.entry ?? null;
+  }
+
+  /** Lists the entries that changed after a revision; all of them by default. */
+  list(after = 0): EndpointEntry[] {
+    return [...this.known.values()]
+      .filter(({changedAt}) => changedAt > after)
+      .map(({entry}) => entry);
+  }
+
+  /** Notes which endpoints fell silent, and forgets the old ones. */
+  sweep(): void {
+    const {silentAfterMs = SILENT_AFTER_MS, forgetAfterMs = FORGET_AFTER_MS} =
+      this.options;
+    const now = this.options.clock.monotonic();
+    for (const [id, known] of this.known) {
+      const silentMs = now - known.heardAt;
+      if (silentMs > forgetAfterMs) this.known.delete(id);
+      else if (silentMs > silentAfterMs && !known.entry.silent) {
+        this.change(known, {...known.entry, silent: true});
+      }
+    }
+  }
+
+  /** The other endpoint that is known at the address of a report. */
+  private findHolder({id, address}: EndpointReport): Known | undefined {
+    return [...this.known.values()].find(
+      ({entry}) =>
+        entry.address === address && entry.id !== id && entry.state !== 'gone',
+    );
+  }
+
+  private change(known: Known, entry: EndpointEntry): void {
+    known.entry = entry;
+    known.changedAt = ++this.lastRevision;
+  }
+}
+
+/** Whether a report follows on what is known of the same endpoint. */
+export function isNewer(
+  report: Pick<EndpointReport, 'startedAtMs' | 'sequence' | 'state'>,
+  known: EndpointReport,
+): boolean {
+  if (report.startedAtMs !== known.startedAtMs) {
+    return report.startedAtMs > known.startedAtMs;
+  }
+  // A farewell carries no number of its own.
+  if (report.state === 'gone') return known.state !== 'gone';
+  return report.sequence > known.sequence;
+}
+
+/** An endpoint that leaves does not come back within one start. */
+function keepLeaving(
+  report: EndpointReport,
+  known: EndpointReport,
+): EndpointReport {
+  if (known.state === 'gone') return {...report, state: 'gone'};
+  if (known.state === 'draining' && report.state === 'ready') {
+    return {...report, state: 'draining'};
+  }
+  return report;
+}
+
+function isSame(a: EndpointEntry, b: EndpointEntry): boolean {
+  return (
+    a.startedAtMs === b.startedAtMs &&
+    a.state === b.state &&
+    a.silent === b.silent &&
+    a.address === b.address &&
+    a.service === b.service &&
+    a.version === b.version &&
+    a.slots === b.slots &&
+    a.dataCentre === b.dataCentre
+  );
+}
--- /dev/null
+++ b/src/coordination/core/exchange_task.ts
@@ -0,0 +1,120 @@
+/** Tells the other daemons of the core what this one learned directly. */
+import type {Clock} from '../../protocol/clock.ts';
+import type {
+  CoreExchange,
+  CoreExchangeReply,
+} from '../../protocol/core_service.ts';
+import type {EndpointReport} from '../../protocol/endpoint_report.ts';
+import type {Logger} from '../../protocol/logger.ts';
+import type {CoreState} from './core_state.ts';
+
+/** How often daemons exchange what is not urgent. */
+const INTERVAL_MS = 400;
+
+/** How long news gather before they go out together. */
+const GATHER_MS = 15;
+
+/** How long a daemon may take to answer. */
+const CALL_TIMEOUT_MS = 1_000;
+
+export interface ExchangeTaskOptions {
+  readonly state: CoreState;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly call: (
+    address: string,
+    exchange: CoreExchange,
+    timeoutMs: number,
+  ) => Promise<CoreExchangeReply>;
+}
+
+interface PeerProgress {
+  /** Reports that the peer has not acknowledged, by endpoint. */
+  readonly reports: Map<string, EndpointReport>;
+  gatewaysSince: number;
+  /** Whether all that the peer knows was taken over. */
+  isSynced: boolean;
+  isBusy: boolean;
+  /** Whether its last call failed. */
+  isLost: boolean;
+}
+
+/** Starts the exchange; dispose it to stop. */
+export function startExchange(options: ExchangeTaskOptions): AsyncDisposable {
+  const stopped = new AbortController();
+  const task = runExchange(options, stopped.signal);
+  return {
+    async [Symbol.asyncDispose]() {
+      stopped.abort();
+      options.state.news.notify();
+      await task;
+    },
+  };
+}
+
+async function runExchange(
+  options: ExchangeTaskOptions,
+  signal: AbortSignal,
+): Promise<void> {
+  const {state, clock} = options;
+  const peers = new Map<string, PeerProgress>();
+  while (!signal.aborted) {
+    const reports = state.takeReports();
+    const addresses = state.members.listAddresses();
+    for (const address of peers.keys()) {
+      if (!addresses.includes(address)) peers.delete(address);
+    }
+    for (const address of addresses) {
+      const peer = peers.get(address) ?? createProgress();
+      peers.set(address, peer);
+      for (const report of reports) peer.reports.set(report.id, report);
+      if (!peer.isBusy) void exchangeWith(options, address, peer);
+    }
+    await state.news.wait(INTERVAL_MS);
+    await clock.sleep(GATHER_MS, signal);
+  }
+}
+
+function createProgress(): PeerProgress {
+  return {
+    reports: new Map(),
+    gatewaysSince: -Infinity,
+    isSynced: false,
+    isBusy: false,
+    isLost: false,
+  };
+}
+
+async function exchangeWith(
+  {state, clock, logger, call}: ExchangeTaskOptions,
+  address: string,
+  peer: PeerProgress,
+): Promise<void> {
+  peer.isBusy = true;
+  const startedAt = clock.monotonic();
+  const reports = [...peer.reports.values()];
+  const exchange = state.createExchange(peer.gatewaysSince, !peer.isSynced);
+  try {
+    const reply = await call(address, {...exchange, reports}, CALL_TIMEOUT_MS);
+    for (const report of reports) {
+      if (peer.reports.get(report.id) === report) {
+        peer.reports.delete(report.id);
+      }
+    }
+    peer.gatewaysSince = startedAt;
+    state.takeIn(reply, address);
+    if (peer.isLost || !peer.isSynced) {
+      logger.info('Exchanges with a core daemon.', {address});
+    }
+    peer.isSynced = true;
+    peer.isLost = false;
+  } catch (error) {
+    const reason = (error as Error).message;
+    if (!peer.isLost) {
+      logger.warn('Lost a core daemon.', {address, reason});
+    }
+    peer.isLost = true;
+  } finally {
+    peer.isBusy = false;
+  }
+}
--- /dev/null
+++ b/src/coordination/core/follow_service.ts
@@ -0,0 +1,71 @@
+/** Answers the held-open calls by which gateways follow the core. */
+import type {Clock} from '../../protocol/clock.ts';
+import type {
+  Configuration,
+  FollowReply,
+  FollowRequest,
+} from '../../protocol/core_service.ts';
+import type {CoreState} from './core_state.ts';
+
+/** After this time every living endpoint has reported to some daemon. */
+const SETTLED_AFTER_MS = 6_000;
+
+export interface FollowServiceOptions {
+  readonly state: CoreState;
+  readonly clock: Clock;
+  /** Tells this life of this daemon from others. */
+  readonly epoch: string;
+  /** What is committed here. */
+  readonly getConfiguration: () => Configuration;
+  /** Whether this daemon lately heard from the leader, or leads. */
+  readonly isFresh: () => boolean;
+}
+
+/** Creates the function that answers a gateway. */
+export function createFollowService(options: FollowServiceOptions) {
+  const {state, clock} = options;
+  const startedAt = clock.monotonic();
+  return async (request: FollowRequest): Promise<FollowReply> => {
+    state.gateways.recordDirect(request.report);
+    const deadline = clock.monotonic() + request.holdMs;
+    for (;;) {
+      const leftMs = deadline - clock.monotonic();
+      if (leftMs <= 0 || hasNews(options, request)) break;
+      await state.changes.wait(leftMs);
+    }
+    return createReply(options, request, {
+      settled: clock.monotonic() - startedAt >= SETTLED_AFTER_MS,
+    });
+  };
+}
+
+function hasNews(options: FollowServiceOptions, request: FollowRequest) {
+  const {state, epoch, getConfiguration} = options;
+  return (
+    request.epoch !== epoch ||
+    state.endpoints.revision > request.endpointRevision ||
+    getConfiguration().revision > request.configurationRevision
+  );
+}
+
+function createReply(
+  {state, epoch, getConfiguration, isFresh}: FollowServiceOptions,
+  request: FollowRequest,
+  {settled}: {settled: boolean},
+): FollowReply {
+  const complete = request.epoch !== epoch;
+  const configuration = getConfiguration();
+  const isNewer = configuration.revision > request.configurationRevision;
+  return {
+    epoch,
+    endpointRevision: state.endpoints.revision,
+    complete,
+    settled,
+    endpoints: state.endpoints.list(complete ? 0 : request.endpointRevision),
+    configuration: isNewer ? configuration : null,
+    cores: state.members.list(),
+    loads: state.gateways.sumLoads(request.report.gateway.address),
+    gateways: state.gateways.listOpen().length,
+    fresh: isFresh(),
+  };
+}
--- /dev/null
+++ b/src/coordination/forwarding/call_run.ts
@@ -0,0 +1,79 @@
+/** The state of one request while it is served. */
+import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
+import type {AdmittedCall} from './admit_call.ts';
+import type {Call, Header} from './call.ts';
+import type {AttemptResult} from './run_attempt.ts';
+
+/** A whole answer that says that the request failed. */
+export interface FailedAnswer {
+  readonly status: number;
+  readonly headers: readonly Header[];
+  readonly body: Uint8Array;
+}
+
+/** What happened to a request so far. */
+export class CallRun {
+  /** Endpoints that it was sent to. */
+  readonly tried = new Set<string>();
+  /** How often it may have run. */
+  runs = 0;
+  /** How often an endpoint said that it did not run it. */
+  notRun = 0;
+  /** How often it was sent, whatever came of it. */
+  sends = 0;
+  /** The model that the gateway chose first; `null` when the caller did. */
+  model: string | null = null;
+  /** The last event that the caller has. */
+  lastEventId: string | null;
+  /** The time to the first event or the answer, in ms. */
+  firstMs: number | null = null;
+  failedAnswer: FailedAnswer | null = null;
+  outcome: string | null = null;
+  status = 0;
+
+  constructor(readonly admitted: AdmittedCall) {
+    this.lastEventId = admitted.call.facts.lastEventId;
+  }
+
+  get call(): Call {
+    return this.admitted.call;
+  }
+
+  get isOver(): boolean {
+    return this.outcome !== null;
+  }
+
+  /** What requests of one session have in common. */
+  get session(): string {
+    const {prompt, attemptId} = this.call.facts;
+    return prompt.at(-1)?.id ?? attemptId ?? '';
+  }
+
+  /** The last part of the prompt that other requests share. */
+  get subject(): string | null {
+    return this.call.facts.prompt.at(-2)?.id ?? null;
+  }
+
+  /** The tokens of the parts that other requests share. */
+  get sharedTokens(): number {
+    const shared = this.call.facts.prompt.slice(0, -1);
+    return shared.reduce((sum, {tokens}) => sum + tokens, 0);
+  }
+
+  /** Notes what became of an attempt. */
+  note(endpoint: EndpointEntry, result: AttemptResult): void {
+    this.sends++;
+    this.tried.add(endpoint.id);
+    if (result.type === 'not-run') this.notRun++;
+    else if (result.type !== 'not-sent') this.runs++;
+    if (result.type === 'failed') this.failedAnswer = result.answer;
+    if (result.type === 'left') this.finish('left', 0);
+  }
+
+  /** Ends the run; later calls change nothing. */
+  finish(outcome: string, status: number): void {
+    if (this.isOver) return;
+    this.outcome = outcome;
+    this.status = status;
+  }
+}
--- /dev/null
+++ b/src/coordination/forwarding/endpoint_health.ts
@@ -0,0 +1,128 @@
+/** What one gateway saw of each endpoint with its own eyes. */
+import type {Clock} from '../../protocol/clock.ts';
+import type {EndpointLoad} from '../../protocol/core_service.ts';
+import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
+import type {ReportedLoad} from './call.ts';
+
+/** The first ejection; each further one in a row lasts twice as long. */
+const EJECT_MS = 1_000;
+
+/** The longest ejection. */
+const MAX_EJECT_MS = 8_000;
+
+/** Failures in a row after which an endpoint is ejected. */
+const MAX_FAILURES = 3;
+
+/** How long an endpoint that refused for want of room is left alone. */
+const FULL_MS = 250;
+
+/** The weight of the newest answer in the share of failures. */
+const FAILURE_WEIGHT = 0.12;
+
+interface Seen {
+  /** Which start of the endpoint this is about. */
+  startedAtMs: number;
+  open: number;
+  /** Failures in a row. */
+  failures: number;
+  /** The share of answers that failed, newest first. */
+  failureShare: number;
+  ejections: number;
+  ejectedUntil: number;
+  fullUntil: number;
+  load: ReportedLoad | null;
+}
+
+/** Counts requests and failures by endpoint. */
+export class EndpointHealth {
+  private readonly seen = new Map<string, Seen>();
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Notes that a request goes to an endpoint; call the result at its end. */
+  open(endpoint: EndpointEntry): Disposable {
+    const seen = this.get(endpoint);
+    seen.open++;
+    let closed = false;
+    return {
+      [Symbol.dispose]() {
+        if (!closed) seen.open--;
+        closed = true;
+      },
+    };
+  }
+
+  recordSuccess(endpoint: EndpointEntry): void {
+    const seen = this.get(endpoint);
+    seen.failures = 0;
+    seen.ejections = 0;
+    seen.failureShare *= 1 - FAILURE_WEIGHT;
+  }
+
+  /**
+   * Notes a failure.
+   *
+   * @param isDead Whether it shows that nothing answers there.
+   */
+  recordFailure(endpoint: EndpointEntry, isDead: boolean): void {
+    const seen = this.get(endpoint);
+    seen.failures += isDead ? MAX_FAILURES : 1;
+    seen.failureShare += (1 - seen.failureShare) * FAILURE_WEIGHT;
+    if (seen.failures < MAX_FAILURES) return;
+    const ejectMs = Math.min(MAX_EJECT_MS, EJECT_MS * 2 ** seen.ejections);
+    seen.ejectedUntil = this.clock.monotonic() + ejectMs;
+    seen.ejections++;
+    seen.failures = 0;
+  }
+
+  /** Notes that an endpoint had no room. */
+  recordFull(endpoint: EndpointEntry): void {
+    this.get(endpoint).fullUntil = this.clock.monotonic() + FULL_MS;
+  }
+
+  recordLoad(endpoint: EndpointEntry, load: ReportedLoad | null): void {
+    if (load) this.get(endpoint).load = load;
+  }
+
+  /** The requests that this gateway has open at an endpoint. */
+  countOpen(endpoint: EndpointEntry): number {
+    return this.get(endpoint).open;
+  }
+
+  isEjected(endpoint: EndpointEntry): boolean {
+    return this.get(endpoint).ejectedUntil > this.clock.monotonic();
+  }
+
+  isFull(endpoint: EndpointEntry): boolean {
+    return this.get(endpoint).fullUntil > this.clock.monotonic();
+  }
+
+  /** The share of answers that failed, from 0 to 1. */
+  getFailureShare(endpoint: EndpointEntry): number {
+    return this.get(endpoint).failureShare;
+  }
+
+  /** The open requests of this gateway by endpoint, for the core. */
+  listLoads(): EndpointLoad[] {
+    return [...this.seen]
+      .filter(([, {open}]) => open > 0)
+      .map(([id, {open}]) => ({id, open}));
+  }
+
+  private get({id, startedAtMs}: EndpointEntry): Seen {
+    const known = this.seen.get(id);
+    if (known && known.startedAtMs >= startedAtMs) return known;
+    const fresh: Seen = {
+      startedAtMs,
+      open: 0,
+      failures: 0,
+      failureShare: 0,
+      ejections: 0,
+      ejectedUntil: -Infinity,
+      fullUntil: -Infinity,
+      load: null,
+    };
+    this.seen.set(id, fresh);
+    return fresh;
+  }
+}
--- /dev/null
+++ b/src/coordination/forwarding/forwarder.ts
@@ -0,0 +1,286 @@
+/**
+ * Forwards requests to endpoints: the one path of a routing gateway.
+ *
+ * A request is sent to one endpoint at a time. It goes on to another only when
+ * it surely has not run, or when it may run again and the attempts, the retry
+ * budget and the time left allow it. Whatever happens, the caller gets one
+ * answer at once when there is nothing left to try.
+ */
+import type {Clock} from '../../protocol/clock.ts';
+import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
+import type {Logger} from '../../protocol/logger.ts';
+import type {Metrics} from '../../protocol/metrics.ts';
+import type {GatewayView} from '../gateway/gateway_view.ts';
+import {createRetryBudget, type RetryBudget} from '../limits/retry_budget.ts';
+import {admitCall} from './admit_call.ts';
+import type {Call, CallerSink, SendAttempt} from './call.ts';
+import {chooseEndpoint, type EndpointCandidate} from './choose_endpoint.ts';
+import {chooseModel} from './choose_model.ts';
+import {chooseVersion} from './choose_version.ts';
+import type {EndpointHealth} from './endpoint_health.ts';
+import {refuseCall, type RefusalReason} from './refuse.ts';
+import {runAttempt, type AttemptResult} from './run_attempt.ts';
+import {CallRun} from './call_run.ts';
+import type {VersionEvidenceBook} from './version_evidence.ts';
+
+/** How often a request that surely has not run is sent on, at the most. */
+const MAX_NOT_RUN = 2;
+
+/** The share of the allowed repeats that gateways use: others draw on it. */
+const BUDGET_SHARE = 0.5;
+
+/** The soonest and latest return of a refused caller, in ms. */
+const RETRY_AFTER_MIN_MS = 300;
+const RETRY_AFTER_SPREAD_MS = 700;
+
+export interface ForwarderOptions {
+  readonly view: GatewayView;
+  readonly health: EndpointHealth;
+  readonly evidence: VersionEvidenceBook;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  /** Returns a number from 0 up to 1. */
+  readonly random: () => number;
+  readonly send: SendAttempt;
+  readonly region: string;
+  readonly dataCentre: string;
+  /** The region of a data centre; `null` when it is unknown. */
+  readonly findRegion: (dataCentre: string) => string | null;
+  /** Repeats that a service takes, as a share of its requests. */
+  readonly retryRatio: number;
+  /** Repeats that a service takes beyond that share in one window. */
+  readonly retryExtra: number;
+}
+
+/** Serves the requests of one gateway. */
+export class Forwarder {
+  private readonly budgets = new Map<string, RetryBudget>();
+
+  constructor(private readonly options: ForwarderOptions) {}
+
+  /** Answers a request; resolves when its answer has ended. */
+  async forward(call: Call, sink: CallerSink): Promise<void> {
+    const {view, random} = this.options;
+    const index = view.routes;
+    if (!index) return this.refuse(call, sink, 'no-configuration');
+    const admitted = admitCall(call, index, random);
+    if (!admitted.ok) return this.refuse(call, sink, admitted.error);
+    const run = new CallRun(admitted.value);
+    this.findBudget(admitted.value.service.name).deposit();
+    while (!run.isOver) await this.step(run, sink);
+    this.record(run);
+  }
+
+  /** Makes one attempt, or ends the run when there is none to make. */
+  private async step(run: CallRun, sink: CallerSink): Promise<void> {
+    const {clock} = this.options;
+    if (run.call.signal.aborted) return run.finish('left', 0);
+    const leftMs = run.admitted.deadline - clock.monotonic();
+    if (leftMs <= 0) return this.giveUp(run, sink, 'deadline');
+    const isRepeat = run.sends > 0;
+    if (isRepeat && !this.mayRepeat(run)) return this.giveUp(run, sink, null);
+    const choice = this.choose(run);
+    if (!choice) return this.giveUp(run, sink, null);
+    const result = await runAttempt(
+      {...this.options, sink, leftMs},
+      run,
+      choice,
+    );
+    this.takeResult(run, choice.endpoint, result);
+    if (result.type === 'delivered') run.finish('answered', result.status);
+    if (result.type === 'cut') {
+      sink.abort();
+      run.finish('cut', 0);
+    }
+  }
+
+  private mayRepeat(run: CallRun): boolean {
+    const {admitted, runs, notRun} = run;
+    if (runs > 0 && !admitted.isRepeatable) return false;
+    if (runs >= admitted.route.maxAttempts) return false;
+    if (notRun > MAX_NOT_RUN) return false;
+    return this.findBudget(admitted.service.name).tryTake();
+  }
+
+  /** Answers with the best that there is. */
+  private giveUp(run: CallRun, sink: CallerSink, why: 'deadline' | null): void {
+    if (sink.hasBegun) {
+      sink.abort();
+      return run.finish('cut', 0);
+    }
+    const {failedAnswer} = run;
+    if (failedAnswer) {
+      const {status, headers, body} = failedAnswer;
+      sink.answer(status, headers, body);
+      return run.finish('answered', status);
+    }
+    const reason = this.findReason(run, why);
+    const mayReturn = run.runs === 0;
+    const status = refuseCall(sink, {
+      reason,
+      ...(mayReturn ? {retryAfterMs: this.drawRetryAfter()} : {}),
+    });
+    run.finish(reason, status);
+  }
+
+  private findReason(run: CallRun, why: 'deadline' | null): RefusalReason {
+    if (run.runs > 0) return why === 'deadline' ? 'deadline' : 'broken';
+    if (why === 'deadline') return 'deadline-not-run';
+    if (run.notRun > 0) return 'no-room';
+    return run.sends > 0 ? 'not-run' : 'no-endpoint';
+  }
+
+  private drawRetryAfter(): number {
+    const {random} = this.options;
+    return RETRY_AFTER_MIN_MS + random() * RETRY_AFTER_SPREAD_MS;
+  }
+
+  private choose(run: CallRun) {
+    const {view, health, region, dataCentre, findRegion, random} = this.options;
+    const {service, route} = run.admitted;
+    const allows = chooseVersion(view.findRollout(service.name), run.session);
+    const candidates = view
+      .listEndpoints(service.name)
+      .filter(
+        endpoint =>
+          endpoint.state === 'ready' &&
+          allows(endpoint.version) &&
+          !run.tried.has(endpoint.id),
+      )
+      .map((endpoint): EndpointCandidate => ({
+        endpoint,
+        open: health.countOpen(endpoint) + view.getOtherLoad(endpoint.id),
+        isEjected: health.isEjected(endpoint),
+        isFull: health.isFull(endpoint),
+        failureShare: health.getFailureShare(endpoint),
+      }));
+    const chosen = chooseEndpoint({
+      service,
+      candidates,
+      region,
+      dataCentre,
+      findRegion,
+      subject: run.subject,
+      sharedTokens: run.sharedTokens,
+      random,
+    });
+    if (!chosen) return null;
+    const model = run.call.facts.isModelOpen
+      ? (run.model ??
+        chooseModel({
+          models: route.models,
+          utilization: computeUtilization(service.engine?.slots, candidates),
+        }))
+      : null;
+    return {endpoint: chosen.endpoint, model};
+  }
+
+  private takeResult(
+    run: CallRun,
+    endpoint: EndpointEntry,
+    result: AttemptResult,
+  ): void {
+    const {health, evidence, view, logger} = this.options;
+    const {service, route} = run.admitted;
+    run.note(endpoint, result);
+    if (result.type === 'not-run' && result.isFull) health.recordFull(endpoint);
+    if (result.type === 'not-sent') health.recordFailure(endpoint, true);
+    if (result.type === 'broken') {
+      health.recordFailure(endpoint, result.isDead);
+    }
+    if (result.type === 'failed') health.recordFailure(endpoint, false);
+    if (result.type === 'delivered') {
+      if (result.isGood) health.recordSuccess(endpoint);
+      else health.recordFailure(endpoint, false);
+    }
+    if (result.type !== 'delivered') {
+      logger.info('Could not use an endpoint.', {
+        request: run.call.facts.attemptId,
+        endpoint: endpoint.id,
+        address: endpoint.address,
+        outcome: result.type,
+        reason: 'reason' in result ? result.reason : undefined,
+      });
+    }
+    if (result.type === 'not-run' || result.type === 'not-sent') return;
+    if (result.type === 'left') return;
+    const rollout = view.findRollout(service.name);
+    evidence.record(
+      {
+        service: service.name,
+        version: endpoint.version,
+        route: route.name,
+        isFailure: result.type !== 'delivered' || !result.isGood,
+        firstMs: run.firstMs,
+      },
+      rollout?.state === 'running',
+    );
+  }
+
+  private findBudget(service: string): RetryBudget {
+    const known = this.budgets.get(service);
+    if (known) return known;
+    const {retryRatio, retryExtra, view} = this.options;
+    const budget = createRetryBudget({
+      ratio: retryRatio * BUDGET_SHARE,
+      capacity: Math.max(2, (retryExtra * BUDGET_SHARE) / view.gatewayCount),
+    });
+    this.budgets.set(service, budget);
+    return budget;
+  }
+
+  private refuse(call: Call, sink: CallerSink, reason: RefusalReason): void {
+    const retryAfterMs = this.drawRetryAfter();
+    const status = refuseCall(sink, {
+      reason,
+      ...(reason === 'no-configuration' ? {retryAfterMs} : {}),
+    });
+    this.options.metrics.count('requests', 1, {outcome: reason});
+    this.options.logger.info('Refuses a request.', {
+      request: call.facts.attemptId,
+      host: call.host,
+      path: call.path,
+      reason,
+      status,
+      configuration: this.options.view.routes?.table.version ?? null,
+    });
+  }
+
+  private record(run: CallRun): void {
+    const {clock, logger, metrics, view} = this.options;
+    const {route, service, customer} = run.admitted;
+    const ms = clock.monotonic() - run.call.receivedAt;
+    metrics.count('requests', 1, {outcome: run.outcome ?? 'none'});
+    metrics.record('request_ms', ms, {route: route.name});
+    logger.info('Ends a request.', {
+      request: run.call.facts.attemptId,
+      route: route.name,
+      service: service.name,
+      customer: customer?.name ?? null,
+      outcome: run.outcome,
+      status: run.status,
+      endpoints: [...run.tried],
+      model: run.model,
+      runs: run.runs,
+      notRun: run.notRun,
+      firstMs: run.firstMs === null ? null : Math.round(run.firstMs),
+      ms: Math.round(ms),
+      configuration: view.routes?.table.version ?? null,
+    });
+  }
+}
+
+/** Open requests for each slot. */
+function computeUtilization(
+  engineSlots: number | undefined,
+  candidates: readonly EndpointCandidate[],
+): number {
+  let open = 0;
+  let slots = 0;
+  for (const candidate of candidates) {
+    open += candidate.open;
+    slots += engineSlots ?? candidate.endpoint.slots;
+  }
+  return slots === 0 ? 1 : open / slots;
+}
--- /dev/null
+++ b/src/coordination/forwarding/refuse.ts
@@ -0,0 +1,52 @@
+/** Answers that the gateway gives itself. */
+import type {CallerSink, Header} from './call.ts';
+
+/** Why a request was not served. */
+export type RefusalReason =
+  | 'no-configuration'
+  | 'no-route'
+  | 'unknown-key'
+  | 'bad-request'
+  | 'too-large'
+  | 'no-endpoint'
+  | 'no-room'
+  | 'not-run'
+  | 'deadline-not-run'
+  | 'deadline'
+  | 'broken';
+
+const STATUS: Readonly<Record<RefusalReason, number>> = {
+  // 503 promises that the request did not run and never will.
+  'no-configuration': 503,
+  'no-endpoint': 503,
+  'no-room': 503,
+  'not-run': 503,
+  'deadline-not-run': 503,
+  'no-route': 404,
+  'unknown-key': 401,
+  'bad-request': 400,
+  'too-large': 413,
+  // 502 and 504 leave open whether it ran.
+  deadline: 504,
+  broken: 502,
+};
+
+export interface RefuseOptions {
+  readonly reason: RefusalReason;
+  /** When the caller should come back, in ms; none by default. */
+  readonly retryAfterMs?: number;
+}
+
+/** Answers a request that is not served; returns the status. */
+export function refuseCall(
+  sink: CallerSink,
+  {reason, retryAfterMs}: RefuseOptions,
+): number {
+  const status = STATUS[reason];
+  const headers: Header[] = [['Content-Type', 'application/json']];
+  if (retryAfterMs !== undefined) {
+    headers.push(['Retry-After', (retryAfterMs / 1_000).toFixed(3)]);
+  }
+  sink.answer(status, headers, Buffer.from(JSON.stringify({error: reason})));
+  return status;
+}
--- /dev/null
+++ b/src/coordination/forwarding/relay_events.ts
@@ -0,0 +1,72 @@
+/**
+ * Passes the events of a stream on as they come.
+ *
+ * Only whole events are passed on. A stream that breaks off can go on at
+ * another endpoint after the last event that the caller has; it then keeps the
+ * headers of the first.
+ */
+import type {Clock} from '../../protocol/clock.ts';
+import type {CallerSink, EndpointAnswer, Header} from './call.ts';
+import type {CallRun} from './call_run.ts';
+import {EventSplitter, type StreamEvent} from './event_splitter.ts';
+import type {AttemptResult} from './run_attempt.ts';
+
+/** The shortest silence after which a stream goes on elsewhere. */
+export const STALL_MIN_MS = 1_200;
+
+/** A longer pause than the objective of the route counts as a stall. */
+const STALL_FACTOR = 1.5;
+
+/** Headers that say how an answer was framed, which the gateway does anew. */
+const FRAMING = new Set(['content-length', 'transfer-encoding']);
+
+export interface RelayOptions {
+  readonly clock: Clock;
+  readonly sink: CallerSink;
+  /** Tells that the answer goes on, and how long the next piece may take. */
+  readonly onProgress: (ms: number) => void;
+}
+
+/** Relays one endpoint's part of a stream. */
+export async function relayEvents(
+  {clock, sink, onProgress}: RelayOptions,
+  run: CallRun,
+  answer: EndpointAnswer,
+): Promise<AttemptResult> {
+  const {route, isRepeatable} = run.admitted;
+  const stallMs = Math.max(STALL_MIN_MS, route.gapObjectiveMs * STALL_FACTOR);
+  const splitter = new EventSplitter();
+  const breakOff = (reason: string): AttemptResult =>
+    isRepeatable || !sink.hasBegun
+      ? {type: 'broken', isDead: false, reason}
+      : {type: 'cut', reason};
+  try {
+    for await (const bytes of answer.body) {
+      const events = splitter.push(bytes).filter(event => isNext(run, event));
+      if (events.length === 0) continue;
+      run.firstMs ??= clock.monotonic() - run.call.receivedAt;
+      if (!sink.hasBegun) sink.begin(answer.status, dropFraming(answer));
+      const room = sink.write(Buffer.concat(events.map(event => event.bytes)));
+      run.lastEventId = events.at(-1)?.id ?? run.lastEventId;
+      onProgress(stallMs);
+      await room;
+      onProgress(stallMs);
+    }
+  } catch (error) {
+    return breakOff((error as Error).message);
+  }
+  if (splitter.hasRest) return breakOff('the stream ended within an event');
+  if (!sink.hasBegun) sink.begin(answer.status, dropFraming(answer));
+  sink.end();
+  return {type: 'delivered', status: answer.status, isGood: true};
+}
+
+/** Whether an event follows on those that the caller has. */
+function isNext({lastEventId}: CallRun, {id}: StreamEvent): boolean {
+  if (lastEventId === null || id === null) return true;
+  return Number(id) > Number(lastEventId);
+}
+
+function dropFraming({headers}: EndpointAnswer): Header[] {
+  return headers.filter(([name]) => !FRAMING.has(name.toLowerCase()));
+}
--- /dev/null
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -0,0 +1,239 @@
+/** Sends a request to one endpoint and passes its answer on. */
+import type {Clock} from '../../protocol/clock.ts';
+import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
+import type {
+  AttemptOutcome,
+  CallerSink,
+  EndpointAnswer,
+  Header,
+  SendAttempt,
+} from './call.ts';
+import type {CallRun, FailedAnswer} from './call_run.ts';
+import type {EndpointHealth} from './endpoint_health.ts';
+import {relayEvents, STALL_MIN_MS} from './relay_events.ts';
+import {startWatchdog} from './watchdog.ts';
+
+/** The largest answer that is held until it is whole. */
+const MAX_HELD_BYTES = 4 * 1024 * 1024;
+
+/**
+ * How long an answer that may be asked for again is waited for, as a multiple
+ * of its objective, and at least.
+ */
+const PATIENCE_FACTOR = 1.3;
+const PATIENCE_MIN_MS = 500;
+
+/** What became of an attempt, for the request and for the endpoint. */
+export type AttemptResult =
+  /** The caller has the whole answer. */
+  | {
+      readonly type: 'delivered';
+      readonly status: number;
+      readonly isGood: boolean;
+    }
+  /** The endpoint answered that it failed; another may do better. */
+  | {readonly type: 'failed'; readonly answer: FailedAnswer}
+  | {readonly type: 'not-sent'; readonly reason: string}
+  | {
+      readonly type: 'not-run';
+      readonly isFull: boolean;
+      readonly reason: string;
+    }
+  /** It may have run, and no whole answer came. */
+  | {readonly type: 'broken'; readonly isDead: boolean; readonly reason: string}
+  /** Its answer broke off and cannot go on elsewhere. */
+  | {readonly type: 'cut'; readonly reason: string}
+  /** The caller left. */
+  | {readonly type: 'left'};
+
+export interface RunAttemptOptions {
+  readonly clock: Clock;
+  readonly health: EndpointHealth;
+  readonly send: SendAttempt;
+  readonly sink: CallerSink;
+  /** The time until the request must be answered, in ms. */
+  readonly leftMs: number;
+}
+
+/** Why the gateway gives up an attempt. */
+type AbortReason = 'deadline' | 'stall' | 'left';
+
+/** The endpoint, and the model that the gateway chose. */
+export interface AttemptChoice {
+  readonly endpoint: EndpointEntry;
+  readonly model: string | null;
+}
+
+/** Runs one attempt to its end. */
+export async function runAttempt(
+  options: RunAttemptOptions,
+  run: CallRun,
+  {endpoint, model}: AttemptChoice,
+): Promise<AttemptResult> {
+  const {clock, health, leftMs} = options;
+  const {call, admitted} = run;
+  run.model = model;
+  const controller = new AbortController();
+  let aborted: AbortReason | null = null;
+  const abort = (reason: AbortReason) => {
+    aborted ??= reason;
+    controller.abort();
+  };
+  const leave = () => abort('left');
+  call.signal.addEventListener('abort', leave);
+  using _open = health.open(endpoint);
+  using _deadline = startWatchdog(clock, leftMs, () => abort('deadline'));
+  using stall = startWatchdog(clock, findPatience(run), () => {
+    if (canGoOn(run)) abort('stall');
+  });
+  try {
+    if (call.signal.aborted) return {type: 'left'};
+    const outcome = await options.send(call, {
+      endpoint,
+      customer: admitted.customer?.name ?? null,
+      model,
+      lastEventId: run.lastEventId,
+      budgetMs: Math.max(1, Math.floor(leftMs)),
+      mayReuseConnection: admitted.isRepeatable,
+      signal: controller.signal,
+    });
+    const result = await takeOutcome(options, run, {
+      endpoint,
+      outcome,
+      onProgress: ms => stall.postpone(ms),
+    });
+    return explainAbort(result, aborted);
+  } finally {
+    call.signal.removeEventListener('abort', leave);
+  }
+}
+
+/** Names the reason of the gateway itself where it broke an attempt off. */
+function explainAbort(
+  result: AttemptResult,
+  aborted: AbortReason | null,
+): AttemptResult {
+  if (aborted === null || result.type === 'delivered') return result;
+  if (aborted === 'left') return {type: 'left'};
+  if (result.type !== 'broken') return result;
+  return {...result, isDead: false, reason: aborted};
+}
+
+/** Whether another endpoint could go on where this attempt stops. */
+function canGoOn({admitted, runs}: CallRun): boolean {
+  return admitted.isRepeatable && runs + 1 < admitted.route.maxAttempts;
+}
+
+/** How long the first event or the answer is waited for, in ms. */
+function findPatience({admitted}: CallRun): number {
+  const {objectiveMs, repeatability} = admitted.route;
+  const patienceMs = Math.max(PATIENCE_MIN_MS, objectiveMs * PATIENCE_FACTOR);
+  return repeatability === 'stream'
+    ? Math.max(STALL_MIN_MS, patienceMs)
+    : patienceMs;
+}
+
+interface TakenOutcome {
+  readonly endpoint: EndpointEntry;
+  readonly outcome: AttemptOutcome;
+  /** Tells that the answer goes on, and how long the next piece may take. */
+  readonly onProgress: (ms: number) => void;
+}
+
+async function takeOutcome(
+  options: RunAttemptOptions,
+  run: CallRun,
+  {endpoint, outcome, onProgress}: TakenOutcome,
+): Promise<AttemptResult> {
+  switch (outcome.type) {
+    case 'not-sent':
+      return outcome;
+    case 'not-run':
+      options.health.recordLoad(endpoint, outcome.load);
+      return {
+        type: 'not-run',
+        isFull: outcome.status !== 421,
+        reason: `status ${outcome.status}`,
+      };
+    case 'broken':
+      return {type: 'broken', isDead: false, reason: outcome.reason};
+    case 'aborted':
+      return {type: 'broken', isDead: false, reason: 'aborted'};
+    case 'answer':
+      options.health.recordLoad(endpoint, outcome.answer.facts.load);
+      return takeAnswer(options, run, outcome.answer, onProgress);
+  }
+}
+
+async function takeAnswer(
+  options: RunAttemptOptions,
+  run: CallRun,
+  answer: EndpointAnswer,
+  onProgress: (ms: number) => void,
+): Promise<AttemptResult> {
+  const {clock, sink} = options;
+  const problem = findProblem(run, answer);
+  if (problem !== null) {
+    answer.cancel();
+    return {type: 'broken', isDead: false, reason: problem};
+  }
+  const isGood = answer.status < 500;
+  if (isEventStream(answer.headers) && answer.status === 200) {
+    return relayEvents({clock, sink, onProgress}, run, answer);
+  }
+  if (sink.hasBegun) {
+    // The stream that was begun cannot go on with another kind of answer.
+    answer.cancel();
+    return {type: 'broken', isDead: false, reason: `status ${answer.status}`};
+  }
+  const body = await readWhole(answer);
+  if (body === null) {
+    return {type: 'broken', isDead: false, reason: 'the answer broke off'};
+  }
+  run.firstMs = clock.monotonic() - run.call.receivedAt;
+  const {status, headers} = answer;
+  if (!isGood && run.admitted.isRepeatable) {
+    return {type: 'failed', answer: {status, headers, body}};
+  }
+  sink.answer(status, headers, body);
+  return {type: 'delivered', status, isGood};
+}
+
+/** Why an answer cannot be this request's; `null` when it can. */
+function findProblem({call}: CallRun, {facts, status}: EndpointAnswer) {
+  if (facts.attemptId !== call.facts.attemptId) {
+    return 'the answer belongs to another request';
+  }
+  if (status >= 200 && status < 300 && !facts.isSigned) {
+    return 'the answer is not signed';
+  }
+  return null;
+}
+
+/** Reads a whole body; `null` when it broke off or is too large. */
+async function readWhole(answer: EndpointAnswer): Promise<Buffer | null> {
+  const pieces: Uint8Array[] = [];
+  let size = 0;
+  try {
+    for await (const piece of answer.body) {
+      pieces.push(piece);
+      size += piece.length;
+      if (size > MAX_HELD_BYTES) {
+        answer.cancel();
+        return null;
+      }
+    }
+  } catch {
+    // A body that breaks off is an outcome; the attempt's line reports it.
+    return null;
+  }
+  return Buffer.concat(pieces);
+}
+
+function isEventStream(headers: readonly Header[]): boolean {
+  return headers.some(
+    ([name, value]) =>
+      name.toLowerCase() === 'content-type' &&
+      value.toLowerCase().startsWith('text/event-stream'),
+  );
+}
--- /dev/null
+++ b/src/coordination/gateway/core_follower.ts
@@ -0,0 +1,179 @@
+/**
+ * The gateway's task that follows one daemon of the core by held-open calls.
+ *
+ * It prefers near daemons, and leaves one that does not answer or that lost
+ * the leader for the next.
+ */
+import type {Clock} from '../../protocol/clock.ts';
+import type {
+  FollowReply,
+  FollowRequest,
+  GatewayReport,
+} from '../../protocol/core_service.ts';
+import type {Logger} from '../../protocol/logger.ts';
+import type {GatewayView} from './gateway_view.ts';
+
+/** How long a call may be held; the core learns of loads as often. */
+const HOLD_MS = 500;
+
+/** How long an answer may take beyond the hold: a lost packet sent again. */
+const ANSWER_TIMEOUT_MS = 700;
+
+/** The pause after no daemon answered. */
+const RETRY_MS = 100;
+
+/** How long a daemon that failed or lagged is left for others. */
+const AVOID_MS = 3_000;
+
+/** The pause between calls to a daemon that lags, when all others do too. */
+const LAG_PAUSE_MS = 200;
+
+export interface CoreFollowerOptions {
+  readonly view: GatewayView;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** The addresses that the settings name. */
+  readonly listSeeds: () => readonly string[];
+  readonly region: string;
+  readonly dataCentre: string;
+  /** Returns a number from 0 up to 1. */
+  readonly random: () => number;
+  readonly createReport: () => GatewayReport;
+  readonly call: (
+    address: string,
+    request: FollowRequest,
+    timeoutMs: number,
+  ) => Promise<FollowReply>;
+}
+
+/** Follows the core until it is disposed. */
+export class CoreFollower implements AsyncDisposable {
+  private readonly stopped = new AbortController();
+  private readonly avoidUntil = new Map<string, number>();
+  private task: Promise<void> | null = null;
+  private epoch = '';
+  private endpointRevision = 0;
+  private followed: string | null = null;
+  private lastHeardAt = -Infinity;
+  private hurried = false;
+
+  constructor(private readonly options: CoreFollowerOptions) {}
+
+  start(): void {
+    this.task ??= this.run();
+  }
+
+  /** How long ago the core last answered, in ms. */
+  get silentMs(): number {
+    return this.options.clock.monotonic() - this.lastHeardAt;
+  }
+
+  /** Tells the core at once that this gateway changed. */
+  async reportOnce(): Promise<void> {
+    this.hurried = true;
+    const address = this.followed ?? this.choose();
+    if (address === null) return;
+    try {
+      await this.ask(address, 0);
+    } catch (error) {
+      const reason = (error as Error).message;
+      this.options.logger.warn('Could not report to the core.', {
+        address,
+        reason,
+      });
+    }
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.stopped.abort();
+    await this.task;
+  }
+
+  private async run(): Promise<void> {
+    const {clock} = this.options;
+    const {signal} = this.stopped;
+    while (!signal.aborted) {
+      const address = this.choose();
+      if (address === null) {
+        await clock.sleep(RETRY_MS, signal);
+        continue;
+      }
+      if (address !== this.followed) this.switchTo(address);
+      await this.followOnce(address);
+    }
+  }
+
+  private switchTo(address: string): void {
+    this.followed = address;
+    this.epoch = '';
+    this.endpointRevision = 0;
+  }
+
+  private async followOnce(address: string): Promise<void> {
+    const {clock, logger} = this.options;
+    const isFirst = this.epoch === '';
+    try {
+      const fresh = await this.ask(address, isFirst ? 0 : HOLD_MS);
+      if (isFirst) logger.info('Follows a core daemon.', {address, fresh});
+      if (fresh) return;
+      this.avoid(address);
+      await clock.sleep(LAG_PAUSE_MS, this.stopped.signal);
+    } catch (error) {
+      const reason = (error as Error).message;
+      logger.warn('Lost the core daemon it follows.', {address, reason});
+      this.avoid(address);
+      this.followed = null;
+      await clock.sleep(RETRY_MS, this.stopped.signal);
+    }
+  }
+
+  /** Makes one call; true when the daemon hears the leader. */
+  private async ask(address: string, holdMs: number): Promise<boolean> {
+    const {view, clock, call, createReport} = this.options;
+    const request: FollowRequest = {
+      report: createReport(),
+      epoch: this.epoch,
+      endpointRevision: this.endpointRevision,
+      configurationRevision: view.revision,
+      holdMs: this.hurried ? 0 : holdMs,
+    };
+    this.hurried = false;
+    const reply = await call(address, request, holdMs + ANSWER_TIMEOUT_MS);
+    this.lastHeardAt = clock.monotonic();
+    view.apply(reply);
+    if (address === this.followed) {
+      this.epoch = reply.epoch;
+      this.endpointRevision = reply.endpointRevision;
+    }
+    return reply.fresh;
+  }
+
+  private avoid(address: string): void {
+    const until = this.options.clock.monotonic() + AVOID_MS;
+    this.avoidUntil.set(address, until);
+  }
+
+  /** The daemon followed so far unless it is avoided, else the nearest. */
+  private choose(): string | null {
+    const {view, listSeeds, region, dataCentre, random, clock} = this.options;
+    const now = clock.monotonic();
+    const places = new Map(view.cores.map(core => [core.address, core]));
+    const addresses = [...new Set([...places.keys(), ...listSeeds()])];
+    const usable = addresses.filter(
+      address => (this.avoidUntil.get(address) ?? -Infinity) <= now,
+    );
+    const {followed} = this;
+    if (followed !== null && usable.includes(followed)) return followed;
+    const rank = (address: string) => {
+      const core = places.get(address);
+      if (!core) return 3;
+      if (core.dataCentre === dataCentre) return 0;
+      return core.region === region ? 1 : 2;
+    };
+    const candidates = usable.length > 0 ? usable : addresses;
+    const [best] = candidates
+      .map(address => ({address, rank: rank(address) + random() * 0.9}))
+      .sort((a, b) => a.rank - b.rank);
+    return best?.address ?? null;
+  }
+}
--- /dev/null
+++ b/src/coordination/gateway/gateway_view.ts
@@ -0,0 +1,132 @@
+/**
+ * What one gateway believes: the configuration in force and the endpoints.
+ *
+ * The configuration only ever moves forward within the life of the process. A
+ * gateway that lost the core goes on with what it knows last.
+ */
+import type {
+  Configuration,
+  CoreDaemon,
+  FollowReply,
+  ServiceRollout,
+} from '../../protocol/core_service.ts';
+import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
+import type {Logger} from '../../protocol/logger.ts';
+import type {Outcome} from '../../protocol/outcome.ts';
+import type {RouteTable} from '../../protocol/route_table.ts';
+import {RouteIndex} from './route_index.ts';
+
+export interface GatewayViewOptions {
+  readonly logger: Logger;
+  /** Reads the operator's document. */
+  readonly decodeTable: (document: string) => Outcome<RouteTable, string>;
+  /** Runs after each change of the configuration. */
+  readonly onConfiguration?: (index: RouteIndex) => void;
+}
+
+export class GatewayView {
+  private index: RouteIndex | null = null;
+  private configuration: Configuration = {
+    revision: 0,
+    version: null,
+    document: null,
+    rollouts: [],
+  };
+  private readonly endpoints = new Map<string, EndpointEntry>();
+  private loads = new Map<string, number>();
+  private coreDaemons: readonly CoreDaemon[] = [];
+  private openGateways = 1;
+
+  constructor(private readonly options: GatewayViewOptions) {}
+
+  /** The routes in force; `null` before any configuration is known. */
+  get routes(): RouteIndex | null {
+    return this.index;
+  }
+
+  get revision(): number {
+    return this.configuration.revision;
+  }
+
+  /** The daemons of the core, as last heard. */
+  get cores(): readonly CoreDaemon[] {
+    return this.coreDaemons;
+  }
+
+  /** How many gateways share the load, this one included. */
+  get gatewayCount(): number {
+    return Math.max(1, this.openGateways);
+  }
+
+  findRollout(service: string): ServiceRollout | null {
+    const {rollouts} = this.configuration;
+    return rollouts.find(rollout => rollout.service === service) ?? null;
+  }
+
+  /** The endpoints of a service that have not left. */
+  listEndpoints(service: string): EndpointEntry[] {
+    return [...this.endpoints.values()].filter(
+      each => each.service === service && each.state !== 'gone',
+    );
+  }
+
+  /** The requests that other gateways have open at an endpoint. */
+  getOtherLoad(id: string): number {
+    return this.loads.get(id) ?? 0;
+  }
+
+  /** Takes in what a daemon of the core answered. */
+  apply(reply: FollowReply): void {
+    if (reply.configuration) this.applyConfiguration(reply.configuration);
+    for (const entry of reply.endpoints) this.applyEndpoint(entry);
+    if (reply.complete && reply.settled) this.forgetOthers(reply.endpoints);
+    this.loads = new Map(reply.loads.map(({id, open}) => [id, open]));
+    this.coreDaemons = reply.cores;
+    this.openGateways = reply.gateways;
+  }
+
+  private applyConfiguration(next: Configuration): void {
+    const {revision, version} = this.configuration;
+    if (next.revision <= revision) return;
+    if (next.version !== version && next.document !== null) {
+      const decoded = this.options.decodeTable(next.document);
+      if (!decoded.ok) {
+        this.options.logger.error('Could not read the configuration.', {
+          version: next.version,
+          reason: decoded.error,
+        });
+        return;
+      }
+      this.index = new RouteIndex(decoded.value);
+      this.options.onConfiguration?.(this.index);
+    }
+    this.configuration = next;
+    this.options.logger.info('Applies a configuration.', {
+      revision: next.revision,
+      version: next.version,
+      rollouts: next.rollouts.map(
+        ({service, target, state, share}) =>
+          `${service}/${target} ${state} ${share}`,
+      ),
+    });
+  }
+
+  private applyEndpoint(entry: EndpointEntry): void {
+    const known = this.endpoints.get(entry.id);
+    // Another daemon of the core may lag behind the one followed before.
+    if (known && known.startedAtMs > entry.startedAtMs) return;
+    const isSameStart = known?.startedAtMs === entry.startedAtMs;
+    if (isSameStart && known.state !== 'ready' && entry.state === 'ready') {
+      return;
+    }
+    this.endpoints.set(entry.id, entry);
+  }
+
+  /** Forgets endpoints that a daemon with the whole list does not know. */
+  private forgetOthers(entries: readonly EndpointEntry[]): void {
+    const known = new Set(entries.map(({id}) => id));
+    for (const id of this.endpoints.keys()) {
+      if (!known.has(id)) this.endpoints.delete(id);
+    }
+  }
+}
--- a/src/coordination/replication/proposer.ts
+++ b/src/coordination/replication/proposer.ts
@@ -24,6 +24,8 @@
     timeoutMs: number,
   ) => Promise<ProposeReply>;
   readonly clock: Clock;
+  /** How long a proposal is tried in all, in ms; 6,000. */
+  readonly deadlineMs?: number;
 }
 
 /**
@@ -37,7 +39,8 @@
   const leaders = new Map<string, string>();
   return async (group: string, command: unknown): Promise<ProposeReply> => {
     const {clock} = options;
-    const deadline = clock.monotonic() + PROPOSE_DEADLINE_MS;
+    const deadline =
+      clock.monotonic() + (options.deadlineMs ?? PROPOSE_DEADLINE_MS);
     let last: ProposeReply = {type: 'not-leader', leader: null};
     while (clock.monotonic() < deadline) {
       const replica = leaders.get(group);
--- a/src/coordination/replication/replica.ts
+++ b/src/coordination/replication/replica.ts
@@ -349,7 +349,8 @@
     );
   }
 
-  private hasLiveLeader(): boolean {
+  /** Whether this member leads, or heard the leader within the timeout. */
+  hasLiveLeader(): boolean {
     if (this.isLeader()) return true;
     const age = this.options.clock.monotonic() - this.leaderContactAt;
     return age < ELECTION_TIMEOUT_MS;
--- a/src/protocol/clock.ts
+++ b/src/protocol/clock.ts
@@ -33,3 +33,30 @@
       signal?.addEventListener('abort', finish);
     }),
 };
+
+/** Steps of the wall clock below this are slewing and rounding. */
+const MIN_JUMP_MS = 100;
+
+/**
+ * Creates a clock whose monotonic time goes on while the machine is suspended.
+ *
+ * The machine's own does not count a suspension; a lease held across one would
+ * seem valid. The wall clock shows it: where that ran ahead, so does this one.
+ * A step of the wall clock forward ends leases early, which is safe; a step
+ * back changes nothing.
+ */
+export function createSuspendAwareClock(clock: Clock = systemClock): Clock {
+  let jumpedMs = 0;
+  let lastWall = clock.now();
+  let lastMonotonic = clock.monotonic();
+  const monotonic = () => {
+    const wall = clock.now();
+    const steady = clock.monotonic();
+    const jumpMs = wall - lastWall - (steady - lastMonotonic);
+    if (jumpMs > MIN_JUMP_MS) jumpedMs += jumpMs;
+    lastWall = wall;
+    lastMonotonic = steady;
+    return steady + jumpedMs;
+  };
+  return {...clock, monotonic};
+}
--- a/src/protocol/core_service.ts
+++ b/src/protocol/core_service.ts
@@ -57,19 +57,24 @@
 
 export type EndpointLoad = z.infer<typeof endpointLoadSchema>;
 
-/** The last word of a gateway, as the core passes it on. */
+/** What a gateway says of itself. */
 export const gatewayReportSchema = z.object({
   gateway: gatewaySchema,
-  /** Made at the start of the gateway's process. */
-  incarnation: z.string(),
-  /** Grows with each report of one incarnation. */
-  sequence: z.int(),
   loads: z.array(endpointLoadSchema),
   evidence: z.array(versionEvidenceSchema),
 });
 
 export type GatewayReport = z.infer<typeof gatewayReportSchema>;
 
+/** The last report of a gateway, as one daemon of the core tells another. */
+export const agedReportSchema = z.object({
+  report: gatewayReportSchema,
+  /** How long ago the gateway sent it, in ms. */
+  ageMs: z.number().nonnegative(),
+});
+
+export type AgedReport = z.infer<typeof agedReportSchema>;
+
 /** The state of the roll-out of one service. */
 export const rolloutSchema = z.object({
   service: z.string(),
@@ -136,7 +141,7 @@
   from: coreDaemonSchema,
   cores: z.array(coreDaemonSchema),
   reports: z.array(endpointReportSchema),
-  gateways: z.array(gatewayReportSchema),
+  gateways: z.array(agedReportSchema),
   /** Asks for all endpoints and gateways that the receiver knows. */
   wantsAll: z.boolean(),
 });
@@ -146,7 +151,7 @@
 export interface CoreExchangeReply {
   readonly cores: readonly CoreDaemon[];
   readonly reports: ReadonlyArray<z.infer<typeof endpointReportSchema>>;
-  readonly gateways: readonly GatewayReport[];
+  readonly gateways: readonly AgedReport[];
 }
 
 const emptySchema = z.object({});
--- a/src/protocol/site_settings.ts
+++ b/src/protocol/site_settings.ts
@@ -14,6 +14,8 @@
   name: z.string().min(1),
   region: z.string().min(1),
   data_centre: z.string().min(1),
+  /** The region of each data centre. */
+  data_centres: z.record(z.string(), z.string()).default({}),
   /** Present on a host with a disk. */
   data_folder: z.string().min(1).optional(),
   /** True only at the first start of the whole system. */
@@ -36,17 +38,17 @@
   }),
   bounds: z
     .object({
-      /** How long a stopping process has, in ms. */
-      grace_ms: z.number().positive().default(8_000),
+      /** How long a stopping process has, in s. */
+      grace_s: z.number().positive().default(8),
       /** Repeats that a service takes, as a share of its requests. */
       retry_ratio: z.number().nonnegative().default(0.2),
       /** Repeats that a service takes beyond that share in one window. */
       retry_extra: z.number().nonnegative().default(20),
-      retry_window_ms: z.number().positive().default(10_000),
+      retry_window_s: z.number().positive().default(10),
       /** The largest share of requests for a version that may be bad. */
       canary_share: z.number().positive().default(0.1),
-      /** How long callers may keep the answer of the directory, in s. */
-      directory_ttl_s: z.number().positive().default(2),
+      /** The longest that callers keep an answer of the directory, in s. */
+      directory_ttl_max_s: z.number().positive().default(5),
     })
     .prefault({}),
   log: z
--- /dev/null
+++ b/src/transport/forwarding/caller_sink.ts
@@ -0,0 +1,65 @@
+/** Writes the answer to one caller. */
+import type {ServerResponse} from 'node:http';
+import type {CallerSink, Header} from '../../coordination/forwarding/call.ts';
+
+/** Statuses whose answers have no body. */
+const BODILESS = new Set([204, 304]);
+
+/** Creates the sink of a response. */
+export function createCallerSink(response: ServerResponse): CallerSink {
+  let hasBegun = false;
+  return {
+    get hasBegun() {
+      return hasBegun;
+    },
+    answer(status, headers, body) {
+      hasBegun = true;
+      if (response.destroyed) return;
+      response.writeHead(status, frameWhole(response, {status, headers, body}));
+      response.end(body);
+    },
+    begin(status, headers) {
+      hasBegun = true;
+      if (response.destroyed) return;
+      response.writeHead(status, headers.flat());
+    },
+    async write(bytes) {
+      if (response.destroyed || response.write(bytes)) return;
+      await waitForRoom(response);
+    },
+    end() {
+      response.end();
+    },
+    abort() {
+      hasBegun = true;
+      response.destroy();
+    },
+  };
+}
+
+/** Adds the length where the headers do not tell it. */
+function frameWhole(
+  response: ServerResponse,
+  answer: {status: number; headers: readonly Header[]; body: Uint8Array},
+): string[] {
+  const {status, headers, body} = answer;
+  const hasLength = headers.some(
+    ([name]) => name.toLowerCase() === 'content-length',
+  );
+  const isBodiless = BODILESS.has(status) || response.req.method === 'HEAD';
+  if (hasLength || isBodiless) return headers.flat();
+  return [...headers.flat(), 'Content-Length', String(body.length)];
+}
+
+/** Resolves when more can be written, or the caller has left. */
+function waitForRoom(response: ServerResponse): Promise<void> {
+  return new Promise(resolve => {
+    const finish = () => {
+      response.off('drain', finish);
+      response.off('close', finish);
+      resolve();
+    };
+    response.on('drain', finish);
+    response.on('close', finish);
+  });
+}
--- /dev/null
+++ b/src/transport/forwarding/endpoint_client.ts
@@ -0,0 +1,144 @@
+/**
+ * Sends requests to endpoints through pools of connections.
+ *
+ * What must not run twice goes over a connection of its own, so that a
+ * connection that went stale cannot leave open whether it ran. After a stall
+ * the pool of the endpoint is replaced, since its other connections may have
+ * gone silent too.
+ */
+import {Pool} from 'undici';
+import type {
+  AttemptOptions,
+  AttemptOutcome,
+  Call,
+} from '../../coordination/forwarding/call.ts';
+import type {CallCodec} from './call_codec.ts';
+import {createFindHeader, dropHopByHop, pairHeaders} from './headers.ts';
+
+/** A handshake across regions takes 60 ms; one lost packet costs 1 s more. */
+const CONNECT_TIMEOUT_MS = 1_200;
+
+/** Endpoints that announce no timeout may close after a few seconds. */
+const KEEP_ALIVE_MS = 2_000;
+
+/** How much sooner than announced an idle connection is closed. */
+const KEEP_ALIVE_MARGIN_MS = 700;
+
+/** Headers that the client writes itself. */
+const REWRITTEN = new Set(['content-length', 'expect']);
+
+/** Failures that happen before a connection is open. */
+const CONNECT_CODES = new Set([
+  'UND_ERR_CONNECT_TIMEOUT',
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'EADDRNOTAVAIL',
+  'EMFILE',
+]);
+
+export interface EndpointClientOptions {
+  readonly codec: CallCodec;
+}
+
+/** Holds the connections of one gateway to its endpoints. */
+export class EndpointClient implements AsyncDisposable {
+  private readonly pools = new Map<string, Pool>();
+
+  constructor(private readonly options: EndpointClientOptions) {}
+
+  /** Sends one attempt; resolves once the headers of the answer came. */
+  async send(call: Call, options: AttemptOptions): Promise<AttemptOutcome> {
+    const {codec} = this.options;
+    const {endpoint, mayReuseConnection, signal} = options;
+    const key = `${endpoint.address}${mayReuseConnection ? '' : '/single'}`;
+    const pool = this.findPool(key, endpoint.address);
+    const retire = () => {
+      if (signal.reason === 'stall') this.retire(key, pool);
+    };
+    signal.addEventListener('abort', retire, {once: true});
+    try {
+      const response = await pool.request({
+        method: call.method as 'GET',
+        path: call.path,
+        headers: codec
+          .encodeAttempt(call, options)
+          .filter(([name]) => !REWRITTEN.has(name.toLowerCase()))
+          .flat(),
+        body: call.body.length > 0 || call.method === 'POST' ? call.body : null,
+        reset: !mayReuseConnection,
+        signal,
+        responseHeaders: 'raw',
+        // The gateway's own watchdogs end what takes too long.
+        headersTimeout: 0,
+        bodyTimeout: 0,
+      });
+      const raw = response.headers as unknown as readonly string[];
+      const headers = dropHopByHop(pairHeaders(raw.map(String)));
+      const status = response.statusCode;
+      const facts = codec.decodeAnswer(status, createFindHeader(headers));
+      if (facts.isNotRun) {
+        await response.body.dump();
+        return {type: 'not-run', status, load: facts.load};
+      }
+      return {
+        type: 'answer',
+        answer: {
+          status,
+          headers,
+          facts,
+          body: response.body,
+          cancel: () => void response.body.destroy(),
+        },
+      };
+    } catch (error) {
+      return explainFailure(error as NodeJS.ErrnoException, signal);
+    }
+  }
+
+  /** Closes the connections to addresses that are not in use any more. */
+  keepOnly(addresses: ReadonlySet<string>): void {
+    for (const [key, pool] of this.pools) {
+      const [address = ''] = key.split('/');
+      if (!addresses.has(address)) this.retire(key, pool);
+    }
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    const pools = [...this.pools.values()];
+    this.pools.clear();
+    await Promise.all(pools.map(pool => pool.destroy()));
+  }
+
+  private findPool(key: string, address: string): Pool {
+    const known = this.pools.get(key);
+    if (known) return known;
+    const pool = new Pool(`http://${address}`, {
+      pipelining: 1,
+      connect: {timeout: CONNECT_TIMEOUT_MS, noDelay: true},
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+      maxHeaderSize: 64 * 1024,
+    });
+    this.pools.set(key, pool);
+    return pool;
+  }
+
+  /** Lets open requests end and sends no more over these connections. */
+  private retire(key: string, pool: Pool): void {
+    if (this.pools.get(key) === pool) this.pools.delete(key);
+    // It resolves when the last request has ended; nothing waits for it.
+    void pool.close().catch(() => {});
+  }
+}
+
+function explainFailure(
+  error: NodeJS.ErrnoException,
+  signal: AbortSignal,
+): AttemptOutcome {
+  const code = error.code ?? error.name;
+  const isConnect = error.syscall === 'connect' || CONNECT_CODES.has(code);
+  if (isConnect) return {type: 'not-sent', reason: code};
+  if (signal.aborted) return {type: 'aborted'};
+  return {type: 'broken', reason: `${code}: ${error.message}`};
+}
--- /dev/null
+++ b/src/transport/forwarding/headers.ts
@@ -0,0 +1,45 @@
+/** Headers in the order in which they came. */
+import type {Header} from '../../coordination/forwarding/call.ts';
+import type {FindHeader} from './call_codec.ts';
+
+/** Headers that concern one connection only (RFC 9110, section 7.6.1). */
+const HOP_BY_HOP = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-connection',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+/** Pairs the names and values of a raw list. */
+export function pairHeaders(raw: readonly string[]): Header[] {
+  const headers: Header[] = [];
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    headers.push([raw[index] ?? '', raw[index + 1] ?? '']);
+  }
+  return headers;
+}
+
+/** Leaves out what concerns one connection only. */
+export function dropHopByHop(headers: readonly Header[]): Header[] {
+  const named = headers
+    .filter(([name]) => name.toLowerCase() === 'connection')
+    .flatMap(([, value]) => value.toLowerCase().split(','))
+    .map(token => token.trim());
+  const dropped = new Set([...HOP_BY_HOP, ...named]);
+  return headers.filter(([name]) => !dropped.has(name.toLowerCase()));
+}
+
+/** Creates a look-up; the first of several headers of one name counts. */
+export function createFindHeader(headers: readonly Header[]): FindHeader {
+  const values = new Map<string, string>();
+  for (const [name, value] of headers) {
+    const key = name.toLowerCase();
+    if (!values.has(key)) values.set(key, value);
+  }
+  return name => values.get(name.toLowerCase()) ?? null;
+}
--- /dev/null
+++ b/src/transport/forwarding/surface_server.ts
@@ -0,0 +1,110 @@
+/** Serves small JSON calls: endpoints, operators, look-ups and checks. */
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http';
+import polka from 'polka';
+import type {Logger} from '../../protocol/logger.ts';
+import {readBody} from '../public/read_body.ts';
+
+/** The largest body: a configuration with thousands of routes. */
+const MAX_BODY_BYTES = 8 * 1024 * 1024;
+
+/** How long an unused connection stays open. */
+const KEEP_ALIVE_MS = 10_000;
+
+/** How many connections may wait to be accepted. */
+const BACKLOG = 512;
+
+/** A call as a surface sees it. */
+export interface SurfaceCall {
+  readonly params: Readonly<Record<string, string>>;
+  readonly query: Readonly<Record<string, string>>;
+  readonly body: string;
+}
+
+export interface SurfaceReply {
+  readonly status: number;
+  /** Sent as JSON; nothing by default. */
+  readonly json?: unknown;
+  /** Sent as it is, as JSON text; goes before `json`. */
+  readonly text?: string;
+}
+
+/** One call that a surface takes. */
+export interface SurfaceRoute {
+  readonly method: 'GET' | 'POST';
+  /** A pattern such as `/things/:id`. */
+  readonly path: string;
+  readonly handle: (call: SurfaceCall) => Promise<SurfaceReply>;
+}
+
+export interface SurfaceServerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly logger: Logger;
+  readonly routes: readonly SurfaceRoute[];
+}
+
+/** Starts to listen. Dispose the result to close every connection. */
+export async function startSurfaceServer({
+  host,
+  port,
+  logger,
+  routes,
+}: SurfaceServerOptions): Promise<AsyncDisposable> {
+  const server = createServer({keepAliveTimeout: KEEP_ALIVE_MS, noDelay: true});
+  const app = polka({server});
+  for (const {method, path, handle} of routes) {
+    app.add(method, path, (request, response) => {
+      const {params} = request as {params: Record<string, string>};
+      serveCall(request, response, {params, handle}).catch(error => {
+        const {message: reason} = error as Error;
+        logger.error('Could not serve a call.', {path, reason});
+        if (!response.headersSent) response.writeHead(500);
+        response.end();
+      });
+    });
+  }
+  server.on('request', app.handler as (...args: unknown[]) => void);
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen({host, port, backlog: BACKLOG}, resolve);
+  });
+  return {
+    async [Symbol.asyncDispose]() {
+      server.closeAllConnections();
+      await new Promise<void>(resolve => server.close(() => resolve()));
+    },
+  };
+}
+
+async function serveCall(
+  request: IncomingMessage,
+  response: ServerResponse,
+  route: {
+    params: Readonly<Record<string, string>>;
+    handle: SurfaceRoute['handle'];
+  },
+): Promise<void> {
+  const body = await readBody(request, {maxBytes: MAX_BODY_BYTES});
+  if (!body.ok) {
+    response.writeHead(body.error.status, {Connection: 'close'});
+    response.end();
+    return;
+  }
+  const url = new URL(request.url ?? '/', 'http://surface');
+  const reply = await route.handle({
+    params: route.params,
+    query: Object.fromEntries(url.searchParams),
+    body: body.value.toString('utf8'),
+  });
+  const text =
+    reply.text ?? (reply.json === undefined ? '' : JSON.stringify(reply.json));
+  response.writeHead(reply.status, {
+    'Content-Type': 'application/json',
+    'Content-Length': Buffer.byteLength(text),
+  });
+  response.end(text);
+}
--- a/src/transport/logging/create_logger.ts
+++ b/src/transport/logging/create_logger.ts
@@ -6,8 +6,10 @@
 export interface CreateLoggerOptions {
   readonly level?: 'error' | 'warn' | 'info' | 'debug';
   readonly format?: 'text' | 'json';
-  /** Takes one finished line; standard error by default. */
+  /** Takes one finished line; goes before `stream`. */
   readonly write?: (line: string) => void;
+  /** Where lines go; standard error by default. */
+  readonly stream?: {readonly fd: number};
 }
 
 /** Creates the factory of loggers of one process. */
@@ -15,7 +17,8 @@
   options: CreateLoggerOptions = {},
 ): CreateLogger {
   const {level = 'info', format = 'text'} = options;
-  const write = options.write ?? createStandardErrorWriter();
+  const write =
+    options.write ?? createStreamWriter(options.stream ?? process.stderr);
   const formatLine = format === 'json' ? formatJson : formatText;
   const root = createConsola({
     level: LogLevels[level],
@@ -33,10 +36,10 @@
   };
 }
 
-function createStandardErrorWriter(): (line: string) => void {
-  const writer = new LineWriter();
+function createStreamWriter({fd}: {readonly fd: number}) {
+  const writer = new LineWriter({fd});
   process.once('exit', () => writer.flush());
-  return line => writer.add(line);
+  return (line: string) => writer.add(line);
 }
 
 function readFields(object: LogObject): LogFields {
--- a/src/transport/logging/line_writer.ts
+++ b/src/transport/logging/line_writer.ts
@@ -11,8 +11,10 @@
 const MAX_WAITING_CHARACTERS = 1024 * 1024;
 
 export interface LineWriterOptions {
-  /** Writes `text` and calls back; standard error by default. */
+  /** Writes `text` and calls back; goes before `fd`. */
   readonly write?: (text: string, done: () => void) => void;
+  /** The descriptor that is written to; standard error by default. */
+  readonly fd?: number;
   readonly maxWaitingCharacters?: number;
 }
 
@@ -42,11 +44,19 @@
   /** Writes what waits before the process ends, unless a write is stuck. */
   flush(): void {
     if (this.submitted || this.waiting.length === 0) return;
-    writeSync(process.stderr.fd, this.take());
+    writeSync(this.fd, this.take());
+  }
+
+  private get fd(): number {
+    return this.options.fd ?? process.stderr.fd;
   }
 
   private writeNext(): void {
-    const {write: writeText = writeToStandardError} = this.options;
+    const {fd} = this;
+    const {
+      write: writeText = (text: string, done: () => void) =>
+        writeToDescriptor(fd, text, done),
+    } = this.options;
     this.writing = true;
     // Lines of the same turn go out together.
     setImmediate(() => {
@@ -70,10 +80,10 @@
 }
 
 /** Writes all of `text`; an error ends it, since there is no one to tell. */
-function writeToStandardError(text: string, done: () => void): void {
+function writeToDescriptor(fd: number, text: string, done: () => void): void {
   const bytes = Buffer.from(text);
   const writeFrom = (start: number) => {
-    write(process.stderr.fd, bytes, start, (error, written) => {
+    write(fd, bytes, start, (error, written) => {
       const next = start + written;
       if (error && error.code === 'EAGAIN') setTimeout(writeFrom, 10, start);
       else if (error || next >= bytes.length) done();
