--- a/src/cli/serve_site/core.ts
+++ b/src/cli/serve_site/core.ts
@@ -40,8 +40,11 @@
 /** How often silent endpoints are looked for. */
 const SWEEP_MS = 500;
 
-/** How much of the largest allowed share a new version gets at first. */
-const CANARY_FRACTION = 0.6;
+/**
+ * How much of the largest allowed share a new version gets at first: enough to
+ * see a bad one in seconds, and few sessions that move when it begins.
+ */
+const CANARY_FRACTION = 0.35;
 
 /** Starts the core part; the caller starts following afterwards. */
 export async function startCore(parts: SiteParts): Promise<void> {
--- a/src/coordination/forwarding/call.ts
+++ b/src/coordination/forwarding/call.ts
@@ -18,6 +18,8 @@
   readonly budgetMs: number | null;
   /** The caller's key; `null` without one. */
   readonly key: string | null;
+  /** What requests that belong together have in common. */
+  readonly session: string | null;
   /** The model that the caller names; `null` without one. */
   readonly model: string | null;
   /** Whether the choice of the model is left to the gateway. */
--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -23,6 +23,12 @@
   sends = 0;
   /** The model that the gateway chose first; `null` when the caller did. */
   model: string | null = null;
+  /** The last model's opinion of its answer, 0 to 100. */
+  confidence: number | null = null;
+  /** Whether a larger model is asked since the first was not sure. */
+  hasEscalated = false;
+  /** Whether the retry budget already paid for the next attempt. */
+  isPaid = false;
   /** The last event that the caller has. */
   lastEventId: string | null;
   /** The time to the first event or the answer, in ms. */
@@ -45,8 +51,8 @@
 
   /** What requests of one session have in common. */
   get session(): string {
-    const {prompt, attemptId} = this.call.facts;
-    return prompt.at(-1)?.id ?? attemptId ?? '';
+    const {session, attemptId} = this.call.facts;
+    return session ?? attemptId ?? '';
   }
 
   /** The last part of the prompt that other requests share. */
@@ -66,6 +72,8 @@
     this.tried.add(endpoint.id);
     if (result.type === 'not-run') this.notRun++;
     else if (result.type !== 'not-sent') this.runs++;
+    this.isPaid = result.type === 'escalated';
+    if (result.type === 'escalated') this.hasEscalated = true;
     if (result.type === 'failed') this.failedAnswer = result.answer;
     if (result.type === 'left') this.finish('left', 0);
   }
--- a/src/coordination/forwarding/choose_model.ts
+++ b/src/coordination/forwarding/choose_model.ts
@@ -1,27 +1,28 @@
-/** Chooses which size of a model answers a request. */
+/**
+ * Chooses which size of a model answers a request.
+ *
+ * The smallest model goes first: it is cheap and fast, and says how sure it is.
+ * Where it is not sure enough, the largest one answers, as long as there is
+ * room for it.
+ */
 
-export interface ChooseModelOptions {
-  /** Models that may answer, smallest first. */
-  readonly models: readonly string[];
-  /** Open requests of all gateways for each slot of the service. */
-  readonly utilization: number;
-}
-
-/** Up to this utilization the largest model answers. */
-const LARGEST_UP_TO = 0.6;
+/** The confidence from which an answer is accepted, 0 to 100. */
+const ACCEPT_FROM = 48;
 
-/** Up to this utilization the middle model answers. */
-const MIDDLE_UP_TO = 0.9;
+/** Returns the model to ask; `null` when the caller's word stands. */
+export function chooseModel(
+  models: readonly string[],
+  {hasEscalated}: {readonly hasEscalated: boolean},
+): string | null {
+  return (hasEscalated ? models.at(-1) : models[0]) ?? null;
+}
 
-/** Returns the model; `null` when the caller's word stands. */
-export function chooseModel({
-  models,
-  utilization,
-}: ChooseModelOptions): string | null {
-  const largest = models.length - 1;
-  if (largest < 0) return null;
-  if (utilization <= LARGEST_UP_TO) return models[largest] ?? null;
-  const middle = Math.floor(largest / 2);
-  if (utilization <= MIDDLE_UP_TO) return models[middle] ?? null;
-  return models[0] ?? null;
+/** Whether a larger model should answer instead of one with this confidence. */
+export function shouldEscalate(
+  models: readonly string[],
+  model: string | null,
+  confidence: number,
+): boolean {
+  if (model === null || model === models.at(-1)) return false;
+  return confidence < ACCEPT_FROM;
 }
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -15,7 +15,7 @@
 import {admitCall} from './admit_call.ts';
 import type {Call, CallerSink, SendAttempt} from './call.ts';
 import {chooseEndpoint, type EndpointCandidate} from './choose_endpoint.ts';
-import {chooseModel} from './choose_model.ts';
+import {chooseModel, shouldEscalate} from './choose_model.ts';
 import {chooseVersion} from './choose_version.ts';
 import type {EndpointHealth} from './endpoint_health.ts';
 import {refuseCall, type RefusalReason} from './refuse.ts';
@@ -26,8 +26,14 @@
 /** How often a request that surely has not run is sent on, at the most. */
 const MAX_NOT_RUN = 2;
 
-/** The share of the allowed repeats that gateways use: others draw on it. */
-const BUDGET_SHARE = 0.5;
+/**
+ * The share of the allowed repeats that gateways use. Each keeps to its own
+ * ratio, so that their sum keeps to that of the service without any talk.
+ */
+const BUDGET_SHARE = 0.85;
+
+/** Repeats that escalations leave for requests that failed. */
+const ESCALATION_RESERVE = 1;
 
 /** The soonest and latest return of a refused caller, in ms. */
 const RETRY_AFTER_MIN_MS = 300;
@@ -83,7 +89,14 @@
     const choice = this.choose(run);
     if (!choice) return this.giveUp(run, sink, null);
     const result = await runAttempt(
-      {...this.options, sink, leftMs},
+      {
+        ...this.options,
+        sink,
+        leftMs,
+        escalates: confidence =>
+          shouldEscalate(run.admitted.route.models, choice.model, confidence) &&
+          this.canEscalate(run),
+      },
       run,
       choice,
     );
@@ -95,11 +108,19 @@
     }
   }
 
+  /** Takes what another run needs after the open one; false if it may not. */
+  private canEscalate({admitted, runs}: CallRun): boolean {
+    const {isRepeatable, route, service} = admitted;
+    if (!isRepeatable || runs + 1 >= route.maxAttempts) return false;
+    return this.findBudget(service.name).tryTake(ESCALATION_RESERVE);
+  }
+
   private mayRepeat(run: CallRun): boolean {
     const {admitted, runs, notRun} = run;
     if (runs > 0 && !admitted.isRepeatable) return false;
     if (runs >= admitted.route.maxAttempts) return false;
     if (notRun > MAX_NOT_RUN) return false;
+    if (run.isPaid) return true;
     return this.findBudget(admitted.service.name).tryTake();
   }
 
@@ -166,12 +187,9 @@
       random,
     });
     if (!chosen) return null;
+    const {hasEscalated} = run;
     const model = run.call.facts.isModelOpen
-      ? (run.model ??
-        chooseModel({
-          models: route.models,
-          utilization: computeUtilization(service.engine?.slots, candidates),
-        }))
+      ? chooseModel(route.models, {hasEscalated})
       : null;
     return {endpoint: chosen.endpoint, model};
   }
@@ -204,7 +222,7 @@
       });
     }
     if (result.type === 'not-run' || result.type === 'not-sent') return;
-    if (result.type === 'left') return;
+    if (result.type === 'left' || result.type === 'escalated') return;
     const rollout = view.findRollout(service.name);
     evidence.record(
       {
@@ -262,6 +280,8 @@
       status: run.status,
       endpoints: [...run.tried],
       model: run.model,
+      confidence: run.confidence,
+      hasEscalated: run.hasEscalated,
       runs: run.runs,
       notRun: run.notRun,
       firstMs: run.firstMs === null ? null : Math.round(run.firstMs),
@@ -270,17 +290,3 @@
     });
   }
 }
-
-/** Open requests for each slot. */
-function computeUtilization(
-  engineSlots: number | undefined,
-  candidates: readonly EndpointCandidate[],
-): number {
-  let open = 0;
-  let slots = 0;
-  for (const candidate of candidates) {
-    open += candidate.open;
-    slots += engineSlots ?? candidate.endpoint.slots;
-  }
-  return slots === 0 ? 1 : open / slots;
-}
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -41,6 +41,8 @@
     }
   /** It may have run, and no whole answer came. */
   | {readonly type: 'broken'; readonly isDead: boolean; readonly reason: string}
+  /** The model doubts its answer, and a larger one is asked. */
+  | {readonly type: 'escalated'; readonly confidence: number}
   /** Its answer broke off and cannot go on elsewhere. */
   | {readonly type: 'cut'; readonly reason: string}
   /** The caller left. */
@@ -53,6 +55,8 @@
   readonly sink: CallerSink;
   /** The time until the request must be answered, in ms. */
   readonly leftMs: number;
+  /** Whether a larger model should answer instead. */
+  readonly escalates: (confidence: number) => boolean;
 }
 
 /** Why the gateway gives up an attempt. */
@@ -61,6 +65,7 @@
 /** The endpoint, and the model that the gateway chose. */
 export interface AttemptChoice {
   readonly endpoint: EndpointEntry;
+  /** `null` leaves the caller's word. */
   readonly model: string | null;
 }
 
@@ -177,6 +182,12 @@
     answer.cancel();
     return {type: 'broken', isDead: false, reason: problem};
   }
+  const {confidence} = answer.facts;
+  run.confidence = confidence;
+  if (confidence !== null && !sink.hasBegun && options.escalates(confidence)) {
+    answer.cancel();
+    return {type: 'escalated', confidence};
+  }
   const isGood = answer.status < 500;
   if (isEventStream(answer.headers) && answer.status === 200) {
     return relayEvents({clock, sink, onProgress}, run, answer);
--- a/src/coordination/limits/retry_budget.ts
+++ b/src/coordination/limits/retry_budget.ts
@@ -9,8 +9,12 @@
 export interface RetryBudget {
   /** Notes a first attempt. */
   deposit(): void;
-  /** Takes a token for an extra attempt; false when none is left. */
-  tryTake(): boolean;
+  /**
+   * Takes a token for an extra attempt; false when none is left.
+   *
+   * @param reserve Tokens that must stay for others; 0 by default.
+   */
+  tryTake(reserve?: number): boolean;
 }
 
 export interface RetryBudgetOptions {
@@ -30,8 +34,8 @@
     deposit() {
       tokens = Math.min(capacity, tokens + ratio);
     },
-    tryTake() {
-      if (tokens < 1) return false;
+    tryTake(reserve = 0) {
+      if (tokens < 1 + reserve) return false;
       tokens--;
       return true;
     },
--- a/src/transport/forwarding/endpoint_client.ts
+++ b/src/transport/forwarding/endpoint_client.ts
@@ -73,6 +73,8 @@
         headersTimeout: 0,
         bodyTimeout: 0,
       });
+      // A body that is dropped reports it as an error; readers see it anyway.
+      response.body.on('error', () => {});
       const raw = response.headers as unknown as readonly string[];
       const headers = dropHopByHop(pairHeaders(raw.map(String)));
       const status = response.statusCode;
