--- a/eslint.config.js
+++ b/eslint.config.js
@@ -9,11 +9,12 @@
         'error',
         {
           patterns: [
-            {
-              group: layers.map(layer => `**/${layer}/**`),
+            ...layers.map(layer => ({
+              group: [`**/${layer}/**`],
               message: `The layer ${folder} may not import this layer.`,
-            },
+            })),
             {group: ['**/testing/**', '**/tools/**']},
+            PLATFORM_IMPORTS,
           ],
         },
       ],
@@ -21,8 +22,35 @@
   };
 }
 
+/**
+ * Words of the wire of the deployment's platform. They stand in `platform/`
+ * alone, which translates them.
+ */
+const WIRE_WORDS =
+  '/X-Attempt-Id|X-Response-Stamp|X-Not-Executed|X-Expect-Instance|X-Prompt-Prefix|X-Token-Usage|X-Server-Load|X-Deadline-Ms|X-Tenant|ColdLeftMs|BeatAddr|PathPrefix|GoalMs|PARSLEYPOND_NODE_FILE|[/]parsleypond[/](resolve|readyz|config|rollouts|instances|report|kv|hold)/';
+
+/** Keeps the platform's wire out of the product. */
+const keepWireOut = {
+  files: ['src/**/*.ts', 'testing/**/*.ts', 'tools/**/*.ts'],
+  rules: {
+    'no-restricted-syntax': [
+      'error',
+      ...['Literal[value=%]', 'TemplateElement[value.raw=%]'].map(selector => ({
+        selector: selector.replace('%', WIRE_WORDS),
+        message: 'Words of the wire stand in platform/ only.',
+      })),
+    ],
+  },
+};
+
+/** Nothing outside `platform/` imports from it. */
+const PLATFORM_IMPORTS = {
+  group: ['**/platform/**'],
+  message: 'Nothing imports from platform/; it hands its functions over.',
+};
+
 export default tseslint.config(
-  {ignores: ['dist/**', 'node_modules/**', '.tmp/**']},
+  {ignores: ['dist/**', 'target/**', 'node_modules/**', '.tmp/**']},
   ...tseslint.configs.recommended,
   {
     files: ['**/*.ts'],
@@ -52,4 +80,6 @@
   forbidImports('state', ['coordination', 'transport', 'cli']),
   forbidImports('coordination', ['transport', 'cli']),
   forbidImports('transport', ['cli']),
+  forbidImports('cli', []),
+  keepWireOut,
 );
--- a/src/cli/serve/create_request_context.ts
+++ b/src/cli/serve/create_request_context.ts
@@ -15,7 +15,7 @@
 import {combineObservers} from '../../coordination/requests/request_observer.ts';
 import {Settler} from '../../coordination/requests/settler.ts';
 import {createEngineClient} from '../../transport/endpoints/engine_client.ts';
-import {createRatingClient} from '../../transport/platform/rating_client.ts';
+import {createRatingClient} from '../../transport/external/rating_client.ts';
 import type {DaemonParts} from './daemon.ts';
 
 interface Sources extends Pick<
--- /dev/null
+++ b/src/coordination/core/core_members_test.ts
@@ -0,0 +1,43 @@
+import assert from 'node:assert/strict';
+import {test} from 'uvu';
+import type {CoreDaemon} from '../../protocol/core_service.ts';
+import {SimulatedClock} from '../../protocol/simulated_clock.ts';
+import {CoreMembers} from './core_members.ts';
+
+function createDaemon(name: string): CoreDaemon {
+  return {
+    address: `${name}:1`,
+    region: 'r',
+    dataCentre: 'a',
+    controlAddress: `${name}:2`,
+  };
+}
+
+test('list() forgets a daemon that is gone, however often it is mentioned', async () => {
+  const clock = new SimulatedClock();
+  const a = new CoreMembers({clock, self: createDaemon('a')});
+  const b = new CoreMembers({clock, self: createDaemon('b')});
+  const gone = createDaemon('gone');
+  a.recordHeard(gone);
+  for (let round = 0; round < 60; round++) {
+    a.recordHeard(createDaemon('b'));
+    b.recordHeard(createDaemon('a'));
+    b.recordMentioned(a.listLive(10_000));
+    a.recordMentioned(b.listLive(10_000));
+    await clock.advance(1_000);
+  }
+  const names = (members: CoreMembers) =>
+    members.list().map(({address}) => address);
+  assert.deepEqual(names(a).sort(), ['a:1', 'b:1']);
+  assert.deepEqual(names(b).sort(), ['a:1', 'b:1']);
+});
+
+test('listAddresses() adds the seeds and leaves this daemon out', () => {
+  const clock = new SimulatedClock();
+  const members = new CoreMembers({clock, self: createDaemon('a')});
+  members.setSeeds(['a:1', 'b:1']);
+  members.recordHeard(createDaemon('c'));
+  assert.deepEqual(members.listAddresses().sort(), ['b:1', 'c:1']);
+});
+
+test.run();
--- /dev/null
+++ b/src/coordination/core/endpoint_registry_test.ts
@@ -0,0 +1,87 @@
+import assert from 'node:assert/strict';
+import {test} from 'uvu';
+import type {EndpointReport} from '../../protocol/endpoint_report.ts';
+import {SimulatedClock} from '../../protocol/simulated_clock.ts';
+import {EndpointRegistry} from './endpoint_registry.ts';
+
+function createReport(change: Partial<EndpointReport> = {}): EndpointReport {
+  return {
+    id: 'e1',
+    service: 'model',
+    address: '10.0.0.1:80',
+    dataCentre: 'a',
+    version: 'v1',
+    slots: 4,
+    state: 'ready',
+    startedAtMs: 1_000,
+    sequence: 1,
+    warmupMs: 0,
+    ...change,
+  };
+}
+
+function createRegistry() {
+  const clock = new SimulatedClock();
+  return {clock, registry: new EndpointRegistry({clock})};
+}
+
+test('record() ignores a report that is older than the last', () => {
+  const {registry} = createRegistry();
+  registry.record(createReport({sequence: 5}));
+  const outcome = registry.record(
+    createReport({sequence: 4, state: 'draining'}),
+  );
+  assert.equal(outcome, 'ignored');
+  assert.equal(registry.find('e1')?.state, 'ready');
+});
+
+test('record() keeps an endpoint leaving within one start', () => {
+  const {registry} = createRegistry();
+  registry.record(createReport({state: 'draining', sequence: 2}));
+  registry.record(createReport({state: 'ready', sequence: 3}));
+  assert.equal(registry.find('e1')?.state, 'draining');
+  registry.record(createReport({state: 'gone', sequence: 3}));
+  registry.record(createReport({state: 'ready', sequence: 4}));
+  assert.equal(registry.find('e1')?.state, 'gone');
+});
+
+test('record() takes a new start under the same id', () => {
+  const {registry} = createRegistry();
+  registry.record(createReport({state: 'draining', sequence: 90}));
+  registry.record(createReport({startedAtMs: 2_000, sequence: 1}));
+  assert.equal(registry.find('e1')?.state, 'ready');
+});
+
+test('record() lets no older start win an address back', () => {
+  const {registry} = createRegistry();
+  registry.record(createReport());
+  registry.record(
+    createReport({id: 'e2', service: 'other', startedAtMs: 5_000}),
+  );
+  assert.equal(registry.find('e1')?.state, 'gone');
+  const late = registry.record(createReport({id: 'e0', startedAtMs: 900}));
+  assert.equal(late, 'ignored');
+  assert.equal(registry.find('e2')?.state, 'ready');
+});
+
+test('list() names only what changed after a revision', () => {
+  const {registry} = createRegistry();
+  registry.record(createReport());
+  const {revision} = registry;
+  registry.record(createReport({sequence: 2}));
+  assert.deepEqual(registry.list(revision), []);
+  registry.record(createReport({sequence: 3, state: 'draining'}));
+  assert.equal(registry.list(revision).length, 1);
+});
+
+test('sweep() marks an endpoint silent until it is heard again', async () => {
+  const {clock, registry} = createRegistry();
+  registry.record(createReport());
+  await clock.advance(6_000);
+  registry.sweep();
+  assert.equal(registry.find('e1')?.silent, true);
+  registry.record(createReport({sequence: 2}));
+  assert.equal(registry.find('e1')?.silent, false);
+});
+
+test.run();
--- /dev/null
+++ b/src/coordination/forwarding/choose_version_test.ts
@@ -0,0 +1,48 @@
+import assert from 'node:assert/strict';
+import {test} from 'uvu';
+import type {ServiceRollout} from '../../protocol/core_service.ts';
+import {chooseVersion} from './choose_version.ts';
+
+function createRollout(change: Partial<ServiceRollout>): ServiceRollout {
+  return {
+    service: 'model',
+    target: 'v2',
+    state: 'running',
+    stable: null,
+    rejected: [],
+    share: 0,
+    beganAtMs: 0,
+    durationMs: 1,
+    ...change,
+  };
+}
+
+const SESSIONS = Array.from({length: 2_000}, (_none, index) => `s${index}`);
+
+test('chooseVersion() keeps to the share and never moves a session back', () => {
+  const takesNew = (share: number) =>
+    SESSIONS.filter(session =>
+      chooseVersion(createRollout({share}), session)('v2'),
+    );
+  const few = takesNew(0.1);
+  const many = takesNew(0.5);
+  assert.ok(Math.abs(few.length / SESSIONS.length - 0.1) < 0.02);
+  assert.ok(Math.abs(many.length / SESSIONS.length - 0.5) < 0.03);
+  assert.ok(few.every(session => many.includes(session)));
+});
+
+test('chooseVersion() allows one version only once it is decided', () => {
+  const complete = chooseVersion(createRollout({state: 'complete'}), 's');
+  assert.deepEqual([complete('v1'), complete('v2')], [false, true]);
+  const reverted = chooseVersion(
+    createRollout({state: 'reverted', rejected: ['v2']}),
+    's',
+  );
+  assert.deepEqual([reverted('v1'), reverted('v2')], [true, false]);
+});
+
+test('chooseVersion() allows all versions without a roll-out', () => {
+  assert.equal(chooseVersion(null, 's')('any'), true);
+});
+
+test.run();
--- /dev/null
+++ b/src/coordination/forwarding/forwarder_test.ts
@@ -0,0 +1,235 @@
+import assert from 'node:assert/strict';
+import {test} from 'uvu';
+import {
+  createAnswer,
+  createEndpoint,
+  createRoute,
+  FakeGateway,
+  waitForAbort,
+  type Behaviour,
+} from './forwarding_fakes.ts';
+
+const TWO = [createEndpoint('e1'), createEndpoint('e2')];
+
+const STREAM = createRoute({
+  repeatability: 'stream',
+  resumable: true,
+  maxAttempts: 3,
+  timeoutMs: 10_000,
+  objectiveMs: 2_000,
+});
+
+/** Behaves as listed, attempt by attempt. */
+function inTurn(...behaviours: Behaviour[]): Behaviour {
+  let next = 0;
+  return (call, options, clock) => {
+    const behave = behaviours[next++];
+    if (!behave) throw new Error('Made an attempt too many');
+    return behave(call, options, clock);
+  };
+}
+
+const answers: Behaviour = async (call, options) => createAnswer(call, options);
+
+const breaks: Behaviour = async () => ({type: 'broken', reason: 'reset'});
+
+const refuses: Behaviour = async () => ({
+  type: 'not-run',
+  status: 503,
+  load: null,
+});
+
+const hangs: Behaviour = async (_call, {signal}) => {
+  await waitForAbort(signal).catch(() => {});
+  return {type: 'aborted'};
+};
+
+test('forward() passes an answer on unchanged', async () => {
+  const gateway = new FakeGateway({endpoints: TWO, behave: inTurn(answers)});
+  const sink = await gateway.request();
+  assert.deepEqual(
+    [sink.status, sink.text, sink.outcome],
+    [200, 'ok', 'whole'],
+  );
+});
+
+test('forward() never repeats what may have run and must not run twice', async () => {
+  const gateway = new FakeGateway({
+    route: createRoute({repeatability: 'not-repeatable', maxAttempts: 3}),
+    endpoints: TWO,
+    behave: inTurn(breaks),
+  });
+  const sink = await gateway.request();
+  // 502 and 504 do not promise that it did not run.
+  assert.equal(sink.status, 502);
+  assert.equal(gateway.attempts.length, 1);
+});
+
+test('forward() sends what surely did not run to another endpoint', async () => {
+  const gateway = new FakeGateway({
+    route: createRoute({repeatability: 'not-repeatable', maxAttempts: 1}),
+    endpoints: TWO,
+    behave: inTurn(refuses, answers),
+  });
+  const sink = await gateway.request();
+  assert.equal(sink.status, 200);
+  const ids = gateway.attempts.map(({endpoint}) => endpoint.id);
+  assert.equal(new Set(ids).size, 2);
+});
+
+test('forward() refuses with a time to return when nothing ran', async () => {
+  const gateway = new FakeGateway({
+    endpoints: TWO,
+    behave: inTurn(refuses, refuses),
+  });
+  const sink = await gateway.request();
+  assert.equal(sink.status, 503);
+  assert.ok(sink.headers.some(([name]) => name === 'Retry-After'));
+});
+
+test('forward() repeats an idempotent request up to its attempts', async () => {
+  const three = [...TWO, createEndpoint('e3')];
+  const gateway = new FakeGateway({
+    endpoints: three,
+    behave: inTurn(breaks, breaks),
+  });
+  const sink = await gateway.request();
+  assert.equal(sink.status, 502);
+  assert.equal(gateway.attempts.length, 2);
+});
+
+test('forward() gives the failure of an endpoint when no other does better', async () => {
+  const fails: Behaviour = async (call, options) =>
+    createAnswer(call, options, {status: 500, pieces: ['sorry']});
+  const gateway = new FakeGateway({
+    endpoints: TWO,
+    behave: inTurn(fails, fails),
+  });
+  const sink = await gateway.request();
+  assert.deepEqual([sink.status, sink.text], [500, 'sorry']);
+});
+
+test('forward() drops an answer that belongs to another request', async () => {
+  const mixesUp: Behaviour = async (call, options) =>
+    createAnswer(call, options, {facts: {attemptId: 'someone else'}});
+  const gateway = new FakeGateway({
+    endpoints: TWO,
+    behave: inTurn(mixesUp, answers),
+  });
+  const sink = await gateway.request();
+  assert.deepEqual([sink.status, sink.text], [200, 'ok']);
+});
+
+test('forward() answers before the deadline, and says whether it may have run', async () => {
+  const gateway = new FakeGateway({
+    route: createRoute({repeatability: 'not-repeatable', maxAttempts: 1}),
+    endpoints: TWO,
+    behave: hangs,
+  });
+  const sink = await gateway.request({budgetMs: 700});
+  assert.equal(sink.status, 504);
+  assert.ok(gateway.clock.monotonic() <= 700);
+});
+
+test('forward() goes on with a stream after its last event', async () => {
+  const gateway = new FakeGateway({
+    route: STREAM,
+    endpoints: TWO,
+    behave: inTurn(
+      async (call, options) =>
+        createAnswer(call, options, {
+          isStream: true,
+          pieces: ['id: 1\ndata: a\n\n', 'id: 2\ndata: b\n\nid: 3\nda'],
+          breaks: true,
+        }),
+      async (call, options) =>
+        createAnswer(call, options, {
+          isStream: true,
+          pieces: ['id: 2\ndata: b\n\nid: 3\ndata: c\n\n'],
+        }),
+    ),
+  });
+  const sink = await gateway.request();
+  assert.equal(
+    sink.text,
+    'id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n',
+  );
+  assert.equal(sink.outcome, 'whole');
+  assert.equal(gateway.attempts[1]?.lastEventId, '2');
+});
+
+test('forward() goes on elsewhere when a stream falls silent', async () => {
+  const gateway = new FakeGateway({
+    route: STREAM,
+    endpoints: TWO,
+    behave: inTurn(
+      async (call, options) =>
+        createAnswer(call, options, {
+          isStream: true,
+          pieces: ['id: 1\n\n'],
+          hangs: true,
+        }),
+      async (call, options) =>
+        createAnswer(call, options, {isStream: true, pieces: ['id: 2\n\n']}),
+    ),
+  });
+  const sink = await gateway.request();
+  assert.equal(sink.text, 'id: 1\n\nid: 2\n\n');
+  assert.ok(gateway.clock.monotonic() < 3_000);
+});
+
+test('forward() breaks off a stream that cannot go on', async () => {
+  const gateway = new FakeGateway({
+    route: createRoute({repeatability: 'stream', maxAttempts: 3}),
+    endpoints: TWO,
+    behave: inTurn(async (call, options) =>
+      createAnswer(call, options, {
+        isStream: true,
+        pieces: ['id: 1\n\n'],
+        breaks: true,
+      }),
+    ),
+  });
+  const sink = await gateway.request();
+  assert.equal(sink.outcome, 'cut');
+});
+
+test('forward() asks the largest model when the smallest is not sure', async () => {
+  const confidences = [20, 10];
+  const gateway = new FakeGateway({
+    route: {...STREAM, models: ['small', 'middle', 'large']},
+    endpoints: TWO,
+    behave: async (call, options) =>
+      createAnswer(call, options, {
+        isStream: true,
+        pieces: [`id: 1\ndata: ${options.model}\n\n`],
+        facts: {confidence: confidences.shift() ?? null},
+      }),
+  });
+  const sink = await gateway.request({model: '*', isModelOpen: true});
+  assert.equal(sink.text, 'id: 1\ndata: large\n\n');
+  assert.deepEqual(
+    gateway.attempts.map(({model}) => model),
+    ['small', 'large'],
+  );
+});
+
+test('forward() stops the endpoint when the caller leaves', async () => {
+  const left = new AbortController();
+  let isStopped = false;
+  const gateway = new FakeGateway({
+    endpoints: TWO,
+    behave: async (_call, {signal}) => {
+      left.abort();
+      await waitForAbort(signal).catch(() => {});
+      isStopped = true;
+      return {type: 'aborted'};
+    },
+  });
+  const sink = await gateway.request({}, left.signal);
+  assert.equal(isStopped, true);
+  assert.equal(sink.hasBegun, false);
+  assert.equal(gateway.attempts.length, 1);
+});
+
+test.run();
--- /dev/null
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -0,0 +1,276 @@
+/** Stand-ins for tests of forwarding: a gateway without a network. */
+import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
+import {silentLogger} from '../../protocol/logger.ts';
+import {silentMetrics} from '../../protocol/metrics.ts';
+import {succeed} from '../../protocol/outcome.ts';
+import type {Route, RouteTable} from '../../protocol/route_table.ts';
+import {SimulatedClock} from '../../protocol/simulated_clock.ts';
+import {GatewayView} from '../gateway/gateway_view.ts';
+import type {
+  AnswerFacts,
+  AttemptOptions,
+  AttemptOutcome,
+  Call,
+  CallFacts,
+  CallerSink,
+  Header,
+} from './call.ts';
+import {EndpointHealth} from './endpoint_health.ts';
+import {Forwarder} from './forwarder.ts';
+import {VersionEvidenceBook} from './version_evidence.ts';
+
+/** A caller that remembers what it got. */
+export class RecordingSink implements CallerSink {
+  hasBegun = false;
+  status = 0;
+  headers: readonly Header[] = [];
+  text = '';
+  /** `null` while the answer goes on. */
+  outcome: 'whole' | 'cut' | null = null;
+
+  answer(status: number, headers: readonly Header[], body: Uint8Array): void {
+    this.begin(status, headers);
+    this.text = Buffer.from(body).toString();
+    this.end();
+  }
+
+  begin(status: number, headers: readonly Header[]): void {
+    this.hasBegun = true;
+    this.status = status;
+    this.headers = headers;
+  }
+
+  async write(bytes: Uint8Array): Promise<void> {
+    this.text += Buffer.from(bytes).toString();
+  }
+
+  end(): void {
+    this.outcome = 'whole';
+  }
+
+  abort(): void {
+    this.hasBegun = true;
+    this.outcome = 'cut';
+  }
+}
+
+export function createRoute(change: Partial<Route> = {}): Route {
+  return {
+    name: 'r1',
+    host: 'desk.example',
+    pathPrefix: '/',
+    repeatability: 'idempotent',
+    resumable: false,
+    maxAttempts: 2,
+    timeoutMs: 3_000,
+    objectiveMs: 400,
+    gapObjectiveMs: 800,
+    priority: 0,
+    isPublic: true,
+    models: [],
+    targets: [{service: 'app', weight: 1}],
+    ...change,
+  };
+}
+
+export function createTable(route: Route): RouteTable {
+  return {
+    version: 1,
+    routes: [route],
+    services: [{name: 'app', maxConnections: 100, engine: null}],
+    customers: null,
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_000_000,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+  };
+}
+
+export function createEndpoint(
+  id: string,
+  change: Partial<EndpointEntry> = {},
+): EndpointEntry {
+  return {
+    id,
+    service: 'app',
+    address: `${id}:80`,
+    dataCentre: 'a',
+    version: 'v1',
+    slots: 4,
+    state: 'ready',
+    startedAtMs: 1,
+    sequence: 1,
+    warmupMs: 0,
+    silent: false,
+    ...change,
+  };
+}
+
+/** What a fake endpoint does with one attempt. */
+export type Behaviour = (
+  call: Call,
+  options: AttemptOptions,
+  clock: SimulatedClock,
+) => Promise<AttemptOutcome>;
+
+export interface FakeGatewayOptions {
+  readonly route?: Route;
+  readonly endpoints: readonly EndpointEntry[];
+  readonly behave: Behaviour;
+}
+
+/** A gateway with fake endpoints. */
+export class FakeGateway {
+  readonly clock = new SimulatedClock();
+  /** The attempts that were made, in order. */
+  readonly attempts: AttemptOptions[] = [];
+  readonly forwarder: Forwarder;
+  private calls = 0;
+
+  constructor({route = createRoute(), endpoints, behave}: FakeGatewayOptions) {
+    const view = new GatewayView({
+      logger: silentLogger,
+      decodeTable: () => succeed(createTable(route)),
+    });
+    view.apply({
+      epoch: 'e',
+      endpointRevision: 1,
+      complete: true,
+      settled: true,
+      endpoints,
+      configuration: {revision: 1, version: 1, document: '', rollouts: []},
+      cores: [],
+      loads: [],
+      gateways: 1,
+      fresh: true,
+    });
+    this.forwarder = new Forwarder({
+      view,
+      health: new EndpointHealth(this.clock),
+      evidence: new VersionEvidenceBook(),
+      clock: this.clock,
+      logger: silentLogger,
+      metrics: silentMetrics,
+      random: () => 0.5,
+      send: (call, options) => {
+        this.attempts.push(options);
+        return behave(call, options, this.clock);
+      },
+      region: 'r',
+      dataCentre: 'a',
+      findRegion: () => 'r',
+      retryRatio: 0.9,
+      retryExtra: 50,
+    });
+  }
+
+  /** Sends a request and lets time pass until it is answered. */
+  async request(
+    facts: Partial<CallFacts> = {},
+    signal = new AbortController().signal,
+  ): Promise<RecordingSink> {
+    const sink = new RecordingSink();
+    const call = createCall(`c${this.calls++}`, {
+      facts,
+      signal,
+      receivedAt: this.clock.monotonic(),
+    });
+    let isDone = false;
+    const done = this.forwarder.forward(call, sink).finally(() => {
+      isDone = true;
+    });
+    while (!isDone) await this.clock.advance(10);
+    await done;
+    return sink;
+  }
+}
+
+function createCall(
+  attemptId: string,
+  {
+    facts,
+    signal,
+    receivedAt,
+  }: {
+    facts: Partial<CallFacts>;
+    signal: AbortSignal;
+    receivedAt: number;
+  },
+): Call {
+  return {
+    method: 'POST',
+    path: '/x',
+    host: 'desk.example',
+    headers: [],
+    body: Buffer.alloc(0),
+    facts: {
+      attemptId,
+      budgetMs: null,
+      key: null,
+      session: null,
+      model: null,
+      isModelOpen: false,
+      promptTokens: 0,
+      maxOutputTokens: 0,
+      outputTokensHint: null,
+      prompt: [],
+      lastEventId: null,
+      ...facts,
+    },
+    receivedAt,
+    signal,
+  };
+}
+
+export interface FakeAnswerOptions {
+  readonly status?: number;
+  readonly pieces?: readonly string[];
+  /** Whether the body breaks off behind the pieces. */
+  readonly breaks?: boolean;
+  /** Whether nothing follows the pieces until the attempt is given up. */
+  readonly hangs?: boolean;
+  readonly isStream?: boolean;
+  readonly facts?: Partial<AnswerFacts>;
+}
+
+/** Makes the answer of a fake endpoint. */
+export function createAnswer(
+  call: Call,
+  {signal}: AttemptOptions,
+  options: FakeAnswerOptions = {},
+): AttemptOutcome {
+  const {status = 200, pieces = ['ok'], breaks, hangs, isStream} = options;
+  async function* readPieces() {
+    for (const piece of pieces) yield Buffer.from(piece);
+    if (breaks) throw new Error('reset');
+    if (hangs) await waitForAbort(signal);
+  }
+  return {
+    type: 'answer',
+    answer: {
+      status,
+      headers: isStream ? [['Content-Type', 'text/event-stream']] : [],
+      facts: {
+        attemptId: call.facts.attemptId,
+        isNotRun: false,
+        isSigned: true,
+        load: null,
+        confidence: null,
+        ...options.facts,
+      },
+      body: readPieces(),
+      cancel: () => {},
+    },
+  };
+}
+
+/** Rejects once the attempt is given up. */
+export function waitForAbort(signal: AbortSignal): Promise<never> {
+  return new Promise((_resolve, reject) => {
+    const fail = () => reject(new Error('aborted'));
+    if (signal.aborted) fail();
+    signal.addEventListener('abort', fail);
+  });
+}
--- a/src/protocol/platform.ts
+++ b/src/protocol/external_services.ts
@@ -1,4 +1,4 @@
-/** The platform's services: ratings of answers, and the store of weights. */
+/** External services: ratings of answers, and the store of weights. */
 import {z} from 'zod';
 
 /** An answer to rate: the body of `POST /v1/ratings`. */
--- a/src/transport/platform/call_platform.ts
+++ b/src/transport/external/call_service.ts
@@ -1,4 +1,4 @@
-/** Makes one JSON call to a service of the platform. */
+/** Makes one JSON call to an external service. */
 import {request} from 'undici';
 import type {z} from 'zod';
 import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
@@ -6,7 +6,7 @@
 /** The largest reply that is taken. */
 const MAX_REPLY_BYTES = 64 * 1024;
 
-export interface CallPlatformOptions<T> {
+export interface CallExternalServiceOptions<T> {
   /** An IP number and a port. */
   readonly address: string;
   readonly method: 'GET' | 'POST';
@@ -18,8 +18,8 @@
 }
 
 /** Calls, and gives the reply or a sentence that says why there is none. */
-export async function callPlatform<T>(
-  options: CallPlatformOptions<T>,
+export async function callExternalService<T>(
+  options: CallExternalServiceOptions<T>,
 ): Promise<Outcome<T, string>> {
   const {address, method, path, body, schema, deadlineMs} = options;
   try {
--- a/src/transport/platform/rating_client.ts
+++ b/src/transport/external/rating_client.ts
@@ -1,14 +1,14 @@
 /** Asks the rating service. Whatever fails means that there is no rating. */
 import {fail, succeed} from '../../protocol/outcome.ts';
-import {ratingReplySchema} from '../../protocol/platform.ts';
+import {ratingReplySchema} from '../../protocol/external_services.ts';
 import type {RateAnswer} from '../../coordination/requests/request_context.ts';
-import {callPlatform} from './call_platform.ts';
+import {callExternalService} from './call_service.ts';
 
 /** Creates the client; without an address there are no ratings. */
 export function createRatingClient(address: string | undefined): RateAnswer {
   if (address === undefined) return async () => fail('no service is set');
   return async rated => {
-    const reply = await callPlatform({
+    const reply = await callExternalService({
       address,
       method: 'POST',
       path: '/v1/ratings',
--- a/src/transport/platform/weight_client.ts
+++ b/src/transport/external/weight_client.ts
@@ -3,8 +3,8 @@
 import {
   weightsReplySchema,
   type WeightsReply,
-} from '../../protocol/platform.ts';
-import {callPlatform} from './call_platform.ts';
+} from '../../protocol/external_services.ts';
+import {callExternalService} from './call_service.ts';
 
 /** How long the store may take to answer. */
 const DEADLINE_MS = 2_000;
@@ -17,7 +17,7 @@
 /** Creates the client. */
 export function createWeightClient(address: string): DescribeWeights {
   return version =>
-    callPlatform({
+    callExternalService({
       address,
       method: 'GET',
       path: `/v1/weights/${version.split('/').map(encodeURIComponent).join('/')}`,
--- a/src/transport/forwarding/endpoint_client.ts
+++ b/src/transport/forwarding/endpoint_client.ts
@@ -14,6 +14,7 @@
 } from '../../coordination/forwarding/call.ts';
 import type {CallCodec} from './call_codec.ts';
 import {createFindHeader, dropHopByHop, pairHeaders} from './headers.ts';
+import {createStrictClient} from './strict_client.ts';
 
 /** A handshake across regions takes 60 ms; one lost packet costs 1 s more. */
 const CONNECT_TIMEOUT_MS = 1_200;
@@ -121,6 +122,7 @@
       keepAliveTimeout: KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
       maxHeaderSize: 64 * 1024,
+      factory: createStrictClient,
     });
     this.pools.set(key, pool);
     return pool;
--- /dev/null
+++ b/src/transport/forwarding/endpoint_client_test.ts
@@ -0,0 +1,177 @@
+import assert from 'node:assert/strict';
+import {createServer, type Server, type Socket} from 'node:net';
+import {test} from 'uvu';
+import type {
+  AttemptOptions,
+  AttemptOutcome,
+  Call,
+} from '../../coordination/forwarding/call.ts';
+import {createEndpoint} from '../../coordination/forwarding/forwarding_fakes.ts';
+import type {CallCodec} from './call_codec.ts';
+import {EndpointClient} from './endpoint_client.ts';
+
+const CODEC: CallCodec = {
+  decodeCall: () => {
+    throw new Error('Could not decode: no caller speaks here');
+  },
+  encodeAttempt: call => [...call.headers],
+  decodeAnswer: (_status, find) => ({
+    attemptId: find('id'),
+    isNotRun: find('not-run') !== null,
+    isSigned: true,
+    load: null,
+    confidence: null,
+  }),
+};
+
+const CALL: Call = {
+  method: 'POST',
+  path: '/a?b=c',
+  host: 'desk.example',
+  headers: [
+    ['Host', 'desk.example'],
+    ['Content-Length', '99'],
+  ],
+  body: Buffer.from('hello'),
+  facts: {
+    attemptId: 'x',
+    budgetMs: null,
+    key: null,
+    session: null,
+    model: null,
+    isModelOpen: false,
+    promptTokens: 0,
+    maxOutputTokens: 0,
+    outputTokensHint: null,
+    prompt: [],
+    lastEventId: null,
+  },
+  receivedAt: 0,
+  signal: new AbortController().signal,
+};
+
+/** Serves raw bytes; `serve` runs for each request that came whole. */
+async function startServer(
+  serve: (socket: Socket, request: string) => void,
+): Promise<{address: string; connections: () => number} & AsyncDisposable> {
+  let connections = 0;
+  const server: Server = createServer(socket => {
+    connections++;
+    let text = '';
+    socket.on('error', () => {});
+    socket.on('data', bytes => {
+      text += bytes.toString();
+      if (!text.endsWith('hello')) return;
+      serve(socket, text);
+      text = '';
+    });
+  });
+  await new Promise<void>(resolve =>
+    server.listen(0, '127.0.0.1', () => resolve()),
+  );
+  const address = server.address();
+  if (address === null || typeof address === 'string') throw new Error('port');
+  return {
+    address: `127.0.0.1:${address.port}`,
+    connections: () => connections,
+    async [Symbol.asyncDispose]() {
+      await new Promise<void>(resolve => server.close(() => resolve()));
+    },
+  };
+}
+
+function send(
+  client: EndpointClient,
+  address: string,
+  change: Partial<AttemptOptions> = {},
+): Promise<AttemptOutcome> {
+  return client.send(CALL, {
+    endpoint: createEndpoint('e1', {address}),
+    customer: null,
+    model: null,
+    lastEventId: null,
+    budgetMs: 1_000,
+    mayReuseConnection: true,
+    signal: new AbortController().signal,
+    ...change,
+  });
+}
+
+async function readBody(outcome: AttemptOutcome): Promise<string> {
+  if (outcome.type !== 'answer') return outcome.type;
+  let text = '';
+  try {
+    for await (const piece of outcome.answer.body) {
+      text += Buffer.from(piece).toString();
+    }
+    return `${text} whole`;
+  } catch {
+    return `${text} broken`;
+  }
+}
+
+test('send() passes method, path and body on unchanged', async () => {
+  const requests: string[] = [];
+  await using server = await startServer((socket, request) => {
+    requests.push(request);
+    socket.write('HTTP/1.1 200 OK\r\nid: x\r\nContent-Length: 2\r\n\r\nok');
+  });
+  await using client = new EndpointClient({codec: CODEC});
+  assert.equal(await readBody(await send(client, server.address)), 'ok whole');
+  assert.match(requests[0] ?? '', /^POST \/a\?b=c HTTP\/1.1\r\n/);
+  assert.match(requests[0] ?? '', /content-length: 5\r\n/i);
+  assert.match(requests[0] ?? '', /Host: desk.example\r\n/i);
+});
+
+test('send() takes an answer without a length that its connection ends', async () => {
+  await using server = await startServer(socket => {
+    socket.end('HTTP/1.1 200 OK\r\nid: x\r\n\r\nok');
+  });
+  await using client = new EndpointClient({codec: CODEC});
+  assert.equal(await readBody(await send(client, server.address)), 'ok whole');
+});
+
+test('send() takes no reset for the end of an answer without a length', async () => {
+  await using server = await startServer(socket => {
+    socket.write('HTTP/1.1 200 OK\r\nid: x\r\n\r\nok');
+    setTimeout(() => socket.resetAndDestroy(), 50);
+  });
+  await using client = new EndpointClient({codec: CODEC});
+  const outcome = await send(client, server.address);
+  assert.equal(await readBody(outcome), 'ok broken');
+});
+
+test('send() reads no bytes that nobody asked for as the next answer', async () => {
+  let served = 0;
+  await using server = await startServer(socket => {
+    served++;
+    const answer = `HTTP/1.1 200 OK\r\nid: ${served}\r\nContent-Length: 1\r\n\r\n${served}`;
+    socket.write(served === 1 ? answer + answer : answer);
+  });
+  await using client = new EndpointClient({codec: CODEC});
+  assert.equal(await readBody(await send(client, server.address)), '1 whole');
+  await new Promise(resolve => setTimeout(resolve, 20));
+  assert.equal(await readBody(await send(client, server.address)), '2 whole');
+});
+
+test('send() opens a connection for each call that may not run twice', async () => {
+  await using server = await startServer(socket => {
+    socket.write('HTTP/1.1 200 OK\r\nid: x\r\nContent-Length: 2\r\n\r\nok');
+  });
+  await using client = new EndpointClient({codec: CODEC});
+  for (let count = 0; count < 3; count++) {
+    const outcome = await send(client, server.address, {
+      mayReuseConnection: false,
+    });
+    assert.equal(await readBody(outcome), 'ok whole');
+  }
+  assert.equal(server.connections(), 3);
+});
+
+test('send() says that nothing was sent where nothing listens', async () => {
+  await using client = new EndpointClient({codec: CODEC});
+  const outcome = await send(client, '127.0.0.1:1');
+  assert.equal(outcome.type, 'not-sent');
+});
+
+test.run();
--- a/testing/stand_ins/rating_main.ts
+++ b/testing/stand_ins/rating_main.ts
@@ -7,7 +7,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import polka from 'polka';
 import {z} from 'zod';
-import {ratingRequestSchema} from '../../src/protocol/platform.ts';
+import {ratingRequestSchema} from '../../src/protocol/external_services.ts';
 
 const controlSchema = z.object({
   /** Scores by version; `null` for no opinion. */
