--- a/eslint.config.js
+++ b/eslint.config.js
@@ -76,6 +76,11 @@
       ],
     },
   },
+  {
+    // It runs before anything is bundled.
+    files: ['scripts/launcher.cjs'],
+    rules: {'@typescript-eslint/no-require-imports': 'off'},
+  },
   forbidImports('protocol', ['state', 'coordination', 'transport', 'cli']),
   forbidImports('state', ['coordination', 'transport', 'cli']),
   forbidImports('coordination', ['transport', 'cli']),
--- /dev/null
+++ b/scripts/launcher.cjs
@@ -0,0 +1,28 @@
+/**
+ * Starts the program beside it from V8's compiled code, which saves most of the
+ * time that a start takes on a slow host.
+ *
+ * `--make-cache` writes that code instead. V8 refuses it when the version of
+ * Node or its flags differ; the program then compiles itself as usual.
+ */
+'use strict';
+
+const {existsSync, readFileSync, writeFileSync} = require('node:fs');
+const Module = require('node:module');
+const {join} = require('node:path');
+const {Script} = require('node:vm');
+
+const filename = join(__dirname, 'program.cjs');
+const cacheFile = join(__dirname, 'program.cache');
+const makesCache = process.argv[2] === '--make-cache';
+
+const script = new Script(Module.wrap(readFileSync(filename, 'utf8')), {
+  filename,
+  cachedData:
+    !makesCache && existsSync(cacheFile) ? readFileSync(cacheFile) : undefined,
+});
+const program = {exports: {}};
+const load = script.runInThisContext();
+load(program.exports, require, program, filename, __dirname);
+if (makesCache) writeFileSync(cacheFile, script.createCachedData());
+else program.exports.runProgram();
--- a/src/cli/serve_site/core.ts
+++ b/src/cli/serve_site/core.ts
@@ -8,13 +8,18 @@
 import {startPeriodicTask} from '../../coordination/periodic_task.ts';
 import {createProposer} from '../../coordination/replication/proposer.ts';
 import {Replica} from '../../coordination/replication/replica.ts';
-import {coreSchemas, type CoreService} from '../../protocol/core_service.ts';
+import {
+  coreSchemas,
+  type Configuration,
+  type CoreService,
+} from '../../protocol/core_service.ts';
 import {createIdentifier} from '../../protocol/identifiers.ts';
 import type {
   RoutingCommand,
   RoutingResult,
 } from '../../protocol/routing_commands.ts';
 import {RoutingState} from '../../state/routing/routing_state.ts';
+import {ViewFile} from '../../state/view/saved_view.ts';
 import {startSurfaceServer} from '../../transport/forwarding/surface_server.ts';
 import {startPeerServer} from '../../transport/peers/peer_server.ts';
 import {openOrSetAside} from '../serve/open_storage.ts';
@@ -60,8 +65,9 @@
   const state = new CoreState({clock, logger: createLogger('core'), self});
   state.members.setSeeds(listSeedPeers(settings));
   const routing = new RoutingState();
+  const view = await openView(parts, state, routing);
   const replica = await openReplica(parts, state, routing);
-  const service = createService(parts, {state, routing, replica});
+  const service = createService(parts, {state, view, routing, replica});
   const [peerHost, peerPort] = splitAddress(listen.peers);
   store.add(
     await startPeerServer<CoreService>({
@@ -119,6 +125,7 @@
       intervalMs: SWEEP_MS,
       step: async () => {
         state.endpoints.sweep();
+        view.saveIfChanged();
         state.members.setSeeds(listSeedPeers(getSettings()));
       },
       onError: error =>
@@ -167,15 +174,54 @@
   return store.add(replica);
 }
 
+/** The configuration known to be committed, also before there is a leader. */
+interface CommittedView {
+  getConfiguration(): Configuration;
+  saveIfChanged(): void;
+}
+
+async function openView(
+  {getSettings, createLogger}: SiteParts,
+  state: CoreState,
+  routing: RoutingState,
+): Promise<CommittedView> {
+  const folder = getSettings().data_folder ?? '';
+  const file = new ViewFile({folder, logger: createLogger('view')});
+  const saved = await file.load();
+  if (saved) state.endpoints.restore(saved.endpoints);
+  let savedRevisions = '';
+  const getConfiguration = () => {
+    const {configuration} = routing;
+    return saved && saved.configuration.revision > configuration.revision
+      ? saved.configuration
+      : configuration;
+  };
+  return {
+    getConfiguration,
+    saveIfChanged() {
+      const configuration = getConfiguration();
+      const revisions = `${configuration.revision}/${state.endpoints.revision}`;
+      if (revisions === savedRevisions) return;
+      savedRevisions = revisions;
+      const endpoints = state.endpoints
+        .list()
+        .filter(({state: phase}) => phase !== 'gone')
+        .map(({silent: _silent, ...report}) => report);
+      void file.save(configuration, endpoints);
+    },
+  };
+}
+
 interface CoreParts {
   readonly state: CoreState;
+  readonly view: CommittedView;
   readonly routing: RoutingState;
   readonly replica: Replica<RoutingCommand, RoutingResult>;
 }
 
 function createService(
   {clock}: SiteParts,
-  {state, routing, replica}: CoreParts,
+  {state, view, routing, replica}: CoreParts,
 ): CoreService {
   return {
     vote: request => replica.handleVote(request),
@@ -189,7 +235,7 @@
       state,
       clock,
       epoch: createIdentifier('core'),
-      getConfiguration: () => routing.configuration,
+      getConfiguration: () => view.getConfiguration(),
       isFresh: () => replica.hasLiveLeader(),
     }),
     exchangeCore: async exchange => state.receiveExchange(exchange),
--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -18,8 +18,11 @@
   type SiteParts,
 } from './site_parts.ts';
 
-/** How long callers may go on with an old list of gateways, beyond its life. */
-const LIST_SLACK_MS = 1_000;
+/**
+ * How long callers may go on with an old list of gateways, beyond its life.
+ * Requests that come later are refused: their streams might not end in time.
+ */
+const LIST_SLACK_MS = 1_200;
 
 /** The end of the grace time is kept for closing. */
 const CLOSE_MARGIN_MS = 700;
@@ -108,6 +111,7 @@
       await follower.reportOnce();
       const listMs = DIRECTORY_TTL_S * 1_000 + LIST_SLACK_MS;
       await clock.sleep(listMs);
+      forwarder.startRefusing();
       running.closeIdleConnections();
       const deadline = startedAt + bounds.grace_s * 1_000 - CLOSE_MARGIN_MS;
       await waitUntilIdle(running, clock, deadline);
--- a/src/coordination/core/endpoint_registry.ts
+++ b/src/coordination/core/endpoint_registry.ts
@@ -71,6 +71,16 @@
     return 'changed';
   }
 
+  /** Takes in what was known before a restart; it counts as silent. */
+  restore(reports: readonly EndpointReport[]): void {
+    const heardAt = this.options.clock.monotonic();
+    for (const report of reports) {
+      const entry = {...report, silent: true};
+      const changedAt = ++this.lastRevision;
+      this.known.set(report.id, {entry, heardAt, changedAt});
+    }
+  }
+
   find(id: string): EndpointEntry | null {
     return this.known.get(id)?.entry ?? null;
   }
--- a/src/coordination/core/endpoint_registry_test.ts
+++ b/src/coordination/core/endpoint_registry_test.ts
@@ -84,4 +84,13 @@
   assert.equal(registry.find('e1')?.silent, false);
 });
 
+test('restore() lists endpoints as silent until they report', () => {
+  const {registry} = createRegistry();
+  registry.restore([createReport({sequence: 7})]);
+  assert.equal(registry.list()[0]?.silent, true);
+  // The same heartbeat may come again; a later one is as good as any.
+  assert.equal(registry.record(createReport({sequence: 8})), 'changed');
+  assert.equal(registry.find('e1')?.silent, false);
+});
+
 test.run();
--- a/src/coordination/core/follow_service.ts
+++ b/src/coordination/core/follow_service.ts
@@ -25,22 +25,28 @@
 export function createFollowService(options: FollowServiceOptions) {
   const {state, clock} = options;
   const startedAt = clock.monotonic();
+  // Gateways take the whole list over once more when it is complete.
+  const getEpoch = () =>
+    clock.monotonic() - startedAt >= SETTLED_AFTER_MS
+      ? `${options.epoch}/settled`
+      : options.epoch;
   return async (request: FollowRequest): Promise<FollowReply> => {
     state.gateways.recordDirect(request.report);
     const deadline = clock.monotonic() + request.holdMs;
     for (;;) {
       const leftMs = deadline - clock.monotonic();
-      if (leftMs <= 0 || hasNews(options, request)) break;
+      if (leftMs <= 0 || hasNews(options, request, getEpoch())) break;
       await state.changes.wait(leftMs);
     }
-    return createReply(options, request, {
-      settled: clock.monotonic() - startedAt >= SETTLED_AFTER_MS,
-    });
+    return createReply(options, request, getEpoch());
   };
 }
 
-function hasNews(options: FollowServiceOptions, request: FollowRequest) {
-  const {state, epoch, getConfiguration} = options;
+function hasNews(
+  {state, getConfiguration}: FollowServiceOptions,
+  request: FollowRequest,
+  epoch: string,
+): boolean {
   return (
     request.epoch !== epoch ||
     state.endpoints.revision > request.endpointRevision ||
@@ -49,10 +55,11 @@
 }
 
 function createReply(
-  {state, epoch, getConfiguration, isFresh}: FollowServiceOptions,
+  options: FollowServiceOptions,
   request: FollowRequest,
-  {settled}: {settled: boolean},
+  epoch: string,
 ): FollowReply {
+  const {state, getConfiguration, isFresh} = options;
   const complete = request.epoch !== epoch;
   const configuration = getConfiguration();
   const isNewer = configuration.revision > request.configurationRevision;
@@ -60,7 +67,7 @@
     epoch,
     endpointRevision: state.endpoints.revision,
     complete,
-    settled,
+    settled: epoch !== options.epoch,
     endpoints: state.endpoints.list(complete ? 0 : request.endpointRevision),
     configuration: isNewer ? configuration : null,
     cores: state.members.list(),
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -62,12 +62,14 @@
 /** Serves the requests of one gateway. */
 export class Forwarder {
   private readonly budgets = new Map<string, RetryBudget>();
+  private isStopping = false;
 
   constructor(private readonly options: ForwarderOptions) {}
 
   /** Answers a request; resolves when its answer has ended. */
   async forward(call: Call, sink: CallerSink): Promise<void> {
     const {view, random} = this.options;
+    if (this.isStopping) return this.refuse(call, sink, 'stopping');
     const index = view.routes;
     if (!index) return this.refuse(call, sink, 'no-configuration');
     const admitted = admitCall(call, index, random);
@@ -78,6 +80,11 @@
     this.record(run);
   }
 
+  /** From now on refuses requests, since their answers might be cut off. */
+  startRefusing(): void {
+    this.isStopping = true;
+  }
+
   /** Makes one attempt, or ends the run when there is none to make. */
   private async step(run: CallRun, sink: CallerSink): Promise<void> {
     const {clock} = this.options;
@@ -249,10 +256,13 @@
   }
 
   private refuse(call: Call, sink: CallerSink, reason: RefusalReason): void {
-    const retryAfterMs = this.drawRetryAfter();
     const status = refuseCall(sink, {
       reason,
-      ...(reason === 'no-configuration' ? {retryAfterMs} : {}),
+      ...(reason === 'no-configuration'
+        ? {retryAfterMs: this.drawRetryAfter()}
+        : {}),
+      // Other gateways are open: the caller need not wait.
+      ...(reason === 'stopping' ? {retryAfterMs: 0} : {}),
     });
     this.options.metrics.count('requests', 1, {outcome: reason});
     this.options.logger.info('Refuses a request.', {
--- a/src/coordination/forwarding/forwarder_test.ts
+++ b/src/coordination/forwarding/forwarder_test.ts
@@ -214,6 +214,14 @@
   );
 });
 
+test('forward() refuses what comes late to a gateway that stops', async () => {
+  const gateway = new FakeGateway({endpoints: TWO, behave: inTurn(answers)});
+  gateway.forwarder.startRefusing();
+  const sink = await gateway.request();
+  assert.equal(sink.status, 503);
+  assert.equal(gateway.attempts.length, 0);
+});
+
 test('forward() stops the endpoint when the caller leaves', async () => {
   const left = new AbortController();
   let isStopped = false;
--- a/src/coordination/forwarding/refuse.ts
+++ b/src/coordination/forwarding/refuse.ts
@@ -4,6 +4,7 @@
 /** Why a request was not served. */
 export type RefusalReason =
   | 'no-configuration'
+  | 'stopping'
   | 'no-route'
   | 'unknown-key'
   | 'bad-request'
@@ -18,6 +19,7 @@
 const STATUS: Readonly<Record<RefusalReason, number>> = {
   // 503 promises that the request did not run and never will.
   'no-configuration': 503,
+  stopping: 503,
   'no-endpoint': 503,
   'no-room': 503,
   'not-run': 503,
--- a/src/transport/forwarding/endpoint_client_test.ts
+++ b/src/transport/forwarding/endpoint_client_test.ts
@@ -141,6 +141,28 @@
   assert.equal(await readBody(outcome), 'ok broken');
 });
 
+test('send() notices a reset that comes with the last bytes', async () => {
+  let served = 0;
+  await using server = await startServer(socket => {
+    // Every second answer comes over a connection that was used before.
+    if (served++ % 2 === 0) {
+      socket.write('HTTP/1.1 200 OK\r\nid: x\r\nContent-Length: 2\r\n\r\nok');
+      return;
+    }
+    socket.write('HTTP/1.1 200 OK\r\nid: x\r\n\r\nok');
+    socket.resetAndDestroy();
+  });
+  await using client = new EndpointClient({codec: CODEC});
+  for (let count = 0; count < 20; count++) {
+    assert.equal(
+      await readBody(await send(client, server.address)),
+      'ok whole',
+    );
+    const outcome = await send(client, server.address);
+    assert.notEqual(await readBody(outcome), 'ok whole');
+  }
+});
+
 test('send() reads no bytes that nobody asked for as the next answer', async () => {
   let served = 0;
   await using server = await startServer(socket => {
--- a/src/transport/forwarding/strict_client.ts
+++ b/src/transport/forwarding/strict_client.ts
@@ -7,6 +7,9 @@
 import type {Socket} from 'node:net';
 import {Client, type buildConnector, type Dispatcher} from 'undici';
 
+/** Headers that tell where an answer ends. */
+const FRAMING = new Set(['content-length', 'transfer-encoding']);
+
 /** Creates a client for one connection of a pool. */
 export function createStrictClient(origin: URL, options: object): Dispatcher {
   return new StrictClient(origin, options as StrictClientOptions);
@@ -36,25 +39,49 @@
     options: Dispatcher.DispatchOptions,
     handler: Dispatcher.DispatchHandler,
   ): boolean {
-    const getReset = () => this.connection.socket?.errored ?? null;
-    return super.dispatch(options, checkEnd(handler, getReset));
+    const {connection} = this;
+    return super.dispatch(
+      options,
+      checkEnd(handler, () => findReset(connection.socket)),
+    );
   }
 }
 
+/**
+ * Finds out whether a connection was reset. A reset that comes together with
+ * the last bytes is reported as an ordinary end by libuv; such a connection has
+ * no peer any more, while one that the other side closed still has.
+ */
+function findReset(socket: Socket | null): Error | null {
+  if (!socket) return null;
+  if (socket.errored) return socket.errored;
+  // The address is looked up at its first use only, which is here.
+  return socket.remoteAddress === undefined
+    ? new Error('Could not read the answer: its connection was reset')
+    : null;
+}
+
 /** Reports the end of an answer as an error when the connection was reset. */
 function checkEnd(
   handler: Dispatcher.DispatchHandler,
   getReset: () => Error | null,
 ): Dispatcher.DispatchHandler {
+  let isFramed = true;
   return {
     onConnect: (...args) => handler.onConnect?.(...args),
     onResponseStarted: () => handler.onResponseStarted?.(),
-    onHeaders: (...args) => handler.onHeaders?.(...args) ?? true,
+    onHeaders: (status, headers, ...rest) => {
+      isFramed = headers.some(
+        (name, index) =>
+          index % 2 === 0 && FRAMING.has(name.toString().toLowerCase()),
+      );
+      return handler.onHeaders?.(status, headers, ...rest) ?? true;
+    },
     onData: chunk => handler.onData?.(chunk) ?? true,
     onBodySent: (...args) => handler.onBodySent?.(...args),
     onError: error => handler.onError?.(error),
     onComplete: trailers => {
-      const reset = getReset();
+      const reset = isFramed ? null : getReset();
       if (reset) handler.onError?.(reset);
       else handler.onComplete?.(trailers);
     },
