--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -2,6 +2,7 @@
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import type {AdmittedCall} from './admit_call.ts';
 import type {Call, Header} from './call.ts';
+import type {OpenEscalation} from './choose_model.ts';
 import type {AttemptResult} from './run_attempt.ts';
 
 /** A whole answer that says that the request failed. */
@@ -33,6 +34,8 @@
   lastEventId: string | null;
   /** The time to the first event or the answer, in ms. */
   firstMs: number | null = null;
+  /** Open while a larger model is waited for. */
+  escalation: OpenEscalation | null = null;
   failedAnswer: FailedAnswer | null = null;
   outcome: string | null = null;
   status = 0;
@@ -66,6 +69,13 @@
     return shared.reduce((sum, {tokens}) => sum + tokens, 0);
   }
 
+  /** Notes that the answer begins, so many ms after the request came. */
+  noteFirst(ms: number): void {
+    if (this.firstMs !== null) return;
+    this.firstMs = ms;
+    this.escalation?.begin();
+  }
+
   /** Notes what became of an attempt. */
   note(endpoint: EndpointEntry, result: AttemptResult): void {
     this.sends++;
@@ -82,6 +92,7 @@
   finish(outcome: string, status: number): void {
     if (this.isOver) return;
     this.outcome = outcome;
+    this.escalation?.[Symbol.dispose]();
     this.status = status;
   }
 }
--- /dev/null
+++ b/src/coordination/forwarding/choose_model_test.ts
@@ -0,0 +1,80 @@
+/** The pattern: a burst of requests for larger models than there is room for. */
+import assert from 'node:assert/strict';
+import {test} from 'uvu';
+import {SimulatedClock} from '../../protocol/simulated_clock.ts';
+import {chooseModel, EscalationBar} from './choose_model.ts';
+
+const OBJECTIVE_MS = 2_000;
+
+/** Lets answers of larger models begin after some time. */
+async function passAnswers(
+  bar: EscalationBar,
+  clock: SimulatedClock,
+  firstMs: number,
+): Promise<void> {
+  const escalations = Array.from({length: 20}, () => bar.open(OBJECTIVE_MS));
+  await clock.advance(firstMs);
+  for (const escalation of escalations) escalation.begin();
+}
+
+test('chooseModel() asks the smallest first and then the largest', () => {
+  const models = ['small', 'middle', 'large'];
+  assert.equal(chooseModel(models, {hasEscalated: false}), 'small');
+  assert.equal(chooseModel(models, {hasEscalated: true}), 'large');
+  assert.equal(chooseModel([], {hasEscalated: true}), null);
+});
+
+test('isBelow() accepts less sure answers while larger models are slow', async () => {
+  const clock = new SimulatedClock();
+  const bar = new EscalationBar(clock);
+  assert.equal(bar.isBelow(40), true);
+  await passAnswers(bar, clock, 1_100);
+  assert.equal(bar.isBelow(40), false);
+  assert.equal(bar.isBelow(5), true);
+  await passAnswers(bar, clock, 3_000);
+  assert.equal(bar.isBelow(0), false);
+});
+
+test('isBelow() sees those that still wait', async () => {
+  const clock = new SimulatedClock();
+  const bar = new EscalationBar(clock);
+  using _escalation = bar.open(OBJECTIVE_MS);
+  await clock.advance(1_600);
+  assert.equal(bar.isBelow(0), false);
+});
+
+test('isBelow() tries larger models again some seconds after a burst', async () => {
+  const clock = new SimulatedClock();
+  const bar = new EscalationBar(clock);
+  await passAnswers(bar, clock, 2_500);
+  assert.equal(bar.isBelow(30), false);
+  await clock.advance(8_000);
+  assert.equal(bar.isBelow(30), true);
+});
+
+/**
+ * One engine that can take 150 escalations in the time, asked by 600 requests
+ * of which 288 are less sure than the bar at rest.
+ */
+test('a burst is served in time: the bar rises until the queue is short', async () => {
+  const clock = new SimulatedClock();
+  const bar = new EscalationBar(clock);
+  const workMs = 200;
+  let freeAt = 0;
+  let late = 0;
+  let escalated = 0;
+  for (let count = 0; count < 600; count++) {
+    await clock.advance(50);
+    if (!bar.isBelow((count * 37) % 100)) continue;
+    escalated++;
+    const now = clock.monotonic();
+    freeAt = Math.max(freeAt, now) + workMs;
+    if (freeAt - now > OBJECTIVE_MS) late++;
+    const escalation = bar.open(OBJECTIVE_MS);
+    void clock.sleep(freeAt - now).then(() => escalation.begin());
+  }
+  assert.ok(escalated > 120, `${escalated} were escalated`);
+  assert.ok(late / escalated < 0.1, `${late} of ${escalated} were late`);
+});
+
+test.run();
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -15,7 +15,7 @@
 import {admitCall} from './admit_call.ts';
 import type {Call, CallerSink, SendAttempt} from './call.ts';
 import {chooseEndpoint, type EndpointCandidate} from './choose_endpoint.ts';
-import {chooseModel, shouldEscalate} from './choose_model.ts';
+import {chooseModel, EscalationBar, hasLarger} from './choose_model.ts';
 import {chooseVersion} from './choose_version.ts';
 import type {EndpointHealth} from './endpoint_health.ts';
 import {refuseCall, type RefusalReason} from './refuse.ts';
@@ -62,9 +62,12 @@
 /** Serves the requests of one gateway. */
 export class Forwarder {
   private readonly budgets = new Map<string, RetryBudget>();
+  private readonly bar: EscalationBar;
   private isStopping = false;
 
-  constructor(private readonly options: ForwarderOptions) {}
+  constructor(private readonly options: ForwarderOptions) {
+    this.bar = new EscalationBar(options.clock);
+  }
 
   /** Answers a request; resolves when its answer has ended. */
   async forward(call: Call, sink: CallerSink): Promise<void> {
@@ -101,7 +104,8 @@
         sink,
         leftMs,
         escalates: confidence =>
-          shouldEscalate(run.admitted.route.models, choice.model, confidence) &&
+          hasLarger(run.admitted.route.models, choice.model) &&
+          this.bar.isBelow(confidence) &&
           this.canEscalate(run),
       },
       run,
@@ -209,6 +213,9 @@
     const {health, evidence, view, logger} = this.options;
     const {service, route} = run.admitted;
     run.note(endpoint, result);
+    if (result.type === 'escalated') {
+      run.escalation = this.bar.open(route.objectiveMs);
+    }
     if (result.type === 'not-run' && result.isFull) health.recordFull(endpoint);
     if (result.type === 'not-sent') health.recordFailure(endpoint, true);
     if (result.type === 'broken') {
--- a/src/coordination/forwarding/relay_events.ts
+++ b/src/coordination/forwarding/relay_events.ts
@@ -44,7 +44,7 @@
     for await (const bytes of answer.body) {
       const events = splitter.push(bytes).filter(event => isNext(run, event));
       if (events.length === 0) continue;
-      run.firstMs ??= clock.monotonic() - run.call.receivedAt;
+      run.noteFirst(clock.monotonic() - run.call.receivedAt);
       if (!sink.hasBegun) sink.begin(answer.status, dropFraming(answer));
       const room = sink.write(Buffer.concat(events.map(event => event.bytes)));
       run.lastEventId = events.at(-1)?.id ?? run.lastEventId;
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -201,7 +201,7 @@
   if (body === null) {
     return {type: 'broken', isDead: false, reason: 'the answer broke off'};
   }
-  run.firstMs = clock.monotonic() - run.call.receivedAt;
+  run.noteFirst(clock.monotonic() - run.call.receivedAt);
   const {status, headers} = answer;
   if (!isGood && run.admitted.isRepeatable) {
     return {type: 'failed', answer: {status, headers, body}};
