--- a/src/coordination/forwarding/call.ts
+++ b/src/coordination/forwarding/call.ts
@@ -55,6 +55,8 @@
   readonly customer: string | null;
   /** The model that the gateway chose; `null` leaves the caller's word. */
   readonly model: string | null;
+  /** The rank at the endpoint; 0 goes first. `null` leaves its default. */
+  readonly urgency: number | null;
   /** The event after which the stream goes on. */
   readonly lastEventId: string | null;
   /** How long the endpoint may work, in ms. */
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -35,6 +35,9 @@
 /** Repeats that escalations leave for requests that failed. */
 const ESCALATION_RESERVE = 1;
 
+/** One rank before the default of engines, which is 5. */
+const SMALL_MODEL_URGENCY = 4;
+
 /** The soonest and latest return of a refused caller, in ms. */
 const RETRY_AFTER_MIN_MS = 300;
 const RETRY_AFTER_SPREAD_MS = 700;
@@ -202,7 +205,8 @@
     const model = run.call.facts.isModelOpen
       ? chooseModel(route.models, {hasEscalated})
       : null;
-    return {endpoint: chosen.endpoint, model};
+    const urgency = computeUrgency(route.models, model);
+    return {endpoint: chosen.endpoint, model, urgency};
   }
 
   private takeResult(
@@ -307,3 +311,12 @@
     });
   }
 }
+
+/**
+ * The rank of a run at an engine. Short runs go first: they hold up longer ones
+ * for little, and tell sooner whether a larger model is needed.
+ */
+function computeUrgency(models: readonly string[], model: string | null) {
+  const isSmallest = model !== null && model === models[0] && models.length > 1;
+  return isSmallest ? SMALL_MODEL_URGENCY : null;
+}
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -67,13 +67,15 @@
   readonly endpoint: EndpointEntry;
   /** `null` leaves the caller's word. */
   readonly model: string | null;
+  /** The rank at the endpoint; 0 goes first. `null` leaves its default. */
+  readonly urgency: number | null;
 }
 
 /** Runs one attempt to its end. */
 export async function runAttempt(
   options: RunAttemptOptions,
   run: CallRun,
-  {endpoint, model}: AttemptChoice,
+  {endpoint, model, urgency}: AttemptChoice,
 ): Promise<AttemptResult> {
   const {clock, health, leftMs} = options;
   const {call, admitted} = run;
@@ -97,6 +99,7 @@
       endpoint,
       customer: admitted.customer?.name ?? null,
       model,
+      urgency,
       lastEventId: run.lastEventId,
       budgetMs: Math.max(1, Math.floor(leftMs)),
       mayReuseConnection: admitted.isRepeatable,
--- a/src/transport/forwarding/endpoint_client_test.ts
+++ b/src/transport/forwarding/endpoint_client_test.ts
@@ -89,6 +89,7 @@
     endpoint: createEndpoint('e1', {address}),
     customer: null,
     model: null,
+    urgency: null,
     lastEventId: null,
     budgetMs: 1_000,
     mayReuseConnection: true,
