--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -107,6 +107,7 @@
         sink,
         leftMs,
         escalates: confidence =>
+          !run.hasEscalated &&
           hasLarger(run.admitted.route.models, choice.model) &&
           this.bar.isBelow(confidence) &&
           this.canEscalate(run),
@@ -201,14 +202,23 @@
       random,
     });
     if (!chosen) return null;
-    const {hasEscalated} = run;
     const model = run.call.facts.isModelOpen
-      ? chooseModel(route.models, {hasEscalated})
+      ? chooseModel(route.models, {asksLargest: this.asksLargest(run)})
       : null;
     const urgency = computeUrgency(route.models, model);
     return {endpoint: chosen.endpoint, model, urgency};
   }
 
+  /**
+   * Whether the largest model is asked. One that failed after the objective had
+   * passed is not asked again: the smallest still answers, and soon.
+   */
+  private asksLargest({hasEscalated, runs, call, admitted}: CallRun): boolean {
+    if (!hasEscalated || runs < 2) return hasEscalated;
+    const ms = this.options.clock.monotonic() - call.receivedAt;
+    return ms < admitted.route.objectiveMs;
+  }
+
   private takeResult(
     run: CallRun,
     endpoint: EndpointEntry,
--- a/src/coordination/forwarding/forwarder_test.ts
+++ b/src/coordination/forwarding/forwarder_test.ts
@@ -214,6 +214,31 @@
   );
 });
 
+test('forward() lets the smallest model answer when the largest failed late', async () => {
+  const three = [...TWO, createEndpoint('e3')];
+  const gateway = new FakeGateway({
+    route: {...STREAM, models: ['small', 'large']},
+    endpoints: three,
+    behave: async (call, options, clock) => {
+      if (options.model === 'large') {
+        await clock.sleep(2_100);
+        return {type: 'broken', reason: 'reset'};
+      }
+      return createAnswer(call, options, {
+        isStream: true,
+        pieces: ['id: 1\n\n'],
+        facts: {confidence: 5},
+      });
+    },
+  });
+  const sink = await gateway.request({model: '*', isModelOpen: true});
+  assert.equal(sink.outcome, 'whole');
+  assert.deepEqual(
+    gateway.attempts.map(({model}) => model),
+    ['small', 'large', 'small'],
+  );
+});
+
 test('forward() refuses what comes late to a gateway that stops', async () => {
   const gateway = new FakeGateway({endpoints: TWO, behave: inTurn(answers)});
   gateway.forwarder.startRefusing();
