--- a/src/coordination/core/core_state.ts
+++ b/src/coordination/core/core_state.ts
@@ -59,7 +59,7 @@
     this.members.recordHeard(exchange.from);
     this.takeIn(exchange, exchange.from.address);
     return {
-      cores: this.members.listLive(MENTION_MS),
+      cores: exchange.wantsAll ? this.listMentioned() : [],
       reports: exchange.wantsAll
         ? this.endpoints.list().map(({silent: _silent, ...report}) => report)
         : [],
@@ -74,15 +74,9 @@
     for (const report of news.reports) this.takeReport(report, from);
   }
 
-  /** What the next exchange says, beside the reports of endpoints. */
-  createExchange(gatewaysSince: number, wantsAll: boolean): CoreExchange {
-    return {
-      from: this.self,
-      cores: this.members.listLive(MENTION_MS),
-      reports: [],
-      gateways: this.gateways.listDirect(gatewaysSince),
-      wantsAll,
-    };
+  /** The daemons of the core that others should know of. */
+  listMentioned(): CoreDaemon[] {
+    return this.members.listLive(MENTION_MS);
   }
 
   /** Returns the reports that came since the last call. */
--- a/src/coordination/core/exchange_task.ts
+++ b/src/coordination/core/exchange_task.ts
@@ -11,6 +11,9 @@
 /** How often daemons exchange what is not urgent. */
 const INTERVAL_MS = 400;
 
+/** How often a daemon is told of the others: they also speak for themselves. */
+const MENTION_INTERVAL_MS = 4_000;
+
 /** How long news gather before they go out together. */
 const GATHER_MS = 15;
 
@@ -32,6 +35,8 @@
   /** Reports that the peer has not acknowledged, by endpoint. */
   readonly reports: Map<string, EndpointReport>;
   gatewaysSince: number;
+  /** When the peer was last told of the other daemons. */
+  mentionedAt: number;
   /** Whether all that the peer knows was taken over. */
   isSynced: boolean;
   isBusy: boolean;
@@ -79,6 +84,7 @@
   return {
     reports: new Map(),
     gatewaysSince: -Infinity,
+    mentionedAt: -Infinity,
     isSynced: false,
     isBusy: false,
     isLost: false,
@@ -93,9 +99,17 @@
   peer.isBusy = true;
   const startedAt = clock.monotonic();
   const reports = [...peer.reports.values()];
-  const exchange = state.createExchange(peer.gatewaysSince, !peer.isSynced);
+  const mentions = startedAt - peer.mentionedAt >= MENTION_INTERVAL_MS;
+  const exchange: CoreExchange = {
+    from: state.self,
+    cores: mentions ? state.listMentioned() : [],
+    reports,
+    gateways: state.gateways.listDirect(peer.gatewaysSince),
+    wantsAll: !peer.isSynced,
+  };
   try {
-    const reply = await call(address, {...exchange, reports}, CALL_TIMEOUT_MS);
+    const reply = await call(address, exchange, CALL_TIMEOUT_MS);
+    if (mentions) peer.mentionedAt = startedAt;
     for (const report of reports) {
       if (peer.reports.get(report.id) === report) {
         peer.reports.delete(report.id);
