--- a/src/cli/serve_site/daemon.ts
+++ b/src/cli/serve_site/daemon.ts
@@ -2,13 +2,18 @@
 import {createSuspendAwareClock, type Clock} from '../../protocol/clock.ts';
 import {coreSchemas, type CoreService} from '../../protocol/core_service.ts';
 import type {CreateLogger} from '../../protocol/logger.ts';
-import {silentMetrics} from '../../protocol/metrics.ts';
 import type {SiteSettings} from '../../protocol/site_settings.ts';
+import {startSurfaceServer} from '../../transport/forwarding/surface_server.ts';
+import {
+  createTextMetrics,
+  type TextMetrics,
+} from '../../transport/metrics/text_metrics.ts';
 import {PeerLinks} from '../../transport/peers/peer_links.ts';
 import {DisposableStore} from '../serve/disposable_store.ts';
 import {readSecret} from '../serve/secrets.ts';
 import {startCore} from './core.ts';
 import {startGateway, type SiteGateway} from './gateway.ts';
+import {splitAddress, type SiteParts} from './site_parts.ts';
 import type {SiteSurfaces} from './surfaces.ts';
 
 export interface SiteDaemonOptions {
@@ -27,20 +32,22 @@
   const settings = getSettings();
   const store = new DisposableStore();
   const secret = await readSecret(settings.peer_secret_file);
+  const metrics = createTextMetrics();
   const calls = Object.keys(coreSchemas);
   const links = store.add(new PeerLinks<CoreService>({secret, clock, calls}));
-  const parts = {
+  const parts: SiteParts = {
     getSettings,
     surfaces,
     createLogger,
     clock,
-    metrics: silentMetrics,
+    metrics,
     links,
     secret,
     store,
   };
   let gateway: SiteGateway | null = null;
   try {
+    await startMetricsServer(parts, metrics);
     if (settings.data_folder !== undefined) await startCore(parts);
     const {front} = settings.listen;
     if (front !== undefined) gateway = await startGateway(parts, front);
@@ -57,3 +64,30 @@
     },
   };
 }
+
+/** Serves the metrics of the process where the settings say so. */
+async function startMetricsServer(
+  {getSettings, createLogger, store}: SiteParts,
+  metrics: TextMetrics,
+): Promise<void> {
+  const address = getSettings().listen.metrics;
+  if (address === undefined) return;
+  const [host, port] = splitAddress(address);
+  const server = await startSurfaceServer({
+    host,
+    port,
+    logger: createLogger('http'),
+    routes: [
+      {
+        method: 'GET',
+        path: '/metrics',
+        handle: async () => ({
+          status: 200,
+          type: 'text/plain; version=0.0.4',
+          text: await metrics.formatText(),
+        }),
+      },
+    ],
+  });
+  store.add(server);
+}
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -224,9 +224,13 @@
     endpoint: EndpointEntry,
     result: AttemptResult,
   ): void {
-    const {health, evidence, view, logger} = this.options;
+    const {health, evidence, view, logger, metrics} = this.options;
     const {service, route} = run.admitted;
     run.note(endpoint, result);
+    metrics.count('attempts', 1, {
+      service: service.name,
+      outcome: result.type,
+    });
     if (result.type === 'escalated') {
       run.escalation = this.bar.open(route.objectiveMs);
     }
@@ -302,6 +306,9 @@
     const ms = clock.monotonic() - run.call.receivedAt;
     metrics.count('requests', 1, {outcome: run.outcome ?? 'none'});
     metrics.record('request_ms', ms, {route: route.name});
+    if (run.firstMs !== null) {
+      metrics.record('first_ms', run.firstMs, {route: route.name});
+    }
     logger.info('Ends a request.', {
       request: run.call.facts.attemptId,
       route: route.name,
--- a/src/protocol/site_settings.ts
+++ b/src/protocol/site_settings.ts
@@ -35,6 +35,8 @@
     control: addressSchema.optional(),
     /** Callers that ask for the addresses of gateways. */
     directory: addressSchema.optional(),
+    /** Whoever collects metrics. */
+    metrics: addressSchema.optional(),
   }),
   bounds: z
     .object({
--- a/src/transport/forwarding/surface_server.ts
+++ b/src/transport/forwarding/surface_server.ts
@@ -28,8 +28,10 @@
   readonly status: number;
   /** Sent as JSON; nothing by default. */
   readonly json?: unknown;
-  /** Sent as it is, as JSON text; goes before `json`. */
+  /** Sent as it is; goes before `json`. */
   readonly text?: string;
+  /** The media type; JSON by default. */
+  readonly type?: string;
 }
 
 /** One call that a surface takes. */
@@ -103,7 +105,7 @@
   const text =
     reply.text ?? (reply.json === undefined ? '' : JSON.stringify(reply.json));
   response.writeHead(reply.status, {
-    'Content-Type': 'application/json',
+    'Content-Type': reply.type ?? 'application/json',
     'Content-Length': Buffer.byteLength(text),
   });
   response.end(text);
--- /dev/null
+++ b/src/transport/metrics/text_metrics_test.ts
@@ -0,0 +1,19 @@
+import assert from 'node:assert/strict';
+import {test} from 'uvu';
+import {createTextMetrics} from './text_metrics.ts';
+
+test('formatText() shows each metric that was moved', async () => {
+  const metrics = createTextMetrics();
+  metrics.count('requests', 1, {outcome: 'answered'});
+  metrics.count('requests', 2, {outcome: 'answered'});
+  metrics.gauge('open', 3);
+  metrics.record('request_ms', 120, {route: 'letters'});
+  const lines = (await metrics.formatText()).split('\n');
+  const has = (line: string) => assert.ok(lines.includes(line), line);
+  has('parsleypond_requests{outcome="answered"} 3');
+  has('parsleypond_open 3');
+  has('parsleypond_request_ms_bucket{le="200",route="letters"} 1');
+  has('parsleypond_request_ms_bucket{le="100",route="letters"} 0');
+});
+
+test.run();
