--- a/src/coordination/replication/membership_keeper.ts
+++ b/src/coordination/replication/membership_keeper.ts
@@ -26,7 +26,8 @@
 
 export interface MembershipKeeperOptions {
   readonly group: string;
-  readonly name: string;
+  /** The leader itself. */
+  readonly self: Member;
   /** Lists the hosts that may carry replicas now. */
   readonly listHosts: () => readonly ReplicaHost[];
   readonly voterCount: number;
@@ -58,7 +59,7 @@
     const descriptions = await describeHosts(options);
     if (signal.aborted) return;
     const step = planMembership({
-      leader: options.name,
+      leader: options.self,
       hosts: options.listHosts(),
       voterCount: options.voterCount,
       replaceAfterMs: options.replaceAfterMs,
@@ -86,11 +87,12 @@
 }
 
 function viewVoters(options: MembershipKeeperOptions): VoterView[] {
-  const {leadership, clock, name} = options;
+  const {leadership, clock, self} = options;
   return options.getMembership().voters.map(member => {
     const heardAt = leadership.get(member)?.heardAt ?? leadership.since;
     const since = Math.max(heardAt, leadership.since);
-    const silentMs = member.name === name ? 0 : clock.monotonic() - since;
+    const isSelf = formatMember(member) === formatMember(self);
+    const silentMs = isSelf ? 0 : clock.monotonic() - since;
     return {member, silentMs};
   });
 }
@@ -103,10 +105,10 @@
 async function describeHosts(
   options: MembershipKeeperOptions,
 ): Promise<Map<string, ReplicaDescription>> {
-  const {name, group} = options;
+  const {self, group} = options;
   const hosts = options.listHosts();
   const answers = new Map<string, ReplicaDescription>();
-  const others = hosts.filter(host => host.name !== name);
+  const others = hosts.filter(host => host.name !== self.name);
   await Promise.all(
     others.map(async host => {
       const answer = await options
--- a/src/coordination/replication/plan_membership.ts
+++ b/src/coordination/replication/plan_membership.ts
@@ -23,8 +23,8 @@
 }
 
 export interface MembershipView {
-  /** The name of the leader, which is never removed. */
-  readonly leader: string;
+  /** The leader, which is never removed. */
+  readonly leader: Member;
   /** The hosts that the settings list. */
   readonly hosts: readonly ReplicaHost[];
   /** How many voters there should be. */
@@ -70,13 +70,18 @@
 }
 
 function isLost(view: MembershipView, {member, silentMs}: VoterView): boolean {
-  if (member.name === view.leader) return false;
+  // An earlier disk of the leader's own host is gone for good.
+  if (member.name === view.leader.name) return !isLeader(view, member);
   if (!view.hosts.some(host => host.name === member.name)) return true;
   const answer = view.descriptions.get(member.name);
   if (answer) return answer.incarnation !== member.incarnation;
   return silentMs >= view.replaceAfterMs;
 }
 
+function isLeader(view: MembershipView, member: Member): boolean {
+  return formatMember(member) === formatMember(view.leader);
+}
+
 /** Whether a learner's host still answers with the same disk. */
 function canReplace(view: MembershipView, member: Member): boolean {
   const answer = view.descriptions.get(member.name);
@@ -98,7 +103,7 @@
   const names = view.voters.map(voter => voter.member.name);
   const voting = view.hosts.filter(host => names.includes(host.name));
   const kept = chooseVoters(voting, target).map(host => host.name);
-  const others = view.voters.filter(voter => voter.member.name !== view.leader);
+  const others = view.voters.filter(({member}) => !isLeader(view, member));
   const surplus = others.filter(voter => !kept.includes(voter.member.name));
   return surplus.length > 0 ? surplus : others;
 }
--- a/src/coordination/replication/plan_membership_test.ts
+++ b/src/coordination/replication/plan_membership_test.ts
@@ -14,7 +14,7 @@
 
 function createView(changes: Partial<MembershipView>): MembershipView {
   return {
-    leader: 'a',
+    leader: createMember('a'),
     hosts: HOSTS,
     voterCount: 3,
     voters: ['a', 'b', 'c'].map(name => ({
@@ -81,4 +81,23 @@
   assert.equal(planMembership(createView(view)), {type: 'none'});
 });
 
+test('an earlier disk of the leader itself is removed', () => {
+  const leader = createMember('a', 'a2');
+  const step = planMembership(
+    createView({
+      leader,
+      voters: [
+        {member: createMember('b'), silentMs: 0},
+        {member: createMember('a'), silentMs: 40_000},
+        {member: leader, silentMs: 0},
+        {member: createMember('c'), silentMs: 0},
+      ],
+    }),
+  );
+  assert.equal(step, {
+    type: 'change',
+    voters: [createMember('b'), leader, createMember('c')],
+  });
+});
+
 test.run();
--- a/src/coordination/replication/replica.ts
+++ b/src/coordination/replication/replica.ts
@@ -705,10 +705,10 @@
   }
 
   private async keepMembership(leadership: Leadership): Promise<void> {
-    const {group, name, listHosts, voterCount, clock, logger} = this.options;
+    const {group, listHosts, voterCount, clock, logger} = this.options;
     await keepMembership({
       group,
-      name,
+      self: this.self,
       listHosts,
       voterCount,
       clock,
