--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -25,7 +25,7 @@
 }
 
 const pattern = new RegExp(process.argv[2] ?? '');
-const files = ['src', 'testing', 'tools']
+const files = ['src', 'platform', 'testing', 'tools']
   .filter(folder => existsSync(folder))
   .flatMap(listTests)
   .filter(file => pattern.test(file))
@@ -89,7 +89,8 @@
 }
 
 // Unit tests know no real time; tests with real processes run alone.
-const isUnitTest = file => file.startsWith('src');
+const isUnitTest = file =>
+  file.startsWith('src') || file.startsWith('platform');
 await runFiles(files.filter(isUnitTest), UNIT_TESTS_AT_ONCE);
 await runFiles(
   files.filter(file => !isUnitTest(file)),
