--- a/src/coordination/membership/membership_test.ts
+++ b/src/coordination/membership/membership_test.ts
@@ -6,6 +6,7 @@
   ENDPOINT_LEASE_MS,
   type Announcement,
 } from '../../protocol/endpoint.ts';
+import {SimulatedClock} from '../../protocol/simulated_clock.ts';
 import type {ExchangeRequest} from '../../protocol/peer_service.ts';
 import {EndpointTable} from './endpoint_table.ts';
 import {RecordExchange} from './record_exchange.ts';
@@ -227,4 +228,21 @@
   assert.equal(listNames(get('x').table), ['e1']);
 });
 
+test('merge() keeps an endpoint leaving by a record that is not newer', () => {
+  const clock = new SimulatedClock();
+  const table = new EndpointTable(clock);
+  const announced = table.announce(createAnnouncement('e'));
+  assert.ok(announced.ok);
+  const {record} = announced.value;
+  const isNews = table.merge({
+    ...record,
+    sequence: record.sequence - 2,
+    leaving: true,
+  });
+  assert.is(isNews, true);
+  assert.is(table.list()[0]?.leaving, true);
+  table.merge({...record, sequence: record.sequence - 1, leaving: false});
+  assert.is(table.list()[0]?.leaving, true);
+});
+
 test.run();
--- /dev/null
+++ b/src/coordination/replication/safety_checks_test.ts
@@ -0,0 +1,223 @@
+/** Checks that keep the log safe, each shown by the case that it is for. */
+import assert from 'node:assert/strict';
+import {test} from 'uvu';
+import {silentLogger} from '../../protocol/logger.ts';
+import type {LogEntry, Membership} from '../../protocol/replication.ts';
+import {SimulatedClock} from '../../protocol/simulated_clock.ts';
+import {MemoryFileSystem} from '../../state/files/memory_file_system.ts';
+import {openFileLog} from '../../state/log/file_log.ts';
+import {encodeSnapshot} from '../../state/snapshot/snapshot_codec.ts';
+import {formGroup} from './formation.ts';
+import type {ReplicaPeer} from './peer_replicator.ts';
+import {Replica} from './replica.ts';
+import {Recorder} from './simulated_group.ts';
+
+const HOSTS = ['a', 'b', 'c'].map(name => ({
+  name,
+  region: 'r',
+  dataCentre: name,
+}));
+
+/** Longer than a member trusts that a leader lives. */
+const SILENCE_MS = 3_000;
+
+function createSilence(): ReplicaPeer {
+  const silence = () => new Promise<never>(() => {});
+  return {
+    vote: silence,
+    append: silence,
+    installSnapshot: silence,
+    describeReplica: silence,
+    formGroup: silence,
+    transferLeadership: silence,
+  };
+}
+
+interface OpenMemberOptions {
+  readonly entries?: readonly LogEntry[];
+  readonly term?: number;
+  readonly getPeer?: (name: string) => ReplicaPeer;
+}
+
+/** A member of a group of three; it runs no task until it is started. */
+async function openMember({
+  entries = [],
+  term = 1,
+  getPeer = createSilence,
+}: OpenMemberOptions = {}) {
+  const clock = new SimulatedClock();
+  const opened = await openFileLog({
+    folder: '/data/group',
+    files: new MemoryFileSystem(),
+  });
+  if (!opened.ok) throw opened.error;
+  const storage = opened.value;
+  const voters = [
+    {name: 'a', incarnation: storage.incarnation},
+    {name: 'b', incarnation: 'disk_b'},
+    {name: 'c', incarnation: 'disk_c'},
+  ];
+  const snapshot = {index: 0, term: 0, membership: {voters}, state: null};
+  await storage.saveSnapshot(snapshot, encodeSnapshot(snapshot));
+  if (entries.length > 0) await storage.append(entries);
+  await storage.saveHardState({term, votedFor: null});
+  const replica = await Replica.open<string, number>({
+    group: 'group',
+    name: 'a',
+    founders: [],
+    listHosts: () => [...HOSTS, {name: 'd', region: 'r', dataCentre: 'd'}],
+    voterCount: 3,
+    storage,
+    stateMachine: new Recorder(() => {}),
+    clock,
+    random: () => 0,
+    logger: silentLogger,
+    getPeer,
+    replaceAfterMs: 2_000,
+  });
+  const askForVote = (request: {
+    term: number;
+    lastIndex: number;
+    lastTerm: number;
+  }) =>
+    replica.handleVote({
+      group: 'group',
+      to: storage.incarnation,
+      candidate: 'b',
+      preVote: false,
+      transfer: false,
+      ...request,
+    });
+  return {clock, replica, storage, askForVote};
+}
+
+test('a group is not formed when one of its hosts belongs to one', async () => {
+  const clock = new SimulatedClock();
+  const stopped = new AbortController();
+  const formed: Membership[] = [];
+  const task = formGroup({
+    group: 'group',
+    self: {name: 'a', incarnation: 'disk_a'},
+    hosts: HOSTS,
+    voterCount: 3,
+    clock,
+    signal: stopped.signal,
+    getPeer: name => ({
+      ...createSilence(),
+      describeReplica: async () => ({
+        incarnation: `disk_${name}`,
+        formed: name === 'c',
+      }),
+    }),
+    isFormed: () => formed.length > 0,
+    getFormation: () => null,
+    form: async membership => void formed.push(membership),
+  });
+  await clock.advance(5_000);
+  stopped.abort();
+  await task;
+  assert.deepEqual(formed, []);
+});
+
+test('a longer log of an earlier term gets no vote', async () => {
+  const entries = [{index: 1, term: 2, command: 'new'}];
+  const {clock, askForVote} = await openMember({entries, term: 2});
+  await clock.advance(SILENCE_MS);
+  const stale = await askForVote({term: 3, lastIndex: 9, lastTerm: 1});
+  assert.equal(stale.granted, false);
+  const later = await askForVote({term: 4, lastIndex: 1, lastTerm: 3});
+  assert.equal(later.granted, true);
+});
+
+test('no vote is given while a leader lives', async () => {
+  const {clock, replica, storage, askForVote} = await openMember();
+  await clock.advance(SILENCE_MS);
+  await replica.handleAppend({
+    group: 'group',
+    to: storage.incarnation,
+    term: 1,
+    leader: 'c',
+    previousIndex: 0,
+    previousTerm: 0,
+    entries: [],
+    commitIndex: 0,
+  });
+  await clock.advance(500);
+  const early = await askForVote({term: 2, lastIndex: 5, lastTerm: 1});
+  assert.equal(early.granted, false);
+  assert.equal(replica.term, 1);
+  await clock.advance(SILENCE_MS);
+  const late = await askForVote({term: 2, lastIndex: 5, lastTerm: 1});
+  assert.equal(late.granted, true);
+});
+
+test('one vote is given in a term', async () => {
+  const {clock, replica, storage, askForVote} = await openMember();
+  await clock.advance(SILENCE_MS);
+  const first = await askForVote({term: 2, lastIndex: 0, lastTerm: 0});
+  assert.equal(first.granted, true);
+  await clock.advance(SILENCE_MS);
+  const second = await replica.handleVote({
+    group: 'group',
+    to: storage.incarnation,
+    candidate: 'c',
+    preVote: false,
+    transfer: false,
+    term: 2,
+    lastIndex: 0,
+    lastTerm: 0,
+  });
+  assert.equal(second.granted, false);
+});
+
+test('a call that is meant for an earlier disk is refused', async () => {
+  const {replica} = await openMember();
+  await assert.rejects(
+    replica.handleAppend({
+      group: 'group',
+      to: 'disk_before',
+      term: 9,
+      leader: 'c',
+      previousIndex: 0,
+      previousTerm: 0,
+      entries: [],
+      commitIndex: 0,
+    }),
+  );
+  assert.equal(replica.term, 1);
+});
+
+test('a membership is not changed before the last change is committed', async () => {
+  // b answers but stores nothing behind the leader's first entry; c is lost.
+  const getPeer = (name: string): ReplicaPeer => ({
+    ...createSilence(),
+    vote: async ({term}) => ({term: term - 1, granted: name === 'b'}),
+    describeReplica: async () => {
+      if (name === 'c') throw new Error('silent');
+      return {incarnation: `disk_${name}`, formed: name === 'b'};
+    },
+    append: async ({term, previousIndex, entries}) => {
+      if (name === 'c') throw new Error('silent');
+      await clock.sleep(5);
+      const matchIndex = name === 'b' ? 1 : previousIndex + entries.length;
+      return {term, accepted: true, matchIndex, formed: true};
+    },
+    installSnapshot: async ({term, totalBytes}) => ({
+      term,
+      received: totalBytes,
+      installed: true,
+    }),
+  });
+  const {clock, replica, storage} = await openMember({getPeer});
+  replica.start();
+  await clock.advance(15_000);
+  const changes = storage
+    .read(1, storage.lastIndex)
+    .filter(entry => entry.membership);
+  assert.deepEqual(
+    changes.map(entry => entry.membership?.voters.map(({name}) => name)),
+    [['a', 'b', 'c', 'd']],
+  );
+});
+
+test.run();
