--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -110,6 +110,8 @@
           !run.hasEscalated &&
           hasLarger(run.admitted.route.models, choice.model) &&
           this.bar.isBelow(confidence) &&
+          // An answer that is ready is not dropped with nobody else to ask.
+          this.listCandidates(run).length > 1 &&
           this.canEscalate(run),
       },
       run,
@@ -172,11 +174,12 @@
     return RETRY_AFTER_MIN_MS + random() * RETRY_AFTER_SPREAD_MS;
   }
 
-  private choose(run: CallRun) {
-    const {view, health, region, dataCentre, findRegion, random} = this.options;
-    const {service, route} = run.admitted;
+  /** The endpoints that may take a request and were not asked before. */
+  private listCandidates(run: CallRun): EndpointCandidate[] {
+    const {view, health} = this.options;
+    const {service} = run.admitted;
     const allows = chooseVersion(view.findRollout(service.name), run.session);
-    const candidates = view
+    return view
       .listEndpoints(service.name)
       .filter(
         endpoint =>
@@ -191,6 +194,12 @@
         isFull: health.isFull(endpoint),
         failureShare: health.getFailureShare(endpoint),
       }));
+  }
+
+  private choose(run: CallRun) {
+    const {region, dataCentre, findRegion, random} = this.options;
+    const {service, route} = run.admitted;
+    const candidates = this.listCandidates(run);
     const chosen = chooseEndpoint({
       service,
       candidates,
--- a/src/coordination/forwarding/forwarder_test.ts
+++ b/src/coordination/forwarding/forwarder_test.ts
@@ -214,6 +214,21 @@
   );
 });
 
+test('forward() drops no answer when nobody else can be asked', async () => {
+  const gateway = new FakeGateway({
+    route: {...STREAM, models: ['small', 'large']},
+    endpoints: [createEndpoint('e1')],
+    behave: async (call, options) =>
+      createAnswer(call, options, {
+        isStream: true,
+        pieces: ['id: 1\n\n'],
+        facts: {confidence: 5},
+      }),
+  });
+  const sink = await gateway.request({model: '*', isModelOpen: true});
+  assert.deepEqual([sink.status, sink.outcome], [200, 'whole']);
+});
+
 test('forward() lets the smallest model answer when the largest failed late', async () => {
   const three = [...TWO, createEndpoint('e3')];
   const gateway = new FakeGateway({
