--- a/src/cli/serve_site/core.ts
+++ b/src/cli/serve_site/core.ts
@@ -46,10 +46,10 @@
 const SWEEP_MS = 500;
 
 /**
- * How much of the largest allowed share a new version gets at first: enough to
- * see a bad one in seconds, and few sessions that move when it begins.
+ * How much of the largest allowed share a new version gets at first: the share
+ * is allowed over the whole roll-out, and later steps need the rest.
  */
-const CANARY_FRACTION = 0.35;
+const CANARY_FRACTION = 0.7;
 
 /** Starts the core part; the caller starts following afterwards. */
 export async function startCore(parts: SiteParts): Promise<void> {
--- a/src/coordination/core/decide_rollout.ts
+++ b/src/coordination/core/decide_rollout.ts
@@ -2,24 +2,32 @@
  * Decides the next step of a roll-out by what gateways saw of its version.
  *
  * The new version gets a small share at first, so that a bad one reaches few
- * callers. It takes over in the second half of the time, in steps that each
- * leave time to see a version that fails only under load. Sessions move to the
- * new version only in that half.
+ * callers; at first it gets only requests that belong to no session. In the
+ * second half sessions move, too, and the new version takes over in steps that
+ * each leave time to see a version that fails only under load.
  */
 import type {
   ServiceRollout,
   VersionEvidence,
 } from '../../protocol/core_service.ts';
 
-/** Steps after the first: when they begin, as a share of the duration. */
-const STEPS: ReadonlyArray<{readonly from: number; readonly share: number}> = [
-  {from: 0.55, share: 0.3},
-  {from: 0.65, share: 0.6},
-  {from: 0.75, share: 1},
-];
+/**
+ * When sessions may move, as a share of the duration: the second half, and some
+ * time for clocks that differ between hosts.
+ */
+const SESSIONS_FROM = 0.54;
+
+/** The shares after the first; after the last the roll-out is complete. */
+const LADDER = [0.2, 0.5, 1];
 
 /** When a version that holds is complete, as a share of the duration. */
-const COMPLETE_FROM = 0.88;
+const COMPLETE_BY = 0.88;
+
+/**
+ * The least time that a step is watched, as a share of the duration, also when
+ * a new leader is late: evidence is up to a second old.
+ */
+const MIN_STEP = 0.04;
 
 /** The fewest answers that are judged. */
 const MIN_ANSWERS = 6;
@@ -44,11 +52,17 @@
   readonly hasEndpoints: boolean;
   /** The first share, below the largest allowed one. */
   readonly canaryShare: number;
+  /** How long the present share has been watched, in ms. */
+  readonly watchedMs: number;
 }
 
 export type RolloutDecision =
   | {readonly type: 'none'}
-  | {readonly type: 'share'; readonly share: number}
+  | {
+      readonly type: 'share';
+      readonly share: number;
+      readonly movesSessions: boolean;
+    }
   | {readonly type: 'complete'}
   | {readonly type: 'revert'; readonly reason: string};
 
@@ -63,14 +77,28 @@
     return {type: 'revert', reason: 'it was not tried in time'};
   }
   if (!hasEndpoints) return {type: 'none'};
-  if (passed >= COMPLETE_FROM && rollout.share === 1) return {type: 'complete'};
-  const step = STEPS.filter(({from}) => passed >= from).at(-1);
-  const wanted = step?.share ?? canaryShare;
-  // Each step is seen before the next is taken, also by a late leader.
-  const ladder = [canaryShare, ...STEPS.map(({share}) => share)];
-  const next = ladder.find(share => share > rollout.share) ?? 1;
-  const share = Math.min(wanted, next);
-  return share > rollout.share ? {type: 'share', share} : {type: 'none'};
+  const {share, movesSessions} = rollout;
+  if (passed < SESSIONS_FROM || !movesSessions) {
+    const next = {share: canaryShare, movesSessions: passed >= SESSIONS_FROM};
+    const isNews =
+      next.share > share || next.movesSessions !== rollout.movesSessions;
+    return isNews ? {type: 'share', ...next} : {type: 'none'};
+  }
+  if (view.watchedMs < computeStepMs(view, passed)) return {type: 'none'};
+  const next = LADDER.find(each => each > share);
+  if (next === undefined) return {type: 'complete'};
+  return {type: 'share', share: next, movesSessions: true};
+}
+
+/** How long the present step lasts: the time left is shared among the steps. */
+function computeStepMs(
+  {rollout: {share, durationMs}, watchedMs}: RolloutView,
+  passed: number,
+): number {
+  const stepsLeft = LADDER.filter(each => each > share).length + 1;
+  const steppedAt = passed - watchedMs / durationMs;
+  const even = (COMPLETE_BY - steppedAt) / stepsLeft;
+  return Math.max(MIN_STEP, even) * durationMs;
 }
 
 /** Why the version must go; `null` when nothing speaks against it. */
--- a/src/coordination/core/rollout_task.ts
+++ b/src/coordination/core/rollout_task.ts
@@ -25,26 +25,41 @@
 /** Starts the task; it does nothing where this daemon does not lead. */
 export function startRolloutTask(options: RolloutTaskOptions): AsyncDisposable {
   const {clock, logger} = options;
+  const watched: WatchedSteps = new Map();
   return startPeriodicTask({
     clock,
     intervalMs: INTERVAL_MS,
-    step: () => stepRollouts(options),
+    step: () => stepRollouts(options, watched),
     onError: error =>
       logger.warn('Could not step the roll-outs.', {reason: error.message}),
   });
 }
 
-async function stepRollouts(options: RolloutTaskOptions): Promise<void> {
+/** Since when the present step of each service's roll-out is watched. */
+type WatchedSteps = Map<
+  string,
+  {readonly step: string; readonly since: number}
+>;
+
+async function stepRollouts(
+  options: RolloutTaskOptions,
+  watched: WatchedSteps,
+): Promise<void> {
   const {state, clock, isLeader, getConfiguration, canaryShare} = options;
-  if (!isLeader()) return;
+  if (!isLeader()) return watched.clear();
   const running = getConfiguration().rollouts.filter(
     rollout => rollout.state === 'running',
   );
   if (running.length === 0) return;
   const evidence = state.gateways.listEvidence();
   const endpoints = state.endpoints.list();
+  const now = clock.monotonic();
   for (const rollout of running) {
-    const {service, target} = rollout;
+    const {service, target, share, movesSessions} = rollout;
+    const step = `${target} ${share} ${movesSessions}`;
+    if (watched.get(service)?.step !== step) {
+      watched.set(service, {step, since: now});
+    }
     const decision = decideRolloutStep({
       rollout,
       evidence,
@@ -56,6 +71,7 @@
           each.state === 'ready',
       ),
       canaryShare,
+      watchedMs: now - (watched.get(service)?.since ?? now),
     });
     const command = createCommand(decision, {service, target});
     if (!command) continue;
@@ -64,6 +80,8 @@
       target,
       decision: decision.type,
       share: decision.type === 'share' ? decision.share : undefined,
+      movesSessions:
+        decision.type === 'share' ? decision.movesSessions : undefined,
       reason: decision.type === 'revert' ? decision.reason : undefined,
     });
     await options.propose(command);
@@ -78,7 +96,12 @@
     case 'none':
       return null;
     case 'share':
-      return {type: 'set_share', ...rollout, share: decision.share};
+      return {
+        type: 'set_share',
+        ...rollout,
+        share: decision.share,
+        movesSessions: decision.movesSessions,
+      };
     case 'complete':
       return {type: 'finish_rollout', ...rollout, state: 'complete'};
     case 'revert':
--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -3,6 +3,7 @@
 import type {AdmittedCall} from './admit_call.ts';
 import type {Call, Header} from './call.ts';
 import type {OpenEscalation} from './choose_model.ts';
+import type {VersionSubject} from './choose_version.ts';
 import type {AttemptResult} from './run_attempt.ts';
 
 /** A whole answer that says that the request failed. */
@@ -52,10 +53,10 @@
     return this.outcome !== null;
   }
 
-  /** What requests of one session have in common. */
-  get session(): string {
+  /** What decides on the version during a roll-out. */
+  get versionSubject(): VersionSubject {
     const {session, attemptId} = this.call.facts;
-    return session ?? attemptId ?? '';
+    return {key: session ?? attemptId ?? '', isSession: session !== null};
   }
 
   /** The last part of the prompt that other requests share. */
--- a/src/coordination/forwarding/choose_version.ts
+++ b/src/coordination/forwarding/choose_version.ts
@@ -5,18 +5,27 @@
 /** Tells whether an endpoint of a version may take a request. */
 export type AllowsVersion = (version: string) => boolean;
 
+/** What decides on which side of a share a request falls. */
+export interface VersionSubject {
+  /** What requests that belong together have in common. */
+  readonly key: string;
+  /** Whether other requests may have gone before under this key. */
+  readonly isSession: boolean;
+}
+
 /**
  * Returns the test for the versions that a request may run on.
  *
  * Requests of one session fall on one side of the share, and a growing share
- * only ever moves them to the new version.
+ * only ever moves them to the new version. A session stays on the old version
+ * until sessions may move: a gateway cannot tell whether another one already
+ * served it there.
  *
  * @param rollout The last roll-out of the service; `null` without any.
- * @param session What requests that belong together have in common.
  */
 export function chooseVersion(
   rollout: ServiceRollout | null,
-  session: string,
+  {key, isSession}: VersionSubject,
 ): AllowsVersion {
   if (!rollout) return () => true;
   const {target, stable, rejected, state, share} = rollout;
@@ -26,6 +35,7 @@
     (stable === null || version === stable);
   if (state === 'complete') return version => version === target;
   if (state === 'reverted') return isOld;
-  const takesTarget = computeShare(`${target}/${session}`) < share;
+  if (isSession && !rollout.movesSessions) return isOld;
+  const takesTarget = computeShare(`${target}/${key}`) < share;
   return takesTarget ? version => version === target : isOld;
 }
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -178,7 +178,10 @@
   private listCandidates(run: CallRun): EndpointCandidate[] {
     const {view, health} = this.options;
     const {service} = run.admitted;
-    const allows = chooseVersion(view.findRollout(service.name), run.session);
+    const allows = chooseVersion(
+      view.findRollout(service.name),
+      run.versionSubject,
+    );
     return view
       .listEndpoints(service.name)
       .filter(
--- a/src/protocol/core_service.ts
+++ b/src/protocol/core_service.ts
@@ -86,6 +86,8 @@
   rejected: z.array(z.string()),
   /** The share of requests for the target while it runs. */
   share: z.number().min(0).max(1),
+  /** Whether sessions may move to the target, too, and not only new requests. */
+  movesSessions: z.boolean().default(false),
   beganAtMs: z.number(),
   durationMs: z.number(),
 });
--- a/src/protocol/routing_commands.ts
+++ b/src/protocol/routing_commands.ts
@@ -19,6 +19,7 @@
       readonly service: string;
       readonly target: string;
       readonly share: number;
+      readonly movesSessions: boolean;
     }
   | {
       readonly type: 'finish_rollout';
--- a/src/state/routing/routing_state.ts
+++ b/src/state/routing/routing_state.ts
@@ -33,7 +33,11 @@
       case 'begin_rollout':
         return this.beginRollout(command, index);
       case 'set_share':
-        return this.changeRollout(command, {share: command.share}, index);
+        return this.changeRollout(
+          command,
+          {share: command.share, movesSessions: command.movesSessions},
+          index,
+        );
       case 'finish_rollout':
         return this.finishRollout(command, index);
     }
@@ -75,6 +79,7 @@
         known?.state === 'complete' ? known.target : (known?.stable ?? null),
       rejected: rejected.filter(version => version !== target),
       share: 0,
+      movesSessions: false,
       beganAtMs: atMs,
       durationMs,
     };
