--- a/src/coordination/gateway/core_follower.ts
+++ b/src/coordination/gateway/core_follower.ts
@@ -2,7 +2,9 @@
  * The gateway's task that follows one daemon of the core by held-open calls.
  *
  * It prefers near daemons, and leaves one that does not answer or that lost
- * the leader for the next.
+ * the leader for the next. Until it knows a configuration it serves nobody, so
+ * it then asks all daemons at once and follows the first that has one: after
+ * an outage some are not back yet, and some lost what they knew.
  */
 import type {Clock} from '../../protocol/clock.ts';
 import type {
@@ -25,6 +27,9 @@
 /** How long a daemon that failed or lagged is left for others. */
 const AVOID_MS = 3_000;
 
+/** How often daemons without an open call are asked during the search. */
+const SEARCH_INTERVAL_MS = 150;
+
 /** The pause between calls to a daemon that lags, when all others do too. */
 const LAG_PAUSE_MS = 200;
 
@@ -46,6 +51,13 @@
   ) => Promise<FollowReply>;
 }
 
+/** A promise with the function that fulfils it. */
+function createSignal() {
+  let resolve = () => {};
+  const promise = new Promise<void>(done => (resolve = done));
+  return {promise, resolve};
+}
+
 /** Follows the core until it is disposed. */
 export class CoreFollower implements AsyncDisposable {
   private readonly stopped = new AbortController();
@@ -54,8 +66,10 @@
   private epoch = '';
   private endpointRevision = 0;
   private followed: string | null = null;
-  private lastHeardAt = -Infinity;
   private hurried = false;
+  /** Daemons with an open call that looks for a configuration. */
+  private readonly searching = new Set<string>();
+  private readonly found = createSignal();
 
   constructor(private readonly options: CoreFollowerOptions) {}
 
@@ -63,11 +77,6 @@
     this.task ??= this.run();
   }
 
-  /** How long ago the core last answered, in ms. */
-  get silentMs(): number {
-    return this.options.clock.monotonic() - this.lastHeardAt;
-  }
-
   /** Tells the core at once that this gateway changed. */
   async reportOnce(): Promise<void> {
     this.hurried = true;
@@ -90,9 +99,13 @@
   }
 
   private async run(): Promise<void> {
-    const {clock} = this.options;
+    const {clock, view} = this.options;
     const {signal} = this.stopped;
     while (!signal.aborted) {
+      if (view.routes === null) {
+        await this.search();
+        continue;
+      }
       const address = this.choose();
       if (address === null) {
         await clock.sleep(RETRY_MS, signal);
@@ -103,6 +116,45 @@
     }
   }
 
+  /** Asks all daemons at once; follows the first that has a configuration. */
+  private async search(): Promise<void> {
+    const {clock, logger} = this.options;
+    const {signal} = this.stopped;
+    for (const address of this.listAddresses()) {
+      if (this.searching.has(address)) continue;
+      this.searching.add(address);
+      void this.askFirst(address)
+        .catch((error: Error) =>
+          logger.info('Could not ask a core daemon.', {
+            address,
+            reason: error.message,
+          }),
+        )
+        .finally(() => this.searching.delete(address));
+    }
+    await Promise.race([
+      clock.sleep(SEARCH_INTERVAL_MS, signal),
+      this.found.promise,
+    ]);
+  }
+
+  /** Asks one daemon of many; the first that has a configuration is followed. */
+  private async askFirst(address: string): Promise<void> {
+    const {view, call, clock, logger} = this.options;
+    const request = {...this.createRequest(0), epoch: '', endpointRevision: 0};
+    const reply = await call(address, request, ANSWER_TIMEOUT_MS);
+    const isFirst = view.routes === null;
+    if (!isFirst || this.stopped.signal.aborted) return;
+    view.apply(reply);
+    if (view.routes === null) return;
+    this.followed = address;
+    this.epoch = reply.epoch;
+    this.endpointRevision = reply.endpointRevision;
+    const {fresh} = reply;
+    logger.info('Follows a core daemon.', {address, fresh});
+    this.found.resolve();
+  }
+
   private switchTo(address: string): void {
     this.followed = address;
     this.epoch = '';
@@ -129,17 +181,10 @@
 
   /** Makes one call; true when the daemon hears the leader. */
   private async ask(address: string, holdMs: number): Promise<boolean> {
-    const {view, clock, call, createReport} = this.options;
-    const request: FollowRequest = {
-      report: createReport(),
-      epoch: this.epoch,
-      endpointRevision: this.endpointRevision,
-      configurationRevision: view.revision,
-      holdMs: this.hurried ? 0 : holdMs,
-    };
+    const {view, clock, call} = this.options;
+    const request = this.createRequest(this.hurried ? 0 : holdMs);
     this.hurried = false;
     const reply = await call(address, request, holdMs + ANSWER_TIMEOUT_MS);
-    this.lastHeardAt = clock.monotonic();
     view.apply(reply);
     if (address === this.followed) {
       this.epoch = reply.epoch;
@@ -148,6 +193,23 @@
     return reply.fresh;
   }
 
+  private createRequest(holdMs: number): FollowRequest {
+    const {view, createReport} = this.options;
+    return {
+      report: createReport(),
+      epoch: this.epoch,
+      endpointRevision: this.endpointRevision,
+      configurationRevision: view.revision,
+      holdMs,
+    };
+  }
+
+  private listAddresses(): string[] {
+    const {view, listSeeds} = this.options;
+    const known = view.cores.map(({address}) => address);
+    return [...new Set([...known, ...listSeeds()])];
+  }
+
   private avoid(address: string): void {
     const until = this.options.clock.monotonic() + AVOID_MS;
     this.avoidUntil.set(address, until);
@@ -155,10 +217,10 @@
 
   /** The daemon followed so far unless it is avoided, else the nearest. */
   private choose(): string | null {
-    const {view, listSeeds, region, dataCentre, random, clock} = this.options;
+    const {view, region, dataCentre, random, clock} = this.options;
     const now = clock.monotonic();
     const places = new Map(view.cores.map(core => [core.address, core]));
-    const addresses = [...new Set([...places.keys(), ...listSeeds()])];
+    const addresses = this.listAddresses();
     const usable = addresses.filter(
       address => (this.avoidUntil.get(address) ?? -Infinity) <= now,
     );
--- /dev/null
+++ b/src/coordination/gateway/core_follower_test.ts
@@ -0,0 +1,115 @@
+/** The pattern: all hosts lost power, and come back one after the other. */
+import assert from 'node:assert/strict';
+import {test} from 'uvu';
+import type {Configuration, FollowReply} from '../../protocol/core_service.ts';
+import {silentLogger} from '../../protocol/logger.ts';
+import {succeed} from '../../protocol/outcome.ts';
+import {SimulatedClock} from '../../protocol/simulated_clock.ts';
+import {createRoute, createTable} from '../forwarding/forwarding_fakes.ts';
+import {CoreFollower} from './core_follower.ts';
+import {GatewayView} from './gateway_view.ts';
+
+const EMPTY: Configuration = {
+  revision: 0,
+  version: null,
+  document: null,
+  rollouts: [],
+};
+
+const IN_FORCE: Configuration = {
+  ...EMPTY,
+  revision: 7,
+  version: 3,
+  document: '',
+};
+
+/** How a daemon of the core answers; `null` while its host is dark. */
+type Daemon = (nowMs: number) => Configuration | null;
+
+class FakeCore implements AsyncDisposable {
+  readonly clock = new SimulatedClock();
+  readonly calls: string[] = [];
+  readonly view = new GatewayView({
+    logger: silentLogger,
+    decodeTable: () => succeed(createTable(createRoute())),
+  });
+  private readonly follower: CoreFollower;
+
+  constructor(private readonly daemons: Readonly<Record<string, Daemon>>) {
+    this.follower = new CoreFollower({
+      view: this.view,
+      clock: this.clock,
+      logger: silentLogger,
+      listSeeds: () => Object.keys(daemons),
+      region: 'r',
+      dataCentre: 'a',
+      random: () => 0.5,
+      createReport: () => ({
+        gateway: {address: 'g', region: 'r', dataCentre: 'a', open: false},
+        loads: [],
+        evidence: [],
+      }),
+      call: (address, {holdMs}, timeoutMs) =>
+        this.answer(address, holdMs, timeoutMs),
+    });
+    this.follower.start();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    const ended = this.follower[Symbol.asyncDispose]();
+    await this.clock.advance(2_000);
+    await ended;
+  }
+
+  private async answer(
+    address: string,
+    holdMs: number,
+    timeoutMs: number,
+  ): Promise<FollowReply> {
+    this.calls.push(address);
+    const configuration = this.daemons[address]?.(this.clock.now()) ?? null;
+    await this.clock.sleep(configuration ? holdMs + 2 : timeoutMs);
+    if (!configuration) throw new Error('timed out');
+    return {
+      epoch: address,
+      endpointRevision: 1,
+      complete: true,
+      settled: false,
+      endpoints: [],
+      configuration: configuration.document === null ? null : configuration,
+      cores: [],
+      loads: [],
+      gateways: 1,
+      fresh: true,
+    };
+  }
+}
+
+test('CoreFollower finds a configuration while nearer daemons are dark', async () => {
+  await using core = new FakeCore({
+    a: () => null,
+    b: () => null,
+    c: nowMs => (nowMs >= 250 ? IN_FORCE : null),
+  });
+  // The calls made while all were dark expire after 700 ms.
+  await core.clock.advance(1_100);
+  assert.equal(core.view.revision, 7);
+  assert.equal(core.calls.at(-1), 'c');
+});
+
+test('CoreFollower passes over a daemon that lost its configuration', async () => {
+  await using core = new FakeCore({a: () => EMPTY, b: () => IN_FORCE});
+  await core.clock.advance(100);
+  assert.equal(core.view.revision, 7);
+});
+
+test('CoreFollower asks one daemon at a time once it has a configuration', async () => {
+  await using core = new FakeCore({a: () => IN_FORCE, b: () => IN_FORCE});
+  await core.clock.advance(500);
+  const before = core.calls.length;
+  await core.clock.advance(2_000);
+  assert.ok(core.calls.length - before <= 5);
+  assert.equal(new Set(core.calls.slice(before)).size, 1);
+});
+
+test.run();
--- a/src/transport/peers/peer_links.ts
+++ b/src/transport/peers/peer_links.ts
@@ -8,12 +8,18 @@
 /** How often a connection is probed, and how long it may be silent. */
 const KEEP_ALIVE = {enabled: true, intervalMs: 600, pongTimeoutMs: 900};
 
-/** How long a connection may take to open. */
-const HANDSHAKE_TIMEOUT_MS = 1_500;
-
-/** The pause before a lost connection is opened again, and its limit. */
+/**
+ * How long a connection may take to open: several round trips between regions,
+ * and less than the second after which a lost first packet is sent again.
+ */
+const HANDSHAKE_TIMEOUT_MS = 600;
+
+/**
+ * The pause before a lost connection is opened again, and its limit: a host
+ * that is back should be found in a fraction of a second.
+ */
 const RETRY_MS = 50;
-const MAX_RETRY_MS = 800;
+const MAX_RETRY_MS = 200;
 
 /** A link that is not used for this long is closed. */
 const IDLE_MS = 120_000;
