--- a/src/coordination/gateway/core_follower.ts
+++ b/src/coordination/gateway/core_follower.ts
@@ -140,7 +140,7 @@
 
   /** Asks one daemon of many; the first that has a configuration is followed. */
   private async askFirst(address: string): Promise<void> {
-    const {view, call, clock, logger} = this.options;
+    const {view, call, logger} = this.options;
     const request = {...this.createRequest(0), epoch: '', endpointRevision: 0};
     const reply = await call(address, request, ANSWER_TIMEOUT_MS);
     const isFirst = view.routes === null;
@@ -181,7 +181,7 @@
 
   /** Makes one call; true when the daemon hears the leader. */
   private async ask(address: string, holdMs: number): Promise<boolean> {
-    const {view, clock, call} = this.options;
+    const {view, call} = this.options;
     const request = this.createRequest(this.hurried ? 0 : holdMs);
     this.hurried = false;
     const reply = await call(address, request, holdMs + ANSWER_TIMEOUT_MS);
