--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -3,6 +3,7 @@
 import type {AdmittedCall} from './admit_call.ts';
 import type {Call, Header} from './call.ts';
 import type {OpenEscalation} from './choose_model.ts';
+import type {HeldAnswer} from './held_answer.ts';
 import type {VersionSubject} from './choose_version.ts';
 import type {AttemptResult} from './run_attempt.ts';
 
@@ -37,9 +38,12 @@
   firstMs: number | null = null;
   /** Open while a larger model is waited for. */
   escalation: OpenEscalation | null = null;
+  /** Whether the held answer was delivered after all. */
+  hasFallenBack = false;
   failedAnswer: FailedAnswer | null = null;
   outcome: string | null = null;
   status = 0;
+  private heldAnswer: HeldAnswer | null = null;
 
   constructor(readonly admitted: AdmittedCall) {
     this.lastEventId = admitted.call.facts.lastEventId;
@@ -75,6 +79,27 @@
     if (this.firstMs !== null) return;
     this.firstMs = ms;
     this.escalation?.begin();
+    this.dropHeld();
+  }
+
+  /** A less sure answer, kept until the larger model begins. */
+  get held(): HeldAnswer | null {
+    return this.heldAnswer?.isBroken === false ? this.heldAnswer : null;
+  }
+
+  /** Keeps an answer that may be delivered later. */
+  hold(answer: HeldAnswer): void {
+    this.heldAnswer = answer;
+  }
+
+  /** Takes the held answer out, to deliver it; `null` without a sound one. */
+  takeHeld(): HeldAnswer | null {
+    const {held} = this;
+    this.heldAnswer = null;
+    if (!held) return null;
+    this.hasFallenBack = true;
+    this.model = held.model;
+    return held;
   }
 
   /** Notes what became of an attempt. */
@@ -94,6 +119,12 @@
     if (this.isOver) return;
     this.outcome = outcome;
     this.escalation?.[Symbol.dispose]();
+    this.dropHeld();
     this.status = status;
   }
+
+  private dropHeld(): void {
+    this.heldAnswer?.[Symbol.dispose]();
+    this.heldAnswer = null;
+  }
 }
--- a/src/coordination/forwarding/endpoint_health.ts
+++ b/src/coordination/forwarding/endpoint_health.ts
@@ -31,6 +31,8 @@
   ejectedUntil: number;
   fullUntil: number;
   load: ReportedLoad | null;
+  /** When it last answered anything, on the monotonic clock. */
+  heardAt: number;
 }
 
 /** Counts requests and failures by endpoint. */
@@ -54,6 +56,7 @@
 
   recordSuccess(endpoint: EndpointEntry): void {
     const seen = this.get(endpoint);
+    seen.heardAt = this.clock.monotonic();
     seen.failures = 0;
     seen.ejections = 0;
     seen.failureShare *= 1 - FAILURE_WEIGHT;
@@ -80,8 +83,22 @@
     this.get(endpoint).fullUntil = this.clock.monotonic() + FULL_MS;
   }
 
+  /** Notes that it answered, and the load that it told, if any. */
   recordLoad(endpoint: EndpointEntry, load: ReportedLoad | null): void {
-    if (load) this.get(endpoint).load = load;
+    const seen = this.get(endpoint);
+    seen.heardAt = this.clock.monotonic();
+    if (load) seen.load = load;
+  }
+
+  /**
+   * Notes that an attempt was given up before its answer began. Only an
+   * endpoint that answered nobody since then has failed; others are busy.
+   *
+   * @param startedAt When the attempt began, on the monotonic clock.
+   */
+  recordOverdue(endpoint: EndpointEntry, startedAt: number): void {
+    if (this.get(endpoint).heardAt >= startedAt) return;
+    this.recordFailure(endpoint, false);
   }
 
   /** The requests that this gateway has open at an endpoint. */
@@ -121,6 +138,7 @@
       ejectedUntil: -Infinity,
       fullUntil: -Infinity,
       load: null,
+      heardAt: -Infinity,
     };
     this.seen.set(id, fresh);
     return fresh;
--- /dev/null
+++ b/src/coordination/forwarding/fallback_test.ts
@@ -0,0 +1,161 @@
+/** The pattern: a burst leaves little room for the larger models. */
+import assert from 'node:assert/strict';
+import {test} from 'uvu';
+import {
+  createAnswer,
+  createEndpoint,
+  createRoute,
+  FakeGateway,
+  waitForAbort,
+  type Behaviour,
+} from './forwarding_fakes.ts';
+
+const OBJECTIVE_MS = 2_000;
+
+const ROUTE = createRoute({
+  repeatability: 'stream',
+  resumable: true,
+  objectiveMs: OBJECTIVE_MS,
+  timeoutMs: 10_000,
+  maxAttempts: 3,
+  models: ['small', 'large'],
+});
+
+const THREE = ['e1', 'e2', 'e3'].map(id => createEndpoint(id));
+
+interface Models {
+  /** When the smallest begins, in ms. */
+  readonly smallMs?: number;
+  /** What the largest does, attempt by attempt. */
+  readonly large: readonly Behaviour[];
+}
+
+function createGateway({smallMs = 100, large}: Models) {
+  const behaviours = [...large];
+  return new FakeGateway({
+    route: ROUTE,
+    endpoints: THREE,
+    behave: async (call, options, clock) => {
+      if (options.model === 'large') {
+        const behave = behaviours.shift();
+        assert.ok(behave, 'the largest is asked too often');
+        return behave(call, options, clock);
+      }
+      await clock.sleep(smallMs);
+      return createAnswer(call, options, {
+        isStream: true,
+        pieces: ['id: 1\ndata: small\n\n', 'id: 2\ndata: small\n\n'],
+        facts: {confidence: 5},
+      });
+    },
+  });
+}
+
+const waitForever: Behaviour = async (_call, {signal}) => {
+  await waitForAbort(signal).catch(() => {});
+  return {type: 'aborted'};
+};
+
+const answerSoon: Behaviour = async (call, options, clock) => {
+  await clock.sleep(300);
+  return createAnswer(call, options, {
+    isStream: true,
+    pieces: ['id: 1\ndata: large\n\n'],
+  });
+};
+
+const breakSoon: Behaviour = async () => ({type: 'broken', reason: 'reset'});
+
+function listModels(gateway: FakeGateway) {
+  return gateway.attempts.map(({model}) => model);
+}
+
+test('forward() delivers the less sure answer in time when the largest does not begin', async () => {
+  const gateway = createGateway({large: [waitForever]});
+  const sink = await gateway.request({model: '*', isModelOpen: true});
+  assert.equal(sink.outcome, 'whole');
+  assert.equal(sink.text, 'id: 1\ndata: small\n\nid: 2\ndata: small\n\n');
+  assert.deepEqual(listModels(gateway), ['small', 'large']);
+  assert.ok(gateway.attempts[1]?.signal.aborted, 'the largest still runs');
+  assert.ok(gateway.clock.monotonic() < OBJECTIVE_MS);
+});
+
+test('forward() delivers the largest model once it begins, and no piece of the other', async () => {
+  const gateway = createGateway({large: [answerSoon]});
+  const sink = await gateway.request({model: '*', isModelOpen: true});
+  assert.equal(sink.text, 'id: 1\ndata: large\n\n');
+});
+
+test('forward() stops the less sure run once the largest begins', async () => {
+  let isCancelled = false;
+  const gateway = new FakeGateway({
+    route: ROUTE,
+    endpoints: THREE,
+    behave: async (call, options, clock) => {
+      if (options.model === 'large') return answerSoon(call, options, clock);
+      return createAnswer(call, options, {
+        isStream: true,
+        pieces: ['id: 1\n\n'],
+        hangs: true,
+        facts: {confidence: 5},
+        onCancel: () => (isCancelled = true),
+      });
+    },
+  });
+  const sink = await gateway.request({model: '*', isModelOpen: true});
+  assert.equal(sink.text, 'id: 1\ndata: large\n\n');
+  assert.ok(isCancelled);
+});
+
+test('forward() tries the largest elsewhere while there is time', async () => {
+  const gateway = createGateway({large: [breakSoon, answerSoon]});
+  const sink = await gateway.request({model: '*', isModelOpen: true});
+  assert.equal(sink.text, 'id: 1\ndata: large\n\n');
+  assert.deepEqual(listModels(gateway), ['small', 'large', 'large']);
+});
+
+test('forward() delivers the less sure answer when no attempt is left', async () => {
+  const gateway = createGateway({large: [breakSoon, breakSoon]});
+  const sink = await gateway.request({model: '*', isModelOpen: true});
+  assert.equal(sink.outcome, 'whole');
+  assert.match(sink.text, /small/);
+  assert.ok(gateway.clock.monotonic() < OBJECTIVE_MS / 2);
+});
+
+test('forward() asks no larger model when the smallest was slow', async () => {
+  const gateway = createGateway({smallMs: 1_300, large: []});
+  const sink = await gateway.request({model: '*', isModelOpen: true});
+  assert.match(sink.text, /small/);
+  assert.deepEqual(listModels(gateway), ['small']);
+});
+
+test('forward() stops both runs when the caller leaves', async () => {
+  const left = new AbortController();
+  let cancelled = 0;
+  const gateway = new FakeGateway({
+    route: ROUTE,
+    endpoints: THREE,
+    behave: async (call, options) => {
+      if (options.model === 'large') {
+        setImmediate(() => left.abort());
+        await waitForAbort(options.signal).catch(() => {});
+        return {type: 'aborted'};
+      }
+      return createAnswer(call, options, {
+        isStream: true,
+        hangs: true,
+        facts: {confidence: 5},
+        onCancel: () => cancelled++,
+      });
+    },
+  });
+  const sink = await gateway.request(
+    {model: '*', isModelOpen: true},
+    left.signal,
+  );
+  assert.equal(sink.hasBegun, false);
+  assert.equal(cancelled, 1);
+  assert.ok(gateway.attempts[1]?.signal.aborted);
+});
+
+test.run();
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -19,7 +19,12 @@
 import {chooseVersion} from './choose_version.ts';
 import type {EndpointHealth} from './endpoint_health.ts';
 import {refuseCall, type RefusalReason} from './refuse.ts';
-import {runAttempt, type AttemptResult} from './run_attempt.ts';
+import {
+  deliverHeld,
+  findFallbackMs,
+  runAttempt,
+  type AttemptResult,
+} from './run_attempt.ts';
 import {CallRun} from './call_run.ts';
 import type {VersionEvidenceBook} from './version_evidence.ts';
 
@@ -35,6 +40,12 @@
 /** Repeats that escalations leave for requests that failed. */
 const ESCALATION_RESERVE = 1;
 
+/**
+ * The share of the objective after which no larger model is asked: the smallest
+ * itself was slow, and a larger one would begin too late.
+ */
+const ESCALATE_BY_SHARE = 0.6;
+
 /** One rank before the default of engines, which is 5. */
 const SMALL_MODEL_URGENCY = 4;
 
@@ -97,10 +108,11 @@
     if (run.call.signal.aborted) return run.finish('left', 0);
     const leftMs = run.admitted.deadline - clock.monotonic();
     if (leftMs <= 0) return this.giveUp(run, sink, 'deadline');
-    const isRepeat = run.sends > 0;
-    if (isRepeat && !this.mayRepeat(run)) return this.giveUp(run, sink, null);
-    const choice = this.choose(run);
-    if (!choice) return this.giveUp(run, sink, null);
+    const isFallbackDue =
+      run.held !== null && findFallbackMs(run, clock.monotonic()) === 0;
+    const mayGoOn = run.sends === 0 || (!isFallbackDue && this.mayRepeat(run));
+    const choice = mayGoOn ? this.choose(run) : null;
+    if (!choice) return this.fallBack(run, sink, leftMs);
     const result = await runAttempt(
       {
         ...this.options,
@@ -108,6 +120,7 @@
         leftMs,
         escalates: confidence =>
           !run.hasEscalated &&
+          this.isSoonEnough(run) &&
           hasLarger(run.admitted.route.models, choice.model) &&
           this.bar.isBelow(confidence) &&
           // An answer that is ready is not dropped with nobody else to ask.
@@ -118,13 +131,45 @@
       choice,
     );
     this.takeResult(run, choice.endpoint, result);
+    this.finishWith(run, sink, result);
+  }
+
+  private finishWith(
+    run: CallRun,
+    sink: CallerSink,
+    result: AttemptResult,
+  ): void {
     if (result.type === 'delivered') run.finish('answered', result.status);
+    if (result.type === 'left') run.finish('left', 0);
     if (result.type === 'cut') {
       sink.abort();
       run.finish('cut', 0);
     }
   }
 
+  /** Delivers the held answer where there is one; gives up otherwise. */
+  private async fallBack(
+    run: CallRun,
+    sink: CallerSink,
+    leftMs: number,
+  ): Promise<void> {
+    const held = sink.hasBegun ? null : run.takeHeld();
+    if (!held) return this.giveUp(run, sink, null);
+    const {health, metrics} = this.options;
+    const options = {...this.options, sink, leftMs, escalates: () => false};
+    const result = await deliverHeld(options, run, held);
+    metrics.count('fallbacks', 1, {outcome: result.type});
+    if (result.type === 'delivered') health.recordSuccess(held.endpoint);
+    if (result.type === 'broken') health.recordFailure(held.endpoint, false);
+    this.finishWith(run, sink, result);
+  }
+
+  /** Whether a larger model could still begin in time. */
+  private isSoonEnough({call, admitted}: CallRun): boolean {
+    const ms = this.options.clock.monotonic() - call.receivedAt;
+    return ms < admitted.route.objectiveMs * ESCALATE_BY_SHARE;
+  }
+
   /** Takes what another run needs after the open one; false if it may not. */
   private canEscalate({admitted, runs}: CallRun): boolean {
     const {isRepeatable, route, service} = admitted;
@@ -225,7 +270,9 @@
    * Whether the largest model is asked. One that failed after the objective had
    * passed is not asked again: the smallest still answers, and soon.
    */
-  private asksLargest({hasEscalated, runs, call, admitted}: CallRun): boolean {
+  private asksLargest(run: CallRun): boolean {
+    const {hasEscalated, hasFallenBack, runs, call, admitted} = run;
+    if (hasFallenBack) return false;
     if (!hasEscalated || runs < 2) return hasEscalated;
     const ms = this.options.clock.monotonic() - call.receivedAt;
     return ms < admitted.route.objectiveMs;
@@ -246,6 +293,10 @@
     if (result.type === 'escalated') {
       run.escalation = this.bar.open(route.objectiveMs);
     }
+    if (result.type === 'overdue') {
+      run.escalation?.begin();
+      health.recordOverdue(endpoint, result.startedAt);
+    }
     if (result.type === 'not-run' && result.isFull) health.recordFull(endpoint);
     if (result.type === 'not-sent') health.recordFailure(endpoint, true);
     if (result.type === 'broken') {
@@ -267,6 +318,7 @@
     }
     if (result.type === 'not-run' || result.type === 'not-sent') return;
     if (result.type === 'left' || result.type === 'escalated') return;
+    if (result.type === 'overdue') return;
     const rollout = view.findRollout(service.name);
     evidence.record(
       {
--- a/src/coordination/forwarding/forwarder_test.ts
+++ b/src/coordination/forwarding/forwarder_test.ts
@@ -229,7 +229,8 @@
   assert.deepEqual([sink.status, sink.outcome], [200, 'whole']);
 });
 
-test('forward() lets the smallest model answer when the largest failed late', async () => {
+test('forward() asks the smallest model again when its answer broke off and the largest failed late', async () => {
+  let smallAnswers = 0;
   const three = [...TWO, createEndpoint('e3')];
   const gateway = new FakeGateway({
     route: {...STREAM, models: ['small', 'large']},
@@ -239,9 +240,11 @@
         await clock.sleep(2_100);
         return {type: 'broken', reason: 'reset'};
       }
+      const breaks = smallAnswers++ === 0;
       return createAnswer(call, options, {
         isStream: true,
         pieces: ['id: 1\n\n'],
+        breaks,
         facts: {confidence: 5},
       });
     },
--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -233,6 +233,8 @@
   readonly hangs?: boolean;
   readonly isStream?: boolean;
   readonly facts?: Partial<AnswerFacts>;
+  /** Runs when the gateway drops the rest of the answer. */
+  readonly onCancel?: () => void;
 }
 
 /** Makes the answer of a fake endpoint. */
@@ -261,7 +263,7 @@
         ...options.facts,
       },
       body: readPieces(),
-      cancel: () => {},
+      cancel: () => options.onCancel?.(),
     },
   };
 }
--- /dev/null
+++ b/src/coordination/forwarding/held_answer.ts
@@ -0,0 +1,99 @@
+/**
+ * An answer that is ready while a better one is asked for.
+ *
+ * It goes on being read, so that it can be delivered at once when the better
+ * one does not begin in time. Dispose it when it is not needed any more: the
+ * endpoint then stops its work.
+ */
+import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
+import type {EndpointAnswer} from './call.ts';
+
+/** The largest answer that is kept; a larger one counts as broken off. */
+const MAX_BYTES = 4 * 1024 * 1024;
+
+export interface HeldAnswerOptions {
+  readonly answer: EndpointAnswer;
+  readonly endpoint: EndpointEntry;
+  /** The model that made it; `null` when the caller chose it. */
+  readonly model: string | null;
+  /** Released when the endpoint has ended its work. */
+  readonly open: Disposable;
+}
+
+export class HeldAnswer implements Disposable {
+  private readonly pieces: Uint8Array[] = [];
+  private size = 0;
+  private isWhole = false;
+  private error: Error | null = null;
+  private wake = () => {};
+
+  constructor(private readonly options: HeldAnswerOptions) {
+    void this.fill();
+  }
+
+  get endpoint(): EndpointEntry {
+    return this.options.endpoint;
+  }
+
+  get model(): string | null {
+    return this.options.model;
+  }
+
+  /** Whether it broke off or was dropped. */
+  get isBroken(): boolean {
+    return this.error !== null;
+  }
+
+  /** The answer from its beginning; it may be read once. */
+  createAnswer(): EndpointAnswer {
+    return {...this.options.answer, body: this.read()};
+  }
+
+  [Symbol.dispose](): void {
+    if (this.isWhole || this.error) return;
+    this.end(new Error('the answer was dropped'));
+    this.options.answer.cancel();
+  }
+
+  private async fill(): Promise<void> {
+    const {answer} = this.options;
+    try {
+      for await (const piece of answer.body) {
+        if (this.error) return;
+        this.pieces.push(piece);
+        this.size += piece.length;
+        if (this.size > MAX_BYTES) {
+          this.end(new Error('the answer is too large to be held'));
+          answer.cancel();
+          return;
+        }
+        this.wake();
+      }
+      this.end(null);
+    } catch (error) {
+      this.end(error as Error);
+    }
+  }
+
+  private end(error: Error | null): void {
+    if (this.isWhole || this.error) return;
+    this.error = error;
+    this.isWhole = error === null;
+    this.options.open[Symbol.dispose]();
+    this.wake();
+  }
+
+  private async *read(): AsyncGenerator<Uint8Array> {
+    for (let next = 0; ;) {
+      const piece = this.pieces[next];
+      if (piece) {
+        next++;
+        yield piece;
+        continue;
+      }
+      if (this.error) throw this.error;
+      if (this.isWhole) return;
+      await new Promise<void>(resolve => (this.wake = resolve));
+    }
+  }
+}
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -10,6 +10,7 @@
 } from './call.ts';
 import type {CallRun, FailedAnswer} from './call_run.ts';
 import type {EndpointHealth} from './endpoint_health.ts';
+import {HeldAnswer} from './held_answer.ts';
 import {relayEvents, STALL_MIN_MS} from './relay_events.ts';
 import {startWatchdog} from './watchdog.ts';
 
@@ -23,6 +24,12 @@
 const PATIENCE_FACTOR = 1.3;
 const PATIENCE_MIN_MS = 500;
 
+/**
+ * When a held answer is delivered in place of one that has not begun, as a
+ * share of the objective: what is left covers the way to the caller.
+ */
+const FALLBACK_SHARE = 0.8;
+
 /** What became of an attempt, for the request and for the endpoint. */
 export type AttemptResult =
   /** The caller has the whole answer. */
@@ -41,6 +48,8 @@
     }
   /** It may have run, and no whole answer came. */
   | {readonly type: 'broken'; readonly isDead: boolean; readonly reason: string}
+  /** It had not begun when the held answer had to be delivered. */
+  | {readonly type: 'overdue'; readonly startedAt: number}
   /** The model doubts its answer, and a larger one is asked. */
   | {readonly type: 'escalated'; readonly confidence: number}
   /** Its answer broke off and cannot go on elsewhere. */
@@ -60,7 +69,7 @@
 }
 
 /** Why the gateway gives up an attempt. */
-type AbortReason = 'deadline' | 'stall' | 'left';
+type AbortReason = 'deadline' | 'stall' | 'overdue' | 'left';
 
 /** The endpoint, and the model that the gateway chose. */
 export interface AttemptChoice {
@@ -84,14 +93,16 @@
   let aborted: AbortReason | null = null;
   const abort = (reason: AbortReason) => {
     aborted ??= reason;
-    controller.abort();
+    controller.abort(reason);
   };
+  const startedAt = clock.monotonic();
   const leave = () => abort('left');
   call.signal.addEventListener('abort', leave);
   using _open = health.open(endpoint);
   using _deadline = startWatchdog(clock, leftMs, () => abort('deadline'));
-  using stall = startWatchdog(clock, findPatience(run), () => {
-    if (canGoOn(run)) abort('stall');
+  using stall = startWatchdog(clock, findPatience(run, startedAt), () => {
+    if (run.held) abort('overdue');
+    else if (canGoOn(run)) abort('stall');
   });
   try {
     if (call.signal.aborted) return {type: 'left'};
@@ -110,7 +121,7 @@
       outcome,
       onProgress: ms => stall.postpone(ms),
     });
-    return explainAbort(result, aborted);
+    return explainAbort(result, {aborted, startedAt});
   } finally {
     call.signal.removeEventListener('abort', leave);
   }
@@ -119,22 +130,56 @@
 /** Names the reason of the gateway itself where it broke an attempt off. */
 function explainAbort(
   result: AttemptResult,
-  aborted: AbortReason | null,
+  {aborted, startedAt}: {aborted: AbortReason | null; startedAt: number},
 ): AttemptResult {
   if (aborted === null || result.type === 'delivered') return result;
   if (aborted === 'left') return {type: 'left'};
   if (result.type !== 'broken') return result;
+  if (aborted === 'overdue') return {type: 'overdue', startedAt};
   return {...result, isDead: false, reason: aborted};
 }
 
+/** Delivers an answer that was held. */
+export async function deliverHeld(
+  options: RunAttemptOptions,
+  run: CallRun,
+  held: HeldAnswer,
+): Promise<AttemptResult> {
+  const {clock, leftMs} = options;
+  const {signal} = run.call;
+  const drop = () => held[Symbol.dispose]();
+  signal.addEventListener('abort', drop);
+  using _held = held;
+  using _deadline = startWatchdog(clock, leftMs, drop);
+  using stall = startWatchdog(clock, STALL_MIN_MS, drop);
+  try {
+    const result = await passOn(options, run, held.createAnswer(), ms =>
+      stall.postpone(ms),
+    );
+    return signal.aborted ? {type: 'left'} : result;
+  } finally {
+    signal.removeEventListener('abort', drop);
+  }
+}
+
+/** The time until a held answer is delivered, in ms; 0 when it is due. */
+export function findFallbackMs(
+  {call, admitted}: CallRun,
+  nowMs: number,
+): number {
+  const dueAt = call.receivedAt + admitted.route.objectiveMs * FALLBACK_SHARE;
+  return Math.max(0, dueAt - nowMs);
+}
+
 /** Whether another endpoint could go on where this attempt stops. */
 function canGoOn({admitted, runs}: CallRun): boolean {
   return admitted.isRepeatable && runs + 1 < admitted.route.maxAttempts;
 }
 
 /** How long the first event or the answer is waited for, in ms. */
-function findPatience({admitted}: CallRun): number {
-  const {objectiveMs, repeatability} = admitted.route;
+function findPatience(run: CallRun, nowMs: number): number {
+  if (run.held) return findFallbackMs(run, nowMs);
+  const {objectiveMs, repeatability} = run.admitted.route;
   const patienceMs = Math.max(PATIENCE_MIN_MS, objectiveMs * PATIENCE_FACTOR);
   return repeatability === 'stream'
     ? Math.max(STALL_MIN_MS, patienceMs)
@@ -169,7 +214,7 @@
       return {type: 'broken', isDead: false, reason: 'aborted'};
     case 'answer':
       options.health.recordLoad(endpoint, outcome.answer.facts.load);
-      return takeAnswer(options, run, outcome.answer, onProgress);
+      return takeAnswer(options, run, outcome.answer, {endpoint, onProgress});
   }
 }
 
@@ -177,9 +222,9 @@
   options: RunAttemptOptions,
   run: CallRun,
   answer: EndpointAnswer,
-  onProgress: (ms: number) => void,
+  {endpoint, onProgress}: Pick<TakenOutcome, 'endpoint' | 'onProgress'>,
 ): Promise<AttemptResult> {
-  const {clock, sink} = options;
+  const {sink} = options;
   const problem = findProblem(run, answer);
   if (problem !== null) {
     answer.cancel();
@@ -188,9 +233,30 @@
   const {confidence} = answer.facts;
   run.confidence = confidence;
   if (confidence !== null && !sink.hasBegun && options.escalates(confidence)) {
-    answer.cancel();
+    hold(options, run, {endpoint, answer});
     return {type: 'escalated', confidence};
   }
+  return passOn(options, run, answer, onProgress);
+}
+
+/** Keeps an answer while a larger model is asked. */
+function hold(
+  {health}: RunAttemptOptions,
+  run: CallRun,
+  {endpoint, answer}: {endpoint: EndpointEntry; answer: EndpointAnswer},
+): void {
+  const open = health.open(endpoint);
+  run.hold(new HeldAnswer({answer, endpoint, model: run.model, open}));
+}
+
+/** Passes an answer that is this request's on to the caller. */
+async function passOn(
+  options: RunAttemptOptions,
+  run: CallRun,
+  answer: EndpointAnswer,
+  onProgress: (ms: number) => void,
+): Promise<AttemptResult> {
+  const {clock, sink} = options;
   const isGood = answer.status < 500;
   if (isEventStream(answer.headers) && answer.status === 200) {
     return relayEvents({clock, sink, onProgress}, run, answer);
