--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -36,6 +36,8 @@
   lastEventId: string | null;
   /** The time to the first event or the answer, in ms. */
   firstMs: number | null = null;
+  /** How long the last attempt took to begin its answer, in ms. */
+  beganMs: number | null = null;
   /** Open while a larger model is waited for. */
   escalation: OpenEscalation | null = null;
   /** Whether the held answer was delivered after all. */
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -26,6 +26,7 @@
   type AttemptResult,
 } from './run_attempt.ts';
 import {CallRun} from './call_run.ts';
+import {recordAttempt} from './record_attempt.ts';
 import type {VersionEvidenceBook} from './version_evidence.ts';
 
 /** How often a request that surely has not run is sent on, at the most. */
@@ -283,53 +284,13 @@
     endpoint: EndpointEntry,
     result: AttemptResult,
   ): void {
-    const {health, evidence, view, logger, metrics} = this.options;
-    const {service, route} = run.admitted;
     run.note(endpoint, result);
-    metrics.count('attempts', 1, {
-      service: service.name,
-      outcome: result.type,
-    });
     if (result.type === 'escalated') {
-      run.escalation = this.bar.open(route.objectiveMs);
-    }
-    if (result.type === 'overdue') {
-      run.escalation?.begin();
-      health.recordOverdue(endpoint, result.startedAt);
-    }
-    if (result.type === 'not-run' && result.isFull) health.recordFull(endpoint);
-    if (result.type === 'not-sent') health.recordFailure(endpoint, true);
-    if (result.type === 'broken') {
-      health.recordFailure(endpoint, result.isDead);
+      run.escalation = this.bar.open(run.admitted.route.objectiveMs);
     }
-    if (result.type === 'failed') health.recordFailure(endpoint, false);
-    if (result.type === 'delivered') {
-      if (result.isGood) health.recordSuccess(endpoint);
-      else health.recordFailure(endpoint, false);
-    }
-    if (result.type !== 'delivered') {
-      logger.info('Could not use an endpoint.', {
-        request: run.call.facts.attemptId,
-        endpoint: endpoint.id,
-        address: endpoint.address,
-        outcome: result.type,
-        reason: 'reason' in result ? result.reason : undefined,
-      });
-    }
-    if (result.type === 'not-run' || result.type === 'not-sent') return;
-    if (result.type === 'left' || result.type === 'escalated') return;
-    if (result.type === 'overdue') return;
-    const rollout = view.findRollout(service.name);
-    evidence.record(
-      {
-        service: service.name,
-        version: endpoint.version,
-        route: route.name,
-        isFailure: result.type !== 'delivered' || !result.isGood,
-        firstMs: run.firstMs,
-      },
-      rollout?.state === 'running',
-    );
+    // The wait is longer than this, and as good as seen.
+    if (result.type === 'overdue') run.escalation?.begin();
+    recordAttempt(this.options, run, {endpoint, result});
   }
 
   private findBudget(service: string): RetryBudget {
--- /dev/null
+++ b/src/coordination/forwarding/record_attempt.ts
@@ -0,0 +1,100 @@
+/** Notes what an attempt showed of its endpoint and its version. */
+import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
+import type {Logger} from '../../protocol/logger.ts';
+import type {Metrics} from '../../protocol/metrics.ts';
+import type {GatewayView} from '../gateway/gateway_view.ts';
+import type {CallRun} from './call_run.ts';
+import type {EndpointHealth} from './endpoint_health.ts';
+import type {AttemptResult} from './run_attempt.ts';
+import type {VersionEvidenceBook} from './version_evidence.ts';
+
+export interface RecordAttemptOptions {
+  readonly view: GatewayView;
+  readonly health: EndpointHealth;
+  readonly evidence: VersionEvidenceBook;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+interface Attempt {
+  readonly endpoint: EndpointEntry;
+  readonly result: AttemptResult;
+}
+
+/** Notes the result of an attempt of a request. */
+export function recordAttempt(
+  options: RecordAttemptOptions,
+  run: CallRun,
+  {endpoint, result}: Attempt,
+): void {
+  const {health, logger, metrics} = options;
+  const service = run.admitted.service.name;
+  metrics.count('attempts', 1, {service, outcome: result.type});
+  recordHealth(health, {endpoint, result});
+  if (result.type !== 'delivered') {
+    logger.info('Could not use an endpoint.', {
+      request: run.call.facts.attemptId,
+      endpoint: endpoint.id,
+      address: endpoint.address,
+      outcome: result.type,
+      reason: 'reason' in result ? result.reason : undefined,
+    });
+  }
+  recordEvidence(options, run, {endpoint, result});
+}
+
+function recordHealth(
+  health: EndpointHealth,
+  {endpoint, result}: Attempt,
+): void {
+  switch (result.type) {
+    case 'delivered':
+      if (result.isGood) health.recordSuccess(endpoint);
+      else health.recordFailure(endpoint, false);
+      return;
+    case 'failed':
+      return health.recordFailure(endpoint, false);
+    case 'broken':
+      return health.recordFailure(endpoint, result.isDead);
+    case 'not-sent':
+      return health.recordFailure(endpoint, true);
+    case 'not-run':
+      if (result.isFull) health.recordFull(endpoint);
+      return;
+    case 'overdue':
+      return health.recordOverdue(endpoint, result.startedAt);
+    case 'escalated':
+    case 'cut':
+    case 'left':
+      return;
+  }
+}
+
+/** Counts the attempt for its version, unless it says nothing about it. */
+function recordEvidence(
+  {view, evidence}: RecordAttemptOptions,
+  run: CallRun,
+  {endpoint, result}: Attempt,
+): void {
+  if (result.type === 'not-run' || result.type === 'not-sent') return;
+  if (result.type === 'left') return;
+  const {route, service} = run.admitted;
+  const rollout = view.findRollout(service.name);
+  evidence.record(
+    {
+      service: service.name,
+      version: endpoint.version,
+      route: route.name,
+      model: run.model,
+      isFailure: isFailure(result),
+      beganMs: run.beganMs,
+    },
+    rollout?.state === 'running',
+  );
+}
+
+/** Whether an attempt speaks against its version, its time aside. */
+function isFailure(result: AttemptResult): boolean {
+  if (result.type === 'delivered') return !result.isGood;
+  return result.type !== 'escalated' && result.type !== 'overdue';
+}
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -96,6 +96,7 @@
     controller.abort(reason);
   };
   const startedAt = clock.monotonic();
+  run.beganMs = null;
   const leave = () => abort('left');
   call.signal.addEventListener('abort', leave);
   using _open = health.open(endpoint);
@@ -119,6 +120,7 @@
     const result = await takeOutcome(options, run, {
       endpoint,
       outcome,
+      startedAt,
       onProgress: ms => stall.postpone(ms),
     });
     return explainAbort(result, {aborted, startedAt});
@@ -189,6 +191,8 @@
 interface TakenOutcome {
   readonly endpoint: EndpointEntry;
   readonly outcome: AttemptOutcome;
+  /** When the attempt began, on the monotonic clock. */
+  readonly startedAt: number;
   /** Tells that the answer goes on, and how long the next piece may take. */
   readonly onProgress: (ms: number) => void;
 }
@@ -196,7 +200,7 @@
 async function takeOutcome(
   options: RunAttemptOptions,
   run: CallRun,
-  {endpoint, outcome, onProgress}: TakenOutcome,
+  {endpoint, outcome, startedAt, onProgress}: TakenOutcome,
 ): Promise<AttemptResult> {
   switch (outcome.type) {
     case 'not-sent':
@@ -213,6 +217,7 @@
     case 'aborted':
       return {type: 'broken', isDead: false, reason: 'aborted'};
     case 'answer':
+      run.beganMs = options.clock.monotonic() - startedAt;
       options.health.recordLoad(endpoint, outcome.answer.facts.load);
       return takeAnswer(options, run, outcome.answer, {endpoint, onProgress});
   }
--- a/src/coordination/forwarding/version_evidence.ts
+++ b/src/coordination/forwarding/version_evidence.ts
@@ -1,4 +1,9 @@
-/** What this gateway saw of versions whose service has a roll-out. */
+/**
+ * What this gateway saw of versions whose service has a roll-out.
+ *
+ * Each attempt counts by itself, and is compared with the usual time of its
+ * route and model: a request that asks two models takes long on any version.
+ */
 import type {VersionEvidence} from '../../protocol/core_service.ts';
 
 /** An answer counts as slow from this multiple of the usual time on. */
@@ -14,32 +19,34 @@
   readonly service: string;
   readonly version: string;
   readonly route: string;
+  /** The model that was asked; `null` when the gateway did not choose one. */
+  readonly model: string | null;
   readonly isFailure: boolean;
-  /** The time to the first event or the whole answer; `null` if none came. */
-  readonly firstMs: number | null;
+  /** How long it took until the answer began; `null` if it never did. */
+  readonly beganMs: number | null;
+}
+
+/** The usual time, as a mean over the answers of which the newest count most. */
+interface Usual {
+  ms: number;
+  answers: number;
 }
 
 type Mutable<T> = {-readonly [K in keyof T]: T[K]};
 
-/** Counts answers by service, version and route since a roll-out began. */
+/** Counts attempts by service, version and route since a roll-out began. */
 export class VersionEvidenceBook {
   private readonly counts = new Map<string, Mutable<VersionEvidence>>();
-  private readonly usualMs = new Map<string, number>();
+  private readonly usual = new Map<string, Usual>();
 
-  /** Notes an answer; only those during a roll-out are counted. */
-  record(
-    {service, version, route, isFailure, firstMs}: AnswerSeen,
-    isRollout: boolean,
-  ): void {
-    const usual = this.usualMs.get(route);
-    if (firstMs !== null && !isFailure && !isRollout) {
-      const next =
-        usual === undefined
-          ? firstMs
-          : usual + (firstMs - usual) * USUAL_WEIGHT;
-      this.usualMs.set(route, next);
+  /** Notes an attempt; only those during a roll-out are counted. */
+  record(seen: AnswerSeen, isRollout: boolean): void {
+    const {service, version, route, model, isFailure, beganMs} = seen;
+    const kind = `${route}\n${model}`;
+    if (!isRollout) {
+      if (beganMs !== null && !isFailure) this.learn(kind, beganMs);
+      return;
     }
-    if (!isRollout) return;
     const key = [service, version, route].join('\n');
     const count = this.counts.get(key) ?? {
       service,
@@ -52,12 +59,22 @@
     };
     count.answers++;
     if (isFailure) count.failures++;
-    count.firstMs += firstMs ?? 0;
-    const limit = Math.max(SLOW_MIN_MS, (usual ?? SLOW_MIN_MS) * SLOW_FACTOR);
-    if (firstMs === null || firstMs > limit) count.slow++;
+    count.firstMs += beganMs ?? 0;
+    const usualMs = this.usual.get(kind)?.ms ?? SLOW_MIN_MS;
+    const limit = Math.max(SLOW_MIN_MS, usualMs * SLOW_FACTOR);
+    if (beganMs === null || beganMs > limit) count.slow++;
     this.counts.set(key, count);
   }
 
+  private learn(kind: string, ms: number): void {
+    const usual = this.usual.get(kind) ?? {ms: 0, answers: 0};
+    usual.answers++;
+    // The first answers weigh alike.
+    const weight = Math.max(USUAL_WEIGHT, 1 / usual.answers);
+    usual.ms += (ms - usual.ms) * weight;
+    this.usual.set(kind, usual);
+  }
+
   /** Forgets services without a running roll-out, and lists the others. */
   list(isRunning: (service: string) => boolean): VersionEvidence[] {
     for (const [key, {service}] of this.counts) {
--- /dev/null
+++ b/src/coordination/forwarding/version_evidence_test.ts
@@ -0,0 +1,51 @@
+/** The pattern: a slow version in a cascade, seen by many gateways a little. */
+import assert from 'node:assert/strict';
+import {test} from 'uvu';
+import {VersionEvidenceBook, type AnswerSeen} from './version_evidence.ts';
+
+const SMALL: AnswerSeen = {
+  service: 'model',
+  version: 'v1',
+  route: 'letters',
+  model: 'small',
+  isFailure: false,
+  beganMs: 110,
+};
+
+const LARGE: AnswerSeen = {...SMALL, model: 'large', beganMs: 900};
+
+/** A gateway that saw a few answers of each model before the roll-out. */
+function createBook(): VersionEvidenceBook {
+  const book = new VersionEvidenceBook();
+  for (let index = 0; index < 5; index++) {
+    book.record(SMALL, false);
+    book.record(LARGE, false);
+  }
+  return book;
+}
+
+function countSlow(seen: AnswerSeen): number {
+  const book = createBook();
+  book.record(seen, true);
+  return book.list(() => true)[0]?.slow ?? -1;
+}
+
+test('VersionEvidenceBook compares each model with its own usual time', () => {
+  assert.equal(countSlow(SMALL), 0);
+  assert.equal(countSlow(LARGE), 0);
+  assert.equal(countSlow({...SMALL, beganMs: 800}), 1);
+  assert.equal(countSlow({...LARGE, beganMs: 1_500}), 0);
+});
+
+test('VersionEvidenceBook counts an answer that never began as slow', () => {
+  assert.equal(countSlow({...LARGE, beganMs: null}), 1);
+});
+
+test('VersionEvidenceBook forgets services without a roll-out', () => {
+  const book = createBook();
+  book.record(SMALL, true);
+  assert.equal(book.list(() => false).length, 0);
+  assert.equal(book.list(() => true).length, 0);
+});
+
+test.run();
--- a/src/protocol/core_service.ts
+++ b/src/protocol/core_service.ts
@@ -41,7 +41,7 @@
   route: z.string(),
   answers: z.int().nonnegative(),
   failures: z.int().nonnegative(),
-  /** The sum of the times to the first event or answer, in ms. */
+  /** The sum of the times until the answers began, in ms. */
   firstMs: z.number().nonnegative(),
   /** How many took so long that they count as slow. */
   slow: z.int().nonnegative(),
