--- a/src/coordination/replication/membership_keeper.ts
+++ b/src/coordination/replication/membership_keeper.ts
@@ -131,7 +131,11 @@
   if (step.type === 'change') {
     const voters = step.voters.map(formatMember);
     logger.info('Changes the voters.', {group, voters});
-    return options.change({voters: [...step.voters]});
+    const isChanged = await options.change({voters: [...step.voters]});
+    if (isChanged) {
+      for (const voter of voters) leadership.learners.delete(voter);
+    }
+    return isChanged;
   }
   const member = formatMember(step.member);
   if (step.type === 'learn') {
--- a/src/coordination/replication/plan_membership.ts
+++ b/src/coordination/replication/plan_membership.ts
@@ -4,6 +4,7 @@
   chooseVoters,
   countMajority,
   formatMember,
+  includesMember,
   rankHosts,
   type ReplicaHost,
 } from './member.ts';
@@ -56,6 +57,9 @@
  * in this order the lost voter still counts if it returns meanwhile.
  */
 export function planMembership(view: MembershipView): MembershipStep {
+  const promoted = view.learners.find(({member}) => isVoter(view, member));
+  // One disk that votes twice would make a majority of too few.
+  if (promoted) return {type: 'forget', member: promoted.member};
   const target = Math.min(view.voterCount, view.hosts.length);
   const lost = view.voters.filter(voter => isLost(view, voter));
   const missing = target - (view.voters.length - lost.length);
@@ -78,6 +82,11 @@
   return silentMs >= view.replaceAfterMs;
 }
 
+function isVoter(view: MembershipView, member: Member): boolean {
+  const voters = view.voters.map(voter => voter.member);
+  return includesMember({voters}, member);
+}
+
 function isLeader(view: MembershipView, member: Member): boolean {
   return formatMember(member) === formatMember(view.leader);
 }
--- a/src/coordination/replication/plan_membership_test.ts
+++ b/src/coordination/replication/plan_membership_test.ts
@@ -63,6 +63,13 @@
   assert.equal(planMembership(createView(view)), {type: 'none'});
 });
 
+test('a learner that was promoted does not vote twice', () => {
+  const learners = [{member: createMember('d'), caughtUp: true}];
+  const voters = [...others, {member: createMember('d'), silentMs: 0}];
+  const step = planMembership(createView({voterCount: 4, voters, learners}));
+  assert.equal(step, {type: 'forget', member: createMember('d')});
+});
+
 test('a voter that returns too late leaves no surplus', () => {
   const voters = ['a', 'b', 'c', 'd'].map(name => ({
     member: createMember(name),
--- a/src/coordination/replication/replica_test.ts
+++ b/src/coordination/replication/replica_test.ts
@@ -126,6 +126,30 @@
   assert.equal(group.getHost('d').recorder.commands, ['first', 'second']);
 });
 
+test('a group that three hosts form grows to five disks that each vote once', async () => {
+  const hosts = ['a', 'b', 'c', 'd', 'e', 'f', 'g'];
+  const random = createRandom(7);
+  const group = new SimulatedGroup({
+    hosts,
+    voterCount: 5,
+    founderCount: 3,
+    random,
+  });
+  await group.startAll();
+  assert.ok(await group.runUntil(() => group.isWhole(), REPAIR_MS), 'grown');
+  await commit(group, 'first');
+  assert.equal(group.violations, []);
+  // Any two of the five may go at once, the leader among them.
+  const voters = group.getHost(getLeader(group)).replica?.membership?.voters;
+  const names = (voters ?? []).map(({name}) => name);
+  const others = names.filter(name => name !== getLeader(group));
+  group.loseDisk(getLeader(group));
+  group.loseDisk(others[3] as string);
+  await commit(group, 'second');
+  const survivor = group.getHost(getLeader(group)).recorder.commands;
+  assert.equal(survivor, ['first', 'second']);
+});
+
 test('an isolated member returns without an election', async () => {
   const group = await startGroup(['a', 'b', 'c']);
   const leader = getLeader(group);
--- a/src/coordination/replication/simulated_group.ts
+++ b/src/coordination/replication/simulated_group.ts
@@ -101,6 +101,8 @@
 export interface SimulatedGroupOptions {
   readonly hosts: readonly string[];
   readonly voterCount: number;
+  /** How many of the hosts form the group; all by default. */
+  readonly founderCount?: number;
   /** Returns a number from 0 up to 1. */
   readonly random: () => number;
   /** The number of entries after which a snapshot is taken; 10. */
@@ -161,7 +163,7 @@
     host.replica = await Replica.open<string, number>({
       group: 'group',
       name,
-      founders: hosts,
+      founders: hosts.slice(0, this.options.founderCount),
       listHosts: () => hosts,
       voterCount: this.options.voterCount,
       storage,
@@ -212,6 +214,16 @@
       if (leaders.length > 1) {
         this.violations.push(`${leaders.join(' and ')} lead at one time`);
       }
+      this.checkVoters();
+    }
+  }
+
+  /** No disk counts twice in a majority. */
+  private checkVoters(): void {
+    for (const {name, replica} of this.hosts.values()) {
+      const voters = (replica?.membership?.voters ?? []).map(formatMember);
+      if (new Set(voters).size === voters.length) continue;
+      this.violations.push(`${name} counts a voter twice: ${voters.join()}`);
     }
   }
 
