--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -87,6 +87,7 @@
     findRegion: name => getSettings().data_centres[name] ?? null,
     retryRatio: bounds.retry_ratio,
     retryExtra: bounds.retry_extra,
+    retryWindowMs: bounds.retry_window_s * 1_000,
   });
   const [host, port] = splitAddress(front);
   server = store.add(
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -11,7 +11,8 @@
 import type {Logger} from '../../protocol/logger.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
 import type {GatewayView} from '../gateway/gateway_view.ts';
-import {createRetryBudget, type RetryBudget} from '../limits/retry_budget.ts';
+import type {RetryBudget} from '../limits/retry_budget.ts';
+import {createWindowBudget} from '../limits/window_budget.ts';
 import {admitCall} from './admit_call.ts';
 import type {Call, CallerSink, SendAttempt} from './call.ts';
 import {chooseEndpoint, type EndpointCandidate} from './choose_endpoint.ts';
@@ -72,6 +73,8 @@
   readonly retryRatio: number;
   /** Repeats that a service takes beyond that share in one window. */
   readonly retryExtra: number;
+  /** The length of that window, in ms. */
+  readonly retryWindowMs: number;
 }
 
 /** Serves the requests of one gateway. */
@@ -296,10 +299,12 @@
   private findBudget(service: string): RetryBudget {
     const known = this.budgets.get(service);
     if (known) return known;
-    const {retryRatio, retryExtra, view} = this.options;
-    const budget = createRetryBudget({
+    const {clock, retryRatio, retryExtra, retryWindowMs, view} = this.options;
+    const budget = createWindowBudget({
+      clock,
+      windowMs: retryWindowMs,
       ratio: retryRatio * BUDGET_SHARE,
-      capacity: Math.max(2, (retryExtra * BUDGET_SHARE) / view.gatewayCount),
+      getExtra: () => (retryExtra * BUDGET_SHARE) / view.gatewayCount,
     });
     this.budgets.set(service, budget);
     return budget;
--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -163,6 +163,7 @@
       findRegion: () => 'r',
       retryRatio: 0.9,
       retryExtra: 50,
+      retryWindowMs: 10_000,
     });
   }
 
--- /dev/null
+++ b/src/coordination/limits/window_budget_test.ts
@@ -0,0 +1,84 @@
+/** The pattern: many gateways that each see few requests. */
+import assert from 'node:assert/strict';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {test} from 'uvu';
+import {SimulatedClock} from '../../protocol/simulated_clock.ts';
+import type {RetryBudget} from './retry_budget.ts';
+import {createWindowBudget} from './window_budget.ts';
+
+const GATEWAYS = 87;
+const WINDOW_MS = 10_000;
+const RATIO = 0.9;
+const EXTRA = 214;
+
+/** How long the load lasts, and the time between two requests of the fleet. */
+const LOAD_MS = 30_000;
+const INTERVAL_MS = 3;
+
+/** Sends requests to gateways at random; `share` of them want another run. */
+async function play(share: number, seed: number) {
+  const clock = new SimulatedClock();
+  const generator = xoroshiro128plus(seed);
+  const draw = () => uniformFloat64(generator);
+  const budgets = Array.from({length: GATEWAYS}, (): RetryBudget =>
+    createWindowBudget({
+      clock,
+      windowMs: WINDOW_MS,
+      ratio: RATIO * 0.85,
+      getExtra: () => (EXTRA * 0.85) / GATEWAYS,
+    }),
+  );
+  const requests: number[] = [];
+  const taken: number[] = [];
+  let wanted = 0;
+  for (let now = 0; now < LOAD_MS; now += INTERVAL_MS) {
+    const budget = budgets[Math.floor(draw() * GATEWAYS)] as RetryBudget;
+    budget.deposit();
+    requests.push(now);
+    if (draw() < share) {
+      wanted++;
+      if (budget.tryTake(1)) taken.push(now);
+    }
+    await clock.advance(INTERVAL_MS);
+  }
+  return {requests, taken, wanted};
+}
+
+function countIn(times: readonly number[], from: number): number {
+  return times.filter(each => each >= from && each < from + WINDOW_MS).length;
+}
+
+test('createWindowBudget() lets a gateway with few requests ask twice in a row', async () => {
+  const {taken, wanted} = await play(0.45, 5);
+  assert.ok(taken.length > wanted * 0.97, `${taken.length} of ${wanted}`);
+});
+
+test('createWindowBudget() keeps the sum of all gateways within the share', async () => {
+  const {requests, taken} = await play(1, 6);
+  for (let from = 0; from <= LOAD_MS - WINDOW_MS; from += 500) {
+    const allowed = countIn(requests, from) * RATIO + EXTRA;
+    assert.ok(countIn(taken, from) <= allowed);
+  }
+});
+
+test('createWindowBudget() forgets what left the window', async () => {
+  const clock = new SimulatedClock();
+  const budget = createWindowBudget({
+    clock,
+    windowMs: WINDOW_MS,
+    ratio: 0.5,
+    getExtra: () => 0,
+  });
+  for (let count = 0; count < 4; count++) budget.deposit();
+  assert.deepEqual(
+    [budget.tryTake(), budget.tryTake(), budget.tryTake()],
+    [true, true, false],
+  );
+  await clock.advance(WINDOW_MS + 1_000);
+  assert.equal(budget.tryTake(), false);
+  for (let count = 0; count < 2; count++) budget.deposit();
+  assert.equal(budget.tryTake(), true);
+});
+
+test.run();
