--- a/src/cli/serve_site/core.ts
+++ b/src/cli/serve_site/core.ts
@@ -33,8 +33,11 @@
 /** The name of the replicated group. */
 const GROUP = 'routing';
 
-/** Five voters bear the loss of any two disks. */
-const VOTERS = 5;
+/**
+ * The fewest disks whose loss is borne: one may be lost while the voter that
+ * replaces another is still catching up.
+ */
+const MIN_TOLERATED_DISKS = 2;
 
 /** The silence after which a voter is replaced by a daemon that stands by. */
 const REPLACE_AFTER_MS = 8_000;
@@ -161,7 +164,7 @@
         region,
         dataCentre,
       })),
-    voterCount: VOTERS,
+    voterCount: computeVoterCount(settings.bounds.tolerated_disks),
     replaceAfterMs: REPLACE_AFTER_MS,
     storage,
     stateMachine: routing,
@@ -174,6 +177,11 @@
   return store.add(replica);
 }
 
+/** The voters of which a majority is left after so many disks are lost. */
+function computeVoterCount(toleratedDisks: number): number {
+  return 2 * Math.max(MIN_TOLERATED_DISKS, toleratedDisks) + 1;
+}
+
 /** The configuration known to be committed, also before there is a leader. */
 interface CommittedView {
   getConfiguration(): Configuration;
--- a/src/protocol/site_settings.ts
+++ b/src/protocol/site_settings.ts
@@ -49,6 +49,8 @@
       retry_window_s: z.number().positive().default(10),
       /** The largest share of requests for a version that may be bad. */
       canary_share: z.number().positive().default(0.1),
+      /** Disks that may be lost at one time without losing a commit. */
+      tolerated_disks: z.int().nonnegative().default(2),
       /** The longest that callers keep an answer of the directory, in s. */
       directory_ttl_max_s: z.number().positive().default(5),
     })
