--- a/testing/checkers/check_answers.ts
+++ b/testing/checkers/check_answers.ts
@@ -67,17 +67,36 @@
   readonly endedAtMs: number;
 }
 
-/** Lists the requests that a graceful shutdown cut off. */
+/**
+ * How soon a caller notes that the test itself reset its connection: the way
+ * through the event loop of the test, when it is busy.
+ */
+const RESET_NOTICE_MS = 250;
+
+/**
+ * Lists the requests that a graceful shutdown cut off.
+ *
+ * @param resets When the test itself reset all connections of callers.
+ */
 export function checkShutdowns(
   calls: readonly CallRecord[],
   shutdowns: readonly Shutdown[],
+  resets: readonly number[] = [],
 ): string[] {
+  const isReset = ({startedAtMs, endedAtMs}: CallRecord) =>
+    resets.some(
+      atMs =>
+        startedAtMs <= atMs &&
+        endedAtMs >= atMs &&
+        endedAtMs <= atMs + RESET_NOTICE_MS,
+    );
   return shutdowns.flatMap(shutdown =>
     calls
       .filter(call => call.gateway === shutdown.gateway)
       .filter(call => call.startedAtMs < shutdown.endedAtMs)
       .filter(call => call.endedAtMs >= shutdown.atMs)
       .filter(call => call.outcome !== 'answered' && call.outcome !== 'not-run')
+      .filter(call => !isReset(call))
       // A connection that opened too late never became a request.
       .filter(call => call.startedAtMs < shutdown.atMs || call.status !== 0)
       .map(call => `${call.gateway} cut off ${call.requestId || call.key}`),
--- a/testing/checkers/check_everything.ts
+++ b/testing/checkers/check_everything.ts
@@ -37,6 +37,8 @@
   readonly withdrawals: readonly EndOfWork[];
   readonly leavings: readonly EndOfWork[];
   readonly shutdowns: readonly Shutdown[];
+  /** When the test itself reset all connections of callers. */
+  readonly callerResets: readonly number[];
   readonly seen: readonly ConfigurationRecord[];
   readonly inForce: readonly InForce[];
   readonly allowed: ReadonlyMap<string, ReadonlySet<string>>;
@@ -63,7 +65,7 @@
     'not run': checkNotRun(calls, runs),
     'at most once': checkAtMostOnce(calls, runs),
     leaving: checkLeaving(runs, record.leavings, LEAVING_BOUND_MS),
-    shutdown: checkShutdowns(calls, record.shutdowns),
+    shutdown: checkShutdowns(calls, record.shutdowns, record.callerResets),
     configuration: checkConfiguration(record.seen, record.inForce),
   };
   return Object.entries(found).flatMap(([name, problems]) =>
--- a/testing/checkers/checkers_test.ts
+++ b/testing/checkers/checkers_test.ts
@@ -178,6 +178,22 @@
   assert.equal(checkShutdowns([{...cut, gateway: 'g2'}], [shutdown]), []);
 });
 
+test('checkShutdowns() tells a reset by the test itself from a cut', () => {
+  const shutdown = {gateway: 'g1', atMs: 150, endedAtMs: 4_000};
+  const cut: CallRecord = {
+    ...chat,
+    startedAtMs: 100,
+    endedAtMs: 1_210,
+    outcome: 'no-reply',
+  };
+  assert.equal(checkShutdowns([cut], [shutdown], [1_200]), []);
+  // Before the reset, long after it, and on a connection that came later.
+  assert.is(checkShutdowns([cut], [shutdown], [1_300]).length, 1);
+  assert.is(checkShutdowns([cut], [shutdown], [200]).length, 1);
+  const later = {...cut, startedAtMs: 140, endedAtMs: 1_210};
+  assert.is(checkShutdowns([later], [shutdown], [130]).length, 1);
+});
+
 test('checkConfiguration() catches a step back and a late daemon', () => {
   const seen = (version: number | null, atMs: number) => ({
     host: 'a1',
--- a/testing/system/scenario.ts
+++ b/testing/system/scenario.ts
@@ -9,6 +9,7 @@
 import type {CallRecord, ConfigurationRecord} from '../records/call_record.ts';
 import {createDeclaration, listCustomers} from './declaration.ts';
 import {
+  CALLER,
   System,
   waitFor,
   type CommandResult,
@@ -41,12 +42,15 @@
   readonly withdrawals: EndOfWork[] = [];
   readonly leavings: EndOfWork[] = [];
   readonly shutdowns: Shutdown[] = [];
+  /** When the test itself reset all connections of callers. */
+  readonly callerResets: number[] = [];
   readonly inForce: InForce[] = [];
   readonly seen: ConfigurationRecord[] = [];
   readonly customers: ReadonlyArray<{name: string; apiKey: string}>;
   private watching = true;
   private readonly watcher: Promise<void>;
   private version = 0;
+  private hostInRepair: string | null = null;
 
   private constructor(
     readonly system: System,
@@ -162,6 +166,7 @@
       },
       REPAIR_TIMEOUT_MS,
     );
+    this.hostInRepair = null;
   }
 
   /** Withdraws a version and notes when that was in force. */
@@ -227,6 +232,24 @@
     });
   }
 
+  /** Resets all connections of callers and notes it. */
+  resetCallerLinks(): void {
+    this.callerResets.push(Date.now());
+    this.system.proxy.reset(from => from === CALLER);
+  }
+
+  /** Ends a daemon and takes its disk away; start it to have it repaired. */
+  async loseDisk(host: string): Promise<void> {
+    this.hostInRepair = host;
+    await this.system.daemons.get(host)?.kill();
+    await this.system.loseDisk(host);
+  }
+
+  /** The host whose disk was lost and is not yet repaired, if any. */
+  get unrepairedHost(): string | null {
+    return this.hostInRepair;
+  }
+
   /** Stops a daemon gracefully and notes it. */
   async stopDaemon(host: string): Promise<number | null> {
     const atMs = Date.now();
--- a/tools/matrix/faults.ts
+++ b/tools/matrix/faults.ts
@@ -44,12 +44,13 @@
   'leader isolated': async ({scenario}) =>
     isolate(scenario, await scenario.system.findLeader()),
   'disk lost': async ({scenario}) => {
-    const leader = await scenario.system.findLeader();
-    await scenario.system.daemons.get(leader)?.kill();
-    await scenario.system.loseDisk(leader);
+    // Two of three disks at once are a majority, which nothing survives.
+    const host =
+      scenario.unrepairedHost ?? (await scenario.system.findLeader());
+    await scenario.loseDisk(host);
     return async () => {
-      scenario.system.daemons.get(leader)?.start();
-      await scenario.system.waitReady(leader);
+      scenario.system.daemons.get(host)?.start();
+      await scenario.system.waitReady(host);
       await scenario.waitForRepair();
     };
   },
@@ -96,7 +97,7 @@
     return nothing;
   },
   'caller links reset': async ({scenario}) => {
-    scenario.system.proxy.reset(from => from === 'caller');
+    scenario.resetCallerLinks();
     return nothing;
   },
 };
--- a/tools/matrix/run_cell.ts
+++ b/tools/matrix/run_cell.ts
@@ -24,7 +24,10 @@
       if (!fault) throw new Error(`Could not find the fault "${name}"`);
       const mend = await fault({scenario, gateway: GATEWAY, endpoint});
       // Faults that last are mended beside the work that they hit.
-      mending.push(mend());
+      const mended = mend();
+      // It may fail before the step is over, and is looked at only then.
+      mended.catch(() => {});
+      mending.push(mended);
     }
   };
   try {
@@ -33,6 +36,7 @@
     await Promise.all(mending);
     mending = [];
     await scenario.system.waitUntilReady();
+    if (scenario.unrepairedHost !== null) await scenario.waitForRepair();
     await scenario.waitForEndpoints(ENDPOINT_COUNT);
     return [...found, ...(await scenario.check('a1'))];
   } catch (error) {
--- a/tools/matrix/steps.ts
+++ b/tools/matrix/steps.ts
@@ -200,8 +200,7 @@
 async function runRepair(run: StepRun, done: boolean): Promise<string[]> {
   const {scenario} = run;
   const {system} = scenario;
-  await system.daemons.get('a1')?.kill();
-  await system.loseDisk('a1');
+  await scenario.loseDisk('a1');
   system.daemons.get('a1')?.start();
   if (done) {
     await system.waitReady('a1');
