--- a/src/transport/peers/peer_links_test.ts
+++ b/src/transport/peers/peer_links_test.ts
@@ -51,6 +51,25 @@
   });
 }
 
+/** How long a server may take to stop. */
+const STOP_MS = 1_000;
+
+test('a server stops although a connection never sent a byte', async () => {
+  const port = await findPort();
+  const server = await startServer(port, []);
+  const silent = connect(port, '127.0.0.1');
+  silent.on('error', () => {});
+  await new Promise<void>(resolve => silent.once('connect', () => resolve()));
+  const stopped = server[Symbol.asyncDispose]().then(() => true);
+  const inTime = await Promise.race([
+    stopped,
+    systemClock.sleep(STOP_MS).then(() => false),
+  ]);
+  silent.destroy();
+  await stopped;
+  assert.ok(inTime, 'the server waits for the silent connection');
+});
+
 test('a stranger reaches no call', async () => {
   const calls: string[] = [];
   const port = await findPort();
--- a/src/transport/peers/peer_server.ts
+++ b/src/transport/peers/peer_server.ts
@@ -1,5 +1,6 @@
 /** Listens for other daemons. */
 import {timingSafeEqual} from 'node:crypto';
+import {createServer} from 'node:http';
 import {applyWSSHandler} from '@trpc/server/adapters/ws';
 import {WebSocketServer} from 'ws';
 import {
@@ -29,28 +30,36 @@
   options: PeerServerOptions<S>,
 ): Promise<AsyncDisposable> {
   const {host, port, secret, service, schemas} = options;
-  const server = new WebSocketServer({
-    host,
-    port,
+  const server = createServer((_request, response) => {
+    response.writeHead(426, {connection: 'close'}).end();
+  });
+  const sockets = new WebSocketServer({
+    server,
     maxPayload: MAX_MESSAGE_BYTES,
     // Rejected before the upgrade, so that a stranger holds no connection.
     verifyClient: ({req}: {req: {headers: Record<string, unknown>}}) =>
       equalSecrets(String(req.headers['authorization']), `Bearer ${secret}`),
   });
   applyWSSHandler({
-    wss: server,
+    wss: sockets,
     router: createPeerRouter(service, schemas),
     createContext: () => ({authenticated: true}),
     keepAlive: KEEP_ALIVE,
   });
   await new Promise<void>((resolve, reject) => {
-    server.once('listening', resolve);
     server.once('error', reject);
+    server.listen(port, host, resolve);
   });
   return {
     async [Symbol.asyncDispose]() {
-      for (const client of server.clients) client.terminate();
-      await new Promise<void>(resolve => server.close(() => resolve()));
+      for (const client of sockets.clients) client.terminate();
+      sockets.close();
+      const closed = new Promise<void>(resolve =>
+        server.close(() => resolve()),
+      );
+      // A connection that never asked for anything would be waited for.
+      server.closeAllConnections();
+      await closed;
     },
   };
 }
