--- a/scripts/report_open_handles.mjs
+++ b/scripts/report_open_handles.mjs
@@ -1,8 +1,10 @@
 /**
  * Names what keeps a test file's process open after its last test.
  *
- * Load it with `--import`. A process that ends by itself prints nothing.
+ * Load it with `--import`. A process whose event loop ends says so with its
+ * exit code; what still runs then is the runtime itself.
  */
+import {writeSync} from 'node:fs';
 
 /** How long a process may take to end before it is asked. */
 const GRACE_MS = 3_000;
@@ -10,6 +12,8 @@
 /** What the runner prints last. */
 const SUMMARY = 'Duration:';
 
+process.once('exit', code => writeSync(1, `Event loop ended: ${code}\n`));
+
 const write = process.stdout.write.bind(process.stdout);
 process.stdout.write = (text, ...rest) => {
   if (String(text).includes(SUMMARY)) {
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -88,8 +88,13 @@
       process.execPath,
       args,
       options,
-      (error, stdout, stderr) =>
-        resolve({code: error ? 1 : 0, wasHeld, stdout, stderr}),
+      (error, stdout, stderr) => {
+        // The runtime may hang in its own exit, after all code has ended.
+        const ended = /^Event loop ended: (\d+)$/m.exec(stdout);
+        const code = wasHeld && ended ? Number(ended[1]) : error ? 1 : 0;
+        if (wasHeld) console.log(`${file}: held open, ${describeHold(ended)}`);
+        resolve({code, wasHeld: wasHeld && !ended, stdout, stderr});
+      },
     );
     child.stdout.on('data', text => {
       // A file that ended but holds its process open has failed.
@@ -101,6 +106,10 @@
   });
 }
 
+function describeHold(ended) {
+  return ended ? 'by the runtime after its event loop' : 'by a handle';
+}
+
 /** Runs files, some at once. */
 async function runFiles(queue, atOnce) {
   const workers = Array.from({length: atOnce}, async () => {
