--- a/src/cli/commands/serve_command.ts
+++ b/src/cli/commands/serve_command.ts
@@ -3,6 +3,7 @@
 import type {Command} from 'commander';
 import {settingsSchema, type Settings} from '../../protocol/settings.ts';
 import {formatIssue, parseToml} from '../../protocol/toml.ts';
+import {waitForSignal} from '../serve/wait_for_signal.ts';
 
 /** Adds the command to `program`. */
 export function addServeCommand(program: Command): void {
@@ -37,10 +38,3 @@
   for (const issue of parsed.error) console.error(formatIssue(file, issue));
   return null;
 }
-
-function waitForSignal(): Promise<string> {
-  return new Promise(resolve => {
-    process.once('SIGTERM', () => resolve('SIGTERM'));
-    process.once('SIGINT', () => resolve('SIGINT'));
-  });
-}
--- a/src/cli/serve_site/core.ts
+++ b/src/cli/serve_site/core.ts
@@ -20,13 +20,13 @@
 } from '../../protocol/routing_commands.ts';
 import {RoutingState} from '../../state/routing/routing_state.ts';
 import {ViewFile} from '../../state/view/saved_view.ts';
-import {startSurfaceServer} from '../../transport/forwarding/surface_server.ts';
+import {splitAddress} from '../../protocol/split_address.ts';
 import {startPeerServer} from '../../transport/peers/peer_server.ts';
 import {openOrSetAside} from '../serve/open_storage.ts';
 import {
   DIRECTORY_TTL_S,
   listSeedPeers,
-  splitAddress,
+  startSurface,
   type SiteParts,
 } from './site_parts.ts';
 
@@ -212,9 +212,8 @@
       if (revisions === savedRevisions) return;
       savedRevisions = revisions;
       const endpoints = state.endpoints
-        .list()
-        .filter(({state: phase}) => phase !== 'gone')
-        .map(({silent: _silent, ...report}) => report);
+        .listReports()
+        .filter(({state: phase}) => phase !== 'gone');
       void file.save(configuration, endpoints);
     },
   };
@@ -254,23 +253,11 @@
   };
 }
 
-async function startSurfaces(
-  {store, surfaces, createLogger, getSettings}: SiteParts,
-  api: CoreApi,
-): Promise<void> {
+async function startSurfaces(parts: SiteParts, api: CoreApi): Promise<void> {
+  const {surfaces, getSettings} = parts;
   const {listen, bounds} = getSettings();
-  const logger = createLogger('http');
   const ttlSeconds = Math.min(DIRECTORY_TTL_S, bounds.directory_ttl_max_s);
-  const servers = [
-    {address: listen.control, routes: surfaces.createControlRoutes(api)},
-    {
-      address: listen.directory,
-      routes: surfaces.createDirectoryRoutes(api, {ttlSeconds}),
-    },
-  ];
-  for (const {address, routes} of servers) {
-    if (address === undefined) continue;
-    const [host, port] = splitAddress(address);
-    store.add(await startSurfaceServer({host, port, logger, routes}));
-  }
+  await startSurface(parts, listen.control, surfaces.createControlRoutes(api));
+  const routes = surfaces.createDirectoryRoutes(api, {ttlSeconds});
+  await startSurface(parts, listen.directory, routes);
 }
--- a/src/cli/serve_site/daemon.ts
+++ b/src/cli/serve_site/daemon.ts
@@ -3,7 +3,7 @@
 import {coreSchemas, type CoreService} from '../../protocol/core_service.ts';
 import type {CreateLogger} from '../../protocol/logger.ts';
 import type {SiteSettings} from '../../protocol/site_settings.ts';
-import {startSurfaceServer} from '../../transport/forwarding/surface_server.ts';
+import type {SurfaceRoute} from '../../transport/forwarding/surface_server.ts';
 import {
   createTextMetrics,
   type TextMetrics,
@@ -13,7 +13,7 @@
 import {readSecret} from '../serve/secrets.ts';
 import {startCore} from './core.ts';
 import {startGateway, type SiteGateway} from './gateway.ts';
-import {splitAddress, type SiteParts} from './site_parts.ts';
+import {startSurface, type SiteParts} from './site_parts.ts';
 import type {SiteSurfaces} from './surfaces.ts';
 
 export interface SiteDaemonOptions {
@@ -47,7 +47,11 @@
   };
   let gateway: SiteGateway | null = null;
   try {
-    await startMetricsServer(parts, metrics);
+    await startSurface(
+      parts,
+      settings.listen.metrics,
+      createMetricsRoutes(metrics),
+    );
     if (settings.data_folder !== undefined) await startCore(parts);
     const {front} = settings.listen;
     if (front !== undefined) gateway = await startGateway(parts, front);
@@ -65,29 +69,17 @@
   };
 }
 
-/** Serves the metrics of the process where the settings say so. */
-async function startMetricsServer(
-  {getSettings, createLogger, store}: SiteParts,
-  metrics: TextMetrics,
-): Promise<void> {
-  const address = getSettings().listen.metrics;
-  if (address === undefined) return;
-  const [host, port] = splitAddress(address);
-  const server = await startSurfaceServer({
-    host,
-    port,
-    logger: createLogger('http'),
-    routes: [
-      {
-        method: 'GET',
-        path: '/metrics',
-        handle: async () => ({
-          status: 200,
-          type: 'text/plain; version=0.0.4',
-          text: await metrics.formatText(),
-        }),
-      },
-    ],
-  });
-  store.add(server);
+/** Lists the calls of the metrics address. */
+function createMetricsRoutes(metrics: TextMetrics): SurfaceRoute[] {
+  return [
+    {
+      method: 'GET',
+      path: '/metrics',
+      handle: async () => ({
+        status: 200,
+        type: 'text/plain; version=0.0.4',
+        text: await metrics.formatText(),
+      }),
+    },
+  ];
 }
--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -5,16 +5,16 @@
 import {CoreFollower} from '../../coordination/gateway/core_follower.ts';
 import {GatewayView} from '../../coordination/gateway/gateway_view.ts';
 import type {Clock} from '../../protocol/clock.ts';
+import {splitAddress} from '../../protocol/split_address.ts';
 import {EndpointClient} from '../../transport/forwarding/endpoint_client.ts';
 import {
   startFrontServer,
   type FrontServer,
 } from '../../transport/forwarding/front_server.ts';
-import {startSurfaceServer} from '../../transport/forwarding/surface_server.ts';
 import {
   DIRECTORY_TTL_S,
   listSeedPeers,
-  splitAddress,
+  startSurface,
   type SiteParts,
 } from './site_parts.ts';
 
@@ -100,7 +100,7 @@
       forward: (call, sink) => forwarder.forward(call, sink),
     }),
   );
-  await startReadyServer(parts, isOpen);
+  await startSurface(parts, listen.ready, surfaces.createReadyRoutes(isOpen));
   follower.start();
   store.add(follower);
   const running = server;
@@ -118,22 +118,6 @@
       await waitUntilIdle(running, clock, deadline);
     },
   };
-
-  async function startReadyServer(
-    {store: owner}: SiteParts,
-    isReady: () => boolean,
-  ): Promise<void> {
-    if (listen.ready === undefined) return;
-    const [readyHost, readyPort] = splitAddress(listen.ready);
-    owner.add(
-      await startSurfaceServer({
-        host: readyHost,
-        port: readyPort,
-        logger: createLogger('http'),
-        routes: surfaces.createReadyRoutes(isReady),
-      }),
-    );
-  }
 }
 
 async function waitUntilIdle(
--- a/src/cli/serve_site/serve_site.ts
+++ b/src/cli/serve_site/serve_site.ts
@@ -10,6 +10,7 @@
 import {formatIssue, parseToml} from '../../protocol/toml.ts';
 import {startPeriodicTask} from '../../coordination/periodic_task.ts';
 import {createLoggerFactory} from '../../transport/logging/create_logger.ts';
+import {waitForSignal} from '../serve/wait_for_signal.ts';
 import {startSiteDaemon} from './daemon.ts';
 import type {SiteSurfaces} from './surfaces.ts';
 
@@ -99,10 +100,3 @@
   if (parsed.ok) return succeed(parsed.value);
   return fail(parsed.error.map(issue => formatIssue(file, issue)).join('\n'));
 }
-
-function waitForSignal(): Promise<string> {
-  return new Promise(resolve => {
-    process.once('SIGTERM', () => resolve('SIGTERM'));
-    process.once('SIGINT', () => resolve('SIGINT'));
-  });
-}
--- a/src/cli/serve_site/site_parts.ts
+++ b/src/cli/serve_site/site_parts.ts
@@ -4,6 +4,11 @@
 import type {CreateLogger} from '../../protocol/logger.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
 import type {SiteSettings} from '../../protocol/site_settings.ts';
+import {splitAddress} from '../../protocol/split_address.ts';
+import {
+  startSurfaceServer,
+  type SurfaceRoute,
+} from '../../transport/forwarding/surface_server.ts';
 import type {PeerLinks} from '../../transport/peers/peer_links.ts';
 import type {DisposableStore} from '../serve/disposable_store.ts';
 import type {SiteSurfaces} from './surfaces.ts';
@@ -27,12 +32,6 @@
   readonly store: DisposableStore;
 }
 
-/** The host and the port of an address. */
-export function splitAddress(address: string): [string, number] {
-  const colon = address.lastIndexOf(':');
-  return [address.slice(0, colon), Number(address.slice(colon + 1))];
-}
-
 /**
  * The peer addresses of the seeds: the settings name their control addresses,
  * and every daemon of the core listens for peers on the same port.
@@ -41,3 +40,15 @@
   const [, port] = splitAddress(listen.peers);
   return seeds.map(seed => `${splitAddress(seed)[0]}:${port}`);
 }
+
+/** Serves `routes` at `address`, where the settings name one. */
+export async function startSurface(
+  {store, createLogger}: SiteParts,
+  address: string | undefined,
+  routes: readonly SurfaceRoute[],
+): Promise<void> {
+  if (address === undefined) return;
+  const [host, port] = splitAddress(address);
+  const logger = createLogger('http');
+  store.add(await startSurfaceServer({host, port, logger, routes}));
+}
--- a/src/coordination/core/core_api.ts
+++ b/src/coordination/core/core_api.ts
@@ -13,6 +13,7 @@
   RoutingResult,
 } from '../../protocol/routing_commands.ts';
 import type {CoreState} from './core_state.ts';
+import {dropSilence} from './endpoint_registry.ts';
 import {selectGateways, type CallerPlace} from './select_gateways.ts';
 
 /** How long one daemon may take to say what is committed. */
@@ -104,8 +105,7 @@
     const {state} = this.options;
     const entry = state.endpoints.find(id);
     if (!entry) return false;
-    const {silent: _silent, ...report} = entry;
-    state.recordReport({...report, state: 'gone'});
+    state.recordReport({...dropSilence(entry), state: 'gone'});
     return true;
   }
 
--- a/src/coordination/core/core_state.ts
+++ b/src/coordination/core/core_state.ts
@@ -60,9 +60,7 @@
     this.takeIn(exchange, exchange.from.address);
     return {
       cores: exchange.wantsAll ? this.listMentioned() : [],
-      reports: exchange.wantsAll
-        ? this.endpoints.list().map(({silent: _silent, ...report}) => report)
-        : [],
+      reports: exchange.wantsAll ? this.endpoints.listReports() : [],
       gateways: exchange.wantsAll ? this.gateways.listAll() : [],
     };
   }
--- a/src/coordination/core/decide_rollout_test.ts
+++ b/src/coordination/core/decide_rollout_test.ts
@@ -22,7 +22,6 @@
     route: 'letters',
     answers: 0,
     failures: 0,
-    firstMs: 0,
     slow: 0,
     ...change,
   };
--- a/src/coordination/core/endpoint_registry.ts
+++ b/src/coordination/core/endpoint_registry.ts
@@ -92,6 +92,11 @@
       .map(({entry}) => entry);
   }
 
+  /** What the endpoints last said, for other daemons and the disk. */
+  listReports(): EndpointReport[] {
+    return this.list().map(dropSilence);
+  }
+
   /** Notes which endpoints fell silent, and forgets the old ones. */
   sweep(): void {
     const {silentAfterMs = SILENT_AFTER_MS, forgetAfterMs = FORGET_AFTER_MS} =
@@ -120,6 +125,14 @@
   }
 }
 
+/** What an endpoint said, without what this daemon concludes from it. */
+export function dropSilence({
+  silent: _silent,
+  ...report
+}: EndpointEntry): EndpointReport {
+  return report;
+}
+
 /** Whether a report follows on what is known of the same endpoint. */
 export function isNewer(
   report: Pick<EndpointReport, 'startedAtMs' | 'sequence' | 'state'>,
--- a/src/coordination/forwarding/endpoint_health.ts
+++ b/src/coordination/forwarding/endpoint_health.ts
@@ -2,7 +2,6 @@
 import type {Clock} from '../../protocol/clock.ts';
 import type {EndpointLoad} from '../../protocol/core_service.ts';
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
-import type {ReportedLoad} from './call.ts';
 
 /** The first ejection; each further one in a row lasts twice as long. */
 const EJECT_MS = 1_000;
@@ -30,7 +29,6 @@
   ejections: number;
   ejectedUntil: number;
   fullUntil: number;
-  load: ReportedLoad | null;
   /** When it last answered anything, on the monotonic clock. */
   heardAt: number;
 }
@@ -83,11 +81,9 @@
     this.get(endpoint).fullUntil = this.clock.monotonic() + FULL_MS;
   }
 
-  /** Notes that it answered, and the load that it told, if any. */
-  recordLoad(endpoint: EndpointEntry, load: ReportedLoad | null): void {
-    const seen = this.get(endpoint);
-    seen.heardAt = this.clock.monotonic();
-    if (load) seen.load = load;
+  /** Notes that it answered, whatever it said. */
+  recordHeard(endpoint: EndpointEntry): void {
+    this.get(endpoint).heardAt = this.clock.monotonic();
   }
 
   /**
@@ -137,7 +133,6 @@
       ejections: 0,
       ejectedUntil: -Infinity,
       fullUntil: -Infinity,
-      load: null,
       heardAt: -Infinity,
     };
     this.seen.set(id, fresh);
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -11,8 +11,10 @@
 import type {Logger} from '../../protocol/logger.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
 import type {GatewayView} from '../gateway/gateway_view.ts';
-import type {RetryBudget} from '../limits/retry_budget.ts';
-import {createWindowBudget} from '../limits/window_budget.ts';
+import {
+  createWindowBudget,
+  type WindowBudget,
+} from '../limits/window_budget.ts';
 import {admitCall} from './admit_call.ts';
 import type {Call, CallerSink, SendAttempt} from './call.ts';
 import {chooseEndpoint, type EndpointCandidate} from './choose_endpoint.ts';
@@ -79,7 +81,7 @@
 
 /** Serves the requests of one gateway. */
 export class Forwarder {
-  private readonly budgets = new Map<string, RetryBudget>();
+  private readonly budgets = new Map<string, WindowBudget>();
   private readonly bar: EscalationBar;
   private isStopping = false;
 
@@ -128,7 +130,7 @@
           hasLarger(run.admitted.route.models, choice.model) &&
           this.bar.isBelow(confidence) &&
           // An answer that is ready is not dropped with nobody else to ask.
-          this.listCandidates(run).length > 1 &&
+          this.listUntried(run).length > 1 &&
           this.canEscalate(run),
       },
       run,
@@ -224,34 +226,38 @@
   }
 
   /** The endpoints that may take a request and were not asked before. */
-  private listCandidates(run: CallRun): EndpointCandidate[] {
-    const {view, health} = this.options;
-    const {service} = run.admitted;
-    const allows = chooseVersion(
-      view.findRollout(service.name),
-      run.versionSubject,
-    );
+  private listUntried(run: CallRun): EndpointEntry[] {
+    const {view} = this.options;
+    const service = run.admitted.service.name;
+    const allows = chooseVersion(view.findRollout(service), run.versionSubject);
     return view
-      .listEndpoints(service.name)
+      .listEndpoints(service)
       .filter(
         endpoint =>
           endpoint.state === 'ready' &&
           allows(endpoint.version) &&
           !run.tried.has(endpoint.id),
-      )
-      .map((endpoint): EndpointCandidate => ({
-        endpoint,
-        open: health.countOpen(endpoint) + view.getOtherLoad(endpoint.id),
-        isEjected: health.isEjected(endpoint),
-        isFull: health.isFull(endpoint),
-        failureShare: health.getFailureShare(endpoint),
-      }));
+      );
+  }
+
+  /** Adds what this gateway knows of an endpoint. */
+  private describeCandidate(endpoint: EndpointEntry): EndpointCandidate {
+    const {view, health} = this.options;
+    return {
+      endpoint,
+      open: health.countOpen(endpoint) + view.getOtherLoad(endpoint.id),
+      isEjected: health.isEjected(endpoint),
+      isFull: health.isFull(endpoint),
+      failureShare: health.getFailureShare(endpoint),
+    };
   }
 
   private choose(run: CallRun) {
     const {region, dataCentre, findRegion, random} = this.options;
     const {service, route} = run.admitted;
-    const candidates = this.listCandidates(run);
+    const candidates = this.listUntried(run).map(endpoint =>
+      this.describeCandidate(endpoint),
+    );
     const chosen = chooseEndpoint({
       service,
       candidates,
@@ -296,7 +302,7 @@
     recordAttempt(this.options, run, {endpoint, result});
   }
 
-  private findBudget(service: string): RetryBudget {
+  private findBudget(service: string): WindowBudget {
     const known = this.budgets.get(service);
     if (known) return known;
     const {clock, retryRatio, retryExtra, retryWindowMs, view} = this.options;
--- a/src/coordination/forwarding/held_answer.ts
+++ b/src/coordination/forwarding/held_answer.ts
@@ -9,7 +9,7 @@
 import type {EndpointAnswer} from './call.ts';
 
 /** The largest answer that is kept; a larger one counts as broken off. */
-const MAX_BYTES = 4 * 1024 * 1024;
+export const MAX_HELD_BYTES = 4 * 1024 * 1024;
 
 export interface HeldAnswerOptions {
   readonly answer: EndpointAnswer;
@@ -62,7 +62,7 @@
         if (this.error) return;
         this.pieces.push(piece);
         this.size += piece.length;
-        if (this.size > MAX_BYTES) {
+        if (this.size > MAX_HELD_BYTES) {
           this.end(new Error('the answer is too large to be held'));
           answer.cancel();
           return;
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -10,13 +10,10 @@
 } from './call.ts';
 import type {CallRun, FailedAnswer} from './call_run.ts';
 import type {EndpointHealth} from './endpoint_health.ts';
-import {HeldAnswer} from './held_answer.ts';
+import {HeldAnswer, MAX_HELD_BYTES} from './held_answer.ts';
 import {relayEvents, STALL_MIN_MS} from './relay_events.ts';
 import {startWatchdog} from './watchdog.ts';
 
-/** The largest answer that is held until it is whole. */
-const MAX_HELD_BYTES = 4 * 1024 * 1024;
-
 /**
  * How long an answer that may be asked for again is waited for, as a multiple
  * of its objective, and at least.
@@ -117,10 +114,12 @@
       mayReuseConnection: admitted.isRepeatable,
       signal: controller.signal,
     });
+    if (outcome.type === 'answer') {
+      run.beganMs = clock.monotonic() - startedAt;
+    }
     const result = await takeOutcome(options, run, {
       endpoint,
       outcome,
-      startedAt,
       onProgress: ms => stall.postpone(ms),
     });
     return explainAbort(result, {aborted, startedAt});
@@ -191,8 +190,6 @@
 interface TakenOutcome {
   readonly endpoint: EndpointEntry;
   readonly outcome: AttemptOutcome;
-  /** When the attempt began, on the monotonic clock. */
-  readonly startedAt: number;
   /** Tells that the answer goes on, and how long the next piece may take. */
   readonly onProgress: (ms: number) => void;
 }
@@ -200,13 +197,13 @@
 async function takeOutcome(
   options: RunAttemptOptions,
   run: CallRun,
-  {endpoint, outcome, startedAt, onProgress}: TakenOutcome,
+  {endpoint, outcome, onProgress}: TakenOutcome,
 ): Promise<AttemptResult> {
   switch (outcome.type) {
     case 'not-sent':
       return outcome;
     case 'not-run':
-      options.health.recordLoad(endpoint, outcome.load);
+      options.health.recordHeard(endpoint);
       return {
         type: 'not-run',
         isFull: outcome.status !== 421,
@@ -217,8 +214,7 @@
     case 'aborted':
       return {type: 'broken', isDead: false, reason: 'aborted'};
     case 'answer':
-      run.beganMs = options.clock.monotonic() - startedAt;
-      options.health.recordLoad(endpoint, outcome.answer.facts.load);
+      options.health.recordHeard(endpoint);
       return takeAnswer(options, run, outcome.answer, {endpoint, onProgress});
   }
 }
--- a/src/coordination/forwarding/version_evidence.ts
+++ b/src/coordination/forwarding/version_evidence.ts
@@ -54,12 +54,10 @@
       route,
       answers: 0,
       failures: 0,
-      firstMs: 0,
       slow: 0,
     };
     count.answers++;
     if (isFailure) count.failures++;
-    count.firstMs += beganMs ?? 0;
     const usualMs = this.usual.get(kind)?.ms ?? SLOW_MIN_MS;
     const limit = Math.max(SLOW_MIN_MS, usualMs * SLOW_FACTOR);
     if (beganMs === null || beganMs > limit) count.slow++;
--- a/src/coordination/gateway/core_follower.ts
+++ b/src/coordination/gateway/core_follower.ts
@@ -13,6 +13,7 @@
   GatewayReport,
 } from '../../protocol/core_service.ts';
 import type {Logger} from '../../protocol/logger.ts';
+import {createNotifier, type Notifier} from '../notifier.ts';
 import type {GatewayView} from './gateway_view.ts';
 
 /** How long a call may be held; the core learns of loads as often. */
@@ -51,13 +52,6 @@
   ) => Promise<FollowReply>;
 }
 
-/** A promise with the function that fulfils it. */
-function createSignal() {
-  let resolve = () => {};
-  const promise = new Promise<void>(done => (resolve = done));
-  return {promise, resolve};
-}
-
 /** Follows the core until it is disposed. */
 export class CoreFollower implements AsyncDisposable {
   private readonly stopped = new AbortController();
@@ -69,9 +63,11 @@
   private hurried = false;
   /** Daemons with an open call that looks for a configuration. */
   private readonly searching = new Set<string>();
-  private readonly found = createSignal();
+  private readonly found: Notifier;
 
-  constructor(private readonly options: CoreFollowerOptions) {}
+  constructor(private readonly options: CoreFollowerOptions) {
+    this.found = createNotifier(options.clock);
+  }
 
   start(): void {
     this.task ??= this.run();
@@ -95,6 +91,7 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.stopped.abort();
+    this.found.notify();
     await this.task;
   }
 
@@ -118,8 +115,7 @@
 
   /** Asks all daemons at once; follows the first that has a configuration. */
   private async search(): Promise<void> {
-    const {clock, logger} = this.options;
-    const {signal} = this.stopped;
+    const {logger} = this.options;
     for (const address of this.listAddresses()) {
       if (this.searching.has(address)) continue;
       this.searching.add(address);
@@ -132,10 +128,7 @@
         )
         .finally(() => this.searching.delete(address));
     }
-    await Promise.race([
-      clock.sleep(SEARCH_INTERVAL_MS, signal),
-      this.found.promise,
-    ]);
+    await this.found.wait(SEARCH_INTERVAL_MS);
   }
 
   /** Asks one daemon of many; the first that has a configuration is followed. */
@@ -152,7 +145,7 @@
     this.endpointRevision = reply.endpointRevision;
     const {fresh} = reply;
     logger.info('Follows a core daemon.', {address, fresh});
-    this.found.resolve();
+    this.found.notify();
   }
 
   private switchTo(address: string): void {
--- a/src/coordination/limits/retry_budget.ts
+++ b/src/coordination/limits/retry_budget.ts
@@ -9,12 +9,8 @@
 export interface RetryBudget {
   /** Notes a first attempt. */
   deposit(): void;
-  /**
-   * Takes a token for an extra attempt; false when none is left.
-   *
-   * @param reserve Tokens that must stay for others; 0 by default.
-   */
-  tryTake(reserve?: number): boolean;
+  /** Takes a token for an extra attempt; false when none is left. */
+  tryTake(): boolean;
 }
 
 export interface RetryBudgetOptions {
@@ -34,8 +30,8 @@
     deposit() {
       tokens = Math.min(capacity, tokens + ratio);
     },
-    tryTake(reserve = 0) {
-      if (tokens < 1 + reserve) return false;
+    tryTake() {
+      if (tokens < 1) return false;
       tokens--;
       return true;
     },
--- a/src/coordination/limits/window_budget.ts
+++ b/src/coordination/limits/window_budget.ts
@@ -12,6 +12,16 @@
 /** Into how many parts the window is cut; the oldest leaves as a whole. */
 const SLOTS = 20;
 
+/** A budget of which a part can be kept for others. */
+export interface WindowBudget extends RetryBudget {
+  /**
+   * Takes an extra attempt; false when the window holds no more.
+   *
+   * @param reserve Attempts that must stay for others; 0 by default.
+   */
+  tryTake(reserve?: number): boolean;
+}
+
 export interface WindowBudgetOptions {
   readonly clock: Clock;
   /** The length of the window, in ms. */
@@ -29,7 +39,7 @@
 }
 
 /** Creates a budget that has counted nothing yet. */
-export function createWindowBudget(options: WindowBudgetOptions): RetryBudget {
+export function createWindowBudget(options: WindowBudgetOptions): WindowBudget {
   const {clock, windowMs, ratio, getExtra} = options;
   const slotMs = windowMs / SLOTS;
   const slots: Slot[] = [];
--- a/src/coordination/limits/window_budget_test.ts
+++ b/src/coordination/limits/window_budget_test.ts
@@ -4,8 +4,7 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {test} from 'uvu';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
-import type {RetryBudget} from './retry_budget.ts';
-import {createWindowBudget} from './window_budget.ts';
+import {createWindowBudget, type WindowBudget} from './window_budget.ts';
 
 const GATEWAYS = 87;
 const WINDOW_MS = 10_000;
@@ -21,7 +20,7 @@
   const clock = new SimulatedClock();
   const generator = xoroshiro128plus(seed);
   const draw = () => uniformFloat64(generator);
-  const budgets = Array.from({length: GATEWAYS}, (): RetryBudget =>
+  const budgets = Array.from({length: GATEWAYS}, (): WindowBudget =>
     createWindowBudget({
       clock,
       windowMs: WINDOW_MS,
@@ -33,7 +32,7 @@
   const taken: number[] = [];
   let wanted = 0;
   for (let now = 0; now < LOAD_MS; now += INTERVAL_MS) {
-    const budget = budgets[Math.floor(draw() * GATEWAYS)] as RetryBudget;
+    const budget = budgets[Math.floor(draw() * GATEWAYS)] as WindowBudget;
     budget.deposit();
     requests.push(now);
     if (draw() < share) {
--- a/src/protocol/core_service.ts
+++ b/src/protocol/core_service.ts
@@ -41,8 +41,6 @@
   route: z.string(),
   answers: z.int().nonnegative(),
   failures: z.int().nonnegative(),
-  /** The sum of the times until the answers began, in ms. */
-  firstMs: z.number().nonnegative(),
   /** How many took so long that they count as slow. */
   slow: z.int().nonnegative(),
 });
--- a/src/protocol/route_table.ts
+++ b/src/protocol/route_table.ts
@@ -81,7 +81,6 @@
   limits: requestLimitsSchema,
 });
 
-export type RouteTarget = z.infer<typeof routeTargetSchema>;
 export type Route = z.infer<typeof routeSchema>;
 export type Engine = z.infer<typeof engineSchema>;
 export type RoutedService = z.infer<typeof serviceSchema>;
--- a/src/transport/forwarding/endpoint_client.ts
+++ b/src/transport/forwarding/endpoint_client.ts
@@ -99,14 +99,6 @@
     }
   }
 
-  /** Closes the connections to addresses that are not in use any more. */
-  keepOnly(addresses: ReadonlySet<string>): void {
-    for (const [key, pool] of this.pools) {
-      const [address = ''] = key.split('/');
-      if (!addresses.has(address)) this.retire(key, pool);
-    }
-  }
-
   async [Symbol.asyncDispose](): Promise<void> {
     const pools = [...this.pools.values()];
     this.pools.clear();
--- a/src/transport/forwarding/front_server.ts
+++ b/src/transport/forwarding/front_server.ts
@@ -20,6 +20,7 @@
 import {createCallerSink} from './caller_sink.ts';
 import {createFindHeader, dropHopByHop, pairHeaders} from './headers.ts';
 import {readBody} from '../public/read_body.ts';
+import {closeServer, startListening} from '../http_server.ts';
 
 /** How often timeouts of connections are looked at. */
 const CHECK_INTERVAL_MS = 500;
@@ -93,10 +94,7 @@
     });
   });
   server.on('connect', (_request, socket) => socket.destroy());
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen({host, port, backlog: BACKLOG}, resolve);
-  });
+  await startListening(server, {host, port, backlog: BACKLOG});
   return {
     get openRequests() {
       return openRequests;
@@ -111,8 +109,7 @@
     },
     closeIdleConnections: () => server.closeIdleConnections(),
     async [Symbol.asyncDispose]() {
-      server.closeAllConnections();
-      await new Promise<void>(resolve => server.close(() => resolve()));
+      await closeServer(server);
     },
   };
 }
--- a/src/transport/forwarding/surface_server.ts
+++ b/src/transport/forwarding/surface_server.ts
@@ -7,6 +7,7 @@
 import polka from 'polka';
 import type {Logger} from '../../protocol/logger.ts';
 import {readBody} from '../public/read_body.ts';
+import {closeServer, startListening} from '../http_server.ts';
 
 /** The largest body: a configuration with thousands of routes. */
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
@@ -70,14 +71,10 @@
     });
   }
   server.on('request', app.handler as (...args: unknown[]) => void);
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen({host, port, backlog: BACKLOG}, resolve);
-  });
+  await startListening(server, {host, port, backlog: BACKLOG});
   return {
     async [Symbol.asyncDispose]() {
-      server.closeAllConnections();
-      await new Promise<void>(resolve => server.close(() => resolve()));
+      await closeServer(server);
     },
   };
 }
--- a/src/transport/peers/peer_server.ts
+++ b/src/transport/peers/peer_server.ts
@@ -3,6 +3,7 @@
 import {createServer} from 'node:http';
 import {applyWSSHandler} from '@trpc/server/adapters/ws';
 import {WebSocketServer} from 'ws';
+import {closeServer, startListening} from '../http_server.ts';
 import {
   createPeerRouter,
   type Callable,
@@ -46,20 +47,12 @@
     createContext: () => ({authenticated: true}),
     keepAlive: KEEP_ALIVE,
   });
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, resolve);
-  });
+  await startListening(server, {host, port});
   return {
     async [Symbol.asyncDispose]() {
       for (const client of sockets.clients) client.terminate();
       sockets.close();
-      const closed = new Promise<void>(resolve =>
-        server.close(() => resolve()),
-      );
-      // A connection that never asked for anything would be waited for.
-      server.closeAllConnections();
-      await closed;
+      await closeServer(server);
     },
   };
 }
--- a/src/transport/public/public_server.ts
+++ b/src/transport/public/public_server.ts
@@ -17,6 +17,7 @@
   createPublicHandler,
   type PublicHandlerOptions,
 } from './create_public_handler.ts';
+import {closeServer, startListening} from '../http_server.ts';
 import {describeError} from './http_errors.ts';
 
 export type {GuardRoute, RouteHandler} from './create_public_handler.ts';
@@ -94,17 +95,13 @@
   server.on('upgrade', (_request, socket) =>
     refuse(socket as Socket, 400, 'connections are not upgraded'),
   );
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    const {host, port} = options;
-    server.listen({host, port, backlog: MAX_PENDING_CONNECTIONS}, resolve);
-  });
+  const {host, port} = options;
+  await startListening(server, {host, port, backlog: MAX_PENDING_CONNECTIONS});
   return {
     closeIdleConnections: () => server.closeIdleConnections(),
     waitUntilIdle: () => work.waitUntilDone(),
     async [Symbol.asyncDispose]() {
-      server.closeAllConnections();
-      await new Promise<void>(resolve => server.close(() => resolve()));
+      await closeServer(server);
     },
   };
 }
