--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -10,26 +10,19 @@
   writeFileSync,
 } from 'node:fs';
 import {build} from 'esbuild';
+import {bundleOptions} from './bundle_options.mjs';
 
 /** The marker that Node's executables carry for an embedded program. */
 const FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
 mkdirSync('dist', {recursive: true});
-const shared = {
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  legalComments: 'none',
-  logLevel: 'warning',
-};
 await build({
-  ...shared,
+  ...bundleOptions,
   entryPoints: ['src/cli/main.ts'],
   outfile: 'dist/parsleypond.cjs',
 });
 await build({
-  ...shared,
+  ...bundleOptions,
   entryPoints: {
     engine: 'testing/stand_ins/engine_main.ts',
     service: 'testing/stand_ins/service_main.ts',
--- a/scripts/build_platform.mjs
+++ b/scripts/build_platform.mjs
@@ -6,18 +6,14 @@
 import {randomBytes} from 'node:crypto';
 import {copyFileSync, mkdirSync, writeFileSync} from 'node:fs';
 import {build} from 'esbuild';
+import {bundleOptions} from './bundle_options.mjs';
 
 /** The flag of `run` in deploy/system.toml. */
 const HEAP_FLAG = '--max-old-space-size=200';
 
 mkdirSync('target', {recursive: true});
 await build({
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  legalComments: 'none',
-  logLevel: 'warning',
+  ...bundleOptions,
   minify: true,
   entryPoints: ['platform/main.ts'],
   outfile: 'target/program.cjs',
--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -19,6 +19,21 @@
 import {Forwarder} from './forwarder.ts';
 import {VersionEvidenceBook} from './version_evidence.ts';
 
+/** A request that says nothing of itself. */
+export const NO_FACTS: CallFacts = {
+  attemptId: null,
+  budgetMs: null,
+  key: null,
+  session: null,
+  model: null,
+  isModelOpen: false,
+  promptTokens: 0,
+  maxOutputTokens: 0,
+  outputTokensHint: null,
+  prompt: [],
+  lastEventId: null,
+};
+
 /** A caller that remembers what it got. */
 export class RecordingSink implements CallerSink {
   hasBegun = false;
@@ -206,20 +221,7 @@
     host: 'desk.example',
     headers: [],
     body: Buffer.alloc(0),
-    facts: {
-      attemptId,
-      budgetMs: null,
-      key: null,
-      session: null,
-      model: null,
-      isModelOpen: false,
-      promptTokens: 0,
-      maxOutputTokens: 0,
-      outputTokensHint: null,
-      prompt: [],
-      lastEventId: null,
-      ...facts,
-    },
+    facts: {...NO_FACTS, attemptId, ...facts},
     receivedAt,
     signal,
   };
--- a/src/coordination/replication/replica_test.ts
+++ b/src/coordination/replication/replica_test.ts
@@ -5,10 +5,8 @@
 import * as assert from 'uvu/assert';
 import {silentLogger} from '../../protocol/logger.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
-import {MemoryFileSystem} from '../../state/files/memory_file_system.ts';
-import {openFileLog} from '../../state/log/file_log.ts';
 import {recoverLog} from '../../state/log/recover_log.ts';
-import {encodeSnapshot} from '../../state/snapshot/snapshot_codec.ts';
+import {MEMBER_HOSTS, openMemberLog} from './member_log_fake.ts';
 import {Replica} from './replica.ts';
 import {Recorder, SimulatedGroup} from './simulated_group.ts';
 
@@ -223,33 +221,17 @@
 
 test('an entry of an earlier term is not committed by counting copies', async () => {
   const clock = new SimulatedClock();
-  const opened = await openFileLog({
-    folder: '/data/group',
-    files: new MemoryFileSystem(),
+  const storage = await openMemberLog({
+    entries: [{index: 1, term: 2, command: 'old'}],
+    term: 3,
   });
-  if (!opened.ok) throw opened.error;
-  const storage = opened.value;
-  const voters = [
-    {name: 'a', incarnation: storage.incarnation},
-    {name: 'b', incarnation: 'disk_b'},
-    {name: 'c', incarnation: 'disk_c'},
-  ];
-  const snapshot = {index: 0, term: 0, membership: {voters}, state: null};
-  await storage.saveSnapshot(snapshot, encodeSnapshot(snapshot));
-  await storage.append([{index: 1, term: 2, command: 'old'}]);
-  await storage.saveHardState({term: 3, votedFor: null});
   let acknowledged = 1;
   const silence = () => new Promise<never>(() => {});
-  const hosts = voters.map(({name}) => ({
-    name,
-    region: 'r',
-    dataCentre: name,
-  }));
   const replica = await Replica.open<string, number>({
     group: 'group',
     name: 'a',
-    founders: hosts,
-    listHosts: () => hosts,
+    founders: MEMBER_HOSTS,
+    listHosts: () => MEMBER_HOSTS,
     voterCount: 3,
     storage,
     stateMachine: new Recorder(() => {}),
--- a/src/coordination/replication/safety_checks_test.ts
+++ b/src/coordination/replication/safety_checks_test.ts
@@ -4,20 +4,12 @@
 import {silentLogger} from '../../protocol/logger.ts';
 import type {LogEntry, Membership} from '../../protocol/replication.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
-import {MemoryFileSystem} from '../../state/files/memory_file_system.ts';
-import {openFileLog} from '../../state/log/file_log.ts';
-import {encodeSnapshot} from '../../state/snapshot/snapshot_codec.ts';
 import {formGroup} from './formation.ts';
 import type {ReplicaPeer} from './peer_replicator.ts';
+import {MEMBER_HOSTS, openMemberLog} from './member_log_fake.ts';
 import {Replica} from './replica.ts';
 import {Recorder} from './simulated_group.ts';
 
-const HOSTS = ['a', 'b', 'c'].map(name => ({
-  name,
-  region: 'r',
-  dataCentre: name,
-}));
-
 /** Longer than a member trusts that a leader lives. */
 const SILENCE_MS = 3_000;
 
@@ -46,26 +38,15 @@
   getPeer = createSilence,
 }: OpenMemberOptions = {}) {
   const clock = new SimulatedClock();
-  const opened = await openFileLog({
-    folder: '/data/group',
-    files: new MemoryFileSystem(),
-  });
-  if (!opened.ok) throw opened.error;
-  const storage = opened.value;
-  const voters = [
-    {name: 'a', incarnation: storage.incarnation},
-    {name: 'b', incarnation: 'disk_b'},
-    {name: 'c', incarnation: 'disk_c'},
-  ];
-  const snapshot = {index: 0, term: 0, membership: {voters}, state: null};
-  await storage.saveSnapshot(snapshot, encodeSnapshot(snapshot));
-  if (entries.length > 0) await storage.append(entries);
-  await storage.saveHardState({term, votedFor: null});
+  const storage = await openMemberLog({entries, term});
   const replica = await Replica.open<string, number>({
     group: 'group',
     name: 'a',
     founders: [],
-    listHosts: () => [...HOSTS, {name: 'd', region: 'r', dataCentre: 'd'}],
+    listHosts: () => [
+      ...MEMBER_HOSTS,
+      {name: 'd', region: 'r', dataCentre: 'd'},
+    ],
     voterCount: 3,
     storage,
     stateMachine: new Recorder(() => {}),
@@ -98,7 +79,7 @@
   const task = formGroup({
     group: 'group',
     self: {name: 'a', incarnation: 'disk_a'},
-    hosts: HOSTS,
+    hosts: MEMBER_HOSTS,
     voterCount: 3,
     clock,
     signal: stopped.signal,
--- a/src/transport/forwarding/endpoint_client_test.ts
+++ b/src/transport/forwarding/endpoint_client_test.ts
@@ -6,7 +6,10 @@
   AttemptOutcome,
   Call,
 } from '../../coordination/forwarding/call.ts';
-import {createEndpoint} from '../../coordination/forwarding/forwarding_fakes.ts';
+import {
+  createEndpoint,
+  NO_FACTS,
+} from '../../coordination/forwarding/forwarding_fakes.ts';
 import type {CallCodec} from './call_codec.ts';
 import {EndpointClient} from './endpoint_client.ts';
 
@@ -33,19 +36,7 @@
     ['Content-Length', '99'],
   ],
   body: Buffer.from('hello'),
-  facts: {
-    attemptId: 'x',
-    budgetMs: null,
-    key: null,
-    session: null,
-    model: null,
-    isModelOpen: false,
-    promptTokens: 0,
-    maxOutputTokens: 0,
-    outputTokensHint: null,
-    prompt: [],
-    lastEventId: null,
-  },
+  facts: {...NO_FACTS, attemptId: 'x'},
   receivedAt: 0,
   signal: new AbortController().signal,
 };
