--- /dev/null
+++ b/src/cli/serve_site/settings_source.ts
@@ -0,0 +1,55 @@
+/** The settings of a running daemon, read again whenever the file changes. */
+import {readFile} from 'node:fs/promises';
+import type {Logger} from '../../protocol/logger.ts';
+import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
+import {
+  siteSettingsSchema,
+  type SiteSettings,
+} from '../../protocol/site_settings.ts';
+import {formatIssue, parseToml} from '../../protocol/toml.ts';
+
+/** Holds the settings in force. */
+export class SettingsSource {
+  private constructor(
+    private readonly file: string,
+    private text: string,
+    private current: SiteSettings,
+  ) {}
+
+  /** Reads the file, or says why it cannot be used. */
+  static async open(file: string): Promise<Outcome<SettingsSource, string>> {
+    const text = await readFile(file, 'utf8');
+    const parsed = parseSettings(file, text);
+    return parsed.ok
+      ? succeed(new SettingsSource(file, text, parsed.value))
+      : parsed;
+  }
+
+  get settings(): SiteSettings {
+    return this.current;
+  }
+
+  /** Reads the file again; one that cannot be used changes nothing. */
+  async reload(cause: string, logger: Logger): Promise<void> {
+    const text = await readFile(this.file, 'utf8');
+    if (text === this.text) return;
+    this.text = text;
+    const parsed = parseSettings(this.file, text);
+    if (!parsed.ok) {
+      logger.error('Keeps its settings.', {cause, reason: parsed.error});
+      return;
+    }
+    this.current = parsed.value;
+    const {seeds, bounds} = parsed.value;
+    logger.info('Reloads its settings.', {cause, seeds, bounds});
+  }
+}
+
+function parseSettings(
+  file: string,
+  text: string,
+): Outcome<SiteSettings, string> {
+  const parsed = parseToml(text, siteSettingsSchema);
+  if (parsed.ok) return succeed(parsed.value);
+  return fail(parsed.error.map(issue => formatIssue(file, issue)).join('\n'));
+}
