--- a/src/coordination/forwarding/relay_events.ts
+++ b/src/coordination/forwarding/relay_events.ts
@@ -17,8 +17,11 @@
 /** A longer pause than the objective of the route counts as a stall. */
 const STALL_FACTOR = 1.5;
 
-/** Headers that say how an answer was framed, which the gateway does anew. */
-const FRAMING = new Set(['content-length', 'transfer-encoding']);
+/** Headers that tell where an answer ends, which the gateway frames anew. */
+export const FRAMING_HEADERS: ReadonlySet<string> = new Set([
+  'content-length',
+  'transfer-encoding',
+]);
 
 export interface RelayOptions {
   readonly clock: Clock;
@@ -68,5 +71,5 @@
 }
 
 function dropFraming({headers}: EndpointAnswer): Header[] {
-  return headers.filter(([name]) => !FRAMING.has(name.toLowerCase()));
+  return headers.filter(([name]) => !FRAMING_HEADERS.has(name.toLowerCase()));
 }
--- a/src/coordination/gateway/route_index.ts
+++ b/src/coordination/gateway/route_index.ts
@@ -15,7 +15,9 @@
   constructor(readonly table: RouteTable) {
     for (const route of table.routes) {
       const host = route.host.toLowerCase();
-      this.byHost.set(host, [...(this.byHost.get(host) ?? []), route]);
+      const known = this.byHost.get(host);
+      if (known) known.push(route);
+      else this.byHost.set(host, [route]);
     }
     for (const routes of this.byHost.values()) {
       routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
--- a/src/transport/forwarding/strict_client.ts
+++ b/src/transport/forwarding/strict_client.ts
@@ -6,9 +6,7 @@
  */
 import type {Socket} from 'node:net';
 import {Client, type buildConnector, type Dispatcher} from 'undici';
-
-/** Headers that tell where an answer ends. */
-const FRAMING = new Set(['content-length', 'transfer-encoding']);
+import {FRAMING_HEADERS} from '../../coordination/forwarding/relay_events.ts';
 
 /** Creates a client for one connection of a pool. */
 export function createStrictClient(origin: URL, options: object): Dispatcher {
@@ -73,7 +71,7 @@
     onHeaders: (status, headers, ...rest) => {
       isFramed = headers.some(
         (name, index) =>
-          index % 2 === 0 && FRAMING.has(name.toString().toLowerCase()),
+          index % 2 === 0 && FRAMING_HEADERS.has(name.toString().toLowerCase()),
       );
       return handler.onHeaders?.(status, headers, ...rest) ?? true;
     },
