Keep to what endpoints say in their answers: leaving, wanting no requests

Change: EndpointNotices keeps what this gateway was told, by start of an endpoint; it goes before any table, also out of touch, and is asked once more right before the first byte is written, since a connection takes time to open. The core learns of leaving endpoints with the gateways' reports and hands them on like a draining report. When all endpoints want quiet, a request waits if that still leaves it most of its objective, else it is refused at once with the time at which the first returns. Neither header reaches callers.

Ruled out: closing connections that are open but unused, since the endpoint may still serve what was sent; a time of its own for each address, since a new start knows nothing of the old wishes.

Tests: a whole simulated gateway over random orders of answers, reports and restarts, several requests open at once; withdrawal on new and kept connections; the core's tables.

--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -1,5 +1,6 @@
 /** Runs the part of a site daemon that serves callers. */
 import {EndpointHealth} from '../../coordination/forwarding/endpoint_health.ts';
+import {EndpointNotices} from '../../coordination/forwarding/endpoint_notices.ts';
 import {Forwarder} from '../../coordination/forwarding/forwarder.ts';
 import {VersionEvidenceBook} from '../../coordination/forwarding/version_evidence.ts';
 import {CoreFollower} from '../../coordination/gateway/core_follower.ts';
@@ -52,6 +53,7 @@
   let isStopping = false;
   let server: FrontServer | null = null;
   const health = new EndpointHealth(clock);
+  const notices = new EndpointNotices({clock, logger: createLogger('forward')});
   const evidence = new VersionEvidenceBook();
   const client = store.add(new EndpointClient({codec: surfaces.codec}));
   const view = new GatewayView({
@@ -66,6 +68,10 @@
     dataCentre,
     open: isOpen(),
   });
+  const listLeaving = () => {
+    notices.forgetEnded(id => view.findEndpoint(id));
+    return notices.listLeaving();
+  };
   const follower = new CoreFollower({
     view,
     clock,
@@ -80,6 +86,7 @@
       evidence: evidence.list(
         service => view.findRollout(service)?.state === 'running',
       ),
+      leaving: listLeaving(),
     }),
     call: (address, request, timeoutMs) =>
       links.get(address).follow(request, timeoutMs),
@@ -87,6 +94,7 @@
   const forwarder = new Forwarder({
     view,
     health,
+    notices,
     evidence,
     clock,
     logger: createLogger('forward'),
--- a/src/coordination/core/core_state.ts
+++ b/src/coordination/core/core_state.ts
@@ -4,6 +4,7 @@
   CoreDaemon,
   CoreExchange,
   CoreExchangeReply,
+  LeavingEndpoint,
 } from '../../protocol/core_service.ts';
 import type {EndpointReport} from '../../protocol/endpoint_report.ts';
 import type {Logger} from '../../protocol/logger.ts';
@@ -44,6 +45,7 @@
         this.changes.notify();
         if (isDirect) this.news.notify();
       },
+      onLeaving: leaving => this.takeLeaving(leaving),
     });
   }
 
@@ -90,6 +92,16 @@
     return reports;
   }
 
+  private takeLeaving(leaving: readonly LeavingEndpoint[]): void {
+    const news = leaving.filter(each => this.endpoints.recordLeaving(each));
+    if (news.length === 0) return;
+    this.options.logger.info('Learns from a gateway that endpoints leave.', {
+      endpoints: news.map(({id}) => id),
+    });
+    this.changes.notify();
+    this.news.notify();
+  }
+
   private takeReport(report: EndpointReport, from: string): ReportOutcome {
     const outcome = this.endpoints.record(report);
     if (outcome !== 'changed') return outcome;
--- a/src/coordination/core/endpoint_registry.ts
+++ b/src/coordination/core/endpoint_registry.ts
@@ -6,6 +6,7 @@
  * replaces a new one, not even at an address that changed hands.
  */
 import type {Clock} from '../../protocol/clock.ts';
+import type {LeavingEndpoint} from '../../protocol/core_service.ts';
 import type {
   EndpointEntry,
   EndpointReport,
@@ -71,6 +72,18 @@
     return 'changed';
   }
 
+  /**
+   * Notes that an endpoint told a gateway that it leaves; true if that is news.
+   * A report that it is ready does not change that within the same start.
+   */
+  recordLeaving({id, startedAtMs}: LeavingEndpoint): boolean {
+    const known = this.known.get(id);
+    if (!known || known.entry.startedAtMs !== startedAtMs) return false;
+    if (known.entry.state !== 'ready') return false;
+    this.change(known, {...known.entry, state: 'draining'});
+    return true;
+  }
+
   /** Takes in what was known before a restart; it counts as silent. */
   restore(reports: readonly EndpointReport[]): void {
     const heardAt = this.options.clock.monotonic();
--- a/src/coordination/core/endpoint_registry_test.ts
+++ b/src/coordination/core/endpoint_registry_test.ts
@@ -93,4 +93,20 @@
   assert.equal(registry.find('e1')?.silent, false);
 });
 
+test('recordLeaving() holds against late reports and ends with a new start', () => {
+  const {registry} = createRegistry();
+  registry.record(createReport());
+  const before = registry.revision;
+  assert.ok(registry.recordLeaving({id: 'e1', startedAtMs: 1_000}));
+  assert.ok(registry.revision > before);
+  assert.ok(!registry.recordLeaving({id: 'e1', startedAtMs: 1_000}));
+  registry.record(createReport({sequence: 7}));
+  assert.equal(registry.find('e1')?.state, 'draining');
+  registry.record(createReport({startedAtMs: 2_000}));
+  assert.equal(registry.find('e1')?.state, 'ready');
+  // What was said of the old start does not touch the new one.
+  assert.ok(!registry.recordLeaving({id: 'e1', startedAtMs: 1_000}));
+  assert.equal(registry.find('e1')?.state, 'ready');
+});
+
 test.run();
--- a/src/coordination/core/gateway_directory.ts
+++ b/src/coordination/core/gateway_directory.ts
@@ -5,6 +5,7 @@
   EndpointLoad,
   Gateway,
   GatewayReport,
+  LeavingEndpoint,
   VersionEvidence,
 } from '../../protocol/core_service.ts';
 
@@ -33,6 +34,8 @@
   readonly clock: Clock;
   /** Runs when a gateway said, here or elsewhere, that it closes. */
   readonly onClosing?: (where: {readonly isDirect: boolean}) => void;
+  /** Runs when a gateway was told by endpoints that they leave. */
+  readonly onLeaving?: (leaving: readonly LeavingEndpoint[]) => void;
 }
 
 export class GatewayDirectory {
@@ -62,7 +65,9 @@
   }
 
   private take(next: Known): void {
-    const {address, open} = next.report.gateway;
+    const {gateway, leaving} = next.report;
+    const {address, open} = gateway;
+    if (leaving.length > 0) this.options.onLeaving?.(leaving);
     const wasOpen = this.known.get(address)?.report.gateway.open ?? false;
     this.known.set(address, next);
     if (!wasOpen || open) return;
--- a/src/coordination/core/gateway_directory_test.ts
+++ b/src/coordination/core/gateway_directory_test.ts
@@ -7,7 +7,7 @@
 
 function createReport(address: string, open = true): GatewayReport {
   const gateway = {address, region: 'r', dataCentre: 'a', open};
-  return {gateway, loads: [], evidence: []};
+  return {gateway, loads: [], evidence: [], leaving: []};
 }
 
 function createDirectory() {
--- a/src/coordination/forwarding/call.ts
+++ b/src/coordination/forwarding/call.ts
@@ -1,5 +1,6 @@
 /** A caller's request on its way through a gateway. */
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
+import type {EndpointNotice} from './endpoint_notices.ts';
 
 /** A header as it stood on the wire. */
 export type Header = readonly [name: string, value: string];
@@ -63,11 +64,16 @@
   readonly budgetMs: number;
   /** Whether a connection that was used before may carry it. */
   readonly mayReuseConnection: boolean;
+  /**
+   * Whether the endpoint may still receive it; asked right before the first
+   * byte is written, since opening a connection takes time.
+   */
+  readonly mayBegin: () => boolean;
   readonly signal: AbortSignal;
 }
 
 /** What the headers of an endpoint's answer say. */
-export interface AnswerFacts {
+export interface AnswerFacts extends EndpointNotice {
   readonly attemptId: string | null;
   /** Whether the endpoint says that it did not run the request. */
   readonly isNotRun: boolean;
@@ -99,13 +105,15 @@
 /** What became of one attempt. */
 export type AttemptOutcome =
   | {readonly type: 'answer'; readonly answer: EndpointAnswer}
-  /** Nothing was sent. */
+  /** Nothing was sent, since no connection could be opened. */
   | {readonly type: 'not-sent'; readonly reason: string}
+  /** Nothing was sent, since the endpoint may not receive it any more. */
+  | {readonly type: 'withdrawn'}
   /** The endpoint says that it did not and will not run it. */
   | {
       readonly type: 'not-run';
       readonly status: number;
-      readonly load: ReportedLoad | null;
+      readonly facts: AnswerFacts;
     }
   /** It may have run. */
   | {readonly type: 'broken'; readonly reason: string}
--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -108,8 +108,9 @@
 
   /** Notes what became of an attempt. */
   note(endpoint: EndpointEntry, result: AttemptResult): void {
-    this.sends++;
     this.tried.add(endpoint.id);
+    if (result.type === 'withdrawn') return;
+    this.sends++;
     if (result.type === 'not-run') this.notRun++;
     else if (result.type !== 'not-sent') this.runs++;
     this.isPaid = result.type === 'escalated';
--- /dev/null
+++ b/src/coordination/forwarding/endpoint_notices_test.ts
@@ -0,0 +1,312 @@
+/**
+ * The pattern: endpoints tell a gateway in their answers that they leave, or
+ * that they want no requests for a while, and the gateway keeps to it whatever
+ * the core says, with several requests open at once.
+ */
+import assert from 'node:assert/strict';
+import fc from 'fast-check';
+import {test} from 'uvu';
+import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
+import {
+  createAnswer,
+  createEndpoint,
+  createFollowReply,
+  createRoute,
+  FakeGateway,
+  PLAIN_ANSWER,
+  type Behaviour,
+} from './forwarding_fakes.ts';
+
+const TWO = [createEndpoint('e1'), createEndpoint('e2')];
+
+/** Turns a request away for so long. */
+function turnAway(quietMs: number): Behaviour {
+  return async () => ({
+    type: 'not-run',
+    status: 503,
+    facts: {...PLAIN_ANSWER, isNotRun: true, quietMs},
+  });
+}
+
+const answers: Behaviour = async (call, options) => createAnswer(call, options);
+
+const answersAndLeaves: Behaviour = async (call, options) =>
+  createAnswer(call, options, {facts: {isLeaving: true}});
+
+function listIds(gateway: FakeGateway): string[] {
+  return gateway.attempts.map(({endpoint}) => endpoint.id);
+}
+
+function findHeader(
+  headers: ReadonlyArray<readonly [string, string]>,
+  name: string,
+): number {
+  return Number(headers.find(([key]) => key === name)?.[1]);
+}
+
+test('forward() sends nothing more to an endpoint that says that it leaves', async () => {
+  const gateway = new FakeGateway({
+    endpoints: [createEndpoint('e1')],
+    behave: answersAndLeaves,
+  });
+  const first = await gateway.request();
+  assert.equal(first.status, 200);
+  // A late report of the same start does not bring it back.
+  gateway.learn(createEndpoint('e1', {sequence: 9}));
+  const second = await gateway.request();
+  assert.equal(second.status, 503);
+  assert.deepEqual(listIds(gateway), ['e1']);
+  assert.deepEqual(gateway.notices.listLeaving(), [{id: 'e1', startedAtMs: 1}]);
+});
+
+test('forward() uses a new start of an endpoint that left', async () => {
+  let isFirst = true;
+  const gateway = new FakeGateway({
+    endpoints: [createEndpoint('e1')],
+    behave: async (...args) => {
+      const behave = isFirst ? answersAndLeaves : answers;
+      isFirst = false;
+      return behave(...args);
+    },
+  });
+  await gateway.request();
+  gateway.learn(createEndpoint('e1', {startedAtMs: 2}));
+  const sink = await gateway.request();
+  assert.equal(sink.status, 200);
+  gateway.notices.forgetEnded(id => gateway.view.findEndpoint(id));
+  assert.deepEqual(gateway.notices.listLeaving(), []);
+});
+
+test('forward() withdraws what was not written when the notice came', async () => {
+  // Both open a connection; the first answer comes before the second is open.
+  const gateway = new FakeGateway({
+    endpoints: TWO,
+    behave: async (call, options, clock) => {
+      const isSlow = call.facts.attemptId === 'c1';
+      if (isSlow && options.endpoint.id === 'e1') await clock.sleep(500);
+      if (!options.mayBegin()) return {type: 'withdrawn'};
+      return options.endpoint.id === 'e1'
+        ? answersAndLeaves(call, options, clock)
+        : answers(call, options, clock);
+    },
+    random: () => 0,
+  });
+  const [, second] = await Promise.all([gateway.request(), gateway.request()]);
+  assert.equal(second.status, 200);
+  const last = gateway.attempts.at(-1);
+  assert.equal(last?.endpoint.id, 'e2');
+});
+
+test('forward() leaves an endpoint alone that wants no requests', async () => {
+  const gateway = new FakeGateway({
+    endpoints: TWO,
+    behave: async (call, options, clock) =>
+      options.endpoint.id === 'e1'
+        ? turnAway(2_000)(call, options, clock)
+        : answers(call, options, clock),
+    random: () => 0,
+  });
+  for (let count = 0; count < 10; count++) {
+    const sink = await gateway.request();
+    assert.equal(sink.status, 200);
+  }
+  assert.equal(listIds(gateway).filter(id => id === 'e1').length, 1);
+  await gateway.clock.advance(2_000);
+  await gateway.request();
+  assert.equal(listIds(gateway).filter(id => id === 'e1').length, 2);
+});
+
+test('forward() refuses at once when the first returns too late, and says when', async () => {
+  const gateway = new FakeGateway({
+    endpoints: TWO,
+    behave: async (call, options, clock) =>
+      turnAway(options.endpoint.id === 'e1' ? 3_000 : 5_000)(
+        call,
+        options,
+        clock,
+      ),
+    random: () => 0,
+  });
+  await gateway.request();
+  const startedAt = gateway.clock.monotonic();
+  const sink = await gateway.request();
+  assert.equal(sink.status, 503);
+  assert.ok(gateway.clock.monotonic() - startedAt <= 10);
+  const retryAfterS = findHeader(sink.headers, 'Retry-After');
+  assert.ok(retryAfterS > 2.9 && retryAfterS <= 3, String(retryAfterS));
+  assert.equal(gateway.attempts.length, 2);
+});
+
+test('forward() waits for an endpoint that returns in time', async () => {
+  let isFirst = true;
+  const gateway = new FakeGateway({
+    route: createRoute({objectiveMs: 2_000}),
+    endpoints: [createEndpoint('e1')],
+    behave: async (...args) => {
+      const behave = isFirst ? turnAway(300) : answers;
+      isFirst = false;
+      return behave(...args);
+    },
+    random: () => 0,
+  });
+  await gateway.request();
+  const sink = await gateway.request();
+  assert.equal(sink.status, 200);
+  assert.ok(gateway.clock.monotonic() >= 300);
+});
+
+test('record() bounds wishes that make no sense', () => {
+  for (const [asked, longestMs] of [
+    [NaN, 1_000],
+    [-5, 1_000],
+    [1e12, 600_000],
+    [Infinity, 600_000],
+  ] as const) {
+    const gateway = new FakeGateway({endpoints: TWO, behave: answers});
+    const [endpoint] = TWO;
+    assert.ok(endpoint);
+    gateway.notices.record(endpoint, {isLeaving: false, quietMs: asked});
+    assert.equal(gateway.notices.getQuietMs(endpoint), longestMs);
+  }
+});
+
+/** One thing that happens to a gateway with three endpoints. */
+type Happening =
+  | {readonly type: 'request'; readonly delayMs: number}
+  | {readonly type: 'leave' | 'restart' | 'repeat'; readonly id: string}
+  | {readonly type: 'quiet'; readonly id: string; readonly ms: number}
+  | {readonly type: 'wait'; readonly ms: number};
+
+const IDS = ['e1', 'e2', 'e3'] as const;
+
+const happening: fc.Arbitrary<Happening> = fc.oneof(
+  fc.record({
+    type: fc.constant('request' as const),
+    delayMs: fc.integer({min: 0, max: 600}),
+  }),
+  fc.record({
+    type: fc.constantFrom(
+      'leave' as const,
+      'restart' as const,
+      'repeat' as const,
+    ),
+    id: fc.constantFrom(...IDS),
+  }),
+  fc.record({
+    type: fc.constant('quiet' as const),
+    id: fc.constantFrom(...IDS),
+    ms: fc.integer({min: 0, max: 3_000}),
+  }),
+  fc.record({
+    type: fc.constant('wait' as const),
+    ms: fc.integer({min: 0, max: 1_000}),
+  }),
+);
+
+/** Plays happenings and checks each request that reaches an endpoint. */
+class Story {
+  private readonly starts = new Map<string, EndpointEntry>(
+    IDS.map(id => [id, createEndpoint(id)]),
+  );
+  private readonly leaving = new Set<string>();
+  private readonly quietMs = new Map<string, number>();
+  /** What this gateway was told, by start. */
+  private readonly told = new Map<
+    string,
+    {isLeaving: boolean; until: number}
+  >();
+  private readonly delays: number[] = [];
+  private readonly open: Array<Promise<unknown>> = [];
+  private readonly gateway = new FakeGateway({
+    route: createRoute({objectiveMs: 2_000, timeoutMs: 8_000}),
+    endpoints: [...this.starts.values()],
+    behave: (...args) => this.behave(...args),
+  });
+
+  async play(happenings: readonly Happening[]): Promise<void> {
+    for (const each of happenings) await this.step(each);
+    await Promise.all(this.open);
+  }
+
+  private async step(next: Happening): Promise<void> {
+    switch (next.type) {
+      case 'request':
+        this.delays.push(next.delayMs);
+        this.open.push(this.gateway.request());
+        return;
+      case 'leave':
+        this.leaving.add(this.findKey(next.id));
+        return;
+      case 'quiet':
+        this.quietMs.set(this.findKey(next.id), next.ms);
+        return;
+      case 'restart': {
+        const known = this.find(next.id);
+        const startedAtMs = known.startedAtMs + 1;
+        this.starts.set(next.id, {...known, startedAtMs});
+        this.gateway.learn(this.find(next.id));
+        return;
+      }
+      case 'repeat':
+        this.gateway.learn({...this.find(next.id), sequence: 99});
+        return;
+      case 'wait':
+        return this.gateway.clock.advance(next.ms);
+    }
+  }
+
+  private behave: Behaviour = async (call, options, clock) => {
+    // A connection that takes its time to open.
+    await clock.sleep(this.delays.pop() ?? 0);
+    if (!options.mayBegin()) return {type: 'withdrawn'};
+    const {endpoint} = options;
+    const key = `${endpoint.id}/${endpoint.startedAtMs}`;
+    const told = this.told.get(key);
+    assert.ok(!told?.isLeaving, 'was sent to an endpoint that leaves');
+    assert.ok(
+      (told?.until ?? 0) <= clock.monotonic(),
+      'was sent to an endpoint that wants no requests',
+    );
+    const isLeaving = this.leaving.has(key);
+    const quietMs = this.quietMs.get(key) ?? null;
+    this.quietMs.delete(key);
+    const until =
+      quietMs === null ? (told?.until ?? 0) : clock.monotonic() + quietMs;
+    this.told.set(key, {isLeaving, until});
+    const facts = {...PLAIN_ANSWER, isLeaving, quietMs};
+    return quietMs === null
+      ? createAnswer(call, options, {facts: {isLeaving}})
+      : {type: 'not-run', status: 503, facts};
+  };
+
+  private find(id: string): EndpointEntry {
+    return this.starts.get(id) ?? createEndpoint(id);
+  }
+
+  private findKey(id: string): string {
+    return `${id}/${this.find(id).startedAtMs}`;
+  }
+}
+
+test('forward() keeps to all notices in any order of answers, reports and restarts', async () => {
+  await fc.assert(
+    fc.asyncProperty(
+      fc.array(happening, {minLength: 5, maxLength: 40}),
+      happenings => new Story().play(happenings),
+    ),
+    {numRuns: 60},
+  );
+});
+
+test('apply() keeps an endpoint leaving that the core calls ready again', async () => {
+  const gateway = new FakeGateway({
+    endpoints: [createEndpoint('e1', {state: 'draining'})],
+    behave: answers,
+  });
+  gateway.view.apply(
+    createFollowReply({endpoints: [createEndpoint('e1', {sequence: 5})]}),
+  );
+  assert.equal((await gateway.request()).status, 503);
+});
+
+test.run();
--- /dev/null
+++ b/src/coordination/forwarding/endpoint_picker.ts
@@ -0,0 +1,141 @@
+/** Picks the endpoint, the model and the rank of the next attempt. */
+import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
+import type {Clock} from '../../protocol/clock.ts';
+import type {GatewayView} from '../gateway/gateway_view.ts';
+import type {CallRun} from './call_run.ts';
+import {chooseEndpoint, type EndpointCandidate} from './choose_endpoint.ts';
+import {chooseModel} from './choose_model.ts';
+import {chooseVersion} from './choose_version.ts';
+import type {EndpointHealth} from './endpoint_health.ts';
+import type {EndpointNotices} from './endpoint_notices.ts';
+import type {AttemptChoice} from './run_attempt.ts';
+
+/** One rank before the default of engines, which is 5. */
+const SMALL_MODEL_URGENCY = 4;
+
+export interface EndpointPickerOptions {
+  readonly view: GatewayView;
+  readonly health: EndpointHealth;
+  readonly notices: EndpointNotices;
+  readonly clock: Clock;
+  /** Returns a number from 0 up to 1. */
+  readonly random: () => number;
+  readonly region: string;
+  readonly dataCentre: string;
+  /** The region of a data centre; `null` when it is unknown. */
+  readonly findRegion: (dataCentre: string) => string | null;
+}
+
+export class EndpointPicker {
+  constructor(private readonly options: EndpointPickerOptions) {}
+
+  /** Picks the next attempt; `null` when no endpoint may take it. */
+  pick(run: CallRun): AttemptChoice | null {
+    const {region, dataCentre, findRegion, random} = this.options;
+    const {service, route} = run.admitted;
+    const candidates = this.listUntried(run).map(endpoint =>
+      this.describeCandidate(endpoint),
+    );
+    const chosen = chooseEndpoint({
+      service,
+      candidates,
+      region,
+      dataCentre,
+      findRegion,
+      subject: run.subject,
+      sharedTokens: run.sharedTokens,
+      random,
+    });
+    if (!chosen) return null;
+    const model = run.call.facts.isModelOpen
+      ? chooseModel(route.models, {asksLargest: this.asksLargest(run)})
+      : null;
+    const urgency = computeUrgency(route.models, model);
+    return {endpoint: chosen.endpoint, model, urgency};
+  }
+
+  /** The endpoints that may take a request and were not asked before. */
+  listUntried(run: CallRun): EndpointEntry[] {
+    const {notices} = this.options;
+    return this.listEligible(run).filter(endpoint =>
+      notices.mayReceive(endpoint),
+    );
+  }
+
+  /** Whether an endpoint picked earlier may receive a request now. */
+  mayReceive(endpoint: EndpointEntry): boolean {
+    const {view, notices} = this.options;
+    const known = view.findEndpoint(endpoint.id);
+    return (
+      known?.state === 'ready' &&
+      known.startedAtMs === endpoint.startedAtMs &&
+      notices.mayReceive(endpoint)
+    );
+  }
+
+  /**
+   * How long until the first of the endpoints that want no requests now takes
+   * one, in ms; `null` without such an endpoint.
+   */
+  findQuietMs(run: CallRun): number | null {
+    const {notices} = this.options;
+    const quiet = this.listEligible(run)
+      .filter(endpoint => !notices.isLeaving(endpoint))
+      .map(endpoint => notices.getQuietMs(endpoint))
+      .filter(ms => ms > 0);
+    return quiet.length > 0 ? Math.min(...quiet) : null;
+  }
+
+  /** Endpoints that were not asked before, also those that want no requests. */
+  private listEligible(run: CallRun): EndpointEntry[] {
+    const {view} = this.options;
+    const service = run.admitted.service.name;
+    const allows = chooseVersion(view.findRollout(service), run.versionSubject);
+    return view
+      .listEndpoints(service)
+      .filter(
+        endpoint =>
+          endpoint.state === 'ready' &&
+          allows(endpoint.version) &&
+          !run.tried.has(endpoint.id),
+      );
+  }
+
+  /** Adds what this gateway knows of an endpoint. */
+  private describeCandidate(endpoint: EndpointEntry): EndpointCandidate {
+    const {view, health} = this.options;
+    return {
+      endpoint,
+      open: health.countOpen(endpoint) + view.getOtherLoad(endpoint.id),
+      isEjected: health.isEjected(endpoint),
+      isFull: health.isFull(endpoint),
+      failureShare: health.getFailureShare(endpoint),
+    };
+  }
+
+  /**
+   * Whether the largest model is asked. One that failed after the objective had
+   * passed is not asked again: the smallest still answers, and soon.
+   */
+  private asksLargest({
+    hasEscalated,
+    hasFallenBack,
+    runs,
+    admitted,
+    call,
+  }: CallRun): boolean {
+    if (hasFallenBack) return false;
+    if (!hasEscalated || runs < 2) return hasEscalated;
+    const elapsedMs = this.options.clock.monotonic() - call.receivedAt;
+    return elapsedMs < admitted.route.objectiveMs;
+  }
+}
+
+/**
+ * The rank of a run at an engine. Short runs go first: they hold up longer ones
+ * for little, and tell sooner whether a larger model is needed.
+ */
+function computeUrgency(models: readonly string[], model: string | null) {
+  const isSmallest = model !== null && model === models[0] && models.length > 1;
+  return isSmallest ? SMALL_MODEL_URGENCY : null;
+}
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -17,10 +17,10 @@
 } from '../limits/window_budget.ts';
 import {admitCall} from './admit_call.ts';
 import type {Call, CallerSink, SendAttempt} from './call.ts';
-import {chooseEndpoint, type EndpointCandidate} from './choose_endpoint.ts';
-import {chooseModel, EscalationBar, hasLarger} from './choose_model.ts';
-import {chooseVersion} from './choose_version.ts';
+import {EscalationBar, hasLarger} from './choose_model.ts';
 import type {EndpointHealth} from './endpoint_health.ts';
+import {EndpointPicker} from './endpoint_picker.ts';
+import type {EndpointNotices} from './endpoint_notices.ts';
 import {refuseCall, type RefusalReason} from './refuse.ts';
 import {
   deliverHeld,
@@ -50,8 +50,11 @@
  */
 const ESCALATE_BY_SHARE = 0.6;
 
-/** One rank before the default of engines, which is 5. */
-const SMALL_MODEL_URGENCY = 4;
+/**
+ * The share of the objective within which a request waits for endpoints that
+ * want no requests now; the rest is needed to answer it.
+ */
+const WAIT_SHARE = 0.6;
 
 /** The soonest and latest return of a refused caller, in ms. */
 const RETRY_AFTER_MIN_MS = 300;
@@ -60,6 +63,7 @@
 export interface ForwarderOptions {
   readonly view: GatewayView;
   readonly health: EndpointHealth;
+  readonly notices: EndpointNotices;
   readonly evidence: VersionEvidenceBook;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -83,10 +87,12 @@
 export class Forwarder {
   private readonly budgets = new Map<string, WindowBudget>();
   private readonly bar: EscalationBar;
+  private readonly picker: EndpointPicker;
   private isStopping = false;
 
   constructor(private readonly options: ForwarderOptions) {
     this.bar = new EscalationBar(options.clock);
+    this.picker = new EndpointPicker(options);
   }
 
   /** Answers a request; resolves when its answer has ended. */
@@ -117,20 +123,22 @@
     const isFallbackDue =
       run.held !== null && findFallbackMs(run, clock.monotonic()) === 0;
     const mayGoOn = run.sends === 0 || (!isFallbackDue && this.mayRepeat(run));
-    const choice = mayGoOn ? this.choose(run) : null;
+    const choice = mayGoOn ? this.picker.pick(run) : null;
+    if (!choice && mayGoOn && (await this.waitForQuiet(run))) return;
     if (!choice) return this.fallBack(run, sink, leftMs);
     const result = await runAttempt(
       {
         ...this.options,
         sink,
         leftMs,
+        mayReceive: endpoint => this.picker.mayReceive(endpoint),
         escalates: confidence =>
           !run.hasEscalated &&
           this.isSoonEnough(run) &&
           hasLarger(run.admitted.route.models, choice.model) &&
           this.bar.isBelow(confidence) &&
           // An answer that is ready is not dropped with nobody else to ask.
-          this.listUntried(run).length > 1 &&
+          this.picker.listUntried(run).length > 1 &&
           this.canEscalate(run),
       },
       run,
@@ -140,6 +148,23 @@
     this.finishWith(run, sink, result);
   }
 
+  /**
+   * Waits until an endpoint takes requests again that wants none now; false
+   * when there is no such endpoint or it would come too late.
+   */
+  private async waitForQuiet(run: CallRun): Promise<boolean> {
+    if (run.held || run.failedAnswer) return false;
+    const quietMs = this.picker.findQuietMs(run);
+    if (quietMs === null) return false;
+    const {objectiveMs} = run.admitted.route;
+    const waitMs = quietMs + this.drawSpread();
+    if (this.measureMs(run) + waitMs > objectiveMs * WAIT_SHARE) return false;
+    // What the budget paid for the next attempt is not paid again.
+    run.isPaid = run.sends > 0;
+    await this.options.clock.sleep(waitMs, run.call.signal);
+    return true;
+  }
+
   private finishWith(
     run: CallRun,
     sink: CallerSink,
@@ -162,8 +187,8 @@
     const held = sink.hasBegun ? null : run.takeHeld();
     if (!held) return this.giveUp(run, sink, null);
     const {health, metrics} = this.options;
-    const options = {...this.options, sink, leftMs, escalates: () => false};
-    const result = await deliverHeld(options, run, held);
+    const {clock} = this.options;
+    const result = await deliverHeld({clock, sink, leftMs}, run, held);
     metrics.count('fallbacks', 1, {outcome: result.type});
     if (result.type === 'delivered') health.recordSuccess(held.endpoint);
     if (result.type === 'broken') health.recordFailure(held.endpoint, false);
@@ -213,7 +238,7 @@
     const mayReturn = run.runs === 0;
     const status = refuseCall(sink, {
       reason,
-      ...(mayReturn ? {retryAfterMs: this.drawRetryAfter()} : {}),
+      ...(mayReturn ? {retryAfterMs: this.drawRetryAfter(run)} : {}),
     });
     run.finish(reason, status);
   }
@@ -221,75 +246,20 @@
   private findReason(run: CallRun, why: 'deadline' | null): RefusalReason {
     if (run.runs > 0) return why === 'deadline' ? 'deadline' : 'broken';
     if (why === 'deadline') return 'deadline-not-run';
+    if (this.picker.findQuietMs(run) !== null) return 'quiet';
     if (run.notRun > 0) return 'no-room';
     return run.sends > 0 ? 'not-run' : 'no-endpoint';
   }
 
-  private drawRetryAfter(): number {
-    const {random} = this.options;
-    return RETRY_AFTER_MIN_MS + random() * RETRY_AFTER_SPREAD_MS;
-  }
-
-  /** The endpoints that may take a request and were not asked before. */
-  private listUntried(run: CallRun): EndpointEntry[] {
-    const {view} = this.options;
-    const service = run.admitted.service.name;
-    const allows = chooseVersion(view.findRollout(service), run.versionSubject);
-    return view
-      .listEndpoints(service)
-      .filter(
-        endpoint =>
-          endpoint.state === 'ready' &&
-          allows(endpoint.version) &&
-          !run.tried.has(endpoint.id),
-      );
+  /** When the caller should come back, in ms. */
+  private drawRetryAfter(run?: CallRun): number {
+    const quietMs = run ? this.picker.findQuietMs(run) : null;
+    return (quietMs ?? RETRY_AFTER_MIN_MS) + this.drawSpread();
   }
 
-  /** Adds what this gateway knows of an endpoint. */
-  private describeCandidate(endpoint: EndpointEntry): EndpointCandidate {
-    const {view, health} = this.options;
-    return {
-      endpoint,
-      open: health.countOpen(endpoint) + view.getOtherLoad(endpoint.id),
-      isEjected: health.isEjected(endpoint),
-      isFull: health.isFull(endpoint),
-      failureShare: health.getFailureShare(endpoint),
-    };
-  }
-
-  private choose(run: CallRun) {
-    const {region, dataCentre, findRegion, random} = this.options;
-    const {service, route} = run.admitted;
-    const candidates = this.listUntried(run).map(endpoint =>
-      this.describeCandidate(endpoint),
-    );
-    const chosen = chooseEndpoint({
-      service,
-      candidates,
-      region,
-      dataCentre,
-      findRegion,
-      subject: run.subject,
-      sharedTokens: run.sharedTokens,
-      random,
-    });
-    if (!chosen) return null;
-    const model = run.call.facts.isModelOpen
-      ? chooseModel(route.models, {asksLargest: this.asksLargest(run)})
-      : null;
-    const urgency = computeUrgency(route.models, model);
-    return {endpoint: chosen.endpoint, model, urgency};
-  }
-
-  /**
-   * Whether the largest model is asked. One that failed after the objective had
-   * passed is not asked again: the smallest still answers, and soon.
-   */
-  private asksLargest(run: CallRun): boolean {
-    const {hasEscalated, hasFallenBack, runs, admitted} = run;
-    if (hasFallenBack) return false;
-    if (!hasEscalated || runs < 2) return hasEscalated;
-    return this.measureMs(run) < admitted.route.objectiveMs;
+  /** Keeps those that wait for the same moment from coming all at once. */
+  private drawSpread(): number {
+    return this.options.random() * RETRY_AFTER_SPREAD_MS;
   }
 
   private takeResult(
@@ -373,12 +343,3 @@
     });
   }
 }
-
-/**
- * The rank of a run at an engine. Short runs go first: they hold up longer ones
- * for little, and tell sooner whether a larger model is needed.
- */
-function computeUrgency(models: readonly string[], model: string | null) {
-  const isSmallest = model !== null && model === models[0] && models.length > 1;
-  return isSmallest ? SMALL_MODEL_URGENCY : null;
-}
--- a/src/coordination/forwarding/forwarder_test.ts
+++ b/src/coordination/forwarding/forwarder_test.ts
@@ -5,6 +5,7 @@
   createEndpoint,
   createRoute,
   FakeGateway,
+  PLAIN_ANSWER,
   waitForAbort,
   type Behaviour,
 } from './forwarding_fakes.ts';
@@ -36,7 +37,7 @@
 const refuses: Behaviour = async () => ({
   type: 'not-run',
   status: 503,
-  load: null,
+  facts: PLAIN_ANSWER,
 });
 
 const hangs: Behaviour = async (_call, {signal}) => {
--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -17,6 +17,7 @@
   Header,
 } from './call.ts';
 import {EndpointHealth} from './endpoint_health.ts';
+import {EndpointNotices} from './endpoint_notices.ts';
 import {Forwarder} from './forwarder.ts';
 import {VersionEvidenceBook} from './version_evidence.ts';
 
@@ -124,6 +125,17 @@
   };
 }
 
+/** What the headers of a plain answer say. */
+export const PLAIN_ANSWER: AnswerFacts = {
+  attemptId: null,
+  isNotRun: false,
+  isSigned: true,
+  load: null,
+  confidence: null,
+  isLeaving: false,
+  quietMs: null,
+};
+
 /** What a daemon of the core tells that knows nothing. */
 export function createFollowReply(
   change: Partial<FollowReply> = {},
@@ -155,6 +167,8 @@
   readonly route?: Route;
   readonly endpoints: readonly EndpointEntry[];
   readonly behave: Behaviour;
+  /** Returns a number from 0 up to 1; always 0.5 by default. */
+  readonly random?: () => number;
 }
 
 /** A gateway with fake endpoints. */
@@ -163,14 +177,25 @@
   /** The attempts that were made, in order. */
   readonly attempts: AttemptOptions[] = [];
   readonly forwarder: Forwarder;
+  readonly view: GatewayView;
+  readonly notices: EndpointNotices;
   private calls = 0;
 
-  constructor({route = createRoute(), endpoints, behave}: FakeGatewayOptions) {
-    const view = new GatewayView({
+  constructor({
+    route = createRoute(),
+    endpoints,
+    behave,
+    random = () => 0.5,
+  }: FakeGatewayOptions) {
+    this.notices = new EndpointNotices({
+      clock: this.clock,
+      logger: silentLogger,
+    });
+    this.view = new GatewayView({
       logger: silentLogger,
       decodeTable: () => succeed(createTable(route)),
     });
-    view.apply(
+    this.view.apply(
       createFollowReply({
         endpoints,
         settled: true,
@@ -178,13 +203,14 @@
       }),
     );
     this.forwarder = new Forwarder({
-      view,
+      view: this.view,
+      notices: this.notices,
       health: new EndpointHealth(this.clock),
       evidence: new VersionEvidenceBook(),
       clock: this.clock,
       logger: silentLogger,
       metrics: silentMetrics,
-      random: () => 0.5,
+      random,
       send: (call, options) => {
         this.attempts.push(options);
         return behave(call, options, this.clock);
@@ -198,6 +224,13 @@
     });
   }
 
+  /** Takes in what a daemon of the core tells of an endpoint. */
+  learn(endpoint: EndpointEntry): void {
+    this.view.apply(
+      createFollowReply({complete: false, endpoints: [endpoint]}),
+    );
+  }
+
   /** Sends a request and lets time pass until it is answered. */
   async request(
     facts: Partial<CallFacts> = {},
@@ -274,11 +307,8 @@
       status,
       headers: isStream ? [['Content-Type', 'text/event-stream']] : [],
       facts: {
+        ...PLAIN_ANSWER,
         attemptId: call.facts.attemptId,
-        isNotRun: false,
-        isSigned: true,
-        load: null,
-        confidence: null,
         ...options.facts,
       },
       body: readPieces(),
--- a/src/coordination/forwarding/record_attempt.ts
+++ b/src/coordination/forwarding/record_attempt.ts
@@ -63,6 +63,7 @@
       return;
     case 'overdue':
       return health.recordOverdue(endpoint, result.startedAt);
+    case 'withdrawn':
     case 'escalated':
     case 'cut':
     case 'left':
@@ -77,7 +78,7 @@
   {endpoint, result}: Attempt,
 ): void {
   if (result.type === 'not-run' || result.type === 'not-sent') return;
-  if (result.type === 'left') return;
+  if (result.type === 'left' || result.type === 'withdrawn') return;
   const {route, service} = run.admitted;
   const rollout = view.findRollout(service.name);
   evidence.record(
--- a/src/coordination/forwarding/refuse.ts
+++ b/src/coordination/forwarding/refuse.ts
@@ -11,6 +11,8 @@
   | 'too-large'
   | 'no-endpoint'
   | 'no-room'
+  // All endpoints asked to be left alone for a while.
+  | 'quiet'
   | 'not-run'
   | 'deadline-not-run'
   | 'deadline'
@@ -22,6 +24,7 @@
   stopping: 503,
   'no-endpoint': 503,
   'no-room': 503,
+  quiet: 503,
   'not-run': 503,
   'deadline-not-run': 503,
   'no-route': 404,
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -10,6 +10,7 @@
 } from './call.ts';
 import type {CallRun, FailedAnswer} from './call_run.ts';
 import type {EndpointHealth} from './endpoint_health.ts';
+import type {EndpointNotices} from './endpoint_notices.ts';
 import {HeldAnswer, MAX_HELD_BYTES} from './held_answer.ts';
 import {relayEvents, STALL_MIN_MS} from './relay_events.ts';
 import {startWatchdog} from './watchdog.ts';
@@ -38,6 +39,8 @@
   /** The endpoint answered that it failed; another may do better. */
   | {readonly type: 'failed'; readonly answer: FailedAnswer}
   | {readonly type: 'not-sent'; readonly reason: string}
+  /** The endpoint may not receive it any more; nothing was sent. */
+  | {readonly type: 'withdrawn'}
   | {
       readonly type: 'not-run';
       readonly isFull: boolean;
@@ -57,6 +60,9 @@
 export interface RunAttemptOptions {
   readonly clock: Clock;
   readonly health: EndpointHealth;
+  readonly notices: EndpointNotices;
+  /** Whether an endpoint may receive requests now. */
+  readonly mayReceive: (endpoint: EndpointEntry) => boolean;
   readonly send: SendAttempt;
   readonly sink: CallerSink;
   /** The time until the request must be answered, in ms. */
@@ -112,6 +118,7 @@
       lastEventId: run.lastEventId,
       budgetMs: Math.max(1, Math.floor(leftMs)),
       mayReuseConnection: admitted.isRepeatable,
+      mayBegin: () => options.mayReceive(endpoint),
       signal: controller.signal,
     });
     if (outcome.type === 'answer') {
@@ -142,7 +149,7 @@
 
 /** Delivers an answer that was held. */
 export async function deliverHeld(
-  options: RunAttemptOptions,
+  options: Pick<RunAttemptOptions, 'clock' | 'sink' | 'leftMs'>,
   run: CallRun,
   held: HeldAnswer,
 ): Promise<AttemptResult> {
@@ -201,9 +208,11 @@
 ): Promise<AttemptResult> {
   switch (outcome.type) {
     case 'not-sent':
+    case 'withdrawn':
       return outcome;
     case 'not-run':
       options.health.recordHeard(endpoint);
+      options.notices.record(endpoint, outcome.facts);
       return {
         type: 'not-run',
         isFull: outcome.status !== 421,
@@ -215,6 +224,7 @@
       return {type: 'broken', isDead: false, reason: 'aborted'};
     case 'answer':
       options.health.recordHeard(endpoint);
+      options.notices.record(endpoint, outcome.answer.facts);
       return takeAnswer(options, run, outcome.answer, {endpoint, onProgress});
   }
 }
@@ -252,7 +262,7 @@
 
 /** Passes an answer that is this request's on to the caller. */
 async function passOn(
-  options: RunAttemptOptions,
+  options: Pick<RunAttemptOptions, 'clock' | 'sink'>,
   run: CallRun,
   answer: EndpointAnswer,
   onProgress: (ms: number) => void,
--- a/src/coordination/gateway/core_follower_test.ts
+++ b/src/coordination/gateway/core_follower_test.ts
@@ -52,6 +52,7 @@
         gateway: {address: 'g', region: 'r', dataCentre: 'a', open: false},
         loads: [],
         evidence: [],
+        leaving: [],
       }),
       call: (address, {holdMs}, timeoutMs) =>
         this.answer(address, holdMs, timeoutMs),
--- a/src/coordination/gateway/gateway_view.ts
+++ b/src/coordination/gateway/gateway_view.ts
@@ -76,6 +76,11 @@
     );
   }
 
+  /** An endpoint as last heard; `null` when it is unknown. */
+  findEndpoint(id: string): EndpointEntry | null {
+    return this.endpoints.get(id) ?? null;
+  }
+
   /** The requests that other gateways have open at an endpoint. */
   getOtherLoad(id: string): number {
     return this.loads.get(id) ?? 0;
--- a/src/coordination/quality/quality_table.ts
+++ b/src/coordination/quality/quality_table.ts
@@ -9,7 +9,7 @@
  * table.record({version: 'draft/v2', requestClass: 'letter', score: 0.7});
  * table.estimate(version, 'letter').lower;
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Clock} from '../../protocol/clock.ts';
 import {formatVersion, type Version} from '../../protocol/declaration.ts';
 import type {QualityEstimate} from './quality_estimate.ts';
--- a/src/coordination/quality/score_histogram.ts
+++ b/src/coordination/quality/score_histogram.ts
@@ -1,5 +1,5 @@
 /** Sufficient statistics of ratings: small, decaying and mergeable. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Bins of a histogram of scores from 0 to 1. */
 export const SCORE_BINS = 20;
--- a/src/protocol/core_service.ts
+++ b/src/protocol/core_service.ts
@@ -5,7 +5,7 @@
  * the endpoints' heartbeats and exchange what they know. Each gateway follows
  * one of them by held-open calls.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {endpointEntrySchema, endpointReportSchema} from './endpoint_report.ts';
 import {proposeRequestSchema, type ProposeReply} from './peer_service.ts';
 import {replicationSchemas, type ReplicationService} from './replication.ts';
@@ -55,11 +55,21 @@
 
 export type EndpointLoad = z.infer<typeof endpointLoadSchema>;
 
+/** A start of an endpoint that told a gateway that it leaves. */
+export const leavingEndpointSchema = z.object({
+  id: z.string(),
+  startedAtMs: z.number(),
+});
+
+export type LeavingEndpoint = z.infer<typeof leavingEndpointSchema>;
+
 /** What a gateway says of itself. */
 export const gatewayReportSchema = z.object({
   gateway: gatewaySchema,
   loads: z.array(endpointLoadSchema),
   evidence: z.array(versionEvidenceSchema),
+  /** Gateways of earlier versions do not tell. */
+  leaving: z.array(leavingEndpointSchema).default([]),
 });
 
 export type GatewayReport = z.infer<typeof gatewayReportSchema>;
--- a/src/transport/forwarding/call_codec.ts
+++ b/src/transport/forwarding/call_codec.ts
@@ -12,6 +12,8 @@
 
 /** The names and formats of headers towards callers and endpoints. */
 export interface CallCodec {
+  /** Headers of answers, in lower case, that are meant for the gateway only. */
+  readonly gatewayOnlyAnswerHeaders: ReadonlySet<string>;
   /** Reads what a caller's headers say. */
   decodeCall(find: FindHeader): CallFacts;
   /** Makes the headers of one attempt out of the caller's end-to-end ones. */
--- a/src/transport/forwarding/endpoint_client.ts
+++ b/src/transport/forwarding/endpoint_client.ts
@@ -14,7 +14,7 @@
 } from '../../coordination/forwarding/call.ts';
 import type {CallCodec} from './call_codec.ts';
 import {createFindHeader, dropHopByHop, pairHeaders} from './headers.ts';
-import {createStrictClient} from './strict_client.ts';
+import {createStrictClient, WithdrawnError} from './strict_client.ts';
 
 /** A handshake across regions takes 60 ms; one lost packet costs 1 s more. */
 const CONNECT_TIMEOUT_MS = 1_200;
@@ -51,7 +51,7 @@
   /** Sends one attempt; resolves once the headers of the answer came. */
   async send(call: Call, options: AttemptOptions): Promise<AttemptOutcome> {
     const {codec} = this.options;
-    const {endpoint, mayReuseConnection, signal} = options;
+    const {endpoint, mayReuseConnection, mayBegin, signal} = options;
     const key = `${endpoint.address}${mayReuseConnection ? '' : '/single'}`;
     const pool = this.findPool(key, endpoint.address);
     const retire = () => {
@@ -60,6 +60,7 @@
     signal.addEventListener('abort', retire, {once: true});
     try {
       const response = await pool.request({
+        ...{mayBegin},
         method: call.method as 'GET',
         path: call.path,
         headers: codec
@@ -77,13 +78,16 @@
       // A body that is dropped reports it as an error; readers see it anyway.
       response.body.on('error', () => {});
       const raw = response.headers as unknown as readonly string[];
-      const headers = dropHopByHop(pairHeaders(raw.map(String)));
+      const received = dropHopByHop(pairHeaders(raw.map(String)));
       const status = response.statusCode;
-      const facts = codec.decodeAnswer(status, createFindHeader(headers));
+      const facts = codec.decodeAnswer(status, createFindHeader(received));
       if (facts.isNotRun) {
         await response.body.dump();
-        return {type: 'not-run', status, load: facts.load};
+        return {type: 'not-run', status, facts};
       }
+      const headers = received.filter(
+        ([name]) => !codec.gatewayOnlyAnswerHeaders.has(name.toLowerCase()),
+      );
       return {
         type: 'answer',
         answer: {
@@ -132,6 +136,7 @@
   error: NodeJS.ErrnoException,
   signal: AbortSignal,
 ): AttemptOutcome {
+  if (error instanceof WithdrawnError) return {type: 'withdrawn'};
   const code = error.code ?? error.name;
   const isConnect = error.syscall === 'connect' || CONNECT_CODES.has(code);
   if (isConnect) return {type: 'not-sent', reason: code};
--- a/src/transport/forwarding/endpoint_client_test.ts
+++ b/src/transport/forwarding/endpoint_client_test.ts
@@ -9,6 +9,7 @@
 import {
   createEndpoint,
   NO_FACTS,
+  PLAIN_ANSWER,
 } from '../../coordination/forwarding/forwarding_fakes.ts';
 import type {CallCodec} from './call_codec.ts';
 import {EndpointClient} from './endpoint_client.ts';
@@ -18,12 +19,12 @@
     throw new Error('Could not decode: no caller speaks here');
   },
   encodeAttempt: call => [...call.headers],
+  gatewayOnlyAnswerHeaders: new Set(['leaving']),
   decodeAnswer: (_status, find) => ({
+    ...PLAIN_ANSWER,
     attemptId: find('id'),
     isNotRun: find('not-run') !== null,
-    isSigned: true,
-    load: null,
-    confidence: null,
+    isLeaving: find('leaving') !== null,
   }),
 };
 
@@ -84,6 +85,7 @@
     lastEventId: null,
     budgetMs: 1_000,
     mayReuseConnection: true,
+    mayBegin: () => true,
     signal: new AbortController().signal,
     ...change,
   });
@@ -168,6 +170,38 @@
   assert.equal(await readBody(await send(client, server.address)), '2 whole');
 });
 
+test('send() writes nothing once the endpoint may not receive it', async () => {
+  let served = 0;
+  await using server = await startServer(socket => {
+    served++;
+    socket.write('HTTP/1.1 200 OK\r\nid: x\r\nContent-Length: 2\r\n\r\nok');
+  });
+  await using client = new EndpointClient({codec: CODEC});
+  const withdrawn = {mayBegin: () => false};
+  const onNew = await send(client, server.address, withdrawn);
+  assert.equal(onNew.type, 'withdrawn');
+  assert.equal(await readBody(await send(client, server.address)), 'ok whole');
+  const onKept = await send(client, server.address, withdrawn);
+  assert.equal(onKept.type, 'withdrawn');
+  assert.equal(await readBody(await send(client, server.address)), 'ok whole');
+  assert.equal(served, 2);
+});
+
+test('send() keeps what an endpoint tells the gateway from callers', async () => {
+  await using server = await startServer(socket => {
+    socket.write(
+      'HTTP/1.1 200 OK\r\nid: x\r\nLeaving: 1\r\nOwn: 2\r\nContent-Length: 2\r\n\r\nok',
+    );
+  });
+  await using client = new EndpointClient({codec: CODEC});
+  const outcome = await send(client, server.address);
+  assert.ok(outcome.type === 'answer');
+  assert.equal(outcome.answer.facts.isLeaving, true);
+  const names = outcome.answer.headers.map(([name]) => name);
+  assert.ok(names.includes('Own') && !names.includes('Leaving'));
+  await readBody(outcome);
+});
+
 test('send() opens a connection for each call that may not run twice', async () => {
   await using server = await startServer(socket => {
     socket.write('HTTP/1.1 200 OK\r\nid: x\r\nContent-Length: 2\r\n\r\nok');
--- a/src/transport/forwarding/strict_client.ts
+++ b/src/transport/forwarding/strict_client.ts
@@ -13,6 +13,17 @@
   return new StrictClient(origin, options as StrictClientOptions);
 }
 
+/** The endpoint may not receive the request any more; nothing was written. */
+export class WithdrawnError extends Error {
+  override readonly name = 'WithdrawnError';
+}
+
+/** What a request says beside undici's own options. */
+interface RequestOptions extends Dispatcher.DispatchOptions {
+  /** Whether it may still be written; by default it may. */
+  readonly mayBegin?: () => boolean;
+}
+
 interface StrictClientOptions extends Client.Options {
   readonly connect: buildConnector.connector;
 }
@@ -34,13 +45,15 @@
   }
 
   override dispatch(
-    options: Dispatcher.DispatchOptions,
+    options: RequestOptions,
     handler: Dispatcher.DispatchHandler,
   ): boolean {
     const {connection} = this;
+    const checked = checkEnd(handler, () => findReset(connection.socket));
+    const {mayBegin} = options;
     return super.dispatch(
       options,
-      checkEnd(handler, () => findReset(connection.socket)),
+      mayBegin ? checkBegin(checked, mayBegin) : checked,
     );
   }
 }
@@ -59,6 +72,21 @@
     : null;
 }
 
+/** Ends a request before its first byte when it may not begin any more. */
+function checkBegin(
+  handler: Dispatcher.DispatchHandler,
+  mayBegin: () => boolean,
+): Dispatcher.DispatchHandler {
+  return {
+    ...handler,
+    // undici calls it right before it writes, and writes nothing if it throws.
+    onConnect: (...args) => {
+      handler.onConnect?.(...args);
+      if (!mayBegin()) throw new WithdrawnError('Could not send: withdrawn');
+    },
+  };
+}
+
 /** Reports the end of an answer as an error when the connection was reset. */
 function checkEnd(
   handler: Dispatcher.DispatchHandler,
