--- a/scripts/build_platform.mjs
+++ b/scripts/build_platform.mjs
@@ -4,28 +4,36 @@
  */
 import {execFileSync} from 'node:child_process';
 import {randomBytes} from 'node:crypto';
-import {copyFileSync, mkdirSync, writeFileSync} from 'node:fs';
+import {copyFileSync, existsSync, mkdirSync, writeFileSync} from 'node:fs';
 import {build} from 'esbuild';
-import {bundleOptions} from './bundle_options.mjs';
+import {bundleOptions, daemonBundleOptions} from './bundle_options.mjs';
 
 /** The flag of `run` in deploy/system.toml. */
 const HEAP_FLAG = '--max-old-space-size=200';
 
+/** The secret that daemons share; settings.toml.template names it, too. */
+const SECRET_FILE = 'target/peer.secret';
+
 mkdirSync('target', {recursive: true});
 await build({
-  ...bundleOptions,
-  minify: true,
+  ...daemonBundleOptions,
   entryPoints: ['platform/main.ts'],
   outfile: 'target/program.cjs',
 });
+await build({
+  ...bundleOptions,
+  entryPoints: ['platform/warm_up.ts'],
+  outfile: 'target/warm_up.cjs',
+});
 copyFileSync('scripts/launcher.cjs', 'target/parsleypond.cjs');
 // The flags are those of deploy/system.toml: V8 takes the code under the same.
-execFileSync(process.execPath, [
-  HEAP_FLAG,
-  'target/parsleypond.cjs',
-  '--make-cache',
-]);
-writeFileSync('target/peer.secret', randomBytes(24).toString('hex'), {
-  mode: 0o600,
-});
+execFileSync(
+  process.execPath,
+  [HEAP_FLAG, 'target/parsleypond.cjs', '--make-cache'],
+  {stdio: ['ignore', 'ignore', 'inherit']},
+);
+// Daemons that run on go by the secret of the first build of this folder.
+if (!existsSync(SECRET_FILE)) {
+  writeFileSync(SECRET_FILE, randomBytes(24).toString('hex'), {mode: 0o600});
+}
 console.log('Built target/parsleypond.cjs.');
--- a/scripts/launcher.cjs
+++ b/scripts/launcher.cjs
@@ -2,8 +2,9 @@
  * Starts the program beside it from V8's compiled code, which saves most of the
  * time that a start takes on a slow host.
  *
- * `--make-cache` writes that code instead. V8 refuses it when the version of
- * Node or its flags differ; the program then compiles itself as usual.
+ * `--make-cache` writes that code instead, after the program served for a while.
+ * V8 refuses it when the version of Node or its flags differ; the program then
+ * compiles itself as usual.
  */
 'use strict';
 
@@ -24,5 +25,18 @@
 const program = {exports: {}};
 const load = script.runInThisContext();
 load(program.exports, require, program, filename, __dirname);
-if (makesCache) writeFileSync(cacheFile, script.createCachedData());
-else program.exports.runProgram();
+
+async function makeCache() {
+  const {warmUp} = require('./warm_up.cjs');
+  await warmUp(program.exports);
+  writeFileSync(cacheFile, script.createCachedData());
+  process.exit(0);
+}
+
+if (!makesCache) program.exports.runProgram();
+else {
+  makeCache().catch(error => {
+    console.error(error);
+    process.exit(1);
+  });
+}
--- a/src/protocol/completion.ts
+++ b/src/protocol/completion.ts
@@ -1,5 +1,5 @@
 /** Chat completions as callers send them, and what the system answers. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** A request in the usual OpenAI form. Unknown fields pass through. */
 export const completionRequestSchema = z.looseObject({
--- a/src/protocol/control.ts
+++ b/src/protocol/control.ts
@@ -1,5 +1,5 @@
 /** Commands and views of the control group, and the lease that carries them. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {declarationSchema} from './declaration.ts';
 import {
   endCommandSchema,
--- a/src/protocol/declaration.ts
+++ b/src/protocol/declaration.ts
@@ -4,7 +4,7 @@
  * It names customers, models, versions, services, pools, quality targets,
  * limits and roll-out plans. The types are inferred from the schemas.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const name = z.string().regex(/^[a-z0-9][a-z0-9._-]{0,62}$/, {
   message: 'expected a name of lower-case letters, digits, ".", "_" and "-"',
--- a/src/protocol/endpoint.ts
+++ b/src/protocol/endpoint.ts
@@ -1,5 +1,5 @@
 /** What endpoints say of themselves. Unknown fields are tolerated. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** The load that an endpoint reports; it lags behind the truth. */
 export const loadSchema = z.object({
--- a/src/protocol/endpoint_report.ts
+++ b/src/protocol/endpoint_report.ts
@@ -1,5 +1,5 @@
 /** What endpoints say of themselves to the daemons of a deployment. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 export const endpointReportSchema = z.object({
   id: z.string().min(1),
--- a/src/protocol/external_services.ts
+++ b/src/protocol/external_services.ts
@@ -1,5 +1,5 @@
 /** External services: ratings of answers, and the store of weights. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** An answer to rate: the body of `POST /v1/ratings`. */
 export const ratingRequestSchema = z.object({
--- a/src/protocol/ledger.ts
+++ b/src/protocol/ledger.ts
@@ -1,5 +1,5 @@
 /** Commands of a ledger group: admissions, claims, session pins and bills. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** The answer of a call that may not be repeated, kept for retries. */
 export const storedAnswerSchema = z.object({
--- a/src/protocol/order.ts
+++ b/src/protocol/order.ts
@@ -1,5 +1,5 @@
 /** Orders to endpoints: which versions to load. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** An order, sent as `POST /v1/orders` with the endpoints' secret. */
 export const orderSchema = z.object({
--- a/src/protocol/peer_service.ts
+++ b/src/protocol/peer_service.ts
@@ -4,7 +4,7 @@
  * The transport layer serves and calls this interface; the layers below know
  * neither connections nor encodings.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {
   grantRequestSchema,
   leaseRequestSchema,
--- a/src/protocol/replication.ts
+++ b/src/protocol/replication.ts
@@ -1,5 +1,5 @@
 /** What the members of a replicated group ask of each other. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** A member of a replicated group: a host with one data folder of its. */
 export const memberSchema = z.object({
--- a/src/protocol/rollout_state.ts
+++ b/src/protocol/rollout_state.ts
@@ -1,5 +1,5 @@
 /** How far a roll-out has come, and what gateways report of it. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Where a roll-out stands. The last three statuses are final. */
 export const rolloutStatusSchema = z.enum([
--- a/src/protocol/route_table.ts
+++ b/src/protocol/route_table.ts
@@ -4,7 +4,7 @@
  *
  * A table is replaced as a whole by one with a higher version.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** A share of a route's requests that goes to one service. */
 export const routeTargetSchema = z.object({
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -4,7 +4,7 @@
  * Settings say what only this host knows: its name, addresses, data folder
  * and secrets. What the system does is in the declaration instead.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const address = z.string().regex(/^[^\s:]+:\d{1,5}$/, {
   message: 'expected an IP number and a port, such as "10.0.0.1:8080"',
--- a/src/protocol/site_settings.ts
+++ b/src/protocol/site_settings.ts
@@ -4,7 +4,7 @@
  * A daemon with `listen.front` is a gateway, one with a data folder belongs to
  * the core.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const addressSchema = z.string().regex(/^[^\s:]+:\d{1,5}$/, {
   message: 'expected an IP number and a port, such as "10.0.0.1:8080"',
--- a/src/state/view/saved_view.ts
+++ b/src/state/view/saved_view.ts
@@ -8,7 +8,7 @@
  * damaged one only costs those seconds.
  */
 import {join} from 'node:path';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
   configurationSchema,
   type Configuration,
--- a/src/transport/endpoints/read_answer.ts
+++ b/src/transport/endpoints/read_answer.ts
@@ -5,7 +5,7 @@
  * before are dropped; an answer with a hole in it is a failure.
  */
 import {createParser} from 'eventsource-parser';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {AnswerEvent} from '../../protocol/completion.ts';
 import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
 import type {AttemptError} from '../../coordination/requests/dispatch.ts';
--- a/src/transport/logging/create_logger.ts
+++ b/src/transport/logging/create_logger.ts
@@ -1,5 +1,5 @@
 /** Makes loggers that write text or JSON lines through consola. */
-import {createConsola, LogLevels, type LogObject} from 'consola';
+import {createConsola, LogLevels, type LogObject} from 'consola/core';
 import {LineWriter} from './line_writer.ts';
 import type {CreateLogger, LogFields} from '../../protocol/logger.ts';
 
--- a/src/transport/public/operator_routes.ts
+++ b/src/transport/public/operator_routes.ts
@@ -1,7 +1,7 @@
 /** `/operator/…`: what operators ask of a daemon. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Polka} from 'polka';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
   operatorCommandSchema,
   type OperatorCommand,
--- a/testing/stand_ins/rating_main.ts
+++ b/testing/stand_ins/rating_main.ts
@@ -6,7 +6,7 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import polka from 'polka';
-import {z} from 'zod';
+import * as z from 'zod';
 import {ratingRequestSchema} from '../../src/protocol/external_services.ts';
 
 const controlSchema = z.object({
--- a/testing/stand_ins/stand_in_options.ts
+++ b/testing/stand_ins/stand_in_options.ts
@@ -1,5 +1,5 @@
 /** The options of a stand-in process: one JSON object as its argument. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 export const standInOptionsSchema = z.object({
   name: z.string(),
--- a/testing/stand_ins/weights_main.ts
+++ b/testing/stand_ins/weights_main.ts
@@ -5,7 +5,7 @@
  * Its argument is one JSON object with `address`, `bytes` and `rate`.
  */
 import polka from 'polka';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const optionsSchema = z.object({
   address: z.string(),
--- a/tools/bench/load_main.ts
+++ b/tools/bench/load_main.ts
@@ -8,7 +8,7 @@
   encodeIntoCompressedBase64,
 } from 'hdr-histogram-js';
 import {Agent, request} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const loadOptionsSchema = z.object({
   /** Where to send to, as IP numbers and ports. */
--- a/tools/bench/pass_through_main.ts
+++ b/tools/bench/pass_through_main.ts
@@ -6,7 +6,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import polka from 'polka';
 import {Agent, request} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const options = z
   .object({address: z.string(), engines: z.array(z.string()).min(1)})
