Let no decision but leases hang on the time of day

Cause: the further sites step the time of day on some hosts. The clock that counts suspensions takes a step forward for one, and all of a daemon went by it: requests ended early, gateways and endpoints counted as silent.

Change: only the replica's leases use that clock, where ending early is safe. Each daemon of the core measures from where it saw a roll-out begin; one that started later goes by the time of day once, within the roll-out.

Ruled out: os.uptime() to tell a step from a suspension, since where it comes from differs between hosts.

The tests of the ages fail without the change.

--- a/src/cli/serve_site/core.ts
+++ b/src/cli/serve_site/core.ts
@@ -138,7 +138,7 @@
 }
 
 async function openReplica(
-  {clock, store, createLogger, links, getSettings}: SiteParts,
+  {clock, leaseClock, store, createLogger, links, getSettings}: SiteParts,
   state: CoreState,
   routing: RoutingState,
 ): Promise<Replica<RoutingCommand, RoutingResult>> {
@@ -169,7 +169,7 @@
     storage,
     stateMachine: routing,
     getPeer: address => links.get(address),
-    clock,
+    clock: leaseClock,
     random: Math.random,
     logger,
     onChange: () => state.changes.notify(),
--- a/src/cli/serve_site/daemon.ts
+++ b/src/cli/serve_site/daemon.ts
@@ -1,5 +1,9 @@
 /** Puts the parts of a site daemon together and runs them. */
-import {createSuspendAwareClock, type Clock} from '../../protocol/clock.ts';
+import {
+  createSuspendAwareClock,
+  systemClock,
+  type Clock,
+} from '../../protocol/clock.ts';
 import {coreSchemas, type CoreService} from '../../protocol/core_service.ts';
 import type {CreateLogger} from '../../protocol/logger.ts';
 import type {SiteSettings} from '../../protocol/site_settings.ts';
@@ -28,7 +32,7 @@
   options: SiteDaemonOptions,
 ): Promise<AsyncDisposable> {
   const {getSettings, surfaces, createLogger} = options;
-  const clock = options.clock ?? createSuspendAwareClock();
+  const clock = options.clock ?? systemClock;
   const settings = getSettings();
   const store = new DisposableStore();
   const secret = await readSecret(settings.peer_secret_file);
@@ -40,6 +44,7 @@
     surfaces,
     createLogger,
     clock,
+    leaseClock: createSuspendAwareClock(clock),
     metrics,
     links,
     secret,
--- a/src/cli/serve_site/site_parts.ts
+++ b/src/cli/serve_site/site_parts.ts
@@ -25,6 +25,11 @@
   readonly surfaces: SiteSurfaces;
   readonly createLogger: CreateLogger;
   readonly clock: Clock;
+  /**
+   * For leases. A jump of the time of day ends them, as a suspension would;
+   * nothing else may hang on it.
+   */
+  readonly leaseClock: Clock;
   readonly metrics: Metrics;
   readonly links: PeerLinks<CoreService>;
   readonly secret: string;
--- a/src/coordination/core/rollout_task.ts
+++ b/src/coordination/core/rollout_task.ts
@@ -6,6 +6,7 @@
 import type {RoutingCommand} from '../../protocol/routing_commands.ts';
 import {startPeriodicTask} from '../periodic_task.ts';
 import type {CoreState} from './core_state.ts';
+import {RolloutAges} from './rollout_ages.ts';
 import {decideRolloutStep, type RolloutDecision} from './decide_rollout.ts';
 
 /** How often roll-outs are looked at. */
@@ -22,14 +23,15 @@
   readonly propose: (command: RoutingCommand) => Promise<ProposeReply>;
 }
 
-/** Starts the task; it does nothing where this daemon does not lead. */
+/** Starts the task; it only watches where this daemon does not lead. */
 export function startRolloutTask(options: RolloutTaskOptions): AsyncDisposable {
   const {clock, logger} = options;
   const watched: WatchedSteps = new Map();
+  const ages = new RolloutAges(clock);
   return startPeriodicTask({
     clock,
     intervalMs: INTERVAL_MS,
-    step: () => stepRollouts(options, watched),
+    step: () => stepRollouts(options, {watched, ages}),
     onError: error =>
       logger.warn('Could not step the roll-outs.', {reason: error.message}),
   });
@@ -43,13 +45,15 @@
 
 async function stepRollouts(
   options: RolloutTaskOptions,
-  watched: WatchedSteps,
+  {watched, ages}: {watched: WatchedSteps; ages: RolloutAges},
 ): Promise<void> {
   const {state, clock, isLeader, getConfiguration, canaryShare} = options;
-  if (!isLeader()) return watched.clear();
   const running = getConfiguration().rollouts.filter(
     rollout => rollout.state === 'running',
   );
+  // Whoever leads later knows the age of what it saw begin.
+  ages.observe(running);
+  if (!isLeader()) return watched.clear();
   if (running.length === 0) return;
   const evidence = state.gateways.listEvidence();
   const endpoints = state.endpoints.list();
@@ -63,7 +67,7 @@
     const decision = decideRolloutStep({
       rollout,
       evidence,
-      nowMs: clock.now(),
+      nowMs: rollout.beganAtMs + ages.getAgeMs(rollout),
       hasEndpoints: endpoints.some(
         each =>
           each.service === service &&
