--- a/src/coordination/gateway/core_follower_test.ts
+++ b/src/coordination/gateway/core_follower_test.ts
@@ -109,4 +109,12 @@
   assert.equal(new Set(core.calls.slice(before)).size, 1);
 });
 
+test('CoreFollower asks an unchanged core little more than once a second', async () => {
+  await using core = new FakeCore({a: () => IN_FORCE});
+  await core.clock.advance(500);
+  const before = core.calls.length;
+  await core.clock.advance(8_000);
+  assert.ok(core.calls.length - before <= 11);
+});
+
 test.run();
