Choose engines by what they have to read, and ask the largest at once

A request waited behind second-long prompts of the largest model, and each data centre read the same shared prompt.

Change: ReadingWork estimates what each engine still reads, from a pace learned by model; gateways tell it with their loads. PromptMemory and one keeper in all say where a shared prompt is. Engines are chosen by reading time, with waits that harm nobody cheap and late ones dear. The largest third of a route goes to the largest model at once while it begins soon.

--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -2,6 +2,7 @@
 import {EndpointHealth} from '../../coordination/forwarding/endpoint_health.ts';
 import {EndpointNotices} from '../../coordination/forwarding/endpoint_notices.ts';
 import {Forwarder} from '../../coordination/forwarding/forwarder.ts';
+import {ReadingWork} from '../../coordination/forwarding/reading_work.ts';
 import {VersionEvidenceBook} from '../../coordination/forwarding/version_evidence.ts';
 import {CoreFollower} from '../../coordination/gateway/core_follower.ts';
 import {GatewayView} from '../../coordination/gateway/gateway_view.ts';
@@ -55,6 +56,7 @@
   const health = new EndpointHealth(clock);
   const notices = new EndpointNotices({clock, logger: createLogger('forward')});
   const evidence = new VersionEvidenceBook();
+  const reading = new ReadingWork(clock);
   const client = store.add(new EndpointClient({codec: surfaces.codec}));
   const view = new GatewayView({
     logger: createLogger('view'),
@@ -82,7 +84,7 @@
     random: Math.random,
     createReport: () => ({
       gateway: describeSelf(),
-      loads: health.listLoads(),
+      loads: health.listLoads(start => reading.getPendingMs(start)),
       evidence: evidence.list(
         service => view.findRollout(service)?.state === 'running',
       ),
@@ -96,6 +98,7 @@
     health,
     notices,
     evidence,
+    reading,
     clock,
     logger: createLogger('forward'),
     metrics: parts.metrics,
--- a/src/coordination/core/gateway_directory.ts
+++ b/src/coordination/core/gateway_directory.ts
@@ -113,14 +113,19 @@
 
   /** The open requests of all gateways but one, summed by endpoint. */
   sumLoads(exceptAddress: string): EndpointLoad[] {
-    const sums = new Map<string, number>();
+    const sums = new Map<string, EndpointLoad>();
     for (const {report} of this.listLive()) {
       if (report.gateway.address === exceptAddress) continue;
-      for (const {id, open} of report.loads) {
-        sums.set(id, (sums.get(id) ?? 0) + open);
+      for (const {id, open, readingMs} of report.loads) {
+        const sum = sums.get(id);
+        sums.set(id, {
+          id,
+          open: (sum?.open ?? 0) + open,
+          readingMs: (sum?.readingMs ?? 0) + readingMs,
+        });
       }
     }
-    return [...sums].map(([id, open]) => ({id, open}));
+    return [...sums.values()];
   }
 
   /** What all gateways saw of versions. */
--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -30,6 +30,8 @@
   confidence: number | null = null;
   /** Whether a larger model is asked since the first was not sure. */
   hasEscalated = false;
+  /** Whether the largest model was asked first, without the smallest. */
+  isDirect = false;
   /** When that model was asked, in ms since the request came. */
   escalatedMs: number | null = null;
   /** Whether the retry budget already paid for the next attempt. */
@@ -38,6 +40,8 @@
   lastEventId: string | null;
   /** The time to the first event or the answer, in ms. */
   firstMs: number | null = null;
+  /** How long the last attempt was expected to take until then, in ms. */
+  expectedMs: number | null = null;
   /** How long the last attempt took to begin its answer, in ms. */
   beganMs: number | null = null;
   /** Open while a larger model is waited for. */
--- a/src/coordination/forwarding/choose_endpoint.ts
+++ b/src/coordination/forwarding/choose_endpoint.ts
@@ -1,7 +1,6 @@
 /** Chooses the endpoint for one attempt. */
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import type {RoutedService} from '../../protocol/route_table.ts';
-import {computeShare} from './hash.ts';
 
 /** An endpoint with what the gateway knows of its load. */
 export interface EndpointCandidate {
@@ -12,6 +11,10 @@
   readonly isFull: boolean;
   /** The share of its answers that failed here lately, from 0 to 1. */
   readonly failureShare: number;
+  /** How long it reads the prompts that it already has, in ms. */
+  readonly waitMs: number;
+  /** How sure it is to keep the shared prompt of the request, from 0 to 1. */
+  readonly keepsPrompt: number;
 }
 
 export interface ChooseEndpointOptions {
@@ -21,10 +24,12 @@
   readonly dataCentre: string;
   /** The region of a data centre; `null` when it is unknown. */
   readonly findRegion: (dataCentre: string) => string | null;
-  /** What requests with a common prompt share; `null` without one. */
-  readonly subject: string | null;
-  /** Tokens that need no reading where the subject is cached. */
-  readonly sharedTokens: number;
+  /** How long an engine reads what the request shares with others, in ms. */
+  readonly sharedReadingMs: number;
+  /** How long an engine reads the rest of its prompt, in ms. */
+  readonly ownReadingMs: number;
+  /** The time until the answer should begin, in ms. */
+  readonly leftMs: number;
   /** Returns a number from 0 up to 1. */
   readonly random: () => number;
 }
@@ -35,8 +40,27 @@
 /** What a hop to another region costs: a round trip of 60 ms and its bytes. */
 const REGION_COST = 0.9;
 
-/** What reading 10,000 tokens again costs, as a share of all slots busy. */
-const READ_COST_PER_10K_TOKENS = 0.5;
+/** What hops cost before engines, in ms of their time. */
+const DATA_CENTRE_MS = 30;
+const REGION_MS = 120;
+
+/** What a wait costs that harms nobody, against an engine's time. */
+const WAIT_WEIGHT = 0.3;
+
+/** Answers that begin within this share of the time left count as safe. */
+const SAFE_SHARE = 0.5;
+
+/** What each ms beyond that costs. */
+const OVERDUE_WEIGHT = 3;
+
+/** What a request that runs at an engine costs the next one, in ms. */
+const RUNNING_MS = 4;
+
+/** What an engine costs all of whose answers fail, in ms. */
+const FAILURE_MS = 3_000;
+
+/** Breaks ties between engines that are equally good, in ms. */
+const TIE_MS = 10;
 
 /** What an endpoint costs all of whose answers fail. */
 const FAILURE_COST = 3;
@@ -61,60 +85,57 @@
     ({isEjected, endpoint}) => !isEjected && !endpoint.silent,
   );
   const pool = sound.length > 0 ? sound : heard.length > 0 ? heard : candidates;
-  const preferred = findPreferred(options, pool);
   const [best] = pool
     .map(candidate => ({
       candidate,
-      cost: computeCost(options, candidate, preferred),
+      cost: computeCost(options, candidate),
     }))
     .sort((a, b) => a.cost - b.cost);
   return best?.candidate ?? null;
 }
 
-/** The endpoint of each data centre that keeps the subject's prompt. */
-function findPreferred(
-  {subject}: ChooseEndpointOptions,
-  pool: readonly EndpointCandidate[],
-): ReadonlySet<EndpointEntry> {
-  if (subject === null) return new Set();
-  const best = new Map<string, {endpoint: EndpointEntry; rank: number}>();
-  for (const {endpoint} of pool) {
-    const rank = computeShare(`${endpoint.id}/${subject}`);
-    const known = best.get(endpoint.dataCentre);
-    if (!known || rank > known.rank) {
-      best.set(endpoint.dataCentre, {endpoint, rank});
-    }
-  }
-  return new Set([...best.values()].map(({endpoint}) => endpoint));
-}
-
 function computeCost(
   options: ChooseEndpointOptions,
   candidate: EndpointCandidate,
-  preferred: ReadonlySet<EndpointEntry>,
 ): number {
-  const {service, sharedTokens, random} = options;
+  const {service, random} = options;
   const {endpoint, open, failureShare} = candidate;
-  const slots = Math.max(1, service.engine?.slots ?? endpoint.slots);
-  const isCached = preferred.has(endpoint);
-  const reading = isCached
-    ? 0
-    : (sharedTokens / 10_000) * READ_COST_PER_10K_TOKENS;
+  if (service.engine) return computeEngineMs(options, candidate);
   return (
-    open / slots +
-    computeDistance(options, endpoint) +
-    reading +
+    open / Math.max(1, endpoint.slots) +
+    computeDistance(options, endpoint, [DATA_CENTRE_COST, REGION_COST]) +
     failureShare * FAILURE_COST +
     random() * TIE_COST
   );
 }
 
+/** When an engine begins the answer, with what that costs others, in ms. */
+function computeEngineMs(
+  options: ChooseEndpointOptions,
+  candidate: EndpointCandidate,
+): number {
+  const {sharedReadingMs, ownReadingMs, leftMs, random} = options;
+  const {endpoint, open, failureShare, waitMs, keepsPrompt} = candidate;
+  const readingMs = ownReadingMs + sharedReadingMs * (1 - keepsPrompt);
+  const overdueMs = waitMs + readingMs - leftMs * SAFE_SHARE;
+  return (
+    readingMs +
+    waitMs * WAIT_WEIGHT +
+    Math.max(0, overdueMs) * OVERDUE_WEIGHT +
+    open * RUNNING_MS +
+    computeDistance(options, endpoint, [DATA_CENTRE_MS, REGION_MS]) +
+    failureShare * FAILURE_MS +
+    random() * TIE_MS
+  );
+}
+
 function computeDistance(
   {region, dataCentre, findRegion}: ChooseEndpointOptions,
   endpoint: EndpointEntry,
+  [dataCentreCost, regionCost]: readonly [number, number],
 ): number {
   if (endpoint.dataCentre === dataCentre) return 0;
   return findRegion(endpoint.dataCentre) === region
-    ? DATA_CENTRE_COST
-    : REGION_COST;
+    ? dataCentreCost
+    : regionCost;
 }
--- a/src/coordination/forwarding/choose_model.ts
+++ b/src/coordination/forwarding/choose_model.ts
@@ -17,6 +17,9 @@
 /** From this share of the objective on, no larger model is asked. */
 const SLOW_SHARE = 0.6;
 
+/** The room that larger models need before one is asked at once. */
+const DIRECT_ROOM = 0.5;
+
 /** The weight of the newest first event in the mean. */
 const NEWEST_WEIGHT = 0.15;
 
@@ -70,11 +73,21 @@
 
   /** Whether a larger model should answer instead of one so sure. */
   isBelow(confidence: number): boolean {
+    return confidence < ACCEPT_FROM * this.measureRoom();
+  }
+
+  /** Whether the largest model may be asked without asking the smallest. */
+  allowsDirect(): boolean {
+    return this.measureRoom() >= DIRECT_ROOM;
+  }
+
+  /** 1 while larger models begin soon, 0 when they begin too late. */
+  private measureRoom(): number {
     const [oldest] = this.waiting;
     const waited = oldest ? this.readShare(oldest) : 0;
     const slowness = Math.max(this.readMean(), waited);
     const room = (SLOW_SHARE - slowness) / (SLOW_SHARE - FAST_SHARE);
-    return confidence < ACCEPT_FROM * Math.min(1, Math.max(0, room));
+    return Math.min(1, Math.max(0, room));
   }
 
   private record(share: number): void {
--- a/src/coordination/forwarding/endpoint_health.ts
+++ b/src/coordination/forwarding/endpoint_health.ts
@@ -116,10 +116,16 @@
   }
 
   /** The open requests of this gateway by endpoint, for the core. */
-  listLoads(): EndpointLoad[] {
+  listLoads(
+    getReadingMs: (endpoint: Pick<EndpointEntry, 'id' | 'startedAtMs'>) => number,
+  ): EndpointLoad[] {
     return [...this.seen]
       .filter(([, {open}]) => open > 0)
-      .map(([id, {open}]) => ({id, open}));
+      .map(([id, {open, startedAtMs}]) => ({
+        id,
+        open,
+        readingMs: Math.round(getReadingMs({id, startedAtMs})),
+      }));
   }
 
   private get({id, startedAtMs}: EndpointEntry): Seen {
--- a/src/coordination/forwarding/endpoint_picker.ts
+++ b/src/coordination/forwarding/endpoint_picker.ts
@@ -8,8 +8,17 @@
 import {chooseVersion} from './choose_version.ts';
 import type {EndpointHealth} from './endpoint_health.ts';
 import type {EndpointNotices} from './endpoint_notices.ts';
+import {computeShare} from './hash.ts';
+import {PromptMemory} from './prompt_memory.ts';
+import type {ReadingWork} from './reading_work.ts';
 import type {AttemptChoice} from './run_attempt.ts';
 
+/** How much of the reading that other gateways told of is still to come. */
+const OTHERS_WEIGHT = 0.5;
+
+/** How sure a keeper is to keep a prompt that this gateway did not send it. */
+const KEEPER_SHARE = 0.8;
+
 /** One rank before the default of engines, which is 5. */
 const SMALL_MODEL_URGENCY = 4;
 
@@ -17,6 +26,7 @@
   readonly view: GatewayView;
   readonly health: EndpointHealth;
   readonly notices: EndpointNotices;
+  readonly reading: ReadingWork;
   readonly clock: Clock;
   /** Returns a number from 0 up to 1. */
   readonly random: () => number;
@@ -27,31 +37,52 @@
 }
 
 export class EndpointPicker {
-  constructor(private readonly options: EndpointPickerOptions) {}
+  private readonly memory: PromptMemory;
+
+  constructor(private readonly options: EndpointPickerOptions) {
+    this.memory = new PromptMemory(options.clock);
+  }
 
   /** Picks the next attempt; `null` when no endpoint may take it. */
   pick(run: CallRun): AttemptChoice | null {
-    const {region, dataCentre, findRegion, random} = this.options;
+    const {region, dataCentre, findRegion, random, reading, clock} = this.options;
     const {service, route} = run.admitted;
-    const candidates = this.listUntried(run).map(endpoint =>
-      this.describeCandidate(endpoint),
-    );
+    const model = run.call.facts.isModelOpen
+      ? chooseModel(route.models, {asksLargest: this.asksLargest(run)})
+      : null;
     const chosen = chooseEndpoint({
       service,
-      candidates,
+      candidates: this.describeCandidates(run, model),
       region,
       dataCentre,
       findRegion,
-      subject: run.subject,
-      sharedTokens: run.sharedTokens,
+      sharedReadingMs: reading.estimateMs(
+        service.name,
+        model,
+        run.sharedTokens,
+      ),
+      ownReadingMs: reading.estimateMs(
+        service.name,
+        model,
+        run.call.facts.promptTokens - run.sharedTokens,
+      ),
+      leftMs: run.call.receivedAt + route.objectiveMs - clock.monotonic(),
       random,
     });
     if (!chosen) return null;
-    const model = run.call.facts.isModelOpen
-      ? chooseModel(route.models, {asksLargest: this.asksLargest(run)})
-      : null;
-    const urgency = computeUrgency(route.models, model);
-    return {endpoint: chosen.endpoint, model, urgency};
+    const {endpoint, keepsPrompt, waitMs} = chosen;
+    if (run.subject !== null) this.memory.record(endpoint, model, run.subject);
+    const unreadTokens =
+      run.call.facts.promptTokens - run.sharedTokens * keepsPrompt;
+    const readingMs = reading.estimateMs(service.name, model, unreadTokens);
+    return {
+      endpoint,
+      model,
+      urgency: computeUrgency(route.models, model),
+      aheadMs: waitMs,
+      unreadTokens,
+      expectedMs: waitMs + readingMs,
+    };
   }
 
   /** The endpoints that may take a request and were not asked before. */
@@ -101,16 +132,30 @@
       );
   }
 
-  /** Adds what this gateway knows of an endpoint. */
-  private describeCandidate(endpoint: EndpointEntry): EndpointCandidate {
-    const {view, health} = this.options;
-    return {
-      endpoint,
-      open: health.countOpen(endpoint) + view.getOtherLoad(endpoint.id),
-      isEjected: health.isEjected(endpoint),
-      isFull: health.isFull(endpoint),
-      failureShare: health.getFailureShare(endpoint),
-    };
+  /** Adds what this gateway knows of the endpoints of a request. */
+  private describeCandidates(
+    run: CallRun,
+    model: string | null,
+  ): EndpointCandidate[] {
+    const {view, health, reading} = this.options;
+    const {subject} = run;
+    const endpoints = this.listUntried(run);
+    const keeper = subject === null ? null : findKeeper(endpoints, `${model}/${subject}`);
+    return endpoints.map(endpoint => {
+      const others = view.getOtherLoad(endpoint.id);
+      const isKept =
+        subject !== null && this.memory.has(endpoint, model, subject);
+      return {
+        endpoint,
+        open: health.countOpen(endpoint) + others.open,
+        isEjected: health.isEjected(endpoint),
+        isFull: health.isFull(endpoint),
+        failureShare: health.getFailureShare(endpoint),
+        waitMs:
+          reading.getPendingMs(endpoint) + others.readingMs * OTHERS_WEIGHT,
+        keepsPrompt: isKept ? 1 : endpoint === keeper ? KEEPER_SHARE : 0,
+      };
+    });
   }
 
   /**
@@ -118,13 +163,16 @@
    * passed is not asked again: the smallest still answers, and soon.
    */
   private asksLargest({
+    isDirect,
     hasEscalated,
     hasFallenBack,
+    sends,
     runs,
     admitted,
     call,
   }: CallRun): boolean {
     if (hasFallenBack) return false;
+    if (isDirect) return sends === 0;
     if (!hasEscalated || runs < 2) return hasEscalated;
     const elapsedMs = this.options.clock.monotonic() - call.receivedAt;
     return elapsedMs < admitted.route.objectiveMs;
@@ -139,3 +187,19 @@
   const isSmallest = model !== null && model === models[0] && models.length > 1;
   return isSmallest ? SMALL_MODEL_URGENCY : null;
 }
+
+/** The endpoint that keeps a prompt by the word of all gateways. */
+function findKeeper(
+  endpoints: readonly EndpointEntry[],
+  subject: string,
+): EndpointEntry | null {
+  let keeper: EndpointEntry | null = null;
+  let best = -1;
+  for (const endpoint of endpoints) {
+    const rank = computeShare(`${endpoint.id}/${subject}`);
+    if (rank <= best) continue;
+    keeper = endpoint;
+    best = rank;
+  }
+  return keeper;
+}
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -21,6 +21,7 @@
 import type {EndpointHealth} from './endpoint_health.ts';
 import {EndpointPicker} from './endpoint_picker.ts';
 import type {EndpointNotices} from './endpoint_notices.ts';
+import type {ReadingWork} from './reading_work.ts';
 import {refuseCall, type RefusalReason} from './refuse.ts';
 import {
   deliverHeld,
@@ -29,6 +30,7 @@
   type AttemptResult,
 } from './run_attempt.ts';
 import {CallRun} from './call_run.ts';
+import {SizeRanks} from './size_ranks.ts';
 import {recordAttempt} from './record_attempt.ts';
 import type {VersionEvidenceBook} from './version_evidence.ts';
 
@@ -65,6 +67,7 @@
   readonly health: EndpointHealth;
   readonly notices: EndpointNotices;
   readonly evidence: VersionEvidenceBook;
+  readonly reading: ReadingWork;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
@@ -88,6 +91,7 @@
   private readonly budgets = new Map<string, WindowBudget>();
   private readonly bar: EscalationBar;
   private readonly picker: EndpointPicker;
+  private readonly sizes = new SizeRanks();
   private isStopping = false;
 
   constructor(private readonly options: ForwarderOptions) {
@@ -104,6 +108,7 @@
     const admitted = admitCall(call, index, random);
     if (!admitted.ok) return this.refuse(call, sink, admitted.error);
     const run = new CallRun(admitted.value);
+    this.chooseFirstModel(run);
     this.findBudget(admitted.value.service.name).deposit();
     while (!run.isOver) await this.step(run, sink);
     this.record(run);
@@ -114,6 +119,16 @@
     this.isStopping = true;
   }
 
+  /** Asks the largest model at once for the largest requests, given room. */
+  private chooseFirstModel(run: CallRun): void {
+    const {route} = run.admitted;
+    if (!run.call.facts.isModelOpen || route.models.length < 2) return;
+    const isLarge = this.sizes.record(route.name, run.call.facts);
+    if (!isLarge || !this.bar.allowsDirect()) return;
+    run.isDirect = true;
+    run.escalation = this.bar.open(route.objectiveMs);
+  }
+
   /** Makes one attempt, or ends the run when there is none to make. */
   private async step(run: CallRun, sink: CallerSink): Promise<void> {
     const {clock} = this.options;
@@ -134,6 +149,7 @@
         mayReceive: endpoint => this.picker.mayReceive(endpoint),
         escalates: confidence =>
           !run.hasEscalated &&
+          !run.isDirect &&
           this.isSoonEnough(run) &&
           hasLarger(run.admitted.route.models, choice.model) &&
           this.bar.isBelow(confidence) &&
@@ -331,12 +347,15 @@
       model: run.model,
       confidence: run.confidence,
       hasEscalated: run.hasEscalated,
+      isDirect: run.isDirect,
       escalatedMs: run.escalatedMs,
       hasFallenBack: run.hasFallenBack,
       promptTokens: run.call.facts.promptTokens,
       sharedTokens: run.sharedTokens,
       runs: run.runs,
       notRun: run.notRun,
+      expectedMs: run.expectedMs === null ? null : Math.round(run.expectedMs),
+      beganMs: run.beganMs === null ? null : Math.round(run.beganMs),
       firstMs: run.firstMs === null ? null : Math.round(run.firstMs),
       ms: Math.round(ms),
       configuration: view.routes?.table.version ?? null,
--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -19,6 +19,7 @@
 import {EndpointHealth} from './endpoint_health.ts';
 import {EndpointNotices} from './endpoint_notices.ts';
 import {Forwarder} from './forwarder.ts';
+import {ReadingWork} from './reading_work.ts';
 import {VersionEvidenceBook} from './version_evidence.ts';
 
 /** A request that says nothing of itself. */
@@ -207,6 +208,7 @@
       notices: this.notices,
       health: new EndpointHealth(this.clock),
       evidence: new VersionEvidenceBook(),
+      reading: new ReadingWork(this.clock),
       clock: this.clock,
       logger: silentLogger,
       metrics: silentMetrics,
--- /dev/null
+++ b/src/coordination/forwarding/reading_work.ts
@@ -0,0 +1,98 @@
+/**
+ * Estimates how long engines still read prompts before they can begin the next
+ * answer.
+ *
+ * An engine reads one prompt after the other, so a request waits for those
+ * before it. How long a token takes depends on the model and is learned from
+ * how soon answers begin at engines that had nothing else to read.
+ */
+import type {Clock} from '../../protocol/clock.ts';
+import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
+
+/** What a token takes of a model that no answer was seen of, in ms. */
+const DEFAULT_TOKEN_MS = 0.02;
+
+/** The weight of the newest answer in what a token takes. */
+const NEWEST_WEIGHT = 0.1;
+
+/** Prompts that are shorter tell little about their reading. */
+const MIN_TOKENS = 500;
+
+/** The prompt of one attempt while it waits for its answer to begin. */
+export interface OpenReading extends Disposable {
+  /** Notes that the answer began. */
+  begin(): void;
+}
+
+export interface BeginReadingOptions {
+  readonly endpoint: EndpointEntry;
+  readonly service: string;
+  /** `null` when the caller chose it. */
+  readonly model: string | null;
+  /** Tokens that the engine has to read as far as known. */
+  readonly tokens: number;
+  /** What others have the engine read before it, in ms. */
+  readonly aheadMs: number;
+}
+
+type EndpointStart = Pick<EndpointEntry, 'id' | 'startedAtMs'>;
+
+interface Reading {
+  readonly ms: number;
+  readonly startedAt: number;
+}
+
+export class ReadingWork {
+  private readonly tokenMs = new Map<string, number>();
+  private readonly open = new Map<string, Set<Reading>>();
+
+  constructor(private readonly clock: Clock) {}
+
+  /** How long an engine reads a prompt, in ms. */
+  estimateMs(service: string, model: string | null, tokens: number): number {
+    const known = this.tokenMs.get(`${service}\n${model}`);
+    return tokens * (known ?? DEFAULT_TOKEN_MS);
+  }
+
+  /** Notes that an engine is to read a prompt; dispose it when that ends. */
+  start(options: BeginReadingOptions): OpenReading {
+    const {endpoint, service, model, tokens, aheadMs} = options;
+    const key = `${endpoint.id}\n${endpoint.startedAtMs}`;
+    const readings = this.open.get(key) ?? new Set();
+    this.open.set(key, readings);
+    const isAlone = readings.size === 0 && aheadMs === 0;
+    const startedAt = this.clock.monotonic();
+    const reading = {ms: this.estimateMs(service, model, tokens), startedAt};
+    readings.add(reading);
+    const end = () => {
+      if (!readings.delete(reading)) return false;
+      if (readings.size === 0) this.open.delete(key);
+      return true;
+    };
+    return {
+      begin: () => {
+        if (!end() || !isAlone || tokens < MIN_TOKENS) return;
+        const ms = this.clock.monotonic() - startedAt;
+        this.learn(`${service}\n${model}`, ms / tokens);
+      },
+      [Symbol.dispose]: () => void end(),
+    };
+  }
+
+  /** What this gateway has an engine read, in ms. */
+  getPendingMs({id, startedAtMs}: EndpointStart): number {
+    const readings = this.open.get(`${id}\n${startedAtMs}`);
+    if (!readings) return 0;
+    let sum = 0;
+    for (const {ms} of readings) sum += ms;
+    return sum;
+  }
+
+  private learn(key: string, tokenMs: number): void {
+    const known = this.tokenMs.get(key);
+    this.tokenMs.set(
+      key,
+      known === undefined ? tokenMs : known + (tokenMs - known) * NEWEST_WEIGHT,
+    );
+  }
+}
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -12,6 +12,7 @@
 import type {EndpointHealth} from './endpoint_health.ts';
 import type {EndpointNotices} from './endpoint_notices.ts';
 import {HeldAnswer, MAX_HELD_BYTES} from './held_answer.ts';
+import type {ReadingWork} from './reading_work.ts';
 import {relayEvents, STALL_MIN_MS} from './relay_events.ts';
 import {startWatchdog} from './watchdog.ts';
 
@@ -61,6 +62,7 @@
   readonly clock: Clock;
   readonly health: EndpointHealth;
   readonly notices: EndpointNotices;
+  readonly reading: ReadingWork;
   /** Whether an endpoint may receive requests now. */
   readonly mayReceive: (endpoint: EndpointEntry) => boolean;
   readonly send: SendAttempt;
@@ -81,16 +83,24 @@
   readonly model: string | null;
   /** The rank at the endpoint; 0 goes first. `null` leaves its default. */
   readonly urgency: number | null;
+  /** How long the endpoint reads what it already has, in ms. */
+  readonly aheadMs: number;
+  /** The tokens that it has to read of this prompt as far as known. */
+  readonly unreadTokens: number;
+  /** When its answer should begin, in ms. */
+  readonly expectedMs: number;
 }
 
 /** Runs one attempt to its end. */
 export async function runAttempt(
   options: RunAttemptOptions,
   run: CallRun,
-  {endpoint, model, urgency}: AttemptChoice,
+  choice: AttemptChoice,
 ): Promise<AttemptResult> {
-  const {clock, health, leftMs} = options;
+  const {clock, health, leftMs, sink} = options;
+  const {endpoint, model, urgency, aheadMs, unreadTokens, expectedMs} = choice;
   const {call, admitted} = run;
+  const isFirst = isFirstOfDirect(run);
   run.model = model;
   const controller = new AbortController();
   let aborted: AbortReason | null = null;
@@ -100,13 +110,21 @@
   };
   const startedAt = clock.monotonic();
   run.beganMs = null;
+  run.expectedMs = expectedMs;
   const leave = () => abort('left');
   call.signal.addEventListener('abort', leave);
   using _open = health.open(endpoint);
+  using prompt = options.reading.start({
+    endpoint,
+    service: admitted.service.name,
+    model,
+    tokens: unreadTokens,
+    aheadMs,
+  });
   using _deadline = startWatchdog(clock, leftMs, () => abort('deadline'));
   using stall = startWatchdog(clock, findPatience(run, startedAt), () => {
     if (run.held) abort('overdue');
-    else if (canGoOn(run)) abort('stall');
+    else if (canGoOn(run)) abort(isFirst && !sink.hasBegun ? 'overdue' : 'stall');
   });
   try {
     if (call.signal.aborted) return {type: 'left'};
@@ -123,6 +141,7 @@
     });
     if (outcome.type === 'answer') {
       run.beganMs = clock.monotonic() - startedAt;
+      prompt.begin();
     }
     const result = await takeOutcome(options, run, {
       endpoint,
@@ -184,6 +203,11 @@
   return admitted.isRepeatable && runs + 1 < admitted.route.maxAttempts;
 }
 
+/** Whether the largest model was asked first and nobody else so far. */
+function isFirstOfDirect({isDirect, sends}: CallRun): boolean {
+  return isDirect && sends === 0;
+}
+
 /** How long the first event or the answer is waited for, in ms. */
 function findPatience(run: CallRun, nowMs: number): number {
   if (run.held) return findFallbackMs(run, nowMs);
--- a/src/coordination/gateway/gateway_view.ts
+++ b/src/coordination/gateway/gateway_view.ts
@@ -7,6 +7,7 @@
 import type {
   Configuration,
   CoreDaemon,
+  EndpointLoad,
   FollowReply,
   Gateway,
   ServiceRollout,
@@ -34,7 +35,7 @@
     rollouts: [],
   };
   private readonly endpoints = new Map<string, EndpointEntry>();
-  private loads = new Map<string, number>();
+  private loads = new Map<string, EndpointLoad>();
   private coreDaemons: readonly CoreDaemon[] = [];
   private openList: readonly Gateway[] = [];
 
@@ -81,9 +82,9 @@
     return this.endpoints.get(id) ?? null;
   }
 
-  /** The requests that other gateways have open at an endpoint. */
-  getOtherLoad(id: string): number {
-    return this.loads.get(id) ?? 0;
+  /** What other gateways have open at an endpoint. */
+  getOtherLoad(id: string): EndpointLoad {
+    return this.loads.get(id) ?? {id, open: 0, readingMs: 0};
   }
 
   /** Takes in what a daemon of the core answered. */
@@ -91,7 +92,7 @@
     if (reply.configuration) this.applyConfiguration(reply.configuration);
     for (const entry of reply.endpoints) this.applyEndpoint(entry);
     if (reply.complete && reply.settled) this.forgetOthers(reply.endpoints);
-    this.loads = new Map(reply.loads.map(({id, open}) => [id, open]));
+    this.loads = new Map(reply.loads.map(load => [load.id, load]));
     this.coreDaemons = reply.cores;
     if (reply.openGateways) this.openList = reply.openGateways;
   }
--- a/src/protocol/core_service.ts
+++ b/src/protocol/core_service.ts
@@ -51,6 +51,8 @@
 export const endpointLoadSchema = z.object({
   id: z.string(),
   open: z.int().nonnegative(),
+  /** How long it still reads their prompts, in ms; earlier versions do not tell. */
+  readingMs: z.number().nonnegative().default(0),
 });
 
 export type EndpointLoad = z.infer<typeof endpointLoadSchema>;
