Try to let engines take shared prompts over from each other

Hypothesis: 13,300 shared tokens take the largest model 0.8 s to read and 0.12 s to copy, so any idle engine could serve what its keeper has no time for.

--- a/src/coordination/forwarding/choose_endpoint.ts
+++ b/src/coordination/forwarding/choose_endpoint.ts
@@ -1,6 +1,7 @@
 /** Chooses the endpoint for one attempt. */
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import type {RoutedService} from '../../protocol/route_table.ts';
+import type {ReadingPlan} from './plan_reading.ts';
 
 /** An endpoint with what the gateway knows of its load. */
 export interface EndpointCandidate {
@@ -13,8 +14,8 @@
   readonly failureShare: number;
   /** How long it reads the prompts that it already has, in ms. */
   readonly waitMs: number;
-  /** How sure it is to keep the shared prompt of the request, from 0 to 1. */
-  readonly keepsPrompt: number;
+  /** What it does before it can begin the answer. */
+  readonly plan: ReadingPlan;
 }
 
 export interface ChooseEndpointOptions {
@@ -24,10 +25,6 @@
   readonly dataCentre: string;
   /** The region of a data centre; `null` when it is unknown. */
   readonly findRegion: (dataCentre: string) => string | null;
-  /** How long an engine reads what the request shares with others, in ms. */
-  readonly sharedReadingMs: number;
-  /** How long an engine reads the rest of its prompt, in ms. */
-  readonly ownReadingMs: number;
   /** The time until the answer should begin, in ms. */
   readonly leftMs: number;
   /** Returns a number from 0 up to 1. */
@@ -114,12 +111,11 @@
   options: ChooseEndpointOptions,
   candidate: EndpointCandidate,
 ): number {
-  const {sharedReadingMs, ownReadingMs, leftMs, random} = options;
-  const {endpoint, open, failureShare, waitMs, keepsPrompt} = candidate;
-  const readingMs = ownReadingMs + sharedReadingMs * (1 - keepsPrompt);
-  const overdueMs = waitMs + readingMs - leftMs * SAFE_SHARE;
+  const {leftMs, random} = options;
+  const {endpoint, open, failureShare, waitMs, plan} = candidate;
+  const overdueMs = waitMs + plan.ms - leftMs * SAFE_SHARE;
   return (
-    readingMs +
+    plan.costMs +
     waitMs * WAIT_WEIGHT +
     Math.max(0, overdueMs) * OVERDUE_WEIGHT +
     open * RUNNING_MS +
--- a/src/coordination/forwarding/endpoint_health.ts
+++ b/src/coordination/forwarding/endpoint_health.ts
@@ -117,7 +117,9 @@
 
   /** The open requests of this gateway by endpoint, for the core. */
   listLoads(
-    getReadingMs: (endpoint: Pick<EndpointEntry, 'id' | 'startedAtMs'>) => number,
+    getReadingMs: (
+      endpoint: Pick<EndpointEntry, 'id' | 'startedAtMs'>,
+    ) => number,
   ): EndpointLoad[] {
     return [...this.seen]
       .filter(([, {open}]) => open > 0)
--- a/src/coordination/forwarding/endpoint_picker.ts
+++ b/src/coordination/forwarding/endpoint_picker.ts
@@ -9,6 +9,7 @@
 import type {EndpointHealth} from './endpoint_health.ts';
 import type {EndpointNotices} from './endpoint_notices.ts';
 import {computeShare} from './hash.ts';
+import {planReading} from './plan_reading.ts';
 import {PromptMemory} from './prompt_memory.ts';
 import type {ReadingWork} from './reading_work.ts';
 import type {AttemptChoice} from './run_attempt.ts';
@@ -45,7 +46,8 @@
 
   /** Picks the next attempt; `null` when no endpoint may take it. */
   pick(run: CallRun): AttemptChoice | null {
-    const {region, dataCentre, findRegion, random, reading, clock} = this.options;
+    const {region, dataCentre, findRegion, random, reading, clock} =
+      this.options;
     const {service, route} = run.admitted;
     const model = run.call.facts.isModelOpen
       ? chooseModel(route.models, {asksLargest: this.asksLargest(run)})
@@ -56,32 +58,19 @@
       region,
       dataCentre,
       findRegion,
-      sharedReadingMs: reading.estimateMs(
-        service.name,
-        model,
-        run.sharedTokens,
-      ),
-      ownReadingMs: reading.estimateMs(
-        service.name,
-        model,
-        run.call.facts.promptTokens - run.sharedTokens,
-      ),
       leftMs: run.call.receivedAt + route.objectiveMs - clock.monotonic(),
       random,
     });
     if (!chosen) return null;
-    const {endpoint, keepsPrompt, waitMs} = chosen;
+    const {endpoint, plan, waitMs} = chosen;
     if (run.subject !== null) this.memory.record(endpoint, model, run.subject);
-    const unreadTokens =
-      run.call.facts.promptTokens - run.sharedTokens * keepsPrompt;
-    const readingMs = reading.estimateMs(service.name, model, unreadTokens);
     return {
       endpoint,
       model,
       urgency: computeUrgency(route.models, model),
       aheadMs: waitMs,
-      unreadTokens,
-      expectedMs: waitMs + readingMs,
+      plan,
+      expectedMs: waitMs + plan.ms,
     };
   }
 
@@ -138,13 +127,18 @@
     model: string | null,
   ): EndpointCandidate[] {
     const {view, health, reading} = this.options;
-    const {subject} = run;
+    const {subject, sharedTokens} = run;
+    const {service} = run.admitted;
     const endpoints = this.listUntried(run);
-    const keeper = subject === null ? null : findKeeper(endpoints, `${model}/${subject}`);
+    const keeper =
+      subject === null ? null : findKeeper(endpoints, `${model}/${subject}`);
+    const holders = endpoints.filter(
+      endpoint => subject !== null && this.memory.has(endpoint, model, subject),
+    );
+    const tokenMs = reading.getTokenMs(service.name, model);
     return endpoints.map(endpoint => {
       const others = view.getOtherLoad(endpoint.id);
-      const isKept =
-        subject !== null && this.memory.has(endpoint, model, subject);
+      const isHolder = holders.includes(endpoint);
       return {
         endpoint,
         open: health.countOpen(endpoint) + others.open,
@@ -153,7 +147,15 @@
         failureShare: health.getFailureShare(endpoint),
         waitMs:
           reading.getPendingMs(endpoint) + others.readingMs * OTHERS_WEIGHT,
-        keepsPrompt: isKept ? 1 : endpoint === keeper ? KEEPER_SHARE : 0,
+        plan: planReading({
+          engine: service.engine,
+          endpoint,
+          keepsPrompt: isHolder ? 1 : endpoint === keeper ? KEEPER_SHARE : 0,
+          holder: findNear(holders, endpoint) ?? keeper,
+          sharedTokens,
+          ownTokens: run.call.facts.promptTokens - sharedTokens,
+          tokenMs,
+        }),
       };
     });
   }
@@ -188,6 +190,15 @@
   return isSmallest ? SMALL_MODEL_URGENCY : null;
 }
 
+/** One of the endpoints, in the same data centre if there is one. */
+function findNear(
+  endpoints: readonly EndpointEntry[],
+  {dataCentre}: EndpointEntry,
+): EndpointEntry | null {
+  const near = endpoints.find(each => each.dataCentre === dataCentre);
+  return near ?? endpoints[0] ?? null;
+}
+
 /** The endpoint that keeps a prompt by the word of all gateways. */
 function findKeeper(
   endpoints: readonly EndpointEntry[],
--- a/src/coordination/forwarding/reading_work.ts
+++ b/src/coordination/forwarding/reading_work.ts
@@ -8,6 +8,7 @@
  */
 import type {Clock} from '../../protocol/clock.ts';
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
+import type {ReadingPlan} from './plan_reading.ts';
 
 /** What a token takes of a model that no answer was seen of, in ms. */
 const DEFAULT_TOKEN_MS = 0.02;
@@ -29,8 +30,8 @@
   readonly service: string;
   /** `null` when the caller chose it. */
   readonly model: string | null;
-  /** Tokens that the engine has to read as far as known. */
-  readonly tokens: number;
+  /** What the engine does before the answer begins. */
+  readonly plan: ReadingPlan;
   /** What others have the engine read before it, in ms. */
   readonly aheadMs: number;
 }
@@ -39,7 +40,6 @@
 
 interface Reading {
   readonly ms: number;
-  readonly startedAt: number;
 }
 
 export class ReadingWork {
@@ -48,21 +48,20 @@
 
   constructor(private readonly clock: Clock) {}
 
-  /** How long an engine reads a prompt, in ms. */
-  estimateMs(service: string, model: string | null, tokens: number): number {
-    const known = this.tokenMs.get(`${service}\n${model}`);
-    return tokens * (known ?? DEFAULT_TOKEN_MS);
+  /** How long an engine reads a token, in ms. */
+  getTokenMs(service: string, model: string | null): number {
+    return this.tokenMs.get(`${service}\n${model}`) ?? DEFAULT_TOKEN_MS;
   }
 
   /** Notes that an engine is to read a prompt; dispose it when that ends. */
   start(options: BeginReadingOptions): OpenReading {
-    const {endpoint, service, model, tokens, aheadMs} = options;
+    const {endpoint, service, model, plan, aheadMs} = options;
     const key = `${endpoint.id}\n${endpoint.startedAtMs}`;
     const readings = this.open.get(key) ?? new Set();
     this.open.set(key, readings);
     const isAlone = readings.size === 0 && aheadMs === 0;
     const startedAt = this.clock.monotonic();
-    const reading = {ms: this.estimateMs(service, model, tokens), startedAt};
+    const reading = {ms: plan.ms};
     readings.add(reading);
     const end = () => {
       if (!readings.delete(reading)) return false;
@@ -71,7 +70,9 @@
     };
     return {
       begin: () => {
+        const tokens = plan.unreadTokens;
         if (!end() || !isAlone || tokens < MIN_TOKENS) return;
+        if (plan.source) return;
         const ms = this.clock.monotonic() - startedAt;
         this.learn(`${service}\n${model}`, ms / tokens);
       },
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -12,6 +12,7 @@
 import type {EndpointHealth} from './endpoint_health.ts';
 import type {EndpointNotices} from './endpoint_notices.ts';
 import {HeldAnswer, MAX_HELD_BYTES} from './held_answer.ts';
+import type {ReadingPlan} from './plan_reading.ts';
 import type {ReadingWork} from './reading_work.ts';
 import {relayEvents, STALL_MIN_MS} from './relay_events.ts';
 import {startWatchdog} from './watchdog.ts';
@@ -85,8 +86,7 @@
   readonly urgency: number | null;
   /** How long the endpoint reads what it already has, in ms. */
   readonly aheadMs: number;
-  /** The tokens that it has to read of this prompt as far as known. */
-  readonly unreadTokens: number;
+  readonly plan: ReadingPlan;
   /** When its answer should begin, in ms. */
   readonly expectedMs: number;
 }
@@ -98,7 +98,7 @@
   choice: AttemptChoice,
 ): Promise<AttemptResult> {
   const {clock, health, leftMs, sink} = options;
-  const {endpoint, model, urgency, aheadMs, unreadTokens, expectedMs} = choice;
+  const {endpoint, model, urgency, aheadMs, plan, expectedMs} = choice;
   const {call, admitted} = run;
   const isFirst = isFirstOfDirect(run);
   run.model = model;
@@ -118,13 +118,14 @@
     endpoint,
     service: admitted.service.name,
     model,
-    tokens: unreadTokens,
+    plan,
     aheadMs,
   });
   using _deadline = startWatchdog(clock, leftMs, () => abort('deadline'));
   using stall = startWatchdog(clock, findPatience(run, startedAt), () => {
     if (run.held) abort('overdue');
-    else if (canGoOn(run)) abort(isFirst && !sink.hasBegun ? 'overdue' : 'stall');
+    else if (canGoOn(run))
+      abort(isFirst && !sink.hasBegun ? 'overdue' : 'stall');
   });
   try {
     if (call.signal.aborted) return {type: 'left'};
@@ -133,6 +134,7 @@
       customer: admitted.customer?.name ?? null,
       model,
       urgency,
+      source: plan.source,
       lastEventId: run.lastEventId,
       budgetMs: Math.max(1, Math.floor(leftMs)),
       mayReuseConnection: admitted.isRepeatable,
--- a/src/transport/forwarding/endpoint_client_test.ts
+++ b/src/transport/forwarding/endpoint_client_test.ts
@@ -82,6 +82,7 @@
     customer: null,
     model: null,
     urgency: null,
+    source: null,
     lastEventId: null,
     budgetMs: 1_000,
     mayReuseConnection: true,
