Learn a fixed time and a time for each token

Cause: what a token takes was a mean of time by tokens, so the fixed 16 ms and the way to the engine made short prompts count five times too long; estimates were 0.1 s too high at the median.

Change: PaceLearner fits both, with slow answers weighing less. Transfers are switched off.

--- a/src/coordination/forwarding/endpoint_picker.ts
+++ b/src/coordination/forwarding/endpoint_picker.ts
@@ -70,7 +70,8 @@
       urgency: computeUrgency(route.models, model),
       aheadMs: waitMs,
       plan,
-      expectedMs: waitMs + plan.ms,
+      expectedMs:
+        waitMs + plan.ms + reading.getPace(service.name, model).fixedMs,
     };
   }
 
@@ -135,7 +136,7 @@
     const holders = endpoints.filter(
       endpoint => subject !== null && this.memory.has(endpoint, model, subject),
     );
-    const tokenMs = reading.getTokenMs(service.name, model);
+    const {tokenMs} = reading.getPace(service.name, model);
     return endpoints.map(endpoint => {
       const others = view.getOtherLoad(endpoint.id);
       const isHolder = holders.includes(endpoint);
@@ -151,7 +152,7 @@
           engine: service.engine,
           endpoint,
           keepsPrompt: isHolder ? 1 : endpoint === keeper ? KEEPER_SHARE : 0,
-          holder: findNear(holders, endpoint) ?? keeper,
+          holder: findNear(holders, endpoint),
           sharedTokens,
           ownTokens: run.call.facts.promptTokens - sharedTokens,
           tokenMs,
--- a/src/coordination/forwarding/plan_reading.ts
+++ b/src/coordination/forwarding/plan_reading.ts
@@ -33,7 +33,7 @@
 }
 
 /** What an ms of the links between engines costs, against an engine's. */
-const LINK_WEIGHT = 2;
+const LINK_WEIGHT = 2000;
 
 /** Shared parts below this, in ms of reading, are not worth a transfer. */
 const MIN_TRANSFER_MS = 100;
--- a/src/coordination/forwarding/reading_work.ts
+++ b/src/coordination/forwarding/reading_work.ts
@@ -9,15 +9,7 @@
 import type {Clock} from '../../protocol/clock.ts';
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import type {ReadingPlan} from './plan_reading.ts';
-
-/** What a token takes of a model that no answer was seen of, in ms. */
-const DEFAULT_TOKEN_MS = 0.02;
-
-/** The weight of the newest answer in what a token takes. */
-const NEWEST_WEIGHT = 0.1;
-
-/** Prompts that are shorter tell little about their reading. */
-const MIN_TOKENS = 500;
+import {PaceLearner, type ReadingPace} from './reading_pace.ts';
 
 /** The prompt of one attempt while it waits for its answer to begin. */
 export interface OpenReading extends Disposable {
@@ -43,14 +35,14 @@
 }
 
 export class ReadingWork {
-  private readonly tokenMs = new Map<string, number>();
+  private readonly learners = new Map<string, PaceLearner>();
   private readonly open = new Map<string, Set<Reading>>();
 
   constructor(private readonly clock: Clock) {}
 
-  /** How long an engine reads a token, in ms. */
-  getTokenMs(service: string, model: string | null): number {
-    return this.tokenMs.get(`${service}\n${model}`) ?? DEFAULT_TOKEN_MS;
+  /** How long an engine takes to begin an answer of a model. */
+  getPace(service: string, model: string | null): ReadingPace {
+    return this.findLearner(service, model).getPace();
   }
 
   /** Notes that an engine is to read a prompt; dispose it when that ends. */
@@ -70,11 +62,9 @@
     };
     return {
       begin: () => {
-        const tokens = plan.unreadTokens;
-        if (!end() || !isAlone || tokens < MIN_TOKENS) return;
-        if (plan.source) return;
+        if (!end() || !isAlone || plan.source) return;
         const ms = this.clock.monotonic() - startedAt;
-        this.learn(`${service}\n${model}`, ms / tokens);
+        this.findLearner(service, model).record(plan.unreadTokens, ms);
       },
       [Symbol.dispose]: () => void end(),
     };
@@ -89,11 +79,12 @@
     return sum;
   }
 
-  private learn(key: string, tokenMs: number): void {
-    const known = this.tokenMs.get(key);
-    this.tokenMs.set(
-      key,
-      known === undefined ? tokenMs : known + (tokenMs - known) * NEWEST_WEIGHT,
-    );
+  private findLearner(service: string, model: string | null): PaceLearner {
+    const key = `${service}\n${model}`;
+    const known = this.learners.get(key);
+    if (known) return known;
+    const learner = new PaceLearner();
+    this.learners.set(key, learner);
+    return learner;
   }
 }
