Ask a larger model only when it should begin in time

Change: a larger model is asked when the estimate says that it begins within 0.75 of the objective; what needs little reading is asked while there is little room.

--- a/src/coordination/forwarding/choose_model.ts
+++ b/src/coordination/forwarding/choose_model.ts
@@ -20,6 +20,9 @@
 /** The room that larger models need before one is asked at once. */
 const DIRECT_ROOM = 0.5;
 
+/** No prompt counts as shorter than this share of it. */
+const MIN_UNREAD = 0.1;
+
 /** The weight of the newest first event in the mean. */
 const NEWEST_WEIGHT = 0.15;
 
@@ -71,9 +74,15 @@
     };
   }
 
-  /** Whether a larger model should answer instead of one so sure. */
-  isBelow(confidence: number): boolean {
-    return confidence < ACCEPT_FROM * this.measureRoom();
+  /**
+   * Whether a larger model should answer instead of one so sure.
+   *
+   * @param unread The share of the prompt that it has to read: what takes an
+   *     engine little time may be asked while there is little room.
+   */
+  isBelow(confidence: number, unread = 1): boolean {
+    const room = this.measureRoom() / Math.max(MIN_UNREAD, unread);
+    return confidence < ACCEPT_FROM * Math.min(1, room);
   }
 
   /** Whether the largest model may be asked without asking the smallest. */
--- a/src/coordination/forwarding/endpoint_picker.ts
+++ b/src/coordination/forwarding/endpoint_picker.ts
@@ -46,15 +46,35 @@
 
   /** Picks the next attempt; `null` when no endpoint may take it. */
   pick(run: CallRun): AttemptChoice | null {
+    const {models} = run.admitted.route;
+    const model = run.call.facts.isModelOpen
+      ? chooseModel(models, {asksLargest: this.asksLargest(run)})
+      : null;
+    const choice = this.plan(run, model);
+    if (choice && run.subject !== null) {
+      this.memory.record(choice.endpoint, model, run.subject);
+    }
+    return choice;
+  }
+
+  /**
+   * Plans an attempt with a model, without making it; `null` when no endpoint
+   * may take it.
+   *
+   * @param except An endpoint that is left out.
+   */
+  plan(
+    run: CallRun,
+    model: string | null,
+    except?: EndpointEntry,
+  ): AttemptChoice | null {
     const {region, dataCentre, findRegion, random, reading, clock} =
       this.options;
     const {service, route} = run.admitted;
-    const model = run.call.facts.isModelOpen
-      ? chooseModel(route.models, {asksLargest: this.asksLargest(run)})
-      : null;
+    const endpoints = this.listUntried(run).filter(each => each !== except);
     const chosen = chooseEndpoint({
       service,
-      candidates: this.describeCandidates(run, model),
+      candidates: this.describeCandidates(run, model, endpoints),
       region,
       dataCentre,
       findRegion,
@@ -63,7 +83,6 @@
     });
     if (!chosen) return null;
     const {endpoint, plan, waitMs} = chosen;
-    if (run.subject !== null) this.memory.record(endpoint, model, run.subject);
     return {
       endpoint,
       model,
@@ -126,11 +145,11 @@
   private describeCandidates(
     run: CallRun,
     model: string | null,
+    endpoints: readonly EndpointEntry[],
   ): EndpointCandidate[] {
     const {view, health, reading} = this.options;
     const {subject, sharedTokens} = run;
     const {service} = run.admitted;
-    const endpoints = this.listUntried(run);
     const keeper =
       subject === null ? null : findKeeper(endpoints, `${model}/${subject}`);
     const holders = endpoints.filter(
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -27,6 +27,7 @@
   deliverHeld,
   findFallbackMs,
   runAttempt,
+  type AttemptChoice,
   type AttemptResult,
 } from './run_attempt.ts';
 import {CallRun} from './call_run.ts';
@@ -52,6 +53,9 @@
  */
 const ESCALATE_BY_SHARE = 0.6;
 
+/** The share of the objective before which a larger model should begin. */
+const BEGIN_BY_SHARE = 0.75;
+
 /**
  * The share of the objective within which a request waits for endpoints that
  * want no requests now; the rest is needed to answer it.
@@ -125,6 +129,8 @@
     if (!run.call.facts.isModelOpen || route.models.length < 2) return;
     const isLarge = this.sizes.record(route.name, run.call.facts);
     if (!isLarge || !this.bar.allowsDirect()) return;
+    const largest = this.picker.plan(run, route.models.at(-1) ?? null);
+    if (!largest || !this.beginsInTime(run, largest)) return;
     run.isDirect = true;
     run.escalation = this.bar.open(route.objectiveMs);
   }
@@ -147,15 +153,7 @@
         sink,
         leftMs,
         mayReceive: endpoint => this.picker.mayReceive(endpoint),
-        escalates: confidence =>
-          !run.hasEscalated &&
-          !run.isDirect &&
-          this.isSoonEnough(run) &&
-          hasLarger(run.admitted.route.models, choice.model) &&
-          this.bar.isBelow(confidence) &&
-          // An answer that is ready is not dropped with nobody else to ask.
-          this.picker.listUntried(run).length > 1 &&
-          this.canEscalate(run),
+        escalates: confidence => this.escalates(run, choice, confidence),
       },
       run,
       choice,
@@ -211,6 +209,38 @@
     this.finishWith(run, sink, result);
   }
 
+  /** Whether a larger model answers instead of one that is so sure. */
+  private escalates(
+    run: CallRun,
+    {endpoint, model}: AttemptChoice,
+    confidence: number,
+  ): boolean {
+    const {models} = run.admitted.route;
+    if (run.hasEscalated || run.isDirect || !hasLarger(models, model)) {
+      return false;
+    }
+    // An answer that is ready is not dropped with nobody else to ask.
+    const largest = this.picker.plan(run, models.at(-1) ?? null, endpoint);
+    return (
+      largest !== null &&
+      this.isSoonEnough(run) &&
+      this.beginsInTime(run, largest) &&
+      this.bar.isBelow(confidence, this.measureUnread(run, largest)) &&
+      this.canEscalate(run)
+    );
+  }
+
+  /** Whether an attempt should begin its answer before it is given up. */
+  private beginsInTime(run: CallRun, {expectedMs}: AttemptChoice): boolean {
+    const {objectiveMs} = run.admitted.route;
+    return this.measureMs(run) + expectedMs < objectiveMs * BEGIN_BY_SHARE;
+  }
+
+  /** The share of a prompt that an attempt has to read. */
+  private measureUnread(run: CallRun, {plan}: AttemptChoice): number {
+    return plan.unreadTokens / Math.max(1, run.call.facts.promptTokens);
+  }
+
   /** Whether a larger model could still begin in time. */
   private isSoonEnough(run: CallRun): boolean {
     const {objectiveMs} = run.admitted.route;
