Count waits, not reading, when the bar falls

Cause: the bar fell by the time until a larger model began, also when all of that was the reading of a long prompt at an idle engine.

Change: only what exceeds the estimated reading counts as a wait.

--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -32,6 +32,8 @@
   hasEscalated = false;
   /** Whether the largest model was asked first, without the smallest. */
   isDirect = false;
+  /** How long the largest model reads the prompt as far as known, in ms. */
+  largestMs = 0;
   /** When that model was asked, in ms since the request came. */
   escalatedMs: number | null = null;
   /** Whether the retry budget already paid for the next attempt. */
--- a/src/coordination/forwarding/choose_model.ts
+++ b/src/coordination/forwarding/choose_model.ts
@@ -38,6 +38,7 @@
 }
 
 interface Waiting {
+  /** When it could begin at an engine that has nothing else to do. */
   readonly since: number;
   readonly objectiveMs: number;
 }
@@ -61,9 +62,12 @@
   /**
    * Notes that a larger model is asked. Call the result once it begins its
    * answer, or dispose of it when it never does.
+   *
+   * @param readingMs How long an engine reads the prompt; that is no wait.
    */
-  open(objectiveMs: number): OpenEscalation {
-    const entry = {since: this.clock.monotonic(), objectiveMs};
+  open(objectiveMs: number, readingMs = 0): OpenEscalation {
+    const since = this.clock.monotonic() + readingMs;
+    const entry = {since, objectiveMs};
     this.waiting.add(entry);
     return {
       begin: () => {
@@ -107,7 +111,8 @@
 
   /** How long a request has waited, as a share of its objective. */
   private readShare({since, objectiveMs}: Waiting): number {
-    return (this.clock.monotonic() - since) / Math.max(1, objectiveMs);
+    const waitedMs = Math.max(0, this.clock.monotonic() - since);
+    return waitedMs / Math.max(1, objectiveMs);
   }
 
   private readMean(): number {
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -132,7 +132,7 @@
     const largest = this.picker.plan(run, route.models.at(-1) ?? null);
     if (!largest || !this.beginsInTime(run, largest)) return;
     run.isDirect = true;
-    run.escalation = this.bar.open(route.objectiveMs);
+    run.escalation = this.bar.open(route.objectiveMs, largest.plan.ms);
   }
 
   /** Makes one attempt, or ends the run when there is none to make. */
@@ -221,6 +221,7 @@
     }
     // An answer that is ready is not dropped with nobody else to ask.
     const largest = this.picker.plan(run, models.at(-1) ?? null, endpoint);
+    run.largestMs = largest?.plan.ms ?? 0;
     return (
       largest !== null &&
       this.isSoonEnough(run) &&
@@ -316,7 +317,8 @@
     run.note(endpoint, result);
     if (result.type === 'escalated') {
       run.escalatedMs = Math.round(this.measureMs(run));
-      run.escalation = this.bar.open(run.admitted.route.objectiveMs);
+      const {objectiveMs} = run.admitted.route;
+      run.escalation = this.bar.open(objectiveMs, run.largestMs);
     }
     // The wait is longer than this, and as good as seen.
     if (result.type === 'overdue') run.escalation?.begin();
