Say in the log what a request had to read

The line at the end of a request names its subject, the tokens that the last attempt had to read, and when its answer was expected.

--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -42,6 +42,8 @@
   lastEventId: string | null;
   /** The time to the first event or the answer, in ms. */
   firstMs: number | null = null;
+  /** The tokens that the last attempt had to read as far as known. */
+  unreadTokens = 0;
   /** How long the last attempt was expected to take until then, in ms. */
   expectedMs: number | null = null;
   /** How long the last attempt took to begin its answer, in ms. */
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -386,6 +386,8 @@
       sharedTokens: run.sharedTokens,
       runs: run.runs,
       notRun: run.notRun,
+      subject: run.subject,
+      unreadTokens: Math.round(run.unreadTokens),
       expectedMs: run.expectedMs === null ? null : Math.round(run.expectedMs),
       beganMs: run.beganMs === null ? null : Math.round(run.beganMs),
       firstMs: run.firstMs === null ? null : Math.round(run.firstMs),
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -111,6 +111,7 @@
   const startedAt = clock.monotonic();
   run.beganMs = null;
   run.expectedMs = expectedMs;
+  run.unreadTokens = plan.unreadTokens;
   const leave = () => abort('left');
   call.signal.addEventListener('abort', leave);
   using _open = health.open(endpoint);
