Ask the smallest model first again, and larger ones sooner for large requests

Change: no request goes to the largest at once. Reports go each 0.2 s in small deployments. What copied prompts between engines is gone.

--- a/src/coordination/core/exchange_task.ts
+++ b/src/coordination/core/exchange_task.ts
@@ -9,7 +9,11 @@
 import type {CoreState} from './core_state.ts';
 
 /** How often daemons exchange what is not urgent. */
-const INTERVAL_MS = 800;
+const MIN_INTERVAL_MS = 200;
+const MAX_INTERVAL_MS = 800;
+
+/** What each open gateway adds, whose reports are exchanged. */
+const INTERVAL_MS_PER_GATEWAY = 20;
 
 /** How often a daemon is told of the others: they also speak for themselves. */
 const MENTION_INTERVAL_MS = 4_000;
@@ -75,11 +79,16 @@
       for (const report of reports) peer.reports.set(report.id, report);
       if (!peer.isBusy) void exchangeWith(options, address, peer);
     }
-    await state.news.wait(INTERVAL_MS);
+    await state.news.wait(computeIntervalMs(state));
     await clock.sleep(GATHER_MS, signal);
   }
 }
 
+function computeIntervalMs({gateways}: CoreState): number {
+  const ms = gateways.findOpen().list.length * INTERVAL_MS_PER_GATEWAY;
+  return Math.min(MAX_INTERVAL_MS, Math.max(MIN_INTERVAL_MS, ms));
+}
+
 function createProgress(): PeerProgress {
   return {
     reports: new Map(),
--- a/src/coordination/forwarding/call.ts
+++ b/src/coordination/forwarding/call.ts
@@ -58,8 +58,6 @@
   readonly model: string | null;
   /** The rank at the endpoint; 0 goes first. `null` leaves its default. */
   readonly urgency: number | null;
-  /** The endpoint to take the shared part of the prompt from, if any. */
-  readonly source: EndpointEntry | null;
   /** The event after which the stream goes on. */
   readonly lastEventId: string | null;
   /** How long the endpoint may work, in ms. */
--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -30,8 +30,6 @@
   confidence: number | null = null;
   /** Whether a larger model is asked since the first was not sure. */
   hasEscalated = false;
-  /** Whether the largest model was asked first, without the smallest. */
-  isDirect = false;
   /** How long the largest model reads the prompt as far as known, in ms. */
   largestMs = 0;
   /** When that model was asked, in ms since the request came. */
@@ -57,7 +55,11 @@
   status = 0;
   private heldAnswer: HeldAnswer | null = null;
 
-  constructor(readonly admitted: AdmittedCall) {
+  constructor(
+    readonly admitted: AdmittedCall,
+    /** Whether it is among the largest of its route. */
+    readonly isLarge: boolean,
+  ) {
     this.lastEventId = admitted.call.facts.lastEventId;
   }
 
--- a/src/coordination/forwarding/choose_endpoint.ts
+++ b/src/coordination/forwarding/choose_endpoint.ts
@@ -115,7 +115,7 @@
   const {endpoint, open, failureShare, waitMs, plan} = candidate;
   const overdueMs = waitMs + plan.ms - leftMs * SAFE_SHARE;
   return (
-    plan.costMs +
+    plan.ms +
     waitMs * WAIT_WEIGHT +
     Math.max(0, overdueMs) * OVERDUE_WEIGHT +
     open * RUNNING_MS +
--- a/src/coordination/forwarding/endpoint_picker.ts
+++ b/src/coordination/forwarding/endpoint_picker.ts
@@ -15,7 +15,7 @@
 import type {AttemptChoice} from './run_attempt.ts';
 
 /** How much of the reading that other gateways told of is still to come. */
-const OTHERS_WEIGHT = 0.5;
+const OTHERS_WEIGHT = 0.8;
 
 /** How sure a keeper is to keep a prompt that this gateway did not send it. */
 const KEEPER_SHARE = 0.8;
@@ -152,13 +152,11 @@
     const {service} = run.admitted;
     const keeper =
       subject === null ? null : findKeeper(endpoints, `${model}/${subject}`);
-    const holders = endpoints.filter(
-      endpoint => subject !== null && this.memory.has(endpoint, model, subject),
-    );
     const {tokenMs} = reading.getPace(service.name, model);
     return endpoints.map(endpoint => {
       const others = view.getOtherLoad(endpoint.id);
-      const isHolder = holders.includes(endpoint);
+      const isHolder =
+        subject !== null && this.memory.has(endpoint, model, subject);
       return {
         endpoint,
         open: health.countOpen(endpoint) + others.open,
@@ -168,10 +166,7 @@
         waitMs:
           reading.getPendingMs(endpoint) + others.readingMs * OTHERS_WEIGHT,
         plan: planReading({
-          engine: service.engine,
-          endpoint,
           keepsPrompt: isHolder ? 1 : endpoint === keeper ? KEEPER_SHARE : 0,
-          holder: findNear(holders, endpoint),
           sharedTokens,
           ownTokens: run.call.facts.promptTokens - sharedTokens,
           tokenMs,
@@ -185,16 +180,13 @@
    * passed is not asked again: the smallest still answers, and soon.
    */
   private asksLargest({
-    isDirect,
     hasEscalated,
     hasFallenBack,
-    sends,
     runs,
     admitted,
     call,
   }: CallRun): boolean {
     if (hasFallenBack) return false;
-    if (isDirect) return sends === 0;
     if (!hasEscalated || runs < 2) return hasEscalated;
     const elapsedMs = this.options.clock.monotonic() - call.receivedAt;
     return elapsedMs < admitted.route.objectiveMs;
@@ -210,15 +202,6 @@
   return isSmallest ? SMALL_MODEL_URGENCY : null;
 }
 
-/** One of the endpoints, in the same data centre if there is one. */
-function findNear(
-  endpoints: readonly EndpointEntry[],
-  {dataCentre}: EndpointEntry,
-): EndpointEntry | null {
-  const near = endpoints.find(each => each.dataCentre === dataCentre);
-  return near ?? endpoints[0] ?? null;
-}
-
 /** The endpoint that keeps a prompt by the word of all gateways. */
 function findKeeper(
   endpoints: readonly EndpointEntry[],
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -111,8 +111,9 @@
     if (!index) return this.refuse(call, sink, 'no-configuration');
     const admitted = admitCall(call, index, random);
     if (!admitted.ok) return this.refuse(call, sink, admitted.error);
-    const run = new CallRun(admitted.value);
-    this.chooseFirstModel(run);
+    const {route} = admitted.value;
+    const isLarge = this.sizes.record(route.name, call.facts);
+    const run = new CallRun(admitted.value, isLarge);
     this.findBudget(admitted.value.service.name).deposit();
     while (!run.isOver) await this.step(run, sink);
     this.record(run);
@@ -123,18 +124,6 @@
     this.isStopping = true;
   }
 
-  /** Asks the largest model at once for the largest requests, given room. */
-  private chooseFirstModel(run: CallRun): void {
-    const {route} = run.admitted;
-    if (!run.call.facts.isModelOpen || route.models.length < 2) return;
-    const isLarge = this.sizes.record(route.name, run.call.facts);
-    if (!isLarge || !this.bar.allowsDirect()) return;
-    const largest = this.picker.plan(run, route.models.at(-1) ?? null);
-    if (!largest || !this.beginsInTime(run, largest)) return;
-    run.isDirect = true;
-    run.escalation = this.bar.open(route.objectiveMs, largest.plan.ms);
-  }
-
   /** Makes one attempt, or ends the run when there is none to make. */
   private async step(run: CallRun, sink: CallerSink): Promise<void> {
     const {clock} = this.options;
@@ -216,7 +205,7 @@
     confidence: number,
   ): boolean {
     const {models} = run.admitted.route;
-    if (run.hasEscalated || run.isDirect || !hasLarger(models, model)) {
+    if (run.hasEscalated || !hasLarger(models, model)) {
       return false;
     }
     // An answer that is ready is not dropped with nobody else to ask.
@@ -226,7 +215,10 @@
       largest !== null &&
       this.isSoonEnough(run) &&
       this.beginsInTime(run, largest) &&
-      this.bar.isBelow(confidence, this.measureUnread(run, largest)) &&
+      this.bar.isBelow(confidence, {
+        unreadShare: this.measureUnread(run, largest),
+        isLarge: run.isLarge,
+      }) &&
       this.canEscalate(run)
     );
   }
@@ -379,7 +371,7 @@
       model: run.model,
       confidence: run.confidence,
       hasEscalated: run.hasEscalated,
-      isDirect: run.isDirect,
+      isLarge: run.isLarge,
       escalatedMs: run.escalatedMs,
       hasFallenBack: run.hasFallenBack,
       promptTokens: run.call.facts.promptTokens,
--- a/src/coordination/forwarding/reading_work.ts
+++ b/src/coordination/forwarding/reading_work.ts
@@ -62,7 +62,7 @@
     };
     return {
       begin: () => {
-        if (!end() || !isAlone || plan.source) return;
+        if (!end() || !isAlone) return;
         const ms = this.clock.monotonic() - startedAt;
         this.findLearner(service, model).record(plan.unreadTokens, ms);
       },
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -26,9 +26,10 @@
 
 /**
  * When a held answer is delivered in place of one that has not begun, as a
- * share of the objective: what is left covers the way to the caller.
+ * multiple of the objective. Held for so long, it is late whenever it comes; a
+ * sure answer that begins a little later serves the caller better.
  */
-const FALLBACK_SHARE = 0.8;
+const FALLBACK_FACTOR = 1.25;
 
 /** What became of an attempt, for the request and for the endpoint. */
 export type AttemptResult =
@@ -97,10 +98,9 @@
   run: CallRun,
   choice: AttemptChoice,
 ): Promise<AttemptResult> {
-  const {clock, health, leftMs, sink} = options;
+  const {clock, health, leftMs} = options;
   const {endpoint, model, urgency, aheadMs, plan, expectedMs} = choice;
   const {call, admitted} = run;
-  const isFirst = isFirstOfDirect(run);
   run.model = model;
   const controller = new AbortController();
   let aborted: AbortReason | null = null;
@@ -125,8 +125,7 @@
   using _deadline = startWatchdog(clock, leftMs, () => abort('deadline'));
   using stall = startWatchdog(clock, findPatience(run, startedAt), () => {
     if (run.held) abort('overdue');
-    else if (canGoOn(run))
-      abort(isFirst && !sink.hasBegun ? 'overdue' : 'stall');
+    else if (canGoOn(run)) abort('stall');
   });
   try {
     if (call.signal.aborted) return {type: 'left'};
@@ -135,7 +134,6 @@
       customer: admitted.customer?.name ?? null,
       model,
       urgency,
-      source: plan.source,
       lastEventId: run.lastEventId,
       budgetMs: Math.max(1, Math.floor(leftMs)),
       mayReuseConnection: admitted.isRepeatable,
@@ -197,7 +195,7 @@
   {call, admitted}: CallRun,
   nowMs: number,
 ): number {
-  const dueAt = call.receivedAt + admitted.route.objectiveMs * FALLBACK_SHARE;
+  const dueAt = call.receivedAt + admitted.route.objectiveMs * FALLBACK_FACTOR;
   return Math.max(0, dueAt - nowMs);
 }
 
@@ -206,11 +204,6 @@
   return admitted.isRepeatable && runs + 1 < admitted.route.maxAttempts;
 }
 
-/** Whether the largest model was asked first and nobody else so far. */
-function isFirstOfDirect({isDirect, sends}: CallRun): boolean {
-  return isDirect && sends === 0;
-}
-
 /** How long the first event or the answer is waited for, in ms. */
 function findPatience(run: CallRun, nowMs: number): number {
   if (run.held) return findFallbackMs(run, nowMs);
--- a/src/coordination/gateway/core_follower.ts
+++ b/src/coordination/gateway/core_follower.ts
@@ -17,7 +17,11 @@
 import type {GatewayView} from './gateway_view.ts';
 
 /** How long a call may be held; the core learns of loads as often. */
-const HOLD_MS = 800;
+const MIN_HOLD_MS = 200;
+const MAX_HOLD_MS = 800;
+
+/** What each gateway adds, so that the core's work does not grow with them. */
+const HOLD_MS_PER_GATEWAY = 20;
 
 /** How long an answer may take beyond the hold: a lost packet sent again. */
 const ANSWER_TIMEOUT_MS = 700;
@@ -173,7 +177,7 @@
     const {clock, logger} = this.options;
     const isFirst = this.position === NOTHING_TOLD;
     try {
-      const fresh = await this.ask(address, isFirst ? 0 : HOLD_MS);
+      const fresh = await this.ask(address, isFirst ? 0 : this.computeHoldMs());
       if (isFirst) logger.info('Follows a core daemon.', {address, fresh});
       if (fresh) return;
       this.avoid(address);
@@ -209,6 +213,11 @@
     };
   }
 
+  private computeHoldMs(): number {
+    const ms = this.options.view.gatewayCount * HOLD_MS_PER_GATEWAY;
+    return Math.min(MAX_HOLD_MS, Math.max(MIN_HOLD_MS, ms));
+  }
+
   private listAddresses(): string[] {
     const {view, listSeeds} = this.options;
     const known = view.cores.map(({address}) => address);
--- a/src/protocol/route_table.ts
+++ b/src/protocol/route_table.ts
@@ -45,16 +45,6 @@
   memoryTokens: z.number().positive(),
   /** Tokens in one event of a stream. */
   tokensPerEvent: z.number().positive(),
-  /**
-   * How endpoints take prompts over from each other; absent where they cannot.
-   */
-  link: z
-    .object({
-      /** What a token in memory takes up, in bytes. */
-      tokenBytes: z.number().positive(),
-      mbitPerS: z.number().positive(),
-    })
-    .nullish(),
   models: z.array(
     z.object({name: z.string(), costPerThousandTokens: z.number()}),
   ),
--- a/src/transport/forwarding/endpoint_client_test.ts
+++ b/src/transport/forwarding/endpoint_client_test.ts
@@ -82,7 +82,6 @@
     customer: null,
     model: null,
     urgency: null,
-    source: null,
     lastEventId: null,
     budgetMs: 1_000,
     mayReuseConnection: true,
