Wait longer for a larger model only when it is expected to begin

Cause: the test that a held answer is delivered in time when the larger model never begins failed with a fixed 1.25, and idle gateways reported five times a second.

Change: the wait goes by the estimate times 1.5; reports are frequent only while requests are open.

--- a/src/coordination/core/exchange_task.ts
+++ b/src/coordination/core/exchange_task.ts
@@ -9,10 +9,12 @@
 import type {CoreState} from './core_state.ts';
 
 /** How often daemons exchange what is not urgent. */
-const MIN_INTERVAL_MS = 200;
-const MAX_INTERVAL_MS = 800;
+const INTERVAL_MS = 800;
 
-/** What each open gateway adds, whose reports are exchanged. */
+/** The same while gateways have requests open, at the least. */
+const BUSY_INTERVAL_MS = 200;
+
+/** What each open gateway adds, so that the work does not grow with them. */
 const INTERVAL_MS_PER_GATEWAY = 20;
 
 /** How often a daemon is told of the others: they also speak for themselves. */
@@ -85,8 +87,9 @@
 }
 
 function computeIntervalMs({gateways}: CoreState): number {
+  if (!gateways.hasLoads()) return INTERVAL_MS;
   const ms = gateways.findOpen().list.length * INTERVAL_MS_PER_GATEWAY;
-  return Math.min(MAX_INTERVAL_MS, Math.max(MIN_INTERVAL_MS, ms));
+  return Math.min(INTERVAL_MS, Math.max(BUSY_INTERVAL_MS, ms));
 }
 
 function createProgress(): PeerProgress {
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -26,10 +26,19 @@
 
 /**
  * When a held answer is delivered in place of one that has not begun, as a
- * multiple of the objective. Held for so long, it is late whenever it comes; a
- * sure answer that begins a little later serves the caller better.
+ * share of the objective: what is left covers the way to the caller.
  */
-const FALLBACK_FACTOR = 1.25;
+const FALLBACK_SHARE = 0.8;
+
+/**
+ * How much later, as a multiple of the objective, when the larger model is
+ * expected to begin until then: held for so long, the first answer is late
+ * anyway, and a sure one serves the caller better.
+ */
+const FALLBACK_MAX_FACTOR = 1.25;
+
+/** How much longer than expected the larger model is waited for. */
+const EXPECTED_FACTOR = 1.5;
 
 /** What became of an attempt, for the request and for the endpoint. */
 export type AttemptResult =
@@ -111,6 +120,7 @@
   const startedAt = clock.monotonic();
   run.beganMs = null;
   run.expectedMs = expectedMs;
+  run.expectedBy = startedAt + expectedMs * EXPECTED_FACTOR;
   run.unreadTokens = plan.unreadTokens;
   const leave = () => abort('left');
   call.signal.addEventListener('abort', leave);
@@ -192,11 +202,14 @@
 
 /** The time until a held answer is delivered, in ms; 0 when it is due. */
 export function findFallbackMs(
-  {call, admitted}: CallRun,
+  {call, admitted, expectedBy}: CallRun,
   nowMs: number,
 ): number {
-  const dueAt = call.receivedAt + admitted.route.objectiveMs * FALLBACK_FACTOR;
-  return Math.max(0, dueAt - nowMs);
+  const {objectiveMs} = admitted.route;
+  const dueMs = objectiveMs * FALLBACK_SHARE;
+  const expectedMs = (expectedBy ?? -Infinity) - call.receivedAt;
+  const latestMs = Math.min(expectedMs, objectiveMs * FALLBACK_MAX_FACTOR);
+  return Math.max(0, call.receivedAt + Math.max(dueMs, latestMs) - nowMs);
 }
 
 /** Whether another endpoint could go on where this attempt stops. */
--- a/src/coordination/gateway/core_follower.ts
+++ b/src/coordination/gateway/core_follower.ts
@@ -17,8 +17,10 @@
 import type {GatewayView} from './gateway_view.ts';
 
 /** How long a call may be held; the core learns of loads as often. */
-const MIN_HOLD_MS = 200;
-const MAX_HOLD_MS = 800;
+const HOLD_MS = 800;
+
+/** The same while the gateway has requests open, at the least. */
+const BUSY_HOLD_MS = 200;
 
 /** What each gateway adds, so that the core's work does not grow with them. */
 const HOLD_MS_PER_GATEWAY = 20;
@@ -177,7 +179,7 @@
     const {clock, logger} = this.options;
     const isFirst = this.position === NOTHING_TOLD;
     try {
-      const fresh = await this.ask(address, isFirst ? 0 : this.computeHoldMs());
+      const fresh = await this.ask(address, isFirst ? 0 : HOLD_MS);
       if (isFirst) logger.info('Follows a core daemon.', {address, fresh});
       if (fresh) return;
       this.avoid(address);
@@ -194,8 +196,7 @@
   /** Makes one call; true when the daemon hears the leader. */
   private async ask(address: string, holdMs: number): Promise<boolean> {
     const {view, call} = this.options;
-    const wait = this.hurried ? 0 : holdMs;
-    const request = this.createRequest(this.position, wait);
+    const request = this.createRequest(this.position, holdMs);
     this.hurried = false;
     const reply = await call(address, request, holdMs + ANSWER_TIMEOUT_MS);
     view.apply(reply);
@@ -205,17 +206,21 @@
 
   private createRequest(position: Position, holdMs: number): FollowRequest {
     const {view, createReport} = this.options;
+    const report = createReport();
+    const isBusy = report.loads.length > 0;
+    const mostMs = isBusy ? this.computeBusyHoldMs() : HOLD_MS;
     return {
-      report: createReport(),
+      report,
       ...position,
       configurationRevision: view.revision,
-      holdMs,
+      holdMs: this.hurried ? 0 : Math.min(holdMs, mostMs),
     };
   }
 
-  private computeHoldMs(): number {
+  /** Choices hang on what others do now, while this gateway has requests. */
+  private computeBusyHoldMs(): number {
     const ms = this.options.view.gatewayCount * HOLD_MS_PER_GATEWAY;
-    return Math.min(MAX_HOLD_MS, Math.max(MIN_HOLD_MS, ms));
+    return Math.min(HOLD_MS, Math.max(BUSY_HOLD_MS, ms));
   }
 
   private listAddresses(): string[] {
