--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -4,7 +4,7 @@
 import {silentLogger} from '../../protocol/logger.ts';
 import {silentMetrics} from '../../protocol/metrics.ts';
 import {succeed} from '../../protocol/outcome.ts';
-import type {Route, RouteTable} from '../../protocol/route_table.ts';
+import type {Engine, Route, RouteTable} from '../../protocol/route_table.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
 import {GatewayView} from '../gateway/gateway_view.ts';
 import type {
@@ -91,11 +91,14 @@
   };
 }
 
-export function createTable(route: Route): RouteTable {
+export function createTable(
+  route: Route,
+  engine: Engine | null = null,
+): RouteTable {
   return {
     version: 1,
     routes: [route],
-    services: [{name: 'app', maxConnections: 100, engine: null}],
+    services: [{name: 'app', maxConnections: 100, engine}],
     customers: null,
     limits: {
       maxHeaderBytes: 16_384,
@@ -166,6 +169,8 @@
 
 export interface FakeGatewayOptions {
   readonly route?: Route;
+  /** What the endpoints are; plain services by default. */
+  readonly engine?: Engine;
   readonly endpoints: readonly EndpointEntry[];
   readonly behave: Behaviour;
   /** Returns a number from 0 up to 1; always 0.5 by default. */
@@ -184,6 +189,7 @@
 
   constructor({
     route = createRoute(),
+    engine,
     endpoints,
     behave,
     random = () => 0.5,
@@ -194,7 +200,7 @@
     });
     this.view = new GatewayView({
       logger: silentLogger,
-      decodeTable: () => succeed(createTable(route)),
+      decodeTable: () => succeed(createTable(route, engine)),
     });
     this.view.apply(
       createFollowReply({
@@ -238,19 +244,26 @@
     facts: Partial<CallFacts> = {},
     signal = new AbortController().signal,
   ): Promise<RecordingSink> {
+    const {sink, done} = this.start(facts, signal);
+    let isDone = false;
+    void done.finally(() => (isDone = true));
+    while (!isDone) await this.clock.advance(10);
+    await done;
+    return sink;
+  }
+
+  /** Sends a request, which goes on as time passes. */
+  start(
+    facts: Partial<CallFacts> = {},
+    signal = new AbortController().signal,
+  ): {readonly sink: RecordingSink; readonly done: Promise<void>} {
     const sink = new RecordingSink();
     const call = createCall(`c${this.calls++}`, {
       facts,
       signal,
       receivedAt: this.clock.monotonic(),
     });
-    let isDone = false;
-    const done = this.forwarder.forward(call, sink).finally(() => {
-      isDone = true;
-    });
-    while (!isDone) await this.clock.advance(10);
-    await done;
-    return sink;
+    return {sink, done: this.forwarder.forward(call, sink)};
   }
 }
 
--- /dev/null
+++ b/src/coordination/forwarding/heavy_prompts_test.ts
@@ -0,0 +1,207 @@
+/**
+ * The pattern: long prompts, of which many share a part, come beside short ones
+ * at engines that read one prompt after the other.
+ */
+import assert from 'node:assert/strict';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {test} from 'uvu';
+import type {Engine} from '../../protocol/route_table.ts';
+import type {AttemptOptions, Call, CallFacts} from './call.ts';
+import {
+  createAnswer,
+  createEndpoint,
+  createRoute,
+  FakeGateway,
+  type RecordingSink,
+} from './forwarding_fakes.ts';
+
+const OBJECTIVE_MS = 4_000;
+
+const ROUTE = createRoute({
+  repeatability: 'stream',
+  resumable: true,
+  objectiveMs: OBJECTIVE_MS,
+  timeoutMs: 20_000,
+  maxAttempts: 3,
+  models: ['small', 'large'],
+});
+
+const ENGINE: Engine = {
+  slots: 64,
+  memoryTokens: 500_000,
+  tokensPerEvent: 3,
+  models: [],
+};
+
+/** How long an engine reads a token, in ms. */
+const TOKEN_MS: Readonly<Record<string, number>> = {small: 0.006, large: 0.06};
+
+const SHORT = {promptTokens: 1_000};
+const LONG = {promptTokens: 20_000};
+
+/** Engines that read one prompt after the other and keep what they read. */
+class FakeEngines {
+  readonly gateway: FakeGateway;
+  /** Tokens of shared parts that another engine had read before. */
+  readAgain = 0;
+  /** Where the attempts of a request went, by its id. */
+  readonly path = new Map<string, string[]>();
+  private readonly freeAt = new Map<string, number>();
+  private readonly kept = new Set<string>();
+  private readonly everRead = new Set<string>();
+
+  constructor(count: number, random?: () => number) {
+    this.gateway = new FakeGateway({
+      route: ROUTE,
+      engine: ENGINE,
+      endpoints: Array.from({length: count}, (_, place) =>
+        createEndpoint(`e${place}`, {slots: 64}),
+      ),
+      ...(random ? {random} : {}),
+      behave: (call, options) => this.answer(call, options),
+    });
+  }
+
+  private async answer(call: Call, options: AttemptOptions) {
+    const {clock} = this.gateway;
+    const {endpoint, model} = options;
+    const id = call.facts.attemptId ?? '';
+    this.path.set(id, [...(this.path.get(id) ?? []), endpoint.id]);
+    const now = clock.monotonic();
+    const begin = Math.max(now, this.freeAt.get(endpoint.id) ?? 0);
+    const end = begin + 16 + this.read(call, options) * TOKEN_MS[model ?? '']!;
+    this.freeAt.set(endpoint.id, end);
+    await clock.sleep(end - now);
+    // Every second answer of the smallest model is not sure.
+    const confidence = Number(id.slice(1)) % 2 === 0 ? 90 : 5;
+    return createAnswer(call, options, {
+      isStream: true,
+      pieces: [`id: 1\ndata: ${model}\n\n`],
+      facts: {confidence: model === 'large' ? 95 : confidence},
+    });
+  }
+
+  /** The tokens that an engine has to read of a prompt. */
+  private read({facts}: Call, {endpoint, model}: AttemptOptions): number {
+    const [shared] = facts.prompt.slice(0, -1);
+    if (!shared) return facts.promptTokens;
+    const key = `${model}/${shared.id}`;
+    const place = `${endpoint.id}/${key}`;
+    if (this.kept.has(place)) return facts.promptTokens - shared.tokens;
+    if (this.everRead.has(key)) this.readAgain += shared.tokens;
+    this.kept.add(place);
+    this.everRead.add(key);
+    return facts.promptTokens;
+  }
+}
+
+interface Sent {
+  readonly sink: RecordingSink;
+  readonly done: Promise<void>;
+}
+
+function send({gateway}: FakeEngines, facts: Partial<CallFacts>): Sent {
+  return gateway.start({model: '*', isModelOpen: true, ...facts});
+}
+
+function createPrompt(subject: number, ownTokens: number): Partial<CallFacts> {
+  return {
+    promptTokens: 13_000 + ownTokens,
+    prompt: [
+      {id: `s${subject}`, tokens: 13_000},
+      {id: 'own', tokens: ownTokens},
+    ],
+  };
+}
+
+/** Lets the gateway learn how long its engines read. */
+async function learnPace(engines: FakeEngines): Promise<void> {
+  for (let round = 0; round < 6; round++) {
+    for (const facts of [SHORT, LONG]) {
+      const {done} = send(engines, facts);
+      await engines.gateway.clock.advance(4_000);
+      await done;
+    }
+  }
+}
+
+test('short prompts go round the engine that reads a long one', async () => {
+  const engines = new FakeEngines(3);
+  await learnPace(engines);
+  engines.path.clear();
+  // An odd and an even request: the first is not sure, and asks the largest.
+  const long = [send(engines, LONG), send(engines, LONG)];
+  await engines.gateway.clock.advance(300);
+  const busy = [...engines.path.values()].map(path => path[1]).find(Boolean);
+  assert.ok(busy, 'no long prompt was sent to the largest model');
+  engines.path.clear();
+  const short = Array.from({length: 12}, () => send(engines, SHORT));
+  await engines.gateway.clock.advance(0);
+  const firsts = [...engines.path.values()].map(([first]) => first);
+  assert.equal(firsts.length, 12);
+  assert.ok(!firsts.includes(busy), `${firsts} although ${busy} reads`);
+  await engines.gateway.clock.advance(20_000);
+  await Promise.all([...long, ...short].map(({done}) => done));
+});
+
+test('prompts that share a part go to the engine that keeps it', async () => {
+  const engines = new FakeEngines(8);
+  await learnPace(engines);
+  for (let round = 0; round < 40; round++) {
+    const {done} = send(engines, createPrompt(round % 4, 2_000));
+    await engines.gateway.clock.advance(2_500);
+    await done;
+  }
+  assert.equal(engines.readAgain, 0);
+});
+
+test('a large prompt that the largest model cannot begin in time is not sent there', async () => {
+  const engines = new FakeEngines(3);
+  await learnPace(engines);
+  engines.path.clear();
+  for (let round = 0; round < 4; round++) {
+    const {sink, done} = send(engines, {promptTokens: 60_000});
+    await engines.gateway.clock.advance(6_000);
+    await done;
+    assert.match(sink.text, /small/);
+  }
+  const attempts = [...engines.path.values()].map(path => path.length);
+  assert.deepEqual(attempts, [1, 1, 1, 1]);
+});
+
+test('answers come in time while long and short prompts press', async () => {
+  for (let seed = 1; seed <= 5; seed++) {
+    const generator = xoroshiro128plus(seed);
+    const random = () => uniformFloat64(generator);
+    const engines = new FakeEngines(6, random);
+    await learnPace(engines);
+    let answered = 0;
+    let late = 0;
+    const sent: Array<Promise<void>> = [];
+    const {clock} = engines.gateway;
+    for (let request = 0; request < 300; request++) {
+      const isLong = random() < 0.4;
+      const facts = isLong
+        ? createPrompt(Math.floor(random() * 20), 1_000 + random() * 6_000)
+        : SHORT;
+      const begunAt = clock.monotonic();
+      const {sink, done} = send(engines, facts);
+      sent.push(
+        done.then(() => {
+          answered++;
+          const tookMs = clock.monotonic() - begunAt;
+          if (sink.outcome !== 'whole' || tookMs > OBJECTIVE_MS) late++;
+        }),
+      );
+      // 10 requests a second take 40% of the engines' time.
+      await clock.advance(-Math.log(1 - random()) * 100);
+    }
+    await clock.advance(20_000);
+    await Promise.all(sent);
+    assert.equal(answered, 300);
+    assert.ok(late <= 15, `${late} of 300 late with seed ${seed}`);
+  }
+});
+
+test.run();
