Give events without end up, and count only content as progress

A comment line, or an event without data, counted as progress, so a stalled stream did not end; a comment in the same piece as an event hid the event's id, and the stream went on elsewhere with that event once more.

Change: linear, with a bound of 1 MiB; only events with data or an id are progress or begin an answer; the last id counts.

--- a/src/coordination/forwarding/event_splitter.ts
+++ b/src/coordination/forwarding/event_splitter.ts
@@ -3,62 +3,104 @@
  *
  * The bytes of an event are passed on as they came. What follows the last
  * whole event is kept back, so that a stream that breaks off inside an event
- * can go on elsewhere.
+ * can go on elsewhere. Each byte is looked at once, and an event that does not
+ * end is given up at {@linkcode MAX_EVENT_BYTES}.
  */
 
+/** The largest event, in bytes. */
+export const MAX_EVENT_BYTES = 1024 * 1024;
+
 /** A whole event, with the empty line that ends it. */
 export interface StreamEvent {
   /** The value of its `id` field; `null` without one. */
   readonly id: string | null;
+  /** Whether it says anything; a comment only keeps a connection open. */
+  readonly hasContent: boolean;
   readonly bytes: Buffer;
 }
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 
+/** The first size of the buffer for unfinished events, in bytes. */
+const FIRST_CAPACITY = 1024;
+
 export class EventSplitter {
-  private rest: Buffer = Buffer.alloc(0);
+  /** The unfinished event stands at its beginning. */
+  private kept = Buffer.alloc(0);
+  private keptBytes = 0;
+  /** The bytes of the unfinished line at the end of it. */
+  private lineBytes = 0;
+  /** Whether the unfinished event has only empty lines. */
+  private isBlank = true;
 
   /** Whether bytes of an unfinished event are kept back. */
   get hasRest(): boolean {
-    return this.rest.length > 0;
+    return this.keptBytes > 0;
   }
 
-  /** Takes bytes and returns the events that they complete. */
+  /**
+   * Takes bytes and returns the events that they complete.
+   *
+   * @throws When an event is larger than {@linkcode MAX_EVENT_BYTES}.
+   */
   push(bytes: Uint8Array): StreamEvent[] {
-    this.rest =
-      this.rest.length === 0
-        ? Buffer.from(bytes)
-        : Buffer.concat([this.rest, bytes]);
+    const input = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length);
     const events: StreamEvent[] = [];
+    let eventStart = 0;
+    let lineStart = 0;
     for (;;) {
-      const end = findEventEnd(this.rest);
-      if (end < 0) return events;
-      const event = this.rest.subarray(0, end);
-      this.rest = this.rest.subarray(end);
-      events.push({id: readId(event), bytes: event});
+      const feed = input.indexOf(LINE_FEED, lineStart);
+      if (feed < 0) break;
+      const isEmpty = this.endLine(input, lineStart, feed);
+      lineStart = feed + 1;
+      if (!isEmpty) this.isBlank = false;
+      if (!isEmpty || this.isBlank) continue;
+      events.push(this.takeEvent(input.subarray(eventStart, lineStart)));
+      eventStart = lineStart;
     }
+    this.lineBytes += input.length - lineStart;
+    this.keep(input.subarray(eventStart));
+    return events;
+  }
+
+  /** Ends the line before a line feed; true when nothing stands in it. */
+  private endLine(input: Buffer, lineStart: number, feed: number): boolean {
+    const length = this.lineBytes + feed - lineStart;
+    this.lineBytes = 0;
+    if (length === 0) return true;
+    const last =
+      feed > lineStart ? input[feed - 1] : this.kept[this.keptBytes - 1];
+    return length === 1 && last === CARRIAGE_RETURN;
+  }
+
+  private takeEvent(end: Buffer): StreamEvent {
+    const bytes = Buffer.concat([this.kept.subarray(0, this.keptBytes), end]);
+    this.keptBytes = 0;
+    this.isBlank = true;
+    checkSize(bytes.length);
+    const text = bytes.toString('latin1');
+    const id = /(?:^|\n)id:[ ]?([^\r\n]*)/.exec(text)?.[1] ?? null;
+    return {id, hasContent: id !== null || /(?:^|\n)data:/.test(text), bytes};
   }
-}
 
-/** The position behind the first empty line that ends an event, or -1. */
-function findEventEnd(bytes: Buffer): number {
-  let lineStart = 0;
-  let isEmpty = true;
-  for (;;) {
-    const feed = bytes.indexOf(LINE_FEED, lineStart);
-    if (feed < 0) return -1;
-    const length =
-      feed > lineStart && bytes[feed - 1] === CARRIAGE_RETURN
-        ? feed - 1 - lineStart
-        : feed - lineStart;
-    if (length === 0 && !isEmpty) return feed + 1;
-    if (length > 0) isEmpty = false;
-    lineStart = feed + 1;
+  private keep(bytes: Buffer): void {
+    const size = this.keptBytes + bytes.length;
+    checkSize(size);
+    if (size > this.kept.length) {
+      const capacity = Math.max(FIRST_CAPACITY, size, this.kept.length * 2);
+      const larger = Buffer.alloc(capacity);
+      this.kept.copy(larger, 0, 0, this.keptBytes);
+      this.kept = larger;
+    }
+    bytes.copy(this.kept, this.keptBytes);
+    this.keptBytes = size;
   }
 }
 
-function readId(event: Buffer): string | null {
-  const match = /(?:^|\n)id:[ ]?([^\r\n]*)/.exec(event.toString('latin1'));
-  return match?.[1] ?? null;
+function checkSize(bytes: number): void {
+  if (bytes <= MAX_EVENT_BYTES) return;
+  throw new Error(
+    `Could not read an event: it is larger than ${MAX_EVENT_BYTES} bytes`,
+  );
 }
--- a/src/coordination/forwarding/event_splitter_test.ts
+++ b/src/coordination/forwarding/event_splitter_test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
-import {EventSplitter} from './event_splitter.ts';
+import {EventSplitter, MAX_EVENT_BYTES} from './event_splitter.ts';
 
 function split(splitter: EventSplitter, text: string) {
   return splitter
@@ -30,4 +30,53 @@
   assert.deepEqual(split(splitter, '\n\nid: 1\n\n'), [['1', '\n\nid: 1\n\n']]);
 });
 
+test('push() tells events that say something from comments', () => {
+  const splitter = new EventSplitter();
+  const events = splitter.push(
+    Buffer.from(': ping\n\ndata: a\n\nid: 1\n\nevent: x\n\n'),
+  );
+  assert.deepEqual(
+    events.map(({hasContent}) => hasContent),
+    [false, true, true, false],
+  );
+});
+
+/** The processor time of `run`, in ms. */
+function measureMs(run: () => void): number {
+  const before = process.cpuUsage();
+  run();
+  const {user, system} = process.cpuUsage(before);
+  return (user + system) / 1_000;
+}
+
+for (const [name, text] of [
+  ['bytes without a line end', 'x'.repeat(1_024)],
+  ['lines without an empty one', 'data: x\n'.repeat(128)],
+] as const) {
+  test(`push() gives ${name} up at its bound, in linear time`, () => {
+    const piece = Buffer.from(text);
+    const splitter = new EventSplitter();
+    let taken = 0;
+    const ms = measureMs(() => {
+      assert.throws(() => {
+        for (;;) {
+          splitter.push(piece);
+          taken += piece.length;
+        }
+      }, /larger than/);
+    });
+    assert.ok(taken <= MAX_EVENT_BYTES, `${taken} bytes were kept`);
+    // Scanning all that was kept anew for each KB would take seconds.
+    assert.ok(ms < 300, `${ms} ms of processor time`);
+  });
+}
+
+test('push() splits a large input by its events', () => {
+  const event = `id: 1\ndata: ${'x'.repeat(100)}\n\n`;
+  const splitter = new EventSplitter();
+  const events = splitter.push(Buffer.from(event.repeat(20_000)));
+  assert.equal(events.length, 20_000);
+  assert.equal(splitter.hasRest, false);
+});
+
 test.run();
--- a/src/coordination/forwarding/relay_events.ts
+++ b/src/coordination/forwarding/relay_events.ts
@@ -8,7 +8,11 @@
 import type {Clock} from '../../protocol/clock.ts';
 import type {CallerSink, EndpointAnswer, Header} from './call.ts';
 import type {CallRun} from './call_run.ts';
-import {EventSplitter, type StreamEvent} from './event_splitter.ts';
+import {
+  EventSplitter,
+  MAX_EVENT_BYTES,
+  type StreamEvent,
+} from './event_splitter.ts';
 import type {AttemptResult} from './run_attempt.ts';
 
 /** The shortest silence after which a stream goes on elsewhere. */
@@ -43,27 +47,48 @@
     isRepeatable || !sink.hasBegun
       ? {type: 'broken', isDead: false, reason}
       : {type: 'cut', reason};
+  // What says nothing yet does not begin the answer: another may still do.
+  let early: Buffer[] = [];
+  let earlyBytes = 0;
   try {
     for await (const bytes of answer.body) {
       const events = splitter.push(bytes).filter(event => isNext(run, event));
       if (events.length === 0) continue;
-      run.noteFirst(clock.monotonic() - run.call.receivedAt);
+      const goesOn = events.some(({hasContent}) => hasContent);
+      const pieces = events.map(event => event.bytes);
+      if (!goesOn && !sink.hasBegun) {
+        early.push(...pieces);
+        for (const {length} of pieces) earlyBytes += length;
+        if (earlyBytes > MAX_EVENT_BYTES)
+          throw new Error('nothing but comments');
+        continue;
+      }
+      if (goesOn) run.noteFirst(clock.monotonic() - run.call.receivedAt);
       if (!sink.hasBegun) sink.begin(answer.status, dropFraming(answer));
-      const room = sink.write(Buffer.concat(events.map(event => event.bytes)));
-      run.lastEventId = events.at(-1)?.id ?? run.lastEventId;
-      onProgress(stallMs);
+      const room = sink.write(Buffer.concat([...early, ...pieces]));
+      early = [];
+      run.lastEventId = findLastId(events) ?? run.lastEventId;
+      if (goesOn) onProgress(stallMs);
       await room;
-      onProgress(stallMs);
+      if (goesOn) onProgress(stallMs);
     }
   } catch (error) {
+    answer.cancel();
     return breakOff((error as Error).message);
   }
   if (splitter.hasRest) return breakOff('the stream ended within an event');
   if (!sink.hasBegun) sink.begin(answer.status, dropFraming(answer));
+  if (early.length > 0) await sink.write(Buffer.concat(early));
   sink.end();
   return {type: 'delivered', status: answer.status, isGood: true};
 }
 
+/** The last id among events; comments between them have none. */
+function findLastId(events: readonly StreamEvent[]): string | null {
+  const ids = events.flatMap(({id}) => (id === null ? [] : [id]));
+  return ids.at(-1) ?? null;
+}
+
 /** Whether an event follows on those that the caller has. */
 function isNext({lastEventId}: CallRun, {id}: StreamEvent): boolean {
   if (lastEventId === null || id === null) return true;
--- /dev/null
+++ b/src/coordination/forwarding/relay_events_test.ts
@@ -0,0 +1,137 @@
+/** The pattern: streams that are slow but sound, and streams that only seem so. */
+import assert from 'node:assert/strict';
+import {test} from 'uvu';
+import type {SimulatedClock} from '../../protocol/simulated_clock.ts';
+import type {AttemptOptions, AttemptOutcome, Call} from './call.ts';
+import {
+  createAnswer,
+  createEndpoint,
+  createRoute,
+  FakeGateway,
+} from './forwarding_fakes.ts';
+
+const GAP_MS = 1_200;
+
+const ROUTE = createRoute({
+  repeatability: 'stream',
+  resumable: true,
+  objectiveMs: 2_000,
+  gapObjectiveMs: GAP_MS,
+  timeoutMs: 300_000,
+  maxAttempts: 3,
+});
+
+type Pieces = (clock: SimulatedClock) => AsyncIterable<string>;
+
+/** Answers with pieces as they come until the attempt is given up. */
+function createStream(
+  [call, options, clock]: [Call, AttemptOptions, SimulatedClock],
+  pieces: Pieces,
+): AttemptOutcome {
+  const outcome = createAnswer(call, options, {isStream: true});
+  if (outcome.type !== 'answer') return outcome;
+  async function* read() {
+    for await (const piece of pieces(clock)) {
+      if (options.signal.aborted) throw new Error('aborted');
+      yield Buffer.from(piece);
+    }
+  }
+  return {...outcome, answer: {...outcome.answer, body: read()}};
+}
+
+async function* answerRest() {
+  yield 'id: 2\ndata: b\n\n';
+}
+
+/** A gateway whose first endpoint streams `pieces`, and the next the rest. */
+function createGateway(pieces: Pieces): FakeGateway {
+  let attempts = 0;
+  return new FakeGateway({
+    route: ROUTE,
+    endpoints: [createEndpoint('e1'), createEndpoint('e2')],
+    behave: async (...attempt) =>
+      createStream(attempt, attempts++ === 0 ? pieces : answerRest),
+  });
+}
+
+test('forward() never cuts a stream whose events come within the allowed pause', async () => {
+  const gateway = createGateway(async function* (clock) {
+    for (let event = 1; event <= 100; event++) {
+      yield `id: ${event}\ndata: x\n\n`;
+      await clock.sleep(GAP_MS * 0.99);
+    }
+  });
+  const sink = await gateway.request();
+  assert.equal(sink.outcome, 'whole');
+  assert.equal(sink.text.match(/id: /g)?.length, 100);
+  assert.equal(gateway.attempts.length, 1);
+});
+
+for (const [name, filler] of [
+  ['a byte', 'x'],
+  ['a comment', ': wait\n\n'],
+  ['an event that the caller has', 'id: 1\ndata: a\n\n'],
+  ['an event without content', 'event: wait\n\n'],
+] as const) {
+  test(`forward() goes on elsewhere when only ${name} comes now and then`, async () => {
+    const gateway = createGateway(async function* (clock) {
+      yield 'id: 1\ndata: a\n\n';
+      for (let round = 0; round < 1_000; round++) {
+        await clock.sleep(300);
+        yield filler;
+      }
+    });
+    const sink = await gateway.request();
+    assert.equal(sink.outcome, 'whole');
+    assert.ok(sink.text.endsWith('id: 2\ndata: b\n\n'), sink.text);
+    assert.equal(sink.text.match(/id: 1\n/g)?.length, 1);
+    assert.equal(gateway.attempts[1]?.lastEventId, '1');
+    assert.ok(gateway.clock.monotonic() < 5_000);
+  });
+}
+
+test('forward() begins no answer by comments alone', async () => {
+  const gateway = createGateway(async function* (clock) {
+    for (let round = 0; round < 1_000; round++) {
+      await clock.sleep(300);
+      yield ': wait\n\n';
+    }
+  });
+  const sink = await gateway.request();
+  assert.equal(sink.text, 'id: 2\ndata: b\n\n');
+});
+
+test('forward() passes comments on with the event that follows them', async () => {
+  const gateway = createGateway(async function* () {
+    yield ': hello\n\n';
+    yield 'id: 1\ndata: a\n\n';
+  });
+  const sink = await gateway.request();
+  assert.equal(sink.text, ': hello\n\nid: 1\ndata: a\n\n');
+});
+
+test('forward() goes on behind the last id although a comment followed it', async () => {
+  const gateway = createGateway(async function* () {
+    yield 'id: 1\ndata: a\n\n: wait\n\n';
+    throw new Error('reset');
+  });
+  const sink = await gateway.request();
+  assert.equal(gateway.attempts[1]?.lastEventId, '1');
+  assert.equal(sink.outcome, 'whole');
+});
+
+test('forward() gives up an event without end and goes on elsewhere', async () => {
+  let sent = 0;
+  const gateway = createGateway(async function* () {
+    yield 'id: 1\ndata: a\n\n';
+    for (;;) {
+      sent++;
+      yield 'x'.repeat(64 * 1024);
+    }
+  });
+  const sink = await gateway.request();
+  assert.equal(sink.text, 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n');
+  assert.ok(sent <= 20, `${sent} pieces of 64 KiB were read`);
+});
+
+test.run();
