Wait for a larger model at an endpoint that answers others

Change: a held answer waits up to 1.25 of the objective when the endpoint answered anybody since, or when the larger model was expected to take over 0.3 of the objective. Otherwise it is delivered at 0.8 as before.

--- a/src/coordination/forwarding/endpoint_health.ts
+++ b/src/coordination/forwarding/endpoint_health.ts
@@ -93,10 +93,15 @@
    * @param startedAt When the attempt began, on the monotonic clock.
    */
   recordOverdue(endpoint: EndpointEntry, startedAt: number): void {
-    if (this.get(endpoint).heardAt >= startedAt) return;
+    if (this.isHeardSince(endpoint, startedAt)) return;
     this.recordFailure(endpoint, false);
   }
 
+  /** Whether an endpoint answered anyone since, on the monotonic clock. */
+  isHeardSince(endpoint: EndpointEntry, since: number): boolean {
+    return this.get(endpoint).heardAt >= since;
+  }
+
   /** The requests that this gateway has open at an endpoint. */
   countOpen(endpoint: EndpointEntry): number {
     return this.get(endpoint).open;
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -31,14 +31,17 @@
 const FALLBACK_SHARE = 0.8;
 
 /**
- * How much later, as a multiple of the objective, when the larger model is
- * expected to begin until then: held for so long, the first answer is late
- * anyway, and a sure one serves the caller better.
+ * The same, as a multiple of the objective, while the larger model is expected
+ * to begin: held for so long, the first answer is late anyway, and a sure one
+ * serves the caller better.
  */
-const FALLBACK_MAX_FACTOR = 1.25;
+const FALLBACK_FACTOR = 1.25;
 
-/** How much longer than expected the larger model is waited for. */
-const EXPECTED_FACTOR = 1.5;
+/**
+ * The share of the objective from which on a larger model is expected to take
+ * so long that its silence means nothing.
+ */
+const EXPECTED_LATE_SHARE = 0.3;
 
 /** What became of an attempt, for the request and for the endpoint. */
 export type AttemptResult =
@@ -120,7 +123,8 @@
   const startedAt = clock.monotonic();
   run.beganMs = null;
   run.expectedMs = expectedMs;
-  run.expectedBy = startedAt + expectedMs * EXPECTED_FACTOR;
+  run.isExpected =
+    expectedMs > admitted.route.objectiveMs * EXPECTED_LATE_SHARE;
   run.unreadTokens = plan.unreadTokens;
   const leave = () => abort('left');
   call.signal.addEventListener('abort', leave);
@@ -134,8 +138,15 @@
   });
   using _deadline = startWatchdog(clock, leftMs, () => abort('deadline'));
   using stall = startWatchdog(clock, findPatience(run, startedAt), () => {
-    if (run.held) abort('overdue');
-    else if (canGoOn(run)) abort('stall');
+    if (!run.held) {
+      if (canGoOn(run)) abort('stall');
+      return;
+    }
+    // An endpoint that answers others will come to this request.
+    run.isExpected ||= health.isHeardSince(endpoint, startedAt);
+    const moreMs = findFallbackMs(run, clock.monotonic());
+    if (moreMs > 0) stall.postpone(moreMs);
+    else abort('overdue');
   });
   try {
     if (call.signal.aborted) return {type: 'left'};
@@ -202,14 +213,12 @@
 
 /** The time until a held answer is delivered, in ms; 0 when it is due. */
 export function findFallbackMs(
-  {call, admitted, expectedBy}: CallRun,
+  {call, admitted, isExpected}: CallRun,
   nowMs: number,
 ): number {
   const {objectiveMs} = admitted.route;
-  const dueMs = objectiveMs * FALLBACK_SHARE;
-  const expectedMs = (expectedBy ?? -Infinity) - call.receivedAt;
-  const latestMs = Math.min(expectedMs, objectiveMs * FALLBACK_MAX_FACTOR);
-  return Math.max(0, call.receivedAt + Math.max(dueMs, latestMs) - nowMs);
+  const dueMs = objectiveMs * (isExpected ? FALLBACK_FACTOR : FALLBACK_SHARE);
+  return Math.max(0, call.receivedAt + dueMs - nowMs);
 }
 
 /** Whether another endpoint could go on where this attempt stops. */
--- a/src/coordination/forwarding/watchdog.ts
+++ b/src/coordination/forwarding/watchdog.ts
@@ -7,7 +7,10 @@
   postpone(ms: number): void;
 }
 
-/** Starts a timer that calls `onExpire` once, unless it is put off. */
+/**
+ * Starts a timer that calls `onExpire` once, unless it is put off, also by that
+ * call.
+ */
 export function startWatchdog(
   clock: Clock,
   ms: number,
@@ -20,7 +23,8 @@
       const leftMs = dueAt - clock.monotonic();
       if (leftMs <= 0) {
         onExpire();
-        return;
+        if (dueAt <= clock.monotonic()) return;
+        continue;
       }
       await clock.sleep(leftMs, stopped.signal);
     }
