Bound interim answers, chunk extensions and trailers of endpoints

Cause: undici bounds one head, but neither how many interim answers come nor what stands between the pieces of a body: both went on until the request's deadline.

Change: bytes that are no body may take up 256 KiB and 16 times the body; the connection is broken off beyond that. The body of an answer that says "not run" is not waited for. The tests for interim answers and extensions fail with the bound out of reach; heads, trailers and garbage were bounded already.

--- a/src/transport/forwarding/endpoint_client.ts
+++ b/src/transport/forwarding/endpoint_client.ts
@@ -25,6 +25,9 @@
 /** How much sooner than announced an idle connection is closed. */
 const KEEP_ALIVE_MARGIN_MS = 700;
 
+/** What is read of the body of an answer that says not run, in bytes. */
+const MAX_NOT_RUN_BODY_BYTES = 16 * 1024;
+
 /** Headers that the client writes itself. */
 const REWRITTEN = new Set(['content-length', 'expect']);
 
@@ -83,7 +86,8 @@
       const status = response.statusCode;
       const facts = codec.decodeAnswer(status, createFindHeader(received));
       if (facts.isNotRun) {
-        await response.body.dump();
+        // Its status says it all; what follows only frees the connection.
+        response.body.dump({limit: MAX_NOT_RUN_BODY_BYTES}).catch(() => {});
         return {type: 'not-run', status, facts};
       }
       const headers = received.filter(
--- a/src/transport/forwarding/endpoint_client_test.ts
+++ b/src/transport/forwarding/endpoint_client_test.ts
@@ -222,4 +222,100 @@
   assert.equal(outcome.type, 'not-sent');
 });
 
+/** Writes a piece again and again until the other side closes. */
+function writeWithoutEnd(socket: Socket, piece: Buffer): {sent: number} {
+  const count = {sent: 0};
+  const write = () => {
+    while (!socket.destroyed) {
+      count.sent += piece.length;
+      if (!socket.write(piece)) return;
+    }
+  };
+  socket.on('drain', write);
+  write();
+  return count;
+}
+
+const HEAD = 'HTTP/1.1 200 OK\r\nid: x\r\n';
+const CHUNKED = `${HEAD}Transfer-Encoding: chunked\r\n\r\n`;
+
+for (const [name, begin, piece] of [
+  ['a head', 'HTTP/1.1 200 OK\r\n', 'a: b\r\n'],
+  ['the name of a header', 'HTTP/1.1 200 OK\r\n', 'a'],
+  ['interim answers', '', 'HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n'],
+  ['an extension of a chunk', `${CHUNKED}5;a=`, 'b'],
+  ['trailers', `${CHUNKED}5\r\nhello\r\n0\r\n`, 'a: b\r\n'],
+  ['no protocol at all', '', 'x'],
+] as const) {
+  test(`send() breaks ${name} off that comes without end, and serves others`, async () => {
+    let sent: {sent: number} | null = null;
+    let isClosed = false;
+    await using server = await startServer(socket => {
+      socket.on('close', () => (isClosed = true));
+      socket.write(begin);
+      sent = writeWithoutEnd(
+        socket,
+        Buffer.from(piece.repeat(Math.ceil(16_384 / piece.length))),
+      );
+    });
+    await using sound = await startServer(socket =>
+      socket.write(`${HEAD}Content-Length: 2\r\n\r\nok`),
+    );
+    await using client = new EndpointClient({codec: CODEC});
+    const before = process.cpuUsage();
+    const faulty = send(client, server.address).then(readBody);
+    const others = Array.from({length: 20}, async () =>
+      readBody(await send(client, sound.address)),
+    );
+    assert.deepEqual(
+      await Promise.all(others),
+      Array.from({length: 20}, () => 'ok whole'),
+    );
+    assert.match(await faulty, /broken$/);
+    const {user, system} = process.cpuUsage(before);
+    assert.ok(user + system < 2_000_000, `${user + system} µs`);
+    while (!isClosed) await new Promise(resolve => setImmediate(resolve));
+    // Sockets of both sides buffer some MB.
+    assert.ok(sent!['sent'] < 32 * 1024 * 1024, `${sent!['sent']} bytes`);
+  });
+}
+
+test('send() takes an answer of many small chunks', async () => {
+  await using server = await startServer(socket => {
+    socket.write(CHUNKED);
+    socket.end(`${'1\r\nx\r\n'.repeat(200_000)}0\r\n\r\n`);
+  });
+  await using client = new EndpointClient({codec: CODEC});
+  const text = await readBody(await send(client, server.address));
+  assert.equal(text, `${'x'.repeat(200_000)} whole`);
+});
+
+test('send() takes more over a kept connection than the framing of one answer may be', async () => {
+  await using server = await startServer(socket =>
+    socket.write(
+      `${HEAD}a: ${'b'.repeat(8_000)}\r\nContent-Length: 2\r\n\r\nok`,
+    ),
+  );
+  await using client = new EndpointClient({codec: CODEC});
+  for (let request = 0; request < 100; request++) {
+    assert.equal(
+      await readBody(await send(client, server.address)),
+      'ok whole',
+    );
+  }
+  // 800 KB in all; a pool may open a second one while the first ends.
+  assert.ok(server.connections() <= 2);
+});
+
+test('send() does not wait for the body of an answer that says not run', async () => {
+  await using server = await startServer(socket => {
+    socket.write(
+      'HTTP/1.1 503 Busy\r\nnot-run: 1\r\nTransfer-Encoding: chunked\r\n\r\n',
+    );
+    writeWithoutEnd(socket, Buffer.from(`4000\r\n${'x'.repeat(16_384)}\r\n`));
+  });
+  await using client = new EndpointClient({codec: CODEC});
+  assert.equal((await send(client, server.address)).type, 'not-run');
+});
+
 test.run();
--- a/src/transport/forwarding/strict_client.ts
+++ b/src/transport/forwarding/strict_client.ts
@@ -1,13 +1,22 @@
 /**
- * A client that does not take a reset for the end of an answer.
+ * A client that does not take a reset for the end of an answer, and reads no
+ * bytes without end that are none.
  *
  * An answer without a length ends with its connection. undici accepts a reset
- * as such an end; here the answer then counts as broken off.
+ * as such an end; here the answer then counts as broken off. undici bounds one
+ * head, but not how many interim answers come before it, nor what stands
+ * between the pieces of a body; here both are bounded.
  */
 import type {Socket} from 'node:net';
 import {Client, type buildConnector, type Dispatcher} from 'undici';
 import {FRAMING_HEADERS} from '../../coordination/forwarding/relay_events.ts';
 
+/** What heads and framing of one answer may take up, in bytes. */
+const MAX_FRAMING_BYTES = 256 * 1024;
+
+/** What the framing may take up beside, as a multiple of the body. */
+const MAX_FRAMING_FACTOR = 16;
+
 /** Creates a client for one connection of a pool. */
 export function createStrictClient(origin: URL, options: object): Dispatcher {
   return new StrictClient(origin, options as StrictClientOptions);
@@ -28,16 +37,34 @@
   readonly connect: buildConnector.connector;
 }
 
+/** The connection of a client, and what the open answer took of it. */
+interface Connection {
+  socket: Socket | null;
+  /** The bytes that were read before the answer. */
+  bytesBefore: number;
+  /** The bytes of its body so far. */
+  bodyBytes: number;
+}
+
 class StrictClient extends Client {
-  private readonly connection: {socket: Socket | null};
+  private readonly connection: Connection;
 
   constructor(origin: URL, options: StrictClientOptions) {
-    const connection: {socket: Socket | null} = {socket: null};
+    const connection: Connection = {
+      socket: null,
+      bytesBefore: 0,
+      bodyBytes: 0,
+    };
     super(origin, {
       ...options,
       connect: (target, callback) =>
         options.connect(target, (...result) => {
-          connection.socket = result[1];
+          const [, socket] = result;
+          connection.socket = socket;
+          connection.bytesBefore = 0;
+          connection.bodyBytes = 0;
+          // undici's own listener, which reads, comes after this one.
+          socket?.on('readable', () => checkFraming(connection));
           callback(...result);
         }),
     });
@@ -49,7 +76,7 @@
     handler: Dispatcher.DispatchHandler,
   ): boolean {
     const {connection} = this;
-    const checked = checkEnd(handler, () => findReset(connection.socket));
+    const checked = checkEnd(handler, connection);
     const {mayBegin} = options;
     return super.dispatch(
       options,
@@ -72,6 +99,17 @@
     : null;
 }
 
+/** Breaks a connection off on which too much comes that is no body. */
+function checkFraming(connection: Connection): void {
+  const {socket, bytesBefore, bodyBytes} = connection;
+  if (!socket) return;
+  const framing = socket.bytesRead - bytesBefore - bodyBytes;
+  if (framing <= MAX_FRAMING_BYTES + bodyBytes * MAX_FRAMING_FACTOR) return;
+  socket.destroy(
+    new Error(`Could not read the answer: ${framing} bytes are not its body`),
+  );
+}
+
 /** Ends a request before its first byte when it may not begin any more. */
 function checkBegin(
   handler: Dispatcher.DispatchHandler,
@@ -90,11 +128,15 @@
 /** Reports the end of an answer as an error when the connection was reset. */
 function checkEnd(
   handler: Dispatcher.DispatchHandler,
-  getReset: () => Error | null,
+  connection: Connection,
 ): Dispatcher.DispatchHandler {
   let isFramed = true;
   return {
-    onConnect: (...args) => handler.onConnect?.(...args),
+    onConnect: (...args) => {
+      connection.bytesBefore = connection.socket?.bytesRead ?? 0;
+      connection.bodyBytes = 0;
+      handler.onConnect?.(...args);
+    },
     onResponseStarted: () => handler.onResponseStarted?.(),
     onHeaders: (status, headers, ...rest) => {
       isFramed = headers.some(
@@ -103,11 +145,14 @@
       );
       return handler.onHeaders?.(status, headers, ...rest) ?? true;
     },
-    onData: chunk => handler.onData?.(chunk) ?? true,
+    onData: chunk => {
+      connection.bodyBytes += chunk.length;
+      return handler.onData?.(chunk) ?? true;
+    },
     onBodySent: (...args) => handler.onBodySent?.(...args),
     onError: error => handler.onError?.(error),
     onComplete: trailers => {
-      const reset = isFramed ? null : getReset();
+      const reset = isFramed ? null : findReset(connection.socket);
       if (reset) handler.onError?.(reset);
       else handler.onComplete?.(trailers);
     },
