Answer requests that were accepted right before a gateway closes

Cause: the server of a stopping gateway closed all connections at once when no request was open; one that was accepted or half read in that moment was cut off without an answer. All ten moments of the new test failed.

Change: it stops listening, and waits up to 0.3 s for what was accepted.

--- a/src/transport/forwarding/front_server.ts
+++ b/src/transport/forwarding/front_server.ts
@@ -31,6 +31,9 @@
 /** How many connections may wait to be accepted. */
 const BACKLOG = 1_024;
 
+/** How long the last open requests may take once a server closes, in ms. */
+const LAST_ANSWERS_MS = 300;
+
 /** Callers reuse connections for four fifths of the idle limit. */
 const IDLE_SLACK_MS = 1_000;
 
@@ -70,7 +73,7 @@
 export async function startFrontServer(
   options: FrontServerOptions,
 ): Promise<FrontServer> {
-  const {host, port, logger} = options;
+  const {host, port, clock, logger} = options;
   let limits = FIRST_LIMITS;
   let isClosing = false;
   let openRequests = 0;
@@ -109,7 +112,13 @@
     },
     closeIdleConnections: () => server.closeIdleConnections(),
     async [Symbol.asyncDispose]() {
-      await closeServer(server);
+      isClosing = true;
+      // Requests that were accepted just before are answered, too.
+      const stopped = new AbortController();
+      await closeServer(server, {
+        waitForRequests: () => clock.sleep(LAST_ANSWERS_MS, stopped.signal),
+      });
+      stopped.abort('closed');
     },
   };
 }
--- /dev/null
+++ b/src/transport/forwarding/front_server_test.ts
@@ -0,0 +1,103 @@
+/** The pattern: a gateway stops while callers go on to send. */
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {connect, createServer, type AddressInfo} from 'node:net';
+import {test} from 'uvu';
+import {NO_FACTS} from '../../coordination/forwarding/forwarding_fakes.ts';
+import {systemClock} from '../../protocol/clock.ts';
+import {silentLogger} from '../../protocol/logger.ts';
+import {startFrontServer, type FrontServerOptions} from './front_server.ts';
+
+function startServer(forward: FrontServerOptions['forward'], port: number) {
+  return startFrontServer({
+    host: '127.0.0.1',
+    port,
+    clock: systemClock,
+    logger: silentLogger,
+    codec: {
+      decodeCall: () => NO_FACTS,
+      encodeAttempt: () => [],
+      gatewayOnlyAnswerHeaders: new Set(),
+      decodeAnswer: () => {
+        throw new Error('Could not decode: no endpoint speaks here');
+      },
+    },
+    forward,
+  });
+}
+
+/** Finds a port that nobody listens on. */
+async function findFreePort(): Promise<number> {
+  const server = createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  server.close();
+  await once(server, 'close');
+  return port;
+}
+
+const REQUEST = 'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi';
+
+type Ending = 'answered' | 'cut' | 'not accepted';
+
+/** Sends a request and tells how it ended. */
+function sendRequest(port: number): {ended: Promise<Ending>} {
+  const ended = new Promise<Ending>(resolve => {
+    let text = '';
+    let isAccepted = false;
+    const socket = connect(port, '127.0.0.1', () => {
+      isAccepted = true;
+      socket.write(REQUEST);
+    });
+    socket.on('data', bytes => (text += bytes.toString()));
+    socket.on('error', () => {});
+    socket.on('close', () => {
+      if (text.endsWith('done')) resolve('answered');
+      else resolve(isAccepted ? 'cut' : 'not accepted');
+    });
+  });
+  return {ended};
+}
+
+const ANSWER_MS = 20;
+
+for (let seed = 0; seed < 10; seed++) {
+  test(`disposal cuts no request that was accepted, moment ${seed}`, async () => {
+    const port = await findFreePort();
+    let begun = 0;
+    const server = await startServer(async (_call, sink) => {
+      begun++;
+      await systemClock.sleep(ANSWER_MS);
+      sink.answer(200, [], Buffer.from('done'));
+    }, port);
+    server.startClosing();
+    const sent: Array<Promise<Ending>> = [];
+    for (let request = 0; request < 30; request++) {
+      sent.push(sendRequest(port).ended);
+      if (request % 3 === seed % 3) await systemClock.sleep(1);
+    }
+    // As many turns of the event loop as the seed says, then at once.
+    for (let turn = 0; turn < seed; turn++) {
+      await new Promise(resolve => setImmediate(resolve));
+    }
+    while (begun === 0) await systemClock.sleep(1);
+    await server[Symbol.asyncDispose]();
+    const endings = await Promise.all(sent);
+    const answered = endings.filter(ending => ending === 'answered').length;
+    assert.equal(answered, begun, `${endings}`);
+  });
+}
+
+test('disposal ends although a connection never sends a request', async () => {
+  const port = await findFreePort();
+  const server = await startServer(async () => {}, port);
+  const socket = connect(port, '127.0.0.1');
+  await new Promise(resolve => socket.once('connect', resolve));
+  const closed = new Promise(resolve => socket.once('close', resolve));
+  socket.on('error', () => {});
+  socket.resume();
+  await server[Symbol.asyncDispose]();
+  await closed;
+});
+
+test.run();
--- a/src/transport/http_server.ts
+++ b/src/transport/http_server.ts
@@ -13,12 +13,24 @@
   });
 }
 
+export interface CloseServerOptions {
+  /**
+   * Waits, at the most, before connections with an open request are closed; by
+   * default none is waited for.
+   */
+  readonly waitForRequests?: () => Promise<void>;
+}
+
 /**
  * Stops listening and closes every connection. One that never sent a request
  * would otherwise be waited for without end.
  */
-export async function closeServer(server: Server): Promise<void> {
+export async function closeServer(
+  server: Server,
+  {waitForRequests}: CloseServerOptions = {},
+): Promise<void> {
   const closed = new Promise<void>(resolve => server.close(() => resolve()));
+  if (waitForRequests) await Promise.race([closed, waitForRequests()]);
   server.closeAllConnections();
   await closed;
 }
