--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -57,11 +57,7 @@
   status = 0;
   private heldAnswer: HeldAnswer | null = null;
 
-  constructor(
-    readonly admitted: AdmittedCall,
-    /** Whether it is among the largest of its route. */
-    readonly isLarge: boolean,
-  ) {
+  constructor(readonly admitted: AdmittedCall) {
     this.lastEventId = admitted.call.facts.lastEventId;
   }
 
--- a/src/coordination/forwarding/choose_model.ts
+++ b/src/coordination/forwarding/choose_model.ts
@@ -11,9 +11,6 @@
 /** The confidence from which an answer is accepted while there is room. */
 const ACCEPT_FROM = 48;
 
-/** The same for the largest requests of a route: more is lost by them. */
-const ACCEPT_LARGE_FROM = 60;
-
 /** Up to this share of the objective, larger models count as fast. */
 const FAST_SHARE = 0.15;
 
@@ -49,17 +46,6 @@
   begin(): void;
 }
 
-/** What the larger model's answer would take and be worth. */
-export interface IsBelowOptions {
-  /**
-   * The share of the prompt that an engine has to read for it; 1 by default.
-   * What takes little time may be asked while there is little room.
-   */
-  readonly unreadShare?: number;
-  /** Whether the request is among the largest of its route; not by default. */
-  readonly isLarge?: boolean;
-}
-
 /** Decides which answers of smaller models are accepted. */
 export class EscalationBar {
   /** The mean time to the first event, as a share of the objective. */
@@ -89,14 +75,15 @@
     };
   }
 
-  /** Whether a larger model should answer instead of one so sure. */
-  isBelow(
-    confidence: number,
-    {unreadShare = 1, isLarge = false}: IsBelowOptions = {},
-  ): boolean {
+  /**
+   * Whether a larger model should answer instead of one so sure.
+   *
+   * @param unreadShare The share of the prompt that an engine has to read for
+   *     it: what takes little time may be asked while there is little room.
+   */
+  isBelow(confidence: number, unreadShare = 1): boolean {
     const room = this.measureRoom() / Math.max(MIN_UNREAD_SHARE, unreadShare);
-    const acceptFrom = isLarge ? ACCEPT_LARGE_FROM : ACCEPT_FROM;
-    return confidence < acceptFrom * Math.min(1, room);
+    return confidence < ACCEPT_FROM * Math.min(1, room);
   }
 
   /** 1 while larger models begin soon, 0 when they begin too late. */
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -31,7 +31,6 @@
   type AttemptResult,
 } from './run_attempt.ts';
 import {CallRun} from './call_run.ts';
-import {SizeRanks} from './size_ranks.ts';
 import {recordAttempt} from './record_attempt.ts';
 import type {VersionEvidenceBook} from './version_evidence.ts';
 
@@ -95,7 +94,6 @@
   private readonly budgets = new Map<string, WindowBudget>();
   private readonly bar: EscalationBar;
   private readonly picker: EndpointPicker;
-  private readonly sizes = new SizeRanks();
   private isStopping = false;
 
   constructor(private readonly options: ForwarderOptions) {
@@ -111,9 +109,7 @@
     if (!index) return this.refuse(call, sink, 'no-configuration');
     const admitted = admitCall(call, index, random);
     if (!admitted.ok) return this.refuse(call, sink, admitted.error);
-    const {route} = admitted.value;
-    const isLarge = this.sizes.record(route.name, call.facts);
-    const run = new CallRun(admitted.value, isLarge);
+    const run = new CallRun(admitted.value);
     this.findBudget(admitted.value.service.name).deposit();
     while (!run.isOver) await this.step(run, sink);
     this.record(run);
@@ -215,10 +211,7 @@
       largest !== null &&
       this.isSoonEnough(run) &&
       this.beginsInTime(run, largest) &&
-      this.bar.isBelow(confidence, {
-        unreadShare: this.measureUnread(run, largest),
-        isLarge: run.isLarge,
-      }) &&
+      this.bar.isBelow(confidence, this.measureUnread(run, largest)) &&
       this.canEscalate(run)
     );
   }
@@ -371,7 +364,6 @@
       model: run.model,
       confidence: run.confidence,
       hasEscalated: run.hasEscalated,
-      isLarge: run.isLarge,
       escalatedMs: run.escalatedMs,
       hasFallenBack: run.hasFallenBack,
       promptTokens: run.call.facts.promptTokens,
