Look at few endpoints for each attempt

Cause: gateways read the same reports up to 1.6 s after they were true, so 82 of them would all choose the engine that was idle then, and each weighed 98 engines for each attempt.

Change: six near endpoints, six others and those that keep the prompt are drawn.

--- /dev/null
+++ b/src/coordination/forwarding/draw_endpoints_test.ts
@@ -0,0 +1,66 @@
+/** The pattern: many gateways act on the same reports, which are out of date. */
+import assert from 'node:assert/strict';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {test} from 'uvu';
+import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
+import {drawEndpoints, type DrawEndpointsOptions} from './draw_endpoints.ts';
+import {createEndpoint} from './forwarding_fakes.ts';
+
+const ENDPOINTS = Array.from({length: 90}, (_, place) =>
+  createEndpoint(`e${place}`, {dataCentre: 'abcdef'[place % 6] ?? ''}),
+);
+
+function draw(
+  endpoints: readonly EndpointEntry[],
+  change: Partial<DrawEndpointsOptions> = {},
+): EndpointEntry[] {
+  return drawEndpoints(endpoints, {
+    dataCentre: 'a',
+    isKeeper: () => false,
+    isSound: () => true,
+    random: Math.random,
+    ...change,
+  });
+}
+
+test('drawEndpoints() spreads gateways that believe the same endpoint is idle', () => {
+  const generator = xoroshiro128plus(1);
+  const random = () => uniformFloat64(generator);
+  // By the reports the first endpoint has least to do, and so on.
+  const rank = new Map(ENDPOINTS.map((endpoint, place) => [endpoint, place]));
+  const chosen = new Map<EndpointEntry, number>();
+  for (let gateway = 0; gateway < 600; gateway++) {
+    const dataCentre = 'abcdef'[gateway % 6] ?? '';
+    const [best] = draw(ENDPOINTS, {dataCentre, random}).sort(
+      (a, b) => (rank.get(a) ?? 0) - (rank.get(b) ?? 0),
+    );
+    assert.ok(best);
+    chosen.set(best, (chosen.get(best) ?? 0) + 1);
+  }
+  const most = Math.max(...chosen.values());
+  assert.ok(most <= 150, `${most} of 600 went to one endpoint`);
+  assert.ok(chosen.size >= 15, `only ${chosen.size} endpoints were chosen`);
+});
+
+test('drawEndpoints() always looks at those that keep the prompt', () => {
+  const keeper = ENDPOINTS[77];
+  for (let round = 0; round < 50; round++) {
+    const drawn = draw(ENDPOINTS, {isKeeper: each => each === keeper});
+    assert.ok(drawn.includes(keeper!));
+    assert.equal(new Set(drawn).size, drawn.length);
+  }
+});
+
+test('drawEndpoints() draws sound endpoints while there is one', () => {
+  const [only] = ENDPOINTS;
+  assert.deepEqual(draw(ENDPOINTS, {isSound: each => each === only}), [only]);
+  assert.equal(draw(ENDPOINTS, {isSound: () => false}).length, 12);
+});
+
+test('drawEndpoints() looks at all of a few endpoints', () => {
+  const few = ENDPOINTS.slice(0, 8);
+  assert.deepEqual(new Set(draw(few)), new Set(few));
+});
+
+test.run();
--- a/src/coordination/forwarding/endpoint_picker.ts
+++ b/src/coordination/forwarding/endpoint_picker.ts
@@ -6,6 +6,7 @@
 import {chooseEndpoint, type EndpointCandidate} from './choose_endpoint.ts';
 import {chooseModel} from './choose_model.ts';
 import {chooseVersion} from './choose_version.ts';
+import {drawEndpoints} from './draw_endpoints.ts';
 import type {EndpointHealth} from './endpoint_health.ts';
 import type {EndpointNotices} from './endpoint_notices.ts';
 import {computeShare} from './hash.ts';
@@ -37,6 +38,13 @@
   readonly findRegion: (dataCentre: string) => string | null;
 }
 
+interface DescribeOptions {
+  readonly endpoint: EndpointEntry;
+  readonly model: string | null;
+  /** How sure it is to keep the shared prompt, from 0 to 1. */
+  readonly keepsPrompt: number;
+}
+
 export class EndpointPicker {
   private readonly memory: PromptMemory;
 
@@ -141,38 +149,60 @@
       );
   }
 
-  /** Adds what this gateway knows of the endpoints of a request. */
+  /** Draws endpoints for a request and adds what this gateway knows of them. */
   private describeCandidates(
     run: CallRun,
     model: string | null,
     endpoints: readonly EndpointEntry[],
   ): EndpointCandidate[] {
-    const {view, health, reading} = this.options;
-    const {subject, sharedTokens} = run;
-    const {service} = run.admitted;
+    const {health, dataCentre, random} = this.options;
+    const {subject} = run;
     const keeper =
       subject === null ? null : findKeeper(endpoints, `${model}/${subject}`);
-    const {tokenMs} = reading.getPace(service.name, model);
-    return endpoints.map(endpoint => {
-      const others = view.getOtherLoad(endpoint.id);
-      const isHolder =
-        subject !== null && this.memory.has(endpoint, model, subject);
-      return {
-        endpoint,
-        open: health.countOpen(endpoint) + others.open,
-        isEjected: health.isEjected(endpoint),
-        isFull: health.isFull(endpoint),
-        failureShare: health.getFailureShare(endpoint),
-        waitMs:
-          reading.getPendingMs(endpoint) + others.readingMs * OTHERS_WEIGHT,
-        plan: planReading({
-          keepsPrompt: isHolder ? 1 : endpoint === keeper ? KEEPER_SHARE : 0,
-          sharedTokens,
-          ownTokens: run.call.facts.promptTokens - sharedTokens,
-          tokenMs,
-        }),
-      };
+    const findKept = (endpoint: EndpointEntry): number => {
+      if (subject === null) return 0;
+      if (this.memory.has(endpoint, model, subject)) return 1;
+      return endpoint === keeper ? KEEPER_SHARE : 0;
+    };
+    const drawn = drawEndpoints(endpoints, {
+      dataCentre,
+      isKeeper: endpoint => findKept(endpoint) > 0,
+      isSound: endpoint =>
+        !endpoint.silent &&
+        !health.isEjected(endpoint) &&
+        !health.isFull(endpoint),
+      random,
     });
+    return drawn.map(endpoint =>
+      this.describeCandidate(run, {
+        endpoint,
+        model,
+        keepsPrompt: findKept(endpoint),
+      }),
+    );
+  }
+
+  private describeCandidate(
+    run: CallRun,
+    {endpoint, model, keepsPrompt}: DescribeOptions,
+  ): EndpointCandidate {
+    const {view, health, reading} = this.options;
+    const others = view.getOtherLoad(endpoint.id);
+    const {service, call} = run.admitted;
+    return {
+      endpoint,
+      open: health.countOpen(endpoint) + others.open,
+      isEjected: health.isEjected(endpoint),
+      isFull: health.isFull(endpoint),
+      failureShare: health.getFailureShare(endpoint),
+      waitMs: reading.getPendingMs(endpoint) + others.readingMs * OTHERS_WEIGHT,
+      plan: planReading({
+        keepsPrompt,
+        sharedTokens: run.sharedTokens,
+        ownTokens: call.facts.promptTokens - run.sharedTokens,
+        tokenMs: reading.getPace(service.name, model).tokenMs,
+      }),
+    };
   }
 
   /**
