--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -211,7 +211,7 @@
       largest !== null &&
       this.isSoonEnough(run) &&
       this.beginsInTime(run, largest) &&
-      this.bar.isBelow(confidence, this.measureUnread(run, largest)) &&
+      this.bar.isBelow(confidence) &&
       this.canEscalate(run)
     );
   }
@@ -222,11 +222,6 @@
     return this.measureMs(run) + expectedMs < objectiveMs * BEGIN_BY_SHARE;
   }
 
-  /** The share of a prompt that an attempt has to read. */
-  private measureUnread(run: CallRun, {plan}: AttemptChoice): number {
-    return plan.unreadTokens / Math.max(1, run.call.facts.promptTokens);
-  }
-
   /** Whether a larger model could still begin in time. */
   private isSoonEnough(run: CallRun): boolean {
     const {objectiveMs} = run.admitted.route;
