--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -201,19 +201,13 @@
     confidence: number,
   ): boolean {
     const {models} = run.admitted.route;
-    if (run.hasEscalated || !hasLarger(models, model)) {
-      return false;
-    }
+    if (run.hasEscalated || !hasLarger(models, model)) return false;
+    if (!this.isSoonEnough(run) || !this.bar.isBelow(confidence)) return false;
     // An answer that is ready is not dropped with nobody else to ask.
     const largest = this.picker.plan(run, models.at(-1) ?? null, endpoint);
-    run.largestMs = largest?.plan.ms ?? 0;
-    return (
-      largest !== null &&
-      this.isSoonEnough(run) &&
-      this.beginsInTime(run, largest) &&
-      this.bar.isBelow(confidence) &&
-      this.canEscalate(run)
-    );
+    if (!largest || !this.beginsInTime(run, largest)) return false;
+    run.largestMs = largest.plan.ms;
+    return this.canEscalate(run);
   }
 
   /** Whether an attempt should begin its answer before it is given up. */
