--- a/src/coordination/core/exchange_task.ts
+++ b/src/coordination/core/exchange_task.ts
@@ -11,6 +11,12 @@
 /** How often daemons exchange what is not urgent. */
 const INTERVAL_MS = 800;
 
+/** The same while gateways have requests open, at the least. */
+const BUSY_INTERVAL_MS = 200;
+
+/** What each open gateway adds, so that the work does not grow with them. */
+const INTERVAL_MS_PER_GATEWAY = 20;
+
 /** How often a daemon is told of the others: they also speak for themselves. */
 const MENTION_INTERVAL_MS = 4_000;
 
@@ -75,11 +81,17 @@
       for (const report of reports) peer.reports.set(report.id, report);
       if (!peer.isBusy) void exchangeWith(options, address, peer);
     }
-    await state.news.wait(INTERVAL_MS);
+    await state.news.wait(computeIntervalMs(state));
     await clock.sleep(GATHER_MS, signal);
   }
 }
 
+function computeIntervalMs({gateways}: CoreState): number {
+  if (!gateways.hasLoads()) return INTERVAL_MS;
+  const ms = gateways.findOpen().list.length * INTERVAL_MS_PER_GATEWAY;
+  return Math.min(INTERVAL_MS, Math.max(BUSY_INTERVAL_MS, ms));
+}
+
 function createProgress(): PeerProgress {
   return {
     reports: new Map(),
--- a/src/coordination/core/gateway_directory.ts
+++ b/src/coordination/core/gateway_directory.ts
@@ -128,6 +128,11 @@
     return [...sums.values()];
   }
 
+  /** Whether any gateway has requests open. */
+  hasLoads(): boolean {
+    return this.listLive().some(({report}) => report.loads.length > 0);
+  }
+
   /** What all gateways saw of versions. */
   listEvidence(): VersionEvidence[] {
     const oldest = this.options.clock.monotonic() - FORGET_AFTER_MS;
--- a/src/coordination/forwarding/choose_model.ts
+++ b/src/coordination/forwarding/choose_model.ts
@@ -17,6 +17,9 @@
 /** From this share of the objective on, no larger model is asked. */
 const SLOW_SHARE = 0.6;
 
+/** What an engine keeps of a prompt counts up to the rest of this share. */
+const MIN_UNREAD_SHARE = 0.1;
+
 /** The weight of the newest first event in the mean. */
 const NEWEST_WEIGHT = 0.15;
 
@@ -72,9 +75,15 @@
     };
   }
 
-  /** Whether a larger model should answer instead of one so sure. */
-  isBelow(confidence: number): boolean {
-    return confidence < ACCEPT_FROM * this.measureRoom();
+  /**
+   * Whether a larger model should answer instead of one so sure.
+   *
+   * @param unreadShare The share of the prompt that an engine has to read for
+   *     it: what takes little time may be asked while there is little room.
+   */
+  isBelow(confidence: number, unreadShare = 1): boolean {
+    const room = this.measureRoom() / Math.max(MIN_UNREAD_SHARE, unreadShare);
+    return confidence < ACCEPT_FROM * Math.min(1, room);
   }
 
   /** 1 while larger models begin soon, 0 when they begin too late. */
@@ -104,6 +113,11 @@
   }
 }
 
+/** Whether any larger model could answer instead of one so sure. */
+export function isUnsure(confidence: number): boolean {
+  return confidence < ACCEPT_FROM;
+}
+
 /** Whether a larger model than this one may answer. */
 export function hasLarger(
   models: readonly string[],
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -17,7 +17,7 @@
 } from '../limits/window_budget.ts';
 import {admitCall} from './admit_call.ts';
 import type {Call, CallerSink, SendAttempt} from './call.ts';
-import {EscalationBar, hasLarger} from './choose_model.ts';
+import {EscalationBar, hasLarger, isUnsure} from './choose_model.ts';
 import type {EndpointHealth} from './endpoint_health.ts';
 import {EndpointPicker} from './endpoint_picker.ts';
 import type {EndpointNotices} from './endpoint_notices.ts';
@@ -202,10 +202,12 @@
   ): boolean {
     const {models} = run.admitted.route;
     if (run.hasEscalated || !hasLarger(models, model)) return false;
-    if (!this.isSoonEnough(run) || !this.bar.isBelow(confidence)) return false;
+    if (!this.isSoonEnough(run) || !isUnsure(confidence)) return false;
     // An answer that is ready is not dropped with nobody else to ask.
     const largest = this.picker.plan(run, models.at(-1) ?? null, endpoint);
     if (!largest || !this.beginsInTime(run, largest)) return false;
+    const unreadShare = this.measureUnread(run, largest);
+    if (!this.bar.isBelow(confidence, unreadShare)) return false;
     run.largestMs = largest.plan.ms;
     return this.canEscalate(run);
   }
@@ -216,6 +218,11 @@
     return this.measureMs(run) + expectedMs < objectiveMs * BEGIN_BY_SHARE;
   }
 
+  /** The share of a prompt that an attempt has to read. */
+  private measureUnread(run: CallRun, {plan}: AttemptChoice): number {
+    return plan.unreadTokens / Math.max(1, run.call.facts.promptTokens);
+  }
+
   /** Whether a larger model could still begin in time. */
   private isSoonEnough(run: CallRun): boolean {
     const {objectiveMs} = run.admitted.route;
--- a/src/coordination/gateway/core_follower.ts
+++ b/src/coordination/gateway/core_follower.ts
@@ -19,6 +19,12 @@
 /** How long a call may be held; the core learns of loads as often. */
 const HOLD_MS = 800;
 
+/** The same while the gateway has requests open, at the least. */
+const BUSY_HOLD_MS = 200;
+
+/** What each gateway adds, so that the core's work does not grow with them. */
+const HOLD_MS_PER_GATEWAY = 20;
+
 /** How long an answer may take beyond the hold: a lost packet sent again. */
 const ANSWER_TIMEOUT_MS = 700;
 
@@ -190,8 +196,7 @@
   /** Makes one call; true when the daemon hears the leader. */
   private async ask(address: string, holdMs: number): Promise<boolean> {
     const {view, call} = this.options;
-    const wait = this.hurried ? 0 : holdMs;
-    const request = this.createRequest(this.position, wait);
+    const request = this.createRequest(this.position, holdMs);
     this.hurried = false;
     const reply = await call(address, request, holdMs + ANSWER_TIMEOUT_MS);
     view.apply(reply);
@@ -201,14 +206,23 @@
 
   private createRequest(position: Position, holdMs: number): FollowRequest {
     const {view, createReport} = this.options;
+    const report = createReport();
+    const isBusy = report.loads.length > 0;
+    const mostMs = isBusy ? this.computeBusyHoldMs() : HOLD_MS;
     return {
-      report: createReport(),
+      report,
       ...position,
       configurationRevision: view.revision,
-      holdMs,
+      holdMs: this.hurried ? 0 : Math.min(holdMs, mostMs),
     };
   }
 
+  /** Choices hang on what others do now, while this gateway has requests. */
+  private computeBusyHoldMs(): number {
+    const ms = this.options.view.gatewayCount * HOLD_MS_PER_GATEWAY;
+    return Math.min(HOLD_MS, Math.max(BUSY_HOLD_MS, ms));
+  }
+
   private listAddresses(): string[] {
     const {view, listSeeds} = this.options;
     const known = view.cores.map(({address}) => address);
