--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -44,8 +44,8 @@
   unreadTokens = 0;
   /** How long the last attempt was expected to take until then, in ms. */
   expectedMs: number | null = null;
-  /** Whether the last attempt may well begin late, though nothing is wrong. */
-  isExpected = false;
+  /** Whether the last attempt may begin late although nothing is wrong. */
+  mayBeginLate = false;
   /** How long the last attempt took to begin its answer, in ms. */
   beganMs: number | null = null;
   /** Open while a larger model is waited for. */
--- a/src/coordination/forwarding/choose_endpoint.ts
+++ b/src/coordination/forwarding/choose_endpoint.ts
@@ -106,7 +106,7 @@
   );
 }
 
-/** When an engine begins the answer, with what that costs others, in ms. */
+/** What an answer costs: the engine's time, and how late it would begin, in ms. */
 function computeEngineMs(
   options: ChooseEndpointOptions,
   candidate: EndpointCandidate,
--- a/src/coordination/forwarding/reading_work.ts
+++ b/src/coordination/forwarding/reading_work.ts
@@ -17,7 +17,7 @@
   begin(): void;
 }
 
-export interface BeginReadingOptions {
+export interface StartReadingOptions {
   readonly endpoint: EndpointEntry;
   readonly service: string;
   /** `null` when the caller chose it. */
@@ -46,7 +46,7 @@
   }
 
   /** Notes that an engine is to read a prompt; dispose it when that ends. */
-  start(options: BeginReadingOptions): OpenReading {
+  start(options: StartReadingOptions): OpenReading {
     const {endpoint, service, model, plan, aheadMs} = options;
     const key = `${endpoint.id}\n${endpoint.startedAtMs}`;
     const readings = this.open.get(key) ?? new Set();
--- a/src/coordination/forwarding/relay_events.ts
+++ b/src/coordination/forwarding/relay_events.ts
@@ -59,9 +59,8 @@
       if (!goesOn && !sink.hasBegun) {
         early.push(...pieces);
         for (const {length} of pieces) earlyBytes += length;
-        if (earlyBytes > MAX_EVENT_BYTES)
-          throw new Error('nothing but comments');
-        continue;
+        if (earlyBytes <= MAX_EVENT_BYTES) continue;
+        throw new Error('Could not read a stream: it has only comments');
       }
       if (goesOn) run.noteFirst(clock.monotonic() - run.call.receivedAt);
       if (!sink.hasBegun) sink.begin(answer.status, dropFraming(answer));
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -123,7 +123,7 @@
   const startedAt = clock.monotonic();
   run.beganMs = null;
   run.expectedMs = expectedMs;
-  run.isExpected =
+  run.mayBeginLate =
     expectedMs > admitted.route.objectiveMs * EXPECTED_LATE_SHARE;
   run.unreadTokens = plan.unreadTokens;
   const leave = () => abort('left');
@@ -143,7 +143,7 @@
       return;
     }
     // An endpoint that answers others will come to this request.
-    run.isExpected ||= health.isHeardSince(endpoint, startedAt);
+    run.mayBeginLate ||= health.isHeardSince(endpoint, startedAt);
     const moreMs = findFallbackMs(run, clock.monotonic());
     if (moreMs > 0) stall.postpone(moreMs);
     else abort('overdue');
@@ -213,11 +213,11 @@
 
 /** The time until a held answer is delivered, in ms; 0 when it is due. */
 export function findFallbackMs(
-  {call, admitted, isExpected}: CallRun,
+  {call, admitted, mayBeginLate}: CallRun,
   nowMs: number,
 ): number {
   const {objectiveMs} = admitted.route;
-  const dueMs = objectiveMs * (isExpected ? FALLBACK_FACTOR : FALLBACK_SHARE);
+  const dueMs = objectiveMs * (mayBeginLate ? FALLBACK_FACTOR : FALLBACK_SHARE);
   return Math.max(0, call.receivedAt + dueMs - nowMs);
 }
 
