End one request, not the gateway, by an unexpected error

It could happen: an error that nobody caught ended the process and all its requests; one that a request's path threw closed the caller's connection without an answer, and a larger model that was waited for then stayed open, so the bar fell for good and none was asked any more.

Change: the run is finished whatever is thrown, the caller gets 502, and a gateway logs uncaught errors and goes on, up to 20 in 10 s. Daemons with a disk end as before.

Ruled out: guarding daemons with a disk, whose state an error could spoil. The tests with planted errors failed before.

--- /dev/null
+++ b/src/cli/serve_site/guard_gateway_test.ts
@@ -0,0 +1,58 @@
+import assert from 'node:assert/strict';
+import {EventEmitter} from 'node:events';
+import {test} from 'uvu';
+import {silentLogger} from '../../protocol/logger.ts';
+import {SimulatedClock} from '../../protocol/simulated_clock.ts';
+import {guardGateway, type ErrorSource} from './guard_gateway.ts';
+
+function startGuard() {
+  const clock = new SimulatedClock();
+  const emitter = new EventEmitter();
+  const lines: string[] = [];
+  let givenUp = 0;
+  const guard = guardGateway({
+    source: emitter as ErrorSource,
+    clock,
+    logger: {...silentLogger, error: message => void lines.push(message)},
+    giveUp: () => givenUp++,
+  });
+  return {
+    clock,
+    guard,
+    lines,
+    fail: (error: unknown) => emitter.emit('uncaughtException', error),
+    countGivenUp: () => givenUp,
+  };
+}
+
+test('guardGateway() logs an unexpected error and goes on', () => {
+  const {lines, fail, countGivenUp} = startGuard();
+  assert.ok(fail(new Error('planted')));
+  // Anything can be thrown.
+  for (const error of [undefined, null, 'text', {}]) fail(error);
+  assert.equal(lines.length, 5);
+  assert.equal(countGivenUp(), 0);
+});
+
+test('guardGateway() gives up when errors come in a row', () => {
+  const {fail, countGivenUp} = startGuard();
+  for (let error = 0; error < 20; error++) fail(new Error('planted'));
+  assert.equal(countGivenUp(), 1);
+});
+
+test('guardGateway() bears an error now and then for ever', async () => {
+  const {clock, fail, countGivenUp} = startGuard();
+  for (let error = 0; error < 100; error++) {
+    fail(new Error('planted'));
+    await clock.advance(1_000);
+  }
+  assert.equal(countGivenUp(), 0);
+});
+
+test('guardGateway() ends with its disposal', () => {
+  const {guard, fail} = startGuard();
+  guard[Symbol.dispose]();
+  assert.equal(fail(new Error('planted')), false);
+});
+
+test.run();
--- a/src/cli/serve_site/serve_site.ts
+++ b/src/cli/serve_site/serve_site.ts
@@ -4,6 +4,7 @@
 import {createLoggerFactory} from '../../transport/logging/create_logger.ts';
 import {waitForSignal} from '../serve/wait_for_signal.ts';
 import {startSiteDaemon} from './daemon.ts';
+import {guardGateway} from './guard_gateway.ts';
 import {SettingsSource} from './settings_source.ts';
 import type {SiteSurfaces} from './surfaces.ts';
 
@@ -13,6 +14,9 @@
 /** The exit code for settings that cannot be used. */
 const EXIT_SETTINGS = 2;
 
+/** The exit code for too many unexpected errors. */
+const EXIT_ERRORS = 70;
+
 /** Runs the daemon that a settings file describes. */
 export async function serveSite(
   file: string,
@@ -46,6 +50,15 @@
     surfaces,
     createLogger,
   });
+  const {listen, data_folder: dataFolder} = source.settings;
+  if (listen.front !== undefined && dataFolder === undefined) {
+    guardGateway({
+      source: process,
+      clock: systemClock,
+      logger,
+      giveUp: () => process.exit(EXIT_ERRORS),
+    });
+  }
   const signal = await waitForSignal();
   logger.info('Shuts down.', {signal});
   await daemon[Symbol.asyncDispose]();
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -111,7 +111,12 @@
     if (!admitted.ok) return this.refuse(call, sink, admitted.error);
     const run = new CallRun(admitted.value);
     this.findBudget(admitted.value.service.name).deposit();
-    while (!run.isOver) await this.step(run, sink);
+    try {
+      while (!run.isOver) await this.step(run, sink);
+    } finally {
+      // An unexpected error ends this request, and leaves nothing of it open.
+      run.finish('error', 0);
+    }
     this.record(run);
   }
 
--- a/src/coordination/forwarding/forwarder_test.ts
+++ b/src/coordination/forwarding/forwarder_test.ts
@@ -284,4 +284,61 @@
   assert.equal(gateway.attempts.length, 1);
 });
 
+test('forward() ends only the request in which something unexpected is thrown', async () => {
+  const planted = new Error('planted');
+  for (const place of ['send', 'body', 'facts'] as const) {
+    let isPlanted = true;
+    const gateway = new FakeGateway({
+      route: createRoute({
+        models: ['small', 'large'],
+        repeatability: 'stream',
+        resumable: true,
+        objectiveMs: 2_000,
+      }),
+      endpoints: ['e1', 'e2', 'e3'].map(id => createEndpoint(id)),
+      behave: async (call, options) => {
+        const isLarge = options.model === 'large';
+        if (isLarge && isPlanted && place === 'send') throw planted;
+        const answer = createAnswer(call, options, {
+          isStream: true,
+          pieces: ['id: 1\ndata: a\n\n'],
+          facts: {confidence: isLarge ? 90 : 5},
+        });
+        if (!isLarge || !isPlanted || answer.type !== 'answer') return answer;
+        const plant = () => {
+          throw planted;
+        };
+        return place === 'facts'
+          ? {
+              ...answer,
+              get answer(): never {
+                return plant();
+              },
+            }
+          : {
+              ...answer,
+              answer: {
+                ...answer.answer,
+                get body(): never {
+                  return plant();
+                },
+              },
+            };
+      },
+    });
+    const facts = {model: '*', isModelOpen: true};
+    await gateway.request(facts).catch((error: Error) => {
+      assert.equal(error, planted, place);
+    });
+    isPlanted = false;
+    await gateway.clock.advance(60_000);
+    // The larger model is still asked: nothing waits for it any more.
+    gateway.attempts.length = 0;
+    const sink = await gateway.request(facts);
+    assert.equal(sink.outcome, 'whole', place);
+    const models = gateway.attempts.map(({model}) => model);
+    assert.deepEqual(models, ['small', 'large'], place);
+  }
+});
+
 test.run();
--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -246,7 +246,8 @@
   ): Promise<RecordingSink> {
     const {sink, done} = this.start(facts, signal);
     let isDone = false;
-    void done.finally(() => (isDone = true));
+    const finish = () => (isDone = true);
+    done.then(finish, finish);
     while (!isDone) await this.clock.advance(10);
     await done;
     return sink;
--- a/src/transport/forwarding/front_server.ts
+++ b/src/transport/forwarding/front_server.ts
@@ -93,7 +93,9 @@
     serveRequest(options, limits, {request, response}).catch(error => {
       const {message: reason} = error as Error;
       logger.error('Could not serve a request.', {reason, path: request.url});
-      response.destroy();
+      // Nobody knows any more whether it ran.
+      if (response.headersSent) response.destroy();
+      else refuseCall(createCallerSink(response), {reason: 'broken'});
     });
   });
   server.on('connect', (_request, socket) => socket.destroy());
--- a/src/transport/forwarding/front_server_test.ts
+++ b/src/transport/forwarding/front_server_test.ts
@@ -100,4 +100,25 @@
   await closed;
 });
 
+test('an unexpected error ends one request with 502, and others are served', async () => {
+  const port = await findFreePort();
+  let calls = 0;
+  const server = await startServer(async (_call, sink) => {
+    if (calls++ === 0) throw new Error('planted');
+    sink.answer(200, [], Buffer.from('done'));
+  }, port);
+  const send = () =>
+    fetch(`http://127.0.0.1:${port}/x`, {
+      method: 'POST',
+      body: 'hi',
+      headers: {connection: 'close'},
+    });
+  const first = await send();
+  assert.equal(first.status, 502);
+  assert.deepEqual(await first.json(), {error: 'broken'});
+  const second = await send();
+  assert.equal(await second.text(), 'done');
+  await server[Symbol.asyncDispose]();
+});
+
 test.run();
