--- a/src/transport/forwarding/front_server_test.ts
+++ b/src/transport/forwarding/front_server_test.ts
@@ -1,11 +1,11 @@
 /** The pattern: a gateway stops while callers go on to send. */
 import assert from 'node:assert/strict';
-import {once} from 'node:events';
-import {connect, createServer, type AddressInfo} from 'node:net';
+import {connect} from 'node:net';
 import {test} from 'uvu';
 import {NO_FACTS} from '../../coordination/forwarding/forwarding_fakes.ts';
 import {systemClock} from '../../protocol/clock.ts';
 import {silentLogger} from '../../protocol/logger.ts';
+import {findFreePort} from '../test_ports.ts';
 import {startFrontServer, type FrontServerOptions} from './front_server.ts';
 
 function startServer(forward: FrontServerOptions['forward'], port: number) {
@@ -26,16 +26,6 @@
   });
 }
 
-/** Finds a port that nobody listens on. */
-async function findFreePort(): Promise<number> {
-  const server = createServer().listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const {port} = server.address() as AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return port;
-}
-
 const REQUEST = 'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi';
 
 type Ending = 'answered' | 'cut' | 'not accepted';
--- a/src/transport/forwarding/late_copies_test.ts
+++ b/src/transport/forwarding/late_copies_test.ts
@@ -7,8 +7,8 @@
   createEndpoint,
   createRoute,
   FakeGateway,
+  PLAIN_ANSWER,
 } from '../../coordination/forwarding/forwarding_fakes.ts';
-import type {CallFacts} from '../../coordination/forwarding/call.ts';
 import {EndpointClient} from './endpoint_client.ts';
 
 /** When the second copy is sent, in ms after the first; `next`: with the next. */
@@ -59,13 +59,8 @@
           encodeAttempt: call => [['id', call.facts.attemptId ?? '']],
           gatewayOnlyAnswerHeaders: new Set(),
           decodeAnswer: (_status, find) => ({
+            ...PLAIN_ANSWER,
             attemptId: find('id'),
-            isNotRun: false,
-            isSigned: true,
-            load: null,
-            confidence: null,
-            isLeaving: false,
-            quietMs: null,
           }),
         },
       });
@@ -79,9 +74,7 @@
       const texts = new Map<string, Promise<string>>();
       for (let round = 0; round < 40; round++) {
         const id = `request-${round}`;
-        const {sink, done} = gateway.start({
-          attemptId: id,
-        } satisfies Partial<CallFacts>);
+        const {sink, done} = gateway.start({attemptId: id});
         texts.set(
           id,
           done.then(() => `${sink.status} ${sink.text}`),
--- a/src/transport/public/public_server_test.ts
+++ b/src/transport/public/public_server_test.ts
@@ -1,7 +1,7 @@
 import {createHash} from 'node:crypto';
 import {once} from 'node:events';
-import {connect, createServer} from 'node:net';
-import type {AddressInfo} from 'node:net';
+import {connect} from 'node:net';
+
 import OpenAI from 'openai';
 import {request} from 'undici';
 import {test} from 'uvu';
@@ -14,20 +14,11 @@
   FakeGateway,
   type Script,
 } from '../../coordination/requests/request_fakes.ts';
+import {findFreePort} from '../test_ports.ts';
 import {startPublicServer} from './public_server.ts';
 
 const KEY = 'key';
 
-/** Finds a port that is free. */
-async function findPort(): Promise<number> {
-  const server = createServer().listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const {port} = server.address() as AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return port;
-}
-
 async function startGateway(script: Script = {}) {
   const gateway = new FakeGateway({e1: script, s1: script});
   const {view} = gateway;
@@ -36,7 +27,7 @@
   const keyHash = createHash('sha256').update(KEY).digest('hex');
   const customers = [{...customer, key_sha256: keyHash}];
   gateway.view = {...view, declaration: {...view.declaration, customers}};
-  const port = await findPort();
+  const port = await findFreePort();
   const state = {open: true};
   const server = await startPublicServer({
     host: '127.0.0.1',
--- /dev/null
+++ b/src/transport/test_ports.ts
@@ -0,0 +1,13 @@
+/** Ports for tests that start servers. */
+import {once} from 'node:events';
+import {createServer, type AddressInfo} from 'node:net';
+
+/** Finds a port of this host that nobody listens on. */
+export async function findFreePort(): Promise<number> {
+  const server = createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  server.close();
+  await once(server, 'close');
+  return port;
+}
