Take loads of a core of an earlier version, which tell no reading

Cause: replies of the core are not parsed by a schema, so during an upgrade a gateway would reckon with an undefined reading time and compare endpoints by NaN.

--- a/src/coordination/gateway/gateway_view.ts
+++ b/src/coordination/gateway/gateway_view.ts
@@ -92,7 +92,12 @@
     if (reply.configuration) this.applyConfiguration(reply.configuration);
     for (const entry of reply.endpoints) this.applyEndpoint(entry);
     if (reply.complete && reply.settled) this.forgetOthers(reply.endpoints);
-    this.loads = new Map(reply.loads.map(load => [load.id, load]));
+    this.loads = new Map(
+      reply.loads.map(({id, open, readingMs = 0}) => [
+        id,
+        {id, open, readingMs},
+      ]),
+    );
     this.coreDaemons = reply.cores;
     if (reply.openGateways) this.openList = reply.openGateways;
   }
--- a/src/protocol/core_service.ts
+++ b/src/protocol/core_service.ts
@@ -143,8 +143,8 @@
   /** Present when it is newer than the gateway's. */
   readonly configuration: Configuration | null;
   readonly cores: readonly CoreDaemon[];
-  /** Open requests of all other gateways. */
-  readonly loads: readonly EndpointLoad[];
+  /** Open requests of all other gateways; earlier versions tell less. */
+  readonly loads: ReadonlyArray<z.input<typeof endpointLoadSchema>>;
   readonly gatewayRevision: number;
   /** The open gateways; `null` when the gateway knows them. */
   readonly openGateways: readonly Gateway[] | null;
