Log and count what endpoints say of their limits

The record of the incident could not tell whether a gateway had read a limit, nor how many attempts it sent since, nor of which kind. A new limit and its end are logged with the endpoint and both values; limited_sends counts the requests that are written to an endpoint whose limit the gateway knows, first attempts apart from further ones. The choice of endpoints does not change. The header is addressed to gateways, so callers do not get it.

--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -1,5 +1,6 @@
 /** Runs the gateway components of a site daemon. */
 import {EndpointHealth} from '../../coordination/forwarding/endpoint_health.ts';
+import {EndpointLimits} from '../../coordination/forwarding/endpoint_limits.ts';
 import {EndpointNotices} from '../../coordination/forwarding/endpoint_notices.ts';
 import {Forwarder} from '../../coordination/forwarding/forwarder.ts';
 import {PrefillBacklog} from '../../coordination/forwarding/prefill_backlog.ts';
@@ -56,6 +57,11 @@
   let server: FrontServer | null = null;
   const health = new EndpointHealth(clock);
   const notices = new EndpointNotices({clock, logger: createLogger('forward')});
+  const limits = new EndpointLimits({
+    clock,
+    logger: createLogger('forward'),
+    metrics: parts.metrics,
+  });
   const evidence = new VersionEvidenceCounter();
   const prefillBacklog = new PrefillBacklog(clock);
   const client = store.add(new EndpointClient({codec: surfaces.codec}));
@@ -98,6 +104,7 @@
     view,
     health,
     notices,
+    limits,
     evidence,
     prefillBacklog,
     clock,
--- a/src/coordination/forwarding/call.ts
+++ b/src/coordination/forwarding/call.ts
@@ -83,6 +83,11 @@
   readonly load: ReportedLoad | null;
   /** The model's confidence in its answer, 0 to 100; `null` without one. */
   readonly confidence: number | null;
+  /**
+   * The requests per second that the endpoint accepts from all gateways
+   * together; `NaN` when it could not be parsed, `null` without a limit.
+   */
+  readonly limitPerSecond: number | null;
 }
 
 export interface ReportedLoad {
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -20,6 +20,7 @@
 import {EscalationThreshold, hasLarger, isUnsure} from './choose_model.ts';
 import type {EndpointHealth} from './endpoint_health.ts';
 import {EndpointPicker} from './endpoint_picker.ts';
+import type {EndpointLimits} from './endpoint_limits.ts';
 import type {EndpointNotices} from './endpoint_notices.ts';
 import type {PrefillBacklog} from './prefill_backlog.ts';
 import {refuseCall, type RefusalReason} from './refuse.ts';
@@ -70,6 +71,7 @@
   readonly view: GatewayView;
   readonly health: EndpointHealth;
   readonly notices: EndpointNotices;
+  readonly limits: EndpointLimits;
   readonly evidence: VersionEvidenceCounter;
   readonly prefillBacklog: PrefillBacklog;
   readonly clock: Clock;
--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -17,6 +17,7 @@
   Header,
 } from './call.ts';
 import {EndpointHealth} from './endpoint_health.ts';
+import {EndpointLimits} from './endpoint_limits.ts';
 import {EndpointNotices} from './endpoint_notices.ts';
 import {Forwarder} from './forwarder.ts';
 import {PrefillBacklog} from './prefill_backlog.ts';
@@ -136,6 +137,7 @@
   isSigned: true,
   load: null,
   confidence: null,
+  limitPerSecond: null,
   isLeaving: false,
   quietMs: null,
 };
@@ -212,6 +214,11 @@
     this.forwarder = new Forwarder({
       view: this.view,
       notices: this.notices,
+      limits: new EndpointLimits({
+        clock: this.clock,
+        logger: silentLogger,
+        metrics: silentMetrics,
+      }),
       health: new EndpointHealth(this.clock),
       evidence: new VersionEvidenceCounter(),
       prefillBacklog: new PrefillBacklog(this.clock),
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -10,6 +10,7 @@
 } from './call.ts';
 import type {CallRun, FailedAnswer} from './call_run.ts';
 import type {EndpointHealth} from './endpoint_health.ts';
+import type {EndpointLimits} from './endpoint_limits.ts';
 import type {EndpointNotices} from './endpoint_notices.ts';
 import {HeldAnswer, MAX_HELD_BYTES} from './held_answer.ts';
 import type {PrefillPlan} from './plan_prefill.ts';
@@ -80,6 +81,7 @@
   readonly clock: Clock;
   readonly health: EndpointHealth;
   readonly notices: EndpointNotices;
+  readonly limits: EndpointLimits;
   readonly prefillBacklog: PrefillBacklog;
   /** Whether an endpoint accepts requests now. */
   readonly mayReceive: (endpoint: EndpointEntry) => boolean;
@@ -166,7 +168,11 @@
       lastEventId: run.lastEventId,
       budgetMs: Math.max(1, Math.floor(leftMs)),
       mayReuseConnection: admitted.isRepeatable,
-      mayBegin: () => options.mayReceive(endpoint),
+      mayBegin: () => {
+        if (!options.mayReceive(endpoint)) return false;
+        options.limits.recordSend(endpoint, run.sends === 0);
+        return true;
+      },
       signal: controller.signal,
     });
     if (outcome.type === 'answer') {
@@ -176,6 +182,7 @@
     const result = await handleOutcome(options, run, {
       endpoint,
       outcome,
+      startedAt,
       onProgress: ms => stall.postpone(ms),
     });
     return explainAbort(result, {aborted, startedAt});
@@ -250,6 +257,8 @@
 interface ReceivedOutcome {
   readonly endpoint: EndpointEntry;
   readonly outcome: AttemptOutcome;
+  /** When the attempt began, on the monotonic clock. */
+  readonly startedAt: number;
   /** Called on progress, with the timeout for the next piece in ms. */
   readonly onProgress: (ms: number) => void;
 }
@@ -257,15 +266,21 @@
 async function handleOutcome(
   options: RunAttemptOptions,
   run: CallRun,
-  {endpoint, outcome, onProgress}: ReceivedOutcome,
+  {endpoint, outcome, startedAt, onProgress}: ReceivedOutcome,
 ): Promise<AttemptResult> {
+  const {health, notices, limits} = options;
   switch (outcome.type) {
     case 'not-sent':
     case 'withdrawn':
       return outcome;
     case 'not-run':
-      options.health.recordAnswer(endpoint);
-      options.notices.record(endpoint, outcome.facts);
+      health.recordAnswer(endpoint);
+      notices.record(endpoint, outcome.facts);
+      limits.record(endpoint, {
+        limitPerSecond: outcome.facts.limitPerSecond,
+        isVerified: false,
+        sentAt: startedAt,
+      });
       return {
         type: 'not-run',
         isFull: outcome.status !== 421,
@@ -276,8 +291,15 @@
     case 'aborted':
       return {type: 'broken', isUnreachable: false, reason: 'aborted'};
     case 'answer':
-      options.health.recordAnswer(endpoint);
-      options.notices.record(endpoint, outcome.answer.facts);
+      health.recordAnswer(endpoint);
+      notices.record(endpoint, outcome.answer.facts);
+      limits.record(endpoint, {
+        limitPerSecond: outcome.answer.facts.limitPerSecond,
+        isVerified:
+          outcome.answer.facts.isSigned &&
+          findProblem(run, outcome.answer) === null,
+        sentAt: startedAt,
+      });
       return handleAnswer(options, run, outcome.answer, {endpoint, onProgress});
   }
 }
