Keep all gateways together within the limit that an endpoint names

Callers of such an endpoint waited for one that was in need.

Cause: no code read the limit, so each of the nine gateways chose the endpoint as before. Ruled out: the excess did not come from second attempts (38 of 45 requests were first ones). A limit that each gateway keeps for itself would not have been enough either: nine times 1.6 a second are 58 in 4 s.

Each gateway now has a share of the limit that it computes from the list of gateways, and takes room right before the first byte of any attempt. Gateways tell each other through the core which limits they saw. What has no room goes elsewhere, or is refused at once with a time to return that follows the limits.

Why it works: the shares of one list add up to the limit, of which 0.9 is used, and at most L + 3 gateways have one, so that even if all send at one moment no 4 s hold more than 5 L + 3; the rule allows 6 L + 5. Lists that lack gateways do not raise the shares for 5 s.

--- a/src/cli/serve_site/core.ts
+++ b/src/cli/serve_site/core.ts
@@ -128,6 +128,7 @@
       intervalMs: SWEEP_MS,
       step: async () => {
         state.endpoints.sweep();
+        state.limits.pruneEnded(id => state.endpoints.find(id));
         view.saveIfChanged();
         state.members.setSeeds(listSeedPeers(getSettings()));
       },
--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -57,11 +57,6 @@
   let server: FrontServer | null = null;
   const health = new EndpointHealth(clock);
   const notices = new EndpointNotices({clock, logger: createLogger('forward')});
-  const limits = new EndpointLimits({
-    clock,
-    logger: createLogger('forward'),
-    metrics: parts.metrics,
-  });
   const evidence = new VersionEvidenceCounter();
   const prefillBacklog = new PrefillBacklog(clock);
   const client = store.add(new EndpointClient({codec: surfaces.codec}));
@@ -69,6 +64,15 @@
     logger: createLogger('view'),
     decodeTable: surfaces.decodeTable,
     onConfiguration: ({table}) => server?.setLimits(table.limits),
+    onLimits: relayed => limits.recordRelayed(relayed),
+  });
+  const limits = new EndpointLimits({
+    clock,
+    logger: createLogger('forward'),
+    metrics: parts.metrics,
+    random: Math.random,
+    address: front,
+    listGateways: () => view.openGateways,
   });
   const isOpen = () => !isStopping && view.routes !== null;
   const describeSelf = () => ({
@@ -77,9 +81,9 @@
     dataCentre,
     open: isOpen(),
   });
-  const listLeaving = () => {
+  const pruneEnded = () => {
     notices.pruneEnded(id => view.findEndpoint(id));
-    return notices.listLeaving();
+    limits.pruneEnded(id => view.findEndpoint(id));
   };
   const follower = new CoreFollower({
     view,
@@ -89,14 +93,18 @@
     region,
     dataCentre,
     random: Math.random,
-    createReport: () => ({
-      gateway: describeSelf(),
-      loads: health.listLoads(start => prefillBacklog.getPendingMs(start)),
-      evidence: evidence.list(
-        service => view.findRollout(service)?.state === 'running',
-      ),
-      leaving: listLeaving(),
-    }),
+    createReport: () => {
+      pruneEnded();
+      return {
+        gateway: describeSelf(),
+        loads: health.listLoads(start => prefillBacklog.getPendingMs(start)),
+        evidence: evidence.list(
+          service => view.findRollout(service)?.state === 'running',
+        ),
+        leaving: notices.listLeaving(),
+        limits: limits.listObserved(),
+      };
+    },
     call: (address, request, timeoutMs) =>
       links.get(address).follow(request, timeoutMs),
   });
--- a/src/coordination/core/core_state.ts
+++ b/src/coordination/core/core_state.ts
@@ -10,6 +10,7 @@
 import type {Logger} from '../../protocol/logger.ts';
 import {createNotifier, type Notifier} from '../notifier.ts';
 import {CoreMembers} from './core_members.ts';
+import {EndpointLimitTable} from './endpoint_limit_table.ts';
 import {EndpointRegistry, type ReportOutcome} from './endpoint_registry.ts';
 import {GatewayDirectory} from './gateway_directory.ts';
 
@@ -26,6 +27,7 @@
 export class CoreState {
   readonly members: CoreMembers;
   readonly endpoints: EndpointRegistry;
+  readonly limits: EndpointLimitTable;
   readonly gateways: GatewayDirectory;
   /** Notified when something changed that gateways need to know. */
   readonly changes: Notifier;
@@ -37,6 +39,7 @@
     const {clock, self} = options;
     this.members = new CoreMembers({clock, self});
     this.endpoints = new EndpointRegistry({clock});
+    this.limits = new EndpointLimitTable({clock});
     this.changes = createNotifier(clock);
     this.urgentChanges = createNotifier(clock);
     this.gateways = new GatewayDirectory({
@@ -46,6 +49,11 @@
         if (isDirect) this.urgentChanges.notify();
       },
       onLeaving: leaving => this.applyLeaving(leaving),
+      onLimits: (limits, receivedAt) => {
+        if (!this.limits.merge(limits, receivedAt)) return;
+        this.changes.notify();
+        this.urgentChanges.notify();
+      },
     });
   }
 
--- a/src/coordination/core/core_state_test.ts
+++ b/src/coordination/core/core_state_test.ts
@@ -15,6 +15,7 @@
   loads: [],
   evidence: [],
   leaving: [{id: 'e1', startedAtMs: 1}],
+  limits: [],
 };
 
 function createState(address: string, clock: SimulatedClock): CoreState {
--- /dev/null
+++ b/src/coordination/core/endpoint_limit_table.ts
@@ -0,0 +1,114 @@
+/**
+ * The limits that endpoints named to any gateway, as one core daemon knows them.
+ *
+ * Observations of several gateways arrive late and in any order. The latest one
+ * of the latest start of an endpoint counts.
+ */
+import type {Clock} from '../../protocol/clock.ts';
+import type {EndpointLimit} from '../../protocol/core_service.ts';
+import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
+
+/** A limit that falls below this part of the known one is relayed at once. */
+const URGENT_PART = 0.8;
+
+/** How long a limit of an endpoint that is not known is retained. */
+const EXPIRE_AFTER_MS = 60_000;
+
+interface KnownLimit {
+  readonly startedAtMs: number;
+  /** `null` once the endpoint names no limit any more. */
+  readonly perSecond: number | null;
+  /** On the monotonic clock. */
+  readonly observedAt: number;
+  /** The revision of the table at which gateways need to know it anew. */
+  readonly changedAt: number;
+}
+
+export interface EndpointLimitTableOptions {
+  readonly clock: Clock;
+}
+
+export class EndpointLimitTable {
+  private readonly known = new Map<string, KnownLimit>();
+  private lastRevision = 0;
+  private lastUrgentRevision = 0;
+
+  constructor(private readonly options: EndpointLimitTableOptions) {}
+
+  /** Increases with each change that gateways need to know. */
+  get revision(): number {
+    return this.lastRevision;
+  }
+
+  /** The revision of the last change that must not wait: a lower limit. */
+  get urgentRevision(): number {
+    return this.lastUrgentRevision;
+  }
+
+  /**
+   * Merges the observations of a gateway; returns whether a change is urgent.
+   *
+   * @param receivedAt When their ages were measured, on the monotonic clock.
+   */
+  merge(limits: readonly EndpointLimit[], receivedAt: number): boolean {
+    const before = this.lastUrgentRevision;
+    for (const limit of limits) this.mergeOne(limit, receivedAt);
+    return this.lastUrgentRevision > before;
+  }
+
+  /** Lists the limits that changed after a revision; all by default. */
+  list(after = 0): EndpointLimit[] {
+    const now = this.options.clock.monotonic();
+    return [...this.known]
+      .filter(([, {changedAt}]) => changedAt > after)
+      .map(([id, {startedAtMs, perSecond, observedAt}]) => ({
+        id,
+        startedAtMs,
+        perSecond,
+        ageMs: Math.max(0, now - observedAt),
+      }));
+  }
+
+  /** Drops limits of starts that have ended. */
+  pruneEnded(findEndpoint: (id: string) => EndpointEntry | null): void {
+    const oldest = this.options.clock.monotonic() - EXPIRE_AFTER_MS;
+    for (const [id, {startedAtMs, observedAt}] of this.known) {
+      const endpoint = findEndpoint(id);
+      const isOver = endpoint
+        ? endpoint.startedAtMs > startedAtMs
+        : observedAt < oldest;
+      if (isOver) this.known.delete(id);
+    }
+  }
+
+  private mergeOne(
+    {id, startedAtMs, perSecond, ageMs}: EndpointLimit,
+    receivedAt: number,
+  ): void {
+    const observedAt = receivedAt - ageMs;
+    const known = this.known.get(id);
+    if (known && known.startedAtMs > startedAtMs) return;
+    const isSameStart = known?.startedAtMs === startedAtMs;
+    if (isSameStart && known.observedAt >= observedAt) {
+      // The gateway that reported it missed the later naming.
+      const hasMissedLimit = perSecond === null && known.perSecond !== null;
+      if (hasMissedLimit) this.markChanged(id, known);
+      return;
+    }
+    const previous = isSameStart ? known.perSecond : null;
+    const next = {startedAtMs, perSecond, observedAt};
+    if (isSameStart && previous === perSecond) {
+      this.known.set(id, {...next, changedAt: known.changedAt});
+      return;
+    }
+    this.markChanged(id, next);
+    if (perSecond === null) return;
+    if (previous === null || perSecond < previous * URGENT_PART) {
+      this.lastUrgentRevision = this.lastRevision;
+    }
+  }
+
+  private markChanged(id: string, limit: Omit<KnownLimit, 'changedAt'>): void {
+    this.known.set(id, {...limit, changedAt: ++this.lastRevision});
+  }
+}
--- a/src/coordination/core/follow_service.ts
+++ b/src/coordination/core/follow_service.ts
@@ -52,6 +52,7 @@
     request.epoch !== epoch ||
     state.endpoints.revision > request.endpointRevision ||
     state.gateways.lastClosingRevision > request.gatewayRevision ||
+    state.limits.urgentRevision > (request.limitRevision ?? Infinity) ||
     getConfiguration().revision > request.configurationRevision
   );
 }
@@ -79,6 +80,8 @@
     loads: state.gateways.sumLoads(request.report.gateway.address),
     gatewayRevision: open.revision,
     openGateways: isOpenListKnown ? null : open.list,
+    limitRevision: state.limits.revision,
+    limits: state.limits.list(complete ? 0 : request.limitRevision),
     fresh: isFresh(),
   };
 }
--- a/src/coordination/core/gateway_directory.ts
+++ b/src/coordination/core/gateway_directory.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '../../protocol/clock.ts';
 import type {
   AgedReport,
+  EndpointLimit,
   EndpointLoad,
   Gateway,
   GatewayReport,
@@ -36,6 +37,14 @@
   readonly onClosing?: (where: {readonly isDirect: boolean}) => void;
   /** Called when a gateway reports endpoints that are shutting down. */
   readonly onLeaving?: (leaving: readonly LeavingEndpoint[]) => void;
+  /**
+   * Called with the limits that a gateway reports; their ages were measured at
+   * `receivedAt` on the monotonic clock.
+   */
+  readonly onLimits?: (
+    limits: readonly EndpointLimit[],
+    receivedAt: number,
+  ) => void;
 }
 
 export class GatewayDirectory {
@@ -65,9 +74,10 @@
   }
 
   private apply(next: KnownGateway): void {
-    const {gateway, leaving} = next.report;
+    const {gateway, leaving, limits} = next.report;
     const {address, open} = gateway;
     if (leaving.length > 0) this.options.onLeaving?.(leaving);
+    if (limits.length > 0) this.options.onLimits?.(limits, next.receivedAt);
     const wasOpen = this.known.get(address)?.report.gateway.open ?? false;
     this.known.set(address, next);
     if (!wasOpen || open) return;
--- /dev/null
+++ b/src/coordination/forwarding/deliver_answer.ts
@@ -0,0 +1,72 @@
+/** Delivers the answer of an endpoint to the caller. */
+import type {EndpointAnswer, Header} from './call.ts';
+import type {CallRun} from './call_run.ts';
+import {MAX_HELD_BYTES} from './held_answer.ts';
+import {relayEvents} from './relay_events.ts';
+import type {AttemptResult, RunAttemptOptions} from './run_attempt.ts';
+
+/** Delivers a verified answer to the caller. */
+export async function deliverAnswer(
+  options: Pick<RunAttemptOptions, 'clock' | 'sink'>,
+  run: CallRun,
+  answer: EndpointAnswer,
+  onProgress: (ms: number) => void,
+): Promise<AttemptResult> {
+  const {clock, sink} = options;
+  const isGood = answer.status < 500;
+  if (isEventStream(answer.headers) && answer.status === 200) {
+    return relayEvents({clock, sink, onProgress}, run, answer);
+  }
+  if (sink.hasBegun) {
+    // A stream in progress can only be resumed by another stream.
+    answer.cancel();
+    return {
+      type: 'broken',
+      isUnreachable: false,
+      reason: `status ${answer.status}`,
+    };
+  }
+  const body = await readWhole(answer);
+  if (body === null) {
+    return {
+      type: 'broken',
+      isUnreachable: false,
+      reason: 'the answer broke off',
+    };
+  }
+  run.recordFirstOutput(clock.monotonic() - run.call.receivedAt);
+  const {status, headers} = answer;
+  if (!isGood && run.admitted.isRepeatable) {
+    return {type: 'failed', answer: {status, headers, body}};
+  }
+  sink.answer(status, headers, body);
+  return {type: 'delivered', status, isGood};
+}
+
+/** Reads a whole body; `null` when it broke off or is too large. */
+async function readWhole(answer: EndpointAnswer): Promise<Buffer | null> {
+  const pieces: Uint8Array[] = [];
+  let size = 0;
+  try {
+    for await (const piece of answer.body) {
+      pieces.push(piece);
+      size += piece.length;
+      if (size > MAX_HELD_BYTES) {
+        answer.cancel();
+        return null;
+      }
+    }
+  } catch {
+    // The caller reports a truncated body as the result of the attempt.
+    return null;
+  }
+  return Buffer.concat(pieces);
+}
+
+function isEventStream(headers: readonly Header[]): boolean {
+  return headers.some(
+    ([name, value]) =>
+      name.toLowerCase() === 'content-type' &&
+      value.toLowerCase().startsWith('text/event-stream'),
+  );
+}
--- a/src/coordination/forwarding/endpoint_picker.ts
+++ b/src/coordination/forwarding/endpoint_picker.ts
@@ -8,6 +8,7 @@
 import {chooseVersion} from './choose_version.ts';
 import {drawEndpoints} from './draw_endpoints.ts';
 import type {EndpointHealth} from './endpoint_health.ts';
+import type {EndpointLimits} from './endpoint_limits.ts';
 import type {EndpointNotices} from './endpoint_notices.ts';
 import {computeShare} from './hash.ts';
 import {planPrefill} from './plan_prefill.ts';
@@ -31,6 +32,7 @@
   readonly view: GatewayView;
   readonly health: EndpointHealth;
   readonly notices: EndpointNotices;
+  readonly limits: EndpointLimits;
   readonly prefillBacklog: PrefillBacklog;
   readonly clock: Clock;
   /** Returns a number from 0 up to 1. */
@@ -107,9 +109,9 @@
 
   /** Endpoints that accept requests and that this run has not tried. */
   listUntried(run: CallRun): EndpointEntry[] {
-    const {notices} = this.options;
-    return this.listEligible(run).filter(endpoint =>
-      notices.mayReceive(endpoint),
+    const {notices, limits} = this.options;
+    return this.listEligible(run).filter(
+      endpoint => notices.mayReceive(endpoint) && limits.hasRoom(endpoint),
     );
   }
 
@@ -126,18 +128,36 @@
 
   /**
    * The time until the first requested back-off ends, in ms; `null` when no
-   * eligible endpoint requested one.
+   * eligible endpoint with room requested one.
    */
   findBackoffMs(run: CallRun): number | null {
-    const {notices} = this.options;
+    const {notices, limits} = this.options;
     const backoffs = this.listEligible(run)
-      .filter(endpoint => !notices.isLeaving(endpoint))
+      .filter(each => !notices.isLeaving(each) && limits.hasRoom(each))
       .map(endpoint => notices.getBackoffMs(endpoint))
       .filter(ms => ms > 0);
     return backoffs.length > 0 ? Math.min(...backoffs) : null;
   }
 
-  /** Endpoints that this run has not tried, also those in a back-off. */
+  /**
+   * Plans when the caller of a refused request should return, in ms from now;
+   * `null` when no limit of an eligible endpoint is the reason.
+   */
+  planReturnMs(run: CallRun): number | null {
+    const {notices, limits} = this.options;
+    const full = this.listEligible(run).filter(
+      each => !notices.isLeaving(each) && !limits.hasRoom(each),
+    );
+    const returnMs = limits.planReturnMs(run.admitted.service.name, full);
+    if (returnMs === null) return null;
+    const backoffs = full.map(each => notices.getBackoffMs(each));
+    return Math.max(returnMs, Math.min(...backoffs));
+  }
+
+  /**
+   * Endpoints that this run has not tried, also those in a back-off or without
+   * room in their limit.
+   */
   private listEligible(run: CallRun): EndpointEntry[] {
     const {view} = this.options;
     const service = run.admitted.service.name;
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -23,6 +23,7 @@
 import type {EndpointLimits} from './endpoint_limits.ts';
 import type {EndpointNotices} from './endpoint_notices.ts';
 import type {PrefillBacklog} from './prefill_backlog.ts';
+import {drawJitterMs, drawRetryAfterMs, planRefusal} from './plan_refusal.ts';
 import {refuseCall, type RefusalReason} from './refuse.ts';
 import {
   deliverHeld,
@@ -63,10 +64,6 @@
  */
 const WAIT_SHARE = 0.6;
 
-/** Retry-After of a refused request: a minimum plus random jitter, in ms. */
-const RETRY_AFTER_MIN_MS = 300;
-const RETRY_AFTER_JITTER_MS = 700;
-
 export interface ForwarderOptions {
   readonly view: GatewayView;
   readonly health: EndpointHealth;
@@ -166,7 +163,7 @@
     const backoffMs = this.picker.findBackoffMs(run);
     if (backoffMs === null) return false;
     const {objectiveMs} = run.admitted.route;
-    const waitMs = backoffMs + this.drawJitterMs();
+    const waitMs = backoffMs + drawJitterMs(this.options);
     if (this.measureAgeMs(run) + waitMs > objectiveMs * WAIT_SHARE)
       return false;
     // The retry budget was already charged for the next attempt.
@@ -281,32 +278,8 @@
       sink.answer(status, headers, body);
       return run.finish('answered', status);
     }
-    const reason = this.findReason(run, cause);
-    const canRetryLater = run.runs === 0;
-    const status = refuseCall(sink, {
-      reason,
-      ...(canRetryLater ? {retryAfterMs: this.drawRetryAfterMs(run)} : {}),
-    });
-    run.finish(reason, status);
-  }
-
-  private findReason(run: CallRun, cause: 'deadline' | null): RefusalReason {
-    if (run.runs > 0) return cause === 'deadline' ? 'deadline' : 'broken';
-    if (cause === 'deadline') return 'deadline-not-run';
-    if (this.picker.findBackoffMs(run) !== null) return 'quiet';
-    if (run.notRun > 0) return 'no-room';
-    return run.sends > 0 ? 'not-run' : 'no-endpoint';
-  }
-
-  /** When the caller should retry, in ms from now. */
-  private drawRetryAfterMs(run?: CallRun): number {
-    const backoffMs = run ? this.picker.findBackoffMs(run) : null;
-    return (backoffMs ?? RETRY_AFTER_MIN_MS) + this.drawJitterMs();
-  }
-
-  /** Spreads requests that wait for the same moment. */
-  private drawJitterMs(): number {
-    return this.options.random() * RETRY_AFTER_JITTER_MS;
+    const refusal = planRefusal(this.options, this.picker, {run, cause});
+    run.finish(refusal.reason, refuseCall(sink, refusal));
   }
 
   private recordResult(
@@ -343,7 +316,7 @@
     const status = refuseCall(sink, {
       reason,
       ...(reason === 'no-configuration'
-        ? {retryAfterMs: this.drawRetryAfterMs()}
+        ? {retryAfterMs: drawRetryAfterMs(this.options)}
         : {}),
       // Other gateways are available, so the caller can retry at once.
       ...(reason === 'stopping' ? {retryAfterMs: 0} : {}),
--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -191,6 +191,7 @@
   readonly forwarder: Forwarder;
   readonly view: GatewayView;
   readonly notices: EndpointNotices;
+  readonly limits: EndpointLimits;
   private readonly health: EndpointHealth;
   private readonly address: string;
   private calls = 0;
@@ -214,22 +215,28 @@
     this.view = new GatewayView({
       logger: silentLogger,
       decodeTable: () => succeed(createTable(route, engine)),
+      onLimits: limits => this.limits.recordRelayed(limits),
+    });
+    this.limits = new EndpointLimits({
+      clock: this.clock,
+      logger: silentLogger,
+      metrics: silentMetrics,
+      random,
+      address,
+      listGateways: () => this.view.openGateways,
     });
     this.view.apply(
       createFollowReply({
         endpoints,
         settled: true,
         configuration: {revision: 1, version: 1, document: '', rollouts: []},
+        openGateways: [{address, region: 'r', dataCentre: 'a', open: true}],
       }),
     );
     this.forwarder = new Forwarder({
       view: this.view,
       notices: this.notices,
-      limits: new EndpointLimits({
-        clock: this.clock,
-        logger: silentLogger,
-        metrics: silentMetrics,
-      }),
+      limits: this.limits,
       health: this.health,
       evidence: new VersionEvidenceCounter(),
       prefillBacklog: new PrefillBacklog(this.clock),
@@ -262,6 +269,7 @@
       loads: this.health.listLoads(() => 0),
       evidence: [],
       leaving: this.notices.listLeaving(),
+      limits: this.limits.listObserved(),
     };
   }
 
--- /dev/null
+++ b/src/coordination/forwarding/plan_refusal.ts
@@ -0,0 +1,59 @@
+/** Plans the refusal of a request that no attempt completed. */
+import type {CallRun} from './call_run.ts';
+import type {EndpointPicker} from './endpoint_picker.ts';
+import type {RefusalReason, RefuseOptions} from './refuse.ts';
+
+/** Retry-After of a refused request: a minimum plus random jitter, in ms. */
+const RETRY_AFTER_MIN_MS = 300;
+const RETRY_AFTER_JITTER_MS = 700;
+
+export interface PlanRefusalOptions {
+  /** Returns a number from 0 up to 1. */
+  readonly random: () => number;
+}
+
+export interface UndeliveredRun {
+  readonly run: CallRun;
+  /** Whether its deadline has passed. */
+  readonly cause: 'deadline' | null;
+}
+
+/** Plans why a request is refused and when its caller should retry. */
+export function planRefusal(
+  options: PlanRefusalOptions,
+  picker: EndpointPicker,
+  {run, cause}: UndeliveredRun,
+): RefuseOptions {
+  if (run.runs > 0) {
+    // It may have run, so its caller is not asked to retry.
+    return {reason: cause === 'deadline' ? 'deadline' : 'broken'};
+  }
+  const backoffMs = picker.findBackoffMs(run);
+  if (cause === 'deadline' || backoffMs !== null) {
+    const reason = cause === 'deadline' ? 'deadline-not-run' : 'quiet';
+    const retryAfterMs =
+      (backoffMs ?? RETRY_AFTER_MIN_MS) + drawJitterMs(options);
+    return {reason, retryAfterMs};
+  }
+  const returnMs = picker.planReturnMs(run);
+  if (returnMs !== null) return {reason: 'limited', retryAfterMs: returnMs};
+  if (run.notRun > 0) return refuseForNow(options, 'no-room');
+  return refuseForNow(options, run.sends > 0 ? 'not-run' : 'no-endpoint');
+}
+
+/** Draws when a caller should retry if nothing tells it, in ms from now. */
+export function drawRetryAfterMs(options: PlanRefusalOptions): number {
+  return RETRY_AFTER_MIN_MS + drawJitterMs(options);
+}
+
+/** Draws a delay that spreads requests that wait for the same moment, in ms. */
+export function drawJitterMs({random}: PlanRefusalOptions): number {
+  return random() * RETRY_AFTER_JITTER_MS;
+}
+
+function refuseForNow(
+  options: PlanRefusalOptions,
+  reason: RefusalReason,
+): RefuseOptions {
+  return {reason, retryAfterMs: drawRetryAfterMs(options)};
+}
--- /dev/null
+++ b/src/coordination/forwarding/recent_gateways.ts
@@ -0,0 +1,64 @@
+/**
+ * The gateways that were listed lately.
+ *
+ * A core daemon that has just started, or that is cut off from others, lists
+ * only some gateways. If each of those took the shares of all that are missing,
+ * the sum would be too large, so a gateway counts for some time after it left.
+ */
+import type {Clock} from '../../protocol/clock.ts';
+import type {Gateway} from '../../protocol/core_service.ts';
+
+/** How long a gateway that is not listed any more still counts. */
+const RETAIN_MS = 5_000;
+
+export interface RecentGatewaysOptions {
+  readonly clock: Clock;
+  /** Lists the gateways that serve callers, as last reported. */
+  readonly listGateways: () => readonly Gateway[];
+}
+
+export class RecentGateways {
+  private listed: readonly Gateway[] = [];
+  private addresses: readonly string[] = [];
+  private readonly leftAt = new Map<string, number>();
+
+  constructor(private readonly options: RecentGatewaysOptions) {}
+
+  /** Lists the addresses of all gateways that count. */
+  list(): readonly string[] {
+    this.update();
+    return this.addresses;
+  }
+
+  /** Whether a gateway is listed now. */
+  isListed(address: string): boolean {
+    this.update();
+    return this.addresses.includes(address) && !this.leftAt.has(address);
+  }
+
+  private update(): void {
+    const {clock, listGateways} = this.options;
+    const next = listGateways();
+    const now = clock.monotonic();
+    const hasChanged = next !== this.listed;
+    if (hasChanged) {
+      const listed = new Set(next.map(({address}) => address));
+      for (const {address} of this.listed) {
+        if (!listed.has(address)) this.leftAt.set(address, now);
+      }
+      for (const address of listed) this.leftAt.delete(address);
+      this.listed = next;
+    }
+    let hasExpired = false;
+    for (const [address, leftAt] of this.leftAt) {
+      if (now - leftAt < RETAIN_MS) continue;
+      this.leftAt.delete(address);
+      hasExpired = true;
+    }
+    if (!hasChanged && !hasExpired) return;
+    this.addresses = [
+      ...this.listed.map(({address}) => address),
+      ...this.leftAt.keys(),
+    ];
+  }
+}
--- a/src/coordination/forwarding/refuse.ts
+++ b/src/coordination/forwarding/refuse.ts
@@ -13,6 +13,8 @@
   | 'no-room'
   // Endpoints requested a back-off that ends too late for this request.
   | 'quiet'
+  // The limits that endpoints named leave no room.
+  | 'limited'
   | 'not-run'
   | 'deadline-not-run'
   | 'deadline'
@@ -25,6 +27,7 @@
   'no-endpoint': 503,
   'no-room': 503,
   quiet: 503,
+  limited: 503,
   'not-run': 503,
   'deadline-not-run': 503,
   'no-route': 404,
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -5,17 +5,17 @@
   AttemptOutcome,
   CallerSink,
   EndpointAnswer,
-  Header,
   SendAttempt,
 } from './call.ts';
 import type {CallRun, FailedAnswer} from './call_run.ts';
 import type {EndpointHealth} from './endpoint_health.ts';
 import type {EndpointLimits} from './endpoint_limits.ts';
 import type {EndpointNotices} from './endpoint_notices.ts';
-import {HeldAnswer, MAX_HELD_BYTES} from './held_answer.ts';
+import {deliverAnswer} from './deliver_answer.ts';
+import {HeldAnswer} from './held_answer.ts';
 import type {PrefillPlan} from './plan_prefill.ts';
 import type {PrefillBacklog} from './prefill_backlog.ts';
-import {relayEvents, STALL_MIN_MS} from './relay_events.ts';
+import {STALL_MIN_MS} from './relay_events.ts';
 import {startWatchdog} from './watchdog.ts';
 
 /**
@@ -168,11 +168,9 @@
       lastEventId: run.lastEventId,
       budgetMs: Math.max(1, Math.floor(leftMs)),
       mayReuseConnection: admitted.isRepeatable,
-      mayBegin: () => {
-        if (!options.mayReceive(endpoint)) return false;
-        options.limits.recordSend(endpoint, run.sends === 0);
-        return true;
-      },
+      mayBegin: () =>
+        options.mayReceive(endpoint) &&
+        options.limits.tryTake(endpoint, run.sends === 0 ? 'first' : 'further'),
       signal: controller.signal,
     });
     if (outcome.type === 'answer') {
@@ -339,44 +337,6 @@
   run.hold(new HeldAnswer({answer, endpoint, model: run.model, open}));
 }
 
-/** Delivers a verified answer to the caller. */
-async function deliverAnswer(
-  options: Pick<RunAttemptOptions, 'clock' | 'sink'>,
-  run: CallRun,
-  answer: EndpointAnswer,
-  onProgress: (ms: number) => void,
-): Promise<AttemptResult> {
-  const {clock, sink} = options;
-  const isGood = answer.status < 500;
-  if (isEventStream(answer.headers) && answer.status === 200) {
-    return relayEvents({clock, sink, onProgress}, run, answer);
-  }
-  if (sink.hasBegun) {
-    // A stream in progress can only be resumed by another stream.
-    answer.cancel();
-    return {
-      type: 'broken',
-      isUnreachable: false,
-      reason: `status ${answer.status}`,
-    };
-  }
-  const body = await readWhole(answer);
-  if (body === null) {
-    return {
-      type: 'broken',
-      isUnreachable: false,
-      reason: 'the answer broke off',
-    };
-  }
-  run.recordFirstOutput(clock.monotonic() - run.call.receivedAt);
-  const {status, headers} = answer;
-  if (!isGood && run.admitted.isRepeatable) {
-    return {type: 'failed', answer: {status, headers, body}};
-  }
-  sink.answer(status, headers, body);
-  return {type: 'delivered', status, isGood};
-}
-
 /** Why an answer must not be delivered for this request; `null` if it may. */
 function findProblem({call}: CallRun, {facts, status}: EndpointAnswer) {
   if (facts.attemptId !== call.facts.attemptId) {
@@ -387,31 +347,3 @@
   }
   return null;
 }
-
-/** Reads a whole body; `null` when it broke off or is too large. */
-async function readWhole(answer: EndpointAnswer): Promise<Buffer | null> {
-  const pieces: Uint8Array[] = [];
-  let size = 0;
-  try {
-    for await (const piece of answer.body) {
-      pieces.push(piece);
-      size += piece.length;
-      if (size > MAX_HELD_BYTES) {
-        answer.cancel();
-        return null;
-      }
-    }
-  } catch {
-    // The caller reports a truncated body as the result of the attempt.
-    return null;
-  }
-  return Buffer.concat(pieces);
-}
-
-function isEventStream(headers: readonly Header[]): boolean {
-  return headers.some(
-    ([name, value]) =>
-      name.toLowerCase() === 'content-type' &&
-      value.toLowerCase().startsWith('text/event-stream'),
-  );
-}
--- a/src/coordination/forwarding/simulated_site.ts
+++ b/src/coordination/forwarding/simulated_site.ts
@@ -83,6 +83,14 @@
   readonly life: number;
 }
 
+/** A request that a gateway refused. */
+export interface Refusal {
+  readonly atMs: number;
+  /** How long the caller had waited, in ms. */
+  readonly waitedMs: number;
+  readonly retryAfterMs: number;
+}
+
 interface SimulatedGateway {
   fake: FakeGateway;
   life: number;
@@ -93,6 +101,7 @@
     epoch: string;
     endpointRevision: number;
     gatewayRevision: number;
+    limitRevision?: number | undefined;
   };
   /** When an answer first named the limit, by endpoint. */
   told: Map<number, number>;
@@ -110,8 +119,7 @@
 export class SimulatedSite {
   readonly clock = new SimulatedClock();
   readonly arrivals: Arrival[] = [];
-  /** The Retry-After of each refusal in ms, with the time of the refusal. */
-  readonly refusals: Array<{atMs: number; retryAfterMs: number}> = [];
+  readonly refusals: Refusal[] = [];
   answered = 0;
   private readonly draw: () => number;
   private readonly endpoints: readonly EndpointEntry[];
@@ -137,6 +145,16 @@
     );
   }
 
+  /** Counts the requests that an endpoint got in a span of time. */
+  countArrivals(endpoint: number, fromMs: number, untilMs: number): number {
+    return this.arrivals.filter(
+      each =>
+        each.endpoint === endpoint &&
+        each.atMs >= fromMs &&
+        each.atMs < untilMs,
+    ).length;
+  }
+
   /** Runs the site under a load in requests per second. */
   async run(forMs: number, perSecond: number): Promise<void> {
     const end = this.clock.monotonic() + forMs;
@@ -202,6 +220,7 @@
   }
 
   private async request(gateway: SimulatedGateway): Promise<void> {
+    const sentAt = this.clock.monotonic();
     const attemptId = `c${this.arrivals.length}-${this.draw()}`;
     const {sink, done} = gateway.fake.start({attemptId});
     await done;
@@ -210,6 +229,7 @@
     const retryAfter = sink.headers.find(([name]) => name === 'Retry-After');
     this.refusals.push({
       atMs: this.clock.monotonic(),
+      waitedMs: this.clock.monotonic() - sentAt,
       retryAfterMs: Number(retryAfter?.[1]) * 1_000,
     });
   }
@@ -229,7 +249,12 @@
       disturbedAt: -Infinity,
       cutUntil: -Infinity,
       followAt: this.clock.monotonic() + this.draw() * FOLLOW_MS,
-      position: {epoch: '', endpointRevision: 0, gatewayRevision: 0},
+      position: {
+        epoch: '',
+        endpointRevision: 0,
+        gatewayRevision: 0,
+        limitRevision: 0,
+      },
       told: new Map(),
     };
     return gateway;
@@ -294,8 +319,13 @@
     });
     await this.clock.sleep(MESSAGE_MS);
     fake.view.apply(reply);
-    const {epoch, endpointRevision, gatewayRevision} = reply;
-    gateway.position = {epoch, endpointRevision, gatewayRevision};
+    const {epoch, endpointRevision, gatewayRevision, limitRevision} = reply;
+    gateway.position = {
+      epoch,
+      endpointRevision,
+      gatewayRevision,
+      limitRevision,
+    };
   }
 
   private async answer(
--- a/src/coordination/gateway/core_follower.ts
+++ b/src/coordination/gateway/core_follower.ts
@@ -44,18 +44,19 @@
 /** The last changes received from one run of one daemon. */
 type Position = Pick<
   FollowRequest,
-  'epoch' | 'endpointRevision' | 'gatewayRevision'
+  'epoch' | 'endpointRevision' | 'gatewayRevision' | 'limitRevision'
 >;
 
 const INITIAL_POSITION: Position = {
   epoch: '',
   endpointRevision: 0,
   gatewayRevision: 0,
+  limitRevision: 0,
 };
 
 function readPosition(reply: FollowReply): Position {
-  const {epoch, endpointRevision, gatewayRevision} = reply;
-  return {epoch, endpointRevision, gatewayRevision};
+  const {epoch, endpointRevision, gatewayRevision, limitRevision} = reply;
+  return {epoch, endpointRevision, gatewayRevision, limitRevision};
 }
 
 export interface CoreFollowerOptions {
--- a/src/coordination/gateway/core_follower_test.ts
+++ b/src/coordination/gateway/core_follower_test.ts
@@ -56,6 +56,7 @@
         loads: [],
         evidence: [],
         leaving: [],
+        limits: [],
       }),
       call: (address, {holdMs}, timeoutMs) =>
         this.answer(address, holdMs, timeoutMs),
--- a/src/coordination/gateway/gateway_view.ts
+++ b/src/coordination/gateway/gateway_view.ts
@@ -7,6 +7,7 @@
 import type {
   Configuration,
   CoreDaemon,
+  EndpointLimit,
   EndpointLoad,
   FollowReply,
   Gateway,
@@ -24,6 +25,8 @@
   readonly decodeTable: (document: string) => Outcome<RouteTable, string>;
   /** Called when a new document is in force. */
   readonly onConfiguration?: (index: RouteIndex) => void;
+  /** Called with limits that gateways observed. */
+  readonly onLimits?: (limits: readonly EndpointLimit[]) => void;
 }
 
 export class GatewayView {
@@ -100,6 +103,7 @@
     );
     this.coreDaemons = reply.cores;
     if (reply.openGateways) this.openList = reply.openGateways;
+    if (reply.limits) this.options.onLimits?.(reply.limits);
   }
 
   private applyConfiguration(next: Configuration): void {
--- a/src/protocol/core_service.ts
+++ b/src/protocol/core_service.ts
@@ -65,6 +65,21 @@
 
 export type LeavingEndpoint = z.infer<typeof leavingEndpointSchema>;
 
+/** A limit that an endpoint named, or its end. */
+export const endpointLimitSchema = z.object({
+  id: z.string(),
+  startedAtMs: z.number(),
+  /**
+   * The requests per second that it accepts from all gateways together; `null`
+   * once it names no limit any more.
+   */
+  perSecond: z.number().nonnegative().nullable(),
+  /** The time since that was observed, in ms. */
+  ageMs: z.number(),
+});
+
+export type EndpointLimit = z.infer<typeof endpointLimitSchema>;
+
 /** A gateway's report on itself and its endpoints. */
 export const gatewayReportSchema = z.object({
   gateway: gatewaySchema,
@@ -72,6 +87,8 @@
   evidence: z.array(versionEvidenceSchema),
   /** Absent from gateways of earlier versions. */
   leaving: z.array(leavingEndpointSchema).default([]),
+  /** What it observed itself; absent from gateways of earlier versions. */
+  limits: z.array(endpointLimitSchema).default([]),
 });
 
 export type GatewayReport = z.infer<typeof gatewayReportSchema>;
@@ -126,6 +143,11 @@
   configurationRevision: z.int().nonnegative(),
   /** The revision of the open gateways that the gateway has. */
   gatewayRevision: z.int().nonnegative(),
+  /**
+   * The revision of the endpoints' limits that the gateway has; absent from
+   * gateways of earlier versions, which do not apply them.
+   */
+  limitRevision: z.int().nonnegative().optional(),
   /** How long the reply may be delayed while nothing changes, in ms. */
   holdMs: z.number().nonnegative(),
 });
@@ -148,6 +170,10 @@
   readonly gatewayRevision: number;
   /** The open gateways; `null` if the gateway's list is current. */
   readonly openGateways: readonly Gateway[] | null;
+  /** Absent from earlier versions, as are `limits`. */
+  readonly limitRevision?: number;
+  /** The limits that changed since the gateway's revision. */
+  readonly limits?: readonly EndpointLimit[];
   /** Whether the daemon is in contact with the core's leader, or leads. */
   readonly fresh: boolean;
 }
