Keep the parts of the retry budget while a core daemon lists few gateways

A core daemon that has just started, or is cut off from the others, lists only those gateways that report to it. With a list of one, a gateway takes all of the budget's fixed part.

A gateway that left the list now counts for 5 s more, as for the limits of endpoints. A gateway that starts beside a core daemon that starts, too, knows no earlier list; its part is still too large until the first exchange.

--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -4,6 +4,7 @@
 import {EndpointNotices} from '../../coordination/forwarding/endpoint_notices.ts';
 import {Forwarder} from '../../coordination/forwarding/forwarder.ts';
 import {PrefillBacklog} from '../../coordination/forwarding/prefill_backlog.ts';
+import {RecentGateways} from '../../coordination/forwarding/recent_gateways.ts';
 import {VersionEvidenceCounter} from '../../coordination/forwarding/version_evidence.ts';
 import {CoreFollower} from '../../coordination/gateway/core_follower.ts';
 import {GatewayView} from '../../coordination/gateway/gateway_view.ts';
@@ -66,13 +67,17 @@
     onConfiguration: ({table}) => server?.setLimits(table.limits),
     onLimits: relayed => limits.recordRelayed(relayed),
   });
+  const gateways = new RecentGateways({
+    clock,
+    listGateways: () => view.openGateways,
+  });
   const limits = new EndpointLimits({
     clock,
     logger: createLogger('forward'),
     metrics: parts.metrics,
     random: Math.random,
     address: front,
-    listGateways: () => view.openGateways,
+    gateways,
   });
   const isOpen = () => !isStopping && view.routes !== null;
   const describeSelf = () => ({
@@ -113,6 +118,7 @@
     health,
     notices,
     limits,
+    gateways,
     evidence,
     prefillBacklog,
     clock,
--- a/src/coordination/forwarding/endpoint_limits.ts
+++ b/src/coordination/forwarding/endpoint_limits.ts
@@ -12,12 +12,12 @@
  * gateway that is cut off keeps the limits and the list that it knows.
  */
 import type {Clock} from '../../protocol/clock.ts';
-import type {EndpointLimit, Gateway} from '../../protocol/core_service.ts';
+import type {EndpointLimit} from '../../protocol/core_service.ts';
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import type {Logger} from '../../protocol/logger.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
 import {computeShare as computeHash} from './hash.ts';
-import {RecentGateways} from './recent_gateways.ts';
+import type {RecentGateways} from './recent_gateways.ts';
 
 /** Gateways with a share of a limit, in addition to one per request a second. */
 const EXTRA_HOLDERS = 3;
@@ -93,19 +93,15 @@
   readonly random: () => number;
   /** The address of this gateway in the list. */
   readonly address: string;
-  /** Lists the gateways that serve callers, as last reported. */
-  readonly listGateways: () => readonly Gateway[];
+  readonly gateways: RecentGateways;
 }
 
 export class EndpointLimits {
   private readonly known = new Map<string, KnownLimit>();
-  private readonly gateways: RecentGateways;
   /** When the next caller was told to return, by service. */
   private readonly returns = new Map<string, number>();
 
-  constructor(private readonly options: EndpointLimitsOptions) {
-    this.gateways = new RecentGateways(options);
-  }
+  constructor(private readonly options: EndpointLimitsOptions) {}
 
   /** Records what an answer says of the limit of its endpoint. */
   record(endpoint: EndpointEntry, notice: LimitNotice): void {
@@ -216,8 +212,7 @@
       .reduce((sum, each) => sum + Math.max(each, MIN_PER_SECOND), 0);
     if (perSecond === 0) return null;
     const now = this.options.clock.monotonic();
-    const gatewayCount = Math.max(1, this.gateways.list().length);
-    const intervalMs = (1_000 * gatewayCount) / perSecond;
+    const intervalMs = (1_000 * this.options.gateways.count()) / perSecond;
     const previous = Math.max(now, this.returns.get(service) ?? -Infinity);
     // The first one, too, is spread over an interval.
     const isFirst = previous === now;
@@ -264,7 +259,7 @@
   private refill(id: string, known: KnownLimit): TokenBucket {
     const {perSecond, bucket} = known;
     const now = this.options.clock.monotonic();
-    if (known.share.gateways !== this.gateways.list()) {
+    if (known.share.gateways !== this.options.gateways.list()) {
       known.share = this.computeShare(id, perSecond ?? 0);
     }
     const share = known.share.perSecond;
@@ -281,7 +276,7 @@
   /** Computes the requests per second that this gateway may send. */
   private computeShare(id: string, limitPerSecond: number): LimitShare {
     const {address} = this.options;
-    const gateways = this.gateways.list();
+    const gateways = this.options.gateways.list();
     const limit = Math.max(limitPerSecond, MIN_PER_SECOND);
     const holderCount = Math.min(
       gateways.length,
@@ -290,7 +285,7 @@
     const getRank = (each: string) => computeHash(`${each}/${id}`);
     const ownRank = getRank(address);
     const isHolder =
-      this.gateways.isListed(address) &&
+      this.options.gateways.isListed(address) &&
       gateways.filter(each => getRank(each) > ownRank).length < holderCount;
     const perSecond = isHolder ? (limit * USED_SHARE) / holderCount : 0;
     return {gateways, perSecond};
--- a/src/coordination/forwarding/endpoint_limits_record_test.ts
+++ b/src/coordination/forwarding/endpoint_limits_record_test.ts
@@ -10,6 +10,7 @@
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
 import {EndpointLimits} from './endpoint_limits.ts';
 import {createEndpoint} from './forwarding_fakes.ts';
+import {RecentGateways} from './recent_gateways.ts';
 
 const ENDPOINT = createEndpoint('e1');
 
@@ -29,7 +30,10 @@
     metrics: silentMetrics,
     random: () => 0.5,
     address: 'g',
-    listGateways: () => this.gateways,
+    gateways: new RecentGateways({
+      clock: this.clock,
+      listGateways: () => this.gateways,
+    }),
   });
   private readonly gateways = [
     {address: 'g', region: 'r', dataCentre: 'a', open: true},
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -23,6 +23,7 @@
 import type {EndpointLimits} from './endpoint_limits.ts';
 import type {EndpointNotices} from './endpoint_notices.ts';
 import type {PrefillBacklog} from './prefill_backlog.ts';
+import type {RecentGateways} from './recent_gateways.ts';
 import {drawJitterMs, drawRetryAfterMs, planRefusal} from './plan_refusal.ts';
 import {refuseCall, type RefusalReason} from './refuse.ts';
 import {
@@ -69,6 +70,7 @@
   readonly health: EndpointHealth;
   readonly notices: EndpointNotices;
   readonly limits: EndpointLimits;
+  readonly gateways: RecentGateways;
   readonly evidence: VersionEvidenceCounter;
   readonly prefillBacklog: PrefillBacklog;
   readonly clock: Clock;
@@ -301,12 +303,13 @@
   private findBudget(service: string): WindowBudget {
     const known = this.budgets.get(service);
     if (known) return known;
-    const {clock, retryRatio, retryExtra, retryWindowMs, view} = this.options;
+    const {clock, retryRatio, retryExtra, retryWindowMs, gateways} =
+      this.options;
     const budget = createWindowBudget({
       clock,
       windowMs: retryWindowMs,
       ratio: retryRatio * RETRY_BUDGET_SHARE,
-      getExtra: () => (retryExtra * RETRY_BUDGET_SHARE) / view.gatewayCount,
+      getExtra: () => (retryExtra * RETRY_BUDGET_SHARE) / gateways.count(),
     });
     this.budgets.set(service, budget);
     return budget;
--- a/src/coordination/forwarding/forwarder_test.ts
+++ b/src/coordination/forwarding/forwarder_test.ts
@@ -3,6 +3,7 @@
 import {
   createAnswer,
   createEndpoint,
+  createFollowReply,
   createRoute,
   FakeGateway,
   PLAIN_ANSWER,
@@ -341,4 +342,33 @@
   }
 });
 
+// Guards against a sum of extra attempts above the budget of all gateways, when
+// each takes the parts of those that a core daemon does not list yet.
+test('forward() takes no larger part of the retry budget from a short list', async () => {
+  const gateway = new FakeGateway({
+    endpoints: ['e1', 'e2', 'e3'].map(id => createEndpoint(id)),
+    behave: async (call, options) => createAnswer(call, options, {status: 500}),
+  });
+  const listGateways = (count: number) =>
+    gateway.view.apply(
+      createFollowReply({
+        complete: false,
+        openGateways: Array.from({length: count}, (_, index) => ({
+          address: index === 0 ? 'g' : `g${index}`,
+          region: 'r',
+          dataCentre: 'a',
+          open: true,
+        })),
+      }),
+    );
+  listGateways(9);
+  await gateway.request();
+  listGateways(1);
+  for (let count = 0; count < 29; count++) await gateway.request();
+  const extra = gateway.attempts.length - 30;
+  // The ratio of 0.9 and a ninth of the 50 extra attempts.
+  assert.ok(extra <= 30 * 0.9 + 50 / 9, `${extra} extra attempts`);
+  assert.ok(extra < 30, 'the budget limits extra attempts');
+});
+
 test.run();
--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -21,6 +21,7 @@
 import {EndpointNotices} from './endpoint_notices.ts';
 import {Forwarder} from './forwarder.ts';
 import {PrefillBacklog} from './prefill_backlog.ts';
+import {RecentGateways} from './recent_gateways.ts';
 import {VersionEvidenceCounter} from './version_evidence.ts';
 
 /** The facts of a request without any optional header. */
@@ -217,13 +218,17 @@
       decodeTable: () => succeed(createTable(route, engine)),
       onLimits: limits => this.limits.recordRelayed(limits),
     });
+    const gateways = new RecentGateways({
+      clock,
+      listGateways: () => this.view.openGateways,
+    });
     this.limits = new EndpointLimits({
       clock: this.clock,
       logger: silentLogger,
       metrics: silentMetrics,
       random,
       address,
-      listGateways: () => this.view.openGateways,
+      gateways,
     });
     this.view.apply(
       createFollowReply({
@@ -237,6 +242,7 @@
       view: this.view,
       notices: this.notices,
       limits: this.limits,
+      gateways,
       health: this.health,
       evidence: new VersionEvidenceCounter(),
       prefillBacklog: new PrefillBacklog(this.clock),
--- a/src/coordination/forwarding/recent_gateways.ts
+++ b/src/coordination/forwarding/recent_gateways.ts
@@ -30,6 +30,11 @@
     return this.addresses;
   }
 
+  /** Counts them; 1 when none is known. */
+  count(): number {
+    return Math.max(1, this.list().length);
+  }
+
   /** Whether a gateway is listed now. */
   isListed(address: string): boolean {
     this.update();
