Test the replacement of a silent pool with the product's own time-out

The test allowed 50 ms of real time without a token, in the process that also plays the engine. What it checks is that a silent connection takes its pool with it, not how fast 50 ms pass; it now waits for the default time-out of 2 s.

--- a/src/transport/endpoints/engine_client_test.ts
+++ b/src/transport/endpoints/engine_client_test.ts
@@ -185,7 +185,7 @@
       socket.write(HEAD + delta(0, 'a') + end + '0\r\n\r\n');
     });
   });
-  await using client = createEngineClient({tokenGapMs: 50});
+  await using client = createEngineClient();
   const run = () =>
     collect(client.openCompletion(createAttempt(engine.address), neverAborted));
   assert.is((await run()).last?.ok, true);
