Judge failures of a new version by exact chances

Cause: with few answers the normal approximation of the failure rate is far off.

The chance of the count is now computed exactly and must be below 1 in 10,000, since it is looked at some 35 times a roll-out on four scopes. The tests of one failure in seven and of one slow answer in six fail on the judge before.

--- a/src/coordination/core/decide_rollout.ts
+++ b/src/coordination/core/decide_rollout.ts
@@ -10,6 +10,7 @@
   ServiceRollout,
   VersionEvidence,
 } from '../../protocol/core_service.ts';
+import {computeUpperTail} from './binomial.ts';
 
 /**
  * When sessions may move, as a fraction of the duration: in the second half,
@@ -36,10 +37,10 @@
 const MIN_COMPLETE_ANSWERS = 20;
 
 /**
- * The number of standard errors by which the failure rate of a version may
- * exceed that of the old one.
+ * The probability, for a version like the old one, below which a count of
+ * failures or slow answers is held against it.
  */
-const MAX_DEVIATION = 3;
+const MAX_CHANCE = 0.0001;
 
 /** A rise of the failure rate that is always tolerated. */
 const TOLERATED_RISE = 0.08;
@@ -139,11 +140,10 @@
   if (answers < MIN_ANSWERS) return false;
   // Additive (Laplace) smoothing: a rate of 0 would have no standard error.
   const expected = (stableBadAnswers + 1) / (stableAnswers + 10);
-  const rate = badAnswers / answers;
-  const standardError = Math.sqrt((expected * (1 - expected)) / answers);
   return (
-    rate - expected > TOLERATED_RISE &&
-    (rate - expected) / standardError > MAX_DEVIATION
+    badAnswers / answers - expected > TOLERATED_RISE &&
+    computeUpperTail({count: badAnswers, trials: answers, share: expected}) <
+      MAX_CHANCE
   );
 }
 
--- a/src/coordination/core/decide_rollout_test.ts
+++ b/src/coordination/core/decide_rollout_test.ts
@@ -116,6 +116,14 @@
   assert.ok(endedAtMs < 19_000, `complete after ${endedAtMs} ms`);
 });
 
+// One of seven by chance withdrew good versions, and a slow one by luck alone.
+test('decideRolloutStep() tolerates a single failure on a route', () => {
+  const unlucky = createEvidence({answers: 7, failures: 1});
+  assert.deepEqual(decide(9_000, [unlucky]), {type: 'none'});
+  const slow = createEvidence({answers: 6, slow: 1});
+  assert.deepEqual(decide(9_000, [slow]), {type: 'none'});
+});
+
 test('decideRolloutStep() reverts a version without enough answers', () => {
   assert.equal(decide(20_000, []).type, 'revert');
 });
