Complete a new version only on answers that speak for it

Cause: the steps went on because time passed. All requests there belong to sessions, which stay on the old version in the first half, so the new one got its first request at 0.54 of its time and was complete 6 s later, on some 30 answers. Slow answers were those above 400 ms, while first events take 60 to 150 ms.

Evidence: in relation to their work, the lowest tenth of the slow version's answers took 1.0 to 1.9 of the expected time, a good version's 0.37, the old one's 0.4 to 0.7, also in a burst, when means and high quantiles do not differ.

Gateways count answers by that relation for both versions over the same time. The judge reverts a version with too few answers as fast as the old one's fastest quarter, or too many as slow as its slowest eighth; a version goes further only with 20 answers of which half as many as expected are fast; time alone reverts. From the moment that sessions move it gets 0.35 of requests, so that the evidence comes in time.

--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -100,12 +100,13 @@
     random: Math.random,
     createReport: () => {
       pruneEnded();
+      const isRunning = (service: string) =>
+        view.findRollout(service)?.state === 'running';
       return {
         gateway: describeSelf(),
         loads: health.listLoads(start => prefillBacklog.getPendingMs(start)),
-        evidence: evidence.list(
-          service => view.findRollout(service)?.state === 'running',
-        ),
+        evidence: evidence.list(isRunning),
+        paces: evidence.listPaces(isRunning),
         leaving: notices.listLeaving(),
         limits: limits.listObserved(),
       };
--- a/src/coordination/core/core_state_test.ts
+++ b/src/coordination/core/core_state_test.ts
@@ -14,6 +14,7 @@
   gateway: {address: 'g', region: 'r', dataCentre: 'a', open: true},
   loads: [],
   evidence: [],
+  paces: [],
   leaving: [{id: 'e1', startedAtMs: 1}],
   limits: [],
 };
--- a/src/coordination/core/decide_rollout.ts
+++ b/src/coordination/core/decide_rollout.ts
@@ -3,13 +3,17 @@
  *
  * The new version starts with a small share, so that a bad one affects few
  * callers, and only with requests that belong to no session. In the second
- * half sessions move, too, and the share grows in steps; each step lasts long
- * enough to detect a version that fails only under load.
+ * half sessions move, too. Most of the evidence comes then, at a share that is
+ * held for as long as the allowed exposure bears it; the last steps are short.
+ * A version goes on only on answers that speak for it: time alone completes
+ * none.
  */
 import type {
   ServiceRollout,
   VersionEvidence,
+  VersionPace,
 } from '../../protocol/core_service.ts';
+import {comparePaces} from './compare_paces.ts';
 import {computeUpperTail} from './binomial.ts';
 
 /**
@@ -18,11 +22,14 @@
  */
 const SESSIONS_MOVE_FROM = 0.54;
 
-/** The shares after the canary share; the roll-out completes after the last. */
-const SHARE_STEPS = [0.2, 0.5, 1];
+/** The share at which a version is judged once sessions move. */
+const TRIAL_SHARE = 0.35;
 
-/** When a roll-out without faults completes, as a fraction of the duration. */
-const COMPLETE_BY = 0.88;
+/** Until when that share is held, as a fraction of the duration. */
+const TRIAL_UNTIL = 0.82;
+
+/** The shares after the trial; the roll-out completes after the last. */
+const SHARE_STEPS = [TRIAL_SHARE, 0.5, 1];
 
 /**
  * The minimum length of a step, as a fraction of the duration. It also applies
@@ -33,7 +40,7 @@
 /** The minimum number of answers for a comparison with the old version. */
 const MIN_ANSWERS = 6;
 
-/** With fewer answers at the end of its time, a version is reverted. */
+/** With fewer answers a version goes no further. */
 const MIN_COMPLETE_ANSWERS = 20;
 
 /**
@@ -42,12 +49,25 @@
  */
 const MAX_CHANCE = 0.0001;
 
+/**
+ * The standard errors by which a version may have fewer fast answers than the
+ * old one.
+ */
+const MAX_DEVIATION = 3;
+
+/** The same for more slow answers; their chances are skewed. */
+const MAX_SLOW_DEVIATION = 4;
+
+/** The part of the expected fast answers that a version needs to go further. */
+const MIN_FAST_SHARE = 0.5;
+
 /** A rise of the failure rate that is always tolerated. */
 const TOLERATED_RISE = 0.08;
 
 export interface RolloutView {
   readonly rollout: ServiceRollout;
   readonly evidence: readonly VersionEvidence[];
+  readonly paces: readonly VersionPace[];
   readonly nowMs: number;
   /** Whether the target has endpoints that are ready. */
   readonly hasEndpoints: boolean;
@@ -73,13 +93,8 @@
   const reason = findRegression(view);
   if (reason !== null) return {type: 'revert', reason};
   const progress = (nowMs - rollout.beganAtMs) / rollout.durationMs;
-  const target = tally(view.evidence, rollout, isTarget);
-  if (progress >= 1 && target.answers < MIN_COMPLETE_ANSWERS) {
-    return {
-      type: 'revert',
-      reason: 'too few answers within the roll-out duration',
-    };
-  }
+  const doubt = findDoubt(view);
+  if (progress >= 1 && doubt !== null) return {type: 'revert', reason: doubt};
   if (!hasEndpoints) return {type: 'none'};
   const {share, movesSessions} = rollout;
   if (progress < SESSIONS_MOVE_FROM || !movesSessions) {
@@ -91,25 +106,43 @@
       next.share > share || next.movesSessions !== rollout.movesSessions;
     return isChange ? {type: 'share', ...next} : {type: 'none'};
   }
-  if (view.watchedMs < computeStepMs(view, progress)) return {type: 'none'};
+  if (share < TRIAL_SHARE) {
+    return {type: 'share', share: TRIAL_SHARE, movesSessions: true};
+  }
+  const isStepOver = view.watchedMs >= MIN_STEP * rollout.durationMs;
+  if (progress < TRIAL_UNTIL || !isStepOver || doubt !== null) {
+    return {type: 'none'};
+  }
   const next = SHARE_STEPS.find(each => each > share);
   if (next === undefined) return {type: 'complete'};
   return {type: 'share', share: next, movesSessions: true};
 }
 
-/** Computes the length of the current step: an even part of the time left. */
-function computeStepMs(
-  {rollout: {share, durationMs}, watchedMs}: RolloutView,
-  progress: number,
-): number {
-  const stepsLeft = SHARE_STEPS.filter(each => each > share).length + 1;
-  const steppedAt = progress - watchedMs / durationMs;
-  const evenStep = (COMPLETE_BY - steppedAt) / stepsLeft;
-  return Math.max(MIN_STEP, evenStep) * durationMs;
+/** Returns why a version may not go further yet; `null` if it may. */
+function findDoubt({rollout, evidence, paces}: RolloutView): string | null {
+  const {answers} = tally(evidence, rollout, isTarget);
+  if (answers < MIN_COMPLETE_ANSWERS) {
+    return 'too few answers within the roll-out duration';
+  }
+  const {fast} = comparePaces(paces, rollout);
+  return fast.count < fast.expected * MIN_FAST_SHARE
+    ? `only ${fast.count} fast answers, ${fast.expected.toFixed(1)} expected`
+    : null;
 }
 
 /** Returns why the version must be reverted; `null` without a regression. */
-function findRegression({rollout, evidence}: RolloutView): string | null {
+function findRegression({
+  rollout,
+  evidence,
+  paces,
+}: RolloutView): string | null {
+  const {answers, fast, slow} = comparePaces(paces, rollout);
+  if (fast.deviation < -MAX_DEVIATION) {
+    return `${fast.count} of ${answers} were fast, ${fast.expected.toFixed(1)} expected`;
+  }
+  if (slow.deviation > MAX_SLOW_DEVIATION) {
+    return `${slow.count} of ${answers} were slow, ${slow.expected.toFixed(1)} expected`;
+  }
   const routes = new Set(evidence.map(({route}) => route));
   const scopes = [null, ...routes];
   for (const route of scopes) {
--- a/src/coordination/core/decide_rollout_test.ts
+++ b/src/coordination/core/decide_rollout_test.ts
@@ -44,6 +44,7 @@
     rollout: {...ROLLOUT, share, movesSessions},
     watchedMs,
     evidence: [STABLE, ...evidence],
+    paces: [],
     nowMs,
     hasEndpoints: true,
     canaryShare: 0.05,
@@ -106,16 +107,27 @@
 
 test('decideRolloutStep() completes a good version step by step', () => {
   const {shares, endedAtMs} = playGood(100);
-  assert.deepEqual(shares, [0.05, 0.2, 0.5, 1]);
+  assert.deepEqual(shares, [0.05, 0.35, 0.5, 1]);
   assert.ok(endedAtMs < 18_600, `complete after ${endedAtMs} ms`);
 });
 
 test('decideRolloutStep() completes in time under a late leader', () => {
   const {shares, endedAtMs} = playGood(14_000);
-  assert.deepEqual(shares, [0.05, 0.2, 0.5, 1]);
+  assert.deepEqual(shares, [0.05, 0.35, 0.5, 1]);
   assert.ok(endedAtMs < 19_000, `complete after ${endedAtMs} ms`);
 });
 
+// Guards against a version that is completed because its time runs out: evidence
+// that never came is not evidence for it.
+test('decideRolloutStep() holds a version without enough answers', () => {
+  const few = createEvidence({answers: 12});
+  const last = {share: 0.35, movesSessions: true, watchedMs: 6_000};
+  for (const nowMs of [16_500, 18_000, 19_900]) {
+    assert.deepEqual(decide(nowMs, [few], last), {type: 'none'});
+  }
+  assert.equal(decide(20_000, [few], last).type, 'revert');
+});
+
 // One of seven by chance withdrew good versions, and a slow one by luck alone.
 test('decideRolloutStep() tolerates a single failure on a route', () => {
   const unlucky = createEvidence({answers: 7, failures: 1});
--- a/src/coordination/core/gateway_directory.ts
+++ b/src/coordination/core/gateway_directory.ts
@@ -8,6 +8,7 @@
   GatewayReport,
   LeavingEndpoint,
   VersionEvidence,
+  VersionPace,
 } from '../../protocol/core_service.ts';
 
 /** A gateway reports at least every 0.8 s; two reports may be lost. */
@@ -148,11 +149,21 @@
 
   /** Lists the gateways' evidence on versions; removes expired gateways. */
   listEvidence(): VersionEvidence[] {
+    this.expire();
+    return [...this.known.values()].flatMap(({report}) => report.evidence);
+  }
+
+  /** Lists the gateways' paces of versions; removes expired gateways. */
+  listPaces(): VersionPace[] {
+    this.expire();
+    return [...this.known.values()].flatMap(({report}) => report.paces);
+  }
+
+  private expire(): void {
     const oldest = this.options.clock.monotonic() - EXPIRE_AFTER_MS;
     for (const [address, {receivedAt}] of this.known) {
       if (receivedAt < oldest) this.known.delete(address);
     }
-    return [...this.known.values()].flatMap(({report}) => report.evidence);
   }
 
   private listLive(): KnownGateway[] {
--- a/src/coordination/core/gateway_directory_test.ts
+++ b/src/coordination/core/gateway_directory_test.ts
@@ -10,7 +10,7 @@
 
 function createReport(address: string, open = true): GatewayReport {
   const gateway = {address, region: 'r', dataCentre: 'a', open};
-  return {gateway, loads: [], evidence: [], leaving: [], limits: []};
+  return {gateway, loads: [], evidence: [], paces: [], leaving: [], limits: []};
 }
 
 function createDirectory() {
--- a/src/coordination/core/rollout_task.ts
+++ b/src/coordination/core/rollout_task.ts
@@ -58,6 +58,7 @@
   if (!isLeader()) return watched.clear();
   if (running.length === 0) return;
   const evidence = state.gateways.listEvidence();
+  const paces = state.gateways.listPaces();
   const endpoints = state.endpoints.list();
   const now = clock.monotonic();
   for (const rollout of running) {
@@ -69,6 +70,7 @@
     const decision = decideRolloutStep({
       rollout,
       evidence,
+      paces,
       nowMs: rollout.beganAtMs + ages.getAgeMs(rollout),
       hasEndpoints: endpoints.some(
         each =>
--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -274,6 +274,7 @@
       },
       loads: this.health.listLoads(() => 0),
       evidence: [],
+      paces: [],
       leaving: this.notices.listLeaving(),
       limits: this.limits.listObserved(),
     };
--- a/src/coordination/forwarding/record_attempt.ts
+++ b/src/coordination/forwarding/record_attempt.ts
@@ -5,6 +5,7 @@
 import type {GatewayView} from '../gateway/gateway_view.ts';
 import type {CallRun} from './call_run.ts';
 import type {EndpointHealth} from './endpoint_health.ts';
+import type {PrefillBacklog} from './prefill_backlog.ts';
 import type {AttemptResult} from './run_attempt.ts';
 import type {VersionEvidenceCounter} from './version_evidence.ts';
 
@@ -12,6 +13,7 @@
   readonly view: GatewayView;
   readonly health: EndpointHealth;
   readonly evidence: VersionEvidenceCounter;
+  readonly prefillBacklog: PrefillBacklog;
   readonly logger: Logger;
   readonly metrics: Metrics;
 }
@@ -73,10 +75,11 @@
 
 /** Counts the attempt for its version if the version could affect it. */
 function recordEvidence(
-  {view, evidence}: RecordAttemptOptions,
+  options: RecordAttemptOptions,
   run: CallRun,
   {endpoint, result}: Attempt,
 ): void {
+  const {view, evidence} = options;
   if (result.type === 'not-run' || result.type === 'not-sent') return;
   if (result.type === 'left' || result.type === 'withdrawn') return;
   const {route, service} = run.admitted;
@@ -89,11 +92,38 @@
       model: run.model,
       isFailure: isFailure(result),
       beganMs: run.beganMs,
+      expectedMs: computeExpectedMs(options, run, {
+        isTarget: rollout?.target === endpoint.version,
+      }),
+    },
+    {
+      isRunning: rollout?.state === 'running',
+      movesSessions: rollout?.movesSessions ?? false,
     },
-    rollout?.state === 'running',
   );
 }
 
+/** The shortest time that an attempt is expected to need, in ms. */
+const MIN_EXPECTED_MS = 5;
+
+/**
+ * Computes the time that an idle engine of the old version needs for an
+ * attempt. The new version's engines have no prompt cached, so that all of the
+ * prompt counts there.
+ */
+function computeExpectedMs(
+  {prefillBacklog}: RecordAttemptOptions,
+  run: CallRun,
+  {isTarget}: {isTarget: boolean},
+): number | null {
+  if (run.model === null) return null;
+  const {service} = run.admitted;
+  const rate = prefillBacklog.getRate(service.name, run.model);
+  const {promptTokens} = run.call.facts;
+  const tokens = isTarget ? promptTokens : run.uncachedTokens;
+  return Math.max(MIN_EXPECTED_MS, rate.fixedMs + rate.msPerToken * tokens);
+}
+
 /** Whether the attempt counts as a failure of its version, timing aside. */
 function isFailure(result: AttemptResult): boolean {
   if (result.type === 'delivered') return !result.isGood;
--- a/src/coordination/forwarding/version_evidence_test.ts
+++ b/src/coordination/forwarding/version_evidence_test.ts
@@ -16,23 +16,27 @@
   model: 'small',
   isFailure: false,
   beganMs: 110,
+  expectedMs: 100,
 };
 
+const BEFORE = {isRunning: false, movesSessions: false};
+const DURING = {isRunning: true, movesSessions: true};
+
 const LARGE: ObservedAnswer = {...SMALL, model: 'large', beganMs: 900};
 
 /** Creates the evidence of a gateway after a few answers of each model. */
 function createCounter(): VersionEvidenceCounter {
   const counter = new VersionEvidenceCounter();
   for (let index = 0; index < 5; index++) {
-    counter.record(SMALL, false);
-    counter.record(LARGE, false);
+    counter.record(SMALL, BEFORE);
+    counter.record(LARGE, BEFORE);
   }
   return counter;
 }
 
 function countSlow(answer: ObservedAnswer): number {
   const counter = createCounter();
-  counter.record(answer, true);
+  counter.record(answer, DURING);
   return counter.list(() => true)[0]?.slow ?? -1;
 }
 
@@ -49,9 +53,25 @@
 
 test('VersionEvidenceCounter drops services without a roll-out', () => {
   const counter = createCounter();
-  counter.record(SMALL, true);
+  counter.record(SMALL, DURING);
   assert.equal(counter.list(() => false).length, 0);
   assert.equal(counter.list(() => true).length, 0);
 });
 
+test('VersionEvidenceCounter counts answers by their time for the same work', () => {
+  const counter = createCounter();
+  for (const beganMs of [50, 100, 100, 400]) {
+    counter.record({...SMALL, beganMs}, DURING);
+  }
+  const [pace] = counter.listPaces(() => true);
+  const found = pace?.counts.flatMap((count, index) =>
+    count > 0 ? [[index, count]] : [],
+  );
+  assert.deepEqual(found, [
+    [9, 1],
+    [12, 2],
+    [18, 1],
+  ]);
+});
+
 test.run();
--- a/src/coordination/gateway/core_follower_test.ts
+++ b/src/coordination/gateway/core_follower_test.ts
@@ -55,6 +55,7 @@
         gateway: {address: 'g', region: 'r', dataCentre: 'a', open: false},
         loads: [],
         evidence: [],
+        paces: [],
         leaving: [],
         limits: [],
       }),
--- a/src/protocol/core_service.ts
+++ b/src/protocol/core_service.ts
@@ -47,6 +47,23 @@
 
 export type VersionEvidence = z.infer<typeof versionEvidenceSchema>;
 
+/**
+ * One gateway's answers of a version during a roll-out, by how long they took to
+ * begin in relation to the work that they needed.
+ */
+export const versionPaceSchema = z.object({
+  service: z.string(),
+  version: z.string(),
+  /** The model, or the route of a service without models. */
+  kind: z.string(),
+  /** Whether sessions moved to the target when they were counted. */
+  movesSessions: z.boolean(),
+  /** The answers of each class of pace, the fastest class first. */
+  counts: z.array(z.int().nonnegative()),
+});
+
+export type VersionPace = z.infer<typeof versionPaceSchema>;
+
 /** The open requests of one gateway at an endpoint. */
 export const endpointLoadSchema = z.object({
   id: z.string(),
@@ -86,6 +103,8 @@
   loads: z.array(endpointLoadSchema),
   evidence: z.array(versionEvidenceSchema),
   /** Absent from gateways of earlier versions. */
+  paces: z.array(versionPaceSchema).default([]),
+  /** Absent from gateways of earlier versions. */
   leaving: z.array(leavingEndpointSchema).default([]),
   /** What it observed itself; absent from gateways of earlier versions. */
   limits: z.array(endpointLimitSchema).default([]),
