--- a/src/coordination/core/decide_rollout.ts
+++ b/src/coordination/core/decide_rollout.ts
@@ -23,13 +23,22 @@
 const SESSIONS_MOVE_FROM = 0.54;
 
 /** The share at which a version is judged once sessions move. */
-const TRIAL_SHARE = 0.35;
+const TRIAL_SHARE = 0.2;
+
+/**
+ * The same for a version that had few answers before, since all requests belong
+ * to sessions. The others have used a part of the allowed exposure by then.
+ */
+const SCARCE_TRIAL_SHARE = 0.35;
+
+/** Fewer answers than this are few. */
+const SCARCE_ANSWERS = 60;
 
 /** Until when that share is held, as a fraction of the duration. */
 const TRIAL_UNTIL = 0.82;
 
 /** The shares after the trial; the roll-out completes after the last. */
-const SHARE_STEPS = [TRIAL_SHARE, 0.5, 1];
+const SHARE_STEPS = [0.5, 1];
 
 /**
  * The minimum length of a step, as a fraction of the duration. It also applies
@@ -106,8 +115,11 @@
       next.share > share || next.movesSessions !== rollout.movesSessions;
     return isChange ? {type: 'share', ...next} : {type: 'none'};
   }
+  const {answers} = tally(view.evidence, rollout, isTarget);
+  const trialShare =
+    answers < SCARCE_ANSWERS ? SCARCE_TRIAL_SHARE : TRIAL_SHARE;
   if (share < TRIAL_SHARE) {
-    return {type: 'share', share: TRIAL_SHARE, movesSessions: true};
+    return {type: 'share', share: trialShare, movesSessions: true};
   }
   const isStepOver = view.watchedMs >= MIN_STEP * rollout.durationMs;
   if (progress < TRIAL_UNTIL || !isStepOver || doubt !== null) {
--- a/src/coordination/core/decide_rollout_test.ts
+++ b/src/coordination/core/decide_rollout_test.ts
@@ -107,16 +107,28 @@
 
 test('decideRolloutStep() completes a good version step by step', () => {
   const {shares, endedAtMs} = playGood(100);
-  assert.deepEqual(shares, [0.05, 0.35, 0.5, 1]);
+  assert.deepEqual(shares, [0.05, 0.2, 0.5, 1]);
   assert.ok(endedAtMs < 18_600, `complete after ${endedAtMs} ms`);
 });
 
 test('decideRolloutStep() completes in time under a late leader', () => {
   const {shares, endedAtMs} = playGood(14_000);
-  assert.deepEqual(shares, [0.05, 0.35, 0.5, 1]);
+  assert.deepEqual(shares, [0.05, 0.2, 0.5, 1]);
   assert.ok(endedAtMs < 19_000, `complete after ${endedAtMs} ms`);
 });
 
+// Guards against a version that gets too many requests: those that it had in the
+// first half and those of its trial add up.
+test('decideRolloutStep() tries a version at a share by its earlier answers', () => {
+  const moved = {movesSessions: true, watchedMs: 200};
+  const decideShare = (answers: number) =>
+    decide(11_000, [createEvidence({answers})], moved);
+  const trial = {type: 'share', movesSessions: true};
+  assert.deepEqual(decideShare(0), {...trial, share: 0.35});
+  assert.deepEqual(decideShare(59), {...trial, share: 0.35});
+  assert.deepEqual(decideShare(60), {...trial, share: 0.2});
+});
+
 // Guards against a version that is completed because its time runs out: evidence
 // that never came is not evidence for it.
 test('decideRolloutStep() holds a version without enough answers', () => {
