--- a/src/coordination/forwarding/endpoint_limits_test.ts
+++ b/src/coordination/forwarding/endpoint_limits_test.ts
@@ -4,19 +4,11 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
+import {assertWithinLimits} from './assert_within_limits.ts';
 import {SimulatedSite, type SimulatedSiteOptions} from './simulated_site.ts';
 
 const SEEDS = [1, 2, 3, 4, 5, 6];
 
-/** The window in which requests are counted. */
-const WINDOW_MS = 4_000;
-
-/** The time in which gateways must heed a limit after it was first named. */
-const CONTACT_MS = 4_000;
-
-/** The time after which an answer counts as known to its gateway. */
-const TOLD_MS = 500;
-
 type Pattern = Omit<SimulatedSiteOptions, 'seed'>;
 
 /** A burst far above the limits of two of six endpoints, as in the incident. */
@@ -38,29 +30,6 @@
   })),
 };
 
-/** Asserts that no window holds more requests than the users' rule allows. */
-function assertWithinLimits(site: SimulatedSite, {limits}: Pattern): void {
-  for (const {endpoint, perSecond, fromMs, untilMs} of limits) {
-    const allowed = 1.5 * perSecond * (WINDOW_MS / 1_000) + 5;
-    const times = site.arrivals
-      .filter(
-        each =>
-          each.endpoint === endpoint &&
-          !each.isExcused &&
-          each.atMs >= site.findToldAt(each.gateway, endpoint) + TOLD_MS,
-      )
-      .map(({atMs}) => atMs);
-    for (const end of times) {
-      if (end < fromMs + CONTACT_MS || end > untilMs) continue;
-      const count = times.filter(at => at > end - WINDOW_MS && at <= end);
-      assert.ok(
-        count.length <= allowed,
-        `e${endpoint}: ${count.length} of ${allowed} at ${end} ms`,
-      );
-    }
-  }
-}
-
 test('forward() keeps all gateways together within the limit of an endpoint', async () => {
   for (const seed of SEEDS) {
     const site = new SimulatedSite({...TWO_LIMITED, seed});
--- a/src/coordination/forwarding/simulated_site.ts
+++ b/src/coordination/forwarding/simulated_site.ts
@@ -79,8 +79,10 @@
   readonly gateway: number;
   /** Whether the gateway was restarted or cut off less than 4 s before. */
   readonly isExcused: boolean;
-  /** The life of the gateway that sent it. */
-  readonly life: number;
+  /** Whether an answer told the gateway of the limit 0.5 s before or earlier. */
+  readonly isTold: boolean;
+  /** Whether the gateway followed the core long enough to know of the limit. */
+  readonly isInformed: boolean;
 }
 
 /** A request that a gateway refused. */
@@ -93,7 +95,7 @@
 
 interface SimulatedGateway {
   fake: FakeGateway;
-  life: number;
+  startedAt: number;
   disturbedAt: number;
   cutUntil: number;
   followAt: number;
@@ -113,6 +115,12 @@
   epoch: string;
 }
 
+/** The time after which an answer counts as known to its gateway, in ms. */
+const TOLD_MS = 500;
+
+/** The time in which a limit reaches all gateways through the core, in ms. */
+const INFORM_MS = 1_500;
+
 /** How long a disturbance excuses a gateway, in ms. */
 const EXCUSED_MS = 4_000;
 
@@ -125,6 +133,8 @@
   private readonly endpoints: readonly EndpointEntry[];
   private readonly gateways: SimulatedGateway[];
   private readonly cores: SimulatedCore[];
+  /** When an answer first named the limit of an endpoint to any gateway. */
+  private readonly namedAt = new Map<number, number>();
   private restarts = 0;
   private sequence = 1;
   private exchangeAt = 0;
@@ -166,12 +176,9 @@
 
   /** Restarts a gateway; it knows nothing of its earlier life. */
   restartGateway(index: number): void {
-    const life = (this.gateways[index]?.life ?? 0) + 1;
-    this.gateways[index] = {
-      ...this.createGateway(index),
-      life,
-      disturbedAt: this.clock.monotonic(),
-    };
+    const gateway = this.createGateway(index);
+    gateway.disturbedAt = this.clock.monotonic();
+    this.gateways[index] = gateway;
   }
 
   /** Cuts a gateway off from the core; its endpoints stay reachable. */
@@ -245,7 +252,7 @@
     });
     const gateway: SimulatedGateway = {
       fake,
-      life: 0,
+      startedAt: this.clock.monotonic(),
       disturbedAt: -Infinity,
       cutUntil: -Infinity,
       followAt: this.clock.monotonic() + this.draw() * FOLLOW_MS,
@@ -336,14 +343,20 @@
     if (!options.mayBegin()) return {type: 'withdrawn'};
     const endpoint = Number(options.endpoint.id.slice(1));
     const now = this.clock.monotonic();
-    const {life, disturbedAt, cutUntil} = gateway;
-    const isExcused = now - Math.max(disturbedAt, cutUntil) < EXCUSED_MS;
-    this.arrivals.push({atMs: now, endpoint, gateway: index, isExcused, life});
+    const {startedAt, disturbedAt, cutUntil, told} = gateway;
+    const namedAt = this.namedAt.get(endpoint) ?? Infinity;
+    const knownSince = Math.max(startedAt, cutUntil, namedAt);
+    this.arrivals.push({
+      atMs: now,
+      endpoint,
+      gateway: index,
+      isExcused: now - Math.max(disturbedAt, cutUntil) < EXCUSED_MS,
+      isTold: now - (told.get(endpoint) ?? Infinity) >= TOLD_MS,
+      isInformed: now - knownSince >= INFORM_MS,
+    });
     await this.clock.sleep(WORK_MS, options.signal);
     const limitPerSecond = this.findLimit(endpoint, this.clock.monotonic());
-    if (limitPerSecond !== null && !gateway.told.has(endpoint)) {
-      gateway.told.set(endpoint, this.clock.monotonic());
-    }
+    if (limitPerSecond !== null) this.recordTold(told, endpoint);
     const hasFailed = this.draw() < (this.options.failureShare ?? 0);
     return createAnswer(call, options, {
       status: hasFailed ? 500 : 200,
@@ -351,8 +364,9 @@
     });
   }
 
-  /** When a gateway's first answer named the limit of an endpoint. */
-  findToldAt(gateway: number, endpoint: number): number {
-    return this.gateways[gateway]?.told.get(endpoint) ?? Infinity;
+  private recordTold(told: Map<number, number>, endpoint: number): void {
+    const now = this.clock.monotonic();
+    if (!told.has(endpoint)) told.set(endpoint, now);
+    if (!this.namedAt.has(endpoint)) this.namedAt.set(endpoint, now);
   }
 }
