--- a/src/coordination/core/endpoint_limit_table.ts
+++ b/src/coordination/core/endpoint_limit_table.ts
@@ -7,13 +7,11 @@
 import type {Clock} from '../../protocol/clock.ts';
 import type {EndpointLimit} from '../../protocol/core_service.ts';
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
+import {pruneEndedLimits} from '../forwarding/prune_ended_limits.ts';
 
 /** A limit that falls below this part of the known one is relayed at once. */
 const URGENT_PART = 0.8;
 
-/** How long a limit of an endpoint that is not known is retained. */
-const EXPIRE_AFTER_MS = 60_000;
-
 interface KnownLimit {
   readonly startedAtMs: number;
   /** `null` once the endpoint names no limit any more. */
@@ -71,14 +69,8 @@
 
   /** Drops limits of starts that have ended. */
   pruneEnded(findEndpoint: (id: string) => EndpointEntry | null): void {
-    const oldest = this.options.clock.monotonic() - EXPIRE_AFTER_MS;
-    for (const [id, {startedAtMs, observedAt}] of this.known) {
-      const endpoint = findEndpoint(id);
-      const isOver = endpoint
-        ? endpoint.startedAtMs > startedAtMs
-        : observedAt < oldest;
-      if (isOver) this.known.delete(id);
-    }
+    const nowMs = this.options.clock.monotonic();
+    pruneEndedLimits(this.known, {nowMs, findEndpoint});
   }
 
   private mergeOne(
--- a/src/coordination/forwarding/endpoint_limits.ts
+++ b/src/coordination/forwarding/endpoint_limits.ts
@@ -17,6 +17,7 @@
 import type {Logger} from '../../protocol/logger.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
 import {computeShare as computeHash} from './hash.ts';
+import {pruneEndedLimits} from './prune_ended_limits.ts';
 import type {RecentGateways} from './recent_gateways.ts';
 
 /** Gateways with a share of a limit, in addition to one per request a second. */
@@ -46,9 +47,6 @@
 /** The latest time at which a refused caller is told to return. */
 const MAX_RETURN_MS = 5_000;
 
-/** How long a limit of an endpoint that is not listed is retained. */
-const EXPIRE_AFTER_MS = 60_000;
-
 /** An endpoint's statement on its limit, in one answer. */
 export interface LimitNotice {
   /** The named limit; `NaN` when it could not be parsed, `null` for none. */
@@ -165,14 +163,8 @@
 
   /** Drops limits of starts that have ended, as far as the list shows it. */
   pruneEnded(findEndpoint: (id: string) => EndpointEntry | null): void {
-    const oldest = this.options.clock.monotonic() - EXPIRE_AFTER_MS;
-    for (const [id, {startedAtMs, observedAt}] of this.known) {
-      const endpoint = findEndpoint(id);
-      const isOver = endpoint
-        ? endpoint.startedAtMs > startedAtMs
-        : observedAt < oldest;
-      if (isOver) this.known.delete(id);
-    }
+    const nowMs = this.options.clock.monotonic();
+    pruneEndedLimits(this.known, {nowMs, findEndpoint});
   }
 
   /** Whether this gateway may send the endpoint a request now. */
