Scale the trial of a version with the allowed exposure

The share of the trial was the same whatever part of the requests the deployment allows a bad version to get; with 0.05 in place of 0.15 the trial alone would have gone beyond it. Found by reading; all known deployments allow 0.15.

--- a/src/coordination/core/decide_rollout.ts
+++ b/src/coordination/core/decide_rollout.ts
@@ -22,14 +22,20 @@
  */
 const SESSIONS_MOVE_FROM = 0.54;
 
-/** The share at which a version is judged once sessions move. */
-const TRIAL_SHARE = 0.2;
+/**
+ * The share at which a version is judged once sessions move, as a multiple of
+ * its first share.
+ */
+const TRIAL_FACTOR = 2;
 
 /**
  * The same for a version that had few answers before, since all requests belong
  * to sessions. The others have used a part of the allowed exposure by then.
  */
-const SCARCE_TRIAL_SHARE = 0.35;
+const SCARCE_TRIAL_FACTOR = 10 / 3;
+
+/** The largest share of a trial. */
+const MAX_TRIAL_SHARE = 0.5;
 
 /** Fewer answers than this are few. */
 const SCARCE_ANSWERS = 60;
@@ -116,10 +122,11 @@
     return isChange ? {type: 'share', ...next} : {type: 'none'};
   }
   const {answers} = tally(view.evidence, rollout, isTarget);
-  const trialShare =
-    answers < SCARCE_ANSWERS ? SCARCE_TRIAL_SHARE : TRIAL_SHARE;
-  if (share < TRIAL_SHARE) {
-    return {type: 'share', share: trialShare, movesSessions: true};
+  if (share <= canaryShare) {
+    const factor =
+      answers < SCARCE_ANSWERS ? SCARCE_TRIAL_FACTOR : TRIAL_FACTOR;
+    const next = Math.min(MAX_TRIAL_SHARE, canaryShare * factor);
+    return {type: 'share', share: next, movesSessions: true};
   }
   const isStepOver = view.watchedMs >= MIN_STEP * rollout.durationMs;
   if (progress < TRIAL_UNTIL || !isStepOver || doubt !== null) {
@@ -183,7 +190,7 @@
   stableAnswers: number,
 ): boolean {
   if (answers < MIN_ANSWERS) return false;
-  // Additive (Laplace) smoothing: a rate of 0 would have no standard error.
+  // Additive (Laplace) smoothing: at a rate of 0 any failure would be proof.
   const expected = (stableBadAnswers + 1) / (stableAnswers + 10);
   return (
     badAnswers / answers - expected > TOLERATED_RISE &&
