Relay the end of an endpoint's limit until all gateways take it

Cause: a gateway takes the end of a limit for late if it heard of the limit within the second before, as ages of relayed observations may be too low by their transfer. The core relayed an end once. A gateway without a share sends the endpoint nothing, so it never saw the end itself.

The core relays an end up to three times more, 2 s apart, with the time of its latest observation, which is later than any naming by then. Both new tests failed before.

--- a/src/coordination/core/endpoint_limit_table.ts
+++ b/src/coordination/core/endpoint_limit_table.ts
@@ -12,6 +12,14 @@
 /** A limit that falls below this part of the known one is relayed at once. */
 const URGENT_PART = 0.8;
 
+/**
+ * How often the end of a limit is relayed again, and after how long each time.
+ * Gateways take an end for late if they heard of the limit about the same time,
+ * and those without a share of it would not notice its end themselves.
+ */
+const END_REPEATS = 3;
+const END_REPEAT_MS = 2_000;
+
 interface KnownLimit {
   readonly startedAtMs: number;
   /** `null` once the endpoint names no limit any more. */
@@ -20,6 +28,10 @@
   readonly observedAt: number;
   /** The revision of the table at which gateways need to know it anew. */
   readonly changedAt: number;
+  /** When it was observed as it was relayed last, on the monotonic clock. */
+  readonly relayedAt: number;
+  /** How often its end was relayed again. */
+  readonly repeats: number;
 }
 
 export interface EndpointLimitTableOptions {
@@ -90,17 +102,34 @@
     const previous = isSameStart ? known.perSecond : null;
     const next = {startedAtMs, perSecond, observedAt};
     if (isSameStart && previous === perSecond) {
-      this.known.set(id, {...next, changedAt: known.changedAt});
+      this.known.set(id, {...known, ...next});
+      if (isRepeatDue({...known, ...next})) {
+        this.markChanged(id, {...next, repeats: known.repeats + 1});
+      }
       return;
     }
-    this.markChanged(id, next);
+    this.markChanged(id, {...next, repeats: 0});
     if (perSecond === null) return;
     if (previous === null || perSecond < previous * URGENT_PART) {
       this.lastUrgentRevision = this.lastRevision;
     }
   }
 
-  private markChanged(id: string, limit: Omit<KnownLimit, 'changedAt'>): void {
-    this.known.set(id, {...limit, changedAt: ++this.lastRevision});
+  private markChanged(
+    id: string,
+    limit: Omit<KnownLimit, 'changedAt' | 'relayedAt'>,
+  ): void {
+    const changedAt = ++this.lastRevision;
+    this.known.set(id, {...limit, changedAt, relayedAt: limit.observedAt});
   }
 }
+
+/** Whether the end of a limit must be relayed again. */
+function isRepeatDue(limit: KnownLimit): boolean {
+  const {perSecond, observedAt, relayedAt, repeats} = limit;
+  return (
+    perSecond === null &&
+    repeats < END_REPEATS &&
+    observedAt - relayedAt >= END_REPEAT_MS
+  );
+}
--- a/src/coordination/core/endpoint_limit_table_test.ts
+++ b/src/coordination/core/endpoint_limit_table_test.ts
@@ -60,6 +60,19 @@
   assert.deepEqual(listValues(table, revision), [4]);
 });
 
+// Guards against gateways that keep a limit for good: those without a share send
+// the endpoint nothing, and one that heard of the limit late takes its end for old.
+test('merge() repeats the end of a limit a few times', () => {
+  const table = new EndpointLimitTable({clock: new SimulatedClock()});
+  table.merge([createLimit(4, 0)], 0);
+  const revisions = new Set<number>();
+  for (let ms = 100; ms < 60_000; ms += 200) {
+    table.merge([createLimit(null, 0)], ms);
+    revisions.add(table.revision);
+  }
+  assert.equal(revisions.size, 4);
+});
+
 test('pruneEnded() drops limits of earlier starts and of lost endpoints', async () => {
   const clock = new SimulatedClock();
   const table = new EndpointLimitTable({clock});
--- a/src/coordination/forwarding/endpoint_limits_test.ts
+++ b/src/coordination/forwarding/endpoint_limits_test.ts
@@ -140,4 +140,24 @@
   }
 });
 
+// Guards against gateways that keep a limit for good, since they heard of its
+// last change right before its end.
+test('forward() sends all requests again after a limit that changed until its end', async () => {
+  for (const seed of SEEDS) {
+    const limits = Array.from({length: 40}, (_, index) => ({
+      endpoint: 0,
+      perSecond: 2 + (index % 7) / 10,
+      fromMs: 2_000 + index * 200,
+      untilMs: 2_200 + index * 200,
+    }));
+    const site = new SimulatedSite({limits, seed});
+    await site.run(24_000, 60);
+    const late = site.arrivals.filter(
+      ({endpoint, atMs}) => endpoint === 0 && atMs >= 18_000,
+    );
+    const senders = new Set(late.map(({gateway}) => gateway));
+    assert.equal(senders.size, 9, `seed ${seed}: only ${[...senders]}`);
+  }
+});
+
 test.run();
