--- a/src/coordination/forwarding/endpoint_limits.ts
+++ b/src/coordination/forwarding/endpoint_limits.ts
@@ -4,9 +4,9 @@
  * An endpoint may name the requests per second that it accepts from all
  * gateways together. Gateways tell each other through the core which limits
  * they saw named or ended. Each computes its own share from the list of
- * gateways, so that no request waits for another process: of a small limit,
- * only some gateways have a share, since each may use its share at any moment,
- * and the sum of these moments must stay within the limit as well.
+ * gateways, so that no request waits for another process. A small limit is
+ * divided among a few gateways only: each of them may send a request at any
+ * moment, and if all do so at once, these requests must be within the limit.
  *
  * A limit applies to one start of an endpoint until an answer names none. A
  * gateway that is cut off keeps the limits and the list that it knows.
--- a/src/coordination/forwarding/recent_gateways.ts
+++ b/src/coordination/forwarding/recent_gateways.ts
@@ -24,13 +24,13 @@
 
   constructor(private readonly options: RecentGatewaysOptions) {}
 
-  /** Lists the addresses of all gateways that count. */
+  /** Lists the addresses of the listed gateways and of those that left lately. */
   list(): readonly string[] {
     this.update();
     return this.addresses;
   }
 
-  /** Counts them; 1 when none is known. */
+  /** The length of that list; 1 when it is empty. */
   count(): number {
     return Math.max(1, this.list().length);
   }
--- a/src/coordination/forwarding/record_attempt.ts
+++ b/src/coordination/forwarding/record_attempt.ts
@@ -9,6 +9,9 @@
 import type {AttemptResult} from './run_attempt.ts';
 import type {VersionEvidenceCounter} from './version_evidence.ts';
 
+/** The shortest time that an attempt is expected to need, in ms. */
+const MIN_EXPECTED_MS = 5;
+
 export interface RecordAttemptOptions {
   readonly view: GatewayView;
   readonly health: EndpointHealth;
@@ -103,9 +106,6 @@
   );
 }
 
-/** The shortest time that an attempt is expected to need, in ms. */
-const MIN_EXPECTED_MS = 5;
-
 /**
  * Computes the time that an idle engine of the old version needs for an
  * attempt. The new version's engines have no prompt cached, so that all of the
