Let callers of the frozen leader's test give up on it before the test does

Two later tests failed with it.

Cause: a suspended gateway accepts connections and never replies. Its address stays in the callers' list for up to 5 s, so each of the three callers picks it sooner or later, and its own timeout for the headers of a reply was 15 s of the 20 s. Where all three picked it, nothing was asked of the other gateways for that time. The three callers get some 10 answers a second, too few for the rest. So it is the draw of gateways that decides, not the load alone.

Change: callers of a load can be given another timeout for headers; this test's wait 5 s. The bound of the test, 60 answers in 20 s, and its checks stay, so more is asked of the other gateways in the same time, among it the retries of requests that the suspended one holds. The leader is resumed when the check fails, too: the two tests after it failed since it never was.

--- a/testing/callers/caller.ts
+++ b/testing/callers/caller.ts
@@ -6,7 +6,7 @@
 import {Agent, request, type Dispatcher} from 'undici';
 import type {CallRecord} from '../records/call_record.ts';
 
-/** The timeout for the headers of a reply. */
+/** The default timeout for the headers of a reply. */
 const HEADERS_TIMEOUT_MS = 15_000;
 
 /** The idle timeout of a stream; keep-alive lines arrive every second. */
@@ -27,6 +27,8 @@
   readonly record: (call: CallRecord) => void;
   /** The maximum number of attempts per request. */
   readonly maxAttempts?: number;
+  /** The timeout for the headers of a reply. */
+  readonly headersTimeoutMs?: number;
 }
 
 /** One request of a caller. */
@@ -46,16 +48,18 @@
 
 /** Sends requests for one customer and records the replies. */
 export class Caller implements AsyncDisposable {
-  private readonly agent = new Agent({
-    connect: {timeout: CONNECT_TIMEOUT_MS},
-    headersTimeout: HEADERS_TIMEOUT_MS,
-    bodyTimeout: STREAM_IDLE_TIMEOUT_MS,
-  });
+  private readonly agent: Agent;
   private addresses: readonly string[] = [];
   private addressesUntil = 0;
   private readonly avoidedUntil = new Map<string, number>();
 
-  constructor(private readonly options: CallerOptions) {}
+  constructor(private readonly options: CallerOptions) {
+    this.agent = new Agent({
+      connect: {timeout: CONNECT_TIMEOUT_MS},
+      headersTimeout: options.headersTimeoutMs ?? HEADERS_TIMEOUT_MS,
+      bodyTimeout: STREAM_IDLE_TIMEOUT_MS,
+    });
+  }
 
   /** Sends a request until it is answered or attempts are exhausted. */
   async send(call: CallerRequest): Promise<CallRecord> {
--- a/testing/callers/load.ts
+++ b/testing/callers/load.ts
@@ -23,6 +23,8 @@
   readonly service?: string;
   /** The maximum number of attempts per request. */
   readonly maxAttempts?: number;
+  /** The timeout for the headers of a reply; see `CallerOptions`. */
+  readonly headersTimeoutMs?: number;
 }
 
 /** Requests per session before a new session begins. */
@@ -52,7 +54,14 @@
     customer: {name: string; apiKey: string},
     worker: number,
   ): Promise<void> {
-    const {seed, seeds, record, pauseMs = 20, maxAttempts = 6} = this.options;
+    const {
+      seed,
+      seeds,
+      record,
+      pauseMs = 20,
+      maxAttempts = 6,
+      headersTimeoutMs,
+    } = this.options;
     const generator = xoroshiro128plus(seed * 1_000_003 + worker);
     const draw = () => uniformFloat64(generator);
     await using caller = new Caller({
@@ -61,6 +70,7 @@
       seeds: [...seeds.slice(worker % seeds.length), ...seeds],
       record,
       maxAttempts,
+      headersTimeoutMs,
     });
     for (let count = 0; !this.stopped; count++) {
       await caller.send(this.createRequest(draw(), `${seed}-${worker}`, count));
--- a/testing/cases/requests_under_faults_test.ts
+++ b/testing/cases/requests_under_faults_test.ts
@@ -10,6 +10,14 @@
 import {waitFor} from '../system/system.ts';
 
 const network = {callerMs: 1};
+
+/**
+ * The timeout of callers for the headers of a reply while a gateway is
+ * suspended. Such a gateway accepts connections but never replies, so each
+ * caller that picks it waits this long.
+ */
+const SUSPENDED_HEADERS_TIMEOUT_MS = 5_000;
+
 let scenario: Scenario;
 
 test.before(async () => {
@@ -117,11 +125,14 @@
   const leader = await scenario.system.findLeader();
   const daemon = scenario.system.daemons.get(leader);
   {
-    await using _load = scenario.startLoad(8);
+    await using _load = scenario.startLoad(8, {
+      headersTimeoutMs: SUSPENDED_HEADERS_TIMEOUT_MS,
+    });
     await scenario.waitForAnswers(20);
-    daemon?.signal('SIGSTOP');
-    await scenario.waitForAnswers(60);
-    daemon?.signal('SIGCONT');
+    {
+      using _suspended = daemon?.suspend();
+      await scenario.waitForAnswers(60);
+    }
     await scenario.waitForAnswers(20);
   }
   assert.equal(await scenario.check('a1'), []);
--- a/testing/system/child_process.ts
+++ b/testing/system/child_process.ts
@@ -54,6 +54,13 @@
     this.child?.kill(name);
   }
 
+  /** Suspends the process with SIGSTOP; disposing the result resumes it. */
+  suspend(): Disposable {
+    const {child} = this;
+    child?.kill('SIGSTOP');
+    return {[Symbol.dispose]: () => child?.kill('SIGCONT')};
+  }
+
   /** Kills the process with SIGKILL. */
   async kill(): Promise<void> {
     await this.end('SIGKILL');
