Compare paces once a step of a roll-out

The leader compared the paces of both versions twice in each step and tallied the answers of the target twice. The comparison is made once and handed to both judges; the part that judges slowness and the part that judges routes are functions of their own. In endpoint_limits.ts the method that shadowed an imported function has its own name.

--- a/src/coordination/core/decide_rollout.ts
+++ b/src/coordination/core/decide_rollout.ts
@@ -13,8 +13,8 @@
   VersionEvidence,
   VersionPace,
 } from '../../protocol/core_service.ts';
-import {comparePaces} from './compare_paces.ts';
 import {computeUpperTail} from './binomial.ts';
+import {comparePaces, type PaceComparison} from './compare_paces.ts';
 
 /**
  * When sessions may move, as a fraction of the duration: in the second half,
@@ -105,10 +105,12 @@
 /** Decides the next step of a running roll-out. */
 export function decideRolloutStep(view: RolloutView): RolloutDecision {
   const {rollout, nowMs, hasEndpoints, canaryShare} = view;
-  const reason = findRegression(view);
+  const comparison = comparePaces(view.paces, rollout);
+  const reason = findSlowness(comparison) ?? findFailures(view);
   if (reason !== null) return {type: 'revert', reason};
   const progress = (nowMs - rollout.beganAtMs) / rollout.durationMs;
-  const doubt = findDoubt(view);
+  const {answers} = tally(view.evidence, rollout, isTarget);
+  const doubt = findDoubt(answers, comparison);
   if (progress >= 1 && doubt !== null) return {type: 'revert', reason: doubt};
   if (!hasEndpoints) return {type: 'none'};
   const {share, movesSessions} = rollout;
@@ -121,7 +123,6 @@
       next.share > share || next.movesSessions !== rollout.movesSessions;
     return isChange ? {type: 'share', ...next} : {type: 'none'};
   }
-  const {answers} = tally(view.evidence, rollout, isTarget);
   if (share <= canaryShare) {
     const factor =
       answers < SCARCE_ANSWERS ? SCARCE_TRIAL_FACTOR : TRIAL_FACTOR;
@@ -138,30 +139,30 @@
 }
 
 /** Returns why a version may not go further yet; `null` if it may. */
-function findDoubt({rollout, evidence, paces}: RolloutView): string | null {
-  const {answers} = tally(evidence, rollout, isTarget);
+function findDoubt(answers: number, {fast}: PaceComparison): string | null {
   if (answers < MIN_COMPLETE_ANSWERS) {
     return 'too few answers within the roll-out duration';
   }
-  const {fast} = comparePaces(paces, rollout);
   return fast.count < fast.expected * MIN_FAST_SHARE
     ? `only ${fast.count} fast answers, ${fast.expected.toFixed(1)} expected`
     : null;
 }
 
-/** Returns why the version must be reverted; `null` without a regression. */
-function findRegression({
-  rollout,
-  evidence,
-  paces,
-}: RolloutView): string | null {
-  const {answers, fast, slow} = comparePaces(paces, rollout);
+/** Returns how the version is slower than the old one; `null` if it is not. */
+function findSlowness({answers, fast, slow}: PaceComparison): string | null {
   if (fast.deviation < -MAX_DEVIATION) {
     return `${fast.count} of ${answers} were fast, ${fast.expected.toFixed(1)} expected`;
   }
-  if (slow.deviation > MAX_SLOW_DEVIATION) {
-    return `${slow.count} of ${answers} were slow, ${slow.expected.toFixed(1)} expected`;
-  }
+  return slow.deviation > MAX_SLOW_DEVIATION
+    ? `${slow.count} of ${answers} were slow, ${slow.expected.toFixed(1)} expected`
+    : null;
+}
+
+/**
+ * Returns on which routes more answers fail or are slow than with other
+ * versions; `null` if on none.
+ */
+function findFailures({rollout, evidence}: RolloutView): string | null {
   const routes = new Set(evidence.map(({route}) => route));
   const scopes = [null, ...routes];
   for (const route of scopes) {
--- a/src/coordination/forwarding/endpoint_limits.ts
+++ b/src/coordination/forwarding/endpoint_limits.ts
@@ -16,7 +16,7 @@
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import type {Logger} from '../../protocol/logger.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
-import {computeShare as computeHash} from './hash.ts';
+import {computeShare} from './hash.ts';
 import {pruneEndedLimits} from './prune_ended_limits.ts';
 import type {RecentGateways} from './recent_gateways.ts';
 
@@ -231,7 +231,7 @@
       ? previous.bucket
       : // Random, so that the gateways do not send at the same moments.
         {tokens: random(), updatedAt: now, perSecond: 0};
-    const share = this.computeShare(id, next.perSecond ?? 0);
+    const share = this.computeOwnShare(id, next.perSecond ?? 0);
     this.known.set(id, {...next, bucket, share});
     const previousPerSecond = isSameStart ? previous.perSecond : null;
     if (previousPerSecond === next.perSecond) return;
@@ -252,7 +252,7 @@
     const {perSecond, bucket} = known;
     const now = this.options.clock.monotonic();
     if (known.share.gateways !== this.options.gateways.list()) {
-      known.share = this.computeShare(id, perSecond ?? 0);
+      known.share = this.computeOwnShare(id, perSecond ?? 0);
     }
     const share = known.share.perSecond;
     const passedS = (now - bucket.updatedAt) / 1_000;
@@ -266,7 +266,7 @@
   }
 
   /** Computes the requests per second that this gateway may send. */
-  private computeShare(id: string, limitPerSecond: number): LimitShare {
+  private computeOwnShare(id: string, limitPerSecond: number): LimitShare {
     const {address} = this.options;
     const gateways = this.options.gateways.list();
     const limit = Math.max(limitPerSecond, MIN_PER_SECOND);
@@ -274,7 +274,7 @@
       gateways.length,
       Math.floor(limit) + EXTRA_HOLDERS,
     );
-    const getRank = (each: string) => computeHash(`${each}/${id}`);
+    const getRank = (each: string) => computeShare(`${each}/${id}`);
     const ownRank = getRank(address);
     const isHolder =
       this.options.gateways.isListed(address) &&
