Do not wait for a silent leader once per group and pass

Cause, in the proposer of a gateway: it remembers a leader for each ledger group and learns anew for each that it does not reply, 1.2 s each. When the known leader does not reply, the pass after it begins with the nearest replica, which may be the same one: 1.2 s more. And a proposal that times out forgets the leader of its group even where another proposal has found the new one since, so the next ones wait again.

Change: the proposer remembers for 10 s which replicas did not reply and asks them after the others, for all groups; a redirect to one is followed all the same. A timeout forgets a leader only if it is still the one that was asked, and goes to a newly found one at once.

--- a/src/coordination/replication/proposer.ts
+++ b/src/coordination/replication/proposer.ts
@@ -15,6 +15,9 @@
 /** Timeout for one call, after which the next replica is asked. */
 const CALL_TIMEOUT_MS = 1_200;
 
+/** How long a replica that did not reply in time is asked after the others. */
+const AVOID_SILENT_MS = 10_000;
+
 /** Default total time for which a proposal is retried. */
 const PROPOSE_DEADLINE_MS = 6_000;
 
@@ -38,48 +41,76 @@
  * A proposal whose reply was lost is sent again, so commands must be
  * idempotent. When the deadline passes, the reply is `unknown` if an attempt
  * may have been appended, and `not-leader` if none was.
+ *
+ * A replica may lead several groups. If it does not reply to one proposal, the
+ * others ask the remaining replicas first, so they do not wait for it as well.
  */
 export function createProposer(options: ProposerOptions) {
   const leaders = new Map<string, string>();
+  /** When replicas that did not reply were asked last. */
+  const silentSince = new Map<string, number>();
+  const isSilent = (name: string) =>
+    options.clock.monotonic() - (silentSince.get(name) ?? -Infinity) <
+    AVOID_SILENT_MS;
+  const listReplicas = () => {
+    const names = options.listReplicas();
+    return [
+      ...names.filter(name => !isSilent(name)),
+      ...names.filter(isSilent),
+    ];
+  };
   return async (group: string, command: unknown): Promise<ProposeReply> => {
     const {clock} = options;
     const deadline =
       clock.monotonic() + (options.deadlineMs ?? PROPOSE_DEADLINE_MS);
     let last: ProposeReply = {type: 'not-leader', leader: null};
+    const known = leaders.get(group);
+    if (known !== undefined && isSilent(known)) leaders.delete(group);
     while (clock.monotonic() < deadline) {
       const replica = leaders.get(group);
-      let isRedirected = false;
-      const order = replica === undefined ? options.listReplicas() : [replica];
+      let canAskLeader = false;
+      const order = replica === undefined ? listReplicas() : [replica];
       for (const name of order) {
+        const askedAt = clock.monotonic();
         const reply = await askReplica(options, name, {group, command});
-        if (reply.type === 'committed') {
+        if (reply === null) silentSince.set(name, askedAt);
+        else silentSince.delete(name);
+        if (reply?.type === 'committed') {
           leaders.set(group, name);
           return reply;
         }
-        leaders.delete(group);
+        // Another proposal may have found the new leader in the meantime.
+        if (leaders.get(group) === name) leaders.delete(group);
+        if (reply === null) {
+          last = {type: 'unknown'};
+          canAskLeader = leaders.has(group);
+          if (canAskLeader) break;
+          continue;
+        }
         if (reply.type === 'unknown') last = reply;
         if (reply.type === 'not-leader' && reply.leader !== null) {
           // If this replica was itself named as leader and names another one,
           // the two may hold outdated views; waits before following.
-          isRedirected = replica === undefined;
+          canAskLeader = replica === undefined;
           leaders.set(group, reply.leader);
           break;
         }
       }
-      if (!isRedirected) await clock.sleep(RETRY_DELAY_MS);
+      if (!canAskLeader) await clock.sleep(RETRY_DELAY_MS);
     }
     return last;
   };
 }
 
+/** Asks one replica; returns `null` if it does not reply. */
 async function askReplica(
   options: ProposerOptions,
   name: string,
   request: ProposeRequest,
-): Promise<ProposeReply> {
+): Promise<ProposeReply | null> {
   try {
     return await options.call(name, request, CALL_TIMEOUT_MS);
   } catch {
-    return {type: 'unknown'};
+    return null;
   }
 }
--- a/src/coordination/replication/proposer_test.ts
+++ b/src/coordination/replication/proposer_test.ts
@@ -67,4 +67,103 @@
   assert.equal(calls, ['a', 'c']);
 });
 
+/** A proposer for replicas of which some are silent, on a simulated clock. */
+class ProposerFixture {
+  readonly clock = new SimulatedClock();
+  readonly silent = new Set<string>();
+  leader = 'a';
+  calls: string[] = [];
+
+  readonly propose = createProposer({
+    clock: this.clock,
+    listReplicas: () => ['a', 'b', 'c'],
+    call: async (name, _request, timeoutMs) => {
+      this.calls.push(name);
+      const isSilent = this.silent.has(name);
+      await this.clock.sleep(isSilent ? timeoutMs : 1);
+      if (isSilent) throw new Error('Timed out');
+      return name === this.leader
+        ? {type: 'committed'}
+        : {type: 'not-leader', leader: this.leader};
+    },
+  });
+
+  /** Proposes to each group at once; returns how long each took, in ms. */
+  async measureProposals(...groups: string[]): Promise<number[]> {
+    const from = this.clock.monotonic();
+    const times: number[] = [];
+    groups.forEach((group, index) => {
+      void this.propose(group, 'command').then(() => {
+        times[index] = this.clock.monotonic() - from;
+      });
+    });
+    await this.clock.advance(7_000);
+    return times;
+  }
+
+  /** Suspends the leader of all groups; another one is elected. */
+  replaceLeader(): void {
+    this.silent.add(this.leader);
+    this.leader = 'b';
+    this.calls = [];
+  }
+}
+
+// Guards against one timeout per group after the leader of all was suspended.
+test('a silent leader of several groups is waited for once', async () => {
+  const fixture = new ProposerFixture();
+  await fixture.measureProposals('first', 'second', 'third');
+  fixture.replaceLeader();
+  const times: number[] = [];
+  for (const group of ['first', 'second', 'third']) {
+    void fixture.propose(group, 'command').then(() => {
+      times.push(fixture.clock.monotonic());
+    });
+    await fixture.clock.advance(1_300);
+  }
+  assert.equal(fixture.calls, ['a', 'b', 'b', 'b']);
+  assert.is(times.length, 3);
+});
+
+// Guards against a second timeout: a proposal that waits for the old leader
+// ends after another one has found the new leader.
+test('a late timeout keeps the leader that was found since', async () => {
+  const fixture = new ProposerFixture();
+  await fixture.measureProposals('group');
+  fixture.replaceLeader();
+  void fixture.propose('group', 'command');
+  await fixture.clock.advance(500);
+  void fixture.propose('group', 'command');
+  // The first one has found the new leader, the second one still waits.
+  await fixture.clock.advance(800);
+  assert.equal(fixture.calls, ['a', 'a', 'b']);
+  await fixture.clock.advance(450);
+  fixture.calls = [];
+  const [tookMs] = await fixture.measureProposals('group');
+  assert.equal(fixture.calls, ['b']);
+  assert.is(tookMs, 1);
+});
+
+test('a replica that replies again is asked in its order', async () => {
+  const fixture = new ProposerFixture();
+  fixture.replaceLeader();
+  await fixture.measureProposals('first');
+  assert.equal(fixture.calls, ['a', 'b']);
+  fixture.silent.clear();
+  await fixture.clock.advance(10_000);
+  fixture.calls = [];
+  await fixture.measureProposals('second');
+  assert.equal(fixture.calls, ['a', 'b']);
+});
+
+test('a redirect to a silent replica is followed', async () => {
+  const fixture = new ProposerFixture();
+  fixture.silent.add('a');
+  void fixture.propose('group', 'command');
+  await fixture.clock.advance(1_250);
+  fixture.silent.clear();
+  await fixture.clock.advance(1_000);
+  assert.equal(fixture.calls, ['a', 'b', 'a']);
+});
+
 test.run();
