--- a/src/coordination/requests/basic_decisions_fake.ts
+++ b/src/coordination/requests/basic_decisions_fake.ts
@@ -5,6 +5,7 @@
 import {createRetryBudget} from '../limits/retry_budget.ts';
 import type {Endpoint} from '../membership/endpoint_table.ts';
 import type {EndpointRouter} from '../routing/endpoint_router.ts';
+import {createDirectStep} from '../routing/plan_cascade.ts';
 import {selectEndpoint} from '../routing/select_endpoint.ts';
 import {findTarget, listEligible} from '../routing/eligible_versions.ts';
 import type {Decisions} from './request_context.ts';
@@ -37,16 +38,7 @@
         .sort((a, b) => a.completion_price - b.completion_price);
       const [first, ...fallbacks] = candidates;
       return {
-        steps: first
-          ? [
-              {
-                version: first,
-                release: 'direct',
-                minimumScore: 0,
-                whenUnrated: 'release',
-              },
-            ]
-          : [],
+        steps: first ? [createDirectStep(first)] : [],
         fallbacks,
         expectedCost: 0,
         expectedFirstTokenMs: 0,
