Stop following the core without waiting for an open call

Cause: a gateway that stops uses its grace time of 8 s but for 0.7 s to wait for open requests. Then its follower waited for the call that the core daemon holds or does not answer: 0.8 s and up to 1.5 s.

Change: the follower is a plain disposable. An open call is not waited for; its reply is ignored and its failure not logged.

The unit test fails before: the disposal had not ended without time advancing.

--- a/src/coordination/gateway/core_follower.ts
+++ b/src/coordination/gateway/core_follower.ts
@@ -78,10 +78,10 @@
 }
 
 /** Follows the core until it is disposed. */
-export class CoreFollower implements AsyncDisposable {
+export class CoreFollower implements Disposable {
   private readonly stopped = new AbortController();
   private readonly avoidUntil = new Map<string, number>();
-  private task: Promise<void> | null = null;
+  private isStarted = false;
   /** The last changes received from the followed daemon. */
   private position = INITIAL_POSITION;
   private followed: string | null = null;
@@ -96,7 +96,9 @@
   }
 
   start(): void {
-    this.task ??= this.run();
+    if (this.isStarted) return;
+    this.isStarted = true;
+    void this.run();
   }
 
   /** Reports the gateway's state to the core at once. */
@@ -115,10 +117,10 @@
     }
   }
 
-  async [Symbol.asyncDispose](): Promise<void> {
+  /** Stops. An open call is not waited for, since a daemon may hold it. */
+  [Symbol.dispose](): void {
     this.stopped.abort();
     this.configurationFound.notify();
-    await this.task;
   }
 
   private async run(): Promise<void> {
@@ -188,6 +190,7 @@
       this.recordAvoided(address);
       await clock.sleep(LAG_RETRY_MS, this.stopped.signal);
     } catch (error) {
+      if (this.stopped.signal.aborted) return;
       const reason = (error as Error).message;
       logger.warn('Stops following a core daemon: the call failed.', {
         address,
@@ -205,6 +208,7 @@
     const request = this.createRequest(this.position, holdMs);
     this.isReportDue = false;
     const reply = await call(address, request, holdMs + ANSWER_TIMEOUT_MS);
+    if (this.stopped.signal.aborted) return reply.fresh;
     view.apply(reply);
     if (address === this.followed) this.position = readPosition(reply);
     return reply.fresh;
--- a/src/coordination/gateway/core_follower_test.ts
+++ b/src/coordination/gateway/core_follower_test.ts
@@ -33,7 +33,7 @@
 /** How a core daemon answers; `null` while its host is down. */
 type Daemon = (nowMs: number) => Configuration | null;
 
-class FakeCore implements AsyncDisposable {
+class FakeCore implements Disposable {
   readonly clock = new SimulatedClock();
   readonly calls: string[] = [];
   readonly view = new GatewayView({
@@ -65,10 +65,8 @@
     this.follower.start();
   }
 
-  async [Symbol.asyncDispose](): Promise<void> {
-    const ended = this.follower[Symbol.asyncDispose]();
-    await this.clock.advance(2_000);
-    await ended;
+  [Symbol.dispose](): void {
+    this.follower[Symbol.dispose]();
   }
 
   private async answer(
@@ -88,7 +86,7 @@
 }
 
 test('CoreFollower finds a configuration while other daemons are down', async () => {
-  await using core = new FakeCore({
+  using core = new FakeCore({
     a: () => null,
     b: () => null,
     c: nowMs => (nowMs >= 250 ? IN_FORCE : null),
@@ -100,13 +98,13 @@
 });
 
 test('CoreFollower skips a daemon that lost its configuration', async () => {
-  await using core = new FakeCore({a: () => EMPTY, b: () => IN_FORCE});
+  using core = new FakeCore({a: () => EMPTY, b: () => IN_FORCE});
   await core.clock.advance(100);
   assert.equal(core.view.revision, 7);
 });
 
 test('CoreFollower calls one daemon at a time with a configuration', async () => {
-  await using core = new FakeCore({a: () => IN_FORCE, b: () => IN_FORCE});
+  using core = new FakeCore({a: () => IN_FORCE, b: () => IN_FORCE});
   await core.clock.advance(500);
   const before = core.calls.length;
   await core.clock.advance(2_000);
@@ -115,11 +113,23 @@
 });
 
 test('CoreFollower calls an unchanged core little more than once a second', async () => {
-  await using core = new FakeCore({a: () => IN_FORCE});
+  using core = new FakeCore({a: () => IN_FORCE});
   await core.clock.advance(500);
   const before = core.calls.length;
   await core.clock.advance(8_000);
   assert.ok(core.calls.length - before <= 11);
 });
 
+// Guards against a gateway that is killed at the end of its grace time, since
+// it still waits for a core daemon that lost power.
+test('CoreFollower stops without waiting for its open call', async () => {
+  const core = new FakeCore({a: nowMs => (nowMs < 500 ? IN_FORCE : null)});
+  await core.clock.advance(1_500);
+  const calls = core.calls.length;
+  // Returns no promise: there is nothing to wait for.
+  assert.equal(core[Symbol.dispose](), undefined);
+  await core.clock.advance(5_000);
+  assert.equal(core.calls.length, calls);
+});
+
 test.run();
