End a stage of a product roll-out only on answers

A version that no request had reached went through all stages and was completed.

Change: a stage also needs 20 answers of the version that did not fail, as many more for each further one. A rating counts as one, since a gated or shadowed answer is rated without being delivered. The log of an advance names both counts; without progress a plan backs out by its deadline as before.

Ruled out: comparing with the stable version over the same time in place of all its answers.

Before: the new test gets "advance: 0 ratings show no harm".

--- a/src/coordination/rollout/decide_rollout.ts
+++ b/src/coordination/rollout/decide_rollout.ts
@@ -28,9 +28,13 @@
 
 const SECOND_MS = 1_000;
 
+/** The answers of the version that a stage needs; a rating counts as one. */
+const STAGE_ANSWERS = 20;
+
 /**
- * Decides from the plan, its state and the evidence. A completed roll-out is
- * still tested for regressions; a paused one also ends at its deadline.
+ * Decides from the plan, its state and the evidence. A stage ends only on
+ * answers of the version, never by time alone. A completed roll-out is still
+ * tested for regressions; a paused one also ends at its deadline.
  */
 export function decideRollout(options: DecideRolloutOptions): RolloutDecision {
   const {state, plan} = options;
@@ -53,12 +57,24 @@
   if (ageMs < plan.stage_s * SECOND_MS) {
     return {type: 'wait', reason: 'the stage has not lasted long enough'};
   }
-  const required = plan.stage_ratings * (state.stage + 1);
-  const ratings = options.candidate[0] ? countRatings(options.candidate[0]) : 0;
-  if (ratings < required) {
-    return {type: 'wait', reason: `${ratings} of ${required} ratings are in`};
-  }
-  return {type: 'advance', reason: `${ratings} ratings show no harm`};
+  const [total] = options.candidate;
+  const ratings = total ? countRatings(total) : 0;
+  const answers = total ? Math.max(total.requests - total.errors, ratings) : 0;
+  const stages = state.stage + 1;
+  const missing =
+    describeMissing('ratings', ratings, plan.stage_ratings * stages) ??
+    describeMissing('answers', answers, STAGE_ANSWERS * stages);
+  if (missing !== null) return {type: 'wait', reason: missing};
+  const reason = `${ratings} ratings of ${answers} answers show no harm`;
+  return {type: 'advance', reason};
+}
+
+function describeMissing(
+  what: string,
+  count: number,
+  required: number,
+): string | null {
+  return count < required ? `${count} of ${required} ${what} are in` : null;
 }
 
 function findRegression(options: DecideRolloutOptions): string | null {
--- a/src/coordination/rollout/decide_rollout_test.ts
+++ b/src/coordination/rollout/decide_rollout_test.ts
@@ -62,6 +62,28 @@
   assert.is(decide(good, 61 * SECOND_MS), 'advance');
 });
 
+// Guards against a version that is completed by time alone.
+test('decideRollout() advances only on answers if no rating is wanted', () => {
+  const decideWith = (answers: number, errors: number, stage = 0) =>
+    decideRollout({
+      plan: {...plan, stage_ratings: 0},
+      state: {...running, stage},
+      candidate: [{...createCounts(), requests: answers + errors, errors}],
+      stable: {...createCounts(), requests: 1_000},
+      stableQuality: 0.9,
+      nowMs: 61 * SECOND_MS,
+    });
+  assert.equal(decideWith(0, 0), {
+    type: 'wait',
+    reason: '0 of 20 answers are in',
+  });
+  assert.is(decideWith(19, 1).type, 'wait');
+  assert.is(decideWith(20, 0).type, 'advance');
+  // Each stage needs answers of its own.
+  assert.is(decideWith(39, 0, 1).type, 'wait');
+  assert.is(decideWith(40, 0, 1).type, 'advance');
+});
+
 test('decideRollout() backs out at the deadline, also when paused', () => {
   const none = createCounts();
   assert.is(decide(none, 600 * SECOND_MS), 'back-out');
