Pass options where functions took three positional arguments

Found in the re-reading of the last changes: two new functions broke the rule of STYLE.md. Behaviour is unchanged; 39 tests of requests and roll-outs pass.

--- a/src/coordination/requests/completion_settlement.ts
+++ b/src/coordination/requests/completion_settlement.ts
@@ -22,6 +22,15 @@
   readonly usage: Usage;
 }
 
+/** How a request ended without a complete answer. */
+export interface UnansweredOptions {
+  readonly reason: string;
+  /** Whether an attempt may have reached an endpoint. */
+  readonly sent: boolean;
+  /** What was released to a caller that left. */
+  readonly work?: BilledWork;
+}
+
 export interface CompletionSettlementOptions {
   readonly call: CompletionCall;
   readonly context: RequestContext;
@@ -88,17 +97,12 @@
     return succeed(null);
   }
 
-  /**
-   * Settles a request without a complete answer and returns its error.
-   *
-   * @param sent Whether any attempt may have reached an endpoint.
-   * @param work What was released to a caller that left.
-   */
-  async settleUnanswered(
-    reason: string,
-    sent: boolean,
-    work?: BilledWork,
-  ): Promise<Outcome<never, RequestError>> {
+  /** Settles a request without a complete answer and returns its error. */
+  async settleUnanswered({
+    reason,
+    sent,
+    work,
+  }: UnansweredOptions): Promise<Outcome<never, RequestError>> {
     const {record, options} = this;
     const error = describeUnanswered({
       sent: sent || record.attempts.some(each => each.chunks > 0),
--- a/src/coordination/requests/run_completion.ts
+++ b/src/coordination/requests/run_completion.ts
@@ -376,7 +376,7 @@
             },
           }
         : undefined;
-    return this.settlement.settleUnanswered(reason, sent, work);
+    return this.settlement.settleUnanswered({reason, sent, work});
   }
 }
 
--- a/src/coordination/rollout/decide_rollout.ts
+++ b/src/coordination/rollout/decide_rollout.ts
@@ -62,8 +62,14 @@
   const answers = total ? Math.max(total.requests - total.errors, ratings) : 0;
   const stages = state.stage + 1;
   const missing =
-    describeMissing('ratings', ratings, plan.stage_ratings * stages) ??
-    describeMissing('answers', answers, STAGE_ANSWERS * stages);
+    describeMissing('ratings', {
+      count: ratings,
+      required: plan.stage_ratings * stages,
+    }) ??
+    describeMissing('answers', {
+      count: answers,
+      required: STAGE_ANSWERS * stages,
+    });
   if (missing !== null) return {type: 'wait', reason: missing};
   const reason = `${ratings} ratings of ${answers} answers show no harm`;
   return {type: 'advance', reason};
@@ -71,8 +77,7 @@
 
 function describeMissing(
   what: string,
-  count: number,
-  required: number,
+  {count, required}: {count: number; required: number},
 ): string | null {
   return count < required ? `${count} of ${required} ${what} are in` : null;
 }
