Log the shared prompt parts of attempts that end undelivered

The record of BUDGET names only the last shared part of a prompt, and not whether an answer had begun when its engine ended. Both decide between the hypotheses; so does the number open at the endpoint. No logic is changed.

--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -75,9 +75,14 @@
     return {key: session ?? attemptId ?? '', isSession: session !== null};
   }
 
+  /** The ids of the prompt parts that requests share: all but the last. */
+  get sharedPartIds(): string[] {
+    return this.call.facts.prompt.slice(0, -1).map(({id}) => id);
+  }
+
   /** The id of the last shared prompt part, which identifies the prefix. */
   get sharedPrefixId(): string | null {
-    return this.call.facts.prompt.at(-2)?.id ?? null;
+    return this.sharedPartIds.at(-1) ?? null;
   }
 
   /** The tokens of the shared prefix. */
--- a/src/coordination/forwarding/record_attempt.ts
+++ b/src/coordination/forwarding/record_attempt.ts
@@ -9,6 +9,9 @@
 import type {AttemptResult} from './run_attempt.ts';
 import type {VersionEvidenceCounter} from './version_evidence.ts';
 
+/** Prompt parts that a log line names at most. */
+const MAX_LOGGED_PARTS = 6;
+
 /** The shortest time that an attempt is expected to need, in ms. */
 const MIN_EXPECTED_MS = 5;
 
@@ -43,6 +46,9 @@
       address: endpoint.address,
       outcome: result.type,
       reason: 'reason' in result ? result.reason : undefined,
+      beganMs: run.beganMs === null ? null : Math.round(run.beganMs),
+      sharedParts: run.sharedPartIds.slice(0, MAX_LOGGED_PARTS),
+      open: health.countOpen(endpoint),
     });
   }
   recordEvidence(options, run, {endpoint, result});
