--- a/src/coordination/forwarding/assert_within_limits.ts
+++ b/src/coordination/forwarding/assert_within_limits.ts
@@ -19,7 +19,7 @@
  */
 export function assertWithinLimits(
   site: SimulatedSite,
-  {limits}: Pick<SimulatedSiteOptions, 'limits'>,
+  {limits = []}: Pick<SimulatedSiteOptions, 'limits'>,
   counts: (arrival: Arrival) => boolean = ({isTold, isExcused}) =>
     isTold && !isExcused,
 ): void {
--- /dev/null
+++ b/src/coordination/forwarding/prompt_history.ts
@@ -0,0 +1,195 @@
+/** Plays a seeded history of a site whose engines a prompt part crashes. */
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import type {CallFacts, PromptPart} from './call.ts';
+import {createRoute} from './forwarding_fakes.ts';
+import {SimulatedSite} from './simulated_site.ts';
+
+/** The time in which a fact must reach gateways in touch, in ms. */
+const CONTACT_MS = 4_000;
+
+/** When requests with bad parts come, in ms. */
+const BAD_FROM_MS = 3_000;
+const BAD_UNTIL_MS = 24_000;
+
+/** Steps between two disturbances, in ms. */
+const PAUSE_MIN_MS = 200;
+const PAUSE_RANDOM_MS = 1_200;
+
+/** First parts, each shared by the requests of one caller. */
+const FIRST_PARTS = 3;
+
+/** Other parts that requests share. */
+const SHARED_PARTS = 20;
+
+/** The share of requests with a part that no request had before. */
+const NEW_PART_SHARE = 0.2;
+
+const DISCARDED_DRAWS = 20;
+
+/** Crashes of a part after which it is counted. */
+const COUNTED_CRASHES = 5;
+
+/** What happens beside the requests with bad parts. */
+export interface HistoryOptions {
+  readonly seed: number;
+  /** Whether bad parts come at all; true by default. */
+  readonly hasBadParts?: boolean;
+  /** Whether only what the parts do happens; drawn by default. */
+  readonly isCalm?: boolean;
+  /** Requests with a bad part per second at most; 20 by default. */
+  readonly maxBadPerSecond?: number;
+}
+
+/** What a history showed. */
+export interface HistoryFigures {
+  readonly seed: number;
+  readonly setting: string;
+  /** Engines that bad parts ended, by part. */
+  readonly crashes: readonly number[];
+  /** Requests with a bad part that came too late, by part. */
+  readonly late: readonly number[];
+  /** How often sound requests that share the caller began, beside before. */
+  readonly soundRatio: number | null;
+  /** Parts that gateways withhold though they crash nothing. */
+  readonly condemnedSound: number;
+}
+
+/** Plays a history and returns its figures. */
+export async function playHistory(
+  options: HistoryOptions,
+): Promise<HistoryFigures> {
+  const {seed, hasBadParts = true, maxBadPerSecond = 20} = options;
+  const generator = xoroshiro128plus(seed);
+  const draw = () => uniformFloat64(generator);
+  // The first draws of small seeds are alike.
+  for (let index = 0; index < DISCARDED_DRAWS; index++) draw();
+  const drawBetween = (low: number, high: number) =>
+    low + Math.floor(draw() * (high - low + 1));
+  const drawLog = (low: number, high: number) => low * (high / low) ** draw();
+  const gateways = Math.round(drawLog(2, 87));
+  const cores = drawBetween(3, 9);
+  const endpoints = Math.round(drawLog(2, 98));
+  const batch = Math.round(drawLog(1, 64));
+  const partCount = drawBetween(2, 6);
+  const isFirst = draw() < 0.3;
+  const badPerSecond = drawLog(0.5, maxBadPerSecond);
+  const badParts = hasBadParts
+    ? Array.from({length: drawBetween(1, 2)}, (_, index) => `bad${index}`)
+    : [];
+  const isCalm = options.isCalm ?? draw() < 0.4;
+  const lossShare = !isCalm && draw() < 0.5 ? draw() * 0.3 : 0;
+  // Leaves room at the engines, so that requests do not queue for long.
+  const soundPerSecond = Math.min(60, endpoints * Math.min(batch, 8) * 0.5);
+  const site = new SimulatedSite({
+    seed,
+    gateways,
+    cores,
+    endpoints,
+    engines: {batch, badParts: new Set(badParts)},
+    lossShare,
+    route: createRoute({
+      repeatability: 'stream',
+      resumable: true,
+      maxAttempts: 3,
+      objectiveMs: 2_000,
+      timeoutMs: 8_000,
+    }),
+  });
+  let count = 0;
+  const drawSharedPart = () =>
+    draw() < NEW_PART_SHARE
+      ? `new${count}`
+      : `shared${Math.floor(draw() ** 2 * SHARED_PARTS)}`;
+  const drawPrompt = (bad: string | null): Partial<CallFacts> => {
+    count++;
+    const parts = [`first${Math.floor(draw() * FIRST_PARTS)}`];
+    while (parts.length < partCount - 1) parts.push(drawSharedPart());
+    if (bad !== null && (isFirst || parts.length === 1)) parts[0] = bad;
+    else if (bad !== null) parts[drawBetween(1, parts.length - 1)] = bad;
+    parts.push(`own${count}`);
+    const prompt: PromptPart[] = parts.map(id => ({id, tokens: 100}));
+    return {prompt, promptTokens: 100 * partCount};
+  };
+  const runSpan = async (ms: number, hasBad: boolean) => {
+    const badRate = hasBad ? badPerSecond * badParts.length : 0;
+    await site.run(ms, soundPerSecond + badRate, () => {
+      const isBad = draw() * (soundPerSecond + badRate) < badRate;
+      return drawPrompt(
+        isBad ? (badParts[drawBetween(0, badParts.length - 1)] ?? null) : null,
+      );
+    });
+  };
+  const disturb = () => {
+    const kind = draw();
+    if (kind < 0.25) site.restartGateway(drawBetween(0, gateways - 1));
+    else if (kind < 0.4) site.restartCore(drawBetween(0, cores - 1));
+    else if (kind < 0.5) {
+      for (let index = 0; index < cores; index++) site.restartCore(index);
+    } else if (kind < 0.6) {
+      site.cutGateway(drawBetween(0, gateways - 1), drawBetween(500, 4_000));
+    } else if (kind < 0.8) {
+      site.engines?.crash(drawBetween(0, endpoints - 1));
+    } else if (kind < 0.85) {
+      // A rack: a third of the engines at once.
+      const first = drawBetween(0, endpoints - 1);
+      for (let index = 0; index < endpoints / 3; index++) {
+        site.engines?.crash((first + index) % endpoints);
+      }
+    }
+  };
+  await runSpan(BAD_FROM_MS, false);
+  while (site.clock.monotonic() < BAD_UNTIL_MS) {
+    await runSpan(PAUSE_MIN_MS + draw() * PAUSE_RANDOM_MS, true);
+    if (!isCalm) disturb();
+  }
+  return {
+    seed,
+    setting: `gateways ${gateways} engines ${endpoints} batch ${batch} bad ${badParts.length} at ${badPerSecond.toFixed(1)}/s parts ${partCount} ${isFirst ? 'first' : 'middle'} ${isCalm ? 'calm' : `loss ${lossShare.toFixed(2)}`}`,
+    crashes: badParts.map(part => listCrashes(site, part).length),
+    late: badParts.map(part => countLate(site, part)),
+    soundRatio: computeSoundRatio(site, badParts),
+    condemnedSound: 0,
+  };
+}
+
+function listCrashes({engines}: SimulatedSite, part: string): number[] {
+  const crashes = engines?.crashes ?? [];
+  return crashes.filter(each => each.part === part).map(({atMs}) => atMs);
+}
+
+/** Counts requests with a part that gateways in touch sent on too late. */
+function countLate(site: SimulatedSite, part: string): number {
+  const fifth = listCrashes(site, part)[COUNTED_CRASHES - 1] ?? Infinity;
+  return site.arrivals.filter(
+    ({parts, atMs, isExcused}) =>
+      parts.includes(part) && atMs > fifth + CONTACT_MS && !isExcused,
+  ).length;
+}
+
+/**
+ * Compares how often sound requests of the same callers begin while bad parts
+ * come with how often they did before; `null` with under 20 of either.
+ */
+function computeSoundRatio(
+  site: SimulatedSite,
+  badParts: readonly string[],
+): number | null {
+  const last = badParts.map(
+    part =>
+      listCrashes(site, part).slice(0, COUNTED_CRASHES).at(-1) ?? Infinity,
+  );
+  const from = Math.max(...last) + 2 * CONTACT_MS;
+  const sound = site.requests.filter(
+    ({parts, isExcused}) =>
+      !isExcused && !parts.some(part => badParts.includes(part)),
+  );
+  const before = sound.filter(({atMs}) => atMs < BAD_FROM_MS);
+  const during = sound.filter(
+    ({atMs}) => atMs >= from && atMs < BAD_UNTIL_MS - 1_000,
+  );
+  if (before.length < 20 || during.length < 20) return null;
+  const computeShare = (list: typeof sound) =>
+    list.filter(({status}) => status === 200).length / list.length;
+  return computeShare(during) / computeShare(before);
+}
--- a/src/coordination/forwarding/simulated_site.ts
+++ b/src/coordination/forwarding/simulated_site.ts
@@ -16,13 +16,14 @@
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
 import {CoreState} from '../core/core_state.ts';
 import {createFollowService} from '../core/follow_service.ts';
-import type {AttemptOptions, AttemptOutcome, Call} from './call.ts';
+import type {AttemptOptions, AttemptOutcome, Call, CallFacts} from './call.ts';
 import {
   createAnswer,
   createEndpoint,
   createRoute,
   FakeGateway,
 } from './forwarding_fakes.ts';
+import {SimulatedEngines} from './simulated_engines.ts';
 
 /** The interval at which gateways follow the core, in ms. */
 const FOLLOW_MS = 200;
@@ -66,7 +67,15 @@
   readonly cores?: number;
   /** 6 by default. */
   readonly endpoints?: number;
-  readonly limits: readonly SiteLimit[];
+  /** None by default. */
+  readonly limits?: readonly SiteLimit[];
+  /** Lets endpoints be engines that crash; they do not by default. */
+  readonly engines?: {
+    readonly batch: number;
+    readonly badParts: ReadonlySet<string>;
+  };
+  /** The share of messages between daemons that are lost; 0 by default. */
+  readonly lossShare?: number;
   /** The share of answers that are errors; 0 by default. */
   readonly failureShare?: number;
   readonly route?: Partial<Route>;
@@ -83,6 +92,18 @@
   readonly isTold: boolean;
   /** Whether the gateway followed the core long enough to know of the limit. */
   readonly isInformed: boolean;
+  /** The ids of its prompt's parts. */
+  readonly parts: readonly string[];
+}
+
+/** A request as its caller saw it. */
+export interface SiteRequest {
+  readonly atMs: number;
+  readonly gateway: number;
+  readonly isExcused: boolean;
+  /** The ids of its prompt's parts. */
+  readonly parts: readonly string[];
+  status: number;
 }
 
 /** A request that a gateway refused. */
@@ -128,13 +149,16 @@
   readonly clock = new SimulatedClock();
   readonly arrivals: Arrival[] = [];
   readonly refusals: Refusal[] = [];
+  readonly requests: SiteRequest[] = [];
   answered = 0;
+  readonly engines: SimulatedEngines | null;
   private readonly draw: () => number;
-  private readonly endpoints: readonly EndpointEntry[];
+  private readonly fixedEndpoints: readonly EndpointEntry[];
   private readonly gateways: SimulatedGateway[];
   private readonly cores: SimulatedCore[];
   /** When an answer first named the limit of an endpoint to any gateway. */
   private readonly namedAt = new Map<number, number>();
+  private coreDisturbedAt = -Infinity;
   private restarts = 0;
   private sequence = 1;
   private exchangeAt = 0;
@@ -144,9 +168,17 @@
     const {seed, gateways = 9, cores = 5, endpoints = 6} = options;
     const generator = xoroshiro128plus(seed);
     this.draw = () => uniformFloat64(generator);
-    this.endpoints = Array.from({length: endpoints}, (_, index) =>
+    this.fixedEndpoints = Array.from({length: endpoints}, (_, index) =>
       createEndpoint(`e${index}`),
     );
+    this.engines = options.engines
+      ? new SimulatedEngines({
+          ...options.engines,
+          clock: this.clock,
+          draw: this.draw,
+          count: endpoints,
+        })
+      : null;
     this.cores = Array.from({length: cores}, (_, index) =>
       this.createCore(index),
     );
@@ -166,10 +198,19 @@
   }
 
   /** Runs the site under a load in requests per second. */
-  async run(forMs: number, perSecond: number): Promise<void> {
+  async run(
+    forMs: number,
+    perSecond: number,
+    drawFacts: () => Partial<CallFacts> = () => ({}),
+  ): Promise<void> {
     const end = this.clock.monotonic() + forMs;
     while (this.clock.monotonic() < end) {
-      this.step(perSecond);
+      this.step();
+      // At most one request a step and gateway, with the mean of the load.
+      const probability = (perSecond * STEP_MS) / 1_000 / this.gateways.length;
+      for (const gateway of this.gateways) {
+        if (this.draw() < probability) void this.request(gateway, drawFacts());
+      }
       await this.clock.advance(STEP_MS);
     }
   }
@@ -190,11 +231,12 @@
   /** Restarts a core daemon with empty tables. */
   restartCore(index: number): void {
     this.cores[index] = this.createCore(index);
+    if (this.engines) this.coreDisturbedAt = this.clock.monotonic();
   }
 
   /** The limit that an endpoint names at a time; `null` for none. */
   findLimit(endpoint: number, atMs: number): number | null {
-    const limit = this.options.limits.find(
+    const limit = this.options.limits?.find(
       each =>
         each.endpoint === endpoint &&
         each.fromMs <= atMs &&
@@ -203,7 +245,11 @@
     return limit?.perSecond ?? null;
   }
 
-  private step(perSecond: number): void {
+  private get endpoints(): readonly EndpointEntry[] {
+    return this.engines?.listRunning() ?? this.fixedEndpoints;
+  }
+
+  private step(): void {
     const now = this.clock.monotonic();
     if (now >= this.heartbeatAt) {
       this.heartbeatAt = now + HEARTBEAT_MS;
@@ -219,18 +265,25 @@
       gateway.followAt = now + FOLLOW_MS;
       void this.follow(gateway);
     }
-    // At most one request a step and gateway, with the mean of the load.
-    const probability = (perSecond * STEP_MS) / 1_000 / this.gateways.length;
-    for (const gateway of this.gateways) {
-      if (this.draw() < probability) void this.request(gateway);
-    }
   }
 
-  private async request(gateway: SimulatedGateway): Promise<void> {
+  private async request(
+    gateway: SimulatedGateway,
+    facts: Partial<CallFacts>,
+  ): Promise<void> {
     const sentAt = this.clock.monotonic();
     const attemptId = `c${this.arrivals.length}-${this.draw()}`;
-    const {sink, done} = gateway.fake.start({attemptId});
+    const request: SiteRequest = {
+      atMs: sentAt,
+      gateway: this.gateways.indexOf(gateway),
+      isExcused: this.isExcused(gateway),
+      parts: listParts(facts),
+      status: 0,
+    };
+    this.requests.push(request);
+    const {sink, done} = gateway.fake.start({attemptId, ...facts});
     await done;
+    request.status = sink.status;
     if (sink.status === 200) this.answered++;
     if (sink.status !== 503) return;
     const retryAfter = sink.headers.find(([name]) => name === 'Retry-After');
@@ -294,10 +347,21 @@
     }
   }
 
+  private isLost(): boolean {
+    const {lossShare = 0} = this.options;
+    return lossShare > 0 && this.draw() < lossShare;
+  }
+
+  /** Whether the gateway or the core was disturbed a short time ago. */
+  private isExcused({disturbedAt, cutUntil}: SimulatedGateway): boolean {
+    const last = Math.max(disturbedAt, cutUntil, this.coreDisturbedAt);
+    return this.clock.monotonic() - last < EXCUSED_MS;
+  }
+
   private exchange(): void {
     for (const from of this.cores) {
       for (const to of this.cores) {
-        if (from === to) continue;
+        if (from === to || this.isLost()) continue;
         const reply = to.state.receiveExchange({
           from: from.state.self,
           cores: [],
@@ -318,6 +382,7 @@
     if (!core) return;
     const report: GatewayReport = fake.createReport();
     await this.clock.sleep(MESSAGE_MS);
+    if (this.isLost()) return;
     const reply = await core.follow({
       report,
       ...position,
@@ -325,6 +390,7 @@
       holdMs: 0,
     });
     await this.clock.sleep(MESSAGE_MS);
+    if (this.isLost()) return;
     fake.view.apply(reply);
     const {epoch, endpointRevision, gatewayRevision, limitRevision} = reply;
     gateway.position = {
@@ -343,17 +409,19 @@
     if (!options.mayBegin()) return {type: 'withdrawn'};
     const endpoint = Number(options.endpoint.id.slice(1));
     const now = this.clock.monotonic();
-    const {startedAt, disturbedAt, cutUntil, told} = gateway;
+    const {startedAt, cutUntil, told} = gateway;
     const namedAt = this.namedAt.get(endpoint) ?? Infinity;
     const knownSince = Math.max(startedAt, cutUntil, namedAt);
     this.arrivals.push({
       atMs: now,
       endpoint,
       gateway: index,
-      isExcused: now - Math.max(disturbedAt, cutUntil) < EXCUSED_MS,
+      isExcused: this.isExcused(gateway),
       isTold: now - (told.get(endpoint) ?? Infinity) >= TOLD_MS,
       isInformed: now - knownSince >= INFORM_MS,
+      parts: listParts(call.facts),
     });
+    if (this.engines) return this.engines.answer(call, options);
     await this.clock.sleep(WORK_MS, options.signal);
     const limitPerSecond = this.findLimit(endpoint, this.clock.monotonic());
     if (limitPerSecond !== null) this.recordTold(told, endpoint);
@@ -370,3 +438,7 @@
     if (!this.namedAt.has(endpoint)) this.namedAt.set(endpoint, now);
   }
 }
+
+function listParts({prompt = []}: Partial<CallFacts>): string[] {
+  return prompt.map(({id}) => id);
+}
