--- a/src/cli/serve_site/core.ts
+++ b/src/cli/serve_site/core.ts
@@ -129,6 +129,7 @@
       step: async () => {
         state.endpoints.sweep();
         state.limits.pruneEnded(id => state.endpoints.find(id));
+        state.suspects.expire();
         view.saveIfChanged();
         state.members.setSeeds(listSeedPeers(getSettings()));
       },
@@ -196,14 +197,17 @@
 }
 
 async function openView(
-  {getSettings, createLogger}: SiteParts,
+  {clock, getSettings, createLogger}: SiteParts,
   state: CoreState,
   routing: RoutingState,
 ): Promise<CommittedView> {
   const folder = getSettings().data_folder ?? '';
   const file = new ViewFile({folder, logger: createLogger('view')});
   const saved = await file.load();
-  if (saved) state.endpoints.restore(saved.endpoints);
+  if (saved) {
+    state.endpoints.restore(saved.endpoints);
+    state.mergeSuspects(saved.suspects, clock.monotonic());
+  }
   let savedRevisions = '';
   const getConfiguration = () => {
     const {configuration} = routing;
@@ -215,13 +219,18 @@
     getConfiguration,
     saveIfChanged() {
       const configuration = getConfiguration();
-      const revisions = `${configuration.revision}/${state.endpoints.revision}`;
+      const revisions = [
+        configuration.revision,
+        state.endpoints.revision,
+        state.suspects.revision,
+      ].join('/');
       if (revisions === savedRevisions) return;
       savedRevisions = revisions;
       const endpoints = state.endpoints
         .listReports()
         .filter(({state: phase}) => phase !== 'gone');
-      void file.save(configuration, endpoints);
+      const suspects = state.suspects.list();
+      void file.save({configuration, endpoints, suspects});
     },
   };
 }
@@ -257,6 +266,9 @@
       replica.isLeader()
         ? {type: 'read', configuration: routing.configuration}
         : {type: 'not-leader', leader: replica.leader},
+    requestTrial: async request => ({
+      isGranted: state.trials.tryOpen(request),
+    }),
   };
 }
 
--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -3,6 +3,8 @@
 import {EndpointLimits} from '../../coordination/forwarding/endpoint_limits.ts';
 import {EndpointNotices} from '../../coordination/forwarding/endpoint_notices.ts';
 import {Forwarder} from '../../coordination/forwarding/forwarder.ts';
+import {PromptQuarantine} from '../../coordination/forwarding/prompt_quarantine.ts';
+import {createTrialRequester} from '../../coordination/forwarding/trial_requester.ts';
 import {PrefillBacklog} from '../../coordination/forwarding/prefill_backlog.ts';
 import {RecentGateways} from '../../coordination/forwarding/recent_gateways.ts';
 import {VersionEvidenceCounter} from '../../coordination/forwarding/version_evidence.ts';
@@ -66,6 +68,19 @@
     decodeTable: surfaces.decodeTable,
     onConfiguration: ({table}) => server?.setLimits(table.limits),
     onLimits: relayed => limits.recordRelayed(relayed),
+    onSuspects: relayed => quarantine.recordRelayed(relayed),
+  });
+  const quarantine = new PromptQuarantine({
+    clock,
+    logger: createLogger('forward'),
+    metrics: parts.metrics,
+    requestTrial: createTrialRequester({
+      logger: createLogger('forward'),
+      listCores: () => view.cores.map(({address}) => address),
+      call: (address, request, timeoutMs) =>
+        links.get(address).requestTrial(request, timeoutMs),
+    }),
+    onObservation: () => follower.reportSoon(),
   });
   const gateways = new RecentGateways({
     clock,
@@ -109,8 +124,10 @@
         paces: evidence.listPaces(isRunning),
         leaving: notices.listLeaving(),
         limits: limits.listObserved(),
+        suspects: quarantine.listObserved(),
       };
     },
+    onEpoch: () => quarantine.repeatAll(),
     call: (address, request, timeoutMs) =>
       links.get(address).follow(request, timeoutMs),
   });
@@ -119,6 +136,7 @@
     health,
     notices,
     limits,
+    quarantine,
     gateways,
     evidence,
     prefillBacklog,
--- a/src/coordination/core/core_state.ts
+++ b/src/coordination/core/core_state.ts
@@ -8,11 +8,14 @@
 } from '../../protocol/core_service.ts';
 import type {EndpointReport} from '../../protocol/endpoint_report.ts';
 import type {Logger} from '../../protocol/logger.ts';
+import type {SuspectPart} from '../../protocol/suspect_part.ts';
+import {SuspectTable} from '../forwarding/suspect_table.ts';
 import {createNotifier, type Notifier} from '../notifier.ts';
 import {CoreMembers} from './core_members.ts';
 import {EndpointLimitTable} from './endpoint_limit_table.ts';
 import {EndpointRegistry, type ReportOutcome} from './endpoint_registry.ts';
 import {GatewayDirectory} from './gateway_directory.ts';
+import {TrialTable} from './trial_table.ts';
 
 /** Daemons that contacted this one within this time are advertised to peers. */
 const ADVERTISE_WITHIN_MS = 10_000;
@@ -28,6 +31,8 @@
   readonly members: CoreMembers;
   readonly endpoints: EndpointRegistry;
   readonly limits: EndpointLimitTable;
+  readonly suspects: SuspectTable;
+  readonly trials: TrialTable;
   readonly gateways: GatewayDirectory;
   /** Notified when something changed that gateways need to know. */
   readonly changes: Notifier;
@@ -40,6 +45,8 @@
     this.members = new CoreMembers({clock, self});
     this.endpoints = new EndpointRegistry({clock});
     this.limits = new EndpointLimitTable({clock});
+    this.suspects = new SuspectTable(clock);
+    this.trials = new TrialTable(clock);
     this.changes = createNotifier(clock);
     this.urgentChanges = createNotifier(clock);
     this.gateways = new GatewayDirectory({
@@ -54,6 +61,8 @@
         this.changes.notify();
         this.urgentChanges.notify();
       },
+      onSuspects: (records, receivedAt) =>
+        this.mergeSuspects(records, receivedAt),
     });
   }
 
@@ -78,6 +87,7 @@
       cores: exchange.wantsAll ? this.listAdvertised() : [],
       reports: exchange.wantsAll ? this.endpoints.listReports() : [],
       gateways: exchange.wantsAll ? this.gateways.listAll() : [],
+      suspects: exchange.wantsAll ? this.suspects.list() : [],
     };
   }
 
@@ -85,6 +95,9 @@
   mergeExchange(update: CoreExchangeReply, from: string): void {
     this.members.recordAdvertised(update.cores);
     this.gateways.recordRelayed(update.gateways);
+    if (update.suspects) {
+      this.mergeSuspects(update.suspects, this.options.clock.monotonic());
+    }
     for (const report of update.reports) this.applyReport(report, from);
   }
 
@@ -100,6 +113,19 @@
     return reports;
   }
 
+  /**
+   * Merges records of suspected prompt parts.
+   *
+   * @param receivedAt When their ages were measured, on the monotonic clock.
+   */
+  mergeSuspects(records: readonly SuspectPart[], receivedAt: number): void {
+    const changed = this.suspects.merge(records, receivedAt);
+    if (changed.length === 0) return;
+    for (const key of changed) this.trials.release(key);
+    this.changes.notify();
+    this.urgentChanges.notify();
+  }
+
   private applyLeaving(leaving: readonly LeavingEndpoint[]): void {
     const newlyLeaving = leaving.filter(each =>
       this.endpoints.recordLeaving(each),
--- a/src/coordination/core/core_state_test.ts
+++ b/src/coordination/core/core_state_test.ts
@@ -17,6 +17,7 @@
   paces: [],
   leaving: [{id: 'e1', startedAtMs: 1}],
   limits: [],
+  suspects: [],
 };
 
 function createState(address: string, clock: SimulatedClock): CoreState {
--- a/src/coordination/core/follow_service.ts
+++ b/src/coordination/core/follow_service.ts
@@ -53,6 +53,7 @@
     state.endpoints.revision > request.endpointRevision ||
     state.gateways.lastClosingRevision > request.gatewayRevision ||
     state.limits.urgentRevision > (request.limitRevision ?? Infinity) ||
+    state.suspects.revision > (request.suspectRevision ?? Infinity) ||
     getConfiguration().revision > request.configurationRevision
   );
 }
@@ -82,6 +83,8 @@
     openGateways: isOpenListKnown ? null : open.list,
     limitRevision: state.limits.revision,
     limits: state.limits.list(complete ? 0 : request.limitRevision),
+    suspectRevision: state.suspects.revision,
+    suspects: state.suspects.list(complete ? 0 : request.suspectRevision),
     fresh: isFresh(),
   };
 }
--- a/src/coordination/core/gateway_directory.ts
+++ b/src/coordination/core/gateway_directory.ts
@@ -10,6 +10,7 @@
   VersionEvidence,
   VersionPace,
 } from '../../protocol/core_service.ts';
+import type {SuspectPart} from '../../protocol/suspect_part.ts';
 
 /** A gateway reports at least every 0.8 s; two reports may be lost. */
 const LIVE_MS = 2_500;
@@ -46,6 +47,11 @@
     limits: readonly EndpointLimit[],
     receivedAt: number,
   ) => void;
+  /** The same for suspected parts of prompts. */
+  readonly onSuspects?: (
+    records: readonly SuspectPart[],
+    receivedAt: number,
+  ) => void;
 }
 
 export class GatewayDirectory {
@@ -75,10 +81,13 @@
   }
 
   private apply(next: KnownGateway): void {
-    const {gateway, leaving, limits} = next.report;
+    const {gateway, leaving, limits, suspects} = next.report;
     const {address, open} = gateway;
     if (leaving.length > 0) this.options.onLeaving?.(leaving);
     if (limits.length > 0) this.options.onLimits?.(limits, next.receivedAt);
+    if (suspects.length > 0) {
+      this.options.onSuspects?.(suspects, next.receivedAt);
+    }
     const wasOpen = this.known.get(address)?.report.gateway.open ?? false;
     this.known.set(address, next);
     if (!wasOpen || open) return;
--- a/src/coordination/forwarding/call.ts
+++ b/src/coordination/forwarding/call.ts
@@ -101,6 +101,8 @@
   readonly status: number;
   readonly headers: readonly Header[];
   readonly facts: AnswerFacts;
+  /** Whether its end differs from a connection that closes. */
+  readonly isDelimited: boolean;
   /** Yields the body; throws when it breaks off. */
   readonly body: AsyncIterable<Uint8Array>;
   /** Discards the rest of the answer and closes its connection. */
--- a/src/coordination/forwarding/deliver_answer.ts
+++ b/src/coordination/forwarding/deliver_answer.ts
@@ -1,4 +1,5 @@
 /** Delivers the answer of an endpoint to the caller. */
+import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
 import type {EndpointAnswer, Header} from './call.ts';
 import type {CallRun} from './call_run.ts';
 import {MAX_HELD_BYTES} from './held_answer.ts';
@@ -22,29 +23,25 @@
     answer.cancel();
     return {
       type: 'broken',
-      isUnreachable: false,
+      isDisconnected: false,
       reason: `status ${answer.status}`,
     };
   }
   const body = await readWhole(answer);
-  if (body === null) {
-    return {
-      type: 'broken',
-      isUnreachable: false,
-      reason: 'the answer broke off',
-    };
-  }
+  if (!body.ok) return {type: 'broken', ...body.error};
   run.recordFirstOutput(clock.monotonic() - run.call.receivedAt);
   const {status, headers} = answer;
   if (!isGood && run.admitted.isRepeatable) {
-    return {type: 'failed', answer: {status, headers, body}};
+    return {type: 'failed', answer: {status, headers, body: body.value}};
   }
-  sink.answer(status, headers, body);
+  sink.answer(status, headers, body.value);
   return {type: 'delivered', status, isGood};
 }
 
-/** Reads a whole body; `null` when it broke off or is too large. */
-async function readWhole(answer: EndpointAnswer): Promise<Buffer | null> {
+/** Reads a whole body; fails when it breaks off or is too large. */
+async function readWhole(
+  answer: EndpointAnswer,
+): Promise<Outcome<Buffer, {isDisconnected: boolean; reason: string}>> {
   const pieces: Uint8Array[] = [];
   let size = 0;
   try {
@@ -53,14 +50,14 @@
       size += piece.length;
       if (size > MAX_HELD_BYTES) {
         answer.cancel();
-        return null;
+        return fail({isDisconnected: false, reason: 'the answer is too large'});
       }
     }
   } catch {
     // The caller reports a truncated body as the result of the attempt.
-    return null;
+    return fail({isDisconnected: true, reason: 'the answer broke off'});
   }
-  return Buffer.concat(pieces);
+  return succeed(Buffer.concat(pieces));
 }
 
 function isEventStream(headers: readonly Header[]): boolean {
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -23,6 +23,7 @@
 import type {EndpointLimits} from './endpoint_limits.ts';
 import type {EndpointNotices} from './endpoint_notices.ts';
 import type {PrefillBacklog} from './prefill_backlog.ts';
+import type {PromptQuarantine} from './prompt_quarantine.ts';
 import type {RecentGateways} from './recent_gateways.ts';
 import {drawJitterMs, drawRetryAfterMs, planRefusal} from './plan_refusal.ts';
 import {refuseCall, type RefusalReason} from './refuse.ts';
@@ -70,6 +71,7 @@
   readonly health: EndpointHealth;
   readonly notices: EndpointNotices;
   readonly limits: EndpointLimits;
+  readonly quarantine: PromptQuarantine;
   readonly gateways: RecentGateways;
   readonly evidence: VersionEvidenceCounter;
   readonly prefillBacklog: PrefillBacklog;
@@ -130,13 +132,15 @@
 
   /** Makes one attempt, or finishes the run when no attempt is possible. */
   private async step(run: CallRun, sink: CallerSink): Promise<void> {
-    const {clock} = this.options;
+    const {clock, quarantine} = this.options;
     if (run.call.signal.aborted) return run.finish('left', 0);
     const leftMs = run.admitted.deadline - clock.monotonic();
     if (leftMs <= 0) return this.finishUndelivered(run, sink, 'deadline');
     const isFallbackDue =
       run.held !== null && findFallbackMs(run, clock.monotonic()) === 0;
-    const canSend = run.sends === 0 || (!isFallbackDue && this.canRetry(run));
+    const canSend =
+      (run.sends === 0 || (!isFallbackDue && this.canRetry(run))) &&
+      (quarantine.isFree(run) || (await this.admitPrompt(run)));
     const choice = canSend ? this.picker.pick(run) : null;
     if (!choice && canSend && (await this.waitForBackoff(run))) return;
     if (!choice) return this.deliverFallback(run, sink, leftMs);
@@ -156,6 +160,16 @@
     this.finishWith(run, sink, result);
   }
 
+  /** Whether the suspected parts of a prompt may go to an endpoint. */
+  private async admitPrompt(run: CallRun): Promise<boolean> {
+    if (run.isTrial) return true;
+    const permission = await this.options.quarantine.admit(run);
+    run.isTrial = permission.type === 'trial';
+    if (permission.type !== 'refused') return true;
+    run.quarantine = permission.isCondemned ? 'condemned' : 'suspected';
+    return false;
+  }
+
   /**
    * Waits until the first endpoint's back-off ends. Returns false without
    * waiting when no endpoint requested one or it would end too late.
@@ -213,6 +227,7 @@
     const {models} = run.admitted.route;
     if (run.hasEscalated || !hasLarger(models, model)) return false;
     if (!this.isSoonEnough(run) || !isUnsure(confidence)) return false;
+    if (run.isTrial || !this.options.quarantine.mayEscalate(run)) return false;
     // Does not hold back a ready answer when no other endpoint can be asked.
     const largest = this.picker.plan(run, models.at(-1) ?? null, endpoint);
     if (!largest || !this.canBeginInTime(run, largest)) return false;
--- a/src/coordination/forwarding/held_answer.ts
+++ b/src/coordination/forwarding/held_answer.ts
@@ -7,6 +7,7 @@
  */
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import type {EndpointAnswer} from './call.ts';
+import type {PromptWatch} from './prompt_watch.ts';
 
 /** The maximum size of a buffered answer; a larger one counts as broken. */
 export const MAX_HELD_BYTES = 4 * 1024 * 1024;
@@ -18,6 +19,8 @@
   readonly model: string | null;
   /** Disposed when the answer is complete, broken or discarded. */
   readonly open: Disposable;
+  /** Watches what the rest of the answer shows of its prompt. */
+  readonly watch: PromptWatch;
 }
 
 export class HeldAnswer implements Disposable {
@@ -56,10 +59,11 @@
   }
 
   private async fill(): Promise<void> {
-    const {answer} = this.options;
+    const {answer, watch} = this.options;
     try {
       for await (const piece of answer.body) {
         if (this.error) return;
+        watch.advance();
         this.pieces.push(piece);
         this.size += piece.length;
         if (this.size > MAX_HELD_BYTES) {
@@ -71,8 +75,10 @@
         }
         this.notifyReader();
       }
+      if (!this.error) watch.complete(answer.isDelimited);
       this.end(null);
     } catch (error) {
+      if (!this.error) watch.disconnect();
       this.end(error as Error);
     }
   }
--- a/src/coordination/forwarding/plan_refusal.ts
+++ b/src/coordination/forwarding/plan_refusal.ts
@@ -28,6 +28,9 @@
     // It may have run, so its caller is not asked to retry.
     return {reason: cause === 'deadline' ? 'deadline' : 'broken'};
   }
+  // A retry at another gateway would be refused as well.
+  if (run.quarantine === 'condemned') return {reason: 'quarantined'};
+  if (run.quarantine === 'suspected') return refuseForNow(options, 'suspected');
   const backoffMs = picker.findBackoffMs(run);
   if (cause === 'deadline' || backoffMs !== null) {
     const reason = cause === 'deadline' ? 'deadline-not-run' : 'quiet';
--- /dev/null
+++ b/src/coordination/forwarding/prompt_quarantine.ts
@@ -0,0 +1,256 @@
+/**
+ * Keeps prompt parts that crash engines from further engines.
+ *
+ * An engine that ends takes all answers down that it writes, and each of their
+ * prompt parts may be the reason. Requests with a suspected part go to engines
+ * one at a time over all gateways, until one is answered, which clears the part,
+ * or until it is condemned and its requests are refused.
+ */
+import type {Clock} from '../../protocol/clock.ts';
+import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
+import type {Logger} from '../../protocol/logger.ts';
+import type {Metrics} from '../../protocol/metrics.ts';
+import {
+  MAX_PART_ID_CHARACTERS,
+  type SuspectPart,
+  type TrialRequest,
+} from '../../protocol/suspect_part.ts';
+import type {CallRun} from './call_run.ts';
+import {PromptWatch} from './prompt_watch.ts';
+import {createPartKey, SuspectTable, type Suspect} from './suspect_table.ts';
+
+/** Parts of one prompt that are considered at most. */
+const MAX_PARTS = 64;
+
+/** Parts of which a gateway remembers an answer. */
+const MAX_SOUND_PARTS = 4_096;
+
+/** How long an answer speaks for a part that an engine ended with once, in ms. */
+const SOUND_MS = 60_000;
+
+/** How long a crash makes gateways careful with parts they do not know, in ms. */
+const CAREFUL_MS = 10_000;
+
+/** How long an own observation is reported to the core, in ms. */
+const REPORT_WITHIN_MS = 3_000;
+
+/** Records of a report at most. */
+const MAX_REPORTED = 64;
+
+/** How often, and after how long, a denied trial is requested again. */
+const TRIAL_ATTEMPTS = 4;
+const TRIAL_RETRY_MS = 150;
+
+/** Whether a request may be sent to an engine now. */
+export type Permission =
+  | {readonly type: 'free'}
+  /** It is the only one with its suspected parts. */
+  | {readonly type: 'trial'}
+  | {readonly type: 'refused'; readonly isCondemned: boolean};
+
+const FREE: Permission = {type: 'free'};
+
+export interface PromptQuarantineOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  /** Asks the core for the permission of a trial; false if it is denied. */
+  readonly requestTrial: (request: TrialRequest) => Promise<boolean>;
+  /** Called when this gateway observed what others need to know at once. */
+  readonly onObservation?: () => void;
+}
+
+export class PromptQuarantine {
+  private readonly table: SuspectTable;
+  /** When parts were last answered on here; the latest ones come last. */
+  private readonly soundAt = new Map<string, number>();
+  /** When this gateway last observed something of a part, by its key. */
+  private readonly observedAt = new Map<string, number>();
+  private lastCrashAt = -Infinity;
+
+  constructor(private readonly options: PromptQuarantineOptions) {
+    this.table = new SuspectTable(options.clock);
+  }
+
+  /** Lists the parts of a request's prompt that requests may share. */
+  static listParts({sharedPartIds}: CallRun): string[] {
+    return sharedPartIds
+      .slice(0, MAX_PARTS)
+      .map(id => id.slice(0, MAX_PART_ID_CHARACTERS));
+  }
+
+  /** Decides whether a request may be sent; asks the core if need be. */
+  async admit(run: CallRun): Promise<Permission> {
+    const {clock, requestTrial, metrics} = this.options;
+    const {name: service} = run.admitted.service;
+    for (let attempt = 1; ; attempt++) {
+      const suspects = this.listSuspects(run);
+      if (suspects.length === 0) return FREE;
+      if (this.isWithheld(run, suspects)) {
+        metrics.count('prompt_trials', 1, {service, outcome: 'condemned'});
+        return {type: 'refused', isCondemned: true};
+      }
+      const parts = suspects.map(({part}) => part);
+      const isGranted = await requestTrial({service, parts});
+      metrics.count('prompt_trials', 1, {
+        service,
+        outcome: isGranted ? 'granted' : 'denied',
+      });
+      if (isGranted) return {type: 'trial'};
+      if (attempt >= TRIAL_ATTEMPTS || run.sends > 0) {
+        return {type: 'refused', isCondemned: false};
+      }
+      await clock.sleep(TRIAL_RETRY_MS, run.call.signal);
+    }
+  }
+
+  /** Whether a request needs no permission. */
+  isFree(run: CallRun): boolean {
+    return this.listSuspects(run).length === 0;
+  }
+
+  /**
+   * Whether a request may go to a second engine before its first answer has
+   * shown that it crashes none.
+   */
+  mayEscalate(run: CallRun): boolean {
+    const {clock} = this.options;
+    if (clock.monotonic() - this.lastCrashAt > CAREFUL_MS) return true;
+    const {name: service} = run.admitted.service;
+    return PromptQuarantine.listParts(run).every(
+      part =>
+        this.isSound(service, part) && this.table.find(service, part) === null,
+    );
+  }
+
+  /** Watches an attempt for what it shows of its prompt. */
+  watch(run: CallRun, endpoint: EndpointEntry): PromptWatch {
+    const {clock} = this.options;
+    const {name: service} = run.admitted.service;
+    const parts = PromptQuarantine.listParts(run);
+    const levels = parts.map(
+      part => this.table.find(service, part)?.level ?? 0,
+    );
+    return new PromptWatch({
+      clock,
+      onSound: () => parts.forEach(part => this.recordSound(service, part)),
+      onCrash: () =>
+        parts.forEach((part, index) =>
+          this.recordCrash(endpoint, {part, level: (levels[index] ?? 0) + 1}),
+        ),
+    });
+  }
+
+  /** Merges what other gateways observed, as relayed by the core. */
+  recordRelayed(records: readonly SuspectPart[]): void {
+    const now = this.options.clock.monotonic();
+    for (const key of this.table.merge(records, now)) {
+      this.lastCrashAt = now;
+      this.logChange(key, 'the core');
+    }
+  }
+
+  /** Lists what this gateway observed lately, to report it to the core. */
+  listObserved(): SuspectPart[] {
+    const oldest = this.options.clock.monotonic() - REPORT_WITHIN_MS;
+    for (const [key, atMs] of this.observedAt) {
+      if (atMs < oldest) this.observedAt.delete(key);
+    }
+    if (this.observedAt.size === 0) return [];
+    return this.table
+      .list()
+      .filter(({service, part}) =>
+        this.observedAt.has(createPartKey(service, part)),
+      )
+      .slice(-MAX_REPORTED);
+  }
+
+  /** Reports all that is known for a while, to a core that may not know it. */
+  repeatAll(): void {
+    const now = this.options.clock.monotonic();
+    for (const {service, part} of this.table.list()) {
+      this.observedAt.set(createPartKey(service, part), now);
+    }
+  }
+
+  private listSuspects(run: CallRun): Suspect[] {
+    if (this.table.isEmpty) return [];
+    const {name: service} = run.admitted.service;
+    return PromptQuarantine.listParts(run).flatMap(part => {
+      const suspect = this.table.find(service, part);
+      if (!suspect) return [];
+      // Engines end with popular parts by chance.
+      const isExempt = suspect.level === 1 && this.isSound(service, part);
+      return isExempt ? [] : [suspect];
+    });
+  }
+
+  private isWithheld(run: CallRun, suspects: readonly Suspect[]): boolean {
+    const condemned = suspects.filter(each => this.table.isCondemned(each));
+    if (condemned.length === 0) return false;
+    const parts = new Set(PromptQuarantine.listParts(run));
+    return condemned.some(each => !this.table.isExplained(each, parts));
+  }
+
+  private isSound(service: string, part: string): boolean {
+    const atMs = this.soundAt.get(createPartKey(service, part)) ?? -Infinity;
+    return this.options.clock.monotonic() - atMs <= SOUND_MS;
+  }
+
+  private recordSound(service: string, part: string): void {
+    const now = this.options.clock.monotonic();
+    const key = createPartKey(service, part);
+    this.soundAt.delete(key);
+    this.soundAt.set(key, now);
+    if (this.soundAt.size > MAX_SOUND_PARTS) {
+      const [oldest] = this.soundAt.keys();
+      if (oldest !== undefined) this.soundAt.delete(oldest);
+    }
+    if (!this.table.find(service, part)) return;
+    this.recordObservation({
+      service,
+      part,
+      level: 0,
+      isCondemned: false,
+      crashes: new Map(),
+      clearedAt: now,
+    });
+  }
+
+  private recordCrash(
+    {id, service, startedAtMs}: EndpointEntry,
+    {part, level}: {part: string; level: number},
+  ): void {
+    const now = this.options.clock.monotonic();
+    this.lastCrashAt = now;
+    this.recordObservation({
+      service,
+      part,
+      level,
+      isCondemned: false,
+      crashes: new Map([[`${id}/${startedAtMs}`, now]]),
+      clearedAt: -Infinity,
+    });
+  }
+
+  private recordObservation(suspect: Suspect): void {
+    const key = createPartKey(suspect.service, suspect.part);
+    if (!this.table.mergeOne(suspect)) return;
+    this.observedAt.set(key, this.options.clock.monotonic());
+    this.logChange(key, 'its answer');
+    this.options.onObservation?.();
+  }
+
+  private logChange(key: string, from: 'its answer' | 'the core'): void {
+    const known = this.table.get(key);
+    if (!known || (known.level === 1 && from === 'the core')) return;
+    this.options.logger.info('Changes what is known of a prompt part.', {
+      service: known.service,
+      part: known.part,
+      level: known.level,
+      crashes: known.crashes.size,
+      isCondemned: known.isCondemned,
+      from,
+    });
+  }
+}
--- /dev/null
+++ b/src/coordination/forwarding/prompt_watch.ts
@@ -0,0 +1,60 @@
+/**
+ * Watches one attempt for what it shows of the parts of its prompt.
+ *
+ * A bad part crashes an engine that begins an answer on it. So an answer that
+ * went on for a while, or is complete, speaks for its parts. A connection that
+ * breaks off earlier speaks against them, also before the head of the answer
+ * arrived: an engine may send it with its first token only.
+ */
+import type {Clock} from '../../protocol/clock.ts';
+
+/** How long an answer must go on to speak for its parts, in ms. */
+const SETTLE_MS = 1_000;
+
+export interface PromptWatchOptions {
+  readonly clock: Clock;
+  readonly onSound: () => void;
+  readonly onCrash: () => void;
+}
+
+export class PromptWatch {
+  private beganAt: number | null = null;
+  private isDecided = false;
+
+  constructor(private readonly options: PromptWatchOptions) {}
+
+  /** Records that the head of the answer arrived. */
+  begin(): void {
+    this.beganAt ??= this.options.clock.monotonic();
+  }
+
+  /** Records that more of the answer arrived. */
+  advance(): void {
+    if (this.beganAt === null) return;
+    const ageMs = this.options.clock.monotonic() - this.beganAt;
+    if (ageMs >= SETTLE_MS) this.settle();
+  }
+
+  /**
+   * Records the end of the answer.
+   *
+   * @param isDelimited Whether its end differs from a connection that closes.
+   */
+  complete(isDelimited: boolean): void {
+    this.advance();
+    if (isDelimited) this.settle();
+  }
+
+  /** Records that its connection broke off. */
+  disconnect(): void {
+    if (this.isDecided) return;
+    this.isDecided = true;
+    this.options.onCrash();
+  }
+
+  private settle(): void {
+    if (this.isDecided) return;
+    this.isDecided = true;
+    this.options.onSound();
+  }
+}
--- a/src/coordination/forwarding/record_attempt.ts
+++ b/src/coordination/forwarding/record_attempt.ts
@@ -66,7 +66,7 @@
     case 'failed':
       return health.recordFailure(endpoint, false);
     case 'broken':
-      return health.recordFailure(endpoint, result.isUnreachable);
+      return health.recordFailure(endpoint, false);
     case 'not-sent':
       return health.recordFailure(endpoint, true);
     case 'not-run':
--- a/src/coordination/forwarding/refuse.ts
+++ b/src/coordination/forwarding/refuse.ts
@@ -15,6 +15,9 @@
   | 'quiet'
   // The limits that endpoints named leave no room.
   | 'limited'
+  // A part of its prompt crashes endpoints, or may do so.
+  | 'quarantined'
+  | 'suspected'
   | 'not-run'
   | 'deadline-not-run'
   | 'deadline'
@@ -28,6 +31,8 @@
   'no-room': 503,
   quiet: 503,
   limited: 503,
+  quarantined: 503,
+  suspected: 503,
   'not-run': 503,
   'deadline-not-run': 503,
   'no-route': 404,
--- a/src/coordination/forwarding/relay_events.ts
+++ b/src/coordination/forwarding/relay_events.ts
@@ -43,14 +43,18 @@
   const {route, isRepeatable} = run.admitted;
   const stallMs = Math.max(STALL_MIN_MS, route.gapObjectiveMs * STALL_FACTOR);
   const splitter = new EventSplitter();
-  const createFailure = (reason: string): AttemptResult =>
+  const createFailure = (
+    reason: string,
+    isDisconnected: boolean,
+  ): AttemptResult =>
     isRepeatable || !sink.hasBegun
-      ? {type: 'broken', isUnreachable: false, reason}
-      : {type: 'cut', reason};
+      ? {type: 'broken', isDisconnected, reason}
+      : {type: 'cut', isDisconnected, reason};
   // Events without content do not begin the answer, so that another endpoint
   // can still do so.
   let buffered: Buffer[] = [];
   let bufferedBytes = 0;
+  let hasFailedToRead = true;
   try {
     for await (const bytes of answer.body) {
       const events = splitter.push(bytes).filter(event => isNext(run, event));
@@ -61,6 +65,7 @@
         buffered.push(...pieces);
         for (const {length} of pieces) bufferedBytes += length;
         if (bufferedBytes <= MAX_EVENT_BYTES) continue;
+        hasFailedToRead = false;
         throw new Error('Could not read a stream: it has only comments');
       }
       if (hasProgress)
@@ -75,10 +80,10 @@
     }
   } catch (error) {
     answer.cancel();
-    return createFailure((error as Error).message);
+    return createFailure((error as Error).message, hasFailedToRead);
   }
   if (splitter.hasPartialEvent)
-    return createFailure('the stream ended within an event');
+    return createFailure('the stream ended within an event', true);
   if (!sink.hasBegun) sink.begin(answer.status, dropFraming(answer));
   if (buffered.length > 0) await sink.write(Buffer.concat(buffered));
   sink.end();
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -15,6 +15,8 @@
 import {HeldAnswer} from './held_answer.ts';
 import type {PrefillPlan} from './plan_prefill.ts';
 import type {PrefillBacklog} from './prefill_backlog.ts';
+import type {PromptQuarantine} from './prompt_quarantine.ts';
+import type {PromptWatch} from './prompt_watch.ts';
 import {STALL_MIN_MS} from './relay_events.ts';
 import {startWatchdog} from './watchdog.ts';
 
@@ -65,7 +67,8 @@
   /** It may have run, but no complete answer arrived. */
   | {
       readonly type: 'broken';
-      readonly isUnreachable: boolean;
+      /** Whether its connection broke off, as when an endpoint crashes. */
+      readonly isDisconnected: boolean;
       readonly reason: string;
     }
   /** It had not begun when the fallback to the held answer was due. */
@@ -73,7 +76,11 @@
   /** The answer is held, and a larger model is asked. */
   | {readonly type: 'escalated'; readonly confidence: number}
   /** Its answer broke off and cannot be resumed at another endpoint. */
-  | {readonly type: 'cut'; readonly reason: string}
+  | {
+      readonly type: 'cut';
+      readonly isDisconnected: boolean;
+      readonly reason: string;
+    }
   /** The caller disconnected. */
   | {readonly type: 'left'};
 
@@ -82,6 +89,7 @@
   readonly health: EndpointHealth;
   readonly notices: EndpointNotices;
   readonly limits: EndpointLimits;
+  readonly quarantine: PromptQuarantine;
   readonly prefillBacklog: PrefillBacklog;
   /** Whether an endpoint accepts requests now. */
   readonly mayReceive: (endpoint: EndpointEntry) => boolean;
@@ -127,6 +135,7 @@
     controller.abort(reason);
   };
   const startedAt = clock.monotonic();
+  const watch = options.quarantine.watch(run, endpoint);
   run.beganMs = null;
   run.expectedMs = expectedMs;
   run.mayBeginLate =
@@ -170,25 +179,45 @@
       mayReuseConnection: admitted.isRepeatable,
       mayBegin: () =>
         options.mayReceive(endpoint) &&
+        (run.isTrial || options.quarantine.isFree(run)) &&
         options.limits.tryTake(endpoint, run.sends === 0 ? 'first' : 'further'),
       signal: controller.signal,
     });
     if (outcome.type === 'answer') {
       run.beganMs = clock.monotonic() - startedAt;
       prefill.begin();
+      watch.begin();
     }
-    const result = await handleOutcome(options, run, {
+    const received = await handleOutcome(options, run, {
       endpoint,
       outcome,
       startedAt,
-      onProgress: ms => stall.postpone(ms),
+      watch,
+      onProgress: ms => {
+        stall.postpone(ms);
+        watch.advance();
+      },
     });
-    return explainAbort(result, {aborted, startedAt});
+    const result = explainAbort(received, {aborted, startedAt});
+    recordOnWatch(watch, outcome, result);
+    return result;
   } finally {
     call.signal.removeEventListener('abort', abortForCaller);
   }
 }
 
+/** Records what the end of an attempt shows of its prompt. */
+function recordOnWatch(
+  watch: PromptWatch,
+  outcome: AttemptOutcome,
+  result: AttemptResult,
+): void {
+  if (result.type === 'delivered' || result.type === 'failed') {
+    watch.complete(outcome.type === 'answer' && outcome.answer.isDelimited);
+  }
+  if ('isDisconnected' in result && result.isDisconnected) watch.disconnect();
+}
+
 /** Replaces a result by the gateway's own reason when it aborted. */
 function explainAbort(
   result: AttemptResult,
@@ -196,9 +225,10 @@
 ): AttemptResult {
   if (aborted === null || result.type === 'delivered') return result;
   if (aborted === 'left') return {type: 'left'};
+  if (result.type === 'cut') return {...result, isDisconnected: false};
   if (result.type !== 'broken') return result;
   if (aborted === 'overdue') return {type: 'overdue', startedAt};
-  return {...result, isUnreachable: false, reason: aborted};
+  return {...result, isDisconnected: false, reason: aborted};
 }
 
 /** Delivers a held answer to the caller. */
@@ -257,6 +287,7 @@
   readonly outcome: AttemptOutcome;
   /** When the attempt began, on the monotonic clock. */
   readonly startedAt: number;
+  readonly watch: PromptWatch;
   /** Called on progress, with the timeout for the next piece in ms. */
   readonly onProgress: (ms: number) => void;
 }
@@ -264,7 +295,7 @@
 async function handleOutcome(
   options: RunAttemptOptions,
   run: CallRun,
-  {endpoint, outcome, startedAt, onProgress}: ReceivedOutcome,
+  {endpoint, outcome, startedAt, watch, onProgress}: ReceivedOutcome,
 ): Promise<AttemptResult> {
   const {health, notices, limits} = options;
   switch (outcome.type) {
@@ -285,9 +316,9 @@
         reason: `status ${outcome.status}`,
       };
     case 'broken':
-      return {type: 'broken', isUnreachable: false, reason: outcome.reason};
+      return {type: 'broken', isDisconnected: true, reason: outcome.reason};
     case 'aborted':
-      return {type: 'broken', isUnreachable: false, reason: 'aborted'};
+      return {type: 'broken', isDisconnected: false, reason: 'aborted'};
     case 'answer':
       health.recordAnswer(endpoint);
       notices.record(endpoint, outcome.answer.facts);
@@ -298,7 +329,11 @@
           findProblem(run, outcome.answer) === null,
         sentAt: startedAt,
       });
-      return handleAnswer(options, run, outcome.answer, {endpoint, onProgress});
+      return handleAnswer(options, run, outcome.answer, {
+        endpoint,
+        watch,
+        onProgress,
+      });
   }
 }
 
@@ -306,13 +341,17 @@
   options: RunAttemptOptions,
   run: CallRun,
   answer: EndpointAnswer,
-  {endpoint, onProgress}: Pick<ReceivedOutcome, 'endpoint' | 'onProgress'>,
+  {
+    endpoint,
+    watch,
+    onProgress,
+  }: Pick<ReceivedOutcome, 'endpoint' | 'watch' | 'onProgress'>,
 ): Promise<AttemptResult> {
   const {sink} = options;
   const problem = findProblem(run, answer);
   if (problem !== null) {
     answer.cancel();
-    return {type: 'broken', isUnreachable: false, reason: problem};
+    return {type: 'broken', isDisconnected: false, reason: problem};
   }
   const {confidence} = answer.facts;
   run.confidence = confidence;
@@ -321,20 +360,26 @@
     !sink.hasBegun &&
     options.decideEscalation(confidence)
   ) {
-    hold(options, run, {endpoint, answer});
+    hold(options, run, {endpoint, answer, watch});
     return {type: 'escalated', confidence};
   }
   return deliverAnswer(options, run, answer, onProgress);
 }
 
+interface HeldParts {
+  readonly endpoint: EndpointEntry;
+  readonly answer: EndpointAnswer;
+  readonly watch: PromptWatch;
+}
+
 /** Holds an answer while a larger model is asked. */
 function hold(
   {health}: RunAttemptOptions,
   run: CallRun,
-  {endpoint, answer}: {endpoint: EndpointEntry; answer: EndpointAnswer},
+  {endpoint, answer, watch}: HeldParts,
 ): void {
   const open = health.open(endpoint);
-  run.hold(new HeldAnswer({answer, endpoint, model: run.model, open}));
+  run.hold(new HeldAnswer({answer, endpoint, model: run.model, open, watch}));
 }
 
 /** Why an answer must not be delivered for this request; `null` if it may. */
--- a/src/coordination/forwarding/simulated_engines.ts
+++ b/src/coordination/forwarding/simulated_engines.ts
@@ -68,6 +68,11 @@
     return this.engines.filter(isRunning).map(({entry}) => entry);
   }
 
+  /** Whether this start of an engine still runs. */
+  isRunning(endpoint: EndpointEntry): boolean {
+    return this.findEngine(endpoint) !== null;
+  }
+
   /** Ends all answers of an engine; it is back after some seconds. */
   crash(index: number): void {
     const {clock, draw} = this.options;
@@ -85,13 +90,9 @@
   /** Works on an attempt; resolves when its answer begins or it fails. */
   async answer(call: Call, options: AttemptOptions): Promise<AttemptOutcome> {
     const {clock, draw, batch} = this.options;
-    const index = Number(options.endpoint.id.slice(1));
-    const engine = this.engines[index];
-    const isCurrent =
-      engine?.entry.startedAtMs === options.endpoint.startedAtMs;
-    if (!engine || !isRunning(engine) || !isCurrent) {
-      return {type: 'not-sent', reason: 'ECONNREFUSED'};
-    }
+    const engine = this.findEngine(options.endpoint);
+    if (!engine) return {type: 'not-sent', reason: 'ECONNREFUSED'};
+    const index = this.engines.indexOf(engine);
     const {life} = engine;
     const signal = AbortSignal.any([life.signal, options.signal]);
     const hasEnded = () => signal.aborted;
@@ -144,6 +145,12 @@
     return {...outcome, answer: {...outcome.answer, body: writeEvents()}};
   }
 
+  private findEngine({id, startedAtMs}: EndpointEntry): Engine | null {
+    const engine = this.engines.find(({entry}) => entry.id === id);
+    const isCurrent = engine?.entry.startedAtMs === startedAtMs;
+    return engine && isCurrent && isRunning(engine) ? engine : null;
+  }
+
   private release(engine: Engine, life: AbortController): void {
     if (engine.life === life && engine.writing > 0) engine.writing--;
   }
--- a/src/coordination/forwarding/simulated_site.ts
+++ b/src/coordination/forwarding/simulated_site.ts
@@ -12,10 +12,8 @@
 } from '../../protocol/core_service.ts';
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import {silentLogger} from '../../protocol/logger.ts';
-import type {Route} from '../../protocol/route_table.ts';
+import type {TrialReply, TrialRequest} from '../../protocol/suspect_part.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
-import {CoreState} from '../core/core_state.ts';
-import {createFollowService} from '../core/follow_service.ts';
 import type {AttemptOptions, AttemptOutcome, Call, CallFacts} from './call.ts';
 import {
   createAnswer,
@@ -23,11 +21,27 @@
   createRoute,
   FakeGateway,
 } from './forwarding_fakes.ts';
+import {
+  createSimulatedCore,
+  exchangeOnce,
+  type SimulatedCore,
+} from './simulated_core.ts';
 import {SimulatedEngines} from './simulated_engines.ts';
+import type {SimulatedGateway} from './simulated_gateway.ts';
+import type {
+  Arrival,
+  Refusal,
+  SimulatedSiteOptions,
+  SiteRequest,
+} from './simulated_site_types.ts';
+import {createTrialRequester} from './trial_requester.ts';
 
 /** The interval at which gateways follow the core, in ms. */
 const FOLLOW_MS = 200;
 
+/** How long a core daemon may hold a call while nothing changes, in ms. */
+const HOLD_MS = 150;
+
 /** The interval at which core daemons exchange their tables, in ms. */
 const EXCHANGE_MS = 200;
 
@@ -40,8 +54,8 @@
 /** How long an endpoint works on a request, in ms. */
 const WORK_MS = 60;
 
-/** The resolution of the simulation, in ms. */
 const STEP_MS = 10;
+const CORE_PREFIX = 'core';
 
 const CONFIGURATION: Configuration = {
   revision: 1,
@@ -50,92 +64,6 @@
   rollouts: [],
 };
 
-/** A limit that an endpoint names in its answers for some time. */
-export interface SiteLimit {
-  /** The index of the endpoint. */
-  readonly endpoint: number;
-  readonly perSecond: number;
-  readonly fromMs: number;
-  readonly untilMs: number;
-}
-
-export interface SimulatedSiteOptions {
-  readonly seed: number;
-  /** 9 by default. */
-  readonly gateways?: number;
-  /** 5 by default. */
-  readonly cores?: number;
-  /** 6 by default. */
-  readonly endpoints?: number;
-  /** None by default. */
-  readonly limits?: readonly SiteLimit[];
-  /** Lets endpoints be engines that crash; they do not by default. */
-  readonly engines?: {
-    readonly batch: number;
-    readonly badParts: ReadonlySet<string>;
-  };
-  /** The share of messages between daemons that are lost; 0 by default. */
-  readonly lossShare?: number;
-  /** The share of answers that are errors; 0 by default. */
-  readonly failureShare?: number;
-  readonly route?: Partial<Route>;
-}
-
-/** A request that arrived at an endpoint. */
-export interface Arrival {
-  readonly atMs: number;
-  readonly endpoint: number;
-  readonly gateway: number;
-  /** Whether the gateway was restarted or cut off less than 4 s before. */
-  readonly isExcused: boolean;
-  /** Whether an answer told the gateway of the limit 0.5 s before or earlier. */
-  readonly isTold: boolean;
-  /** Whether the gateway followed the core long enough to know of the limit. */
-  readonly isInformed: boolean;
-  /** The ids of its prompt's parts. */
-  readonly parts: readonly string[];
-}
-
-/** A request as its caller saw it. */
-export interface SiteRequest {
-  readonly atMs: number;
-  readonly gateway: number;
-  readonly isExcused: boolean;
-  /** The ids of its prompt's parts. */
-  readonly parts: readonly string[];
-  status: number;
-}
-
-/** A request that a gateway refused. */
-export interface Refusal {
-  readonly atMs: number;
-  /** How long the caller had waited, in ms. */
-  readonly waitedMs: number;
-  readonly retryAfterMs: number;
-}
-
-interface SimulatedGateway {
-  fake: FakeGateway;
-  startedAt: number;
-  disturbedAt: number;
-  cutUntil: number;
-  followAt: number;
-  position: {
-    epoch: string;
-    endpointRevision: number;
-    gatewayRevision: number;
-    limitRevision?: number | undefined;
-  };
-  /** When an answer first named the limit, by endpoint. */
-  told: Map<number, number>;
-}
-
-interface SimulatedCore {
-  state: CoreState;
-  follow: ReturnType<typeof createFollowService>;
-  epoch: string;
-}
-
 /** The time after which an answer counts as known to its gateway, in ms. */
 const TOLD_MS = 500;
 
@@ -209,28 +137,39 @@
       // At most one request a step and gateway, with the mean of the load.
       const probability = (perSecond * STEP_MS) / 1_000 / this.gateways.length;
       for (const gateway of this.gateways) {
-        if (this.draw() < probability) void this.request(gateway, drawFacts());
+        if (gateway.isReady && this.draw() < probability) {
+          void this.request(gateway, drawFacts());
+        }
       }
       await this.clock.advance(STEP_MS);
     }
   }
 
-  /** Restarts a gateway; it knows nothing of its earlier life. */
+  /** Lists the prompt parts that a core daemon takes for condemned. */
+  listCondemned(): string[] {
+    const tables = this.cores.map(({state}) => state.suspects);
+    return tables.flatMap(each => each.listCondemned().map(({part}) => part));
+  }
+
+  /** Restarts a gateway without any state. */
   restartGateway(index: number): void {
     const gateway = this.createGateway(index);
     gateway.disturbedAt = this.clock.monotonic();
     this.gateways[index] = gateway;
   }
 
-  /** Cuts a gateway off from the core; its endpoints stay reachable. */
+  /** Cuts a gateway off from the core. */
   cutGateway(index: number, forMs: number): void {
     const gateway = this.gateways[index];
     if (gateway) gateway.cutUntil = this.clock.monotonic() + forMs;
   }
 
-  /** Restarts a core daemon with empty tables. */
-  restartCore(index: number): void {
-    this.cores[index] = this.createCore(index);
+  /** Restarts a core daemon, by default with an empty disk. */
+  restartCore(index: number, {keepsDisk = false} = {}): void {
+    const saved = this.cores[index]?.state.suspects.list() ?? [];
+    const core = this.createCore(index);
+    if (keepsDisk) core.state.mergeSuspects(saved, this.clock.monotonic());
+    this.cores[index] = core;
     if (this.engines) this.coreDisturbedAt = this.clock.monotonic();
   }
 
@@ -256,8 +195,10 @@
       this.sequence++;
       for (const core of this.cores) this.sendHeartbeats(core);
     }
-    if (now >= this.exchangeAt) {
+    const isUrgent = this.cores.some(core => core.hasUrgentChange);
+    if (isUrgent || now >= this.exchangeAt) {
       this.exchangeAt = now + EXCHANGE_MS;
+      for (const core of this.cores) core.hasUrgentChange = false;
       this.exchange();
     }
     for (const gateway of this.gateways) {
@@ -279,11 +220,13 @@
       isExcused: this.isExcused(gateway),
       parts: listParts(facts),
       status: 0,
+      text: '',
     };
     this.requests.push(request);
     const {sink, done} = gateway.fake.start({attemptId, ...facts});
     await done;
     request.status = sink.status;
+    request.text = sink.text;
     if (sink.status === 200) this.answered++;
     if (sink.status !== 503) return;
     const retryAfter = sink.headers.find(([name]) => name === 'Retry-After');
@@ -302,9 +245,18 @@
       endpoints: this.endpoints,
       random: this.draw,
       behave: (call, options) => this.answer(gateway, index, {call, options}),
+      requestTrial: createTrialRequester({
+        logger: silentLogger,
+        listCores: () => this.cores.map((_, core) => `${CORE_PREFIX}${core}`),
+        call: (core, request) => this.requestTrial(gateway, core, request),
+      }),
+      onObservation: () => {
+        gateway.followAt = this.clock.monotonic();
+      },
     });
     const gateway: SimulatedGateway = {
       fake,
+      isReady: !this.engines,
       startedAt: this.clock.monotonic(),
       disturbedAt: -Infinity,
       cutUntil: -Infinity,
@@ -314,6 +266,7 @@
         endpointRevision: 0,
         gatewayRevision: 0,
         limitRevision: 0,
+        suspectRevision: 0,
       },
       told: new Map(),
     };
@@ -321,22 +274,12 @@
   }
 
   private createCore(index: number): SimulatedCore {
-    const {clock} = this;
-    const epoch = `core${index}/${this.restarts++}`;
-    const address = `core${index}`;
-    const state = new CoreState({
-      clock,
-      logger: silentLogger,
-      self: {address, region: 'r', dataCentre: 'a', controlAddress: ''},
-    });
-    const follow = createFollowService({
-      state,
-      clock,
-      epoch,
-      getConfiguration: () => CONFIGURATION,
-      isFresh: () => true,
+    const core = createSimulatedCore({
+      clock: this.clock,
+      address: `${CORE_PREFIX}${index}`,
+      epoch: `core${index}/${this.restarts++}`,
+      configuration: CONFIGURATION,
     });
-    const core = {state, follow, epoch};
     this.sendHeartbeats(core);
     return core;
   }
@@ -362,16 +305,7 @@
     for (const from of this.cores) {
       for (const to of this.cores) {
         if (from === to || this.isLost()) continue;
-        const reply = to.state.receiveExchange({
-          from: from.state.self,
-          cores: [],
-          reports: [],
-          gateways: from.state.gateways.listDirect(
-            this.clock.monotonic() - EXCHANGE_MS * 2,
-          ),
-          wantsAll: false,
-        });
-        from.state.mergeExchange(reply, to.state.self.address);
+        exchangeOnce(from, to, this.clock.monotonic() - EXCHANGE_MS * 2);
       }
     }
   }
@@ -383,30 +317,56 @@
     const report: GatewayReport = fake.createReport();
     await this.clock.sleep(MESSAGE_MS);
     if (this.isLost()) return;
-    const reply = await core.follow({
+    const revisionBefore = core.state.suspects.revision;
+    const answered = core.follow({
       report,
       ...position,
       configurationRevision: fake.view.revision,
-      holdMs: 0,
+      holdMs: this.engines ? HOLD_MS : 0,
     });
+    // Its report has been merged by now.
+    core.hasUrgentChange ||= core.state.suspects.revision > revisionBefore;
+    const reply = await answered;
     await this.clock.sleep(MESSAGE_MS);
     if (this.isLost()) return;
     fake.view.apply(reply);
-    const {epoch, endpointRevision, gatewayRevision, limitRevision} = reply;
+    gateway.isReady = true;
+    if (reply.epoch !== position.epoch) fake.quarantine.repeatAll();
+    const {epoch, endpointRevision, gatewayRevision} = reply;
+    const {limitRevision, suspectRevision} = reply;
     gateway.position = {
       epoch,
       endpointRevision,
       gatewayRevision,
       limitRevision,
+      suspectRevision,
     };
   }
 
+  private async requestTrial(
+    {cutUntil}: SimulatedGateway,
+    address: string,
+    request: TrialRequest,
+  ): Promise<TrialReply> {
+    const {clock} = this;
+    await clock.sleep(MESSAGE_MS);
+    const isCut = clock.monotonic() < cutUntil || this.isLost();
+    const core = this.cores[Number(address.slice(CORE_PREFIX.length))];
+    if (isCut || !core) throw new Error('no answer');
+    const isGranted = core.state.trials.tryOpen(request);
+    await clock.sleep(MESSAGE_MS);
+    return {isGranted};
+  }
+
   private async answer(
     gateway: SimulatedGateway,
     index: number,
     {call, options}: {call: Call; options: AttemptOptions},
   ): Promise<AttemptOutcome> {
     if (!options.mayBegin()) return {type: 'withdrawn'};
+    if (this.engines && !this.engines.isRunning(options.endpoint)) {
+      return {type: 'not-sent', reason: 'ECONNREFUSED'};
+    }
     const endpoint = Number(options.endpoint.id.slice(1));
     const now = this.clock.monotonic();
     const {startedAt, cutUntil, told} = gateway;
--- /dev/null
+++ b/src/coordination/forwarding/simulated_site_types.ts
@@ -0,0 +1,67 @@
+/** What a simulated site is given, and what it records. */
+import type {Route} from '../../protocol/route_table.ts';
+
+/** A limit that an endpoint names in its answers for some time. */
+export interface SiteLimit {
+  /** The index of the endpoint. */
+  readonly endpoint: number;
+  readonly perSecond: number;
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
+export interface SimulatedSiteOptions {
+  readonly seed: number;
+  /** 9 by default. */
+  readonly gateways?: number;
+  /** 5 by default. */
+  readonly cores?: number;
+  /** 6 by default. */
+  readonly endpoints?: number;
+  /** None by default. */
+  readonly limits?: readonly SiteLimit[];
+  /** Lets endpoints be engines that crash; they do not by default. */
+  readonly engines?: {
+    readonly batch: number;
+    readonly badParts: ReadonlySet<string>;
+  };
+  /** The share of messages between daemons that are lost; 0 by default. */
+  readonly lossShare?: number;
+  /** The share of answers that are errors; 0 by default. */
+  readonly failureShare?: number;
+  readonly route?: Partial<Route>;
+}
+
+/** A request that arrived at an endpoint. */
+export interface Arrival {
+  readonly atMs: number;
+  readonly endpoint: number;
+  readonly gateway: number;
+  /** Whether the gateway was restarted or cut off less than 4 s before. */
+  readonly isExcused: boolean;
+  /** Whether an answer told the gateway of the limit 0.5 s before or earlier. */
+  readonly isTold: boolean;
+  /** Whether the gateway followed the core long enough to know of the limit. */
+  readonly isInformed: boolean;
+  /** The ids of its prompt's parts. */
+  readonly parts: readonly string[];
+}
+
+/** A request as its caller saw it. */
+export interface SiteRequest {
+  readonly atMs: number;
+  readonly gateway: number;
+  readonly isExcused: boolean;
+  /** The ids of its prompt's parts. */
+  readonly parts: readonly string[];
+  status: number;
+  text: string;
+}
+
+/** A request that a gateway refused. */
+export interface Refusal {
+  readonly atMs: number;
+  /** How long the caller had waited, in ms. */
+  readonly waitedMs: number;
+  readonly retryAfterMs: number;
+}
--- /dev/null
+++ b/src/coordination/forwarding/suspect_table.ts
@@ -0,0 +1,299 @@
+/**
+ * What is known of prompt parts that may crash engines, by all gateways.
+ *
+ * Each gateway and each core daemon has one, and merges the records that it
+ * receives; merging is idempotent and does not depend on the order. When an
+ * engine ends, each part of a prompt on which it may just have begun an answer
+ * becomes a suspect. One answer on the part clears it. A part is condemned when
+ * engines ended one after the other, each after the crash before was known:
+ * engines that end together, as in an outage, count once.
+ */
+import type {Clock} from '../../protocol/clock.ts';
+import {
+  MAX_PART_CRASHES,
+  type SuspectPart,
+} from '../../protocol/suspect_part.ts';
+
+/** The crashes in a row after which a part is condemned. */
+const CONDEMN_LEVEL = 3;
+
+/** The level at which a part explains the crashes that it was part of. */
+const EXPLAINING_LEVEL = 2;
+
+/** Further crashes that are required at most while engines end without it. */
+const MAX_EXTRA_LEVELS = 3;
+
+/** The pause before a condemned part is tried that others explain, in ms. */
+const EXPLAINED_BACK_OFF_MS = 500;
+
+/** How far back engines that ended without the part count, in ms. */
+const BACKGROUND_MS = 20_000;
+
+/** How long a condemned part is withheld; one request then tries it again. */
+const CONDEMN_MS = 10 * 60_000;
+
+/** How long a suspect is retained after its last crash, by level, in ms. */
+const RETAIN_MS = [0, 30_000, 5 * 60_000] as const;
+const RETAIN_LONGEST_MS = 60 * 60_000;
+
+/** How long a cleared part is retained, against records that arrive late. */
+const RETAIN_CLEARED_MS = 30_000;
+
+/** The most records and engine ends that are retained. */
+const MAX_SUSPECTS = 256;
+const MAX_ENDS = 256;
+
+/** A part that engines ended with; times are on the monotonic clock. */
+export interface Suspect {
+  readonly service: string;
+  readonly part: string;
+  readonly level: number;
+  readonly isCondemned: boolean;
+  /** When engines ended, by their start. */
+  readonly crashes: ReadonlyMap<string, number>;
+  readonly clearedAt: number;
+}
+
+/** The part of one service, as a key. */
+export function createPartKey(service: string, part: string): string {
+  return `${service}/${part}`;
+}
+
+interface Entry {
+  readonly suspect: Suspect;
+  /** The revision of the table at which it changed. */
+  readonly changedAt: number;
+}
+
+export class SuspectTable {
+  private readonly entries = new Map<string, Entry>();
+  /** When engines ended with any suspect, by their start. */
+  private readonly ends = new Map<string, number>();
+  private lastRevision = 0;
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Increases with each change. All changes are urgent. */
+  get revision(): number {
+    return this.lastRevision;
+  }
+
+  /** Whether any part is suspected. */
+  get isEmpty(): boolean {
+    return this.entries.size === 0;
+  }
+
+  /** Finds a part that engines ended with since it was last answered on. */
+  find(service: string, part: string): Suspect | null {
+    if (this.isEmpty) return null;
+    const entry = this.entries.get(createPartKey(service, part));
+    if (!entry || entry.suspect.level === 0) return null;
+    return this.isExpired(entry.suspect) ? null : entry.suspect;
+  }
+
+  /** Returns what is known of a part, also of one that was cleared. */
+  get(key: string): Suspect | null {
+    return this.entries.get(key)?.suspect ?? null;
+  }
+
+  /** Lists the parts whose requests are withheld. */
+  listCondemned(): Suspect[] {
+    return [...this.entries.values()]
+      .map(({suspect}) => suspect)
+      .filter(suspect => this.isCondemned(suspect));
+  }
+
+  /** Whether requests with the part are withheld. */
+  isCondemned(suspect: Suspect): boolean {
+    if (!suspect.isCondemned) return false;
+    return this.clock.monotonic() - findLastCrash(suspect) < CONDEMN_MS;
+  }
+
+  /**
+   * Whether other parts, which a request does not have, explain all crashes of
+   * a suspect: then the request can show which of them it is. It may do so
+   * ever more seldom, as each try may cost an engine.
+   */
+  isExplained(suspect: Suspect, requestParts: ReadonlySet<string>): boolean {
+    const backOffMs =
+      EXPLAINED_BACK_OFF_MS * 2 ** (suspect.level - CONDEMN_LEVEL);
+    const sinceMs = this.clock.monotonic() - findLastCrash(suspect);
+    if (sinceMs < backOffMs) return false;
+    const unexplained = new Set(suspect.crashes.keys());
+    for (const {suspect: other} of this.entries.values()) {
+      if (other.service !== suspect.service) continue;
+      if (other.part === suspect.part || requestParts.has(other.part)) continue;
+      if (other.level < EXPLAINING_LEVEL || this.isExpired(other)) continue;
+      for (const start of other.crashes.keys()) unexplained.delete(start);
+      if (unexplained.size === 0) return true;
+    }
+    return false;
+  }
+
+  /**
+   * Merges records of another daemon; returns the keys of those that changed.
+   *
+   * @param receivedAt When their ages were measured, on the monotonic clock.
+   */
+  merge(records: readonly SuspectPart[], receivedAt: number): string[] {
+    return records
+      .map(({service, part, level, isCondemned, crashes, clearedAgeMs}) => ({
+        service,
+        part,
+        level,
+        isCondemned,
+        crashes: new Map(
+          crashes.map(({start, ageMs}) => [start, receivedAt - ageMs]),
+        ),
+        clearedAt:
+          clearedAgeMs === null ? -Infinity : receivedAt - clearedAgeMs,
+      }))
+      .filter(suspect => this.mergeOne(suspect))
+      .map(({service, part}) => createPartKey(service, part));
+  }
+
+  /** Merges one record; returns whether it changed the table. */
+  mergeOne(next: Suspect): boolean {
+    const key = createPartKey(next.service, next.part);
+    for (const [start, atMs] of next.crashes) this.recordEnd(start, atMs);
+    const known = this.entries.get(key)?.suspect;
+    const merged = this.judge(mergeSuspects(known ?? null, next));
+    if (this.isExpired(merged)) return false;
+    if (known && isSame(known, merged)) return false;
+    this.entries.delete(key);
+    this.entries.set(key, {suspect: merged, changedAt: ++this.lastRevision});
+    this.evict();
+    return true;
+  }
+
+  /** Lists the records that changed after a revision; all by default. */
+  list(after = 0): SuspectPart[] {
+    return [...this.entries.values()]
+      .filter(({changedAt}) => changedAt > after)
+      .map(({suspect}) => this.encode(suspect));
+  }
+
+  /** Encodes a record with the ages of its crashes. */
+  encode({crashes, clearedAt, ...rest}: Suspect): SuspectPart {
+    const now = this.clock.monotonic();
+    return {
+      ...rest,
+      crashes: [...crashes].map(([start, atMs]) => ({
+        start,
+        ageMs: now - atMs,
+      })),
+      clearedAgeMs: clearedAt === -Infinity ? null : now - clearedAt,
+    };
+  }
+
+  /** Drops records that no longer matter. */
+  expire(): void {
+    for (const [key, {suspect}] of this.entries) {
+      if (this.isExpired(suspect)) this.entries.delete(key);
+    }
+    const oldest = this.clock.monotonic() - BACKGROUND_MS;
+    for (const [start, atMs] of this.ends) {
+      if (atMs < oldest) this.ends.delete(start);
+    }
+  }
+
+  /** Condemns a part that reached the required level. */
+  private judge(suspect: Suspect): Suspect {
+    if (suspect.isCondemned || suspect.level < CONDEMN_LEVEL) return suspect;
+    const isCondemned = suspect.level >= this.computeRequiredLevel(suspect);
+    return {...suspect, isCondemned};
+  }
+
+  /**
+   * Computes the level that condemns a part. It is higher while engines end
+   * without the part or another strong suspect: then they end by chance, too.
+   */
+  private computeRequiredLevel(suspect: Suspect): number {
+    const isFull = suspect.crashes.size >= MAX_PART_CRASHES;
+    const oldest = Math.max(
+      this.clock.monotonic() - BACKGROUND_MS,
+      isFull ? Math.min(...suspect.crashes.values()) : -Infinity,
+    );
+    const explained = new Set(suspect.crashes.keys());
+    for (const {suspect: other} of this.entries.values()) {
+      if (other.level < EXPLAINING_LEVEL) continue;
+      for (const start of other.crashes.keys()) explained.add(start);
+    }
+    let others = 0;
+    for (const [start, atMs] of this.ends) {
+      if (atMs >= oldest && !explained.has(start)) others++;
+    }
+    return CONDEMN_LEVEL + Math.min(MAX_EXTRA_LEVELS, Math.ceil(others / 2));
+  }
+
+  private recordEnd(start: string, atMs: number): void {
+    if (this.ends.has(start)) return;
+    this.ends.set(start, atMs);
+    if (this.ends.size <= MAX_ENDS) return;
+    const [oldest] = this.ends.keys();
+    if (oldest !== undefined) this.ends.delete(oldest);
+  }
+
+  private isExpired(suspect: Suspect): boolean {
+    const now = this.clock.monotonic();
+    if (suspect.crashes.size === 0) {
+      return now - suspect.clearedAt > RETAIN_CLEARED_MS;
+    }
+    const retainMs = RETAIN_MS[suspect.level] ?? RETAIN_LONGEST_MS;
+    return now - findLastCrash(suspect) > retainMs;
+  }
+
+  /** Drops the oldest record of the lowest level while there are too many. */
+  private evict(): void {
+    if (this.entries.size <= MAX_SUSPECTS) return;
+    this.expire();
+    if (this.entries.size <= MAX_SUSPECTS) return;
+    let lowest: [string, Entry] | null = null;
+    for (const each of this.entries) {
+      if (lowest && each[1].suspect.level >= lowest[1].suspect.level) continue;
+      lowest = each;
+    }
+    if (lowest) this.entries.delete(lowest[0]);
+  }
+}
+
+function mergeSuspects(known: Suspect | null, next: Suspect): Suspect {
+  const clearedAt = Math.max(known?.clearedAt ?? -Infinity, next.clearedAt);
+  const keepLater = (crashes: ReadonlyMap<string, number> | undefined) =>
+    [...(crashes ?? [])].filter(([, atMs]) => atMs > clearedAt);
+  const before = keepLater(known?.crashes);
+  const added = keepLater(next.crashes);
+  const newestFirst = [...new Map([...added, ...before])].sort(
+    ([, a], [, b]) => b - a,
+  );
+  const crashes = new Map(newestFirst.slice(0, MAX_PART_CRASHES));
+  const level = Math.max(
+    before.length > 0 ? (known?.level ?? 0) : 0,
+    added.length > 0 ? next.level : 0,
+  );
+  const {service, part} = next;
+  return {
+    service,
+    part,
+    level: Math.min(level, crashes.size),
+    isCondemned:
+      (before.length > 0 && (known?.isCondemned ?? false)) ||
+      (added.length > 0 && next.isCondemned),
+    crashes,
+    clearedAt,
+  };
+}
+
+/** Whether two records say the same; times of later answers do not matter. */
+function isSame(a: Suspect, b: Suspect): boolean {
+  return (
+    a.level === b.level &&
+    a.isCondemned === b.isCondemned &&
+    a.crashes.size === b.crashes.size &&
+    [...b.crashes.keys()].every(start => a.crashes.has(start))
+  );
+}
+
+function findLastCrash({crashes}: Suspect): number {
+  return Math.max(...crashes.values());
+}
--- a/src/coordination/gateway/core_follower.ts
+++ b/src/coordination/gateway/core_follower.ts
@@ -35,6 +35,9 @@
 /** How long a daemon that failed or lags is avoided. */
 const AVOID_MS = 3_000;
 
+/** How long observations are gathered for a report of their own. */
+const REPORT_DELAY_MS = 10;
+
 /** How often daemons without an open call are called during the search. */
 const SEARCH_INTERVAL_MS = 150;
 
@@ -44,7 +47,11 @@
 /** The last changes received from one run of one daemon. */
 type Position = Pick<
   FollowRequest,
-  'epoch' | 'endpointRevision' | 'gatewayRevision' | 'limitRevision'
+  | 'epoch'
+  | 'endpointRevision'
+  | 'gatewayRevision'
+  | 'limitRevision'
+  | 'suspectRevision'
 >;
 
 const INITIAL_POSITION: Position = {
@@ -52,11 +59,19 @@
   endpointRevision: 0,
   gatewayRevision: 0,
   limitRevision: 0,
+  suspectRevision: 0,
 };
 
 function readPosition(reply: FollowReply): Position {
-  const {epoch, endpointRevision, gatewayRevision, limitRevision} = reply;
-  return {epoch, endpointRevision, gatewayRevision, limitRevision};
+  const {epoch, endpointRevision, gatewayRevision} = reply;
+  const {limitRevision, suspectRevision} = reply;
+  return {
+    epoch,
+    endpointRevision,
+    gatewayRevision,
+    limitRevision,
+    suspectRevision,
+  };
 }
 
 export interface CoreFollowerOptions {
@@ -70,6 +85,8 @@
   /** Returns a number from 0 up to 1. */
   readonly random: () => number;
   readonly createReport: () => GatewayReport;
+  /** Called when the followed daemon may know nothing of earlier reports. */
+  readonly onEpoch?: () => void;
   readonly call: (
     address: string,
     request: FollowRequest,
@@ -82,6 +99,7 @@
   private readonly stopped = new AbortController();
   private readonly avoidUntil = new Map<string, number>();
   private isStarted = false;
+  private isReportPlanned = false;
   /** The last changes received from the followed daemon. */
   private position = INITIAL_POSITION;
   private followed: string | null = null;
@@ -101,6 +119,17 @@
     void this.run();
   }
 
+  /** Reports the gateway's state soon; calls in short succession join. */
+  reportSoon(): void {
+    if (this.isReportPlanned) return;
+    this.isReportPlanned = true;
+    const {clock} = this.options;
+    void clock.sleep(REPORT_DELAY_MS, this.stopped.signal).then(async () => {
+      this.isReportPlanned = false;
+      if (!this.stopped.signal.aborted) await this.reportOnce();
+    });
+  }
+
   /** Reports the gateway's state to the core at once. */
   async reportOnce(): Promise<void> {
     this.isReportDue = true;
@@ -210,6 +239,7 @@
     const reply = await call(address, request, holdMs + ANSWER_TIMEOUT_MS);
     if (this.stopped.signal.aborted) return reply.fresh;
     view.apply(reply);
+    if (reply.epoch !== request.epoch) this.options.onEpoch?.();
     if (address === this.followed) this.position = readPosition(reply);
     return reply.fresh;
   }
--- a/src/coordination/gateway/core_follower_test.ts
+++ b/src/coordination/gateway/core_follower_test.ts
@@ -58,6 +58,7 @@
         paces: [],
         leaving: [],
         limits: [],
+        suspects: [],
       }),
       call: (address, {holdMs}, timeoutMs) =>
         this.answer(address, holdMs, timeoutMs),
--- a/src/coordination/gateway/gateway_view.ts
+++ b/src/coordination/gateway/gateway_view.ts
@@ -17,6 +17,7 @@
 import type {Logger} from '../../protocol/logger.ts';
 import type {Outcome} from '../../protocol/outcome.ts';
 import type {RouteTable} from '../../protocol/route_table.ts';
+import type {SuspectPart} from '../../protocol/suspect_part.ts';
 import {RouteIndex} from './route_index.ts';
 
 export interface GatewayViewOptions {
@@ -27,6 +28,8 @@
   readonly onConfiguration?: (index: RouteIndex) => void;
   /** Called with limits that gateways observed. */
   readonly onLimits?: (limits: readonly EndpointLimit[]) => void;
+  /** Called with suspected parts of prompts that gateways observed. */
+  readonly onSuspects?: (records: readonly SuspectPart[]) => void;
 }
 
 export class GatewayView {
@@ -104,6 +107,7 @@
     this.coreDaemons = reply.cores;
     if (reply.openGateways) this.openList = reply.openGateways;
     if (reply.limits) this.options.onLimits?.(reply.limits);
+    if (reply.suspects) this.options.onSuspects?.(reply.suspects);
   }
 
   private applyConfiguration(next: Configuration): void {
--- a/src/protocol/core_service.ts
+++ b/src/protocol/core_service.ts
@@ -8,6 +8,13 @@
 import * as z from 'zod';
 import {endpointEntrySchema, endpointReportSchema} from './endpoint_report.ts';
 import {proposeRequestSchema, type ProposeReply} from './peer_service.ts';
+import {
+  suspectPartSchema,
+  trialRequestSchema,
+  type SuspectPart,
+  type TrialReply,
+  type TrialRequest,
+} from './suspect_part.ts';
 import {replicationSchemas, type ReplicationService} from './replication.ts';
 
 /** A daemon of the core. */
@@ -108,6 +115,8 @@
   leaving: z.array(leavingEndpointSchema).default([]),
   /** What it observed itself; absent from gateways of earlier versions. */
   limits: z.array(endpointLimitSchema).default([]),
+  /** What it observed itself; absent from gateways of earlier versions. */
+  suspects: z.array(suspectPartSchema).default([]),
 });
 
 export type GatewayReport = z.infer<typeof gatewayReportSchema>;
@@ -167,6 +176,8 @@
    * gateways of earlier versions, which do not apply them.
    */
   limitRevision: z.int().nonnegative().optional(),
+  /** The same for suspected parts of prompts. */
+  suspectRevision: z.int().nonnegative().optional(),
   /** How long the reply may be delayed while nothing changes, in ms. */
   holdMs: z.number().nonnegative(),
 });
@@ -189,10 +200,13 @@
   readonly gatewayRevision: number;
   /** The open gateways; `null` if the gateway's list is current. */
   readonly openGateways: readonly Gateway[] | null;
-  /** Absent from earlier versions, as are `limits`. */
+  /** Absent from earlier versions, as are the fields below. */
   readonly limitRevision?: number;
   /** The limits that changed since the gateway's revision. */
   readonly limits?: readonly EndpointLimit[];
+  readonly suspectRevision?: number;
+  /** The suspected parts that changed since the gateway's revision. */
+  readonly suspects?: readonly SuspectPart[];
   /** Whether the daemon is in contact with the core's leader, or leads. */
   readonly fresh: boolean;
 }
@@ -212,6 +226,8 @@
   readonly cores: readonly CoreDaemon[];
   readonly reports: ReadonlyArray<z.infer<typeof endpointReportSchema>>;
   readonly gateways: readonly AgedReport[];
+  /** All suspected parts if asked for; absent from earlier versions. */
+  readonly suspects?: readonly SuspectPart[];
 }
 
 const emptySchema = z.object({});
@@ -227,6 +243,7 @@
   follow: followRequestSchema,
   exchangeCore: coreExchangeSchema,
   readConfiguration: emptySchema,
+  requestTrial: trialRequestSchema,
 } as const;
 
 /** The calls that a daemon of the core serves. */
@@ -237,4 +254,6 @@
   exchangeCore(request: CoreExchange): Promise<CoreExchangeReply>;
   /** Reads the committed configuration at the leader. */
   readConfiguration(request: z.infer<typeof emptySchema>): Promise<ReadReply>;
+  /** Permits one request with suspected parts, unless another one runs. */
+  requestTrial(request: TrialRequest): Promise<TrialReply>;
 }
--- /dev/null
+++ b/src/protocol/suspect_part.ts
@@ -0,0 +1,48 @@
+/**
+ * Records of prompt parts that may crash the engines that answer on them, as
+ * daemons send them to each other.
+ */
+import * as z from 'zod';
+
+/** The longest id of a part; longer ones are cut, since callers choose them. */
+export const MAX_PART_ID_CHARACTERS = 64;
+
+/** Crashes that a record holds at most. */
+export const MAX_PART_CRASHES = 16;
+
+/** An engine that ended while it may have begun an answer on the part. */
+export const partCrashSchema = z.object({
+  /** One start of an endpoint. */
+  start: z.string(),
+  ageMs: z.number(),
+});
+
+export const suspectPartSchema = z.object({
+  service: z.string(),
+  part: z.string(),
+  /**
+   * The length of the longest chain of crashes of which each request was sent
+   * when the crash before was known.
+   */
+  level: z.int().nonnegative(),
+  /** Whether its requests are withheld until the part is answered on. */
+  isCondemned: z.boolean(),
+  /** Those since the part was last answered on. */
+  crashes: z.array(partCrashSchema).max(MAX_PART_CRASHES),
+  /** The time since it was last answered on, in ms; `null` if it never was. */
+  clearedAgeMs: z.number().nullable(),
+});
+
+export type SuspectPart = z.infer<typeof suspectPartSchema>;
+
+/** Asks for the permission to send one request with suspected parts. */
+export const trialRequestSchema = z.object({
+  service: z.string(),
+  parts: z.array(z.string()),
+});
+
+export type TrialRequest = z.infer<typeof trialRequestSchema>;
+
+export interface TrialReply {
+  readonly isGranted: boolean;
+}
--- a/src/state/view/saved_view.ts
+++ b/src/state/view/saved_view.ts
@@ -8,15 +8,10 @@
  */
 import {join} from 'node:path';
 import * as z from 'zod';
-import {
-  configurationSchema,
-  type Configuration,
-} from '../../protocol/core_service.ts';
-import {
-  endpointReportSchema,
-  type EndpointReport,
-} from '../../protocol/endpoint_report.ts';
+import {configurationSchema} from '../../protocol/core_service.ts';
+import {endpointReportSchema} from '../../protocol/endpoint_report.ts';
 import type {Logger} from '../../protocol/logger.ts';
+import {suspectPartSchema} from '../../protocol/suspect_part.ts';
 import type {FileSystem} from '../files/file_system.ts';
 import {nodeFileSystem} from '../files/node_file_system.ts';
 import {replaceFile} from '../files/replace_file.ts';
@@ -26,6 +21,8 @@
 const savedViewSchema = z.object({
   configuration: configurationSchema,
   endpoints: z.array(endpointReportSchema),
+  /** Absent from files of earlier versions; ages are as of the save. */
+  suspects: z.array(suspectPartSchema).default([]),
 });
 
 export type SavedView = z.infer<typeof savedViewSchema>;
@@ -65,11 +62,8 @@
   }
 
   /** Saves a view. During a write, only the latest view waits for the next. */
-  async save(
-    configuration: Configuration,
-    endpoints: readonly EndpointReport[],
-  ): Promise<void> {
-    this.waiting = {configuration, endpoints: [...endpoints]};
+  async save(view: SavedView): Promise<void> {
+    this.waiting = view;
     if (this.isWriting) return;
     this.isWriting = true;
     try {
--- a/src/transport/forwarding/endpoint_client.ts
+++ b/src/transport/forwarding/endpoint_client.ts
@@ -12,6 +12,7 @@
   AttemptOutcome,
   Call,
 } from '../../coordination/forwarding/call.ts';
+import {FRAMING_HEADERS} from '../../coordination/forwarding/relay_events.ts';
 import type {CallCodec} from './call_codec.ts';
 import {createFindHeader, dropHopByHop, pairHeaders} from './headers.ts';
 import {createStrictClient, WithdrawnError} from './strict_client.ts';
@@ -82,7 +83,8 @@
       // Destroying a body emits an error; readers receive errors anyway.
       response.body.on('error', () => {});
       const raw = response.headers as unknown as readonly string[];
-      const received = dropHopByHop(pairHeaders(raw.map(String)));
+      const sent = pairHeaders(raw.map(String));
+      const received = dropHopByHop(sent);
       const status = response.statusCode;
       const facts = codec.decodeAnswer(status, createFindHeader(received));
       if (facts.isNotRun) {
@@ -99,6 +101,9 @@
           status,
           headers,
           facts,
+          isDelimited: sent.some(([name]) =>
+            FRAMING_HEADERS.has(name.toLowerCase()),
+          ),
           body: response.body,
           cancel: () => void response.body.destroy(),
         },
