Let one trial of a suspected part end before the next begins

The gateway now ends the trial with what it showed, and a permission comes with what the core knows.

--- a/src/cli/serve_site/core.ts
+++ b/src/cli/serve_site/core.ts
@@ -266,9 +266,11 @@
       replica.isLeader()
         ? {type: 'read', configuration: routing.configuration}
         : {type: 'not-leader', leader: replica.leader},
-    requestTrial: async request => ({
-      isGranted: state.trials.tryOpen(request),
-    }),
+    requestTrial: async request => state.openTrial(request),
+    endTrial: async request => {
+      state.endTrial(request);
+      return {};
+    },
   };
 }
 
--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -4,7 +4,7 @@
 import {EndpointNotices} from '../../coordination/forwarding/endpoint_notices.ts';
 import {Forwarder} from '../../coordination/forwarding/forwarder.ts';
 import {PromptQuarantine} from '../../coordination/forwarding/prompt_quarantine.ts';
-import {createTrialRequester} from '../../coordination/forwarding/trial_requester.ts';
+import {createTrialClient} from '../../coordination/forwarding/trial_client.ts';
 import {PrefillBacklog} from '../../coordination/forwarding/prefill_backlog.ts';
 import {RecentGateways} from '../../coordination/forwarding/recent_gateways.ts';
 import {VersionEvidenceCounter} from '../../coordination/forwarding/version_evidence.ts';
@@ -74,11 +74,10 @@
     clock,
     logger: createLogger('forward'),
     metrics: parts.metrics,
-    requestTrial: createTrialRequester({
+    trials: createTrialClient({
       logger: createLogger('forward'),
       listCores: () => view.cores.map(({address}) => address),
-      call: (address, request, timeoutMs) =>
-        links.get(address).requestTrial(request, timeoutMs),
+      getService: address => links.get(address),
     }),
     onObservation: () => follower.reportSoon(),
   });
--- a/src/coordination/core/core_state.ts
+++ b/src/coordination/core/core_state.ts
@@ -8,8 +8,13 @@
 } from '../../protocol/core_service.ts';
 import type {EndpointReport} from '../../protocol/endpoint_report.ts';
 import type {Logger} from '../../protocol/logger.ts';
-import type {SuspectPart} from '../../protocol/suspect_part.ts';
-import {SuspectTable} from '../forwarding/suspect_table.ts';
+import type {
+  SuspectPart,
+  TrialEnd,
+  TrialReply,
+  TrialRequest,
+} from '../../protocol/suspect_part.ts';
+import {createPartKey, SuspectTable} from '../forwarding/suspect_table.ts';
 import {createNotifier, type Notifier} from '../notifier.ts';
 import {CoreMembers} from './core_members.ts';
 import {EndpointLimitTable} from './endpoint_limit_table.ts';
@@ -119,13 +124,40 @@
    * @param receivedAt When their ages were measured, on the monotonic clock.
    */
   mergeSuspects(records: readonly SuspectPart[], receivedAt: number): void {
+    const getLevel = (key: string) => this.suspects.get(key)?.level ?? 0;
+    const before = new Map(
+      records
+        .map(({service, part}) => createPartKey(service, part))
+        .map(key => [key, getLevel(key)]),
+    );
     const changed = this.suspects.merge(records, receivedAt);
     if (changed.length === 0) return;
-    for (const key of changed) this.trials.release(key);
+    for (const key of changed) {
+      // Requests sent before the trial may still crash; they change no level.
+      if (getLevel(key) !== before.get(key)) this.trials.release(key);
+    }
     this.changes.notify();
     this.urgentChanges.notify();
   }
 
+  /** Permits one request with suspected parts, unless another one runs. */
+  openTrial(request: TrialRequest): TrialReply {
+    const {service, parts} = request;
+    return {
+      isGranted: this.trials.tryOpen(request),
+      suspects: parts.flatMap(part => {
+        const suspect = this.suspects.find(service, part);
+        return suspect ? [this.suspects.encode(suspect)] : [];
+      }),
+    };
+  }
+
+  /** Merges what the request of a trial showed, then permits the next one. */
+  endTrial({service, parts, suspects}: TrialEnd): void {
+    this.mergeSuspects(suspects, this.options.clock.monotonic());
+    for (const part of parts) this.trials.release(createPartKey(service, part));
+  }
+
   private applyLeaving(leaving: readonly LeavingEndpoint[]): void {
     const newlyLeaving = leaving.filter(each =>
       this.endpoints.recordLeaving(each),
--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -14,11 +14,6 @@
   readonly body: Uint8Array;
 }
 
-/** Whether an attempt certainly did not run. */
-function isUnsent({type}: AttemptResult): boolean {
-  return type === 'not-sent' || type === 'withdrawn' || type === 'not-run';
-}
-
 /** The state of one request across its attempts. */
 export class CallRun {
   /** Ids of the endpoints that were tried. */
@@ -39,8 +34,8 @@
   largestPrefillMs = 0;
   /** When the request was escalated, in ms after it was received. */
   escalatedMs: number | null = null;
-  /** Whether this request alone may have its suspected parts at an endpoint. */
-  isTrial = false;
+  /** The suspected parts that this request alone may have at an endpoint. */
+  trialParts: string[] = [];
   /** Why its prompt may not go to an endpoint; `null` if it may. */
   quarantine: 'condemned' | 'suspected' | null = null;
   /** Whether the retry budget was already charged for the next attempt. */
@@ -74,6 +69,10 @@
     return this.admitted.call;
   }
 
+  get isTrial(): boolean {
+    return this.trialParts.length > 0;
+  }
+
   get isOver(): boolean {
     return this.outcome !== null;
   }
@@ -131,7 +130,6 @@
   /** Records the result of an attempt. */
   recordResult(endpoint: EndpointEntry, result: AttemptResult): void {
     this.tried.add(endpoint.id);
-    this.isTrial &&= isUnsent(result);
     if (result.type === 'withdrawn') return;
     this.sends++;
     if (result.type === 'not-run') this.notRun++;
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -121,6 +121,7 @@
       // An unexpected error must not leave the escalation or the held answer
       // of this request open.
       run.finish('error', 0);
+      this.options.quarantine.endTrial(run);
     }
     this.record(run);
   }
@@ -164,7 +165,6 @@
   private async admitPrompt(run: CallRun): Promise<boolean> {
     if (run.isTrial) return true;
     const permission = await this.options.quarantine.admit(run);
-    run.isTrial = permission.type === 'trial';
     if (permission.type !== 'refused') return true;
     run.quarantine = permission.isCondemned ? 'condemned' : 'suspected';
     return false;
@@ -305,6 +305,8 @@
     result: AttemptResult,
   ): void {
     run.recordResult(endpoint, result);
+    // A trial goes on until an attempt may have run.
+    if (mayHaveRun(result)) this.options.quarantine.endTrial(run);
     if (result.type === 'escalated') {
       run.escalatedMs = Math.round(this.measureAgeMs(run));
       const {objectiveMs} = run.admitted.route;
@@ -386,3 +388,7 @@
     });
   }
 }
+
+function mayHaveRun({type}: AttemptResult): boolean {
+  return type !== 'not-sent' && type !== 'withdrawn' && type !== 'not-run';
+}
--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -5,7 +5,6 @@
 import {silentMetrics} from '../../protocol/metrics.ts';
 import {succeed} from '../../protocol/outcome.ts';
 import type {Engine, Route, RouteTable} from '../../protocol/route_table.ts';
-import type {TrialRequest} from '../../protocol/suspect_part.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
 import {GatewayView} from '../gateway/gateway_view.ts';
 import type {
@@ -23,6 +22,7 @@
 import {PromptQuarantine} from './prompt_quarantine.ts';
 import {RecentGateways} from './recent_gateways.ts';
 import {RecordingSink} from './recording_sink_fake.ts';
+import type {TrialClient} from './trial_client.ts';
 import {VersionEvidenceCounter} from './version_evidence.ts';
 
 /** The facts of a request without any optional header. */
@@ -149,7 +149,7 @@
   /** Its address for callers; `g` by default. */
   readonly address?: string;
   /** Permits all trials by default. */
-  readonly requestTrial?: (request: TrialRequest) => Promise<boolean>;
+  readonly trials?: TrialClient;
   readonly onObservation?: () => void;
 }
 
@@ -175,7 +175,10 @@
     random = () => 0.5,
     clock = new SimulatedClock(),
     address = 'g',
-    requestTrial = async () => true,
+    trials = {
+      request: async () => ({isGranted: true, suspects: []}),
+      end: async () => {},
+    },
     onObservation,
   }: FakeGatewayOptions) {
     this.clock = clock;
@@ -195,7 +198,7 @@
       clock,
       logger: silentLogger,
       metrics: silentMetrics,
-      requestTrial,
+      trials,
       ...(onObservation && {onObservation}),
     });
     const gateways = new RecentGateways({
--- a/src/coordination/forwarding/prompt_quarantine.ts
+++ b/src/coordination/forwarding/prompt_quarantine.ts
@@ -13,10 +13,10 @@
 import {
   MAX_PART_ID_CHARACTERS,
   type SuspectPart,
-  type TrialRequest,
 } from '../../protocol/suspect_part.ts';
 import type {CallRun} from './call_run.ts';
 import {PromptWatch} from './prompt_watch.ts';
+import type {TrialClient} from './trial_client.ts';
 import {createPartKey, SuspectTable, type Suspect} from './suspect_table.ts';
 
 /** Parts of one prompt that are considered at most. */
@@ -54,8 +54,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
-  /** Asks the core for the permission of a trial; false if it is denied. */
-  readonly requestTrial: (request: TrialRequest) => Promise<boolean>;
+  readonly trials: TrialClient;
   /** Called when this gateway observed what others need to know at once. */
   readonly onObservation?: () => void;
 }
@@ -81,7 +80,7 @@
 
   /** Decides whether a request may be sent; asks the core if need be. */
   async admit(run: CallRun): Promise<Permission> {
-    const {clock, requestTrial, metrics} = this.options;
+    const {clock, trials, metrics} = this.options;
     const {name: service} = run.admitted.service;
     for (let attempt = 1; ; attempt++) {
       const suspects = this.listSuspects(run);
@@ -91,12 +90,23 @@
         return {type: 'refused', isCondemned: true};
       }
       const parts = suspects.map(({part}) => part);
-      const isGranted = await requestTrial({service, parts});
+      const {isGranted, suspects: known} = await trials.request({
+        service,
+        parts,
+      });
+      this.recordRelayed(known);
       metrics.count('prompt_trials', 1, {
         service,
         outcome: isGranted ? 'granted' : 'denied',
       });
-      if (isGranted) return {type: 'trial'};
+      if (isGranted) {
+        run.trialParts = parts;
+        if (!this.isWithheld(run, this.listSuspects(run))) {
+          return {type: 'trial'};
+        }
+        this.endTrial(run);
+        continue;
+      }
       if (attempt >= TRIAL_ATTEMPTS || run.sends > 0) {
         return {type: 'refused', isCondemned: false};
       }
@@ -104,6 +114,19 @@
     }
   }
 
+  /** Ends the trial of a request, after its attempt was watched. */
+  endTrial(run: CallRun): void {
+    const {name: service} = run.admitted.service;
+    const parts = run.trialParts;
+    if (parts.length === 0) return;
+    run.trialParts = [];
+    const suspects = parts.flatMap(part => {
+      const known = this.table.get(createPartKey(service, part));
+      return known ? [this.table.encode(known)] : [];
+    });
+    void this.options.trials.end({service, parts, suspects});
+  }
+
   /** Whether a request needs no permission. */
   isFree(run: CallRun): boolean {
     return this.listSuspects(run).length === 0;
--- a/src/coordination/forwarding/simulated_core.ts
+++ b/src/coordination/forwarding/simulated_core.ts
@@ -15,12 +15,18 @@
   readonly syncedWith: Set<string>;
 }
 
+const CONFIGURATION: Configuration = {
+  revision: 1,
+  version: 1,
+  document: '',
+  rollouts: [],
+};
+
 export interface SimulatedCoreOptions {
   readonly clock: Clock;
   readonly address: string;
   /** Identifies one life of the daemon. */
   readonly epoch: string;
-  readonly configuration: Configuration;
 }
 
 /** Creates a core daemon with empty tables. */
@@ -28,7 +34,6 @@
   clock,
   address,
   epoch,
-  configuration,
 }: SimulatedCoreOptions): SimulatedCore {
   const state = new CoreState({
     clock,
@@ -39,7 +44,7 @@
     state,
     clock,
     epoch,
-    getConfiguration: () => configuration,
+    getConfiguration: () => CONFIGURATION,
     isFresh: () => true,
   });
   return {state, follow, epoch, hasUrgentChange: false, syncedWith: new Set()};
--- a/src/coordination/forwarding/simulated_site.ts
+++ b/src/coordination/forwarding/simulated_site.ts
@@ -6,15 +6,12 @@
  */
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
-import type {
-  Configuration,
-  GatewayReport,
-} from '../../protocol/core_service.ts';
+import type {GatewayReport} from '../../protocol/core_service.ts';
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import {silentLogger} from '../../protocol/logger.ts';
-import type {TrialReply, TrialRequest} from '../../protocol/suspect_part.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
 import type {AttemptOptions, AttemptOutcome, Call, CallFacts} from './call.ts';
+import type {CoreState} from '../core/core_state.ts';
 import {
   createAnswer,
   createEndpoint,
@@ -34,7 +31,7 @@
   SimulatedSiteOptions,
   SiteRequest,
 } from './simulated_site_types.ts';
-import {createTrialRequester} from './trial_requester.ts';
+import {createTrialClient} from './trial_client.ts';
 
 /** The interval at which gateways follow the core, in ms. */
 const FOLLOW_MS = 200;
@@ -42,28 +39,17 @@
 /** How long a core daemon may hold a call while nothing changes, in ms. */
 const HOLD_MS = 150;
 
-/** The interval at which core daemons exchange their tables, in ms. */
+/** The intervals of exchanges between core daemons and of heartbeats, in ms. */
 const EXCHANGE_MS = 200;
-
-/** The interval of the endpoints' heartbeats, in ms. */
 const HEARTBEAT_MS = 1_000;
 
-/** The time that a message takes between two hosts, in ms. */
+/** The time of a message between hosts, and of an endpoint's work, in ms. */
 const MESSAGE_MS = 20;
-
-/** How long an endpoint works on a request, in ms. */
 const WORK_MS = 60;
 
 const STEP_MS = 10;
 const CORE_PREFIX = 'core';
 
-const CONFIGURATION: Configuration = {
-  revision: 1,
-  version: 1,
-  document: '',
-  rollouts: [],
-};
-
 /** The time after which an answer counts as known to its gateway, in ms. */
 const TOLD_MS = 500;
 
@@ -245,10 +231,15 @@
       endpoints: this.endpoints,
       random: this.draw,
       behave: (call, options) => this.answer(gateway, index, {call, options}),
-      requestTrial: createTrialRequester({
+      trials: createTrialClient({
         logger: silentLogger,
         listCores: () => this.cores.map((_, core) => `${CORE_PREFIX}${core}`),
-        call: (core, request) => this.requestTrial(gateway, core, request),
+        getService: core => ({
+          requestTrial: request =>
+            this.call(gateway, core, state => state.openTrial(request)),
+          endTrial: request =>
+            this.call(gateway, core, state => state.endTrial(request)),
+        }),
       }),
       onObservation: () => {
         gateway.followAt = this.clock.monotonic();
@@ -278,7 +269,6 @@
       clock: this.clock,
       address: `${CORE_PREFIX}${index}`,
       epoch: `core${index}/${this.restarts++}`,
-      configuration: CONFIGURATION,
     });
     this.sendHeartbeats(core);
     return core;
@@ -343,19 +333,19 @@
     };
   }
 
-  private async requestTrial(
+  private async call<T>(
     {cutUntil}: SimulatedGateway,
     address: string,
-    request: TrialRequest,
-  ): Promise<TrialReply> {
+    serve: (state: CoreState) => T,
+  ): Promise<T> {
     const {clock} = this;
     await clock.sleep(MESSAGE_MS);
     const isCut = clock.monotonic() < cutUntil || this.isLost();
     const core = this.cores[Number(address.slice(CORE_PREFIX.length))];
     if (isCut || !core) throw new Error('no answer');
-    const isGranted = core.state.trials.tryOpen(request);
+    const reply = serve(core.state);
     await clock.sleep(MESSAGE_MS);
-    return {isGranted};
+    return reply;
   }
 
   private async answer(
--- a/src/protocol/core_service.ts
+++ b/src/protocol/core_service.ts
@@ -10,8 +10,10 @@
 import {proposeRequestSchema, type ProposeReply} from './peer_service.ts';
 import {
   suspectPartSchema,
+  trialEndSchema,
   trialRequestSchema,
   type SuspectPart,
+  type TrialEnd,
   type TrialReply,
   type TrialRequest,
 } from './suspect_part.ts';
@@ -244,6 +246,7 @@
   exchangeCore: coreExchangeSchema,
   readConfiguration: emptySchema,
   requestTrial: trialRequestSchema,
+  endTrial: trialEndSchema,
 } as const;
 
 /** The calls that a daemon of the core serves. */
@@ -256,4 +259,6 @@
   readConfiguration(request: z.infer<typeof emptySchema>): Promise<ReadReply>;
   /** Permits one request with suspected parts, unless another one runs. */
   requestTrial(request: TrialRequest): Promise<TrialReply>;
+  /** Ends the request of a trial and merges what it showed. */
+  endTrial(request: TrialEnd): Promise<object>;
 }
--- a/src/protocol/suspect_part.ts
+++ b/src/protocol/suspect_part.ts
@@ -45,4 +45,13 @@
 
 export interface TrialReply {
   readonly isGranted: boolean;
+  /** What the core knows of the parts. */
+  readonly suspects: readonly SuspectPart[];
 }
+
+/** Ends a permitted request, with what it showed. */
+export const trialEndSchema = trialRequestSchema.extend({
+  suspects: z.array(suspectPartSchema),
+});
+
+export type TrialEnd = z.infer<typeof trialEndSchema>;
