Do not take an earlier refusal for the answer to the next request

A faulty endpoint wrote an earlier refusal once more on a kept connection. Callers would have got 'not run, try again' (503) for a request that the endpoint ran, or it would have run at a second endpoint. The client checked the id of an answer, but not that of a refusal.

A refusal with another id now leaves unknown whether the request ran, and the endpoint's connections are replaced. A malformed answer is no longer reported like a connection that broke off.

--- a/src/coordination/forwarding/call.ts
+++ b/src/coordination/forwarding/call.ts
@@ -124,6 +124,8 @@
     }
   /** It may have run. */
   | {readonly type: 'broken'; readonly reason: string}
+  /** It may have run; what arrived is not its answer. */
+  | {readonly type: 'invalid'; readonly reason: string}
   /** The gateway aborted the attempt; it may have run. */
   | {readonly type: 'aborted'};
 
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -317,6 +317,8 @@
       };
     case 'broken':
       return {type: 'broken', isDisconnected: true, reason: outcome.reason};
+    case 'invalid':
+      return {type: 'broken', isDisconnected: false, reason: outcome.reason};
     case 'aborted':
       return {type: 'broken', isDisconnected: false, reason: 'aborted'};
     case 'answer':
--- a/src/transport/forwarding/endpoint_client.ts
+++ b/src/transport/forwarding/endpoint_client.ts
@@ -8,6 +8,7 @@
  */
 import {Pool} from 'undici';
 import type {
+  AnswerFacts,
   AttemptOptions,
   AttemptOutcome,
   Call,
@@ -87,6 +88,13 @@
       const received = dropHopByHop(sent);
       const status = response.statusCode;
       const facts = codec.decodeAnswer(status, createFindHeader(received));
+      if (facts.isNotRun && isOfAnother(call, facts)) {
+        // What follows on the connection answers other requests, too.
+        response.body.destroy();
+        this.retire(key, pool);
+        const reason = 'the refusal belongs to another request';
+        return {type: 'invalid', reason};
+      }
       if (facts.isNotRun) {
         // The body is not needed; draining it frees the connection.
         response.body.dump({limit: MAX_NOT_RUN_BODY_BYTES}).catch(() => {});
@@ -152,5 +160,14 @@
     error.syscall === 'connect' || CONNECT_ERROR_CODES.has(code);
   if (isConnect) return {type: 'not-sent', reason: code};
   if (signal.aborted) return {type: 'aborted'};
-  return {type: 'broken', reason: `${code}: ${error.message}`};
+  const isInvalid = code.startsWith('HPE_') && code !== 'HPE_INVALID_EOF_STATE';
+  return {
+    type: isInvalid ? 'invalid' : 'broken',
+    reason: `${code}: ${error.message}`,
+  };
+}
+
+/** Whether an answer names a request other than the one that was sent. */
+function isOfAnother({facts}: Call, {attemptId}: AnswerFacts): boolean {
+  return attemptId !== null && attemptId !== facts.attemptId;
 }
