Do not end a stream as whole without an event

A stream had broken off; the next endpoint answered 200 without an event, or with comments alone. The same for a stream without a length whose endpoint closed right after the head. The relay checked for a partial event, but not for an event.

--- a/src/coordination/forwarding/relay_events.ts
+++ b/src/coordination/forwarding/relay_events.ts
@@ -55,6 +55,7 @@
   let buffered: Buffer[] = [];
   let bufferedBytes = 0;
   let hasFailedToRead = true;
+  let hasRelayed = false;
   try {
     for await (const bytes of answer.body) {
       const events = splitter.push(bytes).filter(event => isNext(run, event));
@@ -68,6 +69,7 @@
         hasFailedToRead = false;
         throw new Error('Could not read a stream: it has only comments');
       }
+      hasRelayed ||= hasProgress;
       if (hasProgress)
         run.recordFirstOutput(clock.monotonic() - run.call.receivedAt);
       if (!sink.hasBegun) sink.begin(answer.status, dropFraming(answer));
@@ -84,8 +86,9 @@
   }
   if (splitter.hasPartialEvent)
     return createFailure('the stream ended within an event', true);
-  if (!sink.hasBegun) sink.begin(answer.status, dropFraming(answer));
-  if (buffered.length > 0) await sink.write(Buffer.concat(buffered));
+  // An endpoint that crashes may end a stream without a length this way.
+  if (!hasRelayed)
+    return createFailure('the stream ended without an event', true);
   sink.end();
   return {type: 'delivered', status: answer.status, isGood: true};
 }
--- a/src/transport/forwarding/faulty_endpoints_test.ts
+++ b/src/transport/forwarding/faulty_endpoints_test.ts
@@ -143,4 +143,108 @@
   }
 }
 
+const STREAM_HEAD =
+  'HTTP/1.1 200 OK\r\nsigned: 1\r\nContent-Type: text/event-stream\r\n';
+const FIRST_EVENT = 'id: 1\ndata: a\n\n';
+
+/** What the next endpoint answers after a stream broke off. */
+const NEXT_ANSWERS: Readonly<Record<string, (id: string) => string>> = {
+  'an error': id =>
+    `HTTP/1.1 500 Error\r\nid: ${id}\r\nsigned: 1\r\nContent-Length: 5\r\n\r\noops!`,
+  'an error without a length': id =>
+    `HTTP/1.1 500 Error\r\nid: ${id}\r\nsigned: 1\r\n\r\noops!`,
+  'a head cut short': id => `HTTP/1.1 200 OK\r\nid: ${id}\r\nsigned`,
+  'another content type': id =>
+    `HTTP/1.1 200 OK\r\nid: ${id}\r\nsigned: 1\r\nContent-Type: text/html\r\nContent-Length: 5\r\n\r\noops!`,
+  'no event, chunked': id =>
+    `${STREAM_HEAD}id: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n`,
+  'no event, no length': id => `${STREAM_HEAD}id: ${id}\r\n\r\n`,
+  'no event, a length': id =>
+    `${STREAM_HEAD}id: ${id}\r\nContent-Length: 0\r\n\r\n`,
+  'comments alone': id => `${STREAM_HEAD}id: ${id}\r\n\r\n: ping\n\n`,
+};
+
+for (const [name, encode] of Object.entries(NEXT_ANSWERS)) {
+  test(`a stream that broke off does not go on with ${name}`, async () => {
+    let isFirst = true;
+    using server = await startServer((id, socket) => {
+      if (!isFirst) return void socket.end(encode(id));
+      isFirst = false;
+      socket.write(
+        `${STREAM_HEAD}id: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n` +
+          `${FIRST_EVENT.length.toString(16)}\r\n${FIRST_EVENT}\r\n`,
+      );
+      setTimeout(() => socket.destroy(), 5);
+    });
+    await using gateway = new SocketGateway(
+      {repeatability: 'stream', resumable: true, maxAttempts: 2},
+      [server.address, server.address],
+    );
+    const sink = await gateway.ask('x');
+    assert.equal(sink.text.replace(': ping\n\n', ''), FIRST_EVENT);
+    assert.equal(sink.outcome, 'cut');
+  });
+}
+
+/** How an endpoint frames its answer. */
+const FRAMINGS = ['length', 'chunks', 'none'] as const;
+
+const EVENTS = [FIRST_EVENT, 'id: 2\ndata: b\n\n'];
+
+function encodeWhole(framing: (typeof FRAMINGS)[number], isStream: boolean) {
+  const body = EVENTS.join('');
+  const head = `HTTP/1.1 200 OK\r\nid: x\r\nsigned: 1\r\n${isStream ? 'Content-Type: text/event-stream\r\n' : ''}`;
+  if (framing === 'none') return `${head}\r\n${body}`;
+  if (framing === 'length') {
+    return `${head}Content-Length: ${body.length}\r\n\r\n${body}`;
+  }
+  const chunks = EVENTS.map(
+    each => `${each.length.toString(16)}\r\n${each}\r\n`,
+  );
+  return `${head}Transfer-Encoding: chunked\r\n\r\n${chunks.join('')}0\r\n\r\n`;
+}
+
+/** Whether the bytes up to a cut are all of an answer for their protocol. */
+function isWhole(
+  bytes: string,
+  cut: number,
+  {framing, isStream}: {framing: string; isStream: boolean},
+): boolean {
+  if (cut === bytes.length) return true;
+  if (framing !== 'none') return false;
+  // An answer without a length ends where its connection does.
+  const headBytes = bytes.indexOf('\r\n\r\n') + 4;
+  if (cut < headBytes) return false;
+  return !isStream || cut === headBytes + FIRST_EVENT.length;
+}
+
+for (const isStream of [false, true]) {
+  for (const framing of FRAMINGS) {
+    test(`an answer cut at any byte is not taken for a whole one (${isStream ? 'stream' : 'call'}, framing: ${framing})`, async () => {
+      const bytes = encodeWhole(framing, isStream);
+      let cut = 0;
+      using server = await startServer((_id, socket) => {
+        socket.end(bytes.slice(0, cut));
+      });
+      for (cut = 1; cut <= bytes.length; cut++) {
+        await using gateway = new SocketGateway(
+          {
+            repeatability: isStream ? 'stream' : 'not-repeatable',
+            maxAttempts: 1,
+          },
+          [server.address],
+        );
+        const sink = await gateway.ask('x');
+        const isComplete = sink.status === 200 && sink.outcome === 'whole';
+        const isAllowed = isWhole(bytes, cut, {framing, isStream});
+        assert.ok(
+          !isComplete || isAllowed,
+          `cut at ${cut} of ${bytes.length}: ${JSON.stringify(sink.text)}`,
+        );
+        if (cut === bytes.length) assert.equal(sink.text, EVENTS.join(''));
+      }
+    });
+  }
+}
+
 test.run();
