--- a/src/coordination/forwarding/prompt_quarantine.ts
+++ b/src/coordination/forwarding/prompt_quarantine.ts
@@ -196,6 +196,11 @@
     }
   }
 
+  /** Counts what is retained. */
+  countRecords(): {readonly suspects: number; readonly soundParts: number} {
+    return {suspects: this.table.size, soundParts: this.soundAt.size};
+  }
+
   private listSuspects(run: CallRun): Suspect[] {
     if (this.table.isEmpty) return [];
     const {name: service} = run.admitted.service;
--- /dev/null
+++ b/src/coordination/forwarding/prompt_quarantine_test.ts
@@ -0,0 +1,205 @@
+/**
+ * Guards against prompt parts that are blamed for what they did not do, and
+ * against tables of parts that grow with what callers send.
+ */
+import assert from 'node:assert/strict';
+import {test} from 'uvu';
+import type {SuspectPart} from '../../protocol/suspect_part.ts';
+import type {CallFacts} from './call.ts';
+import {
+  createAnswer,
+  createEndpoint,
+  createRoute,
+  FakeGateway,
+  waitForAbort,
+  type Behaviour,
+} from './forwarding_fakes.ts';
+
+const ENDPOINTS = ['e1', 'e2', 'e3', 'e4'].map(id => createEndpoint(id));
+
+const ROUTE = createRoute({
+  repeatability: 'stream',
+  resumable: true,
+  maxAttempts: 3,
+  objectiveMs: 2_000,
+});
+
+const crash: Behaviour = async () => ({type: 'broken', reason: 'closed'});
+
+const answer: Behaviour = async (call, options) =>
+  createAnswer(call, options, {isStream: true, pieces: ['id: 1\ndata: x\n\n']});
+
+function createGateway(behave: Behaviour): FakeGateway {
+  return new FakeGateway({route: ROUTE, endpoints: ENDPOINTS, behave});
+}
+
+function createPrompt(...ids: readonly string[]): Partial<CallFacts> {
+  return {prompt: [...ids, 'own'].map(id => ({id, tokens: 10}))};
+}
+
+/** A record of a part with which engines ended one after the other. */
+function createRecord(part: string, level: number): SuspectPart {
+  const crashes = Array.from({length: level}, (_, index) => ({
+    start: `e${index}/${part}`,
+    ageMs: 100 * (level - index),
+  }));
+  const isCondemned = level >= 3;
+  return {
+    service: 'app',
+    part,
+    level,
+    isCondemned,
+    crashes,
+    clearedAgeMs: null,
+  };
+}
+
+test('forward() refuses a condemned part at once, without a time to return', async () => {
+  const gateway = createGateway(answer);
+  gateway.quarantine.recordRelayed([createRecord('bad', 3)]);
+  const sink = await gateway.request(createPrompt('first', 'bad'));
+  assert.equal(sink.status, 503);
+  assert.ok(!sink.headers.some(([name]) => name === 'Retry-After'));
+  assert.equal(gateway.attempts.length, 0);
+  assert.equal((await gateway.request(createPrompt('first'))).status, 200);
+});
+
+test('forward() takes a part for sound again once it was answered on', async () => {
+  const gateway = createGateway(answer);
+  gateway.quarantine.recordRelayed([createRecord('part', 2)]);
+  assert.equal((await gateway.request(createPrompt('part'))).status, 200);
+  const [record] = gateway.quarantine.listObserved();
+  assert.equal(record?.level, 0);
+});
+
+test('forward() refuses a suspected part while another trial runs', async () => {
+  const gateway = new FakeGateway({
+    route: ROUTE,
+    endpoints: ENDPOINTS,
+    behave: answer,
+    trials: {
+      request: async () => ({isGranted: false, suspects: []}),
+      end: async () => {},
+    },
+  });
+  gateway.quarantine.recordRelayed([createRecord('part', 1)]);
+  const sink = await gateway.request(createPrompt('part'));
+  assert.equal(sink.status, 503);
+  assert.ok(sink.headers.some(([name]) => name === 'Retry-After'));
+  assert.equal(gateway.attempts.length, 0);
+});
+
+test('forward() suspects the parts of a prompt whose engine ended, but the last', async () => {
+  const gateway = createGateway(crash);
+  await gateway.request(createPrompt('first', 'second'));
+  const parts = gateway.quarantine.listObserved().map(({part}) => part);
+  assert.deepEqual(parts.sort(), ['first', 'second']);
+});
+
+// Guards against callers who get a part of others condemned by leaving.
+test('forward() suspects nothing when the caller leaves', async () => {
+  for (let count = 0; count < 5; count++) {
+    const gateway = createGateway(async (_call, {signal}) =>
+      waitForAbort(signal).catch(() => ({type: 'aborted' as const})),
+    );
+    const caller = new AbortController();
+    const {done} = gateway.start(createPrompt('part'), caller.signal);
+    await gateway.clock.advance(50);
+    caller.abort();
+    await gateway.clock.advance(50);
+    await done;
+    assert.deepEqual(gateway.quarantine.listObserved(), []);
+  }
+});
+
+// Guards against callers who get a part condemned by requests that endpoints
+// refuse, fail or answer with bytes that are not an answer.
+test('forward() suspects nothing for errors, refusals and invalid answers', async () => {
+  const behaviours: Behaviour[] = [
+    async (call, options) => createAnswer(call, options, {status: 500}),
+    async (call, options) =>
+      createAnswer(call, options, {facts: {isSigned: false}}),
+    async () => ({type: 'invalid', reason: 'HPE_INVALID_CONSTANT'}),
+    async () => ({type: 'not-sent', reason: 'ECONNREFUSED'}),
+  ];
+  for (const behave of behaviours) {
+    const gateway = createGateway(behave);
+    await gateway.request(createPrompt('part'));
+    const records = gateway.quarantine.listObserved();
+    assert.ok(records.every(({level}) => level === 0));
+  }
+});
+
+test('forward() does not blame an answer that had gone on when its engine ended', async () => {
+  const gateway = createGateway(async (call, options, clock) => {
+    const outcome = createAnswer(call, options, {isStream: true});
+    if (outcome.type !== 'answer') return outcome;
+    async function* writeEvents() {
+      for (let id = 1; id <= 4; id++) {
+        await clock.sleep(400);
+        yield Buffer.from(`id: ${id}\ndata: x\n\n`);
+      }
+      throw new Error('closed');
+    }
+    return {...outcome, answer: {...outcome.answer, body: writeEvents()}};
+  });
+  await gateway.request(createPrompt('part'));
+  assert.deepEqual(gateway.quarantine.listObserved(), []);
+});
+
+// Guards against escalations that take a bad part to a second engine before the
+// first has shown that it ended.
+test('forward() does not escalate an unknown part right after a crash', async () => {
+  const route = {...ROUTE, models: ['small', 'large']};
+  let hasCrashed = false;
+  const gateway = new FakeGateway({
+    route,
+    endpoints: ENDPOINTS,
+    behave: async (call, options) => {
+      if (call.facts.prompt.some(({id}) => id === 'bad') && !hasCrashed) {
+        hasCrashed = true;
+        return {type: 'broken', reason: 'closed'};
+      }
+      return createAnswer(call, options, {
+        isStream: true,
+        pieces: ['id: 1\ndata: x\n\n'],
+        facts: {confidence: 5},
+      });
+    },
+  });
+  const unknown = {...createPrompt('unknown'), isModelOpen: true};
+  await gateway.request(unknown);
+  assert.equal(gateway.attempts.length, 2, 'escalates on a quiet day');
+  await gateway.request({...createPrompt('bad'), isModelOpen: true});
+  const before = gateway.attempts.length;
+  await gateway.request({...createPrompt('new'), isModelOpen: true});
+  assert.equal(gateway.attempts.length - before, 1);
+});
+
+// Guards against memory and messages that grow with the parts that callers
+// name: 10,000 new ones a second, of any length.
+test('the records of parts are bounded', async () => {
+  let isCrashing = false;
+  const gateway = createGateway((call, options, clock) =>
+    (isCrashing ? crash : answer)(call, options, clock),
+  );
+  const longId = 'x'.repeat(5_000);
+  let largest = 0;
+  for (let round = 0; round < 160; round++) {
+    isCrashing = round % 4 === 0;
+    const ids = Array.from(
+      {length: 63},
+      (_, index) => `${round}/${index}/${longId}`,
+    );
+    await gateway.request(createPrompt(...ids));
+    const bytes = JSON.stringify(gateway.quarantine.listObserved()).length;
+    largest = Math.max(largest, bytes);
+  }
+  const {suspects, soundParts} = gateway.quarantine.countRecords();
+  assert.ok(suspects <= 256, `${suspects} suspects`);
+  assert.ok(soundParts <= 4_096, `${soundParts} sound parts`);
+  // 64 records with few crashes each.
+  assert.ok(largest <= 64 * 400, `${largest} bytes in a report`);
+});
+
+test.run();
--- a/src/coordination/forwarding/suspect_table.ts
+++ b/src/coordination/forwarding/suspect_table.ts
@@ -78,6 +78,11 @@
     return this.lastRevision;
   }
 
+  /** The number of records. */
+  get size(): number {
+    return this.entries.size;
+  }
+
   /** Whether any part is suspected. */
   get isEmpty(): boolean {
     return this.entries.size === 0;
