--- a/src/cli/serve_site/core.ts
+++ b/src/cli/serve_site/core.ts
@@ -267,8 +267,8 @@
         ? {type: 'read', configuration: routing.configuration}
         : {type: 'not-leader', leader: replica.leader},
     requestTrial: async request => state.openTrial(request),
-    endTrial: async request => {
-      state.endTrial(request);
+    finishTrial: async request => {
+      state.finishTrial(request);
       return {};
     },
   };
--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -126,7 +126,7 @@
         suspects: quarantine.listObserved(),
       };
     },
-    onEpoch: () => quarantine.repeatAll(),
+    onEpoch: () => quarantine.reportAll(),
     call: (address, request, timeoutMs) =>
       links.get(address).follow(request, timeoutMs),
   });
--- a/src/coordination/core/core_state.ts
+++ b/src/coordination/core/core_state.ts
@@ -10,7 +10,7 @@
 import type {Logger} from '../../protocol/logger.ts';
 import type {
   SuspectPart,
-  TrialEnd,
+  TrialResult,
   TrialReply,
   TrialRequest,
 } from '../../protocol/suspect_part.ts';
@@ -153,7 +153,7 @@
   }
 
   /** Merges what the request of a trial showed, then permits the next one. */
-  endTrial({service, parts, suspects}: TrialEnd): void {
+  finishTrial({service, parts, suspects}: TrialResult): void {
     this.mergeSuspects(suspects, this.options.clock.monotonic());
     for (const part of parts) this.trials.release(createPartKey(service, part));
   }
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -121,7 +121,7 @@
       // An unexpected error must not leave the escalation or the held answer
       // of this request open.
       run.finish('error', 0);
-      this.options.quarantine.endTrial(run);
+      this.options.quarantine.finishTrial(run);
     }
     this.record(run);
   }
@@ -306,7 +306,7 @@
   ): void {
     run.recordResult(endpoint, result);
     // A trial goes on until an attempt may have run.
-    if (mayHaveRun(result)) this.options.quarantine.endTrial(run);
+    if (mayHaveRun(result)) this.options.quarantine.finishTrial(run);
     if (result.type === 'escalated') {
       run.escalatedMs = Math.round(this.measureAgeMs(run));
       const {objectiveMs} = run.admitted.route;
--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -177,7 +177,7 @@
     address = 'g',
     trials = {
       request: async () => ({isGranted: true, suspects: []}),
-      end: async () => {},
+      finish: async () => {},
     },
     onObservation,
   }: FakeGatewayOptions) {
--- a/src/coordination/forwarding/held_answer.ts
+++ b/src/coordination/forwarding/held_answer.ts
@@ -63,7 +63,7 @@
     try {
       for await (const piece of answer.body) {
         if (this.error) return;
-        watch.advance();
+        watch.recordProgress();
         this.pieces.push(piece);
         this.size += piece.length;
         if (this.size > MAX_HELD_BYTES) {
@@ -75,10 +75,10 @@
         }
         this.notifyReader();
       }
-      if (!this.error) watch.complete(answer.isDelimited);
+      if (!this.error) watch.recordEnd(answer.isDelimited);
       this.end(null);
     } catch (error) {
-      if (!this.error) watch.disconnect();
+      if (!this.error) watch.recordDisconnect();
       this.end(error as Error);
     }
   }
--- a/src/coordination/forwarding/prompt_quarantine.ts
+++ b/src/coordination/forwarding/prompt_quarantine.ts
@@ -104,7 +104,7 @@
         if (!this.isWithheld(run, this.listSuspects(run))) {
           return {type: 'trial'};
         }
-        this.endTrial(run);
+        this.finishTrial(run);
         continue;
       }
       if (attempt >= TRIAL_ATTEMPTS || run.sends > 0) {
@@ -115,7 +115,7 @@
   }
 
   /** Ends the trial of a request, after its attempt was watched. */
-  endTrial(run: CallRun): void {
+  finishTrial(run: CallRun): void {
     const {name: service} = run.admitted.service;
     const parts = run.trialParts;
     if (parts.length === 0) return;
@@ -124,7 +124,7 @@
       const known = this.table.get(createPartKey(service, part));
       return known ? [this.table.encode(known)] : [];
     });
-    void this.options.trials.end({service, parts, suspects});
+    void this.options.trials.finish({service, parts, suspects});
   }
 
   /** Whether a request needs no permission. */
@@ -147,7 +147,7 @@
   }
 
   /** Watches an attempt for what it shows of its prompt. */
-  watch(run: CallRun, endpoint: EndpointEntry): PromptWatch {
+  observe(run: CallRun, endpoint: EndpointEntry): PromptWatch {
     const {clock} = this.options;
     const {name: service} = run.admitted.service;
     const parts = PromptQuarantine.listParts(run);
@@ -189,7 +189,7 @@
   }
 
   /** Reports all that is known for a while, to a core that may not know it. */
-  repeatAll(): void {
+  reportAll(): void {
     const now = this.options.clock.monotonic();
     for (const {service, part} of this.table.list()) {
       this.observedAt.set(createPartKey(service, part), now);
--- a/src/coordination/forwarding/prompt_quarantine_test.ts
+++ b/src/coordination/forwarding/prompt_quarantine_test.ts
@@ -79,7 +79,7 @@
     behave: answer,
     trials: {
       request: async () => ({isGranted: false, suspects: []}),
-      end: async () => {},
+      finish: async () => {},
     },
   });
   gateway.quarantine.recordRelayed([createRecord('part', 1)]);
--- a/src/coordination/forwarding/prompt_watch.ts
+++ b/src/coordination/forwarding/prompt_watch.ts
@@ -24,12 +24,12 @@
   constructor(private readonly options: PromptWatchOptions) {}
 
   /** Records that the head of the answer arrived. */
-  begin(): void {
+  recordBegin(): void {
     this.beganAt ??= this.options.clock.monotonic();
   }
 
   /** Records that more of the answer arrived. */
-  advance(): void {
+  recordProgress(): void {
     if (this.beganAt === null) return;
     const ageMs = this.options.clock.monotonic() - this.beganAt;
     if (ageMs >= SETTLE_MS) this.settle();
@@ -40,13 +40,13 @@
    *
    * @param isDelimited Whether its end differs from a connection that closes.
    */
-  complete(isDelimited: boolean): void {
-    this.advance();
+  recordEnd(isDelimited: boolean): void {
+    this.recordProgress();
     if (isDelimited) this.settle();
   }
 
   /** Records that its connection broke off. */
-  disconnect(): void {
+  recordDisconnect(): void {
     if (this.isDecided) return;
     this.isDecided = true;
     this.options.onCrash();
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -135,7 +135,7 @@
     controller.abort(reason);
   };
   const startedAt = clock.monotonic();
-  const watch = options.quarantine.watch(run, endpoint);
+  const watch = options.quarantine.observe(run, endpoint);
   run.beganMs = null;
   run.expectedMs = expectedMs;
   run.mayBeginLate =
@@ -186,7 +186,7 @@
     if (outcome.type === 'answer') {
       run.beganMs = clock.monotonic() - startedAt;
       prefill.begin();
-      watch.begin();
+      watch.recordBegin();
     }
     const received = await handleOutcome(options, run, {
       endpoint,
@@ -195,7 +195,7 @@
       watch,
       onProgress: ms => {
         stall.postpone(ms);
-        watch.advance();
+        watch.recordProgress();
       },
     });
     const result = explainAbort(received, {aborted, startedAt});
@@ -213,9 +213,10 @@
   result: AttemptResult,
 ): void {
   if (result.type === 'delivered' || result.type === 'failed') {
-    watch.complete(outcome.type === 'answer' && outcome.answer.isDelimited);
+    watch.recordEnd(outcome.type === 'answer' && outcome.answer.isDelimited);
   }
-  if ('isDisconnected' in result && result.isDisconnected) watch.disconnect();
+  if ('isDisconnected' in result && result.isDisconnected)
+    watch.recordDisconnect();
 }
 
 /** Replaces a result by the gateway's own reason when it aborted. */
--- a/src/coordination/forwarding/simulated_site.ts
+++ b/src/coordination/forwarding/simulated_site.ts
@@ -237,8 +237,8 @@
         getService: core => ({
           requestTrial: request =>
             this.call(gateway, core, state => state.openTrial(request)),
-          endTrial: request =>
-            this.call(gateway, core, state => state.endTrial(request)),
+          finishTrial: request =>
+            this.call(gateway, core, state => state.finishTrial(request)),
         }),
       }),
       onObservation: () => {
@@ -321,7 +321,7 @@
     if (this.isLost()) return;
     fake.view.apply(reply);
     gateway.isReady = true;
-    if (reply.epoch !== position.epoch) fake.quarantine.repeatAll();
+    if (reply.epoch !== position.epoch) fake.quarantine.reportAll();
     const {epoch, endpointRevision, gatewayRevision} = reply;
     const {limitRevision, suspectRevision} = reply;
     gateway.position = {
--- a/src/coordination/forwarding/suspect_table.ts
+++ b/src/coordination/forwarding/suspect_table.ts
@@ -162,7 +162,7 @@
     const key = createPartKey(next.service, next.part);
     for (const [start, atMs] of next.crashes) this.recordEnd(start, atMs);
     const known = this.entries.get(key)?.suspect;
-    const merged = this.judge(mergeSuspects(known ?? null, next));
+    const merged = this.evaluate(mergeSuspects(known ?? null, next));
     if (this.isExpired(merged)) return false;
     if (known && isSame(known, merged)) return false;
     this.entries.delete(key);
@@ -203,7 +203,7 @@
   }
 
   /** Condemns a part that reached the required level. */
-  private judge(suspect: Suspect): Suspect {
+  private evaluate(suspect: Suspect): Suspect {
     if (suspect.isCondemned || suspect.level < CONDEMN_LEVEL) return suspect;
     const isCondemned = suspect.level >= this.computeRequiredLevel(suspect);
     return {...suspect, isCondemned};
--- a/src/coordination/forwarding/trial_client.ts
+++ b/src/coordination/forwarding/trial_client.ts
@@ -1,7 +1,7 @@
 /** Asks the core for the permission to send a request with suspected parts. */
 import type {Logger} from '../../protocol/logger.ts';
 import type {
-  TrialEnd,
+  TrialResult,
   TrialReply,
   TrialRequest,
 } from '../../protocol/suspect_part.ts';
@@ -19,13 +19,13 @@
 /** Talks to the core daemon that permits trials. */
 export interface TrialClient {
   request(request: TrialRequest): Promise<TrialReply>;
-  end(request: TrialEnd): Promise<void>;
+  finish(request: TrialResult): Promise<void>;
 }
 
 /** The calls of one core daemon. */
 export interface TrialService {
   requestTrial(request: TrialRequest, timeoutMs: number): Promise<TrialReply>;
-  endTrial(request: TrialEnd, timeoutMs: number): Promise<unknown>;
+  finishTrial(request: TrialResult, timeoutMs: number): Promise<unknown>;
 }
 
 export interface TrialClientOptions {
@@ -46,9 +46,9 @@
       (await callFirst(options, request, address =>
         getService(address).requestTrial(request, CALL_TIMEOUT_MS),
       )) ?? DENIED,
-    async end(request) {
+    async finish(request) {
       await callFirst(options, request, address =>
-        getService(address).endTrial(request, CALL_TIMEOUT_MS),
+        getService(address).finishTrial(request, CALL_TIMEOUT_MS),
       );
     },
   };
--- a/src/protocol/core_service.ts
+++ b/src/protocol/core_service.ts
@@ -10,10 +10,10 @@
 import {proposeRequestSchema, type ProposeReply} from './peer_service.ts';
 import {
   suspectPartSchema,
-  trialEndSchema,
+  trialResultSchema,
   trialRequestSchema,
   type SuspectPart,
-  type TrialEnd,
+  type TrialResult,
   type TrialReply,
   type TrialRequest,
 } from './suspect_part.ts';
@@ -246,7 +246,7 @@
   exchangeCore: coreExchangeSchema,
   readConfiguration: emptySchema,
   requestTrial: trialRequestSchema,
-  endTrial: trialEndSchema,
+  finishTrial: trialResultSchema,
 } as const;
 
 /** The calls that a daemon of the core serves. */
@@ -260,5 +260,5 @@
   /** Permits one request with suspected parts, unless another one runs. */
   requestTrial(request: TrialRequest): Promise<TrialReply>;
   /** Ends the request of a trial and merges what it showed. */
-  endTrial(request: TrialEnd): Promise<object>;
+  finishTrial(request: TrialResult): Promise<object>;
 }
--- a/src/protocol/suspect_part.ts
+++ b/src/protocol/suspect_part.ts
@@ -50,8 +50,8 @@
 }
 
 /** Ends a permitted request, with what it showed. */
-export const trialEndSchema = trialRequestSchema.extend({
+export const trialResultSchema = trialRequestSchema.extend({
   suspects: z.array(suspectPartSchema),
 });
 
-export type TrialEnd = z.infer<typeof trialEndSchema>;
+export type TrialResult = z.infer<typeof trialResultSchema>;
