--- a/src/coordination/forwarding/prompt_quarantine_test.ts
+++ b/src/coordination/forwarding/prompt_quarantine_test.ts
@@ -72,6 +72,16 @@
   assert.equal(record?.level, 0);
 });
 
+// Guards against an endpoint that fails its requests and so clears a bad part.
+test('forward() does not take a part for sound after an error', async () => {
+  const gateway = createGateway(async (call, options) =>
+    createAnswer(call, options, {status: 500}),
+  );
+  gateway.quarantine.recordRelayed([createRecord('part', 2)]);
+  assert.equal((await gateway.request(createPrompt('part'))).status, 500);
+  assert.deepEqual(gateway.quarantine.listObserved(), []);
+});
+
 test('forward() refuses a suspected part while another trial runs', async () => {
   const gateway = new FakeGateway({
     route: ROUTE,
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -212,7 +212,7 @@
   outcome: AttemptOutcome,
   result: AttemptResult,
 ): void {
-  if (result.type === 'delivered' || result.type === 'failed') {
+  if (result.type === 'delivered' && result.isGood) {
     watch.recordEnd(outcome.type === 'answer' && outcome.answer.isDelimited);
   }
   if ('isDisconnected' in result && result.isDisconnected)
