Serve parts of a single crash while no core daemon can be asked

A gateway without contact to the core refused each request with a part of an engine that had ended once. Callers are served instead; a second crash in a row withholds the part. The new test failed before.

--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -34,6 +34,8 @@
   largestPrefillMs = 0;
   /** When the request was escalated, in ms after it was received. */
   escalatedMs: number | null = null;
+  /** Whether the next attempt may have suspected parts. */
+  isPermitted = false;
   /** The suspected parts that this request alone may have at an endpoint. */
   trialParts: string[] = [];
   /** Why its prompt may not go to an endpoint; `null` if it may. */
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -165,6 +165,7 @@
   private async admitPrompt(run: CallRun): Promise<boolean> {
     if (run.isTrial) return true;
     const permission = await this.options.quarantine.admit(run);
+    run.isPermitted = permission.type !== 'refused';
     if (permission.type !== 'refused') return true;
     run.quarantine = permission.isCondemned ? 'condemned' : 'suspected';
     return false;
@@ -307,6 +308,7 @@
     run.recordResult(endpoint, result);
     // A trial goes on until an attempt may have run.
     if (mayHaveRun(result)) this.options.quarantine.finishTrial(run);
+    run.isPermitted = run.isTrial;
     if (result.type === 'escalated') {
       run.escalatedMs = Math.round(this.measureAgeMs(run));
       const {objectiveMs} = run.admitted.route;
--- a/src/coordination/forwarding/prompt_quarantine.ts
+++ b/src/coordination/forwarding/prompt_quarantine.ts
@@ -90,15 +90,16 @@
         return {type: 'refused', isCondemned: true};
       }
       const parts = suspects.map(({part}) => part);
-      const {isGranted, suspects: known} = await trials.request({
-        service,
-        parts,
-      });
-      this.recordRelayed(known);
+      const reply = await trials.request({service, parts});
+      const isGranted = reply?.isGranted ?? false;
+      if (reply) this.recordRelayed(reply.suspects);
       metrics.count('prompt_trials', 1, {
         service,
-        outcome: isGranted ? 'granted' : 'denied',
+        outcome: reply ? (isGranted ? 'granted' : 'denied') : 'no-answer',
       });
+      // Callers of a gateway without contact to the core are not refused for a
+      // single crash.
+      if (!reply && suspects.every(({level}) => level === 1)) return FREE;
       if (isGranted) {
         run.trialParts = parts;
         if (!this.isWithheld(run, this.listSuspects(run))) {
--- a/src/coordination/forwarding/prompt_quarantine_test.ts
+++ b/src/coordination/forwarding/prompt_quarantine_test.ts
@@ -106,6 +106,20 @@
   assert.deepEqual(parts.sort(), ['first', 'second']);
 });
 
+// Guards against callers who are refused since the core cannot be asked.
+test('forward() serves a part of a single crash while no core daemon answers', async () => {
+  const gateway = new FakeGateway({
+    route: ROUTE,
+    endpoints: ENDPOINTS,
+    behave: answer,
+    trials: {request: async () => null, finish: async () => {}},
+  });
+  gateway.quarantine.recordRelayed([createRecord('part', 1)]);
+  assert.equal((await gateway.request(createPrompt('part'))).status, 200);
+  gateway.quarantine.recordRelayed([createRecord('other', 2)]);
+  assert.equal((await gateway.request(createPrompt('other'))).status, 503);
+});
+
 // Guards against callers who get a part of others condemned by leaving.
 test('forward() suspects nothing when the caller leaves', async () => {
   for (let count = 0; count < 5; count++) {
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -179,7 +179,7 @@
       mayReuseConnection: admitted.isRepeatable,
       mayBegin: () =>
         options.mayReceive(endpoint) &&
-        (run.isTrial || options.quarantine.isFree(run)) &&
+        (run.isPermitted || options.quarantine.isFree(run)) &&
         options.limits.tryTake(endpoint, run.sends === 0 ? 'first' : 'further'),
       signal: controller.signal,
     });
--- a/src/coordination/forwarding/trial_client.ts
+++ b/src/coordination/forwarding/trial_client.ts
@@ -13,12 +13,10 @@
 /** How many core daemons are asked while they do not answer. */
 const MAX_DAEMONS = 2;
 
-/** The reply when no core daemon answers. */
-const DENIED: TrialReply = {isGranted: false, suspects: []};
-
 /** Talks to the core daemon that permits trials. */
 export interface TrialClient {
-  request(request: TrialRequest): Promise<TrialReply>;
+  /** Resolves to `null` when no core daemon answers. */
+  request(request: TrialRequest): Promise<TrialReply | null>;
   finish(request: TrialResult): Promise<void>;
 }
 
@@ -37,15 +35,15 @@
 
 /**
  * Creates a client. All gateways ask the same daemon for a service, so that it
- * alone decides; without an answer nothing is permitted.
+ * alone decides.
  */
 export function createTrialClient(options: TrialClientOptions): TrialClient {
   const {getService} = options;
   return {
-    request: async request =>
-      (await callFirst(options, request, address =>
+    request: request =>
+      callFirst(options, request, address =>
         getService(address).requestTrial(request, CALL_TIMEOUT_MS),
-      )) ?? DENIED,
+      ),
     async finish(request) {
       await callFirst(options, request, address =>
         getService(address).finishTrial(request, CALL_TIMEOUT_MS),
