--- a/src/coordination/forwarding/prompt_quarantine.ts
+++ b/src/coordination/forwarding/prompt_quarantine.ts
@@ -28,8 +28,8 @@
 /** How long an answer speaks for a part that an engine ended with once, in ms. */
 const SOUND_MS = 60_000;
 
-/** How long a crash makes gateways careful with parts they do not know, in ms. */
-const CAREFUL_MS = 10_000;
+/** How long after a crash unknown parts are not escalated, in ms. */
+const CAREFUL_MS = 2_000;
 
 /** How long an own observation is reported to the core, in ms. */
 const REPORT_WITHIN_MS = 3_000;
@@ -138,12 +138,12 @@
    * shown that it crashes none.
    */
   mayEscalate(run: CallRun): boolean {
-    const {clock} = this.options;
-    if (clock.monotonic() - this.lastCrashAt > CAREFUL_MS) return true;
+    if (!this.isFree(run)) return false;
+    const sinceMs = this.options.clock.monotonic() - this.lastCrashAt;
+    if (sinceMs > CAREFUL_MS) return true;
     const {name: service} = run.admitted.service;
-    return PromptQuarantine.listParts(run).every(
-      part =>
-        this.isSound(service, part) && this.table.find(service, part) === null,
+    return PromptQuarantine.listParts(run).every(part =>
+      this.isSound(service, part),
     );
   }
 
@@ -169,7 +169,8 @@
   recordRelayed(records: readonly SuspectPart[]): void {
     const now = this.options.clock.monotonic();
     for (const key of this.table.merge(records, now)) {
-      this.lastCrashAt = now;
+      const isSuspect = (this.table.get(key)?.level ?? 0) > 0;
+      if (isSuspect) this.lastCrashAt = now;
       this.logChange(key, 'the core');
     }
   }
