Escalate parts that are not suspected as before

Suspected parts are not escalated. What the pause guarded against is one more engine for each request that comes in the first 0.3 s.

--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -228,7 +228,8 @@
     const {models} = run.admitted.route;
     if (run.hasEscalated || !hasLarger(models, model)) return false;
     if (!this.isSoonEnough(run) || !isUnsure(confidence)) return false;
-    if (run.isTrial || !this.options.quarantine.mayEscalate(run)) return false;
+    // Its first answer has not yet shown whether it crashes its engine.
+    if (!this.options.quarantine.isFree(run)) return false;
     // Does not hold back a ready answer when no other endpoint can be asked.
     const largest = this.picker.plan(run, models.at(-1) ?? null, endpoint);
     if (!largest || !this.canBeginInTime(run, largest)) return false;
--- a/src/coordination/forwarding/prompt_quarantine.ts
+++ b/src/coordination/forwarding/prompt_quarantine.ts
@@ -28,9 +28,6 @@
 /** How long an answer speaks for a part that an engine ended with once, in ms. */
 const SOUND_MS = 60_000;
 
-/** How long after a crash unknown parts are not escalated, in ms. */
-const CAREFUL_MS = 2_000;
-
 /** How long an own observation is reported to the core, in ms. */
 const REPORT_WITHIN_MS = 3_000;
 
@@ -65,7 +62,6 @@
   private readonly soundAt = new Map<string, number>();
   /** When this gateway last observed something of a part, by its key. */
   private readonly observedAt = new Map<string, number>();
-  private lastCrashAt = -Infinity;
 
   constructor(private readonly options: PromptQuarantineOptions) {
     this.table = new SuspectTable(options.clock);
@@ -133,20 +129,6 @@
     return this.listSuspects(run).length === 0;
   }
 
-  /**
-   * Whether a request may go to a second engine before its first answer has
-   * shown that it crashes none.
-   */
-  mayEscalate(run: CallRun): boolean {
-    if (!this.isFree(run)) return false;
-    const sinceMs = this.options.clock.monotonic() - this.lastCrashAt;
-    if (sinceMs > CAREFUL_MS) return true;
-    const {name: service} = run.admitted.service;
-    return PromptQuarantine.listParts(run).every(part =>
-      this.isSound(service, part),
-    );
-  }
-
   /** Watches an attempt for what it shows of its prompt. */
   observe(run: CallRun, endpoint: EndpointEntry): PromptWatch {
     const {clock} = this.options;
@@ -169,8 +151,6 @@
   recordRelayed(records: readonly SuspectPart[]): void {
     const now = this.options.clock.monotonic();
     for (const key of this.table.merge(records, now)) {
-      const isSuspect = (this.table.get(key)?.level ?? 0) > 0;
-      if (isSuspect) this.lastCrashAt = now;
       this.logChange(key, 'the core');
     }
   }
@@ -252,7 +232,6 @@
     {part, level}: {part: string; level: number},
   ): void {
     const now = this.options.clock.monotonic();
-    this.lastCrashAt = now;
     this.recordObservation({
       service,
       part,
