--- a/src/coordination/forwarding/prompt_crash_test.ts
+++ b/src/coordination/forwarding/prompt_crash_test.ts
@@ -12,6 +12,7 @@
   type HistoryFigures,
   type HistoryOptions,
 } from './prompt_history.ts';
+import {SimulatedSite} from './simulated_site.ts';
 
 const SEEDS = Number(process.env['PROMPT_CRASH_SEEDS'] ?? 6);
 const FIRST_SEED = Number(process.env['PROMPT_CRASH_FROM'] ?? 1);
@@ -88,4 +89,50 @@
   );
 });
 
+/** Restarts that must not lose what is known of a part. */
+const RESTARTS: Readonly<Record<string, (site: SimulatedSite) => void>> = {
+  'all daemons at once': site => {
+    for (let index = 0; index < CORES; index++) {
+      site.restartCore(index, {keepsDisk: true});
+    }
+    for (let index = 0; index < GATEWAYS; index++) site.restartGateway(index);
+  },
+  'all core daemons, with empty disks': site => {
+    for (let index = 0; index < CORES; index++) site.restartCore(index);
+  },
+  'all gateways': site => {
+    for (let index = 0; index < GATEWAYS; index++) site.restartGateway(index);
+  },
+};
+
+const CORES = 3;
+const GATEWAYS = 6;
+
+for (const [name, restart] of Object.entries(RESTARTS)) {
+  test(`a condemned part stays so after a restart of ${name}`, async () => {
+    const site = new SimulatedSite({
+      seed: 5,
+      cores: CORES,
+      gateways: GATEWAYS,
+      endpoints: 12,
+      engines: {batch: 4, badParts: new Set(['bad'])},
+      route: {repeatability: 'stream', resumable: true, maxAttempts: 3},
+    });
+    let count = 0;
+    const drawFacts = () => ({
+      prompt: ['first', ++count % 4 === 0 ? 'bad' : 'sound', `own${count}`].map(
+        id => ({id, tokens: 10}),
+      ),
+    });
+    await site.run(6_000, 20, drawFacts);
+    const crashes = site.engines?.crashes.length ?? 0;
+    assert.ok(crashes >= 3 && crashes <= MAX_CRASHES, `${crashes} ended`);
+    for (let round = 0; round < 3; round++) {
+      restart(site);
+      await site.run(4_000, 20, drawFacts);
+    }
+    assert.equal(site.engines?.crashes.length, crashes);
+  });
+}
+
 test.run();
