--- a/src/coordination/forwarding/prompt_history.ts
+++ b/src/coordination/forwarding/prompt_history.ts
@@ -55,33 +55,125 @@
   readonly condemnedSound: number;
 }
 
+/** Seeded draws. */
+interface Draws {
+  /** Returns a number from 0 up to 1. */
+  readonly next: () => number;
+  /** Returns a whole number; both bounds are possible. */
+  readonly between: (low: number, high: number) => number;
+  /** Returns a number whose logarithm is evenly distributed. */
+  readonly log: (low: number, high: number) => number;
+}
+
+/** What one history is played with. */
+interface Setting {
+  readonly gateways: number;
+  readonly cores: number;
+  readonly endpoints: number;
+  readonly batch: number;
+  /** The parts of a prompt. */
+  readonly partCount: number;
+  /** Whether a bad part comes first in its prompt. */
+  readonly isFirst: boolean;
+  /** Requests per second with each bad part. */
+  readonly badPerSecond: number;
+  readonly badParts: readonly string[];
+  readonly isCalm: boolean;
+  readonly lossShare: number;
+  readonly soundPerSecond: number;
+}
+
 /** Plays a history and returns its figures. */
 export async function playHistory(
   options: HistoryOptions,
 ): Promise<HistoryFigures> {
-  const {seed, hasBadParts = true, maxBadPerSecond = 20} = options;
+  const {seed} = options;
+  const draws = createDraws(seed);
+  const setting = drawSetting(draws, options);
+  const {badParts, isCalm} = setting;
+  const site = createSite(seed, setting);
+  const runSpan = createLoad(site, setting, draws);
+  const disturbedUntilMs =
+    BAD_FROM_MS + draws.next() * (BAD_UNTIL_MS - BAD_FROM_MS);
+  const condemned = new Set<string>();
+  await runSpan(BAD_FROM_MS, false);
+  while (site.clock.monotonic() < BAD_UNTIL_MS) {
+    await runSpan(PAUSE_MIN_MS + draws.next() * PAUSE_RANDOM_MS, true);
+    for (const part of site.listCondemned()) condemned.add(part);
+    const isDisturbed = !isCalm && site.clock.monotonic() < disturbedUntilMs;
+    if (isDisturbed) runDisturbance(site, setting, draws);
+  }
+  const wrong = [...condemned].filter(part => !badParts.includes(part));
+  return {
+    seed,
+    setting: describeSetting(setting),
+    crashes: badParts.map(part => listCrashes(site, part).length),
+    late: badParts.map(part => countLate(site, part)),
+    soundRatio: computeSoundRatio(site, badParts),
+    condemnedSound: wrong.length,
+  };
+}
+
+function createDraws(seed: number): Draws {
   const generator = xoroshiro128plus(seed);
-  const draw = () => uniformFloat64(generator);
+  const next = () => uniformFloat64(generator);
   // The first draws of small seeds are alike.
-  for (let index = 0; index < DISCARDED_DRAWS; index++) draw();
-  const drawBetween = (low: number, high: number) =>
-    low + Math.floor(draw() * (high - low + 1));
-  const drawLog = (low: number, high: number) => low * (high / low) ** draw();
-  const gateways = Math.round(drawLog(2, 87));
-  const cores = drawBetween(3, 9);
-  const endpoints = Math.round(drawLog(2, 98));
-  const batch = Math.round(drawLog(1, 64));
-  const partCount = drawBetween(2, 6);
-  const isFirst = draw() < 0.3;
-  const badPerSecond = drawLog(0.5, maxBadPerSecond);
+  for (let index = 0; index < DISCARDED_DRAWS; index++) next();
+  return {
+    next,
+    between: (low, high) => low + Math.floor(next() * (high - low + 1)),
+    log: (low, high) => low * (high / low) ** next(),
+  };
+}
+
+function drawSetting(
+  {next, between, log}: Draws,
+  {hasBadParts = true, maxBadPerSecond = 20, ...options}: HistoryOptions,
+): Setting {
+  const gateways = Math.round(log(2, 87));
+  const cores = between(3, 9);
+  const endpoints = Math.round(log(2, 98));
+  const batch = Math.round(log(1, 64));
+  const partCount = between(2, 6);
+  const isFirst = next() < 0.3;
+  const badPerSecond = log(0.5, maxBadPerSecond);
   const badParts = hasBadParts
-    ? Array.from({length: drawBetween(1, 2)}, (_, index) => `bad${index}`)
+    ? Array.from({length: between(1, 2)}, (_, index) => `bad${index}`)
     : [];
-  const isCalm = options.isCalm ?? draw() < 0.4;
-  const lossShare = !isCalm && draw() < 0.5 ? draw() * 0.3 : 0;
-  // Leaves room at the engines, so that requests do not queue for long.
-  const soundPerSecond = Math.min(60, endpoints * Math.min(batch, 8) * 0.5);
-  const site = new SimulatedSite({
+  const isCalm = options.isCalm ?? next() < 0.4;
+  const lossShare = !isCalm && next() < 0.5 ? next() * 0.3 : 0;
+  return {
+    gateways,
+    cores,
+    endpoints,
+    batch,
+    partCount,
+    isFirst,
+    badPerSecond,
+    badParts,
+    isCalm,
+    lossShare,
+    // Leaves room at the engines, so that requests do not queue for long.
+    soundPerSecond: Math.min(60, endpoints * Math.min(batch, 8) * 0.5),
+  };
+}
+
+function describeSetting(setting: Setting): string {
+  const {gateways, endpoints, batch, badParts, badPerSecond} = setting;
+  const {partCount, isFirst, isCalm, lossShare} = setting;
+  return [
+    `gateways ${gateways} engines ${endpoints} batch ${batch}`,
+    `bad ${badParts.length} at ${badPerSecond.toFixed(1)}/s`,
+    `parts ${partCount} ${isFirst ? 'first' : 'middle'}`,
+    isCalm ? 'calm' : `loss ${lossShare.toFixed(2)}`,
+  ].join(' ');
+}
+
+function createSite(
+  seed: number,
+  {gateways, cores, endpoints, batch, badParts, lossShare}: Setting,
+): SimulatedSite {
+  return new SimulatedSite({
     seed,
     gateways,
     cores,
@@ -96,71 +188,68 @@
       timeoutMs: 8_000,
     }),
   });
+}
+
+/** Creates the function that runs a site for a while under its load. */
+function createLoad(
+  site: SimulatedSite,
+  setting: Setting,
+  {next, between}: Draws,
+): (ms: number, hasBad: boolean) => Promise<void> {
+  const {badParts, badPerSecond, soundPerSecond, partCount, isFirst} = setting;
   let count = 0;
   const drawSharedPart = () =>
-    draw() < NEW_PART_SHARE
+    next() < NEW_PART_SHARE
       ? `new${count}`
-      : `shared${Math.floor(draw() ** 2 * SHARED_PARTS)}`;
+      : `shared${Math.floor(next() ** 2 * SHARED_PARTS)}`;
   const drawPrompt = (bad: string | null): Partial<CallFacts> => {
     count++;
-    const parts = [`first${Math.floor(draw() * FIRST_PARTS)}`];
+    const parts = [`first${Math.floor(next() * FIRST_PARTS)}`];
     while (parts.length < partCount - 1) parts.push(drawSharedPart());
     if (bad !== null && (isFirst || parts.length === 1)) parts[0] = bad;
-    else if (bad !== null) parts[drawBetween(1, parts.length - 1)] = bad;
+    else if (bad !== null) parts[between(1, parts.length - 1)] = bad;
     parts.push(`own${count}`);
     const prompt: PromptPart[] = parts.map(id => ({id, tokens: 100}));
     return {prompt, promptTokens: 100 * partCount};
   };
-  const runSpan = async (ms: number, hasBad: boolean) => {
+  return async (ms, hasBad) => {
     const badRate = hasBad ? badPerSecond * badParts.length : 0;
     await site.run(ms, soundPerSecond + badRate, () => {
-      const isBad = draw() * (soundPerSecond + badRate) < badRate;
-      return drawPrompt(
-        isBad ? (badParts[drawBetween(0, badParts.length - 1)] ?? null) : null,
-      );
+      const isBad = next() * (soundPerSecond + badRate) < badRate;
+      const bad = isBad ? badParts[between(0, badParts.length - 1)] : null;
+      return drawPrompt(bad ?? null);
     });
   };
-  const disturbedUntilMs = BAD_FROM_MS + draw() * (BAD_UNTIL_MS - BAD_FROM_MS);
-  const disturb = () => {
-    const kind = draw();
-    if (kind < 0.25) site.restartGateway(drawBetween(0, gateways - 1));
-    else if (kind < 0.4) site.restartCore(drawBetween(0, cores - 1));
-    else if (kind < 0.5) {
-      for (let index = 0; index < cores; index++) site.restartCore(index);
-    } else if (kind < 0.6) {
-      site.cutGateway(drawBetween(0, gateways - 1), drawBetween(500, 4_000));
-    } else if (kind < 0.8) {
-      site.engines?.crash(drawBetween(0, endpoints - 1));
-    } else if (kind < 0.83) {
-      // All daemons at once; only the disks of the core remain.
-      for (let index = 0; index < cores; index++) {
-        site.restartCore(index, {keepsDisk: true});
-      }
-      for (let index = 0; index < gateways; index++) site.restartGateway(index);
-    } else if (kind < 0.88) {
-      // A rack: a third of the engines at once.
-      const first = drawBetween(0, endpoints - 1);
-      for (let index = 0; index < endpoints / 3; index++) {
-        site.engines?.crash((first + index) % endpoints);
-      }
+}
+
+/** Restarts, cuts off or ends a drawn part of a site, or nothing. */
+function runDisturbance(
+  site: SimulatedSite,
+  {gateways, cores, endpoints}: Setting,
+  {next, between}: Draws,
+): void {
+  const kind = next();
+  if (kind < 0.25) site.restartGateway(between(0, gateways - 1));
+  else if (kind < 0.4) site.restartCore(between(0, cores - 1));
+  else if (kind < 0.5) {
+    for (let index = 0; index < cores; index++) site.restartCore(index);
+  } else if (kind < 0.6) {
+    site.cutGateway(between(0, gateways - 1), between(500, 4_000));
+  } else if (kind < 0.8) {
+    site.engines?.crash(between(0, endpoints - 1));
+  } else if (kind < 0.83) {
+    // All daemons at once; only the disks of the core remain.
+    for (let index = 0; index < cores; index++) {
+      site.restartCore(index, {keepsDisk: true});
+    }
+    for (let index = 0; index < gateways; index++) site.restartGateway(index);
+  } else if (kind < 0.88) {
+    // A rack: a third of the engines at once.
+    const first = between(0, endpoints - 1);
+    for (let index = 0; index < endpoints / 3; index++) {
+      site.engines?.crash((first + index) % endpoints);
     }
-  };
-  const condemned = new Set<string>();
-  await runSpan(BAD_FROM_MS, false);
-  while (site.clock.monotonic() < BAD_UNTIL_MS) {
-    await runSpan(PAUSE_MIN_MS + draw() * PAUSE_RANDOM_MS, true);
-    for (const part of site.listCondemned()) condemned.add(part);
-    if (!isCalm && site.clock.monotonic() < disturbedUntilMs) disturb();
   }
-  return {
-    seed,
-    setting: `gateways ${gateways} engines ${endpoints} batch ${batch} bad ${badParts.length} at ${badPerSecond.toFixed(1)}/s parts ${partCount} ${isFirst ? 'first' : 'middle'} ${isCalm ? 'calm' : `loss ${lossShare.toFixed(2)}`}`,
-    crashes: badParts.map(part => listCrashes(site, part).length),
-    late: badParts.map(part => countLate(site, part)),
-    soundRatio: computeSoundRatio(site, badParts),
-    condemnedSound: [...condemned].filter(part => !badParts.includes(part))
-      .length,
-  };
 }
 
 function listCrashes({engines}: SimulatedSite, part: string): number[] {
