Tell gateways of changed prompt parts at most 20 times a second

Each changed record answered the open call of each gateway: an engine that ends with 25 parts among 87 gateways would have caused some 2,000 replies in two seconds. The test (500 changes in a second, 21 notices allowed) fails with a notice for each change.

--- a/src/coordination/core/core_state.ts
+++ b/src/coordination/core/core_state.ts
@@ -25,6 +25,9 @@
 /** Daemons that contacted this one within this time are advertised to peers. */
 const ADVERTISE_WITHIN_MS = 10_000;
 
+/** The interval at which gateways are told of changed records of parts. */
+const PUBLISH_INTERVAL_MS = 50;
+
 export interface CoreStateOptions {
   readonly clock: Clock;
   readonly logger: Logger;
@@ -43,6 +46,9 @@
   readonly changes: Notifier;
   /** Notified when a change must reach the other daemons without delay. */
   readonly urgentChanges: Notifier;
+  /** The revision of suspected prompt parts that gateways are told at once. */
+  private publishedSuspects = 0;
+  private isPublishing = false;
   private readonly pendingReports = new Map<string, EndpointReport>();
 
   constructor(private readonly options: CoreStateOptions) {
@@ -71,6 +77,11 @@
     });
   }
 
+  /** The last revision of suspected prompt parts that is due to gateways. */
+  get dueSuspectRevision(): number {
+    return this.publishedSuspects;
+  }
+
   get self(): CoreDaemon {
     return this.options.self;
   }
@@ -136,8 +147,22 @@
       // Requests sent before the trial may still crash; they change no level.
       if (getLevel(key) !== before.get(key)) this.trials.release(key);
     }
-    this.changes.notify();
     this.urgentChanges.notify();
+    this.publishSuspects();
+  }
+
+  /** Lets gateways know of changed records, at most once an interval. */
+  private publishSuspects(): void {
+    if (this.isPublishing) return;
+    this.isPublishing = true;
+    this.publishedSuspects = this.suspects.revision;
+    this.changes.notify();
+    void this.options.clock.sleep(PUBLISH_INTERVAL_MS).then(() => {
+      this.isPublishing = false;
+      if (this.suspects.revision > this.publishedSuspects) {
+        this.publishSuspects();
+      }
+    });
   }
 
   /** Permits one request with suspected parts, unless another one runs. */
--- a/src/coordination/core/core_state_test.ts
+++ b/src/coordination/core/core_state_test.ts
@@ -53,4 +53,27 @@
   assert.equal(second.endpoints.find('e1')?.state, 'draining');
 });
 
+// Guards against an engine's end that makes the core answer each gateway once
+// for each part of each request that broke off.
+test('gateways are told of changed prompt parts at most 20 times a second', async () => {
+  const clock = new SimulatedClock();
+  const state = createState('c1', clock);
+  let revisions = 0;
+  let last = state.dueSuspectRevision;
+  for (let index = 0; index < 500; index++) {
+    const crashes = [{start: `e${index}/1`, ageMs: 0}];
+    const record = {service: 'app', part: `p${index}`, level: 1, crashes};
+    state.mergeSuspects(
+      [{...record, isCondemned: false, clearedAgeMs: null}],
+      clock.monotonic(),
+    );
+    await clock.advance(2);
+    if (state.dueSuspectRevision !== last) revisions++;
+    last = state.dueSuspectRevision;
+  }
+  await clock.advance(100);
+  assert.ok(revisions <= 21, `${revisions} times in a second`);
+  assert.equal(state.dueSuspectRevision, state.suspects.revision);
+});
+
 test.run();
--- a/src/coordination/core/follow_service.ts
+++ b/src/coordination/core/follow_service.ts
@@ -53,7 +53,7 @@
     state.endpoints.revision > request.endpointRevision ||
     state.gateways.lastClosingRevision > request.gatewayRevision ||
     state.limits.urgentRevision > (request.limitRevision ?? Infinity) ||
-    state.suspects.revision > (request.suspectRevision ?? Infinity) ||
+    state.dueSuspectRevision > (request.suspectRevision ?? Infinity) ||
     getConfiguration().revision > request.configurationRevision
   );
 }
