Log voters that stop answering the leader, and when they answer again

The record of the lost configuration shows neither which voters a leader missed nor since when, so the hypotheses cannot be told apart. Each change of a voter's contact is now one line with its silence, how long the leader has led, and how many voters are silent. No decision changes.

--- a/src/coordination/replication/repair_membership.ts
+++ b/src/coordination/replication/repair_membership.ts
@@ -6,6 +6,7 @@
   Membership,
   ReplicaDescription,
 } from '../../protocol/replication.ts';
+import {ContactLog} from './contact_log.ts';
 import type {Leadership} from './leadership.ts';
 import {formatMember, isSameMember, type ReplicaHost} from './member.ts';
 import type {ReplicaPeer} from './peer_replicator.ts';
@@ -51,15 +52,23 @@
 export async function repairMembership(
   options: MembershipRepairOptions,
 ): Promise<void> {
-  const {leadership, clock} = options;
+  const {leadership, clock, group, logger} = options;
   const {signal} = leadership.stopped;
+  const contactLog = new ContactLog({
+    group,
+    logger,
+    silentAfterMs: REACHABLE_TIMEOUT_MS,
+  });
   let changed = false;
   while (!signal.aborted) {
     // Checks again at once after a change, so that the promotion of a learner
     // and the removal of the voter it replaces happen close together.
     if (!changed) await clock.sleep(CHECK_INTERVAL_MS, signal);
     changed = false;
-    if (signal.aborted || !needsRepair(options)) continue;
+    if (signal.aborted) return;
+    const leadingMs = clock.monotonic() - leadership.since;
+    contactLog.record(listVoters(options), leadingMs);
+    if (!needsRepair(options)) continue;
     const descriptions = await describeHosts(options);
     if (signal.aborted) return;
     const step = planMembership({
