Replace lost voters on evidence that outlives the leader

Cause: a voter counted as lost after 8 s of silence, and each leader counted from its own election. With the leader among the lost hosts the count began anew, so three of five voters were gone before the first was replaced. A new leader that found one voter too many chose by spread alone, so it could remove the successor and keep the lost voter. Each step waited for a check each second, which itself waited for the silent hosts. Class: evidence that ends with the one who holds it, and a span longer than the platform's own for the same matter.

Change: - A leader tells its followers which voters are silent and for how long; the next leader goes on from there, after it waited for answers to its own calls. - A replica says how long ago it started with an empty disk. A new member without a vote is evidence that one host was replaced: the voter that is silent for longest counts as lost after 2 s. Silence alone still counts after 8 s (30 s in the product's settings), so a restart changes nothing. - Spare members are kept caught up as learners (two in the routing site, one in the product), so a promotion is one commit. - A surplus voter is removed by silence first. A lost voter is removed without a successor only if the number of voters is even; below the target it stays odd. - Hosts are asked in the background; checks run each 200 ms and log inputs and reasons.

--- a/src/cli/serve_site/core.ts
+++ b/src/cli/serve_site/core.ts
@@ -6,6 +6,7 @@
 import {createFollowService} from '../../coordination/core/follow_service.ts';
 import {startRolloutTask} from '../../coordination/core/rollout_task.ts';
 import {startPeriodicTask} from '../../coordination/periodic_task.ts';
+import type {ReplicaHost} from '../../coordination/replication/member.ts';
 import {createProposer} from '../../coordination/replication/proposer.ts';
 import {Replica} from '../../coordination/replication/replica.ts';
 import {
@@ -14,6 +15,7 @@
   type CoreService,
 } from '../../protocol/core_service.ts';
 import {createIdentifier} from '../../protocol/identifiers.ts';
+import type {Membership} from '../../protocol/replication.ts';
 import type {
   RoutingCommand,
   RoutingResult,
@@ -42,6 +44,9 @@
 /** The time without contact after which a standby replaces a voter. */
 const REPLACE_AFTER_MS = 8_000;
 
+/** How many standbys are kept caught up: as many as may be lost at once. */
+const SPARE_COUNT = 2;
+
 /** The time-out for a proposal, after which callers use another daemon. */
 const PROPOSE_DEADLINE_MS = 2_500;
 
@@ -159,17 +164,16 @@
   const seedHosts = settings.bootstrap
     ? listSeedPeers(settings).sort().map(describe)
     : [];
-  const replica = await Replica.open<RoutingCommand, RoutingResult>({
+  const replica: Replica<RoutingCommand, RoutingResult> = await Replica.open<
+    RoutingCommand,
+    RoutingResult
+  >({
     group: GROUP,
     name: state.self.address,
     bootstrapHosts: seedHosts,
-    listHosts: () =>
-      state.members.list().map(({address, region, dataCentre}) => ({
-        name: address,
-        region,
-        dataCentre,
-      })),
+    listHosts: () => listHosts(state, replica.membership),
     voterCount: computeVoterCount(settings.bounds.tolerated_disks),
+    spareCount: SPARE_COUNT,
     replaceAfterMs: REPLACE_AFTER_MS,
     storage,
     stateMachine: routing,
@@ -182,6 +186,26 @@
   return store.add(replica);
 }
 
+/**
+ * Lists the core daemons that are known, and the hosts of all voters: no daemon
+ * removes a host from the core, so a voter is lost by its silence alone.
+ */
+function listHosts(
+  state: CoreState,
+  membership: Membership | null,
+): ReplicaHost[] {
+  const hosts = state.members.list().map(({address, region, dataCentre}) => ({
+    name: address,
+    region,
+    dataCentre,
+  }));
+  const known = new Set(hosts.map(({name}) => name));
+  const unknown = (membership?.voters ?? [])
+    .filter(({name}) => !known.has(name))
+    .map(({name}) => ({name, region: '', dataCentre: name}));
+  return [...hosts, ...unknown];
+}
+
 /** Computes how many voters keep a majority after these disk failures. */
 function computeVoterCount(toleratedDisks: number): number {
   return 2 * Math.max(MIN_TOLERATED_DISKS, toleratedDisks) + 1;
--- /dev/null
+++ b/src/coordination/replication/find_lost_voters.ts
@@ -0,0 +1,103 @@
+/** Decides which voters count as lost for good. */
+import {formatMember, isSameMember, type ReplicaHost} from './member.ts';
+import type {MembershipView, VoterView} from './plan_membership.ts';
+
+/**
+ * A member that started with an empty disk at most this long before a voter
+ * fell silent may be its successor: planned ones start first.
+ */
+const SUCCESSOR_LEAD_MS = 20_000;
+
+/** Why a voter counts as lost. */
+export type LossReason =
+  /** Its host answers with another disk. */
+  | 'disk'
+  /** Its host is not listed any more. */
+  | 'unlisted'
+  /** It was silent for longer than a restart takes. */
+  | 'silent'
+  /** It is silent, and another member started with an empty disk. */
+  | 'succeeded';
+
+export interface LostVoter {
+  readonly voter: VoterView;
+  readonly reason: LossReason;
+}
+
+/**
+ * Finds the lost voters, those that are surely lost first.
+ *
+ * Silence alone does not distinguish a lost host from one that restarts or is
+ * cut off, so it counts only after `replaceAfterMs`. A new member with an empty
+ * disk is evidence that one host was replaced: it lets the voter that is silent
+ * for longest count as lost after `succeededAfterMs`.
+ */
+export function findLostVoters(view: MembershipView): LostVoter[] {
+  const lost: LostVoter[] = [];
+  const silent: VoterView[] = [];
+  for (const voter of view.voters) {
+    const reason = findReason(view, voter);
+    if (reason) lost.push({voter, reason});
+    else if (isSilent(view, voter, view.succeededAfterMs)) silent.push(voter);
+  }
+  const successorAges = listSuccessorAges(view, lost);
+  silent.sort((a, b) => b.sinceContactMs - a.sinceContactMs);
+  for (const voter of silent) {
+    const index = successorAges.findIndex(
+      ageMs => ageMs < voter.sinceContactMs + SUCCESSOR_LEAD_MS,
+    );
+    if (index < 0) continue;
+    successorAges.splice(index, 1);
+    lost.push({voter, reason: 'succeeded'});
+  }
+  return lost;
+}
+
+function findReason(
+  view: MembershipView,
+  voter: VoterView,
+): LossReason | undefined {
+  const {member} = voter;
+  if (member.name === view.leader.name) {
+    return isSameMember(member, view.leader) ? undefined : 'disk';
+  }
+  if (!isListed(view.hosts, member.name)) return 'unlisted';
+  const answer = view.descriptions.get(member.name);
+  if (answer) {
+    return answer.incarnation === member.incarnation ? undefined : 'disk';
+  }
+  return isSilent(view, voter, view.replaceAfterMs) ? 'silent' : undefined;
+}
+
+function isListed(hosts: readonly ReplicaHost[], name: string): boolean {
+  return hosts.some(host => host.name === name);
+}
+
+/**
+ * Whether a voter is silent for `ms`. A leader that has just been elected waits
+ * for the answers to its own calls before it trusts what it took over.
+ */
+function isSilent(view: MembershipView, voter: VoterView, ms: number): boolean {
+  if (view.leadingMs < view.reachableMs) return false;
+  if (view.descriptions.has(voter.member.name)) return false;
+  return voter.sinceContactMs >= ms;
+}
+
+/**
+ * Lists how long ago members without a vote started with an empty disk. One on
+ * the host of a lost voter succeeds that voter and no other one.
+ */
+function listSuccessorAges(
+  view: MembershipView,
+  lost: readonly LostVoter[],
+): number[] {
+  const voting = new Set(view.voters.map(({member}) => formatMember(member)));
+  const reserved = new Set(lost.map(({voter}) => voter.member.name));
+  const ages: number[] = [];
+  for (const [name, {incarnation, emptySinceMs}] of view.descriptions) {
+    if (emptySinceMs === undefined || reserved.has(name)) continue;
+    if (voting.has(formatMember({name, incarnation}))) continue;
+    ages.push(emptySinceMs);
+  }
+  return ages.sort((a, b) => a - b);
+}
--- /dev/null
+++ b/src/coordination/replication/member_contacts.ts
@@ -0,0 +1,40 @@
+/**
+ * What a follower knows of the contact of the other members.
+ *
+ * A leader tells its followers which voters are silent and for how long. The
+ * next leader goes on from there: a voter that was lost under one leader would
+ * otherwise count as present again under the next one.
+ */
+import type {Member, SilentMember} from '../../protocol/replication.ts';
+import {formatMember} from './member.ts';
+
+/** The last report of a leader, or this member's own view as a leader. */
+interface ContactReport {
+  /** When it was received, on the monotonic clock. */
+  readonly receivedAt: number;
+  readonly silentMs: ReadonlyMap<string, number>;
+}
+
+/** Holds the last report. */
+export class MemberContacts {
+  private report: ContactReport | null = null;
+
+  /** Replaces the report; members that it does not list were in contact. */
+  record(silent: readonly SilentMember[], receivedAt: number): void {
+    const silentMs = new Map(
+      silent.map(each => [formatMember(each), each.silentMs]),
+    );
+    this.report = {receivedAt, silentMs};
+  }
+
+  /**
+   * Returns when a member was last heard of, on the monotonic clock, or `null`
+   * without a report.
+   */
+  getLastContactAt(member: Member): number | null {
+    const {report} = this;
+    if (!report) return null;
+    const silentMs = report.silentMs.get(formatMember(member)) ?? 0;
+    return report.receivedAt - silentMs;
+  }
+}
--- a/src/coordination/replication/peer_replicator.ts
+++ b/src/coordination/replication/peer_replicator.ts
@@ -4,13 +4,23 @@
   AppendReply,
   InstallReply,
   ReplicationService,
+  SilentMember,
 } from '../../protocol/replication.ts';
 import type {LogStorage} from '../../state/log/log_storage.ts';
 import type {PeerProgress} from './leadership.ts';
 
-/** Interval between empty appends to a peer with nothing to replicate. */
+/** Interval between empty appends to a voter with nothing to replicate. */
 export const HEARTBEAT_MS = 200;
 
+/**
+ * The same for a learner: shorter than the time after which a member without
+ * contact to a leader no longer counts as up to date.
+ */
+export const LEARNER_HEARTBEAT_MS = 600;
+
+/** A member counts as reachable if it replied within this time. */
+export const REACHABLE_MS = 1_000;
+
 /** Timeout for one append. */
 const APPEND_TIMEOUT_MS = 600;
 
@@ -45,6 +55,10 @@
   readonly clock: Clock;
   readonly peer: ReplicaPeer;
   readonly getCommitIndex: () => number;
+  /** Returns the interval between empty appends, in ms. */
+  readonly getHeartbeatMs: () => number;
+  /** Lists the voters that do not answer. */
+  readonly listSilent: () => readonly SilentMember[];
   /** Called after the peer has synced more entries. */
   readonly onProgress: () => void;
   /** Called when the peer reports a later term. */
@@ -68,7 +82,7 @@
       progress.lastContactAt > -Infinity &&
       !progress.needsSnapshot
     ) {
-      await progress.wake.wait(HEARTBEAT_MS);
+      await progress.wake.wait(options.getHeartbeatMs());
     }
     if (signal.aborted) return;
     try {
@@ -94,6 +108,7 @@
   const previousIndex = progress.nextIndex - 1;
   const last = previousIndex + MAX_APPEND_ENTRIES;
   const sentAt = options.clock.monotonic();
+  const silent = options.listSilent();
   const reply = await peer.append(
     {
       group,
@@ -104,6 +119,7 @@
       previousTerm: storage.getTerm(previousIndex) ?? 0,
       entries: storage.read(progress.nextIndex, last, APPEND_SOFT_LIMIT_BYTES),
       commitIndex: options.getCommitIndex(),
+      ...(silent.length > 0 ? {silent: [...silent]} : {}),
     },
     APPEND_TIMEOUT_MS,
   );
--- a/src/coordination/replication/plan_membership.ts
+++ b/src/coordination/replication/plan_membership.ts
@@ -1,5 +1,6 @@
 /** Decides how a leader changes the voters of its group. */
 import type {Member, ReplicaDescription} from '../../protocol/replication.ts';
+import {findLostVoters, type LostVoter} from './find_lost_voters.ts';
 import {
   chooseVoters,
   countMajority,
@@ -10,7 +11,7 @@
   type ReplicaHost,
 } from './member.ts';
 
-/** A voter as observed by the leader. */
+/** A voter as observed by the leader and the leaders before it. */
 export interface VoterView {
   readonly member: Member;
   /** Time since its last reply; 0 for the leader itself. */
@@ -27,16 +28,25 @@
 export interface MembershipView {
   /** The leader, which is never removed from the voters. */
   readonly leader: Member;
+  /** How long it has led. */
+  readonly leadingMs: number;
   /** The hosts that may run replicas. */
   readonly hosts: readonly ReplicaHost[];
   /** The target number of voters. */
   readonly voterCount: number;
+  /** The number of learners that are kept caught up while none is needed. */
+  readonly spareCount: number;
   readonly voters: readonly VoterView[];
   readonly learners: readonly LearnerView[];
-  /** The descriptions from the hosts that replied, by host name. */
+  /**
+   * The descriptions from the hosts that replied, by host name. Voters in
+   * contact may be left out.
+   */
   readonly descriptions: ReadonlyMap<string, ReplicaDescription>;
   /** A voter without a reply for this long counts as permanently lost. */
   readonly replaceAfterMs: number;
+  /** The same for a voter that seems to have a successor. */
+  readonly succeededAfterMs: number;
   /** A voter counts as reachable if it replied within this time. */
   readonly reachableMs: number;
 }
@@ -44,51 +54,59 @@
 /** One step, which adds or removes at most one voter. */
 export type MembershipStep =
   | {readonly type: 'none'}
+  /** A step is due but not possible yet. */
+  | {readonly type: 'wait'; readonly reason: string}
   /** Start replicating to a host as a learner, without a vote. */
   | {readonly type: 'learn'; readonly member: Member}
   /** Stop replicating to a learner. */
   | {readonly type: 'forget'; readonly member: Member}
-  | {readonly type: 'change'; readonly voters: readonly Member[]};
+  | {
+      readonly type: 'change';
+      readonly voters: readonly Member[];
+      readonly lost: readonly LostVoter[];
+    };
 
 const NONE: MembershipStep = {type: 'none'};
 
 /**
- * Plans the next step. A voter is lost if its host returned with another disk,
- * is no longer listed, or has not replied for `replaceAfterMs`. Its
- * replacement is promoted once it has caught up, and the lost voter is removed
- * right after that: in this order, the lost voter still counts towards a
- * majority if it returns in the meantime.
+ * Plans the next step.
+ *
+ * A lost voter is removed right after a learner that has caught up was promoted
+ * in its place: in this order, it still counts towards a majority if it returns
+ * in the meantime. One commit adds or removes one voter, so any majority before
+ * a change shares a voter with any majority after it.
  */
 export function planMembership(view: MembershipView): MembershipStep {
   const promoted = view.learners.find(({member}) => isVoter(view, member));
   // A disk listed as voter and learner could be added as a voter twice, and a
   // majority would then consist of too few disks.
   if (promoted) return {type: 'forget', member: promoted.member};
-  const target = Math.min(view.voterCount, view.hosts.length);
-  const lost = view.voters.filter(voter => isLost(view, voter));
-  const missing = target - (view.voters.length - lost.length);
-  if (lost.length > 0 && (missing <= 0 || view.voters.length > target)) {
-    return removeVoter(view, lost);
+  const lost = findLostVoters(view);
+  const removable = lost.filter(({reason}) => isRemovable(view, reason));
+  if (removable.length > 0) return removeVoter(view, lost, removable[0]?.voter);
+  if (view.voters.length > view.voterCount) {
+    return removeVoter(view, lost, findSurplus(view));
   }
-  if (missing < 0) return removeVoter(view, listSurplus(view, target));
-  if (missing === 0) return removeLearner(view);
-  const learner = view.learners.find(({member}) => canReplace(view, member));
-  if (!learner) return addLearner(view, lost);
-  return learner.caughtUp
-    ? promoteLearner(view, learner)
-    : removeStaleLearner(view);
+  const stale = view.learners.find(({member}) => !isDescribed(view, member));
+  if (stale) return {type: 'forget', member: stale.member};
+  const missing = countMissing(view, lost);
+  if (missing > 0) {
+    const learner = chooseLearner(view, lost);
+    if (learner) return promoteLearner(view, lost, learner);
+  }
+  return planSpares(view, lost, missing);
 }
 
-function isLost(
+/**
+ * Whether a lost voter can be removed without a successor. That lowers the
+ * number of votes that a majority needs only if the number of voters is even;
+ * otherwise the voter is kept, since it may return.
+ */
+function isRemovable(
   view: MembershipView,
-  {member, sinceContactMs}: VoterView,
+  reason: LostVoter['reason'],
 ): boolean {
-  // An earlier disk of the leader's own host is permanently lost.
-  if (member.name === view.leader.name) return !isLeader(view, member);
-  if (!view.hosts.some(host => host.name === member.name)) return true;
-  const answer = view.descriptions.get(member.name);
-  if (answer) return answer.incarnation !== member.incarnation;
-  return sinceContactMs >= view.replaceAfterMs;
+  return reason === 'unlisted' || view.voters.length % 2 === 0;
 }
 
 function isVoter(view: MembershipView, member: Member): boolean {
@@ -96,56 +114,142 @@
   return includesMember({voters}, member);
 }
 
-function isLeader(view: MembershipView, member: Member): boolean {
-  return isSameMember(member, view.leader);
-}
-
-/** Whether a learner's host still reports the same disk. */
-function canReplace(view: MembershipView, member: Member): boolean {
+/** Whether a member's host still reports the same disk. */
+function isDescribed(view: MembershipView, member: Member): boolean {
   const answer = view.descriptions.get(member.name);
   return answer?.incarnation === member.incarnation;
 }
 
-function removeLearner(view: MembershipView): MembershipStep {
-  const learner = view.learners[0];
-  return learner ? {type: 'forget', member: learner.member} : NONE;
+/**
+ * Counts the voters to add: one for each lost voter, and further ones up to the
+ * target. Below the target the number stays odd, because one more voter than
+ * that does not let the group bear another loss.
+ */
+function countMissing(
+  view: MembershipView,
+  lost: readonly LostVoter[],
+): number {
+  if (lost.length > 0) return lost.length;
+  const {length} = view.voters;
+  const available = length + listCandidates(view).length;
+  if (available >= view.voterCount) return view.voterCount - length;
+  return Math.max(0, available - (1 - (available % 2)) - length);
+}
+
+/** Lists the members without a vote whose hosts answer. */
+function listCandidates(view: MembershipView): Member[] {
+  const candidates: Member[] = [];
+  for (const [name, {incarnation}] of view.descriptions) {
+    const member = {name, incarnation};
+    if (name === view.leader.name || isVoter(view, member)) continue;
+    candidates.push(member);
+  }
+  return candidates;
 }
 
-function removeStaleLearner(view: MembershipView): MembershipStep {
-  const gone = view.learners.find(({member}) => !canReplace(view, member));
-  return gone ? {type: 'forget', member: gone.member} : NONE;
+/**
+ * Ranks members without a vote: first those on the host of a lost voter, then
+ * those that improve the spread of the voters most.
+ */
+function rankCandidates(
+  view: MembershipView,
+  lost: readonly LostVoter[],
+  candidates: readonly Member[],
+): Member[] {
+  const lostNames = lost.map(({voter}) => voter.member.name);
+  const staying = view.hosts.filter(
+    host =>
+      !lostNames.includes(host.name) &&
+      view.voters.some(({member}) => member.name === host.name),
+  );
+  const order = rankHosts(view.hosts, staying).map(({name}) => name);
+  const getRank = ({name}: Member) =>
+    lostNames.includes(name) ? -1 : order.indexOf(name);
+  return candidates
+    .filter(({name}) => order.includes(name))
+    .sort((a, b) => getRank(a) - getRank(b));
 }
 
-/** Lists voters beyond the target, as after a lost voter has returned. */
-function listSurplus(view: MembershipView, target: number): VoterView[] {
+/** Chooses the learner to promote; `undefined` if none has caught up. */
+function chooseLearner(
+  view: MembershipView,
+  lost: readonly LostVoter[],
+): Member | undefined {
+  const ready = view.learners
+    .filter(({caughtUp}) => caughtUp)
+    .map(({member}) => member);
+  return rankCandidates(view, lost, ready)[0];
+}
+
+/** Keeps as many learners as are missing, and at least the spares. */
+function planSpares(
+  view: MembershipView,
+  lost: readonly LostVoter[],
+  missing: number,
+): MembershipStep {
+  const wanted = Math.max(view.spareCount, missing);
+  const learning = view.learners.map(({member}) => member);
+  if (learning.length > wanted) {
+    const last = rankCandidates(view, lost, learning).at(-1) ?? learning[0];
+    return last ? {type: 'forget', member: last} : NONE;
+  }
+  if (learning.length < wanted) {
+    const others = listCandidates(view).filter(
+      member => !learning.some(each => isSameMember(each, member)),
+    );
+    const [best] = rankCandidates(view, lost, others);
+    if (best) return {type: 'learn', member: best};
+  }
+  if (missing === 0) return NONE;
+  const reason =
+    learning.length > 0 ? 'no learner has caught up' : 'no spare host answers';
+  return {type: 'wait', reason};
+}
+
+/**
+ * Finds a voter beyond the target: the one that is silent for longest, else
+ * one that adds least to the spread.
+ */
+function findSurplus(view: MembershipView): VoterView | undefined {
+  const others = view.voters.filter(
+    ({member}) => !isSameMember(member, view.leader),
+  );
+  const [longest] = others
+    .filter(({sinceContactMs}) => sinceContactMs > view.reachableMs)
+    .sort((a, b) => b.sinceContactMs - a.sinceContactMs);
+  if (longest) return longest;
   const names = view.voters.map(voter => voter.member.name);
   const voting = view.hosts.filter(host => names.includes(host.name));
-  const kept = chooseVoters(voting, target).map(host => host.name);
-  const others = view.voters.filter(({member}) => !isLeader(view, member));
-  const surplus = others.filter(voter => !kept.includes(voter.member.name));
-  return surplus.length > 0 ? surplus : others;
+  const kept = chooseVoters(voting, view.voterCount).map(host => host.name);
+  const surplus = others.find(({member}) => !kept.includes(member.name));
+  return surplus ?? others[0];
 }
 
-/** Removes the first candidate if the remaining voters have a quorum. */
+/** Removes a voter if the remaining ones have a quorum. */
 function removeVoter(
   view: MembershipView,
-  candidates: readonly VoterView[],
+  lost: readonly LostVoter[],
+  voter: VoterView | undefined,
 ): MembershipStep {
-  const [first] = candidates;
-  const staying = view.voters.filter(voter => voter !== first);
-  const reachable = countReachable(view, staying);
-  if (!first || reachable < countMajority(staying)) return NONE;
-  return {type: 'change', voters: staying.map(voter => voter.member)};
+  const staying = view.voters.filter(each => each !== voter);
+  if (countReachable(view, staying) < countMajority(staying)) {
+    return {type: 'wait', reason: 'no majority of voters reachable'};
+  }
+  const voters = staying.map(({member}) => member);
+  return {type: 'change', voters, lost};
 }
 
 /** Promotes a learner if the voters, with it, have a quorum. */
 function promoteLearner(
   view: MembershipView,
-  {member}: LearnerView,
+  lost: readonly LostVoter[],
+  member: Member,
 ): MembershipStep {
   const voters = [...view.voters.map(voter => voter.member), member];
   const reachable = countReachable(view, view.voters) + 1;
-  return reachable < countMajority(voters) ? NONE : {type: 'change', voters};
+  return reachable < countMajority(voters)
+    ? {type: 'wait', reason: 'no majority of voters reachable'}
+    : {type: 'change', voters, lost};
 }
 
 function countReachable(
@@ -156,32 +260,10 @@
     .length;
 }
 
-/**
- * Adds a learner on the host that should vote next: that of a lost voter with
- * a new disk, otherwise the host that improves the spread most. Stale learners
- * are removed first.
- */
-function addLearner(
-  view: MembershipView,
-  lost: readonly VoterView[],
-): MembershipStep {
-  const gone = removeStaleLearner(view);
-  if (gone.type !== 'none') return gone;
-  const voting = new Set(view.voters.map(({member}) => formatMember(member)));
-  const members = new Map<string, Member>();
-  for (const [name, {incarnation}] of view.descriptions) {
-    const member = {name, incarnation};
-    if (!voting.has(formatMember(member))) members.set(name, member);
-  }
-  const returned = lost.find(({member}) => members.has(member.name));
-  const staying = view.hosts.filter(host =>
-    view.voters.some(
-      voter => voter.member.name === host.name && !lost.includes(voter),
-    ),
+/** Formats the voters that count as lost, with reasons and silences. */
+export function formatLost(lost: readonly LostVoter[]): string[] {
+  return lost.map(
+    ({voter: {member, sinceContactMs}, reason}) =>
+      `${formatMember(member)}: ${reason}, silent for ${Math.round(sinceContactMs)} ms`,
   );
-  const best =
-    returned?.member.name ??
-    rankHosts(view.hosts, staying).find(host => members.has(host.name))?.name;
-  const member = best === undefined ? undefined : members.get(best);
-  return member ? {type: 'learn', member} : NONE;
 }
--- a/src/coordination/replication/repair_membership.ts
+++ b/src/coordination/replication/repair_membership.ts
@@ -1,29 +1,22 @@
 /** The leader's task that repairs the membership automatically. */
 import type {Clock} from '../../protocol/clock.ts';
 import type {Logger} from '../../protocol/logger.ts';
-import type {
-  Member,
-  Membership,
-  ReplicaDescription,
-} from '../../protocol/replication.ts';
+import type {Member, Membership} from '../../protocol/replication.ts';
 import {ContactLog} from './contact_log.ts';
+import {HostProbes} from './host_probes.ts';
 import type {Leadership} from './leadership.ts';
-import {formatMember, isSameMember, type ReplicaHost} from './member.ts';
-import type {ReplicaPeer} from './peer_replicator.ts';
+import {formatMember, type ReplicaHost} from './member.ts';
+import {REACHABLE_MS, type ReplicaPeer} from './peer_replicator.ts';
 import {
+  formatLost,
   planMembership,
   type MembershipStep,
+  type MembershipView,
   type VoterView,
 } from './plan_membership.ts';
 
 /** Interval between checks of the membership. */
-const CHECK_INTERVAL_MS = 1_000;
-
-/** A voter counts as reachable if it replied within this time. */
-const REACHABLE_TIMEOUT_MS = 1_000;
-
-/** Timeout for a host's description of its replica. */
-const DESCRIBE_TIMEOUT_MS = 500;
+const CHECK_INTERVAL_MS = 200;
 
 export interface MembershipRepairOptions {
   readonly group: string;
@@ -32,12 +25,15 @@
   /** Lists the hosts that may currently run replicas. */
   readonly listHosts: () => readonly ReplicaHost[];
   readonly voterCount: number;
+  readonly spareCount: number;
   readonly replaceAfterMs: number;
+  readonly succeededAfterMs: number;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly getPeer: (name: string) => ReplicaPeer;
   readonly leadership: Leadership;
-  readonly getMembership: () => Membership;
+  /** Lists the voters as observed by this leader and those before it. */
+  readonly listVoters: () => readonly VoterView[];
   readonly getCommitIndex: () => number;
   /** Updates the peers replicated to after voters or learners changed. */
   readonly servePeers: () => void;
@@ -52,63 +48,64 @@
 export async function repairMembership(
   options: MembershipRepairOptions,
 ): Promise<void> {
-  const {leadership, clock, group, logger} = options;
+  const {leadership, clock, group, logger, getPeer} = options;
   const {signal} = leadership.stopped;
-  const contactLog = new ContactLog({
-    group,
-    logger,
-    silentAfterMs: REACHABLE_TIMEOUT_MS,
-  });
+  const silentAfterMs = REACHABLE_MS;
+  const contactLog = new ContactLog({group, logger, silentAfterMs});
+  const probes = new HostProbes({group, clock, getPeer});
   let changed = false;
+  let lastReason = '';
   while (!signal.aborted) {
     // Checks again at once after a change, so that the promotion of a learner
     // and the removal of the voter it replaces happen close together.
     if (!changed) await clock.sleep(CHECK_INTERVAL_MS, signal);
     changed = false;
     if (signal.aborted) return;
-    const leadingMs = clock.monotonic() - leadership.since;
-    contactLog.record(listVoters(options), leadingMs);
-    if (!needsRepair(options)) continue;
-    const descriptions = await describeHosts(options);
-    if (signal.aborted) return;
-    const step = planMembership({
-      leader: options.self,
-      hosts: options.listHosts(),
-      voterCount: options.voterCount,
-      replaceAfterMs: options.replaceAfterMs,
-      reachableMs: REACHABLE_TIMEOUT_MS,
-      voters: listVoters(options),
-      learners: [...leadership.learners.values()].map(member => ({
-        member,
-        caughtUp: hasCaughtUp(options, member),
-      })),
-      descriptions,
-    });
-    changed = await applyStep(options, step);
+    const view = createView(options, probes);
+    contactLog.record(view.voters, view.leadingMs);
+    const step = planMembership(view);
+    const reason = step.type === 'wait' ? step.reason : '';
+    if (reason !== '' && reason !== lastReason) {
+      const voters = formatVoters(view);
+      logger.warn('Cannot repair the membership yet.', {group, reason, voters});
+    }
+    lastReason = reason;
+    changed = await applyStep(options, view, step);
   }
 }
 
-function needsRepair(options: MembershipRepairOptions): boolean {
-  const {voterCount, leadership} = options;
-  const hosts = options.listHosts();
-  const voters = listVoters(options);
-  return (
-    leadership.learners.size > 0 ||
-    voters.length !== Math.min(voterCount, hosts.length) ||
-    voters.some(voter => voter.sinceContactMs > REACHABLE_TIMEOUT_MS)
+/** Asks the hosts that are not voters in contact, and gathers all inputs. */
+function createView(
+  options: MembershipRepairOptions,
+  probes: HostProbes,
+): MembershipView {
+  const {leadership, clock, self, listHosts, listVoters} = options;
+  const voters = listVoters();
+  const hosts = listHosts();
+  const inContact = new Set(
+    voters
+      .filter(({sinceContactMs}) => sinceContactMs <= REACHABLE_MS)
+      .map(({member}) => member.name),
   );
-}
-
-function listVoters(options: MembershipRepairOptions): VoterView[] {
-  const {leadership, clock, self} = options;
-  return options.getMembership().voters.map(member => {
-    const lastContactAt =
-      leadership.get(member)?.lastContactAt ?? leadership.since;
-    const since = Math.max(lastContactAt, leadership.since);
-    const isSelf = isSameMember(member, self);
-    const sinceContactMs = isSelf ? 0 : clock.monotonic() - since;
-    return {member, sinceContactMs};
-  });
+  probes.refresh(
+    hosts.filter(({name}) => name !== self.name && !inContact.has(name)),
+  );
+  return {
+    leader: self,
+    leadingMs: clock.monotonic() - leadership.since,
+    hosts,
+    voterCount: options.voterCount,
+    spareCount: options.spareCount,
+    replaceAfterMs: options.replaceAfterMs,
+    succeededAfterMs: options.succeededAfterMs,
+    reachableMs: REACHABLE_MS,
+    voters,
+    learners: [...leadership.learners.values()].map(member => ({
+      member,
+      caughtUp: hasCaughtUp(options, member),
+    })),
+    descriptions: probes.list(),
+  };
 }
 
 function hasCaughtUp(options: MembershipRepairOptions, member: Member) {
@@ -116,38 +113,35 @@
   return (progress?.matchIndex ?? 0) >= options.getCommitIndex();
 }
 
-async function describeHosts(
-  options: MembershipRepairOptions,
-): Promise<Map<string, ReplicaDescription>> {
-  const {self, group} = options;
-  const hosts = options.listHosts();
-  const answers = new Map<string, ReplicaDescription>();
-  const others = hosts.filter(host => host.name !== self.name);
-  await Promise.all(
-    others.map(async host => {
-      const answer = await options
-        .getPeer(host.name)
-        .describeReplica({group}, DESCRIBE_TIMEOUT_MS)
-        .catch(() => null);
-      if (answer) answers.set(host.name, answer);
-    }),
+function formatVoters({voters}: MembershipView): string[] {
+  return voters.map(
+    ({member, sinceContactMs}) =>
+      `${formatMember(member)}: ${Math.round(sinceContactMs)} ms`,
   );
-  return answers;
 }
 
 /** Applies a step; resolves to true if the voters changed. */
 async function applyStep(
   options: MembershipRepairOptions,
+  view: MembershipView,
   step: MembershipStep,
 ): Promise<boolean> {
   const {leadership, logger, group} = options;
-  if (step.type === 'none') return false;
+  if (step.type === 'none' || step.type === 'wait') return false;
   if (step.type === 'change') {
     const voters = step.voters.map(formatMember);
-    logger.info('Changes the voters.', {group, voters});
+    logger.info('Changes the voters.', {
+      group,
+      voters,
+      before: formatVoters(view),
+      lost: formatLost(step.lost),
+      leadingMs: Math.round(view.leadingMs),
+    });
     const isChanged = await options.change({voters: [...step.voters]});
     if (isChanged) {
       for (const voter of voters) leadership.learners.delete(voter);
+    } else {
+      logger.warn('Could not change the voters.', {group, voters});
     }
     return isChanged;
   }
--- a/src/coordination/replication/replica.ts
+++ b/src/coordination/replication/replica.ts
@@ -22,6 +22,7 @@
   Member,
   Membership,
   ReplicaDescription,
+  SilentMember,
   TransferRequest,
   VoteReply,
   VoteRequest,
@@ -38,14 +39,23 @@
 import {collectVotes} from './collect_votes.ts';
 import {formGroup} from './formation.ts';
 import {Leadership, type PeerProgress} from './leadership.ts';
-import {findMajorityValue, includesMember, type ReplicaHost} from './member.ts';
+import {
+  findMajorityValue,
+  includesMember,
+  isSameMember,
+  type ReplicaHost,
+} from './member.ts';
+import {MemberContacts} from './member_contacts.ts';
 import {MembershipHistory} from './membership_history.ts';
 import {repairMembership} from './repair_membership.ts';
 import {
   HEARTBEAT_MS,
+  LEARNER_HEARTBEAT_MS,
+  REACHABLE_MS,
   replicateToPeer,
   type ReplicaPeer,
 } from './peer_replicator.ts';
+import type {VoterView} from './plan_membership.ts';
 import {ProposalQueue, type Proposal} from './proposal_queue.ts';
 import {SnapshotReceiver} from './snapshot_receiver.ts';
 
@@ -74,6 +84,15 @@
 /** Default time without contact after which a voter is replaced. */
 const REPLACE_AFTER_MS = 30_000;
 
+/**
+ * Default time without contact after which a voter is replaced if a member with
+ * an empty disk has started: longer than an election takes.
+ */
+const SUCCEEDED_AFTER_MS = 2_000;
+
+/** Default number of learners that are kept caught up. */
+const SPARE_COUNT = 1;
+
 /** Default number of entries after which a snapshot is taken. */
 const SNAPSHOT_ENTRIES = 4_096;
 
@@ -92,6 +111,11 @@
   readonly listHosts: () => readonly ReplicaHost[];
   /** The target number of voters; the other hosts are spares. */
   readonly voterCount: number;
+  /**
+   * How many of the spares are kept caught up, so that a lost voter is replaced
+   * by a single commit; 1 by default.
+   */
+  readonly spareCount?: number;
   readonly storage: LogStorage;
   readonly stateMachine: StateMachine<C, R>;
   readonly getPeer: (name: string) => ReplicaPeer;
@@ -103,6 +127,11 @@
    * Time without contact after which a voter is replaced; 30,000 by default.
    */
   readonly replaceAfterMs?: number;
+  /**
+   * The same while a member without a vote has started with an empty disk, as
+   * the successor of a lost host does; 2,000 by default.
+   */
+  readonly succeededAfterMs?: number;
   /**
    * Number of entries after which a snapshot is taken; 4,096 by default.
    */
@@ -140,7 +169,10 @@
   private readonly proposals: ProposalQueue<C>;
   private readonly memberships: MembershipHistory;
   private readonly receiver = new SnapshotReceiver();
+  private readonly contacts = new MemberContacts();
   private readonly self: Member;
+  /** When it was opened with an empty disk, on the monotonic clock. */
+  private readonly emptySince: number | null;
   private leadership: Leadership | null = null;
   private currentLeader: string | null = null;
   private commitIndex: number;
@@ -163,6 +195,8 @@
   private constructor(private readonly options: ReplicaOptions<C, R>) {
     const {clock, storage, name} = options;
     this.self = {name, incarnation: storage.incarnation};
+    const isEmpty = storage.snapshot === null && storage.lastIndex === 0;
+    this.emptySince = isEmpty ? clock.monotonic() : null;
     this.appendWake = createSignal(clock);
     this.proposals = new ProposalQueue(clock);
     this.memberships = new MembershipHistory(storage);
@@ -259,7 +293,10 @@
   /** Returns this member's incarnation and whether it belongs to a group. */
   describe(): ReplicaDescription {
     const {incarnation} = this.self;
-    return {incarnation, formed: this.membership !== null};
+    const formed = this.membership !== null;
+    if (this.emptySince === null) return {incarnation, formed};
+    const emptySinceMs = this.options.clock.monotonic() - this.emptySince;
+    return {incarnation, formed, emptySinceMs};
   }
 
   /** Handles a request to join a newly formed group. */
@@ -308,6 +345,7 @@
         formed,
       });
       if (!(await this.acceptLeader(request))) return reject(0);
+      this.contacts.record(request.silent ?? [], this.leaderContactAt);
       if (!formed) return reject(0);
       const {previousIndex} = request;
       if (previousIndex > storage.lastIndex) return reject(storage.lastIndex);
@@ -510,6 +548,10 @@
   }
 
   private endLeadership(): void {
+    if (this.leadership) {
+      const now = this.options.clock.monotonic();
+      this.contacts.record(this.listSilent(0), now);
+    }
     this.leadership?.end();
     this.leadership = null;
     this.proposals.fail();
@@ -742,6 +784,11 @@
         clock,
         peer: this.options.getPeer(progress.member.name),
         getCommitIndex: () => this.commitIndex,
+        getHeartbeatMs: () =>
+          this.membership && includesMember(this.membership, progress.member)
+            ? HEARTBEAT_MS
+            : LEARNER_HEARTBEAT_MS,
+        listSilent: () => this.listSilent(REACHABLE_MS),
         onProgress: () => this.advanceCommit(),
         onLaterTerm: later => {
           void this.observeTerm(later).catch(error => this.logFailure(error));
@@ -762,6 +809,31 @@
     leadership.servePeers(others, this.options.storage.lastIndex + 1);
   }
 
+  /**
+   * Lists the voters with the time since their last contact with this leader,
+   * or, if there was none yet, with the leaders that it followed.
+   */
+  private listVoters(): VoterView[] {
+    const {leadership, contacts, self} = this;
+    const now = this.options.clock.monotonic();
+    return (this.membership?.voters ?? []).map(member => {
+      if (isSameMember(member, self)) return {member, sinceContactMs: 0};
+      const earlierAt = contacts.getLastContactAt(member) ?? this.leaderSince;
+      const contactAt = leadership?.get(member)?.lastContactAt ?? -Infinity;
+      return {member, sinceContactMs: now - Math.max(contactAt, earlierAt)};
+    });
+  }
+
+  /** Lists the voters without contact for longer than `ms`. */
+  private listSilent(ms: number): SilentMember[] {
+    return this.listVoters()
+      .filter(({sinceContactMs}) => sinceContactMs > ms)
+      .map(({member, sinceContactMs}) => ({
+        ...member,
+        silentMs: sinceContactMs,
+      }));
+  }
+
   private async repairMembership(leadership: Leadership): Promise<void> {
     const {group, listHosts, voterCount, clock, logger} = this.options;
     await repairMembership({
@@ -769,12 +841,14 @@
       self: this.self,
       listHosts,
       voterCount,
+      spareCount: this.options.spareCount ?? SPARE_COUNT,
       clock,
       logger,
       leadership,
       replaceAfterMs: this.options.replaceAfterMs ?? REPLACE_AFTER_MS,
+      succeededAfterMs: this.options.succeededAfterMs ?? SUCCEEDED_AFTER_MS,
       getPeer: this.options.getPeer,
-      getMembership: () => this.membership ?? {voters: []},
+      listVoters: () => this.listVoters(),
       getCommitIndex: () => this.commitIndex,
       servePeers: () => this.servePeers(),
       change: membership => this.changeMembership(membership),
--- a/src/protocol/replication.ts
+++ b/src/protocol/replication.ts
@@ -15,6 +15,14 @@
 
 export type Membership = z.infer<typeof membershipSchema>;
 
+/** A voter that does not answer the leader. */
+export const silentMemberSchema = memberSchema.extend({
+  /** How long ago it last answered, in ms. */
+  silentMs: z.number().nonnegative(),
+});
+
+export type SilentMember = z.infer<typeof silentMemberSchema>;
+
 /** One entry of a replicated log. */
 export const logEntrySchema = z.object({
   index: z.int().positive(),
@@ -57,6 +65,8 @@
   previousTerm: z.int(),
   entries: z.array(logEntrySchema),
   commitIndex: z.int(),
+  /** The voters that do not answer; absent from earlier versions. */
+  silent: z.array(silentMemberSchema).optional(),
 });
 
 export type AppendRequest = z.infer<typeof appendRequestSchema>;
@@ -99,6 +109,11 @@
   readonly incarnation: string;
   /** Whether the replica belongs to a group. */
   readonly formed: boolean;
+  /**
+   * How long ago it started with an empty disk, in ms. Absent if the disk had
+   * content, and from earlier versions.
+   */
+  readonly emptySinceMs?: number;
 }
 
 export const formRequestSchema = z.object({
