Campaign again soon after a lost election

A candidate that lost an election, mostly since two stood at the same time, waited for a whole election timeout. It now campaigns again after 100 to 200 ms, backing off to the election timeout, and a vote is waited for 400 ms instead of 600.

Time without a leader after the loss of one, 180 losses in simulated groups of five with messages delayed by up to 60 ms (script of the moment): median 1,350 ms, 99th percentile 2,675, longest 2,775 before; 1,250, 1,950 and 2,500 now. With 2 in 100 messages lost: 1,325, 2,650, 2,775 before; 1,250, 2,475, 2,575 now.

--- a/src/coordination/replication/collect_votes.ts
+++ b/src/coordination/replication/collect_votes.ts
@@ -4,7 +4,7 @@
 import type {ReplicaPeer} from './peer_replicator.ts';
 
 /** Timeout for one vote request. */
-const VOTE_TIMEOUT_MS = 600;
+const VOTE_TIMEOUT_MS = 400;
 
 export interface CollectVotesOptions {
   readonly voters: readonly Member[];
--- a/src/coordination/replication/replica.ts
+++ b/src/coordination/replication/replica.ts
@@ -65,6 +65,12 @@
  */
 export const ELECTION_TIMEOUT_MS = 1_000;
 
+/**
+ * A candidate that lost an election campaigns again after this long, and after
+ * twice as long each further time, plus a random delay of up to as much again.
+ */
+const ELECTION_RETRY_MS = 100;
+
 /**
  * How long leadership is trusted, counted from the sending of the calls that a
  * majority last answered. Shorter than the election timeout, during which
@@ -184,6 +190,10 @@
    * down, a campaign or a granted vote.
    */
   private timerStartedAt: number;
+  /** The time after the reset at which an election starts. */
+  private electionTimeoutMs: number;
+  /** The elections lost since the last contact with a leader. */
+  private lostElections = 0;
   /**
    * Time of the last contact with a leader. No vote is granted within an
    * election timeout of it. Starts at the time of construction, because the
@@ -201,6 +211,7 @@
     this.proposals = new ProposalQueue(clock);
     this.memberships = new MembershipHistory(storage);
     this.timerStartedAt = clock.monotonic();
+    this.electionTimeoutMs = this.drawElectionTimeout();
     this.leaderContactAt = this.timerStartedAt;
     this.commitIndex = storage.snapshot?.index ?? 0;
     this.appliedIndex = this.commitIndex;
@@ -326,7 +337,7 @@
       if (granted) {
         const vote = {term, votedFor: request.candidate};
         await this.options.storage.saveHardState(vote);
-        this.timerStartedAt = this.options.clock.monotonic();
+        this.resetElectionTimer();
       }
       return {term, granted};
     });
@@ -528,8 +539,9 @@
     if (term < this.term) return false;
     if (term > this.term) await this.adoptTerm(term);
     this.follow(leader);
-    this.leaderContactAt = this.options.clock.monotonic();
-    this.timerStartedAt = this.leaderContactAt;
+    this.resetElectionTimer();
+    this.lostElections = 0;
+    this.leaderContactAt = this.timerStartedAt;
     return true;
   }
 
@@ -641,8 +653,6 @@
   private async runElectionTimer(): Promise<void> {
     const {clock, random} = this.options;
     const {signal} = this.stopped;
-    const chooseTimeout = () => ELECTION_TIMEOUT_MS * (1 + random() / 2);
-    let timeoutMs = chooseTimeout();
     while (!signal.aborted) {
       if (this.leadership) {
         this.checkQuorum();
@@ -650,17 +660,34 @@
         await clock.sleep(HEARTBEAT_MS, signal);
         continue;
       }
-      const leftMs = this.timerStartedAt + timeoutMs - clock.monotonic();
+      const startsAt = this.timerStartedAt + this.electionTimeoutMs;
+      const leftMs = startsAt - clock.monotonic();
       if (leftMs > 0) {
         await clock.sleep(leftMs, signal);
         continue;
       }
-      this.timerStartedAt = clock.monotonic();
-      timeoutMs = chooseTimeout();
+      this.resetElectionTimer();
+      const startedAt = this.timerStartedAt;
       await this.campaign({transfer: false});
+      // Changed if another candidate got this member's vote meanwhile.
+      if (this.timerStartedAt !== startedAt || !this.isVoter()) continue;
+      this.timerStartedAt = clock.monotonic();
+      const retryMs = ELECTION_RETRY_MS * 2 ** this.lostElections++;
+      this.electionTimeoutMs =
+        Math.min(ELECTION_TIMEOUT_MS, retryMs) * (1 + random());
     }
   }
 
+  /** Restarts the time after which this member starts an election. */
+  private resetElectionTimer(): void {
+    this.timerStartedAt = this.options.clock.monotonic();
+    this.electionTimeoutMs = this.drawElectionTimeout();
+  }
+
+  private drawElectionTimeout(): number {
+    return ELECTION_TIMEOUT_MS * (1 + this.options.random() / 2);
+  }
+
   private checkQuorum(): void {
     const {clock, logger, group} = this.options;
     const now = clock.monotonic();
@@ -670,7 +697,7 @@
       group,
       term: this.term,
     });
-    this.timerStartedAt = now;
+    this.resetElectionTimer();
     this.follow(null);
   }
 
@@ -759,6 +786,7 @@
       const startIndex = storage.lastIndex + 1;
       await this.append([{index: startIndex, term, command: null}]);
       this.role.send('win');
+      this.lostElections = 0;
       this.currentLeader = name;
       const serve = (progress: PeerProgress) => this.servePeer(progress, term);
       const created = new Leadership({term, startIndex, clock, serve});
