Let hosts come and go for good in the simulated group

Change: hosts can be added and removed for good while it runs. With `hasDiscovery` each host lists itself and those that contacted it, as core daemons do: known 0.2 to 0.8 s after a start, listed for 30 s after an end, forgotten by a restart. The clock and the disk, the network and the list of hosts are files of their own. A call of a process that has ended is not delivered after its host starts again, and the time-out of a call does not end while the caller is frozen. A disk that is opened again must hold what it had synced.

No code of the product changes.

Conclusion: drawn histories of replaced hosts can now be tested.

--- a/src/coordination/replication/recorder_fake.ts
+++ b/src/coordination/replication/recorder_fake.ts
@@ -9,6 +9,8 @@
 
   constructor(
     private readonly onApply: (index: number, hash: number) => void,
+    /** Makes snapshots larger. */
+    private readonly padding = '',
   ) {}
 
   apply(command: string, index: number): number {
@@ -19,7 +21,8 @@
   }
 
   createSnapshot(): unknown {
-    return {commands: this.commands, hash: this.hash};
+    const {commands, hash, padding} = this;
+    return {commands, hash, padding};
   }
 
   restoreSnapshot(snapshot: unknown): void {
--- a/src/coordination/replication/simulated_group.ts
+++ b/src/coordination/replication/simulated_group.ts
@@ -5,75 +5,29 @@
  * lead at the same time, that no voter is listed twice, and that all members
  * apply the same commands in the same order.
  */
-import type {Clock} from '../../protocol/clock.ts';
 import type {Logger} from '../../protocol/logger.ts';
 import type {ProposeReply} from '../../protocol/peer_service.ts';
-import type {Member, ReplicationService} from '../../protocol/replication.ts';
+import type {Member} from '../../protocol/replication.ts';
 import {silentLogger} from '../../protocol/logger.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
 import {MemoryFileSystem} from '../../state/files/memory_file_system.ts';
 import {openFileLog, type FileLog} from '../../state/log/file_log.ts';
-import {formatMember, isSameMember} from './member.ts';
+import {formatMember, isSameMember, type ReplicaHost} from './member.ts';
 import {Recorder} from './recorder_fake.ts';
-import type {ReplicaPeer} from './peer_replicator.ts';
 import {Replica} from './replica.ts';
+import {SimulatedDirectory} from './simulated_directory.ts';
+import {
+  HostClock,
+  createSlowDisk,
+  type SimulatedHost,
+} from './simulated_host.ts';
+import {SimulatedNetwork} from './simulated_network.ts';
 
 /** Simulated time between two checks of the invariants. */
 const CHECK_INTERVAL_MS = 25;
 
 const FOLDER = '/data/group';
 
-/**
- * The clock of one host. While the host is frozen, its sleeps do not return,
- * as in a suspended process.
- */
-class HostClock implements Clock {
-  private unfreeze: (() => void) | null = null;
-  private frozen: Promise<void> = Promise.resolve();
-
-  constructor(private readonly clock: Clock) {}
-
-  now(): number {
-    return this.clock.now();
-  }
-
-  monotonic(): number {
-    return this.clock.monotonic();
-  }
-
-  async sleep(ms: number, signal?: AbortSignal): Promise<void> {
-    await this.clock.sleep(ms, signal);
-    await this.frozen;
-  }
-
-  /** Resolves at once, or when a frozen host is resumed. */
-  waitUntilRunning(): Promise<void> {
-    return this.frozen;
-  }
-
-  freeze(): void {
-    if (this.unfreeze) return;
-    this.frozen = new Promise(resolve => (this.unfreeze = resolve));
-  }
-
-  resume(): void {
-    this.unfreeze?.();
-    this.unfreeze = null;
-  }
-}
-
-/** A host of the group. */
-export interface SimulatedHost {
-  readonly name: string;
-  readonly files: MemoryFileSystem;
-  readonly clock: HostClock;
-  /** `null` while the host is down. */
-  replica: Replica<string, number> | null;
-  storage: FileLog | null;
-  recorder: Recorder;
-  incarnation: string;
-}
-
 export interface SimulatedGroupOptions {
   readonly hosts: readonly string[];
   readonly voterCount: number;
@@ -83,39 +37,66 @@
   readonly random: () => number;
   /** Number of entries after which a snapshot is taken; 10 by default. */
   readonly snapshotEntries?: number;
-}
-
-/** Faults of the network: probabilities of faults and the longest delay. */
-export interface NetworkFaults {
-  drop: number;
-  duplicate: number;
-  maxDelayMs: number;
+  /** Size of the state beside the commands; none by default. */
+  readonly stateBytes?: number;
+  /** Region and data centre of a host; by default all are in one region. */
+  readonly getPlace?: (name: string) => Omit<ReplicaHost, 'name'>;
+  /**
+   * Whether hosts learn of each other as core daemons do; by default each host
+   * lists all hosts of `hosts`.
+   */
+  readonly hasDiscovery?: boolean;
+  /** Returns how long a sync takes; 0 by default. */
+  readonly drawSyncMs?: (name: string) => number;
 }
 
 /** A running group. */
 export class SimulatedGroup {
   readonly clock = new SimulatedClock();
   readonly hosts = new Map<string, SimulatedHost>();
-  readonly network: NetworkFaults = {drop: 0, duplicate: 0, maxDelayMs: 4};
-  /** Hosts that can neither send nor receive. */
-  readonly isolated = new Set<string>();
+  readonly network: SimulatedNetwork;
   /** The violated invariants; empty in a correct implementation. */
   readonly violations: string[] = [];
   private readonly leaders = new Map<number, string>();
   private readonly hashes = new Map<number, number>();
 
+  private readonly directory: SimulatedDirectory;
+
   constructor(private readonly options: SimulatedGroupOptions) {
-    for (const name of options.hosts) {
-      this.hosts.set(name, {
-        name,
-        files: new MemoryFileSystem(),
-        clock: new HostClock(this.clock),
-        replica: null,
-        storage: null,
-        recorder: this.createRecorder(name),
-        incarnation: '',
-      });
-    }
+    const {clock} = this;
+    const {random} = options;
+    const findHost = (name: string) => this.hosts.get(name);
+    this.network = new SimulatedNetwork({clock, random, findHost});
+    this.directory = new SimulatedDirectory({clock, random});
+    for (const name of options.hosts) this.addHost(name).bootstraps = true;
+  }
+
+  /** Hosts that can neither send nor receive. */
+  get isolated(): Set<string> {
+    return this.network.isolated;
+  }
+
+  /** Adds a host with an empty disk, which is down. */
+  addHost(name: string): SimulatedHost {
+    const host: SimulatedHost = {
+      name,
+      place: this.getPlace(name),
+      files: new MemoryFileSystem(),
+      clock: new HostClock(this.clock),
+      bootstraps: false,
+      replica: null,
+      storage: null,
+      recorder: this.createRecorder(name),
+      incarnation: '',
+    };
+    this.hosts.set(name, host);
+    return host;
+  }
+
+  /** Removes a host and its disk for good, without warning. */
+  removeHost(name: string): void {
+    this.loseDisk(name);
+    this.hosts.delete(name);
   }
 
   /** Starts all hosts. */
@@ -127,24 +108,25 @@
   async start(name: string): Promise<void> {
     const host = this.getHost(name);
     if (host.replica) return;
+    this.directory.recordStart(name, this.hosts.keys());
     const storage = await this.openLog(name);
+    this.checkKept(host, storage);
     host.storage = storage;
     host.incarnation = storage.incarnation;
     host.recorder = this.createRecorder(name);
-    const hosts = this.options.hosts.map(each => ({
-      name: each,
-      region: 'plovdiv',
-      dataCentre: each,
-    }));
+    const {hosts, bootstrapHostCount, hasDiscovery} = this.options;
+    const initial = hosts.map(each => this.getPlace(each));
+    const seeds = host.bootstraps ? initial.slice(0, bootstrapHostCount) : [];
     host.replica = await Replica.open<string, number>({
       group: 'group',
       name,
-      bootstrapHosts: hosts.slice(0, this.options.bootstrapHostCount),
-      listHosts: () => hosts,
+      bootstrapHosts: seeds,
+      listHosts: () =>
+        hasDiscovery ? this.directory.listHosts(host) : initial,
       voterCount: this.options.voterCount,
       storage,
       stateMachine: host.recorder,
-      getPeer: to => this.createPeer(name, to),
+      getPeer: to => this.network.createPeer(to, {from: host, log: storage}),
       clock: host.clock,
       random: this.options.random,
       logger: this.createLogger(name),
@@ -156,9 +138,14 @@
 
   /** Opens the log of a host that is down. */
   async openLog(name: string): Promise<FileLog> {
+    const {clock, files} = this.getHost(name);
+    const disk = files.connect();
+    const {drawSyncMs} = this.options;
     const opened = await openFileLog({
       folder: FOLDER,
-      files: this.getHost(name).files.connect(),
+      files: drawSyncMs
+        ? createSlowDisk(disk, {clock, drawSyncMs: () => drawSyncMs(name)})
+        : disk,
       segmentBytes: 600,
       trailingEntries: 4,
     });
@@ -179,13 +166,36 @@
   /** Crashes a host and erases its disk. */
   loseDisk(name: string): void {
     this.crash(name);
-    this.getHost(name).files.erase();
+    const host = this.getHost(name);
+    host.files.erase();
+    host.storage = null;
+  }
+
+  /** Stops a host in an orderly way; its disk keeps what was synced. */
+  async stop(name: string, graceMs: number): Promise<void> {
+    const {replica, clock} = this.getHost(name);
+    const disposed = replica?.[Symbol.asyncDispose]();
+    await Promise.race([disposed, clock.sleep(graceMs)]);
+    this.crash(name);
+  }
+
+  /** Checks that a disk has kept what it had synced before a crash. */
+  private checkKept({name, storage}: SimulatedHost, opened: FileLog): void {
+    if (!storage) return;
+    const [before, after] = [storage, opened].map(log => ({
+      term: log.getTerm(log.lastIndex) ?? 0,
+      index: log.lastIndex,
+    }));
+    if (!before || !after || after.term > before.term) return;
+    if (after.term === before.term && after.index >= before.index) return;
+    this.violations.push(`${name} lost entries that it had synced`);
   }
 
   /** Advances the clock, checking the invariants at an interval. */
   async run(ms: number): Promise<void> {
     for (let passed = 0; passed < ms; passed += CHECK_INTERVAL_MS) {
       await this.clock.advance(Math.min(CHECK_INTERVAL_MS, ms - passed));
+      this.directory.exchange(this.listReachable());
       const leaders = this.listLeaders();
       if (leaders.length > 1) {
         this.violations.push(`${leaders.join(' and ')} lead at the same time`);
@@ -219,6 +229,19 @@
       .map(host => host.name);
   }
 
+  /** Lists the hosts that run and are neither frozen nor cut off. */
+  listReachable(): SimulatedHost[] {
+    return [...this.hosts.values()].filter(
+      ({name, replica, clock}) =>
+        replica !== null && !clock.isFrozen && !this.isolated.has(name),
+    );
+  }
+
+  /** Lists the names of the hosts that a host knows, itself included. */
+  listKnown(name: string): string[] {
+    return this.directory.listHosts(this.getHost(name)).map(each => each.name);
+  }
+
   /** Proposes to the leader; `null` while there is none. */
   propose(command: string): Promise<ProposeReply> | null {
     const [leader] = this.listLeaders();
@@ -255,18 +278,25 @@
   }
 
   private isCurrent(voter: Member): boolean {
-    const host = this.getHost(voter.name);
-    return host.replica !== null && isSameMember(voter, host);
+    const host = this.hosts.get(voter.name);
+    return !!host?.replica && isSameMember(voter, host);
+  }
+
+  private getPlace(name: string): ReplicaHost {
+    const place = this.options.getPlace?.(name);
+    return {name, region: 'plovdiv', dataCentre: name, ...place};
   }
 
   private createRecorder(name: string): Recorder {
-    return new Recorder((index, hash) => {
+    const {stateBytes = 0} = this.options;
+    const onApply = (index: number, hash: number) => {
       const known = this.hashes.get(index);
       if (known !== undefined && known !== hash) {
         this.violations.push(`${name} applied a different entry ${index}`);
       }
       this.hashes.set(index, hash);
-    });
+    };
+    return new Recorder(onApply, 'x'.repeat(stateBytes));
   }
 
   private createLogger(name: string): Logger {
@@ -283,94 +313,4 @@
       },
     };
   }
-
-  private createPeer(from: string, to: string): ReplicaPeer {
-    const call =
-      (method: keyof ReplicationService) =>
-      (request: never, timeoutMs: number) =>
-        this.send({from, to, method, request, timeoutMs});
-    const names: Array<keyof ReplicationService> = [
-      'vote',
-      'append',
-      'installSnapshot',
-      'describeReplica',
-      'formGroup',
-      'transferLeadership',
-    ];
-    return Object.fromEntries(
-      names.map(name => [name, call(name)]),
-    ) as unknown as ReplicaPeer;
-  }
-
-  private async send(message: {
-    from: string;
-    to: string;
-    method: keyof ReplicationService;
-    request: unknown;
-    timeoutMs: number;
-  }): Promise<unknown> {
-    const {timeoutMs} = message;
-    const deliver = this.deliver(message);
-    const timeout = this.clock.sleep(timeoutMs).then(() => {
-      throw new Error('Timed out');
-    });
-    if (this.options.random() < this.network.duplicate) {
-      void this.deliver(message).catch(() => {});
-    }
-    deliver.catch(() => {});
-    return Promise.race([deliver, timeout]);
-  }
-
-  private async deliver(message: {
-    from: string;
-    to: string;
-    method: keyof ReplicationService;
-    request: unknown;
-  }): Promise<unknown> {
-    const {from, to, method} = message;
-    const request = structuredClone(message.request);
-    await this.delayOrDrop(from, to);
-    await this.getHost(to).clock.waitUntilRunning();
-    const {replica} = this.getHost(to);
-    if (!replica) return this.neverReply();
-    const reply = await handleCall(replica, method, request);
-    if (this.getHost(to).replica !== replica) return this.neverReply();
-    await this.delayOrDrop(to, from);
-    await this.getHost(from).clock.waitUntilRunning();
-    return structuredClone(reply);
-  }
-
-  /** Delays a message, or never resolves if the message is dropped. */
-  private async delayOrDrop(from: string, to: string): Promise<void> {
-    const {drop, maxDelayMs} = this.network;
-    const lost = this.options.random() < drop;
-    await this.clock.sleep(1 + this.options.random() * maxDelayMs);
-    const cut = this.isolated.has(from) || this.isolated.has(to);
-    if (lost || cut || !this.getHost(from).replica) await this.neverReply();
-  }
-
-  private neverReply(): Promise<never> {
-    return new Promise(() => {});
-  }
-}
-
-async function handleCall(
-  replica: Replica<string, number>,
-  method: keyof ReplicationService,
-  request: unknown,
-): Promise<unknown> {
-  switch (method) {
-    case 'vote':
-      return replica.handleVote(request as never);
-    case 'append':
-      return replica.handleAppend(request as never);
-    case 'installSnapshot':
-      return replica.handleInstall(request as never);
-    case 'describeReplica':
-      return replica.describe();
-    case 'formGroup':
-      return replica.handleForm(request as never);
-    case 'transferLeadership':
-      return replica.handleTransfer(request as never);
-  }
 }
