Share the seeded draws of drawn histories

Cause: the draws of prompt_history.ts are needed by a second drawn history.

Change: they move unchanged to protocol/seeded_draws.ts, beside the simulated clock; simulated_group_test.ts uses them too.

--- a/src/coordination/forwarding/prompt_history.ts
+++ b/src/coordination/forwarding/prompt_history.ts
@@ -1,6 +1,5 @@
 /** Plays a seeded history of a site whose engines a prompt part crashes. */
-import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
-import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {createDraws, type Draws} from '../../protocol/seeded_draws.ts';
 import type {CallFacts, PromptPart} from './call.ts';
 import {createRoute} from './forwarding_fakes.ts';
 import {SimulatedSite} from './simulated_site.ts';
@@ -25,8 +24,6 @@
 /** The share of requests with a part that no request had before. */
 const NEW_PART_SHARE = 0.2;
 
-const DISCARDED_DRAWS = 20;
-
 /** Crashes of a part after which it is counted. */
 const COUNTED_CRASHES = 5;
 
@@ -55,16 +52,6 @@
   readonly condemnedSound: number;
 }
 
-/** Seeded draws. */
-interface Draws {
-  /** Returns a number from 0 up to 1. */
-  readonly next: () => number;
-  /** Returns a whole number; both bounds are possible. */
-  readonly between: (low: number, high: number) => number;
-  /** Returns a number whose logarithm is evenly distributed. */
-  readonly log: (low: number, high: number) => number;
-}
-
 /** What one history is played with. */
 interface Setting {
   readonly gateways: number;
@@ -114,18 +101,6 @@
   };
 }
 
-function createDraws(seed: number): Draws {
-  const generator = xoroshiro128plus(seed);
-  const next = () => uniformFloat64(generator);
-  // The first draws of small seeds are alike.
-  for (let index = 0; index < DISCARDED_DRAWS; index++) next();
-  return {
-    next,
-    between: (low, high) => low + Math.floor(next() * (high - low + 1)),
-    log: (low, high) => low * (high / low) ** next(),
-  };
-}
-
 function drawSetting(
   {next, between, log}: Draws,
   {hasBadParts = true, maxBadPerSecond = 20, ...options}: HistoryOptions,
--- a/src/coordination/replication/simulated_group_test.ts
+++ b/src/coordination/replication/simulated_group_test.ts
@@ -1,19 +1,13 @@
-import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
-import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {test} from 'uvu';
 import * as assert from 'uvu/assert';
+import {createDraws} from '../../protocol/seeded_draws.ts';
 import {SimulatedGroup} from './simulated_group.ts';
 
-function createRandom(seed: number): () => number {
-  const generator = xoroshiro128plus(seed);
-  return () => uniformFloat64(generator);
-}
-
 test('SimulatedGroup lists a host soon after its start, and long after its end', async () => {
   const group = new SimulatedGroup({
     hosts: ['a', 'b', 'c'],
     voterCount: 3,
-    random: createRandom(1),
+    random: createDraws(1).next,
     hasDiscovery: true,
   });
   await group.startAll();
@@ -45,7 +39,7 @@
     const group = new SimulatedGroup({
       hosts,
       voterCount: 3,
-      random: createRandom(1),
+      random: createDraws(1).next,
       getPlace: name => ({region: name, dataCentre: name}),
       drawSyncMs: () => syncMs,
     });
