Let simulated successors have names of their own, and trace histories

A group below five hosts is formed with an odd number of voters, as the leader now keeps it. A change that promotes a spare counts for the loss that it repairs, also if that spare had succeeded an earlier loss that was already repaired; the sum over all losses is the same. CORE_TURNOVER_TRACE prints what hosts log.

--- a/src/coordination/replication/core_turnover_test.ts
+++ b/src/coordination/replication/core_turnover_test.ts
@@ -4,7 +4,8 @@
  * the one before counts as back.
  *
  * CORE_TURNOVER_SEEDS sets how many histories are played, from
- * CORE_TURNOVER_FROM on; CORE_TURNOVER_PRINT prints the figures of each.
+ * CORE_TURNOVER_FROM on; CORE_TURNOVER_PRINT prints the figures of each, and
+ * CORE_TURNOVER_TRACE what the hosts log.
  */
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
@@ -28,6 +29,10 @@
 const MAX_CHANGES = 2;
 const MAX_MEDIAN_PASSING_CHANGES = 0;
 
+const trace = process.env['CORE_TURNOVER_TRACE']
+  ? (line: string, fields?: object) => console.log(line, fields ?? '')
+  : undefined;
+
 let histories: Promise<TurnoverFigures[]> | null = null;
 
 /** Plays the histories once for all tests. */
@@ -39,7 +44,7 @@
 async function runHistories(): Promise<TurnoverFigures[]> {
   const played: TurnoverFigures[] = [];
   for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
-    const figures = await runTurnover(seed);
+    const figures = await runTurnover(seed, {trace});
     if (process.env['CORE_TURNOVER_PRINT']) {
       console.log(JSON.stringify(figures));
     }
--- a/src/coordination/replication/simulated_group.ts
+++ b/src/coordination/replication/simulated_group.ts
@@ -35,6 +35,8 @@
   readonly bootstrapHostCount?: number;
   /** Returns a number in [0, 1). */
   readonly random: () => number;
+  /** Receives the log lines of all hosts, for the trace of a failure. */
+  readonly trace?: (line: string, fields?: object) => void;
   /** Number of entries after which a snapshot is taken; 10 by default. */
   readonly snapshotEntries?: number;
   /** Size of the state beside the commands; none by default. */
@@ -284,7 +286,7 @@
 
   private getPlace(name: string): ReplicaHost {
     const place = this.options.getPlace?.(name);
-    return {name, region: 'plovdiv', dataCentre: name, ...place};
+    return {region: 'plovdiv', dataCentre: name, ...place, name};
   }
 
   private createRecorder(name: string): Recorder {
@@ -300,9 +302,15 @@
   }
 
   private createLogger(name: string): Logger {
+    const {trace} = this.options;
+    const write: Logger['warn'] = (message, fields) =>
+      trace?.(`${this.clock.monotonic()} ${name} ${message}`, fields);
     return {
       ...silentLogger,
+      error: write,
+      warn: write,
       info: (message, fields) => {
+        write(message, fields);
         if (message !== 'Becomes leader.') return;
         const term = Number(fields?.['term']);
         const known = this.leaders.get(term);
--- a/src/coordination/replication/turnover_history.ts
+++ b/src/coordination/replication/turnover_history.ts
@@ -15,6 +15,11 @@
 /** The number of voters of a core daemon's group. */
 const VOTER_COUNT = 5;
 
+/** Counts the voters of a group of hosts; below the target the number is odd. */
+function countVoters(hosts: number): number {
+  return hosts >= VOTER_COUNT ? VOTER_COUNT : hosts - (1 - (hosts % 2));
+}
+
 /** The number of hosts that form the group. */
 const SEED_HOSTS = 3;
 
@@ -62,11 +67,19 @@
   readonly lateProposals: number;
 }
 
+export interface RunTurnoverOptions {
+  /** Receives losses and the log lines of all hosts. */
+  readonly trace?: ((line: string, fields?: object) => void) | undefined;
+}
+
 /** Plays the history of a seed and returns its figures. */
-export async function runTurnover(seed: number): Promise<TurnoverFigures> {
+export async function runTurnover(
+  seed: number,
+  {trace}: RunTurnoverOptions = {},
+): Promise<TurnoverFigures> {
   const draws = createDraws(seed);
   const setting = drawSetting(draws);
-  const history = new TurnoverHistory(setting, draws);
+  const history = new TurnoverHistory(setting, {draws, trace});
   await history.run();
   return {seed, setting: describeSetting(setting), ...history.describe()};
 }
@@ -85,10 +98,15 @@
   private isEnded = false;
   private error: unknown = null;
 
+  private readonly draws: Draws;
+  private readonly trace: (line: string, fields?: object) => void;
+
   constructor(
     private readonly setting: TurnoverSetting,
-    private readonly draws: Draws,
+    {draws, trace = () => {}}: RunTurnoverOptions & {readonly draws: Draws},
   ) {
+    this.draws = draws;
+    this.trace = trace;
     const {snapshotEntries, stateBytes, hosts, network} = setting;
     const names = Array.from({length: hosts}, () => this.createName());
     this.group = new SimulatedGroup({
@@ -96,6 +114,7 @@
       voterCount: VOTER_COUNT,
       bootstrapHostCount: Math.min(SEED_HOSTS, hosts),
       random: draws.next,
+      trace,
       snapshotEntries,
       stateBytes,
       hasDiscovery: true,
@@ -166,7 +185,7 @@
 
   private createWatch(): TurnoverWatch {
     const {hosts, toleratedLosses} = this.setting;
-    const voters = Math.min(VOTER_COUNT, hosts);
+    const voters = countVoters(hosts);
     const fullBorne = Math.floor((voters - 1) / 2);
     const {group} = this;
     this.watch = new TurnoverWatch({group, toleratedLosses, fullBorne});
@@ -180,7 +199,7 @@
 
   private async form(): Promise<void> {
     this.runTask(this.group.startAll());
-    const voters = Math.min(VOTER_COUNT, this.setting.hosts);
+    const voters = countVoters(this.setting.hosts);
     const isFormed = () => {
       const [leader] = this.group.listLeaders();
       if (leader === undefined) return false;
@@ -261,6 +280,7 @@
     const host = this.chooseVictim(early?.name);
     if (!host) return;
     this.busy.add(host);
+    this.trace(`${this.now} ${host.name} is lost: ${kind}`);
     const loss = watch.beginLoss(kind, host);
     if (early) watch.recordSuccessor(loss, early.name, early.startedAt);
     if (isRemoval) await this.runRemoval(loss, host);
@@ -268,6 +288,7 @@
     const backAt = isRemoval ? (loss.successorAt ?? this.now) : this.now;
     await clock.sleep(Math.max(0, backAt + CATCH_UP_MS - this.now));
     this.busy.delete(host);
+    this.trace(`${this.now} the loss of ${host.name} is over`);
     watch.finishLoss(loss);
   }
 
@@ -280,6 +301,7 @@
 
   private addSuccessor(place?: Omit<ReplicaHost, 'name'>): string {
     const name = this.createName(place);
+    this.trace(`${this.now} ${name} starts as a successor`);
     this.group.addHost(name);
     this.runTask(this.group.start(name));
     return name;
@@ -302,12 +324,13 @@
   }
 
   private async runRemoval(loss: Loss, host: SimulatedHost): Promise<void> {
-    const {name, place} = host;
+    const {name} = host;
+    const {region, dataCentre} = host.place;
     if (loss.kind === 'stop') await this.group.stop(name, STOP_GRACE_MS);
     this.group.removeHost(name);
     if (loss.successor !== null) return;
     await this.group.clock.sleep(this.draws.between(1_000, 2_000));
-    const successor = this.addSuccessor(place);
+    const successor = this.addSuccessor({region, dataCentre});
     this.getWatch().recordSuccessor(loss, successor, this.now);
   }
 
--- a/src/coordination/replication/voter_changes.ts
+++ b/src/coordination/replication/voter_changes.ts
@@ -51,8 +51,9 @@
   }
 
   /**
-   * Finds the loss of a removed voter, or the earliest loss of a voter for good
-   * that has no replacement yet; otherwise the latest loss.
+   * Finds the loss of a removed voter; the loss without a replacement yet whose
+   * successor is added; or the earliest loss of a voter for good without one, as
+   * a spare may take the place. Otherwise it is the latest loss.
    */
   private findCause(
     added: readonly Member[],
@@ -64,8 +65,10 @@
     return (
       latest.find(({victim}) => ids.includes(formatMember(victim))) ??
       latest.find(
-        ({victim, successor}) =>
-          names.includes(victim.name) || names.includes(successor ?? ''),
+        loss =>
+          !this.replaced.has(loss) &&
+          (names.includes(loss.victim.name) ||
+            names.includes(loss.successor ?? '')),
       ) ??
       this.losses.find(
         loss =>
