Remove lost voters of small groups, and use each successor once as evidence

Drawn histories of losses (core_turnover_test.ts) showed, with the first repair: - In groups below five voters a lost voter stayed after its successor was promoted: the successor had a vote by then and was no evidence any more. Four voters with one lost bear no further loss. A voter that is silent while the number of voters is even is now removed. - A new member stayed evidence after a spare had repaired its loss, so a voter that froze for a second was replaced as well. Each start explains one loss, at most 10 s before the silence; a voter is replaced after 1.5 s. - A spare in another region was a round trip behind each commit and seldom counted as caught up. Chunks grow to 256 KiB while they are acknowledged quickly. - The leader looks each 100 ms, and waits 700 ms for answers to its own calls before it trusts the silences that it took over.

--- a/src/coordination/replication/find_lost_voters.ts
+++ b/src/coordination/replication/find_lost_voters.ts
@@ -6,7 +6,14 @@
  * A member that started with an empty disk at most this long before a voter
  * fell silent may be its successor: planned ones start first.
  */
-const SUCCESSOR_LEAD_MS = 20_000;
+const SUCCESSOR_LEAD_MS = 10_000;
+
+/**
+ * A leader that has just been elected waits this long for the answers to its own
+ * calls, which takes longer than their timeout, before it trusts the silences
+ * that it took over.
+ */
+const SETTLE_MS = 700;
 
 /** Why a voter counts as lost. */
 export type LossReason =
@@ -22,6 +29,8 @@
 export interface LostVoter {
   readonly voter: VoterView;
   readonly reason: LossReason;
+  /** The member that is evidence of the loss, if the reason is 'succeeded'. */
+  readonly successor?: string;
 }
 
 /**
@@ -40,15 +49,15 @@
     if (reason) lost.push({voter, reason});
     else if (isSilent(view, voter, view.succeededAfterMs)) silent.push(voter);
   }
-  const successorAges = listSuccessorAges(view, lost);
+  const successors = listSuccessors(view, lost);
   silent.sort((a, b) => b.sinceContactMs - a.sinceContactMs);
   for (const voter of silent) {
-    const index = successorAges.findIndex(
-      ageMs => ageMs < voter.sinceContactMs + SUCCESSOR_LEAD_MS,
+    const index = successors.findIndex(
+      ({ageMs}) => ageMs < voter.sinceContactMs + SUCCESSOR_LEAD_MS,
     );
-    if (index < 0) continue;
-    successorAges.splice(index, 1);
-    lost.push({voter, reason: 'succeeded'});
+    const [successor] = index < 0 ? [] : successors.splice(index, 1);
+    if (!successor) continue;
+    lost.push({voter, reason: 'succeeded', successor: successor.id});
   }
   return lost;
 }
@@ -73,31 +82,34 @@
   return hosts.some(host => host.name === name);
 }
 
-/**
- * Whether a voter is silent for `ms`. A leader that has just been elected waits
- * for the answers to its own calls before it trusts what it took over.
- */
-function isSilent(view: MembershipView, voter: VoterView, ms: number): boolean {
-  if (view.leadingMs < view.reachableMs) return false;
+/** Whether a voter is silent for `ms`, and its host does not answer either. */
+export function isSilent(
+  view: MembershipView,
+  voter: VoterView,
+  ms: number,
+): boolean {
+  if (view.leadingMs < SETTLE_MS) return false;
   if (view.descriptions.has(voter.member.name)) return false;
   return voter.sinceContactMs >= ms;
 }
 
 /**
- * Lists how long ago members without a vote started with an empty disk. One on
- * the host of a lost voter succeeds that voter and no other one.
+ * Lists the members without a vote that started with an empty disk, the youngest
+ * first. One on the host of a lost voter succeeds that voter and no other one,
+ * and each is evidence of one loss.
  */
-function listSuccessorAges(
+function listSuccessors(
   view: MembershipView,
   lost: readonly LostVoter[],
-): number[] {
+): Array<{id: string; ageMs: number}> {
   const voting = new Set(view.voters.map(({member}) => formatMember(member)));
   const reserved = new Set(lost.map(({voter}) => voter.member.name));
-  const ages: number[] = [];
+  const successors: Array<{id: string; ageMs: number}> = [];
   for (const [name, {incarnation, emptySinceMs}] of view.descriptions) {
+    const id = formatMember({name, incarnation});
     if (emptySinceMs === undefined || reserved.has(name)) continue;
-    if (voting.has(formatMember({name, incarnation}))) continue;
-    ages.push(emptySinceMs);
+    if (voting.has(id) || view.knownSuccessors.has(id)) continue;
+    successors.push({id, ageMs: emptySinceMs});
   }
-  return ages.sort((a, b) => a - b);
+  return successors.sort((a, b) => a.ageMs - b.ageMs);
 }
--- a/src/coordination/replication/leadership.ts
+++ b/src/coordination/replication/leadership.ts
@@ -16,6 +16,11 @@
    * monotonic clock. The leader lease is measured from it.
    */
   lastContactAt: number;
+  /**
+   * When the peer was last known to have synced all that was committed, on the
+   * monotonic clock.
+   */
+  caughtUpAt: number;
   /** True if the peer belongs to no group yet, until it has a snapshot. */
   needsSnapshot: boolean;
   readonly wake: Signal;
@@ -37,6 +42,8 @@
   readonly since: number;
   readonly stopped = new AbortController();
   readonly learners = new Map<string, Member>();
+  /** Members whose start explains a loss that was repaired. */
+  readonly knownSuccessors = new Set<string>();
   /** True once a leadership transfer began; refuses new proposals. */
   isTransferring = false;
   private readonly progresses = new Map<string, PeerProgress>();
@@ -106,6 +113,7 @@
     nextIndex,
     matchIndex: 0,
     lastContactAt: -Infinity,
+    caughtUpAt: -Infinity,
     needsSnapshot: false,
     wake: createSignal(clock),
     stopped: new AbortController(),
--- a/src/coordination/replication/membership_model.ts
+++ b/src/coordination/replication/membership_model.ts
@@ -393,6 +393,7 @@
       caughtUp: getMember(state, id).isHolder,
     })),
     descriptions,
+    knownSuccessors: new Set(),
     replaceAfterMs: REPLACE_AFTER_MS,
     succeededAfterMs: SUCCEEDED_AFTER_MS,
     reachableMs: REACHABLE_MS,
--- a/src/coordination/replication/peer_replicator.ts
+++ b/src/coordination/replication/peer_replicator.ts
@@ -33,8 +33,15 @@
 /** No further entry is added to an append that has reached this size. */
 const APPEND_SOFT_LIMIT_BYTES = 128 * 1024;
 
-/** The size of a snapshot chunk: 26 ms on a link of 20 Mb/s. */
-const CHUNK_BYTES = 64 * 1024;
+/**
+ * The first and the largest size of a snapshot chunk, 26 and 105 ms on a link of
+ * 20 Mb/s: a larger one would hold up the heartbeats on the same link.
+ */
+const MIN_CHUNK_BYTES = 64 * 1024;
+const MAX_CHUNK_BYTES = 256 * 1024;
+
+/** Chunks grow while they are acknowledged within this time. */
+const FAST_CHUNK_MS = 400;
 
 /**
  * Calls from one replica to another. A rejected promise is treated as no
@@ -108,6 +115,7 @@
   const previousIndex = progress.nextIndex - 1;
   const last = previousIndex + MAX_APPEND_ENTRIES;
   const sentAt = options.clock.monotonic();
+  const commitIndex = options.getCommitIndex();
   const silent = options.listSilent();
   const reply = await peer.append(
     {
@@ -118,7 +126,7 @@
       previousIndex,
       previousTerm: storage.getTerm(previousIndex) ?? 0,
       entries: storage.read(progress.nextIndex, last, APPEND_SOFT_LIMIT_BYTES),
-      commitIndex: options.getCommitIndex(),
+      commitIndex,
       ...(silent.length > 0 ? {silent: [...silent]} : {}),
     },
     APPEND_TIMEOUT_MS,
@@ -129,6 +137,7 @@
   } else if (reply.accepted) {
     progress.matchIndex = Math.max(progress.matchIndex, reply.matchIndex);
     progress.nextIndex = progress.matchIndex + 1;
+    if (progress.matchIndex >= commitIndex) progress.caughtUpAt = sentAt;
     options.onProgress();
   } else {
     progress.nextIndex = Math.max(1, reply.matchIndex + 1);
@@ -146,8 +155,9 @@
   if (!bytes || !metadata)
     throw new Error('Could not send a snapshot: none is stored');
   let offset = 0;
+  let chunkBytes = MIN_CHUNK_BYTES;
   while (!progress.stopped.signal.aborted) {
-    const chunk = bytes.subarray(offset, offset + CHUNK_BYTES);
+    const chunk = bytes.subarray(offset, offset + chunkBytes);
     const sentAt = clock.monotonic();
     const reply = await peer.installSnapshot(
       {
@@ -170,6 +180,10 @@
       options.onProgress();
       return;
     }
+    const isFast = clock.monotonic() - sentAt < FAST_CHUNK_MS;
+    chunkBytes = isFast
+      ? Math.min(MAX_CHUNK_BYTES, 2 * chunkBytes)
+      : MIN_CHUNK_BYTES;
     offset = Math.min(reply.received, bytes.length);
     if (offset === bytes.length) offset = 0;
   }
--- a/src/coordination/replication/plan_membership.ts
+++ b/src/coordination/replication/plan_membership.ts
@@ -1,6 +1,6 @@
 /** Decides how a leader changes the voters of its group. */
 import type {Member, ReplicaDescription} from '../../protocol/replication.ts';
-import {findLostVoters, type LostVoter} from './find_lost_voters.ts';
+import {findLostVoters, isSilent, type LostVoter} from './find_lost_voters.ts';
 import {
   chooseVoters,
   countMajority,
@@ -43,6 +43,8 @@
    * contact may be left out.
    */
   readonly descriptions: ReadonlyMap<string, ReplicaDescription>;
+  /** Members whose start explains a loss that another member has repaired. */
+  readonly knownSuccessors: ReadonlySet<string>;
   /** A voter without a reply for this long counts as permanently lost. */
   readonly replaceAfterMs: number;
   /** The same for a voter that seems to have a successor. */
@@ -82,11 +84,8 @@
   // majority would then consist of too few disks.
   if (promoted) return {type: 'forget', member: promoted.member};
   const lost = findLostVoters(view);
-  const removable = lost.filter(({reason}) => isRemovable(view, reason));
-  if (removable.length > 0) return removeVoter(view, lost, removable[0]?.voter);
-  if (view.voters.length > view.voterCount) {
-    return removeVoter(view, lost, findSurplus(view));
-  }
+  const removable = findRemovable(view, lost);
+  if (removable) return removeVoter(view, lost, removable);
   const stale = view.learners.find(({member}) => !isDescribed(view, member));
   if (stale) return {type: 'forget', member: stale.member};
   const missing = countMissing(view, lost);
@@ -98,15 +97,29 @@
 }
 
 /**
- * Whether a lost voter can be removed without a successor. That lowers the
- * number of votes that a majority needs only if the number of voters is even;
- * otherwise the voter is kept, since it may return.
+ * Finds a voter to remove without a successor. If the number of voters is even,
+ * that lowers the number of votes that a majority needs; otherwise a lost voter
+ * is kept, since it may return.
  */
-function isRemovable(
+function findRemovable(
   view: MembershipView,
-  reason: LostVoter['reason'],
-): boolean {
-  return reason === 'unlisted' || view.voters.length % 2 === 0;
+  lost: readonly LostVoter[],
+): VoterView | undefined {
+  const {length} = view.voters;
+  const unlisted = lost.find(({reason}) => reason === 'unlisted');
+  if (unlisted) return unlisted.voter;
+  if (length % 2 === 0 && lost[0]) return lost[0].voter;
+  if (length > view.voterCount) return findSurplus(view);
+  // The number is even after a promotion in the place of a lost voter.
+  if (length % 2 === 0 && length < view.voterCount) return findSilent(view);
+  return undefined;
+}
+
+/** Finds the voter that is silent for longest, if one seems to be lost. */
+function findSilent(view: MembershipView): VoterView | undefined {
+  return view.voters
+    .filter(voter => isSilent(view, voter, view.succeededAfterMs))
+    .sort((a, b) => b.sinceContactMs - a.sinceContactMs)[0];
 }
 
 function isVoter(view: MembershipView, member: Member): boolean {
@@ -207,17 +220,16 @@
 }
 
 /**
- * Finds a voter beyond the target: the one that is silent for longest, else
- * one that adds least to the spread.
+ * Finds a voter beyond the target: the one that is silent for longest, else,
+ * once all answer, one that adds least to the spread.
  */
 function findSurplus(view: MembershipView): VoterView | undefined {
+  const silent = findSilent(view);
+  if (silent) return silent;
+  if (view.voters.some(each => each.sinceContactMs > view.reachableMs)) return;
   const others = view.voters.filter(
     ({member}) => !isSameMember(member, view.leader),
   );
-  const [longest] = others
-    .filter(({sinceContactMs}) => sinceContactMs > view.reachableMs)
-    .sort((a, b) => b.sinceContactMs - a.sinceContactMs);
-  if (longest) return longest;
   const names = view.voters.map(voter => voter.member.name);
   const voting = view.hosts.filter(host => names.includes(host.name));
   const kept = chooseVoters(voting, view.voterCount).map(host => host.name);
--- a/src/coordination/replication/repair_membership.ts
+++ b/src/coordination/replication/repair_membership.ts
@@ -16,7 +16,7 @@
 } from './plan_membership.ts';
 
 /** Interval between checks of the membership. */
-const CHECK_INTERVAL_MS = 200;
+const CHECK_INTERVAL_MS = 100;
 
 export interface MembershipRepairOptions {
   readonly group: string;
@@ -34,7 +34,6 @@
   readonly leadership: Leadership;
   /** Lists the voters as observed by this leader and those before it. */
   readonly listVoters: () => readonly VoterView[];
-  readonly getCommitIndex: () => number;
   /** Updates the peers replicated to after voters or learners changed. */
   readonly servePeers: () => void;
   /** Commits a membership; resolves to false if that failed. */
@@ -53,6 +52,7 @@
   const silentAfterMs = REACHABLE_MS;
   const contactLog = new ContactLog({group, logger, silentAfterMs});
   const probes = new HostProbes({group, clock, getPeer});
+  createView(options, probes);
   let changed = false;
   let lastReason = '';
   while (!signal.aborted) {
@@ -105,12 +105,17 @@
       caughtUp: hasCaughtUp(options, member),
     })),
     descriptions: probes.list(),
+    knownSuccessors: leadership.knownSuccessors,
   };
 }
 
-function hasCaughtUp(options: MembershipRepairOptions, member: Member) {
-  const progress = options.leadership.get(member);
-  return (progress?.matchIndex ?? 0) >= options.getCommitIndex();
+/** Whether a member had synced all that was committed a moment ago. */
+function hasCaughtUp(
+  {leadership, clock}: MembershipRepairOptions,
+  member: Member,
+): boolean {
+  const caughtUpAt = leadership.get(member)?.caughtUpAt ?? -Infinity;
+  return clock.monotonic() - caughtUpAt <= REACHABLE_MS;
 }
 
 function formatVoters({voters}: MembershipView): string[] {
@@ -140,6 +145,10 @@
     const isChanged = await options.change({voters: [...step.voters]});
     if (isChanged) {
       for (const voter of voters) leadership.learners.delete(voter);
+      const [first] = step.lost;
+      if (step.voters.length > view.voters.length && first?.successor) {
+        leadership.knownSuccessors.add(first.successor);
+      }
     } else {
       logger.warn('Could not change the voters.', {group, voters});
     }
--- a/src/coordination/replication/replica.ts
+++ b/src/coordination/replication/replica.ts
@@ -92,9 +92,9 @@
 
 /**
  * Default time without contact after which a voter is replaced if a member with
- * an empty disk has started: longer than an election takes.
+ * an empty disk has started.
  */
-const SUCCEEDED_AFTER_MS = 2_000;
+const SUCCEEDED_AFTER_MS = 1_500;
 
 /** Default number of learners that are kept caught up. */
 const SPARE_COUNT = 1;
@@ -135,7 +135,7 @@
   readonly replaceAfterMs?: number;
   /**
    * The same while a member without a vote has started with an empty disk, as
-   * the successor of a lost host does; 2,000 by default.
+   * the successor of a lost host does; 1,500 by default.
    */
   readonly succeededAfterMs?: number;
   /**
@@ -877,7 +877,6 @@
       succeededAfterMs: this.options.succeededAfterMs ?? SUCCEEDED_AFTER_MS,
       getPeer: this.options.getPeer,
       listVoters: () => this.listVoters(),
-      getCommitIndex: () => this.commitIndex,
       servePeers: () => this.servePeers(),
       change: membership => this.changeMembership(membership),
     }).catch(error => this.logFailure(error));
