Keep candidates from deposing a leader that was just elected

Drawn histories showed up to 5 s without a leader. A candidate whose pre-vote was granted while others voted took a higher term and deposed the leader that had just won; its voters then refused everybody for a second; and the last two candidates collided again and again, since their delays differed by less than a round trip.

A member that voted refuses other pre-votes for 400 ms, one that supports a pre-vote leaves that candidate 300 to 500 ms, and a lost election is followed by a random delay of 75 to 375 ms, which grows after three losses.

--- a/src/coordination/replication/replica.ts
+++ b/src/coordination/replication/replica.ts
@@ -66,10 +66,20 @@
 export const ELECTION_TIMEOUT_MS = 1_000;
 
 /**
- * A candidate that lost an election campaigns again after this long, and after
- * twice as long each further time, plus a random delay of up to as much again.
+ * The scale of the random delay after which a candidate that lost an election
+ * campaigns again; it grows after some losses. Several round trips between
+ * regions, so that two candidates seldom collide again.
  */
-const ELECTION_RETRY_MS = 100;
+const ELECTION_RETRY_MS = 300;
+
+/** The lost elections after which the delay doubles each time. */
+const MAX_QUICK_RETRIES = 3;
+
+/**
+ * A member that has voted refuses other candidates' pre-votes for this long, in
+ * which the candidate that it voted for can win and be heard.
+ */
+const VOTE_GRACE_MS = 400;
 
 /**
  * How long leadership is trusted, counted from the sending of the calls that a
@@ -192,6 +202,8 @@
   private timerStartedAt: number;
   /** The time after the reset at which an election starts. */
   private electionTimeoutMs: number;
+  /** When this member last voted, for itself or another one. */
+  private votedAt = -Infinity;
   /** The elections lost since the last contact with a leader. */
   private lostElections = 0;
   /**
@@ -326,7 +338,8 @@
       if (!this.membership) return refusal;
       if (this.hasLiveLeader() && !request.transfer) return refusal;
       if (request.preVote) {
-        const granted = request.term > this.term && this.isUpToDate(request);
+        const granted = this.canSupport(request);
+        if (granted) this.postponeElection();
         return {term: this.term, granted};
       }
       if (request.term > this.term) await this.adoptTerm(request.term);
@@ -338,6 +351,7 @@
         const vote = {term, votedFor: request.candidate};
         await this.options.storage.saveHardState(vote);
         this.resetElectionTimer();
+        this.votedAt = this.timerStartedAt;
       }
       return {term, granted};
     });
@@ -440,6 +454,22 @@
     return age < ELECTION_TIMEOUT_MS;
   }
 
+  /** Whether this member would vote for the candidate of a pre-vote. */
+  private canSupport(request: VoteRequest): boolean {
+    const votedMs = this.options.clock.monotonic() - this.votedAt;
+    const isFree = votedMs >= VOTE_GRACE_MS;
+    return isFree && request.term > this.term && this.isUpToDate(request);
+  }
+
+  /** Leaves the candidate that is supported the time to win an election. */
+  private postponeElection(): void {
+    const now = this.options.clock.monotonic();
+    const leftMs = this.timerStartedAt + this.electionTimeoutMs - now;
+    const graceMs = VOTE_GRACE_MS * (0.75 + this.options.random() / 2);
+    this.timerStartedAt = now;
+    this.electionTimeoutMs = Math.max(leftMs, graceMs);
+  }
+
   private isUpToDate(request: VoteRequest): boolean {
     const {storage} = this.options;
     const lastTerm = storage.getTerm(storage.lastIndex) ?? 0;
@@ -672,9 +702,10 @@
       // Changed if another candidate got this member's vote meanwhile.
       if (this.timerStartedAt !== startedAt || !this.isVoter()) continue;
       this.timerStartedAt = clock.monotonic();
-      const retryMs = ELECTION_RETRY_MS * 2 ** this.lostElections++;
+      const doublings = Math.max(0, ++this.lostElections - MAX_QUICK_RETRIES);
+      const scaleMs = ELECTION_RETRY_MS * 2 ** doublings;
       this.electionTimeoutMs =
-        Math.min(ELECTION_TIMEOUT_MS, retryMs) * (1 + random());
+        Math.min(ELECTION_TIMEOUT_MS, scaleMs) * (0.25 + random());
     }
   }
 
@@ -751,6 +782,7 @@
         return false;
       const vote = {term: expected, votedFor: this.options.name};
       await this.options.storage.saveHardState(vote);
+      this.votedAt = this.options.clock.monotonic();
       this.role.send('campaign');
       return true;
     });
