Forget a leader that has been silent for two election timeouts

Cause: a voter clears the leader's name when it campaigns. A learner, or a daemon that has been removed, never campaigns, so `Replica.leader` named the lost leader for ever, and reads, proposals and lease renewals were redirected to it.

Change: the getter names no leader whose last contact is 2 s old or more. The election and the votes do not use the getter, so they do not change.

Before: `leader is null once the leader has been silent` failed ("b" after 5 s of silence).

--- a/src/coordination/replication/replica.ts
+++ b/src/coordination/replication/replica.ts
@@ -55,6 +55,9 @@
  */
 export const ELECTION_TIMEOUT_MS = 1_000;
 
+/** The time without contact after which a leader is no longer named. */
+const FORGET_LEADER_MS = 2 * ELECTION_TIMEOUT_MS;
+
 /**
  * How long leadership is trusted, counted from the sending of the calls that a
  * majority last answered. Shorter than the election timeout, during which
@@ -210,9 +213,15 @@
     this.tasks.push(formation.catch(error => this.logFailure(error)));
   }
 
-  /** The leader as far as this member knows, possibly itself, or `null`. */
+  /**
+   * The leader as far as this member knows, possibly itself. `null` if none
+   * made contact recently: a member that does not vote never campaigns, so it
+   * learns of a lost leader by silence alone.
+   */
   get leader(): string | null {
-    return this.currentLeader;
+    if (this.leadership) return this.currentLeader;
+    const age = this.options.clock.monotonic() - this.leaderContactAt;
+    return age < FORGET_LEADER_MS ? this.currentLeader : null;
   }
 
   get term(): number {
