Ask the whole core when the known leader does not confirm a read

What callers saw: 503 on reads of the configuration and of roll-outs at a daemon whose known leader was lost, had stepped down, or that knew none, while another daemon led and could have answered.

Cause: `CoreApi.readConfiguration` asked the leader that this daemon knew, followed at most two redirects and gave up at the first silence. A daemon without a known leader asked only itself.

Only the lease-confirmed answer of a leader counts, as before. A refused read writes one line with all daemons asked, instead of one for each.

--- a/src/coordination/core/core_api.ts
+++ b/src/coordination/core/core_api.ts
@@ -18,12 +18,7 @@
 } from '../membership/select_gateways.ts';
 import type {CoreState} from './core_state.ts';
 import {dropSilentFlag} from './endpoint_registry.ts';
-
-/** The timeout of reading the committed configuration from one daemon. */
-const READ_TIMEOUT_MS = 400;
-
-/** How many daemons a read asks in search of the leader. */
-const MAX_READ_ATTEMPTS = 3;
+import {searchConfiguration} from './search_configuration.ts';
 
 /** The result of a proposed change. */
 export type ChangeOutcome = 'accepted' | 'conflict' | 'unavailable';
@@ -80,28 +75,31 @@
 
   /**
    * Reads the committed configuration, confirmed by the leader's lease; `null`
-   * when no leader answers.
+   * when no daemon of the core confirms it.
    */
   async readConfiguration(): Promise<Configuration | null> {
-    const {state, getLeader, read, logger} = this.options;
-    let next = getLeader();
-    for (let attempt = 0; attempt < MAX_READ_ATTEMPTS; attempt++) {
-      const address = next ?? state.self.address;
-      try {
-        const reply = await read(address, READ_TIMEOUT_MS);
-        if (reply.type === 'read') return reply.configuration;
-        if (reply.leader === null || reply.leader === address) return null;
-        next = reply.leader;
-      } catch (error) {
-        const {message: reason} = error as Error;
-        logger.warn('Could not read the committed configuration.', {
-          address,
-          reason,
-        });
-        return null;
-      }
+    const {state, clock, getLeader, read, logger} = this.options;
+    const self = state.self.address;
+    const leader = getLeader();
+    const {configuration, asked, failures} = await searchConfiguration({
+      clock,
+      first: leader ?? self,
+      others: [self, ...state.members.listAddresses()],
+      read,
+    });
+    if (configuration === null) {
+      logger.warn('Could not read the committed configuration.', {
+        leader,
+        asked,
+        failures,
+      });
+    } else if (failures.length > 0) {
+      logger.info('Reads the configuration although a daemon is silent.', {
+        leader,
+        failures,
+      });
     }
-    return null;
+    return configuration;
   }
 
   /** Records a heartbeat. */
--- /dev/null
+++ b/src/coordination/core/core_api_test.ts
@@ -0,0 +1,148 @@
+import assert from 'node:assert/strict';
+import {test} from 'uvu';
+import type {Configuration, ReadReply} from '../../protocol/core_service.ts';
+import type {Logger} from '../../protocol/logger.ts';
+import {silentLogger} from '../../protocol/logger.ts';
+import {SimulatedClock} from '../../protocol/simulated_clock.ts';
+import {CoreApi} from './core_api.ts';
+import {CoreState} from './core_state.ts';
+
+/** How long callers wait for a read, in ms. */
+const READ_LIMIT_MS = 1_000;
+
+const CONFIGURATION: Configuration = {
+  revision: 7,
+  version: 3,
+  document: '{}',
+  rollouts: [],
+};
+
+const READ: ReadReply = {type: 'read', configuration: CONFIGURATION};
+
+function createRedirect(leader: string | null): ReadReply {
+  return {type: 'not-leader', leader};
+}
+
+interface ReadOptions {
+  /** The answers by address; a daemon without one is silent. */
+  readonly answers: Readonly<Record<string, ReadReply>>;
+  /** The leader as the daemon `self` knows it. */
+  readonly leader: string | null;
+  readonly replyMs?: number;
+}
+
+/** Reads at `self`, which knows the daemons `a` to `d`. */
+async function readAt({answers, leader, replyMs = 60}: ReadOptions) {
+  const clock = new SimulatedClock();
+  const warnings: string[] = [];
+  const logger: Logger = {
+    ...silentLogger,
+    warn: (message, fields) =>
+      warnings.push(`${message} ${JSON.stringify(fields)}`),
+  };
+  const place = {region: 'r', dataCentre: 'd', controlAddress: ''};
+  const state = new CoreState({
+    clock,
+    logger,
+    self: {address: 'self', ...place},
+  });
+  for (const address of ['a', 'b', 'c', 'd']) {
+    state.members.recordDirect({address, ...place});
+  }
+  const asked: string[] = [];
+  const api = new CoreApi({
+    state,
+    clock,
+    logger,
+    propose: async () => ({type: 'unknown'}),
+    getLeader: () => leader,
+    read: async (address, timeoutMs) => {
+      asked.push(address);
+      const answer = answers[address];
+      const isLocal = address === 'self';
+      await clock.sleep(answer ? (isLocal ? 0 : replyMs) : timeoutMs);
+      if (!answer) throw new Error('Timed out');
+      return answer;
+    },
+  });
+  let result: Configuration | null | undefined;
+  let tookMs = NaN;
+  void api.readConfiguration().then(value => {
+    result = value;
+    tookMs = clock.monotonic();
+  });
+  await clock.advance(5_000);
+  return {result, tookMs, asked, warnings};
+}
+
+test('readConfiguration() asks the leader alone', async () => {
+  const {result, asked} = await readAt({answers: {a: READ}, leader: 'a'});
+  assert.deepEqual(result, CONFIGURATION);
+  assert.deepEqual(asked, ['a']);
+});
+
+test('readConfiguration() follows a redirect', async () => {
+  const {result, asked} = await readAt({
+    answers: {a: createRedirect('b'), b: READ},
+    leader: 'a',
+  });
+  assert.deepEqual(result, CONFIGURATION);
+  assert.deepEqual(asked, ['a', 'b']);
+});
+
+// Guards against reads that ask a lost leader until the end and nobody else.
+test('a read whose leader is silent finds the new one in time', async () => {
+  const {result, tookMs} = await readAt({
+    answers: {self: createRedirect('a'), b: createRedirect('c'), c: READ},
+    leader: 'a',
+  });
+  assert.deepEqual(result, CONFIGURATION);
+  assert.ok(tookMs < READ_LIMIT_MS, `${tookMs} ms`);
+});
+
+// Guards against refused reads at a daemon that belongs to no group yet.
+test('a read without a known leader asks the other daemons', async () => {
+  const {result, tookMs} = await readAt({
+    answers: {self: createRedirect(null), b: createRedirect('new'), new: READ},
+    leader: null,
+  });
+  assert.deepEqual(result, CONFIGURATION);
+  assert.ok(tookMs < READ_LIMIT_MS, `${tookMs} ms`);
+});
+
+// Guards against a refusal after the named leader has stepped down.
+test('a read redirected to a former leader asks the others', async () => {
+  const {result} = await readAt({
+    answers: {
+      a: createRedirect('a'),
+      b: createRedirect('a'),
+      c: READ,
+      d: createRedirect('a'),
+    },
+    leader: 'b',
+  });
+  assert.deepEqual(result, CONFIGURATION);
+});
+
+test('a read that no daemon can confirm is refused in time, logged once', async () => {
+  const {result, tookMs, asked, warnings} = await readAt({
+    answers: {self: createRedirect('a'), b: createRedirect('a')},
+    leader: 'a',
+  });
+  assert.equal(result, null);
+  assert.ok(tookMs < READ_LIMIT_MS, `${tookMs} ms`);
+  assert.deepEqual([...asked].sort(), ['a', 'b', 'c', 'd', 'self']);
+  assert.equal(warnings.length, 1, warnings.join('\n'));
+});
+
+test('a read is refused at once when all daemons say that none leads', async () => {
+  const none = createRedirect(null);
+  const {result, tookMs} = await readAt({
+    answers: {self: none, a: none, b: none, c: none, d: none},
+    leader: null,
+  });
+  assert.equal(result, null);
+  assert.ok(tookMs <= 60, `${tookMs} ms`);
+});
+
+test.run();
