Follow a redirect to a leader that stays silent only once a proposal

What callers saw: a change proposed through a daemon that still names a lost leader ended as unavailable after 2.5 s, although another leader was elected meanwhile.

Cause: the first replica in the list named the lost leader, the proposer waited 1,200 ms for it, asked the first replica again, and followed the same redirect until the deadline; no other replica was asked.

Change: a presumed leader that did not reply to this proposal is not followed again; the remaining replicas of the list are asked for another name.

Before: `a redirect to a replica that stays silent is followed once` failed (asked a, lost, a, lost).

--- a/src/coordination/replication/proposer.ts
+++ b/src/coordination/replication/proposer.ts
@@ -64,6 +64,8 @@
     const deadline =
       clock.monotonic() + (options.deadlineMs ?? PROPOSE_DEADLINE_MS);
     let last: ProposeReply = {type: 'not-leader', leader: null};
+    /** Presumed leaders that did not reply to this proposal. */
+    const lostLeaders = new Set<string>();
     const known = leaders.get(group);
     if (known !== undefined && isSilent(known)) leaders.delete(group);
     while (clock.monotonic() < deadline) {
@@ -83,12 +85,14 @@
         if (leaders.get(group) === name) leaders.delete(group);
         if (reply === null) {
           last = {type: 'unknown'};
+          if (replica !== undefined) lostLeaders.add(name);
           canAskLeader = leaders.has(group);
           if (canAskLeader) break;
           continue;
         }
         if (reply.type === 'unknown') last = reply;
-        if (reply.type === 'not-leader' && reply.leader !== null) {
+        if (reply.type !== 'not-leader' || reply.leader === null) continue;
+        if (!lostLeaders.has(reply.leader)) {
           // If this replica was itself named as leader and names another one,
           // the two may hold outdated views; waits before following.
           canAskLeader = replica === undefined;
--- a/src/coordination/replication/proposer_test.ts
+++ b/src/coordination/replication/proposer_test.ts
@@ -166,4 +166,20 @@
   assert.equal(fixture.calls, ['a', 'b', 'a']);
 });
 
+// Guards against proposals that wait for a lost leader again and again, because
+// the first replica still names it, until their deadline has passed.
+test('a redirect to a replica that stays silent is followed once', async () => {
+  const {calls, reply} = await proposeTo(
+    {
+      a: {type: 'not-leader', leader: 'lost'},
+      lost: 'silence',
+      b: {type: 'not-leader', leader: 'c'},
+      c: {type: 'committed'},
+    },
+    2_400,
+  );
+  assert.equal(calls, ['a', 'lost', 'a', 'b', 'c']);
+  assert.equal(reply, {type: 'committed'});
+});
+
 test.run();
