List the core daemons heard from last first

What callers saw: nothing by itself; a proposal through a daemon that knows no leader waits 1,200 ms for each lost daemon that stands before a live one in its list.

Cause: `CoreMembers.listAddresses` began with the seeds of the settings, which may be lost, and kept daemons for 30 s in the order in which they were first seen.

Change: the list is ordered by the last direct contact.

Before: `listAddresses() begins with the daemons heard from last` failed (lost, unknown, b, c). After: core_members_test.ts 3 of 3.

--- a/src/coordination/core/core_members.ts
+++ b/src/coordination/core/core_members.ts
@@ -64,12 +64,24 @@
     return [this.options.self, ...live.map(({daemon}) => daemon)];
   }
 
-  /** Lists the addresses of all other daemons, seeds included. */
+  /**
+   * Lists the addresses of all other daemons, seeds included, beginning with
+   * the daemon that contacted this one last.
+   */
   listAddresses(): string[] {
     const addresses = new Set(this.seeds);
     for (const {address} of this.list()) addresses.add(address);
     addresses.delete(this.options.self.address);
-    return [...addresses];
+    return [...addresses]
+      .map(address => ({address, contactAt: this.getContactTime(address)}))
+      .sort((a, b) => b.contactAt - a.contactAt)
+      .map(({address}) => address);
+  }
+
+  /** Returns when a daemon contacted this one last; 0 if it never did. */
+  private getContactTime(address: string): number {
+    const daemon = this.known.get(address);
+    return daemon?.isDirect ? daemon.lastSeenAt : 0;
   }
 
   private store(daemon: CoreDaemon, isDirect: boolean): void {
--- a/src/coordination/core/core_members_test.ts
+++ b/src/coordination/core/core_members_test.ts
@@ -40,4 +40,21 @@
   assert.deepEqual(members.listAddresses().sort(), ['b:1', 'c:1']);
 });
 
+// Guards against proposals that wait for lost daemons, one time-out each, before
+// they reach one that runs.
+test('listAddresses() begins with the daemons heard from last', async () => {
+  const clock = new SimulatedClock();
+  const members = new CoreMembers({clock, self: createDaemon('a')});
+  members.setSeeds(['lost:1', 'unknown:1', 'b:1']);
+  members.recordDirect(createDaemon('lost'));
+  await clock.advance(5_000);
+  members.recordAdvertised([createDaemon('advertised')]);
+  members.recordDirect(createDaemon('b'));
+  await clock.advance(100);
+  members.recordDirect(createDaemon('c'));
+  const addresses = members.listAddresses();
+  assert.deepEqual(addresses.slice(0, 3), ['c:1', 'b:1', 'lost:1']);
+  assert.deepEqual(addresses.slice(3).sort(), ['advertised:1', 'unknown:1']);
+});
+
 test.run();
