Avoid core daemons that did not answer for as long as they are listed

What callers saw: after the near core daemons of a gateway had been lost one after the other, a change that was acknowledged was not in force at that gateway.

Cause: a gateway avoided a daemon that did not answer for 3 s, and spent up to 1.5 s on the first and 0.8 s on each further lost daemon. With five lost daemons that are nearer than one that runs, the first was due again before the last had been asked; the core lists a lost daemon for 30 s, the settings list it until they change.

Change: silence is remembered for 30 s, or until the daemon answers. Lag is still remembered for 3 s. If all are avoided, one that lags comes before those that are silent, and of these the one that has been silent for the longest.

Before: `CoreFollower reaches a daemon behind nearer ones that are lost` failed, also with 60 s instead of 6 s. After: core_follower_test.ts 7 of 7. The new test on a core without a leader passed before as well: gateways still stay with a near daemon.

--- a/src/coordination/gateway/core_follower.ts
+++ b/src/coordination/gateway/core_follower.ts
@@ -32,8 +32,14 @@
 /** The delay after a failed call, or while no daemon is known. */
 const RETRY_DELAY_MS = 100;
 
-/** How long a daemon that failed or lags is avoided. */
-const AVOID_MS = 3_000;
+/** How long a daemon that lags is avoided. */
+const AVOID_LAGGING_MS = 3_000;
+
+/**
+ * How long a daemon that did not answer is avoided: as long as other daemons
+ * list one that is lost.
+ */
+const AVOID_SILENT_MS = 30_000;
 
 /** How long observations are gathered for a report of their own. */
 const REPORT_DELAY_MS = 10;
@@ -97,7 +103,10 @@
 /** Follows the core until it is disposed. */
 export class CoreFollower implements Disposable {
   private readonly stopped = new AbortController();
-  private readonly avoidUntil = new Map<string, number>();
+  /** When daemons that lag may be chosen again as any other. */
+  private readonly laggingUntil = new Map<string, number>();
+  /** The same for daemons that did not answer. */
+  private readonly silentUntil = new Map<string, number>();
   private isStarted = false;
   private isReportPlanned = false;
   /** The last changes received from the followed daemon. */
@@ -215,8 +224,12 @@
     try {
       const fresh = await this.ask(address, isFirst ? 0 : HOLD_MS);
       if (isFirst) logger.info('Follows a core daemon.', {address, fresh});
-      if (fresh) return;
-      this.recordAvoided(address);
+      this.silentUntil.delete(address);
+      if (fresh) {
+        this.laggingUntil.delete(address);
+        return;
+      }
+      this.laggingUntil.set(address, clock.monotonic() + AVOID_LAGGING_MS);
       await clock.sleep(LAG_RETRY_MS, this.stopped.signal);
     } catch (error) {
       if (this.stopped.signal.aborted) return;
@@ -225,7 +238,7 @@
         address,
         reason,
       });
-      this.recordAvoided(address);
+      this.silentUntil.set(address, clock.monotonic() + AVOID_SILENT_MS);
       this.followed = null;
       await clock.sleep(RETRY_DELAY_MS, this.stopped.signal);
     }
@@ -269,12 +282,10 @@
     return [...new Set([...known, ...listSeeds()])];
   }
 
-  private recordAvoided(address: string): void {
-    const until = this.options.clock.monotonic() + AVOID_MS;
-    this.avoidUntil.set(address, until);
-  }
-
-  /** Chooses the followed daemon unless it is avoided, else the nearest. */
+  /**
+   * Chooses the followed daemon unless it is avoided, else the nearest. If all
+   * are avoided, one that lags comes before those that did not answer.
+   */
   private chooseDaemon(): string | null {
     const {view, region, dataCentre, random, clock} = this.options;
     const now = clock.monotonic();
@@ -282,21 +293,36 @@
       view.cores.map(core => [core.address, core]),
     );
     const addresses = this.listAddresses();
-    const usable = addresses.filter(
-      address => (this.avoidUntil.get(address) ?? -Infinity) <= now,
-    );
+    const getLeftMs = (times: ReadonlyMap<string, number>, address: string) =>
+      Math.max(0, (times.get(address) ?? -Infinity) - now);
     const {followed} = this;
-    if (followed !== null && usable.includes(followed)) return followed;
+    if (
+      followed !== null &&
+      addresses.includes(followed) &&
+      getLeftMs(this.laggingUntil, followed) === 0 &&
+      getLeftMs(this.silentUntil, followed) === 0
+    ) {
+      return followed;
+    }
     const rank = (address: string) => {
       const core = coresByAddress.get(address);
       if (!core) return 3;
       if (core.dataCentre === dataCentre) return 0;
       return core.region === region ? 1 : 2;
     };
-    const candidates = usable.length > 0 ? usable : addresses;
-    const [best] = candidates
-      .map(address => ({address, rank: rank(address) + random() * 0.9}))
-      .sort((a, b) => a.rank - b.rank);
+    const [best] = addresses
+      .map(address => ({
+        address,
+        silentMs: getLeftMs(this.silentUntil, address),
+        isLagging: getLeftMs(this.laggingUntil, address) > 0 ? 1 : 0,
+        rank: rank(address) + random() * 0.9,
+      }))
+      .sort(
+        (a, b) =>
+          a.silentMs - b.silentMs ||
+          a.isLagging - b.isLagging ||
+          a.rank - b.rank,
+      );
     return best?.address ?? null;
   }
 }
--- a/src/coordination/gateway/core_follower_test.ts
+++ b/src/coordination/gateway/core_follower_test.ts
@@ -4,7 +4,11 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
-import type {Configuration, FollowReply} from '../../protocol/core_service.ts';
+import type {
+  Configuration,
+  CoreDaemon,
+  FollowReply,
+} from '../../protocol/core_service.ts';
 import {silentLogger} from '../../protocol/logger.ts';
 import {succeed} from '../../protocol/outcome.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
@@ -36,13 +40,18 @@
 class FakeCore implements Disposable {
   readonly clock = new SimulatedClock();
   readonly calls: string[] = [];
+  /** Whether the daemons have contact with a leader. */
+  isFresh = true;
   readonly view = new GatewayView({
     logger: silentLogger,
     decodeTable: () => succeed(createTable(createRoute())),
   });
   private readonly follower: CoreFollower;
 
-  constructor(private readonly daemons: Readonly<Record<string, Daemon>>) {
+  constructor(
+    private readonly daemons: Readonly<Record<string, Daemon>>,
+    private readonly cores: readonly CoreDaemon[] = [],
+  ) {
     this.follower = new CoreFollower({
       view: this.view,
       clock: this.clock,
@@ -81,6 +90,8 @@
     if (!configuration) throw new Error('timed out');
     return createFollowReply({
       epoch: address,
+      cores: this.cores,
+      fresh: this.isFresh,
       configuration: configuration.document === null ? null : configuration,
     });
   }
@@ -133,4 +144,53 @@
   assert.equal(core.calls.length, calls);
 });
 
+// Guards against a gateway that goes on calling lost daemons of its own region,
+// which other daemons still list, and never reaches one that runs.
+test('CoreFollower reaches a daemon behind nearer ones that are lost', async () => {
+  const lost = ['lost1', 'lost2', 'lost3', 'lost4', 'lost5'];
+  const failAtMs = 500;
+  const fail: Daemon = nowMs => (nowMs < failAtMs ? IN_FORCE : null);
+  const newer = {...IN_FORCE, revision: 8};
+  const daemons: Record<string, Daemon> = {
+    ...Object.fromEntries(lost.map(name => [name, fail])),
+    far: nowMs => (nowMs < failAtMs ? IN_FORCE : newer),
+  };
+  const cores = Object.keys(daemons).map(address => ({
+    address,
+    region: address === 'far' ? 'other' : 'r',
+    dataCentre: 'b',
+    controlAddress: '',
+  }));
+  using core = new FakeCore(daemons, cores);
+  await core.clock.advance(failAtMs);
+  assert.equal(core.view.revision, 7);
+  await core.clock.advance(6_000);
+  assert.equal(core.view.revision, 8);
+});
+
+// Guards against gateways that fetch whole lists from all daemons in turn while
+// no daemon has contact with a leader.
+test('CoreFollower stays with the nearest while all daemons lag', async () => {
+  const cores = ['near', 'far1', 'far2'].map(address => ({
+    address,
+    region: address === 'near' ? 'r' : 'other',
+    dataCentre: 'b',
+    controlAddress: '',
+  }));
+  const daemons = Object.fromEntries(
+    cores.map(({address}) => [address, () => IN_FORCE]),
+  );
+  using core = new FakeCore(daemons, cores);
+  await core.clock.advance(500);
+  core.isFresh = false;
+  await core.clock.advance(5_000);
+  const before = core.calls.length;
+  await core.clock.advance(2_000);
+  const late = core.calls.slice(before);
+  assert.ok(
+    late.filter(address => address !== 'near').length <= 2,
+    late.join(),
+  );
+});
+
 test.run();
