Keep the lease when the nearest replicas stay lost

What operators saw: with the nearest two of five replicas lost for good, a daemon was without its configuration lease for a moment every 10 s, and used the reduced view of an isolated daemon meanwhile.

Cause: 10 s after a failover the renewal began again at the nearest replica and walked the whole list of lost ones, with a time-out of 1.5 s for each; the lease lasts 4 s.

Change: the nearest replica is retried with one call. If that fails, the next call goes back to the replica that was used before.

Before: `a lease is kept while the nearest two of five replicas are lost` failed: 490 ms without the lease in 60 s (simulated).

--- a/src/cli/serve/renew_lease.ts
+++ b/src/cli/serve/renew_lease.ts
@@ -24,7 +24,9 @@
  * Creates a function that renews a lease through the nearest replica that can
  * get it granted. Each call tries one replica, and the call after a failure
  * tries the next one: a lease runs from the start of the call that got it, so
- * retries within one call would shorten it.
+ * retries within one call would shorten it. The nearest replica is tried again
+ * at an interval; if it is still lost, the next call goes back to the replica
+ * that was used before.
  */
 export function createLeaseRenewal(options: LeaseRenewalOptions) {
   const {clock} = options;
@@ -33,15 +35,17 @@
   return async (request: LeaseRequest): Promise<LeaseReply> => {
     const replicas = options.listReplicas();
     const now = clock.monotonic();
-    if (position !== 0 && now - failedOverAt > RETRY_NEAREST_MS) position = 0;
-    const replica = replicas[position % replicas.length];
+    const isRetry = position !== 0 && now - failedOverAt > RETRY_NEAREST_MS;
+    const replica = replicas[isRetry ? 0 : position % replicas.length];
     if (replica === undefined) return {type: 'unavailable'};
     const timeoutMs = request.waitMs + ANSWER_TIMEOUT_MS;
     const reply = await options
       .ask(replica, request, timeoutMs)
       .catch((): LeaseReply => ({type: 'unavailable'}));
-    if (reply.type !== 'granted') {
-      position = (position + 1) % replicas.length;
+    if (reply.type === 'granted') {
+      if (isRetry) position = 0;
+    } else {
+      if (!isRetry) position = (position + 1) % replicas.length;
       failedOverAt = clock.monotonic();
     }
     return reply;
