Report the voters of each group and say when no majority answers

Change: `Replica.getStatus()` gives a read-only view of the group (group_status.ts), and a watch beside each replica, of a routing site as of `serve`, reports it once a second: leader known, voters, voters in contact, losses that are borne now, spare members and their lag, applied index. After 5 s without a leader it asks each voter whether it runs with the disk that has the vote, logs one line with the result, again after a minute, and sets `group_majority_lost`. A gauge set to NaN is withdrawn, so that a former leader reports no voters in contact.

Before, none of these names existed.

--- a/src/cli/serve/replicas.ts
+++ b/src/cli/serve/replicas.ts
@@ -6,6 +6,7 @@
 import {lockFolder} from '../../state/files/folder_lock.ts';
 import type {StateMachine} from '../../state/state_machine.ts';
 import {LeaseTable} from '../../coordination/leases/lease_table.ts';
+import {startGroupWatch} from '../../coordination/replication/group_watch.ts';
 import {Replica} from '../../coordination/replication/replica.ts';
 import {formatLedgerGroup} from '../../coordination/requests/ledger_client.ts';
 import type {PeerLinks} from '../../transport/peers/peer_links.ts';
@@ -64,7 +65,20 @@
     control,
     ledgers,
     get: group => groups.get(group),
-    start: () => groups.forEach(replica => replica.start()),
+    start() {
+      for (const replica of groups.values()) {
+        replica.start();
+        parts.store.add(
+          startGroupWatch({
+            getStatus: () => replica.getStatus(),
+            getPeer: name => links.get(findReplicaAddress(settings, name)),
+            clock,
+            logger: parts.createLogger('replica'),
+            metrics: parts.metrics,
+          }),
+        );
+      }
+    },
   };
 }
 
--- a/src/cli/serve_site/core.ts
+++ b/src/cli/serve_site/core.ts
@@ -6,6 +6,7 @@
 import {createFollowService} from '../../coordination/core/follow_service.ts';
 import {startRolloutTask} from '../../coordination/core/rollout_task.ts';
 import {startPeriodicTask} from '../../coordination/periodic_task.ts';
+import {startGroupWatch} from '../../coordination/replication/group_watch.ts';
 import {createProposer} from '../../coordination/replication/proposer.ts';
 import {Replica} from '../../coordination/replication/replica.ts';
 import {
@@ -102,6 +103,15 @@
   });
   await startSurfaces(parts, api);
   replica.start();
+  store.add(
+    startGroupWatch({
+      getStatus: () => replica.getStatus(),
+      getPeer: address => links.get(address),
+      clock,
+      logger: createLogger('replica'),
+      metrics: parts.metrics,
+    }),
+  );
   store.add(
     startExchange({
       state,
--- a/src/coordination/replication/replica.ts
+++ b/src/coordination/replication/replica.ts
@@ -37,6 +37,7 @@
 import {createSignal} from '../signal.ts';
 import {collectVotes} from './collect_votes.ts';
 import {formGroup} from './formation.ts';
+import {describeLeadership, type GroupStatus} from './group_status.ts';
 import {Leadership, type PeerProgress} from './leadership.ts';
 import {findMajorityValue, includesMember, type ReplicaHost} from './member.ts';
 import {MembershipHistory} from './membership_history.ts';
@@ -265,6 +266,19 @@
     return this.enqueue({command});
   }
 
+  /** Returns the state of the group as this member sees it. */
+  getStatus(): GroupStatus {
+    const {self, leader, leadership, appliedIndex} = this;
+    const {group, storage, clock} = this.options;
+    const {lastIndex} = storage;
+    const voters = this.membership?.voters ?? [];
+    const now = clock.monotonic();
+    const leading =
+      leadership &&
+      describeLeadership({self, voters, leadership, lastIndex, now});
+    return {group, self, leader, voters, appliedIndex, lastIndex, leading};
+  }
+
   /** Returns this member's incarnation and whether it belongs to a group. */
   describe(): ReplicaDescription {
     const {incarnation} = this.self;
--- a/src/protocol/metrics.ts
+++ b/src/protocol/metrics.ts
@@ -7,7 +7,7 @@
 export interface Metrics {
   /** Increments a counter, by 1 unless `value` is given. */
   count(name: string, value?: number, tags?: MetricTags): void;
-  /** Sets a gauge. */
+  /** Sets a gauge; `NaN` withdraws it until it is set again. */
   gauge(name: string, value: number, tags?: MetricTags): void;
   /** Records one observation of a distribution, such as a duration in ms. */
   record(name: string, value: number, tags?: MetricTags): void;
--- a/src/transport/metrics/create_metrics.ts
+++ b/src/transport/metrics/create_metrics.ts
@@ -44,7 +44,9 @@
   });
   return {
     count: (name, value = 1, tags) => client.increment(name, value, tags),
-    gauge: (name, value, tags) => client.gauge(name, value, tags),
+    gauge: (name, value, tags) => {
+      if (!Number.isNaN(value)) client.gauge(name, value, tags);
+    },
     record: (name, value, tags) => client.distribution(name, value, tags),
     [Symbol.asyncDispose]: () =>
       new Promise(resolve => client.close(() => resolve())),
--- a/src/transport/metrics/text_metrics.ts
+++ b/src/transport/metrics/text_metrics.ts
@@ -47,7 +47,8 @@
       const gauge = findOrAdd(gauges, name, () => {
         return new Gauge(describe(name, tags));
       });
-      gauge.set(tags, value);
+      if (Number.isNaN(value)) gauge.remove(tags);
+      else gauge.set(tags, value);
     },
     record(name, value, tags = {}) {
       const histogram = findOrAdd(histograms, name, () => {
--- a/src/transport/metrics/text_metrics_test.ts
+++ b/src/transport/metrics/text_metrics_test.ts
@@ -16,4 +16,14 @@
   has('parsleypond_request_ms_bucket{le="100",route="letters"} 0');
 });
 
+test('gauge() withdraws the value of some tags', async () => {
+  const metrics = createTextMetrics();
+  metrics.gauge('lag', 1, {spare: 'a'});
+  metrics.gauge('lag', 2, {spare: 'b'});
+  metrics.gauge('lag', NaN, {spare: 'a'});
+  const text = await metrics.formatText();
+  assert.ok(!text.includes('spare="a"'), text);
+  assert.ok(text.includes('parsleypond_lag{spare="b"} 2'), text);
+});
+
 test.run();
