Call a core daemon fresh only once it has applied what is committed

Cause: the `fresh` field of a follow reply came from the contact alone, which a new member has from its first call on, and every daemon for a second after its start.

Change: `Replica.isFresh()` also needs a known leader, and all entries that the leader had committed as of the calls handled so far. Votes still use the contact alone.

Before, with `isFresh()` returning the contact: `isFresh() is false while entries are missing` and `isFresh() is false before the first contact` failed.

--- a/src/cli/serve_site/core.ts
+++ b/src/cli/serve_site/core.ts
@@ -269,7 +269,7 @@
       clock,
       epoch: createIdentifier('core'),
       getConfiguration: () => view.getConfiguration(),
-      isFresh: () => replica.hasLiveLeader(),
+      isFresh: () => replica.isFresh(),
     }),
     exchangeCore: async exchange => state.receiveExchange(exchange),
     readConfiguration: async () =>
--- a/src/coordination/replication/replica.ts
+++ b/src/coordination/replication/replica.ts
@@ -162,6 +162,8 @@
    * member may have had contact with a leader just before a restart.
    */
   private leaderContactAt: number;
+  /** The highest commit index of a leader in the calls handled so far. */
+  private leaderCommitIndex = 0;
   private pausedUntil = -Infinity;
 
   private constructor(private readonly options: ReplicaOptions<C, R>) {
@@ -324,12 +326,10 @@
     return this.runWithStorage(async () => {
       const {storage} = this.options;
       const formed = this.membership !== null;
-      const reject = (matchIndex: number): AppendReply => ({
-        term: this.term,
-        accepted: false,
-        matchIndex,
-        formed,
-      });
+      const reject = (matchIndex: number): AppendReply => {
+        this.recordLeaderCommit(request.commitIndex);
+        return {term: this.term, accepted: false, matchIndex, formed};
+      };
       if (!(await this.acceptLeader(request))) return reject(0);
       if (!formed) return reject(0);
       const {previousIndex} = request;
@@ -340,6 +340,7 @@
       await this.storeEntries(request.entries);
       const matchIndex = previousIndex + request.entries.length;
       this.commitTo(Math.min(request.commitIndex, matchIndex));
+      this.recordLeaderCommit(request.commitIndex);
       return {term: this.term, accepted: true, matchIndex, formed};
     });
   }
@@ -358,6 +359,7 @@
         this.receiver.clear();
         return reply(true);
       }
+      this.recordLeaderCommit(request.index);
       const received = this.receiver.addChunk(request);
       if (!received) return reply(false);
       const {snapshot, bytes} = received;
@@ -414,6 +416,20 @@
     return age < ELECTION_TIMEOUT_MS;
   }
 
+  /**
+   * Whether this member is the leader, or had contact with one within the
+   * election timeout and has applied what was committed then.
+   */
+  isFresh(): boolean {
+    if (this.isLeader()) return true;
+    if (this.leader === null || !this.hasLiveLeader()) return false;
+    return this.appliedIndex >= this.leaderCommitIndex;
+  }
+
+  private recordLeaderCommit(index: number): void {
+    this.leaderCommitIndex = Math.max(this.leaderCommitIndex, index);
+  }
+
   private isUpToDate(request: VoteRequest): boolean {
     const {storage} = this.options;
     const lastTerm = storage.getTerm(storage.lastIndex) ?? 0;
