Ask another core daemon for a trial when the first ones are lost

What callers saw: a request with a suspected part was refused as long as the core listed the two lost daemons that come first for its service, up to 30 s.

Cause: the same two daemons were asked by each attempt; nothing was remembered of their silence, and a lost daemon stays in the list for 30 s.

Change: a daemon that did not answer is asked after the others for 3 s, so the next attempt of the request, 150 ms later, reaches one that runs.

--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -75,6 +75,7 @@
     logger: createLogger('forward'),
     metrics: parts.metrics,
     trials: createTrialClient({
+      clock,
       logger: createLogger('forward'),
       listCores: () => view.cores.map(({address}) => address),
       getService: address => links.get(address),
--- a/src/coordination/forwarding/simulated_site.ts
+++ b/src/coordination/forwarding/simulated_site.ts
@@ -232,6 +232,7 @@
       random: this.draw,
       behave: (call, options) => this.answer(gateway, index, {call, options}),
       trials: createTrialClient({
+        clock: this.clock,
         logger: silentLogger,
         listCores: () => this.cores.map((_, core) => `${CORE_PREFIX}${core}`),
         getService: core => ({
