Tell a new core daemon how old the reports of endpoints are

What callers saw: after a core daemon had been replaced, requests were sent again to an endpoint that had been lost, and it stayed in the lists for another minute; with a replacement every 9 s, for as long as the core was being turned over.

Cause: the whole state that a new daemon asks for held the reports without their ages, so it took each endpoint for one that had just reported: live for 5 s, retained for 60 s.

Change: the reply carries the time since each report; the receiver marks endpoints silent and expires them by it. Earlier versions omit the field, and their reports count as new.

--- a/src/coordination/core/core_state.ts
+++ b/src/coordination/core/core_state.ts
@@ -88,7 +88,7 @@
 
   /** Records a report that an endpoint sent to this daemon. */
   recordReport(report: EndpointReport): ReportOutcome {
-    const outcome = this.applyReport(report, 'itself');
+    const outcome = this.applyReport(report, {from: 'itself'});
     if (outcome === 'ignored') return outcome;
     this.pendingReports.set(report.id, report);
     if (outcome === 'changed') this.urgentChanges.notify();
@@ -102,6 +102,7 @@
     return {
       cores: exchange.wantsAll ? this.listAdvertised() : [],
       reports: exchange.wantsAll ? this.endpoints.listReports() : [],
+      reportAges: exchange.wantsAll ? this.endpoints.listReportAges() : [],
       gateways: exchange.wantsAll ? this.gateways.listAll() : [],
       suspects: exchange.wantsAll ? this.suspects.list() : [],
     };
@@ -114,7 +115,9 @@
     if (update.suspects) {
       this.mergeSuspects(update.suspects, this.options.clock.monotonic());
     }
-    for (const report of update.reports) this.applyReport(report, from);
+    update.reports.forEach((report, index) => {
+      this.applyReport(report, {from, ageMs: update.reportAges?.[index]});
+    });
   }
 
   /** Lists the core daemons to advertise to peers. */
@@ -195,8 +198,11 @@
     this.urgentChanges.notify();
   }
 
-  private applyReport(report: EndpointReport, from: string): ReportOutcome {
-    const outcome = this.endpoints.record(report);
+  private applyReport(
+    report: EndpointReport,
+    {from, ageMs}: {from: string; ageMs?: number | undefined},
+  ): ReportOutcome {
+    const outcome = this.endpoints.record(report, ageMs);
     if (outcome !== 'changed') return outcome;
     const {id, service, address, version, state, startedAtMs, sequence} =
       report;
--- a/src/coordination/core/core_state_test.ts
+++ b/src/coordination/core/core_state_test.ts
@@ -53,6 +53,52 @@
   assert.equal(second.endpoints.find('e1')?.state, 'draining');
 });
 
+// Guards against lost endpoints that receive requests again, and are retained for
+// another minute, each time that a core daemon is replaced.
+test('a new daemon learns how long endpoints have been silent', async () => {
+  const clock = new SimulatedClock();
+  const first = createState('c1', clock);
+  const replace = (from: CoreState, address: string) => {
+    const place = {region: 'r', dataCentre: 'a', controlAddress: ''};
+    const self = {address, ...place};
+    const next = new CoreState({clock, logger: silentLogger, self});
+    const exchange = {from: self, cores: [], reports: [], gateways: []};
+    const reply = from.receiveExchange({...exchange, wantsAll: true});
+    next.mergeExchange(reply, from.self.address);
+    return next;
+  };
+  const sweep = async (state: CoreState, ms: number) => {
+    await clock.advance(ms);
+    state.endpoints.sweep();
+  };
+  await sweep(first, 9_000);
+  assert.equal(first.endpoints.find('e1')?.silent, true);
+  let state = first;
+  for (let daemon = 2; daemon <= 6; daemon++) {
+    state = replace(state, `c${daemon}`);
+    assert.equal(state.endpoints.find('e1')?.silent, true, `c${daemon}`);
+    await sweep(state, 9_000);
+  }
+  await sweep(state, 9_000);
+  assert.equal(state.endpoints.find('e1'), null);
+});
+
+test('a new daemon does not take live endpoints for silent', async () => {
+  const clock = new SimulatedClock();
+  const first = createState('c1', clock);
+  await clock.advance(1_000);
+  const reply = first.receiveExchange({
+    from: first.self,
+    cores: [],
+    reports: [],
+    gateways: [],
+    wantsAll: true,
+  });
+  const second = new CoreState({clock, logger: silentLogger, self: first.self});
+  second.mergeExchange(reply, 'c1');
+  assert.equal(second.endpoints.find('e1')?.silent, false);
+});
+
 // Guards against an engine's end that makes the core answer each gateway once
 // for each part of each request that broke off.
 test('gateways are told of changed prompt parts at most 20 times a second', async () => {
--- a/src/coordination/core/endpoint_registry.ts
+++ b/src/coordination/core/endpoint_registry.ts
@@ -43,13 +43,22 @@
 
   constructor(private readonly options: EndpointRegistryOptions) {}
 
+  private get silentAfterMs(): number {
+    return this.options.silentAfterMs ?? SILENT_AFTER_MS;
+  }
+
   /** Increases with each change that gateways need to know. */
   get revision(): number {
     return this.lastRevision;
   }
 
-  /** Records a report unless a newer one of the endpoint is known. */
-  record(report: EndpointReport): ReportOutcome {
+  /**
+   * Records a report unless a newer one of the endpoint is known.
+   *
+   * @param ageMs The time since the endpoint sent it, if another daemon relays
+   *     it later.
+   */
+  record(report: EndpointReport, ageMs = 0): ReportOutcome {
     const known = this.known.get(report.id);
     if (known && !isNewer(report, known.entry)) return 'ignored';
     const isSameStart = known?.entry.startedAtMs === report.startedAtMs;
@@ -61,8 +70,8 @@
     if (holder && holder.entry.state !== 'gone') {
       this.updateEntry(holder, {...holder.entry, state: 'gone'});
     }
-    const receivedAt = this.options.clock.monotonic();
-    const entry = {...next, silent: false};
+    const receivedAt = this.options.clock.monotonic() - ageMs;
+    const entry = {...next, silent: ageMs > this.silentAfterMs};
     if (known && isSame(entry, known.entry)) {
       known.entry = entry;
       known.receivedAt = receivedAt;
@@ -112,10 +121,16 @@
     return this.list().map(dropSilentFlag);
   }
 
+  /** Lists the time since each report of `listReports()`, in ms. */
+  listReportAges(): number[] {
+    const now = this.options.clock.monotonic();
+    return [...this.known.values()].map(({receivedAt}) => now - receivedAt);
+  }
+
   /** Marks endpoints without recent reports as silent; removes expired ones. */
   sweep(): void {
-    const {silentAfterMs = SILENT_AFTER_MS, expireAfterMs = EXPIRE_AFTER_MS} =
-      this.options;
+    const {silentAfterMs} = this;
+    const {expireAfterMs = EXPIRE_AFTER_MS} = this.options;
     const now = this.options.clock.monotonic();
     for (const [id, known] of this.known) {
       const silentMs = now - known.receivedAt;
--- a/src/protocol/core_service.ts
+++ b/src/protocol/core_service.ts
@@ -227,6 +227,11 @@
 export interface CoreExchangeReply {
   readonly cores: readonly CoreDaemon[];
   readonly reports: ReadonlyArray<z.infer<typeof endpointReportSchema>>;
+  /**
+   * The time since each of the reports, in the same order and in ms; absent
+   * from earlier versions.
+   */
+  readonly reportAges?: readonly number[];
   readonly gateways: readonly AgedReport[];
   /** All suspected parts if asked for; absent from earlier versions. */
   readonly suspects?: readonly SuspectPart[];
