Tell gateways which core daemons are silent

What callers saw: a change that was acknowledged was in force late at a gateway whose core daemon was lost after others had been, since it waited for each of these in turn.

Cause: the core lists a daemon for 30 s after its last contact, without saying that it is silent, and a gateway that has to switch waits 0.8 s for each one that it had not called before. In a series of losses several of them are listed at a time.

Change: the follow reply names the daemons without contact for 2.5 s; a gateway calls them last. A daemon that itself has no contact with the leader is not believed: it may be the one that is cut off (a test of that failed before the condition was added).

--- a/src/coordination/core/core_members.ts
+++ b/src/coordination/core/core_members.ts
@@ -64,6 +64,14 @@
     return [this.options.self, ...live.map(({daemon}) => daemon)];
   }
 
+  /** Lists the addresses of known daemons that have been silent for `ms`. */
+  listSilent(ms: number): string[] {
+    const oldest = this.options.clock.monotonic() - ms;
+    return [...this.known.values()]
+      .filter(({lastSeenAt}) => lastSeenAt < oldest)
+      .map(({daemon}) => daemon.address);
+  }
+
   /**
    * Lists the addresses of all other daemons, seeds included, beginning with
    * the daemon that contacted this one last.
--- a/src/coordination/core/core_members_test.ts
+++ b/src/coordination/core/core_members_test.ts
@@ -40,6 +40,19 @@
   assert.deepEqual(members.listAddresses().sort(), ['b:1', 'c:1']);
 });
 
+test('listSilent() lists the daemons that made no contact lately', async () => {
+  const clock = new SimulatedClock();
+  const members = new CoreMembers({clock, self: createDaemon('a')});
+  members.recordDirect(createDaemon('lost'));
+  members.recordDirect(createDaemon('b'));
+  await clock.advance(2_000);
+  members.recordDirect(createDaemon('b'));
+  members.recordAdvertised([createDaemon('new')]);
+  assert.deepEqual(members.listSilent(2_500), []);
+  await clock.advance(1_000);
+  assert.deepEqual(members.listSilent(2_500), ['lost:1']);
+});
+
 // Guards against proposals that wait for lost daemons, one time-out each, before
 // they reach one that runs.
 test('listAddresses() begins with the daemons heard from last', async () => {
--- a/src/coordination/core/follow_service.ts
+++ b/src/coordination/core/follow_service.ts
@@ -10,6 +10,9 @@
 /** After this time every live endpoint has reported to some daemon. */
 const SETTLED_AFTER_MS = 6_000;
 
+/** A core daemon contacts the others each 0.8 s; two calls may be lost. */
+const SILENT_AFTER_MS = 2_500;
+
 export interface FollowServiceOptions {
   readonly state: CoreState;
   readonly clock: Clock;
@@ -78,6 +81,7 @@
     endpoints: state.endpoints.list(complete ? 0 : request.endpointRevision),
     configuration: isNewer ? configuration : null,
     cores: state.members.list(),
+    silentCores: state.members.listSilent(SILENT_AFTER_MS),
     loads: state.gateways.sumLoads(request.report.gateway.address),
     gatewayRevision: open.revision,
     openGateways: isOpenListKnown ? null : open.list,
--- a/src/coordination/gateway/core_follower.ts
+++ b/src/coordination/gateway/core_follower.ts
@@ -283,8 +283,8 @@
   }
 
   /**
-   * Chooses the followed daemon unless it is avoided, else the nearest. If all
-   * are avoided, one that lags comes before those that did not answer.
+   * Chooses the followed daemon unless it is avoided, else the nearest. Those
+   * that lag come after the others, and those that are silent come last.
    */
   private chooseDaemon(): string | null {
     const {view, region, dataCentre, random, clock} = this.options;
@@ -314,12 +314,14 @@
       .map(address => ({
         address,
         silentMs: getLeftMs(this.silentUntil, address),
+        isSilent: view.isCoreSilent(address) ? 1 : 0,
         isLagging: getLeftMs(this.laggingUntil, address) > 0 ? 1 : 0,
         rank: rank(address) + random() * 0.9,
       }))
       .sort(
         (a, b) =>
           a.silentMs - b.silentMs ||
+          a.isSilent - b.isSilent ||
           a.isLagging - b.isLagging ||
           a.rank - b.rank,
       );
--- a/src/coordination/gateway/core_follower_test.ts
+++ b/src/coordination/gateway/core_follower_test.ts
@@ -40,8 +40,10 @@
 class FakeCore implements Disposable {
   readonly clock = new SimulatedClock();
   readonly calls: string[] = [];
-  /** Whether the daemons have contact with a leader. */
-  isFresh = true;
+  /** The daemons without contact with a leader. */
+  readonly lagging = new Set<string>();
+  /** The daemons that the others report silent. */
+  silentCores: readonly string[] = [];
   readonly view = new GatewayView({
     logger: silentLogger,
     decodeTable: () => succeed(createTable(createRoute())),
@@ -91,7 +93,8 @@
     return createFollowReply({
       epoch: address,
       cores: this.cores,
-      fresh: this.isFresh,
+      fresh: !this.lagging.has(address),
+      silentCores: this.silentCores,
       configuration: configuration.document === null ? null : configuration,
     });
   }
@@ -144,16 +147,17 @@
   assert.equal(core.calls.length, calls);
 });
 
-// Guards against a gateway that goes on calling lost daemons of its own region,
-// which other daemons still list, and never reaches one that runs.
-test('CoreFollower reaches a daemon behind nearer ones that are lost', async () => {
-  const lost = ['lost1', 'lost2', 'lost3', 'lost4', 'lost5'];
-  const failAtMs = 500;
-  const fail: Daemon = nowMs => (nowMs < failAtMs ? IN_FORCE : null);
+/** When the near daemons of `createLosses()` are lost. */
+const FAIL_AT_MS = 500;
+
+/** Five near daemons, which are lost, and a far one with a newer configuration. */
+function createLosses(): FakeCore {
+  const near = ['near1', 'near2', 'near3', 'near4', 'near5'];
+  const fail: Daemon = nowMs => (nowMs < FAIL_AT_MS ? IN_FORCE : null);
   const newer = {...IN_FORCE, revision: 8};
   const daemons: Record<string, Daemon> = {
-    ...Object.fromEntries(lost.map(name => [name, fail])),
-    far: nowMs => (nowMs < failAtMs ? IN_FORCE : newer),
+    ...Object.fromEntries(near.map(name => [name, fail])),
+    far: nowMs => (nowMs < FAIL_AT_MS ? IN_FORCE : newer),
   };
   const cores = Object.keys(daemons).map(address => ({
     address,
@@ -161,13 +165,53 @@
     dataCentre: 'b',
     controlAddress: '',
   }));
-  using core = new FakeCore(daemons, cores);
-  await core.clock.advance(failAtMs);
+  return new FakeCore(daemons, cores);
+}
+
+// Guards against a gateway that goes on calling lost daemons of its own region,
+// which other daemons still list, and never reaches one that runs.
+test('CoreFollower reaches a daemon behind nearer ones that are lost', async () => {
+  using core = createLosses();
+  await core.clock.advance(FAIL_AT_MS);
   assert.equal(core.view.revision, 7);
   await core.clock.advance(6_000);
   assert.equal(core.view.revision, 8);
 });
 
+// Guards against a gateway that waits for each lost daemon in turn, although the
+// one that it followed knew which were silent.
+test('CoreFollower passes over daemons that the core reports silent', async () => {
+  using core = createLosses();
+  core.silentCores = ['near2', 'near3', 'near4', 'near5'];
+  await core.clock.advance(FAIL_AT_MS);
+  assert.equal(core.view.revision, 7);
+  // The call that was open when the followed daemon was lost, and one more.
+  await core.clock.advance(2_500);
+  assert.equal(core.view.revision, 8);
+});
+
+// Guards against a gateway that stays with a daemon which is cut off from the
+// others and takes all of them for silent.
+test('CoreFollower ignores what a daemon that lags reports of others', async () => {
+  const newer = {...IN_FORCE, revision: 8};
+  const daemons = {
+    near: () => IN_FORCE,
+    far: (nowMs: number) => (nowMs < FAIL_AT_MS ? IN_FORCE : newer),
+  };
+  const cores = Object.keys(daemons).map(address => ({
+    address,
+    region: address === 'near' ? 'r' : 'other',
+    dataCentre: 'b',
+    controlAddress: '',
+  }));
+  using core = new FakeCore(daemons, cores);
+  await core.clock.advance(FAIL_AT_MS);
+  core.lagging.add('near');
+  core.silentCores = ['far'];
+  await core.clock.advance(2_500);
+  assert.equal(core.view.revision, 8);
+});
+
 // Guards against gateways that fetch whole lists from all daemons in turn while
 // no daemon has contact with a leader.
 test('CoreFollower stays with the nearest while all daemons lag', async () => {
@@ -182,7 +226,7 @@
   );
   using core = new FakeCore(daemons, cores);
   await core.clock.advance(500);
-  core.isFresh = false;
+  for (const {address} of cores) core.lagging.add(address);
   await core.clock.advance(5_000);
   const before = core.calls.length;
   await core.clock.advance(2_000);
--- a/src/coordination/gateway/gateway_view.ts
+++ b/src/coordination/gateway/gateway_view.ts
@@ -43,6 +43,7 @@
   private readonly endpoints = new Map<string, EndpointEntry>();
   private loads = new Map<string, EndpointLoad>();
   private coreDaemons: readonly CoreDaemon[] = [];
+  private silentCores: readonly string[] = [];
   private openList: readonly Gateway[] = [];
 
   constructor(private readonly options: GatewayViewOptions) {}
@@ -61,6 +62,11 @@
     return this.coreDaemons;
   }
 
+  /** Whether other core daemons lately did not hear from one. */
+  isCoreSilent(address: string): boolean {
+    return this.silentCores.includes(address);
+  }
+
   /** The number of open gateways, this one included. */
   get gatewayCount(): number {
     return Math.max(1, this.openList.length);
@@ -105,6 +111,7 @@
       ]),
     );
     this.coreDaemons = reply.cores;
+    this.silentCores = reply.fresh ? (reply.silentCores ?? []) : [];
     if (reply.openGateways) this.openList = reply.openGateways;
     if (reply.limits) this.options.onLimits?.(reply.limits);
     if (reply.suspects) this.options.onSuspects?.(reply.suspects);
--- a/src/protocol/core_service.ts
+++ b/src/protocol/core_service.ts
@@ -197,6 +197,11 @@
   /** `null` unless it is newer than the gateway's. */
   readonly configuration: Configuration | null;
   readonly cores: readonly CoreDaemon[];
+  /**
+   * The addresses of those that have been silent for seconds; absent from
+   * earlier versions.
+   */
+  readonly silentCores?: readonly string[];
   /** Open requests of all other gateways; earlier versions omit fields. */
   readonly loads: ReadonlyArray<z.input<typeof endpointLoadSchema>>;
   readonly gatewayRevision: number;
