Remove endpoints only on the word of a core daemon with a leader

What callers saw: refusals for want of endpoints at a gateway that called a core daemon with an empty disk which has been cut off from the other core daemons since its start.

Cause: six seconds after its start a daemon calls its list settled, whether or not it has heard from any other; a gateway drops what such a list does not contain, also on a reply that says that the daemon has no contact with the leader.

Change: the list counts as complete only if the daemon is fresh.

Before: `apply() removes endpoints only on the word of a fresh daemon` failed. After: gateway_view_test.ts 2 of 2. Not seen in the users' record.

--- a/src/coordination/gateway/gateway_view.ts
+++ b/src/coordination/gateway/gateway_view.ts
@@ -103,7 +103,9 @@
   apply(reply: FollowReply): void {
     if (reply.configuration) this.applyConfiguration(reply.configuration);
     for (const entry of reply.endpoints) this.applyEndpoint(entry);
-    if (reply.complete && reply.settled) this.removeUnlisted(reply.endpoints);
+    if (reply.complete && reply.settled && reply.fresh) {
+      this.removeUnlisted(reply.endpoints);
+    }
     this.loads = new Map(
       reply.loads.map(({id, open, readingMs = 0}) => [
         id,
