Tell a core daemon that was away how old the queued reports are

What callers saw: requests to a lost endpoint at gateways that follow a core daemon which was frozen or cut off while the endpoint was lost, for 5 s after its return.

Cause: reports are kept for a daemon that does not answer, and were delivered without their age, so that they counted as new.

Change: each exchange carries the time since each of its reports, as the reply to a new daemon does; earlier versions omit it.

Before: `a late exchange tells how old its reports are` failed. Not seen in the users' record.

--- a/src/coordination/core/core_state.ts
+++ b/src/coordination/core/core_state.ts
@@ -99,10 +99,11 @@
   receiveExchange(exchange: CoreExchange): CoreExchangeReply {
     this.members.recordDirect(exchange.from);
     this.mergeExchange(exchange, exchange.from.address);
+    const reports = exchange.wantsAll ? this.endpoints.listReports() : [];
     return {
       cores: exchange.wantsAll ? this.listAdvertised() : [],
-      reports: exchange.wantsAll ? this.endpoints.listReports() : [],
-      reportAges: exchange.wantsAll ? this.endpoints.listReportAges() : [],
+      reports,
+      reportAges: this.endpoints.listReportAges(reports.map(({id}) => id)),
       gateways: exchange.wantsAll ? this.gateways.listAll() : [],
       suspects: exchange.wantsAll ? this.suspects.list() : [],
     };
--- a/src/coordination/core/core_state_test.ts
+++ b/src/coordination/core/core_state_test.ts
@@ -4,11 +4,15 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
-import type {GatewayReport} from '../../protocol/core_service.ts';
+import {
+  coreExchangeSchema,
+  type GatewayReport,
+} from '../../protocol/core_service.ts';
 import {silentLogger} from '../../protocol/logger.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
 import {createEndpoint} from '../forwarding/forwarding_fakes.ts';
 import {CoreState} from './core_state.ts';
+import {startExchange} from './exchange_task.ts';
 
 const REPORT: GatewayReport = {
   gateway: {address: 'g', region: 'r', dataCentre: 'a', open: true},
@@ -99,6 +103,37 @@
   assert.equal(second.endpoints.find('e1')?.silent, false);
 });
 
+// Guards against a lost endpoint that counts as live at a core daemon which was
+// frozen, because the others kept its last report for it.
+test('a late exchange tells how old its reports are', async () => {
+  const clock = new SimulatedClock();
+  const first = createState('c1', clock);
+  const place = {region: 'r', dataCentre: 'a', controlAddress: ''};
+  const self = {address: 'c2', ...place};
+  const frozen = new CoreState({clock, logger: silentLogger, self});
+  first.members.recordDirect(self);
+  let isFrozen = true;
+  const task = startExchange({
+    state: first,
+    clock,
+    logger: silentLogger,
+    call: async (_address, exchange, timeoutMs) => {
+      if (!isFrozen) {
+        return frozen.receiveExchange(coreExchangeSchema.parse(exchange));
+      }
+      await clock.sleep(timeoutMs);
+      throw new Error('Timed out');
+    },
+  });
+  await clock.advance(9_000);
+  isFrozen = false;
+  await clock.advance(2_000);
+  assert.equal(frozen.endpoints.find('e1')?.silent, true);
+  const disposed = task[Symbol.asyncDispose]();
+  await clock.advance(2_000);
+  await disposed;
+});
+
 // Guards against an engine's end that makes the core answer each gateway once
 // for each part of each request that broke off.
 test('gateways are told of changed prompt parts at most 20 times a second', async () => {
--- a/src/coordination/core/endpoint_registry.ts
+++ b/src/coordination/core/endpoint_registry.ts
@@ -121,10 +121,10 @@
     return this.list().map(dropSilentFlag);
   }
 
-  /** Lists the time since each report of `listReports()`, in ms. */
-  listReportAges(): number[] {
+  /** Lists the time since the last report of each endpoint, in ms. */
+  listReportAges(ids: readonly string[]): number[] {
     const now = this.options.clock.monotonic();
-    return [...this.known.values()].map(({receivedAt}) => now - receivedAt);
+    return ids.map(id => now - (this.known.get(id)?.receivedAt ?? now));
   }
 
   /** Marks endpoints without recent reports as silent; removes expired ones. */
--- a/src/coordination/core/exchange_task.ts
+++ b/src/coordination/core/exchange_task.ts
@@ -119,6 +119,7 @@
     from: state.self,
     cores: isAdvertiseDue ? state.listAdvertised() : [],
     reports,
+    reportAges: state.endpoints.listReportAges(reports.map(({id}) => id)),
     gateways: state.gateways.listDirect(peer.gatewaysSince),
     wantsAll: !peer.isSynced,
   };
--- a/src/protocol/core_service.ts
+++ b/src/protocol/core_service.ts
@@ -222,6 +222,11 @@
   from: coreDaemonSchema,
   cores: z.array(coreDaemonSchema),
   reports: z.array(endpointReportSchema),
+  /**
+   * The time since each of the reports, in the same order and in ms; absent
+   * from earlier versions.
+   */
+  reportAges: z.array(z.number().nonnegative()).optional(),
   gateways: z.array(agedReportSchema),
   /** Requests all endpoints and gateways that the receiver knows. */
   wantsAll: z.boolean(),
@@ -232,11 +237,8 @@
 export interface CoreExchangeReply {
   readonly cores: readonly CoreDaemon[];
   readonly reports: ReadonlyArray<z.infer<typeof endpointReportSchema>>;
-  /**
-   * The time since each of the reports, in the same order and in ms; absent
-   * from earlier versions.
-   */
-  readonly reportAges?: readonly number[];
+  /** As in the exchange. */
+  readonly reportAges?: readonly number[] | undefined;
   readonly gateways: readonly AgedReport[];
   /** All suspected parts if asked for; absent from earlier versions. */
   readonly suspects?: readonly SuspectPart[];
