--- a/src/coordination/replication/replica.ts
+++ b/src/coordination/replication/replica.ts
@@ -22,6 +22,7 @@
   Member,
   Membership,
   ReplicaDescription,
+  SilentMember,
   TransferRequest,
   VoteReply,
   VoteRequest,
@@ -39,14 +40,23 @@
 import {formGroup} from './formation.ts';
 import {describeLeadership, type GroupStatus} from './group_status.ts';
 import {Leadership, type PeerProgress} from './leadership.ts';
-import {findMajorityValue, includesMember, type ReplicaHost} from './member.ts';
+import {
+  findMajorityValue,
+  includesMember,
+  isSameMember,
+  type ReplicaHost,
+} from './member.ts';
+import {MemberContacts} from './member_contacts.ts';
 import {MembershipHistory} from './membership_history.ts';
 import {repairMembership} from './repair_membership.ts';
 import {
   HEARTBEAT_MS,
+  LEARNER_HEARTBEAT_MS,
+  REACHABLE_MS,
   replicateToPeer,
   type ReplicaPeer,
 } from './peer_replicator.ts';
+import type {VoterView} from './plan_membership.ts';
 import {ProposalQueue, type Proposal} from './proposal_queue.ts';
 import {SnapshotReceiver} from './snapshot_receiver.ts';
 
@@ -59,6 +69,12 @@
 /** The time without contact after which a leader is no longer named. */
 const FORGET_LEADER_MS = 2 * ELECTION_TIMEOUT_MS;
 
+/**
+ * A candidate that lost an election campaigns again after this long, and after
+ * twice as long each further time, plus a random delay of up to as much again.
+ */
+const ELECTION_RETRY_MS = 100;
+
 /**
  * How long leadership is trusted, counted from the sending of the calls that a
  * majority last answered. Shorter than the election timeout, during which
@@ -78,6 +94,15 @@
 /** Default time without contact after which a voter is replaced. */
 const REPLACE_AFTER_MS = 30_000;
 
+/**
+ * Default time without contact after which a voter is replaced if a member with
+ * an empty disk has started: longer than an election takes.
+ */
+const SUCCEEDED_AFTER_MS = 2_000;
+
+/** Default number of learners that are kept caught up. */
+const SPARE_COUNT = 1;
+
 /** Default number of entries after which a snapshot is taken. */
 const SNAPSHOT_ENTRIES = 4_096;
 
@@ -96,6 +121,11 @@
   readonly listHosts: () => readonly ReplicaHost[];
   /** The target number of voters; the other hosts are spares. */
   readonly voterCount: number;
+  /**
+   * How many of the spares are kept caught up, so that a lost voter is replaced
+   * by a single commit; 1 by default.
+   */
+  readonly spareCount?: number;
   readonly storage: LogStorage;
   readonly stateMachine: StateMachine<C, R>;
   readonly getPeer: (name: string) => ReplicaPeer;
@@ -107,6 +137,11 @@
    * Time without contact after which a voter is replaced; 30,000 by default.
    */
   readonly replaceAfterMs?: number;
+  /**
+   * The same while a member without a vote has started with an empty disk, as
+   * the successor of a lost host does; 2,000 by default.
+   */
+  readonly succeededAfterMs?: number;
   /**
    * Number of entries after which a snapshot is taken; 4,096 by default.
    */
@@ -144,7 +179,10 @@
   private readonly proposals: ProposalQueue<C>;
   private readonly memberships: MembershipHistory;
   private readonly receiver = new SnapshotReceiver();
+  private readonly contacts = new MemberContacts();
   private readonly self: Member;
+  /** When it was opened with an empty disk, on the monotonic clock. */
+  private readonly emptySince: number | null;
   private leadership: Leadership | null = null;
   private currentLeader: string | null = null;
   private commitIndex: number;
@@ -156,6 +194,10 @@
    * down, a campaign or a granted vote.
    */
   private timerStartedAt: number;
+  /** The time after the reset at which an election starts. */
+  private electionTimeoutMs: number;
+  /** The elections lost since the last contact with a leader. */
+  private lostElections = 0;
   /**
    * Time of the last contact with a leader. No vote is granted within an
    * election timeout of it. Starts at the time of construction, because the
@@ -169,10 +211,13 @@
   private constructor(private readonly options: ReplicaOptions<C, R>) {
     const {clock, storage, name} = options;
     this.self = {name, incarnation: storage.incarnation};
+    const isEmpty = storage.snapshot === null && storage.lastIndex === 0;
+    this.emptySince = isEmpty ? clock.monotonic() : null;
     this.appendWake = createSignal(clock);
     this.proposals = new ProposalQueue(clock);
     this.memberships = new MembershipHistory(storage);
     this.timerStartedAt = clock.monotonic();
+    this.electionTimeoutMs = this.drawElectionTimeout();
     this.leaderContactAt = this.timerStartedAt;
     this.commitIndex = storage.snapshot?.index ?? 0;
     this.appliedIndex = this.commitIndex;
@@ -284,7 +329,10 @@
   /** Returns this member's incarnation and whether it belongs to a group. */
   describe(): ReplicaDescription {
     const {incarnation} = this.self;
-    return {incarnation, formed: this.membership !== null};
+    const formed = this.membership !== null;
+    if (this.emptySince === null) return {incarnation, formed};
+    const emptySinceMs = this.options.clock.monotonic() - this.emptySince;
+    return {incarnation, formed, emptySinceMs};
   }
 
   /** Handles a request to join a newly formed group. */
@@ -314,7 +362,7 @@
       if (granted) {
         const vote = {term, votedFor: request.candidate};
         await this.options.storage.saveHardState(vote);
-        this.timerStartedAt = this.options.clock.monotonic();
+        this.resetElectionTimer();
       }
       return {term, granted};
     });
@@ -331,6 +379,7 @@
         return {term: this.term, accepted: false, matchIndex, formed};
       };
       if (!(await this.acceptLeader(request))) return reject(0);
+      this.contacts.record(request.silent ?? [], this.leaderContactAt);
       if (!formed) return reject(0);
       const {previousIndex} = request;
       if (previousIndex > storage.lastIndex) return reject(storage.lastIndex);
@@ -529,8 +578,9 @@
     if (term < this.term) return false;
     if (term > this.term) await this.adoptTerm(term);
     this.follow(leader);
-    this.leaderContactAt = this.options.clock.monotonic();
-    this.timerStartedAt = this.leaderContactAt;
+    this.resetElectionTimer();
+    this.lostElections = 0;
+    this.leaderContactAt = this.timerStartedAt;
     return true;
   }
 
@@ -549,6 +599,10 @@
   }
 
   private endLeadership(): void {
+    if (this.leadership) {
+      const now = this.options.clock.monotonic();
+      this.contacts.record(this.listSilent(0), now);
+    }
     this.leadership?.end();
     this.leadership = null;
     this.proposals.fail();
@@ -638,8 +692,6 @@
   private async runElectionTimer(): Promise<void> {
     const {clock, random} = this.options;
     const {signal} = this.stopped;
-    const chooseTimeout = () => ELECTION_TIMEOUT_MS * (1 + random() / 2);
-    let timeoutMs = chooseTimeout();
     while (!signal.aborted) {
       if (this.leadership) {
         this.checkQuorum();
@@ -647,17 +699,34 @@
         await clock.sleep(HEARTBEAT_MS, signal);
         continue;
       }
-      const leftMs = this.timerStartedAt + timeoutMs - clock.monotonic();
+      const startsAt = this.timerStartedAt + this.electionTimeoutMs;
+      const leftMs = startsAt - clock.monotonic();
       if (leftMs > 0) {
         await clock.sleep(leftMs, signal);
         continue;
       }
-      this.timerStartedAt = clock.monotonic();
-      timeoutMs = chooseTimeout();
+      this.resetElectionTimer();
+      const startedAt = this.timerStartedAt;
       await this.campaign({transfer: false});
+      // Changed if another candidate got this member's vote meanwhile.
+      if (this.timerStartedAt !== startedAt || !this.isVoter()) continue;
+      this.timerStartedAt = clock.monotonic();
+      const retryMs = ELECTION_RETRY_MS * 2 ** this.lostElections++;
+      this.electionTimeoutMs =
+        Math.min(ELECTION_TIMEOUT_MS, retryMs) * (1 + random());
     }
   }
 
+  /** Restarts the time after which this member starts an election. */
+  private resetElectionTimer(): void {
+    this.timerStartedAt = this.options.clock.monotonic();
+    this.electionTimeoutMs = this.drawElectionTimeout();
+  }
+
+  private drawElectionTimeout(): number {
+    return ELECTION_TIMEOUT_MS * (1 + this.options.random() / 2);
+  }
+
   private checkQuorum(): void {
     const {clock, logger, group} = this.options;
     const now = clock.monotonic();
@@ -667,7 +736,7 @@
       group,
       term: this.term,
     });
-    this.timerStartedAt = now;
+    this.resetElectionTimer();
     this.follow(null);
   }
 
@@ -756,6 +825,7 @@
       const startIndex = storage.lastIndex + 1;
       await this.append([{index: startIndex, term, command: null}]);
       this.role.send('win');
+      this.lostElections = 0;
       this.currentLeader = name;
       const serve = (progress: PeerProgress) => this.servePeer(progress, term);
       const created = new Leadership({term, startIndex, clock, serve});
@@ -781,6 +851,11 @@
         clock,
         peer: this.options.getPeer(progress.member.name),
         getCommitIndex: () => this.commitIndex,
+        getHeartbeatMs: () =>
+          this.membership && includesMember(this.membership, progress.member)
+            ? HEARTBEAT_MS
+            : LEARNER_HEARTBEAT_MS,
+        listSilent: () => this.listSilent(REACHABLE_MS),
         onProgress: () => this.advanceCommit(),
         onLaterTerm: later => {
           void this.observeTerm(later).catch(error => this.logFailure(error));
@@ -801,6 +876,31 @@
     leadership.servePeers(others, this.options.storage.lastIndex + 1);
   }
 
+  /**
+   * Lists the voters with the time since their last contact with this leader,
+   * or, if there was none yet, with the leaders that it followed.
+   */
+  private listVoters(): VoterView[] {
+    const {leadership, contacts, self} = this;
+    const now = this.options.clock.monotonic();
+    return (this.membership?.voters ?? []).map(member => {
+      if (isSameMember(member, self)) return {member, sinceContactMs: 0};
+      const earlierAt = contacts.getLastContactAt(member) ?? this.leaderSince;
+      const contactAt = leadership?.get(member)?.lastContactAt ?? -Infinity;
+      return {member, sinceContactMs: now - Math.max(contactAt, earlierAt)};
+    });
+  }
+
+  /** Lists the voters without contact for longer than `ms`. */
+  private listSilent(ms: number): SilentMember[] {
+    return this.listVoters()
+      .filter(({sinceContactMs}) => sinceContactMs > ms)
+      .map(({member, sinceContactMs}) => ({
+        ...member,
+        silentMs: sinceContactMs,
+      }));
+  }
+
   private async repairMembership(leadership: Leadership): Promise<void> {
     const {group, listHosts, voterCount, clock, logger} = this.options;
     await repairMembership({
@@ -808,12 +908,14 @@
       self: this.self,
       listHosts,
       voterCount,
+      spareCount: this.options.spareCount ?? SPARE_COUNT,
       clock,
       logger,
       leadership,
       replaceAfterMs: this.options.replaceAfterMs ?? REPLACE_AFTER_MS,
+      succeededAfterMs: this.options.succeededAfterMs ?? SUCCEEDED_AFTER_MS,
       getPeer: this.options.getPeer,
-      getMembership: () => this.membership ?? {voters: []},
+      listVoters: () => this.listVoters(),
       getCommitIndex: () => this.commitIndex,
       servePeers: () => this.servePeers(),
       change: membership => this.changeMembership(membership),
