--- a/src/coordination/replication/group_status.ts
+++ b/src/coordination/replication/group_status.ts
@@ -2,9 +2,7 @@
 import type {Member} from '../../protocol/replication.ts';
 import type {Leadership} from './leadership.ts';
 import {countMajority, isSameMember} from './member.ts';
-
-/** A voter in contact has replied to the leader within this time. */
-export const CONTACT_TIMEOUT_MS = 1_000;
+import {REACHABLE_MS} from './peer_replicator.ts';
 
 /** A member as the leader sees it. */
 export interface MemberStatus {
@@ -72,7 +70,7 @@
 
 /** Lists the voters that are in contact with the leader. */
 export function listVotersInContact({voters}: LeaderStatus): MemberStatus[] {
-  return voters.filter(voter => voter.contactAgeMs < CONTACT_TIMEOUT_MS);
+  return voters.filter(voter => voter.contactAgeMs < REACHABLE_MS);
 }
 
 /** Computes how many more voters may be lost now without losing a majority. */
--- a/src/coordination/replication/group_status_test.ts
+++ b/src/coordination/replication/group_status_test.ts
@@ -1,7 +1,6 @@
 import assert from 'node:assert/strict';
-import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
-import {xorshift128plus} from 'pure-rand/generator/xorshift128plus';
 import {test} from 'uvu';
+import {createDraws} from '../../protocol/seeded_draws.ts';
 import {computeToleratedLosses, listVotersInContact} from './group_status.ts';
 import {SimulatedGroup} from './simulated_group.ts';
 
@@ -9,11 +8,10 @@
 const ELECTION_MS = 5_000;
 
 test('getStatus() follows the voters that the leader reaches', async () => {
-  const generator = xorshift128plus(1);
   const group = new SimulatedGroup({
     hosts: ['a', 'b', 'c'],
     voterCount: 3,
-    random: () => uniformFloat64(generator),
+    random: createDraws(1).next,
   });
   await group.startAll();
   await group.run(ELECTION_MS);
