Pair the ages of reports with the endpoints' ids

Cause: two lists in the same order no longer match once a receiver drops an odd entry from one of them, and an endpoint would get the age of another.

--- a/src/coordination/core/core_state.ts
+++ b/src/coordination/core/core_state.ts
@@ -116,9 +116,12 @@
     if (update.suspects) {
       this.mergeSuspects(update.suspects, this.options.clock.monotonic());
     }
-    update.reports.forEach((report, index) => {
-      this.applyReport(report, {from, ageMs: update.reportAges?.[index]});
-    });
+    const ages = new Map(
+      update.reportAges?.map(({id, ageMs}) => [id, ageMs] as const),
+    );
+    for (const report of update.reports) {
+      this.applyReport(report, {from, ageMs: ages.get(report.id)});
+    }
   }
 
   /** Lists the core daemons to advertise to peers. */
--- a/src/coordination/core/endpoint_registry.ts
+++ b/src/coordination/core/endpoint_registry.ts
@@ -7,7 +7,7 @@
  * taken over the address.
  */
 import type {Clock} from '../../protocol/clock.ts';
-import type {LeavingEndpoint} from '../../protocol/core_service.ts';
+import type {LeavingEndpoint, ReportAge} from '../../protocol/core_service.ts';
 import type {
   EndpointEntry,
   EndpointReport,
@@ -121,10 +121,13 @@
     return this.list().map(dropSilentFlag);
   }
 
-  /** Lists the time since the last report of each endpoint, in ms. */
-  listReportAges(ids: readonly string[]): number[] {
+  /** Lists the ages of the last reports of some endpoints. */
+  listReportAges(ids: readonly string[]): ReportAge[] {
     const now = this.options.clock.monotonic();
-    return ids.map(id => now - (this.known.get(id)?.receivedAt ?? now));
+    return ids.map(id => ({
+      id,
+      ageMs: now - (this.known.get(id)?.receivedAt ?? now),
+    }));
   }
 
   /** Marks endpoints without recent reports as silent; removes expired ones. */
--- a/src/protocol/core_service.ts
+++ b/src/protocol/core_service.ts
@@ -218,15 +218,20 @@
   readonly fresh: boolean;
 }
 
+/** The time since the last report of an endpoint. */
+export const reportAgeSchema = z.object({
+  id: z.string(),
+  ageMs: z.number().nonnegative(),
+});
+
+export type ReportAge = z.infer<typeof reportAgeSchema>;
+
 export const coreExchangeSchema = z.object({
   from: coreDaemonSchema,
   cores: z.array(coreDaemonSchema),
   reports: z.array(endpointReportSchema),
-  /**
-   * The time since each of the reports, in the same order and in ms; absent
-   * from earlier versions.
-   */
-  reportAges: z.array(z.number().nonnegative()).optional(),
+  /** The ages of the reports; absent from earlier versions. */
+  reportAges: z.array(reportAgeSchema).optional(),
   gateways: z.array(agedReportSchema),
   /** Requests all endpoints and gateways that the receiver knows. */
   wantsAll: z.boolean(),
@@ -238,7 +243,7 @@
   readonly cores: readonly CoreDaemon[];
   readonly reports: ReadonlyArray<z.infer<typeof endpointReportSchema>>;
   /** As in the exchange. */
-  readonly reportAges?: readonly number[] | undefined;
+  readonly reportAges?: readonly ReportAge[] | undefined;
   readonly gateways: readonly AgedReport[];
   /** All suspected parts if asked for; absent from earlier versions. */
   readonly suspects?: readonly SuspectPart[];
