--- a/src/coordination/core/core_state.ts
+++ b/src/coordination/core/core_state.ts
@@ -88,7 +88,7 @@
 
   /** Records a report that an endpoint sent to this daemon. */
   recordReport(report: EndpointReport): ReportOutcome {
-    const outcome = this.applyReport(report, 'itself');
+    const outcome = this.applyReport(report, {from: 'itself'});
     if (outcome === 'ignored') return outcome;
     this.pendingReports.set(report.id, report);
     if (outcome === 'changed') this.urgentChanges.notify();
@@ -99,9 +99,11 @@
   receiveExchange(exchange: CoreExchange): CoreExchangeReply {
     this.members.recordDirect(exchange.from);
     this.mergeExchange(exchange, exchange.from.address);
+    const reports = exchange.wantsAll ? this.endpoints.listReports() : [];
     return {
       cores: exchange.wantsAll ? this.listAdvertised() : [],
-      reports: exchange.wantsAll ? this.endpoints.listReports() : [],
+      reports,
+      reportAges: this.endpoints.listReportAges(reports.map(({id}) => id)),
       gateways: exchange.wantsAll ? this.gateways.listAll() : [],
       suspects: exchange.wantsAll ? this.suspects.list() : [],
     };
@@ -114,7 +116,12 @@
     if (update.suspects) {
       this.mergeSuspects(update.suspects, this.options.clock.monotonic());
     }
-    for (const report of update.reports) this.applyReport(report, from);
+    const ages = new Map(
+      update.reportAges?.map(({id, ageMs}) => [id, ageMs] as const),
+    );
+    for (const report of update.reports) {
+      this.applyReport(report, {from, ageMs: ages.get(report.id)});
+    }
   }
 
   /** Lists the core daemons to advertise to peers. */
@@ -195,8 +202,11 @@
     this.urgentChanges.notify();
   }
 
-  private applyReport(report: EndpointReport, from: string): ReportOutcome {
-    const outcome = this.endpoints.record(report);
+  private applyReport(
+    report: EndpointReport,
+    {from, ageMs}: {from: string; ageMs?: number | undefined},
+  ): ReportOutcome {
+    const outcome = this.endpoints.record(report, ageMs);
     if (outcome !== 'changed') return outcome;
     const {id, service, address, version, state, startedAtMs, sequence} =
       report;
--- a/src/coordination/core/core_state_test.ts
+++ b/src/coordination/core/core_state_test.ts
@@ -4,11 +4,15 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
-import type {GatewayReport} from '../../protocol/core_service.ts';
+import {
+  coreExchangeSchema,
+  type GatewayReport,
+} from '../../protocol/core_service.ts';
 import {silentLogger} from '../../protocol/logger.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
 import {createEndpoint} from '../forwarding/forwarding_fakes.ts';
 import {CoreState} from './core_state.ts';
+import {startExchange} from './exchange_task.ts';
 
 const REPORT: GatewayReport = {
   gateway: {address: 'g', region: 'r', dataCentre: 'a', open: true},
@@ -53,6 +57,83 @@
   assert.equal(second.endpoints.find('e1')?.state, 'draining');
 });
 
+// Guards against lost endpoints that receive requests again, and are retained for
+// another minute, each time that a core daemon is replaced.
+test('a new daemon learns how long endpoints have been silent', async () => {
+  const clock = new SimulatedClock();
+  const first = createState('c1', clock);
+  const replace = (from: CoreState, address: string) => {
+    const place = {region: 'r', dataCentre: 'a', controlAddress: ''};
+    const self = {address, ...place};
+    const next = new CoreState({clock, logger: silentLogger, self});
+    const exchange = {from: self, cores: [], reports: [], gateways: []};
+    const reply = from.receiveExchange({...exchange, wantsAll: true});
+    next.mergeExchange(reply, from.self.address);
+    return next;
+  };
+  const sweep = async (state: CoreState, ms: number) => {
+    await clock.advance(ms);
+    state.endpoints.sweep();
+  };
+  await sweep(first, 9_000);
+  assert.equal(first.endpoints.find('e1')?.silent, true);
+  let state = first;
+  for (let daemon = 2; daemon <= 6; daemon++) {
+    state = replace(state, `c${daemon}`);
+    assert.equal(state.endpoints.find('e1')?.silent, true, `c${daemon}`);
+    await sweep(state, 9_000);
+  }
+  await sweep(state, 9_000);
+  assert.equal(state.endpoints.find('e1'), null);
+});
+
+test('a new daemon does not take live endpoints for silent', async () => {
+  const clock = new SimulatedClock();
+  const first = createState('c1', clock);
+  await clock.advance(1_000);
+  const reply = first.receiveExchange({
+    from: first.self,
+    cores: [],
+    reports: [],
+    gateways: [],
+    wantsAll: true,
+  });
+  const second = new CoreState({clock, logger: silentLogger, self: first.self});
+  second.mergeExchange(reply, 'c1');
+  assert.equal(second.endpoints.find('e1')?.silent, false);
+});
+
+// Guards against a lost endpoint that counts as live at a core daemon which was
+// frozen, because the others kept its last report for it.
+test('a late exchange tells how old its reports are', async () => {
+  const clock = new SimulatedClock();
+  const first = createState('c1', clock);
+  const place = {region: 'r', dataCentre: 'a', controlAddress: ''};
+  const self = {address: 'c2', ...place};
+  const frozen = new CoreState({clock, logger: silentLogger, self});
+  first.members.recordDirect(self);
+  let isFrozen = true;
+  const task = startExchange({
+    state: first,
+    clock,
+    logger: silentLogger,
+    call: async (_address, exchange, timeoutMs) => {
+      if (!isFrozen) {
+        return frozen.receiveExchange(coreExchangeSchema.parse(exchange));
+      }
+      await clock.sleep(timeoutMs);
+      throw new Error('Timed out');
+    },
+  });
+  await clock.advance(9_000);
+  isFrozen = false;
+  await clock.advance(2_000);
+  assert.equal(frozen.endpoints.find('e1')?.silent, true);
+  const disposed = task[Symbol.asyncDispose]();
+  await clock.advance(2_000);
+  await disposed;
+});
+
 // Guards against an engine's end that makes the core answer each gateway once
 // for each part of each request that broke off.
 test('gateways are told of changed prompt parts at most 20 times a second', async () => {
--- a/src/coordination/gateway/core_follower_test.ts
+++ b/src/coordination/gateway/core_follower_test.ts
@@ -4,7 +4,11 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
-import type {Configuration, FollowReply} from '../../protocol/core_service.ts';
+import type {
+  Configuration,
+  CoreDaemon,
+  FollowReply,
+} from '../../protocol/core_service.ts';
 import {silentLogger} from '../../protocol/logger.ts';
 import {succeed} from '../../protocol/outcome.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
@@ -36,13 +40,20 @@
 class FakeCore implements Disposable {
   readonly clock = new SimulatedClock();
   readonly calls: string[] = [];
+  /** The daemons without contact with a leader. */
+  readonly lagging = new Set<string>();
+  /** The daemons that the others report silent. */
+  silentCores: readonly string[] = [];
   readonly view = new GatewayView({
     logger: silentLogger,
     decodeTable: () => succeed(createTable(createRoute())),
   });
   private readonly follower: CoreFollower;
 
-  constructor(private readonly daemons: Readonly<Record<string, Daemon>>) {
+  constructor(
+    private readonly daemons: Readonly<Record<string, Daemon>>,
+    private readonly cores: readonly CoreDaemon[] = [],
+  ) {
     this.follower = new CoreFollower({
       view: this.view,
       clock: this.clock,
@@ -81,6 +92,9 @@
     if (!configuration) throw new Error('timed out');
     return createFollowReply({
       epoch: address,
+      cores: this.cores,
+      fresh: !this.lagging.has(address),
+      silentCores: this.silentCores,
       configuration: configuration.document === null ? null : configuration,
     });
   }
@@ -133,4 +147,94 @@
   assert.equal(core.calls.length, calls);
 });
 
+/** When the near daemons of `createLosses()` are lost. */
+const FAIL_AT_MS = 500;
+
+/** Five near daemons, which are lost, and a far one with a newer configuration. */
+function createLosses(): FakeCore {
+  const near = ['near1', 'near2', 'near3', 'near4', 'near5'];
+  const fail: Daemon = nowMs => (nowMs < FAIL_AT_MS ? IN_FORCE : null);
+  const newer = {...IN_FORCE, revision: 8};
+  const daemons: Record<string, Daemon> = {
+    ...Object.fromEntries(near.map(name => [name, fail])),
+    far: nowMs => (nowMs < FAIL_AT_MS ? IN_FORCE : newer),
+  };
+  const cores = Object.keys(daemons).map(address => ({
+    address,
+    region: address === 'far' ? 'other' : 'r',
+    dataCentre: 'b',
+    controlAddress: '',
+  }));
+  return new FakeCore(daemons, cores);
+}
+
+// Guards against a gateway that goes on calling lost daemons of its own region,
+// which other daemons still list, and never reaches one that runs.
+test('CoreFollower reaches a daemon behind nearer ones that are lost', async () => {
+  using core = createLosses();
+  await core.clock.advance(FAIL_AT_MS);
+  assert.equal(core.view.revision, 7);
+  await core.clock.advance(6_000);
+  assert.equal(core.view.revision, 8);
+});
+
+// Guards against a gateway that waits for each lost daemon in turn, although the
+// one that it followed knew which were silent.
+test('CoreFollower passes over daemons that the core reports silent', async () => {
+  using core = createLosses();
+  core.silentCores = ['near2', 'near3', 'near4', 'near5'];
+  await core.clock.advance(FAIL_AT_MS);
+  assert.equal(core.view.revision, 7);
+  // The call that was open when the followed daemon was lost, and one more.
+  await core.clock.advance(2_500);
+  assert.equal(core.view.revision, 8);
+});
+
+// Guards against a gateway that stays with a daemon which is cut off from the
+// others and takes all of them for silent.
+test('CoreFollower ignores what a daemon that lags reports of others', async () => {
+  const newer = {...IN_FORCE, revision: 8};
+  const daemons = {
+    near: () => IN_FORCE,
+    far: (nowMs: number) => (nowMs < FAIL_AT_MS ? IN_FORCE : newer),
+  };
+  const cores = Object.keys(daemons).map(address => ({
+    address,
+    region: address === 'near' ? 'r' : 'other',
+    dataCentre: 'b',
+    controlAddress: '',
+  }));
+  using core = new FakeCore(daemons, cores);
+  await core.clock.advance(FAIL_AT_MS);
+  core.lagging.add('near');
+  core.silentCores = ['far'];
+  await core.clock.advance(2_500);
+  assert.equal(core.view.revision, 8);
+});
+
+// Guards against gateways that fetch whole lists from all daemons in turn while
+// no daemon has contact with a leader.
+test('CoreFollower stays with the nearest while all daemons lag', async () => {
+  const cores = ['near', 'far1', 'far2'].map(address => ({
+    address,
+    region: address === 'near' ? 'r' : 'other',
+    dataCentre: 'b',
+    controlAddress: '',
+  }));
+  const daemons = Object.fromEntries(
+    cores.map(({address}) => [address, () => IN_FORCE]),
+  );
+  using core = new FakeCore(daemons, cores);
+  await core.clock.advance(500);
+  for (const {address} of cores) core.lagging.add(address);
+  await core.clock.advance(5_000);
+  const before = core.calls.length;
+  await core.clock.advance(2_000);
+  const late = core.calls.slice(before);
+  assert.ok(
+    late.filter(address => address !== 'near').length <= 2,
+    late.join(),
+  );
+});
+
 test.run();
--- a/src/coordination/replication/replica.ts
+++ b/src/coordination/replication/replica.ts
@@ -38,6 +38,7 @@
 import {createSignal} from '../signal.ts';
 import {collectVotes} from './collect_votes.ts';
 import {formGroup} from './formation.ts';
+import {describeLeadership, type GroupStatus} from './group_status.ts';
 import {Leadership, type PeerProgress} from './leadership.ts';
 import {
   findMajorityValue,
@@ -65,6 +66,9 @@
  */
 export const ELECTION_TIMEOUT_MS = 1_000;
 
+/** The time without contact after which a leader is no longer named. */
+const FORGET_LEADER_MS = 2 * ELECTION_TIMEOUT_MS;
+
 /**
  * The scale of the random delay after which a candidate that lost an election
  * campaigns again; it grows after some losses. Several round trips between
@@ -212,6 +216,8 @@
    * member may have had contact with a leader just before a restart.
    */
   private leaderContactAt: number;
+  /** The highest commit index of a leader in the calls handled so far. */
+  private leaderCommitIndex = 0;
   private pausedUntil = -Infinity;
 
   private constructor(private readonly options: ReplicaOptions<C, R>) {
@@ -267,9 +273,15 @@
     this.tasks.push(formation.catch(error => this.logFailure(error)));
   }
 
-  /** The leader as far as this member knows, possibly itself, or `null`. */
+  /**
+   * The leader as far as this member knows, possibly itself. `null` if none
+   * made contact recently: a member that does not vote never campaigns, so it
+   * learns of a lost leader by silence alone.
+   */
   get leader(): string | null {
-    return this.currentLeader;
+    if (this.leadership) return this.currentLeader;
+    const age = this.options.clock.monotonic() - this.leaderContactAt;
+    return age < FORGET_LEADER_MS ? this.currentLeader : null;
   }
 
   get term(): number {
@@ -313,6 +325,19 @@
     return this.enqueue({command});
   }
 
+  /** Returns the state of the group as this member sees it. */
+  getStatus(): GroupStatus {
+    const {self, leader, leadership, appliedIndex} = this;
+    const {group, storage, clock} = this.options;
+    const {lastIndex} = storage;
+    const voters = this.membership?.voters ?? [];
+    const now = clock.monotonic();
+    const leading =
+      leadership &&
+      describeLeadership({self, voters, leadership, lastIndex, now});
+    return {group, self, leader, voters, appliedIndex, lastIndex, leading};
+  }
+
   /** Returns this member's incarnation and whether it belongs to a group. */
   describe(): ReplicaDescription {
     const {incarnation} = this.self;
@@ -363,12 +388,10 @@
     return this.runWithStorage(async () => {
       const {storage} = this.options;
       const formed = this.membership !== null;
-      const reject = (matchIndex: number): AppendReply => ({
-        term: this.term,
-        accepted: false,
-        matchIndex,
-        formed,
-      });
+      const reject = (matchIndex: number): AppendReply => {
+        this.recordLeaderCommit(request.commitIndex);
+        return {term: this.term, accepted: false, matchIndex, formed};
+      };
       if (!(await this.acceptLeader(request))) return reject(0);
       this.contacts.record(request.silent ?? [], this.leaderContactAt);
       if (!formed) return reject(0);
@@ -380,6 +403,7 @@
       await this.storeEntries(request.entries);
       const matchIndex = previousIndex + request.entries.length;
       this.commitTo(Math.min(request.commitIndex, matchIndex));
+      this.recordLeaderCommit(request.commitIndex);
       return {term: this.term, accepted: true, matchIndex, formed};
     });
   }
@@ -398,6 +422,7 @@
         this.receiver.clear();
         return reply(true);
       }
+      this.recordLeaderCommit(request.index);
       const received = this.receiver.addChunk(request);
       if (!received) return reply(false);
       const {snapshot, bytes} = received;
@@ -470,6 +495,20 @@
     this.electionTimeoutMs = Math.max(leftMs, graceMs);
   }
 
+  /**
+   * Whether this member is the leader, or had contact with one within the
+   * election timeout and has applied what was committed then.
+   */
+  isFresh(): boolean {
+    if (this.isLeader()) return true;
+    if (this.leader === null || !this.hasLiveLeader()) return false;
+    return this.appliedIndex >= this.leaderCommitIndex;
+  }
+
+  private recordLeaderCommit(index: number): void {
+    this.leaderCommitIndex = Math.max(this.leaderCommitIndex, index);
+  }
+
   private isUpToDate(request: VoteRequest): boolean {
     const {storage} = this.options;
     const lastTerm = storage.getTerm(storage.lastIndex) ?? 0;
--- a/src/protocol/core_service.ts
+++ b/src/protocol/core_service.ts
@@ -197,6 +197,11 @@
   /** `null` unless it is newer than the gateway's. */
   readonly configuration: Configuration | null;
   readonly cores: readonly CoreDaemon[];
+  /**
+   * The addresses of those that have been silent for seconds; absent from
+   * earlier versions.
+   */
+  readonly silentCores?: readonly string[];
   /** Open requests of all other gateways; earlier versions omit fields. */
   readonly loads: ReadonlyArray<z.input<typeof endpointLoadSchema>>;
   readonly gatewayRevision: number;
@@ -213,10 +218,20 @@
   readonly fresh: boolean;
 }
 
+/** The time since the last report of an endpoint. */
+export const reportAgeSchema = z.object({
+  id: z.string(),
+  ageMs: z.number().nonnegative(),
+});
+
+export type ReportAge = z.infer<typeof reportAgeSchema>;
+
 export const coreExchangeSchema = z.object({
   from: coreDaemonSchema,
   cores: z.array(coreDaemonSchema),
   reports: z.array(endpointReportSchema),
+  /** The ages of the reports; absent from earlier versions. */
+  reportAges: z.array(reportAgeSchema).optional(),
   gateways: z.array(agedReportSchema),
   /** Requests all endpoints and gateways that the receiver knows. */
   wantsAll: z.boolean(),
@@ -227,6 +242,8 @@
 export interface CoreExchangeReply {
   readonly cores: readonly CoreDaemon[];
   readonly reports: ReadonlyArray<z.infer<typeof endpointReportSchema>>;
+  /** As in the exchange. */
+  readonly reportAges?: readonly ReportAge[] | undefined;
   readonly gateways: readonly AgedReport[];
   /** All suspected parts if asked for; absent from earlier versions. */
   readonly suspects?: readonly SuspectPart[];
