Refuse heartbeats that name no usable worker

What callers saw: a heartbeat with the address 10.0.0.1:99999 was accepted. Each request that chose it failed with an exception while the connection pool was created (502 to the caller), although other workers could have answered. Port 0 was worse: the client replaces it by port 80, so requests went to another process.

Cause: the address was checked by its look only, and numbers, names and ids had no bounds. An odd start time passed, too, and marks the worker at its address as gone; an odd sequence number (1e308) hides the later reports.

Change: one schema of addresses (an IPv4 address and a port from 1 to 65,535) for reports and bounds for each of their fields; heartbeats use the same schemas. An address that is none counts as not sent in the client, so that the request goes on elsewhere.

--- a/src/cli/serve/daemon.ts
+++ b/src/cli/serve/daemon.ts
@@ -6,7 +6,7 @@
 import type {CreateLogger} from '../../protocol/logger.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
 import type {Settings} from '../../protocol/settings.ts';
-import {splitAddress} from '../../protocol/split_address.ts';
+import {splitAddress} from '../../protocol/address.ts';
 import {ConfigurationLease} from '../../coordination/leases/configuration_lease.ts';
 import type {LeaseRelay} from '../../coordination/leases/lease_relay.ts';
 import type {RecordExchange} from '../../coordination/membership/record_exchange.ts';
--- a/src/cli/serve_site/core.ts
+++ b/src/cli/serve_site/core.ts
@@ -20,7 +20,7 @@
 } from '../../protocol/routing_commands.ts';
 import {RoutingState} from '../../state/routing/routing_state.ts';
 import {ViewFile} from '../../state/view/saved_view.ts';
-import {splitAddress} from '../../protocol/split_address.ts';
+import {splitAddress} from '../../protocol/address.ts';
 import {startPeerServer} from '../../transport/peers/peer_server.ts';
 import {openStorage} from '../serve/open_storage.ts';
 import {
--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -15,7 +15,7 @@
   selectGateways,
 } from '../../coordination/membership/select_gateways.ts';
 import type {Clock} from '../../protocol/clock.ts';
-import {splitAddress} from '../../protocol/split_address.ts';
+import {splitAddress} from '../../protocol/address.ts';
 import {EndpointClient} from '../../transport/forwarding/endpoint_client.ts';
 import {
   startFrontServer,
--- a/src/cli/serve_site/site_parts.ts
+++ b/src/cli/serve_site/site_parts.ts
@@ -4,7 +4,7 @@
 import type {CreateLogger} from '../../protocol/logger.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
 import type {SiteSettings} from '../../protocol/site_settings.ts';
-import {splitAddress} from '../../protocol/split_address.ts';
+import {splitAddress} from '../../protocol/address.ts';
 import {
   startApiServer,
   type ApiRoute,
--- a/src/coordination/core/core_api.ts
+++ b/src/coordination/core/core_api.ts
@@ -8,6 +8,7 @@
 import type {EndpointReport} from '../../protocol/endpoint_report.ts';
 import type {Logger} from '../../protocol/logger.ts';
 import type {ProposeReply} from '../../protocol/peer_service.ts';
+import {RefusalLog} from '../../protocol/refusal_log.ts';
 import type {
   RoutingCommand,
   RoutingResult,
@@ -25,6 +26,9 @@
 /** How many daemons a read asks in search of the leader. */
 const MAX_READ_ATTEMPTS = 3;
 
+/** The part of a refused id that is logged. */
+const MAX_LOGGED_ID_CHARACTERS = 64;
+
 /** The result of a proposed change. */
 export type ChangeOutcome = 'accepted' | 'conflict' | 'unavailable';
 
@@ -41,7 +45,11 @@
 }
 
 export class CoreApi {
-  constructor(private readonly options: CoreApiOptions) {}
+  private readonly refusals: RefusalLog;
+
+  constructor(private readonly options: CoreApiOptions) {
+    this.refusals = new RefusalLog(options);
+  }
 
   /** Applies a document unless a newer version is in force. */
   async replaceDocument(
@@ -109,6 +117,12 @@
     this.options.state.recordReport(report);
   }
 
+  /** Logs that a heartbeat was refused. */
+  refuseReport(id: string, reason: string): void {
+    const fields = {id: id.slice(0, MAX_LOGGED_ID_CHARACTERS), reason};
+    this.refusals.record('Refuses a heartbeat.', `${id} ${reason}`, fields);
+  }
+
   /** Records that an endpoint is gone; false when it is unknown here. */
   reportGone(id: string): boolean {
     const {state} = this.options;
--- a/src/protocol/endpoint_report.ts
+++ b/src/protocol/endpoint_report.ts
@@ -1,22 +1,54 @@
-/** Reports of endpoints to the daemons of a routing deployment. */
+/**
+ * Reports of endpoints to the daemons of a routing deployment.
+ *
+ * Another writer may report, too. The bounds keep a value that was accepted
+ * usable wherever it is used: as an address, a header, a key and a number.
+ */
 import * as z from 'zod';
+import {addressSchema} from './address.ts';
+
+/** The longest name of an endpoint, a service, a version or a data centre. */
+const MAX_NAME_CHARACTERS = 256;
+
+/** The most requests that an endpoint may claim to run concurrently. */
+const MAX_SLOTS = 1_000_000;
+
+/**
+ * The last Unix time in ms with 13 digits, in the year 2286. A later start would
+ * replace all endpoints at its address.
+ */
+const MAX_START_MS = 9_999_999_999_999;
+
+/** One day, in ms. */
+const MAX_WARMUP_MS = 24 * 60 * 60_000;
+
+/** A name that can be sent as a header. */
+export const endpointIdSchema = z
+  .string()
+  .regex(/^[\x21-\x7e]+$/, {message: 'expected printable characters'})
+  .max(MAX_NAME_CHARACTERS);
+
+/** The start of an endpoint as Unix time in ms. */
+export const startTimeSchema = z.int().min(0).max(MAX_START_MS);
+
+const nameSchema = z.string().max(MAX_NAME_CHARACTERS);
 
 export const endpointReportSchema = z.object({
-  id: z.string().min(1),
-  service: z.string().min(1),
-  /** Where it accepts requests: an IP address and a port. */
-  address: z.string().min(1),
-  dataCentre: z.string(),
+  id: endpointIdSchema,
+  service: nameSchema.min(1),
+  /** Where it accepts requests. */
+  address: addressSchema,
+  dataCentre: nameSchema,
   /** The version of the software that it runs. */
-  version: z.string(),
-  slots: z.number().nonnegative(),
+  version: nameSchema,
+  slots: z.int().min(0).max(MAX_SLOTS),
   state: z.enum(['ready', 'draining', 'gone']),
-  /** Its start as Unix time in ms; distinguishes instances with one id. */
-  startedAtMs: z.number(),
+  /** Distinguishes instances with one id. */
+  startedAtMs: startTimeSchema,
   /** Increases with each report of one instance. */
-  sequence: z.number(),
+  sequence: z.int().min(0),
   /** The remaining warm-up time, during which it is slow, in ms. */
-  warmupMs: z.number().nonnegative(),
+  warmupMs: z.number().min(0).max(MAX_WARMUP_MS),
 });
 
 export type EndpointReport = z.infer<typeof endpointReportSchema>;
--- a/src/transport/forwarding/endpoint_client.ts
+++ b/src/transport/forwarding/endpoint_client.ts
@@ -41,6 +41,7 @@
   'ENETUNREACH',
   'EADDRNOTAVAIL',
   'EMFILE',
+  'ERR_INVALID_URL',
 ]);
 
 export interface EndpointClientOptions {
@@ -58,7 +59,12 @@
     const {codec} = this.options;
     const {endpoint, mayReuseConnection, mayBegin, signal} = options;
     const key = `${endpoint.address}${mayReuseConnection ? '' : '/single'}`;
-    const pool = this.findOrCreatePool(key, endpoint.address);
+    let pool: Pool;
+    try {
+      pool = this.findOrCreatePool(key, endpoint.address);
+    } catch (error) {
+      return explainFailure(error as NodeJS.ErrnoException, signal);
+    }
     const handleAbort = () => {
       if (signal.reason === 'stall') this.retire(key, pool);
     };
--- a/src/transport/forwarding/endpoint_client_test.ts
+++ b/src/transport/forwarding/endpoint_client_test.ts
@@ -217,6 +217,16 @@
   assert.equal(server.connections(), 3);
 });
 
+// Guards against requests that fail although other endpoints could take them,
+// because an endpoint has an address that cannot be connected to.
+test('send() reports not-sent for an address that is none', async () => {
+  await using client = new EndpointClient({codec: CODEC});
+  for (const address of ['10.0.0.1:99999', '', 'a b:1', '::1']) {
+    const outcome = await send(client, address);
+    assert.equal(outcome.type, 'not-sent', address);
+  }
+});
+
 test('send() reports not-sent if the connection is refused', async () => {
   await using client = new EndpointClient({codec: CODEC});
   const outcome = await send(client, '127.0.0.1:1');
