Cap sleeps at the longest delay of a timer

A timer with a delay of more than 2^31 - 1 ms expires after 1 ms. A time-out of 25 days or more (`TimeoutMs` is a valid manifest) therefore made the watchdog of each request wake up a thousand times a second, and other sleeps end at once.

--- a/src/protocol/clock.ts
+++ b/src/protocol/clock.ts
@@ -11,10 +11,16 @@
   now(): number;
   /** Returns a time that never decreases, from an arbitrary origin. */
   monotonic(): number;
-  /** Resolves after `ms`, or immediately if `signal` aborts. */
+  /**
+   * Resolves after `ms`, or immediately if `signal` aborts. It may resolve after
+   * 24 days already if `ms` is longer.
+   */
   sleep(ms: number, signal?: AbortSignal): Promise<void>;
 }
 
+/** The longest delay of a timer; a longer one would expire at once. */
+const MAX_DELAY_MS = 2 ** 31 - 1;
+
 /** The clock of the host. */
 export const systemClock: Clock = {
   now: () => Date.now(),
@@ -30,7 +36,7 @@
         signal?.removeEventListener('abort', finish);
         resolve();
       };
-      const timer = setTimeout(finish, ms);
+      const timer = setTimeout(finish, Math.min(ms, MAX_DELAY_MS));
       signal?.addEventListener('abort', finish);
     }),
 };
--- a/src/protocol/clock_test.ts
+++ b/src/protocol/clock_test.ts
@@ -34,4 +34,20 @@
   assert.equal(clock.monotonic() - before, 100);
 });
 
+// Guards against a time-out of more than 24.8 days, the longest delay of a timer,
+// that ends at once.
+test('sleep() does not end early for a very long time', async () => {
+  for (const ms of [2 ** 31, 1e300, Infinity]) {
+    const stopped = new AbortController();
+    let isOver = false;
+    const sleep = systemClock.sleep(ms, stopped.signal).then(() => {
+      isOver = true;
+    });
+    await systemClock.sleep(30);
+    assert.equal(isOver, false, String(ms));
+    stopped.abort();
+    await sleep;
+  }
+});
+
 test.run();
