Keep one odd entry from costing a daemon the whole list

What callers saw: a daemon that sent one odd entry (of another version, or a number that JSON writes as null) was refused as a whole. Its gateways' reports and its endpoints were then missing at the peer, and a gateway whose own report held such an entry stopped following each core daemon. The other way round, nothing checked the replies: a null among the endpoints ended the gateway's reading with an exception.

Cause: arrays were validated with z.array(), which fails for one entry, and replies were cast to their type.

Change: the lists that daemons send each other are validated entry by entry, in requests and in replies (`follow`, `exchangeCore`, `requestTrial`). Addresses, names, ages and counts of these messages have bounds; an age of -1e300 ms would have kept a suspected prompt part for ever. What isn't a list still fails the call. Messages of the replicated log are validated as a whole, as before.

--- a/src/cli/serve_site/core.ts
+++ b/src/cli/serve_site/core.ts
@@ -79,6 +79,7 @@
       secret: parts.secret,
       service,
       schemas: coreSchemas,
+      refusals: parts.refusals,
     }),
   );
   const callCore = (address: string) =>
--- a/src/cli/serve_site/daemon.ts
+++ b/src/cli/serve_site/daemon.ts
@@ -4,8 +4,13 @@
   systemClock,
   type Clock,
 } from '../../protocol/clock.ts';
-import {coreSchemas, type CoreService} from '../../protocol/core_service.ts';
+import {
+  coreReplySchemas,
+  coreSchemas,
+  type CoreService,
+} from '../../protocol/core_service.ts';
 import type {CreateLogger} from '../../protocol/logger.ts';
+import {RefusalLog} from '../../protocol/refusal_log.ts';
 import type {SiteSettings} from '../../protocol/site_settings.ts';
 import type {ApiRoute} from '../../transport/forwarding/api_server.ts';
 import {
@@ -38,7 +43,16 @@
   const secret = await readSecret(settings.peer_secret_file);
   const metrics = createTextMetrics();
   const calls = Object.keys(coreSchemas);
-  const links = store.add(new PeerLinks<CoreService>({secret, clock, calls}));
+  const refusals = new RefusalLog({clock, logger: createLogger('peers')});
+  const links = store.add(
+    new PeerLinks<CoreService>({
+      secret,
+      clock,
+      calls,
+      replySchemas: coreReplySchemas,
+      refusals,
+    }),
+  );
   const parts: SiteParts = {
     getSettings,
     surfaces,
@@ -47,6 +61,7 @@
     leaseClock: createSuspendAwareClock(clock),
     metrics,
     links,
+    refusals,
     secret,
     store,
   };
--- a/src/cli/serve_site/site_parts.ts
+++ b/src/cli/serve_site/site_parts.ts
@@ -3,6 +3,7 @@
 import type {CoreService} from '../../protocol/core_service.ts';
 import type {CreateLogger} from '../../protocol/logger.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
+import type {RefusalLog} from '../../protocol/refusal_log.ts';
 import type {SiteSettings} from '../../protocol/site_settings.ts';
 import {splitAddress} from '../../protocol/address.ts';
 import {
@@ -32,6 +33,8 @@
   readonly leaseClock: Clock;
   readonly metrics: Metrics;
   readonly links: PeerLinks<CoreService>;
+  /** Logs the entries that are dropped from messages of other daemons. */
+  readonly refusals: RefusalLog;
   readonly secret: string;
   /** Owns the resources that the components open. */
   readonly store: DisposableStore;
--- a/src/protocol/core_service.ts
+++ b/src/protocol/core_service.ts
@@ -6,7 +6,15 @@
  * of them by long polling.
  */
 import * as z from 'zod';
-import {endpointEntrySchema, endpointReportSchema} from './endpoint_report.ts';
+import {addressSchema} from './address.ts';
+import {ageSchema, countSchema, nameSchema} from './bounds.ts';
+import {
+  endpointEntrySchema,
+  endpointIdSchema,
+  endpointReportSchema,
+  startTimeSchema,
+} from './endpoint_report.ts';
+import {createEntryList} from './parse_message.ts';
 import {proposeRequestSchema, type ProposeReply} from './peer_service.ts';
 import {
   suspectPartSchema,
@@ -22,11 +30,11 @@
 /** A daemon of the core. */
 export const coreDaemonSchema = z.object({
   /** Its address for other daemons, and its name as a replica. */
-  address: z.string(),
-  region: z.string(),
-  dataCentre: z.string(),
-  /** Its address for endpoints and operators. */
-  controlAddress: z.string(),
+  address: addressSchema,
+  region: nameSchema,
+  dataCentre: nameSchema,
+  /** Its address for endpoints and operators; empty if it has none. */
+  controlAddress: z.union([addressSchema, z.literal('')]),
 });
 
 export type CoreDaemon = z.infer<typeof coreDaemonSchema>;
@@ -34,9 +42,9 @@
 /** A gateway as it is advertised to callers. */
 export const gatewaySchema = z.object({
   /** Its address for callers. */
-  address: z.string(),
-  region: z.string(),
-  dataCentre: z.string(),
+  address: addressSchema,
+  region: nameSchema,
+  dataCentre: nameSchema,
   /** False while it is shutting down or has no configuration. */
   open: z.boolean(),
 });
@@ -48,10 +56,10 @@
   service: z.string(),
   version: z.string(),
   route: z.string(),
-  answers: z.int().nonnegative(),
-  failures: z.int().nonnegative(),
+  answers: countSchema,
+  failures: countSchema,
   /** Answers that were slow compared with the model's usual time. */
-  slow: z.int().nonnegative(),
+  slow: countSchema,
 });
 
 export type VersionEvidence = z.infer<typeof versionEvidenceSchema>;
@@ -68,40 +76,43 @@
   /** Whether sessions moved to the target when they were counted. */
   movesSessions: z.boolean(),
   /** The answers of each class of pace, the fastest class first. */
-  counts: z.array(z.int().nonnegative()),
+  counts: z.array(countSchema),
 });
 
 export type VersionPace = z.infer<typeof versionPaceSchema>;
 
+/** The longest prefill time of all open requests at an endpoint: a day. */
+const MAX_READING_MS = 24 * 60 * 60_000;
+
 /** The open requests of one gateway at an endpoint. */
 export const endpointLoadSchema = z.object({
-  id: z.string(),
-  open: z.int().nonnegative(),
+  id: endpointIdSchema,
+  open: countSchema,
   /** Their remaining prefill time, in ms; absent from earlier versions. */
-  readingMs: z.number().nonnegative().default(0),
+  readingMs: z.number().min(0).max(MAX_READING_MS).default(0),
 });
 
 export type EndpointLoad = z.infer<typeof endpointLoadSchema>;
 
 /** An endpoint instance that told a gateway that it is shutting down. */
 export const leavingEndpointSchema = z.object({
-  id: z.string(),
-  startedAtMs: z.number(),
+  id: endpointIdSchema,
+  startedAtMs: startTimeSchema,
 });
 
 export type LeavingEndpoint = z.infer<typeof leavingEndpointSchema>;
 
 /** A limit that an endpoint named, or its end. */
 export const endpointLimitSchema = z.object({
-  id: z.string(),
-  startedAtMs: z.number(),
+  id: endpointIdSchema,
+  startedAtMs: startTimeSchema,
   /**
    * The requests per second that it accepts from all gateways together; `null`
    * once it names no limit any more.
    */
   perSecond: z.number().nonnegative().nullable(),
   /** The time since that was observed, in ms. */
-  ageMs: z.number(),
+  ageMs: ageSchema,
 });
 
 export type EndpointLimit = z.infer<typeof endpointLimitSchema>;
@@ -109,16 +120,16 @@
 /** A gateway's report on itself and its endpoints. */
 export const gatewayReportSchema = z.object({
   gateway: gatewaySchema,
-  loads: z.array(endpointLoadSchema),
-  evidence: z.array(versionEvidenceSchema),
+  loads: createEntryList(endpointLoadSchema),
+  evidence: createEntryList(versionEvidenceSchema),
   /** Absent from gateways of earlier versions. */
-  paces: z.array(versionPaceSchema).default([]),
+  paces: createEntryList(versionPaceSchema).default([]),
   /** Absent from gateways of earlier versions. */
-  leaving: z.array(leavingEndpointSchema).default([]),
+  leaving: createEntryList(leavingEndpointSchema).default([]),
   /** What it observed itself; absent from gateways of earlier versions. */
-  limits: z.array(endpointLimitSchema).default([]),
+  limits: createEntryList(endpointLimitSchema).default([]),
   /** What it observed itself; absent from gateways of earlier versions. */
-  suspects: z.array(suspectPartSchema).default([]),
+  suspects: createEntryList(suspectPartSchema).default([]),
 });
 
 export type GatewayReport = z.infer<typeof gatewayReportSchema>;
@@ -127,7 +138,7 @@
 export const agedReportSchema = z.object({
   report: gatewayReportSchema,
   /** The time since the gateway sent it, in ms. */
-  ageMs: z.number().nonnegative(),
+  ageMs: ageSchema.min(0),
 });
 
 export type AgedReport = z.infer<typeof agedReportSchema>;
@@ -159,7 +170,7 @@
   version: z.number().nullable(),
   /** The document as the operator submitted it. */
   document: z.string().nullable(),
-  rollouts: z.array(serviceRolloutSchema),
+  rollouts: createEntryList(serviceRolloutSchema),
 });
 
 export type Configuration = z.infer<typeof configurationSchema>;
@@ -215,9 +226,9 @@
 
 export const coreExchangeSchema = z.object({
   from: coreDaemonSchema,
-  cores: z.array(coreDaemonSchema),
-  reports: z.array(endpointReportSchema),
-  gateways: z.array(agedReportSchema),
+  cores: createEntryList(coreDaemonSchema),
+  reports: createEntryList(endpointReportSchema),
+  gateways: createEntryList(agedReportSchema),
   /** Requests all endpoints and gateways that the receiver knows. */
   wantsAll: z.boolean(),
 });
@@ -249,6 +260,39 @@
   finishTrial: trialResultSchema,
 } as const;
 
+const optionalRevisionSchema = z.int().nonnegative().optional();
+
+/** The replies that list entries; those of earlier versions omit fields. */
+export const coreReplySchemas = {
+  follow: z.object({
+    epoch: z.string(),
+    endpointRevision: z.int().nonnegative(),
+    complete: z.boolean(),
+    settled: z.boolean(),
+    endpoints: createEntryList(endpointEntrySchema),
+    configuration: configurationSchema.nullable(),
+    cores: createEntryList(coreDaemonSchema),
+    loads: createEntryList(endpointLoadSchema),
+    gatewayRevision: z.int().nonnegative(),
+    openGateways: createEntryList(gatewaySchema).nullable(),
+    limitRevision: optionalRevisionSchema,
+    limits: createEntryList(endpointLimitSchema).optional(),
+    suspectRevision: optionalRevisionSchema,
+    suspects: createEntryList(suspectPartSchema).optional(),
+    fresh: z.boolean(),
+  }) satisfies z.ZodType<FollowReply>,
+  exchangeCore: z.object({
+    cores: createEntryList(coreDaemonSchema),
+    reports: createEntryList(endpointReportSchema),
+    gateways: createEntryList(agedReportSchema),
+    suspects: createEntryList(suspectPartSchema).optional(),
+  }) satisfies z.ZodType<CoreExchangeReply>,
+  requestTrial: z.object({
+    isGranted: z.boolean(),
+    suspects: createEntryList(suspectPartSchema),
+  }) satisfies z.ZodType<TrialReply>,
+} as const;
+
 /** The calls that a daemon of the core serves. */
 export interface CoreService extends ReplicationService {
   propose(request: z.infer<typeof proposeRequestSchema>): Promise<ProposeReply>;
--- a/src/protocol/endpoint_report.ts
+++ b/src/protocol/endpoint_report.ts
@@ -6,9 +6,7 @@
  */
 import * as z from 'zod';
 import {addressSchema} from './address.ts';
-
-/** The longest name of an endpoint, a service, a version or a data centre. */
-const MAX_NAME_CHARACTERS = 256;
+import {MAX_NAME_CHARACTERS, nameSchema} from './bounds.ts';
 
 /** The most requests that an endpoint may claim to run concurrently. */
 const MAX_SLOTS = 1_000_000;
@@ -31,8 +29,6 @@
 /** The start of an endpoint as Unix time in ms. */
 export const startTimeSchema = z.int().min(0).max(MAX_START_MS);
 
-const nameSchema = z.string().max(MAX_NAME_CHARACTERS);
-
 export const endpointReportSchema = z.object({
   id: endpointIdSchema,
   service: nameSchema.min(1),
--- a/src/protocol/suspect_part.ts
+++ b/src/protocol/suspect_part.ts
@@ -3,6 +3,8 @@
  * daemons send them to each other.
  */
 import * as z from 'zod';
+import {ageSchema} from './bounds.ts';
+import {createEntryList} from './parse_message.ts';
 
 /** The longest id of a part; longer ones are cut, since callers choose them. */
 export const MAX_PART_ID_CHARACTERS = 64;
@@ -14,7 +16,7 @@
 export const partCrashSchema = z.object({
   /** One start of an endpoint. */
   start: z.string(),
-  ageMs: z.number(),
+  ageMs: ageSchema,
 });
 
 export const suspectPartSchema = z.object({
@@ -30,7 +32,7 @@
   /** Those since the part was last answered on. */
   crashes: z.array(partCrashSchema).max(MAX_PART_CRASHES),
   /** The time since it was last answered on, in ms; `null` if it never was. */
-  clearedAgeMs: z.number().nullable(),
+  clearedAgeMs: ageSchema.nullable(),
 });
 
 export type SuspectPart = z.infer<typeof suspectPartSchema>;
@@ -51,7 +53,7 @@
 
 /** Ends a permitted request, with what it showed. */
 export const trialResultSchema = trialRequestSchema.extend({
-  suspects: z.array(suspectPartSchema),
+  suspects: createEntryList(suspectPartSchema),
 });
 
 export type TrialResult = z.infer<typeof trialResultSchema>;
--- a/src/transport/peers/peer_links.ts
+++ b/src/transport/peers/peer_links.ts
@@ -3,7 +3,8 @@
 import WebSocket from 'ws';
 import type {Clock} from '../../protocol/clock.ts';
 import type {PeerService} from '../../protocol/peer_service.ts';
-import type {Callable} from './peer_router.ts';
+import type {RefusalLog} from '../../protocol/refusal_log.ts';
+import {readMessage, type Callable, type CallSchemas} from './peer_router.ts';
 
 /** Interval of keep-alive pings, and timeout for their pongs. */
 const KEEP_ALIVE = {enabled: true, intervalMs: 600, pongTimeoutMs: 900};
@@ -46,6 +47,10 @@
   readonly clock: Clock;
   /** The names of the calls that peers serve. */
   readonly calls: readonly string[];
+  /** Schemas by the name of the call; other replies are not validated. */
+  readonly replySchemas?: CallSchemas;
+  /** Logs the entries that are dropped from replies; by default nothing. */
+  readonly refusals?: RefusalLog;
 }
 
 interface Link<S extends Callable<S>> {
@@ -123,7 +128,7 @@
 
 function openLink<S extends Callable<S>>(
   address: string,
-  {secret, calls}: PeerLinksOptions,
+  {secret, calls, replySchemas = {}, refusals}: PeerLinksOptions,
 ) {
   class AuthenticatedWebSocket extends WebSocket {
     constructor(url: string) {
@@ -143,10 +148,16 @@
       Math.min(MAX_RETRY_DELAY_MS, RETRY_DELAY_MS * 2 ** Math.min(attempt, 8)),
   });
   const trpc = createTRPCUntypedClient({links: [wsLink({client: socket})]});
-  const call =
-    (name: string) =>
-    (request: unknown, timeoutMs = CALL_TIMEOUT_MS) =>
-      trpc.mutation(name, request, {signal: AbortSignal.timeout(timeoutMs)});
+  const call = (name: string) => {
+    const schema = replySchemas[name];
+    return async (request: unknown, timeoutMs = CALL_TIMEOUT_MS) => {
+      const signal = AbortSignal.timeout(timeoutMs);
+      const reply = await trpc.mutation(name, request, {signal});
+      return schema
+        ? readMessage(reply, {call: name, schema, refusals})
+        : reply;
+    };
+  };
   const client = Object.fromEntries(
     calls.map(name => [name, call(name)]),
   ) as unknown as Client<S>;
--- a/src/transport/peers/peer_server.ts
+++ b/src/transport/peers/peer_server.ts
@@ -7,7 +7,7 @@
 import {
   createPeerRouter,
   type Callable,
-  type CallSchemas,
+  type PeerRouterOptions,
 } from './peer_router.ts';
 
 /** Maximum size of a message from a peer. */
@@ -16,21 +16,18 @@
 /** Interval of keep-alive pings, and timeout for their pongs. */
 const KEEP_ALIVE = {enabled: true, pingMs: 5_000, pongWaitMs: 2_000};
 
-export interface PeerServerOptions<S> {
+export interface PeerServerOptions<S> extends PeerRouterOptions<S> {
   readonly host: string;
   readonly port: number;
   /** The secret shared by all daemons. */
   readonly secret: string;
-  readonly service: S;
-  /** Request schemas by the name of the call. */
-  readonly schemas: CallSchemas;
 }
 
 /** Starts the server. Dispose the result to close every connection. */
 export async function startPeerServer<S extends Callable<S>>(
   options: PeerServerOptions<S>,
 ): Promise<AsyncDisposable> {
-  const {host, port, secret, service, schemas} = options;
+  const {host, port, secret} = options;
   const server = createServer((_request, response) => {
     response.writeHead(426, {connection: 'close'}).end();
   });
@@ -44,7 +41,7 @@
   });
   applyWSSHandler({
     wss: sockets,
-    router: createPeerRouter(service, schemas),
+    router: createPeerRouter(options),
     createContext: () => ({authenticated: true}),
     keepAlive: KEEP_ALIVE,
   });
