Load a saved view entry by entry

What callers saw: one odd endpoint or suspected part in the saved view, or an infinite duration that was saved as null, made a restarted core daemon ignore the whole file, so that its gateways had no configuration and no endpoints until a leader was elected.

Change: the lists of the file are read entry by entry; dropped entries are logged in one line. A file of another form is ignored as a whole, as before. What was dropped isn't saved again.

--- a/src/state/view/saved_view.ts
+++ b/src/state/view/saved_view.ts
@@ -11,6 +11,12 @@
 import {configurationSchema} from '../../protocol/core_service.ts';
 import {endpointReportSchema} from '../../protocol/endpoint_report.ts';
 import type {Logger} from '../../protocol/logger.ts';
+import {fail, type Outcome} from '../../protocol/outcome.ts';
+import {
+  createEntryList,
+  parseMessage,
+  type ParsedMessage,
+} from '../../protocol/parse_message.ts';
 import {suspectPartSchema} from '../../protocol/suspect_part.ts';
 import type {FileSystem} from '../files/file_system.ts';
 import {nodeFileSystem} from '../files/node_file_system.ts';
@@ -20,9 +26,9 @@
 
 const savedViewSchema = z.object({
   configuration: configurationSchema,
-  endpoints: z.array(endpointReportSchema),
+  endpoints: createEntryList(endpointReportSchema),
   /** Absent from files of earlier versions; ages are as of the save. */
-  suspects: z.array(suspectPartSchema).default([]),
+  suspects: createEntryList(suspectPartSchema).default([]),
 });
 
 export type SavedView = z.infer<typeof savedViewSchema>;
@@ -48,17 +54,20 @@
 
   /** Returns the saved view; `null` if it is missing or invalid. */
   async load(): Promise<SavedView | null> {
+    const {logger} = this.options;
     const bytes = await this.files.read(this.path);
     if (!bytes) return null;
-    try {
-      return savedViewSchema.parse(JSON.parse(bytes.toString('utf8')));
-    } catch (error) {
-      const {message: reason} = error as Error;
-      this.options.logger.warn('Ignores the saved view: the file is invalid.', {
-        reason,
-      });
+    const parsed = parseView(bytes.toString('utf8'));
+    if (!parsed.ok) {
+      const reason = parsed.error;
+      logger.warn('Ignores the saved view: the file is invalid.', {reason});
       return null;
     }
+    const {value, droppedCount: count, dropped} = parsed.value;
+    if (count > 0) {
+      logger.warn('Drops invalid entries of the saved view.', {count, dropped});
+    }
+    return value;
   }
 
   /** Saves a view. During a write, only the latest view waits for the next. */
@@ -83,3 +92,11 @@
     }
   }
 }
+
+function parseView(text: string): Outcome<ParsedMessage<SavedView>, string> {
+  try {
+    return parseMessage(savedViewSchema, JSON.parse(text));
+  } catch (error) {
+    return fail((error as Error).message);
+  }
+}
