--- a/src/coordination/forwarding/plan_prefill.ts
+++ b/src/coordination/forwarding/plan_prefill.ts
@@ -26,6 +26,9 @@
   ownTokens,
   msPerToken,
 }: PlanPrefillOptions): PrefillPlan {
-  const uncachedTokens = ownTokens + sharedTokens * (1 - cachedProbability);
+  const uncachedTokens = Math.max(
+    0,
+    ownTokens + sharedTokens * (1 - cachedProbability),
+  );
   return {uncachedTokens, ms: uncachedTokens * msPerToken};
 }
