Refuse announcements that name no usable endpoint

What callers saw: an announcement with the address 10.0.0.1:99999 was accepted, and requests that chose it ended with an exception of the URL parser. One odd record of a peer cost the receiver all records of that exchange; a lease of 1e300 ms would never have ended.

Change: announcements, records and renewals use the schemas of addresses and the bounds of the other reports; records are read entry by entry, in exchanges and when a restarted daemon lists the endpoints of its peers.

The fixture of membership_test.ts had the addresses "e1:1" and "z:1", which are refused now; it has two IP numbers instead, all checks are unchanged.

--- a/src/cli/serve/daemon.ts
+++ b/src/cli/serve/daemon.ts
@@ -1,5 +1,10 @@
 /** Assembles the components of a daemon and runs them. */
-import {PEER_CALLS, peerSchemas} from '../../protocol/peer_service.ts';
+import {
+  PEER_CALLS,
+  peerReplySchemas,
+  peerSchemas,
+} from '../../protocol/peer_service.ts';
+import {RefusalLog} from '../../protocol/refusal_log.ts';
 import {systemClock, type Clock} from '../../protocol/clock.ts';
 import type {Host} from '../../protocol/control.ts';
 import {createIdentifier} from '../../protocol/identifiers.ts';
@@ -86,8 +91,15 @@
 async function buildDaemon(parts: DaemonParts): Promise<Daemon> {
   const {settings, createLogger, clock, store} = parts;
   const secrets = await readSecrets(settings.secrets);
+  const refusals = new RefusalLog({clock, logger: createLogger('peers')});
   const links = store.add(
-    new PeerLinks({secret: secrets.peer, clock, calls: PEER_CALLS}),
+    new PeerLinks({
+      secret: secrets.peer,
+      clock,
+      calls: PEER_CALLS,
+      replySchemas: peerReplySchemas,
+      refusals,
+    }),
   );
   const replicas = await openReplicas(parts, links);
   const endpoints = new EndpointTable(clock);
@@ -158,6 +170,7 @@
       secret: secrets.peer,
       service,
       schemas: peerSchemas,
+      refusals,
     }),
   );
   const [publicHost, publicPort] = splitAddress(settings.listen.public);
--- a/src/coordination/membership/membership_test.ts
+++ b/src/coordination/membership/membership_test.ts
@@ -20,7 +20,7 @@
   return announcementSchema.parse({
     name,
     incarnation: '1',
-    address: `${name}:1`,
+    address: '10.0.0.1:1',
     region: 'north',
     dataCentre: 'a',
     pool: 'desk',
@@ -163,7 +163,7 @@
   assert.ok(first.ok);
   const conflicting = createAnnouncement('e1', {
     incarnation: '2',
-    address: 'z:1',
+    address: '10.0.0.2:1',
   });
   assert.equal(table.announce(conflicting), {
     ok: false,
--- a/src/protocol/bounds.ts
+++ b/src/protocol/bounds.ts
@@ -4,6 +4,9 @@
 /** The longest name of a service, a version or a place. */
 export const MAX_NAME_CHARACTERS = 256;
 
+/** The most requests that an endpoint may claim to run concurrently. */
+export const MAX_SLOTS = 1_000_000;
+
 /** One year, in ms. */
 const MAX_AGE_MS = 365 * 24 * 60 * 60_000;
 
--- a/src/protocol/endpoint_report.ts
+++ b/src/protocol/endpoint_report.ts
@@ -6,10 +6,7 @@
  */
 import * as z from 'zod';
 import {addressSchema} from './address.ts';
-import {MAX_NAME_CHARACTERS, nameSchema} from './bounds.ts';
-
-/** The most requests that an endpoint may claim to run concurrently. */
-const MAX_SLOTS = 1_000_000;
+import {MAX_NAME_CHARACTERS, MAX_SLOTS, nameSchema} from './bounds.ts';
 
 /**
  * The last Unix time in ms with 13 digits, in the year 2286. A later start would
--- a/src/protocol/peer_service.ts
+++ b/src/protocol/peer_service.ts
@@ -21,6 +21,7 @@
   type EndpointRecord,
 } from './endpoint.ts';
 import type {LedgerPage, LedgerSummary} from './ledger.ts';
+import {createEntryList} from './parse_message.ts';
 import {replicationSchemas, type ReplicationService} from './replication.ts';
 import {evidenceReportSchema, type EvidenceReport} from './rollout_state.ts';
 
@@ -51,9 +52,9 @@
   /** The data centre of the sender. */
   dataCentre: z.string(),
   /** Endpoints that are new or changed. */
-  records: z.array(endpointRecordSchema),
+  records: createEntryList(endpointRecordSchema),
   /** Endpoints whose lease was renewed without other changes. */
-  renewals: z.array(endpointRenewalSchema),
+  renewals: createEntryList(endpointRenewalSchema),
 });
 
 export type ExchangeRequest = z.infer<typeof exchangeRequestSchema>;
@@ -124,6 +125,11 @@
   exchange: exchangeRequestSchema,
 } as const;
 
+/** The replies that list endpoints. */
+export const peerReplySchemas = {
+  listEndpoints: z.object({records: createEntryList(endpointRecordSchema)}),
+} as const;
+
 /** The names of the calls. */
 export const PEER_CALLS = Object.keys(peerSchemas);
 
