Leave odd seeds out of the settings

What operators saw: one odd address among the seeds made a daemon refuse its whole settings file. A running one no longer followed the seeds; one that was restarted ended at once. A seed with the port 99999 was accepted, and so were such ports to listen at, which end the process with an exception.

Change: seeds that are no addresses are left out, with one log line; the others hold. A file without any seed is refused, as before, and so is one with an odd seed at the first start of the system, since the founders of the group must agree on all of them. Addresses to listen at and numbers have bounds, in both kinds of settings. A file that is nested too deeply is an error of the file; before, the parser's exception of the call stack left `reload()`.

--- a/src/cli/serve_site/serve_site.ts
+++ b/src/cli/serve_site/serve_site.ts
@@ -34,6 +34,7 @@
     stream: process.stdout,
   });
   const logger = createLogger('daemon');
+  source.reportRefused(logger);
   const reportFailure = ({message: reason}: Error) =>
     logger.error('Could not reload the settings file.', {reason});
   process.on('SIGHUP', () => {
--- a/src/cli/serve_site/settings_source.ts
+++ b/src/cli/serve_site/settings_source.ts
@@ -46,8 +46,16 @@
     }
     this.current = parsed.value;
     const {seeds, bounds} = parsed.value;
+    this.reportRefused(logger);
     logger.info('Reloads the settings file.', {cause, seeds, bounds});
   }
+
+  /** Logs how many seeds of the file are no addresses. */
+  reportRefused(logger: Logger): void {
+    const {seeds, refusedSeeds: refused} = this.current;
+    if (refused === 0) return;
+    logger.warn('Leaves out seeds that are no addresses.', {refused, seeds});
+  }
 }
 
 function parseSettings(
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -5,10 +5,7 @@
  * folder and secrets. The behaviour of the system is in the declaration.
  */
 import * as z from 'zod';
-
-const address = z.string().regex(/^[^\s:]+:\d{1,5}$/, {
-  message: 'expected an IP number and a port, such as "10.0.0.1:8080"',
-});
+import {addressSchema as address, listenAddressSchema} from './address.ts';
 
 /** A daemon with a data folder, as its peers address it. */
 export const peerSchema = z.strictObject({
@@ -30,9 +27,9 @@
   gateway: z.boolean().default(true),
   listen: z.strictObject({
     /** For callers, endpoints and operators. */
-    public: address,
+    public: listenAddressSchema,
     /** For other daemons. */
-    peers: address,
+    peers: listenAddressSchema,
   }),
   /** Addresses to advertise instead of `listen`, such as behind a proxy. */
   advertise: z
--- a/src/protocol/site_settings.ts
+++ b/src/protocol/site_settings.ts
@@ -5,12 +5,17 @@
  * the core.
  */
 import * as z from 'zod';
+import {addressSchema, listenAddressSchema} from './address.ts';
 
-const addressSchema = z.string().regex(/^[^\s:]+:\d{1,5}$/, {
-  message: 'expected an IP number and a port, such as "10.0.0.1:8080"',
-});
+/** The largest number of seconds, retries or shares. */
+const MAX_NUMBER = 1_000_000_000;
+
+/** The largest number of disk losses to tolerate. */
+const MAX_TOLERATED_DISKS = 100;
+
+const numberSchema = z.number().max(MAX_NUMBER);
 
-export const siteSettingsSchema = z.object({
+const fileSchema = z.object({
   name: z.string().min(1),
   region: z.string().min(1),
   data_centre: z.string().min(1),
@@ -21,7 +26,7 @@
   /** True only at the first start of the whole system. */
   bootstrap: z.boolean().default(false),
   /** Control addresses of three daemons of the core. */
-  seeds: z.array(addressSchema).min(1),
+  seeds: z.array(z.unknown()),
   /** A file with the secret shared by all daemons. */
   peer_secret_file: z.string().min(1),
   listen: z.object({
@@ -30,29 +35,29 @@
     /** For callers. */
     front: addressSchema.optional(),
     /** For readiness probes. */
-    ready: addressSchema.optional(),
+    ready: listenAddressSchema.optional(),
     /** For endpoints and operators. */
     control: addressSchema.optional(),
     /** For callers that look up the addresses of gateways. */
-    directory: addressSchema.optional(),
+    directory: listenAddressSchema.optional(),
     /** For metrics scrapers. */
-    metrics: addressSchema.optional(),
+    metrics: listenAddressSchema.optional(),
   }),
   bounds: z
     .object({
       /** The grace period of a process that shuts down, in s. */
-      grace_s: z.number().positive().default(8),
+      grace_s: numberSchema.positive().default(8),
       /** The retry budget of a service, as a share of its requests. */
-      retry_ratio: z.number().nonnegative().default(0.2),
+      retry_ratio: numberSchema.nonnegative().default(0.2),
       /** Retries allowed beyond that share in one window. */
-      retry_extra: z.number().nonnegative().default(20),
-      retry_window_s: z.number().positive().default(10),
+      retry_extra: numberSchema.nonnegative().default(20),
+      retry_window_s: numberSchema.positive().default(10),
       /** The largest share of requests for an unproven version. */
-      canary_share: z.number().positive().default(0.1),
+      canary_share: numberSchema.positive().default(0.1),
       /** The number of simultaneous disk losses that lose no commit. */
-      tolerated_disks: z.int().nonnegative().default(2),
+      tolerated_disks: z.int().min(0).max(MAX_TOLERATED_DISKS).default(2),
       /** The longest time that callers cache a directory reply, in s. */
-      directory_ttl_max_s: z.number().positive().default(5),
+      directory_ttl_max_s: numberSchema.positive().default(5),
     })
     .prefault({}),
   log: z
@@ -63,4 +68,24 @@
     .prefault({}),
 });
 
+/** Seeds that are no addresses are left out and counted. */
+export const siteSettingsSchema = fileSchema.transform((file, context) => {
+  const seeds = file.seeds.filter(isAddress);
+  const refusedSeeds = file.seeds.length - seeds.length;
+  // The founders of the group must agree on all of them.
+  const isAllRequired = file.bootstrap && refusedSeeds > 0;
+  if (seeds.length === 0 || isAllRequired) {
+    context.addIssue({
+      code: 'custom',
+      path: ['seeds'],
+      message: 'expected IP numbers with ports, such as "10.0.0.1:8080"',
+    });
+  }
+  return {...file, seeds, refusedSeeds};
+});
+
+function isAddress(value: unknown): value is string {
+  return addressSchema.safeParse(value).success;
+}
+
 export type SiteSettings = z.infer<typeof siteSettingsSchema>;
--- a/src/protocol/toml.ts
+++ b/src/protocol/toml.ts
@@ -36,13 +36,24 @@
   schema: z.ZodType<T>,
   check: (value: T) => readonly CheckIssue[] = () => [],
 ): Outcome<T, TomlIssue[]> {
-  let program: AST.TOMLProgram;
   try {
-    program = parseTOML(text);
+    return parseDocument(text, schema, check);
   } catch (error) {
+    // The parser's recursion exceeds the stack.
+    if (error instanceof RangeError) {
+      return fail([{line: 1, path: '', message: 'nested too deeply'}]);
+    }
     if (!(error instanceof ParseError)) throw error;
     return fail([{line: error.lineNumber, path: '', message: error.message}]);
   }
+}
+
+function parseDocument<T>(
+  text: string,
+  schema: z.ZodType<T>,
+  check: (value: T) => readonly CheckIssue[],
+): Outcome<T, TomlIssue[]> {
+  const program = parseTOML(text);
   const checked = schema.safeParse(getStaticTOMLValue(program));
   const found = checked.success ? check(checked.data) : checked.error.issues;
   if (checked.success && found.length === 0) return succeed(checked.data);
