Validate proposals before they are appended

A proposal of another daemon was appended whatever it held. A committed `null` ends the daemons that apply it with an exception, at each restart anew (trial of RoutingState.apply(null) on the code before: "Cannot read properties of null").

Change: the commands are schemas, and `propose` takes nothing else. Entries of the log itself are not validated again.

--- a/src/protocol/core_service.ts
+++ b/src/protocol/core_service.ts
@@ -26,6 +26,7 @@
   type TrialRequest,
 } from './suspect_part.ts';
 import {replicationSchemas, type ReplicationService} from './replication.ts';
+import {routingCommandSchema} from './routing_commands.ts';
 
 /** A daemon of the core. */
 export const coreDaemonSchema = z.object({
@@ -252,7 +253,7 @@
 
 export const coreSchemas = {
   ...replicationSchemas,
-  propose: proposeRequestSchema,
+  propose: proposeRequestSchema.extend({command: routingCommandSchema}),
   follow: followRequestSchema,
   exchangeCore: coreExchangeSchema,
   readConfiguration: emptySchema,
--- a/src/protocol/routing_commands.ts
+++ b/src/protocol/routing_commands.ts
@@ -1,32 +1,36 @@
 /** The commands in the replicated log of a routing deployment. */
+import * as z from 'zod';
+import {nameSchema} from './bounds.ts';
 import type {ServiceRollout} from './core_service.ts';
 
-export type RoutingCommand =
-  | {
-      readonly type: 'replace';
-      readonly version: number;
-      readonly document: string;
-    }
-  | {
-      readonly type: 'begin_rollout';
-      readonly service: string;
-      readonly target: string;
-      readonly durationMs: number;
-      readonly atMs: number;
-    }
-  | {
-      readonly type: 'set_share';
-      readonly service: string;
-      readonly target: string;
-      readonly share: number;
-      readonly movesSessions: boolean;
-    }
-  | {
-      readonly type: 'finish_rollout';
-      readonly service: string;
-      readonly target: string;
-      readonly state: 'complete' | 'reverted';
-    };
+const rolloutTargetSchema = z.object({
+  service: nameSchema,
+  target: nameSchema,
+});
+
+export const routingCommandSchema = z.discriminatedUnion('type', [
+  z.object({
+    type: z.literal('replace'),
+    version: z.number(),
+    document: z.string(),
+  }),
+  rolloutTargetSchema.extend({
+    type: z.literal('begin_rollout'),
+    durationMs: z.number(),
+    atMs: z.number(),
+  }),
+  rolloutTargetSchema.extend({
+    type: z.literal('set_share'),
+    share: z.number().min(0).max(1),
+    movesSessions: z.boolean(),
+  }),
+  rolloutTargetSchema.extend({
+    type: z.literal('finish_rollout'),
+    state: z.enum(['complete', 'reverted']),
+  }),
+]);
+
+export type RoutingCommand = z.infer<typeof routingCommandSchema>;
 
 export type RoutingResult =
   /** Applied, or already superseded by something newer. */
