--- a/src/cli/serve/daemon.ts
+++ b/src/cli/serve/daemon.ts
@@ -1,12 +1,17 @@
 /** Assembles the components of a daemon and runs them. */
-import {PEER_CALLS, peerSchemas} from '../../protocol/peer_service.ts';
+import {
+  PEER_CALLS,
+  peerReplySchemas,
+  peerSchemas,
+} from '../../protocol/peer_service.ts';
+import {RefusalLog} from '../../protocol/refusal_log.ts';
 import {systemClock, type Clock} from '../../protocol/clock.ts';
 import type {Host} from '../../protocol/control.ts';
 import {createIdentifier} from '../../protocol/identifiers.ts';
 import type {CreateLogger} from '../../protocol/logger.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
 import type {Settings} from '../../protocol/settings.ts';
-import {splitAddress} from '../../protocol/split_address.ts';
+import {splitAddress} from '../../protocol/address.ts';
 import {ConfigurationLease} from '../../coordination/leases/configuration_lease.ts';
 import type {LeaseRelay} from '../../coordination/leases/lease_relay.ts';
 import type {RecordExchange} from '../../coordination/membership/record_exchange.ts';
@@ -86,8 +91,15 @@
 async function buildDaemon(parts: DaemonParts): Promise<Daemon> {
   const {settings, createLogger, clock, store} = parts;
   const secrets = await readSecrets(settings.secrets);
+  const refusals = new RefusalLog({clock, logger: createLogger('peers')});
   const links = store.add(
-    new PeerLinks({secret: secrets.peer, clock, calls: PEER_CALLS}),
+    new PeerLinks({
+      secret: secrets.peer,
+      clock,
+      calls: PEER_CALLS,
+      replySchemas: peerReplySchemas,
+      refusals,
+    }),
   );
   const replicas = await openReplicas(parts, links);
   const endpoints = new EndpointTable(clock);
@@ -158,6 +170,7 @@
       secret: secrets.peer,
       service,
       schemas: peerSchemas,
+      refusals,
     }),
   );
   const [publicHost, publicPort] = splitAddress(settings.listen.public);
