--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -36,6 +36,7 @@
 } from './run_attempt.ts';
 import {CallRun} from './call_run.ts';
 import {recordAttempt} from './record_attempt.ts';
+import {recordRun} from './record_run.ts';
 import type {VersionEvidenceCounter} from './version_evidence.ts';
 
 /** Maximum retries of a request that endpoints reported as not run. */
@@ -123,7 +124,7 @@
       run.finish('error', 0);
       this.options.quarantine.finishTrial(run);
     }
-    this.record(run);
+    recordRun(this.options, run);
   }
 
   /** Refuses new requests: a shutdown could cut off their answers. */
@@ -354,42 +355,6 @@
       configuration: this.options.view.routes?.table.version ?? null,
     });
   }
-
-  private record(run: CallRun): void {
-    const {logger, metrics, view} = this.options;
-    const {route, service, customer} = run.admitted;
-    const ms = this.measureAgeMs(run);
-    metrics.count('requests', 1, {outcome: run.outcome ?? 'none'});
-    metrics.record('request_ms', ms, {route: route.name});
-    if (run.firstMs !== null) {
-      metrics.record('first_ms', run.firstMs, {route: route.name});
-    }
-    logger.info('Ends a request.', {
-      request: run.call.facts.attemptId,
-      route: route.name,
-      service: service.name,
-      customer: customer?.name ?? null,
-      outcome: run.outcome,
-      status: run.status,
-      endpoints: [...run.tried],
-      model: run.model,
-      confidence: run.confidence,
-      hasEscalated: run.hasEscalated,
-      escalatedMs: run.escalatedMs,
-      hasFallenBack: run.hasFallenBack,
-      promptTokens: run.call.facts.promptTokens,
-      sharedTokens: run.sharedTokens,
-      runs: run.runs,
-      notRun: run.notRun,
-      subject: run.sharedPrefixId,
-      unreadTokens: Math.round(run.uncachedTokens),
-      expectedMs: run.expectedMs === null ? null : Math.round(run.expectedMs),
-      beganMs: run.beganMs === null ? null : Math.round(run.beganMs),
-      firstMs: run.firstMs === null ? null : Math.round(run.firstMs),
-      ms: Math.round(ms),
-      configuration: view.routes?.table.version ?? null,
-    });
-  }
 }
 
 function mayHaveRun({type}: AttemptResult): boolean {
