Answer the calls that are still open at the end of a planned stop

Change: before the server is disposed of, the forwarder ends its open requests. A call that may have run gets 502, one that was not passed on 503 with Retry-After, a stream that has begun is broken off, a held answer that is there whole is delivered. No retry follows. An attempt that was ended this way counts neither against its endpoint nor against its version.

--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -182,6 +182,8 @@
       running.closeIdleConnections();
       const deadline = startedAt + bounds.grace_s * 1_000 - CLOSE_MARGIN_MS;
       await waitUntilIdle(running, clock, deadline);
+      // What is still open would otherwise be cut off without an answer.
+      forwarder.abortRequests();
     },
   };
 }
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -18,23 +18,30 @@
 import {admitCall} from './admit_call.ts';
 import type {Call, CallerSink, SendAttempt} from './call.ts';
 import {EscalationThreshold, hasLarger, isUnsure} from './choose_model.ts';
+import {deliverHeld} from './deliver_held.ts';
 import type {EndpointHealth} from './endpoint_health.ts';
 import {EndpointPicker} from './endpoint_picker.ts';
 import type {EndpointLimits} from './endpoint_limits.ts';
 import type {EndpointNotices} from './endpoint_notices.ts';
+import {handleAbort} from './handle_abort.ts';
 import type {PrefillBacklog} from './prefill_backlog.ts';
 import type {PromptQuarantine} from './prompt_quarantine.ts';
 import type {RecentGateways} from './recent_gateways.ts';
-import {drawJitterMs, drawRetryAfterMs, planRefusal} from './plan_refusal.ts';
+import {
+  drawJitterMs,
+  drawRetryAfterMs,
+  planRefusal,
+  type UndeliveredRun,
+} from './plan_refusal.ts';
 import {refuseCall, type RefusalReason} from './refuse.ts';
 import {
-  deliverHeld,
   findFallbackMs,
   runAttempt,
   type AttemptChoice,
   type AttemptResult,
 } from './run_attempt.ts';
 import {CallRun} from './call_run.ts';
+import {Shutdown} from './shutdown.ts';
 import {recordAttempt} from './record_attempt.ts';
 import {recordRun} from './record_run.ts';
 import type {VersionEvidenceCounter} from './version_evidence.ts';
@@ -99,6 +106,7 @@
   private readonly budgets = new Map<string, WindowBudget>();
   private readonly threshold: EscalationThreshold;
   private readonly picker: EndpointPicker;
+  private readonly shutdown = new Shutdown();
   private isStopping = false;
 
   constructor(private readonly options: ForwarderOptions) {
@@ -132,12 +140,21 @@
     this.isStopping = true;
   }
 
+  /**
+   * Ends the open requests with a final answer. Does not wait until callers have
+   * received it.
+   */
+  abortRequests(): void {
+    this.shutdown.abort();
+  }
+
   /** Makes one attempt, or finishes the run when no attempt is possible. */
   private async step(run: CallRun, sink: CallerSink): Promise<void> {
     const {clock, quarantine} = this.options;
     if (run.call.signal.aborted) return run.finish('left', 0);
     const leftMs = run.admitted.deadline - clock.monotonic();
     if (leftMs <= 0) return this.finishUndelivered(run, sink, 'deadline');
+    if (this.shutdown.isAborted) return this.deliverFallback(run, sink, leftMs);
     const isFallbackDue =
       run.held !== null && findFallbackMs(run, clock.monotonic()) === 0;
     const canSend =
@@ -150,6 +167,7 @@
       {
         ...this.options,
         sink,
+        shutdown: this.shutdown,
         leftMs,
         mayReceive: endpoint => this.picker.mayReceive(endpoint),
         decideEscalation: confidence =>
@@ -186,7 +204,11 @@
       return false;
     // The retry budget was already charged for the next attempt.
     run.isPaid = run.sends > 0;
-    await this.options.clock.sleep(waitMs, run.call.signal);
+    const wakened = new AbortController();
+    const wake = () => wakened.abort('wakened');
+    using _left = handleAbort(run.call.signal, wake);
+    using _interrupted = this.shutdown.handleAbort(wake);
+    await this.options.clock.sleep(waitMs, wakened.signal);
     return true;
   }
 
@@ -209,11 +231,17 @@
     sink: CallerSink,
     leftMs: number,
   ): Promise<void> {
+    const {clock, health, metrics} = this.options;
     const held = sink.hasBegun ? null : run.takeHeld();
-    if (!held) return this.finishUndelivered(run, sink, null);
-    const {health, metrics} = this.options;
-    const {clock} = this.options;
-    const result = await deliverHeld({clock, sink, leftMs}, run, held);
+    if (!held) {
+      const cause = this.shutdown.isAborted ? 'stopping' : null;
+      return this.finishUndelivered(run, sink, cause);
+    }
+    const result = await deliverHeld(
+      {clock, sink, leftMs, shutdown: this.shutdown},
+      run,
+      held,
+    );
     metrics.count('fallbacks', 1, {outcome: result.type});
     if (result.type === 'delivered') health.recordSuccess(held.endpoint);
     if (result.type === 'broken') health.recordFailure(held.endpoint, false);
@@ -286,7 +314,7 @@
   private finishUndelivered(
     run: CallRun,
     sink: CallerSink,
-    cause: 'deadline' | null,
+    cause: UndeliveredRun['cause'],
   ): void {
     if (sink.hasBegun) {
       sink.abort();
--- a/src/coordination/forwarding/plan_refusal.ts
+++ b/src/coordination/forwarding/plan_refusal.ts
@@ -14,8 +14,8 @@
 
 export interface UndeliveredRun {
   readonly run: CallRun;
-  /** Whether its deadline has passed. */
-  readonly cause: 'deadline' | null;
+  /** Whether its deadline has passed, or the gateway shuts down. */
+  readonly cause: 'deadline' | 'stopping' | null;
 }
 
 /** Plans why a request is refused and when its caller should retry. */
@@ -28,6 +28,8 @@
     // It may have run, so its caller is not asked to retry.
     return {reason: cause === 'deadline' ? 'deadline' : 'broken'};
   }
+  // Other gateways are available, so the caller can retry at once.
+  if (cause === 'stopping') return {reason: 'stopping', retryAfterMs: 0};
   // A retry at another gateway would be refused as well.
   if (run.quarantine === 'condemned') return {reason: 'quarantined'};
   if (run.quarantine === 'suspected') return refuseForNow(options, 'suspected');
--- a/src/coordination/forwarding/record_attempt.ts
+++ b/src/coordination/forwarding/record_attempt.ts
@@ -77,6 +77,7 @@
     case 'withdrawn':
     case 'escalated':
     case 'cut':
+    case 'interrupted':
     case 'left':
       return;
   }
@@ -91,6 +92,7 @@
   const {view, evidence} = options;
   if (result.type === 'not-run' || result.type === 'not-sent') return;
   if (result.type === 'left' || result.type === 'withdrawn') return;
+  if (result.type === 'interrupted') return;
   const {route, service} = run.admitted;
   const rollout = view.findRollout(service.name);
   evidence.record(
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -12,12 +12,14 @@
 import type {EndpointLimits} from './endpoint_limits.ts';
 import type {EndpointNotices} from './endpoint_notices.ts';
 import {deliverAnswer} from './deliver_answer.ts';
+import {handleAbort} from './handle_abort.ts';
 import {HeldAnswer} from './held_answer.ts';
 import type {PrefillPlan} from './plan_prefill.ts';
 import type {PrefillBacklog} from './prefill_backlog.ts';
 import type {PromptQuarantine} from './prompt_quarantine.ts';
 import type {PromptWatch} from './prompt_watch.ts';
 import {STALL_MIN_MS} from './relay_events.ts';
+import type {Shutdown} from './shutdown.ts';
 import {startWatchdog} from './watchdog.ts';
 
 /**
@@ -81,6 +83,8 @@
       readonly isDisconnected: boolean;
       readonly reason: string;
     }
+  /** The gateway shuts down; it may have run. */
+  | {readonly type: 'interrupted'}
   /** The caller disconnected. */
   | {readonly type: 'left'};
 
@@ -95,6 +99,7 @@
   readonly mayReceive: (endpoint: EndpointEntry) => boolean;
   readonly send: SendAttempt;
   readonly sink: CallerSink;
+  readonly shutdown: Shutdown;
   /** The time until the request must be answered, in ms. */
   readonly leftMs: number;
   /** Decides whether to escalate an answer of this confidence. */
@@ -102,7 +107,7 @@
 }
 
 /** Why the gateway aborts an attempt. */
-type AbortReason = 'deadline' | 'stall' | 'overdue' | 'left';
+type AbortReason = 'deadline' | 'stall' | 'overdue' | 'left' | 'interrupted';
 
 /** A planned attempt. */
 export interface AttemptChoice {
@@ -141,8 +146,8 @@
   run.mayBeginLate =
     expectedMs > admitted.route.objectiveMs * EXPECTED_LATE_SHARE;
   run.uncachedTokens = plan.uncachedTokens;
-  const abortForCaller = () => abort('left');
-  call.signal.addEventListener('abort', abortForCaller);
+  using _left = handleAbort(call.signal, () => abort('left'));
+  using _interrupted = options.shutdown.handleAbort(() => abort('interrupted'));
   using _open = health.open(endpoint);
   using prefill = options.prefillBacklog.start({
     endpoint,
@@ -167,43 +172,39 @@
       else abort('overdue');
     },
   );
-  try {
-    if (call.signal.aborted) return {type: 'left'};
-    const outcome = await options.send(call, {
-      endpoint,
-      customer: admitted.customer?.name ?? null,
-      model,
-      urgency,
-      lastEventId: run.lastEventId,
-      budgetMs: Math.max(1, Math.floor(leftMs)),
-      mayReuseConnection: admitted.isRepeatable,
-      mayBegin: () =>
-        options.mayReceive(endpoint) &&
-        (run.isPermitted || options.quarantine.isFree(run)) &&
-        options.limits.tryTake(endpoint, run.sends === 0 ? 'first' : 'further'),
-      signal: controller.signal,
-    });
-    if (outcome.type === 'answer') {
-      run.beganMs = clock.monotonic() - startedAt;
-      prefill.begin();
-      watch.recordBegin();
-    }
-    const received = await handleOutcome(options, run, {
-      endpoint,
-      outcome,
-      startedAt,
-      watch,
-      onProgress: ms => {
-        stall.postpone(ms);
-        watch.recordProgress();
-      },
-    });
-    const result = explainAbort(received, {aborted, startedAt});
-    recordOnWatch(watch, outcome, result);
-    return result;
-  } finally {
-    call.signal.removeEventListener('abort', abortForCaller);
+  if (call.signal.aborted) return {type: 'left'};
+  const outcome = await options.send(call, {
+    endpoint,
+    customer: admitted.customer?.name ?? null,
+    model,
+    urgency,
+    lastEventId: run.lastEventId,
+    budgetMs: Math.max(1, Math.floor(leftMs)),
+    mayReuseConnection: admitted.isRepeatable,
+    mayBegin: () =>
+      options.mayReceive(endpoint) &&
+      (run.isPermitted || options.quarantine.isFree(run)) &&
+      options.limits.tryTake(endpoint, run.sends === 0 ? 'first' : 'further'),
+    signal: controller.signal,
+  });
+  if (outcome.type === 'answer') {
+    run.beganMs = clock.monotonic() - startedAt;
+    prefill.begin();
+    watch.recordBegin();
   }
+  const received = await handleOutcome(options, run, {
+    endpoint,
+    outcome,
+    startedAt,
+    watch,
+    onProgress: ms => {
+      stall.postpone(ms);
+      watch.recordProgress();
+    },
+  });
+  const result = explainAbort(received, {aborted, startedAt});
+  recordOnWatch(watch, outcome, result);
+  return result;
 }
 
 /** Records what the end of an attempt shows of its prompt. */
@@ -219,6 +220,11 @@
     watch.recordDisconnect();
 }
 
+/** Whether an attempt ended without a whole answer. */
+export function isIncomplete({type}: AttemptResult): boolean {
+  return type === 'broken' || type === 'cut';
+}
+
 /** Replaces a result by the gateway's own reason when it aborted. */
 function explainAbort(
   result: AttemptResult,
@@ -226,35 +232,15 @@
 ): AttemptResult {
   if (aborted === null || result.type === 'delivered') return result;
   if (aborted === 'left') return {type: 'left'};
+  if (aborted === 'interrupted' && isIncomplete(result)) {
+    return {type: 'interrupted'};
+  }
   if (result.type === 'cut') return {...result, isDisconnected: false};
   if (result.type !== 'broken') return result;
   if (aborted === 'overdue') return {type: 'overdue', startedAt};
   return {...result, isDisconnected: false, reason: aborted};
 }
 
-/** Delivers a held answer to the caller. */
-export async function deliverHeld(
-  options: Pick<RunAttemptOptions, 'clock' | 'sink' | 'leftMs'>,
-  run: CallRun,
-  held: HeldAnswer,
-): Promise<AttemptResult> {
-  const {clock, leftMs} = options;
-  const {signal} = run.call;
-  const drop = () => held[Symbol.dispose]();
-  signal.addEventListener('abort', drop);
-  using _held = held;
-  using _deadline = startWatchdog(clock, leftMs, drop);
-  using stall = startWatchdog(clock, STALL_MIN_MS, drop);
-  try {
-    const result = await deliverAnswer(options, run, held.createAnswer(), ms =>
-      stall.postpone(ms),
-    );
-    return signal.aborted ? {type: 'left'} : result;
-  } finally {
-    signal.removeEventListener('abort', drop);
-  }
-}
-
 /** The time until the fallback to a held answer, in ms; 0 when it is due. */
 export function findFallbackMs(
   {call, admitted, mayBeginLate}: CallRun,
