Begin nothing in a planned stop that cannot end in its grace period

Cause: until callers' lists have expired a stopping gateway takes all requests, and later makes retries and escalations, whatever time they need.

Change: a gateway knows from the longest of the last 32 requests of a route how long one takes, scaled up if the output may be longer; without one only its deadline is known. From SIGTERM on an attempt, a retry, an escalation or a wait for a back-off begins only if it is expected to end 0.7 s before the end of the grace period. Else what was not passed on gets 503 with 'Retry-After: 0', since other gateways are available; the check is made again right before the first byte is sent.

What takes unexpectedly long (12 s on a route that took 80 ms) still begins, and ends with 502 or visibly incomplete.

No other bound is changed.

--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -173,17 +173,18 @@
   return {
     async stop() {
       isStopping = true;
-      const startedAt = clock.monotonic();
+      const endsAt =
+        clock.monotonic() + bounds.grace_s * 1_000 - CLOSE_MARGIN_MS;
+      forwarder.shutdown.begin(endsAt);
       running.startClosing();
       await follower.reportOnce();
       const maxListAgeMs = DIRECTORY_TTL_S * 1_000 + STALE_LIST_MS;
       await clock.sleep(maxListAgeMs);
       forwarder.startRefusing();
       running.closeIdleConnections();
-      const deadline = startedAt + bounds.grace_s * 1_000 - CLOSE_MARGIN_MS;
-      await waitUntilIdle(running, clock, deadline);
+      await waitUntilIdle(running, clock, endsAt);
       // What is still open would otherwise be cut off without an answer.
-      forwarder.abortRequests();
+      forwarder.shutdown.abort();
     },
   };
 }
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -103,14 +103,15 @@
 
 /** Forwards the requests of one gateway. */
 export class Forwarder {
+  readonly shutdown: Shutdown;
   private readonly budgets = new Map<string, WindowBudget>();
   private readonly threshold: EscalationThreshold;
   private readonly picker: EndpointPicker;
-  private readonly shutdown = new Shutdown();
   private isStopping = false;
 
   constructor(private readonly options: ForwarderOptions) {
     this.threshold = new EscalationThreshold(options.clock);
+    this.shutdown = new Shutdown(options.clock);
     this.picker = new EndpointPicker(options);
   }
 
@@ -132,6 +133,7 @@
       run.finish('error', 0);
       this.options.quarantine.finishTrial(run);
     }
+    this.shutdown.record(run);
     recordRun(this.options, run);
   }
 
@@ -140,28 +142,24 @@
     this.isStopping = true;
   }
 
-  /**
-   * Ends the open requests with a final answer. Does not wait until callers have
-   * received it.
-   */
-  abortRequests(): void {
-    this.shutdown.abort();
-  }
-
   /** Makes one attempt, or finishes the run when no attempt is possible. */
   private async step(run: CallRun, sink: CallerSink): Promise<void> {
     const {clock, quarantine} = this.options;
     if (run.call.signal.aborted) return run.finish('left', 0);
     const leftMs = run.admitted.deadline - clock.monotonic();
     if (leftMs <= 0) return this.finishUndelivered(run, sink, 'deadline');
-    if (this.shutdown.isAborted) return this.deliverFallback(run, sink, leftMs);
+    if (!this.shutdown.canEnd(run)) {
+      return this.deliverFallback(run, sink, leftMs);
+    }
     const isFallbackDue =
       run.held !== null && findFallbackMs(run, clock.monotonic()) === 0;
     const canSend =
       (run.sends === 0 || (!isFallbackDue && this.canRetry(run))) &&
       (quarantine.isFree(run) || (await this.admitPrompt(run)));
-    const choice = canSend ? this.picker.pick(run) : null;
-    if (!choice && canSend && (await this.waitForBackoff(run))) return;
+    // The grace period may have ended while the prompt was checked.
+    const mayBegin = canSend && this.shutdown.canEnd(run);
+    const choice = mayBegin ? this.picker.pick(run) : null;
+    if (!choice && mayBegin && (await this.waitForBackoff(run))) return;
     if (!choice) return this.deliverFallback(run, sink, leftMs);
     const result = await runAttempt(
       {
@@ -169,7 +167,8 @@
         sink,
         shutdown: this.shutdown,
         leftMs,
-        mayReceive: endpoint => this.picker.mayReceive(endpoint),
+        mayReceive: endpoint =>
+          this.picker.mayReceive(endpoint) && this.shutdown.canEnd(run),
         decideEscalation: confidence =>
           this.decideEscalation(run, choice, confidence),
       },
@@ -202,6 +201,7 @@
     const waitMs = backoffMs + drawJitterMs(this.options);
     if (this.measureAgeMs(run) + waitMs > objectiveMs * WAIT_SHARE)
       return false;
+    if (!this.shutdown.canEnd(run, waitMs)) return false;
     // The retry budget was already charged for the next attempt.
     run.isPaid = run.sends > 0;
     const wakened = new AbortController();
@@ -234,7 +234,7 @@
     const {clock, health, metrics} = this.options;
     const held = sink.hasBegun ? null : run.takeHeld();
     if (!held) {
-      const cause = this.shutdown.isAborted ? 'stopping' : null;
+      const cause = this.shutdown.canEnd(run) ? null : 'stopping';
       return this.finishUndelivered(run, sink, cause);
     }
     const result = await deliverHeld(
@@ -257,6 +257,7 @@
     const {models} = run.admitted.route;
     if (run.hasEscalated || !hasLarger(models, model)) return false;
     if (!this.isSoonEnough(run) || !isUnsure(confidence)) return false;
+    if (!this.shutdown.canEnd(run)) return false;
     // Its first answer has not yet shown whether it crashes its engine.
     if (!this.options.quarantine.isFree(run)) return false;
     // Does not hold back a ready answer when no other endpoint can be asked.
--- a/src/coordination/forwarding/shutdown_test.ts
+++ b/src/coordination/forwarding/shutdown_test.ts
@@ -1,6 +1,7 @@
 /** Tests how the requests of a gateway that shuts down end. */
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
+import type {Route} from '../../protocol/route_table.ts';
 import {
   createAnswer,
   createEndpoint,
@@ -28,7 +29,7 @@
 
 // Guards against calls whose connections are closed without an answer at the end
 // of a planned stop.
-test('abortRequests() answers 502 to a call that may have run, once', async () => {
+test('abort() answers 502 to a call that may have run, once', async () => {
   for (const repeatability of ['idempotent', 'not-repeatable'] as const) {
     const gateway = new FakeGateway({
       route: createRoute({repeatability, maxAttempts: 3, ...LONG}),
@@ -37,14 +38,14 @@
     });
     const {sink, done} = gateway.start();
     await gateway.clock.advance(1_000);
-    gateway.forwarder.abortRequests();
+    gateway.forwarder.shutdown.abort();
     await done;
     assert.deepEqual([sink.status, sink.outcome], [502, 'whole']);
     assert.equal(gateway.attempts.length, 1, repeatability);
   }
 });
 
-test('abortRequests() breaks off a stream that has begun, without a retry', async () => {
+test('abort() breaks off a stream that has begun, without a retry', async () => {
   const gateway = new FakeGateway({
     route: createRoute({
       repeatability: 'stream',
@@ -58,13 +59,13 @@
   const {sink, done} = gateway.start();
   await gateway.clock.advance(1_000);
   assert.equal(sink.outcome, null);
-  gateway.forwarder.abortRequests();
+  gateway.forwarder.shutdown.abort();
   await done;
   assert.deepEqual([sink.status, sink.outcome], [200, 'cut']);
   assert.equal(gateway.attempts.length, 1);
 });
 
-test('abortRequests() refuses a request that waits for a back-off as not run', async () => {
+test('abort() refuses a request that waits for a back-off as not run', async () => {
   const gateway = new FakeGateway({
     route: createRoute({maxAttempts: 3, ...LONG}),
     endpoints: ENDPOINTS,
@@ -76,14 +77,14 @@
   const {sink, done} = gateway.start();
   await gateway.clock.advance(1_000);
   assert.equal(sink.outcome, null);
-  gateway.forwarder.abortRequests();
+  gateway.forwarder.shutdown.abort();
   await done;
   assert.equal(sink.status, 503);
   assert.ok(sink.headers.some(([name]) => name === 'Retry-After'));
   assert.equal(gateway.attempts.length, 0);
 });
 
-test('abortRequests() delivers an answer that was received whole', async () => {
+test('abort() delivers an answer that was received whole', async () => {
   const gateway = new FakeGateway({
     route: createRoute({
       models: ['small', 'large'],
@@ -108,9 +109,129 @@
   const {sink, done} = gateway.start({model: '*', isModelOpen: true});
   await gateway.clock.advance(1_000);
   assert.equal(gateway.attempts.at(-1)?.model, 'large');
-  gateway.forwarder.abortRequests();
+  gateway.forwarder.shutdown.abort();
   await done;
   assert.deepEqual([sink.status, sink.outcome], [200, 'whole']);
 });
 
+/** A gateway whose endpoint takes as long as the output is. */
+function createTimedGateway(route: Partial<Route> = {}): FakeGateway {
+  return new FakeGateway({
+    route: createRoute({...LONG, maxAttempts: 3, ...route}),
+    endpoints: ENDPOINTS,
+    behave: async (call, options, clock) => {
+      await clock.sleep(call.facts.maxOutputTokens, options.signal);
+      return createAnswer(call, options);
+    },
+  });
+}
+
+// Guards against requests that are begun although they cannot end in the grace
+// period.
+test('begin() refuses requests that are not expected to end in time', async () => {
+  const gateway = createTimedGateway();
+  for (const maxOutputTokens of [3_000, 100, 100]) {
+    await gateway.request({maxOutputTokens});
+  }
+  const {shutdown} = gateway.forwarder;
+  shutdown.begin(gateway.clock.monotonic() + 7_300);
+  const early = await gateway.request({maxOutputTokens: 3_000});
+  assert.equal(early.status, 200);
+  // 4,300 ms are left.
+  assert.equal((await gateway.request({maxOutputTokens: 4_400})).status, 503);
+  assert.equal((await gateway.request({maxOutputTokens: 3_000})).status, 200);
+  const late = await gateway.request({maxOutputTokens: 3_000});
+  assert.equal(late.status, 503);
+  assert.deepEqual(
+    late.headers.find(([name]) => name === 'Retry-After'),
+    ['Retry-After', '0.000'],
+  );
+  assert.equal(gateway.attempts.length, 5);
+});
+
+test('begin() bounds requests of an unknown route by their deadline', async () => {
+  const gateway = createTimedGateway();
+  const {shutdown} = gateway.forwarder;
+  shutdown.begin(gateway.clock.monotonic() + 7_300);
+  const facts = {maxOutputTokens: 100};
+  assert.equal((await gateway.request(facts)).status, 503);
+  const bounded = await gateway.request({...facts, budgetMs: 6_000});
+  assert.equal(bounded.status, 200);
+  assert.equal(gateway.attempts.length, 1);
+});
+
+test('begin() prevents a retry that is not expected to end in time', async () => {
+  for (const leftMs of [4_500, 2_500]) {
+    let attempts = 0;
+    const gateway = new FakeGateway({
+      route: createRoute({...LONG, maxAttempts: 3}),
+      endpoints: ENDPOINTS,
+      behave: async (call, options, clock) => {
+        await clock.sleep(2_000, options.signal);
+        // The first request sets the expectation, the second is retried.
+        return ++attempts === 2
+          ? {type: 'broken', reason: 'reset'}
+          : createAnswer(call, options);
+      },
+    });
+    await gateway.request();
+    const {shutdown} = gateway.forwarder;
+    shutdown.begin(gateway.clock.monotonic() + leftMs);
+    const sink = await gateway.request();
+    const canEnd = leftMs > 4_000;
+    // 502 does not promise that it did not run.
+    assert.equal(sink.status, canEnd ? 200 : 502);
+    assert.equal(attempts, canEnd ? 3 : 2);
+  }
+});
+
+test('begin() prevents a wait for a back-off that leaves too little time', async () => {
+  const gateway = createTimedGateway();
+  await gateway.request({maxOutputTokens: 1_000});
+  for (const endpoint of ENDPOINTS) {
+    gateway.notices.record(endpoint, {isLeaving: false, quietMs: 1_500});
+  }
+  const startedAt = gateway.clock.monotonic();
+  gateway.forwarder.shutdown.begin(startedAt + 2_000);
+  const sink = await gateway.request({maxOutputTokens: 1_000});
+  assert.equal(sink.status, 503);
+  assert.equal(gateway.attempts.length, 1);
+  assert.ok(gateway.clock.monotonic() - startedAt < 100, 'refuses at once');
+});
+
+test('begin() prevents escalations that are not expected to end in time', async () => {
+  for (const leftMs of [10_000, 500]) {
+    const gateway = new FakeGateway({
+      route: createRoute({
+        ...LONG,
+        models: ['small', 'large'],
+        repeatability: 'stream',
+        resumable: true,
+        maxAttempts: 3,
+      }),
+      endpoints: ['e1', 'e2', 'e3'].map(id => createEndpoint(id)),
+      behave: async (call, options, clock) => {
+        await clock.sleep(300, options.signal);
+        return createAnswer(call, options, {
+          isStream: true,
+          pieces: ['id: 1\ndata: a\n\n'],
+          facts: {confidence: options.model === 'small' ? 5 : 90},
+        });
+      },
+    });
+    const facts = {model: '*', isModelOpen: true};
+    await gateway.request(facts);
+    gateway.attempts.length = 0;
+    const {sink, done} = gateway.start(facts);
+    await gateway.clock.advance(100);
+    gateway.forwarder.shutdown.begin(gateway.clock.monotonic() + leftMs);
+    await gateway.clock.advance(1_000);
+    await done;
+    const models = gateway.attempts.map(({model}) => model);
+    const expected = leftMs > 1_000 ? ['small', 'large'] : ['small'];
+    assert.deepEqual(models, expected);
+    assert.deepEqual([sink.status, sink.outcome], [200, 'whole']);
+  }
+});
+
 test.run();
