Refuse at a fixed time in a planned stop, also if the core does not answer

With a grace period below 2.7 s it took requests to its end.

Cause: the wait for the age of callers' lists began when the report was answered or had failed (0.7 s), and was not bounded by the grace period.

Change: the stop is a module of its own, and its times count from the signal.

--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -14,7 +14,6 @@
   replaceGateway,
   selectGateways,
 } from '../../coordination/membership/select_gateways.ts';
-import type {Clock} from '../../protocol/clock.ts';
 import {splitAddress} from '../../protocol/split_address.ts';
 import {EndpointClient} from '../../transport/forwarding/endpoint_client.ts';
 import {
@@ -22,25 +21,12 @@
   type FrontServer,
 } from '../../transport/forwarding/front_server.ts';
 import {
-  DIRECTORY_TTL_S,
   listSeedPeers,
   startDirectory,
   startSurface,
   type SiteParts,
 } from './site_parts.ts';
-
-/**
- * How long callers may use a list of gateways after its TTL has expired. A
- * stopping gateway refuses requests that arrive later, because their streams
- * might not end within the grace period.
- */
-const STALE_LIST_MS = 1_200;
-
-/** The part of the grace period reserved for closing connections. */
-const CLOSE_MARGIN_MS = 700;
-
-/** The interval at which a stopping gateway checks for open requests. */
-const IDLE_CHECK_MS = 50;
+import {stopGateway} from './stop_gateway.ts';
 
 /** A running gateway. */
 export interface SiteGateway {
@@ -173,28 +159,13 @@
   return {
     async stop() {
       isStopping = true;
-      const endsAt =
-        clock.monotonic() + bounds.grace_s * 1_000 - CLOSE_MARGIN_MS;
-      forwarder.shutdown.begin(endsAt);
-      running.startClosing();
-      await follower.reportOnce();
-      const maxListAgeMs = DIRECTORY_TTL_S * 1_000 + STALE_LIST_MS;
-      await clock.sleep(maxListAgeMs);
-      forwarder.startRefusing();
-      running.closeIdleConnections();
-      await waitUntilIdle(running, clock, endsAt);
-      // What is still open would otherwise be cut off without an answer.
-      forwarder.shutdown.abort();
+      await stopGateway({
+        clock,
+        graceMs: bounds.grace_s * 1_000,
+        server: running,
+        forwarder,
+        report: () => follower.reportOnce(),
+      });
     },
   };
 }
-
-async function waitUntilIdle(
-  server: FrontServer,
-  clock: Clock,
-  deadline: number,
-): Promise<void> {
-  while (server.openRequests > 0 && clock.monotonic() < deadline) {
-    await clock.sleep(IDLE_CHECK_MS);
-  }
-}
--- /dev/null
+++ b/src/cli/serve_site/stop_gateway.ts
@@ -0,0 +1,57 @@
+/** Stops a gateway without cutting off a request that can still end. */
+import type {Clock} from '../../protocol/clock.ts';
+import type {FrontServer} from '../../transport/forwarding/front_server.ts';
+import {DIRECTORY_TTL_S} from './site_parts.ts';
+
+/**
+ * How long callers may use a list of gateways after its TTL has expired. A
+ * stopping gateway refuses requests that arrive later, because their streams
+ * might not end within the grace period.
+ */
+const STALE_LIST_MS = 1_200;
+
+/** The part of the grace period reserved for closing connections. */
+const CLOSE_MARGIN_MS = 700;
+
+/** The interval at which a stopping gateway checks for open requests. */
+const IDLE_CHECK_MS = 50;
+
+export interface StopGatewayOptions {
+  readonly clock: Clock;
+  /** The time until the process is killed, in ms. */
+  readonly graceMs: number;
+  readonly server: Pick<
+    FrontServer,
+    'startClosing' | 'closeIdleConnections' | 'openRequests'
+  >;
+  readonly forwarder: {
+    readonly shutdown: {begin(endsAt: number): void; abort(): void};
+    startRefusing(): void;
+  };
+  /** Removes the gateway from the directory; logs its failures. */
+  readonly report: () => Promise<void>;
+}
+
+/** Resolves once the gateway's connections may be closed. */
+export async function stopGateway({
+  clock,
+  graceMs,
+  server,
+  forwarder,
+  report,
+}: StopGatewayOptions): Promise<void> {
+  const endsAt = clock.monotonic() + graceMs - CLOSE_MARGIN_MS;
+  forwarder.shutdown.begin(endsAt);
+  server.startClosing();
+  // Callers' lists age while a core daemon that is slow has not answered.
+  void report();
+  const maxListAgeMs = DIRECTORY_TTL_S * 1_000 + STALE_LIST_MS;
+  await clock.sleep(Math.min(maxListAgeMs, graceMs - CLOSE_MARGIN_MS));
+  forwarder.startRefusing();
+  server.closeIdleConnections();
+  while (server.openRequests > 0 && clock.monotonic() < endsAt) {
+    await clock.sleep(IDLE_CHECK_MS);
+  }
+  // What is still open would otherwise be cut off without an answer.
+  forwarder.shutdown.abort();
+}
