Send written answers whole before a stopping gateway closes idle connections

What callers saw: a caller that reads slowly lost the rest of an answer when its gateway stopped, although the request had ended long before the grace period did.

Cause: Node.js takes a connection for idle as soon as its answer was written (response.end()), though bytes may still wait for the reader. closeIdleConnections(), which a stop calls after 2.7 s and server.close() calls itself, destroys such connections with what they hold.

Evidence: front_server_test.ts, 'closeIdleConnections() does not cut an answer that is being sent': of 16 MiB a caller that paused got 3.9 MB before the change; the test failed. Two further tests passed before: idle connections are closed, and those with a part of a request are not.

Change: OpenAnswers tracks answers until they are sent. Idle connections are closed once no written answer waits for its reader; disposal waits for that within the same 0.3 s as before.

--- a/src/transport/forwarding/front_server.ts
+++ b/src/transport/forwarding/front_server.ts
@@ -21,6 +21,7 @@
 import {createFindHeader, dropHopByHop, pairHeaders} from './headers.ts';
 import {readBody} from '../public/read_body.ts';
 import {closeServer, startListening} from '../http_server.ts';
+import {OpenAnswers} from '../open_answers.ts';
 
 /** How often connection timeouts are checked. */
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
@@ -79,7 +80,6 @@
   const {host, port, clock, logger} = options;
   let limits = DEFAULT_LIMITS;
   let isClosing = false;
-  let openRequests = 0;
   const server = createServer({
     headersTimeout: limits.headerTimeoutMs,
     requestTimeout: 0,
@@ -89,9 +89,8 @@
     noDelay: true,
   });
   server.maxHeadersCount = MAX_HEADERS;
+  const answers = new OpenAnswers(server);
   server.on('request', (request: IncomingMessage, response: ServerResponse) => {
-    openRequests++;
-    response.once('close', () => openRequests--);
     if (isClosing) response.setHeader('Connection', 'close');
     serveRequest(options, limits, {request, response}).catch(error => {
       const {message: reason} = error as Error;
@@ -108,7 +107,7 @@
   await startListening(server, {host, port, backlog: BACKLOG});
   return {
     get openRequests() {
-      return openRequests;
+      return answers.count;
     },
     setLimits(next) {
       limits = next;
@@ -118,15 +117,15 @@
     startClosing() {
       isClosing = true;
     },
-    closeIdleConnections: () => server.closeIdleConnections(),
+    closeIdleConnections: () => answers.closeIdleConnections(),
     async [Symbol.asyncDispose]() {
       isClosing = true;
       // Requests accepted just before are still answered.
-      const stopped = new AbortController();
-      await closeServer(server, {
-        waitForRequests: () => clock.sleep(CLOSE_GRACE_MS, stopped.signal),
-      });
-      stopped.abort('closed');
+      const closed = new AbortController();
+      const grace = clock.sleep(CLOSE_GRACE_MS, closed.signal);
+      await Promise.race([answers.waitUntilSent(), grace]);
+      await closeServer(server, {waitForRequests: () => grace});
+      closed.abort('closed');
     },
   };
 }
--- a/src/transport/forwarding/front_server_test.ts
+++ b/src/transport/forwarding/front_server_test.ts
@@ -81,6 +81,79 @@
   });
 }
 
+// Guards against answers that are cut in a planned stop because their caller reads
+// slowly: the server had written them, and took their connections for idle.
+test('closeIdleConnections() does not cut an answer that is being sent', async () => {
+  const port = await findFreePort();
+  const body = Buffer.alloc(16 * 1024 * 1024, 'x');
+  const server = await startServer(async (_call, sink) => {
+    sink.answer(200, [], body);
+  }, port);
+  const socket = connect(port, '127.0.0.1');
+  socket.on('error', () => {});
+  let received = 0;
+  socket.on('data', bytes => (received += bytes.length));
+  const ended = new Promise(resolve => socket.once('close', resolve));
+  socket.write(REQUEST);
+  while (received === 0) await systemClock.sleep(1);
+  socket.pause();
+  assert.equal(server.openRequests, 1);
+  server.startClosing();
+  server.closeIdleConnections();
+  await systemClock.sleep(20);
+  socket.resume();
+  while (server.openRequests > 0 && !socket.destroyed) {
+    await systemClock.sleep(1);
+  }
+  await server[Symbol.asyncDispose]();
+  await ended;
+  assert.ok(received > body.length, `${received} bytes`);
+});
+
+test('closeIdleConnections() closes a connection whose answer was sent', async () => {
+  const port = await findFreePort();
+  const server = await startServer(async (_call, sink) => {
+    sink.answer(200, [], Buffer.from('done'));
+  }, port);
+  const socket = connect(port, '127.0.0.1');
+  let text = '';
+  socket.on('data', bytes => (text += bytes.toString()));
+  const closed = new Promise(resolve => socket.once('close', resolve));
+  socket.write(REQUEST);
+  while (!text.endsWith('done')) await systemClock.sleep(1);
+  server.closeIdleConnections();
+  await closed;
+  await server[Symbol.asyncDispose]();
+});
+
+// Guards against requests that are cut in a planned stop while they are read.
+test('closeIdleConnections() leaves a connection with a part of a request', async () => {
+  const port = await findFreePort();
+  const server = await startServer(async (_call, sink) => {
+    sink.answer(200, [], Buffer.from('done'));
+  }, port);
+  for (const length of [5, REQUEST.length - 1]) {
+    const socket = connect(port, '127.0.0.1');
+    let text = '';
+    socket.on('error', () => {});
+    socket.on('data', bytes => (text += bytes.toString()));
+    socket.write(REQUEST);
+    while (!text.endsWith('done')) await systemClock.sleep(1);
+    text = '';
+    socket.write(REQUEST.slice(0, length));
+    await systemClock.sleep(20);
+    server.closeIdleConnections();
+    await systemClock.sleep(20);
+    socket.write(REQUEST.slice(length));
+    while (!text.endsWith('done') && !socket.destroyed) {
+      await systemClock.sleep(1);
+    }
+    assert.ok(text.endsWith('done'), `cut after ${length} bytes`);
+    socket.destroy();
+  }
+  await server[Symbol.asyncDispose]();
+});
+
 test('disposal ends while a connection has not sent a request', async () => {
   const port = await findFreePort();
   const server = await startServer(async () => {}, port);
