Send written answers whole before a stopping daemon closes idle connections

What callers and operators saw: the same cut of an answer to a slow reader as at a gateway of a site, in a planned stop of a daemon of the product (src/cli/serve), 1.5 s after SIGTERM.

A daemon of the product has no grace period of its own; so that a reader that stalls does not hold up its stop, it is disconnected after 10 s without progress. Before, such a reader was disconnected at once.

--- a/src/transport/open_answers.ts
+++ b/src/transport/open_answers.ts
@@ -6,12 +6,18 @@
  */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 
+/** How long a reader may make no progress once idle connections are closed. */
+const STALL_TIMEOUT_MS = 10_000;
+
 export class OpenAnswers {
   private readonly open = new Set<ServerResponse>();
   private readonly waiting = new Set<() => void>();
   private isClosing = false;
 
-  constructor(private readonly server: Server) {
+  constructor(
+    private readonly server: Server,
+    private readonly stallTimeoutMs = STALL_TIMEOUT_MS,
+  ) {
     server.on('request', (_request: IncomingMessage, answer: ServerResponse) =>
       this.track(answer),
     );
@@ -24,16 +30,20 @@
 
   /**
    * Closes the connections without an open request, now or once no written
-   * answer waits for its reader.
+   * answer waits for its reader. A reader that stalls is disconnected.
    */
   closeIdleConnections(): void {
-    this.isClosing = this.isSending();
-    if (!this.isClosing) this.server.closeIdleConnections();
+    const written = this.listWritten();
+    this.isClosing = written.length > 0;
+    if (!this.isClosing) return this.server.closeIdleConnections();
+    for (const answer of written) {
+      answer.setTimeout(this.stallTimeoutMs, () => answer.destroy());
+    }
   }
 
   /** Resolves once no written answer waits for its reader. */
   async waitUntilSent(): Promise<void> {
-    while (this.isSending()) {
+    while (this.listWritten().length > 0) {
       await new Promise<void>(resolve => this.waiting.add(resolve));
     }
   }
@@ -48,7 +58,8 @@
     });
   }
 
-  private isSending(): boolean {
-    return [...this.open].some(({writableEnded}) => writableEnded);
+  /** Lists the answers that were written and not sent. */
+  private listWritten(): ServerResponse[] {
+    return [...this.open].filter(({writableEnded}) => writableEnded);
   }
 }
--- a/src/transport/public/public_server.ts
+++ b/src/transport/public/public_server.ts
@@ -18,6 +18,7 @@
   type PublicHandlerOptions,
 } from './create_public_handler.ts';
 import {closeServer, startListening} from '../http_server.ts';
+import {OpenAnswers} from '../open_answers.ts';
 import {describeError} from './http_errors.ts';
 
 export type {WrapHandler, RouteHandler} from './create_public_handler.ts';
@@ -79,6 +80,7 @@
   });
   server.maxConnections = MAX_CONNECTIONS;
   server.maxHeadersCount = MAX_HEADERS;
+  const answers = new OpenAnswers(server);
   const pendingTasks = new PendingTasks();
   limitConnections(server);
   server.on('request', (request: IncomingMessage, response: ServerResponse) => {
@@ -101,7 +103,7 @@
   const {host, port} = options;
   await startListening(server, {host, port, backlog: MAX_PENDING_CONNECTIONS});
   return {
-    closeIdleConnections: () => server.closeIdleConnections(),
+    closeIdleConnections: () => answers.closeIdleConnections(),
     waitUntilIdle: () => pendingTasks.waitUntilDone(),
     async [Symbol.asyncDispose]() {
       await closeServer(server);
--- a/src/transport/public/public_server_test.ts
+++ b/src/transport/public/public_server_test.ts
@@ -1,6 +1,7 @@
 import {createHash} from 'node:crypto';
 import {once} from 'node:events';
 import {connect} from 'node:net';
+import {setImmediate} from 'node:timers/promises';
 
 import OpenAI from 'openai';
 import {request} from 'undici';
@@ -19,7 +20,7 @@
 
 const KEY = 'key';
 
-async function startGateway(script: Script = {}) {
+async function startGateway(script: Script = {}, status: unknown = {}) {
   const gateway = new FakeGateway({e1: script, s1: script});
   const {view} = gateway;
   const customer = view?.declaration?.customers[0];
@@ -39,7 +40,7 @@
     context: gateway.context,
     operators: {
       execute: async () => ({status: 200, body: {}}),
-      describeStatus: async () => ({}),
+      describeStatus: async () => status,
       exportBills: async () => null,
     } as never,
     listHosts: () => [],
@@ -188,6 +189,33 @@
   assert.is(gateway.bills.length, 1);
 });
 
+// Guards against answers that are cut in a planned stop because their caller reads
+// slowly: the server had written them, and took their connections for idle.
+test('a shutdown does not cut an answer that is being sent', async () => {
+  const status = {text: 'x'.repeat(16 * 1024 * 1024)};
+  const {server, state, port} = await startGateway({}, status);
+  const socket = connect(port, '127.0.0.1');
+  let received = 0;
+  socket.on('data', bytes => (received += bytes.length));
+  socket.on('error', () => {});
+  const closed = once(socket, 'close');
+  socket.write(
+    'GET /operator/status HTTP/1.1\r\nHost: a\r\n' +
+      'Authorization: Bearer operator\r\n\r\n',
+  );
+  while (received === 0) await setImmediate();
+  socket.pause();
+  state.open = false;
+  server.closeIdleConnections();
+  const idle = server.waitUntilIdle();
+  await setImmediate();
+  socket.resume();
+  await idle;
+  await server[Symbol.asyncDispose]();
+  await closed;
+  assert.ok(received > status.text.length, `${received} bytes`);
+});
+
 test('an idle stream gets keep-alive comment lines', async () => {
   const {server, url} = await startGateway({complete: () => ['wait']});
   await using _ = server;
