Answer the requests that a daemon has read when it closes

What callers saw: a daemon of the product (src/cli/serve) that stops closed all connections as soon as its requests and settlements were done; a request that it had read in that moment got no answer. Nothing had been passed on: such a daemon refuses new work from SIGTERM on.

Cause: its server was closed without the 0.3 s for open requests that the front server of a site has.

Change: both servers close by OpenAnswers.closeServer().

--- a/src/cli/serve/daemon.ts
+++ b/src/cli/serve/daemon.ts
@@ -165,6 +165,7 @@
     await startPublicServer({
       host: publicHost,
       port: publicPort,
+      clock,
       logger: createLogger('http'),
       operatorSecret: secrets.operator,
       endpointSecret: secrets.endpoint,
--- a/src/transport/forwarding/front_server.ts
+++ b/src/transport/forwarding/front_server.ts
@@ -20,7 +20,7 @@
 import {createCallerSink} from './caller_sink.ts';
 import {createFindHeader, dropHopByHop, pairHeaders} from './headers.ts';
 import {readBody} from '../public/read_body.ts';
-import {closeServer, startListening} from '../http_server.ts';
+import {startListening} from '../http_server.ts';
 import {OpenAnswers} from '../open_answers.ts';
 
 /** How often connection timeouts are checked. */
@@ -32,9 +32,6 @@
 /** Maximum number of connections in the listen backlog. */
 const BACKLOG = 1_024;
 
-/** Grace period for open requests when the server closes. */
-const CLOSE_GRACE_MS = 300;
-
 /**
  * Added to the idle timeout before the server closes a connection. Callers
  * reuse connections for four fifths of the idle timeout only.
@@ -120,12 +117,7 @@
     closeIdleConnections: () => answers.closeIdleConnections(),
     async [Symbol.asyncDispose]() {
       isClosing = true;
-      // Requests accepted just before are still answered.
-      const closed = new AbortController();
-      const grace = clock.sleep(CLOSE_GRACE_MS, closed.signal);
-      await Promise.race([answers.waitUntilSent(), grace]);
-      await closeServer(server, {waitForRequests: () => grace});
-      closed.abort('closed');
+      await answers.closeServer(clock);
     },
   };
 }
--- a/src/transport/open_answers.ts
+++ b/src/transport/open_answers.ts
@@ -5,6 +5,11 @@
  * discards what a slow reader has not received when it closes idle connections.
  */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Clock} from '../protocol/clock.ts';
+import {closeServer} from './http_server.ts';
+
+/** Grace period for open requests when the server closes. */
+const CLOSE_GRACE_MS = 300;
 
 /** How long a reader may make no progress once idle connections are closed. */
 const STALL_TIMEOUT_MS = 10_000;
@@ -48,6 +53,15 @@
     }
   }
 
+  /** Closes the server. Requests accepted just before are still answered. */
+  async closeServer(clock: Clock): Promise<void> {
+    const closed = new AbortController();
+    const grace = clock.sleep(CLOSE_GRACE_MS, closed.signal);
+    await Promise.race([this.waitUntilSent(), grace]);
+    await closeServer(this.server, {waitForRequests: () => grace});
+    closed.abort('closed');
+  }
+
   private track(answer: ServerResponse): void {
     this.open.add(answer);
     answer.once('close', () => {
--- a/src/transport/public/public_server.ts
+++ b/src/transport/public/public_server.ts
@@ -12,12 +12,13 @@
   type ServerResponse,
 } from 'node:http';
 import type {Socket} from 'node:net';
+import type {Clock} from '../../protocol/clock.ts';
 import {createIdentifier} from '../../protocol/identifiers.ts';
 import {
   createPublicHandler,
   type PublicHandlerOptions,
 } from './create_public_handler.ts';
-import {closeServer, startListening} from '../http_server.ts';
+import {startListening} from '../http_server.ts';
 import {OpenAnswers} from '../open_answers.ts';
 import {describeError} from './http_errors.ts';
 
@@ -56,6 +57,7 @@
 > {
   readonly host: string;
   readonly port: number;
+  readonly clock: Clock;
 }
 
 /** A listening server that tracks its open requests and handlers. */
@@ -106,7 +108,7 @@
     closeIdleConnections: () => answers.closeIdleConnections(),
     waitUntilIdle: () => pendingTasks.waitUntilDone(),
     async [Symbol.asyncDispose]() {
-      await closeServer(server);
+      await answers.closeServer(options.clock);
     },
   };
 }
--- a/src/transport/public/public_server_test.ts
+++ b/src/transport/public/public_server_test.ts
@@ -1,12 +1,13 @@
 import {createHash} from 'node:crypto';
 import {once} from 'node:events';
 import {connect} from 'node:net';
-import {setImmediate} from 'node:timers/promises';
+import {setImmediate, setTimeout} from 'node:timers/promises';
 
 import OpenAI from 'openai';
 import {request} from 'undici';
 import {test} from 'uvu';
 import * as assert from 'uvu/assert';
+import {systemClock} from '../../protocol/clock.ts';
 import {silentLogger} from '../../protocol/logger.ts';
 import {succeed} from '../../protocol/outcome.ts';
 import {
@@ -20,7 +21,10 @@
 
 const KEY = 'key';
 
-async function startGateway(script: Script = {}, status: unknown = {}) {
+async function startGateway(
+  script: Script = {},
+  describeStatus: () => Promise<unknown> = async () => ({}),
+) {
   const gateway = new FakeGateway({e1: script, s1: script});
   const {view} = gateway;
   const customer = view?.declaration?.customers[0];
@@ -34,13 +38,14 @@
   const server = await startPublicServer({
     host: '127.0.0.1',
     port,
+    clock: systemClock,
     logger: silentLogger,
     operatorSecret: 'operator',
     endpointSecret: 'endpoint',
     context: gateway.context,
     operators: {
       execute: async () => ({status: 200, body: {}}),
-      describeStatus: async () => status,
+      describeStatus,
       exportBills: async () => null,
     } as never,
     listHosts: () => [],
@@ -189,11 +194,41 @@
   assert.is(gateway.bills.length, 1);
 });
 
+// Guards against requests that were read and get no answer because the server is
+// disposed of while callers still send requests.
+test('disposal answers each request that was read', async () => {
+  for (let turns = 0; turns < 10; turns++) {
+    let read = 0;
+    const {server, port} = await startGateway({}, async () => {
+      read++;
+      await setTimeout(20);
+      return {};
+    });
+    const replies: Promise<string>[] = [];
+    for (let sent = 0; sent < 30; sent++) {
+      replies.push(
+        sendRaw(
+          port,
+          'GET /operator/status HTTP/1.1\r\nHost: a\r\n' +
+            'Authorization: Bearer operator\r\nConnection: close\r\n\r\n',
+        ).catch(() => ''),
+      );
+      if (sent % 3 === turns % 3) await setImmediate();
+    }
+    while (read === 0) await setImmediate();
+    for (let turn = 0; turn < turns; turn++) await setImmediate();
+    await server[Symbol.asyncDispose]();
+    const lines = await Promise.all(replies);
+    const answered = lines.filter(line => line.includes('200')).length;
+    assert.is(answered, read, `after ${turns} turns`);
+  }
+});
+
 // Guards against answers that are cut in a planned stop because their caller reads
 // slowly: the server had written them, and took their connections for idle.
 test('a shutdown does not cut an answer that is being sent', async () => {
   const status = {text: 'x'.repeat(16 * 1024 * 1024)};
-  const {server, state, port} = await startGateway({}, status);
+  const {server, state, port} = await startGateway({}, async () => status);
   const socket = connect(port, '127.0.0.1');
   let received = 0;
   socket.on('data', bytes => (received += bytes.length));
