Read and refuse what arrives while a stopping gateway writes its last answers

What callers saw: a request that reached a gateway within about 60 ms before it closed got no answer. It had not been passed on, but only the gateway knew that.

Cause: the gateway ended all open requests and closed its connections in the same turn of the event loop, or in the next: the kernel held what had arrived meanwhile, and the close reset it.

Evidence: platform/site_test.ts with arrivals spread over each 50 ms, eight stops of 680 requests each: 43 of 5,440 requests were closed without an answer and without having been read, 41 of them in the row of 7.0 s (5 a stop at 80 requests a second, so 64 ms). stop_gateway_test.ts, 'stopGateway() waits until the last answers are sent, for a bounded time', failed: the stop ended at 7,300 ms with answers not sent.

Change: a gateway is idle when no request is open at two checks in a row, 50 ms apart, and after the last answers it waits for that, 0.15 s at the most.

--- a/src/cli/serve_site/stop_gateway.ts
+++ b/src/cli/serve_site/stop_gateway.ts
@@ -13,6 +13,9 @@
 /** The part of the grace period reserved for closing connections. */
 const CLOSE_MARGIN_MS = 700;
 
+/** How long the answers to requests that were ended may take to be sent. */
+const LAST_ANSWERS_MS = 150;
+
 /** The interval at which a stopping gateway checks for open requests. */
 const IDLE_CHECK_MS = 50;
 
@@ -49,9 +52,25 @@
   await clock.sleep(Math.min(maxListAgeMs, graceMs - CLOSE_MARGIN_MS));
   forwarder.startRefusing();
   server.closeIdleConnections();
-  while (server.openRequests > 0 && clock.monotonic() < endsAt) {
-    await clock.sleep(IDLE_CHECK_MS);
-  }
+  await waitUntilIdle(server, clock, endsAt);
   // What is still open would otherwise be cut off without an answer.
   forwarder.shutdown.abort();
+  await waitUntilIdle(server, clock, endsAt + LAST_ANSWERS_MS);
+}
+
+/**
+ * Waits until no request is open at two checks in a row: between them the
+ * requests are read that arrived while the process was busy.
+ */
+async function waitUntilIdle(
+  server: Pick<FrontServer, 'openRequests'>,
+  clock: Clock,
+  deadline: number,
+): Promise<void> {
+  let idleChecks = 0;
+  while (clock.monotonic() < deadline) {
+    idleChecks = server.openRequests > 0 ? 0 : idleChecks + 1;
+    if (idleChecks === 2) return;
+    await clock.sleep(IDLE_CHECK_MS);
+  }
 }
--- a/src/cli/serve_site/stop_gateway_test.ts
+++ b/src/cli/serve_site/stop_gateway_test.ts
@@ -40,7 +40,10 @@
     report: () => report(clock),
   };
   let isStopped = false;
-  const stopped = stopGateway(options).then(() => (isStopped = true));
+  const stopped = stopGateway(options).then(() => {
+    isStopped = true;
+    record('stopped')();
+  });
   for (let ms = 0; ms < 2 * GRACE_MS && !isStopped; ms += 10) {
     await clock.advance(10);
   }
@@ -63,6 +66,19 @@
   assert.ok(abortedMs >= 4_000 && abortedMs < 4_200, `${abortedMs}`);
 });
 
+// Guards against requests that arrive while the last answers are written, and are
+// neither read nor refused because the connections are closed in that moment.
+test('stopGateway() waits until the last answers are sent, for a bounded time', async () => {
+  for (const sentMs of [7_380, Infinity]) {
+    const steps = await recordStop({
+      getOpenRequests: ms => (ms < sentMs ? 1 : 0),
+    });
+    const stoppedMs = steps['stopped'] ?? 0;
+    assert.ok(stoppedMs >= Math.min(sentMs, 7_450), `${stoppedMs}`);
+    assert.ok(stoppedMs <= 7_500, `${stoppedMs}`);
+  }
+});
+
 // Guards against requests that arrive late in the grace period and are passed on,
 // because a core daemon does not answer the gateway's last report in time.
 test('stopGateway() does not refuse later when its report is not answered', async () => {
