--- a/src/transport/forwarding/front_server.ts
+++ b/src/transport/forwarding/front_server.ts
@@ -20,7 +20,8 @@
 import {createCallerSink} from './caller_sink.ts';
 import {createFindHeader, dropHopByHop, pairHeaders} from './headers.ts';
 import {readBody} from '../public/read_body.ts';
-import {closeServer, startListening} from '../http_server.ts';
+import {startListening} from '../http_server.ts';
+import {OpenAnswers} from '../open_answers.ts';
 
 /** How often connection timeouts are checked. */
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
@@ -31,9 +32,6 @@
 /** Maximum number of connections in the listen backlog. */
 const BACKLOG = 1_024;
 
-/** Grace period for open requests when the server closes. */
-const CLOSE_GRACE_MS = 300;
-
 /**
  * Added to the idle timeout before the server closes a connection. Callers
  * reuse connections for four fifths of the idle timeout only.
@@ -79,7 +77,6 @@
   const {host, port, clock, logger} = options;
   let limits = DEFAULT_LIMITS;
   let isClosing = false;
-  let openRequests = 0;
   const server = createServer({
     headersTimeout: limits.headerTimeoutMs,
     requestTimeout: 0,
@@ -89,9 +86,8 @@
     noDelay: true,
   });
   server.maxHeadersCount = MAX_HEADERS;
+  const answers = new OpenAnswers(server);
   server.on('request', (request: IncomingMessage, response: ServerResponse) => {
-    openRequests++;
-    response.once('close', () => openRequests--);
     if (isClosing) response.setHeader('Connection', 'close');
     serveRequest(options, limits, {request, response}).catch(error => {
       const {message: reason} = error as Error;
@@ -108,7 +104,7 @@
   await startListening(server, {host, port, backlog: BACKLOG});
   return {
     get openRequests() {
-      return openRequests;
+      return answers.count;
     },
     setLimits(next) {
       limits = next;
@@ -118,15 +114,10 @@
     startClosing() {
       isClosing = true;
     },
-    closeIdleConnections: () => server.closeIdleConnections(),
+    closeIdleConnections: () => answers.closeIdleConnections(),
     async [Symbol.asyncDispose]() {
       isClosing = true;
-      // Requests accepted just before are still answered.
-      const stopped = new AbortController();
-      await closeServer(server, {
-        waitForRequests: () => clock.sleep(CLOSE_GRACE_MS, stopped.signal),
-      });
-      stopped.abort('closed');
+      await answers.closeServer(clock);
     },
   };
 }
