Keep a trial of a prompt part open until its own end

What callers saw: requests with one bad part reached two engines at the same moment, each with a permission.

Cause: a trial was known by its part alone. A crash that was known before it counted as its result, and any end of a trial ended the one that was open.

Change: the request for a trial carries what the gateway knows of the parts, and the core merges it first, so that a later report of the same crash changes nothing. The core gives each trial an id, and the end of a trial ends that one only.

--- a/src/coordination/core/core_state.ts
+++ b/src/coordination/core/core_state.ts
@@ -166,10 +166,14 @@
   }
 
   /** Permits one request with suspected parts, unless another one runs. */
-  openTrial(request: TrialRequest): TrialReply {
-    const {service, parts} = request;
+  openTrial({service, parts, suspects}: TrialRequest): TrialReply {
+    // The crash that the request follows must not end its trial when another
+    // daemon relays it later.
+    this.mergeSuspects(suspects, this.options.clock.monotonic());
+    const trial = this.trials.tryOpen({service, parts});
     return {
-      isGranted: this.trials.tryOpen(request),
+      isGranted: trial !== null,
+      ...(trial === null ? {} : {trial}),
       suspects: parts.flatMap(part => {
         const suspect = this.suspects.find(service, part);
         return suspect ? [this.suspects.encode(suspect)] : [];
@@ -178,9 +182,9 @@
   }
 
   /** Merges what the request of a trial showed, then permits the next one. */
-  finishTrial({service, parts, suspects}: TrialResult): void {
+  finishTrial({service, parts, suspects, trial}: TrialResult): void {
     this.mergeSuspects(suspects, this.options.clock.monotonic());
-    for (const part of parts) this.trials.release(createPartKey(service, part));
+    if (trial !== undefined) this.trials.finish(trial, {service, parts});
   }
 
   private applyLeaving(leaving: readonly LeavingEndpoint[]): void {
--- a/src/coordination/core/core_state_test.ts
+++ b/src/coordination/core/core_state_test.ts
@@ -7,6 +7,7 @@
 import type {GatewayReport} from '../../protocol/core_service.ts';
 import {silentLogger} from '../../protocol/logger.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
+import type {SuspectPart} from '../../protocol/suspect_part.ts';
 import {createEndpoint} from '../forwarding/forwarding_fakes.ts';
 import {CoreState} from './core_state.ts';
 
@@ -76,4 +77,47 @@
   assert.equal(state.dueSuspectRevision, state.suspects.revision);
 });
 
+/** A record of a part with which engines ended one after the other. */
+function createRecord(level: number): SuspectPart {
+  const crashes = Array.from({length: level}, (_, index) => ({
+    start: `e${index}/1`,
+    ageMs: 100 * (level - index),
+  }));
+  return {
+    service: 'app',
+    part: 'p',
+    level,
+    isCondemned: false,
+    crashes,
+    clearedAgeMs: null,
+  };
+}
+
+// Guards against a second request with a part that ends an engine, permitted
+// since the crash before the first one became known by another way.
+test('a trial goes on when others report the crash that it follows', () => {
+  const clock = new SimulatedClock();
+  const state = createState('c1', clock);
+  const request = {service: 'app', parts: ['p'], suspects: [createRecord(1)]};
+  assert.ok(state.openTrial(request).isGranted);
+  state.mergeSuspects([createRecord(1)], clock.monotonic());
+  assert.ok(!state.openTrial(request).isGranted);
+});
+
+// Guards against two requests at once, the second of which was permitted by the
+// late end of an earlier trial.
+test('the end of a trial leaves later trials of the part open', () => {
+  const clock = new SimulatedClock();
+  const state = createState('c1', clock);
+  const request = {service: 'app', parts: ['p'], suspects: []};
+  const first = state.openTrial(request);
+  state.mergeSuspects([createRecord(1)], clock.monotonic());
+  const second = state.openTrial(request);
+  assert.ok(second.isGranted);
+  state.finishTrial({...request, trial: first.trial});
+  assert.ok(!state.openTrial(request).isGranted);
+  state.finishTrial({...request, trial: second.trial});
+  assert.ok(state.openTrial(request).isGranted);
+});
+
 test.run();
--- a/src/coordination/core/trial_table.ts
+++ b/src/coordination/core/trial_table.ts
@@ -1,6 +1,5 @@
 /** The permitted requests with suspected prompt parts, one a part. */
 import type {Clock} from '../../protocol/clock.ts';
-import type {TrialRequest} from '../../protocol/suspect_part.ts';
 import {createPartKey} from '../forwarding/suspect_table.ts';
 
 /** How long a trial may go on without a result, in ms. */
@@ -9,27 +8,57 @@
 /** The most trials that are open. */
 const MAX_TRIALS = 1_024;
 
+interface OpenTrial {
+  readonly id: number;
+  /** When the permission ends, on the monotonic clock. */
+  readonly until: number;
+}
+
+export interface TrialParts {
+  readonly service: string;
+  readonly parts: readonly string[];
+}
+
 export class TrialTable {
-  /** When the permission ends, by part. */
-  private readonly openUntil = new Map<string, number>();
+  private readonly open = new Map<string, OpenTrial>();
+  private lastId = 0;
 
   constructor(private readonly clock: Clock) {}
 
-  /** Permits a request unless another one with a part of it is open. */
-  tryOpen({service, parts}: TrialRequest): boolean {
+  /**
+   * Permits a request unless another one with a part of it is open.
+   *
+   * @returns The id of the trial; `null` without a permission.
+   */
+  tryOpen({service, parts}: TrialParts): number | null {
     const now = this.clock.monotonic();
-    for (const [key, until] of this.openUntil) {
-      if (until <= now) this.openUntil.delete(key);
+    for (const [key, {until}] of this.open) {
+      if (until <= now) this.open.delete(key);
     }
     const keys = parts.map(part => createPartKey(service, part));
-    if (keys.some(key => this.openUntil.has(key))) return false;
-    if (this.openUntil.size + keys.length > MAX_TRIALS) return false;
-    for (const key of keys) this.openUntil.set(key, now + TRIAL_MS);
-    return true;
+    if (keys.some(key => this.open.has(key))) return null;
+    if (this.open.size + keys.length > MAX_TRIALS) return null;
+    const id = this.createId();
+    for (const key of keys) this.open.set(key, {id, until: now + TRIAL_MS});
+    return id;
   }
 
   /** Ends the trial of a part whose result is known. */
   release(key: string): void {
-    this.openUntil.delete(key);
+    this.open.delete(key);
+  }
+
+  /** Ends a trial. A later one of the same parts goes on. */
+  finish(trial: number, {service, parts}: TrialParts): void {
+    for (const part of parts) {
+      const key = createPartKey(service, part);
+      if (this.open.get(key)?.id === trial) this.open.delete(key);
+    }
+  }
+
+  /** Creates an id that differs from those before a restart. */
+  private createId(): number {
+    this.lastId = Math.max(this.lastId + 1, Math.floor(this.clock.now()));
+    return this.lastId;
   }
 }
--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -14,6 +14,13 @@
   readonly body: Uint8Array;
 }
 
+/** The permission to send a request with suspected parts. */
+export interface Trial {
+  /** Identifies it at the core; `undefined` if the core is older. */
+  readonly id: number | undefined;
+  readonly parts: readonly string[];
+}
+
 /** The state of one request across its attempts. */
 export class CallRun {
   /** Ids of the endpoints that were tried. */
@@ -37,7 +44,7 @@
   /** Whether the next attempt may have suspected parts. */
   isPermitted = false;
   /** The suspected parts that this request alone may have at an endpoint. */
-  trialParts: string[] = [];
+  trial: Trial | null = null;
   /** Why its prompt may not go to an endpoint; `null` if it may. */
   quarantine: 'condemned' | 'suspected' | null = null;
   /** Whether the retry budget was already charged for the next attempt. */
@@ -72,7 +79,7 @@
   }
 
   get isTrial(): boolean {
-    return this.trialParts.length > 0;
+    return this.trial !== null;
   }
 
   get isOver(): boolean {
--- a/src/coordination/forwarding/prompt_crash_test.ts
+++ b/src/coordination/forwarding/prompt_crash_test.ts
@@ -77,6 +77,17 @@
   }
 });
 
+// Guards against requests with one part that are permitted beside each other,
+// by the late report of a crash and by the end of an earlier trial.
+test('forward() sends a suspected part to one engine at a time', async () => {
+  const {crashes} = await playHistory({
+    seed: 70_009,
+    isCalm: true,
+    maxBadPerSecond: 5,
+  });
+  assert.ok(Math.max(...crashes) <= MAX_CRASHES, `${crashes.join(' ')} ended`);
+});
+
 // Guards against parts that are condemned since engines ended with them for
 // other reasons: single crashes, racks, restarts, lost messages.
 test('forward() condemns no part for ordinary crashes', async () => {
--- a/src/coordination/forwarding/prompt_quarantine.ts
+++ b/src/coordination/forwarding/prompt_quarantine.ts
@@ -86,7 +86,11 @@
         return {type: 'refused', isCondemned: true};
       }
       const parts = suspects.map(({part}) => part);
-      const reply = await trials.request({service, parts});
+      const reply = await trials.request({
+        service,
+        parts,
+        suspects: this.listRecords(service, parts),
+      });
       const isGranted = reply?.isGranted ?? false;
       if (reply) this.recordRelayed(reply.suspects);
       metrics.count('prompt_trials', 1, {
@@ -97,7 +101,7 @@
       // single crash.
       if (!reply && suspects.every(({level}) => level === 1)) return FREE;
       if (isGranted) {
-        run.trialParts = parts;
+        run.trial = {id: reply?.trial, parts};
         if (!this.isWithheld(run, this.listSuspects(run))) {
           return {type: 'trial'};
         }
@@ -114,14 +118,15 @@
   /** Ends the trial of a request, after its attempt was watched. */
   finishTrial(run: CallRun): void {
     const {name: service} = run.admitted.service;
-    const parts = run.trialParts;
-    if (parts.length === 0) return;
-    run.trialParts = [];
-    const suspects = parts.flatMap(part => {
-      const known = this.table.get(createPartKey(service, part));
-      return known ? [this.table.encode(known)] : [];
+    if (!run.trial) return;
+    const {id, parts} = run.trial;
+    run.trial = null;
+    void this.options.trials.finish({
+      service,
+      parts: [...parts],
+      suspects: this.listRecords(service, parts),
+      ...(id === undefined ? {} : {trial: id}),
     });
-    void this.options.trials.finish({service, parts, suspects});
   }
 
   /** Whether a request needs no permission. */
@@ -183,6 +188,16 @@
     return {suspects: this.table.size, soundParts: this.soundAt.size};
   }
 
+  private listRecords(
+    service: string,
+    parts: readonly string[],
+  ): SuspectPart[] {
+    return parts.flatMap(part => {
+      const known = this.table.get(createPartKey(service, part));
+      return known ? [this.table.encode(known)] : [];
+    });
+  }
+
   private listSuspects(run: CallRun): Suspect[] {
     if (this.table.isEmpty) return [];
     const {name: service} = run.admitted.service;
--- a/src/protocol/suspect_part.ts
+++ b/src/protocol/suspect_part.ts
@@ -39,19 +39,24 @@
 export const trialRequestSchema = z.object({
   service: z.string(),
   parts: z.array(z.string()),
+  /** What the gateway knows of the parts. */
+  suspects: z.array(suspectPartSchema).default([]),
 });
 
 export type TrialRequest = z.infer<typeof trialRequestSchema>;
 
 export interface TrialReply {
   readonly isGranted: boolean;
+  /** Identifies the granted trial; absent in replies of older daemons. */
+  readonly trial?: number;
   /** What the core knows of the parts. */
   readonly suspects: readonly SuspectPart[];
 }
 
 /** Ends a permitted request, with what it showed. */
 export const trialResultSchema = trialRequestSchema.extend({
-  suspects: z.array(suspectPartSchema),
+  /** The trial that ends; absent in messages of older gateways. */
+  trial: z.int().optional(),
 });
 
 export type TrialResult = z.infer<typeof trialResultSchema>;
