Bound how often a condemned prompt part is tried

What callers saw: engines that a condemned part ended, one after the other, ever more seldom but without an end.

Cause: the pause between tries doubled, but nothing bounded their number.

Change: a condemned part is tried up to level 5, three times after a verdict at level 3. It then waits for an answer on it or for the end of the verdict.

--- a/src/coordination/forwarding/suspect_table.ts
+++ b/src/coordination/forwarding/suspect_table.ts
@@ -26,6 +26,9 @@
 /** The pause before a condemned part is tried that others explain, in ms. */
 const EXPLAINED_BACK_OFF_MS = 500;
 
+/** The highest level at which a condemned part that others explain is tried. */
+const MAX_TRIED_LEVEL = 5;
+
 /** How far back engines that ended without the part count, in ms. */
 const BACKGROUND_MS = 20_000;
 
@@ -117,9 +120,10 @@
   /**
    * Whether other parts, which a request does not have, explain all crashes of
    * a suspect: then the request can show which of them it is. It may do so
-   * ever more seldom, as each try may cost an engine.
+   * ever more seldom and a few times only, as each try may cost an engine.
    */
   isExplained(suspect: Suspect, requestParts: ReadonlySet<string>): boolean {
+    if (suspect.level > MAX_TRIED_LEVEL) return false;
     const backOffMs =
       EXPLAINED_BACK_OFF_MS * 2 ** (suspect.level - CONDEMN_LEVEL);
     const sinceMs = this.clock.monotonic() - findLastCrash(suspect);
--- /dev/null
+++ b/src/coordination/forwarding/suspect_table_test.ts
@@ -0,0 +1,60 @@
+/** Guards against prompt parts that a verdict does not keep from engines. */
+import assert from 'node:assert/strict';
+import {test} from 'uvu';
+import {SimulatedClock} from '../../protocol/simulated_clock.ts';
+import {createPartKey, SuspectTable} from './suspect_table.ts';
+
+const SERVICE = 'app';
+const NO_PARTS: ReadonlySet<string> = new Set();
+
+/** Requests with a condemned part that may reach engines. */
+const MAX_TRIES = 3;
+
+/** Records that an engine ended while it answered on a part. */
+function recordCrash(
+  table: SuspectTable,
+  {
+    part,
+    level,
+    start,
+    atMs,
+  }: Record<'part' | 'start', string> & Record<'level' | 'atMs', number>,
+): void {
+  table.mergeOne({
+    service: SERVICE,
+    part,
+    level,
+    isCondemned: false,
+    crashes: new Map([[start, atMs]]),
+    clearedAt: -Infinity,
+  });
+}
+
+// Guards against a bad part that ends one engine after the other, ever more
+// seldom, since other parts were there each time.
+test('a condemned part is tried a few times at most while others explain it', async () => {
+  const clock = new SimulatedClock();
+  const table = new SuspectTable(clock);
+  const record = (start: string, level: number) => {
+    const atMs = clock.monotonic();
+    recordCrash(table, {part: 'bad', level, start, atMs});
+    recordCrash(table, {part: 'other', level, start, atMs});
+  };
+  for (let level = 1; level <= 3; level++) {
+    record(`e${level}/1`, level);
+    await clock.advance(100);
+  }
+  let tries = 0;
+  for (let second = 0; second < 500; second++) {
+    await clock.advance(1_000);
+    const suspect = table.get(createPartKey(SERVICE, 'bad'));
+    assert.ok(suspect?.isCondemned);
+    if (!table.isExplained(suspect, NO_PARTS)) continue;
+    tries++;
+    record(`t${second}/1`, suspect.level + 1);
+  }
+  assert.ok(tries > 0);
+  assert.ok(tries <= MAX_TRIES, `${tries} tries`);
+});
+
+test.run();
