Let PromptWatch decide that an error says nothing of a prompt

What callers saw: nothing yet; found by reading. A held answer of the smallest model that is an error, 500 for instance, cleared the suspected parts of its prompt, and the next requests with a bad part went to engines without a permission.

Cause: run_attempt.ts asked whether an answer is good before it told PromptWatch of its end, and HeldAnswer did not.

Change: PromptWatch learns the status with the head of the answer and takes no error for a sign, neither its end nor its progress; both callers pass the answer.

Test: "forward() does not take a part for sound after a held error" failed before with a record at level 0 of the part.

--- a/src/coordination/forwarding/held_answer.ts
+++ b/src/coordination/forwarding/held_answer.ts
@@ -75,7 +75,7 @@
         }
         this.notifyReader();
       }
-      if (!this.error) watch.recordEnd(answer.isDelimited);
+      if (!this.error) watch.recordEnd(answer);
       this.end(null);
     } catch (error) {
       if (!this.error) watch.recordDisconnect();
--- a/src/coordination/forwarding/prompt_quarantine_test.ts
+++ b/src/coordination/forwarding/prompt_quarantine_test.ts
@@ -82,6 +82,31 @@
   assert.deepEqual(gateway.quarantine.listObserved(), []);
 });
 
+// Guards against an endpoint that clears a bad part by errors of its smallest
+// model, which are held while a larger one is asked.
+test('forward() does not take a part for sound after a held error', async () => {
+  let status = 200;
+  const gateway = new FakeGateway({
+    route: {...ROUTE, models: ['small', 'large']},
+    endpoints: ENDPOINTS,
+    behave: async (call, options) =>
+      createAnswer(call, options, {
+        status,
+        facts: {confidence: options.model === 'small' ? 5 : null},
+      }),
+  });
+  await gateway.request(createPrompt('part'));
+  // A part that was answered on may be escalated after a single crash.
+  gateway.quarantine.recordRelayed([createRecord('part', 1)]);
+  status = 500;
+  await gateway.request({...createPrompt('part'), isModelOpen: true});
+  assert.deepEqual(
+    gateway.attempts.slice(1, 3).map(({model}) => model),
+    ['small', 'large'],
+  );
+  assert.deepEqual(gateway.quarantine.listObserved(), []);
+});
+
 test('forward() refuses a suspected part while another trial runs', async () => {
   const gateway = new FakeGateway({
     route: ROUTE,
--- a/src/coordination/forwarding/prompt_watch.ts
+++ b/src/coordination/forwarding/prompt_watch.ts
@@ -4,9 +4,10 @@
  * A bad part crashes an engine that begins an answer on it. So an answer that
  * went on for a while, or is complete, speaks for its parts. A connection that
  * breaks off earlier speaks against them, also before the head of the answer
- * arrived: an engine may send it with its first token only.
+ * arrived: an engine may send it with its first token only. An error says nothing.
  */
 import type {Clock} from '../../protocol/clock.ts';
+import type {EndpointAnswer} from './call.ts';
 
 /** How long an answer must go on to speak for its parts, in ms. */
 const SETTLE_MS = 1_000;
@@ -19,13 +20,15 @@
 
 export class PromptWatch {
   private beganAt: number | null = null;
+  private isError = false;
   private isDecided = false;
 
   constructor(private readonly options: PromptWatchOptions) {}
 
   /** Records that the head of the answer arrived. */
-  recordBegin(): void {
+  recordBegin({status}: Pick<EndpointAnswer, 'status'>): void {
     this.beganAt ??= this.options.clock.monotonic();
+    this.isError = status >= 500;
   }
 
   /** Records that more of the answer arrived. */
@@ -35,12 +38,8 @@
     if (ageMs >= SETTLE_MS) this.settle();
   }
 
-  /**
-   * Records the end of the answer.
-   *
-   * @param isDelimited Whether its end differs from a connection that closes.
-   */
-  recordEnd(isDelimited: boolean): void {
+  /** Records the complete end of the answer. */
+  recordEnd({isDelimited}: Pick<EndpointAnswer, 'isDelimited'>): void {
     this.recordProgress();
     if (isDelimited) this.settle();
   }
@@ -53,7 +52,7 @@
   }
 
   private settle(): void {
-    if (this.isDecided) return;
+    if (this.isDecided || this.isError) return;
     this.isDecided = true;
     this.options.onSound();
   }
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -186,7 +186,7 @@
     if (outcome.type === 'answer') {
       run.beganMs = clock.monotonic() - startedAt;
       prefill.begin();
-      watch.recordBegin();
+      watch.recordBegin(outcome.answer);
     }
     const received = await handleOutcome(options, run, {
       endpoint,
@@ -212,11 +212,12 @@
   outcome: AttemptOutcome,
   result: AttemptResult,
 ): void {
-  if (result.type === 'delivered' && result.isGood) {
-    watch.recordEnd(outcome.type === 'answer' && outcome.answer.isDelimited);
+  if (result.type === 'delivered' && outcome.type === 'answer') {
+    watch.recordEnd(outcome.answer);
   }
-  if ('isDisconnected' in result && result.isDisconnected)
+  if ('isDisconnected' in result && result.isDisconnected) {
     watch.recordDisconnect();
+  }
 }
 
 /** Replaces a result by the gateway's own reason when it aborted. */
