Let SuspectTable say which records changed their level

CoreState looked the level of each record up before and after a merge. merge() now returns the changes with the level before, and mergeOne() the change or null.

--- a/src/coordination/core/core_state.ts
+++ b/src/coordination/core/core_state.ts
@@ -135,17 +135,12 @@
    * @param receivedAt When their ages were measured, on the monotonic clock.
    */
   mergeSuspects(records: readonly SuspectPart[], receivedAt: number): void {
-    const getLevel = (key: string) => this.suspects.get(key)?.level ?? 0;
-    const before = new Map(
-      records
-        .map(({service, part}) => createPartKey(service, part))
-        .map(key => [key, getLevel(key)]),
-    );
-    const changed = this.suspects.merge(records, receivedAt);
-    if (changed.length === 0) return;
-    for (const key of changed) {
+    const changes = this.suspects.merge(records, receivedAt);
+    if (changes.length === 0) return;
+    for (const {suspect, previousLevel} of changes) {
       // Requests sent before the trial may still crash; they change no level.
-      if (getLevel(key) !== before.get(key)) this.trials.release(key);
+      if (suspect.level === previousLevel) continue;
+      this.trials.release(createPartKey(suspect.service, suspect.part));
     }
     this.urgentChanges.notify();
     this.publishSuspects();
--- a/src/coordination/forwarding/prompt_quarantine.ts
+++ b/src/coordination/forwarding/prompt_quarantine.ts
@@ -155,8 +155,8 @@
   /** Merges what other gateways observed, as relayed by the core. */
   recordRelayed(records: readonly SuspectPart[]): void {
     const now = this.options.clock.monotonic();
-    for (const key of this.table.merge(records, now)) {
-      this.logChange(key, 'the core');
+    for (const {suspect} of this.table.merge(records, now)) {
+      this.logChange(suspect, 'the core');
     }
   }
 
@@ -258,22 +258,25 @@
   }
 
   private recordObservation(suspect: Suspect): void {
+    const change = this.table.mergeOne(suspect);
+    if (!change) return;
     const key = createPartKey(suspect.service, suspect.part);
-    if (!this.table.mergeOne(suspect)) return;
     this.observedAt.set(key, this.options.clock.monotonic());
-    this.logChange(key, 'its answer');
+    this.logChange(change.suspect, 'its answer');
     this.options.onObservation?.();
   }
 
-  private logChange(key: string, from: 'its answer' | 'the core'): void {
-    const known = this.table.get(key);
-    if (!known || (known.level === 1 && from === 'the core')) return;
+  private logChange(
+    {service, part, level, crashes, isCondemned}: Suspect,
+    from: 'its answer' | 'the core',
+  ): void {
+    if (level === 1 && from === 'the core') return;
     this.options.logger.info('Changes what is known of a prompt part.', {
-      service: known.service,
-      part: known.part,
-      level: known.level,
-      crashes: known.crashes.size,
-      isCondemned: known.isCondemned,
+      service,
+      part,
+      level,
+      crashes: crashes.size,
+      isCondemned,
       from,
     });
   }
--- a/src/coordination/forwarding/suspect_table.ts
+++ b/src/coordination/forwarding/suspect_table.ts
@@ -57,6 +57,13 @@
   readonly clearedAt: number;
 }
 
+/** A changed record. */
+export interface SuspectChange {
+  readonly suspect: Suspect;
+  /** Its level before; 0 if there was none. */
+  readonly previousLevel: number;
+}
+
 /** The part of one service, as a key. */
 export function createPartKey(service: string, part: string): string {
   return `${service}/${part}`;
@@ -140,11 +147,11 @@
   }
 
   /**
-   * Merges records of another daemon; returns the keys of those that changed.
+   * Merges records of another daemon; returns those that changed.
    *
    * @param receivedAt When their ages were measured, on the monotonic clock.
    */
-  merge(records: readonly SuspectPart[], receivedAt: number): string[] {
+  merge(records: readonly SuspectPart[], receivedAt: number): SuspectChange[] {
     return records
       .map(({service, part, level, isCondemned, crashes, clearedAgeMs}) => ({
         service,
@@ -157,22 +164,22 @@
         clearedAt:
           clearedAgeMs === null ? -Infinity : receivedAt - clearedAgeMs,
       }))
-      .filter(suspect => this.mergeOne(suspect))
-      .map(({service, part}) => createPartKey(service, part));
+      .map(suspect => this.mergeOne(suspect))
+      .filter(change => change !== null);
   }
 
-  /** Merges one record; returns whether it changed the table. */
-  mergeOne(next: Suspect): boolean {
+  /** Merges one record; returns `null` if that changes nothing. */
+  mergeOne(next: Suspect): SuspectChange | null {
     const key = createPartKey(next.service, next.part);
     for (const [start, atMs] of next.crashes) this.recordEnd(start, atMs);
     const known = this.entries.get(key)?.suspect;
     const merged = this.evaluate(mergeSuspects(known ?? null, next));
-    if (this.isExpired(merged)) return false;
-    if (known && isSame(known, merged)) return false;
+    if (this.isExpired(merged)) return null;
+    if (known && isSame(known, merged)) return null;
     this.entries.delete(key);
     this.entries.set(key, {suspect: merged, changedAt: ++this.lastRevision});
     this.evict();
-    return true;
+    return {suspect: merged, previousLevel: known?.level ?? 0};
   }
 
   /** Lists the records that changed after a revision; all by default. */
