Keep the parts of a prompt on the run of its request

isFree(), admit() and observe() listed the shared parts of a prompt anew for each attempt and each check. CallRun now has them from its start, cut and bounded as before.

--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -1,5 +1,9 @@
 /** Tracks one request from its admission to its outcome. */
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
+import {
+  MAX_PART_ID_CHARACTERS,
+  MAX_WATCHED_PARTS,
+} from '../../protocol/suspect_part.ts';
 import type {AdmittedCall} from './admit_call.ts';
 import type {Call, Header} from './call.ts';
 import type {OpenEscalation} from './choose_model.ts';
@@ -68,10 +72,19 @@
   failedAnswer: FailedAnswer | null = null;
   outcome: string | null = null;
   status = 0;
+  /** The ids of the prompt parts that requests share: all but the last. */
+  readonly sharedPartIds: readonly string[];
+  /** The shared parts that are watched for what they do to engines. */
+  readonly watchedParts: readonly string[];
   private heldAnswer: HeldAnswer | null = null;
 
   constructor(readonly admitted: AdmittedCall) {
-    this.lastEventId = admitted.call.facts.lastEventId;
+    const {lastEventId, prompt} = admitted.call.facts;
+    this.lastEventId = lastEventId;
+    this.sharedPartIds = prompt.slice(0, -1).map(({id}) => id);
+    this.watchedParts = this.sharedPartIds
+      .slice(0, MAX_WATCHED_PARTS)
+      .map(id => id.slice(0, MAX_PART_ID_CHARACTERS));
   }
 
   get call(): Call {
@@ -92,11 +105,6 @@
     return {key: session ?? attemptId ?? '', isSession: session !== null};
   }
 
-  /** The ids of the prompt parts that requests share: all but the last. */
-  get sharedPartIds(): string[] {
-    return this.call.facts.prompt.slice(0, -1).map(({id}) => id);
-  }
-
   /** The id of the last shared prompt part, which identifies the prefix. */
   get sharedPrefixId(): string | null {
     return this.sharedPartIds.at(-1) ?? null;
--- a/src/coordination/forwarding/prompt_quarantine.ts
+++ b/src/coordination/forwarding/prompt_quarantine.ts
@@ -10,18 +10,12 @@
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import type {Logger} from '../../protocol/logger.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
-import {
-  MAX_PART_ID_CHARACTERS,
-  type SuspectPart,
-} from '../../protocol/suspect_part.ts';
+import type {SuspectPart} from '../../protocol/suspect_part.ts';
 import type {CallRun} from './call_run.ts';
 import {PromptWatch} from './prompt_watch.ts';
 import type {TrialClient} from './trial_client.ts';
 import {createPartKey, SuspectTable, type Suspect} from './suspect_table.ts';
 
-/** Parts of one prompt that are considered at most. */
-const MAX_PARTS = 64;
-
 /** Parts of which a gateway remembers an answer. */
 const MAX_SOUND_PARTS = 4_096;
 
@@ -67,13 +61,6 @@
     this.table = new SuspectTable(options.clock);
   }
 
-  /** Lists the parts of a request's prompt that requests may share. */
-  static listParts({sharedPartIds}: CallRun): string[] {
-    return sharedPartIds
-      .slice(0, MAX_PARTS)
-      .map(id => id.slice(0, MAX_PART_ID_CHARACTERS));
-  }
-
   /** Decides whether a request may be sent; asks the core if need be. */
   async admit(run: CallRun): Promise<Permission> {
     const {clock, trials, metrics} = this.options;
@@ -138,7 +125,7 @@
   observe(run: CallRun, endpoint: EndpointEntry): PromptWatch {
     const {clock} = this.options;
     const {name: service} = run.admitted.service;
-    const parts = PromptQuarantine.listParts(run);
+    const parts = run.watchedParts;
     const levels = parts.map(
       part => this.table.find(service, part)?.level ?? 0,
     );
@@ -201,7 +188,7 @@
   private listSuspects(run: CallRun): Suspect[] {
     if (this.table.isEmpty) return [];
     const {name: service} = run.admitted.service;
-    return PromptQuarantine.listParts(run).flatMap(part => {
+    return run.watchedParts.flatMap(part => {
       const suspect = this.table.find(service, part);
       if (!suspect) return [];
       // Engines end with popular parts by chance.
@@ -213,7 +200,7 @@
   private isWithheld(run: CallRun, suspects: readonly Suspect[]): boolean {
     const condemned = suspects.filter(each => this.table.isCondemned(each));
     if (condemned.length === 0) return false;
-    const parts = new Set(PromptQuarantine.listParts(run));
+    const parts = new Set(run.watchedParts);
     return condemned.some(each => !this.table.isExplained(each, parts));
   }
 
--- a/src/protocol/suspect_part.ts
+++ b/src/protocol/suspect_part.ts
@@ -7,6 +7,9 @@
 /** The longest id of a part; longer ones are cut, since callers choose them. */
 export const MAX_PART_ID_CHARACTERS = 64;
 
+/** Parts of one prompt that are watched at most. */
+export const MAX_WATCHED_PARTS = 64;
+
 /** Crashes that a record holds at most. */
 export const MAX_PART_CRASHES = 16;
 
