Share the revisions of limits and suspected parts

EndpointLimitTable and SuspectTable each counted revisions and kept the revision of each record, to list what changed after one. RevisedMap does so for both. Their rules of merging stay apart. EndpointRegistry keeps revisions in the same way and is left as it is.

--- a/src/coordination/core/endpoint_limit_table.ts
+++ b/src/coordination/core/endpoint_limit_table.ts
@@ -8,6 +8,7 @@
 import type {EndpointLimit} from '../../protocol/core_service.ts';
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import {pruneEndedLimits} from '../forwarding/prune_ended_limits.ts';
+import {RevisedMap} from '../revised_map.ts';
 
 /** A limit that falls below this part of the known one is relayed at once. */
 const URGENT_PART = 0.8;
@@ -26,8 +27,6 @@
   readonly perSecond: number | null;
   /** On the monotonic clock. */
   readonly observedAt: number;
-  /** The revision of the table at which gateways need to know it anew. */
-  readonly changedAt: number;
   /** When it was observed as it was relayed last, on the monotonic clock. */
   readonly relayedAt: number;
   /** How often its end was relayed again. */
@@ -39,15 +38,14 @@
 }
 
 export class EndpointLimitTable {
-  private readonly known = new Map<string, KnownLimit>();
-  private lastRevision = 0;
+  private readonly known = new RevisedMap<KnownLimit>();
   private lastUrgentRevision = 0;
 
   constructor(private readonly options: EndpointLimitTableOptions) {}
 
   /** Increases with each change that gateways need to know. */
   get revision(): number {
-    return this.lastRevision;
+    return this.known.revision;
   }
 
   /** The revision of the last change that must not wait: a lower limit. */
@@ -69,8 +67,8 @@
   /** Lists the limits that changed after a revision; all by default. */
   list(after = 0): EndpointLimit[] {
     const now = this.options.clock.monotonic();
-    return [...this.known]
-      .filter(([, {changedAt}]) => changedAt > after)
+    return this.known
+      .list(after)
       .map(([id, {startedAtMs, perSecond, observedAt}]) => ({
         id,
         startedAtMs,
@@ -102,7 +100,7 @@
     const previous = isSameStart ? known.perSecond : null;
     const next = {startedAtMs, perSecond, observedAt};
     if (isSameStart && previous === perSecond) {
-      this.known.set(id, {...known, ...next});
+      this.known.replace(id, {...known, ...next});
       if (isRepeatDue({...known, ...next})) {
         this.markChanged(id, {...next, repeats: known.repeats + 1});
       }
@@ -111,16 +109,12 @@
     this.markChanged(id, {...next, repeats: 0});
     if (perSecond === null) return;
     if (previous === null || perSecond < previous * URGENT_PART) {
-      this.lastUrgentRevision = this.lastRevision;
+      this.lastUrgentRevision = this.known.revision;
     }
   }
 
-  private markChanged(
-    id: string,
-    limit: Omit<KnownLimit, 'changedAt' | 'relayedAt'>,
-  ): void {
-    const changedAt = ++this.lastRevision;
-    this.known.set(id, {...limit, changedAt, relayedAt: limit.observedAt});
+  private markChanged(id: string, limit: Omit<KnownLimit, 'relayedAt'>): void {
+    this.known.set(id, {...limit, relayedAt: limit.observedAt});
   }
 }
 
--- a/src/coordination/forwarding/prune_ended_limits.ts
+++ b/src/coordination/forwarding/prune_ended_limits.ts
@@ -11,6 +11,11 @@
   readonly observedAt: number;
 }
 
+/** Limits by the id of their endpoint. */
+export interface ObservedLimits extends Iterable<[string, ObservedLimit]> {
+  delete(id: string): unknown;
+}
+
 export interface PruneEndedLimitsOptions {
   /** The time on the monotonic clock. */
   readonly nowMs: number;
@@ -23,7 +28,7 @@
  * that are unknown for a minute: reports may arrive after an answer.
  */
 export function pruneEndedLimits(
-  limits: Map<string, ObservedLimit>,
+  limits: ObservedLimits,
   {nowMs, findEndpoint}: PruneEndedLimitsOptions,
 ): void {
   for (const [id, {startedAtMs, observedAt}] of limits) {
--- a/src/coordination/forwarding/suspect_table.ts
+++ b/src/coordination/forwarding/suspect_table.ts
@@ -13,6 +13,7 @@
   MAX_PART_CRASHES,
   type SuspectPart,
 } from '../../protocol/suspect_part.ts';
+import {RevisedMap} from '../revised_map.ts';
 
 /** The crashes in a row after which a part is condemned. */
 const CONDEMN_LEVEL = 3;
@@ -69,52 +70,45 @@
   return `${service}/${part}`;
 }
 
-interface Entry {
-  readonly suspect: Suspect;
-  /** The revision of the table at which it changed. */
-  readonly changedAt: number;
-}
-
 export class SuspectTable {
-  private readonly entries = new Map<string, Entry>();
+  private readonly suspects = new RevisedMap<Suspect>();
   /** When engines ended with any suspect, by their start. */
   private readonly ends = new Map<string, number>();
-  private lastRevision = 0;
 
   constructor(private readonly clock: Clock) {}
 
   /** Increases with each change. All changes are urgent. */
   get revision(): number {
-    return this.lastRevision;
+    return this.suspects.revision;
   }
 
   /** The number of records. */
   get size(): number {
-    return this.entries.size;
+    return this.suspects.size;
   }
 
   /** Whether any part is suspected. */
   get isEmpty(): boolean {
-    return this.entries.size === 0;
+    return this.suspects.size === 0;
   }
 
   /** Finds a part that engines ended with since it was last answered on. */
   find(service: string, part: string): Suspect | null {
     if (this.isEmpty) return null;
-    const entry = this.entries.get(createPartKey(service, part));
-    if (!entry || entry.suspect.level === 0) return null;
-    return this.isExpired(entry.suspect) ? null : entry.suspect;
+    const suspect = this.get(createPartKey(service, part));
+    if (!suspect || suspect.level === 0) return null;
+    return this.isExpired(suspect) ? null : suspect;
   }
 
   /** Returns what is known of a part, also of one that was cleared. */
   get(key: string): Suspect | null {
-    return this.entries.get(key)?.suspect ?? null;
+    return this.suspects.get(key) ?? null;
   }
 
   /** Lists the parts whose requests are withheld. */
   listCondemned(): Suspect[] {
-    return [...this.entries.values()]
-      .map(({suspect}) => suspect)
+    return [...this.suspects]
+      .map(([, suspect]) => suspect)
       .filter(suspect => this.isCondemned(suspect));
   }
 
@@ -136,7 +130,7 @@
     const sinceMs = this.clock.monotonic() - findLastCrash(suspect);
     if (sinceMs < backOffMs) return false;
     const unexplained = new Set(suspect.crashes.keys());
-    for (const {suspect: other} of this.entries.values()) {
+    for (const [, other] of this.suspects) {
       if (other.service !== suspect.service) continue;
       if (other.part === suspect.part || requestParts.has(other.part)) continue;
       if (other.level < EXPLAINING_LEVEL || this.isExpired(other)) continue;
@@ -172,21 +166,20 @@
   mergeOne(next: Suspect): SuspectChange | null {
     const key = createPartKey(next.service, next.part);
     for (const [start, atMs] of next.crashes) this.recordEnd(start, atMs);
-    const known = this.entries.get(key)?.suspect;
+    const known = this.suspects.get(key);
     const merged = this.evaluate(mergeSuspects(known ?? null, next));
     if (this.isExpired(merged)) return null;
     if (known && isSame(known, merged)) return null;
-    this.entries.delete(key);
-    this.entries.set(key, {suspect: merged, changedAt: ++this.lastRevision});
+    // The latest change comes last, for evict().
+    this.suspects.delete(key);
+    this.suspects.set(key, merged);
     this.evict();
     return {suspect: merged, previousLevel: known?.level ?? 0};
   }
 
   /** Lists the records that changed after a revision; all by default. */
   list(after = 0): SuspectPart[] {
-    return [...this.entries.values()]
-      .filter(({changedAt}) => changedAt > after)
-      .map(({suspect}) => this.encode(suspect));
+    return this.suspects.list(after).map(([, suspect]) => this.encode(suspect));
   }
 
   /** Encodes a record with the ages of its crashes. */
@@ -204,8 +197,8 @@
 
   /** Drops records that no longer matter. */
   expire(): void {
-    for (const [key, {suspect}] of this.entries) {
-      if (this.isExpired(suspect)) this.entries.delete(key);
+    for (const [key, suspect] of this.suspects) {
+      if (this.isExpired(suspect)) this.suspects.delete(key);
     }
     const oldest = this.clock.monotonic() - BACKGROUND_MS;
     for (const [start, atMs] of this.ends) {
@@ -231,7 +224,7 @@
       isFull ? Math.min(...suspect.crashes.values()) : -Infinity,
     );
     const explained = new Set(suspect.crashes.keys());
-    for (const {suspect: other} of this.entries.values()) {
+    for (const [, other] of this.suspects) {
       if (other.level < EXPLAINING_LEVEL) continue;
       for (const start of other.crashes.keys()) explained.add(start);
     }
@@ -261,15 +254,15 @@
 
   /** Drops the oldest record of the lowest level while there are too many. */
   private evict(): void {
-    if (this.entries.size <= MAX_SUSPECTS) return;
+    if (this.suspects.size <= MAX_SUSPECTS) return;
     this.expire();
-    if (this.entries.size <= MAX_SUSPECTS) return;
-    let lowest: [string, Entry] | null = null;
-    for (const each of this.entries) {
-      if (lowest && each[1].suspect.level >= lowest[1].suspect.level) continue;
+    if (this.suspects.size <= MAX_SUSPECTS) return;
+    let lowest: [string, Suspect] | null = null;
+    for (const each of this.suspects) {
+      if (lowest && each[1].level >= lowest[1].level) continue;
       lowest = each;
     }
-    if (lowest) this.entries.delete(lowest[0]);
+    if (lowest) this.suspects.delete(lowest[0]);
   }
 }
 
