--- a/src/coordination/forwarding/prompt_quarantine_test.ts
+++ b/src/coordination/forwarding/prompt_quarantine_test.ts
@@ -14,6 +14,7 @@
   waitForAbort,
   type Behaviour,
 } from './forwarding_fakes.ts';
+import type {TrialClient} from './trial_client.ts';
 
 const ENDPOINTS = ['e1', 'e2', 'e3', 'e4'].map(id => createEndpoint(id));
 
@@ -29,6 +30,11 @@
 const answer: Behaviour = async (call, options) =>
   createAnswer(call, options, {isStream: true, pieces: ['id: 1\ndata: x\n\n']});
 
+const DENY_TRIALS: TrialClient = {
+  request: async () => ({isGranted: false, suspects: []}),
+  finish: async () => {},
+};
+
 function createGateway(behave: Behaviour): FakeGateway {
   return new FakeGateway({route: ROUTE, endpoints: ENDPOINTS, behave});
 }
@@ -112,10 +118,7 @@
     route: ROUTE,
     endpoints: ENDPOINTS,
     behave: answer,
-    trials: {
-      request: async () => ({isGranted: false, suspects: []}),
-      finish: async () => {},
-    },
+    trials: DENY_TRIALS,
   });
   gateway.quarantine.recordRelayed([createRecord('part', 1)]);
   const sink = await gateway.request(createPrompt('part'));
@@ -124,6 +127,18 @@
   assert.equal(gateway.attempts.length, 0);
 });
 
+// Guards against a request that ends one engine after the other by its retries.
+test('forward() does not retry after a crash without a permission', async () => {
+  const gateway = new FakeGateway({
+    route: ROUTE,
+    endpoints: ENDPOINTS,
+    behave: crash,
+    trials: DENY_TRIALS,
+  });
+  await gateway.request(createPrompt('part'));
+  assert.equal(gateway.attempts.length, 1);
+});
+
 test('forward() suspects the parts of a prompt whose engine ended, but the last', async () => {
   const gateway = createGateway(crash);
   await gateway.request(createPrompt('first', 'second'));
