Charge no retry for a connection that was refused

What callers saw: 503 not-run after many engines had ended at once, though the others had room.

Cause: each of the 40 gateways learns by itself which engines are gone, one refused connection each. Every further attempt was charged to the retry budget, which was empty after a few requests. The budget bounds arrivals beyond the first one of a request; a refused connection is no arrival.

Change: up to 16 refused connections of a request leave the charge of its next attempt unspent. Each endpoint is tried once, as before.

That each gateway learns of an ended engine by itself remains.

--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -11,6 +11,12 @@
 import type {VersionSubject} from './choose_version.ts';
 import type {AttemptResult} from './run_attempt.ts';
 
+/**
+ * Refused connections of a request that cost no retry, since nothing arrived.
+ * Bounds the connections that it opens while no endpoint runs.
+ */
+const MAX_FREE_CONNECTS = 16;
+
 /** A complete error answer of an endpoint. */
 export interface FailedAnswer {
   readonly status: number;
@@ -33,6 +39,8 @@
   runs = 0;
   /** Attempts that endpoints reported as not run. */
   notRun = 0;
+  /** Attempts whose connection was refused. */
+  notSent = 0;
   /** All attempts, except those withdrawn before anything was sent. */
   sends = 0;
   /** The model of the last attempt; `null` when the caller chose it. */
@@ -150,8 +158,11 @@
     if (result.type === 'withdrawn') return;
     this.sends++;
     if (result.type === 'not-run') this.notRun++;
-    else if (result.type !== 'not-sent') this.runs++;
-    this.isPaid = result.type === 'escalated';
+    else if (result.type === 'not-sent') this.notSent++;
+    else this.runs++;
+    const isFree =
+      result.type === 'not-sent' && this.notSent <= MAX_FREE_CONNECTS;
+    this.isPaid = result.type === 'escalated' || isFree;
     if (result.type === 'escalated') this.hasEscalated = true;
     if (result.type === 'failed') this.failedAnswer = result.answer;
     if (result.type === 'left') this.finish('left', 0);
