Watch prompt parts behind 64 others

What callers saw: nothing yet; an open row of the postmortem. A bad part that stands behind 64 others of a prompt was not watched, so its requests went on ending engines.

Change: the first 256 shared parts of a prompt are watched. A crash makes at most 64 of them suspects, as before; parts that this gateway saw answered within a minute come last. So the sound parts in front do not hide a bad one. A trial carries 64 records at most. A part behind 256 others is still not seen; raising that bound would let one request fill the table.

Test: "forward() condemns a part behind many sound ones" failed before: the third request reached an engine. "the records of parts are bounded" plays prompts of 255 shared parts instead of 63, the new bound, with the same limits: 256 suspects, 4,096 sound parts and 15,553 bytes in a report at most.

--- a/src/coordination/forwarding/prompt_quarantine.ts
+++ b/src/coordination/forwarding/prompt_quarantine.ts
@@ -28,6 +28,9 @@
 /** Records of a report at most. */
 const MAX_REPORTED = 64;
 
+/** Parts of one prompt that a crash makes suspects at most. */
+const MAX_CRASH_PARTS = 64;
+
 /** How often, and after how long, a denied trial is requested again. */
 const TRIAL_ATTEMPTS = 4;
 const TRIAL_RETRY_MS = 150;
@@ -126,16 +129,18 @@
     const {clock} = this.options;
     const {name: service} = run.admitted.service;
     const parts = run.watchedParts;
-    const levels = parts.map(
-      part => this.table.find(service, part)?.level ?? 0,
+    const levels = new Map(
+      parts.map(part => [part, this.table.find(service, part)?.level ?? 0]),
     );
     return new PromptWatch({
       clock,
       onSound: () => parts.forEach(part => this.recordSound(service, part)),
-      onCrash: () =>
-        parts.forEach((part, index) =>
-          this.recordCrash(endpoint, {part, level: (levels[index] ?? 0) + 1}),
-        ),
+      onCrash: () => {
+        for (const part of this.selectCrashParts(service, parts)) {
+          const level = (levels.get(part) ?? 0) + 1;
+          this.recordCrash(endpoint, {part, level});
+        }
+      },
     });
   }
 
@@ -179,10 +184,11 @@
     service: string,
     parts: readonly string[],
   ): SuspectPart[] {
-    return parts.flatMap(part => {
+    const records = parts.flatMap(part => {
       const known = this.table.get(createPartKey(service, part));
       return known ? [this.table.encode(known)] : [];
     });
+    return records.slice(0, MAX_REPORTED);
   }
 
   private listSuspects(run: CallRun): Suspect[] {
@@ -204,6 +210,17 @@
     return condemned.some(each => !this.table.isExplained(each, parts));
   }
 
+  /** Selects the parts that a crash speaks against, unanswered ones first. */
+  private selectCrashParts(
+    service: string,
+    parts: readonly string[],
+  ): readonly string[] {
+    if (parts.length <= MAX_CRASH_PARTS) return parts;
+    const unanswered = parts.filter(part => !this.isSound(service, part));
+    const answered = parts.filter(part => this.isSound(service, part));
+    return [...unanswered, ...answered].slice(0, MAX_CRASH_PARTS);
+  }
+
   private isSound(service: string, part: string): boolean {
     const atMs = this.soundAt.get(createPartKey(service, part)) ?? -Infinity;
     return this.options.clock.monotonic() - atMs <= SOUND_MS;
--- a/src/coordination/forwarding/prompt_quarantine_test.ts
+++ b/src/coordination/forwarding/prompt_quarantine_test.ts
@@ -127,6 +127,20 @@
   assert.equal(gateway.attempts.length, 0);
 });
 
+// Guards against a bad part that is not watched since many others come first.
+test('forward() condemns a part behind many sound ones', async () => {
+  const gateway = createGateway((call, options, clock) => {
+    const isBad = call.facts.prompt.some(({id}) => id === 'bad');
+    return (isBad ? crash : answer)(call, options, clock);
+  });
+  const sound = Array.from({length: 200}, (_, index) => `sound${index}`);
+  assert.equal((await gateway.request(createPrompt(...sound))).status, 200);
+  await gateway.request(createPrompt(...sound, 'bad'));
+  const {length} = gateway.attempts;
+  assert.equal((await gateway.request(createPrompt('bad'))).status, 503);
+  assert.equal(gateway.attempts.length, length);
+});
+
 // Guards against a request that ends one engine after the other by its retries.
 test('forward() does not retry after a crash without a permission', async () => {
   const gateway = new FakeGateway({
@@ -233,7 +247,7 @@
 });
 
 // Guards against memory and messages that grow with the parts that callers
-// name: 10,000 new ones a second, of any length.
+// name: 40,800 new ones, of any length.
 test('the records of parts are bounded', async () => {
   let isCrashing = false;
   const gateway = createGateway((call, options, clock) =>
@@ -244,7 +258,7 @@
   for (let round = 0; round < 160; round++) {
     isCrashing = round % 4 === 0;
     const ids = Array.from(
-      {length: 63},
+      {length: 255},
       (_, index) => `${round}/${index}/${longId}`,
     );
     await gateway.request(createPrompt(...ids));
--- a/src/protocol/suspect_part.ts
+++ b/src/protocol/suspect_part.ts
@@ -8,7 +8,7 @@
 export const MAX_PART_ID_CHARACTERS = 64;
 
 /** Parts of one prompt that are watched at most. */
-export const MAX_WATCHED_PARTS = 64;
+export const MAX_WATCHED_PARTS = 256;
 
 /** Crashes that a record holds at most. */
 export const MAX_PART_CRASHES = 16;
