--- a/src/coordination/forwarding/prompt_crash_test.ts
+++ b/src/coordination/forwarding/prompt_crash_test.ts
@@ -52,6 +52,11 @@
       assert.ok(count <= MAX_LATE, `seed ${seed}: ${count} late (${setting})`);
     }
   }
+  assertSoundServed(histories);
+});
+
+/** Asserts that sound requests begin about as often as before. */
+function assertSoundServed(histories: readonly HistoryFigures[]): void {
   const ratios = histories.flatMap(({seed, setting, soundRatio}) => {
     if (soundRatio === null) return [];
     const isServed = soundRatio >= MIN_SOUND_RATIO;
@@ -60,7 +65,7 @@
   });
   const mean = ratios.reduce((sum, each) => sum + each, 0) / ratios.length;
   assert.ok(mean >= MIN_MEAN_SOUND_RATIO, `sound requests: ${mean} served`);
-});
+}
 
 // Guards against repeats of a request that ended an engine, and against parts
 // of which many requests are under way before the first crash is known.
@@ -75,6 +80,7 @@
     const most = Math.max(...crashes);
     assert.ok(most <= MAX_CRASHES, `seed ${seed}: ${most} ended (${setting})`);
   }
+  assertSoundServed(histories);
 });
 
 // Guards against requests with one part that are permitted beside each other,
