--- a/src/coordination/forwarding/prompt_quarantine.ts
+++ b/src/coordination/forwarding/prompt_quarantine.ts
@@ -10,18 +10,12 @@
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import type {Logger} from '../../protocol/logger.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
-import {
-  MAX_PART_ID_CHARACTERS,
-  type SuspectPart,
-} from '../../protocol/suspect_part.ts';
+import type {SuspectPart} from '../../protocol/suspect_part.ts';
 import type {CallRun} from './call_run.ts';
 import {PromptWatch} from './prompt_watch.ts';
 import type {TrialClient} from './trial_client.ts';
 import {createPartKey, SuspectTable, type Suspect} from './suspect_table.ts';
 
-/** Parts of one prompt that are considered at most. */
-const MAX_PARTS = 64;
-
 /** Parts of which a gateway remembers an answer. */
 const MAX_SOUND_PARTS = 4_096;
 
@@ -34,6 +28,9 @@
 /** Records of a report at most. */
 const MAX_REPORTED = 64;
 
+/** Parts of one prompt that a crash makes suspects at most. */
+const MAX_CRASH_PARTS = 64;
+
 /** How often, and after how long, a denied trial is requested again. */
 const TRIAL_ATTEMPTS = 4;
 const TRIAL_RETRY_MS = 150;
@@ -67,13 +64,6 @@
     this.table = new SuspectTable(options.clock);
   }
 
-  /** Lists the parts of a request's prompt that requests may share. */
-  static listParts({sharedPartIds}: CallRun): string[] {
-    return sharedPartIds
-      .slice(0, MAX_PARTS)
-      .map(id => id.slice(0, MAX_PART_ID_CHARACTERS));
-  }
-
   /** Decides whether a request may be sent; asks the core if need be. */
   async admit(run: CallRun): Promise<Permission> {
     const {clock, trials, metrics} = this.options;
@@ -86,7 +76,11 @@
         return {type: 'refused', isCondemned: true};
       }
       const parts = suspects.map(({part}) => part);
-      const reply = await trials.request({service, parts});
+      const reply = await trials.request({
+        service,
+        parts,
+        suspects: this.listRecords(service, parts),
+      });
       const isGranted = reply?.isGranted ?? false;
       if (reply) this.recordRelayed(reply.suspects);
       metrics.count('prompt_trials', 1, {
@@ -97,7 +91,7 @@
       // single crash.
       if (!reply && suspects.every(({level}) => level === 1)) return FREE;
       if (isGranted) {
-        run.trialParts = parts;
+        run.trial = {id: reply?.trial, parts};
         if (!this.isWithheld(run, this.listSuspects(run))) {
           return {type: 'trial'};
         }
@@ -114,14 +108,15 @@
   /** Ends the trial of a request, after its attempt was watched. */
   finishTrial(run: CallRun): void {
     const {name: service} = run.admitted.service;
-    const parts = run.trialParts;
-    if (parts.length === 0) return;
-    run.trialParts = [];
-    const suspects = parts.flatMap(part => {
-      const known = this.table.get(createPartKey(service, part));
-      return known ? [this.table.encode(known)] : [];
+    if (!run.trial) return;
+    const {id, parts} = run.trial;
+    run.trial = null;
+    void this.options.trials.finish({
+      service,
+      parts: [...parts],
+      suspects: this.listRecords(service, parts),
+      ...(id === undefined ? {} : {trial: id}),
     });
-    void this.options.trials.finish({service, parts, suspects});
   }
 
   /** Whether a request needs no permission. */
@@ -133,25 +128,27 @@
   observe(run: CallRun, endpoint: EndpointEntry): PromptWatch {
     const {clock} = this.options;
     const {name: service} = run.admitted.service;
-    const parts = PromptQuarantine.listParts(run);
-    const levels = parts.map(
-      part => this.table.find(service, part)?.level ?? 0,
+    const parts = run.watchedParts;
+    const levels = new Map(
+      parts.map(part => [part, this.table.find(service, part)?.level ?? 0]),
     );
     return new PromptWatch({
       clock,
       onSound: () => parts.forEach(part => this.recordSound(service, part)),
-      onCrash: () =>
-        parts.forEach((part, index) =>
-          this.recordCrash(endpoint, {part, level: (levels[index] ?? 0) + 1}),
-        ),
+      onCrash: () => {
+        for (const part of this.selectCrashParts(service, parts)) {
+          const level = (levels.get(part) ?? 0) + 1;
+          this.recordCrash(endpoint, {part, level});
+        }
+      },
     });
   }
 
   /** Merges what other gateways observed, as relayed by the core. */
   recordRelayed(records: readonly SuspectPart[]): void {
     const now = this.options.clock.monotonic();
-    for (const key of this.table.merge(records, now)) {
-      this.logChange(key, 'the core');
+    for (const {suspect} of this.table.merge(records, now)) {
+      this.logChange(suspect, 'the core');
     }
   }
 
@@ -183,10 +180,21 @@
     return {suspects: this.table.size, soundParts: this.soundAt.size};
   }
 
+  private listRecords(
+    service: string,
+    parts: readonly string[],
+  ): SuspectPart[] {
+    const records = parts.flatMap(part => {
+      const known = this.table.get(createPartKey(service, part));
+      return known ? [this.table.encode(known)] : [];
+    });
+    return records.slice(0, MAX_REPORTED);
+  }
+
   private listSuspects(run: CallRun): Suspect[] {
     if (this.table.isEmpty) return [];
     const {name: service} = run.admitted.service;
-    return PromptQuarantine.listParts(run).flatMap(part => {
+    return run.watchedParts.flatMap(part => {
       const suspect = this.table.find(service, part);
       if (!suspect) return [];
       // Engines end with popular parts by chance.
@@ -198,10 +206,21 @@
   private isWithheld(run: CallRun, suspects: readonly Suspect[]): boolean {
     const condemned = suspects.filter(each => this.table.isCondemned(each));
     if (condemned.length === 0) return false;
-    const parts = new Set(PromptQuarantine.listParts(run));
+    const parts = new Set(run.watchedParts);
     return condemned.some(each => !this.table.isExplained(each, parts));
   }
 
+  /** Selects the parts that a crash speaks against, unanswered ones first. */
+  private selectCrashParts(
+    service: string,
+    parts: readonly string[],
+  ): readonly string[] {
+    if (parts.length <= MAX_CRASH_PARTS) return parts;
+    const unanswered = parts.filter(part => !this.isSound(service, part));
+    const answered = parts.filter(part => this.isSound(service, part));
+    return [...unanswered, ...answered].slice(0, MAX_CRASH_PARTS);
+  }
+
   private isSound(service: string, part: string): boolean {
     const atMs = this.soundAt.get(createPartKey(service, part)) ?? -Infinity;
     return this.options.clock.monotonic() - atMs <= SOUND_MS;
@@ -243,22 +262,25 @@
   }
 
   private recordObservation(suspect: Suspect): void {
+    const change = this.table.mergeOne(suspect);
+    if (!change) return;
     const key = createPartKey(suspect.service, suspect.part);
-    if (!this.table.mergeOne(suspect)) return;
     this.observedAt.set(key, this.options.clock.monotonic());
-    this.logChange(key, 'its answer');
+    this.logChange(change.suspect, 'its answer');
     this.options.onObservation?.();
   }
 
-  private logChange(key: string, from: 'its answer' | 'the core'): void {
-    const known = this.table.get(key);
-    if (!known || (known.level === 1 && from === 'the core')) return;
+  private logChange(
+    {service, part, level, crashes, isCondemned}: Suspect,
+    from: 'its answer' | 'the core',
+  ): void {
+    if (level === 1 && from === 'the core') return;
     this.options.logger.info('Changes what is known of a prompt part.', {
-      service: known.service,
-      part: known.part,
-      level: known.level,
-      crashes: known.crashes.size,
-      isCondemned: known.isCondemned,
+      service,
+      part,
+      level,
+      crashes: crashes.size,
+      isCondemned,
       from,
     });
   }
--- a/src/coordination/forwarding/prompt_quarantine_test.ts
+++ b/src/coordination/forwarding/prompt_quarantine_test.ts
@@ -14,6 +14,7 @@
   waitForAbort,
   type Behaviour,
 } from './forwarding_fakes.ts';
+import type {TrialClient} from './trial_client.ts';
 
 const ENDPOINTS = ['e1', 'e2', 'e3', 'e4'].map(id => createEndpoint(id));
 
@@ -29,6 +30,11 @@
 const answer: Behaviour = async (call, options) =>
   createAnswer(call, options, {isStream: true, pieces: ['id: 1\ndata: x\n\n']});
 
+const DENY_TRIALS: TrialClient = {
+  request: async () => ({isGranted: false, suspects: []}),
+  finish: async () => {},
+};
+
 function createGateway(behave: Behaviour): FakeGateway {
   return new FakeGateway({route: ROUTE, endpoints: ENDPOINTS, behave});
 }
@@ -82,15 +88,37 @@
   assert.deepEqual(gateway.quarantine.listObserved(), []);
 });
 
+// Guards against an endpoint that clears a bad part by errors of its smallest
+// model, which are held while a larger one is asked.
+test('forward() does not take a part for sound after a held error', async () => {
+  let status = 200;
+  const gateway = new FakeGateway({
+    route: {...ROUTE, models: ['small', 'large']},
+    endpoints: ENDPOINTS,
+    behave: async (call, options) =>
+      createAnswer(call, options, {
+        status,
+        facts: {confidence: options.model === 'small' ? 5 : null},
+      }),
+  });
+  await gateway.request(createPrompt('part'));
+  // A part that was answered on may be escalated after a single crash.
+  gateway.quarantine.recordRelayed([createRecord('part', 1)]);
+  status = 500;
+  await gateway.request({...createPrompt('part'), isModelOpen: true});
+  assert.deepEqual(
+    gateway.attempts.slice(1, 3).map(({model}) => model),
+    ['small', 'large'],
+  );
+  assert.deepEqual(gateway.quarantine.listObserved(), []);
+});
+
 test('forward() refuses a suspected part while another trial runs', async () => {
   const gateway = new FakeGateway({
     route: ROUTE,
     endpoints: ENDPOINTS,
     behave: answer,
-    trials: {
-      request: async () => ({isGranted: false, suspects: []}),
-      finish: async () => {},
-    },
+    trials: DENY_TRIALS,
   });
   gateway.quarantine.recordRelayed([createRecord('part', 1)]);
   const sink = await gateway.request(createPrompt('part'));
@@ -99,6 +127,32 @@
   assert.equal(gateway.attempts.length, 0);
 });
 
+// Guards against a bad part that is not watched since many others come first.
+test('forward() condemns a part behind many sound ones', async () => {
+  const gateway = createGateway((call, options, clock) => {
+    const isBad = call.facts.prompt.some(({id}) => id === 'bad');
+    return (isBad ? crash : answer)(call, options, clock);
+  });
+  const sound = Array.from({length: 200}, (_, index) => `sound${index}`);
+  assert.equal((await gateway.request(createPrompt(...sound))).status, 200);
+  await gateway.request(createPrompt(...sound, 'bad'));
+  const {length} = gateway.attempts;
+  assert.equal((await gateway.request(createPrompt('bad'))).status, 503);
+  assert.equal(gateway.attempts.length, length);
+});
+
+// Guards against a request that ends one engine after the other by its retries.
+test('forward() does not retry after a crash without a permission', async () => {
+  const gateway = new FakeGateway({
+    route: ROUTE,
+    endpoints: ENDPOINTS,
+    behave: crash,
+    trials: DENY_TRIALS,
+  });
+  await gateway.request(createPrompt('part'));
+  assert.equal(gateway.attempts.length, 1);
+});
+
 test('forward() suspects the parts of a prompt whose engine ended, but the last', async () => {
   const gateway = createGateway(crash);
   await gateway.request(createPrompt('first', 'second'));
@@ -193,7 +247,7 @@
 });
 
 // Guards against memory and messages that grow with the parts that callers
-// name: 10,000 new ones a second, of any length.
+// name: 40,800 new ones, of any length.
 test('the records of parts are bounded', async () => {
   let isCrashing = false;
   const gateway = createGateway((call, options, clock) =>
@@ -204,7 +258,7 @@
   for (let round = 0; round < 160; round++) {
     isCrashing = round % 4 === 0;
     const ids = Array.from(
-      {length: 63},
+      {length: 255},
       (_, index) => `${round}/${index}/${longId}`,
     );
     await gateway.request(createPrompt(...ids));
--- a/src/protocol/suspect_part.ts
+++ b/src/protocol/suspect_part.ts
@@ -9,6 +9,9 @@
 /** The longest id of a part; longer ones are cut, since callers choose them. */
 export const MAX_PART_ID_CHARACTERS = 64;
 
+/** Parts of one prompt that are watched at most. */
+export const MAX_WATCHED_PARTS = 256;
+
 /** Crashes that a record holds at most. */
 export const MAX_PART_CRASHES = 16;
 
@@ -41,12 +44,16 @@
 export const trialRequestSchema = z.object({
   service: z.string(),
   parts: z.array(z.string()),
+  /** What the gateway knows of the parts. */
+  suspects: z.array(suspectPartSchema).default([]),
 });
 
 export type TrialRequest = z.infer<typeof trialRequestSchema>;
 
 export interface TrialReply {
   readonly isGranted: boolean;
+  /** Identifies the granted trial; absent in replies of older daemons. */
+  readonly trial?: number;
   /** What the core knows of the parts. */
   readonly suspects: readonly SuspectPart[];
 }
@@ -54,6 +61,8 @@
 /** Ends a permitted request, with what it showed. */
 export const trialResultSchema = trialRequestSchema.extend({
   suspects: createEntryList(suspectPartSchema),
+  /** The trial that ends; absent in messages of older gateways. */
+  trial: z.int().optional(),
 });
 
 export type TrialResult = z.infer<typeof trialResultSchema>;
