--- a/src/coordination/forwarding/trial_client_test.ts
+++ b/src/coordination/forwarding/trial_client_test.ts
@@ -6,7 +6,7 @@
 import {createTrialClient} from './trial_client.ts';
 
 const CORES = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'];
-const REQUEST = {service: 'model', parts: ['part']};
+const REQUEST = {service: 'model', parts: ['part'], suspects: []};
 
 /** A client of core daemons, some of which are lost. */
 class TrialFixture {
--- a/src/protocol/suspect_part.ts
+++ b/src/protocol/suspect_part.ts
@@ -45,7 +45,7 @@
   service: z.string(),
   parts: z.array(z.string()),
   /** What the gateway knows of the parts. */
-  suspects: z.array(suspectPartSchema).default([]),
+  suspects: createEntryList(suspectPartSchema).default([]),
 });
 
 export type TrialRequest = z.infer<typeof trialRequestSchema>;
@@ -60,7 +60,6 @@
 
 /** Ends a permitted request, with what it showed. */
 export const trialResultSchema = trialRequestSchema.extend({
-  suspects: createEntryList(suspectPartSchema),
   /** The trial that ends; absent in messages of older gateways. */
   trial: z.int().optional(),
 });
