--- a/src/coordination/replication/membership_model.ts
+++ b/src/coordination/replication/membership_model.ts
@@ -394,6 +394,7 @@
     })),
     descriptions,
     knownSuccessors: new Set(),
+    firstIndex: 1,
     replaceAfterMs: REPLACE_AFTER_MS,
     succeededAfterMs: SUCCEEDED_AFTER_MS,
     reachableMs: REACHABLE_MS,
--- a/src/coordination/replication/peer_replicator.ts
+++ b/src/coordination/replication/peer_replicator.ts
@@ -92,12 +92,14 @@
       await progress.wake.wait(options.getHeartbeatMs());
     }
     if (signal.aborted) return;
+    const triedAt = clock.monotonic();
     try {
       if (needsSnapshot(storage, progress))
         await sendSnapshot(options, progress);
       else await sendEntries(options, progress);
     } catch {
-      await clock.sleep(HEARTBEAT_MS, signal);
+      const elapsedMs = clock.monotonic() - triedAt;
+      await clock.sleep(Math.max(0, HEARTBEAT_MS - elapsedMs), signal);
     }
   }
 }
--- a/src/coordination/replication/plan_membership.ts
+++ b/src/coordination/replication/plan_membership.ts
@@ -43,6 +43,8 @@
    * contact may be left out.
    */
   readonly descriptions: ReadonlyMap<string, ReplicaDescription>;
+  /** Index of the first entry that can be sent without a snapshot. */
+  readonly firstIndex: number;
   /** Members whose start explains a loss that another member has repaired. */
   readonly knownSuccessors: ReadonlySet<string>;
   /** A voter without a reply for this long counts as permanently lost. */
@@ -162,7 +164,8 @@
 
 /**
  * Ranks members without a vote: first those on the host of a lost voter, then
- * those that improve the spread of the voters most.
+ * those that need no snapshot, as an earlier leader kept them caught up, and
+ * among these those that improve the spread of the voters most.
  */
 function rankCandidates(
   view: MembershipView,
@@ -176,8 +179,13 @@
       view.voters.some(({member}) => member.name === host.name),
   );
   const order = rankHosts(view.hosts, staying).map(({name}) => name);
-  const getRank = ({name}: Member) =>
-    lostNames.includes(name) ? -1 : order.indexOf(name);
+  const needsSnapshot = ({name}: Member) =>
+    (view.descriptions.get(name)?.lastIndex ?? 0) < view.firstIndex - 1;
+  const getRank = (member: Member) => {
+    if (lostNames.includes(member.name)) return -1;
+    const rank = order.indexOf(member.name);
+    return needsSnapshot(member) ? order.length + rank : rank;
+  };
   return candidates
     .filter(({name}) => order.includes(name))
     .sort((a, b) => getRank(a) - getRank(b));
--- a/src/coordination/replication/plan_membership_test.ts
+++ b/src/coordination/replication/plan_membership_test.ts
@@ -20,6 +20,7 @@
     voterCount: 3,
     spareCount: 0,
     knownSuccessors: new Set(),
+    firstIndex: 1,
     voters: ['a', 'b', 'c'].map(name => ({
       member: createMember(name),
       sinceContactMs: 0,
--- a/src/coordination/replication/repair_membership.ts
+++ b/src/coordination/replication/repair_membership.ts
@@ -34,6 +34,8 @@
   readonly leadership: Leadership;
   /** Lists the voters as observed by this leader and those before it. */
   readonly listVoters: () => readonly VoterView[];
+  /** Returns the index of the first entry that the leader still has. */
+  readonly getFirstIndex: () => number;
   /** Updates the peers replicated to after voters or learners changed. */
   readonly servePeers: () => void;
   /** Commits a membership; resolves to false if that failed. */
@@ -106,6 +108,7 @@
     })),
     descriptions: probes.list(),
     knownSuccessors: leadership.knownSuccessors,
+    firstIndex: options.getFirstIndex(),
   };
 }
 
--- a/src/coordination/replication/replica.ts
+++ b/src/coordination/replication/replica.ts
@@ -206,6 +206,11 @@
   private timerStartedAt: number;
   /** The time after the reset at which an election starts. */
   private electionTimeoutMs: number;
+  /**
+   * When the membership last changed. A leader then waits for the contact of a
+   * new majority as after an election.
+   */
+  private membershipChangedAt = -Infinity;
   /** When this member last voted, for itself or another one. */
   private votedAt = -Infinity;
   /** The elections lost since the last contact with a leader. */
@@ -342,9 +347,11 @@
   describe(): ReplicaDescription {
     const {incarnation} = this.self;
     const formed = this.membership !== null;
-    if (this.emptySince === null) return {incarnation, formed};
+    const {lastIndex} = this.options.storage;
+    const description = {incarnation, formed, lastIndex};
+    if (this.emptySince === null) return description;
     const emptySinceMs = this.options.clock.monotonic() - this.emptySince;
-    return {incarnation, formed, emptySinceMs};
+    return {...description, emptySinceMs};
   }
 
   /** Handles a request to join a newly formed group. */
@@ -652,6 +659,9 @@
   private async append(entries: readonly LogEntry[]): Promise<void> {
     await this.options.storage.append(entries);
     this.memberships.replaceFrom(entries);
+    if (entries.some(({membership}) => membership)) {
+      this.membershipChangedAt = this.options.clock.monotonic();
+    }
   }
 
   private commitTo(index: number): void {
@@ -761,7 +771,8 @@
   private checkQuorum(): void {
     const {clock, logger, group} = this.options;
     const now = clock.monotonic();
-    if (now - this.leaderSince < ELECTION_TIMEOUT_MS) return;
+    const since = Math.max(this.leaderSince, this.membershipChangedAt);
+    if (now - since < ELECTION_TIMEOUT_MS) return;
     if (now - this.findMajorityContactAt() < ELECTION_TIMEOUT_MS) return;
     logger.warn('Steps down: no majority of voters reachable.', {
       group,
@@ -948,6 +959,7 @@
       succeededAfterMs: this.options.succeededAfterMs ?? SUCCEEDED_AFTER_MS,
       getPeer: this.options.getPeer,
       listVoters: () => this.listVoters(),
+      getFirstIndex: () => this.options.storage.firstIndex,
       servePeers: () => this.servePeers(),
       change: membership => this.changeMembership(membership),
     }).catch(error => this.logFailure(error));
--- a/src/protocol/replication.ts
+++ b/src/protocol/replication.ts
@@ -109,6 +109,8 @@
   readonly incarnation: string;
   /** Whether the replica belongs to a group. */
   readonly formed: boolean;
+  /** Index of the last entry on its disk; absent from earlier versions. */
+  readonly lastIndex?: number;
   /**
    * How long ago it started with an empty disk, in ms. Absent if the disk had
    * content, and from earlier versions.
