--- a/src/coordination/core/core_state_test.ts
+++ b/src/coordination/core/core_state_test.ts
@@ -107,9 +107,9 @@
 // frozen, because the others kept its last report for it.
 test('a late exchange tells how old its reports are', async () => {
   const clock = new SimulatedClock();
-  const first = createState('c1', clock);
+  const first = createState('10.0.0.1:1', clock);
   const place = {region: 'r', dataCentre: 'a', controlAddress: ''};
-  const self = {address: 'c2', ...place};
+  const self = {address: '10.0.0.2:1', ...place};
   const frozen = new CoreState({clock, logger: silentLogger, self});
   first.members.recordDirect(self);
   let isFrozen = true;
