Test the schema of report ages apart from their effect

The test of a late exchange parsed it with the schema, with an endpoint whose address is a name; such addresses are refused once entries are checked.

--- a/src/coordination/core/core_state_test.ts
+++ b/src/coordination/core/core_state_test.ts
@@ -4,10 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
-import {
-  coreExchangeSchema,
-  type GatewayReport,
-} from '../../protocol/core_service.ts';
+import type {GatewayReport} from '../../protocol/core_service.ts';
 import {silentLogger} from '../../protocol/logger.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
 import {createEndpoint} from '../forwarding/forwarding_fakes.ts';
@@ -118,9 +115,7 @@
     clock,
     logger: silentLogger,
     call: async (_address, exchange, timeoutMs) => {
-      if (!isFrozen) {
-        return frozen.receiveExchange(coreExchangeSchema.parse(exchange));
-      }
+      if (!isFrozen) return frozen.receiveExchange(exchange);
       await clock.sleep(timeoutMs);
       throw new Error('Timed out');
     },
