--- a/src/cli/commands/recover_replicas.ts
+++ b/src/cli/commands/recover_replicas.ts
@@ -11,7 +11,7 @@
 import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
 import {settingsSchema} from '../../protocol/settings.ts';
 import {siteSettingsSchema} from '../../protocol/site_settings.ts';
-import {splitAddress} from '../../protocol/split_address.ts';
+import {splitAddress} from '../../protocol/address.ts';
 import {formatIssue, parseToml, type TomlIssue} from '../../protocol/toml.ts';
 import {lockFolder} from '../../state/files/folder_lock.ts';
 import {openFileLog} from '../../state/log/file_log.ts';
--- a/src/coordination/core/core_state.ts
+++ b/src/coordination/core/core_state.ts
@@ -142,17 +142,12 @@
    * @param receivedAt When their ages were measured, on the monotonic clock.
    */
   mergeSuspects(records: readonly SuspectPart[], receivedAt: number): void {
-    const getLevel = (key: string) => this.suspects.get(key)?.level ?? 0;
-    const before = new Map(
-      records
-        .map(({service, part}) => createPartKey(service, part))
-        .map(key => [key, getLevel(key)]),
-    );
-    const changed = this.suspects.merge(records, receivedAt);
-    if (changed.length === 0) return;
-    for (const key of changed) {
+    const changes = this.suspects.merge(records, receivedAt);
+    if (changes.length === 0) return;
+    for (const {suspect, previousLevel} of changes) {
       // Requests sent before the trial may still crash; they change no level.
-      if (getLevel(key) !== before.get(key)) this.trials.release(key);
+      if (suspect.level === previousLevel) continue;
+      this.trials.release(createPartKey(suspect.service, suspect.part));
     }
     this.urgentChanges.notify();
     this.publishSuspects();
@@ -173,10 +168,14 @@
   }
 
   /** Permits one request with suspected parts, unless another one runs. */
-  openTrial(request: TrialRequest): TrialReply {
-    const {service, parts} = request;
+  openTrial({service, parts, suspects}: TrialRequest): TrialReply {
+    // The crash that the request follows must not end its trial when another
+    // daemon relays it later.
+    this.mergeSuspects(suspects, this.options.clock.monotonic());
+    const trial = this.trials.tryOpen({service, parts});
     return {
-      isGranted: this.trials.tryOpen(request),
+      isGranted: trial !== null,
+      ...(trial === null ? {} : {trial}),
       suspects: parts.flatMap(part => {
         const suspect = this.suspects.find(service, part);
         return suspect ? [this.suspects.encode(suspect)] : [];
@@ -185,9 +184,9 @@
   }
 
   /** Merges what the request of a trial showed, then permits the next one. */
-  finishTrial({service, parts, suspects}: TrialResult): void {
+  finishTrial({service, parts, suspects, trial}: TrialResult): void {
     this.mergeSuspects(suspects, this.options.clock.monotonic());
-    for (const part of parts) this.trials.release(createPartKey(service, part));
+    if (trial !== undefined) this.trials.finish(trial, {service, parts});
   }
 
   private applyLeaving(leaving: readonly LeavingEndpoint[]): void {
--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -1,5 +1,9 @@
 /** Tracks one request from its admission to its outcome. */
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
+import {
+  MAX_PART_ID_CHARACTERS,
+  MAX_WATCHED_PARTS,
+} from '../../protocol/suspect_part.ts';
 import type {AdmittedCall} from './admit_call.ts';
 import type {Call, Header} from './call.ts';
 import type {OpenEscalation} from './choose_model.ts';
@@ -7,6 +11,12 @@
 import type {VersionSubject} from './choose_version.ts';
 import type {AttemptResult} from './run_attempt.ts';
 
+/**
+ * Refused connections of a request that cost no retry, since nothing arrived.
+ * Bounds the connections that it opens while no endpoint runs.
+ */
+const MAX_FREE_CONNECTS = 16;
+
 /** A complete error answer of an endpoint. */
 export interface FailedAnswer {
   readonly status: number;
@@ -14,6 +24,13 @@
   readonly body: Uint8Array;
 }
 
+/** The permission to send a request with suspected parts. */
+export interface Trial {
+  /** Identifies it at the core; `undefined` if the core is older. */
+  readonly id: number | undefined;
+  readonly parts: readonly string[];
+}
+
 /** The state of one request across its attempts. */
 export class CallRun {
   /** Ids of the endpoints that were tried. */
@@ -22,6 +39,8 @@
   runs = 0;
   /** Attempts that endpoints reported as not run. */
   notRun = 0;
+  /** Attempts whose connection was refused. */
+  notSent = 0;
   /** All attempts, except those withdrawn before anything was sent. */
   sends = 0;
   /** The model of the last attempt; `null` when the caller chose it. */
@@ -37,7 +56,7 @@
   /** Whether the next attempt may have suspected parts. */
   isPermitted = false;
   /** The suspected parts that this request alone may have at an endpoint. */
-  trialParts: string[] = [];
+  trial: Trial | null = null;
   /** Why its prompt may not go to an endpoint; `null` if it may. */
   quarantine: 'condemned' | 'suspected' | null = null;
   /** Whether the retry budget was already charged for the next attempt. */
@@ -61,10 +80,19 @@
   failedAnswer: FailedAnswer | null = null;
   outcome: string | null = null;
   status = 0;
+  /** The ids of the prompt parts that requests share: all but the last. */
+  readonly sharedPartIds: readonly string[];
+  /** The shared parts that are watched for what they do to engines. */
+  readonly watchedParts: readonly string[];
   private heldAnswer: HeldAnswer | null = null;
 
   constructor(readonly admitted: AdmittedCall) {
-    this.lastEventId = admitted.call.facts.lastEventId;
+    const {lastEventId, prompt} = admitted.call.facts;
+    this.lastEventId = lastEventId;
+    this.sharedPartIds = prompt.slice(0, -1).map(({id}) => id);
+    this.watchedParts = this.sharedPartIds
+      .slice(0, MAX_WATCHED_PARTS)
+      .map(id => id.slice(0, MAX_PART_ID_CHARACTERS));
   }
 
   get call(): Call {
@@ -72,7 +100,7 @@
   }
 
   get isTrial(): boolean {
-    return this.trialParts.length > 0;
+    return this.trial !== null;
   }
 
   get isOver(): boolean {
@@ -85,11 +113,6 @@
     return {key: session ?? attemptId ?? '', isSession: session !== null};
   }
 
-  /** The ids of the prompt parts that requests share: all but the last. */
-  get sharedPartIds(): string[] {
-    return this.call.facts.prompt.slice(0, -1).map(({id}) => id);
-  }
-
   /** The id of the last shared prompt part, which identifies the prefix. */
   get sharedPrefixId(): string | null {
     return this.sharedPartIds.at(-1) ?? null;
@@ -135,8 +158,11 @@
     if (result.type === 'withdrawn') return;
     this.sends++;
     if (result.type === 'not-run') this.notRun++;
-    else if (result.type !== 'not-sent') this.runs++;
-    this.isPaid = result.type === 'escalated';
+    else if (result.type === 'not-sent') this.notSent++;
+    else this.runs++;
+    const isFree =
+      result.type === 'not-sent' && this.notSent <= MAX_FREE_CONNECTS;
+    this.isPaid = result.type === 'escalated' || isFree;
     if (result.type === 'escalated') this.hasEscalated = true;
     if (result.type === 'failed') this.failedAnswer = result.answer;
     if (result.type === 'left') this.finish('left', 0);
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -18,24 +18,32 @@
 import {admitCall} from './admit_call.ts';
 import type {Call, CallerSink, SendAttempt} from './call.ts';
 import {EscalationThreshold, hasLarger, isUnsure} from './choose_model.ts';
+import {deliverHeld} from './deliver_held.ts';
 import type {EndpointHealth} from './endpoint_health.ts';
 import {EndpointPicker} from './endpoint_picker.ts';
 import type {EndpointLimits} from './endpoint_limits.ts';
 import type {EndpointNotices} from './endpoint_notices.ts';
+import {handleAbort} from './handle_abort.ts';
 import type {PrefillBacklog} from './prefill_backlog.ts';
 import type {PromptQuarantine} from './prompt_quarantine.ts';
 import type {RecentGateways} from './recent_gateways.ts';
-import {drawJitterMs, drawRetryAfterMs, planRefusal} from './plan_refusal.ts';
+import {
+  drawJitterMs,
+  drawRetryAfterMs,
+  planRefusal,
+  type UndeliveredRun,
+} from './plan_refusal.ts';
 import {refuseCall, type RefusalReason} from './refuse.ts';
 import {
-  deliverHeld,
   findFallbackMs,
   runAttempt,
   type AttemptChoice,
   type AttemptResult,
 } from './run_attempt.ts';
 import {CallRun} from './call_run.ts';
+import {Shutdown} from './shutdown.ts';
 import {recordAttempt} from './record_attempt.ts';
+import {recordRun} from './record_run.ts';
 import type {VersionEvidenceCounter} from './version_evidence.ts';
 
 /** Maximum retries of a request that endpoints reported as not run. */
@@ -95,6 +103,7 @@
 
 /** Forwards the requests of one gateway. */
 export class Forwarder {
+  readonly shutdown: Shutdown;
   private readonly budgets = new Map<string, WindowBudget>();
   private readonly threshold: EscalationThreshold;
   private readonly picker: EndpointPicker;
@@ -102,6 +111,7 @@
 
   constructor(private readonly options: ForwarderOptions) {
     this.threshold = new EscalationThreshold(options.clock);
+    this.shutdown = new Shutdown(options.clock);
     this.picker = new EndpointPicker(options);
   }
 
@@ -123,7 +133,8 @@
       run.finish('error', 0);
       this.options.quarantine.finishTrial(run);
     }
-    this.record(run);
+    this.shutdown.record(run);
+    recordRun(this.options, run);
   }
 
   /** Refuses new requests: a shutdown could cut off their answers. */
@@ -137,20 +148,27 @@
     if (run.call.signal.aborted) return run.finish('left', 0);
     const leftMs = run.admitted.deadline - clock.monotonic();
     if (leftMs <= 0) return this.finishUndelivered(run, sink, 'deadline');
+    if (!this.shutdown.canEnd(run)) {
+      return this.deliverFallback(run, sink, leftMs);
+    }
     const isFallbackDue =
       run.held !== null && findFallbackMs(run, clock.monotonic()) === 0;
     const canSend =
       (run.sends === 0 || (!isFallbackDue && this.canRetry(run))) &&
       (quarantine.isFree(run) || (await this.admitPrompt(run)));
-    const choice = canSend ? this.picker.pick(run) : null;
-    if (!choice && canSend && (await this.waitForBackoff(run))) return;
+    // The grace period may have ended while the prompt was checked.
+    const mayBegin = canSend && this.shutdown.canEnd(run);
+    const choice = mayBegin ? this.picker.pick(run) : null;
+    if (!choice && mayBegin && (await this.waitForBackoff(run))) return;
     if (!choice) return this.deliverFallback(run, sink, leftMs);
     const result = await runAttempt(
       {
         ...this.options,
         sink,
+        shutdown: this.shutdown,
         leftMs,
-        mayReceive: endpoint => this.picker.mayReceive(endpoint),
+        mayReceive: endpoint =>
+          this.picker.mayReceive(endpoint) && this.shutdown.canEnd(run),
         decideEscalation: confidence =>
           this.decideEscalation(run, choice, confidence),
       },
@@ -183,9 +201,14 @@
     const waitMs = backoffMs + drawJitterMs(this.options);
     if (this.measureAgeMs(run) + waitMs > objectiveMs * WAIT_SHARE)
       return false;
+    if (!this.shutdown.canEnd(run, waitMs)) return false;
     // The retry budget was already charged for the next attempt.
     run.isPaid = run.sends > 0;
-    await this.options.clock.sleep(waitMs, run.call.signal);
+    const wakened = new AbortController();
+    const wake = () => wakened.abort('wakened');
+    using _left = handleAbort(run.call.signal, wake);
+    using _interrupted = this.shutdown.handleAbort(wake);
+    await this.options.clock.sleep(waitMs, wakened.signal);
     return true;
   }
 
@@ -208,11 +231,17 @@
     sink: CallerSink,
     leftMs: number,
   ): Promise<void> {
+    const {clock, health, metrics} = this.options;
     const held = sink.hasBegun ? null : run.takeHeld();
-    if (!held) return this.finishUndelivered(run, sink, null);
-    const {health, metrics} = this.options;
-    const {clock} = this.options;
-    const result = await deliverHeld({clock, sink, leftMs}, run, held);
+    if (!held) {
+      const cause = this.shutdown.canEnd(run) ? null : 'stopping';
+      return this.finishUndelivered(run, sink, cause);
+    }
+    const result = await deliverHeld(
+      {clock, sink, leftMs, shutdown: this.shutdown},
+      run,
+      held,
+    );
     metrics.count('fallbacks', 1, {outcome: result.type});
     if (result.type === 'delivered') health.recordSuccess(held.endpoint);
     if (result.type === 'broken') health.recordFailure(held.endpoint, false);
@@ -228,6 +257,7 @@
     const {models} = run.admitted.route;
     if (run.hasEscalated || !hasLarger(models, model)) return false;
     if (!this.isSoonEnough(run) || !isUnsure(confidence)) return false;
+    if (!this.shutdown.canEnd(run)) return false;
     // Its first answer has not yet shown whether it crashes its engine.
     if (!this.options.quarantine.isFree(run)) return false;
     // Does not hold back a ready answer when no other endpoint can be asked.
@@ -285,7 +315,7 @@
   private finishUndelivered(
     run: CallRun,
     sink: CallerSink,
-    cause: 'deadline' | null,
+    cause: UndeliveredRun['cause'],
   ): void {
     if (sink.hasBegun) {
       sink.abort();
@@ -354,42 +384,6 @@
       configuration: this.options.view.routes?.table.version ?? null,
     });
   }
-
-  private record(run: CallRun): void {
-    const {logger, metrics, view} = this.options;
-    const {route, service, customer} = run.admitted;
-    const ms = this.measureAgeMs(run);
-    metrics.count('requests', 1, {outcome: run.outcome ?? 'none'});
-    metrics.record('request_ms', ms, {route: route.name});
-    if (run.firstMs !== null) {
-      metrics.record('first_ms', run.firstMs, {route: route.name});
-    }
-    logger.info('Ends a request.', {
-      request: run.call.facts.attemptId,
-      route: route.name,
-      service: service.name,
-      customer: customer?.name ?? null,
-      outcome: run.outcome,
-      status: run.status,
-      endpoints: [...run.tried],
-      model: run.model,
-      confidence: run.confidence,
-      hasEscalated: run.hasEscalated,
-      escalatedMs: run.escalatedMs,
-      hasFallenBack: run.hasFallenBack,
-      promptTokens: run.call.facts.promptTokens,
-      sharedTokens: run.sharedTokens,
-      runs: run.runs,
-      notRun: run.notRun,
-      subject: run.sharedPrefixId,
-      unreadTokens: Math.round(run.uncachedTokens),
-      expectedMs: run.expectedMs === null ? null : Math.round(run.expectedMs),
-      beganMs: run.beganMs === null ? null : Math.round(run.beganMs),
-      firstMs: run.firstMs === null ? null : Math.round(run.firstMs),
-      ms: Math.round(ms),
-      configuration: view.routes?.table.version ?? null,
-    });
-  }
 }
 
 function mayHaveRun({type}: AttemptResult): boolean {
--- a/src/coordination/forwarding/prompt_crash_test.ts
+++ b/src/coordination/forwarding/prompt_crash_test.ts
@@ -52,6 +52,11 @@
       assert.ok(count <= MAX_LATE, `seed ${seed}: ${count} late (${setting})`);
     }
   }
+  assertSoundServed(histories);
+});
+
+/** Asserts that sound requests begin about as often as before. */
+function assertSoundServed(histories: readonly HistoryFigures[]): void {
   const ratios = histories.flatMap(({seed, setting, soundRatio}) => {
     if (soundRatio === null) return [];
     const isServed = soundRatio >= MIN_SOUND_RATIO;
@@ -60,7 +65,7 @@
   });
   const mean = ratios.reduce((sum, each) => sum + each, 0) / ratios.length;
   assert.ok(mean >= MIN_MEAN_SOUND_RATIO, `sound requests: ${mean} served`);
-});
+}
 
 // Guards against repeats of a request that ended an engine, and against parts
 // of which many requests are under way before the first crash is known.
@@ -75,19 +80,43 @@
     const most = Math.max(...crashes);
     assert.ok(most <= MAX_CRASHES, `seed ${seed}: ${most} ended (${setting})`);
   }
+  assertSoundServed(histories);
+});
+
+// Guards against requests with one part that are permitted beside each other,
+// by the late report of a crash and by the end of an earlier trial.
+test('forward() sends a suspected part to one engine at a time', async () => {
+  const {crashes} = await playHistory({
+    seed: 70_009,
+    isCalm: true,
+    maxBadPerSecond: 5,
+  });
+  assert.ok(Math.max(...crashes) <= MAX_CRASHES, `${crashes.join(' ')} ended`);
 });
 
 // Guards against parts that are condemned since engines ended with them for
 // other reasons: single crashes, racks, restarts, lost messages.
 test('forward() condemns no part for ordinary crashes', async () => {
-  const histories = await playHistories({hasBadParts: false, isCalm: false});
+  assertFewCondemned(await playHistories({hasBadParts: false, isCalm: false}));
+});
+
+// Guards against parts that are condemned since engines end by chance so often
+// that a part is there several times in a row.
+test('forward() condemns no part while engines flap', async () => {
+  assertFewCondemned(
+    await playHistories({hasBadParts: false, isCalm: true, flapsPerSecond: 1}),
+  );
+});
+
+/** Asserts that sound parts are condemned in few histories. */
+function assertFewCondemned(histories: readonly HistoryFigures[]): void {
   const wrong = histories.filter(({condemnedSound}) => condemnedSound > 0);
   const allowed = Math.floor(histories.length / HISTORIES_PER_CONDEMNED);
   assert.ok(
     wrong.length <= allowed,
     `seeds ${wrong.map(({seed}) => seed).join(' ')}`,
   );
-});
+}
 
 /** Restarts that must not lose what is known of a part. */
 const RESTARTS: Readonly<Record<string, (site: SimulatedSite) => void>> = {
--- a/src/coordination/forwarding/suspect_table.ts
+++ b/src/coordination/forwarding/suspect_table.ts
@@ -13,6 +13,7 @@
   MAX_PART_CRASHES,
   type SuspectPart,
 } from '../../protocol/suspect_part.ts';
+import {RevisedMap} from '../revised_map.ts';
 
 /** The crashes in a row after which a part is condemned. */
 const CONDEMN_LEVEL = 3;
@@ -26,6 +27,9 @@
 /** The pause before a condemned part is tried that others explain, in ms. */
 const EXPLAINED_BACK_OFF_MS = 500;
 
+/** The highest level at which a condemned part that others explain is tried. */
+const MAX_TRIED_LEVEL = 5;
+
 /** How far back engines that ended without the part count, in ms. */
 const BACKGROUND_MS = 20_000;
 
@@ -54,57 +58,57 @@
   readonly clearedAt: number;
 }
 
+/** A changed record. */
+export interface SuspectChange {
+  readonly suspect: Suspect;
+  /** Its level before; 0 if there was none. */
+  readonly previousLevel: number;
+}
+
 /** The part of one service, as a key. */
 export function createPartKey(service: string, part: string): string {
   return `${service}/${part}`;
 }
 
-interface Entry {
-  readonly suspect: Suspect;
-  /** The revision of the table at which it changed. */
-  readonly changedAt: number;
-}
-
 export class SuspectTable {
-  private readonly entries = new Map<string, Entry>();
+  private readonly suspects = new RevisedMap<Suspect>();
   /** When engines ended with any suspect, by their start. */
   private readonly ends = new Map<string, number>();
-  private lastRevision = 0;
 
   constructor(private readonly clock: Clock) {}
 
   /** Increases with each change. All changes are urgent. */
   get revision(): number {
-    return this.lastRevision;
+    return this.suspects.revision;
   }
 
   /** The number of records. */
   get size(): number {
-    return this.entries.size;
+    return this.suspects.size;
   }
 
   /** Whether any part is suspected. */
   get isEmpty(): boolean {
-    return this.entries.size === 0;
+    return this.suspects.size === 0;
   }
 
   /** Finds a part that engines ended with since it was last answered on. */
   find(service: string, part: string): Suspect | null {
     if (this.isEmpty) return null;
-    const entry = this.entries.get(createPartKey(service, part));
-    if (!entry || entry.suspect.level === 0) return null;
-    return this.isExpired(entry.suspect) ? null : entry.suspect;
+    const suspect = this.get(createPartKey(service, part));
+    if (!suspect || suspect.level === 0) return null;
+    return this.isExpired(suspect) ? null : suspect;
   }
 
   /** Returns what is known of a part, also of one that was cleared. */
   get(key: string): Suspect | null {
-    return this.entries.get(key)?.suspect ?? null;
+    return this.suspects.get(key) ?? null;
   }
 
   /** Lists the parts whose requests are withheld. */
   listCondemned(): Suspect[] {
-    return [...this.entries.values()]
-      .map(({suspect}) => suspect)
+    return [...this.suspects]
+      .map(([, suspect]) => suspect)
       .filter(suspect => this.isCondemned(suspect));
   }
 
@@ -117,15 +121,16 @@
   /**
    * Whether other parts, which a request does not have, explain all crashes of
    * a suspect: then the request can show which of them it is. It may do so
-   * ever more seldom, as each try may cost an engine.
+   * ever more seldom and a few times only, as each try may cost an engine.
    */
   isExplained(suspect: Suspect, requestParts: ReadonlySet<string>): boolean {
+    if (suspect.level > MAX_TRIED_LEVEL) return false;
     const backOffMs =
       EXPLAINED_BACK_OFF_MS * 2 ** (suspect.level - CONDEMN_LEVEL);
     const sinceMs = this.clock.monotonic() - findLastCrash(suspect);
     if (sinceMs < backOffMs) return false;
     const unexplained = new Set(suspect.crashes.keys());
-    for (const {suspect: other} of this.entries.values()) {
+    for (const [, other] of this.suspects) {
       if (other.service !== suspect.service) continue;
       if (other.part === suspect.part || requestParts.has(other.part)) continue;
       if (other.level < EXPLAINING_LEVEL || this.isExpired(other)) continue;
@@ -136,11 +141,11 @@
   }
 
   /**
-   * Merges records of another daemon; returns the keys of those that changed.
+   * Merges records of another daemon; returns those that changed.
    *
    * @param receivedAt When their ages were measured, on the monotonic clock.
    */
-  merge(records: readonly SuspectPart[], receivedAt: number): string[] {
+  merge(records: readonly SuspectPart[], receivedAt: number): SuspectChange[] {
     return records
       .map(({service, part, level, isCondemned, crashes, clearedAgeMs}) => ({
         service,
@@ -153,29 +158,28 @@
         clearedAt:
           clearedAgeMs === null ? -Infinity : receivedAt - clearedAgeMs,
       }))
-      .filter(suspect => this.mergeOne(suspect))
-      .map(({service, part}) => createPartKey(service, part));
+      .map(suspect => this.mergeOne(suspect))
+      .filter(change => change !== null);
   }
 
-  /** Merges one record; returns whether it changed the table. */
-  mergeOne(next: Suspect): boolean {
+  /** Merges one record; returns `null` if that changes nothing. */
+  mergeOne(next: Suspect): SuspectChange | null {
     const key = createPartKey(next.service, next.part);
     for (const [start, atMs] of next.crashes) this.recordEnd(start, atMs);
-    const known = this.entries.get(key)?.suspect;
+    const known = this.suspects.get(key);
     const merged = this.evaluate(mergeSuspects(known ?? null, next));
-    if (this.isExpired(merged)) return false;
-    if (known && isSame(known, merged)) return false;
-    this.entries.delete(key);
-    this.entries.set(key, {suspect: merged, changedAt: ++this.lastRevision});
+    if (this.isExpired(merged)) return null;
+    if (known && isSame(known, merged)) return null;
+    // The latest change comes last, for evict().
+    this.suspects.delete(key);
+    this.suspects.set(key, merged);
     this.evict();
-    return true;
+    return {suspect: merged, previousLevel: known?.level ?? 0};
   }
 
   /** Lists the records that changed after a revision; all by default. */
   list(after = 0): SuspectPart[] {
-    return [...this.entries.values()]
-      .filter(({changedAt}) => changedAt > after)
-      .map(({suspect}) => this.encode(suspect));
+    return this.suspects.list(after).map(([, suspect]) => this.encode(suspect));
   }
 
   /** Encodes a record with the ages of its crashes. */
@@ -193,8 +197,8 @@
 
   /** Drops records that no longer matter. */
   expire(): void {
-    for (const [key, {suspect}] of this.entries) {
-      if (this.isExpired(suspect)) this.entries.delete(key);
+    for (const [key, suspect] of this.suspects) {
+      if (this.isExpired(suspect)) this.suspects.delete(key);
     }
     const oldest = this.clock.monotonic() - BACKGROUND_MS;
     for (const [start, atMs] of this.ends) {
@@ -220,7 +224,7 @@
       isFull ? Math.min(...suspect.crashes.values()) : -Infinity,
     );
     const explained = new Set(suspect.crashes.keys());
-    for (const {suspect: other} of this.entries.values()) {
+    for (const [, other] of this.suspects) {
       if (other.level < EXPLAINING_LEVEL) continue;
       for (const start of other.crashes.keys()) explained.add(start);
     }
@@ -250,15 +254,15 @@
 
   /** Drops the oldest record of the lowest level while there are too many. */
   private evict(): void {
-    if (this.entries.size <= MAX_SUSPECTS) return;
+    if (this.suspects.size <= MAX_SUSPECTS) return;
     this.expire();
-    if (this.entries.size <= MAX_SUSPECTS) return;
-    let lowest: [string, Entry] | null = null;
-    for (const each of this.entries) {
-      if (lowest && each[1].suspect.level >= lowest[1].suspect.level) continue;
+    if (this.suspects.size <= MAX_SUSPECTS) return;
+    let lowest: [string, Suspect] | null = null;
+    for (const each of this.suspects) {
+      if (lowest && each[1].level >= lowest[1].level) continue;
       lowest = each;
     }
-    if (lowest) this.entries.delete(lowest[0]);
+    if (lowest) this.suspects.delete(lowest[0]);
   }
 }
 
--- a/src/protocol/suspect_part.ts
+++ b/src/protocol/suspect_part.ts
@@ -3,10 +3,15 @@
  * daemons send them to each other.
  */
 import * as z from 'zod';
+import {ageSchema} from './bounds.ts';
+import {createEntryList} from './parse_message.ts';
 
 /** The longest id of a part; longer ones are cut, since callers choose them. */
 export const MAX_PART_ID_CHARACTERS = 64;
 
+/** Parts of one prompt that are watched at most. */
+export const MAX_WATCHED_PARTS = 256;
+
 /** Crashes that a record holds at most. */
 export const MAX_PART_CRASHES = 16;
 
@@ -14,7 +19,7 @@
 export const partCrashSchema = z.object({
   /** One start of an endpoint. */
   start: z.string(),
-  ageMs: z.number(),
+  ageMs: ageSchema,
 });
 
 export const suspectPartSchema = z.object({
@@ -30,7 +35,7 @@
   /** Those since the part was last answered on. */
   crashes: z.array(partCrashSchema).max(MAX_PART_CRASHES),
   /** The time since it was last answered on, in ms; `null` if it never was. */
-  clearedAgeMs: z.number().nullable(),
+  clearedAgeMs: ageSchema.nullable(),
 });
 
 export type SuspectPart = z.infer<typeof suspectPartSchema>;
@@ -39,19 +44,25 @@
 export const trialRequestSchema = z.object({
   service: z.string(),
   parts: z.array(z.string()),
+  /** What the gateway knows of the parts. */
+  suspects: z.array(suspectPartSchema).default([]),
 });
 
 export type TrialRequest = z.infer<typeof trialRequestSchema>;
 
 export interface TrialReply {
   readonly isGranted: boolean;
+  /** Identifies the granted trial; absent in replies of older daemons. */
+  readonly trial?: number;
   /** What the core knows of the parts. */
   readonly suspects: readonly SuspectPart[];
 }
 
 /** Ends a permitted request, with what it showed. */
 export const trialResultSchema = trialRequestSchema.extend({
-  suspects: z.array(suspectPartSchema),
+  suspects: createEntryList(suspectPartSchema),
+  /** The trial that ends; absent in messages of older gateways. */
+  trial: z.int().optional(),
 });
 
 export type TrialResult = z.infer<typeof trialResultSchema>;
--- a/src/transport/public/public_server.ts
+++ b/src/transport/public/public_server.ts
@@ -12,12 +12,14 @@
   type ServerResponse,
 } from 'node:http';
 import type {Socket} from 'node:net';
+import type {Clock} from '../../protocol/clock.ts';
 import {createIdentifier} from '../../protocol/identifiers.ts';
 import {
   createPublicHandler,
   type PublicHandlerOptions,
 } from './create_public_handler.ts';
-import {closeServer, startListening} from '../http_server.ts';
+import {startListening} from '../http_server.ts';
+import {OpenAnswers} from '../open_answers.ts';
 import {describeError} from './http_errors.ts';
 
 export type {WrapHandler, RouteHandler} from './create_public_handler.ts';
@@ -55,6 +57,7 @@
 > {
   readonly host: string;
   readonly port: number;
+  readonly clock: Clock;
 }
 
 /** A listening server that tracks its open requests and handlers. */
@@ -79,6 +82,7 @@
   });
   server.maxConnections = MAX_CONNECTIONS;
   server.maxHeadersCount = MAX_HEADERS;
+  const answers = new OpenAnswers(server);
   const pendingTasks = new PendingTasks();
   limitConnections(server);
   server.on('request', (request: IncomingMessage, response: ServerResponse) => {
@@ -101,10 +105,10 @@
   const {host, port} = options;
   await startListening(server, {host, port, backlog: MAX_PENDING_CONNECTIONS});
   return {
-    closeIdleConnections: () => server.closeIdleConnections(),
+    closeIdleConnections: () => answers.closeIdleConnections(),
     waitUntilIdle: () => pendingTasks.waitUntilDone(),
     async [Symbol.asyncDispose]() {
-      await closeServer(server);
+      await answers.closeServer(options.clock);
     },
   };
 }
