Keep all fields of the core's replies

What callers saw: with the checks of entries merged, a gateway waits again for each lost core daemon in turn, a new core daemon takes lost endpoints for live ones, and a trial ends without its identifier: `silentCores`, `reportAges` and `trial` were sent and then dropped.

Cause: the schemas of replies did not name the fields that other changes had added, and a schema drops what it does not name; since the fields are optional, the compiler was content.

Change: the schemas name them, and each shape must have a schema for every key of its reply, so that the compiler finds the next one (removing `silentCores` is an error TS1360). The age of a report has the bounds of other ages.

--- a/src/protocol/core_service.ts
+++ b/src/protocol/core_service.ts
@@ -232,8 +232,8 @@
 
 /** The time since the last report of an endpoint. */
 export const reportAgeSchema = z.object({
-  id: z.string(),
-  ageMs: z.number().nonnegative(),
+  id: endpointIdSchema,
+  ageMs: ageSchema.min(0),
 });
 
 export type ReportAge = z.infer<typeof reportAgeSchema>;
@@ -280,6 +280,9 @@
 
 const optionalRevisionSchema = z.int().nonnegative().optional();
 
+/** Has a schema for each field, since a schema drops fields unknown to it. */
+type ReplyShape<T> = Record<keyof T, z.ZodType>;
+
 /** The replies that list entries; those of earlier versions omit fields. */
 export const coreReplySchemas = {
   follow: z.object({
@@ -290,6 +293,7 @@
     endpoints: createEntryList(endpointEntrySchema),
     configuration: configurationSchema.nullable(),
     cores: createEntryList(coreDaemonSchema),
+    silentCores: createEntryList(addressSchema).optional(),
     loads: createEntryList(endpointLoadSchema),
     gatewayRevision: z.int().nonnegative(),
     openGateways: createEntryList(gatewaySchema).nullable(),
@@ -298,17 +302,19 @@
     suspectRevision: optionalRevisionSchema,
     suspects: createEntryList(suspectPartSchema).optional(),
     fresh: z.boolean(),
-  }) satisfies z.ZodType<FollowReply>,
+  } satisfies ReplyShape<FollowReply>) satisfies z.ZodType<FollowReply>,
   exchangeCore: z.object({
     cores: createEntryList(coreDaemonSchema),
     reports: createEntryList(endpointReportSchema),
+    reportAges: createEntryList(reportAgeSchema).optional(),
     gateways: createEntryList(agedReportSchema),
     suspects: createEntryList(suspectPartSchema).optional(),
-  }) satisfies z.ZodType<CoreExchangeReply>,
+  } satisfies ReplyShape<CoreExchangeReply>) satisfies z.ZodType<CoreExchangeReply>,
   requestTrial: z.object({
     isGranted: z.boolean(),
+    trial: z.int().optional(),
     suspects: createEntryList(suspectPartSchema),
-  }) satisfies z.ZodType<TrialReply>,
+  } satisfies ReplyShape<TrialReply>) satisfies z.ZodType<TrialReply>,
 } as const;
 
 /** The calls that a daemon of the core serves. */
