--- a/src/state/view/saved_view.ts
+++ b/src/state/view/saved_view.ts
@@ -24,7 +24,7 @@
 
 const FILE_NAME = 'view.json';
 
-const savedViewSchema = z.object({
+export const savedViewSchema = z.object({
   configuration: configurationSchema,
   endpoints: createEntryList(endpointReportSchema),
   /** Absent from files of earlier versions; ages are as of the save. */
--- a/src/transport/peers/odd_entries_test.ts
+++ b/src/transport/peers/odd_entries_test.ts
@@ -198,7 +198,12 @@
     report: {
       ...GATEWAY,
       loads: surround(
-        [...ODD_ENTRIES, {...load, readingMs: Infinity}, {...load, open: -1}],
+        [
+          ...ODD_ENTRIES,
+          {...load, readingMs: Infinity},
+          {...load, readingMs: 1e308},
+          {...load, open: -1},
+        ],
         [load],
       ),
       leaving: surround(ODD_ENTRIES, [{id: 'e1', startedAtMs: 1}]),
