Ask callers of a stopping gateway to return when their lists name others

What callers saw: a request that a stopping gateway refused, since it could not end in time, came back at once, to the same gateway, and was refused again; its tries were used up.

Cause: the refusal said 'Retry-After: 0' from SIGTERM on. That holds once the callers' lists have expired (1.5 s); before, they may still name the gateway.

Change: such a refusal names the rest of the 1.5 s.

--- a/src/cli/serve_site/stop_gateway.ts
+++ b/src/cli/serve_site/stop_gateway.ts
@@ -1,5 +1,6 @@
 /** Stops a gateway without cutting off a request that can still end. */
 import type {Clock} from '../../protocol/clock.ts';
+import type {Shutdown} from '../../coordination/forwarding/shutdown.ts';
 import type {FrontServer} from '../../transport/forwarding/front_server.ts';
 import {DIRECTORY_TTL_S} from './site_parts.ts';
 
@@ -28,7 +29,7 @@
     'startClosing' | 'closeIdleConnections' | 'openRequests'
   >;
   readonly forwarder: {
-    readonly shutdown: {begin(endsAt: number): void; abort(): void};
+    readonly shutdown: Pick<Shutdown, 'begin' | 'abort'>;
     startRefusing(): void;
   };
   /** Removes the gateway from the directory; logs its failures. */
@@ -43,8 +44,11 @@
   forwarder,
   report,
 }: StopGatewayOptions): Promise<void> {
-  const endsAt = clock.monotonic() + graceMs - CLOSE_MARGIN_MS;
-  forwarder.shutdown.begin(endsAt);
+  const startedAt = clock.monotonic();
+  const endsAt = startedAt + graceMs - CLOSE_MARGIN_MS;
+  forwarder.shutdown.begin(endsAt, {
+    returnAt: startedAt + DIRECTORY_TTL_S * 1_000,
+  });
   server.startClosing();
   // Callers' lists age while a core daemon that is slow has not answered.
   void report();
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -327,7 +327,11 @@
       sink.answer(status, headers, body);
       return run.finish('answered', status);
     }
-    const refusal = planRefusal(this.options, this.picker, {run, cause});
+    const refusal = planRefusal(this.options, this.picker, {
+      run,
+      cause,
+      shutdown: this.shutdown,
+    });
     run.finish(refusal.reason, refuseCall(sink, refusal));
   }
 
@@ -371,8 +375,9 @@
       ...(reason === 'no-configuration'
         ? {retryAfterMs: drawRetryAfterMs(this.options)}
         : {}),
-      // Other gateways are available, so the caller can retry at once.
-      ...(reason === 'stopping' ? {retryAfterMs: 0} : {}),
+      ...(reason === 'stopping'
+        ? {retryAfterMs: this.shutdown.retryAfterMs}
+        : {}),
     });
     this.options.metrics.count('requests', 1, {outcome: reason});
     this.options.logger.info('Refuses a request.', {
--- a/src/coordination/forwarding/plan_refusal.ts
+++ b/src/coordination/forwarding/plan_refusal.ts
@@ -2,6 +2,7 @@
 import type {CallRun} from './call_run.ts';
 import type {EndpointPicker} from './endpoint_picker.ts';
 import type {RefusalReason, RefuseOptions} from './refuse.ts';
+import type {Shutdown} from './shutdown.ts';
 
 /** Retry-After of a refused request: a minimum plus random jitter, in ms. */
 const RETRY_AFTER_MIN_MS = 300;
@@ -16,20 +17,22 @@
   readonly run: CallRun;
   /** Whether its deadline has passed, or the gateway shuts down. */
   readonly cause: 'deadline' | 'stopping' | null;
+  readonly shutdown: Pick<Shutdown, 'retryAfterMs'>;
 }
 
 /** Plans why a request is refused and when its caller should retry. */
 export function planRefusal(
   options: PlanRefusalOptions,
   picker: EndpointPicker,
-  {run, cause}: UndeliveredRun,
+  {run, cause, shutdown}: UndeliveredRun,
 ): RefuseOptions {
   if (run.runs > 0) {
     // It may have run, so its caller is not asked to retry.
     return {reason: cause === 'deadline' ? 'deadline' : 'broken'};
   }
-  // Other gateways are available, so the caller can retry at once.
-  if (cause === 'stopping') return {reason: 'stopping', retryAfterMs: 0};
+  if (cause === 'stopping') {
+    return {reason: 'stopping', retryAfterMs: shutdown.retryAfterMs};
+  }
   // A retry at another gateway would be refused as well.
   if (run.quarantine === 'condemned') return {reason: 'quarantined'};
   if (run.quarantine === 'suspected') return refuseForNow(options, 'suspected');
--- a/src/coordination/forwarding/shutdown.ts
+++ b/src/coordination/forwarding/shutdown.ts
@@ -7,11 +7,20 @@
 import type {CallRun} from './call_run.ts';
 import {RouteDurations} from './route_durations.ts';
 
+export interface BeginOptions {
+  /**
+   * When callers that return choose other gateways, on the monotonic clock;
+   * at once by default.
+   */
+  readonly returnAt?: number;
+}
+
 /** The shutdown of a gateway, which may not have begun. */
 export class Shutdown {
   private readonly durations = new RouteDurations();
   private readonly handlers = new Set<() => void>();
   private endsAt = Infinity;
+  private returnAt = -Infinity;
   private hasAborted = false;
 
   constructor(private readonly clock: Clock) {}
@@ -22,8 +31,14 @@
   }
 
   /** Begins it; `endsAt` is when open requests end, on the monotonic clock. */
-  begin(endsAt: number): void {
+  begin(endsAt: number, {returnAt = -Infinity}: BeginOptions = {}): void {
     this.endsAt = endsAt;
+    this.returnAt = returnAt;
+  }
+
+  /** When callers of refused requests should retry, in ms from now. */
+  get retryAfterMs(): number {
+    return Math.max(0, this.returnAt - this.clock.monotonic());
   }
 
   /** Records a request that has ended. */
--- a/src/coordination/forwarding/shutdown_test.ts
+++ b/src/coordination/forwarding/shutdown_test.ts
@@ -161,6 +161,24 @@
   assert.equal((await gateway.request(facts)).status, 200);
 });
 
+// Guards against requests that are refused twice by the same stopping gateway,
+// because their callers return while their lists still name it.
+test('begin() asks callers to return when their lists have expired', async () => {
+  const gateway = createTimedGateway();
+  const now = gateway.clock.monotonic();
+  gateway.forwarder.shutdown.begin(now + 7_300, {returnAt: now + 1_500});
+  const findReturn = async () => {
+    const {headers} = await gateway.request();
+    return headers.find(([name]) => name === 'Retry-After')?.[1];
+  };
+  assert.equal(await findReturn(), '1.500');
+  await gateway.clock.advance(1_000);
+  assert.ok(Number(await findReturn()) <= 0.5);
+  await gateway.clock.advance(1_700);
+  gateway.forwarder.startRefusing();
+  assert.equal(await findReturn(), '0.000');
+});
+
 test('begin() bounds requests of an unknown route by their deadline', async () => {
   const gateway = createTimedGateway();
   const {shutdown} = gateway.forwarder;
