--- a/src/coordination/forwarding/shutdown_test.ts
+++ b/src/coordination/forwarding/shutdown_test.ts
@@ -149,6 +149,36 @@
   assert.equal(gateway.attempts.length, 5);
 });
 
+// Guards against a single slow request that keeps a stopping gateway from taking
+// any request of its route.
+test('begin() expects what all but a tenth of the recent requests took', async () => {
+  const gateway = createTimedGateway();
+  const facts = {maxOutputTokens: 2_000};
+  for (let request = 0; request < 20; request++) {
+    await gateway.request(request === 10 ? {maxOutputTokens: 9_000} : facts);
+  }
+  gateway.forwarder.shutdown.begin(gateway.clock.monotonic() + 7_300);
+  assert.equal((await gateway.request(facts)).status, 200);
+});
+
+// Guards against requests that are refused twice by the same stopping gateway,
+// because their callers return while their lists still name it.
+test('begin() asks callers to return when their lists have expired', async () => {
+  const gateway = createTimedGateway();
+  const now = gateway.clock.monotonic();
+  gateway.forwarder.shutdown.begin(now + 7_300, {returnAt: now + 1_500});
+  const findReturn = async () => {
+    const {headers} = await gateway.request();
+    return headers.find(([name]) => name === 'Retry-After')?.[1];
+  };
+  assert.equal(await findReturn(), '1.500');
+  await gateway.clock.advance(1_000);
+  assert.ok(Number(await findReturn()) <= 0.5);
+  await gateway.clock.advance(1_700);
+  gateway.forwarder.startRefusing();
+  assert.equal(await findReturn(), '0.000');
+});
+
 test('begin() bounds requests of an unknown route by their deadline', async () => {
   const gateway = createTimedGateway();
   const {shutdown} = gateway.forwarder;
