--- a/src/coordination/replication/replica.ts
+++ b/src/coordination/replication/replica.ts
@@ -74,7 +74,7 @@
  * campaigns again; it grows after some losses. Several round trips between
  * regions, so that two candidates seldom collide again.
  */
-const ELECTION_RETRY_MS = 300;
+const ELECTION_RETRY_MS = 500;
 
 /** The lost elections after which the delay doubles each time. */
 const MAX_QUICK_RETRIES = 3;
