Log refused announcements

A refused announcement was answered with its reason, but left no line in the log, so that operators could not see which endpoint is not known, and why.

Change: each kind of refusal is logged once a minute, with the address it came from.

--- a/src/transport/public/create_public_handler.ts
+++ b/src/transport/public/create_public_handler.ts
@@ -4,6 +4,7 @@
 import type {Host} from '../../protocol/control.ts';
 import type {Announcement} from '../../protocol/endpoint.ts';
 import type {Logger} from '../../protocol/logger.ts';
+import {RefusalLog} from '../../protocol/refusal_log.ts';
 import type {Outcome} from '../../protocol/outcome.ts';
 import type {RequestContext} from '../../coordination/requests/request_context.ts';
 import {addCallerRoutes} from './caller_routes.ts';
@@ -69,6 +70,7 @@
       listHosts: options.listHosts,
       getView: context.getView,
       announce: options.announce,
+      refusals: new RefusalLog({clock: context.clock, logger: options.logger}),
     },
     wrapHandler,
   );
--- a/src/transport/public/endpoint_routes.ts
+++ b/src/transport/public/endpoint_routes.ts
@@ -7,6 +7,7 @@
   type Announcement,
 } from '../../protocol/endpoint.ts';
 import type {Outcome} from '../../protocol/outcome.ts';
+import type {RefusalLog} from '../../protocol/refusal_log.ts';
 import {listAddresses} from '../../coordination/membership/list_addresses.ts';
 import {equalSecrets} from '../peers/peer_server.ts';
 import {readBearer, refuseUnauthorized} from './bearer.ts';
@@ -25,6 +26,8 @@
   readonly random: () => number;
   readonly listHosts: () => readonly Host[];
   readonly getView: () => ControlView | null;
+  /** Logs refused announcements. */
+  readonly refusals: RefusalLog;
   /** Handles an announcement; the error says why it is refused. */
   readonly announce: (announcement: Announcement) => Outcome<void, string>;
 }
@@ -47,11 +50,14 @@
           refuseUnauthorized(response);
           return;
         }
-        const announcement = await readJson(
-          request,
-          response,
-          announcementSchema,
-        );
+        const announcement = await readJson(request, response, {
+          schema: announcementSchema,
+          onRefuse: reason =>
+            options.refusals.record('Refuses an announcement.', reason, {
+              from: request.socket.remoteAddress,
+              reason,
+            }),
+        });
         if (!announcement) return;
         const accepted = options.announce(announcement);
         if (!accepted.ok) {
--- a/src/transport/public/operator_routes.ts
+++ b/src/transport/public/operator_routes.ts
@@ -61,11 +61,9 @@
     .post(
       '/operator/commands',
       createOperatorRoute(async (request, response) => {
-        const command = await readJson(
-          request,
-          response,
-          operatorCommandSchema,
-        );
+        const command = await readJson(request, response, {
+          schema: operatorCommandSchema,
+        });
         if (!command) return;
         const {status, body} = await operators.execute(command);
         sendJson(response, status, body);
@@ -125,7 +123,9 @@
   response: ServerResponse,
   operators: OperatorService,
 ): Promise<void> {
-  const archiveRequest = await readJson(request, response, archiveSchema);
+  const archiveRequest = await readJson(request, response, {
+    schema: archiveSchema,
+  });
   if (!archiveRequest) return;
   const through = await operators.archiveBills(
     archiveRequest.shard,
--- a/src/transport/public/public_server_test.ts
+++ b/src/transport/public/public_server_test.ts
@@ -19,7 +19,7 @@
 
 const KEY = 'key';
 
-async function startGateway(script: Script = {}) {
+async function startGateway(script: Script = {}, logger = silentLogger) {
   const gateway = new FakeGateway({e1: script, s1: script});
   const {view} = gateway;
   const customer = view?.declaration?.customers[0];
@@ -33,7 +33,7 @@
   const server = await startPublicServer({
     host: '127.0.0.1',
     port,
-    logger: silentLogger,
+    logger,
     operatorSecret: 'operator',
     endpointSecret: 'endpoint',
     context: gateway.context,
@@ -217,4 +217,26 @@
   assert.is(unauthorized.statusCode, 401);
 });
 
+// Guards against an odd announcement that nobody learns of.
+test('a refused announcement is logged once', async () => {
+  const lines: unknown[] = [];
+  const logger = {
+    ...silentLogger,
+    warn: (message: string) => void lines.push(message),
+  };
+  const {server, url} = await startGateway({}, logger);
+  await using _ = server;
+  const deep = '['.repeat(100_000) + ']'.repeat(100_000);
+  for (const text of ['{}', '{}', deep, deep]) {
+    const response = await request(`${url}/endpoints/announce`, {
+      method: 'POST',
+      headers: {authorization: 'Bearer endpoint'},
+      body: text,
+    });
+    await response.body.dump();
+    assert.is(response.statusCode, 400);
+  }
+  assert.equal(lines, ['Refuses an announcement.', 'Refuses an announcement.']);
+});
+
 test.run();
