--- a/src/transport/public/public_server_test.ts
+++ b/src/transport/public/public_server_test.ts
@@ -8,7 +8,7 @@
 import {test} from 'uvu';
 import * as assert from 'uvu/assert';
 import {systemClock} from '../../protocol/clock.ts';
-import {silentLogger} from '../../protocol/logger.ts';
+import {silentLogger, type Logger} from '../../protocol/logger.ts';
 import {succeed} from '../../protocol/outcome.ts';
 import {
   createChunks,
@@ -21,10 +21,17 @@
 
 const KEY = 'key';
 
-async function startGateway(
-  script: Script = {},
-  describeStatus: () => Promise<unknown> = async () => ({}),
-) {
+interface StartGatewayOptions {
+  readonly script?: Script;
+  readonly logger?: Logger;
+  readonly describeStatus?: () => Promise<unknown>;
+}
+
+async function startGateway({
+  script = {},
+  logger = silentLogger,
+  describeStatus = async () => ({}),
+}: StartGatewayOptions = {}) {
   const gateway = new FakeGateway({e1: script, s1: script});
   const {view} = gateway;
   const customer = view?.declaration?.customers[0];
@@ -39,7 +46,7 @@
     host: '127.0.0.1',
     port,
     clock: systemClock,
-    logger: silentLogger,
+    logger,
     operatorSecret: 'operator',
     endpointSecret: 'endpoint',
     context: gateway.context,
@@ -93,7 +100,7 @@
 }
 
 test("OpenAI's client works unchanged, with and without streaming", async () => {
-  const {server, url} = await startGateway(answered);
+  const {server, url} = await startGateway({script: answered});
   await using _ = server;
   const client = new OpenAI({apiKey: KEY, baseURL: `${url}/v1`});
   const messages = [{role: 'user' as const, content: 'x'}];
@@ -126,7 +133,7 @@
 });
 
 test('invalid requests get the status and code of their error', async () => {
-  const {server, url, port} = await startGateway(answered);
+  const {server, url, port} = await startGateway({script: answered});
   await using _ = server;
   const deep = `{"model":"draft","messages":${'['.repeat(100)}`;
   const cases: Array<[string, string, number, string]> = [
@@ -199,10 +206,12 @@
 test('disposal answers each request that was read', async () => {
   for (let turns = 0; turns < 10; turns++) {
     let read = 0;
-    const {server, port} = await startGateway({}, async () => {
-      read++;
-      await setTimeout(20);
-      return {};
+    const {server, port} = await startGateway({
+      describeStatus: async () => {
+        read++;
+        await setTimeout(20);
+        return {};
+      },
     });
     const replies: Promise<string>[] = [];
     for (let sent = 0; sent < 30; sent++) {
@@ -228,7 +237,9 @@
 // slowly: the server had written them, and took their connections for idle.
 test('a shutdown does not cut an answer that is being sent', async () => {
   const status = {text: 'x'.repeat(16 * 1024 * 1024)};
-  const {server, state, port} = await startGateway({}, async () => status);
+  const {server, state, port} = await startGateway({
+    describeStatus: async () => status,
+  });
   const socket = connect(port, '127.0.0.1');
   let received = 0;
   socket.on('data', bytes => (received += bytes.length));
@@ -252,7 +263,9 @@
 });
 
 test('an idle stream gets keep-alive comment lines', async () => {
-  const {server, url} = await startGateway({complete: () => ['wait']});
+  const {server, url} = await startGateway({
+    script: {complete: () => ['wait']},
+  });
   await using _ = server;
   const streamed = JSON.stringify({...JSON.parse(body), stream: true});
   const response = await post(url, streamed);
@@ -263,7 +276,7 @@
 });
 
 test('only operators can request the record of a request', async () => {
-  const {server, url} = await startGateway(answered);
+  const {server, url} = await startGateway({script: answered});
   await using _ = server;
   const response = await post(url, body);
   await response.body.dump();
@@ -280,4 +293,26 @@
   assert.is(unauthorized.statusCode, 401);
 });
 
+// Guards against an odd announcement that nobody learns of.
+test('a refused announcement is logged once', async () => {
+  const lines: unknown[] = [];
+  const logger = {
+    ...silentLogger,
+    warn: (message: string) => void lines.push(message),
+  };
+  const {server, url} = await startGateway({logger});
+  await using _ = server;
+  const deep = '['.repeat(100_000) + ']'.repeat(100_000);
+  for (const text of ['{}', '{}', deep, deep]) {
+    const response = await request(`${url}/endpoints/announce`, {
+      method: 'POST',
+      headers: {authorization: 'Bearer endpoint'},
+      body: text,
+    });
+    await response.body.dump();
+    assert.is(response.statusCode, 400);
+  }
+  assert.equal(lines, ['Refuses an announcement.', 'Refuses an announcement.']);
+});
+
 test.run();
