--- a/src/coordination/forwarding/suspect_table_test.ts
+++ b/src/coordination/forwarding/suspect_table_test.ts
@@ -57,4 +57,26 @@
   assert.ok(tries <= MAX_TRIES, `${tries} tries`);
 });
 
+// Guards against a part that is condemned since engines flap.
+test('a part is not condemned for three crashes while engines end without it', async () => {
+  const clock = new SimulatedClock();
+  const table = new SuspectTable(clock);
+  for (let index = 0; index < 6; index++) {
+    const atMs = clock.monotonic();
+    recordCrash(table, {
+      part: `p${index}`,
+      level: 1,
+      start: `o${index}/1`,
+      atMs,
+    });
+    await clock.advance(100);
+  }
+  for (let level = 1; level <= 3; level++) {
+    const atMs = clock.monotonic();
+    recordCrash(table, {part: 'part', level, start: `e${level}/1`, atMs});
+    await clock.advance(100);
+  }
+  assert.deepEqual(table.listCondemned(), []);
+});
+
 test.run();
