Replace voters that are not listed any more before they are removed

What callers and operators saw: nothing yet. If the settings of a group name other hosts than before (three hosts a, b, c become a, d, e), a leader with the new settings removes b and c one right after the other. Until a spare has caught up the group then consists of one disk, and what it acknowledges lies on that disk alone. With one host exchanged, two voters are left, of which none may fail.

Cause: a voter with the reason "unlisted" was removed at once, whether or not a host could take its place.

Change: it is removed without a successor only if no listed host is without a vote. Otherwise a learner is promoted first, and the voter is removed when their number is even, like other lost voters.

Evidence: "voters that are not listed any more are removed after their replacement" (plan_membership_test.ts) failed before: the voters became "ac" with no learner caught up.

--- a/src/coordination/replication/plan_membership.ts
+++ b/src/coordination/replication/plan_membership.ts
@@ -101,7 +101,8 @@
 /**
  * Finds a voter to remove without a successor. If the number of voters is even,
  * that lowers the number of votes that a majority needs; otherwise a lost voter
- * is kept, since it may return.
+ * is kept, since it may return. One that is not listed any more is kept only
+ * while a listed host can take its place.
  */
 function findRemovable(
   view: MembershipView,
@@ -109,7 +110,7 @@
 ): VoterView | undefined {
   const {length} = view.voters;
   const unlisted = lost.find(({reason}) => reason === 'unlisted');
-  if (unlisted) return unlisted.voter;
+  if (unlisted && !hasSpareHost(view)) return unlisted.voter;
   if (length % 2 === 0 && lost[0]) return lost[0].voter;
   if (length > view.voterCount) return findSurplus(view);
   // The number is even after a promotion in the place of a lost voter.
@@ -117,6 +118,12 @@
   return undefined;
 }
 
+/** Whether a listed host has no vote. */
+function hasSpareHost(view: MembershipView): boolean {
+  const voting = new Set(view.voters.map(({member}) => member.name));
+  return view.hosts.some(({name}) => !voting.has(name));
+}
+
 /** Finds the voter that is silent for longest, if one seems to be lost. */
 function findSilent(view: MembershipView): VoterView | undefined {
   return view.voters
--- a/src/coordination/replication/plan_membership_test.ts
+++ b/src/coordination/replication/plan_membership_test.ts
@@ -289,4 +289,32 @@
   assert.equal(planMembership(view), {type: 'none'});
 });
 
+// Guards against a group that shrinks to a single disk while its hosts are
+// exchanged in the settings: voters were removed before others took their place.
+test('voters that are not listed any more are removed after their replacement', () => {
+  const hosts = ['a', 'd', 'e'].map(name => ({
+    name,
+    region: 'r',
+    dataCentre: name,
+  }));
+  const descriptions = new Map(
+    ['d', 'e'].map(name => [name, {incarnation: `${name}1`, formed: true}]),
+  );
+  const listSteps = (caughtUp: boolean) => {
+    const learners = [{member: createMember('d'), caughtUp}];
+    const view = {hosts, descriptions, learners, spareCount: 1};
+    return listChanged(createView(view));
+  };
+  assert.is(listSteps(false), undefined);
+  assert.is(listSteps(true), 'abcd');
+  const voters = ['a', 'b', 'c', 'd'].map(name => ({
+    member: createMember(name),
+    sinceContactMs: 0,
+  }));
+  assert.is(listChanged(createView({hosts, descriptions, voters})), 'acd');
+  const two = hosts.slice(0, 1).concat(HOSTS.slice(1, 2));
+  const without = {hosts: two, descriptions: new Map()};
+  assert.is(listChanged(createView(without)), 'ab');
+});
+
 test.run();
