Take only a member with a new disk for a successor

What callers and operators saw: nothing yet. In a rolling restart of nine core daemons a voter that is down for 1.5 s or longer is replaced if an idle spare restarted up to 10 s before it. Both changes of voters are needless.

Cause: a replica said that it had started with an empty disk whenever its log was empty. Spares beyond those kept as learners get no entries, so their logs stay empty, and each of their restarts was evidence of a lost voter.

Change: the log says whether its data folder was created when it was opened. Only then does the replica say so. A successor that restarts before it got its first entry is no evidence any more; the lost voter is then replaced by its silence.

Evidence: "a voter that restarts is not replaced because a spare restarted before" (find_lost_voters_test.ts) failed before: the voter a was replaced by f.

--- /dev/null
+++ b/src/coordination/replication/find_lost_voters_test.ts
@@ -0,0 +1,72 @@
+/** Tests which voters a running group takes for lost. */
+import {test} from 'uvu';
+import * as assert from 'uvu/assert';
+import {createDraws} from '../../protocol/seeded_draws.ts';
+import {formatMember} from './member.ts';
+import {SimulatedGroup} from './simulated_group.ts';
+
+const NINE = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h', 'i'];
+
+const VOTER_COUNT = 5;
+
+/** Longer than a start by which a member may be the successor of a voter. */
+const CALM_MS = 30_000;
+
+/** Shorter than the silence after which a voter is replaced without evidence. */
+const RESTART_MS = 3_000;
+
+async function startNine(): Promise<SimulatedGroup> {
+  const random = createDraws(1).next;
+  const group = new SimulatedGroup({
+    hosts: NINE,
+    voterCount: VOTER_COUNT,
+    random,
+  });
+  await group.startAll();
+  assert.ok(await group.runUntil(() => group.isHealthy(), 5_000), 'formed');
+  return group;
+}
+
+function getLeader(group: SimulatedGroup): string {
+  const [leader] = group.listLeaders();
+  if (leader === undefined) throw new Error('Could not find a leader');
+  return leader;
+}
+
+function listVoters(group: SimulatedGroup): string[] {
+  const {replica} = group.getHost(getLeader(group));
+  return (replica?.membership?.voters ?? []).map(formatMember).sort();
+}
+
+function listOthers(group: SimulatedGroup): string[] {
+  const leader = getLeader(group);
+  return NINE.filter(name => name !== leader && group.hosts.has(name));
+}
+
+async function restart(group: SimulatedGroup, name: string, ms: number) {
+  group.crash(name);
+  await group.run(ms);
+  await group.start(name);
+}
+
+// Guards against needless changes of voters in a rolling restart: an idle spare
+// that restarts has an empty disk, but not a new one.
+test('a voter that restarts is not replaced because a spare restarted before', async () => {
+  const group = await startNine();
+  await group.run(CALM_MS);
+  const voters = listVoters(group);
+  const idle = NINE.find(
+    name => group.getHost(name).replica?.membership === null,
+  );
+  const voter = listOthers(group).find(name =>
+    group.isVoter(group.getHost(name)),
+  );
+  assert.ok(idle !== undefined && voter !== undefined);
+  await restart(group, idle, 1_000);
+  await restart(group, voter, RESTART_MS);
+  await group.run(2_000);
+  assert.equal(listVoters(group), voters);
+  assert.equal(group.violations, []);
+});
+
+test.run();
--- a/src/coordination/replication/replica.ts
+++ b/src/coordination/replication/replica.ts
@@ -191,7 +191,7 @@
   private readonly receiver = new SnapshotReceiver();
   private readonly contacts = new MemberContacts();
   private readonly self: Member;
-  /** When it was opened with an empty disk, on the monotonic clock. */
+  /** When it was opened with a new disk, on the monotonic clock. */
   private readonly emptySince: number | null;
   private leadership: Leadership | null = null;
   private currentLeader: string | null = null;
@@ -228,8 +228,7 @@
   private constructor(private readonly options: ReplicaOptions<C, R>) {
     const {clock, storage, name} = options;
     this.self = {name, incarnation: storage.incarnation};
-    const isEmpty = storage.snapshot === null && storage.lastIndex === 0;
-    this.emptySince = isEmpty ? clock.monotonic() : null;
+    this.emptySince = storage.isNew ? clock.monotonic() : null;
     this.appendWake = createSignal(clock);
     this.proposals = new ProposalQueue(clock);
     this.memberships = new MembershipHistory(storage);
--- a/src/protocol/replication.ts
+++ b/src/protocol/replication.ts
@@ -112,8 +112,8 @@
   /** Index of the last entry on its disk; absent from earlier versions. */
   readonly lastIndex?: number;
   /**
-   * How long ago it started with an empty disk, in ms. Absent if the disk had
-   * content, and from earlier versions.
+   * How long ago it started with a new disk, in ms. Absent if it had started
+   * with that disk before.
    */
   readonly emptySinceMs?: number;
 }
--- a/src/state/log/file_log.ts
+++ b/src/state/log/file_log.ts
@@ -63,6 +63,7 @@
 /** The in-memory state of an open log. */
 interface Contents {
   incarnation: string;
+  isNew: boolean;
   hardState: HardState;
   snapshot: SnapshotHead | null;
   snapshotBytes: number;
@@ -96,7 +97,8 @@
     const {files, folder} = options;
     await files.makeFolder(folder);
     const names = await files.list(folder);
-    const incarnation = await loadIncarnation(files, folder, names);
+    const known = await loadIncarnation(files, folder, names);
+    const incarnation = known ?? (await createIncarnation(files, folder));
     const {head, bytes} = await readSnapshotHead(files, folder);
     const replayed = await replaySegments({
       files,
@@ -107,6 +109,7 @@
     const contents: Contents = {
       ...replayed,
       incarnation,
+      isNew: known === null,
       snapshot: head,
       snapshotBytes: bytes,
       baseTerm: replayed.baseIndex === 0 ? 0 : null,
@@ -120,6 +123,10 @@
     return this.contents.incarnation;
   }
 
+  get isNew(): boolean {
+    return this.contents.isNew;
+  }
+
   get hardState(): HardState {
     return this.contents.hardState;
   }
@@ -374,12 +381,12 @@
   return code === 'ENOSPC' || code === 'EDQUOT';
 }
 
-/** Reads the folder's incarnation, and creates one in an empty folder. */
+/** Reads the folder's incarnation; `null` if the folder is empty. */
 async function loadIncarnation(
   files: FileSystem,
   folder: string,
   names: readonly string[],
-): Promise<string> {
+): Promise<string | null> {
   const path = join(folder, 'identity');
   const bytes = await files.read(path);
   if (bytes) {
@@ -394,6 +401,14 @@
   if (listSegments(names).length > 0 || names.includes('snapshot')) {
     throw new CorruptLogError(`Could not find "${path}" beside its log`);
   }
+  return null;
+}
+
+async function createIncarnation(
+  files: FileSystem,
+  folder: string,
+): Promise<string> {
+  const path = join(folder, 'identity');
   const incarnation = createIdentifier('disk');
   await replaceFile(files, path, encodeFrame({incarnation}));
   return incarnation;
--- a/src/state/log/log_storage.ts
+++ b/src/state/log/log_storage.ts
@@ -32,6 +32,8 @@
 export interface LogStorage extends AsyncDisposable {
   /** Created with the data folder, so a replaced disk has a different one. */
   readonly incarnation: string;
+  /** Whether the data folder was created when this log was opened. */
+  readonly isNew: boolean;
   readonly hardState: HardState;
   /** The first readable entry; `lastIndex + 1` if there is none. */
   readonly firstIndex: number;
