Tell followers which new members explain a repaired loss

What callers and operators saw: nothing yet. A host was lost, a spare took its place, and the leader restarted within 10 s of the successor's start: the next leader replaced that voter as well, two needless changes.

Cause: each start with a new disk explains one loss, but only the leader that had repaired it knew which. For the next one the successor, which stands by without a vote, was evidence of a second loss.

Change: appends name these members next to the silent voters, as long as they are listed and do not vote; the next leader goes on from there. The field is optional, so earlier versions ignore it and a leader of an earlier version passes none on.

Evidence: "a new member is evidence of one loss, also for the next leader" (find_lost_voters_test.ts) failed before: e, which had led, was replaced by g. It passes now.

--- a/src/coordination/replication/find_lost_voters.ts
+++ b/src/coordination/replication/find_lost_voters.ts
@@ -1,4 +1,5 @@
 /** Decides which voters count as lost for good. */
+import type {Member} from '../../protocol/replication.ts';
 import {formatMember, isSameMember, type ReplicaHost} from './member.ts';
 import type {MembershipView, VoterView} from './plan_membership.ts';
 
@@ -30,7 +31,7 @@
   readonly voter: VoterView;
   readonly reason: LossReason;
   /** The member that is evidence of the loss, if the reason is 'succeeded'. */
-  readonly successor?: string;
+  readonly successor?: Member;
 }
 
 /**
@@ -57,7 +58,7 @@
     );
     const [successor] = index < 0 ? [] : successors.splice(index, 1);
     if (!successor) continue;
-    lost.push({voter, reason: 'succeeded', successor: successor.id});
+    lost.push({voter, reason: 'succeeded', successor: successor.member});
   }
   return lost;
 }
@@ -101,15 +102,16 @@
 function listSuccessors(
   view: MembershipView,
   lost: readonly LostVoter[],
-): Array<{id: string; ageMs: number}> {
+): Array<{member: Member; ageMs: number}> {
   const voting = new Set(view.voters.map(({member}) => formatMember(member)));
   const reserved = new Set(lost.map(({voter}) => voter.member.name));
-  const successors: Array<{id: string; ageMs: number}> = [];
+  const successors: Array<{member: Member; ageMs: number}> = [];
   for (const [name, {incarnation, emptySinceMs}] of view.descriptions) {
-    const id = formatMember({name, incarnation});
+    const member = {name, incarnation};
+    const id = formatMember(member);
     if (emptySinceMs === undefined || reserved.has(name)) continue;
     if (voting.has(id) || view.knownSuccessors.has(id)) continue;
-    successors.push({id, ageMs: emptySinceMs});
+    successors.push({member, ageMs: emptySinceMs});
   }
   return successors.sort((a, b) => a.ageMs - b.ageMs);
 }
--- a/src/coordination/replication/find_lost_voters_test.ts
+++ b/src/coordination/replication/find_lost_voters_test.ts
@@ -43,6 +43,11 @@
   return NINE.filter(name => name !== leader && group.hosts.has(name));
 }
 
+/** Lists the hosts that have got no entries yet. */
+function listIdle(group: SimulatedGroup): string[] {
+  return NINE.filter(name => group.getHost(name).replica?.membership === null);
+}
+
 async function restart(group: SimulatedGroup, name: string, ms: number) {
   group.crash(name);
   await group.run(ms);
@@ -55,9 +60,7 @@
   const group = await startNine();
   await group.run(CALM_MS);
   const voters = listVoters(group);
-  const idle = NINE.find(
-    name => group.getHost(name).replica?.membership === null,
-  );
+  const [idle] = listIdle(group);
   const voter = listOthers(group).find(name =>
     group.isVoter(group.getHost(name)),
   );
@@ -69,4 +72,28 @@
   assert.equal(group.violations, []);
 });
 
+// Guards against needless changes of voters under a new leader, to which a new
+// member was evidence of a second loss, as the first was repaired before.
+test('a new member is evidence of one loss, also for the next leader', async () => {
+  const group = await startNine();
+  await group.run(CALM_MS);
+  const [lost] = listOthers(group).filter(name =>
+    group.isVoter(group.getHost(name)),
+  );
+  assert.ok(lost !== undefined);
+  group.loseDisk(lost);
+  const successor = listIdle(group)[0];
+  assert.ok(successor !== undefined);
+  group.loseDisk(successor);
+  await group.run(1_500);
+  await group.start(successor);
+  await group.run(2_500);
+  const voters = listVoters(group);
+  assert.not(voters.some(voter => voter.startsWith(`${lost}/`)));
+  await restart(group, getLeader(group), RESTART_MS);
+  await group.run(2_000);
+  assert.equal(listVoters(group), voters);
+  assert.equal(group.violations, []);
+});
+
 test.run();
--- a/src/coordination/replication/leadership.ts
+++ b/src/coordination/replication/leadership.ts
@@ -43,7 +43,7 @@
   readonly stopped = new AbortController();
   readonly learners = new Map<string, Member>();
   /** Members whose start explains a loss that was repaired. */
-  readonly knownSuccessors = new Set<string>();
+  readonly knownSuccessors = new Map<string, Member>();
   /** True once a leadership transfer began; refuses new proposals. */
   isTransferring = false;
   private readonly progresses = new Map<string, PeerProgress>();
--- a/src/coordination/replication/member_contacts.ts
+++ b/src/coordination/replication/member_contacts.ts
@@ -1,9 +1,11 @@
 /**
- * What a follower knows of the contact of the other members.
+ * What a follower knows of the contact and the losses of the other members.
  *
- * A leader tells its followers which voters are silent and for how long. The
- * next leader goes on from there: a voter that was lost under one leader would
- * otherwise count as present again under the next one.
+ * A leader tells its followers which voters are silent and for how long, and
+ * which new members explain a loss that was repaired. The next leader goes on
+ * from there: a voter that was lost under one leader would otherwise count as
+ * present again under the next one, and one new member as evidence of two
+ * losses.
  */
 import type {Member, SilentMember} from '../../protocol/replication.ts';
 import {formatMember} from './member.ts';
@@ -13,6 +15,7 @@
   /** When it was received, on the monotonic clock. */
   readonly receivedAt: number;
   readonly silentMs: ReadonlyMap<string, number>;
+  readonly knownSuccessors: readonly Member[];
 }
 
 /** Holds the last report. */
@@ -20,11 +23,20 @@
   private report: ContactReport | null = null;
 
   /** Replaces the report; members that it does not list were in contact. */
-  record(silent: readonly SilentMember[], receivedAt: number): void {
+  record(
+    silent: readonly SilentMember[],
+    knownSuccessors: readonly Member[],
+    receivedAt: number,
+  ): void {
     const silentMs = new Map(
       silent.map(each => [formatMember(each), each.silentMs]),
     );
-    this.report = {receivedAt, silentMs};
+    this.report = {receivedAt, silentMs, knownSuccessors};
+  }
+
+  /** The members whose start explains a loss that was repaired. */
+  get knownSuccessors(): readonly Member[] {
+    return this.report?.knownSuccessors ?? [];
   }
 
   /**
--- a/src/coordination/replication/peer_replicator.ts
+++ b/src/coordination/replication/peer_replicator.ts
@@ -3,6 +3,7 @@
 import type {
   AppendReply,
   InstallReply,
+  Member,
   ReplicationService,
   SilentMember,
 } from '../../protocol/replication.ts';
@@ -66,6 +67,8 @@
   readonly getHeartbeatMs: () => number;
   /** Lists the voters that do not answer. */
   readonly listSilent: () => readonly SilentMember[];
+  /** Lists the members whose start explains a loss that was repaired. */
+  readonly listKnownSuccessors: () => readonly Member[];
   /** Called after the peer has synced more entries. */
   readonly onProgress: () => void;
   /** Called when the peer reports a later term. */
@@ -119,6 +122,7 @@
   const sentAt = options.clock.monotonic();
   const commitIndex = options.getCommitIndex();
   const silent = options.listSilent();
+  const knownSuccessors = options.listKnownSuccessors();
   const reply = await peer.append(
     {
       group,
@@ -130,6 +134,9 @@
       entries: storage.read(progress.nextIndex, last, APPEND_SOFT_LIMIT_BYTES),
       commitIndex,
       ...(silent.length > 0 ? {silent: [...silent]} : {}),
+      ...(knownSuccessors.length > 0
+        ? {knownSuccessors: [...knownSuccessors]}
+        : {}),
     },
     APPEND_TIMEOUT_MS,
   );
--- a/src/coordination/replication/repair_membership.ts
+++ b/src/coordination/replication/repair_membership.ts
@@ -107,7 +107,7 @@
       caughtUp: hasCaughtUp(options, member),
     })),
     descriptions: probes.list(),
-    knownSuccessors: leadership.knownSuccessors,
+    knownSuccessors: new Set(leadership.knownSuccessors.keys()),
     firstIndex: options.getFirstIndex(),
   };
 }
@@ -150,7 +150,8 @@
       for (const voter of voters) leadership.learners.delete(voter);
       const [first] = step.lost;
       if (step.voters.length > view.voters.length && first?.successor) {
-        leadership.knownSuccessors.add(first.successor);
+        const {successor} = first;
+        leadership.knownSuccessors.set(formatMember(successor), successor);
       }
     } else {
       logger.warn('Could not change the voters.', {group, voters});
--- a/src/coordination/replication/replica.ts
+++ b/src/coordination/replication/replica.ts
@@ -42,6 +42,7 @@
 import {Leadership, type PeerProgress} from './leadership.ts';
 import {
   findMajorityValue,
+  formatMember,
   includesMember,
   isSameMember,
   type ReplicaHost,
@@ -399,7 +400,11 @@
         return {term: this.term, accepted: false, matchIndex, formed};
       };
       if (!(await this.acceptLeader(request))) return reject(0);
-      this.contacts.record(request.silent ?? [], this.leaderContactAt);
+      this.contacts.record(
+        request.silent ?? [],
+        request.knownSuccessors ?? [],
+        this.leaderContactAt,
+      );
       if (!formed) return reject(0);
       const {previousIndex} = request;
       if (previousIndex > storage.lastIndex) return reject(storage.lastIndex);
@@ -637,7 +642,8 @@
   private endLeadership(): void {
     if (this.leadership) {
       const now = this.options.clock.monotonic();
-      this.contacts.record(this.listSilent(0), now);
+      const silent = this.listSilent(0);
+      this.contacts.record(silent, this.listKnownSuccessors(), now);
     }
     this.leadership?.end();
     this.leadership = null;
@@ -871,6 +877,9 @@
       this.currentLeader = name;
       const serve = (progress: PeerProgress) => this.servePeer(progress, term);
       const created = new Leadership({term, startIndex, clock, serve});
+      for (const member of this.contacts.knownSuccessors) {
+        created.knownSuccessors.set(formatMember(member), member);
+      }
       this.leadership = created;
       return created;
     });
@@ -898,6 +907,7 @@
             ? HEARTBEAT_MS
             : LEARNER_HEARTBEAT_MS,
         listSilent: () => this.listSilent(REACHABLE_MS),
+        listKnownSuccessors: () => this.listKnownSuccessors(),
         onProgress: () => this.advanceCommit(),
         onLaterTerm: later => {
           void this.observeTerm(later).catch(error => this.logFailure(error));
@@ -943,6 +953,21 @@
       }));
   }
 
+  /**
+   * Lists the listed members without a vote whose start explains a loss that
+   * was repaired; the others are no evidence of a loss anyway.
+   */
+  private listKnownSuccessors(): Member[] {
+    const {leadership, membership} = this;
+    if (!leadership || leadership.knownSuccessors.size === 0) return [];
+    const listed = new Set(this.options.listHosts().map(({name}) => name));
+    return [...leadership.knownSuccessors.values()].filter(
+      member =>
+        listed.has(member.name) &&
+        !(membership && includesMember(membership, member)),
+    );
+  }
+
   private async repairMembership(leadership: Leadership): Promise<void> {
     const {group, listHosts, voterCount, clock, logger} = this.options;
     await repairMembership({
--- a/src/protocol/replication.ts
+++ b/src/protocol/replication.ts
@@ -67,6 +67,11 @@
   commitIndex: z.int(),
   /** The voters that do not answer; absent from earlier versions. */
   silent: z.array(silentMemberSchema).optional(),
+  /**
+   * Members whose start explains a loss that was repaired; absent from earlier
+   * versions.
+   */
+  knownSuccessors: z.array(memberSchema).optional(),
 });
 
 export type AppendRequest = z.infer<typeof appendRequestSchema>;
