Replace a voter whose disk has failed while its host still answers

What callers and operators saw: nothing yet. After a failed sync a replica stops writing, but its process goes on. Its voter was never replaced, so the group bore one loss less until somebody restarted the daemon. A spare in that state kept its place as a learner for good; with all spares in it a lost voter was not replaced either.

Cause: the replica refused appends and votes but still described itself, with the same incarnation as before. The leader takes such an answer for a sign of life: neither the silence nor the disk counted as lost.

Change: a replica whose disk has failed rejects the request for its description, like appends and votes. The voter is then replaced after its silence, and the spare makes room for another one.

Evidence: "a voter whose disk has failed is replaced while its host still answers" and "a spare whose disk has failed makes room for another one" (find_lost_voters_test.ts) failed before, 12 s after the fault, and pass now (4 of 4). replica_test.ts 12 of 12, group_watch_test.ts and safety_checks_test.ts pass.

--- a/src/cli/serve/replication_service.ts
+++ b/src/cli/serve/replication_service.ts
@@ -18,7 +18,7 @@
     vote: async request => find(request).handleVote(request),
     append: async request => find(request).handleAppend(request),
     installSnapshot: async request => find(request).handleInstall(request),
-    describeReplica: async request => find(request).describe(),
+    describeReplica: async request => find(request).handleDescribe(),
     formGroup: async request => find(request).handleForm(request),
     transferLeadership: async request => find(request).handleTransfer(request),
   };
--- a/src/cli/serve_site/core.ts
+++ b/src/cli/serve_site/core.ts
@@ -285,7 +285,7 @@
     vote: request => replica.handleVote(request),
     append: request => replica.handleAppend(request),
     installSnapshot: request => replica.handleInstall(request),
-    describeReplica: async () => replica.describe(),
+    describeReplica: () => replica.handleDescribe(),
     formGroup: request => replica.handleForm(request),
     transferLeadership: request => replica.handleTransfer(request),
     propose: ({command}) => replica.propose(command as RoutingCommand),
--- a/src/coordination/replication/find_lost_voters_test.ts
+++ b/src/coordination/replication/find_lost_voters_test.ts
@@ -15,6 +15,9 @@
 /** Shorter than the silence after which a voter is replaced without evidence. */
 const RESTART_MS = 3_000;
 
+/** The time until a voter is replaced for its silence alone, and 4 s. */
+const REPLACE_MS = 12_000;
+
 async function startNine(): Promise<SimulatedGroup> {
   const random = createDraws(1).next;
   const group = new SimulatedGroup({
@@ -48,6 +51,13 @@
   return NINE.filter(name => group.getHost(name).replica?.membership === null);
 }
 
+/** Lets all writes of a host fail from now on. */
+function failDisk(group: SimulatedGroup, name: string): void {
+  group.getHost(name).files.beforeChange = () => {
+    throw Object.assign(new Error('the disk failed'), {code: 'EIO'});
+  };
+}
+
 async function restart(group: SimulatedGroup, name: string, ms: number) {
   group.crash(name);
   await group.run(ms);
@@ -96,4 +106,41 @@
   assert.equal(group.violations, []);
 });
 
+// Guards against a lost disk that is never replaced: a replica whose disk failed
+// goes on running, and its description was taken for that of a sound voter.
+test('a voter whose disk has failed is replaced while its host still answers', async () => {
+  const group = await startNine();
+  await group.run(CALM_MS);
+  const [failed] = listOthers(group).filter(name =>
+    group.isVoter(group.getHost(name)),
+  );
+  assert.ok(failed !== undefined);
+  failDisk(group, failed);
+  void group.propose('written');
+  await group.run(REPLACE_MS);
+  assert.not(group.isVoter(group.getHost(failed)), 'replaced');
+  assert.equal(group.violations, []);
+});
+
+// Guards against a spare that never catches up and keeps others from its place.
+test('a spare whose disk has failed makes room for another one', async () => {
+  const group = await startNine();
+  await group.run(CALM_MS);
+  const spares = NINE.filter(
+    name =>
+      !group.isVoter(group.getHost(name)) && !listIdle(group).includes(name),
+  );
+  for (const spare of spares) failDisk(group, spare);
+  void group.propose('written');
+  await group.run(1_000);
+  const [lost] = listOthers(group).filter(name =>
+    group.isVoter(group.getHost(name)),
+  );
+  assert.ok(spares.length > 0 && lost !== undefined);
+  group.crash(lost);
+  await group.run(REPLACE_MS);
+  assert.not(group.isVoter(group.getHost(lost)), 'replaced');
+  assert.equal(group.violations, []);
+});
+
 test.run();
--- a/src/coordination/replication/replica.ts
+++ b/src/coordination/replication/replica.ts
@@ -354,6 +354,15 @@
     return {...description, emptySinceMs};
   }
 
+  /**
+   * Handles another member's request for the description. A replica whose disk
+   * has failed rejects it: it would otherwise count as one that can vote.
+   */
+  async handleDescribe(): Promise<ReplicaDescription> {
+    this.checkRecipient(this.self.incarnation);
+    return this.describe();
+  }
+
   /** Handles a request to join a newly formed group. */
   async handleForm(request: FormRequest): Promise<ReplicaDescription> {
     if (request.to === this.self.incarnation) {
--- a/src/coordination/replication/simulated_network.ts
+++ b/src/coordination/replication/simulated_network.ts
@@ -156,7 +156,7 @@
     case 'installSnapshot':
       return replica.handleInstall(request as never);
     case 'describeReplica':
-      return replica.describe();
+      return replica.handleDescribe();
     case 'formGroup':
       return replica.handleForm(request as never);
     case 'transferLeadership':
