Do not take the first spares of a group for successors

What callers and operators saw: nothing yet. In the first seconds after a group was formed a voter that restarted was replaced, two needless changes.

Cause: the spares of a new system have new disks, like successors, so each was evidence of a lost voter for 10 s.

Change: the first leader of a group, whose term opens the log, counts the new members that started before it among those that explain no loss. It tells its followers of them as of the others. They are dropped once they are too old to be evidence, so the appends do not name them for good. Spares that start after the first leader was elected are still taken for successors.

--- a/src/coordination/replication/find_lost_voters.ts
+++ b/src/coordination/replication/find_lost_voters.ts
@@ -7,7 +7,7 @@
  * A member that started with an empty disk at most this long before a voter
  * fell silent may be its successor: planned ones start first.
  */
-const SUCCESSOR_LEAD_MS = 10_000;
+export const SUCCESSOR_LEAD_MS = 10_000;
 
 /**
  * A leader that has just been elected waits this long for the answers to its own
--- a/src/coordination/replication/leadership.ts
+++ b/src/coordination/replication/leadership.ts
@@ -42,7 +42,7 @@
   readonly since: number;
   readonly stopped = new AbortController();
   readonly learners = new Map<string, Member>();
-  /** Members whose start explains a loss that was repaired. */
+  /** New members whose start is no evidence of a loss, or not any more. */
   readonly knownSuccessors = new Map<string, Member>();
   /** True once a leadership transfer began; refuses new proposals. */
   isTransferring = false;
--- a/src/coordination/replication/repair_membership.ts
+++ b/src/coordination/replication/repair_membership.ts
@@ -1,8 +1,13 @@
 /** The leader's task that repairs the membership automatically. */
 import type {Clock} from '../../protocol/clock.ts';
 import type {Logger} from '../../protocol/logger.ts';
-import type {Member, Membership} from '../../protocol/replication.ts';
+import type {
+  Member,
+  Membership,
+  ReplicaDescription,
+} from '../../protocol/replication.ts';
 import {ContactLog} from './contact_log.ts';
+import {SUCCESSOR_LEAD_MS} from './find_lost_voters.ts';
 import {HostProbes} from './host_probes.ts';
 import type {Leadership} from './leadership.ts';
 import {formatMember, type ReplicaHost} from './member.ts';
@@ -92,9 +97,13 @@
   probes.refresh(
     hosts.filter(({name}) => name !== self.name && !inContact.has(name)),
   );
+  const leadingMs = clock.monotonic() - leadership.since;
+  const descriptions = probes.list();
+  recordInitialMembers(leadership, descriptions, leadingMs);
+  pruneSuccessors(options, descriptions);
   return {
     leader: self,
-    leadingMs: clock.monotonic() - leadership.since,
+    leadingMs,
     hosts,
     voterCount: options.voterCount,
     spareCount: options.spareCount,
@@ -106,12 +115,43 @@
       member,
       caughtUp: hasCaughtUp(options, member),
     })),
-    descriptions: probes.list(),
+    descriptions,
     knownSuccessors: new Set(leadership.knownSuccessors.keys()),
     firstIndex: options.getFirstIndex(),
   };
 }
 
+/**
+ * Records the spares that started before the first leader of the group: they
+ * came with it, and succeed no voter.
+ */
+function recordInitialMembers(
+  {startIndex, knownSuccessors}: Leadership,
+  descriptions: ReadonlyMap<string, ReplicaDescription>,
+  leadingMs: number,
+): void {
+  if (startIndex > 1) return;
+  for (const [name, {incarnation, emptySinceMs = 0}] of descriptions) {
+    const member = {name, incarnation};
+    if (emptySinceMs <= leadingMs) continue;
+    knownSuccessors.set(formatMember(member), member);
+  }
+}
+
+/** Drops the known successors that are too old to be evidence of a loss. */
+function pruneSuccessors(
+  {leadership: {knownSuccessors}, replaceAfterMs}: MembershipRepairOptions,
+  descriptions: ReadonlyMap<string, ReplicaDescription>,
+): void {
+  const maxAgeMs = replaceAfterMs + SUCCESSOR_LEAD_MS;
+  for (const [id, {name}] of knownSuccessors) {
+    const answer = descriptions.get(name);
+    if (!answer) continue;
+    const {emptySinceMs = Infinity} = answer;
+    if (emptySinceMs > maxAgeMs) knownSuccessors.delete(id);
+  }
+}
+
 /** Whether a member had synced all that was committed a moment ago. */
 function hasCaughtUp(
   {leadership, clock}: MembershipRepairOptions,
