--- a/src/coordination/replication/leadership.ts
+++ b/src/coordination/replication/leadership.ts
@@ -42,8 +42,8 @@
   readonly since: number;
   readonly stopped = new AbortController();
   readonly learners = new Map<string, Member>();
-  /** Members whose start explains a loss that was repaired. */
-  readonly knownSuccessors = new Set<string>();
+  /** New members whose start is no evidence of a loss, or not any more. */
+  readonly knownSuccessors = new Map<string, Member>();
   /** True once a leadership transfer began; refuses new proposals. */
   isTransferring = false;
   private readonly progresses = new Map<string, PeerProgress>();
--- a/src/coordination/replication/replica.ts
+++ b/src/coordination/replication/replica.ts
@@ -42,6 +42,7 @@
 import {Leadership, type PeerProgress} from './leadership.ts';
 import {
   findMajorityValue,
+  formatMember,
   includesMember,
   isSameMember,
   type ReplicaHost,
@@ -191,7 +192,7 @@
   private readonly receiver = new SnapshotReceiver();
   private readonly contacts = new MemberContacts();
   private readonly self: Member;
-  /** When it was opened with an empty disk, on the monotonic clock. */
+  /** When it was opened with a new disk, on the monotonic clock. */
   private readonly emptySince: number | null;
   private leadership: Leadership | null = null;
   private currentLeader: string | null = null;
@@ -228,8 +229,7 @@
   private constructor(private readonly options: ReplicaOptions<C, R>) {
     const {clock, storage, name} = options;
     this.self = {name, incarnation: storage.incarnation};
-    const isEmpty = storage.snapshot === null && storage.lastIndex === 0;
-    this.emptySince = isEmpty ? clock.monotonic() : null;
+    this.emptySince = storage.isNew ? clock.monotonic() : null;
     this.appendWake = createSignal(clock);
     this.proposals = new ProposalQueue(clock);
     this.memberships = new MembershipHistory(storage);
@@ -354,6 +354,15 @@
     return {...description, emptySinceMs};
   }
 
+  /**
+   * Handles another member's request for the description. A replica whose disk
+   * has failed rejects it: it would otherwise count as one that can vote.
+   */
+  async handleDescribe(): Promise<ReplicaDescription> {
+    this.checkRecipient(this.self.incarnation);
+    return this.describe();
+  }
+
   /** Handles a request to join a newly formed group. */
   async handleForm(request: FormRequest): Promise<ReplicaDescription> {
     if (request.to === this.self.incarnation) {
@@ -400,7 +409,11 @@
         return {term: this.term, accepted: false, matchIndex, formed};
       };
       if (!(await this.acceptLeader(request))) return reject(0);
-      this.contacts.record(request.silent ?? [], this.leaderContactAt);
+      this.contacts.record(
+        request.silent ?? [],
+        request.knownSuccessors ?? [],
+        this.leaderContactAt,
+      );
       if (!formed) return reject(0);
       const {previousIndex} = request;
       if (previousIndex > storage.lastIndex) return reject(storage.lastIndex);
@@ -638,7 +651,8 @@
   private endLeadership(): void {
     if (this.leadership) {
       const now = this.options.clock.monotonic();
-      this.contacts.record(this.listSilent(0), now);
+      const silent = this.listSilent(0);
+      this.contacts.record(silent, this.listKnownSuccessors(), now);
     }
     this.leadership?.end();
     this.leadership = null;
@@ -872,6 +886,9 @@
       this.currentLeader = name;
       const serve = (progress: PeerProgress) => this.servePeer(progress, term);
       const created = new Leadership({term, startIndex, clock, serve});
+      for (const member of this.contacts.knownSuccessors) {
+        created.knownSuccessors.set(formatMember(member), member);
+      }
       this.leadership = created;
       return created;
     });
@@ -899,6 +916,7 @@
             ? HEARTBEAT_MS
             : LEARNER_HEARTBEAT_MS,
         listSilent: () => this.listSilent(REACHABLE_MS),
+        listKnownSuccessors: () => this.listKnownSuccessors(),
         onProgress: () => this.advanceCommit(),
         onLaterTerm: later => {
           void this.observeTerm(later).catch(error => this.logFailure(error));
@@ -944,6 +962,21 @@
       }));
   }
 
+  /**
+   * Lists the listed members without a vote whose start explains a loss that
+   * was repaired; the others are no evidence of a loss anyway.
+   */
+  private listKnownSuccessors(): Member[] {
+    const {leadership, membership} = this;
+    if (!leadership || leadership.knownSuccessors.size === 0) return [];
+    const listed = new Set(this.options.listHosts().map(({name}) => name));
+    return [...leadership.knownSuccessors.values()].filter(
+      member =>
+        listed.has(member.name) &&
+        !(membership && includesMember(membership, member)),
+    );
+  }
+
   private async repairMembership(leadership: Leadership): Promise<void> {
     const {group, listHosts, voterCount, clock, logger} = this.options;
     await repairMembership({
--- a/src/protocol/replication.ts
+++ b/src/protocol/replication.ts
@@ -67,6 +67,11 @@
   commitIndex: z.int(),
   /** The voters that do not answer; absent from earlier versions. */
   silent: z.array(silentMemberSchema).optional(),
+  /**
+   * Members whose start explains a loss that was repaired; absent from earlier
+   * versions.
+   */
+  knownSuccessors: z.array(memberSchema).optional(),
 });
 
 export type AppendRequest = z.infer<typeof appendRequestSchema>;
@@ -112,8 +117,8 @@
   /** Index of the last entry on its disk; absent from earlier versions. */
   readonly lastIndex?: number;
   /**
-   * How long ago it started with an empty disk, in ms. Absent if the disk had
-   * content, and from earlier versions.
+   * How long ago it started with a new disk, in ms. Absent if it had started
+   * with that disk before.
    */
   readonly emptySinceMs?: number;
 }
