Do not count a leader's own isolation as the silence of others

What callers and operators saw: nothing yet. A voter that had been cut off for 6 s and won the election right after took the whole time since its last report of contacts for silence of the others, and replaced the former leader although it only restarted.

--- a/src/coordination/replication/member_contacts.ts
+++ b/src/coordination/replication/member_contacts.ts
@@ -10,6 +10,12 @@
 import type {Member, SilentMember} from '../../protocol/replication.ts';
 import {formatMember} from './member.ts';
 
+/**
+ * The longest time without a leader that counts as silence of the others: a
+ * member that was without contact for longer may have been cut off itself.
+ */
+const MAX_GAP_MS = 3_000;
+
 /** The last report of a leader, or this member's own view as a leader. */
 interface ContactReport {
   /** When it was received, on the monotonic clock. */
@@ -40,13 +46,13 @@
   }
 
   /**
-   * Returns when a member was last heard of, on the monotonic clock, or `null`
-   * without a report.
+   * Returns when a member was last heard of before this member was elected at
+   * `electedAt`, both on the monotonic clock, or `null` without a report.
    */
-  getLastContactAt(member: Member): number | null {
+  getLastContactAt(member: Member, electedAt: number): number | null {
     const {report} = this;
     if (!report) return null;
     const silentMs = report.silentMs.get(formatMember(member)) ?? 0;
-    return report.receivedAt - silentMs;
+    return Math.max(report.receivedAt, electedAt - MAX_GAP_MS) - silentMs;
   }
 }
--- a/src/coordination/replication/replica.ts
+++ b/src/coordination/replication/replica.ts
@@ -946,7 +946,8 @@
     const now = this.options.clock.monotonic();
     return (this.membership?.voters ?? []).map(member => {
       if (isSameMember(member, self)) return {member, sinceContactMs: 0};
-      const earlierAt = contacts.getLastContactAt(member) ?? this.leaderSince;
+      const earlierAt =
+        contacts.getLastContactAt(member, this.leaderSince) ?? this.leaderSince;
       const contactAt = leadership?.get(member)?.lastContactAt ?? -Infinity;
       return {member, sinceContactMs: now - Math.max(contactAt, earlierAt)};
     });
