--- a/src/coordination/replication/simulated_group.ts
+++ b/src/coordination/replication/simulated_group.ts
@@ -31,6 +31,8 @@
 export interface SimulatedGroupOptions {
   readonly hosts: readonly string[];
   readonly voterCount: number;
+  /** How many learners are kept caught up; as many as a replica keeps by default. */
+  readonly spareCount?: number | undefined;
   /** How many of the hosts bootstrap the group; all by default. */
   readonly bootstrapHostCount?: number;
   /** Returns a number in [0, 1). */
@@ -116,7 +118,7 @@
     host.storage = storage;
     host.incarnation = storage.incarnation;
     host.recorder = this.createRecorder(name);
-    const {hosts, bootstrapHostCount, hasDiscovery} = this.options;
+    const {hosts, bootstrapHostCount, hasDiscovery, spareCount} = this.options;
     const initial = hosts.map(each => this.getPlace(each));
     const seeds = host.bootstraps ? initial.slice(0, bootstrapHostCount) : [];
     host.replica = await Replica.open<string, number>({
@@ -126,6 +128,7 @@
       listHosts: () =>
         hasDiscovery ? this.directory.listHosts(host) : initial,
       voterCount: this.options.voterCount,
+      ...(spareCount === undefined ? {} : {spareCount}),
       storage,
       stateMachine: host.recorder,
       getPeer: to => this.network.createPeer(to, {from: host, log: storage}),
--- a/src/coordination/replication/simulated_network.ts
+++ b/src/coordination/replication/simulated_network.ts
@@ -54,6 +54,15 @@
   readonly request: unknown;
 }
 
+/** A request or a reply, as sent. */
+export interface ObservedMessage {
+  readonly from: string;
+  readonly to: string;
+  readonly method: keyof ReplicationService;
+  readonly isReply: boolean;
+  readonly content: unknown;
+}
+
 /** Carries calls between replicas. */
 export class SimulatedNetwork implements NetworkFaults {
   drop = 0;
@@ -63,6 +72,8 @@
   regionDelayMs = 0;
   /** Hosts that can neither send nor receive. */
   readonly isolated = new Set<string>();
+  /** Receives each request and reply, whether it is lost or not. */
+  observe: ((message: ObservedMessage) => void) | null = null;
 
   constructor(private readonly options: SimulatedNetworkOptions) {}
 
@@ -99,15 +110,30 @@
 
   private async deliver({from, to, ...message}: Message): Promise<unknown> {
     const {findHost} = this.options;
+    const {method} = message;
     const request = structuredClone(message.request);
     const receiver = findHost(to);
+    this.observe?.({
+      from: from.name,
+      to,
+      method,
+      isReply: false,
+      content: request,
+    });
     await this.delayOrDrop(from, receiver, countBytes(request));
     if (!receiver || from.storage !== message.log) return this.neverReply();
     await receiver.clock.waitUntilRunning();
     const {replica} = receiver;
     if (!replica || findHost(to) !== receiver) return this.neverReply();
-    const reply = await handleCall(replica, message.method, request);
+    const reply = await handleCall(replica, method, request);
     if (receiver.replica !== replica) return this.neverReply();
+    this.observe?.({
+      from: to,
+      to: from.name,
+      method,
+      isReply: true,
+      content: reply,
+    });
     await this.delayOrDrop(receiver, from, 0);
     await from.clock.waitUntilRunning();
     return structuredClone(reply);
