Test that a silence counts on under the next leader

Without a successor the silence alone has to outlive the leader.

The new test crashes a voter, and its leader 6 s later, and wants the voter replaced 3 s after the silence of 8 s is over. It passes; on a copy in which MemberContacts knows no report it fails ("replaced").

--- a/src/coordination/replication/core_turnover_test.ts
+++ b/src/coordination/replication/core_turnover_test.ts
@@ -129,10 +129,14 @@
 const INCIDENT_LOSS_MS = 9_000;
 const INCIDENT_SUCCESSOR_MS = 2_000;
 
-async function startFive(): Promise<SimulatedGroup> {
+const FIVE_HOSTS = ['a', 'b', 'c', 'd', 'e'];
+
+async function startGroup(
+  hosts: readonly string[] = FIVE_HOSTS,
+): Promise<SimulatedGroup> {
   const group = new SimulatedGroup({
-    hosts: ['a', 'b', 'c', 'd', 'e'],
-    voterCount: 5,
+    hosts,
+    voterCount: FIVE_HOSTS.length,
     random: createDraws(1).next,
     hasDiscovery: true,
   });
@@ -163,7 +167,7 @@
 // voter was replaced only after a silence that began anew with each leader, so
 // that three of five voters were gone before the first was replaced.
 test('a group outlives the losses of a voter, its leader and another voter 9 s apart', async () => {
-  const group = await startFive();
+  const group = await startGroup();
   const original = [...group.hosts.keys()];
   const listOthers = () => {
     const [leader] = group.listLeaders();
@@ -192,4 +196,32 @@
   assert.deepEqual(group.violations, []);
 });
 
+/** The silence after which a voter without a successor is replaced. */
+const REPLACE_AFTER_MS = 8_000;
+
+/** Old enough a disk that its member is nobody's successor. */
+const SPARE_AGE_MS = 30_000;
+
+// Guards against evidence that begins anew with each leader: a voter that fell
+// silent under one leader was replaced only after a whole silence under the next.
+test('a group goes on counting a silence under its next leader', async () => {
+  const group = await startGroup([...FIVE_HOSTS, 'f', 'g']);
+  await group.run(SPARE_AGE_MS);
+  const [leader = ''] = group.listLeaders();
+  const victim = [...group.hosts.values()].find(
+    host => host.name !== leader && group.isVoter(host),
+  );
+  assert.ok(victim);
+  group.crash(victim.name);
+  await group.run(REPLACE_AFTER_MS - 2_000);
+  assert.deepEqual(group.listLeaders(), [leader]);
+  assert.ok(group.isVoter(victim), 'not replaced by the first leader');
+  group.crash(leader);
+  const isReplaced = () =>
+    group.listLeaders().length > 0 && !group.isVoter(victim);
+  const limitMs = 2_000 + MAX_LEADERLESS_MS;
+  assert.ok(await group.runUntil(isReplaced, limitMs), 'replaced');
+  assert.deepEqual(group.violations, []);
+});
+
 test.run();
