--- a/tools/mutants/main.ts
+++ b/tools/mutants/main.ts
@@ -1,51 +1,53 @@
 /**
- * Shows what each mechanism of the quarantine is worth: runs its tests on copies
- * of the sources in which one mechanism is switched off.
+ * Runs the tests of a mechanism on copies of the sources, in each of which a part
+ * of it is switched off or built in another way, and prints the figures.
  *
- * `npm run mutants:quarantine -- [NAME...]`. PROMPT_CRASH_SEEDS and
- * PROMPT_CRASH_FROM set the histories, as in the test. Ends with an error when
- * no test fails on a copy, or when a text to change is not found once.
+ * `npm run mutants -- SUITE [NAME...]`. The tests read the seeds that they play
+ * from the environment. Ends with an error when a mutant fails no test that
+ * passes on the unchanged sources, or when a text to change is not found once.
  */
 import {execFile} from 'node:child_process';
 import {cp, mkdtemp, readFile, rm, symlink, writeFile} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
-import type {HistoryFigures} from '../../src/coordination/forwarding/prompt_history.ts';
-import {MUTANTS, type Mutant} from './mutants.ts';
+import {ALTERNATIVES, MEMBERSHIP} from './membership.ts';
+import {QUARANTINE} from './quarantine.ts';
+import type {Mutant, Suite} from './suite.ts';
 
-const TESTS = [
-  'src/coordination/core/core_state_test.ts',
-  'src/coordination/forwarding/suspect_table_test.ts',
-  'src/coordination/forwarding/prompt_quarantine_test.ts',
-  'src/coordination/forwarding/prompt_crash_test.ts',
-];
+const SUITES: ReadonlyMap<string, Suite> = new Map([
+  ['quarantine', QUARANTINE],
+  ['membership', MEMBERSHIP],
+  ['membership-alternatives', ALTERNATIVES],
+]);
 
 /** What a copy needs to run the tests. */
 const COPIED = ['src', 'package.json', 'tsconfig.json'];
 
-const MAX_OUTPUT_BYTES = 16 * 1024 * 1024;
+const MAX_OUTPUT_BYTES = 64 * 1024 * 1024;
+
+const UNCHANGED: Mutant = {name: 'unchanged', edits: []};
 
 interface TestResult {
   readonly failed: readonly string[];
-  /** The figures of its histories, by what they were played with. */
-  readonly figures: ReadonlyMap<string, readonly HistoryFigures[]>;
+  readonly output: string;
 }
 
-async function runMutant(mutant: Mutant): Promise<boolean> {
-  const folder = await mkdtemp(join(tmpdir(), 'quarantine-mutant-'));
+/** Returns the tests that fail on a copy. */
+async function runMutant(mutant: Mutant, suite: Suite): Promise<string[]> {
+  const folder = await mkdtemp(join(tmpdir(), 'mutant-'));
   try {
     await createCopy(folder, mutant);
     const results = [];
-    for (const file of TESTS) results.push(await runTest(folder, file));
+    for (const file of suite.tests) {
+      results.push(await runTest(folder, {file, env: suite.env}));
+    }
     const failed = results.flatMap(result => result.failed);
     console.log(`${mutant.name}: ${failed.length} tests failed`);
-    for (const name of failed) console.log(`  ${name}`);
-    for (const {figures} of results) {
-      for (const [kind, histories] of figures) {
-        console.log(`  ${kind} ${describeFigures(histories)}`);
-      }
+    const output = results.map(result => result.output).join('\n');
+    for (const line of [...failed, ...suite.describeOutput(output)]) {
+      console.log(`  ${line}`);
     }
-    return failed.length > 0;
+    return failed;
   } finally {
     await rm(folder, {recursive: true, force: true});
   }
@@ -70,14 +72,17 @@
   }
 }
 
-function runTest(folder: string, file: string): Promise<TestResult> {
+function runTest(
+  folder: string,
+  {file, env}: {file: string; env: Suite['env']},
+): Promise<TestResult> {
   return new Promise((resolve, reject) => {
     execFile(
       process.execPath,
       ['--import', 'tsx', file],
       {
         cwd: folder,
-        env: {...process.env, PROMPT_CRASH_PRINT: '1'},
+        env: {...process.env, ...env},
         maxBuffer: MAX_OUTPUT_BYTES,
       },
       (error, stdout, stderr) => {
@@ -86,45 +91,27 @@
         );
         // A crash of the test itself is not a failure that a check found.
         if (error && failed.length === 0) reject(new Error(stdout + stderr));
-        else resolve({failed, figures: parseFigures(stdout)});
+        else resolve({failed, output: stdout});
       },
     );
   });
 }
 
-function parseFigures(output: string): Map<string, HistoryFigures[]> {
-  const figures = new Map<string, HistoryFigures[]>();
-  for (const [, kind = '', json = ''] of output.matchAll(
-    /(\{.*\}) (\{"seed":.*\})$/gm,
-  )) {
-    const histories = figures.get(kind) ?? [];
-    figures.set(kind, [...histories, JSON.parse(json) as HistoryFigures]);
-  }
-  return figures;
-}
-
-function describeFigures(histories: readonly HistoryFigures[]): string {
-  const crashes = histories.flatMap(each => each.crashes).sort((a, b) => a - b);
-  const ratios = histories.flatMap(({soundRatio}) => soundRatio ?? []);
-  const mean = ratios.reduce((sum, each) => sum + each, 0) / ratios.length;
-  const wrong = histories.filter(({condemnedSound}) => condemnedSound > 0);
-  return [
-    `late ${Math.max(0, ...histories.flatMap(({late}) => late))}`,
-    `ended ${crashes[Math.floor(crashes.length / 2)] ?? 0}, ${crashes.at(-1) ?? 0}`,
-    `sound ${mean.toFixed(2)}, ${Math.min(...ratios).toFixed(2)}`,
-    `condemned sound parts in ${wrong.length} of ${histories.length}`,
-  ].join('; ');
-}
-
-const names = process.argv.slice(2);
-const mutants = MUTANTS.filter(
+const [suiteName = '', ...names] = process.argv.slice(2);
+const suite = SUITES.get(suiteName);
+if (!suite) throw new Error(`unknown suite "${suiteName}"`);
+const chosen = suite.mutants.filter(
   ({name}) => names.length === 0 || names.includes(name),
 );
+const failsUnchanged = await runMutant(UNCHANGED, suite);
 const survivors = [];
-for (const mutant of mutants) {
-  if (!(await runMutant(mutant))) survivors.push(mutant.name);
+for (const mutant of chosen) {
+  const failed = await runMutant(mutant, suite);
+  if (failed.every(test => failsUnchanged.includes(test))) {
+    survivors.push(mutant.name);
+  }
 }
-if (survivors.length > 0) {
+if (suite.mustFail && survivors.length > 0) {
   console.log(`no test failed: ${survivors.join(', ')}`);
   process.exitCode = 1;
 }
--- a/tools/mutants/quarantine.ts
+++ b/tools/mutants/quarantine.ts
@@ -1,29 +1,19 @@
 /** Changes that each switch one mechanism of the quarantine off. */
-
-export interface Edit {
-  readonly file: string;
-  /** A text that occurs once in the file. */
-  readonly from: string;
-  readonly to: string;
-}
-
-export interface Mutant {
-  readonly name: string;
-  readonly edits: readonly Edit[];
-}
+import type {HistoryFigures} from '../../src/coordination/forwarding/prompt_history.ts';
+import type {Mutant, Suite} from './suite.ts';
 
 const FORWARDING = 'src/coordination/forwarding';
-const QUARANTINE = `${FORWARDING}/prompt_quarantine.ts`;
+const PROMPT_QUARANTINE = `${FORWARDING}/prompt_quarantine.ts`;
 const SUSPECTS = `${FORWARDING}/suspect_table.ts`;
 const TRIALS = 'src/coordination/core/trial_table.ts';
 const CORE_STATE = 'src/coordination/core/core_state.ts';
 
-export const MUTANTS: readonly Mutant[] = [
+const MUTANTS: readonly Mutant[] = [
   {
     name: 'no-clearing',
     edits: [
       {
-        file: QUARANTINE,
+        file: PROMPT_QUARANTINE,
         from: 'onSound: () => parts.forEach(part => this.recordSound(service, part)),',
         to: 'onSound: () => {},',
       },
@@ -33,7 +23,7 @@
     name: 'no-sum',
     edits: [
       {
-        file: QUARANTINE,
+        file: PROMPT_QUARANTINE,
         from: 'recordRelayed(records: readonly SuspectPart[]): void {',
         to: 'recordRelayed(records: readonly SuspectPart[]): void {\n    if (records) return;',
       },
@@ -119,7 +109,7 @@
     name: 'lost-at-restart',
     edits: [
       {
-        file: QUARANTINE,
+        file: PROMPT_QUARANTINE,
         from: 'reportAll(): void {',
         to: 'reportAll(): void {\n    if (this.table) return;',
       },
@@ -131,3 +121,44 @@
     ],
   },
 ];
+
+function parseFigures(output: string): Map<string, HistoryFigures[]> {
+  const figures = new Map<string, HistoryFigures[]>();
+  for (const [, kind = '', json = ''] of output.matchAll(
+    /(\{.*\}) (\{"seed":.*\})$/gm,
+  )) {
+    const histories = figures.get(kind) ?? [];
+    figures.set(kind, [...histories, JSON.parse(json) as HistoryFigures]);
+  }
+  return figures;
+}
+
+function describeFigures(histories: readonly HistoryFigures[]): string {
+  const crashes = histories.flatMap(each => each.crashes).sort((a, b) => a - b);
+  const ratios = histories.flatMap(({soundRatio}) => soundRatio ?? []);
+  const mean = ratios.reduce((sum, each) => sum + each, 0) / ratios.length;
+  const wrong = histories.filter(({condemnedSound}) => condemnedSound > 0);
+  return [
+    `late ${Math.max(0, ...histories.flatMap(({late}) => late))}`,
+    `ended ${crashes[Math.floor(crashes.length / 2)] ?? 0}, ${crashes.at(-1) ?? 0}`,
+    `sound ${mean.toFixed(2)}, ${Math.min(...ratios).toFixed(2)}`,
+    `condemned sound parts in ${wrong.length} of ${histories.length}`,
+  ].join('; ');
+}
+
+/** PROMPT_CRASH_SEEDS and PROMPT_CRASH_FROM set the histories. */
+export const QUARANTINE: Suite = {
+  tests: [
+    'src/coordination/core/core_state_test.ts',
+    'src/coordination/forwarding/suspect_table_test.ts',
+    'src/coordination/forwarding/prompt_quarantine_test.ts',
+    'src/coordination/forwarding/prompt_crash_test.ts',
+  ],
+  env: {PROMPT_CRASH_PRINT: '1'},
+  mutants: MUTANTS,
+  mustFail: true,
+  describeOutput: output =>
+    [...parseFigures(output)].map(
+      ([kind, histories]) => `${kind} ${describeFigures(histories)}`,
+    ),
+};
