Let the core bear one loss more than is promised

With one tolerated loss five voters always had one to spare; the figure was a minimum of two, not one more than promised.

The voters bear one disk more than promised, and two at least: five for one, seven for two tolerated losses.

--- a/src/cli/serve_site/core.ts
+++ b/src/cli/serve_site/core.ts
@@ -36,11 +36,14 @@
 /** The name of the replicated group. */
 const GROUP = 'routing';
 
+/** The minimum number of disk failures that the voters must bear. */
+const MIN_BORNE_DISKS = 2;
+
 /**
- * The minimum number of disk failures to tolerate. One is not enough: a second
- * disk may fail while the replacement of the first is still catching up.
+ * The disk failures that the voters bear beyond the promised ones: a further disk
+ * may fail while the replacement of the last one is still catching up.
  */
-const MIN_TOLERATED_DISKS = 2;
+const FURTHER_BORNE_DISKS = 1;
 
 /** The time without contact after which a standby replaces a voter. */
 const REPLACE_AFTER_MS = 8_000;
@@ -219,7 +222,8 @@
 
 /** Computes how many voters keep a majority after these disk failures. */
 function computeVoterCount(toleratedDisks: number): number {
-  return 2 * Math.max(MIN_TOLERATED_DISKS, toleratedDisks) + 1;
+  const borne = Math.max(MIN_BORNE_DISKS, toleratedDisks + FURTHER_BORNE_DISKS);
+  return 2 * borne + 1;
 }
 
 /**
--- a/src/coordination/replication/turnover_history.ts
+++ b/src/coordination/replication/turnover_history.ts
@@ -12,12 +12,15 @@
 } from './turnover_setting.ts';
 import {TurnoverWatch, type Loss} from './turnover_watch.ts';
 
-/** The number of voters of a core daemon's group. */
-const VOTER_COUNT = 5;
+/** The target number of voters, as core daemons compute it. */
+function computeVoterCount(toleratedLosses: number): number {
+  return 2 * Math.max(2, toleratedLosses + 1) + 1;
+}
 
 /** Counts the voters of a group of hosts; below the target the number is odd. */
-function countVoters(hosts: number): number {
-  return hosts >= VOTER_COUNT ? VOTER_COUNT : hosts - (1 - (hosts % 2));
+function countVoters({hosts, toleratedLosses}: TurnoverSetting): number {
+  const target = computeVoterCount(toleratedLosses);
+  return hosts >= target ? target : hosts - (1 - (hosts % 2));
 }
 
 /** The number of hosts that form the group. */
@@ -111,7 +114,7 @@
     const names = Array.from({length: hosts}, () => this.createName());
     this.group = new SimulatedGroup({
       hosts: names,
-      voterCount: VOTER_COUNT,
+      voterCount: computeVoterCount(setting.toleratedLosses),
       bootstrapHostCount: Math.min(SEED_HOSTS, hosts),
       random: draws.next,
       trace,
@@ -185,7 +188,7 @@
 
   private createWatch(): TurnoverWatch {
     const {hosts, toleratedLosses} = this.setting;
-    const voters = countVoters(hosts);
+    const voters = countVoters(this.setting);
     const fullBorne = Math.floor((voters - 1) / 2);
     const {group} = this;
     this.watch = new TurnoverWatch({group, toleratedLosses, fullBorne});
@@ -199,7 +202,7 @@
 
   private async form(): Promise<void> {
     this.runTask(this.group.startAll());
-    const voters = countVoters(this.setting.hosts);
+    const voters = countVoters(this.setting);
     const isFormed = () => {
       const [leader] = this.group.listLeaders();
       if (leader === undefined) return false;
