--- a/src/coordination/replication/turnover_history.ts
+++ b/src/coordination/replication/turnover_history.ts
@@ -187,7 +187,7 @@
   }
 
   private createWatch(): TurnoverWatch {
-    const {hosts, toleratedLosses} = this.setting;
+    const {toleratedLosses} = this.setting;
     const voters = countVoters(this.setting);
     const fullBorne = Math.floor((voters - 1) / 2);
     const {group} = this;
--- a/tools/mutants/membership.ts
+++ b/tools/mutants/membership.ts
@@ -88,12 +88,12 @@
     edits: [setOptions('replaceAfterMs: 8_000, spareCount: 2,')],
   },
   {
-    name: 'seven-voters',
+    name: 'no-further-voters',
     edits: [
       {
         file: TURNOVER_HISTORY,
-        from: 'const VOTER_COUNT = 5;',
-        to: 'const VOTER_COUNT = 7;',
+        from: 'Math.max(2, toleratedLosses + 1)',
+        to: 'Math.max(2, toleratedLosses)',
       },
     ],
   },
@@ -134,6 +134,8 @@
   tests: [
     `${REPLICATION}/explore_membership_test.ts`,
     `${REPLICATION}/core_turnover_test.ts`,
+    `${REPLICATION}/core_repair_test.ts`,
+    `${REPLICATION}/core_losses_test.ts`,
   ],
   env: {CORE_TURNOVER_PRINT: '1'},
   mutants: MUTANTS,
