--- a/src/coordination/replication/needless_changes_test.ts
+++ b/src/coordination/replication/needless_changes_test.ts
@@ -64,4 +64,25 @@
   }
 });
 
+// Guards against a leader that takes the time for which it was cut off itself
+// for the silence of others.
+test('a leader that was cut off before does not replace one that restarts', async () => {
+  const wrong: number[] = [];
+  for (let seed = 1; seed <= SEEDS; seed++) {
+    const group = await startGroup(seed);
+    await group.run(CALM_MS);
+    const {leader, other, voters} = describeGroup(group);
+    group.isolated.add(other);
+    await group.run(6_000);
+    group.crash(leader);
+    group.isolated.delete(other);
+    await group.run(4_000);
+    await group.start(leader);
+    await group.run(3_000);
+    const {voters: after} = describeGroup(group);
+    if (after.join() !== voters.join()) wrong.push(seed);
+  }
+  assert.equal(wrong, []);
+});
+
 test.run();
