--- a/src/coordination/core/core_state.ts
+++ b/src/coordination/core/core_state.ts
@@ -14,13 +14,13 @@
   TrialReply,
   TrialRequest,
 } from '../../protocol/suspect_part.ts';
-import {createPartKey, SuspectTable} from '../forwarding/suspect_table.ts';
+import {createPartKey, SuspectTable} from '../quarantine/suspect_table.ts';
 import {createNotifier, type Notifier} from '../notifier.ts';
 import {CoreMembers} from './core_members.ts';
 import {EndpointLimitTable} from './endpoint_limit_table.ts';
 import {EndpointRegistry, type ReportOutcome} from './endpoint_registry.ts';
 import {GatewayDirectory} from './gateway_directory.ts';
-import {TrialTable} from './trial_table.ts';
+import {TrialTable} from '../quarantine/trial_table.ts';
 
 /** Daemons that contacted this one within this time are advertised to peers. */
 const ADVERTISE_WITHIN_MS = 10_000;
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -25,7 +25,7 @@
 import type {EndpointNotices} from './endpoint_notices.ts';
 import {handleAbort} from './handle_abort.ts';
 import type {PrefillBacklog} from './prefill_backlog.ts';
-import type {PromptQuarantine} from './prompt_quarantine.ts';
+import type {PromptQuarantine} from '../quarantine/prompt_quarantine.ts';
 import type {RecentGateways} from './recent_gateways.ts';
 import {
   drawJitterMs,
--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -19,10 +19,10 @@
 import {EndpointNotices} from './endpoint_notices.ts';
 import {Forwarder} from './forwarder.ts';
 import {PrefillBacklog} from './prefill_backlog.ts';
-import {PromptQuarantine} from './prompt_quarantine.ts';
+import {PromptQuarantine} from '../quarantine/prompt_quarantine.ts';
 import {RecentGateways} from './recent_gateways.ts';
 import {RecordingSink} from './recording_sink_fake.ts';
-import type {TrialClient} from './trial_client.ts';
+import type {TrialClient} from '../quarantine/trial_client.ts';
 import {VersionEvidenceCounter} from './version_evidence.ts';
 
 /** The facts of a request without any optional header. */
--- a/src/coordination/forwarding/held_answer.ts
+++ b/src/coordination/forwarding/held_answer.ts
@@ -7,7 +7,7 @@
  */
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import type {EndpointAnswer} from './call.ts';
-import type {PromptWatch} from './prompt_watch.ts';
+import type {PromptWatch} from '../quarantine/prompt_watch.ts';
 
 /** The maximum size of a buffered answer; a larger one counts as broken. */
 export const MAX_HELD_BYTES = 4 * 1024 * 1024;
--- a/src/coordination/forwarding/simulated_site.ts
+++ b/src/coordination/forwarding/simulated_site.ts
@@ -31,7 +31,7 @@
   SimulatedSiteOptions,
   SiteRequest,
 } from './simulated_site_types.ts';
-import {createTrialClient} from './trial_client.ts';
+import {createTrialClient} from '../quarantine/trial_client.ts';
 
 /** The interval at which gateways follow the core, in ms. */
 const FOLLOW_MS = 200;
--- a/src/coordination/forwarding/prompt_quarantine.ts
+++ b/src/coordination/quarantine/prompt_quarantine.ts
@@ -11,7 +11,7 @@
 import type {Logger} from '../../protocol/logger.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
 import type {SuspectPart} from '../../protocol/suspect_part.ts';
-import type {CallRun} from './call_run.ts';
+import type {CallRun} from '../forwarding/call_run.ts';
 import {PromptWatch} from './prompt_watch.ts';
 import type {TrialClient} from './trial_client.ts';
 import {createPartKey, SuspectTable, type Suspect} from './suspect_table.ts';
--- a/src/coordination/forwarding/prompt_quarantine_test.ts
+++ b/src/coordination/quarantine/prompt_quarantine_test.ts
@@ -5,7 +5,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
 import type {SuspectPart} from '../../protocol/suspect_part.ts';
-import type {CallFacts} from './call.ts';
+import type {CallFacts} from '../forwarding/call.ts';
 import {
   createAnswer,
   createEndpoint,
@@ -13,7 +13,7 @@
   FakeGateway,
   waitForAbort,
   type Behaviour,
-} from './forwarding_fakes.ts';
+} from '../forwarding/forwarding_fakes.ts';
 import type {TrialClient} from './trial_client.ts';
 
 const ENDPOINTS = ['e1', 'e2', 'e3', 'e4'].map(id => createEndpoint(id));
--- a/src/coordination/forwarding/prompt_watch.ts
+++ b/src/coordination/quarantine/prompt_watch.ts
@@ -7,7 +7,7 @@
  * arrived: an engine may send it with its first token only. An error says nothing.
  */
 import type {Clock} from '../../protocol/clock.ts';
-import type {EndpointAnswer} from './call.ts';
+import type {EndpointAnswer} from '../forwarding/call.ts';
 
 /** How long an answer must go on to speak for its parts, in ms. */
 const SETTLE_MS = 1_000;
--- a/src/coordination/forwarding/trial_client.ts
+++ b/src/coordination/quarantine/trial_client.ts
@@ -6,7 +6,7 @@
   TrialReply,
   TrialRequest,
 } from '../../protocol/suspect_part.ts';
-import {computeShare} from './hash.ts';
+import {computeShare} from '../forwarding/hash.ts';
 
 /** The timeout of a call: a round trip between regions, and one more. */
 const CALL_TIMEOUT_MS = 250;
--- a/src/coordination/core/trial_table.ts
+++ b/src/coordination/quarantine/trial_table.ts
@@ -1,6 +1,6 @@
 /** The permitted requests with suspected prompt parts, one a part. */
 import type {Clock} from '../../protocol/clock.ts';
-import {createPartKey} from '../forwarding/suspect_table.ts';
+import {createPartKey} from './suspect_table.ts';
 
 /** How long a trial may go on without a result, in ms. */
 const TRIAL_MS = 2_000;
--- a/tools/mutants/quarantine.ts
+++ b/tools/mutants/quarantine.ts
@@ -3,9 +3,10 @@
 import type {Mutant, Suite} from './suite.ts';
 
 const FORWARDING = 'src/coordination/forwarding';
-const PROMPT_QUARANTINE = `${FORWARDING}/prompt_quarantine.ts`;
-const SUSPECTS = `${FORWARDING}/suspect_table.ts`;
-const TRIALS = 'src/coordination/core/trial_table.ts';
+const FOLDER = 'src/coordination/quarantine';
+const PROMPT_QUARANTINE = `${FOLDER}/prompt_quarantine.ts`;
+const SUSPECTS = `${FOLDER}/suspect_table.ts`;
+const TRIALS = `${FOLDER}/trial_table.ts`;
 const CORE_STATE = 'src/coordination/core/core_state.ts';
 
 const MUTANTS: readonly Mutant[] = [
@@ -150,9 +151,9 @@
 export const QUARANTINE: Suite = {
   tests: [
     'src/coordination/core/core_state_test.ts',
-    'src/coordination/forwarding/suspect_table_test.ts',
-    'src/coordination/forwarding/prompt_quarantine_test.ts',
-    'src/coordination/forwarding/prompt_crash_test.ts',
+    'src/coordination/quarantine/suspect_table_test.ts',
+    'src/coordination/quarantine/prompt_quarantine_test.ts',
+    'src/coordination/quarantine/prompt_crash_test.ts',
   ],
   env: {PROMPT_CRASH_PRINT: '1'},
   mutants: MUTANTS,
