--- a/src/coordination/forwarding/assert_within_limits.ts
+++ b/src/coordination/forwarding/assert_within_limits.ts
@@ -1,7 +1,10 @@
 /** Checks the requests of a simulated site against the users' rule on limits. */
 import assert from 'node:assert/strict';
-import type {SimulatedSite} from './simulated_site.ts';
-import type {Arrival, SimulatedSiteOptions} from './simulated_site_types.ts';
+import type {SimulatedSite} from '../simulation/simulated_site.ts';
+import type {
+  Arrival,
+  SimulatedSiteOptions,
+} from '../simulation/simulated_site_types.ts';
 
 /** The window in which requests are counted. */
 const WINDOW_MS = 4_000;
--- a/src/coordination/forwarding/endpoint_limits_soak_test.ts
+++ b/src/coordination/forwarding/endpoint_limits_soak_test.ts
@@ -10,8 +10,8 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {test} from 'uvu';
 import {assertWithinLimits} from './assert_within_limits.ts';
-import {SimulatedSite} from './simulated_site.ts';
-import type {SiteLimit} from './simulated_site_types.ts';
+import {SimulatedSite} from '../simulation/simulated_site.ts';
+import type {SiteLimit} from '../simulation/simulated_site_types.ts';
 
 const SEEDS = Number(process.env['LIMITS_SOAK_SEEDS'] ?? 8);
 const FIRST_SEED = Number(process.env['LIMITS_SOAK_FROM'] ?? 1);
--- a/src/coordination/forwarding/endpoint_limits_test.ts
+++ b/src/coordination/forwarding/endpoint_limits_test.ts
@@ -5,8 +5,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
 import {assertWithinLimits} from './assert_within_limits.ts';
-import {SimulatedSite} from './simulated_site.ts';
-import type {SimulatedSiteOptions} from './simulated_site_types.ts';
+import {SimulatedSite} from '../simulation/simulated_site.ts';
+import type {SimulatedSiteOptions} from '../simulation/simulated_site_types.ts';
 
 const SEEDS = [1, 2, 3, 4, 5, 6];
 
--- a/src/coordination/forwarding/engine_outage_test.ts
+++ b/src/coordination/forwarding/engine_outage_test.ts
@@ -5,7 +5,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
 import {createRoute} from './forwarding_fakes.ts';
-import {SimulatedSite} from './simulated_site.ts';
+import {SimulatedSite} from '../simulation/simulated_site.ts';
 
 const ENDPOINTS = 30;
 const ENDED = 19;
--- a/src/coordination/quarantine/prompt_crash_test.ts
+++ b/src/coordination/quarantine/prompt_crash_test.ts
@@ -11,8 +11,8 @@
   playHistory,
   type HistoryFigures,
   type HistoryOptions,
-} from '../forwarding/prompt_history.ts';
-import {SimulatedSite} from '../forwarding/simulated_site.ts';
+} from '../simulation/prompt_history.ts';
+import {SimulatedSite} from '../simulation/simulated_site.ts';
 
 const SEEDS = Number(process.env['PROMPT_CRASH_SEEDS'] ?? 6);
 const FIRST_SEED = Number(process.env['PROMPT_CRASH_FROM'] ?? 1);
--- a/src/coordination/forwarding/prompt_history.ts
+++ b/src/coordination/simulation/prompt_history.ts
@@ -1,7 +1,7 @@
 /** Plays a seeded history of a site whose engines a prompt part crashes. */
 import {createDraws, type Draws} from '../../protocol/seeded_draws.ts';
-import type {CallFacts, PromptPart} from './call.ts';
-import {createRoute} from './forwarding_fakes.ts';
+import type {CallFacts, PromptPart} from '../forwarding/call.ts';
+import {createRoute} from '../forwarding/forwarding_fakes.ts';
 import {SimulatedSite} from './simulated_site.ts';
 
 /** The time in which a fact must reach gateways in touch, in ms. */
--- a/src/coordination/forwarding/simulated_engines.ts
+++ b/src/coordination/simulation/simulated_engines.ts
@@ -7,8 +7,8 @@
  */
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import type {SimulatedClock} from '../../protocol/simulated_clock.ts';
-import type {AttemptOptions, AttemptOutcome, Call} from './call.ts';
-import {createAnswer, createEndpoint} from './forwarding_fakes.ts';
+import type {AttemptOptions, AttemptOutcome, Call} from '../forwarding/call.ts';
+import {createAnswer, createEndpoint} from '../forwarding/forwarding_fakes.ts';
 
 /** Prefill of a prompt: a minimum and a random part, in ms. */
 const READ_MIN_MS = 40;
--- a/src/coordination/forwarding/simulated_gateway.ts
+++ b/src/coordination/simulation/simulated_gateway.ts
@@ -1,6 +1,6 @@
 /** A gateway of a simulated site, and what the site remembers of it. */
 import type {FollowRequest} from '../../protocol/core_service.ts';
-import type {FakeGateway} from './forwarding_fakes.ts';
+import type {FakeGateway} from '../forwarding/forwarding_fakes.ts';
 
 export interface SimulatedGateway {
   fake: FakeGateway;
--- a/src/coordination/forwarding/simulated_site.ts
+++ b/src/coordination/simulation/simulated_site.ts
@@ -10,14 +10,19 @@
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import {silentLogger} from '../../protocol/logger.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
-import type {AttemptOptions, AttemptOutcome, Call, CallFacts} from './call.ts';
+import type {
+  AttemptOptions,
+  AttemptOutcome,
+  Call,
+  CallFacts,
+} from '../forwarding/call.ts';
 import type {CoreState} from '../core/core_state.ts';
 import {
   createAnswer,
   createEndpoint,
   createRoute,
   FakeGateway,
-} from './forwarding_fakes.ts';
+} from '../forwarding/forwarding_fakes.ts';
 import {
   createSimulatedCore,
   exchangeOnce,
--- a/tools/mutants/quarantine.ts
+++ b/tools/mutants/quarantine.ts
@@ -1,5 +1,5 @@
 /** Changes that each switch one mechanism of the quarantine off. */
-import type {HistoryFigures} from '../../src/coordination/forwarding/prompt_history.ts';
+import type {HistoryFigures} from '../../src/coordination/simulation/prompt_history.ts';
 import type {Mutant, Suite} from './suite.ts';
 
 const FORWARDING = 'src/coordination/forwarding';
