Log the identity of a request whose connection broke off

Change: a digest of method, path, caller and body, in the line of an attempt whose connection broke off. The body is digested when the digest is needed, or as it arrives while the gateway knows of a suspected part. No decision depends on it yet.

--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -147,6 +147,7 @@
       logger: createLogger('front'),
       codec: surfaces.codec,
       forward: (call, sink) => forwarder.forward(call, sink),
+      needsDigest: () => quarantine.countRecords().suspects > 0,
     }),
   );
   await startSurface(parts, listen.ready, surfaces.createReadyRoutes(isOpen));
--- a/src/coordination/forwarding/admit_call.ts
+++ b/src/coordination/forwarding/admit_call.ts
@@ -21,6 +21,8 @@
   readonly route: Route;
   readonly service: RoutedService;
   readonly customer: RouteCustomer | null;
+  /** The name of the customer that owns the key, on public routes as well. */
+  readonly caller: string | null;
   /** When it must be answered, on the monotonic clock. */
   readonly deadline: number;
   /** Whether it may run more than once. */
@@ -48,6 +50,7 @@
     route,
     service,
     customer: needsKey ? customer : null,
+    caller: customer?.name ?? null,
     deadline: call.receivedAt + limitMs - ANSWER_MARGIN_MS,
     isRepeatable:
       route.repeatability === 'idempotent' ||
--- a/src/coordination/forwarding/call.ts
+++ b/src/coordination/forwarding/call.ts
@@ -42,6 +42,8 @@
   readonly host: string;
   readonly headers: readonly Header[];
   readonly body: Buffer;
+  /** Returns the digest of the body. */
+  readonly digestBody: () => string;
   readonly facts: CallFacts;
   /** When its headers were received, on the monotonic clock. */
   readonly receivedAt: number;
--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -4,6 +4,7 @@
   MAX_PART_ID_CHARACTERS,
   MAX_WATCHED_PARTS,
 } from '../../protocol/suspect_part.ts';
+import {computeRequestIdentity} from '../quarantine/request_identity.ts';
 import type {AdmittedCall} from './admit_call.ts';
 import type {Call, Header} from './call.ts';
 import type {OpenEscalation} from './choose_model.ts';
@@ -85,6 +86,7 @@
   /** The shared parts that are watched for what they do to engines. */
   readonly watchedParts: readonly string[];
   private heldAnswer: HeldAnswer | null = null;
+  private knownIdentity: string | null = null;
 
   constructor(readonly admitted: AdmittedCall) {
     const {lastEventId, prompt} = admitted.call.facts;
@@ -99,6 +101,12 @@
     return this.admitted.call;
   }
 
+  /** What is equal for each sending of the same request. */
+  get identity(): string {
+    this.knownIdentity ??= computeRequestIdentity(this.admitted);
+    return this.knownIdentity;
+  }
+
   get isTrial(): boolean {
     return this.trial !== null;
   }
--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -20,6 +20,7 @@
 import {Forwarder} from './forwarder.ts';
 import {PrefillBacklog} from './prefill_backlog.ts';
 import {PromptQuarantine} from '../quarantine/prompt_quarantine.ts';
+import {BodyDigest} from '../quarantine/request_identity.ts';
 import {RecentGateways} from './recent_gateways.ts';
 import {RecordingSink} from './recording_sink_fake.ts';
 import type {TrialClient} from '../quarantine/trial_client.ts';
@@ -313,12 +314,14 @@
     receivedAt: number;
   },
 ): Call {
+  const body = Buffer.alloc(0);
   return {
     method: 'POST',
     path: '/x',
     host: 'desk.example',
     headers: [],
-    body: Buffer.alloc(0),
+    body,
+    digestBody: () => new BodyDigest().compute(body),
     facts: {...NO_FACTS, attemptId, ...facts},
     receivedAt,
     signal,
--- a/src/coordination/forwarding/record_attempt.ts
+++ b/src/coordination/forwarding/record_attempt.ts
@@ -6,7 +6,7 @@
 import type {CallRun} from './call_run.ts';
 import type {EndpointHealth} from './endpoint_health.ts';
 import type {PrefillBacklog} from './prefill_backlog.ts';
-import type {AttemptResult} from './run_attempt.ts';
+import {isDisconnected, type AttemptResult} from './run_attempt.ts';
 import type {VersionEvidenceCounter} from './version_evidence.ts';
 
 /** Prompt parts that a log line names at most. */
@@ -42,6 +42,7 @@
   if (result.type !== 'delivered') {
     logger.info('Ends an attempt without delivering its answer.', {
       request: run.call.facts.attemptId,
+      identity: isDisconnected(result) ? run.identity : undefined,
       endpoint: endpoint.id,
       address: endpoint.address,
       outcome: result.type,
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -216,9 +216,12 @@
   if (result.type === 'delivered' && outcome.type === 'answer') {
     watch.recordEnd(outcome.answer);
   }
-  if ('isDisconnected' in result && result.isDisconnected) {
-    watch.recordDisconnect();
-  }
+  if (isDisconnected(result)) watch.recordDisconnect();
+}
+
+/** Whether the connection of an attempt broke off, as in a crash. */
+export function isDisconnected(result: AttemptResult): boolean {
+  return 'isDisconnected' in result && result.isDisconnected;
 }
 
 /** Whether an attempt ended without a whole answer. */
--- a/src/transport/forwarding/endpoint_client_test.ts
+++ b/src/transport/forwarding/endpoint_client_test.ts
@@ -37,6 +37,7 @@
     ['Content-Length', '99'],
   ],
   body: Buffer.from('hello'),
+  digestBody: () => '',
   facts: {...NO_FACTS, attemptId: 'x'},
   receivedAt: 0,
   signal: new AbortController().signal,
--- a/src/transport/forwarding/front_server.ts
+++ b/src/transport/forwarding/front_server.ts
@@ -13,6 +13,7 @@
 import type {Call} from '../../coordination/forwarding/call.ts';
 import {refuseCall} from '../../coordination/forwarding/refuse.ts';
 import type {CallerSink} from '../../coordination/forwarding/call.ts';
+import {BodyDigest} from '../../coordination/quarantine/request_identity.ts';
 import type {Clock} from '../../protocol/clock.ts';
 import type {Logger} from '../../protocol/logger.ts';
 import type {RequestLimits} from '../../protocol/route_table.ts';
@@ -56,6 +57,11 @@
   readonly logger: Logger;
   readonly codec: CallCodec;
   readonly forward: (call: Call, sink: CallerSink) => Promise<void>;
+  /**
+   * Whether the digests of bodies are likely to be needed. They are computed as
+   * the bodies arrive then; by default when they are first needed.
+   */
+  readonly needsDigest?: () => boolean;
 }
 
 /** A listening server for callers. */
@@ -128,7 +134,7 @@
 }
 
 async function serveRequest(
-  {clock, codec, forward}: FrontServerOptions,
+  {clock, codec, forward, needsDigest}: FrontServerOptions,
   limits: RequestLimits,
   {request, response}: Exchange,
 ): Promise<void> {
@@ -145,7 +151,11 @@
     sink.answer(isHeaderTooLarge ? 431 : 400, [], Buffer.alloc(0));
     return;
   }
-  const body = await readBody(request, {maxBytes: limits.maxBodyBytes});
+  const digest = new BodyDigest({isEager: needsDigest?.() ?? false});
+  const body = await readBody(request, {
+    maxBytes: limits.maxBodyBytes,
+    onChunk: chunk => digest.add(chunk),
+  });
   if (disconnected.signal.aborted) return;
   if (!body.ok) {
     response.setHeader('Connection', 'close');
@@ -162,6 +172,7 @@
       host: find('host') ?? '',
       headers,
       body: body.value,
+      digestBody: () => digest.compute(body.value),
       facts: codec.decodeCall(find),
       receivedAt,
       signal: disconnected.signal,
--- a/src/transport/public/read_body.ts
+++ b/src/transport/public/read_body.ts
@@ -16,6 +16,8 @@
 export interface ReadBodyOptions {
   readonly maxBytes?: number;
   readonly timeoutMs?: number;
+  /** Called with each chunk as it arrives. */
+  readonly onChunk?: (chunk: Buffer) => void;
 }
 
 /** Reads the whole body; the error says why it is refused. */
@@ -24,6 +26,7 @@
   options: ReadBodyOptions = {},
 ): Promise<Outcome<Buffer, BodyError>> {
   const {maxBytes = MAX_BODY_BYTES, timeoutMs = BODY_TIMEOUT_MS} = options;
+  const {onChunk} = options;
   const tooLarge = {status: 413, message: 'the body is too large'};
   if (Number(request.headers['content-length'] ?? 0) > maxBytes) {
     return Promise.resolve(fail(tooLarge));
@@ -39,8 +42,9 @@
     };
     const addChunk = (chunk: Buffer) => {
       bytes += chunk.length;
-      if (bytes <= maxBytes) chunks.push(chunk);
-      else finish(fail(tooLarge));
+      if (bytes > maxBytes) return finish(fail(tooLarge));
+      chunks.push(chunk);
+      onChunk?.(chunk);
     };
     const timer = setTimeout(
       () => finish(fail({status: 408, message: 'the body came too slowly'})),
