Add a failing test of requests that crash one endpoint after the other

The test plays seeded histories of the simulated site; its endpoints now answer calls as well, move to other addresses, freeze, drain and lose their links.

--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -4,7 +4,12 @@
 import {silentLogger} from '../../protocol/logger.ts';
 import {silentMetrics} from '../../protocol/metrics.ts';
 import {succeed} from '../../protocol/outcome.ts';
-import type {Engine, Route, RouteTable} from '../../protocol/route_table.ts';
+import type {
+  Engine,
+  Route,
+  RouteCustomer,
+  RouteTable,
+} from '../../protocol/route_table.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
 import {GatewayView} from '../gateway/gateway_view.ts';
 import type {
@@ -60,15 +65,22 @@
   };
 }
 
+export interface CreateTableOptions {
+  /** The engine of the service; none by default. */
+  readonly engine?: Engine | null;
+  /** `null`, the default, if requests carry no keys. */
+  readonly customers?: readonly RouteCustomer[] | null;
+}
+
 export function createTable(
   route: Route,
-  engine: Engine | null = null,
+  {engine = null, customers = null}: CreateTableOptions = {},
 ): RouteTable {
   return {
     version: 1,
     routes: [route],
     services: [{name: 'app', maxConnections: 100, engine}],
-    customers: null,
+    customers: customers && [...customers],
     limits: {
       maxHeaderBytes: 16_384,
       maxBodyBytes: 1_000_000,
@@ -130,6 +142,12 @@
   };
 }
 
+/** A request to a fake gateway. */
+export interface FakeRequest extends Partial<CallFacts> {
+  /** Empty by default. */
+  readonly body?: string;
+}
+
 /** Handles one attempt at a fake endpoint. */
 export type Behaviour = (
   call: Call,
@@ -141,6 +159,8 @@
   readonly route?: Route;
   /** The engine of the service; none by default. */
   readonly engine?: Engine;
+  /** The customers that own keys; requests need none by default. */
+  readonly customers?: readonly RouteCustomer[];
   readonly endpoints: readonly EndpointEntry[];
   readonly behave: Behaviour;
   /** Returns a number from 0 up to 1; always 0.5 by default. */
@@ -171,6 +191,7 @@
   constructor({
     route = createRoute(),
     engine,
+    customers,
     endpoints,
     behave,
     random = () => 0.5,
@@ -191,7 +212,13 @@
     });
     this.view = new GatewayView({
       logger: silentLogger,
-      decodeTable: () => succeed(createTable(route, engine)),
+      decodeTable: () =>
+        succeed(
+          createTable(route, {
+            engine: engine ?? null,
+            customers: customers ?? null,
+          }),
+        ),
       onLimits: limits => this.limits.recordRelayed(limits),
       onSuspects: records => this.quarantine.recordRelayed(records),
     });
@@ -275,10 +302,10 @@
 
   /** Sends a request and advances the clock until it is answered. */
   async request(
-    facts: Partial<CallFacts> = {},
+    request: FakeRequest = {},
     signal = new AbortController().signal,
   ): Promise<RecordingSink> {
-    const {sink, done} = this.start(facts, signal);
+    const {sink, done} = this.start(request, signal);
     let isDone = false;
     const finish = () => (isDone = true);
     done.then(finish, finish);
@@ -289,12 +316,13 @@
 
   /** Sends a request without advancing the clock. */
   start(
-    facts: Partial<CallFacts> = {},
+    {body = '', ...facts}: FakeRequest = {},
     signal = new AbortController().signal,
   ): {readonly sink: RecordingSink; readonly done: Promise<void>} {
     const sink = new RecordingSink();
     const call = createCall(`c${this.calls++}`, {
       facts,
+      body: Buffer.from(body),
       signal,
       receivedAt: this.clock.monotonic(),
     });
@@ -302,19 +330,25 @@
   }
 }
 
-function createCall(
+export interface CreateCallOptions {
+  readonly facts?: Partial<CallFacts>;
+  /** Empty by default. */
+  readonly body?: Buffer;
+  /** Never aborts by default. */
+  readonly signal?: AbortSignal;
+  /** 0 by default. */
+  readonly receivedAt?: number;
+}
+
+export function createCall(
   attemptId: string,
   {
-    facts,
-    signal,
-    receivedAt,
-  }: {
-    facts: Partial<CallFacts>;
-    signal: AbortSignal;
-    receivedAt: number;
-  },
+    facts = {},
+    body = Buffer.alloc(0),
+    signal = new AbortController().signal,
+    receivedAt = 0,
+  }: CreateCallOptions,
 ): Call {
-  const body = Buffer.alloc(0);
   return {
     method: 'POST',
     path: '/x',
--- a/src/coordination/simulation/prompt_history.ts
+++ b/src/coordination/simulation/prompt_history.ts
@@ -1,7 +1,8 @@
 /** Plays a seeded history of a site whose engines a prompt part crashes. */
 import {createDraws, type Draws} from '../../protocol/seeded_draws.ts';
-import type {CallFacts, PromptPart} from '../forwarding/call.ts';
-import {createRoute} from '../forwarding/forwarding_fakes.ts';
+import type {PromptPart} from '../forwarding/call.ts';
+import {createRoute, type FakeRequest} from '../forwarding/forwarding_fakes.ts';
+import {runDisturbance, runFlaps} from './disturbances.ts';
 import {SimulatedSite} from './simulated_site.ts';
 
 /** The time in which a fact must reach gateways in touch, in ms. */
@@ -181,7 +182,7 @@
     next() < NEW_PART_SHARE
       ? `new${count}`
       : `shared${Math.floor(next() ** 2 * SHARED_PARTS)}`;
-  const drawPrompt = (bad: string | null): Partial<CallFacts> => {
+  const drawPrompt = (bad: string | null): FakeRequest => {
     count++;
     const parts = [`first${Math.floor(next() * FIRST_PARTS)}`];
     while (parts.length < partCount - 1) parts.push(drawSharedPart());
@@ -189,7 +190,7 @@
     else if (bad !== null) parts[between(1, parts.length - 1)] = bad;
     parts.push(`own${count}`);
     const prompt: PromptPart[] = parts.map(id => ({id, tokens: 100}));
-    return {prompt, promptTokens: 100 * partCount};
+    return {prompt, promptTokens: 100 * partCount, body: `body${count}`};
   };
   return async (ms, hasBad) => {
     const badRate = hasBad ? badPerSecond * badParts.length : 0;
@@ -201,51 +202,9 @@
   };
 }
 
-/** Restarts, cuts off or ends a drawn part of a site, or nothing. */
-function runDisturbance(
-  site: SimulatedSite,
-  {gateways, cores, endpoints}: Setting,
-  {next, between}: Draws,
-): void {
-  const kind = next();
-  if (kind < 0.25) site.restartGateway(between(0, gateways - 1));
-  else if (kind < 0.4) site.restartCore(between(0, cores - 1));
-  else if (kind < 0.5) {
-    for (let index = 0; index < cores; index++) site.restartCore(index);
-  } else if (kind < 0.6) {
-    site.cutGateway(between(0, gateways - 1), between(500, 4_000));
-  } else if (kind < 0.8) {
-    site.engines?.crash(between(0, endpoints - 1));
-  } else if (kind < 0.83) {
-    // All daemons at once; only the disks of the core remain.
-    for (let index = 0; index < cores; index++) {
-      site.restartCore(index, {keepsDisk: true});
-    }
-    for (let index = 0; index < gateways; index++) site.restartGateway(index);
-  } else if (kind < 0.88) {
-    // A rack: a third of the engines at once.
-    const first = between(0, endpoints - 1);
-    for (let index = 0; index < endpoints / 3; index++) {
-      site.engines?.crash((first + index) % endpoints);
-    }
-  }
-}
-
-/** Ends drawn engines; `flaps` is their mean number. */
-function runFlaps(
-  site: SimulatedSite,
-  {endpoints}: Setting,
-  {draws, flaps}: {readonly draws: Draws; readonly flaps: number},
-): void {
-  for (let left = flaps; left > 0; left--) {
-    if (draws.next() < left)
-      site.engines?.crash(draws.between(0, endpoints - 1));
-  }
-}
-
 function listCrashes({engines}: SimulatedSite, part: string): number[] {
   const crashes = engines?.crashes ?? [];
-  return crashes.filter(each => each.part === part).map(({atMs}) => atMs);
+  return crashes.filter(each => each.cause === part).map(({atMs}) => atMs);
 }
 
 /** Counts requests with a part that gateways in touch sent on too late. */
--- a/src/coordination/simulation/simulated_engines.ts
+++ b/src/coordination/simulation/simulated_engines.ts
@@ -1,14 +1,17 @@
 /**
- * Engines of a simulated site: they read prompts, answer in batches, and crash.
+ * Endpoints of a simulated site that crash: engines that read prompts and write
+ * streams, or plain services that answer calls.
  *
- * An engine crashes shortly after it begins an answer on a bad prompt part, and
- * at any time through {@linkcode SimulatedEngines.crash}. All answers that it
- * works on break off; it is back after some seconds as a new start.
+ * An endpoint crashes shortly after it begins a bad request, or an answer on a
+ * bad prompt part, and at any time through {@linkcode SimulatedEngines.crash}.
+ * All answers that it works on break off; it is back after some seconds as a new
+ * start, possibly at another address.
  */
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import type {SimulatedClock} from '../../protocol/simulated_clock.ts';
 import type {AttemptOptions, AttemptOutcome, Call} from '../forwarding/call.ts';
 import {createAnswer, createEndpoint} from '../forwarding/forwarding_fakes.ts';
+import type {SiteEngines} from './simulated_site_types.ts';
 
 /** Prefill of a prompt: a minimum and a random part, in ms. */
 const READ_MIN_MS = 40;
@@ -17,25 +20,28 @@
 /** The time from the begin of an answer to a crash: at most this, in ms. */
 const CRASH_WITHIN_MS = 100;
 
-/** The duration of an answer: a minimum and a random part, in ms. */
+/** The duration of a streamed answer: a minimum and a random part, in ms. */
 const WRITE_MIN_MS = 100;
 const WRITE_RANDOM_MS = 1_500;
 
+/** The work of a call: a minimum and a random part, in ms. */
+const WORK_MIN_MS = 40;
+const WORK_RANDOM_MS = 120;
+
 /** The time until a crashed engine is back: a minimum and a random part, in ms. */
 const BACK_MIN_MS = 2_000;
 const BACK_RANDOM_MS = 2_000;
 
+/** The time that an endpoint drains before a planned end, in ms. */
+const DRAIN_MS = 3_000;
+
 const EVENTS = 4;
 
-export interface SimulatedEnginesOptions {
+export interface SimulatedEnginesOptions extends SiteEngines {
   readonly clock: SimulatedClock;
   /** Returns a number from 0 up to 1. */
   readonly draw: () => number;
   readonly count: number;
-  /** Answers that an engine writes at once. */
-  readonly batch: number;
-  /** Parts of prompts that crash engines. */
-  readonly badParts: ReadonlySet<string>;
 }
 
 interface Engine {
@@ -43,16 +49,20 @@
   /** Aborts when the engine crashes. */
   life: AbortController;
   writing: number;
+  /** When it goes on after a freeze, on the simulated clock. */
+  frozenUntil: number;
+  starts: number;
 }
 
-/** A crash that a bad part caused. */
-export interface PartCrash {
-  readonly part: string;
+/** A crash that a bad request or prompt part caused. */
+export interface CausedCrash {
+  /** The part, or the body of the request. */
+  readonly cause: string;
   readonly atMs: number;
 }
 
 export class SimulatedEngines {
-  readonly crashes: PartCrash[] = [];
+  readonly crashes: CausedCrash[] = [];
   private readonly engines: Engine[];
 
   constructor(private readonly options: SimulatedEnginesOptions) {
@@ -60,6 +70,8 @@
       entry: createEndpoint(`e${index}`, {slots: options.batch}),
       life: new AbortController(),
       writing: 0,
+      frozenUntil: -Infinity,
+      starts: 1,
     }));
   }
 
@@ -68,6 +80,14 @@
     return this.engines.filter(isRunning).map(({entry}) => entry);
   }
 
+  /** The engines that send heartbeats now. */
+  listReporting(): EndpointEntry[] {
+    const now = this.options.clock.monotonic();
+    return this.engines
+      .filter(each => isRunning(each) && each.frozenUntil <= now)
+      .map(({entry}) => entry);
+  }
+
   /** Whether this start of an engine still runs. */
   isRunning(endpoint: EndpointEntry): boolean {
     return this.findEngine(endpoint) !== null;
@@ -75,21 +95,46 @@
 
   /** Ends all answers of an engine; it is back after some seconds. */
   crash(index: number): void {
-    const {clock, draw} = this.options;
+    const {clock, draw, movesAddress = false} = this.options;
     const engine = this.engines[index];
     if (!engine || !isRunning(engine)) return;
     engine.life.abort();
     engine.writing = 0;
     const backMs = BACK_MIN_MS + draw() * BACK_RANDOM_MS;
     void clock.sleep(backMs).then(() => {
-      engine.entry = {...engine.entry, startedAtMs: clock.monotonic()};
+      const startedAtMs = clock.monotonic();
+      engine.entry = movesAddress
+        ? createEndpoint(`e${index}.${engine.starts++}`, {
+            slots: this.options.batch,
+            startedAtMs,
+          })
+        : {...engine.entry, startedAtMs, state: 'ready'};
       engine.life = new AbortController();
     });
   }
 
+  /** Lets an engine stand still for a while; its connections stay open. */
+  freeze(index: number, forMs: number): void {
+    const engine = this.engines[index];
+    if (!engine) return;
+    engine.frozenUntil = this.options.clock.monotonic() + forMs;
+  }
+
+  /** Drains an engine, then ends it; it is back after some seconds. */
+  endPlanned(index: number): void {
+    const {clock} = this.options;
+    const engine = this.engines[index];
+    if (!engine || !isRunning(engine)) return;
+    const {life} = engine;
+    engine.entry = {...engine.entry, state: 'draining'};
+    void clock.sleep(DRAIN_MS, life.signal).then(() => {
+      if (!life.signal.aborted) this.crash(index);
+    });
+  }
+
   /** Works on an attempt; resolves when its answer begins or it fails. */
   async answer(call: Call, options: AttemptOptions): Promise<AttemptOutcome> {
-    const {clock, draw, batch} = this.options;
+    const {clock, draw, batch, answersCalls = false} = this.options;
     const engine = this.findEngine(options.endpoint);
     if (!engine) return {type: 'not-sent', reason: 'ECONNREFUSED'};
     const index = this.engines.indexOf(engine);
@@ -99,17 +144,24 @@
     while (engine.writing >= batch && !hasEnded())
       await clock.sleep(10, signal);
     if (!hasEnded()) engine.writing++;
-    await clock.sleep(READ_MIN_MS + draw() * READ_RANDOM_MS, signal);
-    const bad = this.findBadPart(call);
-    if (!hasEnded() && bad !== null) {
+    if (!answersCalls) {
+      await clock.sleep(READ_MIN_MS + draw() * READ_RANDOM_MS, signal);
+    }
+    await this.waitForThaw(engine, signal);
+    const cause = this.findCause(call);
+    if (!hasEnded() && cause !== null) {
       const crashMs = draw() * CRASH_WITHIN_MS;
       void clock.sleep(crashMs, life.signal).then(() => {
         if (life.signal.aborted) return;
-        this.crashes.push({part: bad, atMs: clock.monotonic()});
+        this.crashes.push({cause, atMs: clock.monotonic()});
         this.crash(index);
       });
       // Some engines send the head of an answer with its first event only.
-      if (draw() < 0.5) await clock.sleep(CRASH_WITHIN_MS + 1, signal);
+      if (answersCalls || draw() < 0.5)
+        await clock.sleep(CRASH_WITHIN_MS + 1, signal);
+    } else if (answersCalls) {
+      await clock.sleep(WORK_MIN_MS + draw() * WORK_RANDOM_MS, signal);
+      await this.waitForThaw(engine, signal);
     }
     if (hasEnded()) {
       this.release(engine, life);
@@ -117,6 +169,10 @@
         ? {type: 'aborted'}
         : {type: 'broken', reason: 'other side closed'};
     }
+    if (answersCalls) {
+      this.release(engine, life);
+      return createAnswer(call, options);
+    }
     return this.createStream(call, options, {engine, life});
   }
 
@@ -129,10 +185,12 @@
     const writeMs = WRITE_MIN_MS + draw() * WRITE_RANDOM_MS;
     const signal = AbortSignal.any([life.signal, options.signal]);
     const release = () => this.release(engine, life);
+    const waitForThaw = () => this.waitForThaw(engine, signal);
     async function* writeEvents() {
       try {
         for (let id = 1; id <= EVENTS; id++) {
           await clock.sleep(writeMs / EVENTS, signal);
+          await waitForThaw();
           if (signal.aborted) throw new Error('other side closed');
           yield Buffer.from(`id: ${id}\ndata: x\n\n`);
         }
@@ -145,6 +203,15 @@
     return {...outcome, answer: {...outcome.answer, body: writeEvents()}};
   }
 
+  private async waitForThaw(
+    engine: Engine,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const {clock} = this.options;
+    const leftMs = engine.frozenUntil - clock.monotonic();
+    if (leftMs > 0) await clock.sleep(leftMs, signal);
+  }
+
   private findEngine({id, startedAtMs}: EndpointEntry): Engine | null {
     const engine = this.engines.find(({entry}) => entry.id === id);
     const isCurrent = engine?.entry.startedAtMs === startedAtMs;
@@ -155,8 +222,11 @@
     if (engine.life === life && engine.writing > 0) engine.writing--;
   }
 
-  private findBadPart({facts}: Call): string | null {
-    const {badParts} = this.options;
+  /** Finds what of a request crashes the engine; `null` if nothing does. */
+  private findCause({facts, body}: Call): string | null {
+    const {badParts = new Set(), badBodies = new Set()} = this.options;
+    const text = body.toString();
+    if (badBodies.has(text)) return text;
     const shared = facts.prompt.slice(0, -1);
     return shared.find(({id}) => badParts.has(id))?.id ?? null;
   }
--- a/src/coordination/simulation/simulated_site.ts
+++ b/src/coordination/simulation/simulated_site.ts
@@ -6,7 +6,6 @@
  */
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
-import type {GatewayReport} from '../../protocol/core_service.ts';
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import {silentLogger} from '../../protocol/logger.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
@@ -22,6 +21,7 @@
   createEndpoint,
   createRoute,
   FakeGateway,
+  type FakeRequest,
 } from '../forwarding/forwarding_fakes.ts';
 import {
   createSimulatedCore,
@@ -29,10 +29,17 @@
   type SimulatedCore,
 } from './simulated_core.ts';
 import {SimulatedEngines} from './simulated_engines.ts';
-import type {SimulatedGateway} from './simulated_gateway.ts';
+import {answerOverLinks} from './simulated_links.ts';
+import {callCore, followOnce} from './simulated_messages.ts';
+import {
+  createSimulatedGateway,
+  type SimulatedGateway,
+} from './simulated_gateway.ts';
 import type {
   Arrival,
+  LinkFault,
   Refusal,
+  SiteLoad,
   SimulatedSiteOptions,
   SiteRequest,
 } from './simulated_site_types.ts';
@@ -48,8 +55,7 @@
 const EXCHANGE_MS = 200;
 const HEARTBEAT_MS = 1_000;
 
-/** The time of a message between hosts, and of an endpoint's work, in ms. */
-const MESSAGE_MS = 20;
+/** The time of an endpoint's work, in ms. */
 const WORK_MS = 60;
 
 const STEP_MS = 10;
@@ -120,22 +126,45 @@
   async run(
     forMs: number,
     perSecond: number,
-    drawFacts: () => Partial<CallFacts> = () => ({}),
+    drawRequest: () => FakeRequest = () => ({}),
   ): Promise<void> {
+    return this.runLoads(forMs, [{perSecond, drawRequest}]);
+  }
+
+  /** Runs the site under several loads. */
+  async runLoads(forMs: number, loads: readonly SiteLoad[]): Promise<void> {
     const end = this.clock.monotonic() + forMs;
     while (this.clock.monotonic() < end) {
       this.step();
-      // At most one request a step and gateway, with the mean of the load.
-      const probability = (perSecond * STEP_MS) / 1_000 / this.gateways.length;
-      for (const gateway of this.gateways) {
-        if (gateway.isReady && this.draw() < probability) {
-          void this.request(gateway, drawFacts());
-        }
-      }
+      for (const load of loads) this.drawRequests(load);
       await this.clock.advance(STEP_MS);
     }
   }
 
+  /** Sends at most one request a gateway, with the mean of the load. */
+  private drawRequests({perSecond, drawRequest, gateway}: SiteLoad): void {
+    const targets =
+      gateway === undefined
+        ? this.gateways
+        : this.gateways.slice(gateway, gateway + 1);
+    const probability = (perSecond * STEP_MS) / 1_000 / targets.length;
+    for (const target of targets) {
+      if (target.isReady && this.draw() < probability) {
+        void this.request(target, drawRequest());
+      }
+    }
+  }
+
+  /** Breaks the connections of a gateway to all endpoints for a while. */
+  breakLinks(index: number, fault: LinkFault, forMs: number): void {
+    const gateway = this.gateways[index];
+    if (!gateway) return;
+    gateway.linkFault = fault;
+    if (fault !== 'hang') gateway.links.abort();
+    gateway.links = new AbortController();
+    void this.clock.sleep(forMs).then(() => (gateway.linkFault = null));
+  }
+
   /** Lists the prompt parts that a core daemon takes for condemned. */
   listCondemned(): string[] {
     const tables = this.cores.map(({state}) => state.suspects);
@@ -201,7 +230,7 @@
 
   private async request(
     gateway: SimulatedGateway,
-    facts: Partial<CallFacts>,
+    drawn: FakeRequest,
   ): Promise<void> {
     const sentAt = this.clock.monotonic();
     const attemptId = `c${this.arrivals.length}-${this.draw()}`;
@@ -209,12 +238,13 @@
       atMs: sentAt,
       gateway: this.gateways.indexOf(gateway),
       isExcused: this.isExcused(gateway),
-      parts: listParts(facts),
+      parts: listParts(drawn),
+      body: drawn.body ?? '',
       status: 0,
       text: '',
     };
     this.requests.push(request);
-    const {sink, done} = gateway.fake.start({attemptId, ...facts});
+    const {sink, done} = gateway.fake.start({attemptId, ...drawn});
     await done;
     request.status = sink.status;
     request.text = sink.text;
@@ -233,6 +263,7 @@
       clock: this.clock,
       address: `g${index}`,
       route: createRoute({...this.options.route}),
+      ...(this.options.customers && {customers: this.options.customers}),
       endpoints: this.endpoints,
       random: this.draw,
       behave: (call, options) => this.answer(gateway, index, {call, options}),
@@ -251,22 +282,11 @@
         gateway.followAt = this.clock.monotonic();
       },
     });
-    const gateway: SimulatedGateway = {
-      fake,
+    const gateway = createSimulatedGateway(fake, {
+      clock: this.clock,
       isReady: !this.engines,
-      startedAt: this.clock.monotonic(),
-      disturbedAt: -Infinity,
-      cutUntil: -Infinity,
       followAt: this.clock.monotonic() + this.draw() * FOLLOW_MS,
-      position: {
-        epoch: '',
-        endpointRevision: 0,
-        gatewayRevision: 0,
-        limitRevision: 0,
-        suspectRevision: 0,
-      },
-      told: new Map(),
-    };
+    });
     return gateway;
   }
 
@@ -281,7 +301,8 @@
   }
 
   private sendHeartbeats({state}: SimulatedCore): void {
-    for (const endpoint of this.endpoints) {
+    const reporting = this.engines?.listReporting() ?? this.fixedEndpoints;
+    for (const endpoint of reporting) {
       state.recordReport({...endpoint, sequence: this.sequence});
     }
   }
@@ -306,52 +327,27 @@
     }
   }
 
-  private async follow(gateway: SimulatedGateway): Promise<void> {
-    const {fake, position} = gateway;
+  private follow(gateway: SimulatedGateway): Promise<void> {
     const core = this.cores[this.gateways.indexOf(gateway) % this.cores.length];
-    if (!core) return;
-    const report: GatewayReport = fake.createReport();
-    await this.clock.sleep(MESSAGE_MS);
-    if (this.isLost()) return;
-    const revisionBefore = core.state.suspects.revision;
-    const answered = core.follow({
-      report,
-      ...position,
-      configurationRevision: fake.view.revision,
+    return followOnce(gateway, core, {
+      clock: this.clock,
       holdMs: this.engines ? HOLD_MS : 0,
+      isLost: () => this.isLost(),
     });
-    // Its report has been merged by now.
-    core.hasUrgentChange ||= core.state.suspects.revision > revisionBefore;
-    const reply = await answered;
-    await this.clock.sleep(MESSAGE_MS);
-    if (this.isLost()) return;
-    fake.view.apply(reply);
-    gateway.isReady = true;
-    if (reply.epoch !== position.epoch) fake.quarantine.reportAll();
-    const {epoch, endpointRevision, gatewayRevision} = reply;
-    const {limitRevision, suspectRevision} = reply;
-    gateway.position = {
-      epoch,
-      endpointRevision,
-      gatewayRevision,
-      limitRevision,
-      suspectRevision,
-    };
   }
 
-  private async call<T>(
+  private call<T>(
     {cutUntil}: SimulatedGateway,
     address: string,
     serve: (state: CoreState) => T,
   ): Promise<T> {
     const {clock} = this;
-    await clock.sleep(MESSAGE_MS);
-    const isCut = clock.monotonic() < cutUntil || this.isLost();
-    const core = this.cores[Number(address.slice(CORE_PREFIX.length))];
-    if (isCut || !core) throw new Error('no answer');
-    const reply = serve(core.state);
-    await clock.sleep(MESSAGE_MS);
-    return reply;
+    return callCore({
+      clock,
+      isLost: () => clock.monotonic() < cutUntil || this.isLost(),
+      core: this.cores[Number(address.slice(CORE_PREFIX.length))],
+      serve,
+    });
   }
 
   private async answer(
@@ -369,6 +365,7 @@
     const namedAt = this.namedAt.get(endpoint) ?? Infinity;
     const knownSince = Math.max(startedAt, cutUntil, namedAt);
     this.arrivals.push({
+      attemptId: call.facts.attemptId,
       atMs: now,
       endpoint,
       gateway: index,
@@ -376,8 +373,13 @@
       isTold: now - (told.get(endpoint) ?? Infinity) >= TOLD_MS,
       isInformed: now - knownSince >= INFORM_MS,
       parts: listParts(call.facts),
+      body: call.body.toString(),
     });
-    if (this.engines) return this.engines.answer(call, options);
+    if (this.engines) {
+      const {engines, clock} = this;
+      const answer = (linked: AttemptOptions) => engines.answer(call, linked);
+      return answerOverLinks(gateway, {clock, options, answer});
+    }
     await this.clock.sleep(WORK_MS, options.signal);
     const limitPerSecond = this.findLimit(endpoint, this.clock.monotonic());
     if (limitPerSecond !== null) this.recordTold(told, endpoint);
--- a/src/coordination/simulation/simulated_site_types.ts
+++ b/src/coordination/simulation/simulated_site_types.ts
@@ -1,5 +1,6 @@
 /** What a simulated site is given, and what it records. */
-import type {Route} from '../../protocol/route_table.ts';
+import type {Route, RouteCustomer} from '../../protocol/route_table.ts';
+import type {FakeRequest} from '../forwarding/forwarding_fakes.ts';
 
 /** A limit that an endpoint names in its answers for some time. */
 export interface SiteLimit {
@@ -10,6 +11,37 @@
   readonly untilMs: number;
 }
 
+/** Endpoints that crash. */
+export interface SiteEngines {
+  /** Answers that an endpoint works on at once. */
+  readonly batch: number;
+  /** Parts of prompts that crash engines; none by default. */
+  readonly badParts?: ReadonlySet<string>;
+  /** Bodies of requests that crash endpoints; none by default. */
+  readonly badBodies?: ReadonlySet<string>;
+  /** Whether they answer calls and not streams; false by default. */
+  readonly answersCalls?: boolean;
+  /** Whether they come back with another id and address; false by default. */
+  readonly movesAddress?: boolean;
+}
+
+/** How connections of a gateway to endpoints are broken. */
+export type LinkFault =
+  /** New connections are accepted and reset. */
+  | 'reset'
+  /** New connections are refused. */
+  | 'refuse'
+  /** New connections hang. */
+  | 'hang';
+
+/** Requests of one kind. */
+export interface SiteLoad {
+  readonly perSecond: number;
+  readonly drawRequest: () => FakeRequest;
+  /** The index of the only gateway that gets them; any by default. */
+  readonly gateway?: number | undefined;
+}
+
 export interface SimulatedSiteOptions {
   readonly seed: number;
   /** 9 by default. */
@@ -21,10 +53,9 @@
   /** None by default. */
   readonly limits?: readonly SiteLimit[];
   /** Lets endpoints be engines that crash; they do not by default. */
-  readonly engines?: {
-    readonly batch: number;
-    readonly badParts: ReadonlySet<string>;
-  };
+  readonly engines?: SiteEngines;
+  /** The customers that own keys; requests need none by default. */
+  readonly customers?: readonly RouteCustomer[];
   /** The share of messages between daemons that are lost; 0 by default. */
   readonly lossShare?: number;
   /** The share of answers that are errors; 0 by default. */
@@ -34,6 +65,7 @@
 
 /** A request that arrived at an endpoint. */
 export interface Arrival {
+  readonly attemptId: string | null;
   readonly atMs: number;
   readonly endpoint: number;
   readonly gateway: number;
@@ -45,6 +77,7 @@
   readonly isInformed: boolean;
   /** The ids of its prompt's parts. */
   readonly parts: readonly string[];
+  readonly body: string;
 }
 
 /** A request as its caller saw it. */
@@ -54,6 +87,7 @@
   readonly isExcused: boolean;
   /** The ids of its prompt's parts. */
   readonly parts: readonly string[];
+  readonly body: string;
   status: number;
   text: string;
 }
