Do not condemn a popular part while engines flap

Cause: the background of ordinary ends counted only ends without the part, and none with another part of level 2. A popular part is at each engine that ends, so all ends seemed to be its own, and popular parts explained each other's.

Change: a verdict needs crashes that are hardly a coincidence. Each crash tells how long the request had been at its engine; the rate of ordinary ends is estimated from the ends of running engines of the service in 20 s, and the chance is the tail of a negative binomial distribution.

--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -3,6 +3,7 @@
 import {EndpointLimits} from '../../coordination/forwarding/endpoint_limits.ts';
 import {EndpointNotices} from '../../coordination/forwarding/endpoint_notices.ts';
 import {Forwarder} from '../../coordination/forwarding/forwarder.ts';
+import {listRunningStarts} from '../../coordination/quarantine/endpoint_ends.ts';
 import {PromptQuarantine} from '../../coordination/quarantine/prompt_quarantine.ts';
 import {createTrialClient} from '../../coordination/quarantine/trial_client.ts';
 import {PrefillBacklog} from '../../coordination/forwarding/prefill_backlog.ts';
@@ -66,6 +67,8 @@
       listCores: () => view.cores.map(({address}) => address),
       getService: address => links.get(address),
     }),
+    listStarts: service =>
+      listRunningStarts(view.listEndpoints(service), service),
     onObservation: () => follower.reportSoon(),
   });
   const gateways = new RecentGateways({
--- a/src/coordination/core/core_state.ts
+++ b/src/coordination/core/core_state.ts
@@ -56,7 +56,10 @@
     this.members = new CoreMembers({clock, self});
     this.endpoints = new EndpointRegistry({clock});
     this.limits = new EndpointLimitTable({clock});
-    this.suspects = new SuspectTable(clock);
+    this.suspects = new SuspectTable({
+      clock,
+      listStarts: service => this.endpoints.listStarts(service),
+    });
     this.trials = new TrialTable(clock);
     this.changes = createNotifier(clock);
     this.urgentChanges = createNotifier(clock);
--- a/src/coordination/core/core_state_test.ts
+++ b/src/coordination/core/core_state_test.ts
@@ -138,7 +138,7 @@
   let revisions = 0;
   let last = state.dueSuspectRevision;
   for (let index = 0; index < 500; index++) {
-    const crashes = [{start: `e${index}/1`, ageMs: 0}];
+    const crashes = [{start: `e${index}/1`, ageMs: 0, exposureMs: 100}];
     const record = {service: 'app', part: `p${index}`, level: 1, crashes};
     state.mergeSuspects(
       [{...record, isCondemned: false, clearedAgeMs: null}],
@@ -158,6 +158,7 @@
   const crashes = Array.from({length: level}, (_, index) => ({
     start: `e${index}/1`,
     ageMs: 100 * (level - index),
+    exposureMs: 100,
   }));
   return {
     service: 'app',
--- a/src/coordination/core/endpoint_registry.ts
+++ b/src/coordination/core/endpoint_registry.ts
@@ -6,6 +6,7 @@
  * an earlier start never replaces a later one, even if another endpoint has
  * taken over the address.
  */
+import {listRunningStarts} from '../quarantine/endpoint_ends.ts';
 import type {Clock} from '../../protocol/clock.ts';
 import type {LeavingEndpoint, ReportAge} from '../../protocol/core_service.ts';
 import type {
@@ -116,6 +117,11 @@
       .map(({entry}) => entry);
   }
 
+  /** Lists the starts of a service's endpoints that are taken to run. */
+  listStarts(service: string): string[] {
+    return listRunningStarts(this.list(), service);
+  }
+
   /** Lists the last reports, to send to other daemons or to save. */
   listReports(): EndpointReport[] {
     return this.list().map(dropSilentFlag);
--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -24,6 +24,7 @@
 import {EndpointNotices} from './endpoint_notices.ts';
 import {Forwarder} from './forwarder.ts';
 import {PrefillBacklog} from './prefill_backlog.ts';
+import {listRunningStarts} from '../quarantine/endpoint_ends.ts';
 import {PromptQuarantine} from '../quarantine/prompt_quarantine.ts';
 import {BodyDigest} from '../quarantine/request_identity.ts';
 import {RecentGateways} from './recent_gateways.ts';
@@ -227,6 +228,8 @@
       logger: silentLogger,
       metrics: silentMetrics,
       trials,
+      listStarts: service =>
+        listRunningStarts(this.view.listEndpoints(service), service),
       ...(onObservation && {onObservation}),
     });
     const gateways = new RecentGateways({
--- a/src/coordination/quarantine/prompt_crash_test.ts
+++ b/src/coordination/quarantine/prompt_crash_test.ts
@@ -108,6 +108,20 @@
   );
 });
 
+// Guards against a popular part that is condemned since it is at each engine that
+// ends by chance, so that no end seems to come without it.
+test('forward() does not condemn a part that is at every engine', async () => {
+  for (const seed of [71_007, 71_016, 71_022, 71_028]) {
+    const {condemnedSound} = await playHistory({
+      seed,
+      hasBadParts: false,
+      isCalm: true,
+      flapsPerSecond: 1,
+    });
+    assert.equal(condemnedSound, 0, `seed ${seed}`);
+  }
+});
+
 /** Asserts that sound parts are condemned in few histories. */
 function assertFewCondemned(histories: readonly HistoryFigures[]): void {
   const wrong = histories.filter(({condemnedSound}) => condemnedSound > 0);
--- a/src/coordination/quarantine/prompt_quarantine.ts
+++ b/src/coordination/quarantine/prompt_quarantine.ts
@@ -13,6 +13,7 @@
 import type {SuspectPart} from '../../protocol/suspect_part.ts';
 import type {CallRun} from '../forwarding/call_run.ts';
 import {PromptWatch} from './prompt_watch.ts';
+import {createStartKey} from './endpoint_ends.ts';
 import type {TrialClient} from './trial_client.ts';
 import {createPartKey, SuspectTable, type Suspect} from './suspect_table.ts';
 
@@ -49,6 +50,8 @@
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly trials: TrialClient;
+  /** Lists the starts of a service's endpoints that are taken to run. */
+  readonly listStarts?: (service: string) => readonly string[];
   /** Called when this gateway observed what others need to know at once. */
   readonly onObservation?: () => void;
 }
@@ -61,7 +64,7 @@
   private readonly observedAt = new Map<string, number>();
 
   constructor(private readonly options: PromptQuarantineOptions) {
-    this.table = new SuspectTable(options.clock);
+    this.table = new SuspectTable(options);
   }
 
   /** Decides whether a request may be sent; asks the core if need be. */
@@ -132,13 +135,15 @@
     const levels = new Map(
       parts.map(part => [part, this.table.find(service, part)?.level ?? 0]),
     );
+    const sentAt = clock.monotonic();
     return new PromptWatch({
       clock,
       onSound: () => parts.forEach(part => this.recordSound(service, part)),
       onCrash: () => {
+        const exposureMs = clock.monotonic() - sentAt;
         for (const part of this.selectCrashParts(service, parts)) {
           const level = (levels.get(part) ?? 0) + 1;
-          this.recordCrash(endpoint, {part, level});
+          this.recordCrash(endpoint, {part, level, exposureMs});
         }
       },
     });
@@ -247,16 +252,20 @@
   }
 
   private recordCrash(
-    {id, service, startedAtMs}: EndpointEntry,
-    {part, level}: {part: string; level: number},
+    endpoint: EndpointEntry,
+    {
+      part,
+      level,
+      exposureMs,
+    }: {part: string; level: number; exposureMs: number},
   ): void {
     const now = this.options.clock.monotonic();
     this.recordObservation({
-      service,
+      service: endpoint.service,
       part,
       level,
       isCondemned: false,
-      crashes: new Map([[`${id}/${startedAtMs}`, now]]),
+      crashes: new Map([[createStartKey(endpoint), {atMs: now, exposureMs}]]),
       clearedAt: -Infinity,
     });
   }
--- a/src/coordination/quarantine/prompt_quarantine_test.ts
+++ b/src/coordination/quarantine/prompt_quarantine_test.ts
@@ -48,6 +48,7 @@
   const crashes = Array.from({length: level}, (_, index) => ({
     start: `e${index}/${part}`,
     ageMs: 100 * (level - index),
+    exposureMs: 100,
   }));
   const isCondemned = level >= 3;
   return {
--- a/src/coordination/quarantine/suspect_table.ts
+++ b/src/coordination/quarantine/suspect_table.ts
@@ -5,8 +5,9 @@
  * receives; merging is idempotent and does not depend on the order. When an
  * engine ends, each part of a prompt on which it may just have begun an answer
  * becomes a suspect. One answer on the part clears it. A part is condemned when
- * engines ended one after the other, each after the crash before was known:
- * engines that end together, as in an outage, count once.
+ * engines ended one after the other, each after the crash before was known, and
+ * when that is hardly a coincidence, given how often engines end. Engines that end
+ * together, as in an outage, count once.
  */
 import type {Clock} from '../../protocol/clock.ts';
 import {
@@ -14,25 +15,30 @@
   type SuspectPart,
 } from '../../protocol/suspect_part.ts';
 import {RevisedMap} from '../revised_map.ts';
+import {computeChance} from './compute_chance.ts';
+import {EndpointEnds, type EndpointEndsOptions} from './endpoint_ends.ts';
 
 /** The crashes in a row after which a part is condemned. */
 const CONDEMN_LEVEL = 3;
 
+/**
+ * A part is condemned when its crashes are less likely than this to be ordinary
+ * ends of engines that come by chance.
+ */
+const MAX_CHANCE = 5e-8;
+
+/** The same for a part that explains ends of engines without being condemned. */
+const MAX_PROBABLE_CHANCE = 1e-3;
+
 /** The level at which a part explains the crashes that it was part of. */
 const EXPLAINING_LEVEL = 2;
 
-/** Further crashes that are required at most while engines end without it. */
-const MAX_EXTRA_LEVELS = 3;
-
 /** The pause before a condemned part is tried that others explain, in ms. */
 const EXPLAINED_BACK_OFF_MS = 500;
 
 /** The highest level at which a condemned part that others explain is tried. */
 const MAX_TRIED_LEVEL = 5;
 
-/** How far back engines that ended without the part count, in ms. */
-const BACKGROUND_MS = 20_000;
-
 /** How long a condemned part is withheld; one request then tries it again. */
 const CONDEMN_MS = 10 * 60_000;
 
@@ -43,9 +49,16 @@
 /** How long a cleared part is retained, against records that arrive late. */
 const RETAIN_CLEARED_MS = 30_000;
 
-/** The most records and engine ends that are retained. */
+/** The most records that are retained. */
 const MAX_SUSPECTS = 256;
-const MAX_ENDS = 256;
+
+/** The end of an engine that had a part. */
+export interface Crash {
+  /** When it was observed, on the monotonic clock. */
+  readonly atMs: number;
+  /** How long the request had been at the engine, in ms. */
+  readonly exposureMs: number;
+}
 
 /** A part that engines ended with; times are on the monotonic clock. */
 export interface Suspect {
@@ -53,8 +66,8 @@
   readonly part: string;
   readonly level: number;
   readonly isCondemned: boolean;
-  /** When engines ended, by their start. */
-  readonly crashes: ReadonlyMap<string, number>;
+  /** The engines that ended, by their start. */
+  readonly crashes: ReadonlyMap<string, Crash>;
   readonly clearedAt: number;
 }
 
@@ -72,10 +85,13 @@
 
 export class SuspectTable {
   private readonly suspects = new RevisedMap<Suspect>();
-  /** When engines ended with any suspect, by their start. */
-  private readonly ends = new Map<string, number>();
+  private readonly clock: Clock;
+  private readonly ends: EndpointEnds;
 
-  constructor(private readonly clock: Clock) {}
+  constructor(options: EndpointEndsOptions) {
+    this.clock = options.clock;
+    this.ends = new EndpointEnds(options);
+  }
 
   /** Increases with each change. All changes are urgent. */
   get revision(): number {
@@ -153,7 +169,10 @@
         level,
         isCondemned,
         crashes: new Map(
-          crashes.map(({start, ageMs}) => [start, receivedAt - ageMs]),
+          crashes.map(({start, ageMs, exposureMs}) => [
+            start,
+            {atMs: receivedAt - ageMs, exposureMs},
+          ]),
         ),
         clearedAt:
           clearedAgeMs === null ? -Infinity : receivedAt - clearedAgeMs,
@@ -165,7 +184,9 @@
   /** Merges one record; returns `null` if that changes nothing. */
   mergeOne(next: Suspect): SuspectChange | null {
     const key = createPartKey(next.service, next.part);
-    for (const [start, atMs] of next.crashes) this.recordEnd(start, atMs);
+    for (const [start, {atMs}] of next.crashes) {
+      this.ends.record(next.service, start, atMs);
+    }
     const known = this.suspects.get(key);
     const merged = this.evaluate(mergeSuspects(known ?? null, next));
     if (this.isExpired(merged)) return null;
@@ -187,9 +208,10 @@
     const now = this.clock.monotonic();
     return {
       ...rest,
-      crashes: [...crashes].map(([start, atMs]) => ({
+      crashes: [...crashes].map(([start, {atMs, exposureMs}]) => ({
         start,
         ageMs: now - atMs,
+        exposureMs,
       })),
       clearedAgeMs: clearedAt === -Infinity ? null : now - clearedAt,
     };
@@ -200,47 +222,51 @@
     for (const [key, suspect] of this.suspects) {
       if (this.isExpired(suspect)) this.suspects.delete(key);
     }
-    const oldest = this.clock.monotonic() - BACKGROUND_MS;
-    for (const [start, atMs] of this.ends) {
-      if (atMs < oldest) this.ends.delete(start);
-    }
+    this.ends.expire();
   }
 
-  /** Condemns a part that reached the required level. */
+  /** Condemns a part whose crashes are hardly a coincidence. */
   private evaluate(suspect: Suspect): Suspect {
     if (suspect.isCondemned || suspect.level < CONDEMN_LEVEL) return suspect;
-    const isCondemned = suspect.level >= this.computeRequiredLevel(suspect);
-    return {...suspect, isCondemned};
+    const probable = this.listProbable(suspect);
+    const chance = this.evaluateChance(suspect, start =>
+      probable.some(({crashes}) => crashes.has(start)),
+    );
+    return {...suspect, isCondemned: chance <= MAX_CHANCE};
   }
 
   /**
-   * Computes the level that condemns a part. It is higher while engines end
-   * without the part or another strong suspect: then they end by chance, too.
+   * Computes how likely an engine ends by chance as often as a suspect's level
+   * says, while requests with it are there one at a time.
+   *
+   * @param isExplained Whether another suspect explains an end of an engine.
    */
-  private computeRequiredLevel(suspect: Suspect): number {
-    const isFull = suspect.crashes.size >= MAX_PART_CRASHES;
-    const oldest = Math.max(
-      this.clock.monotonic() - BACKGROUND_MS,
-      isFull ? Math.min(...suspect.crashes.values()) : -Infinity,
+  private evaluateChance(
+    {service, level, crashes}: Suspect,
+    isExplained: (start: string) => boolean,
+  ): number {
+    const rate = this.ends.observeRate(
+      service,
+      level,
+      start => !crashes.has(start) && isExplained(start),
     );
-    const explained = new Set(suspect.crashes.keys());
-    for (const [, other] of this.suspects) {
-      if (other.level < EXPLAINING_LEVEL) continue;
-      for (const start of other.crashes.keys()) explained.add(start);
-    }
-    let others = 0;
-    for (const [start, atMs] of this.ends) {
-      if (atMs >= oldest && !explained.has(start)) others++;
-    }
-    return CONDEMN_LEVEL + Math.min(MAX_EXTRA_LEVELS, Math.ceil(others / 2));
+    const exposures = [...crashes.values()].map(({exposureMs}) => exposureMs);
+    const sumMs = exposures.reduce((sum, each) => sum + each, 0);
+    const withinMs = (sumMs * level) / crashes.size;
+    return computeChance(rate, {count: level, withinMs});
   }
 
-  private recordEnd(start: string, atMs: number): void {
-    if (this.ends.has(start)) return;
-    this.ends.set(start, atMs);
-    if (this.ends.size <= MAX_ENDS) return;
-    const [oldest] = this.ends.keys();
-    if (oldest !== undefined) this.ends.delete(oldest);
+  /** Lists the other suspects of a service that probably crash engines. */
+  private listProbable({service, part}: Suspect): Suspect[] {
+    return [...this.suspects]
+      .map(([, suspect]) => suspect)
+      .filter(each => each.service === service && each.part !== part)
+      .filter(each => each.level >= CONDEMN_LEVEL && !this.isExpired(each))
+      .filter(
+        each =>
+          each.isCondemned ||
+          this.evaluateChance(each, () => false) <= MAX_PROBABLE_CHANCE,
+      );
   }
 
   private isExpired(suspect: Suspect): boolean {
@@ -268,12 +294,12 @@
 
 function mergeSuspects(known: Suspect | null, next: Suspect): Suspect {
   const clearedAt = Math.max(known?.clearedAt ?? -Infinity, next.clearedAt);
-  const keepLater = (crashes: ReadonlyMap<string, number> | undefined) =>
-    [...(crashes ?? [])].filter(([, atMs]) => atMs > clearedAt);
+  const keepLater = (crashes: ReadonlyMap<string, Crash> | undefined) =>
+    [...(crashes ?? [])].filter(([, {atMs}]) => atMs > clearedAt);
   const before = keepLater(known?.crashes);
   const added = keepLater(next.crashes);
-  const newestFirst = [...new Map([...added, ...before])].sort(
-    ([, a], [, b]) => b - a,
+  const newestFirst = [...mergeCrashes(before, added)].sort(
+    ([, a], [, b]) => b.atMs - a.atMs,
   );
   const crashes = new Map(newestFirst.slice(0, MAX_PART_CRASHES));
   const level = Math.max(
@@ -293,6 +319,22 @@
   };
 }
 
+/** Merges crashes; several requests may have been there for different times. */
+function mergeCrashes(
+  before: ReadonlyArray<[string, Crash]>,
+  added: ReadonlyArray<[string, Crash]>,
+): Map<string, Crash> {
+  const merged = new Map(before);
+  for (const [start, crash] of added) {
+    const {atMs, exposureMs} = merged.get(start) ?? crash;
+    merged.set(start, {
+      atMs,
+      exposureMs: Math.max(exposureMs, crash.exposureMs),
+    });
+  }
+  return merged;
+}
+
 /** Whether two records say the same; times of later answers do not matter. */
 function isSame(a: Suspect, b: Suspect): boolean {
   return (
@@ -304,5 +346,5 @@
 }
 
 function findLastCrash({crashes}: Suspect): number {
-  return Math.max(...crashes.values());
+  return Math.max(...[...crashes.values()].map(({atMs}) => atMs));
 }
--- a/src/coordination/quarantine/suspect_table_test.ts
+++ b/src/coordination/quarantine/suspect_table_test.ts
@@ -7,6 +7,12 @@
 const SERVICE = 'app';
 const NO_PARTS: ReadonlySet<string> = new Set();
 
+/** Engines that run beside those that end. */
+const listStarts = () => ['r1/1', 'r2/1', 'r3/1'];
+
+/** The time of a request at an engine before it ends, in ms. */
+const EXPOSURE_MS = 100;
+
 /** Requests with a condemned part that may reach engines. */
 const MAX_TRIES = 3;
 
@@ -25,7 +31,7 @@
     part,
     level,
     isCondemned: false,
-    crashes: new Map([[start, atMs]]),
+    crashes: new Map([[start, {atMs, exposureMs: EXPOSURE_MS}]]),
     clearedAt: -Infinity,
   });
 }
@@ -34,7 +40,7 @@
 // seldom, since other parts were there each time.
 test('a condemned part is tried a few times at most while others explain it', async () => {
   const clock = new SimulatedClock();
-  const table = new SuspectTable(clock);
+  const table = new SuspectTable({clock, listStarts});
   const record = (start: string, level: number) => {
     const atMs = clock.monotonic();
     recordCrash(table, {part: 'bad', level, start, atMs});
@@ -60,7 +66,7 @@
 // Guards against a part that is condemned since engines flap.
 test('a part is not condemned for three crashes while engines end without it', async () => {
   const clock = new SimulatedClock();
-  const table = new SuspectTable(clock);
+  const table = new SuspectTable({clock, listStarts});
   for (let index = 0; index < 6; index++) {
     const atMs = clock.monotonic();
     recordCrash(table, {
--- a/src/protocol/suspect_part.ts
+++ b/src/protocol/suspect_part.ts
@@ -15,11 +15,19 @@
 /** Crashes that a record holds at most. */
 export const MAX_PART_CRASHES = 16;
 
+/** The assumed time of a request at an engine, in ms. */
+const DEFAULT_EXPOSURE_MS = 1_000;
+
 /** An engine that ended while it may have begun an answer on the part. */
 export const partCrashSchema = z.object({
   /** One start of an endpoint. */
   start: z.string(),
   ageMs: ageSchema,
+  /**
+   * How long the request had been at the engine, in ms; earlier versions do not
+   * tell.
+   */
+  exposureMs: ageSchema.default(DEFAULT_EXPOSURE_MS),
 });
 
 export const suspectPartSchema = z.object({
--- a/src/state/view/saved_view_test.ts
+++ b/src/state/view/saved_view_test.ts
@@ -29,7 +29,7 @@
   part: 'p1',
   level: 3,
   isCondemned: true,
-  crashes: [{start: 'e1/5', ageMs: 10}],
+  crashes: [{start: 'e1/5', ageMs: 10, exposureMs: 100}],
   clearedAgeMs: null,
 };
 
--- a/tools/mutants/quarantine.ts
+++ b/tools/mutants/quarantine.ts
@@ -81,8 +81,8 @@
     edits: [
       {
         file: SUSPECTS,
-        from: 'return CONDEMN_LEVEL + Math.min(MAX_EXTRA_LEVELS, Math.ceil(others / 2));',
-        to: 'return CONDEMN_LEVEL;',
+        from: 'this.evaluateChance(suspect) <= MAX_CHANCE',
+        to: 'true',
       },
     ],
   },
