--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -4,7 +4,7 @@
 import {EndpointNotices} from '../../coordination/forwarding/endpoint_notices.ts';
 import {Forwarder} from '../../coordination/forwarding/forwarder.ts';
 import {listRunningStarts} from '../../coordination/quarantine/endpoint_ends.ts';
-import {PromptQuarantine} from '../../coordination/quarantine/prompt_quarantine.ts';
+import {Quarantine} from '../../coordination/quarantine/quarantine.ts';
 import {createTrialClient} from '../../coordination/quarantine/trial_client.ts';
 import {PrefillBacklog} from '../../coordination/forwarding/prefill_backlog.ts';
 import {RecentGateways} from '../../coordination/forwarding/recent_gateways.ts';
@@ -57,7 +57,7 @@
     onLimits: relayed => limits.recordRelayed(relayed),
     onSuspects: relayed => quarantine.recordRelayed(relayed),
   });
-  const quarantine = new PromptQuarantine({
+  const quarantine = new Quarantine({
     clock,
     logger: createLogger('forward'),
     metrics: parts.metrics,
--- a/src/coordination/core/core_state.ts
+++ b/src/coordination/core/core_state.ts
@@ -9,11 +9,11 @@
 import type {EndpointReport} from '../../protocol/endpoint_report.ts';
 import type {Logger} from '../../protocol/logger.ts';
 import type {
-  SuspectPart,
+  SuspectRecord,
   TrialResult,
   TrialReply,
   TrialRequest,
-} from '../../protocol/suspect_part.ts';
+} from '../../protocol/suspect.ts';
 import {createPartKey, SuspectTable} from '../quarantine/suspect_table.ts';
 import {createNotifier, type Notifier} from '../notifier.ts';
 import {CoreMembers} from './core_members.ts';
@@ -144,7 +144,7 @@
    *
    * @param receivedAt When their ages were measured, on the monotonic clock.
    */
-  mergeSuspects(records: readonly SuspectPart[], receivedAt: number): void {
+  mergeSuspects(records: readonly SuspectRecord[], receivedAt: number): void {
     const changes = this.suspects.merge(records, receivedAt);
     if (changes.length === 0) return;
     for (const {suspect, previousLevel} of changes) {
--- a/src/coordination/core/core_state_test.ts
+++ b/src/coordination/core/core_state_test.ts
@@ -7,7 +7,7 @@
 import type {GatewayReport} from '../../protocol/core_service.ts';
 import {silentLogger} from '../../protocol/logger.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
-import type {SuspectPart} from '../../protocol/suspect_part.ts';
+import type {SuspectRecord} from '../../protocol/suspect.ts';
 import {createEndpoint} from '../forwarding/forwarding_fakes.ts';
 import {CoreState} from './core_state.ts';
 import {startExchange} from './exchange_task.ts';
@@ -154,7 +154,7 @@
 });
 
 /** A record of a part with which engines ended one after the other. */
-function createRecord(level: number): SuspectPart {
+function createRecord(level: number): SuspectRecord {
   const crashes = Array.from({length: level}, (_, index) => ({
     start: `e${index}/1`,
     ageMs: 100 * (level - index),
--- a/src/coordination/core/gateway_directory.ts
+++ b/src/coordination/core/gateway_directory.ts
@@ -10,7 +10,7 @@
   VersionEvidence,
   VersionPace,
 } from '../../protocol/core_service.ts';
-import type {SuspectPart} from '../../protocol/suspect_part.ts';
+import type {SuspectRecord} from '../../protocol/suspect.ts';
 
 /** A gateway reports at least every 0.8 s; two reports may be lost. */
 const LIVE_MS = 2_500;
@@ -49,7 +49,7 @@
   ) => void;
   /** The same for suspected parts of prompts. */
   readonly onSuspects?: (
-    records: readonly SuspectPart[],
+    records: readonly SuspectRecord[],
     receivedAt: number,
   ) => void;
 }
--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -3,7 +3,7 @@
 import {
   MAX_PART_ID_CHARACTERS,
   MAX_WATCHED_PARTS,
-} from '../../protocol/suspect_part.ts';
+} from '../../protocol/suspect.ts';
 import {computeRequestIdentity} from '../quarantine/request_identity.ts';
 import type {AdmittedCall} from './admit_call.ts';
 import type {Call, Header} from './call.ts';
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -25,7 +25,7 @@
 import type {EndpointNotices} from './endpoint_notices.ts';
 import {handleAbort} from './handle_abort.ts';
 import type {PrefillBacklog} from './prefill_backlog.ts';
-import type {PromptQuarantine} from '../quarantine/prompt_quarantine.ts';
+import type {Quarantine} from '../quarantine/quarantine.ts';
 import type {RecentGateways} from './recent_gateways.ts';
 import {
   drawJitterMs,
@@ -79,7 +79,7 @@
   readonly health: EndpointHealth;
   readonly notices: EndpointNotices;
   readonly limits: EndpointLimits;
-  readonly quarantine: PromptQuarantine;
+  readonly quarantine: Quarantine;
   readonly gateways: RecentGateways;
   readonly evidence: VersionEvidenceCounter;
   readonly prefillBacklog: PrefillBacklog;
--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -25,7 +25,7 @@
 import {Forwarder} from './forwarder.ts';
 import {PrefillBacklog} from './prefill_backlog.ts';
 import {listRunningStarts} from '../quarantine/endpoint_ends.ts';
-import {PromptQuarantine} from '../quarantine/prompt_quarantine.ts';
+import {Quarantine} from '../quarantine/quarantine.ts';
 import {BodyDigest} from '../quarantine/request_identity.ts';
 import {RecentGateways} from './recent_gateways.ts';
 import {RecordingSink} from './recording_sink_fake.ts';
@@ -184,7 +184,7 @@
   readonly view: GatewayView;
   readonly notices: EndpointNotices;
   readonly limits: EndpointLimits;
-  readonly quarantine: PromptQuarantine;
+  readonly quarantine: Quarantine;
   private readonly health: EndpointHealth;
   private readonly address: string;
   private calls = 0;
@@ -223,7 +223,7 @@
       onLimits: limits => this.limits.recordRelayed(limits),
       onSuspects: records => this.quarantine.recordRelayed(records),
     });
-    this.quarantine = new PromptQuarantine({
+    this.quarantine = new Quarantine({
       clock,
       logger: silentLogger,
       metrics: silentMetrics,
--- a/src/coordination/forwarding/held_answer.ts
+++ b/src/coordination/forwarding/held_answer.ts
@@ -7,7 +7,7 @@
  */
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import type {EndpointAnswer} from './call.ts';
-import type {PromptWatch} from '../quarantine/prompt_watch.ts';
+import type {CrashWatch} from '../quarantine/crash_watch.ts';
 
 /** The maximum size of a buffered answer; a larger one counts as broken. */
 export const MAX_HELD_BYTES = 4 * 1024 * 1024;
@@ -20,7 +20,7 @@
   /** Disposed when the answer is complete, broken or discarded. */
   readonly open: Disposable;
   /** Watches what the rest of the answer shows of its prompt. */
-  readonly watch: PromptWatch;
+  readonly watch: CrashWatch;
 }
 
 export class HeldAnswer implements Disposable {
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -16,8 +16,8 @@
 import {HeldAnswer} from './held_answer.ts';
 import type {PrefillPlan} from './plan_prefill.ts';
 import type {PrefillBacklog} from './prefill_backlog.ts';
-import type {PromptQuarantine} from '../quarantine/prompt_quarantine.ts';
-import type {PromptWatch} from '../quarantine/prompt_watch.ts';
+import type {Quarantine} from '../quarantine/quarantine.ts';
+import type {CrashWatch} from '../quarantine/crash_watch.ts';
 import {STALL_MIN_MS} from './relay_events.ts';
 import type {Shutdown} from './shutdown.ts';
 import {startWatchdog} from './watchdog.ts';
@@ -93,7 +93,7 @@
   readonly health: EndpointHealth;
   readonly notices: EndpointNotices;
   readonly limits: EndpointLimits;
-  readonly quarantine: PromptQuarantine;
+  readonly quarantine: Quarantine;
   readonly prefillBacklog: PrefillBacklog;
   /** Whether an endpoint accepts requests now. */
   readonly mayReceive: (endpoint: EndpointEntry) => boolean;
@@ -209,7 +209,7 @@
 
 /** Records what the end of an attempt shows of its prompt. */
 function recordOnWatch(
-  watch: PromptWatch,
+  watch: CrashWatch,
   outcome: AttemptOutcome,
   result: AttemptResult,
 ): void {
@@ -278,7 +278,7 @@
   readonly outcome: AttemptOutcome;
   /** When the attempt began, on the monotonic clock. */
   readonly startedAt: number;
-  readonly watch: PromptWatch;
+  readonly watch: CrashWatch;
   /** Called on progress, with the timeout for the next piece in ms. */
   readonly onProgress: (ms: number) => void;
 }
@@ -362,7 +362,7 @@
 interface HeldParts {
   readonly endpoint: EndpointEntry;
   readonly answer: EndpointAnswer;
-  readonly watch: PromptWatch;
+  readonly watch: CrashWatch;
 }
 
 /** Holds an answer while a larger model is asked. */
--- a/src/coordination/gateway/gateway_view.ts
+++ b/src/coordination/gateway/gateway_view.ts
@@ -17,7 +17,7 @@
 import type {Logger} from '../../protocol/logger.ts';
 import type {Outcome} from '../../protocol/outcome.ts';
 import type {RouteTable} from '../../protocol/route_table.ts';
-import type {SuspectPart} from '../../protocol/suspect_part.ts';
+import type {SuspectRecord} from '../../protocol/suspect.ts';
 import {RouteIndex} from './route_index.ts';
 
 export interface GatewayViewOptions {
@@ -29,7 +29,7 @@
   /** Called with limits that gateways observed. */
   readonly onLimits?: (limits: readonly EndpointLimit[]) => void;
   /** Called with suspected parts of prompts that gateways observed. */
-  readonly onSuspects?: (records: readonly SuspectPart[]) => void;
+  readonly onSuspects?: (records: readonly SuspectRecord[]) => void;
 }
 
 export class GatewayView {
--- a/src/coordination/quarantine/prompt_watch.ts
+++ b/src/coordination/quarantine/crash_watch.ts
@@ -12,18 +12,18 @@
 /** How long an answer must go on to speak for its parts, in ms. */
 const SETTLE_MS = 1_000;
 
-export interface PromptWatchOptions {
+export interface CrashWatchOptions {
   readonly clock: Clock;
   readonly onSound: () => void;
   readonly onCrash: () => void;
 }
 
-export class PromptWatch {
+export class CrashWatch {
   private beganAt: number | null = null;
   private isError = false;
   private isDecided = false;
 
-  constructor(private readonly options: PromptWatchOptions) {}
+  constructor(private readonly options: CrashWatchOptions) {}
 
   /** Records that the head of the answer arrived. */
   recordBegin({status}: Pick<EndpointAnswer, 'status'>): void {
--- a/src/coordination/quarantine/prompt_quarantine.ts
+++ b/src/coordination/quarantine/quarantine.ts
@@ -10,9 +10,9 @@
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import type {Logger} from '../../protocol/logger.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
-import type {SuspectPart} from '../../protocol/suspect_part.ts';
+import type {SuspectRecord} from '../../protocol/suspect.ts';
 import type {CallRun} from '../forwarding/call_run.ts';
-import {PromptWatch} from './prompt_watch.ts';
+import {CrashWatch} from './crash_watch.ts';
 import {createStartKey} from './endpoint_ends.ts';
 import type {TrialClient} from './trial_client.ts';
 import {createPartKey, SuspectTable, type Suspect} from './suspect_table.ts';
@@ -45,7 +45,7 @@
 
 const FREE: Permission = {type: 'free'};
 
-export interface PromptQuarantineOptions {
+export interface QuarantineOptions {
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
@@ -56,14 +56,14 @@
   readonly onObservation?: () => void;
 }
 
-export class PromptQuarantine {
+export class Quarantine {
   private readonly table: SuspectTable;
   /** When parts were last answered on here; the latest ones come last. */
   private readonly soundAt = new Map<string, number>();
   /** When this gateway last observed something of a part, by its key. */
   private readonly observedAt = new Map<string, number>();
 
-  constructor(private readonly options: PromptQuarantineOptions) {
+  constructor(private readonly options: QuarantineOptions) {
     this.table = new SuspectTable(options);
   }
 
@@ -128,7 +128,7 @@
   }
 
   /** Watches an attempt for what it shows of its prompt. */
-  observe(run: CallRun, endpoint: EndpointEntry): PromptWatch {
+  observe(run: CallRun, endpoint: EndpointEntry): CrashWatch {
     const {clock} = this.options;
     const {name: service} = run.admitted.service;
     const parts = run.watchedParts;
@@ -136,7 +136,7 @@
       parts.map(part => [part, this.table.find(service, part)?.level ?? 0]),
     );
     const sentAt = clock.monotonic();
-    return new PromptWatch({
+    return new CrashWatch({
       clock,
       onSound: () => parts.forEach(part => this.recordSound(service, part)),
       onCrash: () => {
@@ -150,7 +150,7 @@
   }
 
   /** Merges what other gateways observed, as relayed by the core. */
-  recordRelayed(records: readonly SuspectPart[]): void {
+  recordRelayed(records: readonly SuspectRecord[]): void {
     const now = this.options.clock.monotonic();
     for (const {suspect} of this.table.merge(records, now)) {
       this.logChange(suspect, 'the core');
@@ -158,7 +158,7 @@
   }
 
   /** Lists what this gateway observed lately, to report it to the core. */
-  listObserved(): SuspectPart[] {
+  listObserved(): SuspectRecord[] {
     const oldest = this.options.clock.monotonic() - REPORT_WITHIN_MS;
     for (const [key, atMs] of this.observedAt) {
       if (atMs < oldest) this.observedAt.delete(key);
@@ -188,7 +188,7 @@
   private listRecords(
     service: string,
     parts: readonly string[],
-  ): SuspectPart[] {
+  ): SuspectRecord[] {
     const records = parts.flatMap(part => {
       const known = this.table.get(createPartKey(service, part));
       return known ? [this.table.encode(known)] : [];
--- a/src/coordination/quarantine/prompt_quarantine_test.ts
+++ b/src/coordination/quarantine/quarantine_test.ts
@@ -4,7 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
-import type {SuspectPart} from '../../protocol/suspect_part.ts';
+import type {SuspectRecord} from '../../protocol/suspect.ts';
 import type {CallFacts} from '../forwarding/call.ts';
 import {
   createAnswer,
@@ -44,7 +44,7 @@
 }
 
 /** A record of a part with which engines ended one after the other. */
-function createRecord(part: string, level: number): SuspectPart {
+function createRecord(part: string, level: number): SuspectRecord {
   const crashes = Array.from({length: level}, (_, index) => ({
     start: `e${index}/${part}`,
     ageMs: 100 * (level - index),
--- a/src/coordination/quarantine/suspect_table.ts
+++ b/src/coordination/quarantine/suspect_table.ts
@@ -10,10 +10,7 @@
  * together, as in an outage, count once.
  */
 import type {Clock} from '../../protocol/clock.ts';
-import {
-  MAX_PART_CRASHES,
-  type SuspectPart,
-} from '../../protocol/suspect_part.ts';
+import {MAX_PART_CRASHES, type SuspectRecord} from '../../protocol/suspect.ts';
 import {RevisedMap} from '../revised_map.ts';
 import {computeChance} from './compute_chance.ts';
 import {EndpointEnds, type EndpointEndsOptions} from './endpoint_ends.ts';
@@ -161,7 +158,10 @@
    *
    * @param receivedAt When their ages were measured, on the monotonic clock.
    */
-  merge(records: readonly SuspectPart[], receivedAt: number): SuspectChange[] {
+  merge(
+    records: readonly SuspectRecord[],
+    receivedAt: number,
+  ): SuspectChange[] {
     return records
       .map(({service, part, level, isCondemned, crashes, clearedAgeMs}) => ({
         service,
@@ -199,12 +199,12 @@
   }
 
   /** Lists the records that changed after a revision; all by default. */
-  list(after = 0): SuspectPart[] {
+  list(after = 0): SuspectRecord[] {
     return this.suspects.list(after).map(([, suspect]) => this.encode(suspect));
   }
 
   /** Encodes a record with the ages of its crashes. */
-  encode({crashes, clearedAt, ...rest}: Suspect): SuspectPart {
+  encode({crashes, clearedAt, ...rest}: Suspect): SuspectRecord {
     const now = this.clock.monotonic();
     return {
       ...rest,
--- a/src/coordination/quarantine/trial_client.ts
+++ b/src/coordination/quarantine/trial_client.ts
@@ -5,7 +5,7 @@
   TrialResult,
   TrialReply,
   TrialRequest,
-} from '../../protocol/suspect_part.ts';
+} from '../../protocol/suspect.ts';
 import {computeShare} from '../forwarding/hash.ts';
 
 /** The timeout of a call: a round trip between regions, and one more. */
--- a/src/coordination/quarantine/trial_client_test.ts
+++ b/src/coordination/quarantine/trial_client_test.ts
@@ -2,7 +2,7 @@
 import {test} from 'uvu';
 import {silentLogger} from '../../protocol/logger.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
-import type {TrialReply} from '../../protocol/suspect_part.ts';
+import type {TrialReply} from '../../protocol/suspect.ts';
 import {createTrialClient} from './trial_client.ts';
 
 const CORES = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'];
--- a/src/protocol/core_service.ts
+++ b/src/protocol/core_service.ts
@@ -17,14 +17,14 @@
 import {createEntryList} from './parse_message.ts';
 import {proposeRequestSchema, type ProposeReply} from './peer_service.ts';
 import {
-  suspectPartSchema,
+  suspectSchema,
   trialResultSchema,
   trialRequestSchema,
-  type SuspectPart,
+  type SuspectRecord,
   type TrialResult,
   type TrialReply,
   type TrialRequest,
-} from './suspect_part.ts';
+} from './suspect.ts';
 import {replicationSchemas, type ReplicationService} from './replication.ts';
 import {routingCommandSchema} from './routing_commands.ts';
 
@@ -130,7 +130,7 @@
   /** What it observed itself; absent from gateways of earlier versions. */
   limits: createEntryList(endpointLimitSchema).default([]),
   /** What it observed itself; absent from gateways of earlier versions. */
-  suspects: createEntryList(suspectPartSchema).default([]),
+  suspects: createEntryList(suspectSchema).default([]),
 });
 
 export type GatewayReport = z.infer<typeof gatewayReportSchema>;
@@ -225,7 +225,7 @@
   readonly limits?: readonly EndpointLimit[];
   readonly suspectRevision?: number;
   /** The suspected parts that changed since the gateway's revision. */
-  readonly suspects?: readonly SuspectPart[];
+  readonly suspects?: readonly SuspectRecord[];
   /** Whether the daemon is in contact with the core's leader, or leads. */
   readonly fresh: boolean;
 }
@@ -258,7 +258,7 @@
   readonly reportAges?: readonly ReportAge[] | undefined;
   readonly gateways: readonly AgedReport[];
   /** All suspected parts if asked for; absent from earlier versions. */
-  readonly suspects?: readonly SuspectPart[];
+  readonly suspects?: readonly SuspectRecord[];
 }
 
 const emptySchema = z.object({});
@@ -300,7 +300,7 @@
     limitRevision: optionalRevisionSchema,
     limits: createEntryList(endpointLimitSchema).optional(),
     suspectRevision: optionalRevisionSchema,
-    suspects: createEntryList(suspectPartSchema).optional(),
+    suspects: createEntryList(suspectSchema).optional(),
     fresh: z.boolean(),
   } satisfies ReplyShape<FollowReply>) satisfies z.ZodType<FollowReply>,
   exchangeCore: z.object({
@@ -308,12 +308,12 @@
     reports: createEntryList(endpointReportSchema),
     reportAges: createEntryList(reportAgeSchema).optional(),
     gateways: createEntryList(agedReportSchema),
-    suspects: createEntryList(suspectPartSchema).optional(),
+    suspects: createEntryList(suspectSchema).optional(),
   } satisfies ReplyShape<CoreExchangeReply>) satisfies z.ZodType<CoreExchangeReply>,
   requestTrial: z.object({
     isGranted: z.boolean(),
     trial: z.int().optional(),
-    suspects: createEntryList(suspectPartSchema),
+    suspects: createEntryList(suspectSchema),
   } satisfies ReplyShape<TrialReply>) satisfies z.ZodType<TrialReply>,
 } as const;
 
--- a/src/protocol/suspect_part.ts
+++ b/src/protocol/suspect.ts
@@ -30,7 +30,7 @@
   exposureMs: ageSchema.default(DEFAULT_EXPOSURE_MS),
 });
 
-export const suspectPartSchema = z.object({
+export const suspectSchema = z.object({
   service: z.string(),
   part: z.string(),
   /**
@@ -46,14 +46,14 @@
   clearedAgeMs: ageSchema.nullable(),
 });
 
-export type SuspectPart = z.infer<typeof suspectPartSchema>;
+export type SuspectRecord = z.infer<typeof suspectSchema>;
 
 /** Asks for the permission to send one request with suspected parts. */
 export const trialRequestSchema = z.object({
   service: z.string(),
   parts: z.array(z.string()),
   /** What the gateway knows of the parts. */
-  suspects: createEntryList(suspectPartSchema).default([]),
+  suspects: createEntryList(suspectSchema).default([]),
 });
 
 export type TrialRequest = z.infer<typeof trialRequestSchema>;
@@ -63,7 +63,7 @@
   /** Identifies the granted trial; absent in replies of older daemons. */
   readonly trial?: number;
   /** What the core knows of the parts. */
-  readonly suspects: readonly SuspectPart[];
+  readonly suspects: readonly SuspectRecord[];
 }
 
 /** Ends a permitted request, with what it showed. */
--- a/src/state/view/saved_view.ts
+++ b/src/state/view/saved_view.ts
@@ -17,7 +17,7 @@
   parseMessage,
   type ParsedMessage,
 } from '../../protocol/parse_message.ts';
-import {suspectPartSchema} from '../../protocol/suspect_part.ts';
+import {suspectSchema} from '../../protocol/suspect.ts';
 import type {FileSystem} from '../files/file_system.ts';
 import {nodeFileSystem} from '../files/node_file_system.ts';
 import {replaceFile} from '../files/replace_file.ts';
@@ -28,7 +28,7 @@
   configuration: configurationSchema,
   endpoints: createEntryList(endpointReportSchema),
   /** Absent from files of earlier versions; ages are as of the save. */
-  suspects: createEntryList(suspectPartSchema).default([]),
+  suspects: createEntryList(suspectSchema).default([]),
 });
 
 export type SavedView = z.infer<typeof savedViewSchema>;
--- a/tools/mutants/quarantine.ts
+++ b/tools/mutants/quarantine.ts
@@ -4,7 +4,7 @@
 
 const FORWARDING = 'src/coordination/forwarding';
 const FOLDER = 'src/coordination/quarantine';
-const PROMPT_QUARANTINE = `${FOLDER}/prompt_quarantine.ts`;
+const QUARANTINE_FILE = `${FOLDER}/quarantine.ts`;
 const SUSPECTS = `${FOLDER}/suspect_table.ts`;
 const TRIALS = `${FOLDER}/trial_table.ts`;
 const CORE_STATE = 'src/coordination/core/core_state.ts';
@@ -14,7 +14,7 @@
     name: 'no-clearing',
     edits: [
       {
-        file: PROMPT_QUARANTINE,
+        file: QUARANTINE_FILE,
         from: 'onSound: () => parts.forEach(part => this.recordSound(service, part)),',
         to: 'onSound: () => {},',
       },
@@ -24,9 +24,9 @@
     name: 'no-sum',
     edits: [
       {
-        file: PROMPT_QUARANTINE,
-        from: 'recordRelayed(records: readonly SuspectPart[]): void {',
-        to: 'recordRelayed(records: readonly SuspectPart[]): void {\n    if (records) return;',
+        file: QUARANTINE_FILE,
+        from: 'recordRelayed(records: readonly SuspectRecord[]): void {',
+        to: 'recordRelayed(records: readonly SuspectRecord[]): void {\n    if (records) return;',
       },
     ],
   },
@@ -110,7 +110,7 @@
     name: 'lost-at-restart',
     edits: [
       {
-        file: PROMPT_QUARANTINE,
+        file: QUARANTINE_FILE,
         from: 'reportAll(): void {',
         to: 'reportAll(): void {\n    if (this.table) return;',
       },
@@ -152,7 +152,7 @@
   tests: [
     'src/coordination/core/core_state_test.ts',
     'src/coordination/quarantine/suspect_table_test.ts',
-    'src/coordination/quarantine/prompt_quarantine_test.ts',
+    'src/coordination/quarantine/quarantine_test.ts',
     'src/coordination/quarantine/prompt_crash_test.ts',
   ],
   env: {PROMPT_CRASH_PRINT: '1'},
