Quarantine a request that crashes the endpoints that begin it

Cause: the quarantine knew parts of prompts only. A request without a prompt, or whose fault is in what it alone has, left no evidence that gateways share.

Change: a suspect is a prompt part or a request, by the identity of its method, path, caller and body: one table, one trial, one set of rules, one report. While any suspect is known, bodies are digested as they arrive.

--- a/src/coordination/core/core_state.ts
+++ b/src/coordination/core/core_state.ts
@@ -8,13 +8,14 @@
 } from '../../protocol/core_service.ts';
 import type {EndpointReport} from '../../protocol/endpoint_report.ts';
 import type {Logger} from '../../protocol/logger.ts';
-import type {
-  SuspectRecord,
-  TrialResult,
-  TrialReply,
-  TrialRequest,
+import {
+  listTrialSuspects,
+  type SuspectRecord,
+  type TrialResult,
+  type TrialReply,
+  type TrialRequest,
 } from '../../protocol/suspect.ts';
-import {createPartKey, SuspectTable} from '../quarantine/suspect_table.ts';
+import {createSuspectKey, SuspectTable} from '../quarantine/suspect_table.ts';
 import {createNotifier, type Notifier} from '../notifier.ts';
 import {CoreMembers} from './core_members.ts';
 import {EndpointLimitTable} from './endpoint_limit_table.ts';
@@ -150,7 +151,7 @@
     for (const {suspect, previousLevel} of changes) {
       // Requests sent before the trial may still crash; they change no level.
       if (suspect.level === previousLevel) continue;
-      this.trials.release(createPartKey(suspect.service, suspect.part));
+      this.trials.release(createSuspectKey(suspect.service, suspect));
     }
     this.urgentChanges.notify();
     this.publishSuspects();
@@ -171,25 +172,25 @@
   }
 
   /** Permits one request with suspected parts, unless another one runs. */
-  openTrial({service, parts, suspects}: TrialRequest): TrialReply {
+  openTrial({suspects, ...request}: TrialRequest): TrialReply {
     // The crash that the request follows must not end its trial when another
     // daemon relays it later.
     this.mergeSuspects(suspects, this.options.clock.monotonic());
-    const trial = this.trials.tryOpen({service, parts});
+    const trial = this.trials.tryOpen(request);
     return {
       isGranted: trial !== null,
       ...(trial === null ? {} : {trial}),
-      suspects: parts.flatMap(part => {
-        const suspect = this.suspects.find(service, part);
+      suspects: listTrialSuspects(request).flatMap(id => {
+        const suspect = this.suspects.find(request.service, id);
         return suspect ? [this.suspects.encode(suspect)] : [];
       }),
     };
   }
 
   /** Merges what the request of a trial showed, then permits the next one. */
-  finishTrial({service, parts, suspects, trial}: TrialResult): void {
+  finishTrial({suspects, trial, ...request}: TrialResult): void {
     this.mergeSuspects(suspects, this.options.clock.monotonic());
-    if (trial !== undefined) this.trials.finish(trial, {service, parts});
+    if (trial !== undefined) this.trials.finish(trial, request);
   }
 
   private applyLeaving(leaving: readonly LeavingEndpoint[]): void {
--- a/src/coordination/core/core_state_test.ts
+++ b/src/coordination/core/core_state_test.ts
@@ -139,7 +139,13 @@
   let last = state.dueSuspectRevision;
   for (let index = 0; index < 500; index++) {
     const crashes = [{start: `e${index}/1`, ageMs: 0, exposureMs: 100}];
-    const record = {service: 'app', part: `p${index}`, level: 1, crashes};
+    const record = {
+      service: 'app',
+      kind: 'part' as const,
+      part: `p${index}`,
+      level: 1,
+      crashes,
+    };
     state.mergeSuspects(
       [{...record, isCondemned: false, clearedAgeMs: null}],
       clock.monotonic(),
@@ -162,6 +168,7 @@
   }));
   return {
     service: 'app',
+    kind: 'part' as const,
     part: 'p',
     level,
     isCondemned: false,
@@ -175,7 +182,12 @@
 test('a trial goes on when others report the crash that it follows', () => {
   const clock = new SimulatedClock();
   const state = createState('c1', clock);
-  const request = {service: 'app', parts: ['p'], suspects: [createRecord(1)]};
+  const request = {
+    service: 'app',
+    parts: ['p'],
+    identity: null,
+    suspects: [createRecord(1)],
+  };
   assert.ok(state.openTrial(request).isGranted);
   state.mergeSuspects([createRecord(1)], clock.monotonic());
   assert.ok(!state.openTrial(request).isGranted);
@@ -186,7 +198,7 @@
 test('the end of a trial leaves later trials of the part open', () => {
   const clock = new SimulatedClock();
   const state = createState('c1', clock);
-  const request = {service: 'app', parts: ['p'], suspects: []};
+  const request = {service: 'app', parts: ['p'], identity: null, suspects: []};
   const first = state.openTrial(request);
   state.mergeSuspects([createRecord(1)], clock.monotonic());
   const second = state.openTrial(request);
--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -3,6 +3,7 @@
 import {
   MAX_PART_ID_CHARACTERS,
   MAX_WATCHED_PARTS,
+  type SuspectId,
 } from '../../protocol/suspect.ts';
 import {computeRequestIdentity} from '../quarantine/request_identity.ts';
 import type {AdmittedCall} from './admit_call.ts';
@@ -25,11 +26,11 @@
   readonly body: Uint8Array;
 }
 
-/** The permission to send a request with suspected parts. */
+/** The permission to send a request that is or has suspects. */
 export interface Trial {
   /** Identifies it at the core; `undefined` if the core is older. */
   readonly id: number | undefined;
-  readonly parts: readonly string[];
+  readonly suspects: readonly SuspectId[];
 }
 
 /** The state of one request across its attempts. */
@@ -54,11 +55,11 @@
   largestPrefillMs = 0;
   /** When the request was escalated, in ms after it was received. */
   escalatedMs: number | null = null;
-  /** Whether the next attempt may have suspected parts. */
+  /** Whether the next attempt may be or have suspects. */
   isPermitted = false;
-  /** The suspected parts that this request alone may have at an endpoint. */
+  /** The suspects that this request alone may have at an endpoint. */
   trial: Trial | null = null;
-  /** Why its prompt may not go to an endpoint; `null` if it may. */
+  /** Why it may not go to an endpoint; `null` if it may. */
   quarantine: 'condemned' | 'suspected' | null = null;
   /** Whether the retry budget was already charged for the next attempt. */
   isPaid = false;
@@ -84,7 +85,7 @@
   /** The ids of the prompt parts that requests share: all but the last. */
   readonly sharedPartIds: readonly string[];
   /** The shared parts that are watched for what they do to engines. */
-  readonly watchedParts: readonly string[];
+  readonly watchedParts: readonly SuspectId[];
   private heldAnswer: HeldAnswer | null = null;
   private knownIdentity: string | null = null;
 
@@ -94,7 +95,7 @@
     this.sharedPartIds = prompt.slice(0, -1).map(({id}) => id);
     this.watchedParts = this.sharedPartIds
       .slice(0, MAX_WATCHED_PARTS)
-      .map(id => id.slice(0, MAX_PART_ID_CHARACTERS));
+      .map(id => ({kind: 'part', part: id.slice(0, MAX_PART_ID_CHARACTERS)}));
   }
 
   get call(): Call {
@@ -107,6 +108,11 @@
     return this.knownIdentity;
   }
 
+  /** What may crash an endpoint that begins it, the request itself first. */
+  listWatched(): readonly SuspectId[] {
+    return [{kind: 'request', part: this.identity}, ...this.watchedParts];
+  }
+
   get isTrial(): boolean {
     return this.trial !== null;
   }
--- a/src/coordination/quarantine/quarantine.ts
+++ b/src/coordination/quarantine/quarantine.ts
@@ -1,24 +1,29 @@
 /**
- * Keeps prompt parts that crash engines from further engines.
+ * Keeps requests and prompt parts that crash endpoints from further ones.
  *
- * An engine that ends takes all answers down that it writes, and each of their
- * prompt parts may be the reason. Requests with a suspected part go to engines
- * one at a time over all gateways, until one is answered, which clears the part,
- * or until it is condemned and its requests are refused.
+ * An endpoint that ends takes all requests down that it works on, and each of
+ * them, or a part of its prompt, may be the reason. Requests that are or have
+ * suspects go to endpoints one at a time over all gateways, until one is
+ * answered, which clears the suspect, or until it is condemned and its requests
+ * are refused.
  */
 import type {Clock} from '../../protocol/clock.ts';
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import type {Logger} from '../../protocol/logger.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
-import type {SuspectRecord} from '../../protocol/suspect.ts';
+import type {
+  SuspectId,
+  SuspectRecord,
+  TrialRequest,
+} from '../../protocol/suspect.ts';
 import type {CallRun} from '../forwarding/call_run.ts';
 import {CrashWatch} from './crash_watch.ts';
 import {createStartKey} from './endpoint_ends.ts';
 import type {TrialClient} from './trial_client.ts';
-import {createPartKey, SuspectTable, type Suspect} from './suspect_table.ts';
+import {createSuspectKey, SuspectTable, type Suspect} from './suspect_table.ts';
 
-/** Parts of which a gateway remembers an answer. */
-const MAX_SOUND_PARTS = 4_096;
+/** Parts and requests of which a gateway remembers an answer. */
+const MAX_SOUND = 4_096;
 
 /** How long an answer speaks for a part that an engine ended with once, in ms. */
 const SOUND_MS = 60_000;
@@ -29,8 +34,8 @@
 /** Records of a report at most. */
 const MAX_REPORTED = 64;
 
-/** Parts of one prompt that a crash makes suspects at most. */
-const MAX_CRASH_PARTS = 64;
+/** Suspects of one request that a crash makes at most. */
+const MAX_CRASH_SUSPECTS = 64;
 
 /** How often, and after how long, a denied trial is requested again. */
 const TRIAL_ATTEMPTS = 4;
@@ -39,7 +44,7 @@
 /** Whether a request may be sent to an engine now. */
 export type Permission =
   | {readonly type: 'free'}
-  /** It is the only one with its suspected parts. */
+  /** It is the only one with its suspects. */
   | {readonly type: 'trial'}
   | {readonly type: 'refused'; readonly isCondemned: boolean};
 
@@ -78,11 +83,10 @@
         metrics.count('prompt_trials', 1, {service, outcome: 'condemned'});
         return {type: 'refused', isCondemned: true};
       }
-      const parts = suspects.map(({part}) => part);
       const reply = await trials.request({
         service,
-        parts,
-        suspects: this.listRecords(service, parts),
+        ...createTrialIds(suspects),
+        suspects: this.listRecords(service, suspects),
       });
       const isGranted = reply?.isGranted ?? false;
       if (reply) this.recordRelayed(reply.suspects);
@@ -94,7 +98,7 @@
       // single crash.
       if (!reply && suspects.every(({level}) => level === 1)) return FREE;
       if (isGranted) {
-        run.trial = {id: reply?.trial, parts};
+        run.trial = {id: reply?.trial, suspects};
         if (!this.isWithheld(run, this.listSuspects(run))) {
           return {type: 'trial'};
         }
@@ -112,12 +116,12 @@
   finishTrial(run: CallRun): void {
     const {name: service} = run.admitted.service;
     if (!run.trial) return;
-    const {id, parts} = run.trial;
+    const {id, suspects} = run.trial;
     run.trial = null;
     void this.options.trials.finish({
       service,
-      parts: [...parts],
-      suspects: this.listRecords(service, parts),
+      ...createTrialIds(suspects),
+      suspects: this.listRecords(service, suspects),
       ...(id === undefined ? {} : {trial: id}),
     });
   }
@@ -127,23 +131,29 @@
     return this.listSuspects(run).length === 0;
   }
 
-  /** Watches an attempt for what it shows of its prompt. */
+  /** Watches an attempt for what it shows of its suspects. */
   observe(run: CallRun, endpoint: EndpointEntry): CrashWatch {
     const {clock} = this.options;
     const {name: service} = run.admitted.service;
-    const parts = run.watchedParts;
     const levels = new Map(
-      parts.map(part => [part, this.table.find(service, part)?.level ?? 0]),
+      this.listKnown(run).map(each => [
+        createSuspectKey(service, each),
+        each.level,
+      ]),
     );
     const sentAt = clock.monotonic();
     return new CrashWatch({
       clock,
-      onSound: () => parts.forEach(part => this.recordSound(service, part)),
+      onSound: () => {
+        // Without any suspect there is none to clear, and no digest to compute.
+        const sound = this.table.isEmpty ? run.watchedParts : run.listWatched();
+        for (const each of sound) this.recordSound(service, each);
+      },
       onCrash: () => {
         const exposureMs = clock.monotonic() - sentAt;
-        for (const part of this.selectCrashParts(service, parts)) {
-          const level = (levels.get(part) ?? 0) + 1;
-          this.recordCrash(endpoint, {part, level, exposureMs});
+        for (const id of this.selectSuspects(service, run.listWatched())) {
+          const level = (levels.get(createSuspectKey(service, id)) ?? 0) + 1;
+          this.recordCrash(endpoint, {id, level, exposureMs});
         }
       },
     });
@@ -166,83 +176,87 @@
     if (this.observedAt.size === 0) return [];
     return this.table
       .list()
-      .filter(({service, part}) =>
-        this.observedAt.has(createPartKey(service, part)),
-      )
+      .filter(each => this.observedAt.has(createSuspectKey(each.service, each)))
       .slice(-MAX_REPORTED);
   }
 
   /** Reports all that is known for a while, to a core that may not know it. */
   reportAll(): void {
     const now = this.options.clock.monotonic();
-    for (const {service, part} of this.table.list()) {
-      this.observedAt.set(createPartKey(service, part), now);
+    for (const each of this.table.list()) {
+      this.observedAt.set(createSuspectKey(each.service, each), now);
     }
   }
 
   /** Counts what is retained. */
-  countRecords(): {readonly suspects: number; readonly soundParts: number} {
-    return {suspects: this.table.size, soundParts: this.soundAt.size};
+  countRecords(): {readonly suspects: number; readonly sound: number} {
+    return {suspects: this.table.size, sound: this.soundAt.size};
   }
 
   private listRecords(
     service: string,
-    parts: readonly string[],
+    ids: readonly SuspectId[],
   ): SuspectRecord[] {
-    const records = parts.flatMap(part => {
-      const known = this.table.get(createPartKey(service, part));
+    const records = ids.flatMap(id => {
+      const known = this.table.get(createSuspectKey(service, id));
       return known ? [this.table.encode(known)] : [];
     });
     return records.slice(0, MAX_REPORTED);
   }
 
-  private listSuspects(run: CallRun): Suspect[] {
+  /** Lists what of a request endpoints ended with. */
+  private listKnown(run: CallRun): Suspect[] {
     if (this.table.isEmpty) return [];
     const {name: service} = run.admitted.service;
-    return run.watchedParts.flatMap(part => {
-      const suspect = this.table.find(service, part);
-      if (!suspect) return [];
-      // Engines end with popular parts by chance.
-      const isExempt = suspect.level === 1 && this.isSound(service, part);
-      return isExempt ? [] : [suspect];
-    });
+    return run.listWatched().flatMap(id => this.table.find(service, id) ?? []);
+  }
+
+  private listSuspects(run: CallRun): Suspect[] {
+    // Endpoints end with popular parts and requests by chance.
+    return this.listKnown(run).filter(
+      each => each.level > 1 || !this.isSound(each.service, each),
+    );
   }
 
   private isWithheld(run: CallRun, suspects: readonly Suspect[]): boolean {
     const condemned = suspects.filter(each => this.table.isCondemned(each));
     if (condemned.length === 0) return false;
-    const parts = new Set(run.watchedParts);
-    return condemned.some(each => !this.table.isExplained(each, parts));
+    const {name: service} = run.admitted.service;
+    const keys = new Set(
+      run.listWatched().map(id => createSuspectKey(service, id)),
+    );
+    return condemned.some(each => !this.table.isExplained(each, keys));
   }
 
-  /** Selects the parts that a crash speaks against, unanswered ones first. */
-  private selectCrashParts(
+  /** Selects what a crash speaks against, what was not answered lately first. */
+  private selectSuspects(
     service: string,
-    parts: readonly string[],
-  ): readonly string[] {
-    if (parts.length <= MAX_CRASH_PARTS) return parts;
-    const unanswered = parts.filter(part => !this.isSound(service, part));
-    const answered = parts.filter(part => this.isSound(service, part));
-    return [...unanswered, ...answered].slice(0, MAX_CRASH_PARTS);
+    ids: readonly SuspectId[],
+  ): readonly SuspectId[] {
+    if (ids.length <= MAX_CRASH_SUSPECTS) return ids;
+    const unanswered = ids.filter(id => !this.isSound(service, id));
+    const answered = ids.filter(id => this.isSound(service, id));
+    return [...unanswered, ...answered].slice(0, MAX_CRASH_SUSPECTS);
   }
 
-  private isSound(service: string, part: string): boolean {
-    const atMs = this.soundAt.get(createPartKey(service, part)) ?? -Infinity;
+  private isSound(service: string, id: SuspectId): boolean {
+    const atMs = this.soundAt.get(createSuspectKey(service, id)) ?? -Infinity;
     return this.options.clock.monotonic() - atMs <= SOUND_MS;
   }
 
-  private recordSound(service: string, part: string): void {
+  private recordSound(service: string, {kind, part}: SuspectId): void {
     const now = this.options.clock.monotonic();
-    const key = createPartKey(service, part);
+    const key = createSuspectKey(service, {kind, part});
     this.soundAt.delete(key);
     this.soundAt.set(key, now);
-    if (this.soundAt.size > MAX_SOUND_PARTS) {
+    if (this.soundAt.size > MAX_SOUND) {
       const [oldest] = this.soundAt.keys();
       if (oldest !== undefined) this.soundAt.delete(oldest);
     }
-    if (!this.table.find(service, part)) return;
+    if (!this.table.find(service, {kind, part})) return;
     this.recordObservation({
       service,
+      kind,
       part,
       level: 0,
       isCondemned: false,
@@ -254,14 +268,15 @@
   private recordCrash(
     endpoint: EndpointEntry,
     {
-      part,
+      id: {kind, part},
       level,
       exposureMs,
-    }: {part: string; level: number; exposureMs: number},
+    }: {id: SuspectId; level: number; exposureMs: number},
   ): void {
     const now = this.options.clock.monotonic();
     this.recordObservation({
       service: endpoint.service,
+      kind,
       part,
       level,
       isCondemned: false,
@@ -273,19 +288,20 @@
   private recordObservation(suspect: Suspect): void {
     const change = this.table.mergeOne(suspect);
     if (!change) return;
-    const key = createPartKey(suspect.service, suspect.part);
+    const key = createSuspectKey(suspect.service, suspect);
     this.observedAt.set(key, this.options.clock.monotonic());
     this.logChange(change.suspect, 'its answer');
     this.options.onObservation?.();
   }
 
   private logChange(
-    {service, part, level, crashes, isCondemned}: Suspect,
+    {service, kind, part, level, crashes, isCondemned}: Suspect,
     from: 'its answer' | 'the core',
   ): void {
     if (level === 1 && from === 'the core') return;
-    this.options.logger.info('Changes what is known of a prompt part.', {
+    this.options.logger.info('Changes what is known of a suspect.', {
       service,
+      kind,
       part,
       level,
       crashes: crashes.size,
@@ -294,3 +310,12 @@
     });
   }
 }
+
+/** The suspects of a trial as they are sent. */
+function createTrialIds(
+  suspects: readonly SuspectId[],
+): Pick<TrialRequest, 'parts' | 'identity'> {
+  const parts = suspects.filter(({kind}) => kind === 'part');
+  const request = suspects.find(({kind}) => kind === 'request');
+  return {parts: parts.map(({part}) => part), identity: request?.part ?? null};
+}
--- a/src/coordination/quarantine/quarantine_test.ts
+++ b/src/coordination/quarantine/quarantine_test.ts
@@ -53,6 +53,7 @@
   const isCondemned = level >= 3;
   return {
     service: 'app',
+    kind: 'part' as const,
     part,
     level,
     isCondemned,
@@ -154,11 +155,14 @@
   assert.equal(gateway.attempts.length, 1);
 });
 
-test('forward() suspects the parts of a prompt whose engine ended, but the last', async () => {
+test('forward() suspects a request whose engine ended, and its parts but the last', async () => {
   const gateway = createGateway(crash);
   await gateway.request(createPrompt('first', 'second'));
-  const parts = gateway.quarantine.listObserved().map(({part}) => part);
-  assert.deepEqual(parts.sort(), ['first', 'second']);
+  const observed = gateway.quarantine.listObserved();
+  const parts = observed.filter(({kind}) => kind === 'part');
+  assert.deepEqual(parts.map(({part}) => part).sort(), ['first', 'second']);
+  const requests = observed.filter(({kind}) => kind === 'request');
+  assert.equal(requests.length, 1);
 });
 
 // Guards against callers who are refused since the core cannot be asked.
@@ -266,9 +270,9 @@
     const bytes = JSON.stringify(gateway.quarantine.listObserved()).length;
     largest = Math.max(largest, bytes);
   }
-  const {suspects, soundParts} = gateway.quarantine.countRecords();
+  const {suspects, sound} = gateway.quarantine.countRecords();
   assert.ok(suspects <= 256, `${suspects} suspects`);
-  assert.ok(soundParts <= 4_096, `${soundParts} sound parts`);
+  assert.ok(sound <= 4_096, `${sound} sound parts`);
   // 64 records with few crashes each.
   assert.ok(largest <= 64 * 400, `${largest} bytes in a report`);
 });
--- a/src/coordination/quarantine/suspect_table.ts
+++ b/src/coordination/quarantine/suspect_table.ts
@@ -1,16 +1,21 @@
 /**
- * What is known of prompt parts that may crash engines, by all gateways.
+ * What is known of prompt parts and requests that may crash endpoints, by all
+ * gateways.
  *
  * Each gateway and each core daemon has one, and merges the records that it
  * receives; merging is idempotent and does not depend on the order. When an
- * engine ends, each part of a prompt on which it may just have begun an answer
- * becomes a suspect. One answer on the part clears it. A part is condemned when
- * engines ended one after the other, each after the crash before was known, and
- * when that is hardly a coincidence, given how often engines end. Engines that end
+ * endpoint ends, each request that it may just have begun becomes a suspect, and
+ * so does each part of its prompt. One answer clears it. It is condemned when
+ * endpoints ended one after the other, each after the crash before was known, and
+ * when that is hardly a coincidence, given how often endpoints end. Those that end
  * together, as in an outage, count once.
  */
 import type {Clock} from '../../protocol/clock.ts';
-import {MAX_PART_CRASHES, type SuspectRecord} from '../../protocol/suspect.ts';
+import {
+  MAX_PART_CRASHES,
+  type SuspectId,
+  type SuspectRecord,
+} from '../../protocol/suspect.ts';
 import {RevisedMap} from '../revised_map.ts';
 import {computeChance} from './compute_chance.ts';
 import {EndpointEnds, type EndpointEndsOptions} from './endpoint_ends.ts';
@@ -58,9 +63,8 @@
 }
 
 /** A part that engines ended with; times are on the monotonic clock. */
-export interface Suspect {
+export interface Suspect extends SuspectId {
   readonly service: string;
-  readonly part: string;
   readonly level: number;
   readonly isCondemned: boolean;
   /** The engines that ended, by their start. */
@@ -75,9 +79,12 @@
   readonly previousLevel: number;
 }
 
-/** The part of one service, as a key. */
-export function createPartKey(service: string, part: string): string {
-  return `${service}/${part}`;
+/** A suspect of one service, as a key. */
+export function createSuspectKey(
+  service: string,
+  {kind, part}: SuspectId,
+): string {
+  return `${service}/${kind}/${part}`;
 }
 
 export class SuspectTable {
@@ -106,9 +113,9 @@
   }
 
   /** Finds a part that engines ended with since it was last answered on. */
-  find(service: string, part: string): Suspect | null {
+  find(service: string, id: SuspectId): Suspect | null {
     if (this.isEmpty) return null;
-    const suspect = this.get(createPartKey(service, part));
+    const suspect = this.get(createSuspectKey(service, id));
     if (!suspect || suspect.level === 0) return null;
     return this.isExpired(suspect) ? null : suspect;
   }
@@ -136,16 +143,15 @@
    * a suspect: then the request can show which of them it is. It may do so
    * ever more seldom and a few times only, as each try may cost an engine.
    */
-  isExplained(suspect: Suspect, requestParts: ReadonlySet<string>): boolean {
+  isExplained(suspect: Suspect, requestKeys: ReadonlySet<string>): boolean {
     if (suspect.level > MAX_TRIED_LEVEL) return false;
     const backOffMs =
       EXPLAINED_BACK_OFF_MS * 2 ** (suspect.level - CONDEMN_LEVEL);
     const sinceMs = this.clock.monotonic() - findLastCrash(suspect);
     if (sinceMs < backOffMs) return false;
     const unexplained = new Set(suspect.crashes.keys());
-    for (const [, other] of this.suspects) {
-      if (other.service !== suspect.service) continue;
-      if (other.part === suspect.part || requestParts.has(other.part)) continue;
+    for (const [key, other] of this.suspects) {
+      if (other.service !== suspect.service || requestKeys.has(key)) continue;
       if (other.level < EXPLAINING_LEVEL || this.isExpired(other)) continue;
       for (const start of other.crashes.keys()) unexplained.delete(start);
       if (unexplained.size === 0) return true;
@@ -163,11 +169,8 @@
     receivedAt: number,
   ): SuspectChange[] {
     return records
-      .map(({service, part, level, isCondemned, crashes, clearedAgeMs}) => ({
-        service,
-        part,
-        level,
-        isCondemned,
+      .map(({crashes, clearedAgeMs, ...rest}) => ({
+        ...rest,
         crashes: new Map(
           crashes.map(({start, ageMs, exposureMs}) => [
             start,
@@ -183,7 +186,7 @@
 
   /** Merges one record; returns `null` if that changes nothing. */
   mergeOne(next: Suspect): SuspectChange | null {
-    const key = createPartKey(next.service, next.part);
+    const key = createSuspectKey(next.service, next);
     for (const [start, {atMs}] of next.crashes) {
       this.ends.record(next.service, start, atMs);
     }
@@ -257,10 +260,12 @@
   }
 
   /** Lists the other suspects of a service that probably crash engines. */
-  private listProbable({service, part}: Suspect): Suspect[] {
+  private listProbable(suspect: Suspect): Suspect[] {
+    const key = createSuspectKey(suspect.service, suspect);
     return [...this.suspects]
-      .map(([, suspect]) => suspect)
-      .filter(each => each.service === service && each.part !== part)
+      .filter(([otherKey]) => otherKey !== key)
+      .map(([, other]) => other)
+      .filter(({service}) => service === suspect.service)
       .filter(each => each.level >= CONDEMN_LEVEL && !this.isExpired(each))
       .filter(
         each =>
@@ -306,9 +311,10 @@
     before.length > 0 ? (known?.level ?? 0) : 0,
     added.length > 0 ? next.level : 0,
   );
-  const {service, part} = next;
+  const {service, kind, part} = next;
   return {
     service,
+    kind,
     part,
     level: Math.min(level, crashes.size),
     isCondemned:
--- a/src/coordination/quarantine/suspect_table_test.ts
+++ b/src/coordination/quarantine/suspect_table_test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
-import {createPartKey, SuspectTable} from './suspect_table.ts';
+import {createSuspectKey, SuspectTable} from './suspect_table.ts';
 
 const SERVICE = 'app';
 const NO_PARTS: ReadonlySet<string> = new Set();
@@ -28,6 +28,7 @@
 ): void {
   table.mergeOne({
     service: SERVICE,
+    kind: 'part' as const,
     part,
     level,
     isCondemned: false,
@@ -53,7 +54,9 @@
   let tries = 0;
   for (let second = 0; second < 500; second++) {
     await clock.advance(1_000);
-    const suspect = table.get(createPartKey(SERVICE, 'bad'));
+    const suspect = table.get(
+      createSuspectKey(SERVICE, {kind: 'part', part: 'bad'}),
+    );
     assert.ok(suspect?.isCondemned);
     if (!table.isExplained(suspect, NO_PARTS)) continue;
     tries++;
--- a/src/coordination/quarantine/trial_client_test.ts
+++ b/src/coordination/quarantine/trial_client_test.ts
@@ -6,7 +6,12 @@
 import {createTrialClient} from './trial_client.ts';
 
 const CORES = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'];
-const REQUEST = {service: 'model', parts: ['part'], suspects: []};
+const REQUEST = {
+  service: 'model',
+  parts: ['part'],
+  identity: null,
+  suspects: [],
+};
 
 /** A client of core daemons, some of which are lost. */
 class TrialFixture {
--- a/src/coordination/quarantine/trial_table.ts
+++ b/src/coordination/quarantine/trial_table.ts
@@ -1,6 +1,7 @@
-/** The permitted requests with suspected prompt parts, one a part. */
+/** The permitted requests that are or have suspects, one a suspect. */
 import type {Clock} from '../../protocol/clock.ts';
-import {createPartKey} from './suspect_table.ts';
+import {listTrialSuspects, type TrialRequest} from '../../protocol/suspect.ts';
+import {createSuspectKey} from './suspect_table.ts';
 
 /** How long a trial may go on without a result, in ms. */
 const TRIAL_MS = 2_000;
@@ -14,10 +15,11 @@
   readonly until: number;
 }
 
-export interface TrialParts {
-  readonly service: string;
-  readonly parts: readonly string[];
-}
+/** The suspects of a trial. */
+export type TrialSuspects = Pick<
+  TrialRequest,
+  'service' | 'parts' | 'identity'
+>;
 
 export class TrialTable {
   private readonly open = new Map<string, OpenTrial>();
@@ -26,16 +28,16 @@
   constructor(private readonly clock: Clock) {}
 
   /**
-   * Permits a request unless another one with a part of it is open.
+   * Permits a request unless another one with a suspect of it is open.
    *
    * @returns The id of the trial; `null` without a permission.
    */
-  tryOpen({service, parts}: TrialParts): number | null {
+  tryOpen(suspects: TrialSuspects): number | null {
     const now = this.clock.monotonic();
     for (const [key, {until}] of this.open) {
       if (until <= now) this.open.delete(key);
     }
-    const keys = parts.map(part => createPartKey(service, part));
+    const keys = listKeys(suspects);
     if (keys.some(key => this.open.has(key))) return null;
     if (this.open.size + keys.length > MAX_TRIALS) return null;
     const id = this.createId();
@@ -43,15 +45,14 @@
     return id;
   }
 
-  /** Ends the trial of a part whose result is known. */
+  /** Ends the trial of a suspect whose result is known. */
   release(key: string): void {
     this.open.delete(key);
   }
 
-  /** Ends a trial. A later one of the same parts goes on. */
-  finish(trial: number, {service, parts}: TrialParts): void {
-    for (const part of parts) {
-      const key = createPartKey(service, part);
+  /** Ends a trial. A later one of the same suspects goes on. */
+  finish(trial: number, suspects: TrialSuspects): void {
+    for (const key of listKeys(suspects)) {
       if (this.open.get(key)?.id === trial) this.open.delete(key);
     }
   }
@@ -62,3 +63,9 @@
     return this.lastId;
   }
 }
+
+function listKeys(suspects: TrialSuspects): string[] {
+  return listTrialSuspects(suspects).map(id =>
+    createSuspectKey(suspects.service, id),
+  );
+}
--- a/src/coordination/simulation/simulated_site.ts
+++ b/src/coordination/simulation/simulated_site.ts
@@ -364,17 +364,19 @@
     const {startedAt, cutUntil, told} = gateway;
     const namedAt = this.namedAt.get(endpoint) ?? Infinity;
     const knownSince = Math.max(startedAt, cutUntil, namedAt);
-    this.arrivals.push({
-      attemptId: call.facts.attemptId,
-      atMs: now,
-      endpoint,
-      gateway: index,
-      isExcused: this.isExcused(gateway),
-      isTold: now - (told.get(endpoint) ?? Infinity) >= TOLD_MS,
-      isInformed: now - knownSince >= INFORM_MS,
-      parts: listParts(call.facts),
-      body: call.body.toString(),
-    });
+    if (gateway.linkFault === null) {
+      this.arrivals.push({
+        attemptId: call.facts.attemptId,
+        atMs: now,
+        endpoint,
+        gateway: index,
+        isExcused: this.isExcused(gateway),
+        isTold: now - (told.get(endpoint) ?? Infinity) >= TOLD_MS,
+        isInformed: now - knownSince >= INFORM_MS,
+        parts: listParts(call.facts),
+        body: call.body.toString(),
+      });
+    }
     if (this.engines) {
       const {engines, clock} = this;
       const answer = (linked: AttemptOptions) => engines.answer(call, linked);
--- a/src/protocol/suspect.ts
+++ b/src/protocol/suspect.ts
@@ -1,6 +1,6 @@
 /**
- * Records of prompt parts that may crash the engines that answer on them, as
- * daemons send them to each other.
+ * Records of what may crash endpoints, as daemons send them to each other: parts
+ * of prompts, and whole requests.
  */
 import * as z from 'zod';
 import {ageSchema} from './bounds.ts';
@@ -32,6 +32,9 @@
 
 export const suspectSchema = z.object({
   service: z.string(),
+  /** What it is: a part of a prompt, or a request that is sent repeatedly. */
+  kind: z.enum(['part', 'request']).default('part'),
+  /** The id of the part, or the identity of the request. */
   part: z.string(),
   /**
    * The length of the longest chain of crashes of which each request was sent
@@ -48,16 +51,31 @@
 
 export type SuspectRecord = z.infer<typeof suspectSchema>;
 
+/** What may crash the endpoints of a service. */
+export type SuspectId = Pick<SuspectRecord, 'kind' | 'part'>;
+
 /** Asks for the permission to send one request with suspected parts. */
 export const trialRequestSchema = z.object({
   service: z.string(),
   parts: z.array(z.string()),
-  /** What the gateway knows of the parts. */
+  /** The identity of the request if it is suspected itself. */
+  identity: z.string().nullable().default(null),
+  /** What the gateway knows of them. */
   suspects: createEntryList(suspectSchema).default([]),
 });
 
 export type TrialRequest = z.infer<typeof trialRequestSchema>;
 
+/** Lists the suspects of a trial. */
+export function listTrialSuspects({
+  parts,
+  identity,
+}: Pick<TrialRequest, 'parts' | 'identity'>): SuspectId[] {
+  const ids: SuspectId[] = parts.map(part => ({kind: 'part', part}));
+  if (identity !== null) ids.push({kind: 'request', part: identity});
+  return ids;
+}
+
 export interface TrialReply {
   readonly isGranted: boolean;
   /** Identifies the granted trial; absent in replies of older daemons. */
--- a/src/state/view/saved_view_test.ts
+++ b/src/state/view/saved_view_test.ts
@@ -26,6 +26,7 @@
 
 const SUSPECT = {
   service: 'app',
+  kind: 'part' as const,
   part: 'p1',
   level: 3,
   isCondemned: true,
--- a/src/transport/peers/odd_entries_test.ts
+++ b/src/transport/peers/odd_entries_test.ts
@@ -290,7 +290,7 @@
   assertUsable(exchange.reports as never);
   assert.deepEqual(exchange.gateways, [{report: GATEWAY, ageMs: 1}]);
   const trial = await peer.client.requestTrial(
-    {service: 'app', parts: ['p1'], suspects: []},
+    {service: 'app', parts: ['p1'], identity: null, suspects: []},
     5_000,
   );
   assert.deepEqual(trial, {isGranted: true, suspects: [SUSPECT]});
