Do not blame requests for the broken links of one gateway

Cause: a gateway whose connections to all endpoints break off counts an end of each endpoint.

Change: an end counts only while the endpoint gives no later sign of life. Core daemons receive heartbeats, so they alone condemn, once the crashes are confirmed by 2.5 s of silence; a suspect that waits for that goes to no endpoint. A heartbeat refutes the end, and the record tells the gateways.

Evidence: suspect_table_test.ts and the histories of broken links fail before.

--- a/src/coordination/core/core_state.ts
+++ b/src/coordination/core/core_state.ts
@@ -15,12 +15,17 @@
   type TrialReply,
   type TrialRequest,
 } from '../../protocol/suspect.ts';
-import {createSuspectKey, SuspectTable} from '../quarantine/suspect_table.ts';
+import {
+  createSuspectKey,
+  SuspectTable,
+  type SuspectChange,
+} from '../quarantine/suspect_table.ts';
 import {createNotifier, type Notifier} from '../notifier.ts';
 import {CoreMembers} from './core_members.ts';
 import {EndpointLimitTable} from './endpoint_limit_table.ts';
 import {EndpointRegistry, type ReportOutcome} from './endpoint_registry.ts';
 import {GatewayDirectory} from './gateway_directory.ts';
+import {createStartKey} from '../quarantine/endpoint_ends.ts';
 import {TrialTable} from '../quarantine/trial_table.ts';
 
 /** Daemons that contacted this one within this time are advertised to peers. */
@@ -29,6 +34,9 @@
 /** The interval at which gateways are told of changed records of parts. */
 const PUBLISH_INTERVAL_MS = 50;
 
+/** The interval at which verdicts that wait for confirmations are decided. */
+const VERDICT_INTERVAL_MS = 250;
+
 export interface CoreStateOptions {
   readonly clock: Clock;
   readonly logger: Logger;
@@ -50,6 +58,7 @@
   /** The revision of suspected prompt parts that gateways are told at once. */
   private publishedSuspects = 0;
   private isPublishing = false;
+  private isDeciding = false;
   private readonly pendingReports = new Map<string, EndpointReport>();
 
   constructor(private readonly options: CoreStateOptions) {
@@ -60,6 +69,7 @@
     this.suspects = new SuspectTable({
       clock,
       listStarts: service => this.endpoints.listStarts(service),
+      condemns: true,
     });
     this.trials = new TrialTable(clock);
     this.changes = createNotifier(clock);
@@ -146,8 +156,12 @@
    * @param receivedAt When their ages were measured, on the monotonic clock.
    */
   mergeSuspects(records: readonly SuspectRecord[], receivedAt: number): void {
-    const changes = this.suspects.merge(records, receivedAt);
+    this.applySuspects(this.suspects.merge(records, receivedAt));
+  }
+
+  private applySuspects(changes: readonly SuspectChange[]): void {
     if (changes.length === 0) return;
+    void this.runVerdicts();
     for (const {suspect, previousLevel} of changes) {
       // Requests sent before the trial may still crash; they change no level.
       if (suspect.level === previousLevel) continue;
@@ -157,6 +171,33 @@
     this.publishSuspects();
   }
 
+  /** Decides about suspects while they wait for the confirmation of crashes. */
+  private async runVerdicts(): Promise<void> {
+    if (this.isDeciding) return;
+    this.isDeciding = true;
+    while (this.suspects.hasPending) {
+      await this.options.clock.sleep(VERDICT_INTERVAL_MS);
+      const changes = this.suspects.decide();
+      this.logVerdicts(changes);
+      this.applySuspects(changes);
+    }
+    this.isDeciding = false;
+  }
+
+  private logVerdicts(changes: readonly SuspectChange[]): void {
+    for (const {suspect} of changes) {
+      if (!suspect.isCondemned) continue;
+      const {service, kind, part, level, crashes} = suspect;
+      this.options.logger.info('Condemns what crashes endpoints.', {
+        service,
+        kind,
+        part,
+        level,
+        endpoints: [...crashes.keys()],
+      });
+    }
+  }
+
   /** Lets gateways know of changed records, at most once an interval. */
   private publishSuspects(): void {
     if (this.isPublishing) return;
@@ -176,7 +217,11 @@
     // The crash that the request follows must not end its trial when another
     // daemon relays it later.
     this.mergeSuspects(suspects, this.options.clock.monotonic());
-    const trial = this.trials.tryOpen(request);
+    const isPending = listTrialSuspects(request).some(id => {
+      const suspect = this.suspects.find(request.service, id);
+      return suspect !== null && this.suspects.isPending(suspect);
+    });
+    const trial = isPending ? null : this.trials.tryOpen(request);
     return {
       isGranted: trial !== null,
       ...(trial === null ? {} : {trial}),
@@ -210,6 +255,11 @@
     {from, ageMs}: {from: string; ageMs?: number | undefined},
   ): ReportOutcome {
     const outcome = this.endpoints.record(report, ageMs);
+    if (outcome !== 'ignored' && !this.suspects.isEmpty) {
+      const aliveAt = this.options.clock.monotonic() - (ageMs ?? 0);
+      const start = createStartKey(report);
+      this.applySuspects(this.suspects.recordAlive(start, aliveAt));
+    }
     if (outcome !== 'changed') return outcome;
     const {id, service, address, version, state, startedAtMs, sequence} =
       report;
--- a/src/coordination/quarantine/endpoint_ends.ts
+++ b/src/coordination/quarantine/endpoint_ends.ts
@@ -68,6 +68,11 @@
     if (oldest !== undefined) this.ends.delete(oldest);
   }
 
+  /** Forgets an end of an endpoint that runs after all. */
+  remove(start: string): void {
+    this.ends.delete(start);
+  }
+
   /**
    * Returns how often a running endpoint of a service ended, without a number of
    * ends that are to be explained.
--- a/src/coordination/quarantine/quarantine.ts
+++ b/src/coordination/quarantine/quarantine.ts
@@ -20,7 +20,8 @@
 import {CrashWatch} from './crash_watch.ts';
 import {createStartKey} from './endpoint_ends.ts';
 import type {TrialClient} from './trial_client.ts';
-import {createSuspectKey, SuspectTable, type Suspect} from './suspect_table.ts';
+import type {Suspect} from './suspect.ts';
+import {createSuspectKey, SuspectTable} from './suspect_table.ts';
 
 /** Parts and requests of which a gateway remembers an answer. */
 const MAX_SOUND = 4_096;
@@ -83,6 +84,10 @@
         metrics.count('prompt_trials', 1, {service, outcome: 'condemned'});
         return {type: 'refused', isCondemned: true};
       }
+      if (suspects.some(each => this.table.isPending(each))) {
+        metrics.count('prompt_trials', 1, {service, outcome: 'pending'});
+        return {type: 'refused', isCondemned: false};
+      }
       const reply = await trials.request({
         service,
         ...createTrialIds(suspects),
@@ -280,7 +285,12 @@
       part,
       level,
       isCondemned: false,
-      crashes: new Map([[createStartKey(endpoint), {atMs: now, exposureMs}]]),
+      crashes: new Map([
+        [
+          createStartKey(endpoint),
+          {atMs: now, exposureMs, refutedAt: -Infinity},
+        ],
+      ]),
       clearedAt: -Infinity,
     });
   }
--- a/src/coordination/quarantine/quarantine_test.ts
+++ b/src/coordination/quarantine/quarantine_test.ts
@@ -49,6 +49,7 @@
     start: `e${index}/${part}`,
     ageMs: 100 * (level - index),
     exposureMs: 100,
+    refutedAgeMs: null,
   }));
   const isCondemned = level >= 3;
   return {
--- a/src/coordination/quarantine/request_crash_test.ts
+++ b/src/coordination/quarantine/request_crash_test.ts
@@ -39,9 +39,10 @@
 
 async function playAll(
   options: Omit<RequestHistoryOptions, 'seed'>,
+  seeds = SEEDS,
 ): Promise<RequestHistoryFigures[]> {
   const histories: RequestHistoryFigures[] = [];
-  for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+  for (let seed = FIRST_SEED; seed < FIRST_SEED + seeds; seed++) {
     histories.push(await playRequestHistory({...options, seed}));
   }
   if (process.env['REQUEST_CRASH_PRINT']) {
@@ -86,4 +87,29 @@
   }
 });
 
+/** Troubles in which endpoints end, or seem to, without a request's fault. */
+const ORDINARY_TROUBLES: readonly Trouble[] = [
+  'drawn',
+  'flaps',
+  'racks',
+  'rolling-restart',
+  'planned-ends',
+  'freezes',
+  'broken-links',
+];
+
+// Guards against requests that are blamed for what they did not do: callers poll,
+// so that equal requests are at most endpoints that end, and at each gateway whose
+// links break.
+for (const trouble of ORDINARY_TROUBLES) {
+  test(`forward() condemns no sound request in ${trouble}`, async () => {
+    for (const {seed, setting, condemnedSound} of await playAll(
+      {trouble, hasBad: false},
+      Math.ceil(SEEDS / 3),
+    )) {
+      assert.equal(condemnedSound, 0, `seed ${seed} (${setting})`);
+    }
+  });
+}
+
 test.run();
--- a/src/coordination/quarantine/suspect_table.ts
+++ b/src/coordination/quarantine/suspect_table.ts
@@ -11,14 +11,19 @@
  * together, as in an outage, count once.
  */
 import type {Clock} from '../../protocol/clock.ts';
-import {
-  MAX_PART_CRASHES,
-  type SuspectId,
-  type SuspectRecord,
-} from '../../protocol/suspect.ts';
+import type {SuspectId, SuspectRecord} from '../../protocol/suspect.ts';
 import {RevisedMap} from '../revised_map.ts';
 import {computeChance} from './compute_chance.ts';
 import {EndpointEnds, type EndpointEndsOptions} from './endpoint_ends.ts';
+import {
+  countStanding,
+  findClearedAt,
+  findLastCrash,
+  isSame,
+  isStanding,
+  mergeSuspects,
+  type Suspect,
+} from './suspect.ts';
 
 /** The crashes in a row after which a part is condemned. */
 const CONDEMN_LEVEL = 3;
@@ -54,22 +59,21 @@
 /** The most records that are retained. */
 const MAX_SUSPECTS = 256;
 
-/** The end of an engine that had a part. */
-export interface Crash {
-  /** When it was observed, on the monotonic clock. */
-  readonly atMs: number;
-  /** How long the request had been at the engine, in ms. */
-  readonly exposureMs: number;
-}
+/**
+ * How long after it was observed an end counts as confirmed, in ms: two intervals
+ * of heartbeats, and the time that they take to all core daemons.
+ */
+const CONFIRM_MS = 2_500;
 
-/** A part that engines ended with; times are on the monotonic clock. */
-export interface Suspect extends SuspectId {
-  readonly service: string;
-  readonly level: number;
-  readonly isCondemned: boolean;
-  /** The engines that ended, by their start. */
-  readonly crashes: ReadonlyMap<string, Crash>;
-  readonly clearedAt: number;
+/** The longest time for which a heartbeat is usually on its way, in ms. */
+const HEARTBEAT_DELAY_MS = 500;
+
+export interface SuspectTableOptions extends EndpointEndsOptions {
+  /**
+   * Whether it may condemn suspects; false by default. Only those that receive
+   * the heartbeats of endpoints can tell a crash from a broken link.
+   */
+  readonly condemns?: boolean;
 }
 
 /** A changed record. */
@@ -92,7 +96,7 @@
   private readonly clock: Clock;
   private readonly ends: EndpointEnds;
 
-  constructor(options: EndpointEndsOptions) {
+  constructor(private readonly options: SuspectTableOptions) {
     this.clock = options.clock;
     this.ends = new EndpointEnds(options);
   }
@@ -172,9 +176,14 @@
       .map(({crashes, clearedAgeMs, ...rest}) => ({
         ...rest,
         crashes: new Map(
-          crashes.map(({start, ageMs, exposureMs}) => [
+          crashes.map(({start, ageMs, exposureMs, refutedAgeMs}) => [
             start,
-            {atMs: receivedAt - ageMs, exposureMs},
+            {
+              atMs: receivedAt - ageMs,
+              exposureMs,
+              refutedAt:
+                refutedAgeMs === null ? -Infinity : receivedAt - refutedAgeMs,
+            },
           ]),
         ),
         clearedAt:
@@ -187,8 +196,9 @@
   /** Merges one record; returns `null` if that changes nothing. */
   mergeOne(next: Suspect): SuspectChange | null {
     const key = createSuspectKey(next.service, next);
-    for (const [start, {atMs}] of next.crashes) {
-      this.ends.record(next.service, start, atMs);
+    for (const [start, crash] of next.crashes) {
+      if (isStanding(crash)) this.ends.record(next.service, start, crash.atMs);
+      else this.ends.remove(start);
     }
     const known = this.suspects.get(key);
     const merged = this.evaluate(mergeSuspects(known ?? null, next));
@@ -201,6 +211,48 @@
     return {suspect: merged, previousLevel: known?.level ?? 0};
   }
 
+  /**
+   * Records a sign of life of an endpoint: what seemed to be its end was a
+   * broken link.
+   *
+   * @param aliveAt When it was received, on the monotonic clock.
+   * @returns The records that changed.
+   */
+  recordAlive(start: string, aliveAt: number): SuspectChange[] {
+    const changes: SuspectChange[] = [];
+    for (const [, suspect] of [...this.suspects]) {
+      const crash = suspect.crashes.get(start);
+      if (!crash || !isStanding(crash)) continue;
+      if (crash.atMs + HEARTBEAT_DELAY_MS > aliveAt) continue;
+      const refuted = new Map([[start, {...crash, refutedAt: aliveAt}]]);
+      const change = this.mergeOne({...suspect, crashes: refuted});
+      if (change) changes.push(change);
+    }
+    return changes;
+  }
+
+  /** Whether suspects wait for the confirmation of crashes. */
+  get hasPending(): boolean {
+    return [...this.suspects].some(([, suspect]) => this.isPending(suspect));
+  }
+
+  /**
+   * Whether a suspect is to be condemned once its crashes are confirmed. It goes
+   * to no endpoint meanwhile.
+   */
+  isPending(suspect: Suspect): boolean {
+    if (suspect.isCondemned || suspect.level < CONDEMN_LEVEL) return false;
+    return !this.isExpired(suspect) && this.isProven(suspect);
+  }
+
+  /** Condemns suspects whose crashes are confirmed; returns those that changed. */
+  decide(): SuspectChange[] {
+    return [...this.suspects].flatMap(
+      ([, suspect]) =>
+        (this.isPending(suspect) && this.mergeOne(suspect)) || [],
+    );
+  }
+
   /** Lists the records that changed after a revision; all by default. */
   list(after = 0): SuspectRecord[] {
     return this.suspects.list(after).map(([, suspect]) => this.encode(suspect));
@@ -211,10 +263,11 @@
     const now = this.clock.monotonic();
     return {
       ...rest,
-      crashes: [...crashes].map(([start, {atMs, exposureMs}]) => ({
+      crashes: [...crashes].map(([start, {atMs, exposureMs, refutedAt}]) => ({
         start,
         ageMs: now - atMs,
         exposureMs,
+        refutedAgeMs: refutedAt === -Infinity ? null : now - refutedAt,
       })),
       clearedAgeMs: clearedAt === -Infinity ? null : now - clearedAt,
     };
@@ -228,14 +281,26 @@
     this.ends.expire();
   }
 
-  /** Condemns a part whose crashes are hardly a coincidence. */
+  /** Condemns a suspect whose confirmed crashes are hardly a coincidence. */
   private evaluate(suspect: Suspect): Suspect {
-    if (suspect.isCondemned || suspect.level < CONDEMN_LEVEL) return suspect;
+    if (suspect.isCondemned || !this.options.condemns) return suspect;
+    const latest = this.clock.monotonic() - CONFIRM_MS;
+    const confirmed = new Map(
+      [...suspect.crashes].filter(([, {atMs}]) => atMs <= latest),
+    );
+    const level = Math.min(suspect.level, countStanding(confirmed));
+    const isCondemned = this.isProven({...suspect, level, crashes: confirmed});
+    return {...suspect, isCondemned};
+  }
+
+  /** Whether the crashes of a suspect are hardly a coincidence. */
+  private isProven(suspect: Suspect): boolean {
+    if (suspect.level < CONDEMN_LEVEL) return false;
     const probable = this.listProbable(suspect);
     const chance = this.evaluateChance(suspect, start =>
       probable.some(({crashes}) => crashes.has(start)),
     );
-    return {...suspect, isCondemned: chance <= MAX_CHANCE};
+    return chance <= MAX_CHANCE;
   }
 
   /**
@@ -253,9 +318,11 @@
       level,
       start => !crashes.has(start) && isExplained(start),
     );
-    const exposures = [...crashes.values()].map(({exposureMs}) => exposureMs);
+    const exposures = [...crashes.values()]
+      .filter(isStanding)
+      .map(({exposureMs}) => exposureMs);
     const sumMs = exposures.reduce((sum, each) => sum + each, 0);
-    const withinMs = (sumMs * level) / crashes.size;
+    const withinMs = (sumMs * level) / exposures.length;
     return computeChance(rate, {count: level, withinMs});
   }
 
@@ -276,8 +343,8 @@
 
   private isExpired(suspect: Suspect): boolean {
     const now = this.clock.monotonic();
-    if (suspect.crashes.size === 0) {
-      return now - suspect.clearedAt > RETAIN_CLEARED_MS;
+    if (countStanding(suspect.crashes) === 0) {
+      return now - findClearedAt(suspect) > RETAIN_CLEARED_MS;
     }
     const retainMs = RETAIN_MS[suspect.level] ?? RETAIN_LONGEST_MS;
     return now - findLastCrash(suspect) > retainMs;
@@ -296,61 +363,3 @@
     if (lowest) this.suspects.delete(lowest[0]);
   }
 }
-
-function mergeSuspects(known: Suspect | null, next: Suspect): Suspect {
-  const clearedAt = Math.max(known?.clearedAt ?? -Infinity, next.clearedAt);
-  const keepLater = (crashes: ReadonlyMap<string, Crash> | undefined) =>
-    [...(crashes ?? [])].filter(([, {atMs}]) => atMs > clearedAt);
-  const before = keepLater(known?.crashes);
-  const added = keepLater(next.crashes);
-  const newestFirst = [...mergeCrashes(before, added)].sort(
-    ([, a], [, b]) => b.atMs - a.atMs,
-  );
-  const crashes = new Map(newestFirst.slice(0, MAX_PART_CRASHES));
-  const level = Math.max(
-    before.length > 0 ? (known?.level ?? 0) : 0,
-    added.length > 0 ? next.level : 0,
-  );
-  const {service, kind, part} = next;
-  return {
-    service,
-    kind,
-    part,
-    level: Math.min(level, crashes.size),
-    isCondemned:
-      (before.length > 0 && (known?.isCondemned ?? false)) ||
-      (added.length > 0 && next.isCondemned),
-    crashes,
-    clearedAt,
-  };
-}
-
-/** Merges crashes; several requests may have been there for different times. */
-function mergeCrashes(
-  before: ReadonlyArray<[string, Crash]>,
-  added: ReadonlyArray<[string, Crash]>,
-): Map<string, Crash> {
-  const merged = new Map(before);
-  for (const [start, crash] of added) {
-    const {atMs, exposureMs} = merged.get(start) ?? crash;
-    merged.set(start, {
-      atMs,
-      exposureMs: Math.max(exposureMs, crash.exposureMs),
-    });
-  }
-  return merged;
-}
-
-/** Whether two records say the same; times of later answers do not matter. */
-function isSame(a: Suspect, b: Suspect): boolean {
-  return (
-    a.level === b.level &&
-    a.isCondemned === b.isCondemned &&
-    a.crashes.size === b.crashes.size &&
-    [...b.crashes.keys()].every(start => a.crashes.has(start))
-  );
-}
-
-function findLastCrash({crashes}: Suspect): number {
-  return Math.max(...[...crashes.values()].map(({atMs}) => atMs));
-}
--- a/src/coordination/quarantine/suspect_table_test.ts
+++ b/src/coordination/quarantine/suspect_table_test.ts
@@ -32,7 +32,9 @@
     part,
     level,
     isCondemned: false,
-    crashes: new Map([[start, {atMs, exposureMs: EXPOSURE_MS}]]),
+    crashes: new Map([
+      [start, {atMs, exposureMs: EXPOSURE_MS, refutedAt: -Infinity}],
+    ]),
     clearedAt: -Infinity,
   });
 }
@@ -41,7 +43,7 @@
 // seldom, since other parts were there each time.
 test('a condemned part is tried a few times at most while others explain it', async () => {
   const clock = new SimulatedClock();
-  const table = new SuspectTable({clock, listStarts});
+  const table = new SuspectTable({clock, listStarts, condemns: true});
   const record = (start: string, level: number) => {
     const atMs = clock.monotonic();
     recordCrash(table, {part: 'bad', level, start, atMs});
@@ -51,9 +53,12 @@
     record(`e${level}/1`, level);
     await clock.advance(100);
   }
+  // Until then the crashes are confirmed.
+  await clock.advance(3_000);
   let tries = 0;
   for (let second = 0; second < 500; second++) {
     await clock.advance(1_000);
+    table.decide();
     const suspect = table.get(
       createSuspectKey(SERVICE, {kind: 'part', part: 'bad'}),
     );
@@ -69,7 +74,7 @@
 // Guards against a part that is condemned since engines flap.
 test('a part is not condemned for three crashes while engines end without it', async () => {
   const clock = new SimulatedClock();
-  const table = new SuspectTable({clock, listStarts});
+  const table = new SuspectTable({clock, listStarts, condemns: true});
   for (let index = 0; index < 6; index++) {
     const atMs = clock.monotonic();
     recordCrash(table, {
@@ -88,4 +93,23 @@
   assert.deepEqual(table.listCondemned(), []);
 });
 
+// Guards against requests that are blamed for broken links of a gateway.
+test('a crash does not count once its endpoint gave a sign of life', async () => {
+  const clock = new SimulatedClock();
+  const table = new SuspectTable({clock, listStarts, condemns: true});
+  for (let level = 1; level <= 4; level++) {
+    const atMs = clock.monotonic();
+    recordCrash(table, {part: 'part', level, start: `e${level}/1`, atMs});
+    await clock.advance(50);
+  }
+  assert.ok(table.hasPending);
+  await clock.advance(1_000);
+  for (let level = 1; level <= 4; level++) {
+    table.recordAlive(`e${level}/1`, clock.monotonic());
+  }
+  await clock.advance(10_000);
+  assert.deepEqual(table.decide(), []);
+  assert.equal(table.find(SERVICE, {kind: 'part', part: 'part'}), null);
+});
+
 test.run();
--- a/src/protocol/suspect.ts
+++ b/src/protocol/suspect.ts
@@ -28,6 +28,11 @@
    * tell.
    */
   exposureMs: ageSchema.default(DEFAULT_EXPOSURE_MS),
+  /**
+   * The time since the endpoint gave a sign of life after it seemed to end, in
+   * ms; `null` if it gave none.
+   */
+  refutedAgeMs: ageSchema.nullable().default(null),
 });
 
 export const suspectSchema = z.object({
--- a/src/state/view/saved_view_test.ts
+++ b/src/state/view/saved_view_test.ts
@@ -30,7 +30,7 @@
   part: 'p1',
   level: 3,
   isCondemned: true,
-  crashes: [{start: 'e1/5', ageMs: 10, exposureMs: 100}],
+  crashes: [{start: 'e1/5', ageMs: 10, exposureMs: 100, refutedAgeMs: null}],
   clearedAgeMs: null,
 };
 
