Keep a customer from condemning or displacing what others send

Cause: a verdict on a prompt part held for all customers, also when only one customer's requests had crashed with it; and a full table dropped the oldest record of the lowest level, whoever had filled it.

Change: a record names up to two customers whose requests crashed. A full table drops records of the customer that has the most. Both tests fail without the change.

--- a/src/coordination/core/core_state_test.ts
+++ b/src/coordination/core/core_state_test.ts
@@ -144,6 +144,7 @@
     const record = {
       service: 'app',
       kind: 'part' as const,
+      customers: [],
       part: `p${index}`,
       level: 1,
       crashes,
@@ -172,6 +173,7 @@
   return {
     service: 'app',
     kind: 'part' as const,
+    customers: [],
     part: 'p',
     level,
     isCondemned: false,
--- a/src/coordination/quarantine/quarantine.ts
+++ b/src/coordination/quarantine/quarantine.ts
@@ -20,7 +20,7 @@
 import {CrashWatch} from './crash_watch.ts';
 import {createStartKey} from './endpoint_ends.ts';
 import type {TrialClient} from './trial_client.ts';
-import type {Suspect} from './suspect.ts';
+import {appliesTo, type Suspect} from './suspect.ts';
 import {createSuspectKey, SuspectTable} from './suspect_table.ts';
 
 /** Parts and requests of which a gateway remembers an answer. */
@@ -156,9 +156,10 @@
       },
       onCrash: () => {
         const exposureMs = clock.monotonic() - sentAt;
+        const customer = run.admitted.caller ?? '';
         for (const id of this.selectSuspects(service, run.listWatched())) {
           const level = (levels.get(createSuspectKey(service, id)) ?? 0) + 1;
-          this.recordCrash(endpoint, {id, level, exposureMs});
+          this.recordCrash(endpoint, {id, level, exposureMs, customer});
         }
       },
     });
@@ -224,7 +225,10 @@
   }
 
   private isWithheld(run: CallRun, suspects: readonly Suspect[]): boolean {
-    const condemned = suspects.filter(each => this.table.isCondemned(each));
+    const customer = run.admitted.caller ?? '';
+    const condemned = suspects.filter(
+      each => this.table.isCondemned(each) && appliesTo(each, customer),
+    );
     if (condemned.length === 0) return false;
     const {name: service} = run.admitted.service;
     const keys = new Set(
@@ -263,6 +267,7 @@
       service,
       kind,
       part,
+      customers: [],
       level: 0,
       isCondemned: false,
       crashes: new Map(),
@@ -276,13 +281,15 @@
       id: {kind, part},
       level,
       exposureMs,
-    }: {id: SuspectId; level: number; exposureMs: number},
+      customer,
+    }: {id: SuspectId; level: number; exposureMs: number; customer: string},
   ): void {
     const now = this.options.clock.monotonic();
     this.recordObservation({
       service: endpoint.service,
       kind,
       part,
+      customers: [customer],
       level,
       isCondemned: false,
       crashes: new Map([
--- a/src/coordination/quarantine/quarantine_test.ts
+++ b/src/coordination/quarantine/quarantine_test.ts
@@ -55,6 +55,7 @@
   return {
     service: 'app',
     kind: 'part' as const,
+    customers: [],
     part,
     level,
     isCondemned,
@@ -73,6 +74,30 @@
   assert.equal((await gateway.request(createPrompt('first'))).status, 200);
 });
 
+// Guards against a customer that gets a part of others' prompts condemned by
+// requests that crash engines for another reason.
+test('forward() refuses a part only to the customer whose requests crashed', async () => {
+  const customers = ['c1', 'c2'].map(name => ({
+    name,
+    keys: [`key-${name}`],
+    priority: null,
+  }));
+  const gateway = new FakeGateway({
+    route: {...ROUTE, isPublic: false},
+    customers,
+    endpoints: ENDPOINTS,
+    behave: answer,
+  });
+  const condemned = {...createRecord('bad', 3), customers: ['c1']};
+  gateway.quarantine.recordRelayed([condemned]);
+  const send = async (key: string) =>
+    (await gateway.request({...createPrompt('bad'), key})).status;
+  assert.equal(await send('key-c1'), 503);
+  assert.equal(await send('key-c2'), 200);
+  // That answer has cleared the part.
+  assert.equal(await send('key-c1'), 200);
+});
+
 test('forward() takes a part for sound again once it was answered on', async () => {
   const gateway = createGateway(answer);
   gateway.quarantine.recordRelayed([createRecord('part', 2)]);
--- a/src/coordination/quarantine/suspect.ts
+++ b/src/coordination/quarantine/suspect.ts
@@ -1,5 +1,9 @@
 /** What a daemon knows of one suspect, and how records of it are merged. */
-import {MAX_PART_CRASHES, type SuspectId} from '../../protocol/suspect.ts';
+import {
+  MAX_PART_CRASHES,
+  MAX_SUSPECT_CUSTOMERS,
+  type SuspectId,
+} from '../../protocol/suspect.ts';
 
 /** The end of an engine that had a part. */
 export interface Crash {
@@ -14,6 +18,8 @@
 /** A part that engines ended with; times are on the monotonic clock. */
 export interface Suspect extends SuspectId {
   readonly service: string;
+  /** Those whose requests endpoints ended with, at most two; in order. */
+  readonly customers: readonly string[];
   readonly level: number;
   readonly isCondemned: boolean;
   /** The engines that ended, by their start. */
@@ -38,10 +44,12 @@
     added.length > 0 ? next.level : 0,
   );
   const {service, kind, part} = next;
+  const customers = new Set([...(known?.customers ?? []), ...next.customers]);
   return {
     service,
     kind,
     part,
+    customers: [...customers].sort().slice(0, MAX_SUSPECT_CUSTOMERS),
     level: Math.min(level, countStanding(crashes)),
     isCondemned:
       (before.length > 0 && (known?.isCondemned ?? false)) ||
@@ -80,6 +88,18 @@
   return Math.max(clearedAt, ...refuted);
 }
 
+/**
+ * Whether a verdict holds for a caller's requests. One that rests on the requests
+ * of a single customer holds for that customer only, so that none can get what
+ * others send condemned.
+ */
+export function appliesTo(
+  {customers}: Pick<Suspect, 'customers'>,
+  customer: string,
+): boolean {
+  return customers.length !== 1 || customers[0] === customer;
+}
+
 /** Whether an end is not refuted by a later sign of life. */
 export function isStanding({atMs, refutedAt}: Crash): boolean {
   return atMs > refutedAt;
@@ -95,6 +115,7 @@
   return (
     a.level === b.level &&
     a.isCondemned === b.isCondemned &&
+    a.customers.length === b.customers.length &&
     a.crashes.size === b.crashes.size &&
     countStanding(a.crashes) === countStanding(b.crashes) &&
     [...b.crashes.keys()].every(start => a.crashes.has(start))
--- a/src/coordination/quarantine/suspect_table.ts
+++ b/src/coordination/quarantine/suspect_table.ts
@@ -259,10 +259,11 @@
   }
 
   /** Encodes a record with the ages of its crashes. */
-  encode({crashes, clearedAt, ...rest}: Suspect): SuspectRecord {
+  encode({crashes, clearedAt, customers, ...rest}: Suspect): SuspectRecord {
     const now = this.clock.monotonic();
     return {
       ...rest,
+      customers: [...customers],
       crashes: [...crashes].map(([start, {atMs, exposureMs, refutedAt}]) => ({
         start,
         ageMs: now - atMs,
@@ -350,16 +351,26 @@
     return now - findLastCrash(suspect) > retainMs;
   }
 
-  /** Drops the oldest record of the lowest level while there are too many. */
+  /**
+   * Drops the oldest record of the lowest level while there are too many, of the
+   * customer that has the most: none can fill the table.
+   */
   private evict(): void {
     if (this.suspects.size <= MAX_SUSPECTS) return;
     this.expire();
     if (this.suspects.size <= MAX_SUSPECTS) return;
-    let lowest: [string, Suspect] | null = null;
+    const byCustomer = new Map<string, Array<[string, Suspect]>>();
     for (const each of this.suspects) {
-      if (lowest && each[1].level >= lowest[1].level) continue;
-      lowest = each;
+      const customer = each[1].customers[0] ?? '';
+      const list = byCustomer.get(customer);
+      if (list) list.push(each);
+      else byCustomer.set(customer, [each]);
     }
-    if (lowest) this.suspects.delete(lowest[0]);
+    const [most = []] = [...byCustomer.values()].sort(
+      (a, b) => b.length - a.length,
+    );
+    const lowest = Math.min(...most.map(([, {level}]) => level));
+    const victim = most.find(([, {level}]) => level === lowest);
+    if (victim) this.suspects.delete(victim[0]);
   }
 }
--- a/src/coordination/quarantine/suspect_table_test.ts
+++ b/src/coordination/quarantine/suspect_table_test.ts
@@ -29,6 +29,7 @@
   table.mergeOne({
     service: SERVICE,
     kind: 'part' as const,
+    customers: [],
     part,
     level,
     isCondemned: false,
@@ -112,4 +113,28 @@
   assert.equal(table.find(SERVICE, {kind: 'part', part: 'part'}), null);
 });
 
+// Guards against a customer whose crashing requests drive the evidence of others
+// out of the table.
+test('records of one customer do not displace those of others', () => {
+  const clock = new SimulatedClock();
+  const table = new SuspectTable({clock, listStarts});
+  const record = (part: string, customer: string) =>
+    table.mergeOne({
+      service: SERVICE,
+      kind: 'request',
+      part,
+      customers: [customer],
+      level: 1,
+      isCondemned: false,
+      crashes: new Map([
+        [`${part}/1`, {atMs: 0, exposureMs: EXPOSURE_MS, refutedAt: -Infinity}],
+      ]),
+      clearedAt: -Infinity,
+    });
+  record('other', 'c2');
+  for (let count = 0; count < 1_000; count++) record(`p${count}`, 'c1');
+  assert.ok(table.size <= 256, `${table.size} records`);
+  assert.ok(table.find(SERVICE, {kind: 'request', part: 'other'}));
+});
+
 test.run();
--- a/src/protocol/suspect.ts
+++ b/src/protocol/suspect.ts
@@ -3,7 +3,7 @@
  * of prompts, and whole requests.
  */
 import * as z from 'zod';
-import {ageSchema} from './bounds.ts';
+import {ageSchema, nameSchema} from './bounds.ts';
 import {createEntryList} from './parse_message.ts';
 
 /** The longest id of a part; longer ones are cut, since callers choose them. */
@@ -15,6 +15,9 @@
 /** Crashes that a record holds at most. */
 export const MAX_PART_CRASHES = 16;
 
+/** Customers that a record names. */
+export const MAX_SUSPECT_CUSTOMERS = 2;
+
 /** The assumed time of a request at an engine, in ms. */
 const DEFAULT_EXPOSURE_MS = 1_000;
 
@@ -41,6 +44,11 @@
   kind: z.enum(['part', 'request']).default('part'),
   /** The id of the part, or the identity of the request. */
   part: z.string(),
+  /**
+   * The customers whose requests endpoints ended with, at most two; the empty name
+   * stands for callers without a key.
+   */
+  customers: z.array(nameSchema).max(MAX_SUSPECT_CUSTOMERS).default([]),
   /**
    * The length of the longest chain of crashes of which each request was sent
    * when the crash before was known.
--- a/src/state/view/saved_view_test.ts
+++ b/src/state/view/saved_view_test.ts
@@ -27,6 +27,7 @@
 const SUSPECT = {
   service: 'app',
   kind: 'part' as const,
+  customers: [],
   part: 'p1',
   level: 3,
   isCondemned: true,
