--- a/src/coordination/quarantine/suspect_table_test.ts
+++ b/src/coordination/quarantine/suspect_table_test.ts
@@ -113,6 +113,23 @@
   assert.equal(table.find(SERVICE, {kind: 'part', part: 'part'}), null);
 });
 
+// Guards against requests that are refused for good, also after the endpoints were
+// mended.
+test('a verdict ends after a while', async () => {
+  const clock = new SimulatedClock();
+  const table = new SuspectTable({clock, listStarts, condemns: true});
+  for (let level = 1; level <= 3; level++) {
+    const atMs = clock.monotonic();
+    recordCrash(table, {part: 'part', level, start: `e${level}/1`, atMs});
+    await clock.advance(100);
+  }
+  await clock.advance(3_000);
+  table.decide();
+  assert.equal(table.listCondemned().length, 1);
+  await clock.advance(11 * 60_000);
+  assert.deepEqual(table.listCondemned(), []);
+});
+
 // Guards against a customer whose crashing requests drive the evidence of others
 // out of the table.
 test('records of one customer do not displace those of others', () => {
--- a/tools/mutants/quarantine.ts
+++ b/tools/mutants/quarantine.ts
@@ -6,17 +6,58 @@
 const FOLDER = 'src/coordination/quarantine';
 const QUARANTINE_FILE = `${FOLDER}/quarantine.ts`;
 const SUSPECTS = `${FOLDER}/suspect_table.ts`;
+const IDENTITY = `${FOLDER}/request_identity.ts`;
 const TRIALS = `${FOLDER}/trial_table.ts`;
 const CORE_STATE = 'src/coordination/core/core_state.ts';
 
 const MUTANTS: readonly Mutant[] = [
+  {
+    name: 'identity-with-attempt',
+    edits: [
+      {
+        file: IDENTITY,
+        from: 'const place = [caller, ',
+        to: 'const place = [call.facts.attemptId, caller, ',
+      },
+    ],
+  },
+  {
+    name: 'identity-without-customer',
+    edits: [
+      {
+        file: IDENTITY,
+        from: 'const place = [caller, ',
+        to: 'const place = [caller && null, ',
+      },
+    ],
+  },
+  {
+    name: 'broken-links-count',
+    edits: [
+      {
+        file: CORE_STATE,
+        from: 'this.applySuspects(this.suspects.recordAlive(start, aliveAt));',
+        to: 'void [start, aliveAt];',
+      },
+    ],
+  },
+  {
+    name: 'verdict-without-end',
+    edits: [
+      {
+        file: SUSPECTS,
+        from: 'return this.clock.monotonic() - findLastCrash(suspect) < CONDEMN_MS;',
+        to: 'return true;',
+      },
+    ],
+  },
   {
     name: 'no-clearing',
     edits: [
       {
         file: QUARANTINE_FILE,
-        from: 'onSound: () => parts.forEach(part => this.recordSound(service, part)),',
-        to: 'onSound: () => {},',
+        from: 'for (const each of sound) this.recordSound(service, each);',
+        to: 'void sound;',
       },
     ],
   },
@@ -61,8 +102,8 @@
       {
         file: CORE_STATE,
         from: `    this.mergeSuspects(suspects, this.options.clock.monotonic());
-    const trial = `,
-        to: '    const trial = ',
+    const isPending`,
+        to: '    const isPending',
       },
     ],
   },
@@ -147,15 +188,17 @@
   ].join('; ');
 }
 
-/** PROMPT_CRASH_SEEDS and PROMPT_CRASH_FROM set the histories. */
+/** PROMPT_CRASH_SEEDS, REQUEST_CRASH_SEEDS and the like set the histories. */
 export const QUARANTINE: Suite = {
   tests: [
     'src/coordination/core/core_state_test.ts',
     'src/coordination/quarantine/suspect_table_test.ts',
     'src/coordination/quarantine/quarantine_test.ts',
+    'src/coordination/quarantine/request_identity_test.ts',
     'src/coordination/quarantine/prompt_crash_test.ts',
+    'src/coordination/quarantine/request_crash_test.ts',
   ],
-  env: {PROMPT_CRASH_PRINT: '1'},
+  env: {PROMPT_CRASH_PRINT: '1', REQUEST_CRASH_PRINT: '1'},
   mutants: MUTANTS,
   mustFail: true,
   describeOutput: output =>
