Log when a gateway loses the path to a service, and when it finds it again

Cause: in the record no line or metric says how many endpoints a gateway reaches. Change: the path to a service counts as lost once connections to all of its ready endpoints failed and none answered since; a line names the evidence and its age, and the gauge service_path is 0. Nothing is decided by it yet.

--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -7,6 +7,7 @@
 import {Quarantine} from '../../coordination/quarantine/quarantine.ts';
 import {createTrialClient} from '../../coordination/quarantine/trial_client.ts';
 import {PrefillBacklog} from '../../coordination/forwarding/prefill_backlog.ts';
+import {Reachability} from '../../coordination/reach/reachability.ts';
 import {RecentGateways} from '../../coordination/forwarding/recent_gateways.ts';
 import {VersionEvidenceCounter} from '../../coordination/forwarding/version_evidence.ts';
 import {CoreFollower} from '../../coordination/gateway/core_follower.ts';
@@ -120,9 +121,16 @@
     call: (address, request, timeoutMs) =>
       links.get(address).follow(request, timeoutMs),
   });
+  const reach = new Reachability({
+    clock,
+    logger: createLogger('forward'),
+    metrics: parts.metrics,
+    listEndpoints: service => view.listEndpoints(service),
+  });
   const forwarder = new Forwarder({
     view,
     health,
+    reach,
     notices,
     limits,
     quarantine,
--- a/src/coordination/forwarding/endpoint_notices_test.ts
+++ b/src/coordination/forwarding/endpoint_notices_test.ts
@@ -7,13 +7,12 @@
 import fc from 'fast-check';
 import {test} from 'uvu';
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
+import {createAnswer, PLAIN_ANSWER} from './fake_answers.ts';
 import {
-  createAnswer,
   createEndpoint,
   createFollowReply,
   createRoute,
   FakeGateway,
-  PLAIN_ANSWER,
   type Behaviour,
 } from './forwarding_fakes.ts';
 
--- a/src/coordination/forwarding/fallback_test.ts
+++ b/src/coordination/forwarding/fallback_test.ts
@@ -4,12 +4,11 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
+import {createAnswer, waitForAbort} from './fake_answers.ts';
 import {
-  createAnswer,
   createEndpoint,
   createRoute,
   FakeGateway,
-  waitForAbort,
   type Behaviour,
 } from './forwarding_fakes.ts';
 
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -8,9 +8,6 @@
  */
 import type {Clock} from '../../protocol/clock.ts';
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
-import type {Logger} from '../../protocol/logger.ts';
-import type {Metrics} from '../../protocol/metrics.ts';
-import type {GatewayView} from '../gateway/gateway_view.ts';
 import {
   createWindowBudget,
   type WindowBudget,
@@ -19,12 +16,10 @@
 import type {Call, CallerSink, SendAttempt} from './call.ts';
 import {EscalationThreshold, hasLarger, isUnsure} from './choose_model.ts';
 import {deliverHeld} from './deliver_held.ts';
-import type {EndpointHealth} from './endpoint_health.ts';
 import {EndpointPicker} from './endpoint_picker.ts';
 import type {EndpointLimits} from './endpoint_limits.ts';
 import type {EndpointNotices} from './endpoint_notices.ts';
 import {handleAbort} from './handle_abort.ts';
-import type {PrefillBacklog} from './prefill_backlog.ts';
 import type {Quarantine} from '../quarantine/quarantine.ts';
 import type {RecentGateways} from './recent_gateways.ts';
 import {
@@ -42,9 +37,8 @@
 } from './run_attempt.ts';
 import {CallRun} from './call_run.ts';
 import {Shutdown} from './shutdown.ts';
-import {recordAttempt} from './record_attempt.ts';
+import {recordAttempt, type RecordAttemptOptions} from './record_attempt.ts';
 import {recordRun} from './record_run.ts';
-import type {VersionEvidenceCounter} from './version_evidence.ts';
 
 /** Maximum retries of a request that endpoints reported as not run. */
 const MAX_NOT_RUN = 2;
@@ -74,18 +68,12 @@
  */
 const WAIT_SHARE = 0.6;
 
-export interface ForwarderOptions {
-  readonly view: GatewayView;
-  readonly health: EndpointHealth;
+export interface ForwarderOptions extends RecordAttemptOptions {
   readonly notices: EndpointNotices;
   readonly limits: EndpointLimits;
   readonly quarantine: Quarantine;
   readonly gateways: RecentGateways;
-  readonly evidence: VersionEvidenceCounter;
-  readonly prefillBacklog: PrefillBacklog;
   readonly clock: Clock;
-  readonly logger: Logger;
-  readonly metrics: Metrics;
   /** Returns a number from 0 up to 1. */
   readonly random: () => number;
   readonly send: SendAttempt;
--- a/src/coordination/forwarding/forwarder_test.ts
+++ b/src/coordination/forwarding/forwarder_test.ts
@@ -1,13 +1,11 @@
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
+import {createAnswer, PLAIN_ANSWER, waitForAbort} from './fake_answers.ts';
 import {
-  createAnswer,
   createEndpoint,
   createFollowReply,
   createRoute,
   FakeGateway,
-  PLAIN_ANSWER,
-  waitForAbort,
   type Behaviour,
 } from './forwarding_fakes.ts';
 
--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -12,13 +12,7 @@
 } from '../../protocol/route_table.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
 import {GatewayView} from '../gateway/gateway_view.ts';
-import type {
-  AnswerFacts,
-  AttemptOptions,
-  AttemptOutcome,
-  Call,
-  CallFacts,
-} from './call.ts';
+import type {AttemptOptions, AttemptOutcome, Call, CallFacts} from './call.ts';
 import {EndpointHealth} from './endpoint_health.ts';
 import {EndpointLimits} from './endpoint_limits.ts';
 import {EndpointNotices} from './endpoint_notices.ts';
@@ -26,6 +20,7 @@
 import {PrefillBacklog} from './prefill_backlog.ts';
 import {listRunningStarts} from '../quarantine/endpoint_ends.ts';
 import {Quarantine} from '../quarantine/quarantine.ts';
+import {Reachability} from '../reach/reachability.ts';
 import {BodyDigest} from '../quarantine/request_identity.ts';
 import {RecentGateways} from './recent_gateways.ts';
 import {RecordingSink} from './recording_sink_fake.ts';
@@ -111,18 +106,6 @@
   };
 }
 
-/** The facts of an answer without any optional header. */
-export const PLAIN_ANSWER: AnswerFacts = {
-  attemptId: null,
-  isNotRun: false,
-  isSigned: true,
-  load: null,
-  confidence: null,
-  limitPerSecond: null,
-  isLeaving: false,
-  quietMs: null,
-};
-
 /** Creates the reply of a core daemon that has no data. */
 export function createFollowReply(
   change: Partial<FollowReply> = {},
@@ -259,6 +242,12 @@
       quarantine: this.quarantine,
       gateways,
       health: this.health,
+      reach: new Reachability({
+        clock: this.clock,
+        logger: silentLogger,
+        metrics: silentMetrics,
+        listEndpoints: service => this.view.listEndpoints(service),
+      }),
       evidence: new VersionEvidenceCounter(),
       prefillBacklog: new PrefillBacklog(this.clock),
       clock: this.clock,
@@ -364,54 +353,3 @@
     signal,
   };
 }
-
-export interface FakeAnswerOptions {
-  readonly status?: number;
-  readonly pieces?: readonly string[];
-  /** Whether the body breaks off after the pieces. */
-  readonly breaks?: boolean;
-  /** Whether the body stalls after the pieces until the attempt is aborted. */
-  readonly hangs?: boolean;
-  readonly isStream?: boolean;
-  readonly facts?: Partial<AnswerFacts>;
-  /** Called when the gateway cancels the rest of the answer. */
-  readonly onCancel?: () => void;
-}
-
-/** Creates the answer of a fake endpoint. */
-export function createAnswer(
-  call: Call,
-  {signal}: AttemptOptions,
-  options: FakeAnswerOptions = {},
-): AttemptOutcome {
-  const {status = 200, pieces = ['ok'], breaks, hangs, isStream} = options;
-  async function* readPieces() {
-    for (const piece of pieces) yield Buffer.from(piece);
-    if (breaks) throw new Error('reset');
-    if (hangs) await waitForAbort(signal);
-  }
-  return {
-    type: 'answer',
-    answer: {
-      status,
-      headers: isStream ? [['Content-Type', 'text/event-stream']] : [],
-      facts: {
-        ...PLAIN_ANSWER,
-        attemptId: call.facts.attemptId,
-        ...options.facts,
-      },
-      isDelimited: true,
-      body: readPieces(),
-      cancel: () => options.onCancel?.(),
-    },
-  };
-}
-
-/** Returns a promise that rejects when the attempt is aborted. */
-export function waitForAbort(signal: AbortSignal): Promise<never> {
-  return new Promise((_resolve, reject) => {
-    const fail = () => reject(new Error('aborted'));
-    if (signal.aborted) fail();
-    signal.addEventListener('abort', fail);
-  });
-}
--- a/src/coordination/forwarding/heavy_prompts_test.ts
+++ b/src/coordination/forwarding/heavy_prompts_test.ts
@@ -9,12 +9,8 @@
 import {test} from 'uvu';
 import type {Engine} from '../../protocol/route_table.ts';
 import type {AttemptOptions, Call, CallFacts} from './call.ts';
-import {
-  createAnswer,
-  createEndpoint,
-  createRoute,
-  FakeGateway,
-} from './forwarding_fakes.ts';
+import {createAnswer} from './fake_answers.ts';
+import {createEndpoint, createRoute, FakeGateway} from './forwarding_fakes.ts';
 import type {RecordingSink} from './recording_sink_fake.ts';
 
 const OBJECTIVE_MS = 4_000;
--- a/src/coordination/forwarding/record_attempt.ts
+++ b/src/coordination/forwarding/record_attempt.ts
@@ -3,6 +3,7 @@
 import type {Logger} from '../../protocol/logger.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
 import type {GatewayView} from '../gateway/gateway_view.ts';
+import type {Reachability} from '../reach/reachability.ts';
 import type {CallRun} from './call_run.ts';
 import type {EndpointHealth} from './endpoint_health.ts';
 import type {PrefillBacklog} from './prefill_backlog.ts';
@@ -18,12 +19,21 @@
 export interface RecordAttemptOptions {
   readonly view: GatewayView;
   readonly health: EndpointHealth;
+  readonly reach: Reachability;
   readonly evidence: VersionEvidenceCounter;
   readonly prefillBacklog: PrefillBacklog;
   readonly logger: Logger;
   readonly metrics: Metrics;
 }
 
+/** Results that an endpoint's answer gave. */
+const ANSWERED: ReadonlySet<AttemptResult['type']> = new Set([
+  'delivered',
+  'failed',
+  'not-run',
+  'escalated',
+]);
+
 interface Attempt {
   readonly endpoint: EndpointEntry;
   readonly result: AttemptResult;
@@ -35,10 +45,11 @@
   run: CallRun,
   {endpoint, result}: Attempt,
 ): void {
-  const {health, logger, metrics} = options;
+  const {health, reach, logger, metrics} = options;
   const service = run.admitted.service.name;
   metrics.count('attempts', 1, {service, outcome: result.type});
   recordHealth(health, {endpoint, result});
+  recordReach(reach, {endpoint, result});
   if (result.type !== 'delivered') {
     logger.info('Ends an attempt without delivering its answer.', {
       request: run.call.facts.attemptId,
@@ -84,6 +95,14 @@
   }
 }
 
+function recordReach(reach: Reachability, {endpoint, result}: Attempt): void {
+  if (result.type === 'not-sent' || isDisconnected(result)) {
+    reach.recordFailure(endpoint);
+  } else if (ANSWERED.has(result.type)) {
+    reach.recordAnswer(endpoint);
+  }
+}
+
 /** Counts the attempt for its version if the version could affect it. */
 function recordEvidence(
   options: RecordAttemptOptions,
--- a/src/coordination/forwarding/relay_events_test.ts
+++ b/src/coordination/forwarding/relay_events_test.ts
@@ -6,12 +6,8 @@
 import {test} from 'uvu';
 import type {SimulatedClock} from '../../protocol/simulated_clock.ts';
 import type {AttemptOptions, AttemptOutcome, Call} from './call.ts';
-import {
-  createAnswer,
-  createEndpoint,
-  createRoute,
-  FakeGateway,
-} from './forwarding_fakes.ts';
+import {createAnswer} from './fake_answers.ts';
+import {createEndpoint, createRoute, FakeGateway} from './forwarding_fakes.ts';
 
 const GAP_MS = 1_200;
 
--- a/src/coordination/quarantine/quarantine_test.ts
+++ b/src/coordination/quarantine/quarantine_test.ts
@@ -6,12 +6,11 @@
 import {test} from 'uvu';
 import type {SuspectRecord} from '../../protocol/suspect.ts';
 import type {CallFacts} from '../forwarding/call.ts';
+import {createAnswer, waitForAbort} from '../forwarding/fake_answers.ts';
 import {
-  createAnswer,
   createEndpoint,
   createRoute,
   FakeGateway,
-  waitForAbort,
   type Behaviour,
 } from '../forwarding/forwarding_fakes.ts';
 import type {TrialClient} from './trial_client.ts';
--- a/src/coordination/simulation/simulated_engines.ts
+++ b/src/coordination/simulation/simulated_engines.ts
@@ -10,7 +10,8 @@
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import type {SimulatedClock} from '../../protocol/simulated_clock.ts';
 import type {AttemptOptions, AttemptOutcome, Call} from '../forwarding/call.ts';
-import {createAnswer, createEndpoint} from '../forwarding/forwarding_fakes.ts';
+import {createAnswer} from '../forwarding/fake_answers.ts';
+import {createEndpoint} from '../forwarding/forwarding_fakes.ts';
 import type {SiteEngines} from './simulated_site_types.ts';
 
 /** Prefill of a prompt: a minimum and a random part, in ms. */
--- a/src/coordination/simulation/simulated_links.ts
+++ b/src/coordination/simulation/simulated_links.ts
@@ -1,7 +1,7 @@
 /** The connections of a simulated gateway to endpoints, which may break. */
 import type {Clock} from '../../protocol/clock.ts';
 import type {AttemptOptions, AttemptOutcome} from '../forwarding/call.ts';
-import {waitForAbort} from '../forwarding/forwarding_fakes.ts';
+import {waitForAbort} from '../forwarding/fake_answers.ts';
 import type {LinkFault} from './simulated_site_types.ts';
 import type {SimulatedGateway} from './simulated_gateway.ts';
 
--- a/src/coordination/simulation/simulated_site.ts
+++ b/src/coordination/simulation/simulated_site.ts
@@ -16,8 +16,8 @@
   CallFacts,
 } from '../forwarding/call.ts';
 import type {CoreState} from '../core/core_state.ts';
+import {createAnswer} from '../forwarding/fake_answers.ts';
 import {
-  createAnswer,
   createEndpoint,
   createRoute,
   FakeGateway,
--- a/src/transport/forwarding/duplicate_answers_test.ts
+++ b/src/transport/forwarding/duplicate_answers_test.ts
@@ -6,11 +6,11 @@
 import {once} from 'node:events';
 import {createServer, type AddressInfo, type Socket} from 'node:net';
 import {test} from 'uvu';
+import {PLAIN_ANSWER} from '../../coordination/forwarding/fake_answers.ts';
 import {
   createEndpoint,
   createRoute,
   FakeGateway,
-  PLAIN_ANSWER,
 } from '../../coordination/forwarding/forwarding_fakes.ts';
 import {EndpointClient} from './endpoint_client.ts';
 
--- a/src/transport/forwarding/endpoint_client_test.ts
+++ b/src/transport/forwarding/endpoint_client_test.ts
@@ -6,10 +6,10 @@
   AttemptOutcome,
   Call,
 } from '../../coordination/forwarding/call.ts';
+import {PLAIN_ANSWER} from '../../coordination/forwarding/fake_answers.ts';
 import {
   createEndpoint,
   NO_FACTS,
-  PLAIN_ANSWER,
 } from '../../coordination/forwarding/forwarding_fakes.ts';
 import type {CallCodec} from './call_codec.ts';
 import {EndpointClient} from './endpoint_client.ts';
--- a/src/transport/forwarding/faulty_endpoints_test.ts
+++ b/src/transport/forwarding/faulty_endpoints_test.ts
@@ -8,11 +8,11 @@
 import {once} from 'node:events';
 import {createServer, type AddressInfo, type Socket} from 'node:net';
 import {test} from 'uvu';
+import {PLAIN_ANSWER} from '../../coordination/forwarding/fake_answers.ts';
 import {
   createEndpoint,
   createRoute,
   FakeGateway,
-  PLAIN_ANSWER,
 } from '../../coordination/forwarding/forwarding_fakes.ts';
 import type {RecordingSink} from '../../coordination/forwarding/recording_sink_fake.ts';
 import type {Route} from '../../protocol/route_table.ts';
