Send suspects one at a time also without an answer of the core

Cause: a gateway that got no answer of the core sent all requests with a suspect of a single crash at once, until it had seen a second end itself. Change: it permits one at a time itself. The test fails without the change (4 attempts at once).

--- a/src/coordination/quarantine/quarantine.ts
+++ b/src/coordination/quarantine/quarantine.ts
@@ -69,6 +69,9 @@
   /** When this gateway last observed something of a part, by its key. */
   private readonly observedAt = new Map<string, number>();
 
+  /** Suspects of trials that this gateway permitted itself, by their keys. */
+  private readonly ownTrials = new Set<string>();
+
   constructor(private readonly options: QuarantineOptions) {
     this.table = new SuspectTable(options);
   }
@@ -100,9 +103,9 @@
         outcome: reply ? (isGranted ? 'granted' : 'denied') : 'no-answer',
       });
       // Callers of a gateway without contact to the core are not refused for a
-      // single crash.
-      if (!reply && suspects.every(({level}) => level === 1)) return FREE;
-      if (isGranted) {
+      // single crash, but go to endpoints one at a time.
+      const isOwn = !reply && this.openOwnTrial(service, suspects);
+      if (isGranted || isOwn) {
         run.trial = {id: reply?.trial, suspects};
         if (!this.isWithheld(run, this.listSuspects(run))) {
           return {type: 'trial'};
@@ -117,12 +120,24 @@
     }
   }
 
+  /** Permits a request without an answer of the core, unless another one runs. */
+  private openOwnTrial(service: string, suspects: readonly Suspect[]): boolean {
+    const keys = suspects.map(each => createSuspectKey(service, each));
+    if (suspects.some(({level}) => level > 1)) return false;
+    if (keys.some(key => this.ownTrials.has(key))) return false;
+    for (const key of keys) this.ownTrials.add(key);
+    return true;
+  }
+
   /** Ends the trial of a request, after its attempt was watched. */
   finishTrial(run: CallRun): void {
     const {name: service} = run.admitted.service;
     if (!run.trial) return;
     const {id, suspects} = run.trial;
     run.trial = null;
+    for (const each of suspects) {
+      this.ownTrials.delete(createSuspectKey(service, each));
+    }
     void this.options.trials.finish({
       service,
       ...createTrialIds(suspects),
--- a/src/coordination/quarantine/quarantine_test.ts
+++ b/src/coordination/quarantine/quarantine_test.ts
@@ -4,6 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
+import {SimulatedClock} from '../../protocol/simulated_clock.ts';
 import type {SuspectRecord} from '../../protocol/suspect.ts';
 import type {CallFacts} from '../forwarding/call.ts';
 import {createAnswer, waitForAbort} from '../forwarding/fake_answers.ts';
@@ -204,6 +205,29 @@
   assert.equal((await gateway.request(createPrompt('other'))).status, 503);
 });
 
+// Guards against a gateway that is cut off from the core and sends a bad request
+// to one endpoint after the other until it has seen two of them end.
+test('forward() sends suspects one at a time while no core daemon answers', async () => {
+  const clock = new SimulatedClock();
+  const gateway = new FakeGateway({
+    clock,
+    route: ROUTE,
+    endpoints: ENDPOINTS,
+    behave: async () => {
+      await clock.sleep(300);
+      return {type: 'broken', reason: 'closed'};
+    },
+    trials: {request: async () => null, finish: async () => {}},
+  });
+  gateway.quarantine.recordRelayed([createRecord('part', 1)]);
+  const runs = [1, 2, 3, 4].map(() => gateway.start(createPrompt('part')).done);
+  await clock.advance(200);
+  assert.equal(gateway.attempts.length, 1);
+  await clock.advance(10_000);
+  await Promise.all(runs);
+  assert.equal(gateway.attempts.length, 1);
+});
+
 // Guards against callers who get a part of others condemned by leaving.
 test('forward() suspects nothing when the caller leaves', async () => {
   for (let count = 0; count < 5; count++) {
