Wait for the core's verdict for a few seconds only

Found on re-reading. A gateway whose estimate of ordinary ends differs from the core's took a suspect for proven and waited for a verdict that the core would not give, for up to an hour; it now waits 4 s. A verdict of which all crashes were refuted stayed listed. A verdict that came with a merged record had no log line. The new test of the table fails without the change.

--- a/src/coordination/core/core_state.ts
+++ b/src/coordination/core/core_state.ts
@@ -162,6 +162,7 @@
   private applySuspects(changes: readonly SuspectChange[]): void {
     if (changes.length === 0) return;
     void this.runVerdicts();
+    this.logVerdicts(changes);
     for (const {suspect, previousLevel} of changes) {
       // Requests sent before the trial may still crash; they change no level.
       if (suspect.level === previousLevel) continue;
@@ -177,16 +178,14 @@
     this.isDeciding = true;
     while (this.suspects.hasPending) {
       await this.options.clock.sleep(VERDICT_INTERVAL_MS);
-      const changes = this.suspects.decide();
-      this.logVerdicts(changes);
-      this.applySuspects(changes);
+      this.applySuspects(this.suspects.decide());
     }
     this.isDeciding = false;
   }
 
   private logVerdicts(changes: readonly SuspectChange[]): void {
-    for (const {suspect} of changes) {
-      if (!suspect.isCondemned) continue;
+    for (const {suspect, isNewVerdict} of changes) {
+      if (!isNewVerdict) continue;
       const {service, kind, part, level, crashes} = suspect;
       this.options.logger.info('Condemns what crashes endpoints.', {
         service,
--- a/src/coordination/quarantine/quarantine.ts
+++ b/src/coordination/quarantine/quarantine.ts
@@ -64,11 +64,10 @@
 
 export class Quarantine {
   private readonly table: SuspectTable;
-  /** When parts were last answered on here; the latest ones come last. */
+  /** When suspects were last answered here; the latest ones come last. */
   private readonly soundAt = new Map<string, number>();
-  /** When this gateway last observed something of a part, by its key. */
+  /** When this gateway last observed something of a suspect, by its key. */
   private readonly observedAt = new Map<string, number>();
-
   /** Suspects of trials that this gateway permitted itself, by their keys. */
   private readonly ownTrials = new Set<string>();
 
--- a/src/coordination/quarantine/suspect.ts
+++ b/src/coordination/quarantine/suspect.ts
@@ -43,6 +43,7 @@
     before.length > 0 ? (known?.level ?? 0) : 0,
     added.length > 0 ? next.level : 0,
   );
+  const standing = countStanding(crashes);
   const {service, kind, part} = next;
   const customers = new Set([...(known?.customers ?? []), ...next.customers]);
   return {
@@ -50,10 +51,11 @@
     kind,
     part,
     customers: [...customers].sort().slice(0, MAX_SUSPECT_CUSTOMERS),
-    level: Math.min(level, countStanding(crashes)),
+    level: Math.min(level, standing),
     isCondemned:
-      (before.length > 0 && (known?.isCondemned ?? false)) ||
-      (added.length > 0 && next.isCondemned),
+      standing > 0 &&
+      ((before.length > 0 && known?.isCondemned === true) ||
+        (added.length > 0 && next.isCondemned)),
     crashes,
     clearedAt,
   };
--- a/src/coordination/quarantine/suspect_table.ts
+++ b/src/coordination/quarantine/suspect_table.ts
@@ -65,6 +65,12 @@
  */
 const CONFIRM_MS = 2_500;
 
+/**
+ * The time in which the core's verdict reaches gateways after the last crash, in
+ * ms. Without one, the core took the crashes for a coincidence.
+ */
+const VERDICT_WITHIN_MS = 4_000;
+
 /** The longest time for which a heartbeat is usually on its way, in ms. */
 const HEARTBEAT_DELAY_MS = 500;
 
@@ -81,6 +87,8 @@
   readonly suspect: Suspect;
   /** Its level before; 0 if there was none. */
   readonly previousLevel: number;
+  /** Whether it is condemned, and was not before. */
+  readonly isNewVerdict: boolean;
 }
 
 /** A suspect of one service, as a key. */
@@ -208,7 +216,11 @@
     this.suspects.delete(key);
     this.suspects.set(key, merged);
     this.evict();
-    return {suspect: merged, previousLevel: known?.level ?? 0};
+    return {
+      suspect: merged,
+      previousLevel: known?.level ?? 0,
+      isNewVerdict: merged.isCondemned && !known?.isCondemned,
+    };
   }
 
   /**
@@ -242,6 +254,8 @@
    */
   isPending(suspect: Suspect): boolean {
     if (suspect.isCondemned || suspect.level < CONDEMN_LEVEL) return false;
+    const sinceMs = this.clock.monotonic() - findLastCrash(suspect);
+    if (!this.options.condemns && sinceMs > VERDICT_WITHIN_MS) return false;
     return !this.isExpired(suspect) && this.isProven(suspect);
   }
 
--- a/src/coordination/quarantine/suspect_table_test.ts
+++ b/src/coordination/quarantine/suspect_table_test.ts
@@ -130,6 +130,21 @@
   assert.deepEqual(table.listCondemned(), []);
 });
 
+// Guards against a gateway that waits for a verdict that the core does not give.
+test('a suspect is pending at a gateway for a few seconds only', async () => {
+  const clock = new SimulatedClock();
+  const table = new SuspectTable({clock, listStarts});
+  for (let level = 1; level <= 3; level++) {
+    const atMs = clock.monotonic();
+    recordCrash(table, {part: 'part', level, start: `e${level}/1`, atMs});
+    await clock.advance(100);
+  }
+  assert.ok(table.hasPending);
+  await clock.advance(5_000);
+  assert.equal(table.hasPending, false);
+  assert.deepEqual(table.listCondemned(), []);
+});
+
 // Guards against a customer whose crashing requests drive the evidence of others
 // out of the table.
 test('records of one customer do not displace those of others', () => {
