--- a/src/coordination/simulation/simulated_site.ts
+++ b/src/coordination/simulation/simulated_site.ts
@@ -9,12 +9,7 @@
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import {silentLogger} from '../../protocol/logger.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
-import type {
-  AttemptOptions,
-  AttemptOutcome,
-  Call,
-  CallFacts,
-} from '../forwarding/call.ts';
+import type {AttemptOptions, AttemptOutcome, Call} from '../forwarding/call.ts';
 import type {CoreState} from '../core/core_state.ts';
 import {createAnswer} from '../forwarding/fake_answers.ts';
 import {
@@ -35,13 +30,14 @@
   createSimulatedGateway,
   type SimulatedGateway,
 } from './simulated_gateway.ts';
-import type {
-  Arrival,
-  LinkFault,
-  Refusal,
-  SiteLoad,
-  SimulatedSiteOptions,
-  SiteRequest,
+import {
+  listParts,
+  type Arrival,
+  type LinkFault,
+  type Refusal,
+  type SimulatedSiteOptions,
+  type SiteLoad,
+  type SiteRequest,
 } from './simulated_site_types.ts';
 import {createTrialClient} from '../quarantine/trial_client.ts';
 
@@ -114,12 +110,9 @@
 
   /** Counts the requests that an endpoint got in a span of time. */
   countArrivals(endpoint: number, fromMs: number, untilMs: number): number {
-    return this.arrivals.filter(
-      each =>
-        each.endpoint === endpoint &&
-        each.atMs >= fromMs &&
-        each.atMs < untilMs,
-    ).length;
+    return this.arrivals
+      .filter(each => each.endpoint === endpoint)
+      .filter(({atMs}) => atMs >= fromMs && atMs < untilMs).length;
   }
 
   /** Runs the site under a load in requests per second. */
@@ -398,7 +391,3 @@
     if (!this.namedAt.has(endpoint)) this.namedAt.set(endpoint, now);
   }
 }
-
-function listParts({prompt = []}: Partial<CallFacts>): string[] {
-  return prompt.map(({id}) => id);
-}
--- a/src/coordination/simulation/simulated_site_types.ts
+++ b/src/coordination/simulation/simulated_site_types.ts
@@ -1,5 +1,6 @@
 /** What a simulated site is given, and what it records. */
 import type {Route, RouteCustomer} from '../../protocol/route_table.ts';
+import type {CallFacts} from '../forwarding/call.ts';
 import type {FakeRequest} from '../forwarding/forwarding_fakes.ts';
 
 /** A limit that an endpoint names in its answers for some time. */
@@ -99,3 +100,8 @@
   readonly waitedMs: number;
   readonly retryAfterMs: number;
 }
+
+/** Lists the ids of the parts of a prompt. */
+export function listParts({prompt = []}: Partial<CallFacts>): string[] {
+  return prompt.map(({id}) => id);
+}
