--- a/src/transport/peers/odd_entries_test.ts
+++ b/src/transport/peers/odd_entries_test.ts
@@ -50,10 +50,12 @@
 
 const SUSPECT = {
   service: 'app',
+  kind: 'request',
   part: 'p1',
+  customers: ['c1'],
   level: 1,
   isCondemned: false,
-  crashes: [{start: 'e1/1', ageMs: 5}],
+  crashes: [{start: 'e1/1', ageMs: 5, exposureMs: 40, refutedAgeMs: null}],
   clearedAgeMs: null,
 };
 
