--- a/src/coordination/quarantine/quarantine.ts
+++ b/src/coordination/quarantine/quarantine.ts
@@ -51,6 +51,17 @@
 
 const FREE: Permission = {type: 'free'};
 
+/** What is watched of a request. */
+export interface WatchedRequest extends Pick<
+  CallRun,
+  'watchedParts' | 'listWatched'
+> {
+  readonly admitted: {
+    readonly service: Pick<CallRun['admitted']['service'], 'name'>;
+    readonly caller: CallRun['admitted']['caller'];
+  };
+}
+
 export interface QuarantineOptions {
   readonly clock: Clock;
   readonly logger: Logger;
@@ -168,7 +179,7 @@
   }
 
   /** Watches an attempt for what it shows of its suspects. */
-  observe(run: CallRun, endpoint: EndpointEntry): CrashWatch {
+  observe(run: WatchedRequest, endpoint: EndpointEntry): CrashWatch {
     const {clock} = this.options;
     const {name: service} = run.admitted.service;
     const levels = new Map(
@@ -242,7 +253,7 @@
   }
 
   /** Lists what of a request endpoints ended with. */
-  private listKnown(run: CallRun): Suspect[] {
+  private listKnown(run: WatchedRequest): Suspect[] {
     if (this.table.isEmpty) return [];
     const {name: service} = run.admitted.service;
     return run.listWatched().flatMap(id => this.table.find(service, id) ?? []);
--- a/src/coordination/simulation/control_history.ts
+++ b/src/coordination/simulation/control_history.ts
@@ -3,8 +3,9 @@
  * acknowledgement was worth in each.
  */
 import {createDraws, type Draws} from '../../protocol/seeded_draws.ts';
-import {ControlPlane, type ControlCore, type Place} from './control_plane.ts';
+import {ControlPlane, type Place} from './control_plane.ts';
 import {ControlTroubles, TROUBLES, type Trouble} from './control_troubles.ts';
+import {callAsOperator} from './call_as_operator.ts';
 import {OrderRecord} from './order_record.ts';
 import {drawHerd, drawOrders, type Pressure} from './order_pressure.ts';
 import {
@@ -17,8 +18,7 @@
 export const APPLY_MS = 3_000;
 export const DRAIN_MS = 3_000;
 
-/** How long an operator waits for an answer, and tries. */
-const OPERATOR_MS = 1_000;
+/** How long an operator tries. */
 const OPERATOR_WITHIN_MS = 8_000;
 
 const ENDPOINTS = 12;
@@ -258,7 +258,7 @@
     for (let attempt = 0; ; attempt++) {
       const name =
         plane.coreNames[draws.between(0, plane.coreNames.length - 1)];
-      const outcome = await this.callOperator(name ?? '', core =>
+      const outcome = await callAsOperator(plane, name ?? '', core =>
         core.api.replaceDocument(version, String(version)),
       );
       const now = clock.monotonic();
@@ -282,28 +282,6 @@
     }
   }
 
-  private async callOperator<T>(
-    name: string,
-    serve: (core: ControlCore) => Promise<T>,
-  ): Promise<T | null> {
-    const {plane} = this.parts;
-    const core = plane.cores.get(name);
-    if (!core || plane.group.isolated.has(name)) {
-      await plane.clock.sleep(OPERATOR_MS);
-      return null;
-    }
-    const timeout = plane.clock.sleep(OPERATOR_MS).then(() => null);
-    const {processors} = plane;
-    const reply = core.clock.waitUntilRunning().then(async () => {
-      await processors.handleMessage(name, undefined);
-      const outcome = await serve(core);
-      await processors.handleMessage(name, undefined);
-      await core.clock.waitUntilRunning();
-      return core.isAlive ? outcome : null;
-    });
-    return Promise.race([reply, timeout]);
-  }
-
   private check(): void {
     const {plane, troubles, figures} = this.parts;
     const now = plane.clock.monotonic();
--- a/src/coordination/simulation/control_network.ts
+++ b/src/coordination/simulation/control_network.ts
@@ -2,10 +2,11 @@
 import type {Clock} from '../../protocol/clock.ts';
 import type {HostClock} from '../replication/simulated_host.ts';
 import {
-  computeMessageMs,
+  computeMessageCost,
   type PricedProcessor,
   type Prices,
 } from './priced_processor.ts';
+import type {TrafficRecord} from './traffic_record.ts';
 
 /** The one-way delays inside a region and between two, in ms. */
 const REGION_MS = 2;
@@ -30,9 +31,15 @@
   readonly random: () => number;
   /** By default messages cost nothing. */
   readonly prices?: Prices | undefined;
+  /** Counts the messages; by default nothing does. */
+  readonly traffic?: TrafficRecord | undefined;
 }
 
 export interface ControlCall<P extends SimulatedProcess, T> {
+  /** The name of the call, for the record of the traffic. */
+  readonly name?: string;
+  /** What it carries. */
+  readonly request?: unknown;
   readonly from: SimulatedProcess;
   /** Finds the receiver; `undefined` while it is down. */
   readonly findReceiver: () => P | undefined;
@@ -83,15 +90,17 @@
   }
 
   private async deliver<P extends SimulatedProcess, T>({
+    name = 'other',
+    request,
     from,
     findReceiver,
     serve,
   }: Omit<ControlCall<P, T>, 'timeoutMs'>): Promise<T> {
     const receiver = findReceiver();
-    await this.pass(from, receiver);
+    await this.pass(from, receiver, {name, content: request});
     if (!receiver || findReceiver() !== receiver) return neverReply();
     const reply = structuredClone(await serve(receiver));
-    await this.pass(receiver, from, reply);
+    await this.pass(receiver, from, {name: `${name} reply`, content: reply});
     return reply;
   }
 
@@ -99,12 +108,13 @@
   private async pass(
     from: SimulatedProcess,
     to: SimulatedProcess | undefined,
-    content?: unknown,
+    {name, content}: {readonly name: string; readonly content: unknown},
   ): Promise<void> {
-    const {clock, random, prices} = this.options;
+    const {clock, random, prices, traffic} = this.options;
     await from.clock.waitUntilRunning();
-    const workMs = prices ? computeMessageMs(prices, content) : 0;
-    if (workMs > 0) await from.processor?.run(workMs);
+    const {bytes, sendMs, receiveMs} = computeMessageCost(prices, content);
+    traffic?.record({name, from: from.address, to: to?.address, bytes});
+    if (sendMs > 0) await from.processor?.run(sendMs);
     const isLost = random() < this.lossShare;
     const isFar = from.region !== to?.region;
     await clock.sleep((isFar ? FAR_MS : REGION_MS) + random() * 2);
@@ -113,7 +123,7 @@
     }
     await to.clock.waitUntilRunning();
     if (to.lagMs > 0) await clock.sleep(random() * to.lagMs);
-    if (workMs > 0) await to.processor?.run(workMs);
+    if (receiveMs > 0) await to.processor?.run(receiveMs);
     if (!from.isAlive || !to.isAlive) return neverReply();
   }
 }
--- a/src/coordination/simulation/control_plane.ts
+++ b/src/coordination/simulation/control_plane.ts
@@ -11,7 +11,6 @@
 import {silentMetrics} from '../../protocol/metrics.ts';
 import type {ProposeReply} from '../../protocol/peer_service.ts';
 import type {RoutingCommand} from '../../protocol/routing_commands.ts';
-import {succeed} from '../../protocol/outcome.ts';
 import {FollowerTable} from '../confirmation/follower_table.ts';
 import {Confirmer} from '../confirmation/confirmer.ts';
 import {
@@ -22,17 +21,19 @@
 import {CoreState} from '../core/core_state.ts';
 import {startExchange} from '../core/exchange_task.ts';
 import {createFollowService, SILENT_AFTER_MS} from '../core/follow_service.ts';
-import {createRoute, createTable} from '../forwarding/forwarding_fakes.ts';
-import {createGatewayReport} from '../core/gateway_report_fake.ts';
-import {CoreFollower} from '../gateway/core_follower.ts';
-import {GatewayView} from '../gateway/gateway_view.ts';
 import {createJoinedPropose} from '../orders/join_proposals.ts';
 import {startPeriodicTask} from '../periodic_task.ts';
 import {createProposer} from '../replication/proposer.ts';
 import {SimulatedGroup} from '../replication/simulated_group.ts';
 import {HostClock} from '../replication/simulated_host.ts';
-import {ControlNetwork, type SimulatedProcess} from './control_network.ts';
+import {createControlGateway, type ControlGateway} from './control_gateway.ts';
+import {
+  ControlNetwork,
+  type ControlCall,
+  type SimulatedProcess,
+} from './control_network.ts';
 import {ProcessorPool, type Prices} from './priced_processor.ts';
+import {TrafficRecord} from './traffic_record.ts';
 
 const GROUP = 'routing';
 
@@ -71,20 +72,11 @@
   readonly tasks: AsyncDisposable[];
 }
 
-/** A run of a gateway. */
-export interface ControlGateway extends SimulatedProcess {
-  readonly place: Place;
-  readonly view: GatewayView;
-  readonly follower: CoreFollower;
-  /** The versions that it applied, with the times. */
-  readonly applied: Array<{readonly version: number; readonly atMs: number}>;
-  /** The core daemon that its last call went to. */
-  followed: string | null;
-}
-
 export class ControlPlane {
   readonly group: SimulatedGroup;
   readonly network: ControlNetwork;
+  /** The messages between daemons where they have a price. */
+  readonly traffic: TrafficRecord;
   readonly coreNames: readonly string[];
   readonly cores = new Map<string, ControlCore>();
   readonly gateways: ControlGateway[] = [];
@@ -108,7 +100,13 @@
       ...(trace && {trace}),
     });
     const {clock} = this.group;
-    this.network = new ControlNetwork({clock, random, prices});
+    this.traffic = new TrafficRecord(clock);
+    this.network = new ControlNetwork({
+      clock,
+      random,
+      prices,
+      traffic: prices && this.traffic,
+    });
     this.processors = new ProcessorPool({clock, prices});
     if (!prices) return;
     this.group.network.work = ({name}, content) =>
@@ -216,20 +214,22 @@
     state.endpoints.restore(this.saved.get(name) ?? []);
     const call = <T>(
       address: string,
-      serve: (core: ControlCore) => Promise<T>,
+      message: Pick<ControlCall<ControlCore, T>, 'name' | 'request' | 'serve'>,
       timeoutMs: number,
     ) =>
       network.call({
+        ...message,
         from: core,
         findReceiver: () => this.cores.get(address),
-        serve,
         timeoutMs,
       });
     const propose = createProposer({
       listReplicas: () => [name, ...state.members.listAddresses()],
-      call: (address, {command}, timeoutMs) => {
-        const send = (to: ControlCore) => to.propose(command as RoutingCommand);
-        return address === name ? send(core) : call(address, send, timeoutMs);
+      call: (address, request, timeoutMs) => {
+        const serve = (to: ControlCore) =>
+          to.propose(request.command as RoutingCommand);
+        if (address === name) return serve(core);
+        return call(address, {name: 'propose', request, serve}, timeoutMs);
       },
       hasContact: address => replica.leader === address,
       clock,
@@ -278,7 +278,11 @@
             state.members.listSilent(SILENT_AFTER_MS, listVoters()),
           listGateways: withinMs => state.gateways.listRecent(withinMs),
           call: (address, request, timeoutMs) =>
-            call(address, to => to.confirm(request), timeoutMs),
+            call(
+              address,
+              {name: 'confirm', request, serve: to => to.confirm(request)},
+              timeoutMs,
+            ),
           passOn: () => Promise.reject(new Error('not simulated')),
         }),
       }),
@@ -301,10 +305,14 @@
         state,
         clock,
         logger,
-        call: (address, exchange, timeoutMs) =>
+        call: (address, request, timeoutMs) =>
           call(
             address,
-            async to => to.state.receiveExchange(exchange),
+            {
+              name: 'exchange',
+              request,
+              serve: async to => to.state.receiveExchange(request),
+            },
             timeoutMs,
           ),
       }),
@@ -326,55 +334,31 @@
   }
 
   private startGateway(index: number): void {
-    const {clock: simulated, network, options} = this;
-    const place = options.gateways[index];
+    const place = this.options.gateways[index];
     if (!place) throw new Error(`Could not find the gateway ${index}`);
     const address = `10.1.0.${index + 1}:80`;
-    const clock = new HostClock(simulated);
-    const processor = this.processors.add(address, clock, 'gateway');
-    const logger = this.createLogger(address);
-    const applied: ControlGateway['applied'] = [];
-    const view = new GatewayView({
-      logger,
-      decodeTable: document =>
-        succeed({...createTable(createRoute()), version: Number(document)}),
-      onConfiguration: ({table: {version}}) =>
-        applied.push({version, atMs: simulated.monotonic()}),
-    });
-    const follower = new CoreFollower({
-      view,
+    const clock = new HostClock(this.clock);
+    const gateway = createControlGateway({
+      address,
+      place,
       clock,
-      logger,
-      listSeeds: () => this.coreNames.slice(0, SEED_COUNT),
-      ...place,
-      random: options.random,
-      createReport: () =>
-        createGatewayReport({address, ...place, open: view.routes !== null}),
-      call: (core, request, timeoutMs) => {
-        gateway.followed = core;
-        return network.call({
+      processor: this.processors.add(address, clock, 'gateway'),
+      logger: this.createLogger(address),
+      random: this.options.random,
+      seeds: this.coreNames.slice(0, SEED_COUNT),
+      hasRequests: this.options.prices !== undefined,
+      follow: (core, request, timeoutMs) =>
+        this.network.call({
+          name: 'follow',
+          request,
           from: gateway,
           findReceiver: () => this.cores.get(core),
           serve: to => to.follow(request),
           timeoutMs,
-        });
-      },
+        }),
     });
-    const gateway: ControlGateway = {
-      address,
-      region: place.region,
-      place,
-      clock,
-      isAlive: true,
-      lagMs: 0,
-      processor,
-      view,
-      follower,
-      applied,
-      followed: null,
-    };
     this.gateways[index] = gateway;
-    follower.start();
+    gateway.follower.start();
   }
 
   private createLogger(name: string): Logger {
--- a/src/coordination/simulation/priced_processor.ts
+++ b/src/coordination/simulation/priced_processor.ts
@@ -12,8 +12,9 @@
   readonly gatewayShare: number;
   /** The time of a core for a message, at its sender and at its receiver. */
   readonly messageMs: number;
-  /** The same for each 1,024 bytes of a reply. */
+  /** The same for each 1,024 bytes of it, to encode and to read and validate them. */
   readonly kilobyteMs: number;
+  readonly readKilobyteMs: number;
 }
 
 /**
@@ -25,6 +26,7 @@
   gatewayShare: 0.324,
   messageMs: 0.25,
   kilobyteMs: 0.015,
+  readKilobyteMs: 0.1,
 };
 
 const BYTES_PER_KILOBYTE = 1_024;
@@ -98,13 +100,33 @@
   async handleMessage(address: string, content: unknown): Promise<void> {
     const {prices} = this.options;
     if (!prices) return;
-    await this.find(address)?.run(computeMessageMs(prices, content));
+    // Logs of the group are read without a schema for each entry.
+    await this.find(address)?.run(computeMessageCost(prices, content).sendMs);
   }
 }
 
-/** Computes what a message costs at one end, in ms of a core. */
-export function computeMessageMs(prices: Prices, message?: unknown): number {
-  if (message === undefined) return prices.messageMs;
-  const bytes = JSON.stringify(message)?.length ?? 0;
-  return prices.messageMs + (bytes / BYTES_PER_KILOBYTE) * prices.kilobyteMs;
+/** What a message costs its sender and its receiver, in ms of a core. */
+export interface MessageCost {
+  readonly bytes: number;
+  readonly sendMs: number;
+  readonly receiveMs: number;
+}
+
+const FREE_MESSAGE: MessageCost = {bytes: 0, sendMs: 0, receiveMs: 0};
+
+/** Computes what a message costs; nothing without prices. */
+export function computeMessageCost(
+  prices: Prices | undefined,
+  content: unknown,
+): MessageCost {
+  if (!prices) return FREE_MESSAGE;
+  const bytes =
+    content === undefined ? 0 : (JSON.stringify(content)?.length ?? 0);
+  const kilobytes = bytes / BYTES_PER_KILOBYTE;
+  const {messageMs, kilobyteMs, readKilobyteMs} = prices;
+  return {
+    bytes,
+    sendMs: messageMs + kilobytes * kilobyteMs,
+    receiveMs: messageMs + kilobytes * readKilobyteMs,
+  };
 }
--- a/src/coordination/simulation/reporting_endpoint.ts
+++ b/src/coordination/simulation/reporting_endpoint.ts
@@ -70,8 +70,12 @@
     this.start();
   }
 
-  /** Leaves, stops, and comes back as a new start. */
-  async leave(how: Departure): Promise<void> {
+  /**
+   * Leaves, stops, and comes back as a new start.
+   *
+   * @param stopAfterMs The time until it stops; drawn by default.
+   */
+  async leave(how: Departure, stopAfterMs?: number): Promise<void> {
     if (this.isLeaving || !this.isKnown) return;
     this.isLeaving = true;
     const {plane, draws, index} = this.options;
@@ -93,7 +97,7 @@
       plane.trace(`${id}/${startedAtMs} may leave`, {how, by, tookMs});
       this.options.onDeparture({id, startedAtMs, atMs, tookMs, by});
     }
-    await clock.sleep(3_000 + draws.next() * 6_000);
+    await clock.sleep(stopAfterMs ?? 3_000 + draws.next() * 6_000);
     if (how === 'draining') {
       await this.callCore(ANSWER_MS, core =>
         core.api.reportGone(id, startedAtMs),
