Count the entries that core daemons tell each other, by field

It now tells the entries of exchanges and follow calls by field, and how many of the suspects that a core daemon is told change anything.

--- a/src/cli/serve_site/core.ts
+++ b/src/cli/serve_site/core.ts
@@ -94,7 +94,12 @@
       return isFresh();
     },
   };
-  const state = new CoreState({clock, logger: createLogger('core'), self});
+  const state = new CoreState({
+    clock,
+    logger: createLogger('core'),
+    self,
+    entries: parts.entries,
+  });
   state.members.setSeeds(listSeedPeers(settings));
   const routing = new RoutingState();
   const view = await openView(parts, state, routing);
@@ -188,6 +193,7 @@
       state,
       clock,
       logger: createLogger('exchange'),
+      entries: parts.entries,
       call: (address, exchange, timeoutMs) =>
         links.get(address).exchangeCore(exchange, timeoutMs),
     }),
@@ -352,7 +358,7 @@
 }
 
 function createService(
-  {clock}: SiteParts,
+  {clock, entries}: SiteParts,
   {state, view, routing, replica, followers, confirm, epoch}: CoreParts,
 ): CoreService {
   const propose = createJoinedPropose({
@@ -375,6 +381,7 @@
       getConfiguration: () => view.getConfiguration(),
       isFresh: () => replica.isFresh(),
       followers,
+      entries,
     }),
     exchangeCore: async exchange => state.receiveExchange(exchange),
     readConfiguration: async () =>
--- a/src/cli/serve_site/daemon.ts
+++ b/src/cli/serve_site/daemon.ts
@@ -9,6 +9,7 @@
   coreSchemas,
   type CoreService,
 } from '../../protocol/core_service.ts';
+import {EntryMeter} from '../../coordination/core/entry_meter.ts';
 import type {CreateLogger} from '../../protocol/logger.ts';
 import {RefusalLog} from '../../protocol/refusal_log.ts';
 import type {SiteSettings} from '../../protocol/site_settings.ts';
@@ -47,6 +48,7 @@
   const calls = Object.keys(coreSchemas);
   const refusals = new RefusalLog({clock, logger: createLogger('peers')});
   const meter = new TrafficMeter();
+  const entries = new EntryMeter();
   const links = store.add(
     new PeerLinks<CoreService>({
       secret,
@@ -64,6 +66,7 @@
       metrics,
       readUsage: () => process.cpuUsage(),
       takeTraffic: () => meter.take(),
+      takeEntries: () => entries.take(),
     }),
   );
   const parts: SiteParts = {
@@ -73,6 +76,7 @@
     clock,
     leaseClock: createSuspendAwareClock(clock),
     metrics,
+    entries,
     links,
     refusals,
     secret,
--- a/src/cli/serve_site/load_watch.ts
+++ b/src/cli/serve_site/load_watch.ts
@@ -1,12 +1,14 @@
 /**
  * Reports what a daemon's work costs: its processor time, how late its event
- * loop is, and its calls to other daemons with their bytes.
+ * loop is, its calls to other daemons with their bytes, and the entries that they
+ * carry by field.
  *
  * Logs a line at an interval, and at once while the event loop is late.
  */
 import type {Clock} from '../../protocol/clock.ts';
 import type {Logger} from '../../protocol/logger.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
+import type {EntryCounts} from '../../coordination/core/entry_meter.ts';
 import type {CallTraffic} from '../../transport/peers/traffic_meter.ts';
 
 /** The interval between two checks. */
@@ -28,6 +30,8 @@
   readonly readUsage: () => {readonly user: number; readonly system: number};
   /** Returns the calls to other daemons since its last call. */
   readonly takeTraffic: () => ReadonlyMap<string, CallTraffic>;
+  /** Returns the entries that daemons told each other since its last call. */
+  readonly takeEntries: () => ReadonlyMap<string, EntryCounts>;
 }
 
 /** Starts the watch; dispose it to stop. */
@@ -38,7 +42,14 @@
 }
 
 async function runWatch(
-  {clock, logger, metrics, readUsage, takeTraffic}: LoadWatchOptions,
+  {
+    clock,
+    logger,
+    metrics,
+    readUsage,
+    takeTraffic,
+    takeEntries,
+  }: LoadWatchOptions,
   signal: AbortSignal,
 ): Promise<void> {
   const readBusyMs = () => {
@@ -66,6 +77,12 @@
       metrics.count('peer_bytes', sentBytes, {call, way: 'sent'});
       metrics.count('peer_bytes', receivedBytes, {call, way: 'received'});
     }
+    const entries = takeEntries();
+    for (const [message, counts] of entries) {
+      for (const [field, count] of Object.entries(counts)) {
+        metrics.count('peer_entries', count, {message, field});
+      }
+    }
     logger.info('Reports the load of this daemon.', {
       overMs: Math.round(now - loggedAt),
       coreShare: Number(coreShare.toFixed(3)),
@@ -76,6 +93,7 @@
           [calls, sentBytes, receivedBytes],
         ]),
       ),
+      entries: Object.fromEntries(entries),
     });
     loggedAt = now;
     loggedBusyMs = busyMs;
--- a/src/cli/serve_site/load_watch_test.ts
+++ b/src/cli/serve_site/load_watch_test.ts
@@ -23,11 +23,12 @@
     readUsage: () => ({user: watched.busyMs * 1_000, system: 0}),
     takeTraffic: () =>
       new Map([['follow', {calls: 2, sentBytes: 10, receivedBytes: 30}]]),
+    takeEntries: () => new Map([['follow', {loads: 3}]]),
   });
   return {watched, watch};
 }
 
-test('startLoadWatch() reports processor time and calls at an interval', async () => {
+test('startLoadWatch() reports processor time, calls and entries at an interval', async () => {
   const {watched, watch} = startWatch();
   watched.busyMs = 2_500;
   await watched.clock.advance(10_500);
@@ -37,6 +38,7 @@
       coreShare: 0.25,
       lateMs: 0,
       calls: {follow: [2, 10, 30]},
+      entries: {follow: {loads: 3}},
     },
   ]);
   watch[Symbol.dispose]();
--- a/src/cli/serve_site/site_parts.ts
+++ b/src/cli/serve_site/site_parts.ts
@@ -1,5 +1,6 @@
 /** Dependencies shared by the components of a site daemon. */
 import type {Clock} from '../../protocol/clock.ts';
+import type {EntryMeter} from '../../coordination/core/entry_meter.ts';
 import type {CoreService} from '../../protocol/core_service.ts';
 import type {CreateLogger} from '../../protocol/logger.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
@@ -32,6 +33,8 @@
    */
   readonly leaseClock: Clock;
   readonly metrics: Metrics;
+  /** Counts the entries that daemons tell each other. */
+  readonly entries: EntryMeter;
   readonly links: PeerLinks<CoreService>;
   /** Logs the entries that are dropped from messages of other daemons. */
   readonly refusals: RefusalLog;
--- a/src/coordination/core/core_state.ts
+++ b/src/coordination/core/core_state.ts
@@ -12,6 +12,7 @@
 import {createNotifier, type Notifier} from '../notifier.ts';
 import {CoreMembers} from './core_members.ts';
 import {EndpointLimitTable} from './endpoint_limit_table.ts';
+import type {EntryMeter} from './entry_meter.ts';
 import {
   dropSilentFlag,
   EndpointRegistry,
@@ -27,6 +28,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly self: CoreDaemon;
+  /** Counts what is told; by default nothing does. */
+  readonly entries?: EntryMeter | undefined;
 }
 
 /** Holds the tables of one daemon and notifies waiting tasks of changes. */
@@ -52,6 +55,7 @@
     this.suspects = new CoreSuspects({
       clock,
       logger: options.logger,
+      entries: options.entries,
       listStarts: service => this.endpoints.listStarts(service),
       onChange: () => this.changes.notify(),
       onUrgent: () => this.urgentChanges.notify(),
--- a/src/coordination/core/exchange_task.ts
+++ b/src/coordination/core/exchange_task.ts
@@ -7,6 +7,7 @@
 import type {EndpointReport} from '../../protocol/endpoint_report.ts';
 import type {Logger} from '../../protocol/logger.ts';
 import type {CoreState} from './core_state.ts';
+import {countExchangeEntries, type EntryMeter} from './entry_meter.ts';
 
 /** The interval of exchanges without urgent changes. */
 const INTERVAL_MS = 800;
@@ -39,6 +40,8 @@
   readonly state: CoreState;
   readonly clock: Clock;
   readonly logger: Logger;
+  /** Counts what is sent; by default nothing does. */
+  readonly entries?: EntryMeter | undefined;
   readonly call: (
     address: string,
     exchange: CoreExchange,
@@ -124,7 +127,7 @@
 }
 
 async function exchangeWith(
-  {state, clock, logger, call}: ExchangeTaskOptions,
+  {state, clock, logger, entries, call}: ExchangeTaskOptions,
   {address, peer, resync}: Partner,
 ): Promise<void> {
   peer.isBusy = true;
@@ -142,6 +145,7 @@
     gateways: state.gateways.listDirect(peer.gatewaysSince),
     wantsAll,
   };
+  entries?.record('exchange', countExchangeEntries(exchange));
   try {
     const reply = await call(address, exchange, CALL_TIMEOUT_MS);
     if (isAdvertiseDue) peer.advertisedAt = startedAt;
--- a/src/coordination/core/follow_service.ts
+++ b/src/coordination/core/follow_service.ts
@@ -7,6 +7,7 @@
 } from '../../protocol/core_service.ts';
 import type {FollowerTable} from '../confirmation/follower_table.ts';
 import type {CoreState} from './core_state.ts';
+import {countReportEntries, type EntryMeter} from './entry_meter.ts';
 
 /** After this time every live endpoint has reported to some daemon. */
 const SETTLED_AFTER_MS = 6_000;
@@ -34,6 +35,8 @@
   readonly isFresh: () => boolean;
   /** Records which gateways follow this daemon, and what they have. */
   readonly followers: FollowerTable;
+  /** Counts what gateways report; by default nothing does. */
+  readonly entries?: EntryMeter | undefined;
 }
 
 /** Creates the handler of the gateways' follow requests. */
@@ -48,6 +51,7 @@
       : options.epoch;
   return async (request: FollowRequest): Promise<FollowReply> => {
     options.followers.record(request);
+    options.entries?.record('follow', countReportEntries([request.report]));
     state.gateways.recordDirect(request.report);
     const {address} = request.report.gateway;
     const deadline = clock.monotonic() + request.holdMs;
--- a/src/coordination/quarantine/core_suspects.ts
+++ b/src/coordination/quarantine/core_suspects.ts
@@ -1,6 +1,7 @@
 /** The suspects that a core daemon knows, the verdicts on them and their trials. */
 import type {Clock} from '../../protocol/clock.ts';
 import type {Logger} from '../../protocol/logger.ts';
+import type {EntryMeter} from '../core/entry_meter.ts';
 import {
   listTrialSuspects,
   type SuspectRecord,
@@ -31,6 +32,8 @@
   readonly onChange: () => void;
   /** Called when a change must reach the other daemons without delay. */
   readonly onUrgent: () => void;
+  /** Counts what is told, and what of it is new; by default nothing does. */
+  readonly entries?: EntryMeter | undefined;
 }
 
 export class CoreSuspects {
@@ -72,7 +75,12 @@
    * @param receivedAt When their ages were measured, on the monotonic clock.
    */
   merge(records: readonly SuspectRecord[], receivedAt: number): void {
-    this.apply(this.table.merge(records, receivedAt));
+    const changes = this.table.merge(records, receivedAt);
+    this.options.entries?.record('suspects', {
+      told: records.length,
+      changed: changes.length,
+    });
+    this.apply(changes);
   }
 
   private apply(changes: readonly SuspectChange[]): void {
