Remember which suspects a full table evicted

Cause: a table of suspects holds 256 records. Told 257 and more again, it evicted one for each that it took, and took the evicted one for news: each repetition cost a search of the whole table, woke all gateways and had all core daemons told again.

Change: a full table evicts 16 at once, of the customer with most records, and remembers for each customer and level when the last event of an evicted record was; a record that tells of nothing later is not taken. So each is taken once, whatever the order, in sets of any size.

--- a/src/coordination/quarantine/suspect.ts
+++ b/src/coordination/quarantine/suspect.ts
@@ -5,6 +5,10 @@
   type SuspectId,
 } from '../../protocol/suspect.ts';
 
+/** How long a suspect is retained after its last crash, by level, in ms. */
+const RETAIN_MS = [0, 30_000, 5 * 60_000] as const;
+const RETAIN_LONGEST_MS = 60 * 60_000;
+
 /** The end of an engine that had a part. */
 export interface Crash {
   /** When it was observed, on the monotonic clock. */
@@ -140,3 +144,8 @@
 export function findLastCrash({crashes}: Suspect): number {
   return Math.max(...[...crashes.values()].map(({atMs}) => atMs));
 }
+
+/** Returns how long a suspect of a level is retained after its last crash, in ms. */
+export function getRetainMs(level: number): number {
+  return RETAIN_MS[level] ?? RETAIN_LONGEST_MS;
+}
--- a/src/coordination/quarantine/suspect_table.ts
+++ b/src/coordination/quarantine/suspect_table.ts
@@ -15,10 +15,12 @@
 import {RevisedMap} from '../revised_map.ts';
 import {computeChance} from './compute_chance.ts';
 import {EndpointEnds, type EndpointEndsOptions} from './endpoint_ends.ts';
+import {EvictedSuspects, selectEvicted} from './evicted_suspects.ts';
 import {
   countStanding,
   findClearedAt,
   findLastCrash,
+  getRetainMs,
   isSame,
   isStanding,
   mergeSuspects,
@@ -49,15 +51,12 @@
 /** How long a condemned part is withheld; one request then tries it again. */
 const CONDEMN_MS = 10 * 60_000;
 
-/** How long a suspect is retained after its last crash, by level, in ms. */
-const RETAIN_MS = [0, 30_000, 5 * 60_000] as const;
-const RETAIN_LONGEST_MS = 60 * 60_000;
-
 /** How long a cleared part is retained, against records that arrive late. */
 const RETAIN_CLEARED_MS = 30_000;
 
-/** The most records that are retained. */
+/** The most records, and how many are evicted at once. */
 const MAX_SUSPECTS = 256;
+const EVICTED_AT_ONCE = 16;
 
 /**
  * How long after it was observed an end counts as confirmed, in ms: two intervals
@@ -103,6 +102,9 @@
   private readonly suspects = new RevisedMap<Suspect>();
   private readonly clock: Clock;
   private readonly ends: EndpointEnds;
+  private readonly evicted = new EvictedSuspects();
+  /** The highest level of each record since it was added. */
+  private readonly highestLevels = new Map<string, number>();
 
   constructor(private readonly options: SuspectTableOptions) {
     this.clock = options.clock;
@@ -204,18 +206,20 @@
   /** Merges one record; returns `null` if that changes nothing. */
   mergeOne(next: Suspect): SuspectChange | null {
     const key = createSuspectKey(next.service, next);
+    const known = this.suspects.get(key);
+    if (!known && this.evicted.covers(key, next)) return null;
     for (const [start, crash] of next.crashes) {
       if (isStanding(crash)) this.ends.record(next.service, start, crash.atMs);
       else this.ends.remove(start);
     }
-    const known = this.suspects.get(key);
     const merged = this.evaluate(mergeSuspects(known ?? null, next));
     if (this.isExpired(merged)) return null;
     if (known && isSame(known, merged)) return null;
-    // The latest change comes last, for evict().
-    this.suspects.delete(key);
     this.suspects.set(key, merged);
+    const highestLevel = this.highestLevels.get(key) ?? 0;
+    this.highestLevels.set(key, Math.max(highestLevel, merged.level));
     this.evict();
+    if (!known && !this.suspects.get(key)) return null;
     return {
       suspect: merged,
       previousLevel: known?.level ?? 0,
@@ -291,9 +295,13 @@
   /** Drops records that no longer matter. */
   expire(): void {
     for (const [key, suspect] of this.suspects) {
-      if (this.isExpired(suspect)) this.suspects.delete(key);
+      if (this.isExpired(suspect)) this.delete(key);
     }
     this.ends.expire();
+    const now = this.clock.monotonic();
+    this.evicted.expire(
+      (level, lastAt) => now - lastAt > getRetainMs(level) + RETAIN_CLEARED_MS,
+    );
   }
 
   /** Condemns a suspect whose confirmed crashes are hardly a coincidence. */
@@ -361,30 +369,27 @@
     if (countStanding(suspect.crashes) === 0) {
       return now - findClearedAt(suspect) > RETAIN_CLEARED_MS;
     }
-    const retainMs = RETAIN_MS[suspect.level] ?? RETAIN_LONGEST_MS;
-    return now - findLastCrash(suspect) > retainMs;
+    return now - findLastCrash(suspect) > getRetainMs(suspect.level);
   }
 
-  /**
-   * Drops the oldest record of the lowest level while there are too many, of the
-   * customer that has the most: none can fill the table.
-   */
+  /** Drops records while there are too many. */
   private evict(): void {
     if (this.suspects.size <= MAX_SUSPECTS) return;
     this.expire();
     if (this.suspects.size <= MAX_SUSPECTS) return;
-    const byCustomer = new Map<string, Array<[string, Suspect]>>();
-    for (const each of this.suspects) {
-      const customer = each[1].customers[0] ?? '';
-      const list = byCustomer.get(customer);
-      if (list) list.push(each);
-      else byCustomer.set(customer, [each]);
+    const held = [...this.suspects].map(([key, suspect]) => ({
+      key,
+      suspect,
+      highestLevel: this.highestLevels.get(key) ?? 0,
+    }));
+    for (const each of selectEvicted(held, EVICTED_AT_ONCE)) {
+      this.evicted.record(each);
+      this.delete(each.key);
     }
-    const [most = []] = [...byCustomer.values()].sort(
-      (a, b) => b.length - a.length,
-    );
-    const lowest = Math.min(...most.map(([, {level}]) => level));
-    const victim = most.find(([, {level}]) => level === lowest);
-    if (victim) this.suspects.delete(victim[0]);
+  }
+
+  private delete(key: string): void {
+    this.suspects.delete(key);
+    this.highestLevels.delete(key);
   }
 }
