--- a/src/coordination/simulation/herd_history.ts
+++ b/src/coordination/simulation/herd_history.ts
@@ -3,6 +3,7 @@
  * are lost for a while, and an order soon after it.
  */
 import {createDraws, type Draws} from '../../protocol/seeded_draws.ts';
+import type {CrashWatch} from '../quarantine/crash_watch.ts';
 import {callAsOperator} from './call_as_operator.ts';
 import type {ControlGateway} from './control_gateway.ts';
 import {ControlPlane, type Place} from './control_plane.ts';
@@ -28,6 +29,9 @@
 /** The time until endpoints that leave stop: after the history. */
 const STOP_AFTER_MS = 60_000;
 
+/** The longest time that a request is at an endpoint before it ends, in ms. */
+const MAX_EXPOSURE_MS = 1_000;
+
 const OPERATOR_WITHIN_MS = 8_000;
 const MS_PER_SECOND = 1_000;
 
@@ -179,8 +183,13 @@
       parts: drawParts(draws, {isCommon: herd.isCommon, index}),
     }));
     const id = `e${isCrash ? index : draws.between(0, ENDPOINTS - 1)}`;
-    void clock.sleep(draws.next() * herdMs).then(() => {
-      for (const {gateway, parts} of prompts) breakAnswer(gateway, id, parts);
+    const exposureMs = draws.log(30, MAX_EXPOSURE_MS);
+    void clock.sleep(draws.next() * herdMs).then(async () => {
+      const open = prompts.map(({gateway, parts}) =>
+        openRequest(gateway, id, parts),
+      );
+      await clock.sleep(exposureMs);
+      for (const request of open) request?.recordDisconnect();
     });
   }
   return herdMs;
@@ -198,26 +207,24 @@
   );
 }
 
-/** Breaks off one answer of an endpoint to a gateway. */
-function breakAnswer(
+/** Sends one request of a gateway to an endpoint. */
+function openRequest(
   gateway: ControlGateway | undefined,
   id: string,
   parts: readonly string[],
-): void {
+): CrashWatch | null {
   const endpoint = gateway?.view.findEndpoint(id);
-  if (!gateway || !endpoint) return;
+  if (!gateway || !endpoint) return null;
   const watched = parts.map(part => ({kind: 'part' as const, part}));
   const request = {kind: 'request' as const, part: parts.join()};
-  gateway.quarantine
-    .observe(
-      {
-        admitted: {service: {name: SERVICE}, caller: 'c1'},
-        watchedParts: watched,
-        listWatched: () => [request, ...watched],
-      },
-      endpoint,
-    )
-    .recordDisconnect();
+  return gateway.quarantine.observe(
+    {
+      admitted: {service: {name: SERVICE}, caller: 'c1'},
+      watchedParts: watched,
+      listWatched: () => [request, ...watched],
+    },
+    endpoint,
+  );
 }
 
 /** Sends an order until it is acknowledged. */
