Tell core daemons once what gateways told one of them

Cause: a changed suspect was urgent at each daemon that heard of it, also from another core daemon, which had told all others already; and an urgent exchange carried the last reports of all gateways, with all their suspects, to eight peers. The more often daemons exchanged, the more they sent. Class: work repeated for those that have it; a bound on each that bounds no sum.

Change: what a core daemon has to tell a peer has a room of its own (peer_outbox.ts). Suspects go by revision, and only those of which a gateway told this daemon. Reports of gateways go whole at the interval of before; an urgent exchange carries only those that tell something urgent. Only what a gateway told this daemon is urgent, at most five times a second. A daemon of an earlier build gets suspects in a gateway's report, as before.

--- a/src/coordination/core/core_state.ts
+++ b/src/coordination/core/core_state.ts
@@ -62,19 +62,18 @@
     });
     this.gateways = new GatewayDirectory({
       clock,
-      onClosing: ({isDirect}) => {
-        this.changes.notify();
-        if (isDirect) this.urgentChanges.notify();
-      },
-      onStopped: () => this.urgentChanges.notify(),
+      onClosing: () => this.changes.notify(),
+      onUrgent: () => this.urgentChanges.notify(),
       onLeaving: leaving => this.applyLeaving(leaving),
       onLimits: (limits, receivedAt) => {
-        if (!this.limits.merge(limits, receivedAt)) return;
-        this.changes.notify();
-        this.urgentChanges.notify();
+        const isUrgent = this.limits.merge(limits, receivedAt);
+        if (isUrgent) this.changes.notify();
+        return isUrgent;
+      },
+      onSuspects: (records, {atMs, isDirect}) => {
+        if (isDirect) this.suspects.record(records, atMs);
+        else this.suspects.merge(records, atMs);
       },
-      onSuspects: (records, receivedAt) =>
-        this.suspects.merge(records, receivedAt),
     });
   }
 
@@ -119,6 +118,7 @@
       reportAges: this.endpoints.listReportAges(reports.map(({id}) => id)),
       gateways: exchange.wantsAll ? this.gateways.listAll() : [],
       suspects: exchange.wantsAll ? this.suspects.table.list() : [],
+      readsSuspects: true,
     };
   }
 
@@ -157,16 +157,17 @@
     return reports;
   }
 
-  private applyLeaving(leaving: readonly LeavingEndpoint[]): void {
+  /** Marks endpoints that leave; returns whether any was not known to. */
+  private applyLeaving(leaving: readonly LeavingEndpoint[]): boolean {
     const newlyLeaving = leaving.filter(each =>
       this.endpoints.recordLeaving(each),
     );
-    if (newlyLeaving.length === 0) return;
+    if (newlyLeaving.length === 0) return false;
     this.options.logger.info('Marks endpoints draining on a gateway report.', {
       endpoints: newlyLeaving.map(({id}) => id),
     });
     this.changes.notify();
-    this.urgentChanges.notify();
+    return true;
   }
 
   private applyReport(
--- a/src/coordination/core/exchange_task.ts
+++ b/src/coordination/core/exchange_task.ts
@@ -4,10 +4,10 @@
   CoreExchange,
   CoreExchangeReply,
 } from '../../protocol/core_service.ts';
-import type {EndpointReport} from '../../protocol/endpoint_report.ts';
 import type {Logger} from '../../protocol/logger.ts';
 import type {CoreState} from './core_state.ts';
 import {countExchangeEntries, type EntryMeter} from './entry_meter.ts';
+import {PeerOutbox} from './peer_outbox.ts';
 
 /** The interval of exchanges without urgent changes. */
 const INTERVAL_MS = 800;
@@ -19,13 +19,11 @@
 const INTERVAL_MS_PER_GATEWAY = 20;
 
 /**
- * How often the known daemons are advertised to a peer. That need not be
- * frequent, since every daemon also contacts the others itself.
+ * How long urgent changes are collected to be sent in one batch, and the shortest
+ * time between two batches.
  */
-const ADVERTISE_INTERVAL_MS = 4_000;
-
-/** How long urgent changes are collected to be sent in one batch. */
 const BATCH_DELAY_MS = 15;
+const BATCH_INTERVAL_MS = 200;
 
 /**
  * The least time between two requests for the whole state of a peer whose calls failed:
@@ -50,11 +48,7 @@
 }
 
 interface PeerProgress {
-  /** Reports that the peer has not acknowledged, by endpoint. */
-  readonly reports: Map<string, EndpointReport>;
-  gatewaysSince: number;
-  /** When the known daemons were last advertised to the peer. */
-  advertisedAt: number;
+  readonly outbox: PeerOutbox;
   /** Whether the complete state of the peer has been merged. */
   isSynced: boolean;
   /** Whether it was merged once. */
@@ -84,20 +78,26 @@
   const {state, clock} = options;
   const peers = new Map<string, PeerProgress>();
   const resync = {atMs: -Infinity};
+  let batchAt = -Infinity;
   while (!signal.aborted) {
+    const intervalMs = computeIntervalMs(state);
     const reports = state.takePendingReports();
     const addresses = state.members.listAddresses();
     for (const address of peers.keys()) {
       if (!addresses.includes(address)) peers.delete(address);
     }
     for (const address of addresses) {
-      const peer = peers.get(address) ?? createProgress();
+      const peer = peers.get(address) ?? createProgress(state);
       peers.set(address, peer);
-      for (const report of reports) peer.reports.set(report.id, report);
-      if (!peer.isBusy) void exchangeWith(options, {address, peer, resync});
+      peer.outbox.add(reports);
+      if (peer.isBusy) continue;
+      void exchangeWith(options, {address, peer, resync, intervalMs});
     }
-    await state.urgentChanges.wait(computeIntervalMs(state));
-    await clock.sleep(BATCH_DELAY_MS, signal);
+    await state.urgentChanges.wait(intervalMs);
+    const sinceBatchMs = clock.monotonic() - batchAt;
+    const delayMs = Math.max(BATCH_DELAY_MS, BATCH_INTERVAL_MS - sinceBatchMs);
+    await clock.sleep(delayMs, signal);
+    batchAt = clock.monotonic();
   }
 }
 
@@ -107,11 +107,9 @@
   return Math.min(INTERVAL_MS, Math.max(BUSY_INTERVAL_MS, ms));
 }
 
-function createProgress(): PeerProgress {
+function createProgress(state: CoreState): PeerProgress {
   return {
-    reports: new Map(),
-    gatewaysSince: -Infinity,
-    advertisedAt: -Infinity,
+    outbox: new PeerOutbox(state),
     isSynced: false,
     hasSynced: false,
     isBusy: false,
@@ -124,37 +122,25 @@
   readonly peer: PeerProgress;
   /** When any peer was asked for its whole state once more. */
   readonly resync: {atMs: number};
+  /** The interval at which all reports of gateways are sent, in ms. */
+  readonly intervalMs: number;
 }
 
 async function exchangeWith(
   {state, clock, logger, entries, call}: ExchangeTaskOptions,
-  {address, peer, resync}: Partner,
+  {address, peer, resync, intervalMs}: Partner,
 ): Promise<void> {
   peer.isBusy = true;
   const startedAt = clock.monotonic();
   const isResyncDue = startedAt - resync.atMs >= RESYNC_INTERVAL_MS;
   const wantsAll = !peer.isSynced && (!peer.hasSynced || isResyncDue);
   if (wantsAll && peer.hasSynced) resync.atMs = startedAt;
-  const reports = [...peer.reports.values()];
-  const isAdvertiseDue = startedAt - peer.advertisedAt >= ADVERTISE_INTERVAL_MS;
-  const exchange: CoreExchange = {
-    from: state.self,
-    cores: isAdvertiseDue ? state.listAdvertised() : [],
-    reports,
-    reportAges: state.endpoints.listReportAges(reports.map(({id}) => id)),
-    gateways: state.gateways.listDirect(peer.gatewaysSince),
-    wantsAll,
-  };
-  entries?.record('exchange', countExchangeEntries(exchange));
+  const now = startedAt;
+  const sent = peer.outbox.createExchange({now, intervalMs, wantsAll});
+  entries?.record('exchange', countExchangeEntries(sent.content));
   try {
-    const reply = await call(address, exchange, CALL_TIMEOUT_MS);
-    if (isAdvertiseDue) peer.advertisedAt = startedAt;
-    for (const report of reports) {
-      if (peer.reports.get(report.id) === report) {
-        peer.reports.delete(report.id);
-      }
-    }
-    peer.gatewaysSince = startedAt;
+    const reply = await call(address, sent.content, CALL_TIMEOUT_MS);
+    peer.outbox.recordReply(sent, reply);
     state.mergeExchange(reply, address);
     if (peer.isUnreachable || wantsAll) {
       logger.info('Begins to exchange state with a core daemon.', {address});
--- a/src/coordination/core/gateway_directory.ts
+++ b/src/coordination/core/gateway_directory.ts
@@ -23,8 +23,13 @@
   readonly receivedAt: number;
   /** Whether the gateway sent the report to this daemon. */
   readonly isDirect: boolean;
+  /** When it last told this daemon something urgent. */
+  readonly urgentAt: number;
 }
 
+/** A report that was received, here or by another daemon. */
+type ReceivedReport = Omit<KnownGateway, 'urgentAt'>;
+
 /** The gateways that callers may be directed to. */
 export interface OpenGateways {
   /** Increases with each change of the list, since this daemon's start. */
@@ -37,22 +42,25 @@
   readonly clock: Clock;
   /** Called when a gateway reported, here or elsewhere, that it closes. */
   readonly onClosing?: (where: {readonly isDirect: boolean}) => void;
-  /** Called when a gateway reported here that it has stopped. */
-  readonly onStopped?: () => void;
-  /** Called when a gateway reports endpoints that are shutting down. */
-  readonly onLeaving?: (leaving: readonly LeavingEndpoint[]) => void;
+  /** Called when a gateway reported here what other daemons must not wait for. */
+  readonly onUrgent?: () => void;
+  /**
+   * Called when a gateway reports endpoints that are shutting down; returns
+   * whether that was not known.
+   */
+  readonly onLeaving?: (leaving: readonly LeavingEndpoint[]) => boolean;
   /**
    * Called with the limits that a gateway reports; their ages were measured at
-   * `receivedAt` on the monotonic clock.
+   * `receivedAt` on the monotonic clock. Returns whether a change is urgent.
    */
   readonly onLimits?: (
     limits: readonly EndpointLimit[],
     receivedAt: number,
-  ) => void;
-  /** The same for suspected parts of prompts. */
+  ) => boolean;
+  /** The same for suspects, of which the owner decides what is urgent. */
   readonly onSuspects?: (
     records: readonly SuspectRecord[],
-    receivedAt: number,
+    received: {readonly atMs: number; readonly isDirect: boolean},
   ) => void;
 }
 
@@ -82,20 +90,29 @@
     }
   }
 
-  private apply(next: KnownGateway): void {
-    const {gateway, leaving, limits, suspects} = next.report;
-    const {address, open, stopped} = gateway;
-    if (leaving.length > 0) this.options.onLeaving?.(leaving);
-    if (limits.length > 0) this.options.onLimits?.(limits, next.receivedAt);
-    if (suspects.length > 0) {
-      this.options.onSuspects?.(suspects, next.receivedAt);
+  private apply({report, receivedAt, isDirect}: ReceivedReport): void {
+    const {onLeaving, onLimits, onSuspects, onClosing, onUrgent} = this.options;
+    const {gateway, leaving, limits, suspects} = report;
+    const {address, open, stopped = false} = gateway;
+    const isNewlyLeaving = leaving.length > 0 && onLeaving?.(leaving) === true;
+    const isLimited =
+      limits.length > 0 && onLimits?.(limits, receivedAt) === true;
+    if (suspects.length > 0)
+      onSuspects?.(suspects, {atMs: receivedAt, isDirect});
+    const known = this.known.get(address);
+    const isStopped = stopped && known?.report.gateway.stopped !== true;
+    const isClosing = known?.report.gateway.open === true && !open;
+    const isUrgent =
+      isDirect && (isNewlyLeaving || isLimited || isStopped || isClosing);
+    const urgentAt = isUrgent ? receivedAt : (known?.urgentAt ?? -Infinity);
+    // Suspects have a table of their own.
+    const kept = {...report, suspects: []};
+    this.known.set(address, {report: kept, receivedAt, isDirect, urgentAt});
+    if (isClosing) {
+      this.closingRevision = this.findOpen().revision;
+      onClosing?.({isDirect});
     }
-    const known = this.known.get(address)?.report.gateway;
-    this.known.set(address, next);
-    if (stopped && !known?.stopped && next.isDirect) this.options.onStopped?.();
-    if (!known?.open || open) return;
-    this.closingRevision = this.findOpen().revision;
-    this.options.onClosing?.({isDirect: next.isDirect});
+    if (isUrgent) onUrgent?.();
   }
 
   /** The revision of the last change that is urgent: a gateway closed. */
@@ -114,6 +131,14 @@
       .map(({report, receivedAt}) => ({report, ageMs: now - receivedAt}));
   }
 
+  /** Lists those of them that told something urgent at or after `since`. */
+  listUrgent(since: number): AgedReport[] {
+    const now = this.options.clock.monotonic();
+    return [...this.known.values()]
+      .filter(({isDirect, urgentAt}) => isDirect && urgentAt >= since)
+      .map(({report, receivedAt}) => ({report, ageMs: now - receivedAt}));
+  }
+
   /** Lists all known reports, for a daemon that has just started. */
   listAll(): AgedReport[] {
     const now = this.options.clock.monotonic();
--- a/src/coordination/quarantine/core_suspects.ts
+++ b/src/coordination/quarantine/core_suspects.ts
@@ -9,6 +9,7 @@
   type TrialRequest,
   type TrialResult,
 } from '../../protocol/suspect.ts';
+import {RevisedMap} from '../revised_map.ts';
 import {SharedSuspects} from './shared_suspects.ts';
 import {
   createSuspectKey,
@@ -40,6 +41,8 @@
   readonly table: SuspectTable;
   readonly shared: SharedSuspects;
   readonly trials: TrialTable;
+  /** The keys of suspects of which gateways told this daemon. */
+  private readonly own = new RevisedMap<true>();
   /** The revision of suspected prompt parts that gateways are told at once. */
   private published = 0;
   private isPublishing = false;
@@ -57,33 +60,64 @@
     return this.published;
   }
 
+  /** Increases with each change of which a gateway told this daemon. */
+  get ownRevision(): number {
+    return this.own.revision;
+  }
+
+  /** Lists the records of which gateways told this daemon after a revision. */
+  listOwn(after: number): SuspectRecord[] {
+    return this.own.list(after).flatMap(([key]) => {
+      const suspect = this.table.get(key);
+      return suspect ? [this.table.encode(suspect)] : [];
+    });
+  }
+
   /** Drops records that no longer matter. */
   expire(): void {
     this.table.expire();
     this.shared.prune();
+    for (const [key] of [...this.own]) {
+      if (this.table.get(key) === null) this.own.delete(key);
+    }
   }
 
-  /** Records a sign of life of a start of an endpoint. */
+  /** Records a sign of life of a start of an endpoint, of which all daemons hear. */
   recordAlive(start: string, aliveAt: number): void {
     if (this.table.isEmpty) return;
-    this.apply(this.table.recordAlive(start, aliveAt));
+    this.apply(this.table.recordAlive(start, aliveAt), {isOwn: false});
   }
 
   /**
-   * Merges records of suspected prompt parts.
+   * Merges records that another daemon told, or that were saved.
    *
    * @param receivedAt When their ages were measured, on the monotonic clock.
    */
   merge(records: readonly SuspectRecord[], receivedAt: number): void {
+    this.apply(this.mergeRecords(records, receivedAt), {isOwn: false});
+  }
+
+  /** Merges records that a gateway told this daemon, which tells the others. */
+  record(records: readonly SuspectRecord[], receivedAt: number): void {
+    this.apply(this.mergeRecords(records, receivedAt), {isOwn: true});
+  }
+
+  private mergeRecords(
+    records: readonly SuspectRecord[],
+    receivedAt: number,
+  ): SuspectChange[] {
     const changes = this.table.merge(records, receivedAt);
     this.options.entries?.record('suspects', {
       told: records.length,
       changed: changes.length,
     });
-    this.apply(changes);
+    return changes;
   }
 
-  private apply(changes: readonly SuspectChange[]): void {
+  private apply(
+    changes: readonly SuspectChange[],
+    {isOwn}: {readonly isOwn: boolean},
+  ): void {
     if (changes.length === 0) return;
     void this.runVerdicts();
     this.logVerdicts(changes);
@@ -92,8 +126,13 @@
       if (suspect.level === previousLevel) continue;
       this.trials.release(createSuspectKey(suspect.service, suspect));
     }
+    if (isOwn) {
+      for (const {suspect} of changes) {
+        this.own.set(createSuspectKey(suspect.service, suspect), true);
+      }
+    }
     if (this.shared.select(changes).length === 0) return;
-    this.options.onUrgent();
+    if (isOwn) this.options.onUrgent();
     this.publish();
   }
 
@@ -103,7 +142,8 @@
     this.isDeciding = true;
     while (this.table.hasPending) {
       await this.options.clock.sleep(VERDICT_INTERVAL_MS);
-      this.apply(this.table.decide());
+      // Each daemon decides on the same records.
+      this.apply(this.table.decide(), {isOwn: false});
     }
     this.isDeciding = false;
   }
@@ -140,7 +180,7 @@
   openTrial({suspects, ...request}: TrialRequest): TrialReply {
     // The crash that the request follows must not end its trial when another
     // daemon relays it later.
-    this.merge(suspects, this.options.clock.monotonic());
+    this.record(suspects, this.options.clock.monotonic());
     const isPending = listTrialSuspects(request).some(id => {
       const suspect = this.table.find(request.service, id);
       return suspect !== null && this.table.isPending(suspect);
@@ -158,7 +198,7 @@
 
   /** Merges what the request of a trial showed, then permits the next one. */
   finishTrial({suspects, trial, ...request}: TrialResult): void {
-    this.merge(suspects, this.options.clock.monotonic());
+    this.record(suspects, this.options.clock.monotonic());
     if (trial !== undefined) this.trials.finish(trial, request);
   }
 }
--- a/src/coordination/quarantine/shared_suspects_test.ts
+++ b/src/coordination/quarantine/shared_suspects_test.ts
@@ -41,9 +41,9 @@
   let wakeUps = 0;
   void state.changes.wait(60_000).then(() => wakeUps++);
   void state.urgentChanges.wait(60_000).then(() => wakeUps++);
-  state.suspects.merge([createRecord(['e1/1'])], clock.monotonic());
+  state.suspects.record([createRecord(['e1/1'])], clock.monotonic());
   const cleared = createRecord([], {level: 0, clearedAgeMs: 0});
-  state.suspects.merge([cleared], clock.monotonic());
+  state.suspects.record([cleared], clock.monotonic());
   await clock.advance(1_000);
   assert.equal(wakeUps, 0);
   assert.deepEqual(state.suspects.shared.list(), []);
@@ -52,13 +52,13 @@
 
 test('gateways are told of a second crash, and that the suspect is cleared', async () => {
   const {clock, state} = createState();
-  state.suspects.merge([createRecord(['e1/1'])], clock.monotonic());
-  state.suspects.merge([createRecord(['e2/1'])], clock.monotonic());
+  state.suspects.record([createRecord(['e1/1'])], clock.monotonic());
+  state.suspects.record([createRecord(['e2/1'])], clock.monotonic());
   assert.equal(state.suspects.shared.list()[0]?.crashes.length, 2);
   await clock.advance(1_000);
   const {revision} = state.suspects.table;
   const cleared = createRecord([], {level: 0, clearedAgeMs: 0});
-  state.suspects.merge([cleared], clock.monotonic());
+  state.suspects.record([cleared], clock.monotonic());
   assert.equal(state.suspects.shared.list(revision)[0]?.level, 0);
 });
 
--- a/src/coordination/simulation/herd_history.ts
+++ b/src/coordination/simulation/herd_history.ts
@@ -87,6 +87,7 @@
   trace,
 }: HerdHistoryOptions): Promise<HerdFigures> {
   const draws = createDraws(seed);
+  const herd = drawHerdKind(draws);
   const centres = draws.between(3, 6);
   const place = (index: number): Place => ({
     region: index % centres < centres / 2 ? 'north' : 'south',
@@ -123,7 +124,6 @@
   const calmFrom = plane.clock.monotonic();
   await plane.run(CALM_MS);
   const herdAt = plane.clock.monotonic();
-  const herd = drawHerdKind(draws);
   plane.trace('The herd begins.', herd);
   const herdMs = startHerd(herd, {plane, draws, endpoints});
   const order = plane.clock
--- a/src/coordination/simulation/simulated_core.ts
+++ b/src/coordination/simulation/simulated_core.ts
@@ -5,6 +5,7 @@
 import {FollowerTable} from '../confirmation/follower_table.ts';
 import {CoreState} from '../core/core_state.ts';
 import {createFollowService} from '../core/follow_service.ts';
+import {PeerOutbox} from '../core/peer_outbox.ts';
 
 export interface SimulatedCore {
   state: CoreState;
@@ -12,8 +13,8 @@
   epoch: string;
   /** Whether it has news that other core daemons get without delay. */
   hasUrgentChange: boolean;
-  /** The daemons whose whole state it has merged. */
-  readonly syncedWith: Set<string>;
+  /** The daemons whose whole state it has merged, and what it has to tell them. */
+  readonly outboxes: Map<string, PeerOutbox>;
 }
 
 const CONFIGURATION: Configuration = {
@@ -49,23 +50,24 @@
     isFresh: () => true,
     followers: new FollowerTable({clock, epoch}),
   });
-  return {state, follow, epoch, hasUrgentChange: false, syncedWith: new Set()};
+  return {state, follow, epoch, hasUrgentChange: false, outboxes: new Map()};
 }
 
-/** Lets a core daemon send another one what gateways reported since a time. */
+/** Lets a core daemon send another one what changed since the last time. */
 export function exchangeOnce(
   from: SimulatedCore,
   to: SimulatedCore,
-  since: number,
+  now: number,
 ): void {
-  const {self, gateways} = from.state;
-  const reply = to.state.receiveExchange({
-    from: self,
-    cores: [],
-    reports: [],
-    gateways: gateways.listDirect(since),
-    wantsAll: !from.syncedWith.has(to.epoch),
+  const known = from.outboxes.get(to.epoch);
+  const outbox = known ?? new PeerOutbox(from.state);
+  from.outboxes.set(to.epoch, outbox);
+  const sent = outbox.createExchange({
+    now,
+    intervalMs: 0,
+    wantsAll: known === undefined,
   });
-  from.syncedWith.add(to.epoch);
+  const reply = to.state.receiveExchange(sent.content);
+  outbox.recordReply(sent, reply);
   from.state.mergeExchange(reply, to.state.self.address);
 }
--- a/src/coordination/simulation/simulated_site.ts
+++ b/src/coordination/simulation/simulated_site.ts
@@ -323,7 +323,7 @@
     for (const from of this.cores) {
       for (const to of this.cores) {
         if (from === to || this.isLost()) continue;
-        exchangeOnce(from, to, this.clock.monotonic() - EXCHANGE_MS * 2);
+        exchangeOnce(from, to, this.clock.monotonic());
       }
     }
   }
--- a/src/protocol/core_service.ts
+++ b/src/protocol/core_service.ts
@@ -272,6 +272,8 @@
   /** The ages of the reports; absent from earlier versions. */
   reportAges: createEntryList(reportAgeSchema).optional(),
   gateways: createEntryList(agedReportSchema),
+  /** Suspects that gateways told the sender of; absent from earlier versions. */
+  suspects: createEntryList(suspectSchema).optional(),
   /** Requests all endpoints and gateways that the receiver knows. */
   wantsAll: z.boolean(),
 });
@@ -285,7 +287,12 @@
   readonly reportAges?: readonly ReportAge[] | undefined;
   readonly gateways: readonly AgedReport[];
   /** All suspected parts if asked for; absent from earlier versions. */
-  readonly suspects?: readonly SuspectRecord[];
+  readonly suspects?: readonly SuspectRecord[] | undefined;
+  /**
+   * Whether the daemon reads the suspects of an exchange, and not only those of
+   * gateways' reports; absent from earlier versions.
+   */
+  readonly readsSuspects?: boolean | undefined;
 }
 
 const emptySchema = z.object({});
@@ -338,6 +345,7 @@
     reportAges: createEntryList(reportAgeSchema).optional(),
     gateways: createEntryList(agedReportSchema),
     suspects: createEntryList(suspectSchema).optional(),
+    readsSuspects: z.boolean().optional(),
   } satisfies ReplyShape<CoreExchangeReply>) satisfies z.ZodType<CoreExchangeReply>,
   requestTrial: z.object({
     isGranted: z.boolean(),
