Report to the followed core daemon what it lacks

Cause: each call of a gateway to the core daemon that it follows carried its whole report: all loads, and all that it observed of suspects in 3 s. A core daemon that wakes its followers often gets all of it as often. Class: a bound on each that bounds no sum.

Change: a daemon says in its replies that it keeps lists that a report leaves out (keepsReports). To such a one a gateway sends loads, evidence and paces at most five times a second, and of its observations those that the daemon has not acknowledged. Another run of a daemon, one of an earlier build and one that failed to answer get whole reports.

--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -136,9 +136,10 @@
         paces: evidence.listPaces(isRunning),
         leaving: notices.listLeaving(),
         limits: limits.listObserved(),
-        suspects: quarantine.listObserved(),
+        suspects: [],
       };
     },
+    listObserved: revision => quarantine.listObservedAfter(revision),
     onConfirmed: sentAt => confirmation.record(sentAt),
     onEpoch: () => quarantine.reportAll(),
     call: (address, request, timeoutMs) =>
--- a/src/coordination/core/follow_service.ts
+++ b/src/coordination/core/follow_service.ts
@@ -133,5 +133,6 @@
       complete ? 0 : request.suspectRevision,
     ),
     fresh: isFresh(),
+    keepsReports: true,
   };
 }
--- a/src/coordination/core/gateway_directory.ts
+++ b/src/coordination/core/gateway_directory.ts
@@ -4,6 +4,7 @@
   AgedReport,
   EndpointLimit,
   EndpointLoad,
+  FollowReport,
   Gateway,
   GatewayReport,
   LeavingEndpoint,
@@ -71,10 +72,19 @@
 
   constructor(private readonly options: GatewayDirectoryOptions) {}
 
-  /** Records a report that a gateway sent to this daemon. */
-  recordDirect(report: GatewayReport): void {
+  /**
+   * Records a report that a gateway sent to this daemon. Lists that it leaves out
+   * are as in the last one.
+   */
+  recordDirect(report: FollowReport): void {
+    const last = this.known.get(report.gateway.address)?.report;
+    const {
+      loads = last?.loads ?? [],
+      evidence = last?.evidence ?? [],
+      paces = last?.paces ?? [],
+    } = report;
     this.apply({
-      report,
+      report: {...report, loads, evidence, paces},
       receivedAt: this.options.clock.monotonic(),
       isDirect: true,
     });
--- a/src/coordination/gateway/core_follower.ts
+++ b/src/coordination/gateway/core_follower.ts
@@ -6,11 +6,7 @@
  * configuration serves no requests, so it calls all daemons at once: after an
  * outage some are not running yet, and some have lost their state.
  */
-import type {
-  FollowReply,
-  FollowRequest,
-  GatewayReport,
-} from '../../protocol/core_service.ts';
+import type {FollowReply, FollowRequest} from '../../protocol/core_service.ts';
 import type {Logger} from '../../protocol/logger.ts';
 import {createNotifier, type Notifier} from '../notifier.ts';
 import {
@@ -19,6 +15,10 @@
   type FollowPosition,
 } from './follow_position.ts';
 import {CoreChoice, type CoreChoiceOptions} from './core_choice.ts';
+import {
+  ReportDifferences,
+  type ReportDifferencesOptions,
+} from './report_differences.ts';
 
 /** How long a call may be held; also the interval of load reports. */
 const HOLD_MS = 800;
@@ -60,13 +60,11 @@
 /** How long the search waits for further answers: a far round trip, and more. */
 const SEARCH_ANSWERS_MS = 100;
 
-export interface CoreFollowerOptions extends CoreChoiceOptions {
+export interface CoreFollowerOptions
+  extends CoreChoiceOptions, ReportDifferencesOptions {
   readonly logger: Logger;
-  readonly createReport: () => GatewayReport;
   /** Called when a daemon in contact with the leader answers a call. */
   readonly onConfirmed?: (sentAt: number) => void;
-  /** Called when the followed daemon may know nothing of earlier reports. */
-  readonly onEpoch?: () => void;
   readonly call: (
     address: string,
     request: FollowRequest,
@@ -78,6 +76,7 @@
 export class CoreFollower implements Disposable {
   private readonly stopped = new AbortController();
   private readonly choice: CoreChoice;
+  private readonly reports: ReportDifferences;
   private isStarted = false;
   private isReportPlanned = false;
   /** The last changes received from the followed daemon. */
@@ -94,6 +93,7 @@
 
   constructor(private readonly options: CoreFollowerOptions) {
     this.choice = new CoreChoice(options);
+    this.reports = new ReportDifferences(options);
     this.configurationFound = createNotifier(options.clock);
   }
 
@@ -300,7 +300,10 @@
     this.isReportDue = false;
     const sentAt = clock.monotonic();
     const timeoutMs = request.holdMs + ANSWER_TIMEOUT_MS;
-    const reply = await call(address, request, timeoutMs);
+    const reply = await call(address, request, timeoutMs).catch(error => {
+      this.reports.recordFailure();
+      throw error;
+    });
     if (this.stopped.signal.aborted) return reply.fresh;
     // A late reply with whole lists is worth more than another daemon's.
     const isAwaited = this.position === INITIAL_POSITION && reply.complete;
@@ -308,8 +311,8 @@
     // What a late list lacks may have been learned from another daemon since.
     view.apply(isLate ? {...reply, complete: false} : reply);
     if (reply.fresh) onConfirmed?.(sentAt);
-    if (reply.epoch !== request.epoch) this.options.onEpoch?.();
     if (isLate) return reply.fresh;
+    this.reports.recordReply(request, reply);
     this.followed = address;
     this.position = readPosition(reply);
     return reply.fresh;
@@ -319,9 +322,8 @@
     position: FollowPosition,
     holdMs: number,
   ): FollowRequest {
-    const {view, createReport} = this.options;
-    const report = createReport();
-    const isBusy = report.loads.length > 0;
+    const {view} = this.options;
+    const {report, isBusy} = this.reports.create(position.epoch);
     const maxHoldMs = isBusy ? this.computeBusyHoldMs() : HOLD_MS;
     return {
       report,
--- a/src/coordination/quarantine/quarantine.ts
+++ b/src/coordination/quarantine/quarantine.ts
@@ -17,6 +17,8 @@
   TrialRequest,
 } from '../../protocol/suspect.ts';
 import type {CallRun} from '../forwarding/call_run.ts';
+import type {ObservedSuspects} from '../gateway/report_differences.ts';
+import {RevisedMap} from '../revised_map.ts';
 import {CrashWatch} from './crash_watch.ts';
 import {createStartKey} from './endpoint_ends.ts';
 import type {TrialClient} from './trial_client.ts';
@@ -78,7 +80,7 @@
   /** When suspects were last answered here; the latest ones come last. */
   private readonly soundAt = new Map<string, number>();
   /** When this gateway last observed something of a suspect, by its key. */
-  private readonly observedAt = new Map<string, number>();
+  private readonly observedAt = new RevisedMap<number>();
   /** Suspects of trials that this gateway permitted itself, by their keys. */
   private readonly ownTrials = new Set<string>();
 
@@ -217,15 +219,23 @@
 
   /** Lists what this gateway observed lately, to report it to the core. */
   listObserved(): SuspectRecord[] {
+    return [...this.listObservedAfter(0).records];
+  }
+
+  /** Lists the latest of it that came after a revision. */
+  listObservedAfter(revision: number): ObservedSuspects {
     const oldest = this.options.clock.monotonic() - REPORT_WITHIN_MS;
-    for (const [key, atMs] of this.observedAt) {
+    for (const [key, atMs] of [...this.observedAt]) {
       if (atMs < oldest) this.observedAt.delete(key);
     }
-    if (this.observedAt.size === 0) return [];
-    return this.table
-      .list()
-      .filter(each => this.observedAt.has(createSuspectKey(each.service, each)))
-      .slice(-MAX_REPORTED);
+    const listed = this.observedAt.listRevised(revision).slice(-MAX_REPORTED);
+    return {
+      records: listed.flatMap(({key}) => {
+        const suspect = this.table.get(key);
+        return suspect ? [this.table.encode(suspect)] : [];
+      }),
+      revision: listed.at(-1)?.changedAt ?? revision,
+    };
   }
 
   /** Reports all that is known for a while, to a core that may not know it. */
--- a/src/coordination/revised_map.ts
+++ b/src/coordination/revised_map.ts
@@ -42,6 +42,14 @@
     this.values.delete(key);
   }
 
+  /** Lists what changed after a revision, in the order of the changes. */
+  listRevised(after: number) {
+    return [...this.values]
+      .filter(([, {changedAt}]) => changedAt > after)
+      .map(([key, revised]) => ({key, ...revised}))
+      .sort((a, b) => a.changedAt - b.changedAt);
+  }
+
   /** Lists the values that changed after a revision, with their keys. */
   list(after = 0): Array<[string, V]> {
     return [...this.values]
--- a/src/coordination/simulation/control_gateway.ts
+++ b/src/coordination/simulation/control_gateway.ts
@@ -104,10 +104,9 @@
     createReport: () =>
       createGatewayReport(
         {address, ...place, open: view.routes !== null},
-        hasRequests
-          ? {loads: listLoads(), suspects: quarantine.listObserved()}
-          : {},
+        hasRequests ? {loads: listLoads()} : {},
       ),
+    listObserved: revision => quarantine.listObservedAfter(revision),
     onEpoch: () => quarantine.reportAll(),
     call: (core, request, timeoutMs) => {
       gateway.followed = core;
--- a/src/protocol/core_service.ts
+++ b/src/protocol/core_service.ts
@@ -188,8 +188,21 @@
 
 export type Configuration = z.infer<typeof configurationSchema>;
 
+/**
+ * What a gateway reports to the core daemon that it follows: lists are absent while
+ * the last one that this run of the daemon got is recent, and of its own observations
+ * those that the daemon has not acknowledged.
+ */
+export const followReportSchema = gatewayReportSchema.extend({
+  loads: createEntryList(endpointLoadSchema).optional(),
+  evidence: createEntryList(versionEvidenceSchema).optional(),
+  paces: createEntryList(versionPaceSchema).optional(),
+});
+
+export type FollowReport = z.infer<typeof followReportSchema>;
+
 export const followRequestSchema = z.object({
-  report: gatewayReportSchema,
+  report: followReportSchema,
   /** Identifies the core daemon process that assigned the revisions below. */
   epoch: z.string(),
   /** The revision of the endpoint list that the gateway has. */
@@ -255,6 +268,11 @@
   readonly suspects?: readonly SuspectRecord[];
   /** Whether the daemon is in contact with the core's leader, or leads. */
   readonly fresh: boolean;
+  /**
+   * Whether the daemon keeps lists that the next report leaves out; absent from
+   * earlier versions.
+   */
+  readonly keepsReports?: boolean | undefined;
 }
 
 /** The time since the last report of an endpoint. */
@@ -338,6 +356,7 @@
     suspectRevision: optionalRevisionSchema,
     suspects: createEntryList(suspectSchema).optional(),
     fresh: z.boolean(),
+    keepsReports: z.boolean().optional(),
   } satisfies ReplyShape<FollowReply>) satisfies z.ZodType<FollowReply>,
   exchangeCore: z.object({
     cores: createEntryList(coreDaemonSchema),
