Tell gateways of suspects what they lack, and what decides something first

Cause: each further crash of a suspect, and that it was cleared, woke all gateways within 50 ms, with all crashes of the record, 16 of them; ages went with twelve decimals.

Change: gateways are told at once what decides whether requests are sent (a suspect becomes known to all, its chain grows up to a verdict, a verdict), other changes twice a second, and both with the crashes that they lack. A daemon's replies come at an interval that grows with the gateways, 40 to 160 ms.

--- a/src/coordination/core/follow_service.ts
+++ b/src/coordination/core/follow_service.ts
@@ -17,9 +17,12 @@
 
 /**
  * The least time between two replies to a gateway with changes: those that come in
- * quick succession are sent together.
+ * quick succession are sent together. It grows with the number of gateways, all of
+ * which are told.
  */
 const REPLY_INTERVAL_MS = 40;
+const REPLY_MS_PER_GATEWAY = 2;
+const MAX_REPLY_INTERVAL_MS = 160;
 
 /** The interval at which gateways get the loads of others and the core daemons. */
 const LOADS_INTERVAL_MS = 200;
@@ -57,7 +60,7 @@
     const deadline = clock.monotonic() + request.holdMs;
     const gatheredAt =
       request.epoch === getEpoch()
-        ? options.followers.getRepliedAt(address) + REPLY_INTERVAL_MS
+        ? options.followers.getRepliedAt(address) + computeIntervalMs(state)
         : -Infinity;
     for (;;) {
       const now = clock.monotonic();
@@ -73,6 +76,11 @@
   };
 }
 
+function computeIntervalMs({gateways}: CoreState): number {
+  const ms = gateways.findOpen().list.length * REPLY_MS_PER_GATEWAY;
+  return Math.min(MAX_REPLY_INTERVAL_MS, Math.max(REPLY_INTERVAL_MS, ms));
+}
+
 function hasChanges(
   {state, getConfiguration}: FollowServiceOptions,
   request: FollowRequest,
--- a/src/coordination/core/peer_outbox.ts
+++ b/src/coordination/core/peer_outbox.ts
@@ -80,7 +80,7 @@
       startedAt: now,
       isWhole,
       isAdvertising,
-      suspectRevision: suspects.ownRevision,
+      suspectRevision: suspects.table.revision,
     };
   }
 
--- a/src/coordination/quarantine/core_suspects.ts
+++ b/src/coordination/quarantine/core_suspects.ts
@@ -9,17 +9,22 @@
   type TrialRequest,
   type TrialResult,
 } from '../../protocol/suspect.ts';
-import {RevisedMap} from '../revised_map.ts';
 import {SharedSuspects} from './shared_suspects.ts';
+import {isShared} from './suspect.ts';
 import {
+  CONDEMN_LEVEL,
   createSuspectKey,
   SuspectTable,
   type SuspectChange,
 } from './suspect_table.ts';
 import {TrialTable} from './trial_table.ts';
 
-/** The interval at which gateways are told of changed records of parts. */
+/**
+ * The interval at which gateways are told of what decides whether requests are sent,
+ * and of other changes of suspects.
+ */
 const PUBLISH_INTERVAL_MS = 50;
+const PUBLISH_OTHERS_MS = 500;
 
 /** The interval at which verdicts that wait for confirmations are decided. */
 const VERDICT_INTERVAL_MS = 250;
@@ -41,11 +46,13 @@
   readonly table: SuspectTable;
   readonly shared: SharedSuspects;
   readonly trials: TrialTable;
-  /** The keys of suspects of which gateways told this daemon. */
-  private readonly own = new RevisedMap<true>();
+  /** When gateways told this daemon of suspects last, as revisions of the table. */
+  private readonly own = new Map<string, number>();
   /** The revision of suspected prompt parts that gateways are told at once. */
   private published = 0;
-  private isPublishing = false;
+  private publishedAt = -Infinity;
+  /** When it is published next; `Infinity` while nothing is to be. */
+  private publishAt = Infinity;
   private isDeciding = false;
 
   constructor(private readonly options: CoreSuspectsOptions) {
@@ -60,24 +67,18 @@
     return this.published;
   }
 
-  /** Increases with each change of which a gateway told this daemon. */
-  get ownRevision(): number {
-    return this.own.revision;
-  }
-
-  /** Lists the records of which gateways told this daemon after a revision. */
+  /** Lists what gateways told this daemon after a revision of the table. */
   listOwn(after: number): SuspectRecord[] {
-    return this.own.list(after).flatMap(([key]) => {
-      const suspect = this.table.get(key);
-      return suspect ? [this.table.encode(suspect)] : [];
-    });
+    return [...this.own]
+      .filter(([, revision]) => revision > after)
+      .flatMap(([key]) => this.table.encodeSince(key, after) ?? []);
   }
 
   /** Drops records that no longer matter. */
   expire(): void {
     this.table.expire();
     this.shared.prune();
-    for (const [key] of [...this.own]) {
+    for (const key of this.own.keys()) {
       if (this.table.get(key) === null) this.own.delete(key);
     }
   }
@@ -128,12 +129,15 @@
     }
     if (isOwn) {
       for (const {suspect} of changes) {
-        this.own.set(createSuspectKey(suspect.service, suspect), true);
+        const key = createSuspectKey(suspect.service, suspect);
+        this.own.set(key, this.table.revision);
       }
     }
-    if (this.shared.select(changes).length === 0) return;
-    if (isOwn) this.options.onUrgent();
-    this.publish();
+    const shared = this.shared.select(changes);
+    if (shared.length === 0) return;
+    const isDecisive = shared.some(each => decides(each));
+    if (isOwn && isDecisive) this.options.onUrgent();
+    this.publishWithin(isDecisive ? PUBLISH_INTERVAL_MS : PUBLISH_OTHERS_MS);
   }
 
   /** Decides about suspects while they wait for the confirmation of crashes. */
@@ -163,17 +167,25 @@
   }
 
   /** Lets gateways know of changed records, at most once an interval. */
+  private publishWithin(intervalMs: number): void {
+    const {clock} = this.options;
+    const now = clock.monotonic();
+    const dueAt = Math.max(now, this.publishedAt + intervalMs);
+    if (dueAt >= this.publishAt) return;
+    this.publishAt = dueAt;
+    if (dueAt <= now) this.publish();
+    else {
+      void clock.sleep(dueAt - now).then(() => {
+        if (this.publishAt === dueAt) this.publish();
+      });
+    }
+  }
+
   private publish(): void {
-    if (this.isPublishing) return;
-    this.isPublishing = true;
+    this.publishAt = Infinity;
+    this.publishedAt = this.options.clock.monotonic();
     this.published = this.table.revision;
     this.options.onChange();
-    void this.options.clock.sleep(PUBLISH_INTERVAL_MS).then(() => {
-      this.isPublishing = false;
-      if (this.table.revision > this.published) {
-        this.publish();
-      }
-    });
   }
 
   /** Permits one request with suspected parts, unless another one runs. */
@@ -202,3 +214,20 @@
     if (trial !== undefined) this.trials.finish(trial, request);
   }
 }
+
+/**
+ * Whether a change decides which requests are sent: a suspect becomes known to all,
+ * its chain of crashes grows towards a verdict, or it is condemned. Further crashes,
+ * and that it is cleared, are told with each trial that is requested.
+ */
+function decides({
+  suspect,
+  previousLevel,
+  wasShared,
+  isNewVerdict,
+}: SuspectChange): boolean {
+  if (isNewVerdict) return true;
+  if (suspect.level > previousLevel && previousLevel < CONDEMN_LEVEL)
+    return true;
+  return isShared(suspect) && !wasShared;
+}
--- a/src/coordination/quarantine/shared_suspects.ts
+++ b/src/coordination/quarantine/shared_suspects.ts
@@ -15,7 +15,8 @@
 } from './suspect_table.ts';
 
 export class SharedSuspects {
-  private readonly keys = new Set<string>();
+  /** The revisions of the table at which suspects came to be told. */
+  private readonly keys = new Map<string, number>();
 
   constructor(private readonly table: SuspectTable) {}
 
@@ -23,22 +24,26 @@
   select(changes: readonly SuspectChange[]): SuspectChange[] {
     return changes.filter(({suspect}) => {
       const key = createSuspectKey(suspect.service, suspect);
-      if (isShared(suspect)) this.keys.add(key);
+      if (isShared(suspect) && !this.keys.has(key)) {
+        this.keys.set(key, this.table.revision);
+      }
       return this.keys.has(key);
     });
   }
 
-  /** Lists the records for gateways that changed after a revision. */
+  /** Lists what changed after a revision, for gateways that have all before it. */
   list(after = 0): SuspectRecord[] {
     if (this.keys.size === 0) return [];
-    return this.table
-      .list(after)
-      .filter(each => this.keys.has(createSuspectKey(each.service, each)));
+    return this.table.listChanged(after).flatMap(key => {
+      const toldSince = this.keys.get(key);
+      if (toldSince === undefined) return [];
+      return this.table.encodeSince(key, toldSince > after ? 0 : after) ?? [];
+    });
   }
 
   /** Drops what the table does not hold any more. */
   prune(): void {
-    for (const key of this.keys) {
+    for (const key of this.keys.keys()) {
       if (this.table.get(key) === null) this.keys.delete(key);
     }
   }
--- a/src/coordination/quarantine/shared_suspects_test.ts
+++ b/src/coordination/quarantine/shared_suspects_test.ts
@@ -62,4 +62,44 @@
   assert.equal(state.suspects.shared.list(revision)[0]?.level, 0);
 });
 
+// Guards against replies that carry all crashes of a popular part with each new one.
+test('gateways are told the crashes that they lack', async () => {
+  const {clock, state} = createState();
+  const {suspects} = state;
+  const listStarts = (after: number) =>
+    suspects.shared
+      .list(after)
+      .flatMap(({crashes}) => crashes.map(({start}) => start));
+  suspects.record([createRecord(['e1/1'])], clock.monotonic());
+  const unshared = suspects.table.revision;
+  suspects.record([createRecord(['e2/1'])], clock.monotonic());
+  const first = suspects.table.revision;
+  suspects.record([createRecord(['e3/1'])], clock.monotonic());
+  assert.deepEqual(listStarts(first), ['e3/1']);
+  // The first crash was not told before the second one.
+  assert.deepEqual(listStarts(unshared).sort(), ['e1/1', 'e2/1', 'e3/1']);
+  const second = suspects.table.revision;
+  const cleared = createRecord([], {level: 0, clearedAgeMs: 0});
+  suspects.record([cleared], clock.monotonic());
+  assert.equal(suspects.shared.list(second)[0]?.level, 0);
+});
+
+// Guards against gateways that are all woken for each of many crashes that decide
+// nothing more.
+test('further crashes of a suspect are told twice a second', async () => {
+  const {clock, state} = createState();
+  let published = 0;
+  let last = state.suspects.dueRevision;
+  state.suspects.record([createRecord(['a/1', 'b/1'])], clock.monotonic());
+  for (let index = 0; index < 10; index++) {
+    state.suspects.record([createRecord([`e${index}/1`])], clock.monotonic());
+    await clock.advance(100);
+    if (state.suspects.dueRevision !== last) published++;
+    last = state.suspects.dueRevision;
+  }
+  assert.ok(published <= 3, `${published} times in a second`);
+  await clock.advance(500);
+  assert.equal(state.suspects.dueRevision, state.suspects.table.revision);
+});
+
 test.run();
--- a/src/coordination/quarantine/suspect_table.ts
+++ b/src/coordination/quarantine/suspect_table.ts
@@ -14,6 +14,7 @@
 import type {SuspectId, SuspectRecord} from '../../protocol/suspect.ts';
 import {RevisedMap} from '../revised_map.ts';
 import {computeChance} from './compute_chance.ts';
+import {CrashRevisions} from './crash_revisions.ts';
 import {EndpointEnds, type EndpointEndsOptions} from './endpoint_ends.ts';
 import {EvictedSuspects, selectEvicted} from './evicted_suspects.ts';
 import {
@@ -22,13 +23,15 @@
   findLastCrash,
   getRetainMs,
   isSame,
+  isShared,
   isStanding,
   mergeSuspects,
   type Suspect,
 } from './suspect.ts';
+import {decodeSuspect, encodeSuspect} from './suspect_records.ts';
 
 /** The crashes in a row after which a part is condemned. */
-const CONDEMN_LEVEL = 3;
+export const CONDEMN_LEVEL = 3;
 
 /**
  * A part is condemned when its crashes are less likely than this to be ordinary
@@ -86,6 +89,8 @@
   readonly suspect: Suspect;
   /** Its level before; 0 if there was none. */
   readonly previousLevel: number;
+  /** Whether others needed to know of it before. */
+  readonly wasShared: boolean;
   /** Whether it is condemned, and was not before. */
   readonly isNewVerdict: boolean;
 }
@@ -103,6 +108,7 @@
   private readonly clock: Clock;
   private readonly ends: EndpointEnds;
   private readonly evicted = new EvictedSuspects();
+  private readonly crashRevisions = new CrashRevisions();
   /** The highest level of each record since it was added. */
   private readonly highestLevels = new Map<string, number>();
 
@@ -183,23 +189,7 @@
     receivedAt: number,
   ): SuspectChange[] {
     return records
-      .map(({crashes, clearedAgeMs, ...rest}) => ({
-        ...rest,
-        crashes: new Map(
-          crashes.map(({start, ageMs, exposureMs, refutedAgeMs}) => [
-            start,
-            {
-              atMs: receivedAt - ageMs,
-              exposureMs,
-              refutedAt:
-                refutedAgeMs === null ? -Infinity : receivedAt - refutedAgeMs,
-            },
-          ]),
-        ),
-        clearedAt:
-          clearedAgeMs === null ? -Infinity : receivedAt - clearedAgeMs,
-      }))
-      .map(suspect => this.mergeOne(suspect))
+      .map(record => this.mergeOne(decodeSuspect(record, receivedAt)))
       .filter(change => change !== null);
   }
 
@@ -216,6 +206,7 @@
     if (this.isExpired(merged)) return null;
     if (known && isSame(known, merged)) return null;
     this.suspects.set(key, merged);
+    this.crashRevisions.record(key, {known, next: merged}, this.revision);
     const highestLevel = this.highestLevels.get(key) ?? 0;
     this.highestLevels.set(key, Math.max(highestLevel, merged.level));
     this.evict();
@@ -223,6 +214,7 @@
     return {
       suspect: merged,
       previousLevel: known?.level ?? 0,
+      wasShared: known !== undefined && isShared(known),
       isNewVerdict: merged.isCondemned && !known?.isCondemned,
     };
   }
@@ -271,25 +263,30 @@
     );
   }
 
-  /** Lists the records that changed after a revision; all by default. */
-  list(after = 0): SuspectRecord[] {
-    return this.suspects.list(after).map(([, suspect]) => this.encode(suspect));
+  /** Lists all records. */
+  list(): SuspectRecord[] {
+    return [...this.suspects].map(([, suspect]) => this.encode(suspect));
+  }
+
+  /** Lists the keys of the records that changed after a revision. */
+  listChanged(after: number): string[] {
+    return this.suspects.list(after).map(([key]) => key);
   }
 
   /** Encodes a record with the ages of its crashes. */
-  encode({crashes, clearedAt, customers, ...rest}: Suspect): SuspectRecord {
-    const now = this.clock.monotonic();
-    return {
-      ...rest,
-      customers: [...customers],
-      crashes: [...crashes].map(([start, {atMs, exposureMs, refutedAt}]) => ({
-        start,
-        ageMs: now - atMs,
-        exposureMs,
-        refutedAgeMs: refutedAt === -Infinity ? null : now - refutedAt,
-      })),
-      clearedAgeMs: clearedAt === -Infinity ? null : now - clearedAt,
-    };
+  encode(suspect: Suspect): SuspectRecord {
+    return encodeSuspect(suspect, this.clock.monotonic());
+  }
+
+  /**
+   * Encodes a record for a reader that has it as of a revision: with the crashes
+   * that came since, or all of them if something else changed.
+   */
+  encodeSince(key: string, after: number): SuspectRecord | null {
+    const suspect = this.get(key);
+    if (!suspect) return null;
+    const crashes = this.crashRevisions.select(key, suspect, after);
+    return this.encode(crashes.size > 0 ? {...suspect, crashes} : suspect);
   }
 
   /** Drops records that no longer matter. */
@@ -391,5 +388,6 @@
   private delete(key: string): void {
     this.suspects.delete(key);
     this.highestLevels.delete(key);
+    this.crashRevisions.delete(key);
   }
 }
