Ask about departures by a revision once a daemon has them

Change: a daemon that has got a departure is asked for the revision of its list that has it, in the run that told it. A reply of another run does not count, and it gets all of them. Daemons of earlier builds get all each time.

--- a/src/coordination/confirmation/confirm_service.ts
+++ b/src/coordination/confirmation/confirm_service.ts
@@ -24,10 +24,10 @@
   clock,
   getConfiguration,
 }: ConfirmServiceOptions): ConfirmService {
-  return async ({configurationRevision, departures, waitMs}) => {
+  return async ({configurationRevision, departures, required, waitMs}) => {
     state.recordDepartures(departures);
     const endpointRevision = Math.max(
-      0,
+      required?.run === followers.epoch ? required.endpointRevision : 0,
       ...departures.map(({id}) => state.endpoints.getRevision(id)),
     );
     const createReply = (): ConfirmReply => ({
@@ -35,6 +35,7 @@
       run: followers.epoch,
       configurationRevision: getConfiguration().revision,
       endpointRevision,
+      readsRequired: true,
       followers: followers.list({
         configuration: configurationRevision,
         endpoints: endpointRevision,
--- a/src/coordination/confirmation/daemon_questions.ts
+++ b/src/coordination/confirmation/daemon_questions.ts
@@ -12,6 +12,7 @@
 } from '../../protocol/confirmation.ts';
 import {createNotifier, type Notifier} from '../notifier.ts';
 import {isComplete} from './confirm_service.ts';
+import {HeldDepartures} from './held_departures.ts';
 import {
   readReply,
   type HeardReply,
@@ -53,6 +54,7 @@
   private readonly waiting = new Set<WaitingChange>();
   private readonly unasked = new Set<WaitingChange>();
   private readonly added: Notifier;
+  private readonly held = new HeldDepartures();
   private lanes = 0;
   /** Whether a lane waits for further changes before it asks. */
   private isGathering = false;
@@ -101,10 +103,15 @@
     const changes = [...this.waiting];
     this.unasked.clear();
     const question = ++this.asked;
-    const asked = mergeChanges(changes);
+    const {configurationRevision, departures} = mergeChanges(changes);
+    const asked = {configurationRevision, ...this.held.select(departures)};
     try {
       const reply = await send({...asked, waitMs: HOLD_MS});
       if (reply === null) {
+        if (asked.required) {
+          this.held.reset();
+          return RETRY_DELAY_MS;
+        }
         if (asked.departures.length > 0) await passOn(asked.departures);
         for (const change of changes) {
           if (change.what.departures.length > 0) change.recordPassedOn(address);
@@ -113,6 +120,7 @@
         onFailure(null);
         return COMPLETE_DELAY_MS;
       }
+      if (!this.held.record(asked, reply)) return RETRY_DELAY_MS;
       const now = clock.monotonic();
       const heard = readReply(reply, {address, asked, now, question});
       for (const change of changes) change.recordReply(heard);
--- a/src/protocol/confirmation.ts
+++ b/src/protocol/confirmation.ts
@@ -14,6 +14,13 @@
   configurationRevision: z.int().nonnegative(),
   /** The last reports of endpoints that leave, which the daemon records. */
   departures: createEntryList(endpointReportSchema),
+  /**
+   * What followers must have besides: a revision that the daemon told in reply to an
+   * earlier question, in the run that it told; absent from earlier versions.
+   */
+  required: z
+    .object({run: z.string(), endpointRevision: z.int().nonnegative()})
+    .optional(),
   /** How long the reply may be delayed until all have it, in ms. */
   waitMs: z.number().nonnegative().max(MAX_WAIT_MS),
 });
@@ -50,6 +57,8 @@
    * absent from earlier versions.
    */
   endpointRevision: z.int().nonnegative().optional(),
+  /** Whether the daemon reads `required`; absent from earlier versions. */
+  readsRequired: z.boolean().optional(),
 });
 
 export type ConfirmReply = z.infer<typeof confirmReplySchema>;
