--- a/tools/mutants/news.ts
+++ b/tools/mutants/news.ts
@@ -62,7 +62,7 @@
         {
           file: `${FOLDER}/core/exchange_task.ts`,
           from: 'BATCH_INTERVAL_MS - sinceBatchMs',
-          to: '0 * sinceBatchMs * BATCH_INTERVAL_MS',
+          to: 'BATCH_DELAY_MS + 0 * BATCH_INTERVAL_MS',
         },
       ],
     },
