--- a/src/coordination/core/earlier_exchange.ts
+++ b/src/coordination/core/earlier_exchange.ts
@@ -17,13 +17,16 @@
   const {report, ageMs} = last;
   const merged: AgedReport = {
     ageMs,
-    report: {...report, suspects: suspects.map(each => shiftAges(each, ageMs))},
+    report: {
+      ...report,
+      suspects: suspects.map(each => setBackAges(each, ageMs)),
+    },
   };
   return {...exchange, gateways: [merged, ...others]};
 }
 
 /** Gives a record the ages that it had some ms ago. */
-function shiftAges(record: SuspectRecord, ms: number): SuspectRecord {
+function setBackAges(record: SuspectRecord, ms: number): SuspectRecord {
   const shift = (ageMs: number) => Math.max(MIN_AGE_MS, ageMs - ms);
   const shiftOptional = (ageMs: number | null) =>
     ageMs === null ? null : shift(ageMs);
--- a/src/coordination/quarantine/core_suspects.ts
+++ b/src/coordination/quarantine/core_suspects.ts
@@ -135,9 +135,9 @@
     }
     const shared = this.shared.select(changes);
     if (shared.length === 0) return;
-    const isDecisive = shared.some(each => decides(each));
-    if (isOwn && isDecisive) this.options.onUrgent();
-    this.publishWithin(isDecisive ? PUBLISH_INTERVAL_MS : PUBLISH_OTHERS_MS);
+    const hasDecisive = shared.some(each => isDecisive(each));
+    if (isOwn && hasDecisive) this.options.onUrgent();
+    this.publishWithin(hasDecisive ? PUBLISH_INTERVAL_MS : PUBLISH_OTHERS_MS);
   }
 
   /** Decides about suspects while they wait for the confirmation of crashes. */
@@ -220,7 +220,7 @@
  * its chain of crashes grows towards a verdict, or it is condemned. Further crashes,
  * and that it is cleared, are told with each trial that is requested.
  */
-function decides({
+function isDecisive({
   suspect,
   previousLevel,
   wasShared,
--- a/src/coordination/quarantine/evicted_suspects.ts
+++ b/src/coordination/quarantine/evicted_suspects.ts
@@ -67,7 +67,7 @@
   }
 
   /** Whether a record tells no more than those that were evicted. */
-  covers(key: string, suspect: Suspect): boolean {
+  matches(key: string, suspect: Suspect): boolean {
     const levels = this.lastAt.get(getCustomer(suspect)) ?? [];
     const lastAt = [...levels]
       .filter(([level]) => level >= suspect.level)
--- a/src/coordination/quarantine/suspect_table.ts
+++ b/src/coordination/quarantine/suspect_table.ts
@@ -197,7 +197,7 @@
   mergeOne(next: Suspect): SuspectChange | null {
     const key = createSuspectKey(next.service, next);
     const known = this.suspects.get(key);
-    if (!known && this.evicted.covers(key, next)) return null;
+    if (!known && this.evicted.matches(key, next)) return null;
     for (const [start, crash] of next.crashes) {
       if (isStanding(crash)) this.ends.record(next.service, start, crash.atMs);
       else this.ends.remove(start);
--- a/tools/mutants/news.ts
+++ b/tools/mutants/news.ts
@@ -21,7 +21,7 @@
       edits: [
         {
           file: `${QUARANTINE}/suspect_table.ts`,
-          from: 'if (!known && this.evicted.covers(key, next)) return null;',
+          from: 'if (!known && this.evicted.matches(key, next)) return null;',
           to: '',
         },
       ],
@@ -31,8 +31,8 @@
       edits: [
         {
           file: `${QUARANTINE}/core_suspects.ts`,
-          from: 'if (isOwn && isDecisive) this.options.onUrgent();',
-          to: 'if (isDecisive) this.options.onUrgent();',
+          from: 'if (isOwn && hasDecisive) this.options.onUrgent();',
+          to: 'if (hasDecisive) this.options.onUrgent();',
         },
       ],
     },
