Hold up urgent exchanges by urgent ones alone

The pace of urgent exchanges counted regular ones, too: where those come five times a second, as in small deployments, nothing was urgent any more, and a closing gateway was told up to 200 ms later than before. Found when the difference was read; exchange_task_test.ts has a test for it, which fails on the code before (the closing gateway is not told within 20 ms of a regular exchange). Exposures of crashes are rounded up, so that none is 0.

--- a/src/coordination/core/exchange_task.ts
+++ b/src/coordination/core/exchange_task.ts
@@ -20,7 +20,7 @@
 
 /**
  * How long urgent changes are collected to be sent in one batch, and the shortest
- * time between two batches.
+ * time between two urgent batches.
  */
 const BATCH_DELAY_MS = 15;
 const BATCH_INTERVAL_MS = 200;
@@ -78,7 +78,7 @@
   const {state, clock} = options;
   const peers = new Map<string, PeerProgress>();
   const resync = {atMs: -Infinity};
-  let batchAt = -Infinity;
+  let urgentAt = -Infinity;
   while (!signal.aborted) {
     const intervalMs = computeIntervalMs(state);
     const reports = state.takePendingReports();
@@ -93,11 +93,13 @@
       if (peer.isBusy) continue;
       void exchangeWith(options, {address, peer, resync, intervalMs});
     }
+    const waitsSince = clock.monotonic();
     await state.urgentChanges.wait(intervalMs);
-    const sinceBatchMs = clock.monotonic() - batchAt;
-    const delayMs = Math.max(BATCH_DELAY_MS, BATCH_INTERVAL_MS - sinceBatchMs);
-    await clock.sleep(delayMs, signal);
-    batchAt = clock.monotonic();
+    const now = clock.monotonic();
+    const isUrgent = now - waitsSince < intervalMs;
+    const nextMs = isUrgent ? urgentAt + BATCH_INTERVAL_MS - now : 0;
+    await clock.sleep(Math.max(BATCH_DELAY_MS, nextMs), signal);
+    if (isUrgent) urgentAt = clock.monotonic();
   }
 }
 
--- a/src/coordination/core/exchange_task_test.ts
+++ b/src/coordination/core/exchange_task_test.ts
@@ -147,6 +147,26 @@
   assert.ok(whole.length <= 2, `${whole.length} with all reports`);
 });
 
+// Guards against gateways that go on sending to an endpoint that left, or callers that
+// are directed to a closed gateway, until the next regular exchange.
+test('an urgent change after a regular exchange is sent at once', async () => {
+  const {exchanges} = startExchanges();
+  const {clock, state, sent} = exchanges;
+  const report = createGatewayReport({address: 'g1'});
+  state.gateways.recordDirect(report);
+  await clock.advance(1_000);
+  const before = sent.length;
+  while (sent.length === before) await clock.advance(5);
+  sent.length = 0;
+  const closing = createGatewayReport({address: 'g1', open: false});
+  state.gateways.recordDirect(closing);
+  await clock.advance(20);
+  assert.deepEqual(
+    sent.map(({gateways}) => gateways.map(each => each.report.gateway.open)),
+    [[false]],
+  );
+});
+
 // Guards against a verdict that daemons of the build before do not hear of.
 test('a daemon of an earlier version gets suspects in a report', async () => {
   const {exchanges} = startExchanges();
--- a/src/coordination/core/gateway_directory.ts
+++ b/src/coordination/core/gateway_directory.ts
@@ -107,8 +107,9 @@
     const isNewlyLeaving = leaving.length > 0 && onLeaving?.(leaving) === true;
     const isLimited =
       limits.length > 0 && onLimits?.(limits, receivedAt) === true;
-    if (suspects.length > 0)
+    if (suspects.length > 0) {
       onSuspects?.(suspects, {atMs: receivedAt, isDirect});
+    }
     const known = this.known.get(address);
     const isStopped = stopped && known?.report.gateway.stopped !== true;
     const isClosing = known?.report.gateway.open === true && !open;
--- a/src/coordination/quarantine/core_suspects.ts
+++ b/src/coordination/quarantine/core_suspects.ts
@@ -226,8 +226,7 @@
   wasShared,
   isNewVerdict,
 }: SuspectChange): boolean {
-  if (isNewVerdict) return true;
-  if (suspect.level > previousLevel && previousLevel < CONDEMN_LEVEL)
-    return true;
-  return isShared(suspect) && !wasShared;
+  const isChainGrowing =
+    suspect.level > previousLevel && previousLevel < CONDEMN_LEVEL;
+  return isNewVerdict || isChainGrowing || (isShared(suspect) && !wasShared);
 }
--- a/src/coordination/quarantine/suspect_records.ts
+++ b/src/coordination/quarantine/suspect_records.ts
@@ -42,7 +42,7 @@
     crashes: [...crashes].map(([start, {atMs, exposureMs, refutedAt}]) => ({
       start,
       ageMs: Math.round(now - atMs),
-      exposureMs: Math.round(exposureMs),
+      exposureMs: Math.ceil(exposureMs),
       refutedAgeMs: findAge(refutedAt),
     })),
     clearedAgeMs: findAge(clearedAt),
--- a/tools/mutants/news.ts
+++ b/tools/mutants/news.ts
@@ -61,7 +61,7 @@
       edits: [
         {
           file: `${FOLDER}/core/exchange_task.ts`,
-          from: 'BATCH_INTERVAL_MS - sinceBatchMs',
+          from: 'urgentAt + BATCH_INTERVAL_MS - now',
           to: 'BATCH_DELAY_MS + 0 * BATCH_INTERVAL_MS',
         },
       ],
