Count the suspects that exchanges carry beside reports

Since suspects go beside the reports of gateways, the line of a daemon's load told none of them in exchanges, though that count is what tells repeated records from others. They are counted where they stand now. Found when the difference was read again; the new test of entry_meter_test.ts fails without the change.

--- a/src/coordination/core/entry_meter.ts
+++ b/src/coordination/core/entry_meter.ts
@@ -52,10 +52,13 @@
 export function countExchangeEntries({
   reports,
   gateways,
-}: Pick<CoreExchange, 'reports' | 'gateways'>): EntryCounts {
+  suspects = [],
+}: Pick<CoreExchange, 'reports' | 'gateways' | 'suspects'>): EntryCounts {
+  const counts = countReportEntries(gateways.map(({report}) => report));
   return {
+    ...counts,
     endpoints: reports.length,
     gateways: gateways.length,
-    ...countReportEntries(gateways.map(({report}) => report)),
+    suspects: (counts['suspects'] ?? 0) + suspects.length,
   };
 }
