List aged reports of gateways by one function

listDirect(), listUrgent() and listAll() each built the same list; what they differ in is which reports belong to it. No change of behaviour.

--- a/src/coordination/core/gateway_directory.ts
+++ b/src/coordination/core/gateway_directory.ts
@@ -136,27 +136,24 @@
    * the monotonic clock.
    */
   listDirect(since: number): AgedReport[] {
-    const now = this.options.clock.monotonic();
-    return [...this.known.values()]
-      .filter(({isDirect, receivedAt}) => isDirect && receivedAt >= since)
-      .map(({report, receivedAt}) => ({report, ageMs: now - receivedAt}));
+    return this.listAged(each => each.isDirect && each.receivedAt >= since);
   }
 
   /** Lists those of them that told something urgent at or after `since`. */
   listUrgent(since: number): AgedReport[] {
-    const now = this.options.clock.monotonic();
-    return [...this.known.values()]
-      .filter(({isDirect, urgentAt}) => isDirect && urgentAt >= since)
-      .map(({report, receivedAt}) => ({report, ageMs: now - receivedAt}));
+    return this.listAged(each => each.isDirect && each.urgentAt >= since);
   }
 
   /** Lists all known reports, for a daemon that has just started. */
   listAll(): AgedReport[] {
+    return this.listAged(() => true);
+  }
+
+  private listAged(isListed: (known: KnownGateway) => boolean): AgedReport[] {
     const now = this.options.clock.monotonic();
-    return [...this.known.values()].map(({report, receivedAt}) => ({
-      report,
-      ageMs: now - receivedAt,
-    }));
+    return [...this.known.values()]
+      .filter(isListed)
+      .map(({report, receivedAt}) => ({report, ageMs: now - receivedAt}));
   }
 
   /**
