--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -6,11 +6,17 @@
 import {call, sendOrder, Worker} from '../shared/clients.mjs';
 import {BOUNDS, HAS_TROUBLE, runCase} from '../shared/site.mjs';
 
+/**
+ * Rounds at most. The ack must not come within the last some 50 ms before the daemons
+ * save their views, which they do every 500 ms.
+ */
+const ROUNDS = 3;
+
 /** How long the processes are down. */
 const DOWN_MS = 500;
 
 /** How long a worker that has deregistered goes on serving. */
-const SERVES_ON_MS = 22_000;
+const SERVES_ON_MS = 18_000;
 
 /**
  * When requests are judged after the start of the processes. All machines are in
@@ -150,5 +156,6 @@
 await runCase({
   file: new URL('record.txt', import.meta.url).pathname,
   gatewayCount: 2,
+  rounds: ROUNDS,
   play,
 });
--- a/review/shared/site.mjs
+++ b/review/shared/site.mjs
@@ -239,8 +239,11 @@
   }
 }
 
-/** Runs a case and exits: 1 if the rule was broken, 0 if it held, else 2. */
-export async function runCase({file, gatewayCount, play}) {
+/**
+ * Runs a case and exits: 1 if the rule was broken, 0 if it held, else 2. Each round
+ * plays it on a new deployment, until one breaks the rule.
+ */
+export async function runCase({file, gatewayCount, rounds = 1, play}) {
   const record = new Record(file);
   let site = null;
   let code = 2;
@@ -250,15 +253,20 @@
     process.exit(2);
   }, MAX_CASE_MS);
   try {
-    const network = await findNetwork();
-    site = new Site({network, record, gatewayCount});
-    const isBroken = await play({site, record, network});
+    let isBroken = false;
+    for (let round = 1; round <= rounds && !isBroken; round++) {
+      if (rounds > 1) record.write(`round ${round} of ${rounds} at most`);
+      const network = await findNetwork();
+      site = new Site({network, record, gatewayCount});
+      isBroken = await play({site, record, network});
+      await site.stop();
+    }
     record.write(isBroken ? 'RESULT: the rule is broken' : 'RESULT: it held');
     code = isBroken ? 1 : 0;
   } catch (error) {
     record.write(`The case could not run: ${error.stack}`);
+    await site?.stop();
   }
   clearTimeout(deadline);
-  await site?.stop();
   process.exit(code);
 }
