Log why an answer that has begun is broken off

What was missing: the line of a request that was cut had no reason, so the three hypotheses on LOST could not be told apart. A line at warn and a counter name the precondition that kept the answer from having a successor. No logic changes; the retry budgets move to a class of their own.

--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -26,6 +26,23 @@
   readonly body: Uint8Array;
 }
 
+/** Why a request cannot be sent to another endpoint now. */
+export type BlockReason =
+  /** The deadline has passed. */
+  | 'deadline'
+  /** The gateway shuts down, and it is not expected to end in time. */
+  | 'stopping'
+  /** It may not run again, or all attempts of its route were used. */
+  | 'attempts'
+  /** The retry budget of the service is used up. */
+  | 'budget'
+  /** The quarantine does not permit it. */
+  | 'quarantine'
+  /** No endpoint that was not tried accepts it. */
+  | 'no-endpoint'
+  /** It cannot be resumed. */
+  | 'not-resumable';
+
 /** The permission to send a request that is or has suspects. */
 export interface Trial {
   /** Identifies it at the core; `undefined` if the core is older. */
@@ -61,12 +78,16 @@
   trial: Trial | null = null;
   /** Why it may not go to an endpoint; `null` if it may. */
   quarantine: 'condemned' | 'suspected' | null = null;
+  /** Why the last attempt had no successor; `null` if it had one. */
+  blockedBy: BlockReason | null = null;
   /** Whether the retry budget was already charged for the next attempt. */
   isPaid = false;
   /** The last event that was sent to the caller. */
   lastEventId: string | null;
   /** The time to the first event or the answer, in ms. */
   firstMs: number | null = null;
+  /** The time to the last event that was relayed, in ms. */
+  lastOutputMs: number | null = null;
   /** The expected uncached prompt tokens of the last attempt. */
   uncachedTokens = 0;
   /** The expected time until the last attempt began its answer, in ms. */
@@ -139,8 +160,9 @@
     return shared.reduce((sum, {tokens}) => sum + tokens, 0);
   }
 
-  /** Records the first output, `ms` after the request was received. */
-  recordFirstOutput(ms: number): void {
+  /** Records output for the caller, `ms` after the request was received. */
+  recordOutput(ms: number): void {
+    this.lastOutputMs = ms;
     if (this.firstMs !== null) return;
     this.firstMs = ms;
     this.escalation?.begin();
--- a/src/coordination/forwarding/deliver_answer.ts
+++ b/src/coordination/forwarding/deliver_answer.ts
@@ -30,7 +30,7 @@
   }
   const body = await readWhole(answer);
   if (!body.ok) return {type: 'broken', ...body.error};
-  run.recordFirstOutput(clock.monotonic() - run.call.receivedAt);
+  run.recordOutput(clock.monotonic() - run.call.receivedAt);
   const {status, headers} = answer;
   if (!isGood && run.admitted.isRepeatable) {
     return {type: 'failed', answer: {status, headers, body: body.value}};
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -8,10 +8,7 @@
  */
 import type {Clock} from '../../protocol/clock.ts';
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
-import {
-  createWindowBudget,
-  type WindowBudget,
-} from '../limits/window_budget.ts';
+import {RetryBudgets} from '../limits/retry_budgets.ts';
 import {
   admitAgain,
   admitCall,
@@ -41,7 +38,8 @@
   type AttemptChoice,
   type AttemptResult,
 } from './run_attempt.ts';
-import {CallRun} from './call_run.ts';
+import {breakOff} from './break_off.ts';
+import {CallRun, type BlockReason} from './call_run.ts';
 import {Shutdown} from './shutdown.ts';
 import {recordAttempt, type RecordAttemptOptions} from './record_attempt.ts';
 import {recordRun} from './record_run.ts';
@@ -100,7 +98,7 @@
 /** Forwards the requests of one gateway. */
 export class Forwarder {
   readonly shutdown: Shutdown;
-  private readonly budgets = new Map<string, WindowBudget>();
+  private readonly budgets: RetryBudgets;
   private readonly threshold: EscalationThreshold;
   private readonly picker: EndpointPicker;
   private isStopping = false;
@@ -109,6 +107,13 @@
     this.threshold = new EscalationThreshold(options.clock);
     this.shutdown = new Shutdown(options.clock);
     this.picker = new EndpointPicker(options);
+    const {clock, gateways, retryRatio, retryExtra, retryWindowMs} = options;
+    this.budgets = new RetryBudgets({
+      clock,
+      windowMs: retryWindowMs,
+      ratio: retryRatio * RETRY_BUDGET_SHARE,
+      getExtra: () => (retryExtra * RETRY_BUDGET_SHARE) / gateways.count(),
+    });
   }
 
   /** Answers a request; resolves when the answer is complete or aborted. */
@@ -118,7 +123,7 @@
     if (isFinal(admitted)) admitted = await admitAgain(call, this.options);
     if (!admitted.ok) return this.refuse(call, sink, admitted.error);
     const run = new CallRun(admitted.value);
-    this.findBudget(admitted.value.service.name).deposit();
+    this.budgets.get(admitted.value.service.name).deposit();
     try {
       while (!run.isOver) await this.step(run, sink);
     } finally {
@@ -163,6 +168,7 @@
     if (!choice && quarantine.listEnded(run).size > 0) {
       run.quarantine ??= 'suspected';
     }
+    run.blockedBy = choice ? null : this.explainBlock(run, canSend);
     if (!choice) return this.deliverFallback(run, sink, leftMs);
     const result = await runAttempt(
       {
@@ -182,6 +188,22 @@
     this.finishWith(run, sink, result);
   }
 
+  /** Why the next attempt was not made. */
+  private explainBlock(run: CallRun, canSend: boolean): BlockReason {
+    if (run.quarantine !== null) return 'quarantine';
+    if (canSend) return 'no-endpoint';
+    const {admitted, runs, notRun} = run;
+    const isUsedUp =
+      (runs > 0 && !admitted.isRepeatable) ||
+      runs >= admitted.route.maxAttempts ||
+      notRun > MAX_NOT_RUN;
+    return isUsedUp ? 'attempts' : 'budget';
+  }
+
+  private breakOff(run: CallRun, sink: CallerSink, reason: BlockReason): void {
+    breakOff(this.options, run, {sink, reason});
+  }
+
   /** Whether the suspected parts of a prompt may go to an endpoint. */
   private async admitPrompt(run: CallRun): Promise<boolean> {
     if (run.isTrial) return true;
@@ -222,10 +244,7 @@
   ): void {
     if (result.type === 'delivered') run.finish('answered', result.status);
     if (result.type === 'left') run.finish('left', 0);
-    if (result.type === 'cut') {
-      sink.abort();
-      run.finish('cut', 0);
-    }
+    if (result.type === 'cut') this.breakOff(run, sink, 'not-resumable');
   }
 
   /** Delivers the held answer, or finishes the run undelivered without one. */
@@ -298,7 +317,7 @@
   private takeEscalationBudget({admitted, runs}: CallRun): boolean {
     const {isRepeatable, route, service} = admitted;
     if (!isRepeatable || runs + 1 >= route.maxAttempts) return false;
-    return this.findBudget(service.name).tryTake(ESCALATION_RESERVE);
+    return this.budgets.get(service.name).tryTake(ESCALATION_RESERVE);
   }
 
   /** Whether another attempt is allowed; charges the retry budget if so. */
@@ -308,7 +327,7 @@
     if (runs >= admitted.route.maxAttempts) return false;
     if (notRun > MAX_NOT_RUN) return false;
     if (run.isPaid) return true;
-    return this.findBudget(admitted.service.name).tryTake();
+    return this.budgets.get(admitted.service.name).tryTake();
   }
 
   /**
@@ -321,8 +340,8 @@
     cause: UndeliveredRun['cause'],
   ): void {
     if (sink.hasBegun) {
-      sink.abort();
-      return run.finish('cut', 0);
+      const reason = cause === 'no-path' ? 'no-endpoint' : cause;
+      return this.breakOff(run, sink, reason ?? run.blockedBy ?? 'no-endpoint');
     }
     const {failedAnswer} = run;
     if (failedAnswer) {
@@ -357,21 +376,6 @@
     recordAttempt(this.options, run, {endpoint, result});
   }
 
-  private findBudget(service: string): WindowBudget {
-    const known = this.budgets.get(service);
-    if (known) return known;
-    const {clock, retryRatio, retryExtra, retryWindowMs, gateways} =
-      this.options;
-    const budget = createWindowBudget({
-      clock,
-      windowMs: retryWindowMs,
-      ratio: retryRatio * RETRY_BUDGET_SHARE,
-      getExtra: () => (retryExtra * RETRY_BUDGET_SHARE) / gateways.count(),
-    });
-    this.budgets.set(service, budget);
-    return budget;
-  }
-
   private refuse(call: Call, sink: CallerSink, reason: RefusalReason): void {
     const refusal = planEarlyRefusal(this.options, reason, this.shutdown);
     const status = refuseCall(sink, refusal);
--- a/src/coordination/forwarding/relay_events.ts
+++ b/src/coordination/forwarding/relay_events.ts
@@ -74,7 +74,7 @@
       }
       hasRelayed ||= hasProgress;
       if (hasProgress)
-        run.recordFirstOutput(clock.monotonic() - run.call.receivedAt);
+        run.recordOutput(clock.monotonic() - run.call.receivedAt);
       if (!sink.hasBegun) sink.begin(answer.status, dropFraming(answer));
       const drained = sink.write(Buffer.concat([...buffered, ...pieces]));
       buffered = [];
--- a/src/coordination/reach/call_relay.ts
+++ b/src/coordination/reach/call_relay.ts
@@ -191,7 +191,7 @@
     sink.begin(status, headers);
     try {
       for await (const piece of body) {
-        run.recordFirstOutput(
+        run.recordOutput(
           this.options.clock.monotonic() - run.call.receivedAt,
         );
         await sink.write(piece);
