--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -166,6 +166,10 @@
   readonly findRegion?: (dataCentre: string) => string | null;
   /** Confirms the view by default. */
   readonly ensureView?: () => Promise<boolean>;
+  /** Retries per request of a service; 0.9 by default. */
+  readonly retryRatio?: number;
+  /** Retries on top of that in a window of 10 s; 50 by default. */
+  readonly retryExtra?: number;
 }
 
 /** A gateway with fake endpoints. */
@@ -200,6 +204,8 @@
     findRegion = () => 'r',
     probe = async () => true,
     sendRelayed = async () => ({type: 'not-sent', reason: 'ECONNREFUSED'}),
+    retryRatio = 0.9,
+    retryExtra = 50,
   }: FakeGatewayOptions) {
     this.clock = clock;
     this.address = address;
@@ -294,8 +300,8 @@
       region: 'r',
       dataCentre: 'a',
       findRegion,
-      retryRatio: 0.9,
-      retryExtra: 50,
+      retryRatio,
+      retryExtra,
       retryWindowMs: 10_000,
     });
   }
