Let a watchdog expire earlier than it was set for

Callers waited up to 2.6 s for a stream that stalled right after its first event: a timer that was postponed to an earlier moment slept on until the moment before. In the test it expired at 2,600 ms instead of 1,300. The sleep is now ended when the expiry comes forward.

--- a/src/coordination/forwarding/watchdog.ts
+++ b/src/coordination/forwarding/watchdog.ts
@@ -1,9 +1,9 @@
-/** A timeout that can be extended. */
+/** A timeout that can be set anew. */
 import type {Clock} from '../../protocol/clock.ts';
 
 /** A timer that can be postponed. Dispose it to stop it. */
 export interface Watchdog extends Disposable {
-  /** Sets it to expire `ms` from now. */
+  /** Sets it to expire `ms` from now, which may be earlier than before. */
   postpone(ms: number): void;
 }
 
@@ -16,27 +16,34 @@
   ms: number,
   onExpire: () => void,
 ): Watchdog {
-  const stopped = new AbortController();
+  let isStopped = false;
   let dueAt = clock.monotonic() + ms;
+  let wakened = new AbortController();
   const watch = async () => {
-    while (!stopped.signal.aborted) {
+    while (!isStopped) {
       const leftMs = dueAt - clock.monotonic();
-      if (leftMs <= 0) {
-        onExpire();
-        if (dueAt <= clock.monotonic()) return;
+      if (leftMs > 0) {
+        await clock.sleep(leftMs, wakened.signal);
         continue;
       }
-      await clock.sleep(leftMs, stopped.signal);
+      onExpire();
+      if (dueAt <= clock.monotonic()) return;
     }
   };
+  // Without a reason, `abort()` would create an error with a stack trace.
+  const wake = () => wakened.abort('wakened');
   void watch();
   return {
     postpone(nextMs) {
+      const before = dueAt;
       dueAt = clock.monotonic() + nextMs;
+      if (dueAt >= before) return;
+      wake();
+      wakened = new AbortController();
     },
     [Symbol.dispose]() {
-      // Without a reason, `abort()` would create an error with a stack trace.
-      stopped.abort('stopped');
+      isStopped = true;
+      wake();
     },
   };
 }
