Give up a silent attempt only once its successor is reserved

Callers: streams were closed before their end while their worker was silent for a moment, most of all around a planned stop of their gateway.

Cause: the watchdog of an attempt aborted it if its route allows another one by count. Only then did the next step ask whether the attempt can end within the grace period, whether the retry budget has a token, whether an endpoint is left and the prompt is free. If one said no, an answer that its endpoint was still making was ended. Class: what is held is given up before its successor is certain.

Now a silent attempt asks for all of these and reserves its successor in one step (handover.ts), and is given up right before that one is sent. While one says no, the gateway listens on and asks again each 100 ms (silence_watch.ts). An answer that has begun moves to an endpoint that spoke during the silence; to one of which nothing is known after 2 s; to one that is silent itself never. If the successor does not take it, further ones are asked until the deadline. Each decision is logged with the silence and the precondition that said no, and counted (silences).

--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -11,7 +11,7 @@
 import type {OpenEscalation} from './choose_model.ts';
 import type {HeldAnswer} from './held_answer.ts';
 import type {VersionSubject} from './choose_version.ts';
-import type {AttemptResult} from './run_attempt.ts';
+import type {AttemptChoice, AttemptResult} from './run_attempt.ts';
 
 /**
  * Refused connections of a request that cost no retry, since nothing arrived.
@@ -38,7 +38,7 @@
   | 'budget'
   /** The quarantine does not permit it. */
   | 'quarantine'
-  /** No endpoint that was not tried accepts it. */
+  /** No endpoint that was not tried accepts it, or all are silent. */
   | 'no-endpoint'
   /** It cannot be resumed. */
   | 'not-resumable';
@@ -82,6 +82,8 @@
   blockedBy: BlockReason | null = null;
   /** Whether the retry budget was already charged for the next attempt. */
   isPaid = false;
+  /** Whether an attempt whose answer had begun was given up as silent. */
+  isGivenUp = false;
   /** The last event that was sent to the caller. */
   lastEventId: string | null;
   /** The time to the first event or the answer, in ms. */
@@ -107,6 +109,7 @@
   readonly sharedPartIds: readonly string[];
   /** The shared parts that are watched for what they do to engines. */
   readonly watchedParts: readonly SuspectId[];
+  private reserved: AttemptChoice | null = null;
   private heldAnswer: HeldAnswer | null = null;
   private knownIdentity: string | null = null;
 
@@ -189,6 +192,20 @@
     return held;
   }
 
+  /** Reserves the next attempt, for which the retry budget was charged. */
+  reserve(choice: AttemptChoice, {hasBegun}: {hasBegun: boolean}): void {
+    this.reserved = choice;
+    this.isGivenUp ||= hasBegun;
+  }
+
+  /** Removes and returns the reserved attempt; `null` if there is none. */
+  takeReserved(): AttemptChoice | null {
+    const {reserved} = this;
+    this.reserved = null;
+    if (reserved) this.isPaid = true;
+    return reserved;
+  }
+
   /** Records the result of an attempt. */
   recordResult(endpoint: EndpointEntry, result: AttemptResult): void {
     this.tried.add(endpoint.id);
--- a/src/coordination/forwarding/deliver_held.ts
+++ b/src/coordination/forwarding/deliver_held.ts
@@ -1,4 +1,5 @@
 /** Delivers an answer that was held while a larger model was asked. */
+import type {CallerSink} from './call.ts';
 import type {CallRun} from './call_run.ts';
 import {deliverAnswer} from './deliver_answer.ts';
 import {handleAbort} from './handle_abort.ts';
@@ -9,15 +10,18 @@
   type AttemptResult,
   type RunAttemptOptions,
 } from './run_attempt.ts';
+import {watchSilence, type WatchSilenceOptions} from './silence_watch.ts';
 import {startWatchdog} from './watchdog.ts';
 
 /** Delivers a held answer to the caller. */
 export async function deliverHeld(
-  options: Pick<RunAttemptOptions, 'clock' | 'sink' | 'leftMs' | 'shutdown'>,
+  options: Pick<RunAttemptOptions, 'health' | 'leftMs' | 'shutdown'> &
+    WatchSilenceOptions & {readonly sink: CallerSink},
   run: CallRun,
   held: HeldAnswer,
 ): Promise<AttemptResult> {
-  const {clock, leftMs, shutdown} = options;
+  const {clock, health, leftMs, shutdown} = options;
+  const {endpoint} = held;
   const {signal} = run.call;
   const drop = () => held[Symbol.dispose]();
   using _left = handleAbort(signal, drop);
@@ -26,10 +30,16 @@
   if (shutdown.isAborted) drop();
   using _held = held;
   using _deadline = startWatchdog(clock, leftMs, drop);
-  using stall = startWatchdog(clock, STALL_MIN_MS, drop);
-  const result = await deliverAnswer(options, run, held.createAnswer(), ms =>
-    stall.postpone(ms),
-  );
+  using silence = watchSilence(options, run, {
+    endpoint,
+    timeoutMs: STALL_MIN_MS,
+    isCounted: true,
+    giveUp: drop,
+  });
+  const result = await deliverAnswer(options, run, held.createAnswer(), ms => {
+    silence.recordOutput(ms);
+    health.recordOutput(endpoint);
+  });
   if (signal.aborted) return {type: 'left'};
   return shutdown.isAborted && isIncomplete(result)
     ? {type: 'interrupted'}
--- a/src/coordination/forwarding/endpoint_health.ts
+++ b/src/coordination/forwarding/endpoint_health.ts
@@ -31,6 +31,10 @@
   fullUntil: number;
   /** When it last answered any request, on the monotonic clock. */
   answeredAt: number;
+  /** When it last sent a part of any answer, on the monotonic clock. */
+  spokeAt: number;
+  /** Since when requests are open, on the monotonic clock. */
+  openSince: number;
 }
 
 /** Counts requests and failures by endpoint. */
@@ -42,7 +46,7 @@
   /** Counts an open request; dispose the result when it ends. */
   open(endpoint: EndpointEntry): Disposable {
     const state = this.get(endpoint);
-    state.open++;
+    if (state.open++ === 0) state.openSince = this.clock.monotonic();
     let closed = false;
     return {
       [Symbol.dispose]() {
@@ -115,6 +119,25 @@
     return this.get(endpoint).answeredAt >= since;
   }
 
+  /** Records that an endpoint sent a part of any answer. */
+  recordOutput(endpoint: EndpointEntry): void {
+    this.get(endpoint).spokeAt = this.clock.monotonic();
+  }
+
+  /** Whether it sent anything since a time on the monotonic clock. */
+  hasSpokenSince(endpoint: EndpointEntry, since: number): boolean {
+    const {spokeAt, answeredAt} = this.get(endpoint);
+    return Math.max(spokeAt, answeredAt) > since;
+  }
+
+  /** Whether it sent nothing for `ms`, although requests are open at it. */
+  isSilent(endpoint: EndpointEntry, ms: number): boolean {
+    const {open, openSince} = this.get(endpoint);
+    const since = this.clock.monotonic() - ms;
+    if (open === 0 || openSince > since) return false;
+    return !this.hasSpokenSince(endpoint, since);
+  }
+
   /** Counts the requests that this gateway has open at an endpoint. */
   countOpen(endpoint: EndpointEntry): number {
     return this.get(endpoint).open;
@@ -160,6 +183,8 @@
       ejectedUntil: -Infinity,
       fullUntil: -Infinity,
       answeredAt: -Infinity,
+      spokeAt: -Infinity,
+      openSince: -Infinity,
     };
     this.states.set(id, fresh);
     return fresh;
--- a/src/coordination/forwarding/endpoint_picker.ts
+++ b/src/coordination/forwarding/endpoint_picker.ts
@@ -52,6 +52,11 @@
   readonly findRegion: (dataCentre: string) => string | null;
 }
 
+export interface PlanOptions {
+  /** Whether an endpoint may be chosen; all may by default. */
+  readonly isAllowed?: (endpoint: EndpointEntry) => boolean;
+}
+
 interface DescribeOptions {
   readonly endpoint: EndpointEntry;
   readonly model: string | null;
@@ -68,32 +73,39 @@
 
   /** Picks the next attempt; `null` when no endpoint can accept it. */
   pick(run: CallRun): AttemptChoice | null {
+    const choice = this.planNext(run);
+    if (choice) this.record(run, choice);
+    return choice;
+  }
+
+  /** Plans the next attempt without recording it. */
+  planNext(run: CallRun, options: PlanOptions = {}): AttemptChoice | null {
     const {models} = run.admitted.route;
     const model = run.call.facts.isModelOpen
       ? chooseModel(models, {asksLargest: this.asksLargest(run)})
       : null;
-    const choice = this.plan(run, model);
-    if (choice && run.sharedPrefixId !== null) {
-      this.prefixCache.record(choice.endpoint, model, run.sharedPrefixId);
-    }
-    return choice;
+    return this.plan(run, model, options);
+  }
+
+  /** Records that a planned attempt will be made. */
+  record({sharedPrefixId}: CallRun, {endpoint, model}: AttemptChoice): void {
+    if (sharedPrefixId === null) return;
+    this.prefixCache.record(endpoint, model, sharedPrefixId);
   }
 
   /**
    * Plans an attempt with a model without recording it; `null` when no endpoint
    * can accept it.
-   *
-   * @param except An endpoint to exclude.
    */
   plan(
     run: CallRun,
     model: string | null,
-    except?: EndpointEntry,
+    {isAllowed = () => true}: PlanOptions = {},
   ): AttemptChoice | null {
     const {region, dataCentre, findRegion, random, prefillBacklog, clock} =
       this.options;
     const {service, route} = run.admitted;
-    const endpoints = this.listUntried(run).filter(each => each !== except);
+    const endpoints = this.listUntried(run).filter(isAllowed);
     const chosen = chooseEndpoint({
       service,
       candidates: this.describeCandidates(run, model, endpoints),
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -21,7 +21,9 @@
 import {EndpointPicker} from './endpoint_picker.ts';
 import type {EndpointLimits} from './endpoint_limits.ts';
 import type {EndpointNotices} from './endpoint_notices.ts';
+import {findFallbackMs} from './find_fallback.ts';
 import {handleAbort} from './handle_abort.ts';
+import {Handover} from './handover.ts';
 import type {Quarantine} from '../quarantine/quarantine.ts';
 import type {CallRelay} from '../reach/call_relay.ts';
 import type {RecentGateways} from './recent_gateways.ts';
@@ -33,11 +35,11 @@
 } from './plan_refusal.ts';
 import {refuseCall, type RefusalReason} from './refuse.ts';
 import {
-  findFallbackMs,
   runAttempt,
   type AttemptChoice,
   type AttemptResult,
 } from './run_attempt.ts';
+import {RETRY_HANDOVER_MS} from './silence_watch.ts';
 import {breakOff} from './break_off.ts';
 import {CallRun, type BlockReason} from './call_run.ts';
 import {Shutdown} from './shutdown.ts';
@@ -101,6 +103,7 @@
   private readonly budgets: RetryBudgets;
   private readonly threshold: EscalationThreshold;
   private readonly picker: EndpointPicker;
+  private readonly handover: Handover;
   private isStopping = false;
 
   constructor(private readonly options: ForwarderOptions) {
@@ -114,6 +117,8 @@
       ratio: retryRatio * RETRY_BUDGET_SHARE,
       getExtra: () => (retryExtra * RETRY_BUDGET_SHARE) / gateways.count(),
     });
+    const {budgets, picker, shutdown} = this;
+    this.handover = new Handover({...options, budgets, picker, shutdown});
   }
 
   /** Answers a request; resolves when the answer is complete or aborted. */
@@ -147,6 +152,9 @@
     if (run.call.signal.aborted) return run.finish('left', 0);
     const leftMs = run.admitted.deadline - clock.monotonic();
     if (leftMs <= 0) return this.finishUndelivered(run, sink, 'deadline');
+    const reserved = run.takeReserved();
+    if (reserved) return this.attempt(run, sink, {choice: reserved, leftMs});
+    if (run.isGivenUp) return this.reserveAgain(run, sink);
     if (!this.shutdown.canEnd(run)) {
       return this.deliverFallback(run, sink, leftMs);
     }
@@ -170,14 +178,27 @@
     }
     run.blockedBy = choice ? null : this.explainBlock(run, canSend);
     if (!choice) return this.deliverFallback(run, sink, leftMs);
+    return this.attempt(run, sink, {choice, leftMs});
+  }
+
+  /** Runs an attempt, and finishes the run if its answer was delivered. */
+  private async attempt(
+    run: CallRun,
+    sink: CallerSink,
+    {choice, leftMs}: {choice: AttemptChoice; leftMs: number},
+  ): Promise<void> {
+    const {shutdown} = this;
     const result = await runAttempt(
       {
         ...this.options,
         sink,
-        shutdown: this.shutdown,
+        shutdown,
+        handover: this.handover,
         leftMs,
         mayReceive: endpoint =>
-          this.picker.mayReceive(endpoint) && this.shutdown.canEnd(run),
+          this.picker.mayReceive(endpoint) &&
+          // Nothing else is left of an answer that was given up.
+          (run.isGivenUp ? !shutdown.isAborted : shutdown.canEnd(run)),
         decideEscalation: confidence =>
           this.decideEscalation(run, choice, confidence),
       },
@@ -188,6 +209,17 @@
     this.finishWith(run, sink, result);
   }
 
+  /** Looks for another successor of an answer that was given up. */
+  private async reserveAgain(run: CallRun, sink: CallerSink): Promise<void> {
+    const successor = this.handover.reserveAgain(run);
+    if (successor.ok) return run.reserve(successor.value, {hasBegun: true});
+    const {error: reason} = successor;
+    if (this.shutdown.isAborted || reason === 'attempts') {
+      return this.breakOff(run, sink, reason);
+    }
+    await this.sleep(run, RETRY_HANDOVER_MS);
+  }
+
   /** Why the next attempt was not made. */
   private explainBlock(run: CallRun, canSend: boolean): BlockReason {
     if (run.quarantine !== null) return 'quarantine';
@@ -229,12 +261,17 @@
     if (!this.shutdown.canEnd(run, waitMs)) return false;
     // The retry budget was already charged for the next attempt.
     run.isPaid = run.sends > 0;
+    await this.sleep(run, waitMs);
+    return true;
+  }
+
+  /** Waits, at most until the caller leaves or open requests must end. */
+  private async sleep(run: CallRun, ms: number): Promise<void> {
     const wakened = new AbortController();
     const wake = () => wakened.abort('wakened');
     using _left = handleAbort(run.call.signal, wake);
     using _interrupted = this.shutdown.handleAbort(wake);
-    await this.options.clock.sleep(waitMs, wakened.signal);
-    return true;
+    await this.options.clock.sleep(ms, wakened.signal);
   }
 
   private finishWith(
@@ -253,14 +290,20 @@
     sink: CallerSink,
     leftMs: number,
   ): Promise<void> {
-    const {clock, health, metrics} = this.options;
+    const {health, metrics} = this.options;
     const held = sink.hasBegun ? null : run.takeHeld();
     if (!held) {
       const cause = this.shutdown.canEnd(run) ? null : 'stopping';
       return this.finishUndelivered(run, sink, cause);
     }
     const result = await deliverHeld(
-      {clock, sink, leftMs, shutdown: this.shutdown},
+      {
+        ...this.options,
+        handover: this.handover,
+        shutdown: this.shutdown,
+        sink,
+        leftMs,
+      },
       run,
       held,
     );
@@ -283,7 +326,9 @@
     // Its first answer has not yet shown whether it crashes its engine.
     if (!this.options.quarantine.isFree(run)) return false;
     // Does not hold back a ready answer when no other endpoint can be asked.
-    const largest = this.picker.plan(run, models.at(-1) ?? null, endpoint);
+    const largest = this.picker.plan(run, models.at(-1) ?? null, {
+      isAllowed: each => each !== endpoint,
+    });
     if (!largest || !this.canBeginInTime(run, largest)) return false;
     const uncachedShare = this.computeUncachedShare(run, largest);
     if (!this.threshold.isBelow(confidence, uncachedShare)) return false;
--- /dev/null
+++ b/src/coordination/forwarding/handover.ts
@@ -0,0 +1,116 @@
+/**
+ * Reserves the successor of an attempt whose endpoint is silent.
+ *
+ * A silent endpoint may go on at any moment, and an answer that has begun is lost
+ * to its caller if no other endpoint takes over. So an attempt is given up only
+ * once everything that its successor needs is reserved, in the same step.
+ */
+import type {Clock} from '../../protocol/clock.ts';
+import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
+import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
+import type {RetryBudgets} from '../limits/retry_budgets.ts';
+import type {Quarantine} from '../quarantine/quarantine.ts';
+import type {BlockReason, CallRun} from './call_run.ts';
+import type {EndpointHealth} from './endpoint_health.ts';
+import type {EndpointPicker} from './endpoint_picker.ts';
+import type {AttemptChoice} from './run_attempt.ts';
+import type {Shutdown} from './shutdown.ts';
+
+/** Pause after which an endpoint with open attempts counts as silent, in ms. */
+const SILENT_MS = 600;
+
+/**
+ * Silence after which an answer moves to an endpoint that is not known to be
+ * silent, in ms. Before that, it moves only to one that spoke meanwhile.
+ */
+const UNHEARD_AFTER_MS = 2_000;
+
+export interface HandoverOptions {
+  readonly clock: Clock;
+  readonly health: Pick<
+    EndpointHealth,
+    'isEjected' | 'isFull' | 'isSilent' | 'hasSpokenSince'
+  >;
+  readonly quarantine: Pick<Quarantine, 'isFree'>;
+  readonly picker: Pick<EndpointPicker, 'planNext' | 'record'>;
+  readonly budgets: RetryBudgets;
+  readonly shutdown: Pick<Shutdown, 'canEnd' | 'isAborted'>;
+}
+
+/** An attempt whose endpoint is silent. */
+export interface SilentAttempt {
+  readonly endpoint: EndpointEntry;
+  /** When it last sent anything, on the monotonic clock. */
+  readonly silentSince: number;
+  /** Whether the caller has received a part of its answer. */
+  readonly hasBegun: boolean;
+  /** Whether it is among the runs of its request already. */
+  readonly isCounted: boolean;
+}
+
+export class Handover {
+  constructor(private readonly options: HandoverOptions) {}
+
+  /**
+   * Reserves the successor of a silent attempt, or fails with what it lacks. The
+   * caller must give up the attempt right away if this succeeds.
+   */
+  reserve(
+    run: CallRun,
+    attempt: SilentAttempt,
+  ): Outcome<AttemptChoice, BlockReason> {
+    const {shutdown, quarantine} = this.options;
+    const {isRepeatable, route} = run.admitted;
+    const runs = run.runs + (attempt.isCounted ? 0 : 1);
+    if (!isRepeatable || runs >= route.maxAttempts) return fail('attempts');
+    if (!shutdown.canEnd(run)) return fail('stopping');
+    if (attempt.hasBegun && !quarantine.isFree(run)) return fail('quarantine');
+    return this.reserveAt(run, each => this.canTakeOver(each, attempt));
+  }
+
+  /**
+   * Reserves a further successor for an answer whose attempt was given up; the
+   * reserved one did not take it.
+   */
+  reserveAgain(run: CallRun): Outcome<AttemptChoice, BlockReason> {
+    const {shutdown, quarantine, health} = this.options;
+    if (shutdown.isAborted) return fail('stopping');
+    if (run.runs >= run.admitted.route.maxAttempts) return fail('attempts');
+    if (!quarantine.isFree(run)) return fail('quarantine');
+    const successor = this.reserveAt(run, each => !health.isEjected(each));
+    // The endpoints that were tried may take it by now.
+    if (!successor.ok && successor.error === 'no-endpoint') run.tried.clear();
+    return successor;
+  }
+
+  private reserveAt(
+    run: CallRun,
+    isAllowed: (endpoint: EndpointEntry) => boolean,
+  ): Outcome<AttemptChoice, BlockReason> {
+    const {picker, budgets} = this.options;
+    const choice = picker.planNext(run, {isAllowed});
+    if (!choice) return fail('no-endpoint');
+    const isPaid =
+      run.isPaid || budgets.get(run.admitted.service.name).tryTake();
+    if (!isPaid) return fail('budget');
+    picker.record(run, choice);
+    return succeed(choice);
+  }
+
+  /** Whether an endpoint is a better place for an attempt than a silent one. */
+  private canTakeOver(
+    endpoint: EndpointEntry,
+    {endpoint: silent, silentSince, hasBegun}: SilentAttempt,
+  ): boolean {
+    const {clock, health} = this.options;
+    if (endpoint.id === silent.id) return false;
+    if (!hasBegun) return true;
+    if (endpoint.silent || health.isEjected(endpoint)) return false;
+    if (health.isFull(endpoint)) return false;
+    if (health.hasSpokenSince(endpoint, silentSince)) return true;
+    const silenceMs = clock.monotonic() - silentSince;
+    return (
+      silenceMs >= UNHEARD_AFTER_MS && !health.isSilent(endpoint, SILENT_MS)
+    );
+  }
+}
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -1,5 +1,4 @@
 /** Sends a request to one endpoint and relays its answer. */
-import type {Clock} from '../../protocol/clock.ts';
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import type {
   AttemptOutcome,
@@ -19,7 +18,9 @@
 import type {Quarantine} from '../quarantine/quarantine.ts';
 import type {Reachability} from '../reach/reachability.ts';
 import type {CrashWatch} from '../quarantine/crash_watch.ts';
+import {findFallbackMs} from './find_fallback.ts';
 import {STALL_MIN_MS} from './relay_events.ts';
+import {watchSilence, type WatchSilenceOptions} from './silence_watch.ts';
 import type {Shutdown} from './shutdown.ts';
 import {startWatchdog} from './watchdog.ts';
 
@@ -30,19 +31,6 @@
 const FIRST_OUTPUT_TIMEOUT_FACTOR = 1.3;
 const FIRST_OUTPUT_TIMEOUT_MIN_MS = 500;
 
-/**
- * Share of the objective after which the held answer is delivered instead of an
- * escalation that has not begun. The rest covers the transfer to the caller.
- */
-const FALLBACK_SHARE = 0.8;
-
-/**
- * The same limit, as a multiple of the objective, for a larger model that is
- * expected to begin late. By then the held answer is late as well, and the one
- * of higher confidence serves the caller better.
- */
-const FALLBACK_FACTOR = 1.25;
-
 /**
  * Expected time to begin, as a share of the objective, above which silence of
  * the larger model does not indicate a failure.
@@ -89,8 +77,7 @@
   /** The caller disconnected. */
   | {readonly type: 'left'};
 
-export interface RunAttemptOptions {
-  readonly clock: Clock;
+export interface RunAttemptOptions extends WatchSilenceOptions {
   readonly health: EndpointHealth;
   readonly notices: EndpointNotices;
   readonly limits: EndpointLimits;
@@ -160,21 +147,19 @@
     backlogMs,
   });
   using _deadline = startWatchdog(clock, leftMs, () => abort('deadline'));
-  using stall = startWatchdog(
-    clock,
-    computeFirstOutputTimeoutMs(run, startedAt),
-    () => {
-      if (!run.held) {
-        if (canRetryElsewhere(run)) abort('stall');
-        return;
-      }
+  using silence = watchSilence(options, run, {
+    endpoint,
+    timeoutMs: computeFirstOutputTimeoutMs(options, run, startedAt),
+    handleSilence: () => {
+      if (!run.held) return 0;
       // An endpoint that answers other requests is busy, not failed.
       run.mayBeginLate ||= health.hasAnsweredSince(endpoint, startedAt);
       const moreMs = findFallbackMs(run, clock.monotonic());
-      if (moreMs > 0) stall.postpone(moreMs);
-      else abort('overdue');
+      if (moreMs === 0) abort('overdue');
+      return moreMs || Infinity;
     },
-  );
+    giveUp: () => abort('stall'),
+  });
   if (call.signal.aborted) return {type: 'left'};
   const outcome = await options.send(call, {
     endpoint,
@@ -202,7 +187,8 @@
     startedAt,
     watch,
     onProgress: ms => {
-      stall.postpone(ms);
+      silence.recordOutput(ms);
+      health.recordOutput(endpoint);
       watch.recordProgress();
     },
   });
@@ -249,24 +235,14 @@
   return {...result, isDisconnected: false, reason: aborted};
 }
 
-/** The time until the fallback to a held answer, in ms; 0 when it is due. */
-export function findFallbackMs(
-  {call, admitted, mayBeginLate}: CallRun,
+/** The timeout for the first event or the whole answer, in ms. */
+function computeFirstOutputTimeoutMs(
+  {sink}: Pick<RunAttemptOptions, 'sink'>,
+  run: CallRun,
   nowMs: number,
 ): number {
-  const {objectiveMs} = admitted.route;
-  const dueMs = objectiveMs * (mayBeginLate ? FALLBACK_FACTOR : FALLBACK_SHARE);
-  return Math.max(0, call.receivedAt + dueMs - nowMs);
-}
-
-/** Whether the request can be retried at another endpoint. */
-function canRetryElsewhere({admitted, runs}: CallRun): boolean {
-  return admitted.isRepeatable && runs + 1 < admitted.route.maxAttempts;
-}
-
-/** The timeout for the first event or the whole answer, in ms. */
-function computeFirstOutputTimeoutMs(run: CallRun, nowMs: number): number {
   if (run.held) return findFallbackMs(run, nowMs);
+  if (sink.hasBegun) return STALL_MIN_MS;
   const {objectiveMs, repeatability} = run.admitted.route;
   const timeoutMs = Math.max(
     FIRST_OUTPUT_TIMEOUT_MIN_MS,
--- /dev/null
+++ b/src/coordination/forwarding/silence_watch.ts
@@ -0,0 +1,127 @@
+/**
+ * Watches an attempt for the silence of its endpoint.
+ *
+ * When the endpoint is silent for too long, the attempt is given up if its
+ * successor can be reserved. Otherwise the watch goes on listening and asks again
+ * at intervals.
+ */
+import type {Clock} from '../../protocol/clock.ts';
+import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
+import type {Logger} from '../../protocol/logger.ts';
+import type {Metrics} from '../../protocol/metrics.ts';
+import type {CallerSink} from './call.ts';
+import type {BlockReason, CallRun} from './call_run.ts';
+import type {Handover} from './handover.ts';
+import {startWatchdog} from './watchdog.ts';
+
+/** The interval at which a successor is looked for. */
+export const RETRY_HANDOVER_MS = 100;
+
+/** Reasons that do not change while the attempt goes on. */
+const FINAL: ReadonlySet<BlockReason> = new Set(['attempts']);
+
+export interface WatchSilenceOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly handover: Pick<Handover, 'reserve'>;
+  readonly sink: Pick<CallerSink, 'hasBegun'>;
+}
+
+export interface WatchedAttempt {
+  readonly endpoint: EndpointEntry;
+  /** The timeout for its first output, in ms. */
+  readonly timeoutMs: number;
+  /** Whether it is among the runs of its request already; false by default. */
+  readonly isCounted?: boolean;
+  /**
+   * Handles silence in another way: returns the time until the next check, in
+   * ms; 0, as by default, if a successor is to be looked for.
+   */
+  readonly handleSilence?: () => number;
+  /** Aborts the attempt; its successor is reserved. */
+  readonly giveUp: () => void;
+}
+
+/** Watches one attempt until it is disposed of. */
+export interface SilenceWatch extends Disposable {
+  /** Records output; it is silent too long after another `ms`. */
+  recordOutput(ms: number): void;
+}
+
+/** Starts to watch an attempt. */
+export function watchSilence(
+  options: WatchSilenceOptions,
+  run: CallRun,
+  {
+    endpoint,
+    timeoutMs,
+    isCounted = false,
+    handleSilence = () => 0,
+    giveUp,
+  }: WatchedAttempt,
+): SilenceWatch {
+  const {clock, handover, sink} = options;
+  let silentSince = clock.monotonic();
+  /** Why the attempt goes on although its endpoint is silent. */
+  let waitsFor: BlockReason | null = null;
+  const record = (decision: string, reason: BlockReason | null) =>
+    recordDecision(options, run, {endpoint, silentSince, decision, reason});
+  const watchdog = startWatchdog(clock, timeoutMs, () => {
+    const moreMs = handleSilence();
+    if (moreMs > 0) return watchdog.postpone(moreMs);
+    const {hasBegun} = sink;
+    const successor = handover.reserve(run, {
+      endpoint,
+      silentSince,
+      hasBegun,
+      isCounted,
+    });
+    if (successor.ok) {
+      record('resume', null);
+      run.reserve(successor.value, {hasBegun});
+      return giveUp();
+    }
+    const reason = successor.error;
+    if (reason !== waitsFor) record('wait', reason);
+    waitsFor = reason;
+    watchdog.postpone(FINAL.has(reason) ? Infinity : RETRY_HANDOVER_MS);
+  });
+  return {
+    recordOutput(ms) {
+      if (waitsFor !== null) record('continue', waitsFor);
+      waitsFor = null;
+      silentSince = clock.monotonic();
+      watchdog.postpone(ms);
+    },
+    [Symbol.dispose]: () => watchdog[Symbol.dispose](),
+  };
+}
+
+interface Decision {
+  readonly endpoint: EndpointEntry;
+  readonly silentSince: number;
+  /** `continue` if the endpoint went on while the attempt waited. */
+  readonly decision: string;
+  /** What a successor lacks. */
+  readonly reason: BlockReason | null;
+}
+
+function recordDecision(
+  {clock, logger, metrics, sink}: WatchSilenceOptions,
+  {call, admitted, runs, lastEventId}: CallRun,
+  {endpoint, silentSince, decision, reason}: Decision,
+): void {
+  metrics.count('silences', 1, {decision, reason: reason ?? 'none'});
+  logger.info('Decides on an attempt whose endpoint is silent.', {
+    request: call.facts.attemptId,
+    service: admitted.service.name,
+    endpoint: endpoint.id,
+    decision,
+    reason,
+    silenceMs: Math.round(clock.monotonic() - silentSince),
+    hasBegun: sink.hasBegun,
+    lastEventId,
+    runs,
+  });
+}
