Expect only the rest of a stream when it is resumed in a planned stop

Callers: a stream whose worker is gone was held until the grace period ended, and then cut, although another worker could have ended it in time.

Cause: Shutdown.canEnd() expected a resumed stream to take as long as a whole one. It now subtracts the time for which the answer has been relayed; an answer that outlasted the recent ones may last as long again.

The new test in shutdown_test.ts: 'cut' before, 'whole' now.

--- a/src/coordination/forwarding/route_durations.ts
+++ b/src/coordination/forwarding/route_durations.ts
@@ -41,4 +41,15 @@
       .sort((a, b) => b - a);
     return durations[Math.floor(durations.length * LONGER_SHARE)] ?? Infinity;
   }
+
+  /**
+   * Estimates the time that the next attempt takes, in ms. One that resumes an
+   * answer needs no time for the part that the caller has.
+   */
+  estimateLeft(run: CallRun): number {
+    const wholeMs = this.estimate(run);
+    const relayedMs = (run.lastOutputMs ?? 0) - (run.firstMs ?? 0);
+    // An answer that outlasted the recent ones may last as long again.
+    return relayedMs < wholeMs ? wholeMs - relayedMs : wholeMs;
+  }
 }
--- a/src/coordination/forwarding/shutdown.ts
+++ b/src/coordination/forwarding/shutdown.ts
@@ -57,7 +57,7 @@
     if (this.endsAt === Infinity) return true;
     const leftMs = this.endsAt - this.clock.monotonic();
     const limitMs = run.admitted.deadline - this.clock.monotonic();
-    const expectedMs = delayMs + this.durations.estimate(run);
+    const expectedMs = delayMs + this.durations.estimateLeft(run);
     return Math.min(expectedMs, limitMs) <= leftMs;
   }
 
--- a/src/coordination/forwarding/shutdown_test.ts
+++ b/src/coordination/forwarding/shutdown_test.ts
@@ -228,6 +228,48 @@
   assert.ok(gateway.clock.monotonic() - startedAt < 100, 'refuses at once');
 });
 
+// Guards against streams that are held at an endpoint that is gone until the grace
+// period ends, since a resumed stream was expected to take as long as a whole one.
+test('begin() allows a stream to be resumed when its rest ends in time', async () => {
+  const EVENTS = 30;
+  let isSilent = false;
+  const gateway = new FakeGateway({
+    route: createRoute({
+      ...LONG,
+      objectiveMs: 2_000,
+      repeatability: 'stream',
+      resumable: true,
+      maxAttempts: 3,
+    }),
+    endpoints: ENDPOINTS,
+    behave: async (call, options, clock) => {
+      const answer = createAnswer(call, options, {isStream: true});
+      if (answer.type !== 'answer') return answer;
+      const first = Number(options.lastEventId ?? 0) + 1;
+      const isFirst = gateway.attempts.length === 2;
+      async function* sendEvents() {
+        for (let event = first; event <= EVENTS; event++) {
+          if (isSilent && isFirst) await waitForAbort(options.signal);
+          yield Buffer.from(`id: ${event}\ndata: a\n\n`);
+          await clock.sleep(100, options.signal);
+        }
+      }
+      return {...answer, answer: {...answer.answer, body: sendEvents()}};
+    },
+  });
+  await gateway.request();
+  const {sink, done} = gateway.start();
+  await gateway.clock.advance(2_000);
+  // Of 3 s, 1 s is left; the grace period ends 3.5 s after the last event.
+  isSilent = true;
+  gateway.forwarder.shutdown.begin(gateway.clock.monotonic() + 3_500);
+  await gateway.clock.advance(3_500);
+  gateway.forwarder.shutdown.abort();
+  await done;
+  assert.equal(sink.outcome, 'whole');
+  assert.equal(gateway.attempts.length, 3);
+});
+
 test('begin() prevents escalations that are not expected to end in time', async () => {
   for (const leftMs of [10_000, 500]) {
     const gateway = new FakeGateway({
