--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -16,9 +16,9 @@
   type AdmitCallOptions,
 } from './admit_call.ts';
 import type {Call, CallerSink, SendAttempt} from './call.ts';
-import {EscalationThreshold, hasLarger, isUnsure} from './choose_model.ts';
 import {deliverHeld} from './deliver_held.ts';
 import {EndpointPicker} from './endpoint_picker.ts';
+import {Escalation} from './escalation.ts';
 import type {EndpointLimits} from './endpoint_limits.ts';
 import type {EndpointNotices} from './endpoint_notices.ts';
 import {findFallbackMs} from './find_fallback.ts';
@@ -56,18 +56,6 @@
  */
 const RETRY_BUDGET_SHARE = 0.85;
 
-/** Retries that an escalation must leave in the budget for failed requests. */
-const ESCALATION_RESERVE = 1;
-
-/**
- * Share of the objective after which a request is not escalated any more: the
- * smallest model itself was slow, and a larger one would begin too late.
- */
-const ESCALATE_BY_SHARE = 0.6;
-
-/** Share of the objective within which a larger model must begin to answer. */
-const BEGIN_BY_SHARE = 0.75;
-
 /**
  * Share of the objective within which a wait for a requested back-off must end.
  * The rest is needed to answer the request.
@@ -101,13 +89,12 @@
 export class Forwarder {
   readonly shutdown: Shutdown;
   private readonly budgets: RetryBudgets;
-  private readonly threshold: EscalationThreshold;
+  private readonly escalation: Escalation;
   private readonly picker: EndpointPicker;
   private readonly handover: Handover;
   private isStopping = false;
 
   constructor(private readonly options: ForwarderOptions) {
-    this.threshold = new EscalationThreshold(options.clock);
     this.shutdown = new Shutdown(options.clock);
     this.picker = new EndpointPicker(options);
     const {clock, gateways, retryRatio, retryExtra, retryWindowMs} = options;
@@ -118,7 +105,9 @@
       getExtra: () => (retryExtra * RETRY_BUDGET_SHARE) / gateways.count(),
     });
     const {budgets, picker, shutdown} = this;
-    this.handover = new Handover({...options, budgets, picker, shutdown});
+    const parts = {...options, budgets, picker, shutdown};
+    this.handover = new Handover(parts);
+    this.escalation = new Escalation(parts);
   }
 
   /** Answers a request; resolves when the answer is complete or aborted. */
@@ -200,7 +189,7 @@
           // Nothing else is left of an answer that was given up.
           (run.isGivenUp ? !shutdown.isAborted : shutdown.canEnd(run)),
         decideEscalation: confidence =>
-          this.decideEscalation(run, choice, confidence),
+          this.escalation.decide(run, choice, confidence),
       },
       run,
       choice,
@@ -313,58 +302,11 @@
     this.finishWith(run, sink, result);
   }
 
-  /** Decides whether to escalate an answer of this confidence. */
-  private decideEscalation(
-    run: CallRun,
-    {endpoint, model}: AttemptChoice,
-    confidence: number,
-  ): boolean {
-    const {models} = run.admitted.route;
-    if (run.hasEscalated || !hasLarger(models, model)) return false;
-    if (!this.isSoonEnough(run) || !isUnsure(confidence)) return false;
-    if (!this.shutdown.canEnd(run)) return false;
-    // Its first answer has not yet shown whether it crashes its engine.
-    if (!this.options.quarantine.isFree(run)) return false;
-    // Does not hold back a ready answer when no other endpoint can be asked.
-    const largest = this.picker.plan(run, models.at(-1) ?? null, {
-      isAllowed: each => each !== endpoint,
-    });
-    if (!largest || !this.canBeginInTime(run, largest)) return false;
-    const uncachedShare = this.computeUncachedShare(run, largest);
-    if (!this.threshold.isBelow(confidence, uncachedShare)) return false;
-    run.largestPrefillMs = largest.plan.ms;
-    return this.takeEscalationBudget(run);
-  }
-
-  /** Whether an attempt is expected to begin its answer early enough. */
-  private canBeginInTime(run: CallRun, {expectedMs}: AttemptChoice): boolean {
-    const {objectiveMs} = run.admitted.route;
-    return this.measureAgeMs(run) + expectedMs < objectiveMs * BEGIN_BY_SHARE;
-  }
-
-  /** The share of the prompt that an attempt has to prefill. */
-  private computeUncachedShare(run: CallRun, {plan}: AttemptChoice): number {
-    return plan.uncachedTokens / Math.max(1, run.call.facts.promptTokens);
-  }
-
-  /** Whether enough of the objective is left to escalate. */
-  private isSoonEnough(run: CallRun): boolean {
-    const {objectiveMs} = run.admitted.route;
-    return this.measureAgeMs(run) < objectiveMs * ESCALATE_BY_SHARE;
-  }
-
   /** The time since the request was received, in ms. */
   private measureAgeMs({call}: CallRun): number {
     return this.options.clock.monotonic() - call.receivedAt;
   }
 
-  /** Charges the retry budget for an escalation; false if not allowed. */
-  private takeEscalationBudget({admitted, runs}: CallRun): boolean {
-    const {isRepeatable, route, service} = admitted;
-    if (!isRepeatable || runs + 1 >= route.maxAttempts) return false;
-    return this.budgets.get(service.name).tryTake(ESCALATION_RESERVE);
-  }
-
   /** Whether another attempt is allowed; charges the retry budget if so. */
   private canRetry(run: CallRun): boolean {
     const {admitted, runs, notRun} = run;
@@ -411,11 +353,7 @@
     // A trial goes on until an attempt may have run.
     if (mayHaveRun(result)) this.options.quarantine.finishTrial(run);
     run.isPermitted = run.isTrial;
-    if (result.type === 'escalated') {
-      run.escalatedMs = Math.round(this.measureAgeMs(run));
-      const {objectiveMs} = run.admitted.route;
-      run.escalation = this.threshold.open(objectiveMs, run.largestPrefillMs);
-    }
+    if (result.type === 'escalated') this.escalation.begin(run);
     // The true wait is longer still; records it as a lower bound.
     if (result.type === 'overdue') run.escalation?.begin();
     recordAttempt(this.options, run, {endpoint, result});
