Ask further successors of a given up answer at intervals

A successor that refuses an answer was followed by the next one at once, at an endpoint that had just said that it is full.

--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -200,13 +200,13 @@
 
   /** Looks for another successor of an answer that was given up. */
   private async reserveAgain(run: CallRun, sink: CallerSink): Promise<void> {
+    await this.sleep(run, RETRY_HANDOVER_MS);
     const successor = this.handover.reserveAgain(run);
     if (successor.ok) return run.reserve(successor.value, {hasBegun: true});
     const {error: reason} = successor;
     if (this.shutdown.isAborted || reason === 'attempts') {
-      return this.breakOff(run, sink, reason);
+      this.breakOff(run, sink, reason);
     }
-    await this.sleep(run, RETRY_HANDOVER_MS);
   }
 
   /** Why the next attempt was not made. */
--- a/src/coordination/forwarding/handover.ts
+++ b/src/coordination/forwarding/handover.ts
@@ -77,7 +77,10 @@
     if (shutdown.isAborted) return fail('stopping');
     if (run.runs >= run.admitted.route.maxAttempts) return fail('attempts');
     if (!quarantine.isFree(run)) return fail('quarantine');
-    const successor = this.reserveAt(run, each => !health.isEjected(each));
+    const successor = this.reserveAt(
+      run,
+      each => !health.isEjected(each) && !health.isFull(each),
+    );
     // The endpoints that were tried may take it by now.
     if (!successor.ok && successor.error === 'no-endpoint') run.tried.clear();
     return successor;
