Move an answer only to an endpoint that spoke just now

Now it must have spoken within 100 ms, and the question is asked each 50 ms. A suite of mutants takes each precondition from the successor in turn.

--- a/src/coordination/forwarding/handover.ts
+++ b/src/coordination/forwarding/handover.ts
@@ -19,9 +19,15 @@
 /** Pause after which an endpoint with open attempts counts as silent, in ms. */
 const SILENT_MS = 600;
 
+/**
+ * How recently another endpoint must have spoken to take over, in ms: the others
+ * may have fallen silent shortly after the first.
+ */
+const FRESH_MS = 100;
+
 /**
  * Silence after which an answer moves to an endpoint that is not known to be
- * silent, in ms. Before that, it moves only to one that spoke meanwhile.
+ * silent, in ms. Before that, it moves only to one that speaks meanwhile.
  */
 const UNHEARD_AFTER_MS = 2_000;
 
@@ -110,8 +116,10 @@
     if (!hasBegun) return true;
     if (endpoint.silent || health.isEjected(endpoint)) return false;
     if (health.isFull(endpoint)) return false;
-    if (health.hasSpokenSince(endpoint, silentSince)) return true;
-    const silenceMs = clock.monotonic() - silentSince;
+    const now = clock.monotonic();
+    const freshSince = Math.max(silentSince, now - FRESH_MS);
+    if (health.hasSpokenSince(endpoint, freshSince)) return true;
+    const silenceMs = now - silentSince;
     return (
       silenceMs >= UNHEARD_AFTER_MS && !health.isSilent(endpoint, SILENT_MS)
     );
--- a/src/coordination/forwarding/handover_test.ts
+++ b/src/coordination/forwarding/handover_test.ts
@@ -88,7 +88,7 @@
   const {sink, done} = gateway.start();
   await gateway.clock.advance(SILENT_FROM_MS + 50);
   at(gateway);
-  await gateway.clock.advance(20_000);
+  await gateway.clock.advance(30_000);
   await done;
   const ids = [...sink.text.matchAll(/^id: (\d+)$/gm)].map(([, id]) => id);
   const isWhole = ids.length === EVENTS && sink.outcome === 'whole';
@@ -106,7 +106,7 @@
   const other = gateway.start();
   await gateway.clock.advance(SILENT_FROM_MS + 1_500);
   assert.equal(gateway.attempts.length, 3);
-  await gateway.clock.advance(20_000);
+  await gateway.clock.advance(30_000);
   await Promise.all([done, other.done]);
   assert.equal(sink.outcome, 'whole');
 });
@@ -162,7 +162,7 @@
       sendStream({call, options, clock, silence: SILENCE}),
   });
   const streams = [gateway.start(), gateway.start(), gateway.start()];
-  await gateway.clock.advance(20_000);
+  await gateway.clock.advance(30_000);
   await Promise.all(streams.map(({done}) => done));
   assert.ok(streams.every(({sink}) => sink.outcome === 'whole'));
   assert.equal(gateway.attempts.length, 3);
@@ -178,7 +178,7 @@
   await gateway.clock.advance(SILENT_FROM_MS + 50);
   const {quarantine} = gateway;
   quarantine.isFree = () => false;
-  await gateway.clock.advance(20_000);
+  await gateway.clock.advance(30_000);
   await done;
   assert.equal(sink.outcome, 'whole');
   assert.equal(gateway.attempts.length, 1);
@@ -205,7 +205,7 @@
     },
   });
   const {sink, done} = gateway.start({model: '*', isModelOpen: true});
-  await gateway.clock.advance(20_000);
+  await gateway.clock.advance(30_000);
   await done;
   assert.equal(sink.outcome, 'whole');
 });
@@ -227,7 +227,7 @@
     },
   });
   const {sink, done} = gateway.start();
-  await gateway.clock.advance(10_000);
+  await gateway.clock.advance(30_000);
   await done;
   assert.equal(sink.outcome, 'whole');
   assert.equal(refusals, 5);
--- a/src/coordination/forwarding/silence_watch.ts
+++ b/src/coordination/forwarding/silence_watch.ts
@@ -15,7 +15,7 @@
 import {startWatchdog} from './watchdog.ts';
 
 /** The interval at which a successor is looked for. */
-export const RETRY_HANDOVER_MS = 100;
+export const RETRY_HANDOVER_MS = 50;
 
 /** Reasons that do not change while the attempt goes on. */
 const FINAL: ReadonlySet<BlockReason> = new Set(['attempts']);
--- a/tools/mutants/main.ts
+++ b/tools/mutants/main.ts
@@ -11,6 +11,7 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {CONFIRMATION} from './confirmation.ts';
+import {HANDOVERS} from './handover.ts';
 import {ALTERNATIVES, MEMBERSHIP} from './membership.ts';
 import {NEWS} from './news.ts';
 import {ORDERS} from './orders.ts';
@@ -20,6 +21,7 @@
 
 const SUITES: ReadonlyMap<string, Suite> = new Map([
   ['confirmation', CONFIRMATION],
+  ['handover', HANDOVERS],
   ['news', NEWS],
   ['orders', ORDERS],
   ['quarantine', QUARANTINE],
