Read the number of the last event's id once

What callers would see: an endpoint that sends an event with a long id and then short events keeps its gateway's event loop busy; all other requests wait.

Cause: isNext() read the number of the last id, which may be 1 MiB long, anew for each event after it: the time is the product of the two. A caller's own Last-Event-Id was read as often.

Change: the run of a request holds the number beside the id and reads it when the id changes, so that each id is read as often as it is sent.

--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -9,6 +9,7 @@
 import type {AdmittedCall} from './admit_call.ts';
 import type {Call, Header} from './call.ts';
 import type {OpenEscalation} from './choose_model.ts';
+import type {StreamEvent} from './event_splitter.ts';
 import type {HeldAnswer} from './held_answer.ts';
 import type {VersionSubject} from './choose_version.ts';
 import type {AttemptResult} from './run_attempt.ts';
@@ -63,8 +64,6 @@
   quarantine: 'condemned' | 'suspected' | null = null;
   /** Whether the retry budget was already charged for the next attempt. */
   isPaid = false;
-  /** The last event that was sent to the caller. */
-  lastEventId: string | null;
   /** The time to the first event or the answer, in ms. */
   firstMs: number | null = null;
   /** The expected uncached prompt tokens of the last attempt. */
@@ -86,13 +85,17 @@
   readonly sharedPartIds: readonly string[];
   /** The shared parts that are watched for what they do to engines. */
   readonly watchedParts: readonly SuspectId[];
+  private lastId: string | null;
+  /** The number of the last event's id, which may be long. */
+  private lastNumber: number;
   private heldAnswer: HeldAnswer | null = null;
   private knownIdentity: string | null = null;
 
   constructor(readonly admitted: AdmittedCall) {
     const {lastEventId, prompt} = admitted.call.facts;
     this.runs = admitted.call.relayed?.runs ?? 0;
-    this.lastEventId = lastEventId;
+    this.lastId = lastEventId;
+    this.lastNumber = Number(lastEventId);
     this.sharedPartIds = prompt.slice(0, -1).map(({id}) => id);
     this.watchedParts = this.sharedPartIds
       .slice(0, MAX_WATCHED_PARTS)
@@ -103,6 +106,23 @@
     return this.admitted.call;
   }
 
+  /** The id of the last event that the caller has; `null` before the first. */
+  get lastEventId(): string | null {
+    return this.lastId;
+  }
+
+  /** Records the id of the last event that was sent to the caller. */
+  recordLastEvent(id: string): void {
+    this.lastId = id;
+    this.lastNumber = Number(id);
+  }
+
+  /** Whether an event comes after those that the caller has. */
+  isNext({id}: Pick<StreamEvent, 'id'>): boolean {
+    if (this.lastId === null || id === null) return true;
+    return Number(id) > this.lastNumber;
+  }
+
   /** What is equal for each sending of the same request. */
   get identity(): string {
     this.knownIdentity ??= computeRequestIdentity(this.admitted);
--- a/src/coordination/forwarding/relay_events.ts
+++ b/src/coordination/forwarding/relay_events.ts
@@ -60,7 +60,7 @@
   let hasRelayed = false;
   try {
     for await (const bytes of answer.body) {
-      const events = splitter.push(bytes).filter(event => isNext(run, event));
+      const events = splitter.push(bytes).filter(event => run.isNext(event));
       memory.keep(splitter.capacity + bufferedBytes);
       if (events.length === 0) continue;
       const hasProgress = events.some(({hasContent}) => hasContent);
@@ -79,7 +79,8 @@
       const drained = sink.write(Buffer.concat([...buffered, ...pieces]));
       buffered = [];
       bufferedBytes = 0;
-      run.lastEventId = findLastId(events) ?? run.lastEventId;
+      const lastId = findLastId(events);
+      if (lastId !== null) run.recordLastEvent(lastId);
       if (hasProgress) onProgress(stallMs);
       await drained;
       if (hasProgress) onProgress(stallMs);
@@ -107,12 +108,6 @@
   return ids.at(-1) ?? null;
 }
 
-/** Whether an event comes after those that were sent to the caller. */
-function isNext({lastEventId}: CallRun, {id}: StreamEvent): boolean {
-  if (lastEventId === null || id === null) return true;
-  return Number(id) > Number(lastEventId);
-}
-
 function dropFraming({headers}: EndpointAnswer): Header[] {
   return headers.filter(([name]) => !FRAMING_HEADERS.has(name.toLowerCase()));
 }
--- a/src/coordination/forwarding/relay_events_test.ts
+++ b/src/coordination/forwarding/relay_events_test.ts
@@ -5,6 +5,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
 import type {SimulatedClock} from '../../protocol/simulated_clock.ts';
+import {MAX_LINEAR_GROWTH, measureGrowth} from '../../protocol/test_growth.ts';
 import type {AttemptOptions, AttemptOutcome, Call} from './call.ts';
 import {createAnswer} from './fake_answers.ts';
 import {createEndpoint, createRoute, FakeGateway} from './forwarding_fakes.ts';
@@ -133,4 +134,25 @@
   assert.ok(sent <= 20, `${sent} pieces of 64 KiB were read`);
 });
 
+// Guards against a gateway that hangs while it relays one stream: the number of a
+// long id was read anew for each event after it.
+test('forward() relays events after a long id in linear time', async () => {
+  const event = 'id: 2\ndata: b\n\n';
+  const growth = await measureGrowth(
+    size => [
+      `id: ${'1'.padStart(size, '0')}\n\n`,
+      event.repeat(size / event.length),
+    ],
+    async pieces => {
+      const gateway = createGateway(async function* () {
+        yield* pieces;
+      });
+      const sink = await gateway.request();
+      assert.equal(sink.text.length, pieces.join('').length);
+    },
+    {size: 32_000, rounds: 3},
+  );
+  assert.ok(growth < MAX_LINEAR_GROWTH, `the time grew ${growth} times`);
+});
+
 test.run();
