Split the bytes of completions in pieces of bounded length

What callers would see: an endpoint that sends 64 KiB of line feeds before a carriage return, or carriage returns without a line feed, keeps its gateway's event loop busy for 0.1 s, and larger pieces for longer; all other requests wait.

Cause: the parser searches for the next end of a line of either kind up to the end of what it was fed, once for each line. Class: work that grows faster than what a sender sends.

Change: the parser is fed at most 1,024 characters at a time. What it searches for one line is bounded by that and by the line itself, so that the whole is linear.

--- a/src/transport/endpoints/answer_reader.ts
+++ b/src/transport/endpoints/answer_reader.ts
@@ -13,6 +13,12 @@
 /** Maximum number of chunks held until an earlier one arrives. */
 const MAX_REORDERED_CHUNKS = 1_024;
 
+/**
+ * Maximum number of characters that are split into lines at once. The parser may
+ * search all of them for the end of each line.
+ */
+const MAX_FED_CHARACTERS = 1_024;
+
 const chunkSchema = z.object({
   /** The number of the chunk within the answer, from 0. */
   offset: z.int().nonnegative().optional(),
@@ -64,7 +70,10 @@
 
   /** Reads bytes and returns the events that they complete. */
   read(bytes: Uint8Array): AnswerOutcome[] {
-    this.parser.feed(this.decoder.decode(bytes, {stream: true}));
+    const text = this.decoder.decode(bytes, {stream: true});
+    for (let start = 0; start < text.length; start += MAX_FED_CHARACTERS) {
+      this.parser.feed(text.slice(start, start + MAX_FED_CHARACTERS));
+    }
     return this.events.splice(0);
   }
 
