--- a/src/protocol/parse_message.ts
+++ b/src/protocol/parse_message.ts
@@ -25,7 +25,7 @@
  * The most values of a message. An error takes a hundred times the bytes of the
  * value that it is about.
  */
-const MAX_VALUES = 500_000;
+export const MAX_VALUES = 500_000;
 
 /** Entries that are named in a result. */
 const MAX_NAMED_ENTRIES = 8;
@@ -93,7 +93,7 @@
 }
 
 /** Whether validating a value could take too much memory. */
-export function hasTooManyValues(input: unknown): boolean {
+function hasTooManyValues(input: unknown): boolean {
   const open: unknown[] = [input];
   let count = 0;
   while (open.length > 0) {
