Name at most three errors of a manifest's references

What an operator would see: a manifest of 1 MB in which a route with a long name refers to many unknown services ends the core daemon that gets it.

Cause: each error names its route, and all errors were joined: the length of the reason is the product of both. Class: as before, work that grows faster than what is sent.

Change: these errors are formatted like those of the schema: the first three, each of 160 characters at most, and the number of the others. readers.md has promised that.

--- a/src/protocol/parse_message.ts
+++ b/src/protocol/parse_message.ts
@@ -110,13 +110,28 @@
 /** Formats the first issues on one line. */
 export function formatIssues({issues}: z.core.$ZodError): string {
   const named = issues.slice(0, MAX_NAMED_ISSUES).map(formatIssue);
-  const others = issues.length - named.length;
+  return formatNamed(named, issues.length);
+}
+
+/** Formats the first reasons on one line, each shortened. */
+export function formatReasons(reasons: readonly string[]): string {
+  const named = reasons.slice(0, MAX_NAMED_ISSUES).map(formatReason);
+  return formatNamed(named, reasons.length);
+}
+
+function formatNamed(named: readonly string[], count: number): string {
+  const others = count - named.length;
   return others > 0 ? `${named.join('; ')}; ${others} more` : named.join('; ');
 }
 
 function formatIssue({path, message}: z.core.$ZodIssue): string {
-  const text = path.length > 0 ? `${formatPath(path)}: ${message}` : message;
-  return text.slice(0, MAX_ISSUE_CHARACTERS);
+  return formatReason(
+    path.length > 0 ? `${formatPath(path)}: ${message}` : message,
+  );
+}
+
+function formatReason(reason: string): string {
+  return reason.slice(0, MAX_ISSUE_CHARACTERS);
 }
 
 /** Formats a path without indexes, so that repeated errors look the same. */
