Find who holds an address without searching all endpoints

What callers would see: a writer whose reports name thousands of endpoints keeps each core daemon busy, for longer with each report; workers, gateways and the operator wait.

Cause: each report is compared with all known endpoints to find who held its address before, on a copy of the table. Class: work that grows faster than what a sender sends.

Change: the ids of the endpoints that are not gone are kept by address. What replaces what stays the same.

--- a/src/coordination/core/endpoint_registry.ts
+++ b/src/coordination/core/endpoint_registry.ts
@@ -40,6 +40,8 @@
 
 export class EndpointRegistry {
   private readonly known = new Map<string, KnownEndpoint>();
+  /** The ids of the endpoints that are not gone, by address. */
+  private readonly holders = new Map<string, Set<string>>();
   private lastRevision = 0;
 
   constructor(private readonly options: EndpointRegistryOptions) {}
@@ -78,8 +80,7 @@
       known.receivedAt = receivedAt;
       return 'renewed';
     }
-    const changedAt = ++this.lastRevision;
-    this.known.set(report.id, {entry, receivedAt, changedAt});
+    this.replaceEntry(entry, receivedAt);
     return 'changed';
   }
 
@@ -100,9 +101,7 @@
   restore(reports: readonly EndpointReport[]): void {
     const receivedAt = this.options.clock.monotonic();
     for (const report of reports) {
-      const entry = {...report, silent: true};
-      const changedAt = ++this.lastRevision;
-      this.known.set(report.id, {entry, receivedAt, changedAt});
+      this.replaceEntry({...report, silent: true}, receivedAt);
     }
   }
 
@@ -154,8 +153,10 @@
     const now = this.options.clock.monotonic();
     for (const [id, known] of this.known) {
       const silentMs = now - known.receivedAt;
-      if (silentMs > expireAfterMs) this.known.delete(id);
-      else if (silentMs > silentAfterMs && !known.entry.silent) {
+      if (silentMs > expireAfterMs) {
+        this.removeHolder(known.entry);
+        this.known.delete(id);
+      } else if (silentMs > silentAfterMs && !known.entry.silent) {
         this.updateEntry(known, {...known.entry, silent: true});
       }
     }
@@ -166,15 +167,30 @@
     id,
     address,
   }: EndpointReport): KnownEndpoint | undefined {
-    return [...this.known.values()].find(
-      ({entry}) =>
-        entry.address === address && entry.id !== id && entry.state !== 'gone',
-    );
+    for (const holder of this.holders.get(address) ?? []) {
+      if (holder !== id) return this.known.get(holder);
+    }
+    return undefined;
+  }
+
+  private updateEntry({receivedAt}: KnownEndpoint, entry: EndpointEntry): void {
+    this.replaceEntry(entry, receivedAt);
+  }
+
+  private replaceEntry(entry: EndpointEntry, receivedAt: number): void {
+    const {id, address, state} = entry;
+    const earlier = this.known.get(id);
+    if (earlier) this.removeHolder(earlier.entry);
+    this.known.set(id, {entry, receivedAt, changedAt: ++this.lastRevision});
+    if (state === 'gone') return;
+    const ids = this.holders.get(address) ?? new Set();
+    this.holders.set(address, ids.add(id));
   }
 
-  private updateEntry(known: KnownEndpoint, entry: EndpointEntry): void {
-    known.entry = entry;
-    known.changedAt = ++this.lastRevision;
+  private removeHolder({id, address}: EndpointEntry): void {
+    const ids = this.holders.get(address);
+    ids?.delete(id);
+    if (ids?.size === 0) this.holders.delete(address);
   }
 }
 
--- a/src/coordination/core/endpoint_registry_test.ts
+++ b/src/coordination/core/endpoint_registry_test.ts
@@ -2,6 +2,7 @@
 import {test} from 'uvu';
 import type {EndpointReport} from '../../protocol/endpoint_report.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
+import {MAX_LINEAR_GROWTH, measureGrowth} from '../../protocol/test_growth.ts';
 import {EndpointRegistry} from './endpoint_registry.ts';
 
 function createReport(change: Partial<EndpointReport> = {}): EndpointReport {
@@ -109,4 +110,57 @@
   assert.equal(registry.find('e1')?.state, 'ready');
 });
 
+// Guards against a daemon that hangs while a writer reports many endpoints: all
+// known ones were searched for the address of each report.
+for (const [name, createChange] of [
+  ['at other addresses', (index: number) => ({address: `10.0.0.1:${index}`})],
+  ['at one address', (index: number) => ({startedAtMs: index})],
+] as const) {
+  test(`record() takes linear time for reports of endpoints ${name}`, async () => {
+    const growth = await measureGrowth(
+      count =>
+        Array.from({length: count}, (_, index) =>
+          createReport({id: `e${index}`, ...createChange(index)}),
+        ),
+      reports => {
+        const {registry} = createRegistry();
+        for (const report of reports) registry.record(report);
+        assert.equal(registry.list().length, reports.length);
+      },
+      {size: 1_000, rounds: 3},
+    );
+    assert.ok(growth < MAX_LINEAR_GROWTH, `the time grew ${growth} times`);
+  });
+}
+
+test('record() replaces the endpoint that holds an address now', () => {
+  const {registry} = createRegistry();
+  registry.record(createReport({id: 'e1', startedAtMs: 1}));
+  registry.record(createReport({id: 'e1', startedAtMs: 2, address: 'b:1'}));
+  registry.record(createReport({id: 'e2', startedAtMs: 3}));
+  assert.equal(registry.find('e1')?.state, 'ready');
+  registry.record(createReport({id: 'e3', startedAtMs: 4}));
+  assert.equal(registry.find('e2')?.state, 'gone');
+  const late = createReport({id: 'e4', startedAtMs: 3});
+  assert.equal(registry.record(late), 'ignored');
+  registry.record(createReport({id: 'e5', startedAtMs: 5, address: 'b:1'}));
+  assert.equal(registry.find('e1')?.state, 'gone');
+});
+
+test('record() replaces no endpoint that has expired', async () => {
+  const {clock, registry} = createRegistry();
+  registry.record(createReport({id: 'e1', startedAtMs: 9_000}));
+  await clock.advance(61_000);
+  registry.sweep();
+  assert.equal(registry.find('e1'), null);
+  assert.equal(registry.record(createReport({id: 'e2'})), 'changed');
+});
+
+test('record() replaces an endpoint that was restored', () => {
+  const {registry} = createRegistry();
+  registry.restore([createReport()]);
+  registry.record(createReport({id: 'e2', startedAtMs: 2_000}));
+  assert.equal(registry.find('e1')?.state, 'gone');
+});
+
 test.run();
