--- a/src/protocol/parse_message.ts
+++ b/src/protocol/parse_message.ts
@@ -25,7 +25,7 @@
  * The most values of a message. An error takes a hundred times the bytes of the
  * value that it is about.
  */
-const MAX_VALUES = 500_000;
+export const MAX_VALUES = 500_000;
 
 /** Entries that are named in a result. */
 const MAX_NAMED_ENTRIES = 8;
@@ -93,7 +93,7 @@
 }
 
 /** Whether validating a value could take too much memory. */
-export function hasTooManyValues(input: unknown): boolean {
+function hasTooManyValues(input: unknown): boolean {
   const open: unknown[] = [input];
   let count = 0;
   while (open.length > 0) {
@@ -110,13 +110,28 @@
 /** Formats the first issues on one line. */
 export function formatIssues({issues}: z.core.$ZodError): string {
   const named = issues.slice(0, MAX_NAMED_ISSUES).map(formatIssue);
-  const others = issues.length - named.length;
+  return formatNamed(named, issues.length);
+}
+
+/** Formats the first reasons on one line, each shortened. */
+export function formatReasons(reasons: readonly string[]): string {
+  const named = reasons.slice(0, MAX_NAMED_ISSUES).map(formatReason);
+  return formatNamed(named, reasons.length);
+}
+
+function formatNamed(named: readonly string[], count: number): string {
+  const others = count - named.length;
   return others > 0 ? `${named.join('; ')}; ${others} more` : named.join('; ');
 }
 
 function formatIssue({path, message}: z.core.$ZodIssue): string {
-  const text = path.length > 0 ? `${formatPath(path)}: ${message}` : message;
-  return text.slice(0, MAX_ISSUE_CHARACTERS);
+  return formatReason(
+    path.length > 0 ? `${formatPath(path)}: ${message}` : message,
+  );
+}
+
+function formatReason(reason: string): string {
+  return reason.slice(0, MAX_ISSUE_CHARACTERS);
 }
 
 /** Formats a path without indexes, so that repeated errors look the same. */
--- a/src/transport/public/parse_json.ts
+++ b/src/transport/public/parse_json.ts
@@ -1,4 +1,5 @@
-/** Parses JSON from untrusted sources. */
+/** Parses JSON from untrusted sources, in time linear in its length. */
+import {findExcess} from '../../protocol/find_excess.ts';
 import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
 
 /** Maximum nesting depth that is accepted. */
@@ -6,7 +7,7 @@
 
 /** Parses `text`; the error says why it is refused. */
 export function parseJson(text: string): Outcome<unknown, string> {
-  if (measureDepth(text) > MAX_DEPTH) {
+  if (findExcess(text, {maxDepth: MAX_DEPTH}) !== null) {
     return fail(`the body is nested deeper than ${MAX_DEPTH}`);
   }
   try {
@@ -15,14 +16,3 @@
     return fail('the body is not JSON');
   }
 }
-
-/** Returns the maximum nesting depth of brackets outside strings. */
-function measureDepth(text: string): number {
-  let depth = 0;
-  let deepest = 0;
-  for (const [token] of text.matchAll(/"(?:[^"\\]|\\.)*"|[[\]{}]/g)) {
-    if (token === '[' || token === '{') deepest = Math.max(deepest, ++depth);
-    else if (token === ']' || token === '}') depth--;
-  }
-  return deepest;
-}
