Acknowledge no departure that was ignored

What endpoints saw: a daemon answered 200 to "draining" although its list kept the endpoint as ready, since a report with a higher number of the same start had come before. The endpoint stops its repetitions, and goes on getting requests.

Cause: Departures.acknowledge() compared the starts alone, and passed the entry that it found, a ready one, on to the other daemons as the departure.

Change: such a report gets 503 and a log line. The endpoint's next one has a higher number and is obeyed.

--- a/src/coordination/confirmation/departures.ts
+++ b/src/coordination/confirmation/departures.ts
@@ -28,7 +28,7 @@
 
   /**
    * Resolves once the departure may be acknowledged; to false if a majority of
-   * the core daemons did not get it.
+   * the core daemons did not get it, or if it was ignored here.
    */
   async acknowledge(
     report: EndpointReport,
@@ -37,6 +37,14 @@
     const known = this.options.find(report.id);
     // A later start is known, or another endpoint has the address.
     if (known?.startedAtMs !== report.startedAtMs) return true;
+    if (known.state === 'ready') {
+      const {id, startedAtMs, sequence} = report;
+      this.options.logger.warn(
+        'Does not acknowledge a departure: a later report says that it is ready.',
+        {id, startedAtMs, sequence, laterSequence: known.sequence},
+      );
+      return false;
+    }
     const key = `${createStartKey(report)} ${report.state}`;
     const pending = this.known.get(key) ?? this.confirm(report, outcome);
     this.known.set(key, pending);
--- a/src/coordination/core/core_api_test.ts
+++ b/src/coordination/core/core_api_test.ts
@@ -4,6 +4,7 @@
 import type {Logger} from '../../protocol/logger.ts';
 import {silentLogger} from '../../protocol/logger.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
+import {createEndpoint} from '../forwarding/forwarding_fakes.ts';
 import {CoreApi, type CoreApiOptions} from './core_api.ts';
 import {CoreState} from './core_state.ts';
 
@@ -180,6 +181,20 @@
   assert.equal(replaced.isProposed(), true);
 });
 
+// Guards against an acknowledgement that no daemon obeys: a later report of the same
+// start had said that it is ready, so that its departure was ignored.
+test('a departure that is ignored is not acknowledged', async () => {
+  const {api, state} = createApi(new SimulatedClock(), {});
+  const ready = createEndpoint('e1', {sequence: 9});
+  assert.equal(await api.reportEndpoint(ready), true);
+  const report = (sequence: number) =>
+    api.reportEndpoint(createEndpoint('e1', {state: 'draining', sequence}));
+  assert.equal(await report(8), false);
+  assert.equal(state.endpoints.find('e1')?.state, 'ready');
+  assert.equal(await report(10), true);
+  assert.equal(state.endpoints.find('e1')?.state, 'draining');
+});
+
 // Guards against reads that ask a lost leader until the end and nobody else.
 test('a read whose leader is silent finds the new one in time', async () => {
   const {result, tookMs} = await readAt({
