Save departures to most disks before they are acknowledged

Cause: an acknowledged departure was in the memories of the core daemons only. The disk got it with the next save of the view, up to 500 ms later; the older view was restored, with the worker ready and silent, and a silent endpoint is chosen when no other one is left. The same holds for the departure of a start whose successor is known: it was acknowledged at once, from memory alone.

A daemon counts as a holder once that covers the departure. The successor of a start is saved in place of the start. A reply of an earlier build, which tells nothing of its disk, counts as before.

Why it works: the disks of a majority hold the departure, more than may be lost; a daemon without it takes it from the first exchange, since within one start an endpoint only goes on to leave. A sync takes no leader and no entry of the log.

--- a/src/cli/serve_site/core.ts
+++ b/src/cli/serve_site/core.ts
@@ -20,11 +20,7 @@
 import type {ReplicaHost} from '../../coordination/replication/member.ts';
 import {createProposer} from '../../coordination/replication/proposer.ts';
 import {Replica} from '../../coordination/replication/replica.ts';
-import {
-  coreSchemas,
-  type Configuration,
-  type CoreService,
-} from '../../protocol/core_service.ts';
+import {coreSchemas, type CoreService} from '../../protocol/core_service.ts';
 import {createIdentifier} from '../../protocol/identifiers.ts';
 import type {Membership} from '../../protocol/replication.ts';
 import type {
@@ -32,11 +28,11 @@
   RoutingResult,
 } from '../../protocol/routing_commands.ts';
 import {RoutingState} from '../../state/routing/routing_state.ts';
-import {ViewFile} from '../../state/view/saved_view.ts';
 import {splitAddress} from '../../protocol/address.ts';
 import {isUnknownCall} from '../../transport/peers/peer_links.ts';
 import {startPeerServer} from '../../transport/peers/peer_server.ts';
 import {openStorage} from '../serve/open_storage.ts';
+import {openView, type CommittedView} from './committed_view.ts';
 import {
   listSeedPeers,
   startDirectory,
@@ -102,12 +98,20 @@
   });
   state.members.setSeeds(listSeedPeers(settings));
   const routing = new RoutingState();
-  const view = await openView(parts, state, routing);
+  const view = await openView({
+    folder: settings.data_folder ?? '',
+    clock,
+    logger: createLogger('view'),
+    store,
+    state,
+    routing,
+  });
   const replica = await openReplica(parts, state, routing);
   isFresh = () => replica.isFresh();
   const confirm = createConfirmService({
     state,
     followers,
+    saved: view.saved,
     clock,
     getConfiguration: () => routing.configuration,
   });
@@ -300,52 +304,6 @@
   return 2 * borne + 1;
 }
 
-/**
- * The newest committed configuration. It comes from the saved view until the
- * replica has caught up, so it is available before a leader is elected.
- */
-interface CommittedView {
-  getConfiguration(): Configuration;
-  saveIfChanged(): void;
-}
-
-async function openView(
-  {clock, getSettings, createLogger}: SiteParts,
-  state: CoreState,
-  routing: RoutingState,
-): Promise<CommittedView> {
-  const folder = getSettings().data_folder ?? '';
-  const file = new ViewFile({folder, logger: createLogger('view')});
-  const saved = await file.load();
-  if (saved) {
-    state.endpoints.restore(saved.endpoints);
-    state.suspects.merge(saved.suspects, clock.monotonic());
-  }
-  let savedRevisions = '';
-  const getConfiguration = () => {
-    const {configuration} = routing;
-    return saved && saved.configuration.revision > configuration.revision
-      ? saved.configuration
-      : configuration;
-  };
-  return {
-    getConfiguration,
-    saveIfChanged() {
-      const configuration = getConfiguration();
-      const revisions = [
-        configuration.revision,
-        state.endpoints.revision,
-        state.suspects.table.revision,
-      ].join('/');
-      if (revisions === savedRevisions) return;
-      savedRevisions = revisions;
-      const endpoints = state.listSavedReports();
-      const suspects = state.suspects.table.list();
-      void file.save({configuration, endpoints, suspects});
-    },
-  };
-}
-
 interface CoreParts {
   readonly state: CoreState;
   readonly view: CommittedView;
--- a/src/coordination/confirmation/confirm_service.ts
+++ b/src/coordination/confirmation/confirm_service.ts
@@ -1,4 +1,7 @@
-/** Tells another core daemon which followers of this one have a change. */
+/**
+ * Tells another core daemon which followers of this one have a change, and whether
+ * its disk holds the departures.
+ */
 import type {Clock} from '../../protocol/clock.ts';
 import type {
   ConfirmReply,
@@ -7,10 +10,12 @@
 import type {Configuration} from '../../protocol/core_service.ts';
 import type {CoreState} from '../core/core_state.ts';
 import {IN_USE_MS, type FollowerTable} from './follower_table.ts';
+import type {SavedEndpoints} from './saved_endpoints.ts';
 
 export interface ConfirmServiceOptions {
   readonly state: Pick<CoreState, 'endpoints' | 'recordDepartures'>;
   readonly followers: FollowerTable;
+  readonly saved: Pick<SavedEndpoints, 'revision' | 'saveSoon' | 'saves'>;
   readonly clock: Clock;
   readonly getConfiguration: () => Pick<Configuration, 'revision'>;
 }
@@ -21,6 +26,7 @@
 export function createConfirmService({
   state,
   followers,
+  saved,
   clock,
   getConfiguration,
 }: ConfirmServiceOptions): ConfirmService {
@@ -35,26 +41,42 @@
       run: followers.epoch,
       configurationRevision: getConfiguration().revision,
       endpointRevision,
+      savedRevision: saved.revision,
       readsRequired: true,
       followers: followers.list({
         configuration: configurationRevision,
         endpoints: endpointRevision,
       }),
     });
+    if (endpointRevision > saved.revision) saved.saveSoon();
     const deadline = clock.monotonic() + waitMs;
     for (;;) {
       const reply = createReply();
       const leftMs = deadline - clock.monotonic();
       if (isComplete(reply) || leftMs <= 0) return reply;
-      await followers.calls.wait(leftMs);
+      await (isSaved(reply) ? followers.calls : saved.saves).wait(leftMs);
     }
   };
 }
 
 /** Whether a daemon and all its followers in contact have a change. */
-export function isComplete({isHeld, followers}: ConfirmReply): boolean {
+export function isComplete(reply: ConfirmReply): boolean {
   return (
-    isHeld &&
-    followers.every(({isConfirmed, ageMs}) => isConfirmed || ageMs >= IN_USE_MS)
+    reply.isHeld &&
+    isSaved(reply) &&
+    reply.followers.every(
+      ({isConfirmed, ageMs}) => isConfirmed || ageMs >= IN_USE_MS,
+    )
   );
 }
+
+/**
+ * Whether the daemon's disk holds the departures. Daemons of earlier versions do not
+ * tell, and count as if it did.
+ */
+export function isSaved({
+  savedRevision = Infinity,
+  endpointRevision = 0,
+}: Pick<ConfirmReply, 'savedRevision' | 'endpointRevision'>): boolean {
+  return savedRevision >= endpointRevision;
+}
--- a/src/coordination/confirmation/departures.ts
+++ b/src/coordination/confirmation/departures.ts
@@ -1,6 +1,6 @@
 /**
- * Acknowledges that endpoints leave, once other core daemons and the gateways
- * know it.
+ * Acknowledges that endpoints leave, once the gateways know it, and the disks of most
+ * core daemons hold it.
  *
  * An endpoint repeats that it leaves; only the first time takes a wait.
  */
@@ -28,16 +28,17 @@
 
   /**
    * Resolves once the departure may be acknowledged; to false if a majority of
-   * the core daemons did not get it, or if it was ignored here.
+   * the core daemons did not save it, or if it was ignored here.
    */
   async acknowledge(
     report: EndpointReport,
     outcome: ReportOutcome,
   ): Promise<boolean> {
     const known = this.options.find(report.id);
-    // A later start is known, or another endpoint has the address.
-    if (known?.startedAtMs !== report.startedAtMs) return true;
-    if (known.state === 'ready') {
+    // Another endpoint has the address.
+    if (!known || known.startedAtMs < report.startedAtMs) return true;
+    const isReplaced = known.startedAtMs > report.startedAtMs;
+    if (known.state === 'ready' && !isReplaced) {
       const {id, startedAtMs, sequence} = report;
       this.options.logger.warn(
         'Does not acknowledge a departure: a later report says that it is ready.',
@@ -54,21 +55,23 @@
     return isHeld;
   }
 
+  /** Waits until a departure holds; that of a start before the last by the last. */
   private async confirm(
-    {id, startedAtMs, state}: EndpointReport,
+    report: EndpointReport,
     outcome: ReportOutcome,
   ): Promise<boolean> {
+    const {id, startedAtMs, state} = report;
     const known = this.options.find(id);
     if (!known) return false;
     const {isHeld, behind} = await this.options.confirmer.waitUntilObeyed({
       kind: 'departure',
-      change: `${createStartKey(known)} ${state}`,
+      change: `${createStartKey(report)} ${state}`,
       configurationRevision: 0,
       departures: [known],
     });
     const message = isHeld
       ? 'Acknowledges the departure of an endpoint.'
-      : 'Cannot acknowledge a departure: most core daemons do not answer.';
+      : 'Cannot acknowledge a departure: most core daemons did not save it.';
     const fields = {id, startedAtMs, state, outcome, behind: behind.length};
     this.options.logger.info(message, fields);
     return isHeld;
--- a/src/coordination/confirmation/waiting_change.ts
+++ b/src/coordination/confirmation/waiting_change.ts
@@ -3,6 +3,7 @@
   ConfirmReply,
   ConfirmRequest,
 } from '../../protocol/confirmation.ts';
+import {isSaved} from './confirm_service.ts';
 
 /** What gateways must have. */
 export type RequiredChange = Omit<ConfirmRequest, 'waitMs'>;
@@ -24,6 +25,8 @@
   readonly configurationRevision: number;
   /** The revision of its endpoints that followers must have. */
   readonly endpointRevision: number;
+  /** Whether its disk holds the departures that were asked for. */
+  readonly isSaved: boolean;
   readonly gateways: ReadonlyMap<string, KnownGateway>;
 }
 
@@ -56,6 +59,7 @@
     configurationRevision:
       reply.configurationRevision ?? (reply.isHeld ? configurationRevision : 0),
     endpointRevision: reply.endpointRevision ?? 1,
+    isSaved: isSaved(reply),
     gateways: new Map(
       reply.followers.map(follower => [
         follower.address,
@@ -91,7 +95,7 @@
     this.heard = new Set(silent);
   }
 
-  /** Whether a majority of the core daemons has the change. */
+  /** Whether a majority of the core daemons has the change, on its disks. */
   get isHeld(): boolean {
     return 2 * this.holders.size > this.cores.length;
   }
@@ -116,8 +120,10 @@
   recordReply(reply: HeardReply): void {
     const {address, at, configurationRevision, endpointRevision} = reply;
     this.heard.add(address);
-    const isHeld = configurationRevision >= this.what.configurationRevision;
-    if (isHeld) this.holders.add(address);
+    const hasConfiguration =
+      configurationRevision >= this.what.configurationRevision;
+    const hasDepartures = this.what.departures.length === 0 || reply.isSaved;
+    if (hasConfiguration && hasDepartures) this.holders.add(address);
     const known = this.required.get(at) ?? Infinity;
     this.required.set(at, Math.min(known, endpointRevision));
   }
--- a/src/coordination/core/core_api.ts
+++ b/src/coordination/core/core_api.ts
@@ -142,13 +142,12 @@
     const {state} = this.options;
     const entry = state.endpoints.find(id);
     if (!entry) return false;
-    if (startedAtMs !== null && startedAtMs !== entry.startedAtMs) {
-      return startedAtMs < entry.startedAtMs;
-    }
     // Either repeated, or about a new start that has not been heard of.
     const isOld = state.endpoints.getAgeMs(id) > REPEATED_WITHIN_MS;
     if (startedAtMs === null && entry.state === 'gone' && isOld) return false;
     const report: EndpointReport = {...dropSilentFlag(entry), state: 'gone'};
+    if (startedAtMs !== null) report.startedAtMs = startedAtMs;
+    if (report.startedAtMs > entry.startedAtMs) return false;
     const outcome = state.recordReport(report);
     return this.departures.acknowledge(report, outcome);
   }
--- a/src/coordination/core/endpoint_registry.ts
+++ b/src/coordination/core/endpoint_registry.ts
@@ -96,11 +96,18 @@
     return true;
   }
 
-  /** Restores the saved reports after a restart, as silent endpoints. */
+  /**
+   * Restores saved reports after a restart, as silent endpoints; those of one
+   * endpoint may be restored in any order.
+   */
   restore(reports: readonly EndpointReport[]): void {
     const receivedAt = this.options.clock.monotonic();
     for (const report of reports) {
-      const entry = {...report, silent: true};
+      const known = this.find(report.id);
+      if (known && !isNewer(report, known)) continue;
+      const isSameStart = known?.startedAtMs === report.startedAtMs;
+      const next = isSameStart ? keepShutdownState(report, known) : report;
+      const entry = {...next, silent: true};
       const changedAt = ++this.lastRevision;
       this.known.set(report.id, {entry, receivedAt, changedAt});
     }
--- a/src/coordination/simulation/control_plane.ts
+++ b/src/coordination/simulation/control_plane.ts
@@ -6,7 +6,6 @@
  * tasks of a real one, and can be killed, frozen and cut off.
  */
 import type {Configuration, CoreDaemon} from '../../protocol/core_service.ts';
-import type {EndpointReport} from '../../protocol/endpoint_report.ts';
 import {silentLogger, type Logger} from '../../protocol/logger.ts';
 import {silentMetrics} from '../../protocol/metrics.ts';
 import type {ProposeReply} from '../../protocol/peer_service.ts';
@@ -17,6 +16,7 @@
   createConfirmService,
   type ConfirmService,
 } from '../confirmation/confirm_service.ts';
+import {SavedEndpoints} from '../confirmation/saved_endpoints.ts';
 import {CoreApi} from '../core/core_api.ts';
 import {CoreState} from '../core/core_state.ts';
 import {startExchange} from '../core/exchange_task.ts';
@@ -33,6 +33,7 @@
   type SimulatedProcess,
 } from './control_network.ts';
 import {ProcessorPool, type Prices} from './priced_processor.ts';
+import {SimulatedDisk} from './simulated_disk.ts';
 import {TrafficRecord} from './traffic_record.ts';
 
 const GROUP = 'routing';
@@ -81,8 +82,7 @@
   readonly cores = new Map<string, ControlCore>();
   readonly gateways: ControlGateway[] = [];
   readonly processors: ProcessorPool;
-  /** The reports that core daemons save to their disks. */
-  private readonly saved = new Map<string, readonly EndpointReport[]>();
+  private readonly disks = new Map<string, SimulatedDisk>();
   private runs = 0;
 
   constructor(private readonly options: ControlPlaneOptions) {
@@ -142,7 +142,7 @@
   wipeCore(name: string): void {
     this.killCore(name);
     this.group.loseDisk(name);
-    this.saved.delete(name);
+    this.getDisk(name).erase();
   }
 
   /** Starts a core daemon that was killed. */
@@ -184,6 +184,13 @@
     this.options.trace?.(`${this.clock.monotonic()} ${line}`, fields);
   }
 
+  /** Returns the disk of a core daemon. */
+  getDisk(name: string): SimulatedDisk {
+    const disk = this.disks.get(name) ?? new SimulatedDisk();
+    this.disks.set(name, disk);
+    return disk;
+  }
+
   private getCorePlace(name: string): Place {
     const place = this.options.cores[this.coreNames.indexOf(name)];
     if (!place) throw new Error(`Could not find the core daemon "${name}"`);
@@ -211,7 +218,13 @@
     const logger = this.createLogger(name);
     const state = new CoreState({clock, logger, self});
     state.members.setSeeds(this.coreNames.slice(0, SEED_COUNT));
-    state.endpoints.restore(this.saved.get(name) ?? []);
+    const disk = this.getDisk(name);
+    disk.restore(state);
+    const saved = new SavedEndpoints({
+      clock,
+      endpoints: state.endpoints,
+      journal: disk.createJournal({clock, isAlive: () => core.isAlive}),
+    });
     const call = <T>(
       address: string,
       message: Pick<ControlCall<ControlCore, T>, 'name' | 'request' | 'serve'>,
@@ -240,6 +253,7 @@
     const confirm = createConfirmService({
       state,
       followers,
+      saved,
       clock,
       getConfiguration: readConfiguration,
     });
@@ -322,7 +336,7 @@
         step: async () => {
           if (!core.isAlive) return;
           state.endpoints.sweep();
-          this.saved.set(name, state.listSavedReports());
+          saved.recordView(disk.saveView(state));
         },
         onError: error => {
           throw error;
--- a/src/protocol/confirmation.ts
+++ b/src/protocol/confirmation.ts
@@ -57,6 +57,11 @@
    * absent from earlier versions.
    */
   endpointRevision: z.int().nonnegative().optional(),
+  /**
+   * The revision up to which its disk holds its list of endpoints; absent from earlier
+   * versions, which do not tell what their disks hold.
+   */
+  savedRevision: z.int().nonnegative().optional(),
   /** Whether the daemon reads `required`; absent from earlier versions. */
   readsRequired: z.boolean().optional(),
 });
--- a/src/state/view/saved_view.ts
+++ b/src/state/view/saved_view.ts
@@ -4,7 +4,7 @@
  * After a restart of the whole core the log has no leader for some seconds, and
  * without a leader the commit index is unknown. Until one is elected, gateways
  * get the saved configuration, which was known to be committed, and the saved
- * endpoints. The file has no other use; losing it costs only those seconds.
+ * endpoints. Departures are acknowledged once it or the journal has them.
  */
 import {join} from 'node:path';
 import * as z from 'zod';
@@ -70,10 +70,13 @@
     return value;
   }
 
-  /** Saves a view. During a write, only the latest view waits for the next. */
-  async save(view: SavedView): Promise<void> {
+  /**
+   * Saves a view; resolves to whether the disk holds it, or a later one. During a
+   * write, only the latest view waits for the next, and the call does not wait for it.
+   */
+  async save(view: SavedView): Promise<boolean> {
     this.waiting = view;
-    if (this.isWriting) return;
+    if (this.isWriting) return false;
     this.isWriting = true;
     try {
       while (this.waiting) {
@@ -81,12 +84,14 @@
         this.waiting = null;
         await replaceFile(this.files, this.path, content);
       }
+      return true;
     } catch (error) {
       const {message: reason} = error as Error;
       this.options.logger.warn(
         'Could not save the view; a restart would load an older one.',
         {reason},
       );
+      return false;
     } finally {
       this.isWriting = false;
     }
