Bring no departed endpoint back from the disk of a daemon that was away

What callers and endpoints would see: a core daemon that was down for over a minute starts with its saved view, in which an endpoint is ready that has left meanwhile. All other daemons take it from there as a live one, since they have forgotten the departure after 60 s, and it may get requests again (DRAIN).

Cause: a restored report counts as received at the restart, so that an exchange tells it with an age of nearly 0: silent here, and not silent at the others.

Change: a core daemon does not tell others of ready endpoints that it knows from its disk alone, and drops those of which it hears nothing in 5 s. Departures are told as before. Each daemon has a disk of its own; one that lost it learns of live endpoints with their next report.

What is left: for some 6 s after its return a gateway that follows this daemon may still choose such an endpoint, when no other one can be used.

--- a/src/coordination/confirmation/departure_restart_test.ts
+++ b/src/coordination/confirmation/departure_restart_test.ts
@@ -23,6 +23,12 @@
 const DOWN_MS = 500;
 const RECOVER_MS = 12_000;
 
+/** How long a daemon is away until the others do not wait for it, in ms. */
+const AWAY_MS = 4_000;
+
+/** The time after which core daemons have forgotten a departure, in ms. */
+const FORGET_MS = 65_000;
+
 const ENDPOINT = 'e1';
 const STARTED_AT_MS = 1;
 
@@ -148,4 +154,24 @@
   });
 });
 
+// Guards against a daemon that was away while the others forgot a departure, and
+// brings the endpoint back to all of them from its disk.
+test('a daemon that was away for long brings no endpoint back', async () => {
+  const plane = await startSite();
+  const last = plane.coreNames.at(-1) ?? '';
+  plane.killCore(last);
+  await plane.run(AWAY_MS);
+  assert.equal(await leave(plane, deregister), true);
+  await plane.run(FORGET_MS);
+  plane.gateways.forEach((_, index) => plane.restartGateway(index));
+  await plane.restartCore(last);
+  await plane.run(1_000);
+  for (const [name, {state}] of plane.cores) {
+    const known = state.endpoints.find(ENDPOINT);
+    if (name !== last) assert.equal(known, null, name);
+  }
+  await plane.run(RECOVER_MS);
+  assert.deepEqual(listStates(plane), ['unknown', 'unknown']);
+});
+
 test.run();
--- a/src/coordination/core/core_state.ts
+++ b/src/coordination/core/core_state.ts
@@ -142,7 +142,7 @@
    * to them: late heartbeats may still arrive.
    */
   listSavedReports(): EndpointReport[] {
-    return this.endpoints.listReports();
+    return this.endpoints.listSavedReports();
   }
 
   /** Lists the core daemons to advertise to peers. */
--- a/src/coordination/core/endpoint_registry.ts
+++ b/src/coordination/core/endpoint_registry.ts
@@ -33,6 +33,8 @@
   receivedAt: number;
   /** The revision of the registry at which the entry last changed. */
   changedAt: number;
+  /** Whether it comes from the disk, and has not been heard of since. */
+  isRestored: boolean;
 }
 
 /** How the registry handled a report. */
@@ -76,10 +78,12 @@
     if (known && isSame(entry, known.entry)) {
       known.entry = entry;
       known.receivedAt = receivedAt;
+      known.isRestored = false;
       return 'renewed';
     }
     const changedAt = ++this.lastRevision;
-    this.known.set(report.id, {entry, receivedAt, changedAt});
+    const isRestored = false;
+    this.known.set(report.id, {entry, receivedAt, changedAt, isRestored});
     return 'changed';
   }
 
@@ -109,7 +113,8 @@
       const next = isSameStart ? keepShutdownState(report, known) : report;
       const entry = {...next, silent: true};
       const changedAt = ++this.lastRevision;
-      this.known.set(report.id, {entry, receivedAt, changedAt});
+      const isRestored = true;
+      this.known.set(report.id, {entry, receivedAt, changedAt, isRestored});
     }
   }
 
@@ -140,8 +145,19 @@
     return listRunningStarts(this.list(), service);
   }
 
-  /** Lists the last reports, to send to other daemons or to save. */
+  /**
+   * Lists the last reports to send to other daemons. Endpoints that are only known
+   * from the disk do not belong to them, unless they leave: the others may have
+   * forgotten that such an endpoint has left.
+   */
   listReports(): EndpointReport[] {
+    return [...this.known.values()]
+      .filter(({entry, isRestored}) => !isRestored || entry.state !== 'ready')
+      .map(({entry}) => dropSilentFlag(entry));
+  }
+
+  /** Lists the last reports to save for a restart. */
+  listSavedReports(): EndpointReport[] {
     return this.list().map(dropSilentFlag);
   }
 
@@ -154,14 +170,20 @@
     }));
   }
 
-  /** Marks endpoints without recent reports as silent; removes expired ones. */
+  /**
+   * Marks endpoints without recent reports as silent; removes expired ones, and those
+   * from the disk that do not report.
+   */
   sweep(): void {
     const {silentAfterMs} = this;
     const {expireAfterMs = EXPIRE_AFTER_MS} = this.options;
     const now = this.options.clock.monotonic();
     for (const [id, known] of this.known) {
       const silentMs = now - known.receivedAt;
-      if (silentMs > expireAfterMs) this.known.delete(id);
+      const {isRestored, entry} = known;
+      const isUnheard = isRestored && entry.state === 'ready';
+      const retainMs = isUnheard ? silentAfterMs : expireAfterMs;
+      if (silentMs > retainMs) this.known.delete(id);
       else if (silentMs > silentAfterMs && !known.entry.silent) {
         this.updateEntry(known, {...known.entry, silent: true});
       }
