--- a/src/coordination/core/endpoint_registry.ts
+++ b/src/coordination/core/endpoint_registry.ts
@@ -33,6 +33,8 @@
   receivedAt: number;
   /** The revision of the registry at which the entry last changed. */
   changedAt: number;
+  /** Whether it comes from the disk, and has not been heard of since. */
+  isRestored: boolean;
 }
 
 /** How the registry handled a report. */
@@ -78,9 +80,10 @@
     if (known && isSame(entry, known.entry)) {
       known.entry = entry;
       known.receivedAt = receivedAt;
+      known.isRestored = false;
       return 'renewed';
     }
-    this.replaceEntry(entry, receivedAt);
+    this.replaceEntry(entry, {receivedAt, isRestored: false});
     return 'changed';
   }
 
@@ -97,11 +100,19 @@
     return true;
   }
 
-  /** Restores the saved reports after a restart, as silent endpoints. */
+  /**
+   * Restores saved reports after a restart, as silent endpoints; those of one
+   * endpoint may be restored in any order.
+   */
   restore(reports: readonly EndpointReport[]): void {
     const receivedAt = this.options.clock.monotonic();
     for (const report of reports) {
-      this.replaceEntry({...report, silent: true}, receivedAt);
+      const known = this.find(report.id);
+      if (known && !isNewer(report, known)) continue;
+      const isSameStart = known?.startedAtMs === report.startedAtMs;
+      const next = isSameStart ? keepShutdownState(report, known) : report;
+      const entry = {...next, silent: true};
+      this.replaceEntry(entry, {receivedAt, isRestored: true});
     }
   }
 
@@ -132,8 +143,19 @@
     return listRunningStarts(this.list(), service);
   }
 
-  /** Lists the last reports, to send to other daemons or to save. */
+  /**
+   * Lists the last reports to send to other daemons. Endpoints that are only known
+   * from the disk do not belong to them, unless they leave: the others may have
+   * forgotten that such an endpoint has left.
+   */
   listReports(): EndpointReport[] {
+    return [...this.known.values()]
+      .filter(({entry, isRestored}) => !isRestored || entry.state !== 'ready')
+      .map(({entry}) => dropSilentFlag(entry));
+  }
+
+  /** Lists the last reports to save for a restart. */
+  listSavedReports(): EndpointReport[] {
     return this.list().map(dropSilentFlag);
   }
 
@@ -146,18 +168,24 @@
     }));
   }
 
-  /** Marks endpoints without recent reports as silent; removes expired ones. */
+  /**
+   * Marks endpoints without recent reports as silent; removes expired ones, and those
+   * from the disk that do not report.
+   */
   sweep(): void {
     const {silentAfterMs} = this;
     const {expireAfterMs = EXPIRE_AFTER_MS} = this.options;
     const now = this.options.clock.monotonic();
     for (const [id, known] of this.known) {
       const silentMs = now - known.receivedAt;
-      if (silentMs > expireAfterMs) {
-        this.removeHolder(known.entry);
+      const {isRestored, entry} = known;
+      const isUnheard = isRestored && entry.state === 'ready';
+      const retainMs = isUnheard ? silentAfterMs : expireAfterMs;
+      if (silentMs > retainMs) {
+        this.removeHolder(entry);
         this.known.delete(id);
-      } else if (silentMs > silentAfterMs && !known.entry.silent) {
-        this.updateEntry(known, {...known.entry, silent: true});
+      } else if (silentMs > silentAfterMs && !entry.silent) {
+        this.updateEntry(known, {...entry, silent: true});
       }
     }
   }
@@ -173,15 +201,19 @@
     return undefined;
   }
 
-  private updateEntry({receivedAt}: KnownEndpoint, entry: EndpointEntry): void {
-    this.replaceEntry(entry, receivedAt);
+  private updateEntry(known: KnownEndpoint, entry: EndpointEntry): void {
+    this.replaceEntry(entry, known);
   }
 
-  private replaceEntry(entry: EndpointEntry, receivedAt: number): void {
+  private replaceEntry(
+    entry: EndpointEntry,
+    {receivedAt, isRestored}: Pick<KnownEndpoint, 'receivedAt' | 'isRestored'>,
+  ): void {
     const {id, address, state} = entry;
     const earlier = this.known.get(id);
     if (earlier) this.removeHolder(earlier.entry);
-    this.known.set(id, {entry, receivedAt, changedAt: ++this.lastRevision});
+    const changedAt = ++this.lastRevision;
+    this.known.set(id, {entry, receivedAt, changedAt, isRestored});
     if (state === 'gone') return;
     const ids = this.holders.get(address) ?? new Set();
     this.holders.set(address, ids.add(id));
--- a/src/coordination/forwarding/break_off.ts
+++ b/src/coordination/forwarding/break_off.ts
@@ -5,6 +5,9 @@
 import type {CallerSink} from './call.ts';
 import type {BlockReason, CallRun} from './call_run.ts';
 
+/** Characters of an event's id that a log line has at most. */
+export const MAX_LOGGED_ID_CHARACTERS = 64;
+
 export interface BreakOffOptions {
   readonly clock: Clock;
   readonly logger: Logger;
@@ -34,7 +37,7 @@
     endpoints: [...run.tried],
     runs: run.runs,
     notRun: run.notRun,
-    lastEventId: run.lastEventId,
+    lastEventId: run.lastEventId?.slice(0, MAX_LOGGED_ID_CHARACTERS),
     silenceMs: Math.round(ms - (run.lastOutputMs ?? ms)),
     leftMs: Math.round(admitted.deadline - clock.monotonic()),
   });
--- a/src/coordination/forwarding/silence_watch.ts
+++ b/src/coordination/forwarding/silence_watch.ts
@@ -9,6 +9,7 @@
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import type {Logger} from '../../protocol/logger.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
+import {MAX_LOGGED_ID_CHARACTERS} from './break_off.ts';
 import type {CallerSink} from './call.ts';
 import type {BlockReason, CallRun} from './call_run.ts';
 import type {Handover} from './handover.ts';
@@ -109,19 +110,19 @@
 
 function recordDecision(
   {clock, logger, metrics, sink}: WatchSilenceOptions,
-  {call, admitted, runs, lastEventId}: CallRun,
+  run: CallRun,
   {endpoint, silentSince, decision, reason}: Decision,
 ): void {
   metrics.count('silences', 1, {decision, reason: reason ?? 'none'});
   logger.info('Decides on an attempt whose endpoint is silent.', {
-    request: call.facts.attemptId,
-    service: admitted.service.name,
+    request: run.call.facts.attemptId,
+    service: run.admitted.service.name,
     endpoint: endpoint.id,
     decision,
     reason,
     silenceMs: Math.round(clock.monotonic() - silentSince),
     hasBegun: sink.hasBegun,
-    lastEventId,
-    runs,
+    lastEventId: run.lastEventId?.slice(0, MAX_LOGGED_ID_CHARACTERS),
+    runs: run.runs,
   });
 }
