Limit the requests of a new version whether it is found bad or not

Cause: the shares of a roll-out were fixed. The first share, 0.35 for a quarter of the time, 0.5, 1 and the rest of the time after completion come to 0.25 to 0.31 of all requests, so that the limit held only if a bad version was found. One that fails seldom or only under load is not.

Change: the requests that a version had, those not known yet and those after its completion are estimated, and each share is at most what the limit leaves. The last steps are taken as far as it bears them, and the version is completed at 0.92 of the time.

The plays of decide_rollout_test.ts get a limit that does not bind; their expectations are unchanged.

--- a/src/cli/serve_site/core.ts
+++ b/src/cli/serve_site/core.ts
@@ -204,6 +204,10 @@
       clock,
       logger: createLogger('rollout'),
       canaryShare: settings.bounds.canary_share * CANARY_FRACTION,
+      limit: {
+        share: settings.bounds.canary_share,
+        extra: settings.bounds.canary_extra,
+      },
       isLeader: () => replica.isLeader(),
       getConfiguration: () => routing.configuration,
       propose,
--- a/src/coordination/core/decide_rollout.ts
+++ b/src/coordination/core/decide_rollout.ts
@@ -3,8 +3,9 @@
  *
  * The new version starts with a small share, so that a bad one affects few
  * callers, and only with requests that belong to no session. In the second
- * half sessions move, too. Most of the evidence comes then, at a share that is
- * held for as long as the allowed exposure bears it; the last steps are short.
+ * half sessions move, too. Most of the evidence comes then, at shares that the
+ * limit on the version's requests bears together with those after its completion,
+ * since a version may turn out bad only at its full load.
  * A version goes on only on answers that speak for it: time alone completes
  * none.
  */
@@ -15,6 +16,7 @@
 } from '../../protocol/core_service.ts';
 import {computeUpperTail} from './binomial.ts';
 import {comparePaces, type PaceComparison} from './compare_paces.ts';
+import {computeAffordableShare, type ExposureLimit} from './plan_exposure.ts';
 
 /**
  * When sessions may move, as a fraction of the duration: in the second half,
@@ -40,12 +42,24 @@
 /** Fewer answers than this are few. */
 const SCARCE_ANSWERS = 60;
 
-/** Until when that share is held, as a fraction of the duration. */
-const TRIAL_UNTIL = 0.82;
+/** The smallest share once sessions move, as a multiple of the first one. */
+const MIN_TRIAL_FACTOR = 0.2;
 
-/** The shares after the trial; the roll-out completes after the last. */
+/** Until when the share of the trial is held, as a fraction of the duration. */
+const TRIAL_UNTIL = 0.8;
+
+/** The shares after the trial, as far as the limit bears them. */
 const SHARE_STEPS = [0.5, 1];
 
+/** The factor below which a share is not raised. */
+const MIN_RISE = 1.2;
+
+/** When a version is completed, as a fraction of the duration. */
+const COMPLETE_AT = 0.92;
+
+/** The part of all requests that is kept for the steps after the trial. */
+const LOAD_RESERVE = 0.3 * (COMPLETE_AT - TRIAL_UNTIL);
+
 /**
  * The minimum length of a step, as a fraction of the duration. It also applies
  * when a new leader is behind schedule, since evidence is up to 1 s old.
@@ -88,6 +102,8 @@
   readonly hasEndpoints: boolean;
   /** The first share; smaller than the largest allowed one. */
   readonly canaryShare: number;
+  /** What a version may get in the whole time of the roll-out. */
+  readonly limit: ExposureLimit;
   /** How long the current share has been observed, in ms. */
   readonly watchedMs: number;
 }
@@ -113,29 +129,48 @@
   const doubt = findDoubt(answers, comparison);
   if (progress >= 1 && doubt !== null) return {type: 'revert', reason: doubt};
   if (!hasEndpoints) return {type: 'none'};
-  const {share, movesSessions} = rollout;
-  if (progress < SESSIONS_MOVE_FROM || !movesSessions) {
-    const next = {
-      share: canaryShare,
-      movesSessions: progress >= SESSIONS_MOVE_FROM,
-    };
-    const isChange =
-      next.share > share || next.movesSessions !== rollout.movesSessions;
-    return isChange ? {type: 'share', ...next} : {type: 'none'};
+  const {movesSessions} = rollout;
+  if (progress < SESSIONS_MOVE_FROM) {
+    return rollout.share < canaryShare
+      ? {type: 'share', share: canaryShare, movesSessions}
+      : {type: 'none'};
   }
-  if (share <= canaryShare) {
-    const factor =
-      answers < SCARCE_ANSWERS ? SCARCE_TRIAL_FACTOR : TRIAL_FACTOR;
-    const next = Math.min(MAX_TRIAL_SHARE, canaryShare * factor);
-    return {type: 'share', share: next, movesSessions: true};
+  const isTrial = progress < TRIAL_UNTIL;
+  const affordable = computeAffordableShare({
+    limit: view.limit,
+    durationMs: rollout.durationMs,
+    progress,
+    heldUntil: isTrial ? TRIAL_UNTIL : COMPLETE_AT,
+    laterShare: 1 - COMPLETE_AT + (isTrial ? LOAD_RESERVE : 0),
+    share: rollout.share,
+    targetAnswers: answers,
+    answers: answers + tally(view.evidence, rollout, isOther).answers,
+  });
+  if (!movesSessions) {
+    // Only now can the share sink: no session is at the new version yet.
+    const minShare = canaryShare * MIN_TRIAL_FACTOR;
+    const share = Math.min(canaryShare, Math.max(minShare, affordable));
+    return {type: 'share', share, movesSessions: true};
   }
   const isStepOver = view.watchedMs >= MIN_STEP * rollout.durationMs;
-  if (progress < TRIAL_UNTIL || !isStepOver || doubt !== null) {
+  if (isTrial ? rollout.share > canaryShare : !isStepOver || doubt !== null) {
     return {type: 'none'};
   }
-  const next = SHARE_STEPS.find(each => each > share);
-  if (next === undefined) return {type: 'complete'};
-  return {type: 'share', share: next, movesSessions: true};
+  if (progress >= COMPLETE_AT) return {type: 'complete'};
+  const wanted = isTrial
+    ? chooseTrialShare(answers, canaryShare)
+    : (SHARE_STEPS.find(each => each > rollout.share) ?? 1);
+  const share = Math.min(wanted, affordable);
+  const canWatch = progress + MIN_STEP <= COMPLETE_AT;
+  return canWatch && share >= rollout.share * MIN_RISE
+    ? {type: 'share', share, movesSessions}
+    : {type: 'none'};
+}
+
+/** Chooses the share at which a version is judged once sessions move. */
+function chooseTrialShare(answers: number, canaryShare: number): number {
+  const factor = answers < SCARCE_ANSWERS ? SCARCE_TRIAL_FACTOR : TRIAL_FACTOR;
+  return Math.min(MAX_TRIAL_SHARE, canaryShare * factor);
 }
 
 /** Returns why a version may not go further yet; `null` if it may. */
--- a/src/coordination/core/decide_rollout_test.ts
+++ b/src/coordination/core/decide_rollout_test.ts
@@ -48,6 +48,7 @@
     nowMs,
     hasEndpoints: true,
     canaryShare: 0.05,
+    limit: {share: 1, extra: 0},
   });
 }
 
--- a/src/coordination/core/rollout_task.ts
+++ b/src/coordination/core/rollout_task.ts
@@ -7,6 +7,7 @@
 import {startPeriodicTask} from '../periodic_task.ts';
 import type {CoreState} from './core_state.ts';
 import {RolloutAges} from './rollout_ages.ts';
+import type {ExposureLimit} from './plan_exposure.ts';
 import {decideRolloutStep, type RolloutDecision} from './decide_rollout.ts';
 
 /** How often roll-outs are evaluated. */
@@ -18,6 +19,8 @@
   readonly logger: Logger;
   /** The share of requests that a new version gets first. */
   readonly canaryShare: number;
+  /** What a new version may get in the whole time of its roll-out. */
+  readonly limit: ExposureLimit;
   readonly isLeader: () => boolean;
   readonly getConfiguration: () => Configuration;
   readonly propose: (command: RoutingCommand) => Promise<ProposeReply>;
@@ -49,7 +52,8 @@
   options: RolloutTaskOptions,
   {watched, ages}: {watched: WatchedSteps; ages: RolloutAges},
 ): Promise<void> {
-  const {state, clock, isLeader, getConfiguration, canaryShare} = options;
+  const {state, clock, isLeader, getConfiguration, canaryShare, limit} =
+    options;
   const running = getConfiguration().rollouts.filter(
     rollout => rollout.state === 'running',
   );
@@ -79,6 +83,7 @@
           each.state === 'ready',
       ),
       canaryShare,
+      limit,
       watchedMs: now - since,
     });
     const command = createCommand(decision, {service, target});
--- a/src/coordination/core/simulated_rollout.ts
+++ b/src/coordination/core/simulated_rollout.ts
@@ -2,8 +2,8 @@
  * A roll-out under a seeded load, without a network.
  *
  * The gateways' evidence of both versions is counted by the code of a gateway
- * and reaches the judge late. All requests belong to sessions, so the new
- * version gets none until sessions move.
+ * and reaches the judge late. If all requests belong to sessions, the new version
+ * gets none until sessions move.
  */
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
@@ -20,6 +20,9 @@
 /** The first share of a new version. */
 const CANARY_SHARE = 0.105;
 
+/** The requests that a new version may get. */
+export const EXPOSURE_LIMIT = {share: 0.15, extra: 30};
+
 /** The time that an idle engine of the old version needs for a prompt, in ms. */
 const WORK_MS = 60;
 
@@ -42,12 +45,23 @@
   readonly failureShare?: number;
   /** The mean wait in units of work; 1 by default, 3 in a burst. */
   readonly load?: number;
+  /** Whether all requests belong to sessions; true by default. */
+  readonly hasSessions?: boolean;
+  /** Failures of the new version under load; none by default. */
+  readonly underLoad?: FailuresUnderLoad;
+}
+
+export interface FailuresUnderLoad {
+  /** The share of its answers that fail under load. */
+  readonly failureShare: number;
+  /** The load from which they fail, as a part of that when it is completed. */
+  readonly fromLoad: number;
 }
 
 export interface SimulatedRolloutResult {
   readonly state: 'complete' | 'reverted' | 'running';
   readonly endedAtMs: number;
-  /** Requests of the new version and of both, until the end of its time. */
+  /** Requests of the new version and of both in the whole time of the roll-out. */
   readonly targetRequests: number;
   readonly requests: number;
 }
@@ -61,6 +75,8 @@
   slowShare = 1,
   failureShare = 0.01,
   load = 1,
+  hasSessions = true,
+  underLoad = {failureShare: 0, fromLoad: 0},
 }: SimulatedRolloutOptions): SimulatedRolloutResult {
   const generator = xoroshiro128plus(seed);
   const draw = () => uniformFloat64(generator);
@@ -78,6 +94,11 @@
     durationMs,
   };
   const routes = ['letters', 'notes', 'titles'];
+  const drawFailure = (isTarget: boolean) =>
+    draw() < failureShare ||
+    (isTarget &&
+      rollout.share >= underLoad.fromLoad &&
+      draw() < underLoad.failureShare);
   const drawAnswer = (version: string) => {
     const size = 0.2 + drawExponential();
     const isTarget = version === 'v2';
@@ -92,7 +113,7 @@
       version,
       route: routes[Math.floor(draw() * 3)] ?? '',
       model: 'small',
-      isFailure: draw() < failureShare,
+      isFailure: drawFailure(isTarget),
       beganMs: engineMs * (1 - cached) + waitMs,
       expectedMs: WORK_MS * size * (1 - cached),
     };
@@ -111,15 +132,18 @@
   let requests = 0;
   let targetRequests = 0;
   let watchedSince = 0;
+  let endedAtMs = durationMs;
   for (let nowMs = 0; nowMs <= durationMs; nowMs += STEP_MS) {
     for (let left = stepShare; draw() < left; left--) {
-      const takesTarget = rollout.movesSessions && draw() < rollout.share;
+      const canMove = rollout.movesSessions || !hasSessions;
+      const takesTarget = canMove && draw() < rollout.share;
       requests++;
       if (takesTarget) targetRequests++;
       const answer = drawAnswer(takesTarget ? 'v2' : 'v1');
       const atMs = nowMs + answer.beganMs + EVIDENCE_AGE_MS;
       pending.push({atMs, answer});
     }
+    if (rollout.state !== 'running') continue;
     for (const {answer} of pending.filter(({atMs}) => atMs <= nowMs)) {
       counter.record(answer, {
         isRunning: true,
@@ -138,6 +162,7 @@
       nowMs,
       hasEndpoints: true,
       canaryShare: CANARY_SHARE,
+      limit: EXPOSURE_LIMIT,
       watchedMs: nowMs - watchedSince,
     });
     if (decision.type === 'share') {
@@ -146,9 +171,11 @@
       watchedSince = nowMs;
     }
     if (decision.type === 'complete' || decision.type === 'revert') {
-      const state = decision.type === 'complete' ? 'complete' : 'reverted';
-      return {state, endedAtMs: nowMs, targetRequests, requests};
+      const isComplete = decision.type === 'complete';
+      const state = isComplete ? 'complete' : 'reverted';
+      rollout = {...rollout, state, share: isComplete ? 1 : 0};
+      endedAtMs = nowMs;
     }
   }
-  return {state: 'running', endedAtMs: durationMs, targetRequests, requests};
+  return {state: rollout.state, endedAtMs, targetRequests, requests};
 }
--- a/src/protocol/site_settings.ts
+++ b/src/protocol/site_settings.ts
@@ -54,6 +54,8 @@
       retry_window_s: numberSchema.positive().default(10),
       /** The largest share of requests for an unproven version. */
       canary_share: numberSchema.positive().default(0.1),
+      /** Requests for an unproven version beyond that share. */
+      canary_extra: numberSchema.nonnegative().default(0),
       /** The number of simultaneous disk losses that lose no commit. */
       tolerated_disks: z.int().min(0).max(MAX_TOLERATED_DISKS).default(2),
       /** What the answers of all endpoints may keep of a gateway's memory, in MiB. */
