Complete a version only if its failures and slow answers are likely

Callers: a version whose answers fail or are slow more often than is likely was completed, as only a rise of 0.08 with a chance below 1 in 10,000 or a deviation of 4 standard errors counted against it.

Cause: these bounds are for a test that is made in each step of the leader. Whether a version may go further is looked at a few times only, and was asked by the number of answers and of fast ones alone.

Change: a version goes further only if its failures have a chance of 0.002 at least and its slow answers deviate by 2.3 standard errors at most; at the end of its time it is withdrawn otherwise.

--- a/src/coordination/core/decide_rollout.ts
+++ b/src/coordination/core/decide_rollout.ts
@@ -87,6 +87,13 @@
 /** The same for more slow answers; their chances are skewed. */
 const MAX_SLOW_DEVIATION = 4;
 
+/**
+ * The standard errors of slow answers and the probability of failures at which a
+ * version goes no further. They are looked at a few times, the others in each step.
+ */
+const MAX_DOUBTFUL_SLOW_DEVIATION = 2.3;
+const MIN_DOUBTFUL_CHANCE = 0.002;
+
 /** The part of the expected fast answers that a version needs to go further. */
 const MIN_FAST_SHARE = 0.5;
 
@@ -126,7 +133,7 @@
   if (reason !== null) return {type: 'revert', reason};
   const progress = (nowMs - rollout.beganAtMs) / rollout.durationMs;
   const {answers} = tally(view.evidence, rollout, isTarget);
-  const doubt = findDoubt(answers, comparison);
+  const doubt = findDoubt(view, comparison);
   if (progress >= 1 && doubt !== null) return {type: 'revert', reason: doubt};
   if (!hasEndpoints) return {type: 'none'};
   const {movesSessions} = rollout;
@@ -174,12 +181,29 @@
 }
 
 /** Returns why a version may not go further yet; `null` if it may. */
-function findDoubt(answers: number, {fast}: PaceComparison): string | null {
+function findDoubt(
+  {rollout, evidence}: RolloutView,
+  {fast, slow}: PaceComparison,
+): string | null {
+  const {answers, failures} = tally(evidence, rollout, isTarget);
   if (answers < MIN_COMPLETE_ANSWERS) {
     return 'too few answers within the roll-out duration';
   }
-  return fast.count < fast.expected * MIN_FAST_SHARE
-    ? `only ${fast.count} fast answers, ${fast.expected.toFixed(1)} expected`
+  if (fast.count < fast.expected * MIN_FAST_SHARE) {
+    return `only ${fast.count} fast answers, ${fast.expected.toFixed(1)} expected`;
+  }
+  if (slow.deviation > MAX_DOUBTFUL_SLOW_DEVIATION) {
+    return `${slow.count} slow answers, ${slow.expected.toFixed(1)} expected`;
+  }
+  const stable = tally(evidence, rollout, isOther);
+  const expected = estimateShare(stable.failures, stable.answers);
+  const chance = computeUpperTail({
+    count: failures,
+    trials: answers,
+    share: expected,
+  });
+  return chance < MIN_DOUBTFUL_CHANCE
+    ? `${failures} of ${answers} failed`
     : null;
 }
 
@@ -226,8 +250,7 @@
   stableAnswers: number,
 ): boolean {
   if (answers < MIN_ANSWERS) return false;
-  // Additive (Laplace) smoothing: at a rate of 0 any failure would be proof.
-  const expected = (stableBadAnswers + 1) / (stableAnswers + 10);
+  const expected = estimateShare(stableBadAnswers, stableAnswers);
   return (
     badAnswers / answers - expected > TOLERATED_RISE &&
     computeUpperTail({count: badAnswers, trials: answers, share: expected}) <
@@ -235,6 +258,11 @@
   );
 }
 
+/** Additive (Laplace) smoothing: at a rate of 0 any failure would be proof. */
+function estimateShare(badAnswers: number, answers: number): number {
+  return (badAnswers + 1) / (answers + 10);
+}
+
 const isTarget = (evidence: VersionEvidence, rollout: ServiceRollout) =>
   evidence.version === rollout.target;
 
--- a/src/coordination/core/decide_rollout_test.ts
+++ b/src/coordination/core/decide_rollout_test.ts
@@ -142,6 +142,19 @@
   assert.equal(decide(20_000, [few], last).type, 'revert');
 });
 
+// Guards against a version that is completed though more of its answers fail or
+// are slow than is likely: too few for its withdrawal at once.
+test('decideRolloutStep() holds a version with doubtful answers', () => {
+  const failing = createEvidence({answers: 60, failures: 5});
+  const last = {share: 0.5, movesSessions: true, watchedMs: 6_000};
+  for (const nowMs of [16_500, 18_500, 19_900]) {
+    assert.deepEqual(decide(nowMs, [failing], last), {type: 'none'});
+  }
+  assert.equal(decide(20_000, [failing], last).type, 'revert');
+  const lucky = createEvidence({answers: 60, failures: 3});
+  assert.equal(decide(18_500, [lucky], last).type, 'complete');
+});
+
 // One of seven by chance withdrew good versions, and a slow one by luck alone.
 test('decideRolloutStep() tolerates a single failure on a route', () => {
   const unlucky = createEvidence({answers: 7, failures: 1});
