Send a new version's requests to as few endpoints as bear its share

Callers: a version that fails under load was completed, and failed them then: with the small share that the limit leaves, spread over all of its endpoints, none of these has the load at which its failures begin.

Cause: load is load of an endpoint. With a share of 0.1 each of three endpoints has 0.1 of the load that it will have when the version is complete.

Change: while a version is rolled out, gateways pick among so few of its endpoints that each has at most 1.1 of its later load: usable ones of their region, by a hash, so that all gateways of a region agree. One that is silent, ejected, full or was tried is replaced by the next.

--- a/src/coordination/core/loaded_rollout_test.ts
+++ b/src/coordination/core/loaded_rollout_test.ts
@@ -73,6 +73,21 @@
   assert.deepEqual(found, []);
 });
 
+// Guards against a version that is completed since it is at its full load only
+// then: at few endpoints it is at that load before.
+test('a version half of whose answers fail under load is not completed', () => {
+  const found = [0.3, 0.6].flatMap(fromLoad =>
+    playRates({underLoad: {failureShare: 0.5, fromLoad}})
+      // Without sessions the first half leaves no share for a higher load.
+      .filter(({hasSessions}) => hasSessions || fromLoad < 0.6)
+      .filter(({completed}) => completed > SEEDS / 100)
+      .map(
+        ({where, completed}) => `${completed} completed: ${where}, ${fromLoad}`,
+      ),
+  );
+  assert.deepEqual(found, []);
+});
+
 // Guards against a good version that is not completed since its limit is kept.
 test('a good version is completed within its limit', () => {
   const found = playRates({})
--- a/src/coordination/core/simulated_rollout.ts
+++ b/src/coordination/core/simulated_rollout.ts
@@ -8,6 +8,7 @@
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import type {ServiceRollout} from '../../protocol/core_service.ts';
+import {countTrialEndpoints} from '../forwarding/select_trial_endpoints.ts';
 import {VersionEvidenceCounter} from '../forwarding/version_evidence.ts';
 import {decideRolloutStep} from './decide_rollout.ts';
 
@@ -47,6 +48,8 @@
   readonly load?: number;
   /** Whether all requests belong to sessions; true by default. */
   readonly hasSessions?: boolean;
+  /** Endpoints of each version; 3 by default. */
+  readonly endpoints?: number;
   /** Failures of the new version under load; none by default. */
   readonly underLoad?: FailuresUnderLoad;
 }
@@ -54,7 +57,7 @@
 export interface FailuresUnderLoad {
   /** The share of its answers that fail under load. */
   readonly failureShare: number;
-  /** The load from which they fail, as a part of that when it is completed. */
+  /** The load of an endpoint from which they fail, as a part of that when complete. */
   readonly fromLoad: number;
 }
 
@@ -76,6 +79,7 @@
   failureShare = 0.01,
   load = 1,
   hasSessions = true,
+  endpoints = 3,
   underLoad = {failureShare: 0, fromLoad: 0},
 }: SimulatedRolloutOptions): SimulatedRolloutResult {
   const generator = xoroshiro128plus(seed);
@@ -94,10 +98,12 @@
     durationMs,
   };
   const routes = ['letters', 'notes', 'titles'];
+  const computeLoad = () =>
+    (rollout.share * endpoints) / countTrialEndpoints(endpoints, rollout.share);
   const drawFailure = (isTarget: boolean) =>
     draw() < failureShare ||
     (isTarget &&
-      rollout.share >= underLoad.fromLoad &&
+      computeLoad() >= underLoad.fromLoad &&
       draw() < underLoad.failureShare);
   const drawAnswer = (version: string) => {
     const size = 0.2 + drawExponential();
--- a/src/coordination/forwarding/endpoint_picker.ts
+++ b/src/coordination/forwarding/endpoint_picker.ts
@@ -17,6 +17,7 @@
 import {PrefixCacheTracker} from './prefix_cache_tracker.ts';
 import type {PrefillBacklog} from './prefill_backlog.ts';
 import type {AttemptChoice} from './run_attempt.ts';
+import {selectTrialEndpoints} from './select_trial_endpoints.ts';
 
 /** Share of other gateways' reported prefill backlog assumed still pending. */
 const OTHER_BACKLOG_WEIGHT = 0.8;
@@ -93,7 +94,12 @@
     const {region, dataCentre, findRegion, random, prefillBacklog, clock} =
       this.options;
     const {service, route} = run.admitted;
-    const endpoints = this.listUntried(run).filter(each => each !== except);
+    const untried = this.listUntried(run).filter(each => each !== except);
+    const endpoints = selectTrialEndpoints(untried, {
+      rollout: this.options.view.findRollout(service.name),
+      isUsable: endpoint => this.isUsable(endpoint),
+      isNear: endpoint => findRegion(endpoint.dataCentre) === region,
+    });
     const chosen = chooseEndpoint({
       service,
       candidates: this.describeCandidates(run, model, endpoints),
@@ -185,13 +191,22 @@
       );
   }
 
+  private isUsable(endpoint: EndpointEntry): boolean {
+    const {health} = this.options;
+    return (
+      !endpoint.silent &&
+      !health.isEjected(endpoint) &&
+      !health.isFull(endpoint)
+    );
+  }
+
   /** Samples endpoints for a request and adds what is known of their load. */
   private describeCandidates(
     run: CallRun,
     model: string | null,
     endpoints: readonly EndpointEntry[],
   ): EndpointCandidate[] {
-    const {health, dataCentre, random} = this.options;
+    const {dataCentre, random} = this.options;
     const {sharedPrefixId} = run;
     const cacheOwner =
       sharedPrefixId === null
@@ -208,10 +223,7 @@
     const drawn = drawEndpoints(endpoints, {
       dataCentre,
       hasCachedPrompt: endpoint => getCachedProbability(endpoint) > 0,
-      isUsable: endpoint =>
-        !endpoint.silent &&
-        !health.isEjected(endpoint) &&
-        !health.isFull(endpoint),
+      isUsable: endpoint => this.isUsable(endpoint),
       random,
     });
     return drawn.map(endpoint =>
