Keep the host list until a new leader has heard of all hosts

What was seen: after a change of the leader, the first renewal that a relay forwards gets the list of the daemons that the new leader has heard of so far. It replaced the full list.

What callers saw: addresses without the other gateways, and a gateway that takes its share of each pool for that of all gateways (the share of a pool is divided by the number of listed gateways), until the others had renewed.

Cause: a list that is held was given up for one that was not complete. The leases of an earlier leader are waited for, its list of hosts was not.

Why this works: for the time after which a silent daemon is delisted anyway, a leader leaves a list of another leader as it is. A relay without any list gets what is known, and lists of the same leadership are updated as before, so a daemon that is lost with the old leader is delisted in the same time.

--- a/src/coordination/leases/document_history.ts
+++ b/src/coordination/leases/document_history.ts
@@ -23,6 +23,11 @@
     return this.newest?.document ?? null;
   }
 
+  /** Whether a revision was recorded and is kept. */
+  has(revision: number | string): boolean {
+    return this.documents.has(revision);
+  }
+
   /** Records a new revision. Has no effect if it is already the newest. */
   record(revision: number | string, document: T): void {
     if (this.newest?.revision === revision) return;
--- a/src/coordination/leases/lease_service.ts
+++ b/src/coordination/leases/lease_service.ts
@@ -24,11 +24,16 @@
 /** Creates the handler that grants a batch of renewals from a replica. */
 export function createLeaseService(options: LeaseServiceOptions) {
   const {table} = options;
-  const history = new DocumentHistory<HostsByName>();
+  let history = new DocumentHistory<HostsByName>();
+  let leaderSince = -Infinity;
   return (request: GrantRequest): GrantReply => {
     if (!options.isLeader()) {
       return {type: 'not-leader', leader: options.getLeader()};
     }
+    if (table.leaderSince !== leaderSince) {
+      ({leaderSince} = table);
+      history = new DocumentHistory();
+    }
     const unknown = request.renewals
       .filter(({host, revision, ...holder}) => {
         return !table.renew(holder, revision, host);
@@ -37,13 +42,22 @@
     const hosts = table.listHosts();
     const hostsRevision = digestHosts(hosts);
     history.record(hostsRevision, hosts);
-    return {
-      type: 'granted',
+    const granted = {
+      type: 'granted' as const,
       leaseMs: CONFIGURATION_LEASE_MS,
       revision: options.getRevision(),
+      unknown,
+    };
+    // A list of an earlier leader stays in use until this one is complete.
+    const isEarlier =
+      request.hostsRevision !== '' && !history.has(request.hostsRevision);
+    if (isEarlier && !table.hasHeardHosts()) {
+      return {...granted, hostsRevision: request.hostsRevision};
+    }
+    return {
+      ...granted,
       hosts: history.describeUpdate(request.hostsRevision),
       hostsRevision,
-      unknown,
     };
   };
 }
--- a/src/coordination/leases/lease_table.ts
+++ b/src/coordination/leases/lease_table.ts
@@ -52,6 +52,11 @@
 
   constructor(private readonly options: LeaseTableOptions) {}
 
+  /** When the owner of this table became leader, on the monotonic clock. */
+  get leaderSince(): number {
+    return this.options.getLeaderSince();
+  }
+
   /**
    * Records a renewal. `host` may be omitted for a known process.
    *
@@ -91,6 +96,14 @@
     return hosts;
   }
 
+  /**
+   * Whether this leader leads for so long that a daemon which has not renewed is
+   * delisted.
+   */
+  hasHeardHosts(): boolean {
+    return this.leaderSince <= this.options.clock.monotonic() - HOST_TIMEOUT_MS;
+  }
+
   /**
    * Lists the processes whose lease may still be valid. Returns `null` while
    * unknown leases of an earlier leader may be valid too.
