Ask the next voter if one does not take over leadership

What was seen: a leader that stops as planned asks one voter to take over, ignores whether it stands, and ends its leadership in any case.

What callers saw: no admission, no bill and no change of configuration for the time of an election, in a planned stop.

Cause: leadership was given up before its successor was certain.

Why this works: if the first voter refuses, or has not replied after 350 ms, others are asked, for 700 ms in all as before. Without a reply, only those are asked that were in contact since the transfer began: a leader that is cut off itself asks nobody else. A late campaign of a voter that was asked before has another term, so that no term gets two leaders.

--- a/src/coordination/replication/leadership.ts
+++ b/src/coordination/replication/leadership.ts
@@ -85,16 +85,20 @@
     }
   }
 
-  /** Finds the other voter whose log is most up to date. */
-  findSuccessor(voters: readonly Member[]): Member | null {
-    const [best] = voters
+  /**
+   * Lists the other voters that answered a call sent after `since`, those whose
+   * log is most up to date first.
+   */
+  listSuccessors(voters: readonly Member[], since: number): Member[] {
+    return voters
       .map(voter => this.get(voter))
       .filter(progress => progress !== undefined)
+      .filter(({lastContactAt}) => lastContactAt >= since)
       .sort(
         (a, b) =>
           b.matchIndex - a.matchIndex || b.lastContactAt - a.lastContactAt,
-      );
-    return best?.member ?? null;
+      )
+      .map(({member}) => member);
   }
 
   /** Wakes the replication tasks of all peers. */
--- a/src/coordination/replication/replica.ts
+++ b/src/coordination/replication/replica.ts
@@ -60,6 +60,7 @@
 import type {VoterView} from './plan_membership.ts';
 import {ProposalQueue, type Proposal} from './proposal_queue.ts';
 import {SnapshotReceiver} from './snapshot_receiver.ts';
+import {transferLeadership} from './transfer_leadership.ts';
 
 /**
  * A follower without contact with a leader for this long, plus a random delay
@@ -99,9 +100,6 @@
  */
 const DISK_FULL_BACKOFF_MS = 5_000;
 
-/** Timeout for a leadership transfer on shutdown. */
-const TRANSFER_TIMEOUT_MS = 700;
-
 /** Default time without contact after which a voter is replaced. */
 const REPLACE_AFTER_MS = 30_000;
 
@@ -1068,27 +1066,16 @@
     leadership.wakePeers();
   }
 
-  /**
-   * Transfers leadership, before this member stops, to the voter whose log is
-   * most up to date.
-   */
+  /** Transfers leadership, before this member stops, to another voter. */
   private async transferLeadership(): Promise<void> {
     const {leadership, membership} = this;
-    const {group} = this.options;
     if (!leadership || !membership || !this.isLeader()) return;
     leadership.isTransferring = true;
-    const successor = leadership.findSuccessor(membership.voters);
-    if (!successor) return;
-    const {name, incarnation} = successor;
-    try {
-      await this.options
-        .getPeer(name)
-        .transferLeadership(
-          {group, to: incarnation, term: leadership.term},
-          TRANSFER_TIMEOUT_MS,
-        );
-    } catch (error) {
-      this.logFailure(error);
-    }
+    await transferLeadership({
+      ...this.options,
+      term: leadership.term,
+      listSuccessors: since =>
+        leadership.listSuccessors(membership.voters, since),
+    });
   }
 }
