Keep a silent answer until its successor is certain

What was seen: an attempt whose connection was silent for the token gap was aborted, and only then was it found out whether another attempt may follow. If the attempts were used up, no other endpoint was left, the retry budget was spent, the version was withdrawn or the lease lost, an answer that its engine still made was ended.

What callers saw: a stream that broke off with "the connection is silent", with the precondition that failed where it was known.

Cause: what is held is given up before its successor is certain.

Why this works: a silent connection now asks before it is left, and again each 250 ms. A fallback version counts as a successor once it has an endpoint other than the silent one, a token of the retry budget and a permit, which is acquired before (PoolPermits). While one precondition says no, the attempt is kept, up to the deadline of the request; its endpoint counts as failed for the choice of endpoints at once.

Each stall is logged with the decision, the length of the silence and the precondition that said no, and counted by outcome as attempt.stalls: resume, wait, spoke, ended. A kept attempt that ends without a word is logged at warn.

The fake dispatcher now asks before a scripted silent failure, as the real one does. No existing test was changed.

--- a/src/coordination/quality/quality_observer.ts
+++ b/src/coordination/quality/quality_observer.ts
@@ -33,6 +33,7 @@
 ): RequestObserver {
   return {
     observeAttempt() {},
+    observeStall() {},
     observeRequest() {},
     observeAnswer(answer) {
       void observeAnswer(answer, options);
--- a/src/coordination/requests/answer_run.ts
+++ b/src/coordination/requests/answer_run.ts
@@ -19,11 +19,12 @@
   RouteOptions,
   RoutedAttempt,
 } from '../routing/endpoint_router.ts';
-import {isWithdrawn} from '../routing/eligible_versions.ts';
+import {AttemptSequence} from './attempt_sequence.ts';
 import type {Deadline} from './deadline.ts';
 import type {AttemptError} from './dispatch.ts';
-import {MAX_ATTEMPTS, type RequestContext} from './request_context.ts';
+import type {RequestContext} from './request_context.ts';
 import type {AttemptRecord, RequestRecord} from './request_history.ts';
+import {SilentAttempt} from './silent_attempt.ts';
 
 export interface AnswerRunOptions {
   readonly context: RequestContext;
@@ -39,6 +40,13 @@
   readonly relayed: boolean;
   /** The customer's target for the time to first token. */
   readonly expectedFirstTokenMs?: number;
+  /** Endpoints that are not asked. */
+  readonly avoided?: Iterable<string>;
+  /**
+   * Reserves another version to run instead, at other endpoints than `silent`;
+   * by default there is none.
+   */
+  readonly reserveFallback?: (silent: string) => Outcome<string, string>;
   /** Returns the time since the start of the request. */
   readonly getElapsedMs: () => number;
 }
@@ -54,15 +62,11 @@
 
 /** Runs the attempts for one answer. */
 export class AnswerRun {
-  private readonly avoided = new Set<string>();
-  /** Endpoints that were already asked to resume on a new connection. */
-  private readonly resumed = new Set<string>();
-  private resumable: EndpointChoice | null = null;
   private text = '';
   private nextOffset = 0;
   private sent = false;
   private lastEndpoint = '';
-  private lastError: AttemptError | null = null;
+  private left = false;
 
   constructor(private readonly options: AnswerRunOptions) {}
 
@@ -71,6 +75,11 @@
     return this.lastEndpoint;
   }
 
+  /** The silent endpoint that was left for another version, if any. */
+  get leftEndpoint(): string | null {
+    return this.left ? this.lastEndpoint : null;
+  }
+
   /** The text received so far. */
   get answer(): string {
     return this.text;
@@ -83,75 +92,42 @@
 
   /** Yields the answer's events; a failure is always the last one. */
   async *stream(signal: AbortSignal): AsyncGenerator<RunEvent, void> {
-    let message = 'no endpoint takes work';
-    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
-      const stopReason = this.findStopReason(attempt, signal);
-      if (stopReason !== null) {
-        message = attempt === 0 ? stopReason : `${message}; ${stopReason}`;
+    let message = '';
+    const sequence = new AttemptSequence({
+      ...this.options,
+      signal,
+      hasStarted: () => this.nextOffset > 0,
+    });
+    for (;;) {
+      const next = sequence.choose();
+      if (!next.ok) {
+        const isKnown = message === '' || message === next.error;
+        message = isKnown ? next.error : `${message}; ${next.error}`;
+        break;
+      }
+      const choice = next.value;
+      if (!choice) {
+        message ||= 'no endpoint takes work';
         break;
       }
-      const choice = this.resumable ?? this.selectEndpoint();
-      this.resumable = null;
-      if (!choice) break;
       this.lastEndpoint = choice.endpoint.name;
-      const end = yield* this.runAttempt(choice, signal);
+      const end = yield* this.runAttempt({choice, sequence, signal});
       if (end === null) return;
       message = end.message;
-      this.lastError = end;
       if (end.kind === 'lost') this.sent = true;
+      this.left = sequence.isLeft;
       if (end.fatal) break;
-      this.planNextAttempt(choice, end);
+      sequence.recordError(choice, end);
     }
     yield fail({message, sent: this.sent});
   }
 
-  /**
-   * Excludes the endpoint from further attempts. If only its connection went
-   * idle, the endpoint still holds the answer so far, so it is asked once to
-   * resume on a new connection.
-   */
-  private planNextAttempt(choice: EndpointChoice, end: AttemptError): void {
-    const {name, resumes} = choice.endpoint;
-    const started = this.nextOffset > 0;
-    if (end.silent && resumes && started && !this.resumed.has(name)) {
-      this.resumed.add(name);
-      this.resumable = {...choice, reason: 'resumes on a new connection'};
-    } else {
-      this.avoided.add(name);
-    }
-  }
-
-  /** Returns why no further attempt may be made, or `null`. */
-  private findStopReason(attempt: number, signal: AbortSignal): string | null {
-    const {context, deadline, version} = this.options;
-    if (signal.aborted) return 'the caller left';
-    if (deadline.hasPassed()) return 'the deadline passed';
-    // The version may have been withdrawn after planning.
-    const view = context.getView();
-    if (!view) return 'this gateway lost its lease';
-    if (isWithdrawn(view, version)) return 'the version was withdrawn';
-    if (attempt === 0) {
-      context.decisions.retryBudget.deposit();
-      return null;
-    }
-    // A partial answer is completed even if the retry budget is exhausted.
-    if (this.nextOffset > 0) return null;
-    // An attempt that was never sent has put no load on an endpoint.
-    if (this.lastError?.kind === 'not-sent') return null;
-    const mayRetry = context.decisions.retryBudget.tryTake();
-    return mayRetry ? null : 'the retry budget is spent';
-  }
-
-  private selectEndpoint(): EndpointChoice | null {
-    const {context, route} = this.options;
-    return context.decisions.router.select({...route, avoided: this.avoided});
-  }
-
   /** Runs one attempt; returns `null` if the answer is complete. */
-  private async *runAttempt(
-    choice: EndpointChoice,
-    signal: AbortSignal,
-  ): AsyncGenerator<
+  private async *runAttempt({
+    choice,
+    sequence,
+    signal,
+  }: AttemptOptions): AsyncGenerator<
     RunEvent,
     (AttemptError & {readonly fatal?: boolean}) | null
   > {
@@ -163,6 +139,16 @@
     record.attempts.push(attempt);
     using routed = context.decisions.router.begin(choice.endpoint, route);
     const startedAt = context.clock.monotonic();
+    const silent = new SilentAttempt({
+      context,
+      requestId: record.requestId,
+      kind: 'completion',
+      target: formatVersion(this.options.version),
+      endpoint: attempt.endpoint,
+      routed,
+      reserveNext: stall => sequence.reserve(choice, stall),
+    });
+    const run = {attempt, routed, silent, startedAt, signal};
     let rerunText = '';
     const events = context.dispatcher.openCompletion(
       {
@@ -177,21 +163,23 @@
         deadlineMs: deadline.remainingMs(),
         priority: 0,
         repeatable: true,
+        decideStall: silent.decide,
       },
       signal,
     );
     for await (const event of events) {
       if (!event.ok) {
-        this.finish({attempt, routed, startedAt, signal}, event.error.message);
+        this.finish(run, event.error.message);
         return event.error;
       }
       this.sent = true;
+      silent.recordEvent();
       const {value} = event;
       if (value.type === 'end') {
         if (rerunText.length < expectedPrefix.length) {
-          return this.abortMismatch({attempt, routed, startedAt, signal});
+          return this.abortMismatch(run);
         }
-        this.finish({attempt, routed, startedAt, signal}, 'answered');
+        this.finish(run, 'answered');
         yield event;
         return null;
       }
@@ -206,7 +194,7 @@
         rerunText += text;
         const common = Math.min(rerunText.length, expectedPrefix.length);
         if (!expectedPrefix.startsWith(rerunText.slice(0, common))) {
-          return this.abortMismatch({attempt, routed, startedAt, signal});
+          return this.abortMismatch(run);
         }
         text = rerunText.slice(expectedPrefix.length);
         if (text === '') continue;
@@ -215,7 +203,7 @@
       const offset = this.nextOffset++;
       yield succeed({type: 'delta', offset, text});
     }
-    this.finish({attempt, routed, startedAt, signal}, 'the stream ended');
+    this.finish(run, 'the stream ended');
     return {kind: 'lost', message: 'the stream ended'};
   }
 
@@ -271,7 +259,7 @@
   /** Records the end of an attempt. */
   private finish(end: AttemptEnd, result: string): void {
     const {context, record, customer, version} = this.options;
-    const {attempt, routed, startedAt, signal} = end;
+    const {attempt, routed, silent, startedAt, signal} = end;
     const answered = result === 'answered';
     attempt.result = result;
     attempt.endedMs = this.options.getElapsedMs();
@@ -299,6 +287,7 @@
       remoteBytes: this.measureRemoteBytes(attempt),
     });
     if (answered) return;
+    silent.recordEnd(result);
     context.logger.warn('Ends an attempt without a complete answer.', {
       request: record.requestId,
       endpoint: attempt.endpoint,
@@ -308,9 +297,16 @@
   }
 }
 
+interface AttemptOptions {
+  readonly choice: EndpointChoice;
+  readonly sequence: AttemptSequence;
+  readonly signal: AbortSignal;
+}
+
 interface AttemptEnd {
   readonly attempt: AttemptRecord;
   readonly routed: RoutedAttempt;
+  readonly silent: SilentAttempt;
   readonly startedAt: number;
   readonly signal: AbortSignal;
 }
--- a/src/coordination/requests/basic_decisions_fake.ts
+++ b/src/coordination/requests/basic_decisions_fake.ts
@@ -66,6 +66,7 @@
       endpoint.inFlight++;
       return {
         recordFirstToken: () => {},
+        recordSilence: () => {},
         recordEnd: () => {},
         [Symbol.dispose]: () => {
           endpoint.inFlight--;
--- a/src/coordination/requests/dispatch.ts
+++ b/src/coordination/requests/dispatch.ts
@@ -18,6 +18,20 @@
   readonly silent?: boolean;
 }
 
+/** An attempt whose connection was idle for its timeout. */
+export interface Stall {
+  /** How long no byte arrived. */
+  readonly silentMs: number;
+  /** Whether a byte of the call was handed to a socket. */
+  readonly sent: boolean;
+}
+
+/**
+ * Decides what becomes of a stalled attempt. `leave` ends it at once, so that
+ * its successor never runs beside it; `listen` keeps it, and asks again later.
+ */
+export type DecideStall = (stall: Stall) => 'leave' | 'listen';
+
 /** One attempt to run a completion at an endpoint. */
 export interface CompletionAttempt {
   readonly address: string;
@@ -33,6 +47,8 @@
   readonly deadlineMs: number;
   readonly priority: number;
   readonly repeatable: boolean;
+  /** A stalled attempt is left by default. */
+  readonly decideStall?: DecideStall;
 }
 
 /** One attempt to call a plain service at an endpoint. */
@@ -51,6 +67,8 @@
   /** The idle timeout of the connection; the deadline if the call has none. */
   readonly silenceMs: number;
   readonly repeatable: boolean;
+  /** A stalled attempt is left by default. */
+  readonly decideStall?: DecideStall;
 }
 
 /** The response of a plain service. */
--- a/src/coordination/requests/observe_evidence.ts
+++ b/src/coordination/requests/observe_evidence.ts
@@ -22,6 +22,7 @@
         slow: (firstTokenMs ?? 0) > expectedMs,
       });
     },
+    observeStall() {},
     observeAnswer({version, score}) {
       if (score !== undefined) collector.countRating(version, score);
     },
--- a/src/coordination/requests/observe_metrics.ts
+++ b/src/coordination/requests/observe_metrics.ts
@@ -16,6 +16,9 @@
       }
       if (remoteBytes > 0) metrics.count('link.bytes', remoteBytes);
     },
+    observeStall({kind, target, outcome}) {
+      metrics.count('attempt.stalls', 1, {kind, target, outcome});
+    },
     observeAnswer({version, released, score}) {
       const shown = released ? 'true' : 'false';
       metrics.count('answers', 1, {version, released: shown});
--- a/src/coordination/requests/request_fakes.ts
+++ b/src/coordination/requests/request_fakes.ts
@@ -23,6 +23,7 @@
 import type {
   AttemptObservation,
   RequestObservation,
+  StallObservation,
 } from './request_observer.ts';
 import type {ServiceCall} from './run_service_call.ts';
 import {Settler} from './settler.ts';
@@ -103,6 +104,7 @@
   readonly calls: ServiceAttempt[] = [];
   readonly attempts: AttemptObservation[] = [];
   readonly requests: RequestObservation[] = [];
+  readonly stalls: StallObservation[] = [];
   readonly context: RequestContext;
   view: ControlView | null = {
     revision: 1,
@@ -145,6 +147,7 @@
       rate: async () => fail('no rating service is configured'),
       observer: {
         observeAttempt: each => this.attempts.push(each),
+        observeStall: each => this.stalls.push(each),
         observeAnswer: () => {},
         observeRequest: each => this.requests.push(each),
       },
@@ -217,6 +220,9 @@
     const events = script?.complete?.(attempt) ?? [createFailure('not-sent')];
     for (const event of events) {
       if (event !== 'wait') {
+        if (!event.ok && event.error.silent) {
+          attempt.decideStall?.({silentMs: 0, sent: true});
+        }
         yield event;
         continue;
       }
--- a/src/coordination/requests/request_observer.ts
+++ b/src/coordination/requests/request_observer.ts
@@ -22,6 +22,18 @@
   readonly remoteBytes: number;
 }
 
+/** What became of an attempt whose connection was silent. */
+export interface StallObservation {
+  readonly kind: AttemptObservation['kind'];
+  /** The version as `model/version`, or the service's name. */
+  readonly target: string;
+  /**
+   * `resume`: it was left for what follows it. `wait`: it was kept. After that,
+   * `spoke`: the endpoint went on. `ended`: the attempt ended without a word.
+   */
+  readonly outcome: 'resume' | 'wait' | 'spoke' | 'ended';
+}
+
 /** A complete answer of a version, released to a caller or not. */
 export interface AnswerObservation {
   readonly requestId: string;
@@ -54,6 +66,7 @@
 /** Receives observations. Its methods must neither block nor throw. */
 export interface RequestObserver {
   observeAttempt(observation: AttemptObservation): void;
+  observeStall(observation: StallObservation): void;
   observeAnswer(observation: AnswerObservation): void;
   observeRequest(observation: RequestObservation): void;
 }
@@ -64,6 +77,7 @@
 ): RequestObserver {
   return {
     observeAttempt: each => observers.forEach(o => o.observeAttempt(each)),
+    observeStall: each => observers.forEach(o => o.observeStall(each)),
     observeAnswer: each => observers.forEach(o => o.observeAnswer(each)),
     observeRequest: each => observers.forEach(o => o.observeRequest(each)),
   };
--- a/src/coordination/requests/run_completion.ts
+++ b/src/coordination/requests/run_completion.ts
@@ -21,9 +21,10 @@
 import {AnswerRun, type AnswerFailure} from './answer_run.ts';
 import {CompletionSettlement} from './completion_settlement.ts';
 import {createDeadline, type Deadline} from './deadline.ts';
+import {PoolPermits} from './pool_permits.ts';
 import {rateHeldAnswer} from './rate_held_answer.ts';
 import {DEFAULT_DEADLINE_MS, type RequestContext} from './request_context.ts';
-import {describeNoVersion, describeRefusal} from './request_errors.ts';
+import {describeNoVersion} from './request_errors.ts';
 import {runShadow} from './run_shadow.ts';
 
 export type {CompletionCall} from './admission.ts';
@@ -77,7 +78,9 @@
   private readonly route: Omit<RouteOptions, 'pool'>;
   private sent = false;
   private firstTokenMs?: number;
-  private permit: {pool: string; held: Permit} | null = null;
+  private readonly permits: PoolPermits;
+  /** Silent endpoints that were left for another version. */
+  private readonly leftEndpoints = new Set<string>();
   private released: {version: Version; run: AnswerRun} | null = null;
 
   constructor(
@@ -90,6 +93,8 @@
     );
     this.deadline = deadline;
     this.settlement = new CompletionSettlement({call, context, deadline});
+    const {record} = this.settlement;
+    this.permits = new PoolPermits({call, context, deadline, record});
     const prompt = readPrompt(call);
     this.route = {
       prompt: prompt.slice(0, ROUTED_PROMPT_CHARACTERS),
@@ -112,7 +117,7 @@
       return;
     }
     // The limiter goes first, so that a refusal puts no load on the ledger.
-    const permit = await this.acquirePermit(first.version, signal);
+    const permit = await this.permits.acquire(first.version, signal);
     if (!permit.ok) {
       yield settlement.recordFailure(permit.error);
       return;
@@ -134,7 +139,7 @@
   /** Records the end of the request, and settles it if it is still open. */
   finish(): void {
     const {settlement} = this;
-    this.permit?.held[Symbol.dispose]();
+    this.permits[Symbol.dispose]();
     if (settlement.record.outcome === 'running') {
       void this.settleFailed('the caller left', true);
     }
@@ -146,25 +151,27 @@
     signal: AbortSignal,
   ): AsyncGenerator<CompletionOutcome, void> {
     let failure: AnswerFailure = {message: 'no version may run', sent: false};
-    for (const planned of this.listSteps(admission)) {
+    const steps = this.listSteps(admission);
+    for (const [index, planned] of steps.entries()) {
       const step = await this.pinStep(planned, admission);
       if (!step) {
         failure = {message: 'the session is not known', sent: this.sent};
         break;
       }
-      const permit = await this.acquirePermit(step.version, signal);
+      const permit = await this.permits.acquire(step.version, signal);
       if (!permit.ok) {
         if (this.sent) break;
         yield await this.settlement.finishWithError(permit.error);
         return;
       }
-      const run = this.createRun(step, permit.value);
+      const run = this.createRun(step, permit.value, steps[index + 1]);
       const end =
         step.release === 'direct'
           ? yield* this.runDirect(step, run, admission, signal)
           : yield* this.runRated(step, run, admission, signal);
       if (end === null) return;
       failure = end;
+      if (run.leftEndpoint !== null) this.leftEndpoints.add(run.leftEndpoint);
       this.sent ||= end.sent;
       if (this.released || signal.aborted || this.deadline.hasPassed()) break;
     }
@@ -215,6 +222,7 @@
           return null;
         }
         this.released = {version, run};
+        this.permits.release();
         yield succeed({type: 'start', version: formatVersion(version)});
       }
       if (event.value.type === 'delta') {
@@ -313,31 +321,11 @@
     return isCurrent ? (rating.score ?? undefined) : undefined;
   }
 
-  /** Acquires a permit for the version's pool, unless it is already held. */
-  private async acquirePermit(
-    version: Version,
-    signal: AbortSignal,
-  ): Promise<Outcome<Permit, RequestError>> {
-    const {pool} = version;
-    if (this.permit?.pool === pool) return succeed(this.permit.held);
-    this.permit?.held[Symbol.dispose]();
-    this.permit = null;
-    const {customer} = this.call;
-    const permit = await this.context.decisions.limiter.acquire({
-      customer: customer.name,
-      weight: customer.weight,
-      concurrency: customer.concurrency,
-      pool,
-      deadlineMs: this.deadline.remainingMs(),
-      signal,
-    });
-    if (!permit.ok) return fail(describeRefusal(permit.error));
-    this.permit = {pool, held: permit.value};
-    this.settlement.record.queuedMs += permit.value.queuedMs;
-    return permit;
-  }
-
-  private createRun(step: PlanStep, permit: Permit): AnswerRun {
+  private createRun(
+    step: PlanStep,
+    permit: Permit,
+    next: PlanStep | undefined,
+  ): AnswerRun {
     const {call, context, settlement, deadline} = this;
     return new AnswerRun({
       context,
@@ -354,6 +342,11 @@
       },
       relayed: step.release === 'direct' && call.request.stream,
       expectedFirstTokenMs: findExpectedFirstToken(call),
+      avoided: this.leftEndpoints,
+      reserveFallback: silent =>
+        next && !this.released
+          ? this.permits.reserve(next.version, silent)
+          : fail('no other version is planned'),
       getElapsedMs: () => settlement.getElapsedMs(),
     });
   }
--- a/src/coordination/routing/create_endpoint_router.ts
+++ b/src/coordination/routing/create_endpoint_router.ts
@@ -127,14 +127,19 @@
       this.affinity.record(endpoint.name, hashPrefixes(route.prompt).hashes);
     }
     let ended = false;
+    let silent = false;
     return {
       recordFirstToken: ms => {
         const {firstTokenMs} = baseline;
         const idleMs = stats.recordFirstToken(ms, load, firstTokenMs);
         baseline.firstTokenMs = updateMean(firstTokenMs, idleMs);
       },
+      recordSilence: () => {
+        if (!silent) ejection.record('failed');
+        silent = true;
+      },
       recordEnd: (result, tokenGapMs) => {
-        ejection.record(result);
+        if (!silent || result !== 'failed') ejection.record(result);
         if (tokenGapMs !== undefined) {
           baseline.tokenGapMs = updateMean(baseline.tokenGapMs, tokenGapMs);
         }
--- a/src/coordination/routing/create_endpoint_router_test.ts
+++ b/src/coordination/routing/create_endpoint_router_test.ts
@@ -125,6 +125,23 @@
   assert.ok(fixture.router.select(route));
 });
 
+// Guards against requests that join those which wait for a silent endpoint.
+test('select() avoids an endpoint at which attempts are silent', () => {
+  const [a, b] = [createEndpoint('a'), createEndpoint('b')];
+  const {router} = create([a, b]);
+  const attempts = [1, 2, 3].map(() => router.begin(a, route));
+  const picks = () =>
+    Array.from({length: 8}, () => router.select(route)?.endpoint.name);
+  for (const attempt of attempts.slice(1)) {
+    attempt.recordSilence();
+    attempt.recordEnd('failed');
+  }
+  for (let index = 0; index < 8; index++) router.begin(b, route);
+  assert.ok(picks().includes('a'));
+  attempts[0]?.recordSilence();
+  assert.ok(!picks().includes('a'));
+});
+
 test('select() prefers an endpoint that caches the prefix, if not busy', () => {
   const [a, b] = [createEndpoint('a'), createEndpoint('b')];
   const {router} = create([a, b]);
--- a/src/coordination/routing/endpoint_router.ts
+++ b/src/coordination/routing/endpoint_router.ts
@@ -33,6 +33,8 @@
 export interface RoutedAttempt extends Disposable {
   /** Records the time from dispatch to the first token or byte. */
   recordFirstToken(ms: number): void;
+  /** Records that the endpoint is silent; counts as one failure, at once. */
+  recordSilence(): void;
   /** Records the result and the mean time between tokens. */
   recordEnd(result: AttemptResult, tokenGapMs?: number): void;
 }
--- a/src/transport/endpoints/engine_client.ts
+++ b/src/transport/endpoints/engine_client.ts
@@ -71,6 +71,7 @@
     deadlineMs: attempt.deadlineMs,
     silenceMs: tokenGapMs,
     onSilence: () => pools.retire(address, pool),
+    decideStall: attempt.decideStall,
   });
   if (!sent.ok) {
     yield sent;
@@ -175,6 +176,7 @@
     body: attempt.body.length > 0 ? attempt.body : null,
     deadlineMs: attempt.deadlineMs,
     silenceMs: attempt.silenceMs,
+    decideStall: attempt.decideStall,
   });
   if (!sent.ok) return sent;
   const response = sent.value;
--- a/src/transport/endpoints/send_call.ts
+++ b/src/transport/endpoints/send_call.ts
@@ -2,15 +2,21 @@
  * Sends one HTTP call and tracks whether writing it to a socket began.
  *
  * Every call ends: with its answer, by the caller's signal, by its deadline, or
- * because no byte arrived for `silenceMs`.
+ * because no byte arrived for `silenceMs` and `decideStall` then leaves it.
  */
 import {request, type Dispatcher as HttpDispatcher} from 'undici';
 import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
-import type {AttemptError} from '../../coordination/requests/dispatch.ts';
+import type {
+  AttemptError,
+  DecideStall,
+} from '../../coordination/requests/dispatch.ts';
 
 /** Maximum number of bytes drained to reuse a connection. */
 const MAX_DRAINED_BYTES = 64 * 1024;
 
+/** How often it is decided again whether a silent call is left. */
+const STALL_RECHECK_MS = 250;
+
 export interface SendCallOptions {
   readonly dispatcher: HttpDispatcher;
   readonly address: string;
@@ -23,8 +29,10 @@
   readonly deadlineMs: number;
   /** Timeout for the next byte. */
   readonly silenceMs: number;
-  /** Called when no byte arrived for `silenceMs`. */
+  /** Called once for each time that no byte arrived for `silenceMs`. */
   readonly onSilence: () => void;
+  /** Whether a silent call is left; by default it is. */
+  readonly decideStall?: DecideStall;
 }
 
 /** An answer whose body is read with the timeouts of the call. */
@@ -155,6 +163,9 @@
   private silenceTimer: NodeJS.Timeout;
   private started = false;
   private isWaiting = true;
+  private isStalled = false;
+  /** When the call began to wait for its next byte. */
+  private waitingSince = performance.now();
   private reason = '';
   private silent = false;
 
@@ -164,7 +175,7 @@
       () => this.abort('the deadline passed'),
       Math.max(0, deadlineMs),
     );
-    this.silenceTimer = setTimeout(() => this.handleSilence(), silenceMs);
+    this.silenceTimer = this.startSilenceTimer(silenceMs);
     if (signal.aborted) this.handleSignal();
     else signal.addEventListener('abort', this.handleSignal, {once: true});
   }
@@ -183,7 +194,14 @@
   /** Restarts the timeout for the next byte. */
   resume(): void {
     this.isWaiting = true;
-    this.silenceTimer.refresh();
+    this.waitingSince = performance.now();
+    if (!this.isStalled) {
+      this.silenceTimer.refresh();
+      return;
+    }
+    this.isStalled = false;
+    clearTimeout(this.silenceTimer);
+    this.silenceTimer = this.startSilenceTimer(this.options.silenceMs);
   }
 
   /** Suspends the timeout while the reader processes received bytes. */
@@ -205,13 +223,25 @@
 
   private readonly handleSignal = () => this.abort('the call was cancelled');
 
+  private startSilenceTimer(ms: number): NodeJS.Timeout {
+    return setTimeout(() => this.handleSilence(), ms);
+  }
+
   private handleSilence(): void {
     if (!this.isWaiting) {
       this.silenceTimer.refresh();
       return;
     }
+    const {onSilence, decideStall} = this.options;
+    if (!this.isStalled) onSilence();
+    this.isStalled = true;
+    const silentMs = performance.now() - this.waitingSince;
+    const decision = decideStall?.({silentMs, sent: this.started}) ?? 'leave';
+    if (decision === 'listen') {
+      this.silenceTimer = this.startSilenceTimer(STALL_RECHECK_MS);
+      return;
+    }
     this.silent = true;
-    this.options.onSilence();
     this.abort('the connection is silent');
   }
 
