Keep a silent repeatable call until its successor is certain

What was seen: a repeatable call of a plain service that was silent for its timeout was aborted before it was known whether another attempt may follow.

What callers saw: "Could not answer the request: the connection is silent", while the service was still running the call.

A call that may not be repeated was never left for its silence.

--- a/src/coordination/requests/run_service_call.ts
+++ b/src/coordination/requests/run_service_call.ts
@@ -13,11 +13,11 @@
 import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
 import type {Permit} from '../limits/permit.ts';
 import type {EndpointChoice, RouteOptions} from '../routing/endpoint_router.ts';
+import {AttemptSequence} from './attempt_sequence.ts';
 import {createDeadline, waitAtMost, type Deadline} from './deadline.ts';
 import type {AttemptError, ServiceAnswer} from './dispatch.ts';
 import {
   DEFAULT_CALL_DEADLINE_MS,
-  MAX_ATTEMPTS,
   SETTLE_ERROR_WAIT_MS,
   type RequestContext,
 } from './request_context.ts';
@@ -31,6 +31,7 @@
 } from './request_errors.ts';
 import type {AttemptRecord, RequestRecord} from './request_history.ts';
 import type {SettleCommand} from './settler.ts';
+import {SilentAttempt} from './silent_attempt.ts';
 
 export interface ServiceCall {
   readonly requestId: string;
@@ -66,13 +67,19 @@
   return outcome;
 }
 
+interface AttemptOptions {
+  readonly choice: EndpointChoice;
+  readonly sequence: AttemptSequence;
+  readonly permit: Permit;
+  readonly signal: AbortSignal;
+}
+
 /** The handling of one call from admission to settlement. */
 class ServiceCallRun {
   private readonly record: RequestRecord;
   private readonly deadline: Deadline;
   private readonly startedAt: number;
   private readonly route: RouteOptions;
-  private readonly avoided = new Set<string>();
 
   constructor(
     private readonly call: ServiceCall,
@@ -109,22 +116,24 @@
       message: 'no endpoint takes work',
     };
     let sent = false;
-    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
-      const stopReason = this.findStopReason(attempt, signal, failure);
-      if (stopReason !== null) {
-        if (attempt === 0) failure = {kind: 'not-sent', message: stopReason};
+    const {deadline, route} = this;
+    const sequence = new AttemptSequence({context, deadline, route, signal});
+    for (;;) {
+      const next = sequence.choose();
+      if (!next.ok) {
+        if (this.record.attempts.length === 0) {
+          failure = {kind: 'not-sent', message: next.error};
+        }
         break;
       }
-      const choice = context.decisions.router.select({
-        ...this.route,
-        avoided: this.avoided,
-      });
+      const choice = next.value;
       if (!choice) break;
-      const answer = await this.runAttempt(choice, attempt, held, signal);
+      const attempt = {choice, sequence, permit: held, signal};
+      const answer = await this.runAttempt(attempt);
       if (answer.ok) return this.settleAnswered(choice, answer.value);
       failure = answer.error;
       sent ||= failure.kind === 'lost';
-      this.avoided.add(choice.endpoint.name);
+      sequence.recordError(choice, failure);
       if (sent && !call.call.repeatable) break;
     }
     return fail(await this.settleFailed(failure, sent));
@@ -198,33 +207,27 @@
     return fail(describeDuplicate(result));
   }
 
-  /** Returns why no further attempt may be made, or `null`. */
-  private findStopReason(
-    attempt: number,
-    signal: AbortSignal,
-    failure: AttemptError,
-  ): string | null {
-    const {decisions, getView} = this.context;
-    if (signal.aborted) return 'the caller left';
-    if (this.deadline.hasPassed()) return 'the deadline passed';
-    // The lease may have expired since the call arrived.
-    if (!getView()) return 'this gateway lost its lease';
-    if (attempt === 0) decisions.retryBudget.deposit();
-    if (attempt === 0 || failure.kind === 'not-sent') return null;
-    return decisions.retryBudget.tryTake() ? null : 'the retry budget is spent';
-  }
-
-  private async runAttempt(
-    choice: EndpointChoice,
-    attempt: number,
-    permit: Permit,
-    signal: AbortSignal,
-  ): Promise<Outcome<ServiceAnswer, AttemptError>> {
+  private async runAttempt({
+    choice,
+    sequence,
+    permit,
+    signal,
+  }: AttemptOptions): Promise<Outcome<ServiceAnswer, AttemptError>> {
     const {call, context, deadline, record} = this;
     const attemptRecord = this.beginRecord(choice);
     record.attempts.push(attemptRecord);
     using routed = context.decisions.router.begin(choice.endpoint, this.route);
     const {repeatable} = call.call;
+    const silent = new SilentAttempt({
+      context,
+      requestId: record.requestId,
+      kind: 'call',
+      target: call.service.name,
+      endpoint: choice.endpoint.name,
+      routed,
+      reserveNext: stall => sequence.reserve(choice, stall),
+    });
+    const earlier = record.attempts.length - 1;
     const remainingMs = deadline.remainingMs();
     const answer = await context.dispatcher.callService(
       {
@@ -238,13 +241,17 @@
         contentType: call.contentType,
         body: call.body,
         deadlineMs: remainingMs,
-        silenceMs: repeatable ? INITIAL_SILENCE_MS * 2 ** attempt : remainingMs,
+        silenceMs: repeatable ? INITIAL_SILENCE_MS * 2 ** earlier : remainingMs,
         repeatable,
+        // A call that may not be repeated has no successor.
+        decideStall: repeatable ? silent.decide : undefined,
       },
       signal,
     );
     attemptRecord.endedMs = this.getElapsedMs();
     attemptRecord.result = answer.ok ? 'answered' : answer.error.message;
+    if (answer.ok) silent.recordEvent();
+    else silent.recordEnd(answer.error.message);
     const durationMs = attemptRecord.endedMs - attemptRecord.startedMs;
     const failed = signal.aborted ? 'cancelled' : 'failed';
     const result = answer.ok ? 'answered' : failed;
