Form the group by a majority of its founders

Callers: a site of which one seed is lost for good during its first start never accepts a manifest, and none can be read. The same after a seed lost its disk, and after seeds were killed and restarted with bootstrap = false before the group was formed.

Cause: only the first seed formed the group, and only once all three answered, without a bound in time; a restart without `bootstrap` ended its part in it.

The seeds of the first start now choose one list of first voters by a ballot of a majority, whose votes are synced before they are answered. A seed that does not answer for 1 s is left out, another host takes its place in the list, and the group takes it in later. What a seed has promised stands beside its log with the incarnation of that log, and counts instead of the settings after a restart. A host that lost its disk has no such record and starts without `bootstrap`, so it votes no more: two majorities that share only it cannot both be complete.

The members that know of the group tell the other voters until these know it or are voters no more; before, only the first seed did, and only with `bootstrap`. Groups of `serve`, whose settings do not name a first start, are formed as before. A log of an earlier build opens as before and makes no founder once it belongs to a group.

--- a/src/cli/serve_site/core.ts
+++ b/src/cli/serve_site/core.ts
@@ -1,5 +1,4 @@
 /** Runs the core components of a site daemon. */
-import {join} from 'node:path';
 import {FollowerTable} from '../../coordination/confirmation/follower_table.ts';
 import {Confirmer} from '../../coordination/confirmation/confirmer.ts';
 import {
@@ -17,16 +16,18 @@
 import {createJoinedPropose} from '../../coordination/orders/join_proposals.ts';
 import {startPeriodicTask} from '../../coordination/periodic_task.ts';
 import {startGroupWatch} from '../../coordination/replication/group_watch.ts';
-import type {ReplicaHost} from '../../coordination/replication/member.ts';
+import {
+  NO_FOUNDER_REPLY,
+  type Founder,
+} from '../../coordination/replication/founder.ts';
 import {createProposer} from '../../coordination/replication/proposer.ts';
-import {Replica} from '../../coordination/replication/replica.ts';
+import type {Replica} from '../../coordination/replication/replica.ts';
 import {
   coreSchemas,
   type Configuration,
   type CoreService,
 } from '../../protocol/core_service.ts';
 import {createIdentifier} from '../../protocol/identifiers.ts';
-import type {Membership} from '../../protocol/replication.ts';
 import type {
   RoutingCommand,
   RoutingResult,
@@ -36,7 +37,7 @@
 import {splitAddress} from '../../protocol/address.ts';
 import {isUnknownCall} from '../../transport/peers/peer_links.ts';
 import {startPeerServer} from '../../transport/peers/peer_server.ts';
-import {openStorage} from '../serve/open_storage.ts';
+import {GROUP, openReplica} from './open_replica.ts';
 import {
   listSeedPeers,
   startDirectory,
@@ -44,24 +45,6 @@
   type SiteParts,
 } from './site_parts.ts';
 
-/** The name of the replicated group. */
-const GROUP = 'routing';
-
-/** The minimum number of disk failures that the voters must bear. */
-const MIN_BORNE_DISKS = 2;
-
-/**
- * The disk failures that the voters bear beyond the promised ones: a further disk
- * may fail while the replacement of the last one is still catching up.
- */
-const FURTHER_BORNE_DISKS = 1;
-
-/** The time without contact after which a standby replaces a voter. */
-const REPLACE_AFTER_MS = 8_000;
-
-/** How many standbys are kept caught up: as many as may be lost at once. */
-const SPARE_COUNT = 2;
-
 /** The time-out for a proposal, after which callers use another daemon. */
 const PROPOSE_DEADLINE_MS = 2_500;
 
@@ -103,7 +86,7 @@
   state.members.setSeeds(listSeedPeers(settings));
   const routing = new RoutingState();
   const view = await openView(parts, state, routing);
-  const replica = await openReplica(parts, state, routing);
+  const {replica, founder} = await openReplica(parts, {state, routing});
   isFresh = () => replica.isFresh();
   const confirm = createConfirmService({
     state,
@@ -116,6 +99,7 @@
     view,
     routing,
     replica,
+    founder,
     followers,
     confirm,
     epoch,
@@ -235,71 +219,6 @@
   throw error;
 }
 
-async function openReplica(
-  {clock, leaseClock, store, createLogger, links, getSettings}: SiteParts,
-  state: CoreState,
-  routing: RoutingState,
-): Promise<Replica<RoutingCommand, RoutingResult>> {
-  const settings = getSettings();
-  const logger = createLogger('replica');
-  const folder = join(settings.data_folder ?? '', GROUP);
-  const storage = store.add(await openStorage(folder, {clock, logger}));
-  const describe = (address: string) => ({
-    name: address,
-    region: '',
-    dataCentre: address,
-  });
-  const seedHosts = settings.bootstrap
-    ? listSeedPeers(settings).sort().map(describe)
-    : [];
-  const replica: Replica<RoutingCommand, RoutingResult> = await Replica.open<
-    RoutingCommand,
-    RoutingResult
-  >({
-    group: GROUP,
-    name: state.self.address,
-    bootstrapHosts: seedHosts,
-    listHosts: () => listHosts(state, replica.membership),
-    voterCount: computeVoterCount(settings.bounds.tolerated_disks),
-    spareCount: SPARE_COUNT,
-    replaceAfterMs: REPLACE_AFTER_MS,
-    storage,
-    stateMachine: routing,
-    getPeer: address => links.get(address),
-    clock: leaseClock,
-    random: Math.random,
-    logger,
-    onChange: () => state.changes.notify(),
-  });
-  return store.add(replica);
-}
-
-/**
- * Lists the core daemons that are known, and the hosts of all voters: no daemon
- * removes a host from the core, so a voter is lost by its silence alone.
- */
-function listHosts(
-  state: CoreState,
-  membership: Membership | null,
-): ReplicaHost[] {
-  const hosts = state.members.list().map(({address, region, dataCentre}) => ({
-    name: address,
-    region,
-    dataCentre,
-  }));
-  const known = new Set(hosts.map(({name}) => name));
-  const unknown = (membership?.voters ?? [])
-    .filter(({name}) => !known.has(name))
-    .map(({name}) => ({name, region: '', dataCentre: name}));
-  return [...hosts, ...unknown];
-}
-
-/** Computes how many voters keep a majority after these disk failures. */
-function computeVoterCount(toleratedDisks: number): number {
-  const borne = Math.max(MIN_BORNE_DISKS, toleratedDisks + FURTHER_BORNE_DISKS);
-  return 2 * borne + 1;
-}
-
 /**
  * The newest committed configuration. It comes from the saved view until the
  * replica has caught up, so it is available before a leader is elected.
@@ -351,6 +270,7 @@
   readonly view: CommittedView;
   readonly routing: RoutingState;
   readonly replica: Replica<RoutingCommand, RoutingResult>;
+  readonly founder: Founder | null;
   readonly followers: FollowerTable;
   readonly confirm: ConfirmService;
   /** Identifies this run. */
@@ -359,7 +279,16 @@
 
 function createService(
   {clock, entries}: SiteParts,
-  {state, view, routing, replica, followers, confirm, epoch}: CoreParts,
+  {
+    state,
+    view,
+    routing,
+    replica,
+    founder,
+    followers,
+    confirm,
+    epoch,
+  }: CoreParts,
 ): CoreService {
   const propose = createJoinedPropose({
     propose: command => replica.propose(command),
@@ -373,6 +302,8 @@
     describeReplica: () => replica.handleDescribe(),
     formGroup: request => replica.handleForm(request),
     transferLeadership: request => replica.handleTransfer(request),
+    proposeFounding: async request =>
+      founder?.handle(request) ?? NO_FOUNDER_REPLY,
     propose: ({command}) => propose(command as RoutingCommand),
     follow: createFollowService({
       state,
--- a/src/coordination/replication/formation.ts
+++ b/src/coordination/replication/formation.ts
@@ -1,17 +1,19 @@
 /**
  * Forms a new group.
  *
- * Only the first listed host forms a group, and only if all listed hosts reply
- * and none of them belongs to a group. A host that lost its disk therefore
- * never forms a second group next to the first.
+ * Hosts that know the first start of the whole system from later ones form it by a
+ * majority of its founders, see `found_group.ts`. Among all others, only the first
+ * listed host forms a group, and only if all listed hosts reply and none of them
+ * belongs to a group. A host that lost its disk therefore never forms a second
+ * group next to the first.
  */
 import type {Clock} from '../../protocol/clock.ts';
-import type {
-  Member,
-  Membership,
-  ReplicaDescription,
-} from '../../protocol/replication.ts';
+import type {Logger} from '../../protocol/logger.ts';
+import type {Member, Membership} from '../../protocol/replication.ts';
+import {foundGroup} from './found_group.ts';
+import type {Founder} from './founder.ts';
 import {chooseVoters, type ReplicaHost} from './member.ts';
+import {askHost, notifyVoters} from './notify_voters.ts';
 import type {ReplicaPeer} from './peer_replicator.ts';
 
 /** Delay between attempts. */
@@ -23,40 +25,51 @@
 export interface FormationOptions {
   readonly group: string;
   readonly self: Member;
-  readonly hosts: readonly ReplicaHost[];
+  /** The hosts that all have to reply, unless there are founders. */
+  readonly bootstrapHosts: readonly ReplicaHost[];
+  /** The votes of this host; `null`, the default, if it is no founder. */
+  readonly founder?: Founder | null;
+  /** Lists the hosts that may currently run replicas. */
+  readonly listHosts: () => readonly ReplicaHost[];
   readonly voterCount: number;
   readonly clock: Clock;
+  /** Returns a number in [0, 1). */
+  readonly random: () => number;
+  readonly logger: Logger;
   readonly signal: AbortSignal;
   readonly getPeer: (name: string) => ReplicaPeer;
-  /** Returns whether this replica belongs to a group. */
-  readonly isFormed: () => boolean;
   /**
    * Returns the initial membership while the log still starts with it, `null`
    * afterwards.
    */
   readonly getFormation: () => Membership | null;
+  /** Returns the membership in force; `null` before a group is formed. */
+  readonly getMembership: () => Membership | null;
   /** Makes this replica a member of a new group, durably. */
   readonly form: (membership: Membership) => Promise<void>;
 }
 
 /**
- * Forms the group if this is the first listed host. Resolves when all voters
+ * Forms the group if this host takes part in that. Resolves when all its voters
  * belong to it.
  */
 export async function formGroup(options: FormationOptions): Promise<void> {
-  const {hosts, self, clock, signal} = options;
-  if (hosts[0]?.name !== self.name) return;
-  while (!signal.aborted && !options.isFormed()) {
+  const {bootstrapHosts, self, founder} = options;
+  const [first] = bootstrapHosts;
+  if (founder) await foundGroup({...options, founder});
+  else if (first?.name === self.name) await formWithAll(options);
+  else if (first) return;
+  const membership = options.getFormation();
+  if (membership) await notifyVoters(options, membership);
+}
+
+async function formWithAll(options: FormationOptions): Promise<void> {
+  const {clock, signal} = options;
+  while (!signal.aborted && !options.getMembership()) {
     const membership = await proposeMembership(options);
     if (membership) await options.form(membership);
     else await clock.sleep(RETRY_DELAY_MS, signal);
   }
-  const membership = options.getFormation();
-  if (!membership) return;
-  const others = membership.voters.filter(({name}) => name !== self.name);
-  await Promise.all(
-    others.map(voter => notifyVoter(options, membership, voter)),
-  );
 }
 
 /**
@@ -66,7 +79,7 @@
 async function proposeMembership(
   options: FormationOptions,
 ): Promise<Membership | null> {
-  const {hosts, self, group, voterCount} = options;
+  const {bootstrapHosts: hosts, self, group, voterCount} = options;
   const incarnations = new Map([[self.name, self.incarnation]]);
   const answers = await Promise.all(
     hosts
@@ -86,35 +99,3 @@
   }));
   return {voters};
 }
-
-/**
- * Sends the membership to a voter until it belongs to a group or turns out to
- * have another disk.
- */
-async function notifyVoter(
-  options: FormationOptions,
-  membership: Membership,
-  {name, incarnation}: Member,
-): Promise<void> {
-  const {group, clock, signal} = options;
-  while (!signal.aborted) {
-    const answer = await askHost(options, name, peer =>
-      peer.formGroup({group, to: incarnation, membership}, CALL_TIMEOUT_MS),
-    );
-    if (answer?.formed) return;
-    if (answer && answer.incarnation !== incarnation) return;
-    await clock.sleep(RETRY_DELAY_MS, signal);
-  }
-}
-
-async function askHost(
-  options: FormationOptions,
-  name: string,
-  ask: (peer: ReplicaPeer) => Promise<ReplicaDescription>,
-): Promise<ReplicaDescription | null> {
-  try {
-    return await ask(options.getPeer(name));
-  } catch {
-    return null;
-  }
-}
--- a/src/coordination/replication/replica.ts
+++ b/src/coordination/replication/replica.ts
@@ -38,6 +38,7 @@
 import {createSignal} from '../signal.ts';
 import {collectVotes} from './collect_votes.ts';
 import {formGroup} from './formation.ts';
+import type {Founder} from './founder.ts';
 import {describeLeadership, type GroupStatus} from './group_status.ts';
 import {Leadership, type PeerProgress} from './leadership.ts';
 import {
@@ -125,9 +126,11 @@
   readonly name: string;
   /**
    * The hosts that bootstrap a new group, which the first one initiates. Empty
-   * if this member does not take part in that.
+   * if this member does not take part in that, or if there are founders.
    */
   readonly bootstrapHosts: readonly ReplicaHost[];
+  /** Forms a new group with the other founders; none by default. */
+  readonly founder?: Founder | null;
   /** Lists the hosts that may currently run replicas. */
   readonly listHosts: () => readonly ReplicaHost[];
   /** The target number of voters; the other hosts are spares. */
@@ -255,22 +258,12 @@
   /** Starts the election timer and the other tasks. */
   start(): void {
     this.tasks.push(this.runElectionTimer(), this.runAppender());
-    const {
-      group,
-      bootstrapHosts: seedHosts,
-      voterCount,
-      clock,
-      storage,
-    } = this.options;
+    const {storage} = this.options;
     const formation = formGroup({
-      group,
-      hosts: seedHosts,
-      voterCount,
-      clock,
+      ...this.options,
       self: this.self,
       signal: this.stopped.signal,
-      getPeer: name => this.options.getPeer(name),
-      isFormed: () => this.membership !== null,
+      getMembership: () => this.membership,
       getFormation: () =>
         storage.snapshot?.index === 0 ? storage.snapshot.membership : null,
       form: membership => this.form(membership),
--- a/src/coordination/replication/safety_checks_test.ts
+++ b/src/coordination/replication/safety_checks_test.ts
@@ -1,9 +1,10 @@
 /** Tests the safety rules of the log, each by a case that it prevents. */
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
+import {silentLogger} from '../../protocol/logger.ts';
 import type {Membership} from '../../protocol/replication.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
-import {formGroup} from './formation.ts';
+import {formGroup, type FormationOptions} from './formation.ts';
 import type {ReplicaPeer} from './peer_replicator.ts';
 import {
   createUnresponsivePeer,
@@ -36,17 +37,32 @@
   return {...member, askForVote};
 }
 
-test('no group is formed if one of its hosts belongs to a group', async () => {
+/** Starts the formation on the first host of a group of three. */
+function startFormation(options: Partial<FormationOptions>) {
   const clock = new SimulatedClock();
   const stopped = new AbortController();
-  const formed: Membership[] = [];
   const task = formGroup({
     group: 'group',
     self: {name: 'a', incarnation: 'disk_a'},
-    hosts: MEMBER_HOSTS,
+    bootstrapHosts: MEMBER_HOSTS,
+    listHosts: () => MEMBER_HOSTS,
     voterCount: 3,
     clock,
+    random: () => 0,
+    logger: silentLogger,
     signal: stopped.signal,
+    getPeer: createUnresponsivePeer,
+    getMembership: () => null,
+    getFormation: () => null,
+    form: async () => {},
+    ...options,
+  });
+  return {clock, stopped, task};
+}
+
+test('no group is formed if one of its hosts belongs to a group', async () => {
+  const formed: Membership[] = [];
+  const {clock, stopped, task} = startFormation({
     getPeer: name => ({
       ...createUnresponsivePeer(),
       describeReplica: async () => ({
@@ -54,8 +70,7 @@
         formed: name === 'c',
       }),
     }),
-    isFormed: () => formed.length > 0,
-    getFormation: () => null,
+    getMembership: () => formed[0] ?? null,
     form: async membership => void formed.push(membership),
   });
   await clock.advance(5_000);
@@ -64,6 +79,59 @@
   assert.deepEqual(formed, []);
 });
 
+const FIRST_VOTERS = MEMBER_HOSTS.map(({name}) => ({
+  name,
+  incarnation: `disk_${name}`,
+}));
+
+// Guards against voters that nobody tells of their group, since the first host has
+// restarted meanwhile, with settings that name no first start or with a new build.
+test('a voter tells the others of a new group after a restart', async () => {
+  const membership = {voters: FIRST_VOTERS};
+  const told: string[] = [];
+  const {task} = startFormation({
+    bootstrapHosts: [],
+    getMembership: () => membership,
+    getFormation: () => membership,
+    getPeer: name => ({
+      ...createUnresponsivePeer(),
+      formGroup: async ({to}) => {
+        told.push(to);
+        return {incarnation: `disk_${name}`, formed: true};
+      },
+    }),
+  });
+  await task;
+  assert.deepEqual(told, ['disk_b', 'disk_c']);
+});
+
+// Guards against calls without end to a voter that is gone.
+test('a voter tells the others only while they are voters', async () => {
+  let voters = FIRST_VOTERS;
+  const told: string[] = [];
+  const {clock, task} = startFormation({
+    getMembership: () => ({voters}),
+    getFormation: () => ({voters: FIRST_VOTERS}),
+    getPeer: name => ({
+      ...createUnresponsivePeer(),
+      formGroup: async () => {
+        told.push(name);
+        throw new Error('silent');
+      },
+    }),
+  });
+  await clock.advance(3_000);
+  assert.ok(told.length > 10, `${told.length} calls`);
+  voters = voters.filter(({name}) => name !== 'c');
+  await clock.advance(300);
+  told.length = 0;
+  await clock.advance(3_000);
+  assert.deepEqual([...new Set(told)], ['b']);
+  voters = voters.filter(({name}) => name !== 'b');
+  await clock.advance(300);
+  await task;
+});
+
 test('a longer log of an earlier term is refused a vote', async () => {
   const entries = [{index: 1, term: 2, command: 'new'}];
   const {clock, askForVote} = await openVoter({entries, term: 2});
--- a/src/coordination/replication/simulated_group.ts
+++ b/src/coordination/replication/simulated_group.ts
@@ -10,8 +10,10 @@
 import type {Member} from '../../protocol/replication.ts';
 import {silentLogger} from '../../protocol/logger.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
+import type {FileSystem} from '../../state/files/file_system.ts';
 import {MemoryFileSystem} from '../../state/files/memory_file_system.ts';
 import {openFileLog, type FileLog} from '../../state/log/file_log.ts';
+import {Founder} from './founder.ts';
 import {formatMember, isSameMember, type ReplicaHost} from './member.ts';
 import {Recorder} from './recorder_fake.ts';
 import {Replica} from './replica.ts';
@@ -27,6 +29,7 @@
 const CHECK_INTERVAL_MS = 25;
 
 const FOLDER = '/data/group';
+const FOUNDER_PATH = '/data/founder';
 
 export interface SimulatedGroupOptions {
   readonly hosts: readonly string[];
@@ -50,6 +53,11 @@
    * lists all hosts of `hosts`.
    */
   readonly hasDiscovery?: boolean;
+  /**
+   * Whether the hosts that bootstrap the group are founders, as core daemons are; by
+   * default the first one forms it with all of them.
+   */
+  readonly hasFounders?: boolean;
   /** Returns how long a sync takes; 0 by default. */
   readonly drawSyncMs?: (name: string) => number;
   /** Called after each change of what a host has applied, or of its leader. */
@@ -90,6 +98,7 @@
       files: new MemoryFileSystem(),
       clock: new HostClock(this.clock),
       bootstraps: false,
+      founder: null,
       replica: null,
       storage: null,
       recorder: this.createRecorder(name),
@@ -124,10 +133,16 @@
     const {onChange} = this.options;
     const initial = hosts.map(each => this.getPlace(each));
     const seeds = host.bootstraps ? initial.slice(0, bootstrapHostCount) : [];
+    const {hasFounders = false} = this.options;
+    const founders = seeds.map(seed => seed.name);
+    host.founder = hasFounders
+      ? await this.openFounder(host, {storage, founders})
+      : null;
     host.replica = await Replica.open<string, number>({
       group: 'group',
       name,
-      bootstrapHosts: seeds,
+      bootstrapHosts: hasFounders ? [] : seeds,
+      founder: host.founder,
       listHosts: () =>
         hasDiscovery ? this.directory.listHosts(host) : initial,
       voterCount: this.options.voterCount,
@@ -145,16 +160,39 @@
     host.replica.start();
   }
 
-  /** Opens the log of a host that is down. */
-  async openLog(name: string): Promise<FileLog> {
-    const {clock, files} = this.getHost(name);
+  private openFounder(
+    host: SimulatedHost,
+    {storage, founders}: {storage: FileLog; founders: readonly string[]},
+  ): Promise<Founder | null> {
+    return Founder.open({
+      group: 'group',
+      name: host.name,
+      founders,
+      storage,
+      files: this.connectDisk(host),
+      path: FOUNDER_PATH,
+      ask: (to, request, timeoutMs) =>
+        this.network
+          .createPeer(to, {from: host, log: storage})
+          .proposeFounding(request, timeoutMs),
+      logger: this.createLogger(host.name),
+    });
+  }
+
+  /** Returns the disk of a host for one process. */
+  private connectDisk({name, clock, files}: SimulatedHost): FileSystem {
     const disk = files.connect();
     const {drawSyncMs} = this.options;
+    return drawSyncMs
+      ? createSlowDisk(disk, {clock, drawSyncMs: () => drawSyncMs(name)})
+      : disk;
+  }
+
+  /** Opens the log of a host that is down. */
+  async openLog(name: string): Promise<FileLog> {
     const opened = await openFileLog({
       folder: FOLDER,
-      files: drawSyncMs
-        ? createSlowDisk(disk, {clock, drawSyncMs: () => drawSyncMs(name)})
-        : disk,
+      files: this.connectDisk(this.getHost(name)),
       segmentBytes: 600,
       trailingEntries: 4,
     });
@@ -167,6 +205,7 @@
     const host = this.getHost(name);
     const {replica} = host;
     host.replica = null;
+    host.founder = null;
     host.files.crash(this.options.random);
     // Stops the tasks of the crashed process. Their effects are discarded.
     void replica?.[Symbol.asyncDispose]().catch(() => {});
--- a/src/coordination/replication/simulated_host.ts
+++ b/src/coordination/replication/simulated_host.ts
@@ -3,6 +3,7 @@
 import type {DataFile, FileSystem} from '../../state/files/file_system.ts';
 import {MemoryFileSystem} from '../../state/files/memory_file_system.ts';
 import type {FileLog} from '../../state/log/file_log.ts';
+import type {Founder} from './founder.ts';
 import type {ReplicaHost} from './member.ts';
 import type {Recorder} from './recorder_fake.ts';
 import type {Replica} from './replica.ts';
@@ -61,6 +62,8 @@
   readonly clock: HostClock;
   /** Whether it is told of the hosts that bootstrap the group. */
   bootstraps: boolean;
+  /** Its votes on the first voters of the group; `null` if it has none. */
+  founder: Founder | null;
   /** `null` while the host is down. */
   replica: Replica<string, number> | null;
   /** The log on its disk, also while the host is down; `null` if empty. */
--- a/src/coordination/replication/simulated_network.ts
+++ b/src/coordination/replication/simulated_network.ts
@@ -1,7 +1,13 @@
 /** The network between the hosts of a simulated group, for tests. */
 import type {Clock} from '../../protocol/clock.ts';
+import type {
+  FoundingReply,
+  FoundingRequest,
+  FoundingService,
+} from '../../protocol/founding.ts';
 import type {ReplicationService} from '../../protocol/replication.ts';
 import type {FileLog} from '../../state/log/file_log.ts';
+import {NO_FOUNDER_REPLY} from './founder.ts';
 import type {ReplicaPeer} from './peer_replicator.ts';
 import type {Replica} from './replica.ts';
 import type {SimulatedHost} from './simulated_host.ts';
@@ -13,13 +19,16 @@
 const RESEND_MIN_MS = 200;
 const RESEND_RANDOM_MS = 300;
 
-const METHODS: ReadonlyArray<keyof ReplicationService> = [
+type Method = keyof ReplicationService | keyof FoundingService;
+
+const METHODS: readonly Method[] = [
   'vote',
   'append',
   'installSnapshot',
   'describeReplica',
   'formGroup',
   'transferLeadership',
+  'proposeFounding',
 ];
 
 /** Faults of the network: probabilities of faults and delays. */
@@ -50,7 +59,7 @@
 
 interface Message extends Sender {
   readonly to: string;
-  readonly method: keyof ReplicationService;
+  readonly method: Method;
   readonly request: unknown;
 }
 
@@ -58,11 +67,19 @@
 export interface ObservedMessage {
   readonly from: string;
   readonly to: string;
-  readonly method: keyof ReplicationService;
+  readonly method: Method;
   readonly isReply: boolean;
   readonly content: unknown;
 }
 
+/** The calls from one host to another. */
+export type SimulatedPeer = ReplicaPeer & {
+  proposeFounding(
+    request: FoundingRequest,
+    timeoutMs: number,
+  ): Promise<FoundingReply>;
+};
+
 /** Carries calls between replicas. */
 export class SimulatedNetwork implements NetworkFaults {
   drop = 0;
@@ -81,14 +98,12 @@
   constructor(private readonly options: SimulatedNetworkOptions) {}
 
   /** Creates the calls from one process to a host. */
-  createPeer(to: string, sender: Sender): ReplicaPeer {
-    const call =
-      (method: keyof ReplicationService) =>
-      (request: never, timeoutMs: number) =>
-        this.send({...sender, to, method, request}, timeoutMs);
+  createPeer(to: string, sender: Sender): SimulatedPeer {
+    const call = (method: Method) => (request: never, timeoutMs: number) =>
+      this.send({...sender, to, method, request}, timeoutMs);
     return Object.fromEntries(
       METHODS.map(name => [name, call(name)]),
-    ) as unknown as ReplicaPeer;
+    ) as unknown as SimulatedPeer;
   }
 
   private async send(message: Message, timeoutMs: number): Promise<unknown> {
@@ -130,7 +145,10 @@
     await receiver.clock.waitUntilRunning();
     const {replica} = receiver;
     if (!replica || findHost(to) !== receiver) return this.neverReply();
-    const reply = await handleCall(replica, method, request);
+    const reply =
+      method === 'proposeFounding'
+        ? await (receiver.founder?.handle(request as never) ?? NO_FOUNDER_REPLY)
+        : await handleCall(replica, method, request);
     if (receiver.replica !== replica) return this.neverReply();
     this.observe?.({
       from: to,
--- a/src/protocol/core_service.ts
+++ b/src/protocol/core_service.ts
@@ -31,6 +31,7 @@
   type TrialReply,
   type TrialRequest,
 } from './suspect.ts';
+import {foundingSchemas, type FoundingService} from './founding.ts';
 import {replicationSchemas, type ReplicationService} from './replication.ts';
 import {routingCommandSchema} from './routing_commands.ts';
 
@@ -322,6 +323,7 @@
 
 export const coreSchemas = {
   ...replicationSchemas,
+  ...foundingSchemas,
   propose: proposeRequestSchema.extend({command: routingCommandSchema}),
   follow: followRequestSchema,
   exchangeCore: coreExchangeSchema,
@@ -375,7 +377,7 @@
 } as const;
 
 /** The calls that a daemon of the core serves. */
-export interface CoreService extends ReplicationService {
+export interface CoreService extends ReplicationService, FoundingService {
   propose(request: z.infer<typeof proposeRequestSchema>): Promise<ProposeReply>;
   /** Replies once something changed or `holdMs` has passed. */
   follow(request: FollowRequest): Promise<FollowReply>;
