Charge each successor, and let unbegun requests be planned as before

What callers and workers saw: while endpoints are silent, a request may go to a third and further ones although the retry budget is used up (BUDGET). A request that has a suspect and no answer yet fails with 502 although an endpoint would take it, and one whose gateway has lost its path is sent to a second endpoint without a path, where another gateway would have served it.

Cause: since attempts are given up only with a reserved successor, run.isPaid is read while the attempt for which it was charged goes on, and passes for a charge of the next one. And a reserved attempt of a request that has not begun skips the question for a trial and for another gateway.

Change: the successor of a silent attempt always takes a token. A reserved choice is used as it is only for an answer that was given up; any other request is planned anew, with the token that it has.

Evidence: three new tests of handover_test.ts fail before (4 attempts where 2 are paid; 2 attempts and 502; no request relayed) and pass now. Open: a request that has not begun and whose only endpoint is silent waits there, also if another gateway would serve it.

--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -142,7 +142,10 @@
     const leftMs = run.admitted.deadline - clock.monotonic();
     if (leftMs <= 0) return this.finishUndelivered(run, sink, 'deadline');
     const reserved = run.takeReserved();
-    if (reserved) return this.attempt(run, sink, {choice: reserved, leftMs});
+    // A request that has not begun may need a trial, or another gateway.
+    if (reserved && run.isGivenUp) {
+      return this.attempt(run, sink, {choice: reserved, leftMs});
+    }
     if (run.isGivenUp) return this.reserveAgain(run, sink);
     if (!this.shutdown.canEnd(run)) {
       return this.deliverFallback(run, sink, leftMs);
--- a/src/coordination/forwarding/handover.ts
+++ b/src/coordination/forwarding/handover.ts
@@ -54,6 +54,12 @@
   readonly isCounted: boolean;
 }
 
+interface ReserveOptions {
+  /** Whether the retry budget was already charged for the successor. */
+  readonly isPaid: boolean;
+  readonly isAllowed: (endpoint: EndpointEntry) => boolean;
+}
+
 export class Handover {
   constructor(private readonly options: HandoverOptions) {}
 
@@ -71,7 +77,11 @@
     if (!isRepeatable || runs >= route.maxAttempts) return fail('attempts');
     if (!shutdown.canEnd(run)) return fail('stopping');
     if (attempt.hasBegun && !quarantine.isFree(run)) return fail('quarantine');
-    return this.reserveAt(run, each => this.canTakeOver(each, attempt));
+    return this.reserveAt(run, {
+      // What was charged last was for the silent attempt itself.
+      isPaid: false,
+      isAllowed: each => this.canTakeOver(each, attempt),
+    });
   }
 
   /**
@@ -83,10 +93,10 @@
     if (shutdown.isAborted) return fail('stopping');
     if (run.runs >= run.admitted.route.maxAttempts) return fail('attempts');
     if (!quarantine.isFree(run)) return fail('quarantine');
-    const successor = this.reserveAt(
-      run,
-      each => !health.isEjected(each) && !health.isFull(each),
-    );
+    const successor = this.reserveAt(run, {
+      isPaid: run.isPaid,
+      isAllowed: each => !health.isEjected(each) && !health.isFull(each),
+    });
     // The endpoints that were tried may take it by now.
     if (!successor.ok && successor.error === 'no-endpoint') run.tried.clear();
     return successor;
@@ -94,14 +104,13 @@
 
   private reserveAt(
     run: CallRun,
-    isAllowed: (endpoint: EndpointEntry) => boolean,
+    {isPaid, isAllowed}: ReserveOptions,
   ): Outcome<AttemptChoice, BlockReason> {
     const {picker, budgets} = this.options;
     const choice = picker.planNext(run, {isAllowed});
     if (!choice) return fail('no-endpoint');
-    const isPaid =
-      run.isPaid || budgets.get(run.admitted.service.name).tryTake();
-    if (!isPaid) return fail('budget');
+    const budget = budgets.get(run.admitted.service.name);
+    if (!isPaid && !budget.tryTake()) return fail('budget');
     picker.record(run, choice);
     return succeed(choice);
   }
--- a/src/coordination/forwarding/handover_test.ts
+++ b/src/coordination/forwarding/handover_test.ts
@@ -3,9 +3,10 @@
 import {test} from 'uvu';
 import type {SimulatedClock} from '../../protocol/simulated_clock.ts';
 import type {AttemptOptions, AttemptOutcome, Call} from './call.ts';
-import {createAnswer, PLAIN_ANSWER} from './fake_answers.ts';
+import {createAnswer, PLAIN_ANSWER, waitForAbort} from './fake_answers.ts';
 import {
   createEndpoint,
+  createFollowReply,
   createRoute,
   FakeGateway,
   type FakeGatewayOptions,
@@ -251,4 +252,85 @@
   await gateway.clock.advance(1_000);
 });
 
+// Guards against third and further attempts that cost no retry: the charge of the
+// attempt that is given up passed for that of its successor.
+test('reserve() charges the retry budget for each successor', async () => {
+  const gateway = new FakeGateway({
+    route: {...ROUTE, maxAttempts: 5},
+    endpoints: ['e1', 'e2', 'e3', 'e4'].map(id => createEndpoint(id)),
+    behave: async (_call, {signal}) => {
+      await waitForAbort(signal).catch(() => {});
+      return {type: 'aborted'};
+    },
+    // One retry, since gateways use a part of the budget.
+    retryRatio: 0,
+    retryExtra: 2,
+  });
+  const {done} = gateway.start();
+  // Less than the window of the budget.
+  await gateway.clock.advance(10_000);
+  assert.equal(gateway.attempts.length, 2);
+  await gateway.clock.advance(20_000);
+  await done;
+});
+
+// Guards against a request that fails although an endpoint would take it: its
+// successor was reserved without the permission of the quarantine, and refused.
+test('reserve() lets a request with a suspect ask for a trial again', async () => {
+  let attempts = 0;
+  const gateway = new FakeGateway({
+    route: {...ROUTE, maxAttempts: 4},
+    endpoints: ['e1', 'e2', 'e3'].map(id => createEndpoint(id)),
+    behave: async (call, options, clock) => {
+      if (!options.mayBegin()) return {type: 'withdrawn'};
+      attempts++;
+      if (attempts === 1) return {type: 'broken', reason: 'reset'};
+      if (attempts > 2) return sendStream({call, options, clock});
+      await waitForAbort(options.signal).catch(() => {});
+      return {type: 'aborted'};
+    },
+  });
+  const {sink, done} = gateway.start();
+  await gateway.clock.advance(30_000);
+  await done;
+  assert.deepEqual([attempts, sink.status], [3, 200]);
+});
+
+// Guards against retries at endpoints that a gateway does not reach, while another
+// gateway could serve the request.
+test('reserve() leaves a request without a path to another gateway', async () => {
+  let relayed = 0;
+  const gateway = new FakeGateway({
+    route: ROUTE,
+    endpoints: ['e1', 'e2'].map(id => createEndpoint(id)),
+    behave: async (_call, {signal}) => {
+      await waitForAbort(signal).catch(() => {});
+      return {type: 'aborted'};
+    },
+    probe: async () => false,
+    sendRelayed: async call => {
+      relayed++;
+      return createAnswer(call, {signal: call.signal} as AttemptOptions);
+    },
+  });
+  gateway.view.apply(
+    createFollowReply({
+      complete: false,
+      openGateways: ['g', 'other'].map(address => ({
+        address,
+        region: 'r',
+        dataCentre: 'a',
+        open: true,
+      })),
+    }),
+  );
+  const {sink, done} = gateway.start();
+  await gateway.clock.advance(4_000);
+  assert.deepEqual(
+    [gateway.attempts.length, relayed, sink.status],
+    [1, 1, 200],
+  );
+  await done;
+});
+
 test.run();
--- a/tools/mutants/handover.ts
+++ b/tools/mutants/handover.ts
@@ -29,8 +29,8 @@
     edits: [
       {
         file: HANDOVER,
-        from: "    if (!isPaid) return fail('budget');\n    picker.record(run, choice);\n",
-        to: '    if (isPaid) picker.record(run, choice);\n',
+        from: "    if (!isPaid && !budget.tryTake()) return fail('budget');\n    picker.record(run, choice);\n",
+        to: '    if (isPaid || budget.tryTake()) picker.record(run, choice);\n',
       },
       {
         file: `${FOLDER}/call_run.ts`,
@@ -39,7 +39,7 @@
       },
       {
         file: `${FOLDER}/forwarder.ts`,
-        from: '    if (reserved) return this.attempt(run, sink, {choice: reserved, leftMs});\n    if (run.isGivenUp) return this.reserveAgain(run, sink);\n',
+        from: '    if (reserved && run.isGivenUp) {\n      return this.attempt(run, sink, {choice: reserved, leftMs});\n    }\n    if (run.isGivenUp) return this.reserveAgain(run, sink);\n',
         to: '',
       },
     ],
