Log a reason for which a silent attempt waits once per silence

What the operator would see: up to 20 lines a second for each silent stream. A successor is asked for each 50 ms, and a line is written whenever the reason is another one than before; with an empty budget it alternates between budget and no-endpoint as the other endpoint speaks or pauses.

Evidence: silence_watch_test.ts, a silence of 20 s: 377 lines before, 2 now.

--- a/src/coordination/forwarding/silence_watch.ts
+++ b/src/coordination/forwarding/silence_watch.ts
@@ -66,6 +66,8 @@
   let silentSince = clock.monotonic();
   /** Why the attempt goes on although its endpoint is silent. */
   let waitsFor: BlockReason | null = null;
+  /** The reasons told of this silence, which may alternate. */
+  const waitedFor = new Set<BlockReason>();
   const record = (decision: string, reason: BlockReason | null) =>
     recordDecision(options, run, {endpoint, silentSince, decision, reason});
   const watchdog = startWatchdog(clock, timeoutMs, () => {
@@ -84,14 +86,16 @@
       return giveUp();
     }
     const reason = successor.error;
-    if (reason !== waitsFor) record('wait', reason);
     waitsFor = reason;
+    if (!waitedFor.has(reason)) record('wait', reason);
+    waitedFor.add(reason);
     watchdog.postpone(FINAL.has(reason) ? Infinity : RETRY_HANDOVER_MS);
   });
   return {
     recordOutput(ms) {
       if (waitsFor !== null) record('continue', waitsFor);
       waitsFor = null;
+      waitedFor.clear();
       silentSince = clock.monotonic();
       watchdog.postpone(ms);
     },
