Test the pace of further successors with a budget that does not bound it

The test allowed fewer than 50 attempts, and the retry budget of its gateway 43: it passed with a loop that asks full endpoints at once, too. With a large budget that loop makes 70 attempts and fails; the sources pass.

--- a/src/coordination/forwarding/handover_test.ts
+++ b/src/coordination/forwarding/handover_test.ts
@@ -236,6 +236,8 @@
 
 test('reserveAgain() asks refusing endpoints a few times a second', async () => {
   const gateway: FakeGateway = createGateway({
+    // The budget must not be what bounds them.
+    retryExtra: 5_000,
     behave: async (call, options, clock) => {
       if (gateway.attempts[0] === options) {
         return sendStream({call, options, clock, silence: [1_000, Infinity]});
