--- a/src/coordination/forwarding/silence_histories_test.ts
+++ b/src/coordination/forwarding/silence_histories_test.ts
@@ -12,7 +12,7 @@
   type SilenceFigures,
 } from '../simulation/silence_history.ts';
 
-const SEEDS = Number(process.env['SILENCE_SEEDS'] ?? 30);
+const SEEDS = Number(process.env['SILENCE_SEEDS'] ?? 40);
 const FIRST_SEED = Number(process.env['SILENCE_FROM'] ?? 1);
 
 let played: Promise<SilenceFigures[]> | null = null;
@@ -63,6 +63,8 @@
     histories.reduce((total, each) => total + get(each), 0);
   assert.ok(sum(({whole}) => whole) > histories.length);
   assert.ok(sum(({resumed}) => resumed) > 0);
+  assert.ok(sum(({cut}) => cut) > 0);
+  assert.ok(sum(({deserted}) => deserted) > 0);
 });
 
 test.run();
--- a/src/coordination/simulation/silence_history.ts
+++ b/src/coordination/simulation/silence_history.ts
@@ -42,6 +42,8 @@
   readonly whole: number;
   readonly cut: number;
   readonly resumed: number;
+  /** Streams whose first endpoint fell silent for good and had to be left. */
+  readonly deserted: number;
   readonly faults: readonly SilenceFault[];
 }
 
@@ -149,6 +151,14 @@
     whole: begun.filter(({sink}) => sink?.outcome === 'whole').length,
     cut: begun.filter(({sink}) => sink?.outcome === 'cut').length,
     resumed: begun.filter(({id}) => (runs.get(id)?.length ?? 0) > 1).length,
+    deserted: begun.filter(
+      stream =>
+        measureHeldMs(stream, {
+          setting,
+          byId,
+          runs: runs.get(stream.id) ?? [],
+        }) !== null,
+    ).length,
     faults: begun.flatMap(judge),
   };
 }
@@ -274,10 +284,21 @@
 }
 
 /** An endpoint that never speaks again is left if another can take over. */
-function findHeldFault(
+function findHeldFault(stream: Stream, options: JudgeOptions): string | null {
+  const heldMs = measureHeldMs(stream, options);
+  return heldMs !== null && heldMs > LEAVE_WITHIN_MS
+    ? `held on to ${options.runs[0]?.endpoint} for ${Math.round(heldMs)} ms`
+    : null;
+}
+
+/**
+ * Measures how long a stream stayed at its first endpoint after that fell silent
+ * for good, in ms; `null` if it did not, or no other one could take over.
+ */
+function measureHeldMs(
   {endedMs}: Stream,
   {setting, byId, runs}: JudgeOptions,
-): string | null {
+): number | null {
   const {isBudgetEmpty, maxAttempts, hasModels, stopMs, workers} = setting;
   const [run] = runs;
   if (!run || hasModels || isBudgetEmpty || stopMs !== null) return null;
@@ -290,10 +311,7 @@
   if (!isDead || !run.hasSpoken || !hasOther) return null;
   const fromMs = findDeath(worker);
   if (fromMs >= endedMs) return null;
-  const leftMs = Math.min(run.abortedMs ?? Infinity, endedMs);
-  return leftMs > fromMs + LEAVE_WITHIN_MS
-    ? `held on to ${run.endpoint} for ${Math.round(leftMs - fromMs)} ms`
-    : null;
+  return Math.min(run.abortedMs ?? Infinity, endedMs) - fromMs;
 }
 
 /** Returns from when on an endpoint never speaks again. */
