Charge no retry for a caller who has left

What callers saw: a request whose caller has left while a further successor was looked for takes a token of the retry budget that no attempt uses, so that another request may lack it.

Cause: the search goes on after its pause without asking whether the caller left.

--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -204,6 +204,7 @@
   /** Looks for another successor of an answer that was given up. */
   private async reserveAgain(run: CallRun, sink: CallerSink): Promise<void> {
     await this.sleep(run, RETRY_HANDOVER_MS);
+    if (run.call.signal.aborted) return;
     const successor = this.handover.reserveAgain(run);
     if (successor.ok) return run.reserve(successor.value, {hasBegun: true});
     const {error: reason} = successor;
--- a/src/coordination/forwarding/handover_test.ts
+++ b/src/coordination/forwarding/handover_test.ts
@@ -335,4 +335,35 @@
   await done;
 });
 
+// Guards against a retry that is charged for a caller who has left.
+test('reserveAgain() charges nothing for a caller who has left', async () => {
+  const left = new AbortController();
+  const gateway: FakeGateway = new FakeGateway({
+    route: ROUTE,
+    endpoints: ['e1', 'e2', 'e3'].map(id => createEndpoint(id)),
+    behave: async (call, options, clock) => {
+      if (!options.mayBegin()) return {type: 'withdrawn'};
+      if (call.facts.attemptId !== 'c0') {
+        return {type: 'not-run', status: 503, facts: PLAIN_ANSWER};
+      }
+      if (gateway.attempts[0] === options) {
+        return sendStream({call, options, clock, silence: [1_000, Infinity]});
+      }
+      return {type: 'not-run', status: 503, facts: PLAIN_ANSWER};
+    },
+    // Two retries, since gateways use a part of the budget.
+    retryRatio: 0,
+    retryExtra: 2.4,
+  });
+  const {done} = gateway.start({}, left.signal);
+  while (gateway.attempts.length < 2) await gateway.clock.advance(10);
+  left.abort();
+  await done;
+  // The second retry is left for another request.
+  const other = gateway.start();
+  await gateway.clock.advance(1_000);
+  await other.done;
+  assert.equal(gateway.attempts.length, 4);
+});
+
 test.run();
