--- /dev/null
+++ b/src/coordination/forwarding/silent_successors_test.ts
@@ -0,0 +1,165 @@
+/** Tests where a request goes when its endpoint is silent, in cases not yet right. */
+import assert from 'node:assert/strict';
+import {test} from 'uvu';
+import type {SimulatedClock} from '../../protocol/simulated_clock.ts';
+import type {AttemptOptions, AttemptOutcome, Call} from './call.ts';
+import {createAnswer, PLAIN_ANSWER, waitForAbort} from './fake_answers.ts';
+import {
+  createEndpoint,
+  createFollowReply,
+  createRoute,
+  FakeGateway,
+} from './forwarding_fakes.ts';
+
+const EVENTS = 40;
+const EVENT_INTERVAL_MS = 100;
+
+/** From when on the first endpoint is silent for good, in ms. */
+const SILENT_FROM_MS = 1_000;
+
+const ROUTE = createRoute({
+  repeatability: 'stream',
+  resumable: true,
+  maxAttempts: 3,
+  timeoutMs: 25_000,
+  objectiveMs: 2_000,
+});
+
+interface Stream {
+  readonly call: Call;
+  readonly options: AttemptOptions;
+  readonly clock: SimulatedClock;
+  /** From when on its endpoint sends nothing; never by default. */
+  readonly silentFromMs?: number;
+}
+
+/** Streams the rest of an answer. */
+function sendStream({
+  call,
+  options,
+  clock,
+  silentFromMs = Infinity,
+}: Stream): AttemptOutcome {
+  const answer = createAnswer(call, options, {isStream: true});
+  if (answer.type !== 'answer') return answer;
+  const first = Number(options.lastEventId ?? 0) + 1;
+  async function* sendEvents() {
+    for (let event = first; event <= EVENTS; event++) {
+      if (clock.monotonic() >= silentFromMs) {
+        await waitForAbort(options.signal);
+      }
+      if (options.signal.aborted) throw new Error('aborted');
+      yield Buffer.from(`id: ${event}\ndata: a\n\n`);
+      await clock.sleep(EVENT_INTERVAL_MS, options.signal);
+    }
+  }
+  return {...answer, answer: {...answer.answer, body: sendEvents()}};
+}
+
+// Guards against a stream that is held at an endpoint that is gone, since the other
+// one works on a call that has no output yet.
+test('reserve() lets a stream move to an endpoint with a long call', async () => {
+  const gateway: FakeGateway = new FakeGateway({
+    route: {...ROUTE, objectiveMs: 20_000},
+    endpoints: ['e1', 'e2'].map(id => createEndpoint(id)),
+    behave: async (call, options, clock) => {
+      if (gateway.attempts[0] === options) {
+        return sendStream({call, options, clock, silentFromMs: SILENT_FROM_MS});
+      }
+      if (gateway.attempts[1] === options) await clock.sleep(15_000);
+      return sendStream({call, options, clock});
+    },
+  });
+  const {done} = gateway.start();
+  const long = gateway.start();
+  await gateway.clock.advance(4_200);
+  assert.equal(gateway.attempts[1]?.endpoint.id, 'e2');
+  assert.equal(gateway.attempts.length, 3);
+  await gateway.clock.advance(30_000);
+  await Promise.all([done, long.done]);
+});
+
+// Guards against an answer that is taken from each successor in turn before it has
+// read the prompt.
+test('reserve() lets a successor read a prompt for as long as a first endpoint', async () => {
+  const gateway: FakeGateway = new FakeGateway({
+    route: {...ROUTE, maxAttempts: 4},
+    endpoints: ['e1', 'e2', 'e3', 'e4'].map(id => createEndpoint(id)),
+    behave: async (call, options, clock) => {
+      if (gateway.attempts[0] === options) {
+        return sendStream({call, options, clock, silentFromMs: SILENT_FROM_MS});
+      }
+      if (options.lastEventId !== null) await clock.sleep(1_500);
+      if (options.signal.aborted) return {type: 'aborted'};
+      return sendStream({call, options, clock});
+    },
+  });
+  const {sink, done} = gateway.start();
+  const others: Promise<void>[] = [];
+  for (let sentMs = 0; sentMs < 8_000; sentMs += 200) {
+    others.push(gateway.start().done);
+    await gateway.clock.advance(200);
+  }
+  await gateway.clock.advance(22_000);
+  await Promise.all([done, ...others]);
+  assert.equal(sink.outcome, 'whole');
+  const resumed = gateway.attempts.filter(({lastEventId}) => lastEventId);
+  assert.equal(resumed.length, 1);
+});
+
+// Guards against a request that waits at the only endpoint until its deadline, while
+// another gateway would serve it.
+test('reserve() gives up a request without a path that another gateway takes', async () => {
+  let relayed = 0;
+  const gateway = new FakeGateway({
+    route: ROUTE,
+    endpoints: [createEndpoint('e1')],
+    behave: async (_call, {signal}) => {
+      await waitForAbort(signal).catch(() => {});
+      return {type: 'aborted'};
+    },
+    probe: async () => false,
+    sendRelayed: async call => {
+      relayed++;
+      return createAnswer(call, {signal: call.signal} as AttemptOptions);
+    },
+  });
+  gateway.view.apply(
+    createFollowReply({
+      complete: false,
+      openGateways: ['g', 'other'].map(address => ({
+        address,
+        region: 'r',
+        dataCentre: 'a',
+        open: true,
+      })),
+    }),
+  );
+  const {sink, done} = gateway.start();
+  await gateway.clock.advance(4_000);
+  assert.deepEqual([relayed, sink.status], [1, 200]);
+  await done;
+});
+
+// Guards against a single answer that takes the retries of all requests.
+test('reserveAgain() asks many refusing endpoints a few times a second', async () => {
+  const gateway: FakeGateway = new FakeGateway({
+    route: ROUTE,
+    endpoints: Array.from({length: 20}, (_, place) =>
+      createEndpoint(`e${place}`),
+    ),
+    behave: async (call, options, clock) =>
+      gateway.attempts[0] === options
+        ? sendStream({call, options, clock, silentFromMs: SILENT_FROM_MS})
+        : {type: 'not-run', status: 503, facts: PLAIN_ANSWER},
+    retryExtra: 5_000,
+  });
+  gateway.start();
+  await gateway.clock.advance(8_000);
+  const sent = gateway.attempts.length;
+  gateway.forwarder.shutdown.abort();
+  await gateway.clock.advance(1_000);
+  assert.ok(sent < 50, `${sent} attempts`);
+});
+
+test.run();
