--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -142,7 +142,10 @@
     const leftMs = run.admitted.deadline - clock.monotonic();
     if (leftMs <= 0) return this.finishUndelivered(run, sink, 'deadline');
     const reserved = run.takeReserved();
-    if (reserved) return this.attempt(run, sink, {choice: reserved, leftMs});
+    // A request that has not begun may need a trial, or another gateway.
+    if (reserved && run.isGivenUp) {
+      return this.attempt(run, sink, {choice: reserved, leftMs});
+    }
     if (run.isGivenUp) return this.reserveAgain(run, sink);
     if (!this.shutdown.canEnd(run)) {
       return this.deliverFallback(run, sink, leftMs);
@@ -201,6 +204,7 @@
   /** Looks for another successor of an answer that was given up. */
   private async reserveAgain(run: CallRun, sink: CallerSink): Promise<void> {
     await this.sleep(run, RETRY_HANDOVER_MS);
+    if (run.call.signal.aborted) return;
     const successor = this.handover.reserveAgain(run);
     if (successor.ok) return run.reserve(successor.value, {hasBegun: true});
     const {error: reason} = successor;
