Take no endpoint for silent that has not answered its requests yet

Callers: a stream at an endpoint that is gone stayed there when the only other one worked on a call without output.

--- a/src/coordination/forwarding/endpoint_health.ts
+++ b/src/coordination/forwarding/endpoint_health.ts
@@ -130,12 +130,14 @@
     return Math.max(spokeAt, answeredAt) > since;
   }
 
-  /** Whether it sent nothing for `ms`, although requests are open at it. */
+  /**
+   * Whether it sent nothing for `ms` although requests are open at it. One that
+   * sent nothing since they were opened may still work on them.
+   */
   isSilent(endpoint: EndpointEntry, ms: number): boolean {
     const {open, openSince} = this.get(endpoint);
-    const since = this.clock.monotonic() - ms;
-    if (open === 0 || openSince > since) return false;
-    return !this.hasSpokenSince(endpoint, since);
+    if (open === 0 || !this.hasSpokenSince(endpoint, openSince)) return false;
+    return !this.hasSpokenSince(endpoint, this.clock.monotonic() - ms);
   }
 
   /** Counts the requests that this gateway has open at an endpoint. */
