Let a successor read its prompt before it counts as silent

Callers: a resumed stream went from one successor to the next, since each had 1.2 s for its first output; a first endpoint has 1.3 times the objective. Now a successor has that, too, at most 2.5 s. silent_successors_test.ts: three resumed attempts before, one now.

--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -31,6 +31,9 @@
 const FIRST_OUTPUT_TIMEOUT_FACTOR = 1.3;
 const FIRST_OUTPUT_TIMEOUT_MIN_MS = 500;
 
+/** Longest timeout for the first output of a stream that is resumed. */
+const RESUME_TIMEOUT_MAX_MS = 2_500;
+
 /**
  * Expected time to begin, as a share of the objective, above which silence of
  * the larger model does not indicate a failure.
@@ -242,12 +245,14 @@
   nowMs: number,
 ): number {
   if (run.held) return findFallbackMs(run, nowMs);
-  if (sink.hasBegun) return STALL_MIN_MS;
   const {objectiveMs, repeatability} = run.admitted.route;
   const timeoutMs = Math.max(
     FIRST_OUTPUT_TIMEOUT_MIN_MS,
     objectiveMs * FIRST_OUTPUT_TIMEOUT_FACTOR,
   );
+  if (sink.hasBegun) {
+    return Math.max(STALL_MIN_MS, Math.min(RESUME_TIMEOUT_MAX_MS, timeoutMs));
+  }
   return repeatability === 'stream'
     ? Math.max(STALL_MIN_MS, timeoutMs)
     : timeoutMs;
