Give up a request without a path for another gateway

Callers: a request that had not begun waited at the only endpoint until its deadline (504 at 25 s) although another gateway would serve it (200 at 2.6 s before the handover). The relay counts as a successor now. silent_successors_test.ts: relayed 0 before, 1 now.

--- a/src/coordination/forwarding/handover.ts
+++ b/src/coordination/forwarding/handover.ts
@@ -10,6 +10,7 @@
 import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
 import type {RetryBudgets} from '../limits/retry_budgets.ts';
 import type {Quarantine} from '../quarantine/quarantine.ts';
+import type {CallRelay} from '../reach/call_relay.ts';
 import type {BlockReason, CallRun} from './call_run.ts';
 import type {EndpointHealth} from './endpoint_health.ts';
 import type {EndpointPicker} from './endpoint_picker.ts';
@@ -38,6 +39,7 @@
     'isEjected' | 'isFull' | 'isSilent' | 'hasSpokenSince'
   >;
   readonly quarantine: Pick<Quarantine, 'isFree'>;
+  readonly relay: Pick<CallRelay, 'isDue'>;
   readonly picker: Pick<EndpointPicker, 'planNext' | 'record'>;
   readonly budgets: RetryBudgets;
   readonly shutdown: Pick<Shutdown, 'canEnd' | 'isAborted'>;
@@ -65,18 +67,20 @@
 
   /**
    * Reserves the successor of a silent attempt, or fails with what it lacks. The
-   * caller must give up the attempt right away if this succeeds.
+   * caller must give up the attempt right away if this succeeds. The successor is
+   * `null` if another gateway is to serve the request.
    */
   reserve(
     run: CallRun,
     attempt: SilentAttempt,
-  ): Outcome<AttemptChoice, BlockReason> {
-    const {shutdown, quarantine} = this.options;
+  ): Outcome<AttemptChoice | null, BlockReason> {
+    const {shutdown, quarantine, relay} = this.options;
     const {isRepeatable, route} = run.admitted;
     const runs = run.runs + (attempt.isCounted ? 0 : 1);
     if (!isRepeatable || runs >= route.maxAttempts) return fail('attempts');
     if (!shutdown.canEnd(run)) return fail('stopping');
     if (attempt.hasBegun && !quarantine.isFree(run)) return fail('quarantine');
+    if (relay.isDue(run, attempt)) return succeed(null);
     return this.reserveAt(run, {
       // What was charged last was for the silent attempt itself.
       isPaid: false,
--- a/src/coordination/forwarding/silence_watch.ts
+++ b/src/coordination/forwarding/silence_watch.ts
@@ -82,7 +82,7 @@
     });
     if (successor.ok) {
       record('resume', null);
-      run.reserve(successor.value, {hasBegun});
+      if (successor.value) run.reserve(successor.value, {hasBegun});
       return giveUp();
     }
     const reason = successor.error;
--- a/src/coordination/reach/call_relay.ts
+++ b/src/coordination/reach/call_relay.ts
@@ -130,7 +130,10 @@
   }
 
   /** Whether a request should be relayed: its service cannot be reached. */
-  isDue({admitted, call, held}: CallRun, sink: CallerSink): boolean {
+  isDue(
+    {admitted, call, held}: CallRun,
+    sink: Pick<CallerSink, 'hasBegun'>,
+  ): boolean {
     const {name: service} = admitted.service;
     if (call.relayed || held || sink.hasBegun) return false;
     if (!this.options.reach.isLost(service)) return false;
