Ask further successors of an answer less and less often

One answer that was given up took the retries of its service: 100 attempts in 8 s with 20 endpoints that refuse it. The wait doubles from 50 ms to 1 s now. An answer that the quarantine withholds is broken off at once, as nobody works on it any more. silent_successors_test.ts: 100 attempts before, under 50 now.

--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -85,6 +85,8 @@
   isPaid = false;
   /** Whether an attempt whose answer had begun was given up as silent. */
   isGivenUp = false;
+  /** The further successors that were asked after that. */
+  furtherSuccessors = 0;
   /** The time to the first event or the answer, in ms. */
   firstMs: number | null = null;
   /** The time to the last event that was relayed, in ms. */
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -62,6 +62,9 @@
  */
 const WAIT_SHARE = 0.6;
 
+/** Longest wait before a further successor of an answer, in ms. */
+const MAX_AGAIN_MS = 1_000;
+
 export interface ForwarderOptions
   extends RecordAttemptOptions, Omit<AdmitCallOptions, 'view'> {
   readonly notices: EndpointNotices;
@@ -203,12 +206,17 @@
 
   /** Looks for another successor of an answer that was given up. */
   private async reserveAgain(run: CallRun, sink: CallerSink): Promise<void> {
-    await this.sleep(run, RETRY_HANDOVER_MS);
+    const waitMs = RETRY_HANDOVER_MS * 2 ** run.furtherSuccessors;
+    await this.sleep(run, Math.min(MAX_AGAIN_MS, waitMs));
     if (run.call.signal.aborted) return;
     const successor = this.handover.reserveAgain(run);
-    if (successor.ok) return run.reserve(successor.value, {hasBegun: true});
+    if (successor.ok) {
+      run.furtherSuccessors++;
+      return run.reserve(successor.value, {hasBegun: true});
+    }
     const {error: reason} = successor;
-    if (this.shutdown.isAborted || reason === 'attempts') {
+    const isFinal = reason === 'attempts' || reason === 'quarantine';
+    if (this.shutdown.isAborted || isFinal) {
       this.breakOff(run, sink, reason);
     }
   }
--- a/src/coordination/forwarding/silent_successors_test.ts
+++ b/src/coordination/forwarding/silent_successors_test.ts
@@ -1,4 +1,4 @@
-/** Tests where a request goes when its endpoint is silent, in cases not yet right. */
+/** Tests where a request goes when its endpoint is silent for good. */
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
 import type {SimulatedClock} from '../../protocol/simulated_clock.ts';
