Bound a wait in a test of silent endpoints

With a mutant by which answers never move to an endpoint of which nothing is known, the test looped without end. It fails now after 10 s of its clock.

--- a/src/coordination/forwarding/handover_test.ts
+++ b/src/coordination/forwarding/handover_test.ts
@@ -356,7 +356,10 @@
     retryExtra: 2.4,
   });
   const {done} = gateway.start({}, left.signal);
-  while (gateway.attempts.length < 2) await gateway.clock.advance(10);
+  for (let step = 0; step < 1_000 && gateway.attempts.length < 2; step++) {
+    await gateway.clock.advance(10);
+  }
+  assert.equal(gateway.attempts.length, 2);
   left.abort();
   await done;
   // The second retry is left for another request.
