End an answer that waits for the pace when its attempt is aborted

Seen: an attempt whose answer waits for the shared pace ended only when its turn came, which may be seconds after its deadline or after its successor was reserved.

Cause: the wait for the pace listened to the end of the answer by the budget, not to the attempt's signal. What such an answer would have read kept its turn, so that sound answers of over 16 KiB waited behind it.

Change: the wait ends with the attempt, and its turn goes back to the others.

Test: 20 of 20 aborted answers were still open before, none now; without the turn given back it fails, too.

--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -184,7 +184,10 @@
     region,
     dataCentre,
     send: async (call, options) =>
-      answers.admit(options.address, await gatewayClient.send(call, options)),
+      answers.admit(
+        {endpoint: options.address, signal: options.signal},
+        await gatewayClient.send(call, options),
+      ),
   });
   const forwarder = new Forwarder({
     view,
@@ -203,7 +206,10 @@
     metrics: parts.metrics,
     random: Math.random,
     send: async (call, options) =>
-      answers.admit(options.endpoint.id, await client.send(call, options)),
+      answers.admit(
+        {endpoint: options.endpoint.id, signal: options.signal},
+        await client.send(call, options),
+      ),
     region,
     dataCentre,
     findRegion: name => getSettings().data_centres[name] ?? null,
--- a/src/coordination/forwarding/answer_budget.ts
+++ b/src/coordination/forwarding/answer_budget.ts
@@ -10,6 +10,7 @@
 import type {Logger} from '../../protocol/logger.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
 import type {AttemptOutcome, EndpointAnswer} from './call.ts';
+import {handleAbort} from './handle_abort.ts';
 
 const KIB = 1024;
 const MIB = 1024 * KIB;
@@ -75,10 +76,17 @@
 interface OpenAnswer extends AnswerBytes {
   readonly endpoint: string;
   readonly cancel: () => void;
-  /** Aborts with an error when the answer is ended. */
+  /** Aborts with an error when the answer, or its attempt, is ended. */
   readonly ended: AbortController;
 }
 
+/** The attempt that an answer belongs to. */
+export interface AnsweredAttempt {
+  /** The endpoint's id or address, for logs. */
+  readonly endpoint: string;
+  readonly signal: AbortSignal;
+}
+
 export class AnswerBudget {
   private readonly open = new Set<OpenAnswer>();
   private keptBytes = 0;
@@ -88,14 +96,17 @@
   constructor(private readonly options: AnswerBudgetOptions) {}
 
   /** Bounds the answer of an attempt, if there is one. */
-  admit(endpoint: string, outcome: AttemptOutcome): AttemptOutcome {
+  admit(attempt: AnsweredAttempt, outcome: AttemptOutcome): AttemptOutcome {
     if (outcome.type !== 'answer') return outcome;
-    return {...outcome, answer: this.track(endpoint, outcome.answer)};
+    return {...outcome, answer: this.track(attempt, outcome.answer)};
   }
 
-  private track(endpoint: string, answer: EndpointAnswer): EndpointAnswer {
+  private track(
+    attempt: AnsweredAttempt,
+    answer: EndpointAnswer,
+  ): EndpointAnswer {
     const open: OpenAnswer = {
-      endpoint,
+      endpoint: attempt.endpoint,
       cancel: () => answer.cancel(),
       kept: 0,
       waiting: 0,
@@ -104,7 +115,7 @@
     const release = () => this.release(open);
     return {
       ...answer,
-      body: this.read(open, answer.body),
+      body: this.read(open, attempt, answer.body),
       cancel: () => {
         release();
         answer.cancel();
@@ -116,10 +127,15 @@
   /** Reads a body no faster than its share of the pace. */
   private async *read(
     open: OpenAnswer,
+    attempt: AnsweredAttempt,
     body: AsyncIterable<Uint8Array>,
   ): AsyncGenerator<Uint8Array> {
     const {clock} = this.options;
     const {signal} = open.ended;
+    const end = () =>
+      open.ended.abort(new Error('Could not read an answer: it was aborted'));
+    using _aborted = handleAbort(attempt.signal, end);
+    if (attempt.signal.aborted) end();
     const startedAt = clock.monotonic();
     let size = 0;
     try {
@@ -147,6 +163,8 @@
     const now = clock.monotonic();
     this.paceAt = Math.max(this.paceAt, now - toMs(BURST_BYTES)) + toMs(bytes);
     if (this.paceAt > now) await clock.sleep(this.paceAt - now, signal);
+    // What was not read delays no other answer.
+    if (signal.aborted) this.paceAt -= toMs(bytes);
   }
 
   private update(
--- a/src/coordination/forwarding/answer_budget_test.ts
+++ b/src/coordination/forwarding/answer_budget_test.ts
@@ -35,8 +35,12 @@
   }
 
   /** Reads an answer; resolves to the error that ended it, if any. */
-  async read(endpoint: string, pieces: number): Promise<Error | null> {
-    const answer = this.createAnswer(endpoint, pieces);
+  async read(
+    endpoint: string,
+    pieces: number,
+    signal = new AbortController().signal,
+  ): Promise<Error | null> {
+    const answer = this.createAnswer(endpoint, pieces, signal);
     let size = 0;
     try {
       for await (const piece of answer.body) {
@@ -54,19 +58,26 @@
     }
   }
 
-  private createAnswer(endpoint: string, pieces: number): EndpointAnswer {
+  private createAnswer(
+    endpoint: string,
+    pieces: number,
+    signal: AbortSignal,
+  ): EndpointAnswer {
     const produce = () => this.produce(pieces);
-    const outcome = this.budget.admit(endpoint, {
-      type: 'answer',
-      answer: {
-        status: 200,
-        headers: [],
-        facts: PLAIN_ANSWER,
-        isDelimited: true,
-        body: produce(),
-        cancel: () => void this.cancelled.push(endpoint),
+    const outcome = this.budget.admit(
+      {endpoint, signal},
+      {
+        type: 'answer',
+        answer: {
+          status: 200,
+          headers: [],
+          facts: PLAIN_ANSWER,
+          isDelimited: true,
+          body: produce(),
+          cancel: () => void this.cancelled.push(endpoint),
+        },
       },
-    });
+    );
     assert.equal(outcome.type, 'answer');
     if (outcome.type !== 'answer') throw new Error('unreachable');
     return outcome.answer;
@@ -126,6 +137,31 @@
   );
 });
 
+// Guards against attempts that end seconds after they were aborted, so that their
+// requests are answered after the deadline.
+test('an answer that waits for the pace ends when its attempt is aborted', async () => {
+  const reader = new Reader(1_000 * MIB, MIB);
+  const controllers = Array.from({length: 20}, () => new AbortController());
+  const results: Array<Error | null> = [];
+  for (const controller of controllers) {
+    void reader
+      .read('faulty', 10_000, controller.signal)
+      .then(error => results.push(error));
+  }
+  await reader.clock.advance(1_000);
+  assert.equal(results.length, 0);
+  for (const controller of controllers) controller.abort('deadline');
+  await reader.clock.advance(1);
+  assert.equal(results.length, 20);
+  assert.ok(results.every(each => each !== null));
+  assert.equal(reader.receivedBytes, 0);
+  // What the aborted ones did not read is no one's turn.
+  let isRead = false;
+  void reader.read('sound', 1).then(error => (isRead = error === null));
+  await reader.clock.advance(5_500);
+  assert.ok(isRead);
+});
+
 test('an answer that is ended says so', async () => {
   const reader = new Reader(MIB);
   let result: Error | null = null;
