End a resumed stream if two endpoints have no event left

Seen: silent_workers_site_test.ts, 1 to 4 of 81 streams of two workers were broken off with all their 75 events, in calm, too (load 22 to 25): their worker fell silent after the last event and before the end.

Cause: the stream was resumed after its last event, and the other worker rightly ended it without one.

Change: a resumed stream that an endpoint ends properly without an event is asked of another endpoint once more, and ends as whole if that one has none left either. One endpoint alone, or an end that may be a crash, still does not suffice. A proper end is no disconnect.

--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -113,6 +113,8 @@
   private lastId: string | null;
   /** The number of the last event's id, which may be long. */
   private lastNumber: number;
+  /** Endpoints that had no event left after the last one. */
+  private readonly endedAt = new Set<string>();
   private reserved: AttemptChoice | null = null;
   private heldAnswer: HeldAnswer | null = null;
   private knownIdentity: string | null = null;
@@ -141,6 +143,21 @@
   recordLastEvent(id: string): void {
     this.lastId = id;
     this.lastNumber = Number(id);
+    this.endedAt.clear();
+  }
+
+  /** Whether an endpoint had no event left after the last one. */
+  hasEndedAt({id}: Pick<EndpointEntry, 'id'>): boolean {
+    return this.endedAt.has(id);
+  }
+
+  /**
+   * Records that an endpoint has no event left; true once another one said so, too.
+   * A faulty one may end any stream that it is to resume.
+   */
+  confirmEnd({id}: Pick<EndpointEntry, 'id'>): boolean {
+    this.endedAt.add(id);
+    return this.endedAt.size > 1;
   }
 
   /** Whether an event comes after those that the caller has. */
--- a/src/coordination/forwarding/deliver_answer.ts
+++ b/src/coordination/forwarding/deliver_answer.ts
@@ -1,4 +1,5 @@
 /** Delivers the answer of an endpoint to the caller. */
+import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
 import {EndedAnswerError, unboundedMemory} from './answer_budget.ts';
 import type {EndpointAnswer, Header} from './call.ts';
@@ -7,17 +8,21 @@
 import {relayEvents} from './relay_events.ts';
 import type {AttemptResult, RunAttemptOptions} from './run_attempt.ts';
 
+interface DeliverOptions extends Pick<RunAttemptOptions, 'clock' | 'sink'> {
+  readonly endpoint: Pick<EndpointEntry, 'id'>;
+}
+
 /** Delivers a verified answer to the caller. */
 export async function deliverAnswer(
-  options: Pick<RunAttemptOptions, 'clock' | 'sink'>,
+  options: DeliverOptions,
   run: CallRun,
   answer: EndpointAnswer,
   onProgress: (ms: number) => void,
 ): Promise<AttemptResult> {
-  const {clock, sink} = options;
+  const {clock, sink, endpoint} = options;
   const isGood = answer.status < 500;
   if (isEventStream(answer.headers) && answer.status === 200) {
-    return relayEvents({clock, sink, onProgress}, run, answer);
+    return relayEvents({clock, sink, endpoint, onProgress}, run, answer);
   }
   if (sink.hasBegun) {
     // A stream in progress can only be resumed by another stream.
--- a/src/coordination/forwarding/deliver_held.ts
+++ b/src/coordination/forwarding/deliver_held.ts
@@ -36,7 +36,8 @@
     isCounted: true,
     giveUp: drop,
   });
-  const result = await deliverAnswer(options, run, held.createAnswer(), ms => {
+  const delivery = {...options, endpoint};
+  const result = await deliverAnswer(delivery, run, held.createAnswer(), ms => {
     silence.recordOutput(ms);
     health.recordOutput(endpoint);
   });
--- a/src/coordination/forwarding/handover.ts
+++ b/src/coordination/forwarding/handover.ts
@@ -99,7 +99,10 @@
     if (!quarantine.isFree(run)) return fail('quarantine');
     const successor = this.reserveAt(run, {
       isPaid: run.isPaid,
-      isAllowed: each => !health.isEjected(each) && !health.isFull(each),
+      isAllowed: each =>
+        !health.isEjected(each) &&
+        !health.isFull(each) &&
+        !run.hasEndedAt(each),
     });
     // The endpoints that were tried may take it by now.
     if (!successor.ok && successor.error === 'no-endpoint') run.tried.clear();
--- a/src/coordination/forwarding/relay_events.ts
+++ b/src/coordination/forwarding/relay_events.ts
@@ -6,6 +6,7 @@
  * the headers of the first answer.
  */
 import type {Clock} from '../../protocol/clock.ts';
+import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import {EndedAnswerError, unboundedMemory} from './answer_budget.ts';
 import type {CallerSink, EndpointAnswer, Header} from './call.ts';
 import type {CallRun} from './call_run.ts';
@@ -31,13 +32,14 @@
 export interface RelayOptions {
   readonly clock: Clock;
   readonly sink: CallerSink;
+  readonly endpoint: Pick<EndpointEntry, 'id'>;
   /** Called on progress, with the timeout for the next piece in ms. */
   readonly onProgress: (ms: number) => void;
 }
 
 /** Relays the part of a stream that one endpoint sends. */
 export async function relayEvents(
-  {clock, sink, onProgress}: RelayOptions,
+  {clock, sink, endpoint, onProgress}: RelayOptions,
   run: CallRun,
   answer: EndpointAnswer,
 ): Promise<AttemptResult> {
@@ -95,9 +97,14 @@
   }
   if (splitter.hasPartialEvent)
     return createFailure('the stream ended within an event', true);
+  const hasEnded =
+    hasRelayed ||
+    (sink.hasBegun && answer.isDelimited && run.confirmEnd(endpoint));
   // An endpoint that crashes may end a stream without a length this way.
-  if (!hasRelayed)
-    return createFailure('the stream ended without an event', true);
+  if (!hasEnded) {
+    const reason = 'the stream ended without an event';
+    return createFailure(reason, !answer.isDelimited);
+  }
   sink.end();
   return {type: 'delivered', status: answer.status, isGood: true};
 }
--- a/src/coordination/forwarding/relay_events_test.ts
+++ b/src/coordination/forwarding/relay_events_test.ts
@@ -120,6 +120,53 @@
   assert.equal(sink.outcome, 'whole');
 });
 
+/** A gateway whose first attempt breaks off, and the next have no event left. */
+function createEndedGateway({
+  isDelimited = true,
+  endpoints = ['e1', 'e2', 'e3'],
+} = {}): FakeGateway {
+  let attempts = 0;
+  return new FakeGateway({
+    route: ROUTE,
+    endpoints: endpoints.map(id => createEndpoint(id)),
+    behave: async (...attempt) => {
+      const isFirst = attempts++ === 0;
+      const outcome = createStream(attempt, async function* () {
+        if (!isFirst) return;
+        yield 'id: 1\ndata: a\n\n';
+        throw new Error('reset');
+      });
+      if (outcome.type !== 'answer') return outcome;
+      return {...outcome, answer: {...outcome.answer, isDelimited}};
+    },
+  });
+}
+
+// Guards against streams that are broken off although the caller has all events: their
+// endpoint fell silent, or ended, after the last event and before the end.
+test('forward() ends a resumed stream if two endpoints have no event left', async () => {
+  const gateway = createEndedGateway();
+  const sink = await gateway.request();
+  assert.equal(gateway.attempts[1]?.lastEventId, '1');
+  assert.equal(gateway.attempts.length, 3);
+  assert.equal(sink.text, 'id: 1\ndata: a\n\n');
+  assert.equal(sink.outcome, 'whole');
+});
+
+// An endpoint that crashes may end a stream without a length this way.
+test('forward() ends no resumed stream that may have broken off', async () => {
+  const gateway = createEndedGateway({isDelimited: false});
+  const sink = await gateway.request();
+  assert.equal(sink.outcome, 'cut');
+});
+
+// A faulty endpoint may end any stream that it is to resume.
+test('forward() ends no resumed stream since one endpoint has no event left', async () => {
+  const gateway = createEndedGateway({endpoints: ['e1']});
+  const sink = await gateway.request();
+  assert.equal(sink.outcome, 'cut');
+});
+
 test('forward() abandons an event that does not end and resumes elsewhere', async () => {
   let sent = 0;
   const gateway = createGateway(async function* () {
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -341,7 +341,7 @@
     hold(options, run, {endpoint, answer, watch});
     return {type: 'escalated', confidence};
   }
-  return deliverAnswer(options, run, answer, onProgress);
+  return deliverAnswer({...options, endpoint}, run, answer, onProgress);
 }
 
 interface HeldParts {
