Ask an ejected endpoint, too, whether a stream has ended

Cause: the worker that had fallen silent was ejected, and so was the other one after a few streams, since a proper end without an event counted as a failure of it.

Change: such an end is an outcome of its own ('ended') that counts neither against the endpoint nor its version. To confirm it, an ejected endpoint is asked as well.

--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -151,6 +151,11 @@
     return this.endedAt.has(id);
   }
 
+  /** Whether any endpoint had no event left after the last one. */
+  get mayHaveEnded(): boolean {
+    return this.endedAt.size > 0;
+  }
+
   /**
    * Records that an endpoint has no event left; true once another one said so, too.
    * A faulty one may end any stream that it is to resume.
--- a/src/coordination/forwarding/handover.ts
+++ b/src/coordination/forwarding/handover.ts
@@ -100,9 +100,10 @@
     const successor = this.reserveAt(run, {
       isPaid: run.isPaid,
       isAllowed: each =>
-        !health.isEjected(each) &&
         !health.isFull(each) &&
-        !run.hasEndedAt(each),
+        !run.hasEndedAt(each) &&
+        // Only another endpoint can confirm an end, an ejected one as well.
+        (run.mayHaveEnded || !health.isEjected(each)),
     });
     // The endpoints that were tried may take it by now.
     if (!successor.ok && successor.error === 'no-endpoint') run.tried.clear();
--- a/src/coordination/forwarding/record_attempt.ts
+++ b/src/coordination/forwarding/record_attempt.ts
@@ -32,6 +32,14 @@
   'failed',
   'not-run',
   'escalated',
+  'ended',
+]);
+
+/** Results without an answer that say nothing against a version. */
+const HARMLESS: ReadonlySet<AttemptResult['type']> = new Set([
+  'escalated',
+  'overdue',
+  'ended',
 ]);
 
 interface Attempt {
@@ -95,6 +103,7 @@
       return health.recordOverdue(endpoint, result.startedAt);
     case 'withdrawn':
     case 'escalated':
+    case 'ended':
     case 'cut':
     case 'interrupted':
     case 'left':
@@ -162,5 +171,5 @@
 /** Whether the attempt counts as a failure of its version, timing aside. */
 function isFailure(result: AttemptResult): boolean {
   if (result.type === 'delivered') return !result.isGood;
-  return result.type !== 'escalated' && result.type !== 'overdue';
+  return !HARMLESS.has(result.type);
 }
--- a/src/coordination/forwarding/relay_events.ts
+++ b/src/coordination/forwarding/relay_events.ts
@@ -97,13 +97,13 @@
   }
   if (splitter.hasPartialEvent)
     return createFailure('the stream ended within an event', true);
-  const hasEnded =
-    hasRelayed ||
-    (sink.hasBegun && answer.isDelimited && run.confirmEnd(endpoint));
-  // An endpoint that crashes may end a stream without a length this way.
-  if (!hasEnded) {
-    const reason = 'the stream ended without an event';
-    return createFailure(reason, !answer.isDelimited);
+  if (!hasRelayed) {
+    // An endpoint that crashes may end a stream without a length this way.
+    if (!sink.hasBegun || !answer.isDelimited) {
+      const reason = 'the stream ended without an event';
+      return createFailure(reason, !answer.isDelimited);
+    }
+    if (!run.confirmEnd(endpoint)) return {type: 'ended'};
   }
   sink.end();
   return {type: 'delivered', status: answer.status, isGood: true};
--- a/src/coordination/forwarding/relay_events_test.ts
+++ b/src/coordination/forwarding/relay_events_test.ts
@@ -12,6 +12,12 @@
 
 const GAP_MS = 1_200;
 
+/** Longer than a gateway waits for a silent endpoint if another one speaks. */
+const SILENCE_MS = 4_000;
+
+/** By when such a stream is resumed, and its end is confirmed. */
+const CONFIRMED_MS = 2_500;
+
 const ROUTE = createRoute({
   repeatability: 'stream',
   resumable: true,
@@ -153,6 +159,28 @@
   assert.equal(sink.outcome, 'whole');
 });
 
+// Guards against streams that wait in vain for a second endpoint: the one that fell
+// silent is ejected, although it speaks again.
+test('forward() asks an ejected endpoint whether a stream has ended', async () => {
+  const gateway: FakeGateway = new FakeGateway({
+    route: ROUTE,
+    endpoints: [createEndpoint('e1'), createEndpoint('e2')],
+    behave: async (...attempt) =>
+      createStream(attempt, async function* (clock) {
+        const [, {endpoint, lastEventId, signal}] = attempt;
+        if (lastEventId !== null) return;
+        yield 'id: 1\ndata: a\n\n';
+        if (endpoint.id === 'e1') await clock.sleep(SILENCE_MS, signal);
+        signal.throwIfAborted();
+      }),
+  });
+  const calls = Array.from({length: 20}, () => gateway.start());
+  await gateway.clock.advance(CONFIRMED_MS);
+  const outcomes = calls.map(({sink}) => sink.outcome);
+  assert.ok(gateway.attempts.some(({lastEventId}) => lastEventId === '1'));
+  assert.deepEqual(new Set(outcomes), new Set(['whole']));
+});
+
 // An endpoint that crashes may end a stream without a length this way.
 test('forward() ends no resumed stream that may have broken off', async () => {
   const gateway = createEndedGateway({isDelimited: false});
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -65,6 +65,8 @@
       readonly isDisconnected: boolean;
       readonly reason: string;
     }
+  /** It had no event left for a resumed stream; another one has to confirm that. */
+  | {readonly type: 'ended'}
   /** It had not begun when the fallback to the held answer was due. */
   | {readonly type: 'overdue'; readonly startedAt: number}
   /** The answer is held, and a larger model is asked. */
