Count each call of a gateway's run as what it has

What callers saw: a departure took 500 ms to its acknowledgement, the bound, although all gateways had confirmed it (control histories of a follower that calls the next core daemon beside the followed one, a trial).

Cause: of the calls of a gateway only the last one counted, and which one that is was judged by the time since the call plus the arrival of the daemon's reply, which from another region is 30 ms or more late. The other order is that of a move from a far daemon to a near one: the open call at the far one seems to be later than the one that confirms at the near one.

Change: gateways tell their run with each call (optional field `run`), core daemons pass it on with confirmations, and all calls of the last run count, since a run goes back on nothing that it has confirmed. A new run confirms anew. Without a run, from earlier builds, the last call counts as before. Ruled out: numbers of calls, which order them, but leave a call that tries another daemon as the last.

Conclusion: what a gateway has no longer depends on the order in which its calls seem to have come, so that a follower can call two daemons at a time.

--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -1,4 +1,5 @@
 /** Runs the gateway components of a site daemon. */
+import {randomBytes} from 'node:crypto';
 import {AnswerBudget} from '../../coordination/forwarding/answer_budget.ts';
 import {EndpointHealth} from '../../coordination/forwarding/endpoint_health.ts';
 import {EndpointLimits} from '../../coordination/forwarding/endpoint_limits.ts';
@@ -41,6 +42,9 @@
 
 const BYTES_PER_MIB = 1024 * 1024;
 
+/** Tells a run of a gateway from the one before; sent with each call of the core. */
+const RUN_BYTES = 4;
+
 /** How long a gateway that has stopped waits until the core knows. */
 const LEAVE_WITHIN_MS = 150;
 
@@ -121,6 +125,7 @@
     view,
     clock,
     logger: createLogger('follower'),
+    run: randomBytes(RUN_BYTES).toString('hex'),
     listSeeds: () => listSeedPeers(getSettings()),
     region,
     dataCentre,
--- a/src/coordination/confirmation/confirmer.ts
+++ b/src/coordination/confirmation/confirmer.ts
@@ -19,11 +19,8 @@
 import type {ConfirmService} from './confirm_service.ts';
 import {DaemonQuestions} from './daemon_questions.ts';
 import {IN_USE_MS} from './follower_table.ts';
-import {
-  WaitingChange,
-  type HeardReply,
-  type KnownGateway,
-} from './waiting_change.ts';
+import {KnownGateways} from './known_gateways.ts';
+import {WaitingChange, type HeardReply} from './waiting_change.ts';
 
 /** The longest wait by default; endpoints and operators wait for a second. */
 const CONFIRM_WITHIN_MS = 500;
@@ -31,7 +28,7 @@
 /** The timeout of a question beyond the time for which it may be held. */
 const ANSWER_TIMEOUT_MS = 300;
 
-/** How long the last call of a gateway is retained. */
+/** How long the calls of gateways are retained. */
 const RETAIN_MS = 10_000;
 
 /** Gateways that a log line names at most. */
@@ -86,8 +83,8 @@
 }
 
 export class Confirmer {
-  /** The last calls of gateways, as far as questions showed them. */
-  private readonly latest = new Map<string, KnownGateway>();
+  /** The gateways, as far as questions showed them. */
+  private readonly gateways = new KnownGateways();
   private readonly questions = new Map<string, DaemonQuestions>();
   private readonly waits = new Set<OpenWait>();
 
@@ -138,7 +135,7 @@
           : call(address, request, request.waitMs + ANSWER_TIMEOUT_MS),
       passOn: departures => passOn(address, departures, ANSWER_TIMEOUT_MS),
       onReply: reply => {
-        this.merge(reply);
+        this.recordCalls(reply);
         this.resolveObeyed();
       },
       onFailure: error => {
@@ -153,12 +150,8 @@
     return created;
   }
 
-  /** A later call of a gateway counts, also when it is a new run of it. */
-  private merge({gateways}: HeardReply): void {
-    for (const [address, next] of gateways) {
-      const known = this.latest.get(address);
-      if (!known || known.atMs <= next.atMs) this.latest.set(address, next);
-    }
+  private recordCalls({calls}: HeardReply): void {
+    for (const [address, call] of calls) this.gateways.record(address, call);
   }
 
   /** Ends the waits for changes that all gateways in contact have. */
@@ -173,23 +166,18 @@
   /** Lists the gateways that were in contact a short time ago. */
   private listInUse(): string[] {
     const oldest = this.options.clock.monotonic() - IN_USE_MS;
-    const latest = [...this.latest]
-      .filter(([, {atMs}]) => atMs > oldest)
-      .map(([address]) => address);
-    return [...new Set([...this.options.listGateways(IN_USE_MS), ...latest])];
+    const recent = this.options.listGateways(IN_USE_MS);
+    return [...new Set([...recent, ...this.gateways.listAfter(oldest)])];
   }
 
   private listBehind(change: WaitingChange, inUse: readonly string[]) {
     return inUse.filter(
-      address => !change.isConfirmedBy(this.latest.get(address)),
+      address => !change.isConfirmedBy(this.gateways.find(address)),
     );
   }
 
   private prune(): void {
-    const oldest = this.options.clock.monotonic() - RETAIN_MS;
-    for (const [address, {atMs}] of this.latest) {
-      if (atMs < oldest) this.latest.delete(address);
-    }
+    this.gateways.prune(this.options.clock.monotonic() - RETAIN_MS);
     const cores = this.options.listCores();
     for (const [address, questions] of this.questions) {
       if (questions.isIdle && !cores.includes(address)) {
--- a/src/coordination/confirmation/confirmer_test.ts
+++ b/src/coordination/confirmation/confirmer_test.ts
@@ -139,6 +139,62 @@
   assert.deepEqual(change.outcome, {isHeld: true, behind: []});
 });
 
+// Guards against a departure that waits for a gateway which has confirmed it: its call
+// to the daemon that it left seems to be later, since replies from there take longer.
+test('a gateway that moved to a near daemon counts as having what it told there', async () => {
+  const cores = new FakeCores(['c1', 'c2', 'far']);
+  cores.get('far').replyMs = 60;
+  const call = {configuration: 2, run: 'g1/1'};
+  cores.follow('far', 'g1', call);
+  const change = cores.start(0, ['e1']);
+  await cores.clock.advance(20);
+  const endpoints = cores.get('c2').state.endpoints.revision;
+  cores.follow('c2', 'g1', {...call, endpoints});
+  await cores.clock.advance(280);
+  assert.deepEqual(change.outcome, {isHeld: true, behind: []});
+});
+
+// Guards against a departure that waits for a gateway which has confirmed it, since
+// that calls a daemon anew to which it may move.
+test('a gateway has what it confirmed while it tries another daemon', async () => {
+  const cores = new FakeCores(['c1', 'c2', 'c3']);
+  const call = {configuration: 2, run: 'g1/1'};
+  cores.follow('c2', 'g1', call);
+  cores.follow('c1', 'g2', {configuration: 2, run: 'g2/1'});
+  const change = cores.start(0, ['e1']);
+  await cores.clock.advance(20);
+  const endpoints = cores.get('c2').state.endpoints.revision;
+  cores.follow('c2', 'g1', {...call, endpoints});
+  await cores.clock.advance(1);
+  cores.follow('c3', 'g1', {...call, epoch: ''});
+  // c3, which is asked again after 120 ms, holds that question for 150 ms.
+  await cores.clock.advance(380);
+  assert.equal(change.outcome, null);
+  const revision = cores.get('c1').state.endpoints.revision;
+  const confirmed = {configuration: 2, endpoints: revision, run: 'g2/1'};
+  cores.follow('c1', 'g2', confirmed);
+  await cores.clock.advance(50);
+  assert.deepEqual(change.outcome, {isHeld: true, behind: []});
+});
+
+// Guards against a restarted gateway that counts as informed by what the run before
+// had confirmed.
+test('a new run of a gateway confirms a departure anew', async () => {
+  const cores = new FakeCores(['c1', 'c2', 'c3']);
+  cores.follow('c2', 'g1', {configuration: 2, run: 'g1/1'});
+  const first = cores.start(0, ['e1']);
+  await cores.clock.advance(20);
+  const {endpoints} = cores.get('c2').state;
+  const call = {configuration: 2, endpoints: endpoints.revision};
+  cores.follow('c2', 'g1', {...call, run: 'g1/1'});
+  await cores.clock.advance(280);
+  assert.deepEqual(first.outcome, {isHeld: true, behind: []});
+  cores.follow('c3', 'g1', {configuration: 2, epoch: '', run: 'g1/2'});
+  const second = cores.start(0, ['e1']);
+  await cores.clock.advance(1_000);
+  assert.deepEqual(second.outcome, {isHeld: true, behind: ['g1']});
+});
+
 test('a confirmation of another run of a core daemon does not count', async () => {
   const cores = new FakeCores(['c1', 'c2', 'c3']);
   cores.follow('c2', 'g1', {configuration: 2, endpoints: 90, epoch: 'old'});
--- a/src/coordination/confirmation/cores_fake.ts
+++ b/src/coordination/confirmation/cores_fake.ts
@@ -22,6 +22,8 @@
   readonly configuration: {revision: number};
   readonly disk: SimulatedDisk;
   isDown: boolean;
+  /** How long its replies are on their way, in ms; 0 by default. */
+  replyMs: number;
   /** Whether it does not know the call. */
   isEarlier: boolean;
   /** Whether its replies do not tell what its disk holds. */
@@ -60,6 +62,7 @@
         if (daemon.isDown) throw new Error('timed out');
         if (daemon.isEarlier) return null;
         const {savedRevision, ...reply} = await daemon.confirm(request);
+        if (daemon.replyMs > 0) await clock.sleep(daemon.replyMs);
         return daemon.hidesDisk ? reply : {...reply, savedRevision};
       },
     });
@@ -80,6 +83,7 @@
       endpoints?: number;
       epoch?: string;
       leaves?: boolean;
+      run?: string;
     },
   ): void {
     const {followers, state} = this.get(name);
@@ -87,6 +91,7 @@
     state.gateways.recordDirect(report);
     followers.record({
       report,
+      run: has.run,
       epoch: has.epoch ?? `${name}/1`,
       endpointRevision: has.endpoints ?? 0,
       configurationRevision: has.configuration,
@@ -152,6 +157,7 @@
       configuration,
       disk,
       isDown: false,
+      replyMs: 0,
       isEarlier: false,
       hidesDisk: false,
     };
--- a/src/coordination/confirmation/follower_table.ts
+++ b/src/coordination/confirmation/follower_table.ts
@@ -20,6 +20,8 @@
 
 interface Follower {
   readonly atMs: number;
+  /** Identifies the run of the gateway; absent from earlier versions. */
+  readonly run: string | undefined;
   /** Whether its revision of endpoints is one of this run of the daemon. */
   readonly isSameRun: boolean;
   readonly endpointRevision: number;
@@ -60,17 +62,24 @@
   /** Records a call of a gateway. */
   record({
     report,
+    run,
     epoch,
     endpointRevision,
     configurationRevision,
     leaves = false,
   }: Pick<
     FollowRequest,
-    'report' | 'epoch' | 'endpointRevision' | 'configurationRevision' | 'leaves'
+    | 'report'
+    | 'run'
+    | 'epoch'
+    | 'endpointRevision'
+    | 'configurationRevision'
+    | 'leaves'
   >): void {
     const {address} = report.gateway;
     this.followers.set(address, {
       atMs: this.options.clock.monotonic(),
+      run,
       isSameRun: epoch.startsWith(this.options.epoch),
       endpointRevision,
       configurationRevision,
@@ -112,10 +121,11 @@
     return [...this.followers].flatMap(([address, follower]) => {
       const isConfirmed = hasAll(follower, required);
       if (follower.hasLeft && !isConfirmed) return [];
-      const {configurationRevision, isSameRun} = follower;
+      const {run, configurationRevision, isSameRun} = follower;
       return [
         {
           address,
+          run,
           ageMs: now - follower.atMs,
           isConfirmed,
           configurationRevision,
--- a/src/coordination/confirmation/waiting_change.ts
+++ b/src/coordination/confirmation/waiting_change.ts
@@ -4,19 +4,11 @@
   ConfirmRequest,
 } from '../../protocol/confirmation.ts';
 import {isSaved} from './confirm_service.ts';
+import type {HeardCall, KnownGateway} from './known_gateways.ts';
 
 /** What gateways must have. */
 export type RequiredChange = Omit<ConfirmRequest, 'waitMs'>;
 
-/** The last call of a gateway, as told by the core daemon that it went to. */
-export interface KnownGateway {
-  /** The daemon and its run. */
-  readonly at: string;
-  readonly atMs: number;
-  readonly configurationRevision: number;
-  readonly endpointRevision: number;
-}
-
 /** What a core daemon told in reply to a question. */
 export interface HeardReply {
   readonly address: string;
@@ -27,7 +19,7 @@
   readonly endpointRevision: number;
   /** Whether its disk holds the departures that were asked for. */
   readonly isSaved: boolean;
-  readonly gateways: ReadonlyMap<string, KnownGateway>;
+  readonly calls: ReadonlyMap<string, HeardCall>;
 }
 
 /**
@@ -60,12 +52,13 @@
       reply.configurationRevision ?? (reply.isHeld ? configurationRevision : 0),
     endpointRevision: reply.endpointRevision ?? 1,
     isSaved: isSaved(reply),
-    gateways: new Map(
+    calls: new Map(
       reply.followers.map(follower => [
         follower.address,
         {
           at,
           atMs: now - follower.ageMs,
+          run: follower.run,
           configurationRevision: hasRevisions
             ? (follower.configurationRevision ?? 0)
             : follower.isConfirmed
@@ -128,13 +121,15 @@
     this.required.set(at, Math.min(known, endpointRevision));
   }
 
-  /** Whether a gateway has the change, by its last call. */
+  /** Whether a gateway has the change, by its calls. */
   isConfirmedBy(gateway: KnownGateway | undefined): boolean {
     if (!gateway) return false;
     const {configurationRevision, departures} = this.what;
     if (gateway.configurationRevision < configurationRevision) return false;
     if (departures.length === 0) return true;
-    const required = this.required.get(gateway.at);
-    return required !== undefined && gateway.endpointRevision >= required;
+    return [...gateway.calls].some(
+      ([at, {endpointRevision}]) =>
+        endpointRevision >= (this.required.get(at) ?? Infinity),
+    );
   }
 }
--- a/src/coordination/gateway/core_follower.ts
+++ b/src/coordination/gateway/core_follower.ts
@@ -63,6 +63,8 @@
 export interface CoreFollowerOptions
   extends CoreChoiceOptions, ReportDifferencesOptions {
   readonly logger: Logger;
+  /** Identifies this run of the gateway. */
+  readonly run: string;
   /** Called when a daemon in contact with the leader answers a call. */
   readonly onConfirmed?: (sentAt: number) => void;
   readonly call: (
@@ -322,11 +324,12 @@
     position: FollowPosition,
     holdMs: number,
   ): FollowRequest {
-    const {view} = this.options;
+    const {view, run} = this.options;
     const {report, isBusy} = this.reports.create(position.epoch);
     const maxHoldMs = isBusy ? this.computeBusyHoldMs() : HOLD_MS;
     return {
       report,
+      run,
       ...position,
       configurationRevision: view.revision,
       configurationVersion: view.version ?? undefined,
--- a/src/coordination/gateway/core_follower_test.ts
+++ b/src/coordination/gateway/core_follower_test.ts
@@ -67,6 +67,7 @@
       view: this.view,
       clock: this.clock,
       logger: silentLogger,
+      run: 'g/1',
       listSeeds: () => Object.keys(daemons),
       region: 'r',
       dataCentre: 'a',
--- a/src/coordination/gateway/core_move_test.ts
+++ b/src/coordination/gateway/core_move_test.ts
@@ -20,7 +20,11 @@
 /** Two daemons, one of them crowded from a time on. */
 class CrowdedCore implements Disposable {
   readonly clock = new SimulatedClock();
-  readonly calls: Array<{address: string; leaves: boolean; atMs: number}> = [];
+  readonly calls: Array<{
+    address: string;
+    leaves: boolean;
+    run: string | undefined;
+  }> = [];
   /** The longest time without an open call to a daemon that answers. */
   longestPauseMs = 0;
   /** Daemons that do not answer, and those without contact to the leader. */
@@ -42,6 +46,7 @@
     }),
     clock: this.clock,
     logger: silentLogger,
+    run: 'g/1',
     listSeeds: () => ['x', 'y'],
     region: 'r',
     dataCentre: 'a',
@@ -70,11 +75,11 @@
 
   private async answer(
     address: string,
-    {holdMs, leaves = false}: FollowRequest,
+    {holdMs, leaves = false, run}: FollowRequest,
     timeoutMs: number,
   ): Promise<FollowReply> {
     const atMs = this.clock.now();
-    this.calls.push({address, leaves, atMs});
+    this.calls.push({address, leaves, run});
     if (this.silent.has(address)) {
       await this.clock.sleep(timeoutMs);
       throw new Error('timed out');
@@ -135,4 +140,13 @@
   assert.equal(core.calls.at(-1)?.address, other);
 });
 
+// Guards against core daemons that cannot tell what a gateway has from what its run
+// before had.
+test('CoreFollower tells its run with each call', async () => {
+  using core = new CrowdedCore();
+  await core.crowd();
+  await core.clock.advance(8_000);
+  assert.deepEqual([...new Set(core.calls.map(({run}) => run))], ['g/1']);
+});
+
 test.run();
--- a/src/coordination/simulation/control_gateway.ts
+++ b/src/coordination/simulation/control_gateway.ts
@@ -98,6 +98,7 @@
     view,
     clock,
     logger,
+    run: `${address}/${clock.monotonic()}`,
     listSeeds: () => seeds,
     ...place,
     random,
--- a/src/protocol/confirmation.ts
+++ b/src/protocol/confirmation.ts
@@ -1,7 +1,7 @@
 /** How core daemons ask each other which gateways have a change. */
 import * as z from 'zod';
 import {addressSchema} from './address.ts';
-import {ageSchema} from './bounds.ts';
+import {ageSchema, nameSchema} from './bounds.ts';
 import {endpointReportSchema} from './endpoint_report.ts';
 import {createEntryList} from './parse_message.ts';
 
@@ -31,6 +31,8 @@
 export const confirmationSchema = z.object({
   /** Its address for callers. */
   address: addressSchema,
+  /** Identifies its run; absent from earlier versions of either. */
+  run: nameSchema.optional(),
   isConfirmed: z.boolean(),
   /** The time since that call, in ms. */
   ageMs: ageSchema.min(0),
--- a/src/protocol/core_service.ts
+++ b/src/protocol/core_service.ts
@@ -204,6 +204,8 @@
 
 export const followRequestSchema = z.object({
   report: followReportSchema,
+  /** Identifies the run of the gateway; absent from earlier versions. */
+  run: nameSchema.optional(),
   /** Identifies the core daemon process that assigned the revisions below. */
   epoch: z.string(),
   /** The revision of the endpoint list that the gateway has. */
