Leave a core daemon once the next one has answered

What callers saw: a gateway that moved to a core daemon with room learned of no change for some 600 ms if that one did not answer, and moved to one without contact to the leader.

Change: the next daemon is called beside the followed one. Once it has answered and is in contact with the leader, the left one is told so, and its open call is not waited for. Otherwise nothing changes, but that the next one is avoided as before.

A test is replaced: "confirms to the daemon that it leaves for one with room" asked for the confirmation before the first call of the next daemon, which is the fault itself; core_move_test.ts forbids it. It now asks for the exact order of five calls (four before): the first call of the next daemon, the held one of the left daemon, the confirmation to that, and the next one followed, with no call of the left daemon after it. New in core_move_test.ts: the next daemon is called at once after the move, and no daemon is told that it was left if the followed one fails meanwhile.

--- a/src/coordination/gateway/core_follower.ts
+++ b/src/coordination/gateway/core_follower.ts
@@ -2,9 +2,10 @@
  * The gateway's task that follows one core daemon by long polls.
  *
  * It switches to another one when a daemon does not answer in time or has no
- * contact with the leader; the late answer still counts. A gateway without a
- * configuration serves no requests, so it calls all daemons at once: after an
- * outage some are not running yet, and some have lost their state.
+ * contact with the leader; the late answer still counts. One that works is left once
+ * the next one has answered. A gateway without a configuration serves no requests, so
+ * it calls all daemons at once: after an outage some are not running yet, and some
+ * have lost their state.
  */
 import type {FollowReply, FollowRequest} from '../../protocol/core_service.ts';
 import type {Logger} from '../../protocol/logger.ts';
@@ -74,6 +75,12 @@
   ) => Promise<FollowReply>;
 }
 
+interface AnsweredCall {
+  readonly request: FollowRequest;
+  readonly reply: FollowReply;
+  readonly sentAt: number;
+}
+
 /** Follows the core until it is disposed. */
 export class CoreFollower implements Disposable {
   private readonly stopped = new AbortController();
@@ -92,6 +99,8 @@
   /** A configuration of the search that no leader confirmed. */
   private unconfirmed: FollowReply | null = null;
   private startedAt = 0;
+  /** The wait for the answer of the followed daemon, which a move ends. */
+  private answerWait = new AbortController();
 
   constructor(private readonly options: CoreFollowerOptions) {
     this.choice = new CoreChoice(options);
@@ -164,7 +173,18 @@
         await clock.sleep(RETRY_DELAY_MS, signal);
         continue;
       }
-      if (address !== this.followed) this.switchDaemon(address);
+      const {followed} = this;
+      const isMove = followed !== null && address !== followed;
+      if (isMove && this.choice.canStay(followed)) {
+        // Daemons of earlier versions count only the last call of a gateway.
+        void this.tryDaemon(address);
+        await this.followOnce(followed);
+        continue;
+      }
+      if (address !== followed) {
+        this.followed = address;
+        this.position = INITIAL_POSITION;
+      }
       await this.followOnce(address);
     }
   }
@@ -221,13 +241,30 @@
     if (view.routes !== null) this.configurationFound.notify();
   }
 
-  private switchDaemon(address: string): void {
+  /** Calls a better daemon, and leaves the followed one once that answers. */
+  private async tryDaemon(address: string): Promise<void> {
+    const {clock, call, logger} = this.options;
     const {followed} = this;
-    if (followed !== null && this.choice.canStay(followed)) {
-      void this.confirmTo(followed);
+    const recordStay = (reason: string) =>
+      logger.info('Stays with a core daemon.', {followed, address, reason});
+    const request = this.createRequest(INITIAL_POSITION, 0);
+    const sentAt = clock.monotonic();
+    try {
+      const reply = await call(address, request, ANSWER_TIMEOUT_MS);
+      if (this.stopped.signal.aborted) return;
+      this.choice.recordAnswer(address, reply.fresh);
+      const hasChanged = this.followed !== followed && this.followed !== null;
+      if (hasChanged) return;
+      if (!reply.fresh) return recordStay('the next one lags');
+      if (this.followed !== null) void this.confirmTo(this.followed);
+      logger.info('Moves to another core daemon.', {from: followed, address});
+      this.takeReply(address, {request, reply, sentAt});
+      this.answerWait.abort('moved');
+    } catch (error) {
+      if (this.stopped.signal.aborted) return;
+      recordStay((error as Error).message);
+      this.choice.recordFailure(address);
     }
-    this.followed = address;
-    this.position = INITIAL_POSITION;
   }
 
   /**
@@ -261,6 +298,7 @@
       })
       .catch((error: Error) => this.handleFailure(address, error))
       .finally(() => answered.abort('answered'));
+    this.answerWait = answered;
     const slowMs = request.holdMs + (isFirst ? FIRST_SLOW_MS : SLOW_MS);
     const isLate = clock
       .sleep(slowMs, answered.signal)
@@ -274,6 +312,7 @@
       this.choice.recordSlow(address);
       return;
     }
+    if (answered.signal.reason === 'moved') return;
     const outcome = await isFresh;
     if (outcome === true || this.stopped.signal.aborted) return;
     const delayMs = outcome === false ? LAG_RETRY_MS : RETRY_DELAY_MS;
@@ -310,14 +349,27 @@
     // A late reply with whole lists is worth more than another daemon's.
     const isAwaited = this.position === INITIAL_POSITION && reply.complete;
     const isLate = address !== this.followed && !isAwaited;
-    // What a late list lacks may have been learned from another daemon since.
-    view.apply(isLate ? {...reply, complete: false} : reply);
+    if (isLate) {
+      // What a late list lacks may have been learned from another daemon since.
+      view.apply({...reply, complete: false});
+      if (reply.fresh) onConfirmed?.(sentAt);
+    } else {
+      this.takeReply(address, {request, reply, sentAt});
+    }
+    return reply.fresh;
+  }
+
+  /** Follows a daemon from its reply on. */
+  private takeReply(
+    address: string,
+    {request, reply, sentAt}: AnsweredCall,
+  ): void {
+    const {view, onConfirmed} = this.options;
+    view.apply(reply);
     if (reply.fresh) onConfirmed?.(sentAt);
-    if (isLate) return reply.fresh;
     this.reports.recordReply(request, reply);
     this.followed = address;
     this.position = readPosition(reply);
-    return reply.fresh;
   }
 
   private createRequest(
