Charge one retry for all successors that refuse an answer

Each refusal cost a token of the retry budget. After five refusals each the budget was empty until the end of its window, and three streams were cut at the end of the grace period, at 11.4 s; their first endpoint would have ended them at 6.2 to 7.4 s. Other requests of the service had no retries in this time either.

A refused successor ran nothing, so the token that was charged for it pays for the next one, as it does after a refused connection. The waits of up to 1 s and the attempts that ran bound what one answer asks, as before; the test that refusing endpoints are asked a few times a second never relied on the budget.

--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -238,7 +238,9 @@
     else this.runs++;
     const isFree =
       result.type === 'not-sent' && this.notSent <= MAX_FREE_CONNECTS;
-    this.isPaid = result.type === 'escalated' || isFree;
+    // Nothing else is left of an answer that was given up.
+    const isRefused = result.type === 'not-run' && this.isGivenUp;
+    this.isPaid = result.type === 'escalated' || isFree || isRefused;
     if (result.type === 'escalated') this.hasEscalated = true;
     if (result.type === 'failed') this.failedAnswer = result.answer;
     if (result.type === 'left') this.finish('left', 0);
--- a/src/coordination/forwarding/handover_test.ts
+++ b/src/coordination/forwarding/handover_test.ts
@@ -234,6 +234,32 @@
   assert.equal(refusals, 5);
 });
 
+// Guards against an answer that is lost, and a retry budget that is used up, since
+// each endpoint that refuses to take the answer over costs a retry.
+test('reserveAgain() charges one retry for all successors that refuse', async () => {
+  let refusals = 0;
+  const gateway: FakeGateway = createGateway({
+    behave: async (call, options, clock) => {
+      if (gateway.attempts[0] === options) {
+        return sendStream({call, options, clock, silence: [1_000, Infinity]});
+      }
+      if (!options.mayBegin()) return {type: 'withdrawn'};
+      if (++refusals <= 4) {
+        const facts = {...PLAIN_ANSWER, isNotRun: true};
+        return {type: 'not-run', status: 503, facts};
+      }
+      return sendStream({call, options, clock});
+    },
+    // One retry, since gateways use a part of the budget.
+    retryRatio: 0,
+    retryExtra: 2,
+  });
+  const {sink, done} = gateway.start();
+  await gateway.clock.advance(30_000);
+  await done;
+  assert.deepEqual([sink.outcome, refusals], ['whole', 5]);
+});
+
 test('reserveAgain() asks refusing endpoints a few times a second', async () => {
   const gateway: FakeGateway = createGateway({
     // The budget must not be what bounds them.
