Count an endpoint that was left as silent as silent for a while

Callers lost begun answers whose endpoint was silent for a moment: they moved to another endpoint, of which nothing was known, and that one was dead. It had no open requests, since all its answers had been moved away from its silence a second before, and an endpoint without open requests counted as unknown.

The gateway knew that the endpoint was silent. An endpoint that is left while silent now counts as silent for 3 s more, or until it sends something. After that it is asked again, so that an answer at a dead endpoint is still left within 3 s.

The new test fails without the change: the second stream moves to the endpoint that the first one has left.

--- a/src/coordination/forwarding/endpoint_health.ts
+++ b/src/coordination/forwarding/endpoint_health.ts
@@ -15,6 +15,9 @@
 /** How long an endpoint that refused a request counts as full, in ms. */
 const FULL_MS = 250;
 
+/** How long an endpoint that was left as silent counts as silent, in ms. */
+const LEFT_MS = 3_000;
+
 /** The weight of the newest answer in the moving average of failures. */
 const FAILURE_WEIGHT = 0.12;
 
@@ -35,6 +38,8 @@
   spokeAt: number;
   /** Since when requests are open, on the monotonic clock. */
   openSince: number;
+  /** When an answer was last moved away from its silence. */
+  leftAt: number;
 }
 
 /** Counts requests and failures by endpoint. */
@@ -130,12 +135,20 @@
     return Math.max(spokeAt, answeredAt) > since;
   }
 
+  /** Records that an answer moves away from it, as it is silent. */
+  recordLeft(endpoint: EndpointEntry): void {
+    this.get(endpoint).leftAt = this.clock.monotonic();
+  }
+
   /**
-   * Whether it sent nothing for `ms` although requests are open at it. One that
-   * sent nothing since they were opened may still work on them.
+   * Whether it sent nothing for `ms` although requests are open at it, or since
+   * it was left a moment ago. One that sent nothing since its requests were opened
+   * may still work on them.
    */
   isSilent(endpoint: EndpointEntry, ms: number): boolean {
-    const {open, openSince} = this.get(endpoint);
+    const {open, openSince, leftAt} = this.get(endpoint);
+    const wasLeft = this.clock.monotonic() - leftAt < LEFT_MS;
+    if (wasLeft && !this.hasSpokenSince(endpoint, leftAt)) return true;
     if (open === 0 || !this.hasSpokenSince(endpoint, openSince)) return false;
     return !this.hasSpokenSince(endpoint, this.clock.monotonic() - ms);
   }
@@ -187,6 +200,7 @@
       answeredAt: -Infinity,
       spokeAt: -Infinity,
       openSince: -Infinity,
+      leftAt: -Infinity,
     };
     this.states.set(id, fresh);
     return fresh;
--- a/src/coordination/forwarding/handover.ts
+++ b/src/coordination/forwarding/handover.ts
@@ -36,7 +36,7 @@
   readonly clock: Clock;
   readonly health: Pick<
     EndpointHealth,
-    'isEjected' | 'isFull' | 'isSilent' | 'hasSpokenSince'
+    'isEjected' | 'isFull' | 'isSilent' | 'hasSpokenSince' | 'recordLeft'
   >;
   readonly quarantine: Pick<Quarantine, 'isFree'>;
   readonly relay: Pick<CallRelay, 'isDue'>;
@@ -74,18 +74,24 @@
     run: CallRun,
     attempt: SilentAttempt,
   ): Outcome<AttemptChoice | null, BlockReason> {
-    const {shutdown, quarantine, relay} = this.options;
+    const {shutdown, quarantine, relay, health} = this.options;
     const {isRepeatable, route} = run.admitted;
     const runs = run.runs + (attempt.isCounted ? 0 : 1);
     if (!isRepeatable || runs >= route.maxAttempts) return fail('attempts');
     if (!shutdown.canEnd(run)) return fail('stopping');
     if (attempt.hasBegun && !quarantine.isFree(run)) return fail('quarantine');
     if (relay.isDue(run, attempt)) return succeed(null);
-    return this.reserveAt(run, {
+    const successor = this.reserveAt(run, {
       // What was charged last was for the silent attempt itself.
       isPaid: false,
       isAllowed: each => this.canTakeOver(each, attempt),
     });
+    const {endpoint} = attempt;
+    // One that has not spoken since it got its requests may still work on them.
+    if (successor.ok && health.isSilent(endpoint, SILENT_MS)) {
+      health.recordLeft(endpoint);
+    }
+    return successor;
   }
 
   /**
--- a/src/coordination/forwarding/silent_successors_test.ts
+++ b/src/coordination/forwarding/silent_successors_test.ts
@@ -107,6 +107,48 @@
   assert.equal(resumed.length, 1);
 });
 
+// Guards against an answer that moves to an endpoint that another one has just left
+// as dead, while its own is silent for a moment: it was cut when its attempts were
+// used up.
+test('reserve() keeps a stream from an endpoint that was left as silent', async () => {
+  const speaksAgainMs = 5_400;
+  const gateway: FakeGateway = new FakeGateway({
+    route: ROUTE,
+    endpoints: ['e1', 'e2'].map(id => createEndpoint(id)),
+    behave: async (call, options, clock) => {
+      const place = gateway.attempts.indexOf(options);
+      const outcome = sendStream({
+        call,
+        options,
+        clock,
+        ...(place === 0 && {silentFromMs: SILENT_FROM_MS}),
+      });
+      if (place === 0 || outcome.type !== 'answer') return outcome;
+      const {body} = outcome.answer;
+      async function* pause() {
+        for await (const piece of body) {
+          const now = clock.monotonic();
+          const isSilent = now > 3_300 && now < speaksAgainMs;
+          if (isSilent) await clock.sleep(speaksAgainMs - now, options.signal);
+          yield piece;
+        }
+      }
+      return {...outcome, answer: {...outcome.answer, body: pause()}};
+    },
+  });
+  const first = gateway.start();
+  await gateway.clock.advance(2_400);
+  const second = gateway.start();
+  await gateway.clock.advance(30_000);
+  await Promise.all([first.done, second.done]);
+  const [dead] = gateway.attempts;
+  const later = gateway.attempts.slice(1);
+  assert.ok(later.every(({endpoint}) => endpoint !== dead?.endpoint));
+  assert.equal(later.length, 2);
+  assert.equal(first.sink.outcome, 'whole');
+  assert.equal(second.sink.outcome, 'whole');
+});
+
 // Guards against a request that waits at the only endpoint until its deadline, while
 // another gateway would serve it.
 test('reserve() gives up a request without a path that another gateway takes', async () => {
