Let an answer move to an endpoint that refused it before

For an answer that has begun and has no other endpoint, those that were tried are considered again, as they are once it was given up. Only one that speaks takes over, and the attempts of the route bound those that run.

The new test, two endpoints of which the first refuses once and the second dies, made 2 attempts within 3 s of the silence before, and makes 3 now, whole.

--- a/src/coordination/forwarding/handover.ts
+++ b/src/coordination/forwarding/handover.ts
@@ -90,6 +90,9 @@
       isPaid: false,
       isAllowed: each => this.canTakeOver(each, attempt),
     });
+    // Those that refused it earlier may take it by now.
+    const isMissing = !successor.ok && successor.error === 'no-endpoint';
+    if (isMissing && attempt.hasBegun) run.tried.clear();
     const {endpoint} = attempt;
     // One that has not spoken since it got its requests may still work on them.
     if (successor.ok && health.isSilent(endpoint, SILENT_MS)) {
--- a/src/coordination/forwarding/silent_successors_test.ts
+++ b/src/coordination/forwarding/silent_successors_test.ts
@@ -178,6 +178,30 @@
   assert.equal(gateway.attempts.length, 3);
 });
 
+// Guards against an answer that stays at a dead endpoint until its deadline, since
+// the other one had refused the request a moment before the answer began.
+test('reserve() lets a stream move to an endpoint that refused it before', async () => {
+  const gateway: FakeGateway = new FakeGateway({
+    route: ROUTE,
+    endpoints: ['e1', 'e2'].map(id => createEndpoint(id)),
+    behave: async (call, options, clock) => {
+      const place = gateway.attempts.indexOf(options);
+      if (place === 0) {
+        const facts = {...PLAIN_ANSWER, isNotRun: true};
+        return {type: 'not-run', status: 503, facts};
+      }
+      const silentFromMs = place === 1 ? SILENT_FROM_MS : Infinity;
+      return sendStream({call, options, clock, silentFromMs});
+    },
+  });
+  const {sink, done} = gateway.start();
+  await gateway.clock.advance(SILENT_FROM_MS + 3_000);
+  assert.equal(gateway.attempts.length, 3);
+  await gateway.clock.advance(30_000);
+  await done;
+  assert.equal(sink.outcome, 'whole');
+});
+
 // Guards against a request that waits at the only endpoint until its deadline, while
 // another gateway would serve it.
 test('reserve() gives up a request without a path that another gateway takes', async () => {
