--- a/src/coordination/forwarding/silence_histories_test.ts
+++ b/src/coordination/forwarding/silence_histories_test.ts
@@ -47,6 +47,12 @@
   assert.equal(faults.length, 0, `${faults.length}:\n${faults.join('\n')}`);
 });
 
+// Guards against answers that are lost since endpoints refuse to take over.
+test('forward() ends no begun answer that another endpoint would complete', async () => {
+  const faults = await listFaults(/was ended/);
+  assert.equal(faults.length, 0, `${faults.length}:\n${faults.join('\n')}`);
+});
+
 test('forward() leaves an endpoint that never speaks again', async () => {
   const faults = await listFaults(/held on to/);
   assert.equal(faults.length, 0, `${faults.length}:\n${faults.join('\n')}`);
--- a/src/coordination/simulation/silent_worker.ts
+++ b/src/coordination/simulation/silent_worker.ts
@@ -1,6 +1,10 @@
 /** A simulated endpoint of streams that falls silent now and then. */
 import type {AttemptOptions, AttemptOutcome, Call} from '../forwarding/call.ts';
-import {createAnswer, waitForAbort} from '../forwarding/fake_answers.ts';
+import {
+  createAnswer,
+  PLAIN_ANSWER,
+  waitForAbort,
+} from '../forwarding/fake_answers.ts';
 import type {SimulatedClock} from '../../protocol/simulated_clock.ts';
 
 /** The interval between the events of a stream, in ms. */
@@ -12,6 +16,22 @@
   readonly toMs: number;
 }
 
+/** A time in which an endpoint refuses further requests. */
+export interface Refusal extends Silence {
+  readonly kind:
+    /** It has no room. */
+    | 'full'
+    /** It has no room, and requests a back-off. */
+    | 'back-off'
+    /** Its connections are refused. */
+    | 'unreachable'
+    /** It does not serve the request. */
+    | 'not-served';
+}
+
+/** The back-off that endpoints request, in ms. */
+const BACK_OFF_MS = 700;
+
 /** One attempt as its endpoint saw it. */
 export interface SilentRun {
   readonly endpoint: string;
@@ -27,11 +47,14 @@
 export interface SilentWorkerOptions {
   readonly id: string;
   readonly silences: readonly Silence[];
+  readonly refusals: readonly Refusal[];
   /** The model's confidence in its answers; `null` without one. */
   readonly confidence: number | null;
   /** Returns the number of events of a request's answer. */
   readonly countEvents: (attemptId: string) => number;
-  /** Records an attempt. */
+  /** Returns how long it reads a request's prompt, in ms. */
+  readonly getReadMs: (attemptId: string) => number;
+  /** Records an attempt that was not refused. */
   readonly onRun: (attemptId: string, run: SilentRun) => void;
 }
 
@@ -47,6 +70,18 @@
     return speaksAt;
   }
 
+  /** Whether it takes all requests. */
+  get isOpen(): boolean {
+    return this.options.refusals.length === 0;
+  }
+
+  /** Whether it is silent at any time of a span. */
+  isSilentWithin(spanFromMs: number, spanMs: number): boolean {
+    return this.options.silences.some(
+      ({fromMs, toMs}) => fromMs < spanFromMs + spanMs && toMs > spanFromMs,
+    );
+  }
+
   /** Returns when it would send the last event of an answer, left alone. */
   computeEnd(atMs: number, eventsLeft: number): number {
     let endsAt = atMs;
@@ -62,8 +97,16 @@
     options: AttemptOptions,
     clock: SimulatedClock,
   ): Promise<AttemptOutcome> {
+    if (this.findRefusal(clock) === 'unreachable') {
+      return {type: 'not-sent', reason: 'ECONNREFUSED'};
+    }
     if (!options.mayBegin()) return {type: 'withdrawn'};
     const {signal} = options;
+    const refusal = this.findRefusal(clock);
+    if (refusal !== null) {
+      await this.waitForSpeech(clock, signal);
+      return signal.aborted ? {type: 'aborted'} : refuse(refusal);
+    }
     const attemptId = call.facts.attemptId ?? '';
     const first = Number(options.lastEventId ?? 0) + 1;
     const run: SilentRun = {
@@ -78,6 +121,11 @@
       run.abortedMs ??= clock.monotonic();
     });
     await this.waitForSpeech(clock, signal);
+    const readMs = this.options.getReadMs(attemptId);
+    if (readMs > 0) {
+      await clock.sleep(readMs, signal);
+      await this.waitForSpeech(clock, signal);
+    }
     if (signal.aborted) return {type: 'aborted'};
     const answer = createAnswer(call, options, {
       isStream: true,
@@ -88,6 +136,14 @@
     return {...answer, answer: {...answer.answer, body}};
   }
 
+  private findRefusal(clock: SimulatedClock): Refusal['kind'] | null {
+    const now = clock.monotonic();
+    const refusal = this.options.refusals.find(
+      ({fromMs, toMs}) => now >= fromMs && now < toMs,
+    );
+    return refusal?.kind ?? null;
+  }
+
   private async *sendEvents(
     run: SilentRun,
     {
@@ -126,3 +182,15 @@
     }
   }
 }
+
+function refuse(kind: Refusal['kind']): AttemptOutcome {
+  return {
+    type: 'not-run',
+    status: kind === 'not-served' ? 421 : 503,
+    facts: {
+      ...PLAIN_ANSWER,
+      isNotRun: true,
+      quietMs: kind === 'back-off' ? BACK_OFF_MS : null,
+    },
+  };
+}
