Let a suspected answer leave a dead endpoint, by a trial

Callers of a begun answer whose prompt is on trial, or became a suspect after it had begun, waited at a dead endpoint until their deadline: its successor was refused for as long as the prompt had a suspect, and nothing asked the core.

A silent answer now asks for a trial, as a request does that has not begun, while it stays where it is; it moves in the step in which all else is reserved, and its successor gets the permission. What cannot be used at once is given back. A refused successor is followed by a further trial, where it was broken off at once; a condemned prompt stays, or is broken off if it was given up.

What is silent may be the trial of that very prompt. So a trial that falls silent before it went on for a second counts as one that ends its endpoint, as of the last output; a heartbeat refutes it.

silence_watch_test.ts gets the new dependency of what it tests, no check changed. The mutant that does not ask the quarantine is adapted to the moved line.

--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -114,6 +114,7 @@
   /** The number of the last event's id, which may be long. */
   private lastNumber: number;
   private reserved: AttemptChoice | null = null;
+  private reservedTrial: Trial | null = null;
   private heldAnswer: HeldAnswer | null = null;
   private knownIdentity: string | null = null;
 
@@ -215,15 +216,24 @@
   }
 
   /** Reserves the next attempt, for which the retry budget was charged. */
-  reserve(choice: AttemptChoice, {hasBegun}: {hasBegun: boolean}): void {
+  reserve(
+    choice: AttemptChoice,
+    {hasBegun, trial = null}: {hasBegun: boolean; trial?: Trial | null},
+  ): void {
     this.reserved = choice;
+    this.reservedTrial = trial;
     this.isGivenUp ||= hasBegun;
   }
 
   /** Removes and returns the reserved attempt; `null` if there is none. */
   takeReserved(): AttemptChoice | null {
-    const {reserved} = this;
+    const {reserved, reservedTrial} = this;
     this.reserved = null;
+    this.reservedTrial = null;
+    if (reservedTrial) {
+      this.trial = reservedTrial;
+      this.isPermitted = true;
+    }
     if (reserved) this.isPaid = true;
     return reserved;
   }
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -24,6 +24,7 @@
 import {findFallbackMs} from './find_fallback.ts';
 import {handleAbort} from './handle_abort.ts';
 import {Handover} from './handover.ts';
+import {isUsedUp} from './is_used_up.ts';
 import type {Quarantine} from '../quarantine/quarantine.ts';
 import type {CallRelay} from '../reach/call_relay.ts';
 import type {RecentGateways} from './recent_gateways.ts';
@@ -46,9 +47,6 @@
 import {recordAttempt, type RecordAttemptOptions} from './record_attempt.ts';
 import {recordRun} from './record_run.ts';
 
-/** Maximum retries of a request that endpoints reported as not run. */
-const MAX_NOT_RUN = 2;
-
 /**
  * Share of the service's retry budget that gateways use. Each gateway applies
  * the ratio to its own requests, so that their total stays within the service's
@@ -127,6 +125,8 @@
       // An unexpected error must not leave the escalation or the held answer
       // of this request open.
       run.finish('error', 0);
+      // A successor that was not started needs its permission no more.
+      run.takeReserved();
       this.options.quarantine.finishTrial(run);
     }
     this.shutdown.record(run);
@@ -209,28 +209,36 @@
     const waitMs = RETRY_HANDOVER_MS * 2 ** run.furtherSuccessors;
     await this.sleep(run, Math.min(MAX_AGAIN_MS, waitMs));
     if (run.call.signal.aborted) return;
+    if (!(await this.admitAgain(run, sink))) return;
     const successor = this.handover.reserveAgain(run);
     if (successor.ok) {
       run.furtherSuccessors++;
       return run.reserve(successor.value, {hasBegun: true});
     }
     const {error: reason} = successor;
-    const isFinal = reason === 'attempts' || reason === 'quarantine';
-    if (this.shutdown.isAborted || isFinal) {
+    if (this.shutdown.isAborted || reason === 'attempts') {
       this.breakOff(run, sink, reason);
     }
   }
 
+  /** Renews the permission of an answer that was given up. */
+  private async admitAgain(run: CallRun, sink: CallerSink): Promise<boolean> {
+    const {quarantine} = this.options;
+    // The one that it has may have ended during the wait.
+    quarantine.finishTrial(run);
+    run.isPermitted = false;
+    if (quarantine.isFree(run) || this.shutdown.isAborted) return true;
+    if (await this.admitPrompt(run)) return true;
+    if (run.quarantine === 'condemned') this.breakOff(run, sink, 'quarantine');
+    run.furtherSuccessors++;
+    return false;
+  }
+
   /** Why the next attempt was not made. */
   private explainBlock(run: CallRun, canSend: boolean): BlockReason {
     if (run.quarantine !== null) return 'quarantine';
     if (canSend) return 'no-endpoint';
-    const {admitted, runs, notRun} = run;
-    const isUsedUp =
-      (runs > 0 && !admitted.isRepeatable) ||
-      runs >= admitted.route.maxAttempts ||
-      notRun > MAX_NOT_RUN;
-    return isUsedUp ? 'attempts' : 'budget';
+    return isUsedUp(run) ? 'attempts' : 'budget';
   }
 
   private breakOff(run: CallRun, sink: CallerSink, reason: BlockReason): void {
@@ -242,6 +250,7 @@
     if (run.isTrial) return true;
     const permission = await this.options.quarantine.admit(run);
     run.isPermitted = permission.type !== 'refused';
+    if (permission.type === 'trial') run.trial = permission.trial;
     if (permission.type !== 'refused') return true;
     run.quarantine = permission.isCondemned ? 'condemned' : 'suspected';
     return false;
@@ -321,12 +330,9 @@
 
   /** Whether another attempt is allowed; charges the retry budget if so. */
   private canRetry(run: CallRun): boolean {
-    const {admitted, runs, notRun} = run;
-    if (runs > 0 && !admitted.isRepeatable) return false;
-    if (runs >= admitted.route.maxAttempts) return false;
-    if (notRun > MAX_NOT_RUN) return false;
+    if (isUsedUp(run)) return false;
     if (run.isPaid) return true;
-    return this.budgets.get(admitted.service.name).tryTake();
+    return this.budgets.get(run.admitted.service.name).tryTake();
   }
 
   /**
--- a/src/coordination/forwarding/handover.ts
+++ b/src/coordination/forwarding/handover.ts
@@ -52,6 +52,8 @@
   readonly silentSince: number;
   /** Whether the caller has received a part of its answer. */
   readonly hasBegun: boolean;
+  /** Whether its successor may be or have suspects. */
+  readonly isPermitted: boolean;
   /** Whether it has sent anything. */
   readonly hasSpoken: boolean;
   /** Whether it is among the runs of its request already. */
@@ -61,6 +63,8 @@
 interface ReserveOptions {
   /** Whether the retry budget was already charged for the successor. */
   readonly isPaid: boolean;
+  /** Whether the quarantine has to permit it first; false by default. */
+  readonly isWithheld?: boolean;
   readonly isAllowed: (endpoint: EndpointEntry) => boolean;
 }
 
@@ -83,11 +87,12 @@
     // Nothing is left to lose at a successor that has not spoken yet.
     const isLost = run.isGivenUp && !attempt.hasSpoken && !shutdown.isAborted;
     if (!isLost && !shutdown.canEnd(run)) return fail('stopping');
-    if (attempt.hasBegun && !quarantine.isFree(run)) return fail('quarantine');
     if (relay.isDue(run, attempt)) return succeed(null);
     const successor = this.reserveAt(run, {
       // What was charged last was for the silent attempt itself.
       isPaid: false,
+      isWithheld:
+        attempt.hasBegun && !attempt.isPermitted && !quarantine.isFree(run),
       isAllowed: each => this.canTakeOver(each, attempt),
     });
     // Those that refused it earlier may take it by now.
@@ -109,7 +114,7 @@
     const {shutdown, quarantine, health} = this.options;
     if (shutdown.isAborted) return fail('stopping');
     if (run.runs >= run.admitted.route.maxAttempts) return fail('attempts');
-    if (!quarantine.isFree(run)) return fail('quarantine');
+    if (!run.isPermitted && !quarantine.isFree(run)) return fail('quarantine');
     const successor = this.reserveAt(run, {
       isPaid: run.isPaid,
       isAllowed: each => !health.isEjected(each) && !health.isFull(each),
@@ -121,11 +126,13 @@
 
   private reserveAt(
     run: CallRun,
-    {isPaid, isAllowed}: ReserveOptions,
+    {isPaid, isWithheld = false, isAllowed}: ReserveOptions,
   ): Outcome<AttemptChoice, BlockReason> {
     const {picker, budgets} = this.options;
     const choice = picker.planNext(run, {isAllowed});
     if (!choice) return fail('no-endpoint');
+    // Asked last, so that no trial is open while there is nowhere to go.
+    if (isWithheld) return fail('quarantine');
     const budget = budgets.get(run.admitted.service.name);
     if (!isPaid && !budget.tryTake()) return fail('budget');
     picker.record(run, choice);
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -161,6 +161,7 @@
       if (moreMs === 0) abort('overdue');
       return moreMs || Infinity;
     },
+    onSilentTrial: since => watch.recordSilence(since),
     giveUp: () => abort('stall'),
   });
   if (call.signal.aborted) return {type: 'left'};
--- a/src/coordination/forwarding/silence_watch.ts
+++ b/src/coordination/forwarding/silence_watch.ts
@@ -5,7 +5,6 @@
  * successor can be reserved. Otherwise the watch goes on listening and asks again
  * at intervals.
  */
-import type {Clock} from '../../protocol/clock.ts';
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import type {Logger} from '../../protocol/logger.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
@@ -13,6 +12,7 @@
 import type {CallerSink} from './call.ts';
 import type {BlockReason, CallRun} from './call_run.ts';
 import type {Handover} from './handover.ts';
+import {SuccessorTrial, type SuccessorTrialOptions} from './successor_trial.ts';
 import {startWatchdog} from './watchdog.ts';
 
 /** The interval at which a successor is looked for. */
@@ -21,8 +21,7 @@
 /** Reasons that do not change while the attempt goes on. */
 const FINAL: ReadonlySet<BlockReason> = new Set(['attempts']);
 
-export interface WatchSilenceOptions {
-  readonly clock: Clock;
+export interface WatchSilenceOptions extends SuccessorTrialOptions {
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly handover: Pick<Handover, 'reserve'>;
@@ -40,6 +39,11 @@
    * ms; 0, as by default, if a successor is to be looked for.
    */
   readonly handleSilence?: () => number;
+  /**
+   * Called when an answer on trial is silent, with when it fell silent on the
+   * monotonic clock; does nothing by default.
+   */
+  readonly onSilentTrial?: (since: number) => void;
   /** Aborts the attempt; its successor is reserved. */
   readonly giveUp: () => void;
 }
@@ -59,10 +63,12 @@
     timeoutMs,
     isCounted = false,
     handleSilence = () => 0,
+    onSilentTrial = () => {},
     giveUp,
   }: WatchedAttempt,
 ): SilenceWatch {
   const {clock, handover, sink} = options;
+  const trial = new SuccessorTrial(options, run);
   let silentSince = clock.monotonic();
   let hasSpoken = false;
   /** Why the attempt goes on although its endpoint is silent. */
@@ -81,13 +87,19 @@
       hasBegun,
       hasSpoken,
       isCounted,
+      isPermitted: trial.isGranted,
     });
     if (successor.ok) {
       record('resume', null);
-      if (successor.value) run.reserve(successor.value, {hasBegun});
+      const choice = successor.value;
+      if (choice) run.reserve(choice, {hasBegun, trial: trial.take()});
       return giveUp();
     }
     const reason = successor.error;
+    if (reason === 'quarantine') {
+      if (run.isTrial) onSilentTrial(silentSince);
+      trial.ask();
+    } else trial.release();
     waitsFor = reason;
     if (!waitedFor.has(reason)) record('wait', reason);
     waitedFor.add(reason);
@@ -99,10 +111,14 @@
       waitsFor = null;
       waitedFor.clear();
       hasSpoken = true;
+      trial.release();
       silentSince = clock.monotonic();
       watchdog.postpone(ms);
     },
-    [Symbol.dispose]: () => watchdog[Symbol.dispose](),
+    [Symbol.dispose]() {
+      watchdog[Symbol.dispose]();
+      trial[Symbol.dispose]();
+    },
   };
 }
 
--- a/src/coordination/forwarding/silence_watch_test.ts
+++ b/src/coordination/forwarding/silence_watch_test.ts
@@ -31,6 +31,10 @@
       metrics: silentMetrics,
       // The other endpoint speaks now and then, and the budget is used up.
       handover: {reserve: () => fail(reasons[asked++ % 2] ?? 'budget')},
+      quarantine: {
+        admit: async () => ({type: 'refused', isCondemned: false}),
+        endTrial: () => {},
+      },
       sink: {hasBegun: true},
     },
     run,
--- a/src/coordination/quarantine/crash_watch.ts
+++ b/src/coordination/quarantine/crash_watch.ts
@@ -15,13 +15,15 @@
 export interface CrashWatchOptions {
   readonly clock: Clock;
   readonly onSound: () => void;
-  readonly onCrash: () => void;
+  /** Called with when the endpoint ended, on the monotonic clock. */
+  readonly onCrash: (atMs: number) => void;
 }
 
 export class CrashWatch {
   private beganAt: number | null = null;
   private isError = false;
   private isDecided = false;
+  private silentSince = -Infinity;
 
   constructor(private readonly options: CrashWatchOptions) {}
 
@@ -48,7 +50,19 @@
   recordDisconnect(): void {
     if (this.isDecided) return;
     this.isDecided = true;
-    this.options.onCrash();
+    this.options.onCrash(this.options.clock.monotonic());
+  }
+
+  /**
+   * Records that a trial fell silent, as if its endpoint had ended; a sign of life
+   * of the endpoint refutes that, and an answer that goes on clears its suspects.
+   *
+   * @param since When it fell silent, on the monotonic clock.
+   */
+  recordSilence(since: number): void {
+    if (this.isDecided || this.isError || since === this.silentSince) return;
+    this.silentSince = since;
+    this.options.onCrash(since);
   }
 
   private settle(): void {
--- a/src/coordination/quarantine/quarantine.ts
+++ b/src/coordination/quarantine/quarantine.ts
@@ -16,13 +16,19 @@
   SuspectRecord,
   TrialRequest,
 } from '../../protocol/suspect.ts';
-import type {CallRun} from '../forwarding/call_run.ts';
+import type {CallRun, Trial} from '../forwarding/call_run.ts';
 import type {ObservedSuspects} from '../gateway/report_differences.ts';
 import {RevisedMap} from '../revised_map.ts';
 import {CrashWatch} from './crash_watch.ts';
 import {createStartKey} from './endpoint_ends.ts';
 import type {TrialClient} from './trial_client.ts';
-import {appliesTo, isShared, isStanding, type Suspect} from './suspect.ts';
+import {
+  appliesTo,
+  isShared,
+  isStanding,
+  type Crash,
+  type Suspect,
+} from './suspect.ts';
 import {createSuspectKey, SuspectTable} from './suspect_table.ts';
 
 /** Parts and requests of which a gateway remembers an answer. */
@@ -48,7 +54,7 @@
 export type Permission =
   | {readonly type: 'free'}
   /** It is the only one with its suspects. */
-  | {readonly type: 'trial'}
+  | {readonly type: 'trial'; readonly trial: Trial}
   | {readonly type: 'refused'; readonly isCondemned: boolean};
 
 const FREE: Permission = {type: 'free'};
@@ -118,11 +124,11 @@
       // single crash, but go to endpoints one at a time.
       const isOwn = !reply && this.openOwnTrial(service, suspects);
       if (isGranted || isOwn) {
-        run.trial = {id: reply?.trial, suspects};
+        const trial = {id: reply?.trial, suspects};
         if (!this.isWithheld(run, this.listSuspects(run))) {
-          return {type: 'trial'};
+          return {type: 'trial', trial};
         }
-        this.finishTrial(run);
+        this.endTrial(run, trial);
         continue;
       }
       if (attempt >= TRIAL_ATTEMPTS || run.sends > 0) {
@@ -143,10 +149,14 @@
 
   /** Ends the trial of a request, after its attempt was watched. */
   finishTrial(run: CallRun): void {
-    const {name: service} = run.admitted.service;
-    if (!run.trial) return;
-    const {id, suspects} = run.trial;
+    const {trial} = run;
     run.trial = null;
+    if (trial) this.endTrial(run, trial);
+  }
+
+  /** Ends a permission that a request need not have used. */
+  endTrial({admitted}: CallRun, {id, suspects}: Trial): void {
+    const {name: service} = admitted.service;
     for (const each of suspects) {
       this.ownTrials.delete(createSuspectKey(service, each));
     }
@@ -198,12 +208,13 @@
         const sound = this.table.isEmpty ? run.watchedParts : run.listWatched();
         for (const each of sound) this.recordSound(service, each);
       },
-      onCrash: () => {
-        const exposureMs = clock.monotonic() - sentAt;
+      onCrash: atMs => {
+        const exposureMs = atMs - sentAt;
+        const crash = {atMs, exposureMs, refutedAt: -Infinity};
         const customer = run.admitted.caller ?? '';
         for (const id of this.selectSuspects(service, run.listWatched())) {
           const level = (levels.get(createSuspectKey(service, id)) ?? 0) + 1;
-          this.recordCrash(endpoint, {id, level, exposureMs, customer});
+          this.recordCrash(endpoint, {id, level, crash, customer});
         }
       },
     });
@@ -332,11 +343,10 @@
     {
       id: {kind, part},
       level,
-      exposureMs,
+      crash,
       customer,
-    }: {id: SuspectId; level: number; exposureMs: number; customer: string},
+    }: {id: SuspectId; level: number; crash: Crash; customer: string},
   ): void {
-    const now = this.options.clock.monotonic();
     this.recordObservation({
       service: endpoint.service,
       kind,
@@ -344,12 +354,7 @@
       customers: [customer],
       level,
       isCondemned: false,
-      crashes: new Map([
-        [
-          createStartKey(endpoint),
-          {atMs: now, exposureMs, refutedAt: -Infinity},
-        ],
-      ]),
+      crashes: new Map([[createStartKey(endpoint), crash]]),
       clearedAt: -Infinity,
     });
   }
--- a/src/coordination/simulation/silence_history.ts
+++ b/src/coordination/simulation/silence_history.ts
@@ -11,6 +11,7 @@
   createRoute,
   FakeGateway,
 } from '../forwarding/forwarding_fakes.ts';
+import {SilenceCore} from './silence_core.ts';
 import {
   CLOSE_MARGIN_MS,
   findFaults,
@@ -74,7 +75,10 @@
     }),
   );
   let reloads = 0;
-  const gateway = new FakeGateway({
+  const core = new SilenceCore(workers, records =>
+    gateway.quarantine.recordRelayed(records),
+  );
+  const gateway: FakeGateway = new FakeGateway({
     route: createRoute({
       repeatability: 'stream',
       resumable: true,
@@ -86,6 +90,7 @@
     endpoints,
     ...(setting.readMs.size > 0 && {engine: ENGINE}),
     findRegion: centre => REGIONS[reloads % REGIONS.length]?.[centre] ?? null,
+    ...(setting.suspects.length > 0 && {clock: core.clock, trials: core}),
     random: draws.next,
     retryRatio: setting.isBudgetEmpty ? 0 : 0.9,
     retryExtra: setting.isBudgetEmpty ? 0 : 50,
@@ -104,6 +109,9 @@
           attemptId: stream.id,
           maxOutputTokens: stream.events,
           promptTokens: countPromptTokens(setting, stream.id),
+          ...(setting.suspects.length > 0 && {
+            prompt: [stream.id, 'own'].map(id => ({id, tokens: 10})),
+          }),
           ...(setting.hasModels && {model: '*', isModelOpen: true}),
         });
         stream.sink = sink;
@@ -125,6 +133,10 @@
           }),
         ),
     })),
+    ...setting.suspects.map(({stream, level, atMs}) => ({
+      atMs,
+      run: () => core.learn(stream, level),
+    })),
     ...reloadsMs.map((atMs, index) => ({
       atMs,
       run: () => {
--- a/src/coordination/simulation/silence_setting.ts
+++ b/src/coordination/simulation/silence_setting.ts
@@ -29,6 +29,13 @@
   readonly maxAttempts: number;
 }
 
+/** A part with which endpoints ended, as is learned at a time. */
+interface DrawnSuspect {
+  readonly stream: string;
+  readonly level: number;
+  readonly atMs: number;
+}
+
 /** The elements that only a part of the histories has. */
 interface Extras {
   /** When the settings are read anew. */
@@ -37,6 +44,8 @@
   readonly refusals: readonly (readonly Refusal[])[];
   /** How long an endpoint reads the prompt of a stream, in ms. */
   readonly readMs: ReadonlyMap<string, number>;
+  /** The suspected parts, each of one stream's prompt. */
+  readonly suspects: readonly DrawnSuspect[];
   /**
    * Whether the first endpoint never speaks again once it falls silent: `alone`
    * if the others never fall silent, the gateway does not stop, and retries are
@@ -124,22 +133,34 @@
   const hasLongPrompts = has();
   const hasDeath = has();
   const isAlone = draws.next() < 0.5;
+  const refusals = hasRefusals
+    ? Array.from({length: count}, () => drawRefusals(draws))
+    : [];
+  const reloadsMs = hasReloads
+    ? [1, 2, 3].map(() => draws.between(200, 8_000)).sort((a, b) => a - b)
+    : [];
+  const readMs = hasLongPrompts
+    ? streams.map(({id}) => [id, Math.round(draws.log(20, 3_500))] as const)
+    : [];
   return {
     death: !hasDeath ? 'none' : isAlone ? 'alone' : 'beside silences',
-    reloadsMs: hasReloads
-      ? [1, 2, 3].map(() => draws.between(200, 8_000)).sort((a, b) => a - b)
-      : [],
-    refusals: hasRefusals
-      ? Array.from({length: count}, () => drawRefusals(draws))
-      : [],
-    readMs: new Map(
-      hasLongPrompts
-        ? streams.map(({id}) => [id, Math.round(draws.log(20, 3_500))])
-        : [],
-    ),
+    reloadsMs,
+    refusals,
+    readMs: new Map(readMs),
+    suspects: has() ? streams.map(each => drawSuspect(draws, each)) : [],
   };
 }
 
+function drawSuspect(draws: Draws, {id, sentMs}: Stream): DrawnSuspect {
+  const isEarly = draws.next() < 0.5;
+  const level = draws.between(1, 2);
+  const delayMs = draws.between(500, 4_000);
+  // A trial of a higher level that falls silent may be proven to end endpoints.
+  return isEarly
+    ? {stream: id, level: 1, atMs: sentMs}
+    : {stream: id, level, atMs: sentMs + delayMs};
+}
+
 function drawRefusals(draws: Draws): Refusal[] {
   const fromMs = draws.between(0, 8_000);
   const kinds = ['full', 'back-off', 'unreachable', 'not-served'] as const;
@@ -158,7 +179,7 @@
 
 export function describeSetting(setting: Setting): string {
   const {workers, stopMs, isBudgetEmpty, hasModels, maxAttempts} = setting;
-  const {reloadsMs, refusals, readMs, death} = setting;
+  const {reloadsMs, refusals, readMs, suspects, death} = setting;
   return (
     `${workers.length} endpoints, ${maxAttempts} attempts, ` +
     `stop ${stopMs ?? 'none'}, budget ${isBudgetEmpty ? 'empty' : 'full'}, ` +
@@ -166,6 +187,7 @@
     (reloadsMs.length > 0 ? ', reloads' : '') +
     (refusals.length > 0 ? ', refusals' : '') +
     (readMs.size > 0 ? ', long prompts' : '') +
+    (suspects.length > 0 ? ', suspects' : '') +
     (death === 'none' ? '' : `, death ${death}`)
   );
 }
--- a/src/coordination/simulation/silent_worker.ts
+++ b/src/coordination/simulation/silent_worker.ts
@@ -61,6 +61,10 @@
 export class SilentWorker {
   constructor(private readonly options: SilentWorkerOptions) {}
 
+  get id(): string {
+    return this.options.id;
+  }
+
   /** Returns when it speaks next at or after a time. */
   findSpeech(atMs: number): number {
     let speaksAt = atMs;
--- a/tools/mutants/handover.ts
+++ b/tools/mutants/handover.ts
@@ -22,7 +22,7 @@
   ),
   ignore(
     'the-quarantine-is-not-asked',
-    "    if (attempt.hasBegun && !quarantine.isFree(run)) return fail('quarantine');\n",
+    "    if (isWithheld) return fail('quarantine');\n",
   ),
   {
     name: 'the-budget-is-not-asked',
@@ -122,6 +122,7 @@
     `${FOLDER}/handover_test.ts`,
     `${FOLDER}/shutdown_test.ts`,
     `${FOLDER}/silence_histories_test.ts`,
+    `${FOLDER}/suspected_successors_test.ts`,
     `${FOLDER}/watchdog_test.ts`,
   ],
   env: {SILENCE_SEEDS: '200'},
