Say when a larger model is left for a held answer

Operators could not see why a larger model that was asked gave no answer: when the fallback is due its attempt was aborted as `overdue`, without the line and the count that each other decision on a silent endpoint has, and without a word on whether the held answer has anything to deliver.

The watch of the attempt decides on the fallback now and records it as it does the rest: `fall-back` in `silences` and in the line, with the silence and the bytes that are held. When it is due has not changed.

The mutant that drops a silent held answer uses the new options.

--- a/src/coordination/forwarding/fallback_test.ts
+++ b/src/coordination/forwarding/fallback_test.ts
@@ -4,12 +4,15 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
+import {silentLogger, type LogFields} from '../../protocol/logger.ts';
+import {silentMetrics} from '../../protocol/metrics.ts';
 import {createAnswer, waitForAbort} from './fake_answers.ts';
 import {
   createEndpoint,
   createRoute,
   FakeGateway,
   type Behaviour,
+  type FakeGatewayOptions,
 } from './forwarding_fakes.ts';
 
 const OBJECTIVE_MS = 2_000;
@@ -32,7 +35,10 @@
   readonly large: readonly Behaviour[];
 }
 
-function createGateway({smallMs = 100, large}: Models) {
+function createGateway(
+  {smallMs = 100, large}: Models,
+  options: Partial<FakeGatewayOptions> = {},
+) {
   const behaviours = [...large];
   return new FakeGateway({
     route: ROUTE,
@@ -50,6 +56,7 @@
         facts: {confidence: 5},
       });
     },
+    ...options,
   });
 }
 
@@ -163,4 +170,37 @@
   assert.ok(gateway.attempts[1]?.signal.aborted);
 });
 
+// Guards against answers of which no line and no counter says why a larger model
+// that was asked did not give them.
+test('forward() says when it leaves a larger model for a held answer', async () => {
+  const decisions: LogFields[] = [];
+  const counted: string[] = [];
+  const gateway = createGateway(
+    {large: [waitForever]},
+    {
+      logger: {
+        ...silentLogger,
+        info: (message, fields = {}) => {
+          if (/is silent/.test(message)) decisions.push(fields);
+        },
+      },
+      metrics: {
+        ...silentMetrics,
+        count: (name, _value, tags) => {
+          if (name === 'silences') counted.push(tags?.['decision'] ?? '');
+        },
+      },
+    },
+  );
+  const sink = await gateway.request({model: '*', isModelOpen: true});
+  assert.match(sink.text, /small/);
+  assert.deepEqual(counted, ['fall-back']);
+  assert.equal(decisions.length, 1);
+  const [{decision, endpoint, silenceMs, heldBytes} = {}] = decisions;
+  assert.equal(decision, 'fall-back');
+  assert.equal(endpoint, gateway.attempts[1]?.endpoint.id);
+  assert.ok(Number(silenceMs) > 1_000);
+  assert.ok(Number(heldBytes) > 0);
+});
+
 test.run();
--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -1,8 +1,8 @@
 /** Fakes for tests of forwarding: a gateway without a network. */
 import type {FollowReply, GatewayReport} from '../../protocol/core_service.ts';
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
-import {silentLogger} from '../../protocol/logger.ts';
-import {silentMetrics} from '../../protocol/metrics.ts';
+import {silentLogger, type Logger} from '../../protocol/logger.ts';
+import {silentMetrics, type Metrics} from '../../protocol/metrics.ts';
 import {succeed} from '../../protocol/outcome.ts';
 import type {
   Engine,
@@ -166,6 +166,9 @@
   readonly findRegion?: (dataCentre: string) => string | null;
   /** Confirms the view by default. */
   readonly ensureView?: () => Promise<boolean>;
+  /** Receives what requests log and count; discarded by default. */
+  readonly logger?: Logger;
+  readonly metrics?: Metrics;
   /** Retries per request of a service; 0.9 by default. */
   readonly retryRatio?: number;
   /** Retries on top of that in a window of 10 s; 50 by default. */
@@ -206,6 +209,8 @@
     sendRelayed = async () => ({type: 'not-sent', reason: 'ECONNREFUSED'}),
     retryRatio = 0.9,
     retryExtra = 50,
+    logger = silentLogger,
+    metrics = silentMetrics,
   }: FakeGatewayOptions) {
     this.clock = clock;
     this.address = address;
@@ -277,8 +282,8 @@
       reach,
       relay: new CallRelay({
         clock: this.clock,
-        logger: silentLogger,
-        metrics: silentMetrics,
+        logger,
+        metrics,
         random,
         reach,
         listGateways: () => this.view.openGateways,
@@ -290,8 +295,8 @@
       evidence: new VersionEvidenceCounter(),
       prefillBacklog: new PrefillBacklog(this.clock),
       clock: this.clock,
-      logger: silentLogger,
-      metrics: silentMetrics,
+      logger,
+      metrics,
       random,
       send: (call, options) => {
         this.attempts.push(options);
--- a/src/coordination/forwarding/held_answer.ts
+++ b/src/coordination/forwarding/held_answer.ts
@@ -26,7 +26,7 @@
 
 export class HeldAnswer implements Disposable {
   private readonly pieces: Uint8Array[] = [];
-  private size = 0;
+  private bytes = 0;
   private isComplete = false;
   private error: Error | null = null;
   private notifyReader = () => {};
@@ -43,6 +43,11 @@
     return this.options.model;
   }
 
+  /** The bytes of its body that have arrived. */
+  get size(): number {
+    return this.bytes;
+  }
+
   /** Whether it broke off, was too large or was discarded. */
   get isBroken(): boolean {
     return this.error !== null;
@@ -68,15 +73,15 @@
         if (this.error) return;
         watch.recordProgress();
         this.pieces.push(piece);
-        this.size += piece.length;
-        if (this.size > MAX_HELD_BYTES) {
+        this.bytes += piece.length;
+        if (this.bytes > MAX_HELD_BYTES) {
           this.end(
             new Error('the answer exceeds the size limit of held answers'),
           );
           answer.cancel();
           return;
         }
-        answer.memory?.keep(this.size);
+        answer.memory?.keep(this.bytes);
         this.notifyReader();
       }
       if (!this.error) watch.recordEnd(answer);
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -153,14 +153,13 @@
   using silence = watchSilence(options, run, {
     endpoint,
     timeoutMs: computeFirstOutputTimeoutMs(options, run, startedAt),
-    handleSilence: () => {
-      if (!run.held) return 0;
+    findFallbackMs: () => {
+      if (!run.held) return null;
       // An endpoint that answers other requests is busy, not failed.
       run.mayBeginLate ||= health.hasAnsweredSince(endpoint, startedAt);
-      const moreMs = findFallbackMs(run, clock.monotonic());
-      if (moreMs === 0) abort('overdue');
-      return moreMs || Infinity;
+      return findFallbackMs(run, clock.monotonic());
     },
+    fallBack: () => abort('overdue'),
     onSilentTrial: since => watch.recordSilence(since),
     giveUp: () => abort('stall'),
   });
--- a/src/coordination/forwarding/silence_watch.ts
+++ b/src/coordination/forwarding/silence_watch.ts
@@ -35,10 +35,12 @@
   /** Whether it is among the runs of its request already; false by default. */
   readonly isCounted?: boolean;
   /**
-   * Handles silence in another way: returns the time until the next check, in
-   * ms; 0, as by default, if a successor is to be looked for.
+   * Returns the time until the held answer is to be delivered instead, in ms;
+   * `null`, as by default, if there is none.
    */
-  readonly handleSilence?: () => number;
+  readonly findFallbackMs?: () => number | null;
+  /** Aborts the attempt; the held answer is delivered. */
+  readonly fallBack?: () => void;
   /**
    * Called when an answer on trial is silent, with when it fell silent on the
    * monotonic clock; does nothing by default.
@@ -62,7 +64,8 @@
     endpoint,
     timeoutMs,
     isCounted = false,
-    handleSilence = () => 0,
+    findFallbackMs = () => null,
+    fallBack = () => {},
     onSilentTrial = () => {},
     giveUp,
   }: WatchedAttempt,
@@ -78,8 +81,12 @@
   const record = (decision: string, reason: BlockReason | null) =>
     recordDecision(options, run, {endpoint, silentSince, decision, reason});
   const watchdog = startWatchdog(clock, timeoutMs, () => {
-    const moreMs = handleSilence();
-    if (moreMs > 0) return watchdog.postpone(moreMs);
+    const fallbackMs = findFallbackMs();
+    if (fallbackMs === 0) {
+      record('fall-back', null);
+      return fallBack();
+    }
+    if (fallbackMs !== null) return watchdog.postpone(fallbackMs);
     const {hasBegun} = sink;
     const successor = handover.reserve(run, {
       endpoint,
@@ -125,7 +132,10 @@
 interface Decision {
   readonly endpoint: EndpointEntry;
   readonly silentSince: number;
-  /** `continue` if the endpoint went on while the attempt waited. */
+  /**
+   * `continue` if the endpoint went on while the attempt waited, `fall-back` if
+   * a held answer takes its place.
+   */
   readonly decision: string;
   /** What a successor lacks. */
   readonly reason: BlockReason | null;
@@ -145,6 +155,7 @@
     reason,
     silenceMs: Math.round(clock.monotonic() - silentSince),
     hasBegun: sink.hasBegun,
+    heldBytes: run.held?.size,
     lastEventId: run.lastEventId?.slice(0, MAX_LOGGED_ID_CHARACTERS),
     runs: run.runs,
   });
--- a/tools/mutants/handover.ts
+++ b/tools/mutants/handover.ts
@@ -70,7 +70,7 @@
       {
         file: `${FOLDER}/deliver_held.ts`,
         from: '    isCounted: true,\n',
-        to: '    isCounted: true,\n    handleSilence: () => {\n      drop();\n      return Infinity;\n    },\n',
+        to: '    isCounted: true,\n    findFallbackMs: () => 0,\n    fallBack: drop,\n',
       },
     ],
   },
