Say why a relayed answer is broken off

Operators could not tell which answers that were relayed through another gateway ended midway, and why: such a cut had no line at `warn` and was not counted in `broken_off`, as those of endpoints are.

The relay ends them by the same function, which names the other gateway. The reason is `deadline`, `stopping`, or `not-resumable` if the connection between the gateways broke off, as a relayed request is not sent again.

--- a/src/coordination/forwarding/break_off.ts
+++ b/src/coordination/forwarding/break_off.ts
@@ -19,11 +19,16 @@
  * run.
  *
  * @param reason Why the answer has no successor.
+ * @param gateway The gateway that it was relayed from; none by default.
  */
 export function breakOff(
   {clock, logger, metrics}: BreakOffOptions,
   run: CallRun,
-  {sink, reason}: {sink: CallerSink; reason: BlockReason},
+  {
+    sink,
+    reason,
+    gateway,
+  }: {sink: CallerSink; reason: BlockReason; gateway?: string},
 ): void {
   const {call, admitted} = run;
   const ms = clock.monotonic() - call.receivedAt;
@@ -35,6 +40,7 @@
     route: admitted.route.name,
     reason,
     endpoints: [...run.tried],
+    gateway,
     runs: run.runs,
     notRun: run.notRun,
     lastEventId: run.lastEventId?.slice(0, MAX_LOGGED_ID_CHARACTERS),
--- a/src/coordination/reach/call_relay.ts
+++ b/src/coordination/reach/call_relay.ts
@@ -17,7 +17,8 @@
   CallerSink,
   EndpointAnswer,
 } from '../forwarding/call.ts';
-import type {CallRun} from '../forwarding/call_run.ts';
+import {breakOff} from '../forwarding/break_off.ts';
+import type {BlockReason, CallRun} from '../forwarding/call_run.ts';
 import {handleAbort} from '../forwarding/handle_abort.ts';
 import {refuseCall} from '../forwarding/refuse.ts';
 import type {Shutdown} from '../forwarding/shutdown.ts';
@@ -85,6 +86,22 @@
 
 type AbortReason = 'left' | 'deadline' | 'interrupted';
 
+/** Why an answer that broke off has no successor. */
+const BLOCK_REASONS: Readonly<
+  Record<Exclude<AbortReason, 'left'> | 'broken', BlockReason>
+> = {
+  deadline: 'deadline',
+  interrupted: 'stopping',
+  broken: 'not-resumable',
+};
+
+interface BrokenRelay {
+  readonly sink: CallerSink;
+  /** Why this gateway ended it; `null` if its connection broke off. */
+  readonly aborted: AbortReason | null;
+  readonly gateway: string;
+}
+
 export class CallRelay {
   private readonly avoidedUntil = new Map<string, number>();
   /** Until when no gateway is asked, by service: none had a path. */
@@ -176,7 +193,7 @@
         return 'answered';
       }
     }
-    this.finishBroken(run, sink, aborted);
+    this.finishBroken(run, {sink, aborted, gateway});
     return aborted ?? 'broken';
   }
 
@@ -207,13 +224,12 @@
 
   private finishBroken(
     run: CallRun,
-    sink: CallerSink,
-    aborted: AbortReason | null,
+    {sink, aborted, gateway}: BrokenRelay,
   ): void {
     if (aborted === 'left') return run.finish('left', 0);
     if (sink.hasBegun) {
-      sink.abort();
-      return run.finish('cut', 0);
+      const reason = BLOCK_REASONS[aborted ?? 'broken'];
+      return breakOff(this.options, run, {sink, reason, gateway});
     }
     const reason = aborted === 'deadline' ? 'deadline' : 'broken';
     run.finish(reason, refuseCall(sink, {reason}));
--- a/src/coordination/reach/call_relay_test.ts
+++ b/src/coordination/reach/call_relay_test.ts
@@ -4,6 +4,8 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
+import {silentLogger, type LogFields} from '../../protocol/logger.ts';
+import {silentMetrics} from '../../protocol/metrics.ts';
 import type {AttemptOutcome} from '../forwarding/call.ts';
 import {PLAIN_ANSWER, waitForAbort} from '../forwarding/fake_answers.ts';
 import {
@@ -12,6 +14,7 @@
   createFollowReply,
   createRoute,
   FakeGateway,
+  type FakeGatewayOptions,
 } from '../forwarding/forwarding_fakes.ts';
 import {RecordingSink} from '../forwarding/recording_sink_fake.ts';
 import type {RelayOptions} from './call_relay.ts';
@@ -20,7 +23,7 @@
 const FAR = {address: 'far', region: 'other', dataCentre: 'b', open: true};
 const SELF = {address: 'g', region: 'r', dataCentre: 'a', open: true};
 
-interface CutOptions {
+interface CutOptions extends Pick<FakeGatewayOptions, 'logger' | 'metrics'> {
   readonly gateways?: readonly (typeof SELF)[];
   readonly repeatability?: 'idempotent' | 'not-repeatable';
   readonly answer: (options: RelayOptions) => Promise<AttemptOutcome>;
@@ -31,6 +34,7 @@
   gateways = [SELF, NEAR, FAR],
   repeatability = 'idempotent',
   answer,
+  ...rest
 }: CutOptions) {
   const relayed: RelayOptions[] = [];
   const gateway = new FakeGateway({
@@ -42,6 +46,7 @@
       relayed.push(options);
       return answer(options);
     },
+    ...rest,
   });
   gateway.view.apply(
     createFollowReply({complete: false, openGateways: [...gateways]}),
@@ -188,6 +193,61 @@
   assert.equal(gateway.attempts.length, attempts);
 });
 
+// Guards against answers of which no line says which gateway they broke off at.
+test('send() says why it cuts a relayed answer', async () => {
+  const lines: LogFields[] = [];
+  const counted: string[] = [];
+  const observers = {
+    logger: {
+      ...silentLogger,
+      warn: (message: string, fields: LogFields = {}) => {
+        if (/Breaks off/.test(message)) lines.push(fields);
+      },
+    },
+    metrics: {
+      ...silentMetrics,
+      count: (name: string, _value = 1, tags = {}) => {
+        if (name === 'broken_off') counted.push(JSON.stringify(tags));
+      },
+    },
+  };
+  const {gateway} = createCutGateway({
+    ...observers,
+    gateways: [SELF, NEAR],
+    answer: async () => createWhole(['half'], {breaks: true}),
+  });
+  assert.equal((await gateway.request()).outcome, 'cut');
+  const stopping = createCutGateway({
+    ...observers,
+    gateways: [SELF, NEAR],
+    answer: async ({signal}) => {
+      const outcome = createWhole([]);
+      if (outcome.type !== 'answer') return outcome;
+      async function* readBody() {
+        yield Buffer.from('half');
+        await waitForAbort(signal);
+      }
+      return {...outcome, answer: {...outcome.answer, body: readBody()}};
+    },
+  });
+  const {sink, done} = stopping.gateway.start();
+  await stopping.gateway.clock.advance(1_000);
+  stopping.gateway.forwarder.shutdown.abort();
+  await done;
+  assert.equal(sink.outcome, 'cut');
+  assert.deepEqual(counted, [
+    '{"reason":"not-resumable"}',
+    '{"reason":"stopping"}',
+  ]);
+  assert.deepEqual(
+    lines.map(({reason, gateway}) => [reason, gateway]),
+    [
+      ['not-resumable', 'near'],
+      ['stopping', 'near'],
+    ],
+  );
+});
+
 // Guards against gateways that ask each other for each request while the endpoints of
 // a service are down.
 test('while no gateway has a path few are asked', async () => {
