Keep the fakes of silent streams once

handover_test.ts and silent_successors_test.ts had a copy each of the stream whose endpoint falls silent, of its route and of the gateway without a path, and suspected_successors_test.ts a third one. They use stream_fakes.ts now.

--- a/src/coordination/forwarding/handover_test.ts
+++ b/src/coordination/forwarding/handover_test.ts
@@ -1,71 +1,29 @@
 /** Tests when a silent endpoint is left for another one. */
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
-import type {SimulatedClock} from '../../protocol/simulated_clock.ts';
-import type {AttemptOptions, AttemptOutcome, Call} from './call.ts';
-import {createAnswer, PLAIN_ANSWER, waitForAbort} from './fake_answers.ts';
+import {PLAIN_ANSWER, waitForAbort} from './fake_answers.ts';
 import {
   createEndpoint,
-  createFollowReply,
-  createRoute,
   FakeGateway,
   type FakeGatewayOptions,
 } from './forwarding_fakes.ts';
-
-const EVENTS = 40;
-const EVENT_INTERVAL_MS = 100;
+import {
+  createPathlessGateway,
+  sendStream,
+  STREAM_EVENTS,
+  STREAM_ROUTE,
+} from './stream_fakes.ts';
 
 /** From when on and until when the endpoints are silent, in ms. */
 const SILENT_FROM_MS = 1_000;
 const SILENT_FOR_MS = 2_500;
 
-const ROUTE = createRoute({
-  repeatability: 'stream',
-  resumable: true,
-  maxAttempts: 3,
-  timeoutMs: 25_000,
-  objectiveMs: 2_000,
-});
-
-interface Stream {
-  readonly call: Call;
-  readonly options: AttemptOptions;
-  readonly clock: SimulatedClock;
-  /** When its endpoint sends nothing; never by default. */
-  readonly silence?: readonly [fromMs: number, toMs: number];
-}
-
-/** Streams the rest of an answer. */
-function sendStream({
-  call,
-  options,
-  clock,
-  silence: [fromMs, toMs] = [Infinity, Infinity],
-}: Stream): AttemptOutcome {
-  if (!options.mayBegin()) return {type: 'withdrawn'};
-  const answer = createAnswer(call, options, {isStream: true});
-  if (answer.type !== 'answer') return answer;
-  const first = Number(options.lastEventId ?? 0) + 1;
-  async function* sendEvents() {
-    for (let event = first; event <= EVENTS; event++) {
-      const now = clock.monotonic();
-      if (now >= fromMs && now < toMs) {
-        await clock.sleep(toMs - now, options.signal);
-      }
-      if (options.signal.aborted) throw new Error('aborted');
-      yield Buffer.from(`id: ${event}\ndata: a\n\n`);
-      await clock.sleep(EVENT_INTERVAL_MS, options.signal);
-    }
-  }
-  return {...answer, answer: {...answer.answer, body: sendEvents()}};
-}
-
 const SILENCE = [SILENT_FROM_MS, SILENT_FROM_MS + SILENT_FOR_MS] as const;
 
 /** A gateway whose first attempt falls silent for a while. */
 function createGateway(options: Partial<FakeGatewayOptions> = {}) {
   const gateway: FakeGateway = new FakeGateway({
-    route: ROUTE,
+    route: STREAM_ROUTE,
     endpoints: ['e1', 'e2'].map(id => createEndpoint(id)),
     behave: async (call, attempt, clock) => {
       const isFirst = gateway.attempts[0] === attempt;
@@ -92,7 +50,7 @@
   await gateway.clock.advance(30_000);
   await done;
   const ids = [...sink.text.matchAll(/^id: (\d+)$/gm)].map(([, id]) => id);
-  const isWhole = ids.length === EVENTS && sink.outcome === 'whole';
+  const isWhole = ids.length === STREAM_EVENTS && sink.outcome === 'whole';
   return {isWhole, attempts: gateway.attempts.length, sink};
 }
 
@@ -128,13 +86,13 @@
 });
 
 test('reserve() keeps a stream whose attempts are used up', async () => {
-  const gateway = createGateway({route: {...ROUTE, maxAttempts: 1}});
+  const gateway = createGateway({route: {...STREAM_ROUTE, maxAttempts: 1}});
   const {isWhole, attempts} = await playStream(gateway);
   assert.deepEqual([isWhole, attempts], [true, 1]);
 });
 
 test('reserve() keeps a stream that cannot be resumed', async () => {
-  const gateway = createGateway({route: {...ROUTE, resumable: false}});
+  const gateway = createGateway({route: {...STREAM_ROUTE, resumable: false}});
   const {isWhole, attempts} = await playStream(gateway);
   assert.deepEqual([isWhole, attempts], [true, 1]);
 });
@@ -188,7 +146,7 @@
 // Guards against a held answer that is dropped while its endpoint is silent.
 test('reserve() keeps a held answer without a successor', async () => {
   const gateway: FakeGateway = createGateway({
-    route: {...ROUTE, models: ['small', 'large'], maxAttempts: 2},
+    route: {...STREAM_ROUTE, models: ['small', 'large'], maxAttempts: 2},
     behave: async (call, options, clock) => {
       if (options.model === 'large') {
         await clock.sleep(60_000, options.signal);
@@ -284,7 +242,7 @@
 // attempt that is given up passed for that of its successor.
 test('reserve() charges the retry budget for each successor', async () => {
   const gateway = new FakeGateway({
-    route: {...ROUTE, maxAttempts: 5},
+    route: {...STREAM_ROUTE, maxAttempts: 5},
     endpoints: ['e1', 'e2', 'e3', 'e4'].map(id => createEndpoint(id)),
     behave: async (_call, {signal}) => {
       await waitForAbort(signal).catch(() => {});
@@ -307,7 +265,7 @@
 test('reserve() lets a request with a suspect ask for a trial again', async () => {
   let attempts = 0;
   const gateway = new FakeGateway({
-    route: {...ROUTE, maxAttempts: 4},
+    route: {...STREAM_ROUTE, maxAttempts: 4},
     endpoints: ['e1', 'e2', 'e3'].map(id => createEndpoint(id)),
     behave: async (call, options, clock) => {
       if (!options.mayBegin()) return {type: 'withdrawn'};
@@ -327,35 +285,11 @@
 // Guards against retries at endpoints that a gateway does not reach, while another
 // gateway could serve the request.
 test('reserve() leaves a request without a path to another gateway', async () => {
-  let relayed = 0;
-  const gateway = new FakeGateway({
-    route: ROUTE,
-    endpoints: ['e1', 'e2'].map(id => createEndpoint(id)),
-    behave: async (_call, {signal}) => {
-      await waitForAbort(signal).catch(() => {});
-      return {type: 'aborted'};
-    },
-    probe: async () => false,
-    sendRelayed: async call => {
-      relayed++;
-      return createAnswer(call, {signal: call.signal} as AttemptOptions);
-    },
-  });
-  gateway.view.apply(
-    createFollowReply({
-      complete: false,
-      openGateways: ['g', 'other'].map(address => ({
-        address,
-        region: 'r',
-        dataCentre: 'a',
-        open: true,
-      })),
-    }),
-  );
+  const {gateway, countRelayed} = createPathlessGateway(['e1', 'e2']);
   const {sink, done} = gateway.start();
   await gateway.clock.advance(4_000);
   assert.deepEqual(
-    [gateway.attempts.length, relayed, sink.status],
+    [gateway.attempts.length, countRelayed(), sink.status],
     [1, 1, 200],
   );
   await done;
@@ -365,7 +299,7 @@
 test('reserveAgain() charges nothing for a caller who has left', async () => {
   const left = new AbortController();
   const gateway: FakeGateway = new FakeGateway({
-    route: ROUTE,
+    route: STREAM_ROUTE,
     endpoints: ['e1', 'e2', 'e3'].map(id => createEndpoint(id)),
     behave: async (call, options, clock) => {
       if (!options.mayBegin()) return {type: 'withdrawn'};
--- a/src/coordination/forwarding/silent_successors_test.ts
+++ b/src/coordination/forwarding/silent_successors_test.ts
@@ -1,70 +1,27 @@
 /** Tests where a request goes when its endpoint is silent for good. */
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
-import type {SimulatedClock} from '../../protocol/simulated_clock.ts';
-import type {AttemptOptions, AttemptOutcome, Call} from './call.ts';
-import {createAnswer, PLAIN_ANSWER, waitForAbort} from './fake_answers.ts';
+import {PLAIN_ANSWER, waitForAbort} from './fake_answers.ts';
+import {createEndpoint, FakeGateway} from './forwarding_fakes.ts';
 import {
-  createEndpoint,
-  createFollowReply,
-  createRoute,
-  FakeGateway,
-} from './forwarding_fakes.ts';
-
-const EVENTS = 40;
-const EVENT_INTERVAL_MS = 100;
+  createPathlessGateway,
+  sendStream,
+  STREAM_ROUTE,
+} from './stream_fakes.ts';
 
 /** From when on the first endpoint is silent for good, in ms. */
 const SILENT_FROM_MS = 1_000;
-
-const ROUTE = createRoute({
-  repeatability: 'stream',
-  resumable: true,
-  maxAttempts: 3,
-  timeoutMs: 25_000,
-  objectiveMs: 2_000,
-});
-
-interface Stream {
-  readonly call: Call;
-  readonly options: AttemptOptions;
-  readonly clock: SimulatedClock;
-  /** From when on its endpoint sends nothing; never by default. */
-  readonly silentFromMs?: number;
-}
-
-/** Streams the rest of an answer. */
-function sendStream({
-  call,
-  options,
-  clock,
-  silentFromMs = Infinity,
-}: Stream): AttemptOutcome {
-  const answer = createAnswer(call, options, {isStream: true});
-  if (answer.type !== 'answer') return answer;
-  const first = Number(options.lastEventId ?? 0) + 1;
-  async function* sendEvents() {
-    for (let event = first; event <= EVENTS; event++) {
-      if (clock.monotonic() >= silentFromMs) {
-        await waitForAbort(options.signal);
-      }
-      if (options.signal.aborted) throw new Error('aborted');
-      yield Buffer.from(`id: ${event}\ndata: a\n\n`);
-      await clock.sleep(EVENT_INTERVAL_MS, options.signal);
-    }
-  }
-  return {...answer, answer: {...answer.answer, body: sendEvents()}};
-}
+const DEAD = [SILENT_FROM_MS, Infinity] as const;
 
 // Guards against a stream that is held at an endpoint that is gone, since the other
 // one works on a call that has no output yet.
 test('reserve() lets a stream move to an endpoint with a long call', async () => {
   const gateway: FakeGateway = new FakeGateway({
-    route: {...ROUTE, objectiveMs: 20_000},
+    route: {...STREAM_ROUTE, objectiveMs: 20_000},
     endpoints: ['e1', 'e2'].map(id => createEndpoint(id)),
     behave: async (call, options, clock) => {
       if (gateway.attempts[0] === options) {
-        return sendStream({call, options, clock, silentFromMs: SILENT_FROM_MS});
+        return sendStream({call, options, clock, silence: DEAD});
       }
       if (gateway.attempts[1] === options) await clock.sleep(15_000);
       return sendStream({call, options, clock});
@@ -83,11 +40,11 @@
 // read the prompt.
 test('reserve() lets a successor read a prompt for as long as a first endpoint', async () => {
   const gateway: FakeGateway = new FakeGateway({
-    route: {...ROUTE, maxAttempts: 4},
+    route: {...STREAM_ROUTE, maxAttempts: 4},
     endpoints: ['e1', 'e2', 'e3', 'e4'].map(id => createEndpoint(id)),
     behave: async (call, options, clock) => {
       if (gateway.attempts[0] === options) {
-        return sendStream({call, options, clock, silentFromMs: SILENT_FROM_MS});
+        return sendStream({call, options, clock, silence: DEAD});
       }
       if (options.lastEventId !== null) await clock.sleep(1_500);
       if (options.signal.aborted) return {type: 'aborted'};
@@ -113,7 +70,7 @@
 test('reserve() keeps a stream from an endpoint that was left as silent', async () => {
   const speaksAgainMs = 5_400;
   const gateway: FakeGateway = new FakeGateway({
-    route: ROUTE,
+    route: STREAM_ROUTE,
     endpoints: ['e1', 'e2'].map(id => createEndpoint(id)),
     behave: async (call, options, clock) => {
       const place = gateway.attempts.indexOf(options);
@@ -121,7 +78,7 @@
         call,
         options,
         clock,
-        ...(place === 0 && {silentFromMs: SILENT_FROM_MS}),
+        ...(place === 0 && {silence: DEAD}),
       });
       if (place === 0 || outcome.type !== 'answer') return outcome;
       const {body} = outcome.answer;
@@ -153,7 +110,7 @@
 // successor is dead and was kept for what it had not begun.
 test('reserve() leaves a successor that never spoke during a planned stop', async () => {
   const gateway: FakeGateway = new FakeGateway({
-    route: ROUTE,
+    route: STREAM_ROUTE,
     endpoints: ['e1', 'e2', 'e3'].map(id => createEndpoint(id)),
     behave: async (call, options, clock) => {
       const place = gateway.attempts.indexOf(options);
@@ -161,8 +118,13 @@
         await waitForAbort(options.signal).catch(() => {});
         return {type: 'aborted'};
       }
-      const silentFromMs = place === 0 ? SILENT_FROM_MS : Infinity;
-      return sendStream({call, options, clock, silentFromMs});
+      const isFirst = place === 0;
+      return sendStream({
+        call,
+        options,
+        clock,
+        ...(isFirst && {silence: DEAD}),
+      });
     },
   });
   const {clock, forwarder} = gateway;
@@ -182,7 +144,7 @@
 // the other one had refused the request a moment before the answer began.
 test('reserve() lets a stream move to an endpoint that refused it before', async () => {
   const gateway: FakeGateway = new FakeGateway({
-    route: ROUTE,
+    route: STREAM_ROUTE,
     endpoints: ['e1', 'e2'].map(id => createEndpoint(id)),
     behave: async (call, options, clock) => {
       const place = gateway.attempts.indexOf(options);
@@ -190,8 +152,13 @@
         const facts = {...PLAIN_ANSWER, isNotRun: true};
         return {type: 'not-run', status: 503, facts};
       }
-      const silentFromMs = place === 1 ? SILENT_FROM_MS : Infinity;
-      return sendStream({call, options, clock, silentFromMs});
+      const isFirst = place === 1;
+      return sendStream({
+        call,
+        options,
+        clock,
+        ...(isFirst && {silence: DEAD}),
+      });
     },
   });
   const {sink, done} = gateway.start();
@@ -205,47 +172,23 @@
 // Guards against a request that waits at the only endpoint until its deadline, while
 // another gateway would serve it.
 test('reserve() gives up a request without a path that another gateway takes', async () => {
-  let relayed = 0;
-  const gateway = new FakeGateway({
-    route: ROUTE,
-    endpoints: [createEndpoint('e1')],
-    behave: async (_call, {signal}) => {
-      await waitForAbort(signal).catch(() => {});
-      return {type: 'aborted'};
-    },
-    probe: async () => false,
-    sendRelayed: async call => {
-      relayed++;
-      return createAnswer(call, {signal: call.signal} as AttemptOptions);
-    },
-  });
-  gateway.view.apply(
-    createFollowReply({
-      complete: false,
-      openGateways: ['g', 'other'].map(address => ({
-        address,
-        region: 'r',
-        dataCentre: 'a',
-        open: true,
-      })),
-    }),
-  );
+  const {gateway, countRelayed} = createPathlessGateway(['e1']);
   const {sink, done} = gateway.start();
   await gateway.clock.advance(4_000);
-  assert.deepEqual([relayed, sink.status], [1, 200]);
+  assert.deepEqual([countRelayed(), sink.status], [1, 200]);
   await done;
 });
 
 // Guards against a single answer that takes the retries of all requests.
 test('reserveAgain() asks many refusing endpoints a few times a second', async () => {
   const gateway: FakeGateway = new FakeGateway({
-    route: ROUTE,
+    route: STREAM_ROUTE,
     endpoints: Array.from({length: 20}, (_, place) =>
       createEndpoint(`e${place}`),
     ),
     behave: async (call, options, clock) =>
       gateway.attempts[0] === options
-        ? sendStream({call, options, clock, silentFromMs: SILENT_FROM_MS})
+        ? sendStream({call, options, clock, silence: DEAD})
         : {type: 'not-run', status: 503, facts: PLAIN_ANSWER},
     retryExtra: 5_000,
   });
--- a/src/coordination/forwarding/suspected_successors_test.ts
+++ b/src/coordination/forwarding/suspected_successors_test.ts
@@ -9,26 +9,18 @@
 import type {SuspectRecord, TrialRequest} from '../../protocol/suspect.ts';
 import {CoreSuspects} from '../quarantine/core_suspects.ts';
 import type {TrialClient} from '../quarantine/trial_client.ts';
-import type {AttemptOptions, AttemptOutcome, Call} from './call.ts';
-import {createAnswer, PLAIN_ANSWER, waitForAbort} from './fake_answers.ts';
-import {createEndpoint, createRoute, FakeGateway} from './forwarding_fakes.ts';
-
-const EVENTS = 60;
-const EVENT_INTERVAL_MS = 100;
+import type {AttemptOutcome} from './call.ts';
+import {PLAIN_ANSWER} from './fake_answers.ts';
+import {createEndpoint, FakeGateway} from './forwarding_fakes.ts';
+import {sendStream, STREAM_ROUTE, type FakeStream} from './stream_fakes.ts';
 
 /** An answer that went on for a second would speak for its prompt. */
-const SILENT_AFTER_EVENTS = 4;
+const SILENT_AFTER_MS = 400;
 
 /** Within which a dead endpoint is left. */
 const LEAVE_WITHIN_MS = 3_000;
 
-const ROUTE = createRoute({
-  repeatability: 'stream',
-  resumable: true,
-  maxAttempts: 8,
-  timeoutMs: 25_000,
-  objectiveMs: 2_000,
-});
+const ROUTE = {...STREAM_ROUTE, maxAttempts: 8};
 
 const PROMPT = ['bad', 'own'].map(id => ({id, tokens: 10}));
 
@@ -52,26 +44,15 @@
 }
 
 /** Streams the rest of an answer, or only its first events. */
-function sendStream(
-  call: Call,
-  options: AttemptOptions,
-  {clock, isDead}: {clock: SimulatedClock; isDead: boolean},
-): AttemptOutcome {
-  if (!options.mayBegin()) return {type: 'withdrawn'};
-  const answer = createAnswer(call, options, {isStream: true});
-  if (answer.type !== 'answer') return answer;
-  const first = Number(options.lastEventId ?? 0) + 1;
-  async function* sendEvents() {
-    for (let event = first; event <= EVENTS; event++) {
-      if (isDead && event >= first + SILENT_AFTER_EVENTS) {
-        await waitForAbort(options.signal);
-      }
-      if (options.signal.aborted) throw new Error('aborted');
-      yield Buffer.from(`id: ${event}\ndata: a\n\n`);
-      await clock.sleep(EVENT_INTERVAL_MS, options.signal);
-    }
-  }
-  return {...answer, answer: {...answer.answer, body: sendEvents()}};
+function sendPart({
+  isDead,
+  ...stream
+}: Omit<FakeStream, 'silence'> & {isDead: boolean}): AttemptOutcome {
+  const fromMs = stream.clock.monotonic() + SILENT_AFTER_MS;
+  return sendStream({
+    ...stream,
+    ...(isDead && {silence: [fromMs, Infinity] as const}),
+  });
 }
 
 /** Permits trials as a core daemon does, and counts those that are open. */
@@ -126,7 +107,9 @@
     endpoints: IDS.map(id => createEndpoint(id)),
     trials: trials ?? core,
     behave: async (call, options) =>
-      sendStream(call, options, {
+      sendPart({
+        call,
+        options,
         clock,
         isDead: isDead(gateway.attempts.indexOf(options)),
       }),
@@ -222,19 +205,7 @@
       finish: result => core.finish(result),
     },
     behave: async (call, options) => {
-      const outcome = sendStream(call, options, {clock, isDead: false});
-      if (outcome.type !== 'answer') return outcome;
-      const {body} = outcome.answer;
-      async function* pause() {
-        for await (const piece of body) {
-          const now = clock.monotonic();
-          if (now > 400 && now < 2_500) {
-            await clock.sleep(2_500 - now, options.signal);
-          }
-          yield piece;
-        }
-      }
-      return {...outcome, answer: {...outcome.answer, body: pause()}};
+      return sendStream({call, options, clock, silence: [400, 2_500]});
     },
   });
   const {sink, done} = gateway.start({prompt: PROMPT});
@@ -261,7 +232,7 @@
     behave: async (call, options) => {
       const place = gateway.attempts.indexOf(options);
       if (place !== 1) {
-        return sendStream(call, options, {clock, isDead: place === 0});
+        return sendPart({call, options, clock, isDead: place === 0});
       }
       gateway.quarantine.recordRelayed([createRecord(2)]);
       const facts = {...PLAIN_ANSWER, isNotRun: true};
