Decide in one place whether an endpoint is usable

The picker and the handover asked alike whether an endpoint is silent, ejected or full. EndpointHealth answers it for both. No change of behaviour: handover, silent and suspected successors, and forwarder tests pass (18, 7, 7, 18).

--- a/src/coordination/forwarding/endpoint_health.ts
+++ b/src/coordination/forwarding/endpoint_health.ts
@@ -166,6 +166,13 @@
     return this.get(endpoint).fullUntil > this.clock.monotonic();
   }
 
+  /** Whether requests go to it while there is a choice. */
+  isUsable(endpoint: EndpointEntry): boolean {
+    return (
+      !endpoint.silent && !this.isEjected(endpoint) && !this.isFull(endpoint)
+    );
+  }
+
   /** The recent share of its answers that failed, 0 to 1. */
   getFailureShare(endpoint: EndpointEntry): number {
     return this.get(endpoint).failureShare;
--- a/src/coordination/forwarding/endpoint_picker.ts
+++ b/src/coordination/forwarding/endpoint_picker.ts
@@ -109,7 +109,7 @@
     const allowed = this.listUntried(run).filter(isAllowed);
     const endpoints = selectTrialEndpoints(allowed, {
       rollout: this.options.view.findRollout(service.name),
-      isUsable: endpoint => this.isUsable(endpoint),
+      isUsable: endpoint => this.options.health.isUsable(endpoint),
       isNear: endpoint => findRegion(endpoint.dataCentre) === region,
     });
     const chosen = chooseEndpoint({
@@ -203,15 +203,6 @@
       );
   }
 
-  private isUsable(endpoint: EndpointEntry): boolean {
-    const {health} = this.options;
-    return (
-      !endpoint.silent &&
-      !health.isEjected(endpoint) &&
-      !health.isFull(endpoint)
-    );
-  }
-
   /** Samples endpoints for a request and adds what is known of their load. */
   private describeCandidates(
     run: CallRun,
@@ -235,7 +226,7 @@
     const drawn = drawEndpoints(endpoints, {
       dataCentre,
       hasCachedPrompt: endpoint => getCachedProbability(endpoint) > 0,
-      isUsable: endpoint => this.isUsable(endpoint),
+      isUsable: endpoint => this.options.health.isUsable(endpoint),
       random,
     });
     return drawn.map(endpoint =>
--- a/src/coordination/forwarding/handover.ts
+++ b/src/coordination/forwarding/handover.ts
@@ -36,7 +36,12 @@
   readonly clock: Clock;
   readonly health: Pick<
     EndpointHealth,
-    'isEjected' | 'isFull' | 'isSilent' | 'hasSpokenSince' | 'recordLeft'
+    | 'isEjected'
+    | 'isFull'
+    | 'isUsable'
+    | 'isSilent'
+    | 'hasSpokenSince'
+    | 'recordLeft'
   >;
   readonly quarantine: Pick<Quarantine, 'isFree'>;
   readonly relay: Pick<CallRelay, 'isDue'>;
@@ -147,8 +152,7 @@
     const {clock, health} = this.options;
     if (endpoint.id === silent.id) return false;
     if (!hasBegun) return true;
-    if (endpoint.silent || health.isEjected(endpoint)) return false;
-    if (health.isFull(endpoint)) return false;
+    if (!health.isUsable(endpoint)) return false;
     const now = clock.monotonic();
     const freshSince = Math.max(silentSince, now - FRESH_MS);
     if (health.hasSpokenSince(endpoint, freshSince)) return true;
