Blame no trial for an endpoint that never spoke

A trial counts as one that ends its endpoint only if it fell silent after its first event there. One that never spoke says nothing, as other timeouts; the answer needs a further trial to move on.

--- a/src/coordination/forwarding/silence_watch.ts
+++ b/src/coordination/forwarding/silence_watch.ts
@@ -104,7 +104,8 @@
     }
     const reason = successor.error;
     if (reason === 'quarantine') {
-      if (run.isTrial) onSilentTrial(silentSince);
+      // One that never spoke may have been dead before it got the prompt.
+      if (run.isTrial && hasSpoken) onSilentTrial(silentSince);
       trial.ask();
     } else trial.release();
     waitsFor = reason;
