--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -116,6 +116,7 @@
   /** Endpoints that had no event left after the last one. */
   private readonly endedAt = new Set<string>();
   private reserved: AttemptChoice | null = null;
+  private reservedTrial: Trial | null = null;
   private heldAnswer: HeldAnswer | null = null;
   private knownIdentity: string | null = null;
 
@@ -237,15 +238,24 @@
   }
 
   /** Reserves the next attempt, for which the retry budget was charged. */
-  reserve(choice: AttemptChoice, {hasBegun}: {hasBegun: boolean}): void {
+  reserve(
+    choice: AttemptChoice,
+    {hasBegun, trial = null}: {hasBegun: boolean; trial?: Trial | null},
+  ): void {
     this.reserved = choice;
+    this.reservedTrial = trial;
     this.isGivenUp ||= hasBegun;
   }
 
   /** Removes and returns the reserved attempt; `null` if there is none. */
   takeReserved(): AttemptChoice | null {
-    const {reserved} = this;
+    const {reserved, reservedTrial} = this;
     this.reserved = null;
+    this.reservedTrial = null;
+    if (reservedTrial) {
+      this.trial = reservedTrial;
+      this.isPermitted = true;
+    }
     if (reserved) this.isPaid = true;
     return reserved;
   }
@@ -260,7 +270,9 @@
     else this.runs++;
     const isFree =
       result.type === 'not-sent' && this.notSent <= MAX_FREE_CONNECTS;
-    this.isPaid = result.type === 'escalated' || isFree;
+    // Nothing else is left of an answer that was given up.
+    const isRefused = result.type === 'not-run' && this.isGivenUp;
+    this.isPaid = result.type === 'escalated' || isFree || isRefused;
     if (result.type === 'escalated') this.hasEscalated = true;
     if (result.type === 'failed') this.failedAnswer = result.answer;
     if (result.type === 'left') this.finish('left', 0);
--- a/src/coordination/forwarding/handover.ts
+++ b/src/coordination/forwarding/handover.ts
@@ -36,7 +36,12 @@
   readonly clock: Clock;
   readonly health: Pick<
     EndpointHealth,
-    'isEjected' | 'isFull' | 'isSilent' | 'hasSpokenSince'
+    | 'isEjected'
+    | 'isFull'
+    | 'isUsable'
+    | 'isSilent'
+    | 'hasSpokenSince'
+    | 'recordLeft'
   >;
   readonly quarantine: Pick<Quarantine, 'isFree'>;
   readonly relay: Pick<CallRelay, 'isDue'>;
@@ -52,6 +57,10 @@
   readonly silentSince: number;
   /** Whether the caller has received a part of its answer. */
   readonly hasBegun: boolean;
+  /** Whether its successor may be or have suspects. */
+  readonly isPermitted: boolean;
+  /** Whether it has sent anything. */
+  readonly hasSpoken: boolean;
   /** Whether it is among the runs of its request already. */
   readonly isCounted: boolean;
 }
@@ -59,6 +68,8 @@
 interface ReserveOptions {
   /** Whether the retry budget was already charged for the successor. */
   readonly isPaid: boolean;
+  /** Whether the quarantine has to permit it first; false by default. */
+  readonly isWithheld?: boolean;
   readonly isAllowed: (endpoint: EndpointEntry) => boolean;
 }
 
@@ -74,18 +85,30 @@
     run: CallRun,
     attempt: SilentAttempt,
   ): Outcome<AttemptChoice | null, BlockReason> {
-    const {shutdown, quarantine, relay} = this.options;
+    const {shutdown, quarantine, relay, health} = this.options;
     const {isRepeatable, route} = run.admitted;
     const runs = run.runs + (attempt.isCounted ? 0 : 1);
     if (!isRepeatable || runs >= route.maxAttempts) return fail('attempts');
-    if (!shutdown.canEnd(run)) return fail('stopping');
-    if (attempt.hasBegun && !quarantine.isFree(run)) return fail('quarantine');
+    // Nothing is left to lose at a successor that has not spoken yet.
+    const isLost = run.isGivenUp && !attempt.hasSpoken && !shutdown.isAborted;
+    if (!isLost && !shutdown.canEnd(run)) return fail('stopping');
     if (relay.isDue(run, attempt)) return succeed(null);
-    return this.reserveAt(run, {
+    const successor = this.reserveAt(run, {
       // What was charged last was for the silent attempt itself.
       isPaid: false,
+      isWithheld:
+        attempt.hasBegun && !attempt.isPermitted && !quarantine.isFree(run),
       isAllowed: each => this.canTakeOver(each, attempt),
     });
+    // Those that refused it earlier may take it by now.
+    const isMissing = !successor.ok && successor.error === 'no-endpoint';
+    if (isMissing && attempt.hasBegun) run.tried.clear();
+    const {endpoint} = attempt;
+    // One that has not spoken since it got its requests may still work on them.
+    if (successor.ok && health.isSilent(endpoint, SILENT_MS)) {
+      health.recordLeft(endpoint);
+    }
+    return successor;
   }
 
   /**
@@ -96,7 +119,7 @@
     const {shutdown, quarantine, health} = this.options;
     if (shutdown.isAborted) return fail('stopping');
     if (run.runs >= run.admitted.route.maxAttempts) return fail('attempts');
-    if (!quarantine.isFree(run)) return fail('quarantine');
+    if (!run.isPermitted && !quarantine.isFree(run)) return fail('quarantine');
     const successor = this.reserveAt(run, {
       isPaid: run.isPaid,
       isAllowed: each =>
@@ -112,11 +135,13 @@
 
   private reserveAt(
     run: CallRun,
-    {isPaid, isAllowed}: ReserveOptions,
+    {isPaid, isWithheld = false, isAllowed}: ReserveOptions,
   ): Outcome<AttemptChoice, BlockReason> {
     const {picker, budgets} = this.options;
     const choice = picker.planNext(run, {isAllowed});
     if (!choice) return fail('no-endpoint');
+    // Asked last, so that no trial is open while there is nowhere to go.
+    if (isWithheld) return fail('quarantine');
     const budget = budgets.get(run.admitted.service.name);
     if (!isPaid && !budget.tryTake()) return fail('budget');
     picker.record(run, choice);
@@ -131,8 +156,7 @@
     const {clock, health} = this.options;
     if (endpoint.id === silent.id) return false;
     if (!hasBegun) return true;
-    if (endpoint.silent || health.isEjected(endpoint)) return false;
-    if (health.isFull(endpoint)) return false;
+    if (!health.isUsable(endpoint)) return false;
     const now = clock.monotonic();
     const freshSince = Math.max(silentSince, now - FRESH_MS);
     if (health.hasSpokenSince(endpoint, freshSince)) return true;
--- a/tools/mutants/handover.ts
+++ b/tools/mutants/handover.ts
@@ -18,11 +18,11 @@
   ),
   ignore(
     'the-grace-period-is-not-asked-for',
-    "    if (!shutdown.canEnd(run)) return fail('stopping');\n",
+    "    if (!isLost && !shutdown.canEnd(run)) return fail('stopping');\n",
   ),
   ignore(
     'the-quarantine-is-not-asked',
-    "    if (attempt.hasBegun && !quarantine.isFree(run)) return fail('quarantine');\n",
+    "    if (isWithheld) return fail('quarantine');\n",
   ),
   {
     name: 'the-budget-is-not-asked',
@@ -70,7 +70,7 @@
       {
         file: `${FOLDER}/deliver_held.ts`,
         from: '    isCounted: true,\n',
-        to: '    isCounted: true,\n    handleSilence: () => {\n      drop();\n      return Infinity;\n    },\n',
+        to: '    isCounted: true,\n    findFallbackMs: () => 0,\n    fallBack: drop,\n',
       },
     ],
   },
@@ -122,6 +122,7 @@
     `${FOLDER}/handover_test.ts`,
     `${FOLDER}/shutdown_test.ts`,
     `${FOLDER}/silence_histories_test.ts`,
+    `${FOLDER}/suspected_successors_test.ts`,
     `${FOLDER}/watchdog_test.ts`,
   ],
   env: {SILENCE_SEEDS: '200'},
