Count what passes core daemons in a herd by field and entry

Callers saw nothing: herd_cost_test.ts is red, and its figures named messages only, so that what the busiest second is made of could not be told.

--- a/src/coordination/simulation/control_network.ts
+++ b/src/coordination/simulation/control_network.ts
@@ -113,7 +113,8 @@
     const {clock, random, prices, traffic} = this.options;
     await from.clock.waitUntilRunning();
     const {bytes, sendMs, receiveMs} = computeMessageCost(prices, content);
-    traffic?.record({name, from: from.address, to: to?.address, bytes});
+    const {address} = from;
+    traffic?.record({name, from: address, to: to?.address, bytes, content});
     if (sendMs > 0) await from.processor?.run(sendMs);
     const isLost = random() < this.lossShare;
     const isFar = from.region !== to?.region;
