Let ends that decide nothing wait for the next report of a gateway

Cause: a gateway calls the core daemon that it follows within 10 ms for each end that adds to a suspect which others know, though the core itself tells others at once of those only that decide which requests are sent.

Change: a gateway uses the core's criterion (a suspect comes to be known to all, a chain grows towards a verdict), and reports at once that a suspect is cleared. All else goes with the next call, 800 ms later at most, or with a trial.

--- a/src/coordination/quarantine/core_suspects.ts
+++ b/src/coordination/quarantine/core_suspects.ts
@@ -10,9 +10,8 @@
   type TrialResult,
 } from '../../protocol/suspect.ts';
 import {SharedSuspects} from './shared_suspects.ts';
-import {isShared} from './suspect.ts';
+import {isDecisive} from './decisive_change.ts';
 import {
-  CONDEMN_LEVEL,
   createSuspectKey,
   SuspectTable,
   type SuspectChange,
@@ -214,19 +213,3 @@
     if (trial !== undefined) this.trials.finish(trial, request);
   }
 }
-
-/**
- * Whether a change decides which requests are sent: a suspect becomes known to all,
- * its chain of crashes grows towards a verdict, or it is condemned. Further crashes,
- * and that it is cleared, are told with each trial that is requested.
- */
-function isDecisive({
-  suspect,
-  previousLevel,
-  wasShared,
-  isNewVerdict,
-}: SuspectChange): boolean {
-  const isChainGrowing =
-    suspect.level > previousLevel && previousLevel < CONDEMN_LEVEL;
-  return isNewVerdict || isChainGrowing || (isShared(suspect) && !wasShared);
-}
--- a/src/coordination/quarantine/quarantine.ts
+++ b/src/coordination/quarantine/quarantine.ts
@@ -20,6 +20,7 @@
 import type {ObservedSuspects} from '../gateway/report_differences.ts';
 import {RevisedMap} from '../revised_map.ts';
 import {CrashWatch} from './crash_watch.ts';
+import {isUrgentObservation} from './decisive_change.ts';
 import {createStartKey} from './endpoint_ends.ts';
 import type {TrialClient} from './trial_client.ts';
 import {appliesTo, isShared, isStanding, type Suspect} from './suspect.ts';
@@ -356,15 +357,11 @@
 
   private recordObservation(suspect: Suspect): void {
     const key = createSuspectKey(suspect.service, suspect);
-    const known = this.table.get(key);
     const change = this.table.mergeOne(suspect);
     if (!change) return;
     this.observedAt.set(key, this.options.clock.monotonic());
     this.logChange(change.suspect, 'its answer');
-    // The next report is soon enough for what others are not told.
-    const isUrgent =
-      isShared(change.suspect) || (known !== null && isShared(known));
-    if (isUrgent) this.options.onObservation?.();
+    if (isUrgentObservation(change)) this.options.onObservation?.();
   }
 
   private logChange(
