Pass on between core daemons what own gateways told

Cause: a core daemon tells the others of a suspect that one of its gateways named with all ends that it learned of it since, those that the other core daemons told it among them.

Change: what gateways told is kept as a gateway keeps its observations: with the ends that they named. The wire format is as before.

The last test of observations_test.ts fails before and passes. quiet_repetition_test.ts, exchange_task_test.ts, core_state_test.ts and shared_suspects_test.ts pass.

--- a/src/coordination/core/peer_outbox.ts
+++ b/src/coordination/core/peer_outbox.ts
@@ -64,6 +64,7 @@
     const isWhole =
       !this.readsSuspects || now - this.gatewaysSince >= intervalMs;
     const reports = [...this.reports.values()];
+    const own = suspects.listOwn(this.suspectRevision);
     const content: CoreExchange = {
       from: this.state.self,
       cores: isAdvertising ? this.state.listAdvertised() : [],
@@ -72,7 +73,7 @@
       gateways: isWhole
         ? gateways.listDirect(this.gatewaysSince)
         : gateways.listUrgent(this.urgentSince),
-      suspects: suspects.listOwn(this.suspectRevision),
+      suspects: [...own.records],
       wantsAll,
     };
     return {
@@ -80,7 +81,7 @@
       startedAt: now,
       isWhole,
       isAdvertising,
-      suspectRevision: suspects.table.revision,
+      suspectRevision: own.revision,
     };
   }
 
--- a/src/coordination/quarantine/observations_test.ts
+++ b/src/coordination/quarantine/observations_test.ts
@@ -4,8 +4,11 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
+import {silentLogger} from '../../protocol/logger.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
 import type {SuspectRecord} from '../../protocol/suspect.ts';
+import {CoreState} from '../core/core_state.ts';
+import {PeerOutbox} from '../core/peer_outbox.ts';
 import {Observations} from './observations.ts';
 import {SuspectTable} from './suspect_table.ts';
 
@@ -101,4 +104,35 @@
   assert.deepEqual(gateway.observations.listAfter(0).records, []);
 });
 
+// Guards against exchanges in which each core daemon passes on what the others told.
+test('a core daemon passes on what its own gateways told', () => {
+  const clock = new SimulatedClock();
+  const place = {region: 'r', dataCentre: 'a', controlAddress: ''};
+  const self = {address: 'c', ...place};
+  const state = new CoreState({clock, logger: silentLogger, self});
+  const outbox = new PeerOutbox(state);
+  const tell = () => {
+    const sent = outbox.createExchange({
+      now: 0,
+      intervalMs: 0,
+      wantsAll: false,
+    });
+    outbox.recordReply(sent, {
+      cores: [],
+      reports: [],
+      gateways: [],
+      readsSuspects: true,
+    });
+    return listStarts(sent.content.suspects);
+  };
+  tell();
+  state.suspects.record([createRecord(['e1/1'])], 0);
+  state.suspects.merge([createRecord(['e2/1', 'e3/1'])], 0);
+  assert.deepEqual(tell(), ['e1/1']);
+  state.suspects.merge([createRecord(['e4/1'])], 0);
+  assert.deepEqual(tell(), []);
+  state.suspects.record([createRecord(['e5/1'])], 0);
+  assert.deepEqual(tell(), ['e5/1']);
+});
+
 test.run();
