Tell gateways the state of an endpoint that leaves, not all of it again

Callers saw a core that is busy while many endpoints leave (herd_cost_test.ts, 122 departures).

Cause: a core daemon describes an endpoint of which only the state changed to each gateway once more, in 290 bytes.

Gateways of earlier builds, and those that lack the endpoint, get all of it. Daemons of earlier builds ignore the field and describe it as before.

Conclusion: helps where few core daemons have many gateways.

--- a/src/coordination/core/follow_service.ts
+++ b/src/coordination/core/follow_service.ts
@@ -96,6 +96,19 @@
   return Math.min(MAX_OTHERS_INTERVAL_MS, Math.max(REPLY_INTERVAL_MS, ms));
 }
 
+/** Lists what a gateway lacks of the endpoints. */
+function listEndpoints(
+  {endpoints}: CoreState,
+  {
+    endpointRevision = 0,
+    readsStates = false,
+  }: Partial<Pick<FollowRequest, 'endpointRevision' | 'readsStates'>>,
+): Pick<FollowReply, 'endpoints' | 'endpointStates'> {
+  return readsStates
+    ? endpoints.listChanges(endpointRevision)
+    : {endpoints: endpoints.list(endpointRevision)};
+}
+
 function createReply(
   options: FollowServiceOptions,
   request: FollowRequest,
@@ -119,7 +132,7 @@
     endpointRevision: state.endpoints.revision,
     complete,
     settled: epoch !== options.epoch,
-    endpoints: state.endpoints.list(complete ? 0 : request.endpointRevision),
+    ...listEndpoints(state, complete ? {} : request),
     configuration: isNewer
       ? {
           ...configuration,
--- a/src/coordination/gateway/core_follower.ts
+++ b/src/coordination/gateway/core_follower.ts
@@ -330,6 +330,7 @@
       ...position,
       configurationRevision: view.revision,
       configurationVersion: view.version ?? undefined,
+      readsStates: true,
       holdMs: this.isReportDue ? 0 : Math.min(holdMs, maxHoldMs),
     };
   }
