Do not tell a core daemon what it told itself of an endpoint

Callers saw a core that is busy while many endpoints leave (herd_cost_test.ts).

Cause: each core daemon that is asked for a departure passes it on to all others with its next exchange, and so do they: each two tell each other the same.

Change: a daemon remembers the last report of an endpoint that each peer told, and leaves out of its exchanges what says no more. A departure still goes to a peer that told a later heartbeat of the endpoint as ready. What was told is dropped with the endpoint. The wire format is as before.

--- a/src/coordination/core/peer_outbox.ts
+++ b/src/coordination/core/peer_outbox.ts
@@ -34,6 +34,8 @@
   readonly intervalMs: number;
   /** Whether to ask for all that the peer knows. */
   readonly wantsAll: boolean;
+  /** The address of the peer, which is not told what it told itself. */
+  readonly peer?: string | undefined;
 }
 
 export class PeerOutbox {
@@ -57,8 +59,10 @@
     now,
     intervalMs,
     wantsAll,
+    peer,
   }: CreateExchangeOptions): SentExchange {
     const {endpoints, gateways, suspects} = this.state;
+    if (peer !== undefined) this.dropTold(peer);
     const isAdvertising = now - this.advertisedAt >= ADVERTISE_INTERVAL_MS;
     // Daemons of earlier versions read suspects in the reports alone.
     const isWhole =
@@ -85,6 +89,12 @@
     };
   }
 
+  private dropTold(peer: string): void {
+    for (const [id, report] of this.reports) {
+      if (this.state.told.covers(peer, report)) this.reports.delete(id);
+    }
+  }
+
   /** Records that the peer has an exchange. */
   recordReply(
     {content, startedAt, ...sent}: SentExchange,
--- a/src/coordination/simulation/control_plane.ts
+++ b/src/coordination/simulation/control_plane.ts
@@ -341,7 +341,7 @@
         intervalMs: SWEEP_MS,
         step: async () => {
           if (!core.isAlive) return;
-          state.endpoints.sweep();
+          state.sweep();
           saved.recordView(disk.saveView(state));
         },
         onError: error => {
