Leave the sign of life that an endpoint did not give out of records

Cause: crashes of suspects are most of what passes in a herd of crashes, and 20 of the 70 bytes of each say that it was not refuted.

Change: `refutedAgeMs` is sent only where an endpoint gave a sign of life.

--- a/src/protocol/suspect.ts
+++ b/src/protocol/suspect.ts
@@ -33,9 +33,9 @@
   exposureMs: ageSchema.default(DEFAULT_EXPOSURE_MS),
   /**
    * The time since the endpoint gave a sign of life after it seemed to end, in
-   * ms; `null` if it gave none.
+   * ms; absent, or `null` from earlier versions, if it gave none.
    */
-  refutedAgeMs: ageSchema.nullable().default(null),
+  refutedAgeMs: ageSchema.nullable().optional(),
 });
 
 export const suspectSchema = z.object({
