--- a/src/cli/serve_site/core.ts
+++ b/src/cli/serve_site/core.ts
@@ -206,7 +206,7 @@
       clock,
       intervalMs: SWEEP_MS,
       step: async () => {
-        state.sweep();
+        state.endpoints.sweep();
         state.limits.pruneEnded(id => state.endpoints.find(id));
         state.suspects.expire();
         view.saveIfChanged();
--- a/src/coordination/core/core_state.ts
+++ b/src/coordination/core/core_state.ts
@@ -20,7 +20,6 @@
 } from './endpoint_registry.ts';
 import {GatewayDirectory} from './gateway_directory.ts';
 import {createStartKey} from '../quarantine/endpoint_ends.ts';
-import {ToldReports} from './told_reports.ts';
 
 /** Daemons that contacted this one within this time are advertised to peers. */
 const ADVERTISE_WITHIN_MS = 10_000;
@@ -44,8 +43,6 @@
   readonly changes: Notifier;
   /** Notified when a change must reach the other daemons without delay. */
   readonly urgentChanges: Notifier;
-  /** What other core daemons told of endpoints. */
-  readonly told = new ToldReports();
   private readonly pendingReports = new Map<string, EndpointReport>();
 
   constructor(private readonly options: CoreStateOptions) {
@@ -110,12 +107,6 @@
     if (entry) this.pendingReports.set(id, dropSilentFlag(entry));
   }
 
-  /** Drops endpoints that are gone, and what was told of them. */
-  sweep(): void {
-    this.endpoints.sweep();
-    this.told.prune(id => this.endpoints.find(id) !== null);
-  }
-
   /** Merges an exchange that another core daemon sent, and answers it. */
   receiveExchange(exchange: CoreExchange): CoreExchangeReply {
     this.members.recordDirect(exchange.from);
@@ -141,7 +132,6 @@
     const ages = new Map(
       update.reportAges?.map(({id, ageMs}) => [id, ageMs] as const),
     );
-    this.told.record(from, update.reports);
     for (const report of update.reports) {
       this.applyReport(report, {from, ageMs: ages.get(report.id)});
     }
--- a/src/coordination/core/earlier_exchange.ts
+++ b/src/coordination/core/earlier_exchange.ts
@@ -35,7 +35,7 @@
     crashes: record.crashes.map(crash => ({
       ...crash,
       ageMs: shift(crash.ageMs),
-      refutedAgeMs: shiftOptional(crash.refutedAgeMs ?? null),
+      refutedAgeMs: shiftOptional(crash.refutedAgeMs),
     })),
     clearedAgeMs: shiftOptional(record.clearedAgeMs),
   };
--- a/src/coordination/core/endpoint_registry.ts
+++ b/src/coordination/core/endpoint_registry.ts
@@ -12,7 +12,6 @@
 import type {
   EndpointEntry,
   EndpointReport,
-  EndpointState,
 } from '../../protocol/endpoint_report.ts';
 
 /** Three heartbeat intervals of 1.2 s, and 1.4 s for late delivery. */
@@ -34,18 +33,10 @@
   receivedAt: number;
   /** The revision of the registry at which the entry last changed. */
   changedAt: number;
-  /** The same for all but its state. */
-  describedAt: number;
   /** Whether it comes from the disk, and has not been heard of since. */
   isRestored: boolean;
 }
 
-/** What changed in the registry, for a reader that has all before it. */
-export interface EndpointChanges {
-  readonly endpoints: readonly EndpointEntry[];
-  readonly endpointStates: readonly EndpointState[];
-}
-
 /** How the registry handled a report. */
 export type ReportOutcome = 'ignored' | 'renewed' | 'changed';
 
@@ -147,30 +138,6 @@
       .map(({entry}) => entry);
   }
 
-  /**
-   * Lists the entries that changed after a revision, and of those that changed
-   * nothing else their states alone.
-   */
-  listChanges(after: number): EndpointChanges {
-    const changed = [...this.known.values()].filter(
-      ({changedAt}) => changedAt > after,
-    );
-    return {
-      endpoints: changed
-        .filter(({describedAt}) => describedAt > after)
-        .map(({entry}) => entry),
-      endpointStates: changed
-        .filter(({describedAt}) => describedAt <= after)
-        .map(({entry: {id, startedAtMs, state, warmupMs, silent}}) => ({
-          id,
-          startedAtMs,
-          state,
-          warmupMs,
-          silent,
-        })),
-    };
-  }
-
   /** Lists the starts of a service's endpoints that are taken to run. */
   listStarts(service: string): string[] {
     return listRunningStarts(this.list(), service);
@@ -246,17 +213,7 @@
     const earlier = this.known.get(id);
     if (earlier) this.removeHolder(earlier.entry);
     const changedAt = ++this.lastRevision;
-    const describedAt =
-      earlier && hasSameDescription(entry, earlier.entry)
-        ? earlier.describedAt
-        : changedAt;
-    this.known.set(id, {
-      entry,
-      receivedAt,
-      changedAt,
-      describedAt,
-      isRestored,
-    });
+    this.known.set(id, {entry, receivedAt, changedAt, isRestored});
     if (state === 'gone') return;
     const ids = this.holders.get(address) ?? new Set();
     this.holders.set(address, ids.add(id));
@@ -303,15 +260,10 @@
 }
 
 function isSame(a: EndpointEntry, b: EndpointEntry): boolean {
-  return (
-    a.state === b.state && a.silent === b.silent && hasSameDescription(a, b)
-  );
-}
-
-/** Whether two entries differ in nothing but their states. */
-function hasSameDescription(a: EndpointEntry, b: EndpointEntry): boolean {
   return (
     a.startedAtMs === b.startedAtMs &&
+    a.state === b.state &&
+    a.silent === b.silent &&
     a.address === b.address &&
     a.service === b.service &&
     a.version === b.version &&
--- a/src/coordination/core/exchange_task.ts
+++ b/src/coordination/core/exchange_task.ts
@@ -138,12 +138,7 @@
   const wantsAll = !peer.isSynced && (!peer.hasSynced || isResyncDue);
   if (wantsAll && peer.hasSynced) resync.atMs = startedAt;
   const now = startedAt;
-  const sent = peer.outbox.createExchange({
-    now,
-    intervalMs,
-    wantsAll,
-    peer: address,
-  });
+  const sent = peer.outbox.createExchange({now, intervalMs, wantsAll});
   entries?.record('exchange', countExchangeEntries(sent.content));
   try {
     const reply = await call(address, sent.content, CALL_TIMEOUT_MS);
--- a/src/coordination/core/follow_service.ts
+++ b/src/coordination/core/follow_service.ts
@@ -96,19 +96,6 @@
   return Math.min(MAX_OTHERS_INTERVAL_MS, Math.max(REPLY_INTERVAL_MS, ms));
 }
 
-/** Lists what a gateway lacks of the endpoints. */
-function listEndpoints(
-  {endpoints}: CoreState,
-  {
-    endpointRevision = 0,
-    readsStates = false,
-  }: Partial<Pick<FollowRequest, 'endpointRevision' | 'readsStates'>>,
-): Pick<FollowReply, 'endpoints' | 'endpointStates'> {
-  return readsStates
-    ? endpoints.listChanges(endpointRevision)
-    : {endpoints: endpoints.list(endpointRevision)};
-}
-
 function createReply(
   options: FollowServiceOptions,
   request: FollowRequest,
@@ -132,7 +119,7 @@
     endpointRevision: state.endpoints.revision,
     complete,
     settled: epoch !== options.epoch,
-    ...listEndpoints(state, complete ? {} : request),
+    endpoints: state.endpoints.list(complete ? 0 : request.endpointRevision),
     configuration: isNewer
       ? {
           ...configuration,
--- a/src/coordination/core/follow_service_test.ts
+++ b/src/coordination/core/follow_service_test.ts
@@ -1,7 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
 import type {FollowReply, FollowRequest} from '../../protocol/core_service.ts';
-import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import {silentLogger} from '../../protocol/logger.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
 import {FollowerTable} from '../confirmation/follower_table.ts';
@@ -60,9 +59,8 @@
     }
   }
 
-  recordEndpoint(id: string, change: Partial<EndpointEntry> = {}): void {
-    const entry = createEndpoint(id, {address: `${id}:80`, ...change});
-    this.state.recordReport(entry);
+  recordEndpoint(id: string): void {
+    this.state.recordReport(createEndpoint(id, {address: `${id}:80`}));
   }
 }
 
@@ -117,53 +115,6 @@
   assert.ok(followed.replies.every(({loads, cores}) => loads && cores));
 });
 
-// Guards against a herd of endpoints that leave, each of which is described to all
-// gateways once more.
-test('an endpoint that leaves is told by its state', async () => {
-  const followed = new Followed();
-  void followed.run({readsStates: true});
-  await followed.clock.advance(10);
-  followed.recordEndpoint('e1');
-  await followed.clock.advance(50);
-  assert.equal(followed.replies.at(-1)?.endpoints[0]?.id, 'e1');
-  followed.recordEndpoint('e1', {state: 'draining', sequence: 2});
-  await followed.clock.advance(50);
-  const {endpoints, endpointStates} = followed.replies.at(-1) ?? {};
-  assert.deepEqual(endpoints, []);
-  assert.deepEqual(endpointStates, [
-    {id: 'e1', startedAtMs: 1, state: 'draining', warmupMs: 0, silent: false},
-  ]);
-  const change = {version: 'v2', state: 'gone', sequence: 3} as const;
-  followed.recordEndpoint('e1', change);
-  await followed.clock.advance(50);
-  assert.equal(followed.replies.at(-1)?.endpoints[0]?.version, 'v2');
-});
-
-test('a gateway that lacks the endpoint gets all of it', async () => {
-  const followed = new Followed();
-  followed.recordEndpoint('e1');
-  followed.recordEndpoint('e1', {state: 'draining', sequence: 2});
-  void followed.run({readsStates: true});
-  await followed.clock.advance(10);
-  const [reply] = followed.replies;
-  assert.equal(reply?.endpoints[0]?.state, 'draining');
-  assert.deepEqual(reply.endpointStates ?? [], []);
-});
-
-// Guards against gateways of an earlier version, which would miss departures.
-test('a gateway that does not read states gets all of the endpoint', async () => {
-  const followed = new Followed();
-  void followed.run();
-  await followed.clock.advance(10);
-  followed.recordEndpoint('e1');
-  await followed.clock.advance(50);
-  followed.recordEndpoint('e1', {state: 'draining', sequence: 2});
-  await followed.clock.advance(50);
-  const {endpoints, endpointStates} = followed.replies.at(-1) ?? {};
-  assert.equal(endpoints?.[0]?.state, 'draining');
-  assert.equal(endpointStates, undefined);
-});
-
 test('a document that the gateway has is not sent again', async () => {
   const followed = new Followed();
   void followed.run({configurationVersion: 1});
--- a/src/coordination/core/peer_outbox.ts
+++ b/src/coordination/core/peer_outbox.ts
@@ -34,8 +34,6 @@
   readonly intervalMs: number;
   /** Whether to ask for all that the peer knows. */
   readonly wantsAll: boolean;
-  /** The address of the peer, which is not told what it told itself. */
-  readonly peer?: string | undefined;
 }
 
 export class PeerOutbox {
@@ -59,16 +57,13 @@
     now,
     intervalMs,
     wantsAll,
-    peer,
   }: CreateExchangeOptions): SentExchange {
     const {endpoints, gateways, suspects} = this.state;
-    if (peer !== undefined) this.dropTold(peer);
     const isAdvertising = now - this.advertisedAt >= ADVERTISE_INTERVAL_MS;
     // Daemons of earlier versions read suspects in the reports alone.
     const isWhole =
       !this.readsSuspects || now - this.gatewaysSince >= intervalMs;
     const reports = [...this.reports.values()];
-    const own = suspects.listOwn(this.suspectRevision);
     const content: CoreExchange = {
       from: this.state.self,
       cores: isAdvertising ? this.state.listAdvertised() : [],
@@ -77,7 +72,7 @@
       gateways: isWhole
         ? gateways.listDirect(this.gatewaysSince)
         : gateways.listUrgent(this.urgentSince),
-      suspects: [...own.records],
+      suspects: suspects.listOwn(this.suspectRevision),
       wantsAll,
     };
     return {
@@ -85,16 +80,10 @@
       startedAt: now,
       isWhole,
       isAdvertising,
-      suspectRevision: own.revision,
+      suspectRevision: suspects.table.revision,
     };
   }
 
-  private dropTold(peer: string): void {
-    for (const [id, report] of this.reports) {
-      if (this.state.told.covers(peer, report)) this.reports.delete(id);
-    }
-  }
-
   /** Records that the peer has an exchange. */
   recordReply(
     {content, startedAt, ...sent}: SentExchange,
--- a/src/coordination/gateway/core_follower.ts
+++ b/src/coordination/gateway/core_follower.ts
@@ -385,7 +385,6 @@
       ...position,
       configurationRevision: view.revision,
       configurationVersion: view.version ?? undefined,
-      readsStates: true,
       holdMs: this.isReportDue ? 0 : Math.min(holdMs, maxHoldMs),
     };
   }
--- a/src/coordination/gateway/gateway_view.ts
+++ b/src/coordination/gateway/gateway_view.ts
@@ -108,12 +108,6 @@
   apply(reply: FollowReply): void {
     if (reply.configuration) this.applyConfiguration(reply.configuration);
     for (const entry of reply.endpoints) this.applyEndpoint(entry);
-    for (const next of reply.endpointStates ?? []) {
-      const known = this.endpoints.get(next.id);
-      if (known?.startedAtMs === next.startedAtMs) {
-        this.applyEndpoint({...known, ...next});
-      }
-    }
     if (reply.complete && reply.settled && reply.fresh) {
       this.removeUnlisted(reply.endpoints);
     }
--- a/src/coordination/gateway/gateway_view_test.ts
+++ b/src/coordination/gateway/gateway_view_test.ts
@@ -28,31 +28,6 @@
   assert.equal(view.getOtherLoad('e3').open, 0);
 });
 
-test('apply() takes the state of an endpoint that it knows', () => {
-  const view = new GatewayView({
-    logger: silentLogger,
-    decodeTable: () => fail('no table'),
-  });
-  const endpoint = createEndpoint('e1', {startedAtMs: 2});
-  view.apply(createFollowReply({endpoints: [endpoint]}));
-  const state = {
-    id: 'e1',
-    startedAtMs: 2,
-    state: 'draining',
-    warmupMs: 0,
-    silent: false,
-  } as const;
-  const told = [
-    {...state, startedAtMs: 1, state: 'gone' as const},
-    {...state, id: 'e2'},
-  ];
-  view.apply(createFollowReply({complete: false, endpointStates: told}));
-  assert.deepEqual(view.findEndpoint('e1'), endpoint);
-  assert.equal(view.findEndpoint('e2'), null);
-  view.apply(createFollowReply({complete: false, endpointStates: [state]}));
-  assert.deepEqual(view.findEndpoint('e1'), {...endpoint, state: 'draining'});
-});
-
 // Guards against a gateway that forgets all endpoints because a core daemon with
 // an empty disk, cut off from the others since its start, knows none.
 test('apply() removes endpoints only on the word of a fresh daemon', () => {
--- a/src/coordination/gateway/report_differences.ts
+++ b/src/coordination/gateway/report_differences.ts
@@ -9,11 +9,18 @@
   FollowRequest,
   GatewayReport,
 } from '../../protocol/core_service.ts';
-import type {ObservedSuspects} from '../quarantine/observations.ts';
+import type {SuspectRecord} from '../../protocol/suspect.ts';
 
 /** The shortest time between two reports with loads and evidence, in ms. */
 const LISTS_INTERVAL_MS = 200;
 
+/** Some of what a gateway observed of suspects. */
+export interface ObservedSuspects {
+  readonly records: readonly SuspectRecord[];
+  /** Up to which revision of the observations they are. */
+  readonly revision: number;
+}
+
 export interface ReportDifferencesOptions {
   readonly clock: Clock;
   readonly createReport: () => GatewayReport;
--- a/src/coordination/quarantine/core_suspects.ts
+++ b/src/coordination/quarantine/core_suspects.ts
@@ -9,10 +9,10 @@
   type TrialRequest,
   type TrialResult,
 } from '../../protocol/suspect.ts';
-import {Observations, type ObservedSuspects} from './observations.ts';
 import {SharedSuspects} from './shared_suspects.ts';
-import {isDecisive} from './decisive_change.ts';
+import {isShared} from './suspect.ts';
 import {
+  CONDEMN_LEVEL,
   createSuspectKey,
   SuspectTable,
   type SuspectChange,
@@ -46,8 +46,8 @@
   readonly table: SuspectTable;
   readonly shared: SharedSuspects;
   readonly trials: TrialTable;
-  /** What gateways told this daemon, which tells the other core daemons. */
-  private readonly own: Observations;
+  /** When gateways told this daemon of suspects last, as revisions of the table. */
+  private readonly own = new Map<string, number>();
   /** The revision of suspected prompt parts that gateways are told at once. */
   private published = 0;
   private publishedAt = -Infinity;
@@ -58,7 +58,6 @@
   constructor(private readonly options: CoreSuspectsOptions) {
     const {clock, listStarts} = options;
     this.table = new SuspectTable({clock, listStarts, condemns: true});
-    this.own = new Observations({clock, table: this.table});
     this.shared = new SharedSuspects(this.table);
     this.trials = new TrialTable(clock);
   }
@@ -68,16 +67,20 @@
     return this.published;
   }
 
-  /** Lists what gateways told this daemon after a revision of such a list. */
-  listOwn(after: number): ObservedSuspects {
-    return this.own.listAfter(after);
+  /** Lists what gateways told this daemon after a revision of the table. */
+  listOwn(after: number): SuspectRecord[] {
+    return [...this.own]
+      .filter(([, revision]) => revision > after)
+      .flatMap(([key]) => this.table.encodeSince(key, after) ?? []);
   }
 
   /** Drops records that no longer matter. */
   expire(): void {
     this.table.expire();
     this.shared.prune();
-    this.own.prune();
+    for (const key of this.own.keys()) {
+      if (this.table.get(key) === null) this.own.delete(key);
+    }
   }
 
   /** Records a sign of life of a start of an endpoint, of which all daemons hear. */
@@ -97,19 +100,7 @@
 
   /** Merges records that a gateway told this daemon, which tells the others. */
   record(records: readonly SuspectRecord[], receivedAt: number): void {
-    const changes = this.mergeRecords(records, receivedAt);
-    const starts = new Map(
-      records.map(each => [
-        createSuspectKey(each.service, each),
-        each.crashes.map(({start}) => start),
-      ]),
-    );
-    for (const {suspect} of changes) {
-      const {service} = suspect;
-      const told = starts.get(createSuspectKey(service, suspect)) ?? [];
-      this.own.record(service, suspect, told);
-    }
-    this.apply(changes, {isOwn: true});
+    this.apply(this.mergeRecords(records, receivedAt), {isOwn: true});
   }
 
   private mergeRecords(
@@ -136,6 +127,12 @@
       if (suspect.level === previousLevel) continue;
       this.trials.release(createSuspectKey(suspect.service, suspect));
     }
+    if (isOwn) {
+      for (const {suspect} of changes) {
+        const key = createSuspectKey(suspect.service, suspect);
+        this.own.set(key, this.table.revision);
+      }
+    }
     const shared = this.shared.select(changes);
     if (shared.length === 0) return;
     const hasDecisive = shared.some(each => isDecisive(each));
@@ -217,3 +214,19 @@
     if (trial !== undefined) this.trials.finish(trial, request);
   }
 }
+
+/**
+ * Whether a change decides which requests are sent: a suspect becomes known to all,
+ * its chain of crashes grows towards a verdict, or it is condemned. Further crashes,
+ * and that it is cleared, are told with each trial that is requested.
+ */
+function isDecisive({
+  suspect,
+  previousLevel,
+  wasShared,
+  isNewVerdict,
+}: SuspectChange): boolean {
+  const isChainGrowing =
+    suspect.level > previousLevel && previousLevel < CONDEMN_LEVEL;
+  return isNewVerdict || isChainGrowing || (isShared(suspect) && !wasShared);
+}
--- a/src/coordination/quarantine/quarantine.ts
+++ b/src/coordination/quarantine/quarantine.ts
@@ -17,10 +17,10 @@
   TrialRequest,
 } from '../../protocol/suspect.ts';
 import type {CallRun, Trial} from '../forwarding/call_run.ts';
+import type {ObservedSuspects} from '../gateway/report_differences.ts';
+import {RevisedMap} from '../revised_map.ts';
 import {CrashWatch} from './crash_watch.ts';
-import {isUrgentObservation} from './decisive_change.ts';
 import {createStartKey} from './endpoint_ends.ts';
-import {Observations, type ObservedSuspects} from './observations.ts';
 import type {TrialClient} from './trial_client.ts';
 import {
   appliesTo,
@@ -85,18 +85,13 @@
   private readonly table: SuspectTable;
   /** When suspects were last answered here; the latest ones come last. */
   private readonly soundAt = new Map<string, number>();
-  private readonly observations: Observations;
+  /** When this gateway last observed something of a suspect, by its key. */
+  private readonly observedAt = new RevisedMap<number>();
   /** Suspects of trials that this gateway permitted itself, by their keys. */
   private readonly ownTrials = new Set<string>();
 
   constructor(private readonly options: QuarantineOptions) {
     this.table = new SuspectTable(options);
-    this.observations = new Observations({
-      clock: options.clock,
-      table: this.table,
-      retainMs: REPORT_WITHIN_MS,
-      maxListed: MAX_REPORTED,
-    });
   }
 
   /** Decides whether a request may be sent; asks the core if need be. */
@@ -240,12 +235,26 @@
 
   /** Lists the latest of it that came after a revision. */
   listObservedAfter(revision: number): ObservedSuspects {
-    return this.observations.listAfter(revision);
+    const oldest = this.options.clock.monotonic() - REPORT_WITHIN_MS;
+    for (const [key, atMs] of [...this.observedAt]) {
+      if (atMs < oldest) this.observedAt.delete(key);
+    }
+    const listed = this.observedAt.listRevised(revision).slice(-MAX_REPORTED);
+    return {
+      records: listed.flatMap(({key}) => {
+        const suspect = this.table.get(key);
+        return suspect ? [this.table.encode(suspect)] : [];
+      }),
+      revision: listed.at(-1)?.changedAt ?? revision,
+    };
   }
 
   /** Reports all that is known for a while, to a core that may not know it. */
   reportAll(): void {
-    this.observations.recordAll();
+    const now = this.options.clock.monotonic();
+    for (const each of this.table.list()) {
+      this.observedAt.set(createSuspectKey(each.service, each), now);
+    }
   }
 
   /** Counts what is retained. */
@@ -351,12 +360,16 @@
   }
 
   private recordObservation(suspect: Suspect): void {
+    const key = createSuspectKey(suspect.service, suspect);
+    const known = this.table.get(key);
     const change = this.table.mergeOne(suspect);
     if (!change) return;
-    const starts = [...suspect.crashes.keys()];
-    this.observations.record(suspect.service, suspect, starts);
+    this.observedAt.set(key, this.options.clock.monotonic());
     this.logChange(change.suspect, 'its answer');
-    if (isUrgentObservation(change)) this.options.onObservation?.();
+    // The next report is soon enough for what others are not told.
+    const isUrgent =
+      isShared(change.suspect) || (known !== null && isShared(known));
+    if (isUrgent) this.options.onObservation?.();
   }
 
   private logChange(
--- a/src/coordination/quarantine/suspect_records.ts
+++ b/src/coordination/quarantine/suspect_records.ts
@@ -16,7 +16,7 @@
   return {
     ...rest,
     crashes: new Map(
-      crashes.map(({start, ageMs, exposureMs, refutedAgeMs = null}) => [
+      crashes.map(({start, ageMs, exposureMs, refutedAgeMs}) => [
         start,
         {
           atMs: receivedAt - ageMs,
@@ -43,7 +43,7 @@
       start,
       ageMs: Math.round(now - atMs),
       exposureMs: Math.ceil(exposureMs),
-      ...(refutedAt === -Infinity ? {} : {refutedAgeMs: findAge(refutedAt)}),
+      refutedAgeMs: findAge(refutedAt),
     })),
     clearedAgeMs: findAge(clearedAt),
   };
--- a/src/coordination/simulation/control_network.ts
+++ b/src/coordination/simulation/control_network.ts
@@ -113,8 +113,7 @@
     const {clock, random, prices, traffic} = this.options;
     await from.clock.waitUntilRunning();
     const {bytes, sendMs, receiveMs} = computeMessageCost(prices, content);
-    const {address} = from;
-    traffic?.record({name, from: address, to: to?.address, bytes, content});
+    traffic?.record({name, from: from.address, to: to?.address, bytes});
     if (sendMs > 0) await from.processor?.run(sendMs);
     const isLost = random() < this.lossShare;
     const isFar = from.region !== to?.region;
--- a/src/coordination/simulation/control_plane.ts
+++ b/src/coordination/simulation/control_plane.ts
@@ -5,7 +5,7 @@
  * Meant for tests of how a change reaches the gateways: each daemon runs the
  * tasks of a real one, and can be killed, frozen and cut off.
  */
-import type {CoreDaemon} from '../../protocol/core_service.ts';
+import type {Configuration, CoreDaemon} from '../../protocol/core_service.ts';
 import {silentLogger, type Logger} from '../../protocol/logger.ts';
 import {silentMetrics} from '../../protocol/metrics.ts';
 import type {ProposeReply} from '../../protocol/peer_service.ts';
@@ -33,7 +33,6 @@
   type SimulatedProcess,
 } from './control_network.ts';
 import {ProcessorPool, type Prices} from './priced_processor.ts';
-import {readAppliedConfiguration} from './applied_configuration.ts';
 import {SimulatedDisk} from './simulated_disk.ts';
 import {TrafficRecord} from './traffic_record.ts';
 
@@ -62,8 +61,6 @@
   readonly trace?: ((line: string, fields?: object) => void) | undefined;
   /** What the work of daemons costs; by default nothing. */
   readonly prices?: Prices | undefined;
-  /** Whether the bytes of messages are counted by field; by default not. */
-  readonly countsFields?: boolean;
 }
 
 /** A run of a core daemon. */
@@ -89,7 +86,7 @@
   private runs = 0;
 
   constructor(private readonly options: ControlPlaneOptions) {
-    const {cores, random, trace, prices, countsFields = false} = options;
+    const {cores, random, trace, prices} = options;
     this.coreNames = cores.map((_, index) => `10.0.0.${index + 1}:7340`);
     this.group = new SimulatedGroup({
       hosts: this.coreNames,
@@ -103,7 +100,7 @@
       ...(trace && {trace}),
     });
     const {clock} = this.group;
-    this.traffic = new TrafficRecord({clock, countsFields});
+    this.traffic = new TrafficRecord(clock);
     this.network = new ControlNetwork({
       clock,
       random,
@@ -219,8 +216,7 @@
       },
     };
     const logger = this.createLogger(name);
-    const entries = this.traffic.createMeter(name);
-    const state = new CoreState({clock, logger, self, entries});
+    const state = new CoreState({clock, logger, self});
     state.members.setSeeds(this.coreNames.slice(0, SEED_COUNT));
     const disk = this.getDisk(name);
     disk.restore(state);
@@ -252,7 +248,7 @@
       clock,
       deadlineMs: PROPOSE_DEADLINE_MS,
     });
-    const readConfiguration = () => readAppliedConfiguration(group, name);
+    const readConfiguration = () => getConfiguration(group, name);
     const listVoters = () => replica.getStatus().voters.map(each => each.name);
     const confirm = createConfirmService({
       state,
@@ -276,7 +272,6 @@
         getConfiguration: readConfiguration,
         isFresh: () => replica.isFresh(),
         followers,
-        entries,
       }),
       api: new CoreApi({
         state,
@@ -324,7 +319,6 @@
         state,
         clock,
         logger,
-        entries,
         call: (address, request, timeoutMs) =>
           call(
             address,
@@ -341,7 +335,7 @@
         intervalMs: SWEEP_MS,
         step: async () => {
           if (!core.isAlive) return;
-          state.sweep();
+          state.endpoints.sweep();
           saved.recordView(disk.saveView(state));
         },
         onError: error => {
@@ -389,3 +383,16 @@
     return {error: write, warn: write, info: write, debug: () => {}};
   }
 }
+
+/** Reads the highest of the versions that a replica has applied. */
+function getConfiguration(group: SimulatedGroup, name: string): Configuration {
+  const {commands} = group.getHost(name).recorder;
+  const versions = commands.map(Number);
+  const version = Math.max(0, ...versions);
+  return {
+    revision: versions.indexOf(version) + 1,
+    version: version || null,
+    document: version === 0 ? null : String(version),
+    rollouts: [],
+  };
+}
--- a/src/coordination/simulation/herd_histories.ts
+++ b/src/coordination/simulation/herd_histories.ts
@@ -1,7 +1,6 @@
 /**
  * The herds that tests play. HERD_SEEDS sets how many, from HERD_FROM on; HERD_PRINT
- * prints the figures of each, HERD_FIELDS with the bytes of each field, and HERD_TRACE
- * what daemons log.
+ * prints the figures of each, and HERD_TRACE what daemons log.
  */
 import {playHerdHistory, type HerdFigures} from './herd_history.ts';
 
@@ -17,10 +16,9 @@
       ? (line: string, fields?: object) =>
           console.log(line, fields ? JSON.stringify(fields) : '')
       : undefined;
-    const countsFields = process.env['HERD_FIELDS'] !== undefined;
     const played: HerdFigures[] = [];
     for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
-      const figures = await playHerdHistory({seed, trace, countsFields});
+      const figures = await playHerdHistory({seed, trace});
       played.push(figures);
       if (process.env['HERD_PRINT']) console.log(JSON.stringify(figures));
     }
--- a/src/coordination/simulation/herd_history.ts
+++ b/src/coordination/simulation/herd_history.ts
@@ -58,9 +58,6 @@
   readonly bytes: number;
   /** The same by the names of the messages, of the second with most bytes. */
   readonly byName: Readonly<Record<string, readonly [number, number]>>;
-  /** The bytes of its fields, where they are counted, and its entries. */
-  readonly byField: Readonly<Record<string, number>>;
-  readonly entries: Readonly<Record<string, number>>;
 }
 
 export interface HerdFigures {
@@ -82,15 +79,12 @@
   readonly seed: number;
   /** Receives the log lines of all daemons. */
   readonly trace?: ((line: string, fields?: object) => void) | undefined;
-  /** Whether the bytes of messages are counted by field; by default not. */
-  readonly countsFields?: boolean;
 }
 
 /** Plays one history. */
 export async function playHerdHistory({
   seed,
   trace,
-  countsFields = false,
 }: HerdHistoryOptions): Promise<HerdFigures> {
   const draws = createDraws(seed);
   const herd = drawHerdKind(draws);
@@ -109,7 +103,6 @@
     random: draws.next,
     trace,
     prices: MEASURED_PRICES,
-    countsFields,
   });
   const unacknowledged: string[] = [];
   const endpoints = Array.from(
@@ -273,7 +266,5 @@
     messages: Math.max(0, ...seconds.map(({messages}) => messages)),
     bytes: most?.bytes ?? 0,
     byName: Object.fromEntries(most?.byName ?? []),
-    byField: Object.fromEntries(most?.byField ?? []),
-    entries: Object.fromEntries(most?.entries ?? []),
   };
 }
--- a/src/protocol/core_service.ts
+++ b/src/protocol/core_service.ts
@@ -18,7 +18,6 @@
   endpointEntrySchema,
   endpointIdSchema,
   endpointReportSchema,
-  endpointStateSchema,
   startTimeSchema,
 } from './endpoint_report.ts';
 import {createEntryList} from './parse_message.ts';
@@ -232,8 +231,6 @@
   holdMs: z.number().nonnegative(),
   /** Whether the gateway follows another daemon from now on. */
   leaves: z.boolean().optional(),
-  /** Whether the gateway reads `endpointStates`; absent from earlier versions. */
-  readsStates: z.boolean().optional(),
 });
 
 export type FollowRequest = z.infer<typeof followRequestSchema>;
@@ -246,8 +243,6 @@
   /** Whether the daemon has run long enough to know all live endpoints. */
   readonly settled: boolean;
   readonly endpoints: ReadonlyArray<z.infer<typeof endpointEntrySchema>>;
-  /** The states of others of which nothing else changed; if the gateway reads them. */
-  readonly endpointStates?: ReadonlyArray<z.infer<typeof endpointStateSchema>>;
   /**
    * `null` unless it is newer than the gateway's; without its document if the
    * gateway has that version.
@@ -353,7 +348,6 @@
     complete: z.boolean(),
     settled: z.boolean(),
     endpoints: createEntryList(endpointEntrySchema),
-    endpointStates: createEntryList(endpointStateSchema).optional(),
     configuration: configurationSchema.nullable(),
     cores: createEntryList(coreDaemonSchema).nullable(),
     silentCores: createEntryList(addressSchema).optional(),
--- a/src/protocol/endpoint_report.ts
+++ b/src/protocol/endpoint_report.ts
@@ -53,14 +53,3 @@
 });
 
 export type EndpointEntry = z.infer<typeof endpointEntrySchema>;
-
-/** What changes of an endpoint that is known already. */
-export const endpointStateSchema = endpointEntrySchema.pick({
-  id: true,
-  startedAtMs: true,
-  state: true,
-  warmupMs: true,
-  silent: true,
-});
-
-export type EndpointState = z.infer<typeof endpointStateSchema>;
--- a/src/protocol/suspect.ts
+++ b/src/protocol/suspect.ts
@@ -33,9 +33,9 @@
   exposureMs: ageSchema.default(DEFAULT_EXPOSURE_MS),
   /**
    * The time since the endpoint gave a sign of life after it seemed to end, in
-   * ms; absent, or `null` from earlier versions, if it gave none.
+   * ms; `null` if it gave none.
    */
-  refutedAgeMs: ageSchema.nullable().optional(),
+  refutedAgeMs: ageSchema.nullable().default(null),
 });
 
 export const suspectSchema = z.object({
