Decode home regions, cold starts and work times, and add rules for endpoints

Two customers' documents name regions, cold starts and a fourth load value that nothing read. The route table, the answers' facts and the settings have them now, and the choice of an endpoint asks a list of rules, of which the endpoints' limits are the first one. No deployment is served differently yet.

--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -2,6 +2,7 @@
 import {randomBytes} from 'node:crypto';
 import {AnswerBudget} from '../../coordination/forwarding/answer_budget.ts';
 import {EndpointHealth} from '../../coordination/forwarding/endpoint_health.ts';
+import {EndpointRules} from '../../coordination/selection/endpoint_rules.ts';
 import {EndpointLimits} from '../../coordination/forwarding/endpoint_limits.ts';
 import {EndpointNotices} from '../../coordination/forwarding/endpoint_notices.ts';
 import {Forwarder} from '../../coordination/forwarding/forwarder.ts';
@@ -201,6 +202,7 @@
     reach,
     notices,
     limits,
+    rules: new EndpointRules([limits]),
     quarantine,
     relay,
     gateways,
--- a/src/cli/serve_site/surfaces.ts
+++ b/src/cli/serve_site/surfaces.ts
@@ -12,9 +12,17 @@
 /** Lists gateway addresses for a caller at this location. */
 export type ListGateways = (place: CallerPlace) => string[];
 
+/** Optional behaviour that a deployment asks for. */
+export interface SiteFeatures {
+  /** Whether customers share scarce endpoints by rank and fair shares. */
+  readonly hasFairAdmission: boolean;
+}
+
 /** Translates between a deployment's protocol and the internal types. */
 export interface SiteSurfaces {
   readonly codec: CallCodec & RelayCodec;
+  /** Finds what the contracts in the settings ask for. */
+  readonly decodeFeatures: (contracts: readonly string[]) => SiteFeatures;
   /** Decodes an operator's document; fails with the reasons if invalid. */
   readonly decodeTable: (document: string) => Outcome<RouteTable, string>;
   /** Creates the routes for endpoints and operators. */
--- a/src/coordination/forwarding/call.ts
+++ b/src/coordination/forwarding/call.ts
@@ -105,6 +105,11 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /**
+   * How long work takes at this moment in percent of the usual time; absent if
+   * the endpoint does not report it.
+   */
+  readonly workPercent?: number;
 }
 
 /** An answer whose headers have been received. */
--- a/src/coordination/forwarding/endpoint_picker.ts
+++ b/src/coordination/forwarding/endpoint_picker.ts
@@ -10,13 +10,13 @@
 import {chooseVersion} from './choose_version.ts';
 import {drawEndpoints} from './draw_endpoints.ts';
 import type {EndpointHealth} from './endpoint_health.ts';
-import type {EndpointLimits} from './endpoint_limits.ts';
 import type {EndpointNotices} from './endpoint_notices.ts';
 import {computeShare} from './hash.ts';
 import {planPrefill} from './plan_prefill.ts';
 import {PrefixCacheTracker} from './prefix_cache_tracker.ts';
 import type {PrefillBacklog} from './prefill_backlog.ts';
 import type {AttemptChoice} from './run_attempt.ts';
+import type {SelectionOptions} from '../selection/endpoint_rules.ts';
 import {selectTrialEndpoints} from './select_trial_endpoints.ts';
 
 /** Share of other gateways' reported prefill backlog assumed still pending. */
@@ -37,11 +37,10 @@
 /** One step more urgent than the default of engines, which is 5. */
 const SMALL_MODEL_URGENCY = 4;
 
-export interface EndpointPickerOptions {
+export interface EndpointPickerOptions extends SelectionOptions {
   readonly view: GatewayView;
   readonly health: EndpointHealth;
   readonly notices: EndpointNotices;
-  readonly limits: EndpointLimits;
   readonly quarantine: Pick<Quarantine, 'listEnded'>;
   readonly prefillBacklog: PrefillBacklog;
   readonly clock: Clock;
@@ -136,12 +135,12 @@
 
   /** Endpoints that accept requests and that this run has not tried. */
   listUntried(run: CallRun): EndpointEntry[] {
-    const {notices, limits, quarantine} = this.options;
+    const {notices, rules, quarantine} = this.options;
     const ended = quarantine.listEnded(run);
     return this.listEligible(run).filter(
       endpoint =>
         notices.mayReceive(endpoint) &&
-        limits.hasRoom(endpoint) &&
+        rules.hasRoom(endpoint) &&
         (ended.size === 0 || !ended.has(createStartKey(endpoint))),
     );
   }
@@ -162,9 +161,9 @@
    * eligible endpoint with room requested one.
    */
   findBackoffMs(run: CallRun): number | null {
-    const {notices, limits} = this.options;
+    const {notices, rules} = this.options;
     const backoffs = this.listEligible(run)
-      .filter(each => !notices.isLeaving(each) && limits.hasRoom(each))
+      .filter(each => !notices.isLeaving(each) && rules.hasRoom(each))
       .map(endpoint => notices.getBackoffMs(endpoint))
       .filter(ms => ms > 0);
     return backoffs.length > 0 ? Math.min(...backoffs) : null;
@@ -190,7 +189,7 @@
    * room in their limit.
    */
   private listEligible(run: CallRun): EndpointEntry[] {
-    const {view} = this.options;
+    const {view, rules} = this.options;
     const service = run.admitted.service.name;
     const allows = chooseVersion(view.findRollout(service), run.versionSubject);
     return view
@@ -199,7 +198,8 @@
         endpoint =>
           endpoint.state === 'ready' &&
           allows(endpoint.version) &&
-          !run.tried.has(endpoint.id),
+          !run.tried.has(endpoint.id) &&
+          rules.isAllowed(run, endpoint),
       );
   }
 
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -19,7 +19,7 @@
 import {deliverHeld} from './deliver_held.ts';
 import {EndpointPicker} from './endpoint_picker.ts';
 import {Escalation} from './escalation.ts';
-import type {EndpointLimits} from './endpoint_limits.ts';
+import type {SelectionOptions} from '../selection/endpoint_rules.ts';
 import type {EndpointNotices} from './endpoint_notices.ts';
 import {findFallbackMs} from './find_fallback.ts';
 import {handleAbort} from './handle_abort.ts';
@@ -64,9 +64,11 @@
 const MAX_AGAIN_MS = 1_000;
 
 export interface ForwarderOptions
-  extends RecordAttemptOptions, Omit<AdmitCallOptions, 'view'> {
+  extends
+    RecordAttemptOptions,
+    SelectionOptions,
+    Omit<AdmitCallOptions, 'view'> {
   readonly notices: EndpointNotices;
-  readonly limits: EndpointLimits;
   readonly quarantine: Quarantine;
   readonly relay: CallRelay;
   readonly gateways: RecentGateways;
--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -15,6 +15,7 @@
 import {GatewayView} from '../gateway/gateway_view.ts';
 import type {AttemptOptions, AttemptOutcome, Call, CallFacts} from './call.ts';
 import {EndpointHealth} from './endpoint_health.ts';
+import {EndpointRules} from '../selection/endpoint_rules.ts';
 import {EndpointLimits} from './endpoint_limits.ts';
 import {EndpointNotices} from './endpoint_notices.ts';
 import {Forwarder} from './forwarder.ts';
@@ -276,6 +277,7 @@
       ensureView,
       notices: this.notices,
       limits: this.limits,
+      rules: new EndpointRules([this.limits]),
       quarantine: this.quarantine,
       gateways,
       health: this.health,
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -8,7 +8,6 @@
 } from './call.ts';
 import type {CallRun, FailedAnswer} from './call_run.ts';
 import type {EndpointHealth} from './endpoint_health.ts';
-import type {EndpointLimits} from './endpoint_limits.ts';
 import type {EndpointNotices} from './endpoint_notices.ts';
 import {deliverAnswer} from './deliver_answer.ts';
 import {handleAbort} from './handle_abort.ts';
@@ -20,6 +19,7 @@
 import type {CrashWatch} from '../quarantine/crash_watch.ts';
 import {findFallbackMs} from './find_fallback.ts';
 import {STALL_MIN_MS} from './relay_events.ts';
+import type {SelectionOptions} from '../selection/endpoint_rules.ts';
 import {watchSilence, type WatchSilenceOptions} from './silence_watch.ts';
 import type {Shutdown} from './shutdown.ts';
 import {startWatchdog} from './watchdog.ts';
@@ -82,10 +82,10 @@
   /** The caller disconnected. */
   | {readonly type: 'left'};
 
-export interface RunAttemptOptions extends WatchSilenceOptions {
+export interface RunAttemptOptions
+  extends WatchSilenceOptions, SelectionOptions {
   readonly health: EndpointHealth;
   readonly notices: EndpointNotices;
-  readonly limits: EndpointLimits;
   readonly quarantine: Quarantine;
   readonly reach: Reachability;
   readonly prefillBacklog: PrefillBacklog;
@@ -177,7 +177,7 @@
     mayBegin: () =>
       options.mayReceive(endpoint) &&
       (run.isPermitted || options.quarantine.isFree(run)) &&
-      options.limits.tryTake(endpoint, run.sends === 0 ? 'first' : 'further'),
+      options.rules.mayBegin(run, endpoint),
     signal: controller.signal,
   });
   if (outcome.type === 'answer') {
--- a/src/protocol/route_table.ts
+++ b/src/protocol/route_table.ts
@@ -35,6 +35,8 @@
   isPublic: z.boolean(),
   /** Candidate models, smallest first; empty if the caller names one. */
   models: z.array(z.string()),
+  /** The only regions that may serve it; anywhere if absent or empty. */
+  allowedRegions: z.array(z.string()).optional(),
   targets: z.array(routeTargetSchema).min(1),
 });
 
@@ -50,12 +52,21 @@
   ),
 });
 
+/** How long endpoints are cold after a start, and what they bear then. */
+export const coldStartSchema = z.object({
+  durationMs: z.number().positive(),
+  /** The requests per second that a cold endpoint tolerates. */
+  perSecond: z.number().positive(),
+});
+
 export const serviceSchema = z.object({
   name: z.string(),
   /** Connections that one endpoint accepts from all daemons in total. */
   maxConnections: z.int().positive(),
   /** `null` unless the endpoints are model engines. */
   engine: engineSchema.nullable(),
+  /** Absent if its endpoints are never cold. */
+  coldStart: coldStartSchema.optional(),
 });
 
 export const routeCustomerSchema = z.object({
@@ -63,6 +74,8 @@
   keys: z.array(z.string()),
   /** Overrides the priority of a route; `null` keeps it. */
   priority: z.int().nonnegative().nullable(),
+  /** The only regions that may serve it; anywhere if absent or empty. */
+  allowedRegions: z.array(z.string()).optional(),
 });
 
 export const requestLimitsSchema = z.object({
@@ -82,6 +95,7 @@
 });
 
 export type Route = z.infer<typeof routeSchema>;
+export type ColdStart = z.infer<typeof coldStartSchema>;
 export type Engine = z.infer<typeof engineSchema>;
 export type RoutedService = z.infer<typeof serviceSchema>;
 export type RouteCustomer = z.infer<typeof routeCustomerSchema>;
--- a/src/protocol/site_settings.ts
+++ b/src/protocol/site_settings.ts
@@ -60,10 +60,30 @@
       tolerated_disks: z.int().min(0).max(MAX_TOLERATED_DISKS).default(2),
       /** What the answers of all endpoints may keep of a gateway's memory, in MiB. */
       answer_memory_mib: numberSchema.positive().default(8),
+      /**
+       * The factor by which requests to a cold endpoint may exceed the rate that
+       * it tolerates, and the requests in a second beyond that. Without either
+       * the requests to cold endpoints are not limited.
+       */
+      cold_excess: numberSchema.positive().optional(),
+      cold_extra: numberSchema.nonnegative().optional(),
       /** The longest time that callers cache a directory reply, in s. */
       directory_ttl_max_s: numberSchema.positive().default(5),
     })
     .prefault({}),
+  /** What the host of the daemon bears; unknown by default. */
+  host: z
+    .object({
+      /** The share of a core. */
+      cpu_share: numberSchema.positive().optional(),
+      memory_mib: numberSchema.positive().optional(),
+      descriptors: numberSchema.positive().optional(),
+      /** The bandwidth of its own link, in Mbit/s. */
+      link_mbps: numberSchema.positive().optional(),
+    })
+    .prefault({}),
+  /** The contracts of the deployment that are in force, by their names. */
+  contracts: z.array(z.string()).default([]),
   log: z
     .object({
       level: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
