--- a/scripts/build_platform.mjs
+++ b/scripts/build_platform.mjs
@@ -3,7 +3,13 @@
  * places the secret that its daemons share.
  */
 import {execFileSync} from 'node:child_process';
-import {copyFileSync, existsSync, mkdirSync, writeFileSync} from 'node:fs';
+import {
+  copyFileSync,
+  existsSync,
+  mkdirSync,
+  renameSync,
+  writeFileSync,
+} from 'node:fs';
 import {build} from 'esbuild';
 import {bundleOptions, daemonBundleOptions} from './bundle_options.mjs';
 import {readPeerSecret} from './peer_secret.mjs';
@@ -15,17 +21,33 @@
 const SECRET_FILE = 'target/peer.secret';
 
 mkdirSync('target', {recursive: true});
-await build({
-  ...daemonBundleOptions,
-  entryPoints: ['platform/main.ts'],
-  outfile: 'target/program.cjs',
-});
-await build({
-  ...bundleOptions,
-  entryPoints: ['platform/warm_up.ts'],
-  outfile: 'target/warm_up.cjs',
-});
-copyFileSync('scripts/launcher.cjs', 'target/parsleypond.cjs');
+/**
+ * Places a file as a whole: tests build while processes of other tests start, which
+ * failed on half a program.
+ */
+async function placeFile(path, write) {
+  const unfinished = `${path}.${process.pid}`;
+  await write(unfinished);
+  renameSync(unfinished, path);
+}
+
+await placeFile('target/program.cjs', outfile =>
+  build({
+    ...daemonBundleOptions,
+    entryPoints: ['platform/main.ts'],
+    outfile,
+  }),
+);
+await placeFile('target/warm_up.cjs', outfile =>
+  build({
+    ...bundleOptions,
+    entryPoints: ['platform/warm_up.ts'],
+    outfile,
+  }),
+);
+await placeFile('target/parsleypond.cjs', path =>
+  copyFileSync('scripts/launcher.cjs', path),
+);
 /**
  * Writes V8's code cache. It is made with the heap flag of deploy/system.toml
  * because V8 rejects a cache made with other flags.
