Serve requests only in the home regions of their route and customer

Routes and customers may name the regions that may serve them, which nothing obeyed: requests went to the nearest endpoint with room, and to any gateway when relayed. A rule now looks up route and customer in the table in force at each choice of an endpoint and right before the first byte, and a relay asks only gateways in those regions. Requests that no endpoint there accepts are refused at once as no-home-endpoint (503, not run).

The choice of a gateway has a file of its own, as have requests for tests.

--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -14,6 +14,7 @@
 import {Reachability} from '../../coordination/reach/reachability.ts';
 import {RecentGateways} from '../../coordination/forwarding/recent_gateways.ts';
 import {VersionEvidenceCounter} from '../../coordination/forwarding/version_evidence.ts';
+import {HomeRegions} from '../../coordination/homes/home_regions.ts';
 import {ViewConfirmation} from '../../coordination/confirmation/view_confirmation.ts';
 import {startPeriodicTask} from '../../coordination/periodic_task.ts';
 import {CoreFollower} from '../../coordination/gateway/core_follower.ts';
@@ -80,10 +81,22 @@
   const view = new GatewayView({
     logger: createLogger('view'),
     decodeTable: surfaces.decodeTable,
-    onConfiguration: ({table}) => server?.setLimits(table.limits),
+    onConfiguration: ({table}) => {
+      server?.setLimits(table.limits);
+      homes.checkTable(table);
+    },
     onLimits: relayed => limits.recordRelayed(relayed),
     onSuspects: relayed => quarantine.recordRelayed(relayed),
   });
+  const findRegion = (name: string) =>
+    name === dataCentre ? region : (getSettings().data_centres[name] ?? null);
+  const homes = new HomeRegions({
+    logger: createLogger('forward'),
+    metrics: parts.metrics,
+    view,
+    findRegion,
+    listRegions: () => [region, ...Object.values(getSettings().data_centres)],
+  });
   const quarantine = new Quarantine({
     clock,
     logger: createLogger('forward'),
@@ -186,6 +199,7 @@
     random: Math.random,
     reach,
     listGateways: () => view.openGateways,
+    findHomes: run => homes.find(run),
     address: front,
     region,
     dataCentre,
@@ -202,7 +216,7 @@
     reach,
     notices,
     limits,
-    rules: new EndpointRules([limits]),
+    rules: new EndpointRules([limits, homes]),
     quarantine,
     relay,
     gateways,
@@ -219,7 +233,7 @@
       ),
     region,
     dataCentre,
-    findRegion: name => getSettings().data_centres[name] ?? null,
+    findRegion,
     retryRatio: bounds.retry_ratio,
     retryExtra: bounds.retry_extra,
     retryWindowMs: bounds.retry_window_s * 1_000,
--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -14,6 +14,7 @@
 import {createGatewayReport} from '../core/gateway_report_fake.ts';
 import {GatewayView} from '../gateway/gateway_view.ts';
 import type {AttemptOptions, AttemptOutcome, Call, CallFacts} from './call.ts';
+import {createCall} from './call_fakes.ts';
 import {EndpointHealth} from './endpoint_health.ts';
 import {EndpointRules} from '../selection/endpoint_rules.ts';
 import {EndpointLimits} from './endpoint_limits.ts';
@@ -23,28 +24,13 @@
 import {listRunningStarts} from '../quarantine/endpoint_ends.ts';
 import {Quarantine} from '../quarantine/quarantine.ts';
 import {CallRelay, type SendRelayed} from '../reach/call_relay.ts';
+import {HomeRegions} from '../homes/home_regions.ts';
 import {Reachability} from '../reach/reachability.ts';
-import {BodyDigest} from '../quarantine/request_identity.ts';
 import {RecentGateways} from './recent_gateways.ts';
 import {RecordingSink} from './recording_sink_fake.ts';
 import type {TrialClient} from '../quarantine/trial_client.ts';
 import {VersionEvidenceCounter} from './version_evidence.ts';
 
-/** The facts of a request without any optional header. */
-export const NO_FACTS: CallFacts = {
-  attemptId: null,
-  budgetMs: null,
-  key: null,
-  session: null,
-  model: null,
-  isModelOpen: false,
-  promptTokens: 0,
-  maxOutputTokens: 0,
-  outputTokensHint: null,
-  prompt: [],
-  lastEventId: null,
-};
-
 export function createRoute(change: Partial<Route> = {}): Route {
   return {
     name: 'r1',
@@ -220,15 +206,14 @@
       clock: this.clock,
       logger: silentLogger,
     });
+    const table = createTable(route, {
+      engine: engine ?? null,
+      customers: customers ?? null,
+    });
     this.view = new GatewayView({
       logger: silentLogger,
-      decodeTable: () =>
-        succeed(
-          createTable(route, {
-            engine: engine ?? null,
-            customers: customers ?? null,
-          }),
-        ),
+      decodeTable: document =>
+        succeed(document === '' ? table : JSON.parse(document)),
       onLimits: limits => this.limits.recordRelayed(limits),
       onSuspects: records => this.quarantine.recordRelayed(records),
     });
@@ -261,6 +246,13 @@
         openGateways: [{address, region: 'r', dataCentre: 'a', open: true}],
       }),
     );
+    const homes = new HomeRegions({
+      logger,
+      metrics,
+      view: this.view,
+      findRegion,
+      listRegions: () => [],
+    });
     const reach = new Reachability({
       clock: this.clock,
       logger: silentLogger,
@@ -277,7 +269,7 @@
       ensureView,
       notices: this.notices,
       limits: this.limits,
-      rules: new EndpointRules([this.limits]),
+      rules: new EndpointRules([this.limits, homes]),
       quarantine: this.quarantine,
       gateways,
       health: this.health,
@@ -289,6 +281,7 @@
         random,
         reach,
         listGateways: () => this.view.openGateways,
+        findHomes: run => homes.find(run),
         address,
         region: 'r',
         dataCentre: 'a',
@@ -326,6 +319,18 @@
     );
   }
 
+  /** Receives a higher version of the route table. */
+  receiveTable(table: RouteTable): void {
+    const document = JSON.stringify(table);
+    const {version} = table;
+    this.view.apply(
+      createFollowReply({
+        complete: false,
+        configuration: {revision: version, version, document, rollouts: []},
+      }),
+    );
+  }
+
   /** Receives a core daemon's report of an endpoint. */
   receiveReport(endpoint: EndpointEntry): void {
     this.view.apply(
@@ -362,35 +367,3 @@
     return {sink, done: this.forwarder.forward(call, sink)};
   }
 }
-
-export interface CreateCallOptions {
-  readonly facts?: Partial<CallFacts>;
-  /** Empty by default. */
-  readonly body?: Buffer;
-  /** Never aborts by default. */
-  readonly signal?: AbortSignal;
-  /** 0 by default. */
-  readonly receivedAt?: number;
-}
-
-export function createCall(
-  attemptId: string,
-  {
-    facts = {},
-    body = Buffer.alloc(0),
-    signal = new AbortController().signal,
-    receivedAt = 0,
-  }: CreateCallOptions,
-): Call {
-  return {
-    method: 'POST',
-    path: '/x',
-    host: 'desk.example',
-    headers: [],
-    body,
-    digestBody: () => new BodyDigest().compute(body),
-    facts: {...NO_FACTS, attemptId, ...facts},
-    receivedAt,
-    signal,
-  };
-}
--- a/src/coordination/forwarding/plan_refusal.ts
+++ b/src/coordination/forwarding/plan_refusal.ts
@@ -1,4 +1,5 @@
 /** Plans the refusal of a request that no attempt completed. */
+import type {SelectionOptions} from '../selection/endpoint_rules.ts';
 import type {CallRun} from './call_run.ts';
 import type {EndpointPicker} from './endpoint_picker.ts';
 import type {RefusalReason, RefuseOptions} from './refuse.ts';
@@ -22,7 +23,7 @@
 
 /** Plans why a request is refused and when its caller should retry. */
 export function planRefusal(
-  options: PlanRefusalOptions,
+  options: PlanRefusalOptions & Pick<SelectionOptions, 'rules'>,
   picker: EndpointPicker,
   {run, cause, shutdown}: UndeliveredRun,
 ): RefuseOptions {
@@ -49,7 +50,8 @@
   const returnMs = picker.planReturnMs(run);
   if (returnMs !== null) return {reason: 'limited', retryAfterMs: returnMs};
   if (run.notRun > 0) return refuseForNow(options, 'no-room');
-  return refuseForNow(options, run.sends > 0 ? 'not-run' : 'no-endpoint');
+  const reason = run.sends > 0 ? 'not-run' : 'no-endpoint';
+  return refuseForNow(options, options.rules.explainRefusal(run) ?? reason);
 }
 
 /** Plans the refusal of a request that is not admitted. */
--- a/src/coordination/forwarding/refuse.ts
+++ b/src/coordination/forwarding/refuse.ts
@@ -12,6 +12,8 @@
   | 'bad-request'
   | 'too-large'
   | 'no-endpoint'
+  // No endpoint in the home regions of its route and customer is usable.
+  | 'no-home-endpoint'
   // This gateway reaches no endpoint, and another one relayed the request.
   | 'no-path'
   | 'no-room'
@@ -36,6 +38,7 @@
   unconfirmed: 503,
   stopping: 503,
   'no-endpoint': 503,
+  'no-home-endpoint': 503,
   'no-path': 503,
   'no-room': 503,
   quiet: 503,
--- a/src/coordination/forwarding/silence_watch_test.ts
+++ b/src/coordination/forwarding/silence_watch_test.ts
@@ -6,7 +6,8 @@
 import {fail} from '../../protocol/outcome.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
 import {CallRun, type BlockReason} from './call_run.ts';
-import {createCall, createEndpoint, createRoute} from './forwarding_fakes.ts';
+import {createCall} from './call_fakes.ts';
+import {createEndpoint, createRoute} from './forwarding_fakes.ts';
 import {watchSilence} from './silence_watch.ts';
 
 // Guards against a line for each of the questions of a long silence.
--- a/src/coordination/quarantine/request_identity_test.ts
+++ b/src/coordination/quarantine/request_identity_test.ts
@@ -1,7 +1,8 @@
 /** Guards against requests that are taken for each other, or not recognised. */
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
-import {createRoute, NO_FACTS} from '../forwarding/forwarding_fakes.ts';
+import {NO_FACTS} from '../forwarding/call_fakes.ts';
+import {createRoute} from '../forwarding/forwarding_fakes.ts';
 import type {Call} from '../forwarding/call.ts';
 import {BodyDigest, computeRequestIdentity} from './request_identity.ts';
 
--- a/src/coordination/reach/call_relay.ts
+++ b/src/coordination/reach/call_relay.ts
@@ -23,18 +23,12 @@
 import {refuseCall} from '../forwarding/refuse.ts';
 import type {Shutdown} from '../forwarding/shutdown.ts';
 import {startWatchdog} from '../forwarding/watchdog.ts';
-import {computeDistance} from '../membership/compute_distance.ts';
+import {chooseGateway} from './choose_gateway.ts';
 import type {Reachability} from './reachability.ts';
 
 /** Gateways that a request is offered to, one after the other. */
 const MAX_GATEWAYS = 12;
 
-/**
- * Avoided gateways of a data centre from which on the others there come last: a
- * data centre may be cut off as a whole.
- */
-const SUSPECTED_CENTRE = 2;
-
 /** Requests that this gateway has open at another one at most. */
 const MAX_OPEN = 32;
 
@@ -70,6 +64,8 @@
   readonly reach: Pick<Reachability, 'isLost'>;
   /** Lists the gateways that serve callers, as last reported. */
   readonly listGateways: () => readonly Gateway[];
+  /** Finds the only regions that may serve a request; `null` if all may. */
+  readonly findHomes: (run: CallRun) => ReadonlySet<string> | null;
   /** The address of this gateway for callers. */
   readonly address: string;
   readonly region: string;
@@ -104,7 +100,7 @@
 
 export class CallRelay {
   private readonly avoidedUntil = new Map<string, number>();
-  /** Until when no gateway is asked, by service: none had a path. */
+  /** Until when no gateway is asked, by service and homes: none had a path. */
   private readonly noPathUntil = new Map<string, number>();
   private readonly openCounts = new Map<string, number>();
   /** The gateways that served a relayed request and were not avoided since. */
@@ -125,7 +121,7 @@
     if (run.runs > 0 && !options.canRetry()) return false;
     run.isPaid = run.runs > 0;
     for (let tried = 0; tried < MAX_GATEWAYS; tried++) {
-      const gateway = this.chooseGateway();
+      const gateway = this.chooseGateway(run);
       if (gateway === null) break;
       if (run.call.signal.aborted || this.computeLeftMs(run) <= 0) return false;
       const outcome = await this.sendTo(gateway, run, options);
@@ -142,19 +138,17 @@
       this.avoid(gateway);
     }
     const now = this.options.clock.monotonic();
-    this.noPathUntil.set(run.admitted.service.name, now + NO_PATH_MS);
+    this.noPathUntil.set(this.createPathKey(run), now + NO_PATH_MS);
     return false;
   }
 
   /** Whether a request should be relayed: its service cannot be reached. */
-  isDue(
-    {admitted, call, held}: CallRun,
-    sink: Pick<CallerSink, 'hasBegun'>,
-  ): boolean {
+  isDue(run: CallRun, sink: Pick<CallerSink, 'hasBegun'>): boolean {
+    const {admitted, call, held} = run;
     const {name: service} = admitted.service;
     if (call.relayed || held || sink.hasBegun) return false;
     if (!this.options.reach.isLost(service)) return false;
-    const until = this.noPathUntil.get(service) ?? -Infinity;
+    const until = this.noPathUntil.get(this.createPathKey(run)) ?? -Infinity;
     return this.options.clock.monotonic() >= until;
   }
 
@@ -235,38 +229,29 @@
     run.finish(reason, refuseCall(sink, {reason}));
   }
 
-  /** Chooses a near gateway with few requests open; `null` if there is none. */
-  private chooseGateway(): string | null {
-    const {clock, listGateways, address: self, random} = this.options;
+  /** Chooses another gateway that may serve a request; `null` if none can. */
+  private chooseGateway(run: CallRun): string | null {
+    const {clock, listGateways, address: self, findHomes} = this.options;
     const now = clock.monotonic();
+    const homes = findHomes(run);
     const others = listGateways().filter(
-      ({address, open}) => open && address !== self,
+      ({address, open, region}) =>
+        open && address !== self && (homes?.has(region) ?? true),
     );
-    const isAvoided = ({address}: Gateway) =>
-      (this.avoidedUntil.get(address) ?? 0) > now;
-    const avoided = others.filter(isAvoided);
-    const countAvoided = ({dataCentre}: Gateway) =>
-      avoided.filter(each => each.dataCentre === dataCentre).length;
-    const [best] = others
-      .filter(each => !isAvoided(each))
-      .filter(({address}) => this.countOpen(address) < MAX_OPEN)
-      .map(gateway => ({
-        address: gateway.address,
-        isSuspected: countAvoided(gateway) >= SUSPECTED_CENTRE ? 1 : 0,
-        distance: computeDistance(this.options, gateway),
-        isProven: this.answeredBy.has(gateway.address) ? 0 : 1,
-        open: this.countOpen(gateway.address),
-        rank: random(),
-      }))
-      .sort(
-        (a, b) =>
-          a.isSuspected - b.isSuspected ||
-          a.distance - b.distance ||
-          a.isProven - b.isProven ||
-          a.open - b.open ||
-          a.rank - b.rank,
-      );
-    return best?.address ?? null;
+    return chooseGateway(others, {
+      ...this.options,
+      isAvoided: ({address}) => (this.avoidedUntil.get(address) ?? 0) > now,
+      isProven: ({address}) => this.answeredBy.has(address),
+      countOpen: ({address}) => this.countOpen(address),
+      maxOpen: MAX_OPEN,
+    });
+  }
+
+  /** Names the gateways that may serve a request: some have homes of their own. */
+  private createPathKey(run: CallRun): string {
+    const homes = this.options.findHomes(run);
+    const {name} = run.admitted.service;
+    return homes === null ? name : JSON.stringify([name, [...homes].sort()]);
   }
 
   private avoid(gateway: string): void {
--- a/src/coordination/reach/call_relay_test.ts
+++ b/src/coordination/reach/call_relay_test.ts
@@ -7,9 +7,9 @@
 import {silentLogger, type LogFields} from '../../protocol/logger.ts';
 import {silentMetrics} from '../../protocol/metrics.ts';
 import type {AttemptOutcome} from '../forwarding/call.ts';
+import {createCall} from '../forwarding/call_fakes.ts';
 import {PLAIN_ANSWER, waitForAbort} from '../forwarding/fake_answers.ts';
 import {
-  createCall,
   createEndpoint,
   createFollowReply,
   createRoute,
--- a/src/coordination/selection/endpoint_rules.ts
+++ b/src/coordination/selection/endpoint_rules.ts
@@ -7,6 +7,7 @@
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import type {CallRun} from '../forwarding/call_run.ts';
 import type {EndpointLimits} from '../forwarding/endpoint_limits.ts';
+import type {RefusalReason} from '../forwarding/refuse.ts';
 
 /** Whether an attempt is the first one of its request. */
 export type AttemptOrder = 'first' | 'further';
@@ -19,6 +20,8 @@
   hasRoom?(endpoint: EndpointEntry): boolean;
   /** Takes that room for one request; false if there is none. */
   tryTake?(endpoint: EndpointEntry, attempt: AttemptOrder): boolean;
+  /** Why a request is refused that no endpoint accepts; `null` for no reason. */
+  explainRefusal?(run: CallRun): RefusalReason | null;
 }
 
 /** What the choice of endpoints needs to know of their room. */
@@ -48,6 +51,14 @@
     return others.every(rule => rule.tryTake?.(endpoint, attempt) ?? true);
   }
 
+  explainRefusal(run: CallRun): RefusalReason | null {
+    for (const rule of this.rules) {
+      const reason = rule.explainRefusal?.(run) ?? null;
+      if (reason !== null) return reason;
+    }
+    return null;
+  }
+
   /** Whether the first byte may be written; takes the room for it if so. */
   mayBegin(run: CallRun, endpoint: EndpointEntry): boolean {
     const order = run.sends === 0 ? 'first' : 'further';
--- a/src/coordination/simulation/request_history.ts
+++ b/src/coordination/simulation/request_history.ts
@@ -1,11 +1,8 @@
 /** Plays a seeded history of a site whose endpoints some requests crash. */
 import {createDraws, type Draws} from '../../protocol/seeded_draws.ts';
 import type {Route} from '../../protocol/route_table.ts';
-import {
-  createCall,
-  createRoute,
-  type FakeRequest,
-} from '../forwarding/forwarding_fakes.ts';
+import {createCall} from '../forwarding/call_fakes.ts';
+import {createRoute, type FakeRequest} from '../forwarding/forwarding_fakes.ts';
 import {computeRequestIdentity} from '../quarantine/request_identity.ts';
 import {runDisturbance, runFlaps, type SiteSize} from './disturbances.ts';
 import {SimulatedSite} from './simulated_site.ts';
--- a/src/transport/forwarding/endpoint_client_test.ts
+++ b/src/transport/forwarding/endpoint_client_test.ts
@@ -7,10 +7,8 @@
   Call,
 } from '../../coordination/forwarding/call.ts';
 import {PLAIN_ANSWER} from '../../coordination/forwarding/fake_answers.ts';
-import {
-  createEndpoint,
-  NO_FACTS,
-} from '../../coordination/forwarding/forwarding_fakes.ts';
+import {NO_FACTS} from '../../coordination/forwarding/call_fakes.ts';
+import {createEndpoint} from '../../coordination/forwarding/forwarding_fakes.ts';
 import type {CallCodec} from './call_codec.ts';
 import {EndpointClient} from './endpoint_client.ts';
 
--- a/src/transport/forwarding/gateway_client_test.ts
+++ b/src/transport/forwarding/gateway_client_test.ts
@@ -8,7 +8,7 @@
 import {test} from 'uvu';
 import {request} from 'undici';
 import type {AttemptOutcome, Call} from '../../coordination/forwarding/call.ts';
-import {NO_FACTS} from '../../coordination/forwarding/forwarding_fakes.ts';
+import {NO_FACTS} from '../../coordination/forwarding/call_fakes.ts';
 import {refuseCall} from '../../coordination/forwarding/refuse.ts';
 import {systemClock} from '../../protocol/clock.ts';
 import {silentLogger} from '../../protocol/logger.ts';
