--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -15,6 +15,7 @@
 import {Reachability} from '../../coordination/reach/reachability.ts';
 import {RecentGateways} from '../../coordination/forwarding/recent_gateways.ts';
 import {VersionEvidenceCounter} from '../../coordination/forwarding/version_evidence.ts';
+import {HomeRegions} from '../../coordination/homes/home_regions.ts';
 import {ViewConfirmation} from '../../coordination/confirmation/view_confirmation.ts';
 import {startPeriodicTask} from '../../coordination/periodic_task.ts';
 import {CoreFollower} from '../../coordination/gateway/core_follower.ts';
@@ -81,10 +82,22 @@
   const view = new GatewayView({
     logger: createLogger('view'),
     decodeTable: surfaces.decodeTable,
-    onConfiguration: ({table}) => server?.setLimits(table.limits),
+    onConfiguration: ({table}) => {
+      server?.setLimits(table.limits);
+      homes.checkTable(table);
+    },
     onLimits: relayed => limits.recordRelayed(relayed),
     onSuspects: relayed => quarantine.recordRelayed(relayed),
   });
+  const findRegion = (name: string) =>
+    name === dataCentre ? region : (getSettings().data_centres[name] ?? null);
+  const homes = new HomeRegions({
+    logger: createLogger('forward'),
+    metrics: parts.metrics,
+    view,
+    findRegion,
+    listRegions: () => [region, ...Object.values(getSettings().data_centres)],
+  });
   const quarantine = new Quarantine({
     clock,
     logger: createLogger('forward'),
@@ -187,6 +200,7 @@
     random: Math.random,
     reach,
     listGateways: () => view.openGateways,
+    findHomes: run => homes.find(run),
     address: front,
     region,
     dataCentre,
@@ -205,6 +219,7 @@
     limits,
     rules: new EndpointRules([
       limits,
+      homes,
       createDrainRule({view, metrics: parts.metrics}),
     ]),
     quarantine,
@@ -223,7 +238,7 @@
       ),
     region,
     dataCentre,
-    findRegion: name => getSettings().data_centres[name] ?? null,
+    findRegion,
     retryRatio: bounds.retry_ratio,
     retryExtra: bounds.retry_extra,
     retryWindowMs: bounds.retry_window_s * 1_000,
