Limit requests to cold endpoints over all gateways

A cold endpoint crashes well above the rate that it tolerates, and nothing kept the gateways together within a bound. The registry took a report that differed only in its cold time for a renewal, so gateways learned of it with the next other change.

The registry now takes a change between warm and cold, or an end that moved later by over 250 ms, for a change, and lists the cold time that remains. Each gateway records which starts are cold, computes its units of the bound from the list of gateways and sends at most that many requests in a window of its own. The rule applies to services with coldStart where the settings have both bounds.

--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -1,5 +1,6 @@
 /** Runs the gateway components of a site daemon. */
 import {randomBytes} from 'node:crypto';
+import {createColdStart} from '../../coordination/cold_start/create_cold_start.ts';
 import {AnswerBudget} from '../../coordination/forwarding/answer_budget.ts';
 import {EndpointHealth} from '../../coordination/forwarding/endpoint_health.ts';
 import {EndpointRules} from '../../coordination/selection/endpoint_rules.ts';
@@ -81,6 +82,7 @@
     logger: createLogger('view'),
     decodeTable: surfaces.decodeTable,
     onConfiguration: ({table}) => server?.setLimits(table.limits),
+    onEndpoint: entry => cold.record(entry),
     onLimits: relayed => limits.recordRelayed(relayed),
     onSuspects: relayed => quarantine.recordRelayed(relayed),
   });
@@ -110,6 +112,16 @@
     address: front,
     gateways,
   });
+  const cold = createColdStart({
+    clock,
+    logger: createLogger('cold'),
+    metrics: parts.metrics,
+    bounds,
+    address: front,
+    gateways,
+    findService: name => view.routes?.findService(name) ?? null,
+    findRegion: name => getSettings().data_centres[name] ?? null,
+  });
   const isOpen = () => !isStopping && view.routes !== null;
   const describeSelf = () => ({
     address: front,
@@ -121,6 +133,7 @@
   const pruneEnded = () => {
     notices.pruneEnded(id => view.findEndpoint(id));
     limits.pruneEnded(id => view.findEndpoint(id));
+    cold.pruneEnded(id => view.findEndpoint(id));
   };
   const follower = new CoreFollower({
     view,
@@ -146,7 +159,10 @@
       };
     },
     listObserved: revision => quarantine.listObservedAfter(revision),
-    onConfirmed: sentAt => confirmation.record(sentAt),
+    onConfirmed: sentAt => {
+      confirmation.record(sentAt);
+      cold.recordContact(sentAt);
+    },
     onEpoch: () => quarantine.reportAll(),
     call: (address, request, timeoutMs) =>
       links.get(address).follow(request, timeoutMs),
@@ -161,7 +177,10 @@
     startPeriodicTask({
       clock,
       intervalMs: VIEW_CHECK_MS,
-      step: async () => confirmation.check(),
+      step: async () => {
+        confirmation.check();
+        cold.update();
+      },
       onError: ({message: reason}) =>
         createLogger('view').warn('Could not check the view.', {reason}),
     }),
@@ -202,7 +221,7 @@
     reach,
     notices,
     limits,
-    rules: new EndpointRules([limits]),
+    rules: new EndpointRules([limits, cold.rule]),
     quarantine,
     relay,
     gateways,
--- /dev/null
+++ b/src/coordination/cold_start/compute_units_test.ts
@@ -0,0 +1,77 @@
+/**
+ * Guards against units that sum up to more than the total, and against units where
+ * nobody has requests.
+ */
+import assert from 'node:assert/strict';
+import {test} from 'uvu';
+import type {Gateway} from '../../protocol/core_service.ts';
+import {computeUnits} from './compute_units.ts';
+
+const ENDPOINT = {id: 'e1', region: 'r0', dataCentre: 'd0'};
+
+/** Gateways in 6 data centres and 2 regions: d0, d2 and d4 in r0. */
+function createGateways(count: number): Gateway[] {
+  return Array.from({length: count}, (_, index) => ({
+    address: `g${index}`,
+    region: `r${index % 2}`,
+    dataCentre: `d${index % 6}`,
+    open: true,
+  }));
+}
+
+function countUnits(
+  gateways: readonly Gateway[],
+  total: number,
+): Map<string, number> {
+  return new Map(
+    gateways.map(({address}) => [
+      address,
+      computeUnits({gateways, address, endpoint: ENDPOINT, total}).length,
+    ]),
+  );
+}
+
+test('computeUnits() divides the total among gateways of all numbers', () => {
+  for (const count of [1, 2, 5, 16, 17, 18, 56, 79]) {
+    const gateways = createGateways(count);
+    const positions = gateways.flatMap(({address}) =>
+      computeUnits({gateways, address, endpoint: ENDPOINT, total: 17}),
+    );
+    const sorted = positions.sort((a, b) => a - b);
+    assert.deepEqual(
+      sorted,
+      Array.from({length: 17}, (_, index) => index),
+    );
+  }
+});
+
+test('computeUnits() prefers the data centre, then the region', () => {
+  const gateways = createGateways(79);
+  const units = countUnits(gateways, 17);
+  const holders = gateways.filter(({address}) => units.get(address));
+  // 14 gateways are in the data centre.
+  assert.equal(holders.filter(each => each.dataCentre === 'd0').length, 14);
+  assert.ok(holders.every(({region}) => region === 'r0'));
+  assert.ok([...units.values()].every(count => count <= 1));
+});
+
+// Guards against an endpoint that gets nothing, since the near gateways are down.
+test('computeUnits() reaches gateways far away when none is near', () => {
+  const far = createGateways(79).filter(({region}) => region === 'r1');
+  const units = countUnits(far, 17);
+  assert.equal([...units.values()].filter(count => count === 1).length, 17);
+});
+
+// Guards against gateways that both take a unit while a third is known to one.
+test('computeUnits() takes units only away for a longer list', () => {
+  const gateways = createGateways(40);
+  for (let count = 1; count < 40; count++) {
+    const shorter = countUnits(gateways.slice(0, count), 17);
+    const longer = countUnits(gateways.slice(0, count + 1), 17);
+    for (const [address, units] of shorter) {
+      assert.ok((longer.get(address) ?? 0) <= units);
+    }
+  }
+});
+
+test.run();
--- a/src/coordination/core/endpoint_registry.ts
+++ b/src/coordination/core/endpoint_registry.ts
@@ -20,6 +20,12 @@
 /** How long an endpoint that is gone or silent is retained. */
 const EXPIRE_AFTER_MS = 60_000;
 
+/**
+ * How much later than gateways were told a cold start may end without a change.
+ * Each heartbeat of a cold endpoint tells its end anew, and is delayed differently.
+ */
+const COLD_TOLERANCE_MS = 250;
+
 export interface EndpointRegistryOptions {
   readonly clock: Clock;
   /** The time without a report until it counts as silent, in ms; 5,000. */
@@ -35,6 +41,8 @@
   changedAt: number;
   /** Whether it comes from the disk, and has not been heard of since. */
   isRestored: boolean;
+  /** When its cold start ends as gateways were told, on the monotonic clock. */
+  readonly toldColdUntil: number;
 }
 
 /** How the registry handled a report. */
@@ -76,8 +84,20 @@
       this.updateEntry(holder, {...holder.entry, state: 'gone'});
     }
     const receivedAt = this.options.clock.monotonic() - ageMs;
-    const entry = {...next, silent: ageMs > this.silentAfterMs};
-    if (known && isSame(entry, known.entry)) {
+    const silent = ageMs > this.silentAfterMs;
+    const isHeardAgain =
+      isSameStart && known.entry.silent && !known.isRestored && !silent;
+    const entry: EndpointEntry = {
+      ...next,
+      silent,
+      ...(isHeardAgain ? {unconfirmed: true} : {}),
+    };
+    const coldUntil = receivedAt + report.warmupMs;
+    if (
+      known &&
+      isSame(entry, known.entry) &&
+      !this.hasColdChanged(coldUntil, known)
+    ) {
       known.entry = entry;
       known.receivedAt = receivedAt;
       known.isRestored = false;
@@ -131,11 +151,19 @@
     return this.options.clock.monotonic() - receivedAt;
   }
 
-  /** Lists the entries that changed after a revision; all by default. */
+  /**
+   * Lists the entries that changed after a revision; all by default. Their cold time
+   * is the one that remains now.
+   */
   list(after = 0): EndpointEntry[] {
+    const now = this.options.clock.monotonic();
     return [...this.known.values()]
       .filter(({changedAt}) => changedAt > after)
-      .map(({entry}) => entry);
+      .map(({entry, receivedAt}) => {
+        if (entry.warmupMs === 0) return entry;
+        const warmupMs = Math.max(0, receivedAt + entry.warmupMs - now);
+        return {...entry, warmupMs};
+      });
   }
 
   /** Lists the starts of a service's endpoints that are taken to run. */
@@ -201,6 +229,21 @@
     return undefined;
   }
 
+  /** Whether gateways need to know when the cold start of an endpoint ends. */
+  private hasColdChanged(
+    coldUntil: number,
+    {toldColdUntil}: KnownEndpoint,
+  ): boolean {
+    const now = this.options.clock.monotonic();
+    const isWarm = coldUntil <= now;
+    if (isWarm) return toldColdUntil > now + COLD_TOLERANCE_MS;
+    // One that was told to be warm for a while has become cold again.
+    return (
+      coldUntil > toldColdUntil + COLD_TOLERANCE_MS ||
+      toldColdUntil + COLD_TOLERANCE_MS < now
+    );
+  }
+
   private updateEntry(known: KnownEndpoint, entry: EndpointEntry): void {
     this.replaceEntry(entry, known);
   }
@@ -213,7 +256,14 @@
     const earlier = this.known.get(id);
     if (earlier) this.removeHolder(earlier.entry);
     const changedAt = ++this.lastRevision;
-    this.known.set(id, {entry, receivedAt, changedAt, isRestored});
+    const toldColdUntil = receivedAt + entry.warmupMs;
+    this.known.set(id, {
+      entry,
+      receivedAt,
+      changedAt,
+      isRestored,
+      toldColdUntil,
+    });
     if (state === 'gone') return;
     const ids = this.holders.get(address) ?? new Set();
     this.holders.set(address, ids.add(id));
@@ -226,9 +276,10 @@
   }
 }
 
-/** Returns the endpoint's report without the `silent` state derived here. */
+/** Returns the endpoint's report without the state derived from its silence. */
 export function dropSilentFlag({
   silent: _silent,
+  unconfirmed: _unconfirmed,
   ...report
 }: EndpointEntry): EndpointReport {
   return report;
@@ -264,6 +315,7 @@
     a.startedAtMs === b.startedAtMs &&
     a.state === b.state &&
     a.silent === b.silent &&
+    a.unconfirmed === b.unconfirmed &&
     a.address === b.address &&
     a.service === b.service &&
     a.version === b.version &&
--- a/src/coordination/core/endpoint_registry_test.ts
+++ b/src/coordination/core/endpoint_registry_test.ts
@@ -163,4 +163,81 @@
   assert.equal(registry.find('e1')?.state, 'gone');
 });
 
+// Guards against gateways that hear of a cold start with the next change only.
+test('record() tells when an endpoint turns cold, and when it is warm early', async () => {
+  const {clock, registry} = createRegistry();
+  registry.record(createReport());
+  await clock.advance(1_200);
+  const cold = createReport({sequence: 2, warmupMs: 3_000});
+  assert.equal(registry.record(cold), 'changed');
+  await clock.advance(1_200);
+  assert.equal(registry.record(createReport({sequence: 3})), 'changed');
+  assert.equal(registry.list()[0]?.warmupMs, 0);
+});
+
+// Guards against a change, which all gateways are told, for each heartbeat.
+test('record() renews an endpoint that becomes warm as told', async () => {
+  const {clock, registry} = createRegistry();
+  registry.record(createReport({warmupMs: 3_000}));
+  // Heartbeats are delayed differently.
+  const heartbeats = [
+    {afterMs: 1_300, warmupMs: 1_800},
+    {afterMs: 1_250, warmupMs: 600},
+    {afterMs: 1_100, warmupMs: 0},
+    {afterMs: 1_200, warmupMs: 0},
+  ];
+  for (const [index, {afterMs, warmupMs}] of heartbeats.entries()) {
+    await clock.advance(afterMs);
+    const report = createReport({sequence: 2 + index, warmupMs});
+    assert.equal(registry.record(report), 'renewed');
+  }
+});
+
+// Guards against a cold start that is prolonged bit by bit without a change.
+test('record() tells when a cold start ends later than told', async () => {
+  const {clock, registry} = createRegistry();
+  registry.record(createReport({warmupMs: 3_000}));
+  await clock.advance(1_000);
+  const within = createReport({sequence: 2, warmupMs: 2_200});
+  assert.equal(registry.record(within), 'renewed');
+  await clock.advance(1_000);
+  const beyond = createReport({sequence: 3, warmupMs: 1_400});
+  assert.equal(registry.record(beyond), 'changed');
+});
+
+// Guards against a cold start that begins anew for each gateway that lists it.
+test('list() tells the cold time that remains', async () => {
+  const {clock, registry} = createRegistry();
+  registry.record(createReport({warmupMs: 3_000}), 400);
+  assert.equal(registry.list()[0]?.warmupMs, 2_600);
+  await clock.advance(2_000);
+  assert.equal(registry.list()[0]?.warmupMs, 600);
+  await clock.advance(2_000);
+  assert.equal(registry.list()[0]?.warmupMs, 0);
+  // Other daemons get the report as it was, with its age.
+  assert.equal(registry.listReports()[0]?.warmupMs, 3_000);
+  assert.equal(registry.listReportAges(['e1'])[0]?.ageMs, 4_400);
+});
+
+// Guards against an endpoint that counts as warm by a report from its silence.
+test('record() marks the report that ends a silence as unconfirmed', async () => {
+  const {clock, registry} = createRegistry();
+  registry.record(createReport());
+  await clock.advance(6_000);
+  registry.sweep();
+  assert.equal(registry.record(createReport({sequence: 2})), 'changed');
+  assert.equal(registry.find('e1')?.unconfirmed, true);
+  assert.equal(registry.record(createReport({sequence: 3})), 'changed');
+  assert.equal(registry.find('e1')?.unconfirmed, undefined);
+  assert.equal(registry.record(createReport({sequence: 4})), 'renewed');
+});
+
+// Guards against endpoints that count as cold since a core daemon restarted.
+test('record() does not mark the first report after a restart', () => {
+  const {registry} = createRegistry();
+  registry.restore([createReport()]);
+  registry.record(createReport({sequence: 2}));
+  assert.equal(registry.find('e1')?.unconfirmed, undefined);
+});
+
 test.run();
--- a/src/coordination/forwarding/recent_gateways.ts
+++ b/src/coordination/forwarding/recent_gateways.ts
@@ -17,10 +17,18 @@
   readonly listGateways: () => readonly Gateway[];
 }
 
+/** A gateway that is not listed any more. */
+interface LeftGateway {
+  readonly gateway: Gateway;
+  /** On the monotonic clock. */
+  readonly atMs: number;
+}
+
 export class RecentGateways {
   private listed: readonly Gateway[] = [];
+  private recent: readonly Gateway[] = [];
   private addresses: readonly string[] = [];
-  private readonly leftAt = new Map<string, number>();
+  private readonly left = new Map<string, LeftGateway>();
 
   constructor(private readonly options: RecentGatewaysOptions) {}
 
@@ -30,6 +38,12 @@
     return this.addresses;
   }
 
+  /** Lists the gateways at those addresses. */
+  listGateways(): readonly Gateway[] {
+    this.update();
+    return this.recent;
+  }
+
   /** The length of that list; 1 when it is empty. */
   count(): number {
     return Math.max(1, this.list().length);
@@ -38,7 +52,7 @@
   /** Whether a gateway is listed now. */
   isListed(address: string): boolean {
     this.update();
-    return this.addresses.includes(address) && !this.leftAt.has(address);
+    return this.addresses.includes(address) && !this.left.has(address);
   }
 
   private update(): void {
@@ -48,22 +62,24 @@
     const hasChanged = next !== this.listed;
     if (hasChanged) {
       const listed = new Set(next.map(({address}) => address));
-      for (const {address} of this.listed) {
-        if (!listed.has(address)) this.leftAt.set(address, now);
+      for (const gateway of this.listed) {
+        const {address} = gateway;
+        if (!listed.has(address)) this.left.set(address, {gateway, atMs: now});
       }
-      for (const address of listed) this.leftAt.delete(address);
+      for (const address of listed) this.left.delete(address);
       this.listed = next;
     }
     let hasExpired = false;
-    for (const [address, leftAt] of this.leftAt) {
-      if (now - leftAt < RETAIN_MS) continue;
-      this.leftAt.delete(address);
+    for (const [address, {atMs}] of this.left) {
+      if (now - atMs < RETAIN_MS) continue;
+      this.left.delete(address);
       hasExpired = true;
     }
     if (!hasChanged && !hasExpired) return;
-    this.addresses = [
-      ...this.listed.map(({address}) => address),
-      ...this.leftAt.keys(),
+    this.recent = [
+      ...this.listed,
+      ...[...this.left.values()].map(({gateway}) => gateway),
     ];
+    this.addresses = this.recent.map(({address}) => address);
   }
 }
--- a/src/coordination/gateway/gateway_view.ts
+++ b/src/coordination/gateway/gateway_view.ts
@@ -26,6 +26,8 @@
   readonly decodeTable: (document: string) => Outcome<RouteTable, string>;
   /** Called when a new document is in force. */
   readonly onConfiguration?: (index: RouteIndex) => void;
+  /** Called with each entry of an endpoint that is applied. */
+  readonly onEndpoint?: (entry: EndpointEntry) => void;
   /** Called with limits that gateways observed. */
   readonly onLimits?: (limits: readonly EndpointLimit[]) => void;
   /** Called with suspected parts of prompts that gateways observed. */
@@ -161,6 +163,7 @@
       return;
     }
     this.endpoints.set(entry.id, entry);
+    this.options.onEndpoint?.(entry);
     if (entry.state === 'ready' || known?.state === entry.state) return;
     const {id, address, startedAtMs, state} = entry;
     this.options.logger.info('Learns that an endpoint leaves.', {
--- a/src/protocol/endpoint_report.ts
+++ b/src/protocol/endpoint_report.ts
@@ -50,6 +50,11 @@
 export const endpointEntrySchema = endpointReportSchema.extend({
   /** Whether its heartbeats are overdue. */
   silent: z.boolean(),
+  /**
+   * Whether its last report ended a silence, so that it may be older than others;
+   * absent from earlier versions.
+   */
+  unconfirmed: z.boolean().optional(),
 });
 
 export type EndpointEntry = z.infer<typeof endpointEntrySchema>;
