--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -1,5 +1,6 @@
 /** Runs the gateway components of a site daemon. */
 import {randomBytes} from 'node:crypto';
+import {createColdStart} from '../../coordination/cold_start/create_cold_start.ts';
 import {AnswerBudget} from '../../coordination/forwarding/answer_budget.ts';
 import {EndpointHealth} from '../../coordination/forwarding/endpoint_health.ts';
 import {createDrainRule} from '../../coordination/evacuation/drain_rule.ts';
@@ -86,6 +87,8 @@
       server?.setLimits(table.limits);
       homes.checkTable(table);
     },
+    onRestored: dataCentres => treatAsCold(dataCentres),
+    onEndpoint: entry => cold.record(entry),
     onLimits: relayed => limits.recordRelayed(relayed),
     onSuspects: relayed => quarantine.recordRelayed(relayed),
   });
@@ -124,6 +127,23 @@
     address: front,
     gateways,
   });
+  const cold = createColdStart({
+    clock,
+    logger: createLogger('cold'),
+    metrics: parts.metrics,
+    bounds,
+    address: front,
+    gateways,
+    findService: name => view.routes?.findService(name) ?? null,
+    findRegion,
+  });
+  // The endpoints may have become cold while their data centre was drained.
+  const treatAsCold = (dataCentres: readonly string[]) => {
+    for (const endpoint of view.listEndpointsIn(dataCentres)) {
+      const service = view.routes?.findService(endpoint.service);
+      cold.treatAsCold([endpoint], service?.coldStart?.durationMs ?? 0);
+    }
+  };
   const isOpen = () => !isStopping && view.routes !== null;
   const describeSelf = () => ({
     address: front,
@@ -135,6 +155,7 @@
   const pruneEnded = () => {
     notices.pruneEnded(id => view.findEndpoint(id));
     limits.pruneEnded(id => view.findEndpoint(id));
+    cold.pruneEnded(id => view.findEndpoint(id));
   };
   const follower = new CoreFollower({
     view,
@@ -160,7 +181,10 @@
       };
     },
     listObserved: revision => quarantine.listObservedAfter(revision),
-    onConfirmed: sentAt => confirmation.record(sentAt),
+    onConfirmed: sentAt => {
+      confirmation.record(sentAt);
+      cold.recordContact(sentAt);
+    },
     onEpoch: () => quarantine.reportAll(),
     call: (address, request, timeoutMs) =>
       links.get(address).follow(request, timeoutMs),
@@ -175,7 +199,10 @@
     startPeriodicTask({
       clock,
       intervalMs: VIEW_CHECK_MS,
-      step: async () => confirmation.check(),
+      step: async () => {
+        confirmation.check();
+        cold.update();
+      },
       onError: ({message: reason}) =>
         createLogger('view').warn('Could not check the view.', {reason}),
     }),
@@ -219,6 +246,7 @@
     limits,
     rules: new EndpointRules([
       limits,
+      cold.rule,
       homes,
       createDrainRule({view, metrics: parts.metrics}),
     ]),
--- a/src/coordination/gateway/gateway_view.ts
+++ b/src/coordination/gateway/gateway_view.ts
@@ -28,6 +28,8 @@
   readonly onConfiguration?: (index: RouteIndex) => void;
   /** Called when data centres are not drained any more. */
   readonly onRestored?: (dataCentres: readonly string[]) => void;
+  /** Called with each entry of an endpoint that is applied. */
+  readonly onEndpoint?: (entry: EndpointEntry) => void;
   /** Called with limits that gateways observed. */
   readonly onLimits?: (limits: readonly EndpointLimit[]) => void;
   /** Called with suspected parts of prompts that gateways observed. */
@@ -101,6 +103,13 @@
     );
   }
 
+  /** Lists the endpoints in some data centres that are not gone. */
+  listEndpointsIn(dataCentres: readonly string[]): EndpointEntry[] {
+    return [...this.endpoints.values()].filter(
+      each => dataCentres.includes(each.dataCentre) && each.state !== 'gone',
+    );
+  }
+
   /** Finds an endpoint as last reported; `null` when it is unknown. */
   findEndpoint(id: string): EndpointEntry | null {
     return this.endpoints.get(id) ?? null;
@@ -173,6 +182,7 @@
       return;
     }
     this.endpoints.set(entry.id, entry);
+    this.options.onEndpoint?.(entry);
     if (entry.state === 'ready' || known?.state === entry.state) return;
     const {id, address, startedAtMs, state} = entry;
     this.options.logger.info('Learns that an endpoint leaves.', {
