--- a/src/coordination/reach/call_relay.ts
+++ b/src/coordination/reach/call_relay.ts
@@ -46,6 +46,8 @@
   /** The attempts of the request that may have run. */
   readonly runs: number;
   readonly mayReuseConnection: boolean;
+  /** Whether it may still be sent; asked right before the first byte. */
+  readonly mayBegin: () => boolean;
   readonly signal: AbortSignal;
 }
 
@@ -123,6 +125,7 @@
     for (let tried = 0; tried < MAX_GATEWAYS; tried++) {
       const gateway = this.chooseGateway(run);
       if (gateway === null) break;
+      const {address} = gateway;
       if (run.call.signal.aborted || this.computeLeftMs(run) <= 0) return false;
       const outcome = await this.sendTo(gateway, run, options);
       const {metrics, logger} = this.options;
@@ -130,12 +133,14 @@
       logger.info('Relays a request to another gateway.', {
         request: run.call.facts.attemptId,
         service: run.admitted.service.name,
-        gateway,
+        gateway: address,
         outcome,
       });
-      if (outcome === 'answered') this.answeredBy.add(gateway);
+      // The homes of the request changed; the gateway is as good as before.
+      if (outcome === 'withdrawn') continue;
+      if (outcome === 'answered') this.answeredBy.add(address);
       if (outcome !== 'refused') return true;
-      this.avoid(gateway);
+      this.avoid(address);
     }
     const now = this.options.clock.monotonic();
     this.noPathUntil.set(this.createPathKey(run), now + NO_PATH_MS);
@@ -153,10 +158,10 @@
   }
 
   private async sendTo(
-    gateway: string,
+    gateway: Gateway,
     run: CallRun,
     {sink, shutdown}: RelayedRun,
-  ): Promise<'refused' | 'answered' | 'broken' | AbortReason> {
+  ): Promise<'refused' | 'withdrawn' | 'answered' | 'broken' | AbortReason> {
     const {clock, send} = this.options;
     const {call, admitted} = run;
     const leftMs = this.computeLeftMs(run);
@@ -169,17 +174,19 @@
     using _left = handleAbort(call.signal, () => abort('left'));
     using _interrupted = shutdown.handleAbort(() => abort('interrupted'));
     using _deadline = startWatchdog(clock, leftMs, () => abort('deadline'));
-    using _open = this.open(gateway);
+    using _open = this.open(gateway.address);
     const outcome = await send(call, {
-      address: gateway,
+      address: gateway.address,
       budgetMs: Math.max(1, Math.floor(leftMs)),
       runs: run.runs,
       mayReuseConnection: admitted.isRepeatable,
+      mayBegin: () => this.maySend(run, gateway),
       signal: controller.signal,
     });
     const isRefused = outcome.type === 'not-sent' || outcome.type === 'not-run';
     if (isRefused && aborted === null) return 'refused';
-    if (!isRefused) run.runs++;
+    if (outcome.type === 'withdrawn' && aborted === null) return 'withdrawn';
+    if (!isRefused && outcome.type !== 'withdrawn') run.runs++;
     if (outcome.type === 'answer') {
       const isWhole = await this.relayAnswer(run, sink, outcome.answer);
       if (isWhole) {
@@ -187,7 +194,7 @@
         return 'answered';
       }
     }
-    this.finishBroken(run, {sink, aborted, gateway});
+    this.finishBroken(run, {sink, aborted, gateway: gateway.address});
     return aborted ?? 'broken';
   }
 
@@ -230,13 +237,11 @@
   }
 
   /** Chooses another gateway that may serve a request; `null` if none can. */
-  private chooseGateway(run: CallRun): string | null {
-    const {clock, listGateways, address: self, findHomes} = this.options;
+  private chooseGateway(run: CallRun): Gateway | null {
+    const {clock, listGateways, address: self} = this.options;
     const now = clock.monotonic();
-    const homes = findHomes(run);
     const others = listGateways().filter(
-      ({address, open, region}) =>
-        open && address !== self && (homes?.has(region) ?? true),
+      each => each.open && each.address !== self && this.maySend(run, each),
     );
     return chooseGateway(others, {
       ...this.options,
@@ -247,6 +252,11 @@
     });
   }
 
+  /** Whether a gateway is in a home region of a request, if it has any. */
+  private maySend(run: CallRun, {region}: Gateway): boolean {
+    return this.options.findHomes(run)?.has(region) ?? true;
+  }
+
   /** Names the gateways that may serve a request: some have homes of their own. */
   private createPathKey(run: CallRun): string {
     const homes = this.options.findHomes(run);
--- a/src/coordination/reach/choose_gateway.ts
+++ b/src/coordination/reach/choose_gateway.ts
@@ -28,7 +28,7 @@
 export function chooseGateway(
   gateways: readonly Gateway[],
   options: ChooseGatewayOptions,
-): string | null {
+): Gateway | null {
   const {random, isAvoided, isProven, countOpen, maxOpen} = options;
   const avoided = gateways.filter(isAvoided);
   const countAvoided = ({dataCentre}: Gateway) =>
@@ -36,7 +36,7 @@
   const [best] = gateways
     .filter(each => !isAvoided(each) && countOpen(each) < maxOpen)
     .map(gateway => ({
-      address: gateway.address,
+      gateway,
       isSuspected: countAvoided(gateway) >= SUSPECTED_CENTRE ? 1 : 0,
       distance: computeDistance(options, gateway),
       isProven: isProven(gateway) ? 0 : 1,
@@ -51,5 +51,5 @@
         a.open - b.open ||
         a.rank - b.rank,
     );
-  return best?.address ?? null;
+  return best?.gateway ?? null;
 }
--- a/src/transport/forwarding/gateway_client.ts
+++ b/src/transport/forwarding/gateway_client.ts
@@ -64,7 +64,7 @@
   /** Sends a request; resolves once the headers of its answer arrived. */
   send(call: Call, options: RelayOptions): Promise<AttemptOutcome> {
     const endpoint = {address: options.address};
-    return this.client.send(call, {...options, endpoint, mayBegin: () => true});
+    return this.client.send(call, {...options, endpoint});
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
--- a/src/transport/forwarding/gateway_client_test.ts
+++ b/src/transport/forwarding/gateway_client_test.ts
@@ -82,6 +82,7 @@
     budgetMs: 1_234,
     runs,
     mayReuseConnection: false,
+    mayBegin: () => true,
     signal: new AbortController().signal,
   });
 }
--- a/tools/mutants/relay.ts
+++ b/tools/mutants/relay.ts
@@ -45,7 +45,7 @@
   },
   {
     name: 'gateways-without-a-path-are-not-avoided',
-    edits: [{file: RELAY, from: '      this.avoid(gateway);\n', to: ''}],
+    edits: [{file: RELAY, from: '      this.avoid(address);\n', to: ''}],
   },
   {
     name: 'all-gateways-are-asked-without-a-bound',
