Name gateways in proportion to what their hosts bear

The directory named all near gateways to all callers, so that a host of a quarter of a core got as many as one of three quarters, and one slowed by its neighbours as many as before. Gateways now report a capacity from their settings and a level of slowness from their own event loop, processor, memory and open requests. The directory leaves a host out of a share of its callers' answers, chosen by a hash, so that an answer stays the same while nothing changes. Hosts that are all alike and not slow are named as before.

Changes of slowness alone go to gateways at most once in 8 s; core daemons answer by them at once.

--- a/src/cli/serve_site/core.ts
+++ b/src/cli/serve_site/core.ts
@@ -165,7 +165,7 @@
         ),
     }),
   });
-  await startSurfaces(parts, api);
+  await startSurfaces(parts, api, state);
   replica.start();
   store.add(
     startGroupWatch({
@@ -290,9 +290,13 @@
   };
 }
 
-async function startSurfaces(parts: SiteParts, api: CoreApi): Promise<void> {
+async function startSurfaces(
+  parts: SiteParts,
+  api: CoreApi,
+  {gateways}: CoreState,
+): Promise<void> {
   const {surfaces, getSettings} = parts;
   const {listen} = getSettings();
   await startSurface(parts, listen.control, surfaces.createControlRoutes(api));
-  await startDirectory(parts, place => api.listGateways(place));
+  await startDirectory(parts, () => gateways.findOpen().list);
 }
--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -1,5 +1,6 @@
 /** Runs the gateway components of a site daemon. */
 import {randomBytes} from 'node:crypto';
+import {monitorEventLoopDelay} from 'node:perf_hooks';
 import {AnswerBudget} from '../../coordination/forwarding/answer_budget.ts';
 import {EndpointHealth} from '../../coordination/forwarding/endpoint_health.ts';
 import {EndpointRules} from '../../coordination/selection/endpoint_rules.ts';
@@ -20,10 +21,13 @@
 import {CoreFollower} from '../../coordination/gateway/core_follower.ts';
 import {GatewayView} from '../../coordination/gateway/gateway_view.ts';
 import {
-  replaceGateway,
-  selectGateways,
-} from '../../coordination/membership/select_gateways.ts';
+  HostWatch,
+  TICK_MS,
+} from '../../coordination/host_capacity/host_watch.ts';
+import {replaceGateway} from '../../coordination/membership/select_gateways.ts';
+import type {HostLimits} from '../../coordination/host_capacity/compute_capacity.ts';
 import {splitAddress} from '../../protocol/address.ts';
+import type {SiteSettings} from '../../protocol/site_settings.ts';
 import {EndpointClient} from '../../transport/forwarding/endpoint_client.ts';
 import {GatewayClient} from '../../transport/forwarding/gateway_client.ts';
 import {testAddress} from '../../transport/forwarding/probe_address.ts';
@@ -124,11 +128,27 @@
     gateways,
   });
   const isOpen = () => !isStopping && view.routes !== null;
+  const ticks = monitorEventLoopDelay({resolution: TICK_MS});
+  ticks.enable();
+  const hostWatch = store.add(
+    new HostWatch({
+      clock,
+      logger: createLogger('host'),
+      metrics: parts.metrics,
+      getLimits: () => decodeHostLimits(getSettings().host),
+      countTicks: () => ticks.count,
+      readUsage: () => process.cpuUsage(),
+      readMemoryBytes: () => process.memoryUsage.rss(),
+      countOpenRequests: () => server?.openRequests ?? 0,
+      onChange: () => follower.reportSoon(),
+    }),
+  );
   const describeSelf = () => ({
     address: front,
     region,
     dataCentre,
     open: isOpen(),
+    ...hostWatch.describe(),
     ...(hasStopped ? {stopped: true} : {}),
   });
   const pruneEnded = () => {
@@ -253,9 +273,10 @@
   );
   await startSurface(parts, listen.ready, surfaces.createReadyRoutes(isOpen));
   // Lets callers discover gateways while the core is unavailable.
-  await startDirectory(parts, place =>
-    selectGateways(replaceGateway(view.openGateways, describeSelf()), place),
+  await startDirectory(parts, () =>
+    replaceGateway(view.openGateways, describeSelf()),
   );
+  hostWatch.start();
   follower.start();
   store.add(follower);
   const running = server;
@@ -274,3 +295,12 @@
     },
   };
 }
+
+function decodeHostLimits(host: SiteSettings['host']): HostLimits {
+  return {
+    cpuShare: host.cpu_share,
+    memoryMib: host.memory_mib,
+    descriptors: host.descriptors,
+    linkMbps: host.link_mbps,
+  };
+}
--- a/src/cli/serve_site/site_parts.ts
+++ b/src/cli/serve_site/site_parts.ts
@@ -1,7 +1,8 @@
 /** Dependencies shared by the components of a site daemon. */
 import type {Clock} from '../../protocol/clock.ts';
 import type {EntryMeter} from '../../coordination/core/entry_meter.ts';
-import type {CoreService} from '../../protocol/core_service.ts';
+import {GatewayNames} from '../../coordination/host_capacity/gateway_names.ts';
+import type {CoreService, Gateway} from '../../protocol/core_service.ts';
 import type {CreateLogger} from '../../protocol/logger.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
 import type {RefusalLog} from '../../protocol/refusal_log.ts';
@@ -13,7 +14,7 @@
 } from '../../transport/forwarding/api_server.ts';
 import type {PeerLinks} from '../../transport/peers/peer_links.ts';
 import type {DisposableStore} from '../serve/disposable_store.ts';
-import type {ListGateways, SiteSurfaces} from './surfaces.ts';
+import type {SiteSurfaces} from './surfaces.ts';
 
 /**
  * The TTL of directory answers. Callers stop using a removed gateway within
@@ -67,11 +68,20 @@
 /** Serves the gateway directory if its address is configured. */
 export async function startDirectory(
   parts: SiteParts,
-  listGateways: ListGateways,
+  listGateways: () => readonly Gateway[],
 ): Promise<void> {
+  const {clock, metrics, surfaces} = parts;
   const {listen, bounds} = parts.getSettings();
+  const names = new GatewayNames({
+    clock,
+    metrics,
+    random: Math.random,
+    listGateways,
+  });
   const ttlSeconds = Math.min(DIRECTORY_TTL_S, bounds.directory_ttl_max_s);
-  const {surfaces} = parts;
-  const routes = surfaces.createDirectoryRoutes({listGateways, ttlSeconds});
+  const routes = surfaces.createDirectoryRoutes({
+    listGateways: caller => names.list(caller),
+    ttlSeconds,
+  });
   await startSurface(parts, listen.directory, routes);
 }
--- a/src/cli/serve_site/surfaces.ts
+++ b/src/cli/serve_site/surfaces.ts
@@ -1,6 +1,6 @@
 /** Interfaces that adapt the daemon to the protocol of a deployment. */
 import type {CoreApi} from '../../coordination/core/core_api.ts';
-import type {CallerPlace} from '../../coordination/membership/select_gateways.ts';
+import type {DirectoryCaller} from '../../coordination/host_capacity/gateway_names.ts';
 import type {Outcome} from '../../protocol/outcome.ts';
 import type {RouteTable} from '../../protocol/route_table.ts';
 import type {
@@ -9,8 +9,8 @@
 } from '../../transport/forwarding/call_codec.ts';
 import type {ApiRoute} from '../../transport/forwarding/api_server.ts';
 
-/** Lists gateway addresses for a caller at this location. */
-export type ListGateways = (place: CallerPlace) => string[];
+/** Lists the addresses of the gateways that a caller should use. */
+export type ListGateways = (caller: DirectoryCaller) => string[];
 
 /** Optional behaviour that a deployment asks for. */
 export interface SiteFeatures {
--- a/src/coordination/core/core_api.ts
+++ b/src/coordination/core/core_api.ts
@@ -6,10 +6,6 @@
 } from '../../protocol/core_service.ts';
 import type {EndpointReport} from '../../protocol/endpoint_report.ts';
 import {RefusalLog} from '../../protocol/refusal_log.ts';
-import {
-  selectGateways,
-  type CallerPlace,
-} from '../membership/select_gateways.ts';
 import {Departures} from '../confirmation/departures.ts';
 import {
   Orders,
@@ -151,9 +147,4 @@
     const outcome = state.recordReport(report);
     return this.departures.acknowledge(report, outcome);
   }
-
-  /** Lists the gateways that a caller at `place` should use. */
-  listGateways(place: CallerPlace): string[] {
-    return selectGateways(this.options.state.gateways.findOpen().list, place);
-  }
 }
--- a/src/coordination/core/gateway_directory.ts
+++ b/src/coordination/core/gateway_directory.ts
@@ -16,6 +16,12 @@
 /** A gateway reports at least every 0.8 s; two reports may be lost. */
 const LIVE_MS = 2_500;
 
+/**
+ * The least time between two lists of open gateways that differ in the slowness of
+ * hosts only. Each one goes to all gateways; a list of 79 has 8 KB.
+ */
+const SLOWNESS_INTERVAL_MS = 8_000;
+
 /** How long the evidence of a silent gateway is retained. */
 const EXPIRE_AFTER_MS = 60_000;
 
@@ -33,7 +39,10 @@
 
 /** The gateways that callers may be directed to. */
 export interface OpenGateways {
-  /** Increases with each change of the list, since this daemon's start. */
+  /**
+   * Increases with each change of the list, since this daemon's start; seldom if
+   * only the slowness of hosts changes.
+   */
   readonly revision: number;
   /** Sorted by address. */
   readonly list: readonly Gateway[];
@@ -68,6 +77,10 @@
 export class GatewayDirectory {
   private readonly known = new Map<string, KnownGateway>();
   private openGateways: OpenGateways = {revision: 0, list: []};
+  /** The list that the revision is about. */
+  private revisedList: readonly Gateway[] = [];
+  /** When the revision was increased for the slowness of hosts. */
+  private slownessAt = -Infinity;
   private closingRevision = 0;
 
   constructor(private readonly options: GatewayDirectoryOptions) {}
@@ -176,14 +189,36 @@
       .map(({report}) => report.gateway)
       .filter(({open}) => open)
       .sort((a, b) => (a.address < b.address ? -1 : 1));
-    const known = this.openGateways;
-    const isSame =
-      list.length === known.list.length &&
-      list.every(({address}, index) => address === known.list[index]?.address);
-    if (!isSame) this.openGateways = {revision: known.revision + 1, list};
+    const {revision} = this.openGateways;
+    this.openGateways = {
+      revision: this.isRevised(list) ? revision + 1 : revision,
+      list,
+    };
     return this.openGateways;
   }
 
+  /** Whether followers should get a list in place of the one they have. */
+  private isRevised(list: readonly Gateway[]): boolean {
+    const known = this.revisedList;
+    const isSame =
+      list.length === known.length &&
+      list.every(
+        ({address, capacity}, index) =>
+          address === known[index]?.address &&
+          capacity === known[index].capacity,
+      );
+    const isSlowerSame = list.every(
+      ({slowness = 0}, index) => slowness === (known[index]?.slowness ?? 0),
+    );
+    if (isSame && isSlowerSame) return false;
+    const now = this.options.clock.monotonic();
+    const isDue = now - this.slownessAt >= SLOWNESS_INTERVAL_MS;
+    if (isSame && !isDue) return false;
+    if (isSame) this.slownessAt = now;
+    this.revisedList = list;
+    return true;
+  }
+
   /** Sums the open requests of all gateways but one by endpoint. */
   sumLoads(exceptAddress: string): EndpointLoad[] {
     const sums = new Map<string, EndpointLoad>();
--- a/src/coordination/core/gateway_directory_test.ts
+++ b/src/coordination/core/gateway_directory_test.ts
@@ -56,4 +56,42 @@
   assert.deepEqual(listAddresses(directory), []);
 });
 
+// Guards against lists that go to all gateways each time that any host is slow.
+test('findOpen() tells followers seldom of slowness, and knows it at once', async () => {
+  const {clock, directory} = createDirectory();
+  const report = (slowness: number) => {
+    const gateway = {address: 'a', capacity: 50, slowness};
+    directory.recordDirect(createGatewayReport(gateway));
+    const {revision, list} = directory.findOpen();
+    assert.equal(list[0]?.slowness, slowness);
+    return revision;
+  };
+  const first = report(0);
+  assert.equal(report(1), first + 1);
+  let last = first + 1;
+  for (let second = 1; second <= 40; second++) {
+    await clock.advance(1_000);
+    last = report(second % 3);
+  }
+  assert.ok(last - first <= 7, `${last - first} lists in 40 s`);
+  // The last one is told, too.
+  await clock.advance(1_000);
+  report(2);
+  for (let second = 0; second < 9; second++) {
+    await clock.advance(1_000);
+    last = report(2);
+  }
+  await clock.advance(1_000);
+  assert.equal(report(2), last);
+});
+
+// Guards against hosts whose capacity gateways learn of after their next change only.
+test('findOpen() tells followers of another capacity', () => {
+  const {directory} = createDirectory();
+  directory.recordDirect(createReport('a'));
+  const {revision} = directory.findOpen();
+  directory.recordDirect(createGatewayReport({address: 'a', capacity: 50}));
+  assert.equal(directory.findOpen().revision, revision + 1);
+});
+
 test.run();
--- a/src/coordination/membership/select_gateways.ts
+++ b/src/coordination/membership/select_gateways.ts
@@ -1,12 +1,12 @@
-/** Selects the gateways to list for a caller. */
+/** Selects the gateways that are near a caller. */
 import type {Gateway} from '../../protocol/core_service.ts';
 
-/** The maximum number of addresses in one answer. */
-const MAX_ADDRESSES = 64;
-
 /** With fewer in its data centre, a caller also gets those of its region. */
 const MIN_LOCAL = 2;
 
+/** One that is slower by this than the best of the region does not count for that. */
+const FAR_SLOWER = 2;
+
 /**
  * Returns the open gateways with the entry of `self` replaced by its current
  * state, since the listed one is older.
@@ -26,15 +26,19 @@
 
 /**
  * Returns the gateways of the caller's data centre; those of its region too
- * if a single one would get all callers; and all if the region has none.
+ * if a single one would get all callers, or nearly all; and all if the region has
+ * none.
  */
 export function selectGateways(
   gateways: readonly Gateway[],
   place: CallerPlace,
-): string[] {
+): Gateway[] {
   const near = gateways.filter(each => each.dataCentre === place.dataCentre);
   const region = gateways.filter(each => each.region === place.region);
-  const chosen =
-    near.length >= MIN_LOCAL ? near : region.length > 0 ? region : gateways;
-  return chosen.map(({address}) => address).slice(0, MAX_ADDRESSES);
+  const least = Math.min(...region.map(({slowness = 0}) => slowness));
+  const bearing = near.filter(
+    ({slowness = 0}) => slowness - least < FAR_SLOWER,
+  );
+  if (bearing.length >= MIN_LOCAL) return near;
+  return region.length > 0 ? region : [...gateways];
 }
--- a/src/protocol/core_service.ts
+++ b/src/protocol/core_service.ts
@@ -51,6 +51,12 @@
 
 export type CoreDaemon = z.infer<typeof coreDaemonSchema>;
 
+/** The largest capacity of a host, in percent of an ordinary one. */
+export const MAX_HOST_CAPACITY = 100_000;
+
+/** The highest level of slowness of a host. */
+export const MAX_HOST_SLOWNESS = 4;
+
 /** A gateway as it is advertised to callers. */
 export const gatewaySchema = z.object({
   /** Its address for callers. */
@@ -61,6 +67,16 @@
   open: z.boolean(),
   /** Whether it serves nothing any more; absent from earlier versions. */
   stopped: z.boolean().optional(),
+  /**
+   * What its host bears in percent of an ordinary one; absent if that is unknown
+   * and from earlier versions.
+   */
+  capacity: z.int().min(1).max(MAX_HOST_CAPACITY).optional(),
+  /**
+   * How slow its host is now: each level halves what it should be given. Absent if
+   * it is not slow and from earlier versions.
+   */
+  slowness: z.int().min(0).max(MAX_HOST_SLOWNESS).optional(),
 });
 
 export type Gateway = z.infer<typeof gatewaySchema>;
--- a/src/transport/forwarding/api_server.ts
+++ b/src/transport/forwarding/api_server.ts
@@ -29,6 +29,8 @@
   readonly body: string;
   /** Whether the body was too large; false by default. */
   readonly isTooLarge?: boolean;
+  /** The address that the caller connected from; absent if it is unknown. */
+  readonly callerAddress?: string | undefined;
   /** Aborts when the caller has left without the reply. */
   readonly signal: AbortSignal;
 }
@@ -121,6 +123,7 @@
     query: Object.fromEntries(url.searchParams),
     body: body.ok ? body.value.toString('utf8') : '',
     isTooLarge: !body.ok,
+    callerAddress: request.socket.remoteAddress,
     signal: left.signal,
   });
   const text =
