Merge the names of gateways in proportion to their hosts

Slowness counts, and is measured, only in deployments whose hosts bear differently; the others are served as before.

--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -1,6 +1,7 @@
 /** Runs the gateway components of a site daemon. */
 import {randomBytes} from 'node:crypto';
 import {createColdStart} from '../../coordination/cold_start/create_cold_start.ts';
+import {monitorEventLoopDelay} from 'node:perf_hooks';
 import {AnswerBudget} from '../../coordination/forwarding/answer_budget.ts';
 import {EndpointHealth} from '../../coordination/forwarding/endpoint_health.ts';
 import {createDrainRule} from '../../coordination/evacuation/drain_rule.ts';
@@ -22,10 +23,14 @@
 import {CoreFollower} from '../../coordination/gateway/core_follower.ts';
 import {GatewayView} from '../../coordination/gateway/gateway_view.ts';
 import {
-  replaceGateway,
-  selectGateways,
-} from '../../coordination/membership/select_gateways.ts';
+  HostWatch,
+  TICK_MS,
+} from '../../coordination/host_capacity/host_watch.ts';
+import {hasUnevenHosts} from '../../coordination/host_capacity/draw_gateways.ts';
+import {replaceGateway} from '../../coordination/membership/select_gateways.ts';
+import type {HostLimits} from '../../coordination/host_capacity/compute_capacity.ts';
 import {splitAddress} from '../../protocol/address.ts';
+import type {SiteSettings} from '../../protocol/site_settings.ts';
 import {EndpointClient} from '../../transport/forwarding/endpoint_client.ts';
 import {GatewayClient} from '../../transport/forwarding/gateway_client.ts';
 import {testAddress} from '../../transport/forwarding/probe_address.ts';
@@ -145,11 +150,27 @@
     }
   };
   const isOpen = () => !isStopping && view.routes !== null;
+  const ticks = monitorEventLoopDelay({resolution: TICK_MS});
+  const hostWatch = store.add(
+    new HostWatch({
+      clock,
+      logger: createLogger('host'),
+      metrics: parts.metrics,
+      getLimits: () => decodeHostLimits(getSettings().host),
+      isNeeded: () => hasUnevenHosts(view.openGateways),
+      ticks,
+      readUsage: () => process.cpuUsage(),
+      readMemoryBytes: () => process.memoryUsage.rss(),
+      countOpenRequests: () => server?.openRequests ?? 0,
+      onChange: () => follower.reportSoon(),
+    }),
+  );
   const describeSelf = () => ({
     address: front,
     region,
     dataCentre,
     open: isOpen(),
+    ...hostWatch.describe(),
     ...(hasStopped ? {stopped: true} : {}),
   });
   const pruneEnded = () => {
@@ -286,9 +307,10 @@
   );
   await startSurface(parts, listen.ready, surfaces.createReadyRoutes(isOpen));
   // Lets callers discover gateways while the core is unavailable.
-  await startDirectory(parts, place =>
-    selectGateways(replaceGateway(view.openGateways, describeSelf()), place),
+  await startDirectory(parts, () =>
+    replaceGateway(view.openGateways, describeSelf()),
   );
+  hostWatch.start();
   follower.start();
   store.add(follower);
   const running = server;
@@ -307,3 +329,12 @@
     },
   };
 }
+
+function decodeHostLimits(host: SiteSettings['host']): HostLimits {
+  return {
+    cpuShare: host.cpu_share,
+    memoryMib: host.memory_mib,
+    descriptors: host.descriptors,
+    linkMbps: host.link_mbps,
+  };
+}
