--- a/src/coordination/host_capacity/gateway_names.ts
+++ b/src/coordination/host_capacity/gateway_names.ts
@@ -7,11 +7,7 @@
   type CallerPlace,
 } from '../membership/select_gateways.ts';
 import {CallerKeys} from './caller_keys.ts';
-import {
-  drawGateways,
-  hasUnevenHosts,
-  MAX_ADDRESSES,
-} from './draw_gateways.ts';
+import {drawGateways, hasUnevenHosts, MAX_ADDRESSES} from './draw_gateways.ts';
 
 export interface GatewayNamesOptions {
   readonly clock: Clock;
