Learn the speed of endpoints, and weigh it in their choice

The cost of an endpoint was its open requests, or its prefill and backlog, whatever its speed, and the load that answers report was decoded and read by nothing. So with uneven endpoints work waited at slow ones while fast ones had room.

Each gateway now learns how long work takes at each start of an endpoint from the time until its answers began, and takes the reported work time as a factor that falls to 1 in some 300 ms. Factors are drawn within their uncertainty, so that gateways do not all choose one endpoint. At plain services requests stay in the nearest data centre that has an endpoint with room; at engines a hop must save a part of the time left.

It takes effect for services whose endpoints report their work time. The describing of candidates moves out of the endpoint picker, and the time-out of the first output out of the attempt.

--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -1,5 +1,6 @@
 /** Runs the gateway components of a site daemon. */
 import {randomBytes} from 'node:crypto';
+import {EndpointSpeeds} from '../../coordination/endpoint_speed/endpoint_speeds.ts';
 import {AnswerBudget} from '../../coordination/forwarding/answer_budget.ts';
 import {EndpointHealth} from '../../coordination/forwarding/endpoint_health.ts';
 import {EndpointRules} from '../../coordination/selection/endpoint_rules.ts';
@@ -67,6 +68,7 @@
   let hasStopped = false;
   let server: FrontServer | null = null;
   const health = new EndpointHealth(clock);
+  const speeds = new EndpointSpeeds(clock);
   const notices = new EndpointNotices({clock, logger: createLogger('forward')});
   const evidence = new VersionEvidenceCounter();
   const prefillBacklog = new PrefillBacklog(clock);
@@ -121,6 +123,7 @@
   const pruneEnded = () => {
     notices.pruneEnded(id => view.findEndpoint(id));
     limits.pruneEnded(id => view.findEndpoint(id));
+    speeds.pruneEnded(id => view.findEndpoint(id));
   };
   const follower = new CoreFollower({
     view,
@@ -203,6 +206,7 @@
     notices,
     limits,
     rules: new EndpointRules([limits]),
+    speeds,
     quarantine,
     relay,
     gateways,
--- a/src/coordination/forwarding/call_run.ts
+++ b/src/coordination/forwarding/call_run.ts
@@ -95,6 +95,8 @@
   uncachedTokens = 0;
   /** The expected time until the last attempt began its answer, in ms. */
   expectedMs: number | null = null;
+  /** The time factor of the endpoint of the last attempt. */
+  timeFactor = 1;
   /** Whether the last attempt may begin late without having failed. */
   mayBeginLate = false;
   /** The time until the last attempt began its answer, in ms. */
--- a/src/coordination/forwarding/endpoint_picker.ts
+++ b/src/coordination/forwarding/endpoint_picker.ts
@@ -5,35 +5,17 @@
 import {createStartKey} from '../quarantine/endpoint_ends.ts';
 import type {Quarantine} from '../quarantine/quarantine.ts';
 import type {CallRun} from './call_run.ts';
-import {chooseEndpoint, type EndpointCandidate} from './choose_endpoint.ts';
+import {CandidateDescriber} from '../prompt_cache/candidate_describer.ts';
+import {chooseEndpoint} from './choose_endpoint.ts';
 import {chooseModel} from './choose_model.ts';
 import {chooseVersion} from './choose_version.ts';
-import {drawEndpoints} from './draw_endpoints.ts';
 import type {EndpointHealth} from './endpoint_health.ts';
 import type {EndpointNotices} from './endpoint_notices.ts';
-import {computeShare} from './hash.ts';
-import {planPrefill} from './plan_prefill.ts';
-import {PrefixCacheTracker} from './prefix_cache_tracker.ts';
 import type {PrefillBacklog} from './prefill_backlog.ts';
 import type {AttemptChoice} from './run_attempt.ts';
 import type {SelectionOptions} from '../selection/endpoint_rules.ts';
 import {selectTrialEndpoints} from './select_trial_endpoints.ts';
 
-/** Share of other gateways' reported prefill backlog assumed still pending. */
-const OTHER_BACKLOG_WEIGHT = 0.8;
-
-/**
- * The probability that the cache owner has a prompt prefix that this gateway
- * did not send to it.
- */
-const CACHE_OWNER_PROBABILITY = 0.8;
-
-/**
- * The fewest endpoints of a region that cache the prompt prefixes of its callers
- * among themselves. With fewer, a prefix is cached once for all regions.
- */
-const MIN_REGION_ENDPOINTS = 8;
-
 /** One step more urgent than the default of engines, which is 5. */
 const SMALL_MODEL_URGENCY = 4;
 
@@ -57,18 +39,11 @@
   readonly isAllowed?: (endpoint: EndpointEntry) => boolean;
 }
 
-interface DescribeOptions {
-  readonly endpoint: EndpointEntry;
-  readonly model: string | null;
-  /** The probability that it has the shared prompt prefix cached, 0 to 1. */
-  readonly cachedProbability: number;
-}
-
 export class EndpointPicker {
-  private readonly prefixCache: PrefixCacheTracker;
+  private readonly candidates: CandidateDescriber;
 
   constructor(private readonly options: EndpointPickerOptions) {
-    this.prefixCache = new PrefixCacheTracker(options.clock);
+    this.candidates = new CandidateDescriber(options);
   }
 
   /** Picks the next attempt; `null` when no endpoint can accept it. */
@@ -88,9 +63,8 @@
   }
 
   /** Records that a planned attempt will be made. */
-  record({sharedPrefixId}: CallRun, {endpoint, model}: AttemptChoice): void {
-    if (sharedPrefixId === null) return;
-    this.prefixCache.record(endpoint, model, sharedPrefixId);
+  record(run: CallRun, {endpoint, model}: AttemptChoice): void {
+    this.candidates.record(run, endpoint, model);
   }
 
   /**
@@ -102,8 +76,15 @@
     model: string | null,
     {isAllowed = () => true}: PlanOptions = {},
   ): AttemptChoice | null {
-    const {region, dataCentre, findRegion, random, prefillBacklog, clock} =
-      this.options;
+    const {
+      region,
+      dataCentre,
+      findRegion,
+      random,
+      prefillBacklog,
+      clock,
+      speeds,
+    } = this.options;
     const {service, route} = run.admitted;
     const allowed = this.listUntried(run).filter(isAllowed);
     const endpoints = selectTrialEndpoints(allowed, {
@@ -113,23 +94,25 @@
     });
     const chosen = chooseEndpoint({
       service,
-      candidates: this.describeCandidates(run, model, endpoints),
+      candidates: this.candidates.describe(run, model, endpoints),
       region,
       dataCentre,
       findRegion,
       leftMs: run.call.receivedAt + route.objectiveMs - clock.monotonic(),
       random,
+      weighsHops: speeds.isReported(service.name),
     });
     if (!chosen) return null;
-    const {endpoint, plan, waitMs} = chosen;
+    const {endpoint, plan, waitMs, time} = chosen;
+    const {fixedMs} = prefillBacklog.getRate(service.name, model);
     return {
       endpoint,
       model,
       urgency: computeUrgency(route.models, model),
       backlogMs: waitMs,
       plan,
-      expectedMs:
-        waitMs + plan.ms + prefillBacklog.getRate(service.name, model).fixedMs,
+      timeFactor: time.factor,
+      expectedMs: (waitMs + plan.ms + fixedMs) * time.factor,
     };
   }
 
@@ -203,80 +186,6 @@
       );
   }
 
-  /** Samples endpoints for a request and adds what is known of their load. */
-  private describeCandidates(
-    run: CallRun,
-    model: string | null,
-    endpoints: readonly EndpointEntry[],
-  ): EndpointCandidate[] {
-    const {dataCentre, random} = this.options;
-    const {sharedPrefixId} = run;
-    const cacheOwner =
-      sharedPrefixId === null
-        ? null
-        : chooseCacheOwner(
-            this.listCacheOwners(endpoints),
-            `${model}/${sharedPrefixId}`,
-          );
-    const getCachedProbability = (endpoint: EndpointEntry): number => {
-      if (sharedPrefixId === null) return 0;
-      if (this.prefixCache.has(endpoint, model, sharedPrefixId)) return 1;
-      return endpoint === cacheOwner ? CACHE_OWNER_PROBABILITY : 0;
-    };
-    const drawn = drawEndpoints(endpoints, {
-      dataCentre,
-      hasCachedPrompt: endpoint => getCachedProbability(endpoint) > 0,
-      isUsable: endpoint => this.options.health.isUsable(endpoint),
-      random,
-    });
-    return drawn.map(endpoint =>
-      this.describeCandidate(run, {
-        endpoint,
-        model,
-        cachedProbability: getCachedProbability(endpoint),
-      }),
-    );
-  }
-
-  /**
-   * Lists the endpoints among which the one is chosen that caches a prefix: those
-   * of this region, since all prompts of another one would cross a shared link.
-   */
-  private listCacheOwners(
-    endpoints: readonly EndpointEntry[],
-  ): readonly EndpointEntry[] {
-    const {region, findRegion} = this.options;
-    const near = endpoints.filter(
-      ({dataCentre}) => findRegion(dataCentre) === region,
-    );
-    return near.length >= MIN_REGION_ENDPOINTS ? near : endpoints;
-  }
-
-  private describeCandidate(
-    run: CallRun,
-    {endpoint, model, cachedProbability}: DescribeOptions,
-  ): EndpointCandidate {
-    const {view, health, prefillBacklog} = this.options;
-    const otherLoad = view.getOtherLoad(endpoint.id);
-    const {service, call} = run.admitted;
-    return {
-      endpoint,
-      open: health.countOpen(endpoint) + otherLoad.open,
-      isEjected: health.isEjected(endpoint),
-      isFull: health.isFull(endpoint),
-      failureShare: health.getFailureShare(endpoint),
-      waitMs:
-        prefillBacklog.getPendingMs(endpoint) +
-        otherLoad.readingMs * OTHER_BACKLOG_WEIGHT,
-      plan: planPrefill({
-        cachedProbability,
-        sharedTokens: run.sharedTokens,
-        ownTokens: call.facts.promptTokens - run.sharedTokens,
-        msPerToken: prefillBacklog.getRate(service.name, model).msPerToken,
-      }),
-    };
-  }
-
   /**
    * Whether to ask the largest model. It is not asked again once an attempt at
    * it failed and the objective has passed: the smallest answers sooner.
@@ -304,22 +213,3 @@
   const isSmallest = model !== null && model === models[0] && models.length > 1;
   return isSmallest ? SMALL_MODEL_URGENCY : null;
 }
-
-/**
- * Chooses the endpoint that caches a prompt prefix by rendezvous hashing, so
- * that all gateways agree on it without coordination.
- */
-function chooseCacheOwner(
-  endpoints: readonly EndpointEntry[],
-  cacheKey: string,
-): EndpointEntry | null {
-  let owner: EndpointEntry | null = null;
-  let highest = -1;
-  for (const endpoint of endpoints) {
-    const rank = computeShare(`${endpoint.id}/${cacheKey}`);
-    if (rank <= highest) continue;
-    owner = endpoint;
-    highest = rank;
-  }
-  return owner;
-}
--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -13,6 +13,7 @@
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
 import {createGatewayReport} from '../core/gateway_report_fake.ts';
 import {GatewayView} from '../gateway/gateway_view.ts';
+import {EndpointSpeeds} from '../endpoint_speed/endpoint_speeds.ts';
 import type {AttemptOptions, AttemptOutcome, Call, CallFacts} from './call.ts';
 import {EndpointHealth} from './endpoint_health.ts';
 import {EndpointRules} from '../selection/endpoint_rules.ts';
@@ -278,6 +279,7 @@
       notices: this.notices,
       limits: this.limits,
       rules: new EndpointRules([this.limits]),
+      speeds: new EndpointSpeeds(clock),
       quarantine: this.quarantine,
       gateways,
       health: this.health,
--- a/src/coordination/forwarding/prefill_rate.ts
+++ b/src/coordination/forwarding/prefill_rate.ts
@@ -15,7 +15,7 @@
 }
 
 /** Assumed for a model without enough samples. */
-const DEFAULT_RATE: PrefillRate = {fixedMs: 20, msPerToken: 0.02};
+export const DEFAULT_RATE: PrefillRate = {fixedMs: 20, msPerToken: 0.02};
 
 /** Factor by which each further sample reduces the weight of earlier ones. */
 const DECAY = 0.98;
--- a/src/coordination/forwarding/record_attempt.ts
+++ b/src/coordination/forwarding/record_attempt.ts
@@ -4,6 +4,7 @@
 import type {Metrics} from '../../protocol/metrics.ts';
 import type {GatewayView} from '../gateway/gateway_view.ts';
 import type {Reachability} from '../reach/reachability.ts';
+import type {EndpointSpeeds} from '../endpoint_speed/endpoint_speeds.ts';
 import type {CallRun} from './call_run.ts';
 import type {EndpointHealth} from './endpoint_health.ts';
 import type {PrefillBacklog} from './prefill_backlog.ts';
@@ -22,6 +23,7 @@
   readonly reach: Reachability;
   readonly evidence: VersionEvidenceCounter;
   readonly prefillBacklog: PrefillBacklog;
+  readonly speeds: EndpointSpeeds;
   readonly logger: Logger;
   readonly metrics: Metrics;
 }
@@ -56,6 +58,7 @@
   const {health, reach, logger, metrics} = options;
   const service = run.admitted.service.name;
   metrics.count('attempts', 1, {service, outcome: result.type});
+  if (options.speeds.isReported(service)) recordSpeedMetrics(metrics, run);
   recordReach(reach, {endpoint, result});
   // A gateway without a path learns nothing of endpoints from its links.
   const isOwnFault = isUnreached(result) && reach.isLost(service);
@@ -68,6 +71,8 @@
       address: endpoint.address,
       outcome: result.type,
       reason: 'reason' in result ? result.reason : undefined,
+      expectedMs: run.expectedMs === null ? null : Math.round(run.expectedMs),
+      timeFactor: roundFactor(run.timeFactor),
       beganMs: run.beganMs === null ? null : Math.round(run.beganMs),
       sharedParts: run.sharedPartIds.slice(0, MAX_LOGGED_PARTS),
       open: health.countOpen(endpoint),
@@ -76,6 +81,22 @@
   if (!isOwnFault) recordEvidence(options, run, {endpoint, result});
 }
 
+/** Rounds a time factor for a log line. */
+export function roundFactor(factor: number): number {
+  return Math.round(factor * 100) / 100;
+}
+
+/** Records how slow endpoints were taken to be, and how far off that was. */
+function recordSpeedMetrics(metrics: Metrics, run: CallRun): void {
+  const {service} = run.admitted;
+  const tags = {service: service.name};
+  metrics.record('time_factor', run.timeFactor, tags);
+  const {beganMs, expectedMs} = run;
+  // The time to begin is predicted for engines only.
+  if (!service.engine || beganMs === null || expectedMs === null) return;
+  metrics.record('begin_ratio', beganMs / Math.max(1, expectedMs), tags);
+}
+
 /** Whether no connection was opened, or it broke off. */
 function isUnreached(result: AttemptResult): boolean {
   return result.type === 'not-sent' || isDisconnected(result);
--- a/src/coordination/forwarding/record_run.ts
+++ b/src/coordination/forwarding/record_run.ts
@@ -4,6 +4,7 @@
 import type {Metrics} from '../../protocol/metrics.ts';
 import type {GatewayView} from '../gateway/gateway_view.ts';
 import type {CallRun} from './call_run.ts';
+import {roundFactor} from './record_attempt.ts';
 
 export interface RecordRunOptions {
   readonly clock: Clock;
@@ -45,6 +46,7 @@
     subject: run.sharedPrefixId,
     unreadTokens: Math.round(run.uncachedTokens),
     expectedMs: run.expectedMs === null ? null : Math.round(run.expectedMs),
+    timeFactor: roundFactor(run.timeFactor),
     beganMs: run.beganMs === null ? null : Math.round(run.beganMs),
     firstMs: run.firstMs === null ? null : Math.round(run.firstMs),
     ms: Math.round(ms),
--- a/src/coordination/forwarding/run_attempt.ts
+++ b/src/coordination/forwarding/run_attempt.ts
@@ -12,28 +12,19 @@
 import {deliverAnswer} from './deliver_answer.ts';
 import {handleAbort} from './handle_abort.ts';
 import {HeldAnswer} from './held_answer.ts';
+import {recordSpeed} from '../endpoint_speed/record_speed.ts';
 import type {PrefillPlan} from './plan_prefill.ts';
 import type {PrefillBacklog} from './prefill_backlog.ts';
 import type {Quarantine} from '../quarantine/quarantine.ts';
 import type {Reachability} from '../reach/reachability.ts';
 import type {CrashWatch} from '../quarantine/crash_watch.ts';
 import {findFallbackMs} from './find_fallback.ts';
-import {STALL_MIN_MS} from './relay_events.ts';
+import {computeFirstOutputTimeoutMs} from './first_output_timeout.ts';
 import type {SelectionOptions} from '../selection/endpoint_rules.ts';
 import {watchSilence, type WatchSilenceOptions} from './silence_watch.ts';
 import type {Shutdown} from './shutdown.ts';
 import {startWatchdog} from './watchdog.ts';
 
-/**
- * Timeout for the first output of an attempt that can be retried elsewhere: a
- * multiple of the objective, and a minimum.
- */
-const FIRST_OUTPUT_TIMEOUT_FACTOR = 1.3;
-const FIRST_OUTPUT_TIMEOUT_MIN_MS = 500;
-
-/** Longest timeout for the first output of a stream that is resumed. */
-const RESUME_TIMEOUT_MAX_MS = 2_500;
-
 /**
  * Expected time to begin, as a share of the objective, above which silence of
  * the larger model does not indicate a failure.
@@ -113,6 +104,8 @@
   /** The prefill backlog in front of the attempt, in ms. */
   readonly backlogMs: number;
   readonly plan: PrefillPlan;
+  /** The time that work takes at the endpoint, in relation to the usual. */
+  readonly timeFactor: number;
   /** The expected time until its answer begins, in ms. */
   readonly expectedMs: number;
 }
@@ -137,6 +130,7 @@
   const watch = options.quarantine.observe(run, endpoint);
   run.beganMs = null;
   run.expectedMs = expectedMs;
+  run.timeFactor = choice.timeFactor;
   run.mayBeginLate =
     expectedMs > admitted.route.objectiveMs * EXPECTED_LATE_SHARE;
   run.uncachedTokens = plan.uncachedTokens;
@@ -186,6 +180,7 @@
     prefill.begin();
     watch.recordBegin(outcome.answer);
   }
+  recordSpeed(options, run, {choice, outcome});
   const received = await handleOutcome(options, run, {
     endpoint,
     outcome,
@@ -240,26 +235,6 @@
   return {...result, isDisconnected: false, reason: aborted};
 }
 
-/** The timeout for the first event or the whole answer, in ms. */
-function computeFirstOutputTimeoutMs(
-  {sink}: Pick<RunAttemptOptions, 'sink'>,
-  run: CallRun,
-  nowMs: number,
-): number {
-  if (run.held) return findFallbackMs(run, nowMs);
-  const {objectiveMs, repeatability} = run.admitted.route;
-  const timeoutMs = Math.max(
-    FIRST_OUTPUT_TIMEOUT_MIN_MS,
-    objectiveMs * FIRST_OUTPUT_TIMEOUT_FACTOR,
-  );
-  if (sink.hasBegun) {
-    return Math.max(STALL_MIN_MS, Math.min(RESUME_TIMEOUT_MAX_MS, timeoutMs));
-  }
-  return repeatability === 'stream'
-    ? Math.max(STALL_MIN_MS, timeoutMs)
-    : timeoutMs;
-}
-
 interface ReceivedOutcome {
   readonly endpoint: EndpointEntry;
   readonly outcome: AttemptOutcome;
--- a/src/coordination/selection/endpoint_rules.ts
+++ b/src/coordination/selection/endpoint_rules.ts
@@ -5,6 +5,7 @@
  * before its first byte is written, since opening a connection takes time.
  */
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
+import type {EndpointSpeeds} from '../endpoint_speed/endpoint_speeds.ts';
 import type {CallRun} from '../forwarding/call_run.ts';
 import type {EndpointLimits} from '../forwarding/endpoint_limits.ts';
 
@@ -21,10 +22,11 @@
   tryTake?(endpoint: EndpointEntry, attempt: AttemptOrder): boolean;
 }
 
-/** What the choice of endpoints needs to know of their room. */
+/** What the choice of endpoints needs to know of their room and speed. */
 export interface SelectionOptions {
   readonly limits: EndpointLimits;
   readonly rules: EndpointRules;
+  readonly speeds: EndpointSpeeds;
 }
 
 /** Combines rules: all of them must hold. */
