--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -1,7 +1,8 @@
 /** Runs the gateway components of a site daemon. */
 import {randomBytes} from 'node:crypto';
-import {createColdStart} from '../../coordination/cold_start/create_cold_start.ts';
 import {monitorEventLoopDelay} from 'node:perf_hooks';
+import {createColdStart} from '../../coordination/cold_start/create_cold_start.ts';
+import {EndpointSpeeds} from '../../coordination/endpoint_speed/endpoint_speeds.ts';
 import {AnswerBudget} from '../../coordination/forwarding/answer_budget.ts';
 import {EndpointHealth} from '../../coordination/forwarding/endpoint_health.ts';
 import {createDrainRule} from '../../coordination/evacuation/drain_rule.ts';
@@ -75,6 +76,7 @@
   let hasStopped = false;
   let server: FrontServer | null = null;
   const health = new EndpointHealth(clock);
+  const speeds = new EndpointSpeeds(clock);
   const notices = new EndpointNotices({clock, logger: createLogger('forward')});
   const evidence = new VersionEvidenceCounter();
   const prefillBacklog = new PrefillBacklog(clock);
@@ -177,6 +179,7 @@
     notices.pruneEnded(id => view.findEndpoint(id));
     limits.pruneEnded(id => view.findEndpoint(id));
     cold.pruneEnded(id => view.findEndpoint(id));
+    speeds.pruneEnded(id => view.findEndpoint(id));
   };
   const follower = new CoreFollower({
     view,
@@ -271,6 +274,7 @@
       homes,
       createDrainRule({view, metrics: parts.metrics}),
     ]),
+    speeds,
     quarantine,
     relay,
     gateways,
--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -13,6 +13,7 @@
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
 import {createGatewayReport} from '../core/gateway_report_fake.ts';
 import {GatewayView} from '../gateway/gateway_view.ts';
+import {EndpointSpeeds} from '../endpoint_speed/endpoint_speeds.ts';
 import type {AttemptOptions, AttemptOutcome, Call, CallFacts} from './call.ts';
 import {createCall} from './call_fakes.ts';
 import {EndpointHealth} from './endpoint_health.ts';
@@ -270,6 +271,7 @@
       notices: this.notices,
       limits: this.limits,
       rules: new EndpointRules([this.limits, homes]),
+      speeds: new EndpointSpeeds(clock),
       quarantine: this.quarantine,
       gateways,
       health: this.health,
