Bound the memory and connections that callers take of a process

A caller could hold a body open for 10 s, each chunk as a buffer of its own, and nothing bounded the sum: 100 of them took more than a host has. Pipelined requests were bounded by nothing until Node.js had read 64 KiB of them, whose requests and answers exhausted the heap of a gateway.

Adds one account of memory for each process, on which the budget of answers draws, too. Connections and bodies reserve their cost before they take it; the budget follows from host.memory_mib. When it is short, the holders with most bytes for longest without progress are refused or closed first, then answers; a request that is being forwarded keeps its body. Bodies are kept in few buffers whatever their chunks, and the share of a connection is bounded. Servers bound their connections by a share of the descriptors, close those that have been without a request for longest, those with over 100 pipelined requests and those whose answers are not read for 15 s. A gateway is not ready while it could not accept an ordinary connection.

A mutant of the pace of answers named a text that no longer exists.

--- a/src/cli/serve_site/core.ts
+++ b/src/cli/serve_site/core.ts
@@ -117,6 +117,8 @@
       service,
       schemas: coreSchemas,
       refusals: parts.refusals,
+      memory: parts.host.memory,
+      maxConnections: parts.host.connections.peers,
     }),
   );
   const callCore = (address: string) =>
@@ -291,8 +293,7 @@
 }
 
 async function startSurfaces(parts: SiteParts, api: CoreApi): Promise<void> {
-  const {surfaces, getSettings} = parts;
-  const {listen} = getSettings();
-  await startSurface(parts, listen.control, surfaces.createControlRoutes(api));
+  const {surfaces} = parts;
+  await startSurface(parts, 'control', surfaces.createControlRoutes(api));
   await startDirectory(parts, place => api.listGateways(place));
 }
--- a/src/cli/serve_site/daemon.ts
+++ b/src/cli/serve_site/daemon.ts
@@ -22,6 +22,7 @@
 import {TrafficMeter} from '../../transport/peers/traffic_meter.ts';
 import {DisposableStore} from '../serve/disposable_store.ts';
 import {readSecret} from '../serve/secrets.ts';
+import {openHostBounds} from './host_bounds.ts';
 import {startCore} from './core.ts';
 import {startGateway, type SiteGateway} from './gateway.ts';
 import {startLoadWatch} from './load_watch.ts';
@@ -77,6 +78,7 @@
     leaseClock: createSuspendAwareClock(clock),
     metrics,
     entries,
+    host: openHostBounds({settings, clock, metrics, createLogger, store}),
     links,
     refusals,
     secret,
@@ -84,11 +86,7 @@
   };
   let gateway: SiteGateway | null = null;
   try {
-    await startSurface(
-      parts,
-      settings.listen.metrics,
-      createMetricsRoutes(metrics),
-    );
+    await startSurface(parts, 'metrics', createMetricsRoutes(metrics));
     if (settings.data_folder !== undefined) await startCore(parts);
     const {front} = settings.listen;
     if (front !== undefined) gateway = await startGateway(parts, front);
--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -41,8 +41,6 @@
 /** The interval between two checks of the age of the view. */
 const VIEW_CHECK_MS = 1_000;
 
-const BYTES_PER_MIB = 1024 * 1024;
-
 /** Tells a run of a gateway from the one before; sent with each call of the core. */
 const RUN_BYTES = 4;
 
@@ -62,7 +60,7 @@
 ): Promise<SiteGateway> {
   const {clock, store, surfaces, createLogger, links, getSettings} = parts;
   const settings = getSettings();
-  const {region, data_centre: dataCentre, listen, bounds} = settings;
+  const {region, data_centre: dataCentre, bounds} = settings;
   let isStopping = false;
   let hasStopped = false;
   let server: FrontServer | null = null;
@@ -75,7 +73,7 @@
     clock,
     logger: createLogger('forward'),
     metrics: parts.metrics,
-    maxKeptBytes: bounds.answer_memory_mib * BYTES_PER_MIB,
+    account: parts.host.memory,
   });
   const view = new GatewayView({
     logger: createLogger('view'),
@@ -233,18 +231,22 @@
       logger: createLogger('front'),
       codec,
       secret: parts.secret,
+      memory: parts.host.memory,
+      maxConnections: parts.host.connections.front,
       forward: (call, sink) => forwarder.forward(call, sink),
       needsDigest: () => quarantine.countRecords().suspects > 0,
     }),
   );
-  await startSurface(parts, listen.ready, surfaces.createReadyRoutes(isOpen));
+  const running = server;
+  // Callers are not sent to a gateway that cannot accept them.
+  const isReady = () => isOpen() && running.hasRoom;
+  await startSurface(parts, 'ready', surfaces.createReadyRoutes(isReady));
   // Lets callers discover gateways while the core is unavailable.
   await startDirectory(parts, place =>
     selectGateways(replaceGateway(view.openGateways, describeSelf()), place),
   );
   follower.start();
   store.add(follower);
-  const running = server;
   return {
     async stop() {
       isStopping = true;
--- a/src/cli/serve_site/site_parts.ts
+++ b/src/cli/serve_site/site_parts.ts
@@ -13,6 +13,8 @@
 } from '../../transport/forwarding/api_server.ts';
 import type {PeerLinks} from '../../transport/peers/peer_links.ts';
 import type {DisposableStore} from '../serve/disposable_store.ts';
+import type {Surface} from '../../coordination/memory_account/compute_bounds.ts';
+import type {HostBounds} from './host_bounds.ts';
 import type {ListGateways, SiteSurfaces} from './surfaces.ts';
 
 /**
@@ -35,6 +37,8 @@
   readonly metrics: Metrics;
   /** Counts the entries that daemons tell each other. */
   readonly entries: EntryMeter;
+  /** Bounds memory and connections. */
+  readonly host: HostBounds;
   readonly links: PeerLinks<CoreService>;
   /** Logs the entries that are dropped from messages of other daemons. */
   readonly refusals: RefusalLog;
@@ -52,16 +56,26 @@
   return seeds.map(seed => `${splitAddress(seed)[0]}:${port}`);
 }
 
-/** Serves `routes` at `address`; does nothing if it is not configured. */
+/** Serves `routes` at the address of `surface`, if it is configured. */
 export async function startSurface(
-  {store, createLogger}: SiteParts,
-  address: string | undefined,
+  {store, createLogger, getSettings, host: {memory, connections}}: SiteParts,
+  surface: Exclude<Surface, 'front' | 'peers'>,
   routes: readonly ApiRoute[],
 ): Promise<void> {
+  const address = getSettings().listen[surface];
   if (address === undefined) return;
   const [host, port] = splitAddress(address);
   const logger = createLogger('http');
-  store.add(await startApiServer({host, port, logger, routes}));
+  store.add(
+    await startApiServer({
+      host,
+      port,
+      logger,
+      routes,
+      memory,
+      maxConnections: connections[surface],
+    }),
+  );
 }
 
 /** Serves the gateway directory if its address is configured. */
@@ -69,9 +83,9 @@
   parts: SiteParts,
   listGateways: ListGateways,
 ): Promise<void> {
-  const {listen, bounds} = parts.getSettings();
+  const {bounds} = parts.getSettings();
   const ttlSeconds = Math.min(DIRECTORY_TTL_S, bounds.directory_ttl_max_s);
   const {surfaces} = parts;
   const routes = surfaces.createDirectoryRoutes({listGateways, ttlSeconds});
-  await startSurface(parts, listen.directory, routes);
+  await startSurface(parts, 'directory', routes);
 }
--- a/src/coordination/forwarding/answer_budget.ts
+++ b/src/coordination/forwarding/answer_budget.ts
@@ -3,12 +3,17 @@
  *
  * Each answer has a bound of its own; endpoints that send bytes without end take
  * the sum of many. An answer beyond its free part is read at a pace that all share, so
- * that its endpoint is held back first. Once the bytes that are kept, or that wait for
- * the pace, exceed the budget, the largest answer is ended.
+ * that its endpoint is held back first. The bytes that are kept, or that wait for the
+ * pace, are part of the process's account of memory. Once they exceed their bound there,
+ * the largest answer is ended.
  */
 import type {Clock} from '../../protocol/clock.ts';
 import type {Logger} from '../../protocol/logger.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
+import {
+  MemoryAccount,
+  type MemoryHolder,
+} from '../memory_account/memory_account.ts';
 import type {AttemptOutcome, EndpointAnswer} from './call.ts';
 import {handleAbort} from './handle_abort.ts';
 
@@ -61,7 +66,9 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
-  /** What all answers may keep in memory, in bytes; 8 MiB by default. */
+  /** The account of the process; by default one that bounds only the answers. */
+  readonly account?: MemoryAccount;
+  /** What all answers may keep without an `account`, in bytes; 8 MiB by default. */
   readonly maxKeptBytes?: number;
 }
 
@@ -76,6 +83,7 @@
 interface OpenAnswer extends AnswerBytes {
   readonly endpoint: string;
   readonly cancel: () => void;
+  readonly memory: MemoryHolder;
   /** Aborts with an error when the answer, or its attempt, is ended. */
   readonly ended: AbortController;
 }
@@ -88,12 +96,20 @@
 }
 
 export class AnswerBudget {
-  private readonly open = new Set<OpenAnswer>();
-  private keptBytes = 0;
+  private readonly account: MemoryAccount;
   /** When the shared pace allows the next bytes, on the monotonic clock. */
   private paceAt = -Infinity;
 
-  constructor(private readonly options: AnswerBudgetOptions) {}
+  constructor(private readonly options: AnswerBudgetOptions) {
+    const {clock, account, maxKeptBytes = MAX_KEPT_BYTES} = options;
+    this.account =
+      account ??
+      new MemoryAccount({
+        clock,
+        budgetBytes: Infinity,
+        kindBytes: {answer: maxKeptBytes},
+      });
+  }
 
   /** Bounds the answer of an attempt, if there is one. */
   admit(attempt: AnsweredAttempt, outcome: AttemptOutcome): AttemptOutcome {
@@ -108,6 +124,13 @@
     const open: OpenAnswer = {
       endpoint: attempt.endpoint,
       cancel: () => answer.cancel(),
+      memory: this.account.open({
+        kind: 'answer',
+        // Its request has run.
+        eviction: 'last',
+        name: attempt.endpoint,
+        evict: () => this.end(open),
+      }),
       kept: 0,
       waiting: 0,
       ended: new AbortController(),
@@ -172,36 +195,22 @@
     {kept = open.kept, waiting = open.waiting}: Partial<AnswerBytes>,
   ): void {
     open.ended.signal.throwIfAborted();
-    this.open.add(open);
-    this.keptBytes += kept + waiting - computeBytes(open);
+    const isHeld = open.memory.set(kept + waiting);
     open.kept = kept;
     open.waiting = waiting;
-    const {maxKeptBytes = MAX_KEPT_BYTES} = this.options;
-    while (this.keptBytes > maxKeptBytes) {
-      const largest = this.findLargest();
-      if (!largest) return;
-      this.end(largest);
-    }
+    if (!isHeld) this.end(open);
     open.ended.signal.throwIfAborted();
   }
 
-  private findLargest(): OpenAnswer | null {
-    let largest: OpenAnswer | null = null;
-    for (const each of this.open) {
-      if (computeBytes(each) > (largest ? computeBytes(largest) : 0)) {
-        largest = each;
-      }
-    }
-    return largest;
-  }
-
   private end(open: OpenAnswer): void {
     const {logger, metrics} = this.options;
+    const bytes = open.kept + open.waiting;
     logger.warn('Ends an answer: all answers together are too large.', {
       endpoint: open.endpoint,
-      bytes: computeBytes(open),
-      keptBytes: this.keptBytes,
-      answers: this.open.size,
+      bytes,
+      // The account no longer counts it.
+      keptBytes: this.account.countBytes('answer') + bytes,
+      answers: this.account.countHolders('answer') + 1,
     });
     metrics.count('answers_ended', 1, {reason: 'memory'});
     this.release(open);
@@ -214,13 +223,8 @@
   }
 
   private release(open: OpenAnswer): void {
-    this.open.delete(open);
-    this.keptBytes -= computeBytes(open);
+    open.memory.release();
     open.kept = 0;
     open.waiting = 0;
   }
 }
-
-function computeBytes({kept, waiting}: AnswerBytes): number {
-  return kept + waiting;
-}
--- a/src/protocol/site_settings.ts
+++ b/src/protocol/site_settings.ts
@@ -60,6 +60,11 @@
       tolerated_disks: z.int().min(0).max(MAX_TOLERATED_DISKS).default(2),
       /** What the answers of all endpoints may keep of a gateway's memory, in MiB. */
       answer_memory_mib: numberSchema.positive().default(8),
+      /**
+       * What connections, bodies and answers may take of a daemon's memory
+       * together, in MiB; by default it follows from `host.memory_mib`.
+       */
+      caller_memory_mib: numberSchema.positive().optional(),
       /**
        * The factor by which requests to a cold endpoint may exceed the rate that
        * it tolerates, and the requests in a second beyond that. Without either
--- a/src/transport/forwarding/api_server.ts
+++ b/src/transport/forwarding/api_server.ts
@@ -5,9 +5,11 @@
   type ServerResponse,
 } from 'node:http';
 import polka from 'polka';
+import type {MemoryAccount} from '../../coordination/memory_account/memory_account.ts';
 import type {Logger} from '../../protocol/logger.ts';
-import {readBody} from '../public/read_body.ts';
+import {MEMORY_RETRY_AFTER_S, readBody} from '../public/read_body.ts';
 import {closeServer, startListening} from '../http_server.ts';
+import {ConnectionGuard, findGuarded} from '../memory/connection_guard.ts';
 
 /** Maximum size of a body that is kept by default. */
 const MAX_KEPT_BYTES = 64 * 1024;
@@ -15,6 +17,11 @@
 /** Maximum size of a body that is read to its end without being kept. */
 const MAX_DROPPED_BYTES = 1024 * 1024;
 
+/** The time-outs for the headers and for a whole request, and their checks. */
+const HEADERS_TIMEOUT_MS = 10_000;
+const REQUEST_TIMEOUT_MS = 30_000;
+const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
+
 /** How long an idle connection is kept open. */
 const KEEP_ALIVE_TIMEOUT_MS = 10_000;
 
@@ -58,6 +65,10 @@
   readonly port: number;
   readonly logger: Logger;
   readonly routes: readonly ApiRoute[];
+  /** Accounts for connections and bodies; they are not counted by default. */
+  readonly memory?: MemoryAccount;
+  /** Unbounded by default. */
+  readonly maxConnections?: number | undefined;
 }
 
 /** Starts the server. Dispose the result to close every connection. */
@@ -66,8 +77,13 @@
   port,
   logger,
   routes,
+  memory,
+  maxConnections,
 }: ApiServerOptions): Promise<AsyncDisposable> {
   const server = createServer({
+    headersTimeout: HEADERS_TIMEOUT_MS,
+    requestTimeout: REQUEST_TIMEOUT_MS,
+    connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
     noDelay: true,
   });
@@ -87,11 +103,18 @@
       });
     });
   }
-  server.on('request', app.handler as (...args: unknown[]) => void);
+  const guard = memory
+    ? new ConnectionGuard(server, {memory, maxConnections})
+    : null;
+  const handle = app.handler as (...args: unknown[]) => void;
+  server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+    if (!guard || guard.admit(request, response)) handle(request, response);
+  });
   await startListening(server, {host, port, backlog: BACKLOG});
   return {
     async [Symbol.asyncDispose]() {
       await closeServer(server);
+      guard?.[Symbol.dispose]();
     },
   };
 }
@@ -111,8 +134,14 @@
     maxKeptBytes: maxBodyBytes,
   });
   if (!body.ok && !body.error.isRead) {
-    response.writeHead(body.error.status, {Connection: 'close'});
-    response.end();
+    refuseBody(response, body.error.status);
+    return;
+  }
+  // The text of the body is held beside its bytes.
+  const isHeld =
+    !body.ok || (findGuarded(request)?.grow(body.value.length) ?? true);
+  if (!isHeld) {
+    refuseBody(response, 503);
     return;
   }
   const url = new URL(request.url ?? '/', 'http://surface');
@@ -131,3 +160,13 @@
   });
   response.end(text);
 }
+
+/** Refuses a request whose body was not read; it has not run. */
+function refuseBody(response: ServerResponse, status: number): void {
+  const retryAfter = {'Retry-After': String(MEMORY_RETRY_AFTER_S)};
+  response.writeHead(status, {
+    Connection: 'close',
+    ...(status === 503 ? retryAfter : {}),
+  });
+  response.end();
+}
--- a/src/transport/forwarding/front_server.ts
+++ b/src/transport/forwarding/front_server.ts
@@ -10,6 +10,7 @@
   type IncomingMessage,
   type ServerResponse,
 } from 'node:http';
+import type {MemoryAccount} from '../../coordination/memory_account/memory_account.ts';
 import type {Call} from '../../coordination/forwarding/call.ts';
 import {refuseCall} from '../../coordination/forwarding/refuse.ts';
 import type {CallerSink} from '../../coordination/forwarding/call.ts';
@@ -21,8 +22,17 @@
 import {createCallerSink} from './caller_sink.ts';
 import {dropRelayed, readRelayed} from './gateway_client.ts';
 import {createFindHeader, dropHopByHop, pairHeaders} from './headers.ts';
-import {readBody} from '../public/read_body.ts';
+import {
+  MEMORY_RETRY_AFTER_S,
+  readBody,
+  type BodyError,
+} from '../public/read_body.ts';
 import {startListening} from '../http_server.ts';
+import {
+  computeLargestRequest,
+  ConnectionGuard,
+  findGuarded,
+} from '../memory/connection_guard.ts';
 import {OpenAnswers} from '../open_answers.ts';
 
 /** How often connection timeouts are checked. */
@@ -57,6 +67,10 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly codec: CallCodec;
+  /** Accounts for connections and bodies; they are not counted by default. */
+  readonly memory?: MemoryAccount;
+  /** Unbounded by default. */
+  readonly maxConnections?: number | undefined;
   /** The secret shared by all daemons; by default no gateway relays requests. */
   readonly secret?: string;
   readonly forward: (call: Call, sink: CallerSink) => Promise<void>;
@@ -77,6 +91,8 @@
   closeIdleConnections(): void;
   /** The number of open requests. */
   readonly openRequests: number;
+  /** Whether an ordinary connection and its request would be accepted. */
+  readonly hasRoom: boolean;
 }
 
 /** Starts the server. Dispose the result to stop it. */
@@ -96,7 +112,12 @@
   });
   server.maxHeadersCount = MAX_HEADERS;
   const answers = new OpenAnswers(server);
+  const {memory, maxConnections} = options;
+  const guard = memory
+    ? new ConnectionGuard(server, {memory, maxConnections})
+    : null;
   server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+    if (guard && !guard.admit(request, response)) return;
     if (isClosing) response.setHeader('Connection', 'close');
     serveRequest(options, limits, {request, response}).catch(error => {
       const {message: reason} = error as Error;
@@ -115,8 +136,12 @@
     get openRequests() {
       return answers.count;
     },
+    get hasRoom() {
+      return guard?.hasRoom ?? true;
+    },
     setLimits(next) {
       limits = next;
+      memory?.ensureFits(computeLargestRequest(next.maxBodyBytes));
       server.headersTimeout = next.headerTimeoutMs;
       server.keepAliveTimeout = next.idleTimeoutMs + IDLE_MARGIN_MS;
     },
@@ -127,6 +152,7 @@
     async [Symbol.asyncDispose]() {
       isClosing = true;
       await answers.closeServer(clock);
+      guard?.[Symbol.dispose]();
     },
   };
 }
@@ -162,8 +188,7 @@
   if (disconnected.signal.aborted) return;
   if (!body.ok) {
     response.setHeader('Connection', 'close');
-    const isTooLarge = body.error.status === 413;
-    refuseCall(sink, {reason: isTooLarge ? 'too-large' : 'bad-request'});
+    refuseBody(sink, body.error);
     return;
   }
   const headers = dropHopByHop(pairHeaders(request.rawHeaders));
@@ -180,7 +205,9 @@
     refuseCall(sink, {reason: 'bad-request'});
     return;
   }
-  await forward(
+  // The body is held for further attempts, also when its caller has left.
+  const release = findGuarded(request)?.retain();
+  const forwarded = forward(
     {
       method,
       path,
@@ -195,6 +222,24 @@
     },
     sink,
   );
+  await forwarded.finally(() => release?.());
+}
+
+/** Refuses a request whose body was not read; it has not run. */
+function refuseBody(sink: CallerSink, {status}: BodyError): void {
+  switch (status) {
+    case 413:
+      refuseCall(sink, {reason: 'too-large'});
+      return;
+    case 503:
+      refuseCall(sink, {
+        reason: 'no-room',
+        retryAfterMs: MEMORY_RETRY_AFTER_S * 1_000,
+      });
+      return;
+    default:
+      refuseCall(sink, {reason: 'bad-request'});
+  }
 }
 
 function countHeaderBytes({rawHeaders}: IncomingMessage): number {
--- a/src/transport/public/public_server.ts
+++ b/src/transport/public/public_server.ts
@@ -12,6 +12,7 @@
   type ServerResponse,
 } from 'node:http';
 import type {Socket} from 'node:net';
+import type {MemoryAccount} from '../../coordination/memory_account/memory_account.ts';
 import type {Clock} from '../../protocol/clock.ts';
 import {createIdentifier} from '../../protocol/identifiers.ts';
 import {
@@ -19,6 +20,7 @@
   type PublicHandlerOptions,
 } from './create_public_handler.ts';
 import {startListening} from '../http_server.ts';
+import {ConnectionGuard} from '../memory/connection_guard.ts';
 import {OpenAnswers} from '../open_answers.ts';
 import {describeError} from './http_errors.ts';
 
@@ -58,6 +60,8 @@
   readonly host: string;
   readonly port: number;
   readonly clock: Clock;
+  /** Accounts for connections and bodies; they are not counted by default. */
+  readonly memory?: MemoryAccount;
 }
 
 /** A listening server that tracks its open requests and handlers. */
@@ -80,23 +84,26 @@
     maxHeaderSize: MAX_HEADER_BYTES,
     noDelay: true,
   });
-  server.maxConnections = MAX_CONNECTIONS;
   server.maxHeadersCount = MAX_HEADERS;
   const answers = new OpenAnswers(server);
   const pendingTasks = new PendingTasks();
   limitConnections(server);
+  const {memory} = options;
+  const guard = memory
+    ? new ConnectionGuard(server, {memory, maxConnections: MAX_CONNECTIONS})
+    : null;
+  if (!guard) server.maxConnections = MAX_CONNECTIONS;
+  const handle = createPublicHandler({
+    ...options,
+    trackWork: task => pendingTasks.add(task),
+  });
   server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+    if (guard && !guard.admit(request, response)) return;
     response.setHeader('x-request-id', createIdentifier('req'));
     if (!options.isOpen()) response.setHeader('connection', 'close');
     pendingTasks.add(new Promise(resolve => response.once('close', resolve)));
+    handle(request, response);
   });
-  server.on(
-    'request',
-    createPublicHandler({
-      ...options,
-      trackWork: task => pendingTasks.add(task),
-    }),
-  );
   server.on('clientError', refuseMalformed);
   server.on('connect', (_request, socket) => socket.destroy());
   server.on('upgrade', (_request, socket) =>
@@ -109,6 +116,7 @@
     waitUntilIdle: () => pendingTasks.waitUntilDone(),
     async [Symbol.asyncDispose]() {
       await answers.closeServer(options.clock);
+      guard?.[Symbol.dispose]();
     },
   };
 }
--- a/src/transport/public/read_body.ts
+++ b/src/transport/public/read_body.ts
@@ -1,6 +1,9 @@
 /** Reads a request's body with a size limit and a timeout. */
 import type {IncomingMessage} from 'node:http';
+import type {MemoryHolder} from '../../coordination/memory_account/memory_account.ts';
 import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
+import {BodyBuffer} from '../memory/body_buffer.ts';
+import {findGuarded} from '../memory/connection_guard.ts';
 
 /** Maximum size of a body. */
 export const MAX_BODY_BYTES = 2 * 1024 * 1024;
@@ -8,6 +11,15 @@
 /** Timeout for receiving a body. */
 const BODY_TIMEOUT_MS = 10_000;
 
+/** When a caller that was refused for want of memory may come back, in s. */
+export const MEMORY_RETRY_AFTER_S = 1;
+
+/** The request did not run. */
+const NO_MEMORY: BodyError = {
+  status: 503,
+  message: 'the memory for requests is used up',
+};
+
 export interface BodyError {
   readonly status: number;
   readonly message: string;
@@ -36,36 +48,60 @@
     return Promise.resolve(fail(tooLarge));
   }
   return new Promise(resolve => {
-    const chunks: Buffer[] = [];
+    const buffer = new BodyBuffer();
     let bytes = 0;
+    let memory: MemoryHolder | null = null;
+    let isFinished = false;
+    const reserve = (cost: number) => {
+      memory ??=
+        findGuarded(request)?.openBody(() => finish(fail(NO_MEMORY))) ?? null;
+      return memory?.set(cost) ?? true;
+    };
     const finish = (outcome: Outcome<Buffer, BodyError>) => {
+      if (isFinished) return;
+      isFinished = true;
       clearTimeout(timer);
       request.off('data', addChunk);
-      if (!outcome.ok) chunks.length = 0;
+      request.off('end', join);
+      if (!outcome.ok) {
+        buffer.clear();
+        memory?.release();
+      }
       resolve(outcome);
     };
     const addChunk = (chunk: Buffer) => {
       bytes += chunk.length;
       if (bytes > maxBytes) return finish(fail(tooLarge));
       if (bytes > maxKeptBytes) {
-        chunks.length = 0;
+        buffer.clear();
+        memory?.set(0);
         return;
       }
-      chunks.push(chunk);
+      if (!reserve(buffer.computeCost(chunk))) return finish(fail(NO_MEMORY));
+      memory?.addProgress(chunk.length);
+      buffer.add(chunk);
       onChunk?.(chunk);
     };
+    const join = () => {
+      if (bytes > maxKeptBytes) {
+        return finish(fail({...tooLarge, isRead: true}));
+      }
+      const joinBytes = buffer.computeJoinCost();
+      if (joinBytes > 0 && !reserve(buffer.costBytes + joinBytes)) {
+        return finish(fail(NO_MEMORY));
+      }
+      // From here on the request may run, and must not be refused any more.
+      memory?.setEviction('never');
+      const body = buffer.join();
+      if (joinBytes > 0) memory?.set(joinBytes);
+      finish(succeed(body));
+    };
     const timer = setTimeout(
       () => finish(fail({status: 408, message: 'the body came too slowly'})),
       timeoutMs,
     );
     request.on('data', addChunk);
-    request.on('end', () =>
-      finish(
-        bytes > maxKeptBytes
-          ? fail({...tooLarge, isRead: true})
-          : succeed(Buffer.concat(chunks)),
-      ),
-    );
+    request.on('end', join);
     request.on('error', error =>
       finish(fail({status: 400, message: error.message})),
     );
--- a/tools/mutants/orders.ts
+++ b/tools/mutants/orders.ts
@@ -3,6 +3,7 @@
 
 const FOLDER = 'src/coordination';
 const BUDGET = `${FOLDER}/forwarding/answer_budget.ts`;
+const ACCOUNT = `${FOLDER}/memory_account/memory_account.ts`;
 
 export const ORDERS: Suite = {
   tests: [
@@ -100,9 +101,9 @@
       name: 'sum-of-answers-unbounded',
       edits: [
         {
-          file: BUDGET,
-          from: 'while (this.keptBytes > maxKeptBytes) {',
-          to: 'while (this.keptBytes > Infinity + maxKeptBytes) {',
+          file: ACCOUNT,
+          from: 'const maxKindBytes = kindBytes[kind] ?? Infinity;',
+          to: 'const maxKindBytes = Infinity + (kindBytes[kind] ?? 0);',
         },
       ],
     },
@@ -111,8 +112,8 @@
       edits: [
         {
           file: BUDGET,
-          from: 'if (size > freeBytes) await',
-          to: 'if (size < 0 * freeBytes) await',
+          from: 'if (size > freeBytes) {',
+          to: 'if (size < 0 * freeBytes) {',
         },
       ],
     },
