--- a/src/cli/serve_site/core.ts
+++ b/src/cli/serve_site/core.ts
@@ -117,6 +117,8 @@
       service,
       schemas: coreSchemas,
       refusals: parts.refusals,
+      memory: parts.host.memory,
+      maxConnections: parts.host.connections.peers,
     }),
   );
   const callCore = (address: string) =>
@@ -296,12 +298,11 @@
   {gateways}: CoreState,
 ): Promise<void> {
   const {surfaces, getSettings} = parts;
-  const {listen} = getSettings();
   const isDataCentre = (name: string) => {
     const {data_centres: known} = getSettings();
     return Object.keys(known).length === 0 || Object.hasOwn(known, name);
   };
   const routes = surfaces.createControlRoutes(api, {isDataCentre});
-  await startSurface(parts, listen.control, routes);
+  await startSurface(parts, 'control', routes);
   await startDirectory(parts, () => gateways.findOpen().list);
 }
--- a/src/cli/serve_site/site_parts.ts
+++ b/src/cli/serve_site/site_parts.ts
@@ -14,6 +14,8 @@
 } from '../../transport/forwarding/api_server.ts';
 import type {PeerLinks} from '../../transport/peers/peer_links.ts';
 import type {DisposableStore} from '../serve/disposable_store.ts';
+import type {Surface} from '../../coordination/memory_account/compute_bounds.ts';
+import type {HostBounds} from './host_bounds.ts';
 import type {SiteSurfaces} from './surfaces.ts';
 
 /**
@@ -36,6 +38,8 @@
   readonly metrics: Metrics;
   /** Counts the entries that daemons tell each other. */
   readonly entries: EntryMeter;
+  /** Bounds memory and connections. */
+  readonly host: HostBounds;
   readonly links: PeerLinks<CoreService>;
   /** Logs the entries that are dropped from messages of other daemons. */
   readonly refusals: RefusalLog;
@@ -53,16 +57,26 @@
   return seeds.map(seed => `${splitAddress(seed)[0]}:${port}`);
 }
 
-/** Serves `routes` at `address`; does nothing if it is not configured. */
+/** Serves `routes` at the address of `surface`, if it is configured. */
 export async function startSurface(
-  {store, createLogger}: SiteParts,
-  address: string | undefined,
+  {store, createLogger, getSettings, host: {memory, connections}}: SiteParts,
+  surface: Exclude<Surface, 'front' | 'peers'>,
   routes: readonly ApiRoute[],
 ): Promise<void> {
+  const address = getSettings().listen[surface];
   if (address === undefined) return;
   const [host, port] = splitAddress(address);
   const logger = createLogger('http');
-  store.add(await startApiServer({host, port, logger, routes}));
+  store.add(
+    await startApiServer({
+      host,
+      port,
+      logger,
+      routes,
+      memory,
+      maxConnections: connections[surface],
+    }),
+  );
 }
 
 /** Serves the gateway directory if its address is configured. */
@@ -71,7 +85,7 @@
   listGateways: () => readonly Gateway[],
 ): Promise<void> {
   const {clock, metrics, surfaces} = parts;
-  const {listen, bounds} = parts.getSettings();
+  const {bounds} = parts.getSettings();
   const names = new GatewayNames({
     clock,
     metrics,
@@ -83,5 +97,5 @@
     listGateways: caller => names.list(caller),
     ttlSeconds,
   });
-  await startSurface(parts, listen.directory, routes);
+  await startSurface(parts, 'directory', routes);
 }
