--- a/src/cli/serve/daemon.ts
+++ b/src/cli/serve/daemon.ts
@@ -12,6 +12,9 @@
 import type {Metrics} from '../../protocol/metrics.ts';
 import type {Settings} from '../../protocol/settings.ts';
 import {splitAddress} from '../../protocol/address.ts';
+import {computeMemoryBounds} from '../../coordination/memory_account/compute_bounds.ts';
+import {MemoryAccount} from '../../coordination/memory_account/memory_account.ts';
+import {startMemoryReport} from '../../coordination/memory_account/memory_report.ts';
 import {ConfigurationLease} from '../../coordination/leases/configuration_lease.ts';
 import type {LeaseRelay} from '../../coordination/leases/lease_relay.ts';
 import type {RecordExchange} from '../../coordination/membership/record_exchange.ts';
@@ -162,6 +165,12 @@
     countGateways: () =>
       lease.listHosts().filter(host => host.gateway && !host.leaving).length,
   });
+  const memory = new MemoryAccount({
+    clock,
+    metrics: parts.metrics,
+    ...computeMemoryBounds(settings.host.memory_mib),
+  });
+  store.add(startMemoryReport({memory, clock, logger: createLogger('memory')}));
   const [peerHost, peerPort] = splitAddress(settings.listen.peers);
   store.add(
     await startPeerServer({
@@ -171,6 +180,7 @@
       service,
       schemas: peerSchemas,
       refusals,
+      memory,
     }),
   );
   const [publicHost, publicPort] = splitAddress(settings.listen.public);
@@ -179,6 +189,7 @@
       host: publicHost,
       port: publicPort,
       clock,
+      memory,
       logger: createLogger('http'),
       operatorSecret: secrets.operator,
       endpointSecret: secrets.endpoint,
--- a/src/coordination/memory_account/memory_account.ts
+++ b/src/coordination/memory_account/memory_account.ts
@@ -10,7 +10,13 @@
 import {silentMetrics, type Metrics} from '../../protocol/metrics.ts';
 
 /** What the memory is held for; the label of the metrics. */
-export type HolderKind = 'connection' | 'body' | 'answer';
+export type HolderKind =
+  | 'connection'
+  | 'body'
+  // An answer of an endpoint that is being received.
+  | 'answer'
+  // An answer that was written and that its caller has not read.
+  | 'unread';
 
 /**
  * When a holder is evicted: before others; only for holders of this rank, as its
@@ -110,7 +116,7 @@
 
 export class MemoryAccount {
   private readonly holders = new Set<MemoryHolder>();
-  private readonly byKind = {connection: 0, body: 0, answer: 0};
+  private readonly byKind = {connection: 0, body: 0, answer: 0, unread: 0};
   private readonly byEviction = {first: 0, last: 0, never: 0};
   private readonly byOwner = new Map<object, number>();
   private sumBytes = 0;
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -56,6 +56,10 @@
       format: z.enum(['text', 'json']).default('text'),
     })
     .default({level: 'info', format: 'text'}),
+  /** What the host gives this daemon; its budgets follow from it. */
+  host: z
+    .strictObject({memory_mib: z.number().positive().default(1_024)})
+    .prefault({}),
   metrics: z.strictObject({statsd: address.optional()}).default({}),
   rating: z.strictObject({address: address.optional()}).default({}),
   weights: z.strictObject({address: address.optional()}).default({}),
--- a/src/transport/forwarding/api_server.ts
+++ b/src/transport/forwarding/api_server.ts
@@ -138,9 +138,8 @@
     return;
   }
   // The text of the body is held beside its bytes.
-  const isHeld =
-    !body.ok || (findGuarded(request)?.grow(body.value.length) ?? true);
-  if (!isHeld) {
+  const guarded = findGuarded(request);
+  if (body.ok && guarded?.grow(body.value.length) === false) {
     refuseBody(response, 503);
     return;
   }
@@ -154,9 +153,15 @@
   });
   const text =
     reply.text ?? (reply.json === undefined ? '' : JSON.stringify(reply.json));
+  const length = Buffer.byteLength(text);
+  // The call has run, so that a refusal would not be true.
+  if (guarded?.holdAnswer(length) === false) {
+    response.destroy();
+    return;
+  }
   response.writeHead(reply.status, {
     'Content-Type': reply.type ?? 'application/json',
-    'Content-Length': Buffer.byteLength(text),
+    'Content-Length': length,
   });
   response.end(text);
 }
--- a/src/transport/forwarding/caller_sink.ts
+++ b/src/transport/forwarding/caller_sink.ts
@@ -1,6 +1,7 @@
 /** Writes the answer to one caller. */
 import type {ServerResponse} from 'node:http';
 import type {CallerSink, Header} from '../../coordination/forwarding/call.ts';
+import {findGuarded} from '../memory/connection_guard.ts';
 
 /** Status codes whose answers have no body. */
 const STATUSES_WITHOUT_BODY = new Set([204, 304]);
@@ -15,6 +16,10 @@
     answer(status, headers, body) {
       hasBegun = true;
       if (response.destroyed) return;
+      if (findGuarded(response.req)?.holdAnswer(body.length) === false) {
+        response.destroy();
+        return;
+      }
       response.writeHead(
         status,
         addContentLength(response, {status, headers, body}),
--- a/src/transport/memory/connection_guard.ts
+++ b/src/transport/memory/connection_guard.ts
@@ -26,6 +26,9 @@
  */
 const MAX_PIPELINED = 100;
 
+/** Smaller answers are counted only if they are not read at once. */
+const MIN_COUNTED_ANSWER_BYTES = 16 * 1024;
+
 /** How long a caller may read nothing of an answer, in ms. */
 const STALL_TIMEOUT_MS = 15_000;
 
@@ -47,7 +50,7 @@
 
 interface Connection {
   readonly holder: MemoryHolder;
-  openRequests: number;
+  readonly open: Set<GuardedRequest>;
   isStalling: boolean;
 }
 
@@ -63,7 +66,9 @@
 export class GuardedRequest {
   /** What its body holds; `null` while it holds nothing. */
   private body: MemoryHolder | null = null;
-  private users = 1;
+  private answer: MemoryHolder | null = null;
+  private isClosed = false;
+  private retained = 0;
 
   constructor(
     private readonly memory: MemoryAccount,
@@ -87,15 +92,46 @@
     return !this.body || this.body.set(this.body.bytes + bytes);
   }
 
-  /** Keeps the memory reserved until the result is called, too. */
+  /**
+   * Reserves an answer that is about to be written, until it is sent. If it is
+   * refused, or evicted later, the connection is to be closed: its request has run.
+   */
+  holdAnswer(bytes: number): boolean {
+    if (bytes < MIN_COUNTED_ANSWER_BYTES) return true;
+    this.answer ??= this.memory.open({
+      kind: 'unread',
+      // Its caller can read it, unlike an answer that is still received.
+      eviction: 'first',
+      name: describeCaller(this.socket),
+      owner: this.socket,
+      evict: () => this.socket.destroy(),
+    });
+    return this.answer.set(this.answer.bytes + bytes);
+  }
+
+  /** What is reserved for its answer, in bytes. */
+  get answerBytes(): number {
+    return this.answer?.bytes ?? 0;
+  }
+
+  /** Keeps the body reserved until the result is called, too. */
   retain(): () => void {
-    this.users++;
-    return () => this.release();
+    this.retained++;
+    return () => {
+      this.retained--;
+      this.releaseBody();
+    };
+  }
+
+  /** Ends the reservations, as the answer is sent or the connection closed. */
+  close(): void {
+    this.isClosed = true;
+    this.answer?.release();
+    this.releaseBody();
   }
 
-  /** Ends one use; the last one ends the reservation. */
-  release(): void {
-    if (--this.users === 0) this.body?.release();
+  private releaseBody(): void {
+    if (this.isClosed && this.retained === 0) this.body?.release();
   }
 }
 
@@ -142,22 +178,23 @@
     const connection = this.connections.get(socket);
     if (!connection || socket.destroyed) return false;
     const {memory} = this.options;
-    connection.openRequests++;
-    if (connection.openRequests === 1) {
+    const guarded = new GuardedRequest(memory, socket);
+    connection.open.add(guarded);
+    if (connection.open.size === 1) {
       this.idle.delete(socket);
       connection.holder.setEviction('last');
-    } else if (connection.openRequests > MAX_PIPELINED) {
+    } else if (connection.open.size > MAX_PIPELINED) {
       memory.recordRejection('connection', 'pipelined');
       socket.destroy();
       return false;
     } else if (!this.update(socket, connection)) {
       return false;
     }
-    const guarded = new GuardedRequest(memory, socket);
     requests.set(request, guarded);
     response.once('close', () => {
-      guarded.release();
-      this.finish(socket, connection);
+      guarded.close();
+      connection.open.delete(guarded);
+      if (connection.open.size === 0) this.setIdle(socket, connection);
     });
     return true;
   }
@@ -180,28 +217,39 @@
       owner: socket,
       evict: () => socket.destroy(),
     });
-    const connection = {holder, openRequests: 0, isStalling: false};
+    const connection = {
+      holder,
+      open: new Set<GuardedRequest>(),
+      isStalling: false,
+    };
     this.connections.set(socket, connection);
     this.idle.add(socket);
+    socket.on('timeout', () => {
+      if (!connection.isStalling) return;
+      this.options.memory.recordRejection('connection', 'unread');
+    });
     socket.once('close', () => {
       holder.release();
+      // Node.js closes no answer that waits behind another one.
+      for (const guarded of connection.open) guarded.close();
       this.idle.delete(socket);
       this.connections.delete(socket);
     });
-    if (this.update(socket, connection)) this.closeLongestIdle();
+    if (this.update(socket, connection)) this.closeLongestIdle(socket);
   }
 
-  private finish(socket: Socket, connection: Connection): void {
-    connection.openRequests--;
-    if (connection.openRequests > 0 || socket.destroyed) return;
+  private setIdle(socket: Socket, {holder}: Connection): void {
+    if (socket.destroyed) return;
     this.idle.add(socket);
-    connection.holder.idleSince = this.options.memory.now;
-    connection.holder.setEviction('first');
+    holder.idleSince = this.options.memory.now;
+    holder.setEviction('first');
   }
 
-  private closeLongestIdle(): void {
+  /** Makes room for further connections after `added`. */
+  private closeLongestIdle(added: Socket): void {
     if (this.connections.size <= this.maxConnections * CROWDED_SHARE) return;
     for (const socket of this.idle) {
+      if (socket === added) return;
       this.options.memory.recordRejection('connection', 'idle');
       this.idle.delete(socket);
       socket.destroy();
@@ -211,10 +259,14 @@
 
   /** Reserves what a connection takes; closes it and returns false if refused. */
   private update(socket: Socket, connection: Connection): boolean {
+    let unreadBytes = socket.writableLength;
+    if (unreadBytes > 0) {
+      for (const {answerBytes} of connection.open) unreadBytes -= answerBytes;
+    }
     const bytes =
       CONNECTION_BYTES +
-      Math.max(0, connection.openRequests - 1) * REQUEST_BYTES +
-      socket.writableLength;
+      Math.max(0, connection.open.size - 1) * REQUEST_BYTES +
+      Math.max(0, unreadBytes);
     if (bytes === connection.holder.bytes) return true;
     if (connection.holder.set(bytes)) return true;
     socket.destroy();
@@ -231,7 +283,7 @@
         socket.setTimeout(stallTimeoutMs);
       } else if (connection.isStalling && !isWaiting) {
         // Without a request it keeps the time-out of idle connections.
-        if (connection.openRequests > 0) socket.setTimeout(0);
+        if (connection.open.size > 0) socket.setTimeout(0);
       }
       connection.isStalling = isWaiting;
       this.update(socket, connection);
--- a/src/transport/public/completion_routes.ts
+++ b/src/transport/public/completion_routes.ts
@@ -36,8 +36,11 @@
   const body = await readBody(request);
   if (!body.ok) {
     response.setHeader('connection', 'close');
-    const {status, message} = body.error;
-    sendError(response, requestId, describeBadRequest(status, message));
+    const {status, message, retryAfterMs} = body.error;
+    sendError(response, requestId, {
+      ...describeBadRequest(status, message),
+      ...(retryAfterMs === undefined ? {} : {retryAfterMs}),
+    });
     return;
   }
   const checked = parseRequest(body.value);
--- a/src/transport/public/read_body.ts
+++ b/src/transport/public/read_body.ts
@@ -18,6 +18,7 @@
 const NO_MEMORY: BodyError = {
   status: 503,
   message: 'the memory for requests is used up',
+  retryAfterMs: MEMORY_RETRY_AFTER_S * 1_000,
 };
 
 export interface BodyError {
@@ -25,6 +26,8 @@
   readonly message: string;
   /** Whether the body has been read to its end. */
   readonly isRead?: boolean;
+  /** When the caller may come back, in ms; absent if a repetition fails as well. */
+  readonly retryAfterMs?: number;
 }
 
 export interface ReadBodyOptions {
--- a/src/transport/public/read_json.ts
+++ b/src/transport/public/read_json.ts
@@ -3,7 +3,7 @@
 import type {z} from 'zod';
 import {sendJson} from './http_errors.ts';
 import {parseJson} from './parse_json.ts';
-import {readBody} from './read_body.ts';
+import {MEMORY_RETRY_AFTER_S, readBody} from './read_body.ts';
 
 export interface ReadJsonOptions<T> {
   readonly schema: z.ZodType<T>;
@@ -20,6 +20,11 @@
   const body = await readBody(request);
   if (!body.ok) {
     onRefuse?.(body.error.message);
+    // The rest of the body is not read.
+    response.setHeader('connection', 'close');
+    if (body.error.status === 503) {
+      response.setHeader('retry-after', String(MEMORY_RETRY_AFTER_S));
+    }
     sendJson(response, body.error.status, {error: body.error});
     return null;
   }
--- a/src/transport/public/service_routes.ts
+++ b/src/transport/public/service_routes.ts
@@ -6,7 +6,7 @@
 import type {RequestContext} from '../../coordination/requests/request_context.ts';
 import {runServiceCall} from '../../coordination/requests/run_service_call.ts';
 import {sendError} from './http_errors.ts';
-import {readBody} from './read_body.ts';
+import {readBody, type BodyError} from './read_body.ts';
 import {readCallOptions} from './read_call_options.ts';
 
 /** Path prefix of services. */
@@ -104,14 +104,14 @@
   return path.startsWith(declared.slice(0, -1));
 }
 
-function describeBadBody(error: {
-  status: number;
-  message: string;
-}): RequestError {
+function describeBadBody(error: BodyError): RequestError {
   return {
     outcome: 'not-run',
     code: 'bad-request',
     message: `Could not read the call: ${error.message}`,
     status: error.status,
+    ...(error.retryAfterMs === undefined
+      ? {}
+      : {retryAfterMs: error.retryAfterMs}),
   };
 }
--- a/tools/mutants/main.ts
+++ b/tools/mutants/main.ts
@@ -13,6 +13,7 @@
 import {CONFIRMATION} from './confirmation.ts';
 import {HANDOVERS} from './handover.ts';
 import {ALTERNATIVES, MEMBERSHIP} from './membership.ts';
+import {MEMORY} from './memory.ts';
 import {NEWS} from './news.ts';
 import {ORDERS} from './orders.ts';
 import {QUARANTINE} from './quarantine.ts';
@@ -27,6 +28,7 @@
   ['quarantine', QUARANTINE],
   ['relay', RELAYS],
   ['membership', MEMBERSHIP],
+  ['memory', MEMORY],
   ['membership-alternatives', ALTERNATIVES],
 ]);
 
