Name gateways in home regions to callers whose region has none

A caller whose region has no open gateway, or that names no region, was directed to all gateways, also for a host whose routes have home regions. It now gets those in the regions that all routes of the host allow, if there are any. Others get the same answers as before; a core daemon decodes the table for this only when such a caller asks.

--- a/src/cli/serve_site/core.ts
+++ b/src/cli/serve_site/core.ts
@@ -13,6 +13,7 @@
   SILENT_AFTER_MS,
 } from '../../coordination/core/follow_service.ts';
 import {startRolloutTask} from '../../coordination/core/rollout_task.ts';
+import {createTableReader} from '../../coordination/homes/prefer_home_gateways.ts';
 import {createJoinedPropose} from '../../coordination/orders/join_proposals.ts';
 import {startPeriodicTask} from '../../coordination/periodic_task.ts';
 import {startGroupWatch} from '../../coordination/replication/group_watch.ts';
@@ -165,7 +166,7 @@
         ),
     }),
   });
-  await startSurfaces(parts, api, state);
+  await startSurfaces(parts, api, {state, view});
   replica.start();
   store.add(
     startGroupWatch({
@@ -293,10 +294,16 @@
 async function startSurfaces(
   parts: SiteParts,
   api: CoreApi,
-  {gateways}: CoreState,
+  {state, view}: Pick<CoreParts, 'state' | 'view'>,
 ): Promise<void> {
   const {surfaces, getSettings} = parts;
   const {listen} = getSettings();
   await startSurface(parts, listen.control, surfaces.createControlRoutes(api));
-  await startDirectory(parts, () => gateways.findOpen().list);
+  await startDirectory(parts, {
+    listGateways: () => state.gateways.findOpen().list,
+    getTable: createTableReader({
+      getConfiguration: () => view.getConfiguration(),
+      decodeTable: surfaces.decodeTable,
+    }),
+  });
 }
--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -273,9 +273,10 @@
   );
   await startSurface(parts, listen.ready, surfaces.createReadyRoutes(isOpen));
   // Lets callers discover gateways while the core is unavailable.
-  await startDirectory(parts, () =>
-    replaceGateway(view.openGateways, describeSelf()),
-  );
+  await startDirectory(parts, {
+    listGateways: () => replaceGateway(view.openGateways, describeSelf()),
+    getTable: () => view.routes?.table ?? null,
+  });
   hostWatch.start();
   follower.start();
   store.add(follower);
--- a/src/cli/serve_site/site_parts.ts
+++ b/src/cli/serve_site/site_parts.ts
@@ -1,8 +1,11 @@
 /** Dependencies shared by the components of a site daemon. */
 import type {Clock} from '../../protocol/clock.ts';
 import type {EntryMeter} from '../../coordination/core/entry_meter.ts';
-import {GatewayNames} from '../../coordination/host_capacity/gateway_names.ts';
-import type {CoreService, Gateway} from '../../protocol/core_service.ts';
+import {
+  GatewayNames,
+  type GatewayNamesOptions,
+} from '../../coordination/host_capacity/gateway_names.ts';
+import type {CoreService} from '../../protocol/core_service.ts';
 import type {CreateLogger} from '../../protocol/logger.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
 import type {RefusalLog} from '../../protocol/refusal_log.ts';
@@ -68,7 +71,7 @@
 /** Serves the gateway directory if its address is configured. */
 export async function startDirectory(
   parts: SiteParts,
-  listGateways: () => readonly Gateway[],
+  known: Pick<GatewayNamesOptions, 'listGateways' | 'getTable'>,
 ): Promise<void> {
   const {clock, metrics, surfaces} = parts;
   const {listen, bounds} = parts.getSettings();
@@ -76,7 +79,7 @@
     clock,
     metrics,
     random: Math.random,
-    listGateways,
+    ...known,
   });
   const ttlSeconds = Math.min(DIRECTORY_TTL_S, bounds.directory_ttl_max_s);
   const routes = surfaces.createDirectoryRoutes({
--- a/src/coordination/host_capacity/gateway_names.ts
+++ b/src/coordination/host_capacity/gateway_names.ts
@@ -2,6 +2,8 @@
 import type {Clock} from '../../protocol/clock.ts';
 import type {Gateway} from '../../protocol/core_service.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
+import type {RouteTable} from '../../protocol/route_table.ts';
+import {preferHomeGateways} from '../homes/prefer_home_gateways.ts';
 import {
   selectGateways,
   type CallerPlace,
@@ -16,12 +18,16 @@
   readonly random: () => number;
   /** Lists the open gateways. */
   readonly listGateways: () => readonly Gateway[];
+  /** Returns the route table in force; `null` if there is none. */
+  readonly getTable: () => RouteTable | null;
 }
 
 /** A caller of the directory. */
 export interface DirectoryCaller extends CallerPlace {
   /** Its address; `null` if it is unknown. */
   readonly address: string | null;
+  /** The host of its requests; empty if it is unknown. */
+  readonly host: string;
 }
 
 export class GatewayNames {
@@ -33,8 +39,8 @@
 
   /** Lists the addresses of the gateways that a caller should use. */
   list(caller: DirectoryCaller): string[] {
-    const {clock, metrics, listGateways} = this.options;
-    const near = selectGateways(listGateways(), caller);
+    const {clock, metrics} = this.options;
+    const near = this.selectNear(caller);
     const key = this.keys.get(caller.address);
     const named = drawGateways(near, {caller: key, nowMs: clock.now()});
     const leftOut = near.length - named.length;
@@ -42,4 +48,12 @@
     if (leftOut > 0) metrics.count('directory_left_out', leftOut);
     return named;
   }
+
+  private selectNear(caller: DirectoryCaller): readonly Gateway[] {
+    const {listGateways, getTable} = this.options;
+    const near = selectGateways(listGateways(), caller);
+    if (near.some(({region}) => region === caller.region)) return near;
+    const table = getTable();
+    return table ? preferHomeGateways(near, table, caller.host) : near;
+  }
 }
--- a/src/coordination/host_capacity/gateway_names_test.ts
+++ b/src/coordination/host_capacity/gateway_names_test.ts
@@ -10,7 +10,7 @@
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
 import {GatewayNames} from './gateway_names.ts';
 
-const PLACE = {region: 'r', dataCentre: 'a'};
+const PLACE = {region: 'r', dataCentre: 'a', host: 'desk.example'};
 const TTL_MS = 1_500;
 
 type Host = Pick<Gateway, 'capacity' | 'slowness'>;
@@ -18,7 +18,8 @@
 function createGateways(hosts: readonly Host[]): Gateway[] {
   return hosts.map((host, index) => ({
     address: `10.0.0.${index}:80`,
-    ...PLACE,
+    region: 'r',
+    dataCentre: 'a',
     open: true,
     ...host,
   }));
@@ -52,6 +53,7 @@
     metrics: silentMetrics,
     random: next,
     listGateways: () => gateways,
+    getTable: () => null,
   });
   const counts = hosts.map(() => 0);
   /** The most connections that a host got in one round. */
@@ -217,6 +219,7 @@
     metrics: silentMetrics,
     random: () => 0.5,
     listGateways: () => gateways,
+    getTable: () => null,
   });
   const ask = () =>
     Array.from({length: 300}, (_, caller) =>
