Ask for home regions without an allocation, and keep no request for it

A site without home regions paid two empty lists for each endpoint of each choice, and one with them kept its last request in memory. The regions are now kept with the request.

--- a/src/coordination/homes/find_home_regions.ts
+++ b/src/coordination/homes/find_home_regions.ts
@@ -32,14 +32,13 @@
 
 /** Whether an entry of a table names home regions. */
 export function isRestricted(entry: Route | RouteCustomer | null): boolean {
-  return listHomes(entry) !== null;
+  return (entry?.allowedRegions?.length ?? 0) > 0;
 }
 
 function listHomes(
   entry: Route | RouteCustomer | null,
 ): readonly string[] | null {
-  const regions = entry?.allowedRegions ?? [];
-  return regions.length > 0 ? regions : null;
+  return isRestricted(entry) ? (entry?.allowedRegions ?? null) : null;
 }
 
 function findRoute(
--- a/src/coordination/homes/home_regions.ts
+++ b/src/coordination/homes/home_regions.ts
@@ -32,9 +32,8 @@
   readonly listRegions: () => readonly string[];
 }
 
-/** The home regions of the request that was asked about last. */
+/** The home regions of a request by a table. */
 interface Answer {
-  readonly run: CallRun;
   readonly routes: RouteIndex | null;
   readonly homes: ReadonlySet<string> | null;
 }
@@ -46,7 +45,7 @@
     hasHomes: false,
   };
   /** A choice asks about many endpoints for one request. */
-  private last: Answer | null = null;
+  private readonly answers = new WeakMap<CallRun, Answer>();
 
   constructor(private readonly options: HomeRegionsOptions) {}
 
@@ -61,11 +60,11 @@
     const isBound =
       this.known.hasHomes || isRestricted(route) || isRestricted(customer);
     if (!isBound) return null;
-    if (this.last?.run !== run || this.last.routes !== routes) {
-      const homes = findHomeRegions(routes, run.admitted);
-      this.last = {run, routes, homes};
-    }
-    return this.last.homes;
+    const known = this.answers.get(run);
+    if (known?.routes === routes) return known.homes;
+    const homes = findHomeRegions(routes, run.admitted);
+    this.answers.set(run, {routes, homes});
+    return homes;
   }
 
   /** Whether an endpoint is in a home region of a request. */
