--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -314,9 +314,10 @@
   const isReady = () => isOpen() && running.hasRoom;
   await startSurface(parts, 'ready', surfaces.createReadyRoutes(isReady));
   // Lets callers discover gateways while the core is unavailable.
-  await startDirectory(parts, () =>
-    replaceGateway(view.openGateways, describeSelf()),
-  );
+  await startDirectory(parts, {
+    listGateways: () => replaceGateway(view.openGateways, describeSelf()),
+    getTable: () => view.routes?.table ?? null,
+  });
   hostWatch.start();
   follower.start();
   store.add(follower);
--- a/src/coordination/host_capacity/host_watch.ts
+++ b/src/coordination/host_capacity/host_watch.ts
@@ -18,7 +18,7 @@
 const WINDOW_MS = 500;
 
 /** The interval between two ticks of the event loop that are counted. */
-export const TICK_MS = 20;
+export const TICK_MS = 50;
 
 const MICROSECONDS_PER_MS = 1_000;
 const BYTES_PER_MIB = 1024 * 1024;
--- a/src/transport/memory/connection_guard.ts
+++ b/src/transport/memory/connection_guard.ts
@@ -32,7 +32,8 @@
 /** How long a caller may read nothing of an answer, in ms. */
 const STALL_TIMEOUT_MS = 15_000;
 
-const SWEEP_INTERVAL_MS = 500;
+/** Sweeps run while there are connections; each one wakes the process. */
+const SWEEP_INTERVAL_MS = 1_000;
 
 /** Above this share of the connections, those without a request are closed. */
 const CROWDED_SHARE = 0.9;
@@ -146,7 +147,7 @@
   private readonly connections = new Map<Socket, Connection>();
   /** Connections without a request, the longest without one first. */
   private readonly idle = new Set<Socket>();
-  private readonly timer: NodeJS.Timeout;
+  private timer: NodeJS.Timeout | null = null;
   private readonly maxConnections: number;
 
   constructor(
@@ -161,7 +162,6 @@
     server.on('drop', () =>
       options.memory.recordRejection('connection', 'connections'),
     );
-    this.timer = setInterval(() => this.sweep(), SWEEP_INTERVAL_MS).unref();
   }
 
   /** Whether an ordinary connection and its request would be accepted. */
@@ -206,7 +206,7 @@
   }
 
   [Symbol.dispose](): void {
-    clearInterval(this.timer);
+    this.stopSweeps();
   }
 
   private add(socket: Socket): void {
@@ -223,6 +223,7 @@
       isStalling: false,
     };
     this.connections.set(socket, connection);
+    this.timer ??= setInterval(() => this.sweep(), SWEEP_INTERVAL_MS).unref();
     this.idle.add(socket);
     socket.on('timeout', () => {
       if (!connection.isStalling) return;
@@ -273,7 +274,13 @@
     return false;
   }
 
+  private stopSweeps(): void {
+    if (this.timer) clearInterval(this.timer);
+    this.timer = null;
+  }
+
   private sweep(): void {
+    if (this.connections.size === 0) return this.stopSweeps();
     for (const [socket, connection] of this.connections) {
       if (socket.destroyed) continue;
       const isWaiting = socket.writableLength > 0;
