--- a/src/transport/forwarding/strict_client.ts
+++ b/src/transport/forwarding/strict_client.ts
@@ -95,6 +95,11 @@
 function findReset(socket: Socket | null): Error | null {
   if (!socket) return null;
   if (socket.errored) return socket.errored;
+  // The endpoint cannot have answered a request that it has not received, and the
+  // reset that follows its end has not arrived yet.
+  if (socket.writableLength > 0) {
+    return new Error('Could not read the answer: it ended during the upload');
+  }
   // Node caches the address at its first use; nothing reads it earlier.
   return socket.remoteAddress === undefined
     ? new Error('Could not read the answer: its connection was reset')
