--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -116,9 +116,10 @@
     clock,
     logger: createLogger('cold'),
     metrics: parts.metrics,
+    random: Math.random,
     bounds,
     address: front,
-    gateways,
+    listGateways: () => view.openGateways,
     findService: name => view.routes?.findService(name) ?? null,
     findRegion: name => getSettings().data_centres[name] ?? null,
   });
--- a/src/coordination/cold_start/cold_start_rule.ts
+++ b/src/coordination/cold_start/cold_start_rule.ts
@@ -12,6 +12,7 @@
 import type {Metrics} from '../../protocol/metrics.ts';
 import type {ColdStart} from '../../protocol/route_table.ts';
 import type {RecentGateways} from '../forwarding/recent_gateways.ts';
+import {ReturnSchedule} from '../forwarding/return_schedule.ts';
 import type {AttemptOrder, EndpointRule} from '../selection/endpoint_rules.ts';
 import type {ColdEndpoints} from './cold_endpoints.ts';
 import {computeUnits} from './compute_units.ts';
@@ -21,7 +22,7 @@
  * The window in which a unit is used once: the second of the bound, and a margin,
  * since requests that were sent after each other may arrive closer together.
  */
-const WINDOW_MS = 1_100;
+const WINDOW_MS = 1_050;
 
 /**
  * The part of the bound that is divided. The rest covers gateways that have not
@@ -29,6 +30,17 @@
  */
 const DIVIDED_SHARE = 0.95;
 
+/**
+ * The requests of a window that an endpoint gets from a gateway that stood still and
+ * does not know yet whether it is cold. All that waited meanwhile come at once.
+ */
+const UNITS_AFTER_FREEZE = 1;
+
+/** Spreads callers that return once an endpoint is warm, in ms. */
+const MAX_JITTER_MS = 500;
+
+const MS_PER_SECOND = 1_000;
+
 /** How much more than the reported rate a cold endpoint may get. */
 export interface ColdBounds {
   /** The factor on the rate that it tolerates. */
@@ -40,12 +52,14 @@
 export interface ColdStartRuleOptions {
   readonly clock: Clock;
   readonly metrics: Metrics;
+  /** Returns a number from 0 up to 1. */
+  readonly random: () => number;
   /** `null` if cold endpoints are not limited. */
   readonly bounds: ColdBounds | null;
   /** The address of this gateway in the list. */
   readonly address: string;
   readonly gateways: RecentGateways;
-  readonly lease: Pick<ShareLease, 'isHeld'>;
+  readonly lease: Pick<ShareLease, 'isHeld' | 'isResuming'>;
   readonly cold: Pick<ColdEndpoints, 'getColdMs'>;
   /** What the endpoints of a service bear; `null` if they are never cold. */
   readonly findColdStart: (service: string) => ColdStart | null;
@@ -72,11 +86,15 @@
 export class ColdStartRule implements EndpointRule {
   private readonly sent = new Map<string, SentRequests>();
 
-  constructor(private readonly options: ColdStartRuleOptions) {}
+  private readonly returns: ReturnSchedule;
+
+  constructor(private readonly options: ColdStartRuleOptions) {
+    this.returns = new ReturnSchedule(options);
+  }
 
   /** Whether this gateway may send the endpoint a request now. */
   hasRoom(endpoint: EndpointEntry): boolean {
-    return this.getWaitMs(endpoint) === 0;
+    return this.findWaitMs(endpoint) === 0;
   }
 
   /** Takes a unit for one request; false if there is none. */
@@ -101,22 +119,55 @@
   }
 
   /**
-   * The time until this gateway may send the endpoint a request, in ms; at most
-   * until the cold start ends.
+   * How long a request would wait here for a unit, in ms; `Infinity` if this
+   * gateway holds none.
    */
   getWaitMs(endpoint: EndpointEntry): number {
+    return this.findWaitMs(endpoint);
+  }
+
+  /**
+   * Plans when the caller of a refused request should return, in ms from now. Any
+   * gateway may get it back, so callers come at the rate of this one's part of the
+   * bound, or once an endpoint is warm.
+   */
+  planReturnMs(
+    service: string,
+    endpoints: readonly EndpointEntry[],
+  ): number | null {
+    const {cold, gateways} = this.options;
+    const coldMs = endpoints.map(each => cold.getColdMs(each));
+    const limits = endpoints
+      .map(each => this.findLimit(each))
+      .filter(limit => limit !== null);
+    if (limits.length === 0) return null;
+    const perSecond = limits.reduce(
+      (sum, {total, windowMs}) => sum + (total * MS_PER_SECOND) / windowMs,
+      0,
+    );
+    return this.returns.planMs(service, {
+      perSecond: perSecond / gateways.count(),
+      maxMs: Math.min(...coldMs) + this.options.random() * MAX_JITTER_MS,
+    });
+  }
+
+  private findWaitMs(endpoint: EndpointEntry): number {
     const limit = this.findLimit(endpoint);
     if (!limit) return 0;
     const {clock, cold, lease} = this.options;
     const coldMs = cold.getColdMs(endpoint);
-    if (coldMs === 0) return 0;
+    if (coldMs === 0 && !lease.isResuming()) return 0;
     const sent = this.getSent(endpoint);
-    const count = this.getUnits(endpoint, sent, limit.total).positions.length;
-    if (count === 0 || !lease.isHeld()) return coldMs;
+    // Any endpoint may have turned cold while the process stood still.
+    const isUnknown = coldMs === 0;
+    const count = isUnknown
+      ? UNITS_AFTER_FREEZE
+      : this.getUnits(endpoint, sent, limit.total).positions.length;
+    if (count === 0 || !(isUnknown || lease.isHeld())) return Infinity;
     const oldest = sent.times.at(-count);
     if (oldest === undefined) return 0;
     const waitMs = oldest + limit.windowMs - clock.monotonic();
-    return Math.min(coldMs, Math.max(0, waitMs));
+    return Math.max(0, isUnknown ? waitMs : Math.min(coldMs, waitMs));
   }
 
   /**
--- a/src/coordination/cold_start/compute_units.ts
+++ b/src/coordination/cold_start/compute_units.ts
@@ -33,7 +33,6 @@
 interface Candidate {
   readonly address: string;
   readonly distance: number;
-  readonly stage: number;
   readonly hash: number;
 }
 
@@ -47,26 +46,39 @@
   endpoint,
   total,
 }: ComputeUnitsOptions): number[] {
-  const candidates: Candidate[] = [];
-  for (const gateway of gateways) {
-    const distance = computeDistance(endpoint, gateway);
-    const hash = computeShare(`${gateway.address}/${endpoint.id}`);
-    for (let unit = 0; unit < total; unit++) {
-      const stage = unit * STEPS_PER_UNIT + distance;
-      candidates.push({address: gateway.address, distance, stage, hash});
-    }
-  }
-  candidates.sort(compareCandidates);
+  const candidates = gateways.map(gateway => ({
+    address: gateway.address,
+    distance: computeDistance(endpoint, gateway),
+    hash: computeShare(`${gateway.address}/${endpoint.id}`),
+  }));
+  const own = candidates.find(each => each.address === address);
+  if (!own) return [];
   const positions: number[] = [];
-  for (const [position, candidate] of candidates.slice(0, total).entries()) {
-    if (candidate.address === address) positions.push(position);
+  for (let unit = 0; unit < total; unit++) {
+    const position = candidates.reduce(
+      (sum, other) => sum + countBefore(other, own, unit),
+      0,
+    );
+    // Later units come later still.
+    if (position >= total) break;
+    positions.push(position);
   }
   return positions;
 }
 
-function compareCandidates(a: Candidate, b: Candidate): number {
-  if (a.stage !== b.stage) return a.stage - b.stage;
-  if (a.distance !== b.distance) return a.distance - b.distance;
-  if (a.hash !== b.hash) return b.hash - a.hash;
-  return a.address < b.address ? -1 : 1;
+/** Counts the units of a gateway, itself included, that come before one of `own`. */
+function countBefore(other: Candidate, own: Candidate, unit: number): number {
+  if (other === own) return unit;
+  // A unit comes the later, the further away its gateway is and the more it has.
+  const steps = unit * STEPS_PER_UNIT + own.distance - other.distance;
+  if (steps < 0) return 0;
+  const earlier = Math.ceil(steps / STEPS_PER_UNIT);
+  const isTie = steps % STEPS_PER_UNIT === 0;
+  return isTie && isBefore(other, own) ? earlier + 1 : earlier;
+}
+
+function isBefore(a: Candidate, b: Candidate): boolean {
+  if (a.distance !== b.distance) return a.distance < b.distance;
+  if (a.hash !== b.hash) return a.hash > b.hash;
+  return a.address < b.address;
 }
--- a/src/coordination/cold_start/create_cold_start.ts
+++ b/src/coordination/cold_start/create_cold_start.ts
@@ -1,18 +1,21 @@
 /** Puts the parts together that limit a gateway's requests to cold endpoints. */
 import type {Clock} from '../../protocol/clock.ts';
+import type {Gateway} from '../../protocol/core_service.ts';
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import type {Logger} from '../../protocol/logger.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
 import type {RoutedService} from '../../protocol/route_table.ts';
-import type {RecentGateways} from '../forwarding/recent_gateways.ts';
+import {RecentGateways} from '../forwarding/recent_gateways.ts';
 import {ColdEndpoints} from './cold_endpoints.ts';
 import {ColdStartRule} from './cold_start_rule.ts';
-import {ShareLease} from './share_lease.ts';
+import {RETAIN_MS, ShareLease} from './share_lease.ts';
 
 export interface ColdStartOptions {
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  /** Returns a number from 0 up to 1. */
+  readonly random: () => number;
   /** The bounds of the settings; without both, cold endpoints are not limited. */
   readonly bounds: {
     readonly cold_excess?: number | undefined;
@@ -20,7 +23,8 @@
   };
   /** The address of this gateway in the list. */
   readonly address: string;
-  readonly gateways: RecentGateways;
+  /** Lists the gateways that serve callers, as last reported. */
+  readonly listGateways: () => readonly Gateway[];
   /** Finds a service in the route table in force. */
   readonly findService: (name: string) => RoutedService | null;
   /** The region of a data centre; `null` when it is unknown. */
@@ -30,6 +34,8 @@
 /** The limits of one gateway on its requests to cold endpoints. */
 export interface ColdStartLimits {
   readonly rule: ColdStartRule;
+  /** The remaining cold time of an endpoint start, in ms; 0 if it is warm. */
+  getColdMs(endpoint: EndpointEntry): number;
   /** Records an entry of the core's list. */
   record(entry: EndpointEntry): void;
   /** Records when a call was sent that a daemon with a leader has answered. */
@@ -46,7 +52,12 @@
 }
 
 export function createColdStart(options: ColdStartOptions): ColdStartLimits {
-  const {clock, logger, metrics, address, gateways} = options;
+  const {clock, logger, metrics, address, listGateways} = options;
+  const gateways = new RecentGateways({
+    clock,
+    listGateways,
+    retainMs: RETAIN_MS,
+  });
   const {cold_excess: excess, cold_extra: extra} = options.bounds;
   const isLimited = excess !== undefined && extra !== undefined;
   const findColdStart = (service: string) =>
@@ -61,6 +72,7 @@
   });
   const rule = new ColdStartRule({
     ...options,
+    gateways,
     bounds: isLimited ? {excess, extra} : null,
     lease,
     cold: endpoints,
@@ -68,6 +80,7 @@
   });
   return {
     rule,
+    getColdMs: endpoint => endpoints.getColdMs(endpoint),
     record: entry => endpoints.record(entry),
     recordContact: sentAt => lease.recordContact(sentAt),
     treatAsCold: (cold, ms) => endpoints.treatAsCold(cold, ms),
--- a/src/coordination/forwarding/endpoint_limits.ts
+++ b/src/coordination/forwarding/endpoint_limits.ts
@@ -19,6 +19,7 @@
 import {computeShare} from './hash.ts';
 import {pruneEndedLimits} from './prune_ended_limits.ts';
 import type {RecentGateways} from './recent_gateways.ts';
+import {ReturnSchedule} from './return_schedule.ts';
 
 /** Gateways with a share of a limit, in addition to one per request a second. */
 const EXTRA_HOLDERS = 3;
@@ -44,9 +45,6 @@
  */
 const RELAY_MARGIN_MS = 1_000;
 
-/** The latest time at which a refused caller is told to return. */
-const MAX_RETURN_MS = 5_000;
-
 /** An endpoint's statement on its limit, in one answer. */
 export interface LimitNotice {
   /** The named limit; `NaN` when it could not be parsed, `null` for none. */
@@ -96,10 +94,11 @@
 
 export class EndpointLimits {
   private readonly known = new Map<string, KnownLimit>();
-  /** When the next caller was told to return, by service. */
-  private readonly returns = new Map<string, number>();
+  private readonly returns: ReturnSchedule;
 
-  constructor(private readonly options: EndpointLimitsOptions) {}
+  constructor(private readonly options: EndpointLimitsOptions) {
+    this.returns = new ReturnSchedule(options);
+  }
 
   /** Records what an answer says of the limit of its endpoint. */
   record(endpoint: EndpointEntry, notice: LimitNotice): void {
@@ -203,14 +202,8 @@
       .filter(each => each !== null)
       .reduce((sum, each) => sum + Math.max(each, MIN_PER_SECOND), 0);
     if (perSecond === 0) return null;
-    const now = this.options.clock.monotonic();
-    const intervalMs = (1_000 * this.options.gateways.count()) / perSecond;
-    const previous = Math.max(now, this.returns.get(service) ?? -Infinity);
-    // The first one, too, is spread over an interval.
-    const isFirst = previous === now;
-    const next = previous + intervalMs * (isFirst ? this.options.random() : 1);
-    this.returns.set(service, Math.min(next, now + MAX_RETURN_MS));
-    return Math.min(next - now, MAX_RETURN_MS);
+    const count = this.options.gateways.count();
+    return this.returns.planMs(service, {perSecond: perSecond / count});
   }
 
   private set(
--- a/src/coordination/forwarding/endpoint_picker.ts
+++ b/src/coordination/forwarding/endpoint_picker.ts
@@ -6,12 +6,13 @@
 import type {Quarantine} from '../quarantine/quarantine.ts';
 import type {CallRun} from './call_run.ts';
 import {chooseEndpoint, type EndpointCandidate} from './choose_endpoint.ts';
+import {chooseCacheOwner} from './choose_cache_owner.ts';
 import {chooseModel} from './choose_model.ts';
 import {chooseVersion} from './choose_version.ts';
 import {drawEndpoints} from './draw_endpoints.ts';
+import {drawJitterMs} from './plan_refusal.ts';
 import type {EndpointHealth} from './endpoint_health.ts';
 import type {EndpointNotices} from './endpoint_notices.ts';
-import {computeShare} from './hash.ts';
 import {planPrefill} from './plan_prefill.ts';
 import {PrefixCacheTracker} from './prefix_cache_tracker.ts';
 import type {PrefillBacklog} from './prefill_backlog.ts';
@@ -169,16 +170,31 @@
     return backoffs.length > 0 ? Math.min(...backoffs) : null;
   }
 
+  /**
+   * How long the request would wait for an endpoint that may accept it, in ms;
+   * `null` when there is none.
+   */
+  findWaitMs(run: CallRun): number | null {
+    const {notices, rules} = this.options;
+    const backoffMs = this.findBackoffMs(run);
+    const waits = this.listEligible(run)
+      .filter(each => notices.mayReceive(each))
+      .map(each => rules.getWaitMs(each))
+      .filter(ms => ms > 0 && ms < Infinity);
+    if (backoffMs !== null) waits.push(backoffMs + drawJitterMs(this.options));
+    return waits.length > 0 ? Math.min(...waits) : null;
+  }
+
   /**
    * Plans when the caller of a refused request should return, in ms from now;
    * `null` when no limit of an eligible endpoint is the reason.
    */
   planReturnMs(run: CallRun): number | null {
-    const {notices, limits} = this.options;
+    const {notices, rules} = this.options;
     const full = this.listEligible(run).filter(
-      each => !notices.isLeaving(each) && !limits.hasRoom(each),
+      each => !notices.isLeaving(each) && !rules.hasRoom(each),
     );
-    const returnMs = limits.planReturnMs(run.admitted.service.name, full);
+    const returnMs = rules.planReturnMs(run.admitted.service.name, full);
     if (returnMs === null) return null;
     const backoffs = full.map(each => notices.getBackoffMs(each));
     return Math.max(returnMs, Math.min(...backoffs));
@@ -304,22 +320,3 @@
   const isSmallest = model !== null && model === models[0] && models.length > 1;
   return isSmallest ? SMALL_MODEL_URGENCY : null;
 }
-
-/**
- * Chooses the endpoint that caches a prompt prefix by rendezvous hashing, so
- * that all gateways agree on it without coordination.
- */
-function chooseCacheOwner(
-  endpoints: readonly EndpointEntry[],
-  cacheKey: string,
-): EndpointEntry | null {
-  let owner: EndpointEntry | null = null;
-  let highest = -1;
-  for (const endpoint of endpoints) {
-    const rank = computeShare(`${endpoint.id}/${cacheKey}`);
-    if (rank <= highest) continue;
-    owner = endpoint;
-    highest = rank;
-  }
-  return owner;
-}
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -29,7 +29,6 @@
 import type {CallRelay} from '../reach/call_relay.ts';
 import type {RecentGateways} from './recent_gateways.ts';
 import {
-  drawJitterMs,
   planEarlyRefusal,
   planRefusal,
   type UndeliveredRun,
@@ -259,15 +258,14 @@
   }
 
   /**
-   * Waits until the first endpoint's back-off ends. Returns false without
-   * waiting when no endpoint requested one or it would end too late.
+   * Waits until the first endpoint's back-off ends or it has room. Returns false
+   * without waiting when that does not help or would be too late.
    */
   private async waitForBackoff(run: CallRun): Promise<boolean> {
     if (run.held || run.failedAnswer) return false;
-    const backoffMs = this.picker.findBackoffMs(run);
-    if (backoffMs === null) return false;
+    const waitMs = this.picker.findWaitMs(run);
+    if (waitMs === null) return false;
     const {objectiveMs} = run.admitted.route;
-    const waitMs = backoffMs + drawJitterMs(this.options);
     if (this.measureAgeMs(run) + waitMs > objectiveMs * WAIT_SHARE)
       return false;
     if (!this.shutdown.canEnd(run, waitMs)) return false;
--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -15,7 +15,7 @@
 import {GatewayView} from '../gateway/gateway_view.ts';
 import type {AttemptOptions, AttemptOutcome, Call, CallFacts} from './call.ts';
 import {EndpointHealth} from './endpoint_health.ts';
-import {EndpointRules} from '../selection/endpoint_rules.ts';
+import {EndpointRules, type EndpointRule} from '../selection/endpoint_rules.ts';
 import {EndpointLimits} from './endpoint_limits.ts';
 import {EndpointNotices} from './endpoint_notices.ts';
 import {Forwarder} from './forwarder.ts';
@@ -170,6 +170,8 @@
   /** Receives what requests log and count; discarded by default. */
   readonly logger?: Logger;
   readonly metrics?: Metrics;
+  /** A rule on endpoints beside their limits; none by default. */
+  readonly rule?: EndpointRule;
   /** Retries per request of a service; 0.9 by default. */
   readonly retryRatio?: number;
   /** Retries on top of that in a window of 10 s; 50 by default. */
@@ -208,6 +210,7 @@
     findRegion = () => 'r',
     probe = async () => true,
     sendRelayed = async () => ({type: 'not-sent', reason: 'ECONNREFUSED'}),
+    rule = {},
     retryRatio = 0.9,
     retryExtra = 50,
     logger = silentLogger,
@@ -277,7 +280,7 @@
       ensureView,
       notices: this.notices,
       limits: this.limits,
-      rules: new EndpointRules([this.limits]),
+      rules: new EndpointRules([this.limits, rule]),
       quarantine: this.quarantine,
       gateways,
       health: this.health,
--- a/src/coordination/forwarding/recent_gateways.ts
+++ b/src/coordination/forwarding/recent_gateways.ts
@@ -8,13 +8,14 @@
 import type {Clock} from '../../protocol/clock.ts';
 import type {Gateway} from '../../protocol/core_service.ts';
 
-/** How long a gateway that is not listed any more still counts. */
 const RETAIN_MS = 5_000;
 
 export interface RecentGatewaysOptions {
   readonly clock: Clock;
   /** Lists the gateways that serve callers, as last reported. */
   readonly listGateways: () => readonly Gateway[];
+  /** How long a gateway that is not listed any more still counts, in ms; 5,000. */
+  readonly retainMs?: number;
 }
 
 /** A gateway that is not listed any more. */
@@ -56,7 +57,7 @@
   }
 
   private update(): void {
-    const {clock, listGateways} = this.options;
+    const {clock, listGateways, retainMs = RETAIN_MS} = this.options;
     const next = listGateways();
     const now = clock.monotonic();
     const hasChanged = next !== this.listed;
@@ -71,7 +72,7 @@
     }
     let hasExpired = false;
     for (const [address, {atMs}] of this.left) {
-      if (now - atMs < RETAIN_MS) continue;
+      if (now - atMs < retainMs) continue;
       this.left.delete(address);
       hasExpired = true;
     }
--- a/src/coordination/selection/endpoint_rules.ts
+++ b/src/coordination/selection/endpoint_rules.ts
@@ -19,6 +19,19 @@
   hasRoom?(endpoint: EndpointEntry): boolean;
   /** Takes that room for one request; false if there is none. */
   tryTake?(endpoint: EndpointEntry, attempt: AttemptOrder): boolean;
+  /**
+   * How long a request without room would wait here for it, in ms; 0 with room,
+   * `Infinity` (the default without room) if it should not.
+   */
+  getWaitMs?(endpoint: EndpointEntry): number;
+  /**
+   * Plans when the caller of a refused request should return, in ms from now, by
+   * the endpoints of its service without room; `null` if that does not matter.
+   */
+  planReturnMs?(
+    service: string,
+    endpoints: readonly EndpointEntry[],
+  ): number | null;
 }
 
 /** What the choice of endpoints needs to know of their room. */
@@ -48,6 +61,28 @@
     return others.every(rule => rule.tryTake?.(endpoint, attempt) ?? true);
   }
 
+  getWaitMs(endpoint: EndpointEntry): number {
+    const waits = this.rules.map(rule => {
+      if (rule.hasRoom?.(endpoint) ?? true) return 0;
+      return rule.getWaitMs?.(endpoint) ?? Infinity;
+    });
+    return Math.max(0, ...waits);
+  }
+
+  /** Plans the first return of those that the rules without room plan. */
+  planReturnMs(
+    service: string,
+    endpoints: readonly EndpointEntry[],
+  ): number | null {
+    const returns = this.rules
+      .map(rule => {
+        const full = endpoints.filter(each => rule.hasRoom?.(each) === false);
+        return full.length === 0 ? null : rule.planReturnMs?.(service, full);
+      })
+      .filter(ms => typeof ms === 'number');
+    return returns.length > 0 ? Math.min(...returns) : null;
+  }
+
   /** Whether the first byte may be written; takes the room for it if so. */
   mayBegin(run: CallRun, endpoint: EndpointEntry): boolean {
     const order = run.sends === 0 ? 'first' : 'further';
--- a/src/coordination/selection/endpoint_rules_test.ts
+++ b/src/coordination/selection/endpoint_rules_test.ts
@@ -37,4 +37,34 @@
   assert.equal(large.left, 4);
 });
 
+test('EndpointRules wait for all rules without room', () => {
+  const soon: EndpointRule = {hasRoom: () => false, getWaitMs: () => 50};
+  const later: EndpointRule = {hasRoom: () => false, getWaitMs: () => 80};
+  const never: EndpointRule = {hasRoom: () => false};
+  const free: EndpointRule = {hasRoom: () => true, getWaitMs: () => 900};
+  assert.equal(new EndpointRules([{}, free]).getWaitMs(ENDPOINT), 0);
+  assert.equal(new EndpointRules([soon, later, free]).getWaitMs(ENDPOINT), 80);
+  assert.equal(new EndpointRules([soon, never]).getWaitMs(ENDPOINT), Infinity);
+});
+
+test('EndpointRules plan a return by the endpoints without room', () => {
+  const planned: string[] = [];
+  const north: EndpointRule = {
+    hasRoom: ({id}) => id !== 'e1',
+    planReturnMs: (_service, endpoints) => {
+      planned.push(...endpoints.map(({id}) => id));
+      return 400;
+    },
+  };
+  const south: EndpointRule = {
+    hasRoom: ({id}) => id !== 'e2',
+    planReturnMs: () => 300,
+  };
+  const rules = new EndpointRules([{}, north, south]);
+  const endpoints = ['e1', 'e2'].map(id => createEndpoint(id));
+  assert.equal(rules.planReturnMs('app', endpoints), 300);
+  assert.deepEqual(planned, ['e1']);
+  assert.equal(rules.planReturnMs('app', [createEndpoint('e3')]), null);
+});
+
 test.run();
