Let endpoints count as cold until their next report

An endpoint of a data centre that is in use again may have become cold unnoticed. The registry can mark such endpoints, which gateways take for cold until a later report.

--- a/src/coordination/cold_start/cold_endpoints.ts
+++ b/src/coordination/cold_start/cold_endpoints.ts
@@ -55,8 +55,10 @@
     if (known?.startedAtMs === startedAtMs) {
       // Another core daemon may lag behind, or list the same report once more.
       if (known.sequence > sequence) return;
-      if (known.sequence === sequence && known.coldUntil <= coldUntil) return;
-      if (known.sequence === sequence && known.isAssumed) return;
+      const isListedAgain =
+        known.sequence === sequence && (known.isAssumed || !isAssumed);
+      if (isListedAgain && known.isAssumed) return;
+      if (isListedAgain && known.coldUntil <= coldUntil) return;
     }
     this.set(entry, next, isAssumed ? 'silence' : 'report');
   }
--- a/src/coordination/cold_start/cold_endpoints_test.ts
+++ b/src/coordination/cold_start/cold_endpoints_test.ts
@@ -115,4 +115,18 @@
   assert.equal(cold.getColdMs(endpoint), 5_000);
 });
 
+// Guards against endpoints of a data centre that is in use again and may be cold.
+test('record() takes an endpoint for cold that the core marks without a report', async () => {
+  const {clock, cold} = createFixture();
+  const endpoint = createEndpoint('e1', {sequence: 4});
+  cold.record(endpoint);
+  cold.record({...endpoint, unconfirmed: true});
+  assert.equal(cold.getColdMs(endpoint), DURATION_MS);
+  await clock.advance(1_000);
+  cold.record({...endpoint, unconfirmed: true});
+  assert.equal(cold.getColdMs(endpoint), DURATION_MS - 1_000);
+  cold.record({...endpoint, sequence: 5});
+  assert.equal(cold.getColdMs(endpoint), 0);
+});
+
 test.run();
--- a/src/coordination/core/endpoint_registry.ts
+++ b/src/coordination/core/endpoint_registry.ts
@@ -120,6 +120,20 @@
     return true;
   }
 
+  /**
+   * Marks endpoints that may have become cold unnoticed; each one counts as cold at
+   * gateways until its next report. Returns whether there are any.
+   */
+  requireReports(isConcerned: (entry: EndpointEntry) => boolean): boolean {
+    const concerned = [...this.known.values()].filter(
+      ({entry}) => !entry.silent && !entry.unconfirmed && isConcerned(entry),
+    );
+    for (const known of concerned) {
+      this.updateEntry(known, {...known.entry, unconfirmed: true});
+    }
+    return concerned.length > 0;
+  }
+
   /**
    * Restores saved reports after a restart, as silent endpoints; those of one
    * endpoint may be restored in any order.
--- a/src/coordination/core/endpoint_registry_test.ts
+++ b/src/coordination/core/endpoint_registry_test.ts
@@ -240,4 +240,23 @@
   assert.equal(registry.find('e1')?.unconfirmed, undefined);
 });
 
+// Guards against endpoints that take all requests at once after a drain is undone.
+test('requireReports() marks endpoints until their next report', () => {
+  const {registry} = createRegistry();
+  registry.record(createReport());
+  registry.record(
+    createReport({id: 'e2', address: '10.0.0.2:80', dataCentre: 'b'}),
+  );
+  const {revision} = registry;
+  const isInA = ({dataCentre}: EndpointReport) => dataCentre === 'a';
+  assert.equal(registry.requireReports(isInA), true);
+  assert.deepEqual(
+    registry.list(revision).map(({id, unconfirmed}) => ({id, unconfirmed})),
+    [{id: 'e1', unconfirmed: true}],
+  );
+  assert.equal(registry.requireReports(isInA), false);
+  assert.equal(registry.record(createReport({sequence: 2})), 'changed');
+  assert.equal(registry.find('e1')?.unconfirmed, undefined);
+});
+
 test.run();
