--- a/src/coordination/forwarding/endpoint_picker.ts
+++ b/src/coordination/forwarding/endpoint_picker.ts
@@ -9,6 +9,7 @@
 import {chooseEndpoint} from './choose_endpoint.ts';
 import {chooseModel} from './choose_model.ts';
 import {chooseVersion} from './choose_version.ts';
+import {drawJitterMs} from './plan_refusal.ts';
 import type {EndpointHealth} from './endpoint_health.ts';
 import type {EndpointNotices} from './endpoint_notices.ts';
 import type {PrefillBacklog} from './prefill_backlog.ts';
@@ -152,16 +153,31 @@
     return backoffs.length > 0 ? Math.min(...backoffs) : null;
   }
 
+  /**
+   * How long the request would wait for an endpoint that may accept it, in ms;
+   * `null` when there is none.
+   */
+  findWaitMs(run: CallRun): number | null {
+    const {notices, rules} = this.options;
+    const backoffMs = this.findBackoffMs(run);
+    const waits = this.listEligible(run)
+      .filter(each => notices.mayReceive(each))
+      .map(each => rules.getWaitMs(each))
+      .filter(ms => ms > 0 && ms < Infinity);
+    if (backoffMs !== null) waits.push(backoffMs + drawJitterMs(this.options));
+    return waits.length > 0 ? Math.min(...waits) : null;
+  }
+
   /**
    * Plans when the caller of a refused request should return, in ms from now;
    * `null` when no limit of an eligible endpoint is the reason.
    */
   planReturnMs(run: CallRun): number | null {
-    const {notices, limits} = this.options;
+    const {notices, rules} = this.options;
     const full = this.listEligible(run).filter(
-      each => !notices.isLeaving(each) && !limits.hasRoom(each),
+      each => !notices.isLeaving(each) && !rules.hasRoom(each),
     );
-    const returnMs = limits.planReturnMs(run.admitted.service.name, full);
+    const returnMs = rules.planReturnMs(run.admitted.service.name, full);
     if (returnMs === null) return null;
     const backoffs = full.map(each => notices.getBackoffMs(each));
     return Math.max(returnMs, Math.min(...backoffs));
--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -17,7 +17,7 @@
 import type {AttemptOptions, AttemptOutcome, Call, CallFacts} from './call.ts';
 import {createCall} from './call_fakes.ts';
 import {EndpointHealth} from './endpoint_health.ts';
-import {EndpointRules} from '../selection/endpoint_rules.ts';
+import {EndpointRules, type EndpointRule} from '../selection/endpoint_rules.ts';
 import {EndpointLimits} from './endpoint_limits.ts';
 import {EndpointNotices} from './endpoint_notices.ts';
 import {Forwarder} from './forwarder.ts';
@@ -157,6 +157,8 @@
   /** Receives what requests log and count; discarded by default. */
   readonly logger?: Logger;
   readonly metrics?: Metrics;
+  /** A rule on endpoints beside their limits; none by default. */
+  readonly rule?: EndpointRule;
   /** Retries per request of a service; 0.9 by default. */
   readonly retryRatio?: number;
   /** Retries on top of that in a window of 10 s; 50 by default. */
@@ -195,6 +197,7 @@
     findRegion = () => 'r',
     probe = async () => true,
     sendRelayed = async () => ({type: 'not-sent', reason: 'ECONNREFUSED'}),
+    rule = {},
     retryRatio = 0.9,
     retryExtra = 50,
     logger = silentLogger,
@@ -270,7 +273,7 @@
       ensureView,
       notices: this.notices,
       limits: this.limits,
-      rules: new EndpointRules([this.limits, homes]),
+      rules: new EndpointRules([this.limits, homes, rule]),
       speeds: new EndpointSpeeds(clock),
       quarantine: this.quarantine,
       gateways,
