--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -130,6 +130,7 @@
     dataCentre,
     open: isOpen(),
     ...(hasStopped ? {stopped: true} : {}),
+    ...cold.describeDemand(),
   });
   const pruneEnded = () => {
     notices.pruneEnded(id => view.findEndpoint(id));
@@ -253,7 +254,10 @@
       logger: createLogger('front'),
       codec,
       secret: parts.secret,
-      forward: (call, sink) => forwarder.forward(call, sink),
+      forward: (call, sink) => {
+        cold.recordRequest();
+        return forwarder.forward(call, sink);
+      },
       needsDigest: () => quarantine.countRecords().suspects > 0,
     }),
   );
--- a/src/coordination/cold_start/cold_site_gateway.ts
+++ b/src/coordination/cold_start/cold_site_gateway.ts
@@ -98,7 +98,11 @@
     const {view} = this;
     return {
       report: {
-        gateway: {...this.self, open: view.routes !== null},
+        gateway: {
+          ...this.self,
+          open: view.routes !== null,
+          ...this.limits.describeDemand(),
+        },
         loads: [],
         evidence: [],
         paces: [],
--- a/src/coordination/cold_start/cold_site_types.ts
+++ b/src/coordination/cold_start/cold_site_types.ts
@@ -25,6 +25,8 @@
   readonly fullShare: number;
   /** How long a request waits at a gateway for an endpoint with room. */
   readonly patienceMs: number;
+  /** How often a refused caller returns, to any gateway. */
+  readonly maxReturns: number;
   readonly coldStart: ColdStart;
   readonly bounds: ColdBounds;
 }
--- a/src/coordination/cold_start/cold_start_histories_test.ts
+++ b/src/coordination/cold_start/cold_start_histories_test.ts
@@ -27,6 +27,9 @@
 /** After this time all gateways use their units. */
 const WARM_UP_MS = 9_000;
 
+/** After this time gateways without requests have given up their units. */
+const UNTIL_IDLE_MS = 40_000;
+
 const LENGTH_MS = 18_000;
 
 const SKIPPED_DRAWS = 20;
@@ -63,6 +66,7 @@
     loads: isEven ? [1] : [2.2, 0.2, 1.2, 0.8, 1.4, 0.2],
     patienceMs: drawBetween(0, 500),
     fullShare: 0.7 + draw() * 0.28,
+    maxReturns: 3,
     coldStart: COLD_START,
     bounds: BOUNDS,
   });
@@ -120,4 +124,31 @@
   );
 });
 
+// Guards against units that are held where nobody has requests: the gateways of the
+// endpoint's data centre have none, and nobody returns to them.
+test('gateways without requests give up their part of the bound', async () => {
+  const site = new SimulatedColdSite({
+    seed: 1,
+    gateways: 79,
+    cores: 9,
+    endpoints: 1,
+    perSecond: 79 * 2.5,
+    loads: [0, 1.2, 1.2, 1.2, 1.2, 1.2],
+    patienceMs: 300,
+    fullShare: 0.9,
+    maxReturns: 0,
+    coldStart: COLD_START,
+    bounds: BOUNDS,
+  });
+  await site.run(UNTIL_IDLE_MS);
+  for (let start = 0; start < 5; start++) {
+    site.restartEndpoint(0, 500);
+    await site.run(COLD_MS + 2_000);
+  }
+  for (const {count} of listPeaks(site, 'all')) assert.ok(count <= 18);
+  const shares = listUses(site).map(({share}) => share);
+  const mean = shares.reduce((sum, share) => sum + share, 0) / shares.length;
+  assert.ok(shares.length >= 4 && mean >= MIN_USE, shares.join(' '));
+});
+
 test.run();
--- a/src/coordination/cold_start/cold_start_rule.ts
+++ b/src/coordination/cold_start/cold_start_rule.ts
@@ -16,6 +16,7 @@
 import type {AttemptOrder, EndpointRule} from '../selection/endpoint_rules.ts';
 import type {ColdEndpoints} from './cold_endpoints.ts';
 import {computeUnits} from './compute_units.ts';
+import type {OwnDemand} from './own_demand.ts';
 import type {ShareLease} from './share_lease.ts';
 
 /**
@@ -60,6 +61,7 @@
   readonly address: string;
   readonly gateways: RecentGateways;
   readonly lease: Pick<ShareLease, 'isHeld' | 'isResuming'>;
+  readonly demand: Pick<OwnDemand, 'mayCountIdle'>;
   readonly cold: Pick<ColdEndpoints, 'getColdMs'>;
   /** What the endpoints of a service bear; `null` if they are never cold. */
   readonly findColdStart: (service: string) => ColdStart | null;
@@ -71,6 +73,7 @@
 interface Units {
   /** From what they were computed. */
   readonly gateways: readonly Gateway[];
+  readonly isIdle: boolean;
   readonly total: number;
   readonly positions: readonly number[];
 }
@@ -226,15 +229,18 @@
     const {address, findRegion} = this.options;
     const gateways = this.options.gateways.listGateways();
     const known = sent.units;
-    if (known?.gateways === gateways && known.total === total) return known;
+    const isIdle = this.options.demand.mayCountIdle;
+    const isSame = known?.gateways === gateways && known.isIdle === isIdle;
+    if (isSame && known.total === total) return known;
     const region = findRegion(dataCentre) ?? '';
     const positions = computeUnits({
       gateways,
       address,
       endpoint: {id, dataCentre, region},
+      isIdle,
       total,
     });
-    sent.units = {gateways, total, positions};
+    sent.units = {gateways, isIdle, total, positions};
     return sent.units;
   }
 }
--- a/src/coordination/cold_start/cold_start_rule_test.ts
+++ b/src/coordination/cold_start/cold_start_rule_test.ts
@@ -47,6 +47,7 @@
     bounds,
     address,
     gateways: new RecentGateways({clock, listGateways: () => listed}),
+    demand: {mayCountIdle: false},
     lease: {isHeld: () => state.isHeld, isResuming: () => state.isResuming},
     cold: {getColdMs: () => state.coldMs},
     findColdStart: () => coldStart,
--- a/src/coordination/cold_start/compute_units.ts
+++ b/src/coordination/cold_start/compute_units.ts
@@ -6,7 +6,8 @@
  * other, no matter what else their lists contain, both compute the same order, and
  * a longer list only takes units away from a gateway. So the units that gateways
  * hold do not exceed the total as long as each of them knows all others that hold
- * units.
+ * units. A gateway without requests comes late. Once it has some, it counts itself
+ * as idle until the others know, so that none counts it for less than it does itself.
  */
 import type {Gateway} from '../../protocol/core_service.ts';
 import {computeShare} from '../forwarding/hash.ts';
@@ -18,6 +19,9 @@
  */
 const STEPS_PER_UNIT = 2;
 
+/** The steps of distance that a gateway without requests is further away. */
+const IDLE_STEPS = 4;
+
 export interface ComputeUnitsOptions {
   readonly gateways: readonly Gateway[];
   /** The address of this gateway. */
@@ -26,6 +30,8 @@
     Gateway,
     'region' | 'dataCentre'
   >;
+  /** Whether another gateway may take this one for idle. */
+  readonly isIdle: boolean;
   /** How many units there are. */
   readonly total: number;
 }
@@ -44,11 +50,14 @@
   gateways,
   address,
   endpoint,
+  isIdle,
   total,
 }: ComputeUnitsOptions): number[] {
   const candidates = gateways.map(gateway => ({
     address: gateway.address,
-    distance: computeDistance(endpoint, gateway),
+    distance:
+      computeDistance(endpoint, gateway) +
+      ((gateway.address === address ? isIdle : gateway.idle) ? IDLE_STEPS : 0),
     hash: computeShare(`${gateway.address}/${endpoint.id}`),
   }));
   const own = candidates.find(each => each.address === address);
--- a/src/coordination/cold_start/compute_units_test.ts
+++ b/src/coordination/cold_start/compute_units_test.ts
@@ -24,9 +24,15 @@
   total: number,
 ): Map<string, number> {
   return new Map(
-    gateways.map(({address}) => [
+    gateways.map(({address, idle}) => [
       address,
-      computeUnits({gateways, address, endpoint: ENDPOINT, total}).length,
+      computeUnits({
+        gateways,
+        address,
+        endpoint: ENDPOINT,
+        isIdle: idle ?? false,
+        total,
+      }).length,
     ]),
   );
 }
@@ -35,7 +41,13 @@
   for (const count of [1, 2, 5, 16, 17, 18, 56, 79]) {
     const gateways = createGateways(count);
     const positions = gateways.flatMap(({address}) =>
-      computeUnits({gateways, address, endpoint: ENDPOINT, total: 17}),
+      computeUnits({
+        gateways,
+        address,
+        endpoint: ENDPOINT,
+        isIdle: false,
+        total: 17,
+      }),
     );
     const sorted = positions.sort((a, b) => a - b);
     assert.deepEqual(
@@ -74,4 +86,39 @@
   }
 });
 
+// Guards against units near the endpoint where nobody has requests.
+test('computeUnits() passes over gateways without requests', () => {
+  const gateways = createGateways(79).map(each =>
+    each.dataCentre === 'd0' ? {...each, idle: true} : each,
+  );
+  const units = countUnits(gateways, 17);
+  const holders = gateways.filter(({address}) => units.get(address));
+  assert.equal(holders.length, 17);
+  assert.ok(holders.every(each => each.region === 'r0' && !('idle' in each)));
+  // All may get a few requests.
+  const idle = createGateways(79).map(each => ({...each, idle: true}));
+  const sum = [...countUnits(idle, 17).values()].reduce((a, b) => a + b, 0);
+  assert.equal(sum, 17);
+});
+
+// Guards against units that two gateways hold, one of which is not idle any more.
+test('computeUnits() keeps to the total while some do not know who is idle', () => {
+  const gateways = createGateways(40);
+  const outdated = gateways.map((each, index) =>
+    index % 3 === 0 ? {...each, idle: true} : each,
+  );
+  let sum = 0;
+  for (const [index, {address}] of gateways.entries()) {
+    const positions = computeUnits({
+      gateways: index % 2 === 0 ? gateways : outdated,
+      address,
+      endpoint: ENDPOINT,
+      isIdle: index % 3 === 0,
+      total: 17,
+    });
+    sum += positions.length;
+  }
+  assert.ok(sum <= 17, `${sum} units`);
+});
+
 test.run();
--- a/src/coordination/cold_start/create_cold_start.ts
+++ b/src/coordination/cold_start/create_cold_start.ts
@@ -8,6 +8,7 @@
 import {RecentGateways} from '../forwarding/recent_gateways.ts';
 import {ColdEndpoints} from './cold_endpoints.ts';
 import {ColdStartRule} from './cold_start_rule.ts';
+import {OwnDemand} from './own_demand.ts';
 import {RETAIN_MS, ShareLease} from './share_lease.ts';
 
 export interface ColdStartOptions {
@@ -34,6 +35,10 @@
 /** The limits of one gateway on its requests to cold endpoints. */
 export interface ColdStartLimits {
   readonly rule: ColdStartRule;
+  /** What the other gateways are told of this one's requests. */
+  describeDemand(): {readonly idle?: true};
+  /** Records a request of a caller. */
+  recordRequest(): void;
   /** The remaining cold time of an endpoint start, in ms; 0 if it is warm. */
   getColdMs(endpoint: EndpointEntry): number;
   /** Records an entry of the core's list. */
@@ -62,6 +67,7 @@
   const isLimited = excess !== undefined && extra !== undefined;
   const findColdStart = (service: string) =>
     isLimited ? (options.findService(service)?.coldStart ?? null) : null;
+  const demand = new OwnDemand(clock);
   const lease = new ShareLease({clock, address, gateways});
   const endpoints = new ColdEndpoints({
     clock,
@@ -75,11 +81,14 @@
     gateways,
     bounds: isLimited ? {excess, extra} : null,
     lease,
+    demand,
     cold: endpoints,
     findColdStart,
   });
   return {
     rule,
+    describeDemand: () => (isLimited && demand.isToldIdle ? {idle: true} : {}),
+    recordRequest: () => demand.record(),
     getColdMs: endpoint => endpoints.getColdMs(endpoint),
     record: entry => endpoints.record(entry),
     recordContact: sentAt => lease.recordContact(sentAt),
--- a/src/coordination/cold_start/simulated_cold_site.ts
+++ b/src/coordination/cold_start/simulated_cold_site.ts
@@ -42,10 +42,9 @@
 const URGENT_MS = 30;
 const EXCHANGE_MS = 400;
 
-/** How long a refused caller waits at least, how much longer, and how often. */
+/** How long a refused caller waits at least, and how much longer. */
 const RETURN_MS = 300;
 const RETURN_JITTER_MS = 700;
-const MAX_RETURNS = 3;
 
 const SKIPPED_DRAWS = 20;
 
@@ -315,6 +314,7 @@
 
   private forward(gateway: ColdSiteGateway, caller: WaitingCaller): void {
     const {rule} = gateway.limits;
+    gateway.limits.recordRequest();
     const candidates = gateway
       .listCandidates()
       .filter(({id}) => !this.getEndpoint(id).isDown);
@@ -333,7 +333,7 @@
       return;
     }
     this.refusedAt.push(now);
-    if (caller.returns >= MAX_RETURNS) return;
+    if (caller.returns >= this.options.maxReturns) return;
     const next = Math.floor(this.draw() * this.gateways.length);
     const returnMs = RETURN_MS + this.draw() * RETURN_JITTER_MS;
     this.schedule(returnMs, () => this.request(next, caller.returns + 1));
--- a/src/coordination/core/gateway_directory.ts
+++ b/src/coordination/core/gateway_directory.ts
@@ -179,7 +179,10 @@
     const known = this.openGateways;
     const isSame =
       list.length === known.list.length &&
-      list.every(({address}, index) => address === known.list[index]?.address);
+      list.every(({address, idle}, index) => {
+        const other = known.list[index];
+        return address === other?.address && idle === other.idle;
+      });
     if (!isSame) this.openGateways = {revision: known.revision + 1, list};
     return this.openGateways;
   }
--- a/src/coordination/forwarding/refuse.ts
+++ b/src/coordination/forwarding/refuse.ts
@@ -17,7 +17,7 @@
   | 'no-room'
   // Endpoints requested a back-off that ends too late for this request.
   | 'quiet'
-  // The limits that endpoints named leave no room.
+  // The limits that endpoints named, or bounds of cold ones, leave no room.
   | 'limited'
   // A part of its prompt crashes endpoints, or may do so.
   | 'quarantined'
--- a/src/protocol/core_service.ts
+++ b/src/protocol/core_service.ts
@@ -61,6 +61,8 @@
   open: z.boolean(),
   /** Whether it serves nothing any more; absent from earlier versions. */
   stopped: z.boolean().optional(),
+  /** Whether it had no requests lately; absent if not, and from earlier versions. */
+  idle: z.boolean().optional(),
 });
 
 export type Gateway = z.infer<typeof gatewaySchema>;
