--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -173,6 +173,7 @@
     open: isOpen(),
     ...hostWatch.describe(),
     ...(hasStopped ? {stopped: true} : {}),
+    ...cold.describeDemand(),
   });
   const pruneEnded = () => {
     notices.pruneEnded(id => view.findEndpoint(id));
@@ -306,7 +307,10 @@
       secret: parts.secret,
       memory: parts.host.memory,
       maxConnections: parts.host.connections.front,
-      forward: (call, sink) => forwarder.forward(call, sink),
+      forward: (call, sink) => {
+        cold.recordRequest();
+        return forwarder.forward(call, sink);
+      },
       needsDigest: () => quarantine.countRecords().suspects > 0,
     }),
   );
--- a/src/coordination/core/gateway_directory.ts
+++ b/src/coordination/core/gateway_directory.ts
@@ -203,9 +203,10 @@
     const isSame =
       list.length === known.length &&
       list.every(
-        ({address, capacity}, index) =>
+        ({address, capacity, idle}, index) =>
           address === known[index]?.address &&
-          capacity === known[index].capacity,
+          capacity === known[index].capacity &&
+          idle === known[index].idle,
       );
     const isSlowerSame = list.every(
       ({slowness = 0}, index) => slowness === (known[index]?.slowness ?? 0),
--- a/src/protocol/core_service.ts
+++ b/src/protocol/core_service.ts
@@ -77,6 +77,8 @@
    * it is not slow and from earlier versions.
    */
   slowness: z.int().min(0).max(MAX_HOST_SLOWNESS).optional(),
+  /** Whether it had no requests lately; absent if not, and from earlier versions. */
+  idle: z.boolean().optional(),
 });
 
 export type Gateway = z.infer<typeof gatewaySchema>;
