--- a/src/cli/serve_site/host_bounds.ts
+++ b/src/cli/serve_site/host_bounds.ts
@@ -51,10 +51,8 @@
     kindBytes: {answer: bounds.answer_memory_mib * BYTES_PER_MIB},
   });
   store.add(startMemoryReport({memory, clock, logger: createLogger('memory')}));
-  const descriptors = Math.min(
-    host.descriptors ?? Infinity,
-    readDescriptorLimit(),
-  );
+  // What the system says of a process may be a soft limit of its launcher.
+  const descriptors = host.descriptors ?? readDescriptorLimit();
   return {memory, connections: computeConnectionBounds(descriptors)};
 }
 
