Weigh the savings of cached prompt prefixes against the wait, if the settings ask

One id stood for the whole shared prefix, which was assumed to be cached for 20 s at each engine that got it and at its owner, whatever the engine's memory, slots and queue. So requests waited at the holder of a popular prefix, and prompts that share only their first part saved nothing.

With routing.weighs_cached_prefixes each prefix of a prompt's chain is expected at an engine by what was sent there since, the memory that running requests leave, and its owners, per model. The prefill that this saves is compared with the backlog and the wait for a slot, at the engine's speed. The part of a session is expected where its last request went. Attempts that were not run are not counted on. Off by default: then prompts are placed as before.

--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -207,6 +207,7 @@
     limits,
     rules: new EndpointRules([limits]),
     speeds,
+    weighsCachedPrefixes: settings.routing.weighs_cached_prefixes,
     quarantine,
     relay,
     gateways,
--- a/src/cli/serve_site/settings_source_test.ts
+++ b/src/cli/serve_site/settings_source_test.ts
@@ -45,6 +45,15 @@
   return opened.value;
 }
 
+test('cached prefixes are weighed only if the settings ask for it', async () => {
+  const {settings} = await openSource();
+  assert.equal(settings.routing.weighs_cached_prefixes, false);
+  const text = formatSettings(FIRST);
+  await writeFile(file, `${text}\n[routing]\nweighs_cached_prefixes = true\n`);
+  const asked = await openSource();
+  assert.equal(asked.settings.routing.weighs_cached_prefixes, true);
+});
+
 test('reload() applies a change made before the first reload', async () => {
   const source = await openSource();
   await writeFile(file, formatSettings(SECOND));
--- a/src/coordination/forwarding/choose_endpoint.ts
+++ b/src/coordination/forwarding/choose_endpoint.ts
@@ -15,6 +15,8 @@
   readonly failureShare: number;
   /** Its prefill backlog in front of this request, in ms. */
   readonly waitMs: number;
+  /** The standard deviation of that, in ms; 0 by default. */
+  readonly waitSpreadMs?: number;
   /** The prefill of this request. */
   readonly plan: PrefillPlan;
   /** The time that work takes there, in relation to the usual time. */
@@ -157,7 +159,7 @@
   const {leftMs, random, weighsHops = false} = options;
   const {endpoint, open, failureShare, plan} = candidate;
   const factor = drawFactor(options, candidate);
-  const waitMs = candidate.waitMs * factor;
+  const waitMs = drawWaitMs(options, candidate) * factor;
   // Capacity is used for the usual time; the rest is a longer wait.
   const slowMs = plan.ms * (factor - 1);
   const overdueMs = waitMs + plan.ms * factor - leftMs * SAFE_SHARE;
@@ -189,6 +191,16 @@
   return Math.max(MIN_FACTOR, time.factor + deviation);
 }
 
+/** Draws a wait from what is known, as other gateways act on the same reports. */
+function drawWaitMs(
+  {random}: ChooseEndpointOptions,
+  {waitMs, waitSpreadMs = 0}: EndpointCandidate,
+): number {
+  if (waitSpreadMs === 0) return waitMs;
+  const deviation = (2 * random() - 1) * EVEN_DRAW_WIDTH * waitSpreadMs;
+  return Math.max(0, waitMs + deviation);
+}
+
 function computeUse({endpoint, open}: EndpointCandidate): number {
   return open / Math.max(1, endpoint.slots);
 }
--- a/src/coordination/forwarding/endpoint_picker.ts
+++ b/src/coordination/forwarding/endpoint_picker.ts
@@ -63,8 +63,8 @@
   }
 
   /** Records that a planned attempt will be made. */
-  record(run: CallRun, {endpoint, model}: AttemptChoice): void {
-    this.candidates.record(run, endpoint, model);
+  record(run: CallRun, choice: AttemptChoice): void {
+    this.candidates.record(run, choice);
   }
 
   /**
--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -15,6 +15,7 @@
 import {GatewayView} from '../gateway/gateway_view.ts';
 import {EndpointSpeeds} from '../endpoint_speed/endpoint_speeds.ts';
 import type {AttemptOptions, AttemptOutcome, Call, CallFacts} from './call.ts';
+import {createCall} from './call_fakes.ts';
 import {EndpointHealth} from './endpoint_health.ts';
 import {EndpointRules} from '../selection/endpoint_rules.ts';
 import {EndpointLimits} from './endpoint_limits.ts';
@@ -25,26 +26,12 @@
 import {Quarantine} from '../quarantine/quarantine.ts';
 import {CallRelay, type SendRelayed} from '../reach/call_relay.ts';
 import {Reachability} from '../reach/reachability.ts';
-import {BodyDigest} from '../quarantine/request_identity.ts';
 import {RecentGateways} from './recent_gateways.ts';
 import {RecordingSink} from './recording_sink_fake.ts';
 import type {TrialClient} from '../quarantine/trial_client.ts';
 import {VersionEvidenceCounter} from './version_evidence.ts';
 
-/** The facts of a request without any optional header. */
-export const NO_FACTS: CallFacts = {
-  attemptId: null,
-  budgetMs: null,
-  key: null,
-  session: null,
-  model: null,
-  isModelOpen: false,
-  promptTokens: 0,
-  maxOutputTokens: 0,
-  outputTokensHint: null,
-  prompt: [],
-  lastEventId: null,
-};
+export {createCall, NO_FACTS} from './call_fakes.ts';
 
 export function createRoute(change: Partial<Route> = {}): Route {
   return {
@@ -175,6 +162,8 @@
   readonly retryRatio?: number;
   /** Retries on top of that in a window of 10 s; 50 by default. */
   readonly retryExtra?: number;
+  /** Whether savings of cached prompt prefixes are weighed; false by default. */
+  readonly weighsCachedPrefixes?: boolean;
 }
 
 /** A gateway with fake endpoints. */
@@ -213,6 +202,7 @@
     retryExtra = 50,
     logger = silentLogger,
     metrics = silentMetrics,
+    weighsCachedPrefixes = false,
   }: FakeGatewayOptions) {
     this.clock = clock;
     this.address = address;
@@ -280,6 +270,7 @@
       limits: this.limits,
       rules: new EndpointRules([this.limits]),
       speeds: new EndpointSpeeds(clock),
+      weighsCachedPrefixes,
       quarantine: this.quarantine,
       gateways,
       health: this.health,
@@ -364,35 +355,3 @@
     return {sink, done: this.forwarder.forward(call, sink)};
   }
 }
-
-export interface CreateCallOptions {
-  readonly facts?: Partial<CallFacts>;
-  /** Empty by default. */
-  readonly body?: Buffer;
-  /** Never aborts by default. */
-  readonly signal?: AbortSignal;
-  /** 0 by default. */
-  readonly receivedAt?: number;
-}
-
-export function createCall(
-  attemptId: string,
-  {
-    facts = {},
-    body = Buffer.alloc(0),
-    signal = new AbortController().signal,
-    receivedAt = 0,
-  }: CreateCallOptions,
-): Call {
-  return {
-    method: 'POST',
-    path: '/x',
-    host: 'desk.example',
-    headers: [],
-    body,
-    digestBody: () => new BodyDigest().compute(body),
-    facts: {...NO_FACTS, attemptId, ...facts},
-    receivedAt,
-    signal,
-  };
-}
--- a/src/coordination/forwarding/record_attempt.ts
+++ b/src/coordination/forwarding/record_attempt.ts
@@ -24,6 +24,8 @@
   readonly evidence: VersionEvidenceCounter;
   readonly prefillBacklog: PrefillBacklog;
   readonly speeds: EndpointSpeeds;
+  /** Whether the savings of cached prompt prefixes are weighed; false by default. */
+  readonly weighsCachedPrefixes?: boolean;
   readonly logger: Logger;
   readonly metrics: Metrics;
 }
@@ -58,6 +60,10 @@
   const {health, reach, logger, metrics} = options;
   const service = run.admitted.service.name;
   metrics.count('attempts', 1, {service, outcome: result.type});
+  const cachedShare = computeCachedShare(run);
+  if (options.weighsCachedPrefixes && cachedShare !== null) {
+    metrics.record('cached_share', cachedShare, {service});
+  }
   if (options.speeds.isReported(service)) recordSpeedMetrics(metrics, run);
   recordReach(reach, {endpoint, result});
   // A gateway without a path learns nothing of endpoints from its links.
@@ -74,6 +80,7 @@
       expectedMs: run.expectedMs === null ? null : Math.round(run.expectedMs),
       timeFactor: roundFactor(run.timeFactor),
       beganMs: run.beganMs === null ? null : Math.round(run.beganMs),
+      cachedShare: computeCachedShare(run),
       sharedParts: run.sharedPartIds.slice(0, MAX_LOGGED_PARTS),
       open: health.countOpen(endpoint),
     });
@@ -86,6 +93,13 @@
   return Math.round(factor * 100) / 100;
 }
 
+/** The share of the prompt that the last endpoint was expected to have cached. */
+function computeCachedShare({call, uncachedTokens}: CallRun): number | null {
+  const {promptTokens} = call.facts;
+  if (promptTokens === 0) return null;
+  return Math.round((1 - uncachedTokens / promptTokens) * 100) / 100;
+}
+
 /** Records how slow endpoints were taken to be, and how far off that was. */
 function recordSpeedMetrics(metrics: Metrics, run: CallRun): void {
   const {service} = run.admitted;
--- a/src/coordination/prompt_cache/candidate_describer.ts
+++ b/src/coordination/prompt_cache/candidate_describer.ts
@@ -1,5 +1,7 @@
 /** Samples the endpoints for a request and describes what is known of them. */
+import type {Clock} from '../../protocol/clock.ts';
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
+import type {Engine} from '../../protocol/route_table.ts';
 import type {EndpointSpeeds} from '../endpoint_speed/endpoint_speeds.ts';
 import type {CallRun} from '../forwarding/call_run.ts';
 import type {EndpointCandidate} from '../forwarding/choose_endpoint.ts';
@@ -8,9 +10,10 @@
 import {computeShare} from '../forwarding/hash.ts';
 import {planPrefill} from '../forwarding/plan_prefill.ts';
 import type {PrefillBacklog} from '../forwarding/prefill_backlog.ts';
-import {PrefixCacheTracker} from '../forwarding/prefix_cache_tracker.ts';
+import {PrefixCacheTracker} from './prefix_cache_tracker.ts';
+import type {AttemptChoice} from '../forwarding/run_attempt.ts';
 import type {GatewayView} from '../gateway/gateway_view.ts';
-import type {Clock} from '../../protocol/clock.ts';
+import {PrefixWeigher, type PrefixLookup} from './prefix_weigher.ts';
 
 /** Share of other gateways' reported prefill backlog assumed still pending. */
 const OTHER_BACKLOG_WEIGHT = 0.8;
@@ -33,6 +36,11 @@
   readonly speeds: EndpointSpeeds;
   readonly prefillBacklog: PrefillBacklog;
   readonly clock: Clock;
+  /**
+   * Whether the savings of cached prompt prefixes are weighed against the wait
+   * at engines; false by default.
+   */
+  readonly weighsCachedPrefixes?: boolean;
   /** Returns a number from 0 up to 1. */
   readonly random: () => number;
   readonly region: string;
@@ -41,28 +49,21 @@
   readonly findRegion: (dataCentre: string) => string | null;
 }
 
-interface DescribeOptions {
-  readonly endpoint: EndpointEntry;
-  readonly model: string | null;
-  /** The probability that it has the shared prompt prefix cached, 0 to 1. */
-  readonly cachedProbability: number;
-}
-
 export class CandidateDescriber {
   private readonly prefixCache: PrefixCacheTracker;
+  private readonly weigher: PrefixWeigher;
 
   constructor(private readonly options: CandidateDescriberOptions) {
     this.prefixCache = new PrefixCacheTracker(options.clock);
+    this.weigher = new PrefixWeigher(options);
   }
 
   /** Records that an attempt will be made, which caches its prompt prefix. */
-  record(
-    {sharedPrefixId}: CallRun,
-    endpoint: EndpointEntry,
-    model: string | null,
-  ): void {
+  record(run: CallRun, choice: AttemptChoice): void {
+    if (this.findWeighedEngine(run)) return this.weigher.record(run, choice);
+    const {sharedPrefixId} = run;
     if (sharedPrefixId === null) return;
-    this.prefixCache.record(endpoint, model, sharedPrefixId);
+    this.prefixCache.record(choice.endpoint, choice.model, sharedPrefixId);
   }
 
   /** Samples endpoints for a request and adds what is known of their load. */
@@ -71,7 +72,36 @@
     model: string | null,
     endpoints: readonly EndpointEntry[],
   ): EndpointCandidate[] {
-    const {dataCentre, random} = this.options;
+    const {dataCentre, health, random} = this.options;
+    const engine = this.findWeighedEngine(run);
+    const prefixes = engine
+      ? this.weigher.find({run, engine, model, endpoints})
+      : this.findShared(run, model, endpoints);
+    const drawn = drawEndpoints(endpoints, {
+      dataCentre,
+      hasCachedPrompt: endpoint => prefixes.isHolder(endpoint),
+      isUsable: endpoint => health.isUsable(endpoint),
+      random,
+    });
+    return drawn.map(endpoint =>
+      this.describeCandidate(run, endpoint, prefixes),
+    );
+  }
+
+  /** The engine of a service whose cached prefixes are weighed; else `null`. */
+  private findWeighedEngine({admitted}: CallRun): Engine | null {
+    const {weighsCachedPrefixes = false} = this.options;
+    return weighsCachedPrefixes ? admitted.service.engine : null;
+  }
+
+  /** Looks up who has the whole shared prefix, regardless of memory and wait. */
+  private findShared(
+    run: CallRun,
+    model: string | null,
+    endpoints: readonly EndpointEntry[],
+  ): PrefixLookup {
+    const {prefillBacklog} = this.options;
+    const {service, call} = run.admitted;
     const {sharedPrefixId} = run;
     const cacheOwner =
       sharedPrefixId === null
@@ -85,19 +115,19 @@
       if (this.prefixCache.has(endpoint, model, sharedPrefixId)) return 1;
       return endpoint === cacheOwner ? CACHE_OWNER_PROBABILITY : 0;
     };
-    const drawn = drawEndpoints(endpoints, {
-      dataCentre,
-      hasCachedPrompt: endpoint => getCachedProbability(endpoint) > 0,
-      isUsable: endpoint => this.options.health.isUsable(endpoint),
-      random,
-    });
-    return drawn.map(endpoint =>
-      this.describeCandidate(run, {
-        endpoint,
-        model,
-        cachedProbability: getCachedProbability(endpoint),
+    return {
+      isHolder: endpoint => getCachedProbability(endpoint) > 0,
+      weigh: (endpoint, backlogMs) => ({
+        plan: planPrefill({
+          cachedProbability: getCachedProbability(endpoint),
+          sharedTokens: run.sharedTokens,
+          ownTokens: call.facts.promptTokens - run.sharedTokens,
+          msPerToken: prefillBacklog.getRate(service.name, model).msPerToken,
+        }),
+        waitMs: backlogMs,
+        waitSpreadMs: 0,
       }),
-    );
+    };
   }
 
   /**
@@ -116,31 +146,27 @@
 
   private describeCandidate(
     run: CallRun,
-    {endpoint, model, cachedProbability}: DescribeOptions,
+    endpoint: EndpointEntry,
+    prefixes: PrefixLookup,
   ): EndpointCandidate {
     const {view, health, speeds, prefillBacklog} = this.options;
     const otherLoad = view.getOtherLoad(endpoint.id);
-    const {service, call} = run.admitted;
-    const waitMs =
+    const backlogMs =
       prefillBacklog.getPendingMs(endpoint) +
       otherLoad.readingMs * OTHER_BACKLOG_WEIGHT;
-    const plan = planPrefill({
-      cachedProbability,
-      sharedTokens: run.sharedTokens,
-      ownTokens: call.facts.promptTokens - run.sharedTokens,
-      msPerToken: prefillBacklog.getRate(service.name, model).msPerToken,
-    });
+    const {plan, waitMs, waitSpreadMs} = prefixes.weigh(endpoint, backlogMs);
     const open = {own: health.countOpen(endpoint), others: otherLoad.open};
     return {
       endpoint,
       // What gateways know of the work at engines is more than their number.
-      open: service.engine
+      open: run.admitted.service.engine
         ? open.own + open.others
         : speeds.estimateOpen(endpoint, open),
       isEjected: health.isEjected(endpoint),
       isFull: health.isFull(endpoint),
       failureShare: health.getFailureShare(endpoint),
       waitMs,
+      waitSpreadMs,
       plan,
       time: speeds.estimate(endpoint, waitMs + plan.ms),
     };
--- a/src/coordination/forwarding/prefix_cache_tracker_test.ts
+++ b/src/coordination/prompt_cache/prefix_cache_tracker_test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
-import {createEndpoint} from './forwarding_fakes.ts';
+import {createEndpoint} from '../forwarding/forwarding_fakes.ts';
 import {PrefixCacheTracker} from './prefix_cache_tracker.ts';
 
 const ENDPOINT = createEndpoint('e1');
--- a/src/coordination/selection/endpoint_rules.ts
+++ b/src/coordination/selection/endpoint_rules.ts
@@ -27,6 +27,8 @@
   readonly limits: EndpointLimits;
   readonly rules: EndpointRules;
   readonly speeds: EndpointSpeeds;
+  /** Whether the savings of cached prompt prefixes are weighed; false by default. */
+  readonly weighsCachedPrefixes?: boolean;
 }
 
 /** Combines rules: all of them must hold. */
--- a/src/protocol/site_settings.ts
+++ b/src/protocol/site_settings.ts
@@ -82,6 +82,15 @@
       link_mbps: numberSchema.positive().optional(),
     })
     .prefault({}),
+  routing: z
+    .object({
+      /**
+       * Whether the prefill that a cached prompt prefix saves is weighed against
+       * the wait at the engines that may have it, from their memory and load.
+       */
+      weighs_cached_prefixes: z.boolean().default(false),
+    })
+    .prefault({}),
   /** The contracts of the deployment that are in force, by their names. */
   contracts: z.array(z.string()).default([]),
   log: z
