--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -275,6 +275,8 @@
       createDrainRule({view, metrics: parts.metrics}),
     ]),
     speeds,
+    weighsCachedPrefixes:
+      settings.routing.weighs_cached_prefixes || features.weighsCachedPrefixes,
     quarantine,
     relay,
     gateways,
--- a/src/cli/serve_site/surfaces.ts
+++ b/src/cli/serve_site/surfaces.ts
@@ -16,6 +16,11 @@
 export interface SiteFeatures {
   /** Whether customers share scarce endpoints by rank and fair shares. */
   readonly hasFairAdmission: boolean;
+  /**
+   * Whether the savings of cached prompt prefixes are weighed against the wait, also
+   * where the settings do not say so.
+   */
+  readonly weighsCachedPrefixes: boolean;
 }
 
 /** Translates between a deployment's protocol and the internal types. */
--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -163,6 +163,8 @@
   readonly retryRatio?: number;
   /** Retries on top of that in a window of 10 s; 50 by default. */
   readonly retryExtra?: number;
+  /** Whether savings of cached prompt prefixes are weighed; false by default. */
+  readonly weighsCachedPrefixes?: boolean;
 }
 
 /** A gateway with fake endpoints. */
@@ -202,6 +204,7 @@
     retryExtra = 50,
     logger = silentLogger,
     metrics = silentMetrics,
+    weighsCachedPrefixes = false,
   }: FakeGatewayOptions) {
     this.clock = clock;
     this.address = address;
@@ -275,6 +278,7 @@
       limits: this.limits,
       rules: new EndpointRules([this.limits, homes, rule]),
       speeds: new EndpointSpeeds(clock),
+      weighsCachedPrefixes,
       quarantine: this.quarantine,
       gateways,
       health: this.health,
