--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -70,6 +70,7 @@
   const {clock, store, surfaces, createLogger, links, getSettings} = parts;
   const settings = getSettings();
   const {region, data_centre: dataCentre, bounds} = settings;
+  const features = surfaces.decodeFeatures(settings.contracts);
   let isStopping = false;
   let hasStopped = false;
   let server: FrontServer | null = null;
