--- a/src/transport/forwarding/endpoint_client.ts
+++ b/src/transport/forwarding/endpoint_client.ts
@@ -17,7 +17,11 @@
 import {FRAMING_HEADERS} from '../../coordination/forwarding/relay_events.ts';
 import type {CallCodec} from './call_codec.ts';
 import {createFindHeader, dropHopByHop, pairHeaders} from './headers.ts';
-import {createStrictClient, WithdrawnError} from './strict_client.ts';
+import {
+  createStrictClient,
+  InvalidStatusError,
+  WithdrawnError,
+} from './strict_client.ts';
 
 /** Allows a 60 ms handshake across regions and one 1 s retransmission. */
 const CONNECT_TIMEOUT_MS = 1_200;
@@ -185,7 +189,9 @@
     error.syscall === 'connect' || CONNECT_ERROR_CODES.has(code);
   if (isConnect) return {type: 'not-sent', reason: code};
   if (signal.aborted) return {type: 'aborted'};
-  const isInvalid = code.startsWith('HPE_') && code !== 'HPE_INVALID_EOF_STATE';
+  const isInvalid =
+    error instanceof InvalidStatusError ||
+    (code.startsWith('HPE_') && code !== 'HPE_INVALID_EOF_STATE');
   return {
     type: isInvalid ? 'invalid' : 'broken',
     reason: `${code}: ${error.message}`,
--- a/src/transport/forwarding/strict_client.ts
+++ b/src/transport/forwarding/strict_client.ts
@@ -2,7 +2,9 @@
  * An undici client that detects truncated answers and limits framing bytes.
  *
  * An answer without a length ends with its connection. undici accepts a reset
- * as such an end; this client reports an error instead. undici limits the size
+ * as such an end, and an end while the request is still being written; this client
+ * reports an error instead. undici accepts any status of three digits; this client
+ * accepts those of HTTP. undici limits the size
  * of one header section, but neither the number of interim (1xx) answers nor
  * the bytes between the chunks of a body; this client limits both.
  */
@@ -16,6 +18,10 @@
 /** Interim answers allowed before any answer. */
 const MAX_INTERIM_ANSWERS = 16;
 
+/** The statuses of HTTP. */
+const MIN_STATUS = 100;
+const MAX_STATUS = 599;
+
 /** Further framing bytes allowed per byte of the body. */
 const MAX_FRAMING_FACTOR = 16;
 
@@ -29,6 +35,11 @@
   override readonly name = 'WithdrawnError';
 }
 
+/** The answer has a status that HTTP does not have. */
+export class InvalidStatusError extends Error {
+  override readonly name = 'InvalidStatusError';
+}
+
 /** Options of a request in addition to undici's own. */
 interface RequestOptions extends Dispatcher.DispatchOptions {
   /** Whether the request may still be written; always true by default. */
@@ -88,16 +99,22 @@
 }
 
 /**
- * Returns an error if the connection was reset. libuv reports a reset that
+ * Returns an error if the connection was reset, or ended before the request was
+ * written. libuv reports a reset that
  * arrives together with the last bytes as an ordinary end; such a socket no
  * longer has a peer address, while one that the peer closed still has.
  */
-function findReset(socket: Socket | null): Error | null {
+function findCut(socket: Socket | null): Error | null {
   if (!socket) return null;
   if (socket.errored) return socket.errored;
   // Node caches the address at its first use; nothing reads it earlier.
-  return socket.remoteAddress === undefined
-    ? new Error('Could not read the answer: its connection was reset')
+  if (socket.remoteAddress === undefined) {
+    return new Error('Could not read the answer: its connection was reset');
+  }
+  // The peer resets a connection that it closes with bytes unread, and an end that
+  // arrives before that reset does not show whether bytes of the answer are lost.
+  return socket.writableLength > 0
+    ? new Error('Could not read the answer: it ended before its request')
     : null;
 }
 
@@ -142,6 +159,11 @@
     },
     onResponseStarted: () => handler.onResponseStarted?.(),
     onHeaders: (status, headers, ...rest) => {
+      if (status < MIN_STATUS || status > MAX_STATUS) {
+        const reason = `Could not read the answer: its status is ${status}`;
+        connection.socket?.destroy(new InvalidStatusError(reason));
+        return false;
+      }
       if (status < 200 && ++interimAnswers > MAX_INTERIM_ANSWERS) {
         connection.socket?.destroy(
           new Error('Could not read the answer: too many interim answers'),
@@ -160,8 +182,8 @@
     onBodySent: (...args) => handler.onBodySent?.(...args),
     onError: error => handler.onError?.(error),
     onComplete: trailers => {
-      const reset = hasFraming ? null : findReset(connection.socket);
-      if (reset) handler.onError?.(reset);
+      const cut = hasFraming ? null : findCut(connection.socket);
+      if (cut) handler.onError?.(cut);
       else handler.onComplete?.(trailers);
     },
   };
