--- a/src/transport/memory/connection_guard_test.ts
+++ b/src/transport/memory/connection_guard_test.ts
@@ -1,5 +1,4 @@
 import assert from 'node:assert/strict';
-import {once} from 'node:events';
 import {createServer, request, type ServerResponse} from 'node:http';
 import {connect, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -242,7 +241,7 @@
   const stalling = openRaw(server.port, get);
   await waitUntil(() => held.length === 1);
   const waiting = openRaw(server.port, get);
-  await once(held[0] ?? stalling, 'close');
+  await waitUntil(() => held[0]?.closed === true);
   assert.ok(memory.takeRejections().has('connection unread'));
   await sleep(700);
   assert.equal(waiting.destroyed, false);
