Send the rank of a request to engines as its urgency

Engines serve by X-Request-Urgency, but gateways sent only a step for the smallest model, so that priorities of customers and routes had no effect. Where the contracts ask for fair admission, two of the ten steps belong to each rank, and the smallest model goes one step ahead within it. Other deployments send the same urgencies as before.

--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -1,5 +1,6 @@
 /** Runs the gateway components of a site daemon. */
 import {randomBytes} from 'node:crypto';
+import {computeRankUrgency} from '../../coordination/fair_admission/compute_urgency.ts';
 import {AnswerBudget} from '../../coordination/forwarding/answer_budget.ts';
 import {EndpointHealth} from '../../coordination/forwarding/endpoint_health.ts';
 import {EndpointRules} from '../../coordination/selection/endpoint_rules.ts';
@@ -62,6 +63,7 @@
 ): Promise<SiteGateway> {
   const {clock, store, surfaces, createLogger, links, getSettings} = parts;
   const settings = getSettings();
+  const {hasFairAdmission} = surfaces.decodeFeatures(settings.contracts);
   const {region, data_centre: dataCentre, listen, bounds} = settings;
   let isStopping = false;
   let hasStopped = false;
@@ -220,6 +222,7 @@
     region,
     dataCentre,
     findRegion: name => getSettings().data_centres[name] ?? null,
+    ...(hasFairAdmission && {computeUrgency: computeRankUrgency}),
     retryRatio: bounds.retry_ratio,
     retryExtra: bounds.retry_extra,
     retryWindowMs: bounds.retry_window_s * 1_000,
--- a/src/coordination/forwarding/endpoint_picker.ts
+++ b/src/coordination/forwarding/endpoint_picker.ts
@@ -1,6 +1,8 @@
 /** Picks the endpoint, the model and the urgency of the next attempt. */
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import type {Clock} from '../../protocol/clock.ts';
+import type {AdmissionHooks} from '../fair_admission/admission_hooks.ts';
+import {computeModelUrgency} from '../fair_admission/compute_urgency.ts';
 import type {GatewayView} from '../gateway/gateway_view.ts';
 import {createStartKey} from '../quarantine/endpoint_ends.ts';
 import type {Quarantine} from '../quarantine/quarantine.ts';
@@ -34,10 +36,8 @@
  */
 const MIN_REGION_ENDPOINTS = 8;
 
-/** One step more urgent than the default of engines, which is 5. */
-const SMALL_MODEL_URGENCY = 4;
-
-export interface EndpointPickerOptions extends SelectionOptions {
+export interface EndpointPickerOptions
+  extends SelectionOptions, AdmissionHooks {
   readonly view: GatewayView;
   readonly health: EndpointHealth;
   readonly notices: EndpointNotices;
@@ -104,6 +104,7 @@
   ): AttemptChoice | null {
     const {region, dataCentre, findRegion, random, prefillBacklog, clock} =
       this.options;
+    const {computeUrgency = computeModelUrgency} = this.options;
     const {service, route} = run.admitted;
     const allowed = this.listUntried(run).filter(isAllowed);
     const endpoints = selectTrialEndpoints(allowed, {
@@ -125,7 +126,7 @@
     return {
       endpoint,
       model,
-      urgency: computeUrgency(route.models, model),
+      urgency: computeUrgency(run.admitted, model),
       backlogMs: waitMs,
       plan,
       expectedMs:
@@ -295,16 +296,6 @@
   }
 }
 
-/**
- * Computes the urgency of an attempt at an engine. Attempts at the smallest
- * model go first: they delay longer ones only a little, and show sooner whether
- * an escalation is needed.
- */
-function computeUrgency(models: readonly string[], model: string | null) {
-  const isSmallest = model !== null && model === models[0] && models.length > 1;
-  return isSmallest ? SMALL_MODEL_URGENCY : null;
-}
-
 /**
  * Chooses the endpoint that caches a prompt prefix by rendezvous hashing, so
  * that all gateways agree on it without coordination.
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -19,6 +19,7 @@
 import {deliverHeld} from './deliver_held.ts';
 import {EndpointPicker} from './endpoint_picker.ts';
 import {Escalation} from './escalation.ts';
+import type {AdmissionHooks} from '../fair_admission/admission_hooks.ts';
 import type {SelectionOptions} from '../selection/endpoint_rules.ts';
 import type {EndpointNotices} from './endpoint_notices.ts';
 import {findFallbackMs} from './find_fallback.ts';
@@ -30,11 +31,11 @@
 import type {RecentGateways} from './recent_gateways.ts';
 import {
   drawJitterMs,
-  planEarlyRefusal,
   planRefusal,
   type UndeliveredRun,
 } from './plan_refusal.ts';
 import {refuseCall, type RefusalReason} from './refuse.ts';
+import {refuseEarly} from './refuse_early.ts';
 import {
   runAttempt,
   type AttemptChoice,
@@ -67,6 +68,7 @@
   extends
     RecordAttemptOptions,
     SelectionOptions,
+    AdmissionHooks,
     Omit<AdmitCallOptions, 'view'> {
   readonly notices: EndpointNotices;
   readonly quarantine: Quarantine;
@@ -380,17 +382,8 @@
   }
 
   private refuse(call: Call, sink: CallerSink, reason: RefusalReason): void {
-    const refusal = planEarlyRefusal(this.options, reason, this.shutdown);
-    const status = refuseCall(sink, refusal);
-    this.options.metrics.count('requests', 1, {outcome: reason});
-    this.options.logger.info('Refuses a request.', {
-      request: call.facts.attemptId,
-      host: call.host,
-      path: call.path,
-      reason,
-      status,
-      configuration: this.options.view.routes?.table.version ?? null,
-    });
+    const {shutdown} = this;
+    refuseEarly(this.options, call, {sink, reason, shutdown});
   }
 }
 
