Decide who waits and who is refused before the first attempt

Requests went to endpoints until these refused them, whatever their rank and customer. Where fair admission is on, a gateway keeps a pace for each service that follows what endpoints accept, shares it by rank and customer, lets requests wait for at most half of their objective and refuses at once what would wait longer. No pace applies until attempts are refused or late, and nothing is refused while under half of the slots are taken and nothing waits.

--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -1,6 +1,6 @@
 /** Runs the gateway components of a site daemon. */
 import {randomBytes} from 'node:crypto';
-import {computeRankUrgency} from '../../coordination/fair_admission/compute_urgency.ts';
+import {createAdmissionHooks} from '../../coordination/fair_admission/create_admission_hooks.ts';
 import {AnswerBudget} from '../../coordination/forwarding/answer_budget.ts';
 import {EndpointHealth} from '../../coordination/forwarding/endpoint_health.ts';
 import {EndpointRules} from '../../coordination/selection/endpoint_rules.ts';
@@ -44,6 +44,12 @@
 
 const BYTES_PER_MIB = 1024 * 1024;
 
+/**
+ * How old a confirmed view may be for the loads of other gateways to count in
+ * fair admission: two reports, each at most 0.8 s apart.
+ */
+const LOADS_VALID_MS = 1_800;
+
 /** Tells a run of a gateway from the one before; sent with each call of the core. */
 const RUN_BYTES = 4;
 
@@ -197,6 +203,25 @@
         await gatewayClient.send(call, options),
       ),
   });
+  const rules = new EndpointRules([limits]);
+  const hooks = createAdmissionHooks({
+    isOn: hasFairAdmission,
+    view,
+    health,
+    notices,
+    rules,
+    prefillBacklog,
+    clock,
+    logger: createLogger('forward'),
+    metrics: parts.metrics,
+    random: Math.random,
+    isViewFresh: () => confirmation.ageMs <= LOADS_VALID_MS,
+    send: async (call, options) =>
+      answers.admit(
+        {endpoint: options.endpoint.id, signal: options.signal},
+        await client.send(call, options),
+      ),
+  });
   const forwarder = new Forwarder({
     view,
     ensureView: () => confirmation.ensure(),
@@ -204,7 +229,7 @@
     reach,
     notices,
     limits,
-    rules: new EndpointRules([limits]),
+    rules,
     quarantine,
     relay,
     gateways,
@@ -214,15 +239,10 @@
     logger: createLogger('forward'),
     metrics: parts.metrics,
     random: Math.random,
-    send: async (call, options) =>
-      answers.admit(
-        {endpoint: options.endpoint.id, signal: options.signal},
-        await client.send(call, options),
-      ),
+    ...hooks,
     region,
     dataCentre,
     findRegion: name => getSettings().data_centres[name] ?? null,
-    ...(hasFairAdmission && {computeUrgency: computeRankUrgency}),
     retryRatio: bounds.retry_ratio,
     retryExtra: bounds.retry_extra,
     retryWindowMs: bounds.retry_window_s * 1_000,
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -122,8 +122,11 @@
     if (isFinal(admitted)) admitted = await admitAgain(call, this.options);
     if (!admitted.ok) return this.refuse(call, sink, admitted.error);
     const run = new CallRun(admitted.value);
+    const {admission} = this.options;
     this.budgets.get(admitted.value.service.name).deposit();
     try {
+      if (admission)
+        await admission.admit(run, {sink, shutdown: this.shutdown});
       while (!run.isOver) await this.step(run, sink);
     } finally {
       // An unexpected error must not leave the escalation or the held answer
--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -13,7 +13,9 @@
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
 import {createGatewayReport} from '../core/gateway_report_fake.ts';
 import {GatewayView} from '../gateway/gateway_view.ts';
+import {createAdmissionHooks} from '../fair_admission/create_admission_hooks.ts';
 import type {AttemptOptions, AttemptOutcome, Call, CallFacts} from './call.ts';
+import {createCall} from './fake_calls.ts';
 import {EndpointHealth} from './endpoint_health.ts';
 import {EndpointRules} from '../selection/endpoint_rules.ts';
 import {EndpointLimits} from './endpoint_limits.ts';
@@ -24,26 +26,12 @@
 import {Quarantine} from '../quarantine/quarantine.ts';
 import {CallRelay, type SendRelayed} from '../reach/call_relay.ts';
 import {Reachability} from '../reach/reachability.ts';
-import {BodyDigest} from '../quarantine/request_identity.ts';
 import {RecentGateways} from './recent_gateways.ts';
 import {RecordingSink} from './recording_sink_fake.ts';
 import type {TrialClient} from '../quarantine/trial_client.ts';
 import {VersionEvidenceCounter} from './version_evidence.ts';
 
-/** The facts of a request without any optional header. */
-export const NO_FACTS: CallFacts = {
-  attemptId: null,
-  budgetMs: null,
-  key: null,
-  session: null,
-  model: null,
-  isModelOpen: false,
-  promptTokens: 0,
-  maxOutputTokens: 0,
-  outputTokensHint: null,
-  prompt: [],
-  lastEventId: null,
-};
+export {createCall, NO_FACTS} from './fake_calls.ts';
 
 export function createRoute(change: Partial<Route> = {}): Route {
   return {
@@ -174,6 +162,8 @@
   readonly retryRatio?: number;
   /** Retries on top of that in a window of 10 s; 50 by default. */
   readonly retryExtra?: number;
+  /** Whether fair admission is on; off by default. */
+  readonly hasFairAdmission?: boolean;
 }
 
 /** A gateway with fake endpoints. */
@@ -210,6 +200,7 @@
     sendRelayed = async () => ({type: 'not-sent', reason: 'ECONNREFUSED'}),
     retryRatio = 0.9,
     retryExtra = 50,
+    hasFairAdmission = false,
     logger = silentLogger,
     metrics = silentMetrics,
   }: FakeGatewayOptions) {
@@ -272,12 +263,31 @@
       onFound: service =>
         this.health.dropFailures(this.view.listEndpoints(service)),
     });
+    const rules = new EndpointRules([this.limits]);
+    const prefillBacklog = new PrefillBacklog(this.clock);
+    const hooks = createAdmissionHooks({
+      isOn: hasFairAdmission,
+      view: this.view,
+      health: this.health,
+      notices: this.notices,
+      rules,
+      prefillBacklog,
+      clock,
+      logger,
+      metrics,
+      random,
+      isViewFresh: () => true,
+      send: (call, options) => {
+        this.attempts.push(options);
+        return behave(call, options, this.clock);
+      },
+    });
     this.forwarder = new Forwarder({
       view: this.view,
       ensureView,
       notices: this.notices,
       limits: this.limits,
-      rules: new EndpointRules([this.limits]),
+      rules,
       quarantine: this.quarantine,
       gateways,
       health: this.health,
@@ -295,15 +305,12 @@
         send: sendRelayed,
       }),
       evidence: new VersionEvidenceCounter(),
-      prefillBacklog: new PrefillBacklog(this.clock),
+      prefillBacklog,
       clock: this.clock,
       logger,
       metrics,
       random,
-      send: (call, options) => {
-        this.attempts.push(options);
-        return behave(call, options, this.clock);
-      },
+      ...hooks,
       region: 'r',
       dataCentre: 'a',
       findRegion,
@@ -362,35 +369,3 @@
     return {sink, done: this.forwarder.forward(call, sink)};
   }
 }
-
-export interface CreateCallOptions {
-  readonly facts?: Partial<CallFacts>;
-  /** Empty by default. */
-  readonly body?: Buffer;
-  /** Never aborts by default. */
-  readonly signal?: AbortSignal;
-  /** 0 by default. */
-  readonly receivedAt?: number;
-}
-
-export function createCall(
-  attemptId: string,
-  {
-    facts = {},
-    body = Buffer.alloc(0),
-    signal = new AbortController().signal,
-    receivedAt = 0,
-  }: CreateCallOptions,
-): Call {
-  return {
-    method: 'POST',
-    path: '/x',
-    host: 'desk.example',
-    headers: [],
-    body,
-    digestBody: () => new BodyDigest().compute(body),
-    facts: {...NO_FACTS, attemptId, ...facts},
-    receivedAt,
-    signal,
-  };
-}
--- a/src/coordination/forwarding/plan_refusal.ts
+++ b/src/coordination/forwarding/plan_refusal.ts
@@ -1,4 +1,5 @@
 /** Plans the refusal of a request that no attempt completed. */
+import type {AdmissionHooks} from '../fair_admission/admission_hooks.ts';
 import type {CallRun} from './call_run.ts';
 import type {EndpointPicker} from './endpoint_picker.ts';
 import type {RefusalReason, RefuseOptions} from './refuse.ts';
@@ -8,7 +9,7 @@
 const RETRY_AFTER_MIN_MS = 300;
 const RETRY_AFTER_JITTER_MS = 700;
 
-export interface PlanRefusalOptions {
+export interface PlanRefusalOptions extends AdmissionHooks {
   /** Returns a number from 0 up to 1. */
   readonly random: () => number;
 }
@@ -48,7 +49,11 @@
   }
   const returnMs = picker.planReturnMs(run);
   if (returnMs !== null) return {reason: 'limited', retryAfterMs: returnMs};
-  if (run.notRun > 0) return refuseForNow(options, 'no-room');
+  if (run.notRun > 0) {
+    const roomMs = options.admission?.planReturnMs(run) ?? null;
+    if (roomMs !== null) return {reason: 'no-room', retryAfterMs: roomMs};
+    return refuseForNow(options, 'no-room');
+  }
   return refuseForNow(options, run.sends > 0 ? 'not-run' : 'no-endpoint');
 }
 
