Follow requests that no endpoint takes, and plan when their callers return

Single endpoints refuse while others have room, since gateways choose by reports of up to 0.8 s ago, so the pace fell below what endpoints could take. It now follows requests that found no room after their retries, of which less urgent ranks leave some to more urgent ones.

--- a/src/coordination/fair_admission/admission_hooks.ts
+++ b/src/coordination/fair_admission/admission_hooks.ts
@@ -13,8 +13,13 @@
 export interface Admission {
   /** Resolves when a request may go; finishes the run if it may not. */
   admit(run: CallRun, options: AdmitOptions): Promise<void>;
-  /** Plans when a caller refused for lack of room returns, in ms from now. */
-  planReturnMs(run: CallRun): number | null;
+  /**
+   * Records that no endpoint took a request, and plans when its caller returns, in
+   * ms from now; `null` if room may come at any time.
+   */
+  recordNoRoom(run: CallRun): number | null;
+  /** Retries that one of this request must leave in the budget for others. */
+  getRetryReserve(run: CallRun): number;
 }
 
 export interface AdmissionHooks {
--- a/src/coordination/fair_admission/fair_admission.ts
+++ b/src/coordination/fair_admission/fair_admission.ts
@@ -20,13 +20,10 @@
 import {refuseCall} from '../forwarding/refuse.ts';
 import type {Shutdown} from '../forwarding/shutdown.ts';
 import type {Admission, AdmitOptions} from './admission_hooks.ts';
+import {getRank} from './compute_urgency.ts';
 import {planReturnMs} from './plan_return.ts';
 import {ServiceLane, type Wait, type WaitOutcome} from './service_lane.ts';
-import {
-  isOverloaded,
-  ServiceRoom,
-  type ServiceRoomOptions,
-} from './service_room.ts';
+import {ServiceRoom, type ServiceRoomOptions} from './service_room.ts';
 import {WaitReport} from './wait_report.ts';
 
 /**
@@ -35,6 +32,12 @@
  */
 const LATE_SHARE = 0.4;
 
+/**
+ * Time for whose more urgent requests a request leaves one retry each in the budget
+ * of the service.
+ */
+const RETRY_RESERVE_MS = 1_500;
+
 export interface FairAdmissionOptions extends ServiceRoomOptions {
   readonly prefillBacklog: Pick<PrefillBacklog, 'getRate'>;
   readonly logger: Logger;
@@ -58,11 +61,12 @@
   async admit(run: CallRun, {sink, shutdown}: AdmitOptions): Promise<void> {
     const service = run.admitted.service.name;
     const lane = this.getLane(service);
+    const rank = getRank(run.admitted);
     this.runs.set(run.call, run);
     const decision = lane.decide(run);
     if (decision.type === 'admitted') return;
     if (decision.type === 'refused') {
-      this.report.recordRefusal(service, lane);
+      this.report.recordRefusal(service, lane, rank);
       return this.refuse(run, sink);
     }
     const {wait, predictedMs} = decision;
@@ -70,7 +74,12 @@
     const since = clock.monotonic();
     const outcome = await waitFor(wait, {run, shutdown});
     const actualMs = clock.monotonic() - since;
-    this.report.recordWait(service, lane, {outcome, predictedMs, actualMs});
+    this.report.recordWait(service, lane, {
+      rank,
+      outcome,
+      predictedMs,
+      actualMs,
+    });
     if (outcome === 'expired') this.refuse(run, sink);
   }
 
@@ -87,12 +96,27 @@
     };
   }
 
-  planReturnMs(run: CallRun): number | null {
+  recordNoRoom(run: CallRun): number | null {
+    const {pace} = this.getLane(run.admitted.service.name);
+    pace.record('refused', this.options.clock.monotonic());
+    return this.planReturnMs(run);
+  }
+
+  getRetryReserve({admitted}: CallRun): number {
+    const lane = this.getLane(admitted.service.name);
+    if (!lane.pace.isPressed) return 0;
+    const perSecond = lane.getMoreUrgentPerSecond(getRank(admitted));
+    return Math.ceil((perSecond * RETRY_RESERVE_MS) / 1_000);
+  }
+
+  private planReturnMs(run: CallRun): number | null {
     const lane = this.getLane(run.admitted.service.name);
     if (!lane.pace.isPressed) return null;
     const leftMs = run.admitted.deadline - this.options.clock.monotonic();
     const waitMs = lane.predictWaitMs(run);
-    return planReturnMs({waitMs, leftMs, random: this.options.random});
+    const servedShare = lane.getServedShare(run);
+    const {random} = this.options;
+    return planReturnMs({waitMs, servedShare, leftMs, random});
   }
 
   private refuse(run: CallRun, sink: CallerSink): void {
@@ -119,18 +143,11 @@
     this.room.record(endpoint, outcome);
     const now = this.options.clock.monotonic();
     const lane = this.getLane(endpoint.service);
-    if (outcome.type === 'not-run') {
-      if (isOverloaded(outcome)) lane.pace.record('refused', now);
-      return;
-    }
     if (outcome.type !== 'answer' && outcome.type !== 'aborted') return;
     const isLate = this.isLate(run, ms);
     // A caller that leaves early tells nothing.
     if (outcome.type === 'aborted' && !isLate) return;
     lane.pace.record(isLate ? 'late' : 'accepted', now);
-    if (outcome.type === 'answer' && outcome.answer.facts.load) {
-      lane.pace.recordLoad(outcome.answer.facts.load);
-    }
     if (!isLate) lane.recordAnswer(ms);
   }
 
--- a/src/coordination/fair_admission/flow_credits.ts
+++ b/src/coordination/fair_admission/flow_credits.ts
@@ -27,6 +27,7 @@
   private readonly flows = new Map<string, Flow>();
   private readonly floors = new Map<number, Flow>();
   private shares: Shares = {ranks: [], flows: []};
+  private askedPerSecond: ReadonlyMap<string, number> = new Map();
   private plannedAt = -Infinity;
   private pacePerSecond = Infinity;
 
@@ -37,7 +38,11 @@
     if (now - this.plannedAt < PLAN_MS) return;
     this.plannedAt = now;
     this.pacePerSecond = pacePerSecond;
-    this.shares = planShares(this.demand.list(now), pacePerSecond);
+    const demand = this.demand.list(now);
+    this.askedPerSecond = new Map(
+      demand.map(each => [createKey(each), each.perSecond]),
+    );
+    this.shares = planShares(demand, pacePerSecond);
     const planned = new Set<string>();
     for (const {rank, customer, weight, perSecond} of this.shares.flows) {
       const key = createKey({rank, customer});
@@ -61,12 +66,29 @@
     return this.getFlow(key, now).weight;
   }
 
+  /** The share of a flow's requests that its pace covers, 0 to 1. */
+  getServedShare(key: FlowKey): number {
+    const name = createKey(key);
+    const asked = this.askedPerSecond.get(name);
+    const flow = this.flows.get(name);
+    if (asked === undefined || !flow || asked <= flow.perSecond) return 1;
+    return flow.perSecond / asked;
+  }
+
   /** The pace at which a rank is served, in requests per second. */
   getRankPace(rank: number): number {
     const share = this.shares.ranks.find(each => each.rank === rank);
     return share?.perSecond ?? this.pacePerSecond * NEW_FLOW_PART;
   }
 
+  /** Requests per second that are served of more urgent ranks. */
+  getMoreUrgentPerSecond(than: number): number {
+    return this.shares.ranks.reduce(
+      (sum, {rank, perSecond}) => sum + (rank < than ? perSecond : 0),
+      0,
+    );
+  }
+
   /** The time until a flow may send one more after `waiting` others, in ms. */
   getWaitMs(key: FlowKey, {now, waiting}: {now: number; waiting: number}) {
     const flow = this.getFlow(key, now);
--- a/src/coordination/fair_admission/overload_fake.ts
+++ b/src/coordination/fair_admission/overload_fake.ts
@@ -1,10 +1,11 @@
 /**
  * A service under load without a network: gateways that share its endpoints and
- * tell each other of their open requests once a second, and callers that leave at
+ * tell each other of their open requests every 800 ms, and callers that leave at
  * their timeout.
  */
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import type {EndpointLoad} from '../../protocol/core_service.ts';
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import type {Engine, Route, RouteCustomer} from '../../protocol/route_table.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
@@ -20,7 +21,7 @@
 } from '../forwarding/forwarding_fakes.ts';
 
 /** How often gateways learn of the others' open requests, in ms. */
-const EXCHANGE_MS = 1_000;
+const EXCHANGE_MS = 800;
 
 export interface OverloadedServiceOptions {
   readonly seed: number;
@@ -82,6 +83,8 @@
   private readonly draw: () => number;
   private readonly route: Route;
   private readonly counts = new Map<string, StreamCounts>();
+  /** The loads that gateways reported last, by their addresses. */
+  private readonly loads = new Map<string, readonly EndpointLoad[]>();
   private running = 0;
   private runningMs = 0;
   private measuredAt = 0;
@@ -154,7 +157,7 @@
   async run(streams: readonly Stream[], ms: number): Promise<void> {
     const endsAt = this.clock.monotonic() + ms;
     for (const stream of streams) void this.generate(stream, endsAt);
-    void this.exchange(endsAt);
+    for (const index of this.gateways.keys()) void this.exchange(index, endsAt);
     await this.clock.advance(ms);
   }
 
@@ -212,27 +215,23 @@
     }
   }
 
-  private async exchange(endsAt: number): Promise<void> {
-    while (this.clock.monotonic() + EXCHANGE_MS <= endsAt) {
-      await this.clock.sleep(EXCHANGE_MS);
-      const reports = this.gateways.map(gateway => gateway.createReport());
-      const total = new Map<string, number>();
-      for (const {loads} of reports) {
+  /** Lets one gateway report its load and learn that of the others. */
+  private async exchange(index: number, endsAt: number): Promise<void> {
+    const gateway = this.gateways[index]!;
+    const address = `g${index}`;
+    await this.clock.sleep(this.draw() * EXCHANGE_MS);
+    while (this.clock.monotonic() < endsAt) {
+      this.loads.set(address, gateway.createReport().loads);
+      const others = new Map<string, number>();
+      for (const [name, loads] of this.loads) {
+        if (name === address) continue;
         for (const {id, open} of loads) {
-          total.set(id, (total.get(id) ?? 0) + open);
+          others.set(id, (others.get(id) ?? 0) + open);
         }
       }
-      for (const [index, gateway] of this.gateways.entries()) {
-        const own = new Map(
-          reports[index]!.loads.map(({id, open}) => [id, open]),
-        );
-        const loads = [...total].map(([id, open]) => ({
-          id,
-          open: open - (own.get(id) ?? 0),
-          readingMs: 0,
-        }));
-        gateway.view.apply(createFollowReply({complete: false, loads}));
-      }
+      const loads = [...others].map(([id, open]) => ({id, open, readingMs: 0}));
+      gateway.view.apply(createFollowReply({complete: false, loads}));
+      await this.clock.sleep(EXCHANGE_MS);
     }
   }
 
--- a/src/coordination/fair_admission/service_lane.ts
+++ b/src/coordination/fair_admission/service_lane.ts
@@ -79,6 +79,11 @@
     return this.demand.getPerSecond(this.options.clock.monotonic());
   }
 
+  /** Requests per second of more urgent ranks, as of the last plan. */
+  getMoreUrgentPerSecond(rank: number): number {
+    return this.credits.getMoreUrgentPerSecond(rank);
+  }
+
   /** Records the time from an attempt to its answer. */
   recordAnswer(ms: number): void {
     this.answerMs += (ms - this.answerMs) * ANSWER_WEIGHT;
@@ -104,6 +109,11 @@
     return {type: 'waits', predictedMs, wait};
   }
 
+  /** The share of the requests like this one that the pace covers, 0 to 1. */
+  getServedShare({admitted}: CallRun): number {
+    return this.credits.getServedShare(createFlowKey(admitted));
+  }
+
   /** Predicts how long a request that arrives now would wait, in ms. */
   predictWaitMs({admitted}: CallRun): number {
     const now = this.options.clock.monotonic();
--- a/src/coordination/fair_admission/service_pace.ts
+++ b/src/coordination/fair_admission/service_pace.ts
@@ -1,12 +1,11 @@
 /**
  * The pace at which this gateway may send requests to one service.
  *
- * There is no limit until attempts show that the service is short of room: it
- * refuses them as full, or they wait for too much of their objective. The pace then
- * falls in proportion to such attempts and rises otherwise, but not below what is
+ * There is no limit until requests show that the service is short of room: no
+ * endpoint takes them, or they wait for too much of their objective. The pace then
+ * falls in proportion to such requests and rises otherwise, but not below what is
  * accepted, so that gateways find their parts without messages.
  */
-import type {ReportedLoad} from '../forwarding/call.ts';
 import {DecayingRate} from './decaying_rate.ts';
 
 /** The weight of the newest attempt in the moving averages. */
@@ -19,17 +18,11 @@
 const LATE_SHARE = 0.1;
 
 /**
- * Refused attempts at which the pace neither rises nor falls. Gateways choose by
- * reports that are up to a second old, so single endpoints refuse while others have
- * room.
+ * Requests that no endpoint took, also not after retries, at which the pace neither
+ * rises nor falls. Gateways choose by reports that are up to a second old, so some
+ * requests meet full endpoints while others have room.
  */
-const REFUSED_SHARE = 0.3;
-
-/** The same once requests stand in the queues of most endpoints. */
-const REFUSED_SHARE_QUEUED = 0.05;
-
-/** Requests per slot at which endpoints have enough to do. */
-const QUEUED_LOAD = 1.15;
+const REFUSED_SHARE = 0.12;
 
 /** How far the shares exceed the steady ones before there is a pace. */
 const BEGIN_MARGIN = 0.1;
@@ -61,7 +54,10 @@
 /** The pace ends when it exceeds the demand this many times. */
 const ENOUGH = 1.5;
 
-/** What an attempt shows of the room at its service. */
+/**
+ * What a request shows of the room at its service: an endpoint took it, none did, or
+ * one took it and lets it wait for too long.
+ */
 export type RoomEvidence = 'accepted' | 'refused' | 'late';
 
 export class ServicePace {
@@ -69,8 +65,6 @@
   private refusedShare = 0;
   private lateShare = 0;
   private updatedAt = -Infinity;
-  /** Requests per slot, as answers reported; `null` without reports. */
-  private load: number | null = null;
   private badAttempts = 0;
   private rate = Infinity;
   private steppedAt = -Infinity;
@@ -87,14 +81,7 @@
     return this.rate;
   }
 
-  /** Records the load that an endpoint reported. */
-  recordLoad({running, waiting, slots}: ReportedLoad): void {
-    const load = (running + waiting) / Math.max(1, slots);
-    this.load ??= load;
-    this.load += (load - this.load) * ATTEMPT_WEIGHT;
-  }
-
-  /** Records what an attempt shows. */
+  /** Records what a request shows. */
   record(evidence: RoomEvidence, now: number): void {
     this.forget(now);
     const isRefused = evidence === 'refused' ? 1 : 0;
@@ -147,9 +134,8 @@
 
   /** By how much the bad attempts exceed the steady share; below 0 if there is room. */
   private computeExcess(): number {
-    const isQueued = this.load !== null && this.load >= QUEUED_LOAD;
-    const refused = isQueued ? REFUSED_SHARE_QUEUED : REFUSED_SHARE;
-    return Math.max(this.refusedShare - refused, this.lateShare - LATE_SHARE);
+    const refusedExcess = this.refusedShare - REFUSED_SHARE;
+    return Math.max(refusedExcess, this.lateShare - LATE_SHARE);
   }
 
   /** The pace that is certainly not too high, in requests per second. */
--- a/src/coordination/fair_admission/service_room.ts
+++ b/src/coordination/fair_admission/service_room.ts
@@ -100,7 +100,7 @@
 }
 
 /** Whether an endpoint did not run a request for lack of room. */
-export function isOverloaded(outcome: {
+function isOverloaded(outcome: {
   readonly status: number;
   readonly facts: {readonly isLeaving: boolean};
 }): boolean {
--- a/src/coordination/fair_admission/wait_report.ts
+++ b/src/coordination/fair_admission/wait_report.ts
@@ -14,6 +14,7 @@
 }
 
 export interface EndedWait {
+  readonly rank: number;
   readonly outcome: WaitOutcome;
   readonly predictedMs: number;
   readonly actualMs: number;
@@ -34,8 +35,12 @@
 
   constructor(private readonly options: WaitReportOptions) {}
 
-  recordRefusal(service: string, lane: ServiceLane): void {
-    this.options.metrics.count('admissions', 1, {service, outcome: 'refused'});
+  recordRefusal(service: string, lane: ServiceLane, rank: number): void {
+    this.options.metrics.count('admissions', 1, {
+      service,
+      rank: String(rank),
+      outcome: 'refused',
+    });
     this.getTally(service).refused++;
     this.log(service, lane);
   }
@@ -43,10 +48,10 @@
   recordWait(
     service: string,
     lane: ServiceLane,
-    {outcome, predictedMs, actualMs}: EndedWait,
+    {rank, outcome, predictedMs, actualMs}: EndedWait,
   ): void {
     const {metrics} = this.options;
-    metrics.count('admissions', 1, {service, outcome});
+    metrics.count('admissions', 1, {service, rank: String(rank), outcome});
     metrics.record('admission_predicted_ms', predictedMs, {service});
     metrics.record('admission_wait_ms', actualMs, {service});
     const tally = this.getTally(service);
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -339,7 +339,8 @@
   private canRetry(run: CallRun): boolean {
     if (isUsedUp(run)) return false;
     if (run.isPaid) return true;
-    return this.budgets.get(run.admitted.service.name).tryTake();
+    const reserve = this.options.admission?.getRetryReserve(run);
+    return this.budgets.get(run.admitted.service.name).tryTake(reserve);
   }
 
   /**
--- a/src/coordination/forwarding/plan_refusal.ts
+++ b/src/coordination/forwarding/plan_refusal.ts
@@ -50,7 +50,7 @@
   const returnMs = picker.planReturnMs(run);
   if (returnMs !== null) return {reason: 'limited', retryAfterMs: returnMs};
   if (run.notRun > 0) {
-    const roomMs = options.admission?.planReturnMs(run) ?? null;
+    const roomMs = options.admission?.recordNoRoom(run) ?? null;
     if (roomMs !== null) return {reason: 'no-room', retryAfterMs: roomMs};
     return refuseForNow(options, 'no-room');
   }
