--- a/src/coordination/fair_admission/admission_hooks.ts
+++ b/src/coordination/fair_admission/admission_hooks.ts
@@ -15,9 +15,9 @@
   admit(run: CallRun, options: AdmitOptions): Promise<void>;
   /**
    * Records that no endpoint took a request, and plans when its caller returns, in
-   * ms from now; `null` if room may come at any time.
+   * ms from now.
    */
-  recordNoRoom(run: CallRun): number | null;
+  recordNoRoom(run: CallRun): number;
   /** Retries that one of this request must leave in the budget for others. */
   getRetryReserve(run: CallRun): number;
 }
--- a/src/coordination/fair_admission/demand_window.ts
+++ b/src/coordination/fair_admission/demand_window.ts
@@ -14,8 +14,23 @@
 /** The window of the usual demand. */
 const USUAL_WINDOW_MS = 60_000;
 
-/** How fast the usual demand is learned while there is no room. */
-const PRESSED_SPEED = 0.1;
+/**
+ * How fast the usual demand is learned while the service is not certain to have room.
+ * A surge fills it up before gateways notice that it is full.
+ */
+const BUSY_SPEED = 0.1;
+
+/**
+ * The demand over the usual one from which more is not learned at once: a surge that
+ * lasts for minutes becomes usual, one of seconds does not.
+ */
+const SURGE = 2;
+
+/** The usual demand of a customer that is new, relative to the mean. */
+const NEW_PART = 0.1;
+
+/** The same while no customer is known. */
+const MIN_USUAL_PER_SECOND = 0.1;
 
 /** Pairs of rank and customer that are kept; the smallest give way. */
 const MAX_FLOWS = 256;
@@ -40,23 +55,26 @@
 export class DemandWindow {
   private readonly flows = new Map<string, Flow>();
   private readonly all = new DecayingRate(WINDOW_MS);
-  /** Time that runs slower while the service has no room, in ms. */
+  private readonly allUsual = new DecayingRate(USUAL_WINDOW_MS);
+  /** Time that runs slower while the service may have no room, in ms. */
   private usualTime = 0;
   private updatedAt = -Infinity;
 
   /** Records a request that was received. */
   record(
     {rank, customer}: {rank: number; customer: string},
-    {now, isPressed}: {now: number; isPressed: boolean},
+    {now, hasRoom}: {now: number; hasRoom: boolean},
   ): void {
-    const speed = isPressed ? PRESSED_SPEED : 1;
+    const speed = hasRoom ? 1 : BUSY_SPEED;
     if (this.updatedAt > -Infinity) {
       this.usualTime += (now - this.updatedAt) * speed;
     }
     this.updatedAt = now;
     const flow = this.getFlow(rank, customer, now);
     flow.asked.add(1, now);
-    flow.usual.add(speed, this.usualTime);
+    const learned = speed * this.computeSurgeSpeed(flow, {now, hasRoom});
+    flow.usual.add(learned, this.usualTime);
+    this.allUsual.add(learned, this.usualTime);
     this.all.add(1, now);
   }
 
@@ -70,10 +88,31 @@
       rank,
       customer,
       perSecond: asked.getPerSecond(now),
-      usualPerSecond: usual.getPerSecond(this.usualTime),
+      usualPerSecond: this.getUsualPerSecond(usual),
     }));
   }
 
+  private getUsualPerSecond(usual: DecayingRate): number {
+    // The window is not full in the first minute.
+    const filled = 1 - Math.exp(-this.usualTime / USUAL_WINDOW_MS);
+    return filled > 0 ? usual.getPerSecond(this.usualTime) / filled : 0;
+  }
+
+  private computeSurgeSpeed(
+    {asked, usual}: Flow,
+    {now, hasRoom}: {now: number; hasRoom: boolean},
+  ): number {
+    // What is seen first with room is usual; without room, nobody's demand is.
+    if (hasRoom && this.usualTime < WINDOW_MS) return 1;
+    const mean = this.getUsualPerSecond(this.allUsual) / this.flows.size;
+    const known = Math.max(
+      this.getUsualPerSecond(usual),
+      NEW_PART * mean,
+      MIN_USUAL_PER_SECOND,
+    );
+    return Math.min(1, (SURGE * known) / asked.getPerSecond(now));
+  }
+
   private getFlow(rank: number, customer: string, now: number): Flow {
     const key = `${rank}\n${customer}`;
     const known = this.flows.get(key);
--- a/src/coordination/fair_admission/fair_admission.ts
+++ b/src/coordination/fair_admission/fair_admission.ts
@@ -33,8 +33,8 @@
 const LATE_SHARE = 0.4;
 
 /**
- * Time for whose more urgent requests a request leaves one retry each in the budget
- * of the service.
+ * Requests leave retries in the budget for those that go before them: one for each
+ * such request of this time.
  */
 const RETRY_RESERVE_MS = 1_500;
 
@@ -96,22 +96,21 @@
     };
   }
 
-  recordNoRoom(run: CallRun): number | null {
+  recordNoRoom(run: CallRun): number {
     const {pace} = this.getLane(run.admitted.service.name);
     pace.record('refused', this.options.clock.monotonic());
     return this.planReturnMs(run);
   }
 
-  getRetryReserve({admitted}: CallRun): number {
-    const lane = this.getLane(admitted.service.name);
+  getRetryReserve(run: CallRun): number {
+    const lane = this.getLane(run.admitted.service.name);
     if (!lane.pace.isPressed) return 0;
-    const perSecond = lane.getMoreUrgentPerSecond(getRank(admitted));
+    const perSecond = lane.getPrecedingPerSecond(run);
     return Math.ceil((perSecond * RETRY_RESERVE_MS) / 1_000);
   }
 
-  private planReturnMs(run: CallRun): number | null {
+  private planReturnMs(run: CallRun): number {
     const lane = this.getLane(run.admitted.service.name);
-    if (!lane.pace.isPressed) return null;
     const leftMs = run.admitted.deadline - this.options.clock.monotonic();
     const waitMs = lane.predictWaitMs(run);
     const servedShare = lane.getServedShare(run);
@@ -120,7 +119,7 @@
   }
 
   private refuse(run: CallRun, sink: CallerSink): void {
-    const retryAfterMs = this.planReturnMs(run) ?? 0;
+    const retryAfterMs = this.planReturnMs(run);
     run.finish('no-room', refuseCall(sink, {reason: 'no-room', retryAfterMs}));
   }
 
--- a/src/coordination/fair_admission/flow_credits.ts
+++ b/src/coordination/fair_admission/flow_credits.ts
@@ -13,6 +13,13 @@
   readonly customer: string;
 }
 
+export interface WaitOptions {
+  /** On the monotonic clock. */
+  readonly now: number;
+  /** Requests that go before. */
+  readonly waiting: number;
+}
+
 interface Flow {
   perSecond: number;
   weight: number;
@@ -75,27 +82,30 @@
     return flow.perSecond / asked;
   }
 
-  /** The pace at which a rank is served, in requests per second. */
-  getRankPace(rank: number): number {
-    const share = this.shares.ranks.find(each => each.rank === rank);
-    return share?.perSecond ?? this.pacePerSecond * NEW_FLOW_PART;
+  /** The time until a rank gets one more after `waiting` others, in ms. */
+  getFloorWaitMs(rank: number, {now, waiting}: WaitOptions): number {
+    const floor = this.getFloor(rank, now);
+    refill(floor, now);
+    return computeWaitMs(floor, waiting);
   }
 
-  /** Requests per second that are served of more urgent ranks. */
-  getMoreUrgentPerSecond(than: number): number {
-    return this.shares.ranks.reduce(
-      (sum, {rank, perSecond}) => sum + (rank < than ? perSecond : 0),
-      0,
-    );
+  /**
+   * Requests per second that go before those of a flow: of more urgent ranks, and if
+   * it exceeds its share, of its own.
+   */
+  getPrecedingPerSecond(key: FlowKey): number {
+    const isOver = this.getServedShare(key) < 1;
+    return this.shares.ranks.reduce((sum, {rank, perSecond}) => {
+      const goesBefore = rank < key.rank || (rank === key.rank && isOver);
+      return sum + (goesBefore ? perSecond : 0);
+    }, 0);
   }
 
   /** The time until a flow may send one more after `waiting` others, in ms. */
-  getWaitMs(key: FlowKey, {now, waiting}: {now: number; waiting: number}) {
+  getWaitMs(key: FlowKey, {now, waiting}: WaitOptions): number {
     const flow = this.getFlow(key, now);
-    if (flow.perSecond === Infinity) return 0;
     refill(flow, now);
-    const missing = 1 + waiting - flow.credit;
-    return Math.max(0, (missing / flow.perSecond) * 1_000);
+    return flow.perSecond === Infinity ? 0 : computeWaitMs(flow, waiting);
   }
 
   /** Whether a rank has got less than its floor. */
@@ -147,6 +157,12 @@
   flow.credit = Math.min(limit, flow.credit + (flow.perSecond * ms) / 1_000);
 }
 
+/** The time until a flow has credit for one more after `waiting` others, in ms. */
+function computeWaitMs({credit, perSecond}: Flow, waiting: number): number {
+  const missing = Math.max(0, 1 + waiting - credit);
+  return missing === 0 ? 0 : (missing / perSecond) * 1_000;
+}
+
 function createKey({rank, customer}: FlowKey): string {
   return `${rank}\n${customer}`;
 }
--- a/src/coordination/fair_admission/overload_fake.ts
+++ b/src/coordination/fair_admission/overload_fake.ts
@@ -32,6 +32,8 @@
   readonly maxWaiting: number;
   /** Draws the work of a request, in ms, from a number from 0 up to 1. */
   readonly drawWorkMs: (call: Call, draw: number) => number;
+  /** Whether an endpoint works on one request after the other, as an engine does. */
+  readonly isSerial?: boolean;
   readonly route?: Partial<Route>;
   readonly engine?: Engine;
   readonly customers: readonly RouteCustomer[];
@@ -61,15 +63,18 @@
   refused: number;
   /** Callers that left at their timeout. */
   left: number;
-  /** Callers whose request was served in the end. */
+  /** Callers, each counted once. */
   callers: number;
-  content: number;
+  /** Callers that were served in the end. */
+  servedCallers: number;
 }
 
 interface SimulatedEndpoint {
   entry: EndpointEntry;
   running: number;
   readonly waiting: Array<() => void>;
+  /** When a serial endpoint has done its work, on the clock. */
+  freeAt: number;
   isGone: boolean;
 }
 
@@ -88,6 +93,7 @@
   private running = 0;
   private runningMs = 0;
   private measuredAt = 0;
+  private useSince = 0;
 
   constructor(private readonly options: OverloadedServiceOptions) {
     const generator = xoroshiro128plus(options.seed);
@@ -98,6 +104,7 @@
       entry: createEndpoint(`e${index}`, {slots: options.slots}),
       running: 0,
       waiting: [],
+      freeAt: 0,
       isGone: false,
     }));
     const entries = this.endpoints.map(({entry}) => entry);
@@ -134,8 +141,6 @@
     return use;
   }
 
-  private useSince = 0;
-
   /** Ends the first endpoints without notice. */
   end(count: number): void {
     for (const endpoint of this.endpoints.slice(0, count)) {
@@ -197,7 +202,7 @@
       const {status, headers} = request.sink;
       if (status === 200) {
         counts.served++;
-        counts.content++;
+        counts.servedCallers++;
         const tookMs = clock.monotonic() - sentAt;
         if (tookMs > this.route.objectiveMs) counts.late++;
         return;
@@ -262,7 +267,11 @@
     endpoint.running++;
     this.running++;
     if (!options.signal.aborted) {
-      await clock.sleep(this.options.drawWorkMs(call, this.draw()));
+      const workMs = this.options.drawWorkMs(call, this.draw());
+      const beginsAt = Math.max(clock.monotonic(), endpoint.freeAt);
+      if (this.options.isSerial) endpoint.freeAt = beginsAt + workMs;
+      const queuedMs = this.options.isSerial ? beginsAt - clock.monotonic() : 0;
+      await clock.sleep(queuedMs + workMs);
     }
     this.account();
     endpoint.running--;
@@ -303,6 +312,6 @@
     refused: 0,
     left: 0,
     callers: 0,
-    content: 0,
+    servedCallers: 0,
   };
 }
--- a/src/coordination/fair_admission/plan_shares.ts
+++ b/src/coordination/fair_admission/plan_shares.ts
@@ -13,7 +13,7 @@
  */
 const RANK_FLOOR = 0.35;
 
-/** The same for a customer; below that of ranks, so that it always fits. */
+/** The same for a customer, relative to its rank. */
 const CUSTOMER_FLOOR = 0.3;
 
 /**
@@ -22,6 +22,18 @@
  */
 const SMALL_WEIGHT = 0.1;
 
+/**
+ * The demand, as a factor of the usual one, up to which floors grow with it. What
+ * exceeds it is mostly repeats of refused requests, which must gain nothing.
+ */
+const MAX_SURGE = 8;
+
+/**
+ * The least part of its weight that a customer keeps that asks more often than in any
+ * surge. One that repeats at once would else find what others leave unused.
+ */
+const MIN_REPEAT_WEIGHT = 0.35;
+
 export interface FlowShare {
   readonly rank: number;
   readonly customer: string;
@@ -46,9 +58,10 @@
 
 /** Plans the shares of a pace in requests per second. */
 export function planShares(
-  demand: readonly FlowDemand[],
+  allDemand: readonly FlowDemand[],
   pacePerSecond: number,
 ): Shares {
+  const demand = limitSurges(allDemand);
   const total = sumDemand(demand);
   const servedShare = total === 0 ? 1 : Math.min(1, pacePerSecond / total);
   const ranks = [...new Set(demand.map(({rank}) => rank))].sort(
@@ -68,27 +81,50 @@
     left -= extra;
     const perSecond = floor + extra;
     shares.push({rank, perSecond, floorPerSecond: floor});
-    flows.push(...planFlows(members, {asked, perSecond, servedShare}));
+    flows.push(...planFlows(members, {asked, perSecond}));
   }
   return {ranks: shares, flows};
 }
 
+interface LimitedDemand extends FlowDemand {
+  /** The part of its weight that a customer keeps. */
+  readonly weightPart: number;
+}
+
+/** Limits the demand of each flow by what it usually sends. */
+function limitSurges(demand: readonly FlowDemand[]): LimitedDemand[] {
+  const usual = demand.reduce((sum, each) => sum + each.usualPerSecond, 0);
+  if (usual === 0) return demand.map(each => ({...each, weightPart: 1}));
+  const least = (SMALL_WEIGHT * usual) / demand.length;
+  return demand.map(each => {
+    const limit = MAX_SURGE * Math.max(least, each.usualPerSecond);
+    const part = each.perSecond > limit ? limit / each.perSecond : 1;
+    return {
+      ...each,
+      perSecond: Math.min(each.perSecond, limit),
+      weightPart: Math.max(MIN_REPEAT_WEIGHT, part),
+    };
+  });
+}
+
 interface RankPace {
   readonly asked: number;
   readonly perSecond: number;
-  readonly servedShare: number;
 }
 
 function planFlows(
-  demand: readonly FlowDemand[],
-  {asked, perSecond, servedShare}: RankPace,
+  demand: readonly LimitedDemand[],
+  {asked, perSecond}: RankPace,
 ): FlowShare[] {
   const usual = demand.reduce((sum, each) => sum + each.usualPerSecond, 0);
   const mean = usual / Math.max(1, demand.length);
+  const servedShare = asked > 0 ? Math.min(1, perSecond / asked) : 1;
   const weighted = demand.map(each => ({
     ...each,
-    weight: mean > 0 ? each.usualPerSecond + SMALL_WEIGHT * mean : 1,
-    floor: CUSTOMER_FLOOR * servedShare * each.perSecond,
+    weight:
+      each.weightPart *
+      (mean > 0 ? each.usualPerSecond + SMALL_WEIGHT * mean : 1),
+    floor: each.weightPart * CUSTOMER_FLOOR * servedShare * each.perSecond,
   }));
   const isCut = asked > perSecond;
   const level = isCut ? findLevel(weighted, perSecond) : Infinity;
--- a/src/coordination/fair_admission/service_lane.ts
+++ b/src/coordination/fair_admission/service_lane.ts
@@ -24,6 +24,12 @@
 /** The interval at which waiting requests are looked through. */
 const CHECK_MS = 10;
 
+/** The age of a look at the endpoints by which requests may be refused. */
+const LOOK_MS = 10;
+
+/** The same while nothing is refused: a look at 63 endpoints takes 20 us. */
+const CALM_LOOK_MS = 250;
+
 /** The most requests that wait at once. */
 const MAX_WAITING = 2_000;
 
@@ -79,9 +85,9 @@
     return this.demand.getPerSecond(this.options.clock.monotonic());
   }
 
-  /** Requests per second of more urgent ranks, as of the last plan. */
-  getMoreUrgentPerSecond(rank: number): number {
-    return this.credits.getMoreUrgentPerSecond(rank);
+  /** Requests per second that go before one of this rank and customer. */
+  getPrecedingPerSecond({admitted}: CallRun): number {
+    return this.credits.getPrecedingPerSecond(createFlowKey(admitted));
   }
 
   /** Records the time from an attempt to its answer. */
@@ -93,11 +99,13 @@
   decide(run: CallRun): Decision {
     const now = this.options.clock.monotonic();
     const flow = createFlowKey(run.admitted);
-    this.demand.record(flow, {now, isPressed: this.pace.isPressed});
+    const lookMs = this.pace.isPressed ? LOOK_MS : CALM_LOOK_MS;
+    const hasRoom = this.options.room.hasRoom(run, lookMs);
+    this.demand.record(flow, {now, hasRoom});
     this.update(now);
     if (!this.pace.isPressed) return {type: 'admitted'};
-    if (this.options.room.hasRoom(run)) return this.admit(flow, now);
-    if (this.queue.length === 0 && this.canGo(flow, now)) {
+    if (hasRoom) return this.admit(flow, now);
+    if (this.queue.length === 0 && this.isWithinShare(flow, now)) {
       return this.admit(flow, now);
     }
     const predictedMs = this.predictWaitMs(run);
@@ -122,12 +130,14 @@
     this.update(now);
     if (!pace.isPressed) return 0;
     const weight = credits.getWeight(flow, now);
-    const aheadMs =
-      queue.countMoreUrgent(flow.rank) / pace.perSecond +
-      queue.countAhead({...flow, weight}) / credits.getRankPace(flow.rank);
+    const ahead = queue.countAhead({...flow, weight});
+    const strictMs =
+      ((queue.countMoreUrgent(flow.rank) + ahead) / pace.perSecond) * 1_000;
+    const floorMs = credits.getFloorWaitMs(flow.rank, {now, waiting: ahead});
+    const aheadMs = Math.min(strictMs, floorMs);
     const waiting = this.waiting.get(createName(flow)) ?? 0;
     const shareMs = credits.getWaitMs(flow, {now, waiting});
-    return Math.max(shareMs, pace.getWaitMs(now) + aheadMs * 1_000);
+    return Math.max(shareMs, pace.getWaitMs(now) + aheadMs);
   }
 
   private update(now: number): void {
@@ -148,14 +158,21 @@
     this.credits.take(flow, now);
   }
 
-  /** Whether a request of a flow may go if none is ahead of it. */
-  private canGo(flow: FlowKey, now: number): boolean {
+  /** Whether a request of a flow that has just arrived may go. */
+  private isWithinShare(flow: FlowKey, now: number): boolean {
     if (this.pace.getWaitMs(now) > 0) return false;
-    // A pace that others leave unused is open to customers over their share.
-    if (this.pace.isIdle(now)) return true;
     return this.credits.getWaitMs(flow, {now, waiting: 0}) === 0;
   }
 
+  /**
+   * Whether a request that waits may go. What others leave unused goes to customers
+   * over their share, but only to requests that wait: a caller that repeats at once
+   * would else find most of it.
+   */
+  private canGo(flow: FlowKey, now: number): boolean {
+    return this.pace.isIdle(now) || this.isWithinShare(flow, now);
+  }
+
   /** The longest wait after which a request can still be served in time. */
   private computeMaxWaitMs({call, admitted}: CallRun, now: number): number {
     const {objectiveMs} = admitted.route;
@@ -222,7 +239,7 @@
     const {pace, credits, queue} = this;
     this.update(now);
     const free = queue.removeWhere(
-      ({run}) => !pace.isPressed || room.hasRoom(run),
+      ({run}) => !pace.isPressed || room.hasRoom(run, LOOK_MS),
     );
     for (const waiter of free) this.settle(waiter, now);
     while (pace.getWaitMs(now) === 0) {
--- a/src/coordination/fair_admission/service_pace.ts
+++ b/src/coordination/fair_admission/service_pace.ts
@@ -12,7 +12,7 @@
 const ATTEMPT_WEIGHT = 0.1;
 
 /** The time in which the averages fall without attempts to 1/e. */
-const FORGET_MS = 700;
+const FORGET_MS = 500;
 
 /** Late attempts at which the pace neither rises nor falls. */
 const LATE_SHARE = 0.1;
@@ -22,7 +22,7 @@
  * rises nor falls. Gateways choose by reports that are up to a second old, so some
  * requests meet full endpoints while others have room.
  */
-const REFUSED_SHARE = 0.12;
+const REFUSED_SHARE = 0.05;
 
 /** How far the shares exceed the steady ones before there is a pace. */
 const BEGIN_MARGIN = 0.1;
@@ -39,6 +39,10 @@
 /** Growth per step while attempts find room. */
 const RISE = 0.03;
 
+/** The same once nothing was refused or late for a while. */
+const FAST_RISE = 0.1;
+const FAST_AFTER_MS = 500;
+
 /** The pace stays above what is accepted by this factor, to find new room. */
 const ABOVE_ACCEPTED = 1.05;
 
@@ -66,6 +70,8 @@
   private lateShare = 0;
   private updatedAt = -Infinity;
   private badAttempts = 0;
+  /** When a request was last refused or late. */
+  private badAt = -Infinity;
   private rate = Infinity;
   private steppedAt = -Infinity;
   /** When the next request may go, on the monotonic clock. */
@@ -89,7 +95,10 @@
     this.refusedShare += (isRefused - this.refusedShare) * ATTEMPT_WEIGHT;
     this.lateShare += (isLate - this.lateShare) * ATTEMPT_WEIGHT;
     if (evidence !== 'refused') this.accepted.add(1, now);
-    if (evidence !== 'accepted') this.badAttempts++;
+    if (evidence !== 'accepted') {
+      this.badAttempts++;
+      this.badAt = now;
+    }
     const excess = this.computeExcess();
     if (excess <= 0) this.badAttempts = 0;
     if (this.isPressed || excess < BEGIN_MARGIN) return;
@@ -107,7 +116,8 @@
     this.steppedAt += steps * STEP_MS;
     this.forget(now);
     const excess = this.computeExcess();
-    const factor = excess > 0 ? 1 - FALL * excess : 1 + RISE;
+    const rise = now - this.badAt > FAST_AFTER_MS ? FAST_RISE : RISE;
+    const factor = excess > 0 ? 1 - FALL * excess : 1 + rise;
     const rate = this.rate * factor ** steps;
     this.rate = Math.max(rate, this.computeLowest(now));
     if (excess > 0 || this.rate < ENOUGH * demandPerSecond) return;
--- a/src/coordination/fair_admission/service_room.ts
+++ b/src/coordination/fair_admission/service_room.ts
@@ -12,9 +12,6 @@
 import type {GatewayView} from '../gateway/gateway_view.ts';
 import type {EndpointRules} from '../selection/endpoint_rules.ts';
 
-/** How long one look at the endpoints is used again. */
-const LOOK_MS = 10;
-
 /** The share of slots up to which nothing may be rejected. */
 const FREE_SHARE = 0.5;
 
@@ -46,12 +43,15 @@
 
   constructor(private readonly options: ServiceRoomOptions) {}
 
-  /** Whether the endpoints that may get a request certainly have room. */
-  hasRoom(run: CallRun): boolean {
+  /**
+   * Whether the endpoints that may get a request certainly have room, as of a look at
+   * them in the last `maxAgeMs`.
+   */
+  hasRoom(run: CallRun, maxAgeMs: number): boolean {
     const now = this.options.clock.monotonic();
     const key = createKey(run);
     const known = this.looks.get(key);
-    if (known && now - known.at < LOOK_MS) return known.hasRoom;
+    if (known && now - known.at < maxAgeMs) return known.hasRoom;
     const hasRoom = this.look(run, now);
     this.looks.set(key, {at: now, hasRoom});
     return hasRoom;
--- a/src/coordination/forwarding/plan_refusal.ts
+++ b/src/coordination/forwarding/plan_refusal.ts
@@ -50,8 +50,8 @@
   const returnMs = picker.planReturnMs(run);
   if (returnMs !== null) return {reason: 'limited', retryAfterMs: returnMs};
   if (run.notRun > 0) {
-    const roomMs = options.admission?.recordNoRoom(run) ?? null;
-    if (roomMs !== null) return {reason: 'no-room', retryAfterMs: roomMs};
+    const roomMs = options.admission?.recordNoRoom(run);
+    if (roomMs !== undefined) return {reason: 'no-room', retryAfterMs: roomMs};
     return refuseForNow(options, 'no-room');
   }
   return refuseForNow(options, run.sends > 0 ? 'not-run' : 'no-endpoint');
