--- a/src/cli/serve_site/gateway.ts
+++ b/src/cli/serve_site/gateway.ts
@@ -3,6 +3,7 @@
 import {monitorEventLoopDelay} from 'node:perf_hooks';
 import {createColdStart} from '../../coordination/cold_start/create_cold_start.ts';
 import {EndpointSpeeds} from '../../coordination/endpoint_speed/endpoint_speeds.ts';
+import {createAdmissionHooks} from '../../coordination/fair_admission/create_admission_hooks.ts';
 import {AnswerBudget} from '../../coordination/forwarding/answer_budget.ts';
 import {EndpointHealth} from '../../coordination/forwarding/endpoint_health.ts';
 import {createDrainRule} from '../../coordination/evacuation/drain_rule.ts';
@@ -50,6 +51,12 @@
 /** The interval between two checks of the age of the view. */
 const VIEW_CHECK_MS = 1_000;
 
+/**
+ * How old a confirmed view may be for the loads of other gateways to count in
+ * fair admission: two reports, each at most 0.8 s apart.
+ */
+const LOADS_VALID_MS = 1_800;
+
 /** Tells a run of a gateway from the one before; sent with each call of the core. */
 const RUN_BYTES = 4;
 
@@ -262,6 +269,31 @@
         await gatewayClient.send(call, options),
       ),
   });
+  const rules = new EndpointRules([
+    limits,
+    cold.rule,
+    homes,
+    createDrainRule({view, metrics: parts.metrics}),
+  ]);
+  const hooks = createAdmissionHooks({
+    sendsRanks: features.hasFairAdmission,
+    isOn: settings.routing.fair_admission,
+    view,
+    health,
+    notices,
+    rules,
+    prefillBacklog,
+    clock,
+    logger: createLogger('forward'),
+    metrics: parts.metrics,
+    random: Math.random,
+    isViewFresh: () => confirmation.ageMs <= LOADS_VALID_MS,
+    send: async (call, options) =>
+      answers.admit(
+        {endpoint: options.endpoint.id, signal: options.signal},
+        await client.send(call, options),
+      ),
+  });
   const forwarder = new Forwarder({
     view,
     ensureView: () => confirmation.ensure(),
@@ -269,12 +301,7 @@
     reach,
     notices,
     limits,
-    rules: new EndpointRules([
-      limits,
-      cold.rule,
-      homes,
-      createDrainRule({view, metrics: parts.metrics}),
-    ]),
+    rules,
     speeds,
     weighsCachedPrefixes:
       settings.routing.weighs_cached_prefixes || features.weighsCachedPrefixes,
@@ -287,11 +314,7 @@
     logger: createLogger('forward'),
     metrics: parts.metrics,
     random: Math.random,
-    send: async (call, options) =>
-      answers.admit(
-        {endpoint: options.endpoint.id, signal: options.signal},
-        await client.send(call, options),
-      ),
+    ...hooks,
     region,
     dataCentre,
     findRegion,
--- a/src/coordination/forwarding/endpoint_picker.ts
+++ b/src/coordination/forwarding/endpoint_picker.ts
@@ -1,6 +1,8 @@
 /** Picks the endpoint, the model and the urgency of the next attempt. */
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import type {Clock} from '../../protocol/clock.ts';
+import type {AdmissionHooks} from '../fair_admission/admission_hooks.ts';
+import {computeModelUrgency} from '../fair_admission/compute_urgency.ts';
 import type {GatewayView} from '../gateway/gateway_view.ts';
 import {createStartKey} from '../quarantine/endpoint_ends.ts';
 import type {Quarantine} from '../quarantine/quarantine.ts';
@@ -17,10 +19,8 @@
 import type {SelectionOptions} from '../selection/endpoint_rules.ts';
 import {selectTrialEndpoints} from './select_trial_endpoints.ts';
 
-/** One step more urgent than the default of engines, which is 5. */
-const SMALL_MODEL_URGENCY = 4;
-
-export interface EndpointPickerOptions extends SelectionOptions {
+export interface EndpointPickerOptions
+  extends SelectionOptions, AdmissionHooks {
   readonly view: GatewayView;
   readonly health: EndpointHealth;
   readonly notices: EndpointNotices;
@@ -85,6 +85,7 @@
       prefillBacklog,
       clock,
       speeds,
+      computeUrgency = computeModelUrgency,
     } = this.options;
     const {service, route} = run.admitted;
     const allowed = this.listUntried(run).filter(isAllowed);
@@ -109,7 +110,7 @@
     return {
       endpoint,
       model,
-      urgency: computeUrgency(route.models, model),
+      urgency: computeUrgency(run.admitted, model),
       backlogMs: waitMs,
       plan,
       timeFactor: time.factor,
@@ -219,13 +220,3 @@
     return elapsedMs < admitted.route.objectiveMs;
   }
 }
-
-/**
- * Computes the urgency of an attempt at an engine. Attempts at the smallest
- * model go first: they delay longer ones only a little, and show sooner whether
- * an escalation is needed.
- */
-function computeUrgency(models: readonly string[], model: string | null) {
-  const isSmallest = model !== null && model === models[0] && models.length > 1;
-  return isSmallest ? SMALL_MODEL_URGENCY : null;
-}
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -19,6 +19,7 @@
 import {deliverHeld} from './deliver_held.ts';
 import {EndpointPicker} from './endpoint_picker.ts';
 import {Escalation} from './escalation.ts';
+import type {AdmissionHooks} from '../fair_admission/admission_hooks.ts';
 import type {SelectionOptions} from '../selection/endpoint_rules.ts';
 import type {EndpointNotices} from './endpoint_notices.ts';
 import {findFallbackMs} from './find_fallback.ts';
@@ -28,12 +29,9 @@
 import type {Quarantine} from '../quarantine/quarantine.ts';
 import type {CallRelay} from '../reach/call_relay.ts';
 import type {RecentGateways} from './recent_gateways.ts';
-import {
-  planEarlyRefusal,
-  planRefusal,
-  type UndeliveredRun,
-} from './plan_refusal.ts';
+import {planRefusal, type UndeliveredRun} from './plan_refusal.ts';
 import {refuseCall, type RefusalReason} from './refuse.ts';
+import {refuseEarly} from './refuse_early.ts';
 import {
   runAttempt,
   type AttemptChoice,
@@ -66,6 +64,7 @@
   extends
     RecordAttemptOptions,
     SelectionOptions,
+    AdmissionHooks,
     Omit<AdmitCallOptions, 'view'> {
   readonly notices: EndpointNotices;
   readonly quarantine: Quarantine;
@@ -119,8 +118,11 @@
     if (isFinal(admitted)) admitted = await admitAgain(call, this.options);
     if (!admitted.ok) return this.refuse(call, sink, admitted.error);
     const run = new CallRun(admitted.value);
+    const {admission} = this.options;
     this.budgets.get(admitted.value.service.name).deposit();
     try {
+      if (admission)
+        await admission.admit(run, {sink, shutdown: this.shutdown});
       while (!run.isOver) await this.step(run, sink);
     } finally {
       // An unexpected error must not leave the escalation or the held answer
@@ -332,7 +334,8 @@
   private canRetry(run: CallRun): boolean {
     if (isUsedUp(run)) return false;
     if (run.isPaid) return true;
-    return this.budgets.get(run.admitted.service.name).tryTake();
+    const reserve = this.options.admission?.getRetryReserve(run);
+    return this.budgets.get(run.admitted.service.name).tryTake(reserve);
   }
 
   /**
@@ -378,17 +381,8 @@
   }
 
   private refuse(call: Call, sink: CallerSink, reason: RefusalReason): void {
-    const refusal = planEarlyRefusal(this.options, reason, this.shutdown);
-    const status = refuseCall(sink, refusal);
-    this.options.metrics.count('requests', 1, {outcome: reason});
-    this.options.logger.info('Refuses a request.', {
-      request: call.facts.attemptId,
-      host: call.host,
-      path: call.path,
-      reason,
-      status,
-      configuration: this.options.view.routes?.table.version ?? null,
-    });
+    const {shutdown} = this;
+    refuseEarly(this.options, call, {sink, reason, shutdown});
   }
 }
 
--- a/src/coordination/forwarding/forwarding_fakes.ts
+++ b/src/coordination/forwarding/forwarding_fakes.ts
@@ -14,6 +14,7 @@
 import {createGatewayReport} from '../core/gateway_report_fake.ts';
 import {GatewayView} from '../gateway/gateway_view.ts';
 import {EndpointSpeeds} from '../endpoint_speed/endpoint_speeds.ts';
+import {createAdmissionHooks} from '../fair_admission/create_admission_hooks.ts';
 import type {AttemptOptions, AttemptOutcome, Call, CallFacts} from './call.ts';
 import {createCall} from './call_fakes.ts';
 import {EndpointHealth} from './endpoint_health.ts';
@@ -165,6 +166,8 @@
   readonly retryExtra?: number;
   /** Whether savings of cached prompt prefixes are weighed; false by default. */
   readonly weighsCachedPrefixes?: boolean;
+  /** Whether fair admission is on; off by default. */
+  readonly hasFairAdmission?: boolean;
 }
 
 /** A gateway with fake endpoints. */
@@ -202,6 +205,7 @@
     rule = {},
     retryRatio = 0.9,
     retryExtra = 50,
+    hasFairAdmission = false,
     logger = silentLogger,
     metrics = silentMetrics,
     weighsCachedPrefixes = false,
@@ -271,12 +275,31 @@
       onFound: service =>
         this.health.dropFailures(this.view.listEndpoints(service)),
     });
+    const rules = new EndpointRules([this.limits, homes, rule]);
+    const prefillBacklog = new PrefillBacklog(this.clock);
+    const hooks = createAdmissionHooks({
+      isOn: hasFairAdmission,
+      view: this.view,
+      health: this.health,
+      notices: this.notices,
+      rules,
+      prefillBacklog,
+      clock,
+      logger,
+      metrics,
+      random,
+      isViewFresh: () => true,
+      send: (call, options) => {
+        this.attempts.push(options);
+        return behave(call, options, this.clock);
+      },
+    });
     this.forwarder = new Forwarder({
       view: this.view,
       ensureView,
       notices: this.notices,
       limits: this.limits,
-      rules: new EndpointRules([this.limits, homes, rule]),
+      rules,
       speeds: new EndpointSpeeds(clock),
       weighsCachedPrefixes,
       quarantine: this.quarantine,
@@ -297,15 +320,12 @@
         send: sendRelayed,
       }),
       evidence: new VersionEvidenceCounter(),
-      prefillBacklog: new PrefillBacklog(this.clock),
+      prefillBacklog,
       clock: this.clock,
       logger,
       metrics,
       random,
-      send: (call, options) => {
-        this.attempts.push(options);
-        return behave(call, options, this.clock);
-      },
+      ...hooks,
       region: 'r',
       dataCentre: 'a',
       findRegion,
--- a/src/protocol/site_settings.ts
+++ b/src/protocol/site_settings.ts
@@ -94,6 +94,12 @@
        * the wait at the engines that may have it, from their memory and load.
        */
       weighs_cached_prefixes: z.boolean().default(false),
+      /**
+       * Whether requests may wait or be refused by rank and customer before their
+       * first attempt. Off by default: many gateways before a small service serve
+       * fewer requests with it (docs/design/fair_admission.md).
+       */
+      fair_admission: z.boolean().default(false),
     })
     .prefault({}),
   /** The contracts of the deployment that are in force, by their names. */
