--- a/src/coordination/cold_start/cold_site_gateway.ts
+++ b/src/coordination/cold_start/cold_site_gateway.ts
@@ -1,10 +1,7 @@
 /** A gateway of a simulated site with cold endpoints. */
 import type {Clock} from '../../protocol/clock.ts';
-import type {
-  FollowReply,
-  FollowRequest,
-  Gateway,
-} from '../../protocol/core_service.ts';
+import type {FollowReply, FollowRequest} from '../../protocol/core_service.ts';
+import type {Gateway} from '../../protocol/gateway_entry.ts';
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import {silentLogger} from '../../protocol/logger.ts';
 import {silentMetrics} from '../../protocol/metrics.ts';
--- a/src/coordination/cold_start/cold_start_rule.ts
+++ b/src/coordination/cold_start/cold_start_rule.ts
@@ -7,7 +7,7 @@
  * were sent before the endpoint turned cold count, too.
  */
 import type {Clock} from '../../protocol/clock.ts';
-import type {Gateway} from '../../protocol/core_service.ts';
+import type {Gateway} from '../../protocol/gateway_entry.ts';
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
 import type {ColdStart} from '../../protocol/route_table.ts';
--- a/src/coordination/cold_start/compute_units.ts
+++ b/src/coordination/cold_start/compute_units.ts
@@ -9,7 +9,7 @@
  * units. A gateway without requests comes late. Once it has some, it counts itself
  * as idle until the others know, so that none counts it for less than it does itself.
  */
-import type {Gateway} from '../../protocol/core_service.ts';
+import type {Gateway} from '../../protocol/gateway_entry.ts';
 import {computeShare} from '../forwarding/hash.ts';
 import {computeDistance} from '../membership/compute_distance.ts';
 
--- a/src/coordination/cold_start/compute_units_test.ts
+++ b/src/coordination/cold_start/compute_units_test.ts
@@ -4,7 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
-import type {Gateway} from '../../protocol/core_service.ts';
+import type {Gateway} from '../../protocol/gateway_entry.ts';
 import {computeUnits} from './compute_units.ts';
 
 const ENDPOINT = {id: 'e1', region: 'r0', dataCentre: 'd0'};
--- a/src/coordination/cold_start/create_cold_start.ts
+++ b/src/coordination/cold_start/create_cold_start.ts
@@ -1,6 +1,6 @@
 /** Puts the parts together that limit a gateway's requests to cold endpoints. */
 import type {Clock} from '../../protocol/clock.ts';
-import type {Gateway} from '../../protocol/core_service.ts';
+import type {Gateway} from '../../protocol/gateway_entry.ts';
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import type {Logger} from '../../protocol/logger.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
--- a/src/coordination/cold_start/share_lease_test.ts
+++ b/src/coordination/cold_start/share_lease_test.ts
@@ -4,7 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
-import type {Gateway} from '../../protocol/core_service.ts';
+import type {Gateway} from '../../protocol/gateway_entry.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
 import {RecentGateways} from '../forwarding/recent_gateways.ts';
 import {ShareLease} from './share_lease.ts';
--- a/src/coordination/core/gateway_directory.ts
+++ b/src/coordination/core/gateway_directory.ts
@@ -5,12 +5,12 @@
   EndpointLimit,
   EndpointLoad,
   FollowReport,
-  Gateway,
   GatewayReport,
   LeavingEndpoint,
   VersionEvidence,
   VersionPace,
 } from '../../protocol/core_service.ts';
+import type {Gateway} from '../../protocol/gateway_entry.ts';
 import type {SuspectRecord} from '../../protocol/suspect.ts';
 
 /** A gateway reports at least every 0.8 s; two reports may be lost. */
--- a/src/coordination/core/gateway_report_fake.ts
+++ b/src/coordination/core/gateway_report_fake.ts
@@ -1,5 +1,6 @@
 /** Reports of gateways, for tests and simulations. */
-import type {Gateway, GatewayReport} from '../../protocol/core_service.ts';
+import type {GatewayReport} from '../../protocol/core_service.ts';
+import type {Gateway} from '../../protocol/gateway_entry.ts';
 
 /** Creates the report of a gateway that has observed nothing. */
 export function createGatewayReport(
--- a/src/coordination/forwarding/recent_gateways.ts
+++ b/src/coordination/forwarding/recent_gateways.ts
@@ -6,7 +6,7 @@
  * the sum would be too large, so a gateway counts for some time after it left.
  */
 import type {Clock} from '../../protocol/clock.ts';
-import type {Gateway} from '../../protocol/core_service.ts';
+import type {Gateway} from '../../protocol/gateway_entry.ts';
 
 const RETAIN_MS = 5_000;
 
--- a/src/coordination/gateway/gateway_view.ts
+++ b/src/coordination/gateway/gateway_view.ts
@@ -10,9 +10,9 @@
   EndpointLimit,
   EndpointLoad,
   FollowReply,
-  Gateway,
   ServiceRollout,
 } from '../../protocol/core_service.ts';
+import type {Gateway} from '../../protocol/gateway_entry.ts';
 import type {EndpointEntry} from '../../protocol/endpoint_report.ts';
 import type {Logger} from '../../protocol/logger.ts';
 import type {Outcome} from '../../protocol/outcome.ts';
--- a/src/coordination/homes/prefer_home_gateways.ts
+++ b/src/coordination/homes/prefer_home_gateways.ts
@@ -2,7 +2,8 @@
  * Prefers gateways in home regions for a caller whose own region has none: it would
  * be directed to any region otherwise.
  */
-import type {Configuration, Gateway} from '../../protocol/core_service.ts';
+import type {Configuration} from '../../protocol/core_service.ts';
+import type {Gateway} from '../../protocol/gateway_entry.ts';
 import type {Outcome} from '../../protocol/outcome.ts';
 import type {RouteTable} from '../../protocol/route_table.ts';
 
--- a/src/coordination/host_capacity/compute_capacity.ts
+++ b/src/coordination/host_capacity/compute_capacity.ts
@@ -1,5 +1,5 @@
 /** Computes what the host of a gateway bears. */
-import {MAX_HOST_CAPACITY} from '../../protocol/core_service.ts';
+import {MAX_HOST_CAPACITY} from '../../protocol/gateway_entry.ts';
 
 /** What a host has; absent fields are unknown. */
 export interface HostLimits {
--- a/src/coordination/host_capacity/draw_gateways.ts
+++ b/src/coordination/host_capacity/draw_gateways.ts
@@ -5,7 +5,7 @@
  * by being named to a share of the callers. Who is named to whom follows from a hash:
  * all daemons agree, and a caller gets the same answer while nothing changes.
  */
-import type {Gateway} from '../../protocol/core_service.ts';
+import type {Gateway} from '../../protocol/gateway_entry.ts';
 import {computeShare} from '../forwarding/hash.ts';
 
 /** The maximum number of addresses in one answer. */
--- a/src/coordination/host_capacity/evaluate_slowness.ts
+++ b/src/coordination/host_capacity/evaluate_slowness.ts
@@ -1,5 +1,5 @@
 /** Evaluates how slow the host of a gateway is, from measurements of its process. */
-import {MAX_HOST_SLOWNESS} from '../../protocol/core_service.ts';
+import {MAX_HOST_SLOWNESS} from '../../protocol/gateway_entry.ts';
 import type {HostLimits} from './compute_capacity.ts';
 
 /** What a process measured of itself over a short window. */
--- a/src/coordination/host_capacity/gateway_names.ts
+++ b/src/coordination/host_capacity/gateway_names.ts
@@ -1,6 +1,6 @@
 /** Answers which gateways a caller should use, by its place and what hosts bear. */
 import type {Clock} from '../../protocol/clock.ts';
-import type {Gateway} from '../../protocol/core_service.ts';
+import type {Gateway} from '../../protocol/gateway_entry.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
 import type {RouteTable} from '../../protocol/route_table.ts';
 import {preferHomeGateways} from '../homes/prefer_home_gateways.ts';
--- a/src/coordination/host_capacity/gateway_names_test.ts
+++ b/src/coordination/host_capacity/gateway_names_test.ts
@@ -4,7 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
-import type {Gateway} from '../../protocol/core_service.ts';
+import type {Gateway} from '../../protocol/gateway_entry.ts';
 import {createDraws} from '../../protocol/seeded_draws.ts';
 import {silentMetrics} from '../../protocol/metrics.ts';
 import {SimulatedClock} from '../../protocol/simulated_clock.ts';
--- a/src/coordination/membership/compute_distance.ts
+++ b/src/coordination/membership/compute_distance.ts
@@ -1,5 +1,5 @@
 /** Compares where daemons are. */
-import type {Gateway} from '../../protocol/core_service.ts';
+import type {Gateway} from '../../protocol/gateway_entry.ts';
 
 type Place = Pick<Gateway, 'region' | 'dataCentre'>;
 
--- a/src/coordination/membership/select_gateways.ts
+++ b/src/coordination/membership/select_gateways.ts
@@ -1,5 +1,5 @@
 /** Selects the gateways that are near a caller. */
-import type {Gateway} from '../../protocol/core_service.ts';
+import type {Gateway} from '../../protocol/gateway_entry.ts';
 
 /** With fewer in its data centre, a caller also gets those of its region. */
 const MIN_LOCAL = 2;
--- a/src/coordination/membership/select_gateways_test.ts
+++ b/src/coordination/membership/select_gateways_test.ts
@@ -1,7 +1,7 @@
 /** Guards against callers without a gateway while the core is unreachable. */
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
-import type {Gateway} from '../../protocol/core_service.ts';
+import type {Gateway} from '../../protocol/gateway_entry.ts';
 import {
   replaceGateway,
   selectGateways,
--- a/src/coordination/reach/call_relay.ts
+++ b/src/coordination/reach/call_relay.ts
@@ -8,7 +8,7 @@
  * the outcome is unknown, and the request is not sent again.
  */
 import type {Clock} from '../../protocol/clock.ts';
-import type {Gateway} from '../../protocol/core_service.ts';
+import type {Gateway} from '../../protocol/gateway_entry.ts';
 import type {Logger} from '../../protocol/logger.ts';
 import type {Metrics} from '../../protocol/metrics.ts';
 import type {
--- a/src/coordination/reach/choose_gateway.ts
+++ b/src/coordination/reach/choose_gateway.ts
@@ -1,5 +1,5 @@
 /** Chooses the gateway to which a request is relayed. */
-import type {Gateway} from '../../protocol/core_service.ts';
+import type {Gateway} from '../../protocol/gateway_entry.ts';
 import {computeDistance} from '../membership/compute_distance.ts';
 
 /**
