Keep a test of pipelined requests by itself, and list it

The crowd and the bound stay as they are. Both tests of rough callers run apart from other tests now, and connections are looked at each 0.5 s again.

--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -18,6 +18,9 @@
 /** Number of unit test files that run in parallel. */
 const UNIT_TESTS_AT_ONCE = 4;
 
+/** Tests that measure the memory of processes run one at a time. */
+const RUN_ALONE = /rough_(callers|pipelining)_site_test/;
+
 function listTests(folder) {
   return readdirSync(folder, {withFileTypes: true}).flatMap(entry => {
     const path = join(folder, entry.name);
@@ -124,7 +127,8 @@
 // Unit tests do not depend on real time and can run in parallel; tests with
 // real processes run one at a time.
 const isUnitTest = file =>
-  file.startsWith('src') || file.startsWith('platform');
+  (file.startsWith('src') || file.startsWith('platform')) &&
+  !RUN_ALONE.test(file);
 await runFiles(files.filter(isUnitTest), UNIT_TESTS_AT_ONCE);
 await runFiles(
   files.filter(file => !isUnitTest(file)),
--- a/src/coordination/memory_account/memory_report.ts
+++ b/src/coordination/memory_account/memory_report.ts
@@ -4,8 +4,7 @@
 import {startPeriodicTask} from '../periodic_task.ts';
 import type {MemoryAccount} from './memory_account.ts';
 
-/** Each sweep wakes the process, so they are seldom. */
-const SWEEP_INTERVAL_MS = 1_000;
+const SWEEP_INTERVAL_MS = 500;
 
 /** The least time between two lines. */
 const LOG_INTERVAL_MS = 5_000;
--- a/src/transport/memory/connection_guard.ts
+++ b/src/transport/memory/connection_guard.ts
@@ -33,7 +33,7 @@
 const STALL_TIMEOUT_MS = 15_000;
 
 /** Sweeps run while there are connections; each one wakes the process. */
-const SWEEP_INTERVAL_MS = 1_000;
+const SWEEP_INTERVAL_MS = 500;
 
 /** Above this share of the connections, those without a request are closed. */
 const CROWDED_SHARE = 0.9;
