--- a/src/transport/forwarding/endpoint_client.ts
+++ b/src/transport/forwarding/endpoint_client.ts
@@ -35,9 +35,6 @@
 /** Maximum number of bytes drained from the body of a not-run answer. */
 const MAX_NOT_RUN_BODY_BYTES = 16 * 1024;
 
-/** The highest status of HTTP; undici takes those below 200 for interim ones. */
-const MAX_STATUS = 599;
-
 /** Bytes of a body that are buffered before its connection is held back. */
 const BODY_BUFFER_BYTES = 16 * 1024;
 
@@ -119,11 +116,6 @@
       const sent = pairHeaders(raw.map(String));
       const received = dropHopByHop(sent);
       const status = response.statusCode;
-      if (status > MAX_STATUS) {
-        response.body.destroy();
-        this.retire(key, pool);
-        return {type: 'invalid', reason: `the status is ${status}`};
-      }
       const facts = codec.decodeAnswer(status, createFindHeader(received));
       if (facts.isNotRun && isOfAnother(call, facts)) {
         // What follows on the connection answers other requests, too.
--- a/src/transport/forwarding/strict_client.ts
+++ b/src/transport/forwarding/strict_client.ts
@@ -100,18 +100,13 @@
 
 /**
  * Returns an error if the connection was reset, or ended before the request was
- * written. libuv reports a reset that
- * arrives together with the last bytes as an ordinary end; such a socket no
- * longer has a peer address, while one that the peer closed still has.
+ * written. libuv reports a reset that arrives together with the last bytes as an
+ * ordinary end; such a socket no longer has a peer address, while one that the peer
+ * closed still has.
  */
 function findCut(socket: Socket | null): Error | null {
   if (!socket) return null;
   if (socket.errored) return socket.errored;
-  // The endpoint cannot have answered a request that it has not received, and the
-  // reset that follows its end has not arrived yet.
-  if (socket.writableLength > 0) {
-    return new Error('Could not read the answer: it ended during the upload');
-  }
   // Node caches the address at its first use; nothing reads it earlier.
   if (socket.remoteAddress === undefined) {
     return new Error('Could not read the answer: its connection was reset');
