Show what heads of many lines and empty lines do to processes

The crowds of rough_heads_plays.ts play many header lines of six kinds ahead of answers and before bodies that stay open, trailers, chunk extensions, heads and empty lines without end, heads that trickle or are begun again, and bodies that nobody asked for, against the front, control, readiness, both directories, metrics and the peers' address; rough_callers_test.ts plays them against the product's own interface. They check that processes live, memory and descriptors stay under what the settings say of the host, ordinary requests are answered at each address while the crowd stays, and connections without end are closed.

playCrowds() watches all four processes and prints what they used; bounds and crowds of the earlier plays are unchanged. Their sendings move to testing/callers, where the test of the product's own interface can use them.

--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -19,7 +19,7 @@
 const UNIT_TESTS_AT_ONCE = 4;
 
 /** Tests that measure the memory of processes run one at a time. */
-const RUN_ALONE = /rough_(callers|pipelining)_site_test/;
+const RUN_ALONE = /rough_(callers|heads|pipelining)_site_test/;
 
 function listTests(folder) {
   return readdirSync(folder, {withFileTypes: true}).flatMap(entry => {
--- a/platform/rough_callers.ts
+++ b/testing/callers/rough_callers.ts
@@ -80,11 +80,15 @@
   readonly path: string;
   readonly connections: number;
   readonly send: Sending;
+  /** How often each connection is closed and opened again; never by default. */
+  readonly reopenings?: number;
 }
 
 export interface OpenCrowd extends Disposable {
   /** The connections that are open. */
   readonly openCount: number;
+  /** Reads answers, and so notices that connections are closed. */
+  readAnswers(): void;
 }
 
 export interface OpenCrowdOptions {
@@ -98,16 +102,21 @@
   {withinMs}: OpenCrowdOptions,
 ): Promise<OpenCrowd> {
   const sockets: Socket[] = [];
-  const sendings = crowds.flatMap(({address, path, connections, send}) =>
-    Array.from({length: connections}, () => {
+  let isDisposed = false;
+  const open = async ({address, path, send, reopenings = 0}: Crowd) => {
+    for (let round = 0; round <= reopenings && !isDisposed; round++) {
       const [host = '', port] = address.split(':');
       const socket = connect(Number(port), host);
       // Not reading fills the buffers between the two ends with answers.
       socket.pause();
       socket.on('error', () => {});
       sockets.push(socket);
-      return send(bytes => writeBytes(socket, bytes), path);
-    }),
+      await send(bytes => writeBytes(socket, bytes), path);
+      if (round < reopenings) socket.destroy();
+    }
+  };
+  const sendings = crowds.flatMap(crowd =>
+    Array.from({length: crowd.connections}, () => open(crowd)),
   );
   // A timer that is left would keep the test open after its end.
   const sent = new AbortController();
@@ -119,7 +128,11 @@
     get openCount() {
       return sockets.filter(({destroyed}) => !destroyed).length;
     },
+    readAnswers() {
+      for (const socket of sockets) socket.resume();
+    },
     [Symbol.dispose]() {
+      isDisposed = true;
       for (const socket of sockets) socket.destroy();
     },
   };
