Read requests ahead of the parser, and count what their heads cost

What callers saw: processes that ran out of memory, connections that sent nothing but empty lines and were never closed, and ordinary requests that waited for seconds behind those of a few connections.

Cause: Node.js parses all of a read of a socket (64 KiB) before any bound applies. The account of memory took a request for 4 KiB whatever its head; a line costs over 100 bytes, 320 with the lists and maps that are made of it. Empty lines begin no request, so that no time-out saw them. All requests of a read were parsed, and begun, in one turn of the event loop.

Change: a reader of each connection (src/transport/request_reader) stands between the socket and the parser. It counts lines and bytes of a head, and of trailers, before they are parsed; bounds request line, header section and empty lines by the limit in force; reserves what many lines cost from the account (kind header, a quarter of the budget); hands over one head, or 64 chunks, in a turn; and lets heads of many lines wait for turns of their own. What it does not hand over stays in the socket. A head that finds no memory is refused (503, Retry-After), or waits for the requests before it on its connection. The public and the peers' address bound the lines, too, as their callers are known. The account counts 12 KiB for a further request and what is held unparsed, and names the callers with the most rejections.

--- a/src/cli/serve/daemon.ts
+++ b/src/cli/serve/daemon.ts
@@ -165,10 +165,14 @@
     countGateways: () =>
       lease.listHosts().filter(host => host.gateway && !host.leaving).length,
   });
+  const {headerBytes, ...memoryBounds} = computeMemoryBounds(
+    settings.host.memory_mib,
+  );
   const memory = new MemoryAccount({
     clock,
     metrics: parts.metrics,
-    ...computeMemoryBounds(settings.host.memory_mib),
+    ...memoryBounds,
+    kindBytes: {header: headerBytes},
   });
   store.add(startMemoryReport({memory, clock, logger: createLogger('memory')}));
   const [peerHost, peerPort] = splitAddress(settings.listen.peers);
--- a/src/cli/serve_site/host_bounds.ts
+++ b/src/cli/serve_site/host_bounds.ts
@@ -40,7 +40,9 @@
   store,
 }: HostBoundsOptions): HostBounds {
   const {host, bounds} = settings;
-  const {budgetBytes, shareBytes} = computeMemoryBounds(host.memory_mib);
+  const {budgetBytes, shareBytes, headerBytes} = computeMemoryBounds(
+    host.memory_mib,
+  );
   const memory = new MemoryAccount({
     clock,
     metrics,
@@ -48,7 +50,12 @@
       ? bounds.caller_memory_mib * BYTES_PER_MIB
       : budgetBytes,
     shareBytes,
-    kindBytes: {answer: bounds.answer_memory_mib * BYTES_PER_MIB},
+    kindBytes: {
+      answer: bounds.answer_memory_mib * BYTES_PER_MIB,
+      header: bounds.header_memory_mib
+        ? bounds.header_memory_mib * BYTES_PER_MIB
+        : headerBytes,
+    },
   });
   store.add(startMemoryReport({memory, clock, logger: createLogger('memory')}));
   // What the system says of a process may be a soft limit of its launcher.
--- a/src/coordination/memory_account/compute_bounds.ts
+++ b/src/coordination/memory_account/compute_bounds.ts
@@ -1,4 +1,5 @@
 /** Computes the bounds of memory and connections that a host bears. */
+import {computeLargestHeaderCost} from './header_cost.ts';
 
 const MIB = 1024 * 1024;
 
@@ -20,9 +21,16 @@
 /** The share of the budget that one connection may hold. */
 const CONNECTION_SHARE = 1 / 8;
 
+/** The share of the budget that header sections of many lines may hold. */
+const HEADER_SHARE = 1 / 4;
+
+/** The largest header section that a configuration may allow, in bytes. */
+export const MAX_HEADER_BYTES = 64 * 1024;
+
 export interface MemoryBounds {
   readonly budgetBytes: number;
   readonly shareBytes: number;
+  readonly headerBytes: number;
 }
 
 /** @param memoryMib What the host has; that of ordinary hosts by default. */
@@ -34,7 +42,25 @@
     (memoryMib - BASE_MIB) * BUDGET_SHARE,
   );
   const shareMib = Math.max(MIN_SHARE_MIB, budgetMib * CONNECTION_SHARE);
-  return {budgetBytes: budgetMib * MIB, shareBytes: shareMib * MIB};
+  return {
+    budgetBytes: budgetMib * MIB,
+    shareBytes: shareMib * MIB,
+    headerBytes: Math.max(
+      budgetMib * HEADER_SHARE * MIB,
+      computeLargestHeaderCost(MAX_HEADER_BYTES),
+    ),
+  };
+}
+
+/** What a request of an ordinary size takes, in bytes. */
+const ORDINARY_REQUEST_BYTES = 64 * 1024;
+
+/** What a body takes at the most, received in bad chunks and then joined. */
+const BODY_FACTOR = 3.1;
+
+/** Computes what the largest request with such a body takes, in bytes. */
+export function computeLargestRequest(maxBodyBytes: number): number {
+  return maxBodyBytes * BODY_FACTOR + ORDINARY_REQUEST_BYTES;
 }
 
 /**
--- a/src/coordination/memory_account/memory_account.ts
+++ b/src/coordination/memory_account/memory_account.ts
@@ -8,10 +8,13 @@
  */
 import type {Clock} from '../../protocol/clock.ts';
 import {silentMetrics, type Metrics} from '../../protocol/metrics.ts';
+import {RejectionTally, type RejectedCaller} from './rejection_tally.ts';
 
 /** What the memory is held for; the label of the metrics. */
 export type HolderKind =
   | 'connection'
+  // Header sections of many lines.
+  | 'header'
   | 'body'
   // An answer of an endpoint that is being received.
   | 'answer'
@@ -116,14 +119,20 @@
 
 export class MemoryAccount {
   private readonly holders = new Set<MemoryHolder>();
-  private readonly byKind = {connection: 0, body: 0, answer: 0, unread: 0};
+  private readonly byKind: Record<HolderKind, number> = {
+    connection: 0,
+    header: 0,
+    body: 0,
+    answer: 0,
+    unread: 0,
+  };
   private readonly byEviction = {first: 0, last: 0, never: 0};
   private readonly byOwner = new Map<object, number>();
   private sumBytes = 0;
   /** What the largest request takes; bounds are never below it. */
   private largestBytes = 0;
   private readonly metrics: Metrics;
-  private rejections = new Map<string, number>();
+  private readonly tally = new RejectionTally();
 
   constructor(private readonly options: MemoryAccountOptions) {
     this.metrics = options.metrics ?? silentMetrics;
@@ -153,10 +162,13 @@
     return new MemoryHolder(this, options, this.options.clock.monotonic());
   }
 
-  /** Whether `bytes` could be reserved by evicting others. */
-  hasRoom(bytes: number): boolean {
+  /** Whether `bytes` could be reserved by evicting others, within a kind's bound. */
+  hasRoom(bytes: number, kind?: HolderKind): boolean {
     const {last, never} = this.byEviction;
-    return last + never + bytes <= this.budgetBytes;
+    const {kindBytes = {}} = this.options;
+    const held = kind ? this.byKind[kind] : 0;
+    const maxBytes = (kind && kindBytes[kind]) ?? Infinity;
+    return last + never + bytes <= this.budgetBytes && held + bytes <= maxBytes;
   }
 
   countBytes(kind: HolderKind): number {
@@ -195,11 +207,14 @@
     this.add(holder, -holder.bytes);
   }
 
-  /** Counts a rejection by the user of the account, for another cause. */
-  recordRejection(kind: HolderKind, cause: string): void {
+  /**
+   * Counts a rejection by the user of the account, for another cause.
+   *
+   * @param name The address of the caller.
+   */
+  recordRejection(kind: HolderKind, cause: string, name: string): void {
     this.metrics.count('memory_rejections', 1, {kind, cause});
-    const key = `${kind} ${cause}`;
-    this.rejections.set(key, (this.rejections.get(key) ?? 0) + 1);
+    this.tally.record(`${kind} ${cause}`, name);
   }
 
   /** Updates times of progress and gauges; to be called at an interval. */
@@ -214,9 +229,12 @@
 
   /** Takes the rejections since the last call, by kind and cause. */
   takeRejections(): ReadonlyMap<string, number> {
-    const taken = this.rejections;
-    this.rejections = new Map();
-    return taken;
+    return this.tally.takeCauses();
+  }
+
+  /** Takes the callers with the most rejections since the last call. */
+  takeRejectedCallers(count: number): RejectedCaller[] {
+    return this.tally.takeCallers(count);
   }
 
   /** Lists the holders with the most bytes for the longest time. */
@@ -296,8 +314,8 @@
     holder.options.evict(cause);
   }
 
-  private record({options: {kind}}: MemoryHolder, cause: RejectionCause): void {
-    this.recordRejection(kind, cause);
+  private record({options}: MemoryHolder, cause: RejectionCause): void {
+    this.recordRejection(options.kind, cause, options.name);
   }
 
   private add(holder: MemoryHolder, bytes: number): void {
--- a/src/coordination/memory_account/memory_report.ts
+++ b/src/coordination/memory_account/memory_report.ts
@@ -9,7 +9,7 @@
 /** The least time between two lines. */
 const LOG_INTERVAL_MS = 5_000;
 
-/** How many of the largest holders a line names. */
+/** How many of the largest holders, and of the callers, a line names. */
 const LARGEST_COUNT = 3;
 
 export interface MemoryReportOptions {
@@ -39,6 +39,7 @@
         heldBytes: memory.bytes,
         budgetBytes: memory.budgetBytes,
         largest: memory.listLargest(LARGEST_COUNT),
+        callers: memory.takeRejectedCallers(LARGEST_COUNT),
       });
     },
     onError: ({message: reason}) =>
--- a/src/protocol/site_settings.ts
+++ b/src/protocol/site_settings.ts
@@ -65,6 +65,11 @@
        * together, in MiB; by default it follows from `host.memory_mib`.
        */
       caller_memory_mib: numberSchema.positive().optional(),
+      /**
+       * What header sections of many lines may take of it, in MiB; a quarter by
+       * default, and no less than the largest one.
+       */
+      header_memory_mib: numberSchema.positive().optional(),
       /**
        * The factor by which requests to a cold endpoint may exceed the rate that
        * it tolerates, and the requests in a second beyond that. Without either
--- a/src/transport/forwarding/api_server.ts
+++ b/src/transport/forwarding/api_server.ts
@@ -9,7 +9,8 @@
 import type {Logger} from '../../protocol/logger.ts';
 import {MEMORY_RETRY_AFTER_S, readBody} from '../public/read_body.ts';
 import {closeServer, startListening} from '../http_server.ts';
-import {ConnectionGuard, findGuarded} from '../memory/connection_guard.ts';
+import {ConnectionGuard} from '../memory/connection_guard.ts';
+import {findGuarded} from '../memory/guarded_request.ts';
 
 /** Maximum size of a body that is kept by default. */
 const MAX_KEPT_BYTES = 64 * 1024;
--- a/src/transport/forwarding/caller_sink.ts
+++ b/src/transport/forwarding/caller_sink.ts
@@ -1,7 +1,7 @@
 /** Writes the answer to one caller. */
 import type {ServerResponse} from 'node:http';
 import type {CallerSink, Header} from '../../coordination/forwarding/call.ts';
-import {findGuarded} from '../memory/connection_guard.ts';
+import {findGuarded} from '../memory/guarded_request.ts';
 
 /** Status codes whose answers have no body. */
 const STATUSES_WITHOUT_BODY = new Set([204, 304]);
--- a/src/transport/forwarding/front_server.ts
+++ b/src/transport/forwarding/front_server.ts
@@ -10,7 +10,12 @@
   type IncomingMessage,
   type ServerResponse,
 } from 'node:http';
-import type {MemoryAccount} from '../../coordination/memory_account/memory_account.ts';
+import {
+  computeLargestRequest,
+  MAX_HEADER_BYTES,
+} from '../../coordination/memory_account/compute_bounds.ts';
+import {computeLargestHeaderCost} from '../../coordination/memory_account/header_cost.ts';
+import {MemoryAccount} from '../../coordination/memory_account/memory_account.ts';
 import type {Call} from '../../coordination/forwarding/call.ts';
 import {refuseCall} from '../../coordination/forwarding/refuse.ts';
 import type {CallerSink} from '../../coordination/forwarding/call.ts';
@@ -28,11 +33,8 @@
   type BodyError,
 } from '../public/read_body.ts';
 import {startListening} from '../http_server.ts';
-import {
-  computeLargestRequest,
-  ConnectionGuard,
-  findGuarded,
-} from '../memory/connection_guard.ts';
+import {ConnectionGuard} from '../memory/connection_guard.ts';
+import {findGuarded} from '../memory/guarded_request.ts';
 import {OpenAnswers} from '../open_answers.ts';
 
 /** How often connection timeouts are checked. */
@@ -55,8 +57,8 @@
   idleTimeoutMs: 15_000,
 };
 
-/** Node's parser limit; configured limits are checked per request. */
-const MAX_HEADER_BYTES = 64 * 1024;
+/** The limit of Node's parser for a request line and a header section. */
+const MAX_HEAD_BYTES = 2 * MAX_HEADER_BYTES + 1024;
 
 export interface FrontServerOptions {
   readonly host: string;
@@ -104,18 +106,20 @@
     requestTimeout: 0,
     connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
     keepAliveTimeout: limits.idleTimeoutMs + IDLE_MARGIN_MS,
-    maxHeaderSize: MAX_HEADER_BYTES,
+    maxHeaderSize: MAX_HEAD_BYTES,
     noDelay: true,
   });
-  // Node.js drops the lines beyond it, which the limit in bytes allows.
-  server.maxHeadersCount = 0;
   const answers = new OpenAnswers(server);
-  const {memory, maxConnections} = options;
-  const guard = memory
-    ? new ConnectionGuard(server, {memory, maxConnections})
-    : null;
+  const {maxConnections} = options;
+  const memory =
+    options.memory ?? new MemoryAccount({clock, budgetBytes: Infinity});
+  const guard = new ConnectionGuard(server, {
+    memory,
+    maxConnections,
+    getMaxHeaderBytes: () => Math.min(limits.maxHeaderBytes, MAX_HEADER_BYTES),
+  });
   server.on('request', (request: IncomingMessage, response: ServerResponse) => {
-    if (guard && !guard.admit(request, response)) return;
+    if (!guard.admit(request, response)) return;
     if (isClosing) response.setHeader('Connection', 'close');
     serveRequest(options, limits, {request, response}).catch(error => {
       const {message: reason} = error as Error;
@@ -135,11 +139,14 @@
       return answers.count;
     },
     get hasRoom() {
-      return guard?.hasRoom ?? true;
+      return guard.hasRoom;
     },
     setLimits(next) {
       limits = next;
-      memory?.ensureFits(computeLargestRequest(next.maxBodyBytes));
+      memory.ensureFits(
+        computeLargestRequest(next.maxBodyBytes) +
+          computeLargestHeaderCost(next.maxHeaderBytes),
+      );
       server.headersTimeout = next.headerTimeoutMs;
       server.keepAliveTimeout = next.idleTimeoutMs + IDLE_MARGIN_MS;
     },
@@ -150,7 +157,7 @@
     async [Symbol.asyncDispose]() {
       isClosing = true;
       await answers.closeServer(clock);
-      guard?.[Symbol.dispose]();
+      guard[Symbol.dispose]();
     },
   };
 }
@@ -172,10 +179,9 @@
   });
   const sink = createCallerSink(response);
   const path = request.url ?? '';
-  const isHeaderTooLarge = countHeaderBytes(request) > limits.maxHeaderBytes;
-  if (isHeaderTooLarge || !path.startsWith('/')) {
+  if (!path.startsWith('/')) {
     response.setHeader('Connection', 'close');
-    sink.answer(isHeaderTooLarge ? 431 : 400, [], Buffer.alloc(0));
+    sink.answer(400, [], Buffer.alloc(0));
     return;
   }
   const digest = new BodyDigest({isEager: needsDigest?.() ?? false});
@@ -239,8 +245,3 @@
       refuseCall(sink, {reason: 'bad-request'});
   }
 }
-
-function countHeaderBytes({rawHeaders}: IncomingMessage): number {
-  // A line has at least a colon and CRLF beside its name and value.
-  return rawHeaders.reduce((sum, text) => sum + text.length + 1.5, 0);
-}
--- a/src/transport/memory/body_buffer_test.ts
+++ b/src/transport/memory/body_buffer_test.ts
@@ -1,9 +1,11 @@
 import assert from 'node:assert/strict';
 import {test} from 'uvu';
-import {computeMemoryBounds} from '../../coordination/memory_account/compute_bounds.ts';
+import {
+  computeLargestRequest,
+  computeMemoryBounds,
+} from '../../coordination/memory_account/compute_bounds.ts';
 import {createDraws} from '../../protocol/seeded_draws.ts';
 import {BodyBuffer} from './body_buffer.ts';
-import {computeLargestRequest} from './connection_guard.ts';
 
 const MIB = 1024 * 1024;
 
--- a/src/transport/memory/connection_guard.ts
+++ b/src/transport/memory/connection_guard.ts
@@ -9,26 +9,24 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {
+  HolderKind,
   MemoryAccount,
   MemoryHolder,
 } from '../../coordination/memory_account/memory_account.ts';
+import {TurnQueue} from '../../coordination/turn_queue.ts';
+import {refuseHead, type RefuseHead} from '../request_reader/refuse_head.ts';
+import {RequestReader} from '../request_reader/request_reader.ts';
+import {describeCaller, GuardedRequest, setGuarded} from './guarded_request.ts';
 
 /** What a connection without a request takes: its socket, parser and buffers. */
 const CONNECTION_BYTES = 12 * 1024;
 
-/** What a request takes beside its body. */
-const REQUEST_BYTES = 4 * 1024;
+/** What a request takes beside its body and a head of many lines. */
+const REQUEST_BYTES = 12 * 1024;
 
-/**
- * The most requests of a connection that may be open. Node.js stops reading a
- * connection with unread answers only after all that it has read at once, which
- * is over 1,000 short requests.
- */
+/** The most requests of a connection that may be open. */
 const MAX_PIPELINED = 100;
 
-/** Smaller answers are counted only if they are not read at once. */
-const MIN_COUNTED_ANSWER_BYTES = 16 * 1024;
-
 /** How long a caller may read nothing of an answer, in ms. */
 const STALL_TIMEOUT_MS = 15_000;
 
@@ -41,114 +39,39 @@
 /** A connection needs this much memory for a request of an ordinary size. */
 const ORDINARY_BYTES = 64 * 1024;
 
+/** Bounds request lines and header sections where no configuration does. */
+const MAX_HEADER_BYTES = 16 * 1024;
+
 export interface ConnectionGuardOptions {
   readonly memory: MemoryAccount;
   /** Unbounded by default. */
   readonly maxConnections?: number | undefined;
   /** 15 s by default. */
   readonly stallTimeoutMs?: number;
+  /** Bounds a request line, a header section and trailers; 16 KiB by default. */
+  readonly getMaxHeaderBytes?: () => number;
+  /** Bounds the lines of either section; unbounded by default. */
+  readonly maxHeaderLines?: number;
+  /** Refuses a request by its head; with a status alone by default. */
+  readonly refuse?: RefuseHead;
 }
 
 interface Connection {
   readonly holder: MemoryHolder;
+  readonly reader: RequestReader;
+  /** What the reader holds of it, in bytes. */
+  heldBytes: number;
   readonly open: Set<GuardedRequest>;
   isStalling: boolean;
 }
 
-/** What a body takes at the most, received in bad chunks and then joined. */
-const BODY_FACTOR = 3.1;
-
-/** Computes what the largest request with such a body takes, in bytes. */
-export function computeLargestRequest(maxBodyBytes: number): number {
-  return maxBodyBytes * BODY_FACTOR + ORDINARY_BYTES;
-}
-
-/** A request whose memory is counted. */
-export class GuardedRequest {
-  /** What its body holds; `null` while it holds nothing. */
-  private body: MemoryHolder | null = null;
-  private answer: MemoryHolder | null = null;
-  private isClosed = false;
-  private retained = 0;
-
-  constructor(
-    private readonly memory: MemoryAccount,
-    private readonly socket: Socket,
-  ) {}
-
-  /** Opens the account of the body; `evict` is called when it is to be refused. */
-  openBody(evict: () => void): MemoryHolder {
-    this.body = this.memory.open({
-      kind: 'body',
-      eviction: 'first',
-      name: describeCaller(this.socket),
-      owner: this.socket,
-      evict,
-    });
-    return this.body;
-  }
-
-  /** Reserves more for the body that was read; false if it is to be refused. */
-  grow(bytes: number): boolean {
-    return !this.body || this.body.set(this.body.bytes + bytes);
-  }
-
-  /**
-   * Reserves an answer that is about to be written, until it is sent. If it is
-   * refused, or evicted later, the connection is to be closed: its request has run.
-   */
-  holdAnswer(bytes: number): boolean {
-    if (bytes < MIN_COUNTED_ANSWER_BYTES) return true;
-    this.answer ??= this.memory.open({
-      kind: 'unread',
-      // Its caller can read it, unlike an answer that is still received.
-      eviction: 'first',
-      name: describeCaller(this.socket),
-      owner: this.socket,
-      evict: () => this.socket.destroy(),
-    });
-    return this.answer.set(this.answer.bytes + bytes);
-  }
-
-  /** What is reserved for its answer, in bytes. */
-  get answerBytes(): number {
-    return this.answer?.bytes ?? 0;
-  }
-
-  /** Keeps the body reserved until the result is called, too. */
-  retain(): () => void {
-    this.retained++;
-    return () => {
-      this.retained--;
-      this.releaseBody();
-    };
-  }
-
-  /** Ends the reservations, as the answer is sent or the connection closed. */
-  close(): void {
-    this.isClosed = true;
-    this.answer?.release();
-    this.releaseBody();
-  }
-
-  private releaseBody(): void {
-    if (this.isClosed && this.retained === 0) this.body?.release();
-  }
-}
-
-const requests = new WeakMap<IncomingMessage, GuardedRequest>();
-
-/** Finds the account of a request; `null` if its server has no guard. */
-export function findGuarded(request: IncomingMessage): GuardedRequest | null {
-  return requests.get(request) ?? null;
-}
-
 export class ConnectionGuard implements Disposable {
   private readonly connections = new Map<Socket, Connection>();
   /** Connections without a request, the longest without one first. */
   private readonly idle = new Set<Socket>();
   private timer: NodeJS.Timeout | null = null;
   private readonly maxConnections: number;
+  private readonly turns = new TurnQueue({schedule: setImmediate});
 
   constructor(
     private readonly server: Server,
@@ -158,9 +81,16 @@
     if (options.maxConnections !== undefined) {
       server.maxConnections = options.maxConnections;
     }
+    // Lines that were dropped could be those that frame the body. The readers
+    // bound the lines by what they cost.
+    server.maxHeadersCount = 0;
     server.on('connection', socket => this.add(socket));
-    server.on('drop', () =>
-      options.memory.recordRejection('connection', 'connections'),
+    server.on('drop', data =>
+      options.memory.recordRejection(
+        'connection',
+        'connections',
+        data?.remoteAddress ?? '',
+      ),
     );
   }
 
@@ -178,19 +108,27 @@
     const connection = this.connections.get(socket);
     if (!connection || socket.destroyed) return false;
     const {memory} = this.options;
-    const guarded = new GuardedRequest(memory, socket);
+    const header = connection.reader.takeHeader();
+    if (!connection.reader.begin(request, response)) {
+      this.recordRejection('header', 'framing', socket);
+      header?.release();
+      socket.destroy();
+      return false;
+    }
+    const guarded = new GuardedRequest(memory, socket, header);
     connection.open.add(guarded);
     if (connection.open.size === 1) {
       this.idle.delete(socket);
       connection.holder.setEviction('last');
     } else if (connection.open.size > MAX_PIPELINED) {
-      memory.recordRejection('connection', 'pipelined');
+      this.recordRejection('connection', 'pipelined', socket);
+      guarded.close();
       socket.destroy();
       return false;
     } else if (!this.update(socket, connection)) {
       return false;
     }
-    requests.set(request, guarded);
+    setGuarded(request, guarded);
     response.once('close', () => {
       guarded.close();
       connection.open.delete(guarded);
@@ -202,7 +140,9 @@
   /** Never closes a connection that is used for another protocol. */
   keepUpgraded(socket: Socket): void {
     this.idle.delete(socket);
-    this.connections.get(socket)?.holder.setEviction('never');
+    const connection = this.connections.get(socket);
+    connection?.holder.setEviction('never');
+    connection?.reader.detach();
   }
 
   [Symbol.dispose](): void {
@@ -217,8 +157,10 @@
       owner: socket,
       evict: () => socket.destroy(),
     });
-    const connection = {
+    const connection: Connection = {
       holder,
+      reader: this.openReader(socket),
+      heldBytes: 0,
       open: new Set<GuardedRequest>(),
       isStalling: false,
     };
@@ -227,7 +169,7 @@
     this.idle.add(socket);
     socket.on('timeout', () => {
       if (!connection.isStalling) return;
-      this.options.memory.recordRejection('connection', 'unread');
+      this.recordRejection('connection', 'unread', socket);
     });
     socket.once('close', () => {
       holder.release();
@@ -239,6 +181,55 @@
     if (this.update(socket, connection)) this.closeLongestIdle(socket);
   }
 
+  private openReader(socket: Socket): RequestReader {
+    // The listener with which the server hands what it reads to the parser.
+    const [parse] = socket.listeners('data');
+    if (!parse) throw new Error('Could not find the parser of a connection');
+    socket.off('data', parse as () => void);
+    const {
+      getMaxHeaderBytes = () => MAX_HEADER_BYTES,
+      maxHeaderLines = Infinity,
+      refuse = refuseHead,
+    } = this.options;
+    return new RequestReader({
+      socket,
+      parse: parse as (bytes: Buffer) => void,
+      getMaxHeaderBytes,
+      maxHeaderLines,
+      turns: this.turns,
+      reserveHeader: bytes => this.reserveHeader(socket, bytes),
+      recordHeld: bytes => {
+        const connection = this.connections.get(socket);
+        if (!connection) return;
+        connection.heldBytes = bytes;
+        this.update(socket, connection);
+      },
+      recordRejection: (kind, cause) =>
+        this.recordRejection(kind, cause, socket),
+      refuse,
+    });
+  }
+
+  private reserveHeader(socket: Socket, bytes: number): MemoryHolder | null {
+    const {memory} = this.options;
+    // A head that may wait is not counted as rejected.
+    if (!memory.hasRoom(bytes, 'header')) return null;
+    const header = memory.open({
+      kind: 'header',
+      // Its request begins at once.
+      eviction: 'never',
+      name: describeCaller(socket),
+      owner: socket,
+      evict: () => {},
+    });
+    return header.set(bytes) ? header : null;
+  }
+
+  private recordRejection(kind: HolderKind, cause: string, socket: Socket) {
+    const {memory} = this.options;
+    memory.recordRejection(kind, cause, describeCaller(socket));
+  }
+
   private setIdle(socket: Socket, {holder}: Connection): void {
     if (socket.destroyed) return;
     this.idle.add(socket);
@@ -251,7 +242,7 @@
     if (this.connections.size <= this.maxConnections * CROWDED_SHARE) return;
     for (const socket of this.idle) {
       if (socket === added) return;
-      this.options.memory.recordRejection('connection', 'idle');
+      this.recordRejection('connection', 'idle', socket);
       this.idle.delete(socket);
       socket.destroy();
       return;
@@ -267,7 +258,9 @@
     const bytes =
       CONNECTION_BYTES +
       Math.max(0, connection.open.size - 1) * REQUEST_BYTES +
-      Math.max(0, unreadBytes);
+      Math.max(0, unreadBytes) +
+      connection.heldBytes +
+      socket.readableLength;
     if (bytes === connection.holder.bytes) return true;
     if (connection.holder.set(bytes)) return true;
     socket.destroy();
@@ -297,7 +290,3 @@
     }
   }
 }
-
-function describeCaller({remoteAddress, remotePort}: Socket): string {
-  return `${remoteAddress}:${remotePort}`;
-}
--- a/src/transport/peers/peer_server.ts
+++ b/src/transport/peers/peer_server.ts
@@ -19,6 +19,9 @@
 const HEADERS_TIMEOUT_MS = 10_000;
 const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
 
+/** Many times the lines of another daemon's request. */
+const MAX_HEADER_LINES = 100;
+
 /** Interval of keep-alive pings, and timeout for their pongs. */
 const KEEP_ALIVE = {enabled: true, pingMs: 5_000, pongWaitMs: 2_000};
 
@@ -50,7 +53,11 @@
     },
   );
   const guard = memory
-    ? new ConnectionGuard(server, {memory, maxConnections})
+    ? new ConnectionGuard(server, {
+        memory,
+        maxConnections,
+        maxHeaderLines: MAX_HEADER_LINES,
+      })
     : null;
   const sockets = new WebSocketServer({
     server,
--- a/src/transport/public/public_server.ts
+++ b/src/transport/public/public_server.ts
@@ -22,6 +22,7 @@
 import {startListening} from '../http_server.ts';
 import {ConnectionGuard} from '../memory/connection_guard.ts';
 import {OpenAnswers} from '../open_answers.ts';
+import type {HeadRefusal} from '../request_reader/refuse_head.ts';
 import {describeError} from './http_errors.ts';
 
 export type {WrapHandler, RouteHandler} from './create_public_handler.ts';
@@ -41,8 +42,8 @@
 /** Maximum size of a request's headers. */
 const MAX_HEADER_BYTES = 16 * 1024;
 
-/** Maximum number of headers of a request. */
-const MAX_HEADERS = 100;
+/** Maximum number of lines of a request's headers, the request line included. */
+const MAX_HEADER_LINES = 101;
 
 /** Maximum number of open connections. */
 const MAX_CONNECTIONS = 10_000;
@@ -84,13 +85,18 @@
     maxHeaderSize: MAX_HEADER_BYTES,
     noDelay: true,
   });
-  server.maxHeadersCount = MAX_HEADERS;
   const answers = new OpenAnswers(server);
   const pendingTasks = new PendingTasks();
   limitConnections(server);
   const {memory} = options;
   const guard = memory
-    ? new ConnectionGuard(server, {memory, maxConnections: MAX_CONNECTIONS})
+    ? new ConnectionGuard(server, {
+        memory,
+        maxConnections: MAX_CONNECTIONS,
+        getMaxHeaderBytes: () => MAX_HEADER_BYTES,
+        maxHeaderLines: MAX_HEADER_LINES,
+        refuse: refuseHead,
+      })
     : null;
   if (!guard) server.maxConnections = MAX_CONNECTIONS;
   const handle = createPublicHandler({
@@ -152,6 +158,14 @@
   });
 }
 
+/** Answers a request that is refused by its head. */
+function refuseHead(socket: Socket, cause: HeadRefusal): void {
+  if (cause === 'too-large') {
+    return refuseConnection(socket, 431, 'the headers are too large');
+  }
+  refuseConnection(socket, 503, 'the memory for requests is used up');
+}
+
 /** Answers malformed, oversized and timed-out requests. */
 function refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
   switch (error.code) {
--- a/src/transport/public/read_body.ts
+++ b/src/transport/public/read_body.ts
@@ -3,7 +3,7 @@
 import type {MemoryHolder} from '../../coordination/memory_account/memory_account.ts';
 import {fail, succeed, type Outcome} from '../../protocol/outcome.ts';
 import {BodyBuffer} from '../memory/body_buffer.ts';
-import {findGuarded} from '../memory/connection_guard.ts';
+import {findGuarded} from '../memory/guarded_request.ts';
 
 /** Maximum size of a body. */
 export const MAX_BODY_BYTES = 2 * 1024 * 1024;
