Let a head that waits for its turn count as begun

A head of many lines that waits for its turn, or for memory, would have been taken for an idle connection in a planned stop and closed, although it was read whole. Its first byte goes to the parser before it waits, as with a head that has not ended. A refusal after an answer that ended the connection is not written; one for want of memory at the product's own interface has the time to come back.

--- a/src/transport/public/public_server.ts
+++ b/src/transport/public/public_server.ts
@@ -24,6 +24,7 @@
 import {OpenAnswers} from '../open_answers.ts';
 import type {HeadRefusal} from '../request_reader/refuse_head.ts';
 import {describeError} from './http_errors.ts';
+import {MEMORY_RETRY_AFTER_S} from './read_body.ts';
 
 export type {WrapHandler, RouteHandler} from './create_public_handler.ts';
 
@@ -201,6 +202,7 @@
       'content-type: application/json\r\n' +
       `content-length: ${Buffer.byteLength(body)}\r\n` +
       `x-request-id: ${requestId}\r\n` +
+      (status === 503 ? `retry-after: ${MEMORY_RETRY_AFTER_S}\r\n` : '') +
       'x-outcome: not-run\r\nconnection: close\r\n\r\n' +
       body,
   );
--- a/src/transport/request_reader/request_reader.ts
+++ b/src/transport/request_reader/request_reader.ts
@@ -225,13 +225,20 @@
     }
   }
 
-  /** Keeps a part of a section, and hands its first byte over. */
   private keepPartial(piece: Buffer): void {
-    if (this.hasBegun) return this.partial.add(piece);
-    // The server takes no connection for idle whose request has begun.
-    this.options.parse(piece.subarray(0, 1));
+    const kept = this.beginSection(piece);
+    if (kept.length > 0) this.partial.add(kept);
+  }
+
+  /**
+   * Hands the first byte of a section that has to wait over, and returns the others.
+   * The server takes no connection for idle whose request has begun.
+   */
+  private beginSection(piece: Buffer): Buffer {
+    if (this.hasBegun) return piece;
     this.hasBegun = true;
-    if (piece.length > 1) this.partial.add(piece.subarray(1));
+    this.options.parse(piece.subarray(0, 1));
+    return piece.subarray(1);
   }
 
   /** Joins the last piece of a section with what there is of it. */
@@ -248,6 +255,7 @@
     if (this.isPaused) return;
     const cost = computeHeaderCost(this.section);
     if (cost === 0) return this.handOver();
+    if (this.waiting) this.waiting = this.beginSection(this.waiting);
     this.isQueued = true;
     this.options.turns.enqueue(() => {
       this.isQueued = false;
@@ -328,8 +336,9 @@
   private endMessage(): void {
     if (this.hasEnded) return;
     // The parser and the reader must agree on where a request ends.
-    if (!this.current?.request.complete)
+    if (!this.current?.request.complete) {
       return this.closeSocket('header', 'framing');
+    }
     this.current = null;
     this.phase = 'head';
     this.mustYield = true;
@@ -337,8 +346,9 @@
 
   private refuse(cause: HeadRefusal): void {
     // A request with trailers has begun, and is answered by its handler.
-    if (this.phase === 'trailers')
+    if (this.phase === 'trailers') {
       return this.closeSocket('header', 'trailers');
+    }
     this.options.recordRejection('header', cause);
     this.refusal = cause;
     this.stop();
@@ -348,7 +358,7 @@
 
   private writeRefusal(): void {
     const {socket, refuse} = this.options;
-    if (socket.destroyed || !this.refusal) return;
+    if (!socket.writable || !this.refusal) return;
     refuse(socket, this.refusal);
     // Closing with bytes unread resets the connection, which may cut the refusal.
     setTimeout(() => socket.destroy(), REFUSAL_TIMEOUT_MS).unref();
