--- a/src/transport/request_reader/request_reader_test.ts
+++ b/src/transport/request_reader/request_reader_test.ts
@@ -106,7 +106,7 @@
   return JSON.stringify([method, url, rawHeaders, body, rawTrailers]);
 }
 
-async function play(
+async function playPieces(
   pieces: readonly Buffer[],
   {hasReader, observe = () => {}, answerTurns = 0}: PlayOptions,
 ): Promise<Verdict> {
@@ -221,7 +221,7 @@
 }
 
 /** Changes, drops or adds a few bytes. */
-function breakBytes(draws: Draws, bytes: Buffer): Buffer {
+function drawBroken(draws: Draws, bytes: Buffer): Buffer {
   const at = draws.between(0, bytes.length - 1);
   const added = Buffer.from(['\n', '\r', ':', '\0', 'z'][draws.between(0, 4)]!);
   const dropped = draws.between(0, 2);
@@ -232,8 +232,8 @@
   ]);
 }
 
-/** Cuts bytes at drawn places. */
-function cutBytes(draws: Draws, bytes: Buffer): Buffer[] {
+/** Splits bytes at drawn places. */
+function splitBytes(draws: Draws, bytes: Buffer): Buffer[] {
   const pieces: Buffer[] = [];
   const max = draws.log(2, bytes.length + 2);
   for (let at = 0; at < bytes.length;) {
@@ -255,11 +255,11 @@
   for (let seed = FROM; seed < FROM + SEEDS; seed++) {
     const draws = createDraws(seed);
     const bytes = drawBytes(draws);
-    const plain = await play([bytes], {hasReader: false});
-    const pieces = cutBytes(draws, bytes);
+    const plain = await playPieces([bytes], {hasReader: false});
+    const pieces = splitBytes(draws, bytes);
     const answerTurns = draws.between(0, 5);
     for (const each of [[bytes], pieces]) {
-      const verdict = await play(each, {hasReader: true, answerTurns});
+      const verdict = await playPieces(each, {hasReader: true, answerTurns});
       assert.deepEqual(verdict, plain, `seed ${seed}`);
     }
   }
@@ -269,9 +269,9 @@
 test('broken requests end in the same way, however they are cut', async () => {
   for (let seed = FROM; seed < FROM + SEEDS; seed++) {
     const draws = createDraws(seed);
-    const bytes = breakBytes(draws, drawBytes(draws));
-    const whole = await play([bytes], {hasReader: true});
-    const cut = await play(cutBytes(draws, bytes), {hasReader: true});
+    const bytes = drawBroken(draws, drawBytes(draws));
+    const whole = await playPieces([bytes], {hasReader: true});
+    const cut = await playPieces(splitBytes(draws, bytes), {hasReader: true});
     // What began before the fault may have been answered before it arrived.
     const message = `seed ${seed}`;
     const length = Math.min(whole.requests.length, cut.requests.length);
@@ -297,7 +297,7 @@
   const head = `GET / HTTP/1.1\r\nHost: a\r\n${createLines(2_500)}\r\n`;
   const bytes = Buffer.from(head.repeat(30));
   let mostBytes = 0;
-  const verdict = await play([bytes], {
+  const verdict = await playPieces([bytes], {
     hasReader: true,
     answerTurns: 50,
     observe: memory => {
@@ -343,14 +343,14 @@
     const length = MAX_HEADER_BYTES - frame.length - 2 + excess;
     const lines = `${frame}${'v'.repeat(length)}\r\n`;
     const bytes = Buffer.from(`GET ${target} HTTP/1.1\r\n${lines}\r\n`);
-    const {requests, statuses} = await play([bytes], {hasReader: true});
+    const {requests, statuses} = await playPieces([bytes], {hasReader: true});
     assert.deepEqual(statuses, [excess ? '431' : '200']);
     assert.equal(requests.length, 1 - excess);
   }
   const short = createLines(2_900);
   assert.ok(short.length < MAX_HEADER_BYTES);
   const bytes = Buffer.from(`GET / HTTP/1.1\r\nHost: a\r\n${short}\r\n`);
-  const {requests, statuses} = await play([bytes], {hasReader: true});
+  const {requests, statuses} = await playPieces([bytes], {hasReader: true});
   assert.deepEqual(statuses, ['200']);
   assert.equal(JSON.parse(requests[0] ?? '')[2].length, 2 * 2_901);
 });
@@ -416,7 +416,7 @@
       for (let at = 0; at < text.length; at += size) {
         pieces.push(Buffer.from(text.slice(at, at + size)));
       }
-      const {statuses, isClosed} = await play(pieces, {hasReader: true});
+      const {statuses, isClosed} = await playPieces(pieces, {hasReader: true});
       assert.equal(statuses.at(-1), '431', `pieces of ${size}`);
       assert.ok(isClosed);
     }
@@ -428,7 +428,7 @@
   const head =
     'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n';
   const bytes = Buffer.from(`${head}1\r\nx\r\n0\r\n${createLines(5_000)}`);
-  const {requests, isClosed} = await play([bytes], {hasReader: true});
+  const {requests, isClosed} = await playPieces([bytes], {hasReader: true});
   assert.deepEqual(requests, []);
   assert.ok(isClosed);
 });
